Carry out orders to engines by grants in the log, two loading at a time

Cause: nothing loaded weights or changed roles. Orders must be carried out once wanted, by a VM that may be paused or die, over engines some of which ignore fencing numbers, with at most two loading anywhere.

Change: the stream "orders" decides. A grant holds if it comes for the engine's newest want while fewer than backends.max_loading are open; its offset is the fencing number. The holder counts its lease from before the append and checks it last before sending; observers close a grant only after the lease and a margin, and only when the engine says that it is not loading. What the engine reports is compared with the want each round.

Ruled out: a lease alone without the log's order.

Not covered: a holder frozen between its last check and the send, for an engine that ignores fencing; a log put back shorter makes fencing numbers start lower, which engines that check refuse.

Unit and process test programs now build into folders of their own, since both kinds may have a test of the same name.

--- a/Makefile
+++ b/Makefile
@@ -26,8 +26,8 @@
 HEADERS = $(wildcard src/*/*.h standin/*.h tests/*/*.h bench/*.h demo/*.h)
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
-UNIT_BIN = $(patsubst tests/unit/%.c,$(BUILD)/%,$(UNIT))
-PROCESS_BIN = $(patsubst tests/process/%.c,$(BUILD)/%,$(PROCESS))
+UNIT_BIN = $(patsubst tests/unit/%.c,$(BUILD)/unit/%,$(UNIT))
+PROCESS_BIN = $(patsubst tests/process/%.c,$(BUILD)/process/%,$(PROCESS))
 BENCH_BIN = $(patsubst bench/bench_%.c,$(BUILD)/bench_%,$(filter bench/bench_%.c,$(BENCH)))
 BENCH_LIB = $(filter-out bench/bench_%.c,$(BENCH))
 
@@ -56,15 +56,18 @@
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(CHECKLIBS)
 
-$(UNIT_BIN): $(BUILD)/test_%: $(BUILD)/tests/unit/test_%.o $(call obj,$(HARNESS)) $(BUILD)/libkingcuppoint.a
+$(UNIT_BIN): $(BUILD)/unit/test_%: $(BUILD)/tests/unit/test_%.o $(call obj,$(HARNESS)) $(BUILD)/libkingcuppoint.a
+	@mkdir -p $(@D)
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(CHECKLIBS) $(LDLIBS)
 
-$(PROCESS_BIN): $(BUILD)/test_%: $(BUILD)/tests/process/test_%.o $(call obj,$(HARNESS)) $(BUILD)/libkingcuppoint.a
+$(PROCESS_BIN): $(BUILD)/process/test_%: $(BUILD)/tests/process/test_%.o $(call obj,$(HARNESS)) $(BUILD)/libkingcuppoint.a
+	@mkdir -p $(@D)
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(CHECKLIBS) $(LDLIBS)
 
 $(BENCH_BIN): $(BUILD)/bench_%: $(BUILD)/bench/bench_%.o $(call obj,$(BENCH_LIB) $(HARNESS)) $(BUILD)/libkingcuppoint.a
+	@mkdir -p $(@D)
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(CHECKLIBS) $(LDLIBS)
 
--- /dev/null
+++ b/src/backend/order_state.c
@@ -0,0 +1,249 @@
+#include "backend/order_state.h"
+
+#include <glib.h>
+#include <string.h>
+
+struct kcp_order_state
+{
+  uint64_t next;
+  unsigned limit;
+  GHashTable *wants;  /* engine, struct kcp_order_want */
+  GHashTable *grants; /* engine, struct kcp_order_grant */
+};
+
+static void apply_want (struct kcp_order_state *state, uint64_t offset, json_t *record);
+static void apply_grant (struct kcp_order_state *state, uint64_t offset, json_t *record);
+static void apply_close (struct kcp_order_state *state, json_t *record);
+static const char *text_of (json_t *record, const char *key);
+static void want_free (gpointer data);
+static void grant_free (gpointer data);
+
+/* Makes an empty state that allows limit grants to be open at a time. */
+struct kcp_order_state *
+kcp_order_state_new (unsigned limit)
+{
+  struct kcp_order_state *state = g_new0 (struct kcp_order_state, 1);
+
+  state->limit = limit;
+  state->wants = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, want_free);
+  state->grants = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, grant_free);
+  return state;
+}
+
+/* Frees the state; NULL is allowed. */
+void
+kcp_order_state_free (struct kcp_order_state *state)
+{
+  if (state == NULL)
+    return;
+  g_hash_table_unref (state->wants);
+  g_hash_table_unref (state->grants);
+  g_free (state);
+}
+
+/* Applies the record at an offset; offsets applied before change nothing, and records
+   that cannot be understood are passed over. */
+void
+kcp_order_state_apply (struct kcp_order_state *state, uint64_t offset, json_t *record)
+{
+  const char *op = text_of (record, "op");
+
+  if (offset < state->next)
+    return;
+  state->next = offset + 1;
+  if (strcmp (op, "want") == 0)
+    apply_want (state, offset, record);
+  else if (strcmp (op, "grant") == 0)
+    apply_grant (state, offset, record);
+  else if (strcmp (op, "done") == 0 || strcmp (op, "lapse") == 0)
+    apply_close (state, record);
+}
+
+/* Returns the first offset not applied. */
+uint64_t
+kcp_order_state_next_offset (const struct kcp_order_state *state)
+{
+  return state->next;
+}
+
+/* Goes on at the first offset that a trimmed log still keeps. Wants that were trimmed are
+   forgotten by VMs that start later: an engine keeps what it runs until it is ordered
+   otherwise, so that an operator repeats a want that was not carried out in time. */
+void
+kcp_order_state_skip_to (struct kcp_order_state *state, uint64_t offset)
+{
+  state->next = MAX (state->next, offset);
+}
+
+/* Returns how many grants are open over all engines. */
+unsigned
+kcp_order_state_open (const struct kcp_order_state *state)
+{
+  return g_hash_table_size (state->grants);
+}
+
+/* Returns the newest want of an engine, or NULL. */
+const struct kcp_order_want *
+kcp_order_state_want (const struct kcp_order_state *state, const char *engine)
+{
+  return g_hash_table_lookup (state->wants, engine);
+}
+
+/* Returns the open grant of an engine, or NULL. */
+const struct kcp_order_grant *
+kcp_order_state_grant (const struct kcp_order_state *state, const char *engine)
+{
+  return g_hash_table_lookup (state->grants, engine);
+}
+
+/* Tells whether a grant appended now would hold if nothing came before it. */
+bool
+kcp_order_state_may_grant (const struct kcp_order_state *state, const char *engine)
+{
+  return g_hash_table_contains (state->wants, engine)
+         && !g_hash_table_contains (state->grants, engine)
+         && kcp_order_state_open (state) < state->limit;
+}
+
+/* Returns the engines that have a want, NULL-terminated, to be freed with g_strfreev().
+ */
+char **
+kcp_order_state_engines (const struct kcp_order_state *state)
+{
+  GStrvBuilder *builder = g_strv_builder_new ();
+  GHashTableIter iter;
+  gpointer key;
+  char **engines;
+
+  g_hash_table_iter_init (&iter, state->wants);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    g_strv_builder_add (builder, key);
+  engines = g_strv_builder_end (builder);
+  g_strv_builder_unref (builder);
+  return engines;
+}
+
+/* Returns all wants with their grants as a new JSON array, for operators. */
+json_t *
+kcp_order_state_to_json (const struct kcp_order_state *state)
+{
+  json_t *list = json_array ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, state->wants);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct kcp_order_want *want = value;
+      const struct kcp_order_grant *grant = kcp_order_state_grant (state, want->engine);
+      json_t *object = json_pack ("{sssIss*ss*}", "engine", want->engine, "offset",
+                                  (json_int_t)want->offset, "weights", want->weights,
+                                  "role", want->role);
+
+      if (grant != NULL)
+        {
+          json_object_set_new (object, "vm", json_string (grant->vm));
+          json_object_set_new (object, "fencing",
+                               json_integer ((json_int_t)grant->offset));
+        }
+      json_array_append_new (list, object);
+    }
+  return list;
+}
+
+/* Returns a new record of what is wanted of an engine; weights and role may be NULL. */
+json_t *
+kcp_order_make_want (const char *engine, const char *weights, const char *role)
+{
+  return json_pack ("{ssssss*ss*}", "op", "want", "engine", engine, "weights", weights,
+                    "role", role);
+}
+
+/* Returns a new record that asks for the right to carry out a want. */
+json_t *
+kcp_order_make_grant (const char *engine, uint64_t want, const char *vm, const char *id,
+                      int64_t lease_ms)
+{
+  return json_pack ("{sssssIsssssI}", "op", "grant", "engine", engine, "want",
+                    (json_int_t)want, "vm", vm, "id", id, "lease_ms",
+                    (json_int_t)lease_ms);
+}
+
+/* Returns a new record that closes a grant; op is "done" or "lapse". */
+json_t *
+kcp_order_make_close (const char *op, const char *engine, uint64_t grant)
+{
+  return json_pack ("{sssssI}", "op", op, "engine", engine, "grant", (json_int_t)grant);
+}
+
+static void
+apply_want (struct kcp_order_state *state, uint64_t offset, json_t *record)
+{
+  struct kcp_order_want *want = g_new0 (struct kcp_order_want, 1);
+
+  want->offset = offset;
+  want->engine = g_strdup (text_of (record, "engine"));
+  want->weights = g_strdup (json_string_value (json_object_get (record, "weights")));
+  want->role = g_strdup (json_string_value (json_object_get (record, "role")));
+  g_hash_table_replace (state->wants, want->engine, want);
+}
+
+static void
+apply_grant (struct kcp_order_state *state, uint64_t offset, json_t *record)
+{
+  const char *engine = text_of (record, "engine");
+  const struct kcp_order_want *want = kcp_order_state_want (state, engine);
+  uint64_t wanted = (uint64_t)json_integer_value (json_object_get (record, "want"));
+  struct kcp_order_grant *grant;
+
+  if (!kcp_order_state_may_grant (state, engine) || want->offset != wanted)
+    return;
+  grant = g_new0 (struct kcp_order_grant, 1);
+  grant->offset = offset;
+  grant->want = wanted;
+  grant->engine = g_strdup (engine);
+  grant->vm = g_strdup (text_of (record, "vm"));
+  grant->lease_ms = json_integer_value (json_object_get (record, "lease_ms"));
+  g_strlcpy (grant->id, text_of (record, "id"), sizeof grant->id);
+  g_hash_table_replace (state->grants, grant->engine, grant);
+}
+
+static void
+apply_close (struct kcp_order_state *state, json_t *record)
+{
+  const char *engine = text_of (record, "engine");
+  const struct kcp_order_grant *grant = kcp_order_state_grant (state, engine);
+  uint64_t closed = (uint64_t)json_integer_value (json_object_get (record, "grant"));
+
+  if (grant != NULL && grant->offset == closed)
+    g_hash_table_remove (state->grants, engine);
+}
+
+static const char *
+text_of (json_t *record, const char *key)
+{
+  const char *text = json_string_value (json_object_get (record, key));
+
+  return text != NULL ? text : "";
+}
+
+static void
+want_free (gpointer data)
+{
+  struct kcp_order_want *want = data;
+
+  g_free (want->engine);
+  g_free (want->weights);
+  g_free (want->role);
+  g_free (want);
+}
+
+static void
+grant_free (gpointer data)
+{
+  struct kcp_order_grant *grant = data;
+
+  g_free (grant->engine);
+  g_free (grant->vm);
+  g_free (grant);
+}
--- /dev/null
+++ b/src/backend/order_state.h
@@ -0,0 +1,59 @@
+/* The state machine of orders to engines, decided by the order of the log. Pure.
+
+   A want record says what an operator wants of an engine. A grant record asks for the
+   right to carry it out; it holds if, at its place in the log, it is for the engine's
+   newest want, no other grant of the engine is open and fewer than the limit are open
+   over all engines. A done or lapse record closes the grant that it names. The offset of
+   a grant is the fencing number of the order. */
+#ifndef KCP_BACKEND_ORDER_STATE_H
+#define KCP_BACKEND_ORDER_STATE_H
+
+#include <jansson.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/id.h"
+
+#define KCP_ORDER_NONE UINT64_MAX
+
+struct kcp_order_want
+{
+  uint64_t offset;
+  char *engine;
+  char *weights; /* version to load, or NULL for any */
+  char *role;    /* role to take, or NULL for any */
+};
+
+struct kcp_order_grant
+{
+  uint64_t offset; /* the fencing number */
+  uint64_t want;   /* offset of the want */
+  char *engine;
+  char *vm;
+  char id[KCP_ID_LEN + 1];
+  int64_t lease_ms;
+};
+
+struct kcp_order_state;
+
+struct kcp_order_state *kcp_order_state_new (unsigned limit);
+void kcp_order_state_free (struct kcp_order_state *state);
+void
+kcp_order_state_apply (struct kcp_order_state *state, uint64_t offset, json_t *record);
+uint64_t kcp_order_state_next_offset (const struct kcp_order_state *state);
+void kcp_order_state_skip_to (struct kcp_order_state *state, uint64_t offset);
+unsigned kcp_order_state_open (const struct kcp_order_state *state);
+const struct kcp_order_want *
+kcp_order_state_want (const struct kcp_order_state *state, const char *engine);
+const struct kcp_order_grant *
+kcp_order_state_grant (const struct kcp_order_state *state, const char *engine);
+bool kcp_order_state_may_grant (const struct kcp_order_state *state, const char *engine);
+char **kcp_order_state_engines (const struct kcp_order_state *state);
+json_t *kcp_order_state_to_json (const struct kcp_order_state *state);
+
+json_t *kcp_order_make_want (const char *engine, const char *weights, const char *role);
+json_t *kcp_order_make_grant (const char *engine, uint64_t want, const char *vm,
+                              const char *id, int64_t lease_ms);
+json_t *kcp_order_make_close (const char *op, const char *engine, uint64_t grant);
+
+#endif
--- /dev/null
+++ b/src/backend/orders.h
@@ -0,0 +1,34 @@
+/* Carries out what operators want of engines: weights to load and roles to take. */
+#ifndef KCP_BACKEND_ORDERS_H
+#define KCP_BACKEND_ORDERS_H
+
+#include "backend/order_state.h"
+#include "backend/registry.h"
+#include "base/timeline.h"
+#include "platform/platform_log.h"
+
+#define KCP_ORDER_STREAM "orders"
+
+struct kcp_orders_options
+{
+  struct kcp_platform_log *log;
+  struct kcp_registry *registry;
+  const struct kcp_clock *clock;
+  struct kcp_timeline *timeline;
+  const char *vm;
+  GQuark data_center; /* orders go only to engines of this VM's data center */
+  unsigned limit;     /* engines that load at a time, over the deployment */
+  int64_t lease_ms;   /* how long a grant allows orders to be sent */
+  int64_t poll_ms;    /* pause between rounds */
+  int64_t timeout_ms; /* for each call of an engine */
+};
+
+struct kcp_orders;
+
+struct kcp_orders *kcp_orders_start (const struct kcp_orders_options *options);
+void kcp_orders_stop (struct kcp_orders *orders);
+bool kcp_orders_want (struct kcp_orders *orders, const char *engine, const char *weights,
+                      const char *role, uint64_t *offset, struct kcp_error *error);
+json_t *kcp_orders_to_json (struct kcp_orders *orders);
+
+#endif
--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -120,6 +120,18 @@
       settings->platform_poll_ms, NULL, NULL);
   server->load_poller = kcp_load_poller_start (
       router->registry, settings->platform_timeout_ms, settings->backends_load_poll_ms);
+  router->orders = kcp_orders_start (&(struct kcp_orders_options){
+      .log = server->log,
+      .registry = router->registry,
+      .clock = router->clock,
+      .timeline = router->timeline,
+      .vm = settings->vm_id,
+      .data_center = router->data_center,
+      .limit = (unsigned)settings->backends_max_loading,
+      .lease_ms = settings->backends_order_lease_ms,
+      .poll_ms = settings->platform_poll_ms,
+      .timeout_ms = settings->platform_timeout_ms,
+  });
   server->admin = kcp_admin_start (router, server->log, &error);
   if (server->admin != NULL)
     server->entry = kcp_entry_start (router, &error);
@@ -180,6 +192,7 @@
 
   kcp_entry_stop (server->entry);
   kcp_admin_stop (server->admin);
+  kcp_orders_stop (router->orders);
   kcp_load_poller_stop (server->load_poller);
   kcp_list_poller_stop (server->list_poller);
   kcp_config_tail_stop (server->tail);
--- a/src/http/admin.c
+++ b/src/http/admin.c
@@ -63,6 +63,7 @@
 static enum MHD_Result handle_config (const struct operation *op);
 static enum MHD_Result handle_backends (const struct operation *op);
 static enum MHD_Result handle_timeline (const struct operation *op);
+static enum MHD_Result handle_orders (const struct operation *op);
 static enum MHD_Result handle_document (const struct operation *op, const char *kind);
 static enum MHD_Result get_document (const struct operation *op, const char *key);
 static enum MHD_Result change_document (const struct operation *op, const char *key);
@@ -81,6 +82,7 @@
   { "/admin/v1/config", true, handle_config },
   { "/admin/v1/backend-servers", true, handle_backends },
   { "/admin/v1/timeline", true, handle_timeline },
+  { "/admin/v1/orders", true, handle_orders },
 };
 
 /* Starts the server on the address and port of the settings. */
@@ -255,6 +257,42 @@
                              NULL);
 }
 
+/* GET answers what is wanted of engines; POST {"engine", "weights", "role"} adds a want.
+ */
+static enum MHD_Result
+handle_orders (const struct operation *op)
+{
+  struct kcp_orders *orders = op->admin->router->orders;
+  const char *engine = NULL;
+  const char *weights = NULL;
+  const char *role = NULL;
+  struct kcp_error error;
+  enum MHD_Result result;
+  uint64_t offset;
+  json_t *body;
+
+  if (strcmp (op->method, MHD_HTTP_METHOD_GET) == 0)
+    return kcp_responder_json (op->connection, MHD_HTTP_OK, kcp_orders_to_json (orders),
+                               NULL);
+  if (strcmp (op->method, MHD_HTTP_METHOD_POST) != 0)
+    return fail (op, KCP_ERR_METHOD, "GET and POST are allowed");
+  body = json_loadb (op->body->str, op->body->len, JSON_REJECT_DUPLICATES, NULL);
+  if (json_unpack (body, "{ss,s?s,s?s!}", "engine", &engine, "weights", &weights, "role",
+                   &role)
+          != 0
+      || (weights == NULL && role == NULL))
+    result = fail (op, KCP_ERR_BAD_REQUEST,
+                   "engine and at least one of weights and role are required, as texts");
+  else if (!kcp_orders_want (orders, engine, weights, role, &offset, &error))
+    result = kcp_responder_problem (op->connection, &error);
+  else
+    result = kcp_responder_json (
+        op->connection, MHD_HTTP_ACCEPTED,
+        json_pack ("{sssI}", "engine", engine, "offset", (json_int_t)offset), NULL);
+  json_decref (body);
+  return result;
+}
+
 static enum MHD_Result
 handle_document (const struct operation *op, const char *kind)
 {
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -3,6 +3,7 @@
 #define KCP_REQUEST_ROUTER_H
 
 #include "backend/fetch.h"
+#include "backend/orders.h"
 #include "backend/registry.h"
 #include "base/timeline.h"
 #include "booking/booking.h"
@@ -20,6 +21,7 @@
   struct kcp_registry *registry;
   struct kcp_fetch_pool *fetch_pool;
   struct kcp_booking *booking;
+  struct kcp_orders *orders;
   struct kcp_placement_costs costs;
   GQuark data_center;
   int draining;     /* atomic; 1 once the VM is leaving */
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -89,6 +89,7 @@
   INT ("backends", "load_poll_ms", backends_load_poll_ms, 10, 60000, 200),
   INT ("backends", "concurrency", backends_concurrency, 1, 65536, 64),
   INT ("backends", "max_loading", backends_max_loading, 1, 64, 2),
+  INT ("backends", "order_lease_ms", backends_order_lease_ms, 500, 600000, 5000),
   INT ("booking", "partitions", booking_partitions, 1, 1024, 4),
   INT ("booking", "batch_ms", booking_batch_ms, 0, 1000, 2),
   INT ("booking", "dedupe_window_s", booking_dedupe_window_s, 1, 31536000, 86400),
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -47,6 +47,7 @@
   int64_t backends_load_poll_ms;
   int64_t backends_concurrency;
   int64_t backends_max_loading;
+  int64_t backends_order_lease_ms;
   int64_t booking_partitions;
   int64_t booking_batch_ms;
   int64_t booking_dedupe_window_s;
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -6,6 +6,7 @@
 
 #include "base/id.h"
 #include "policy/prefix.h"
+#include "standin/engine_orders.h"
 #include "standin/standin.h"
 
 #define TOKENS_DEFAULT 16
@@ -26,6 +27,7 @@
 
 static void start (const struct standin_options *options);
 static enum MHD_Result handle (const struct standin_request *request);
+static void empty_cache (void);
 static enum MHD_Result report_load (const struct standin_request *request);
 static enum MHD_Result complete (const struct standin_request *request);
 static bool refuses (const struct standin_request *request);
@@ -51,6 +53,17 @@
   kcp_id_random (incarnation);
   cached = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   cache_order = g_queue_new ();
+  engine_orders_start (options, empty_cache);
+}
+
+/* New weights make every cached block useless. */
+static void
+empty_cache (void)
+{
+  pthread_mutex_lock (&lock);
+  g_queue_clear (cache_order);
+  g_hash_table_remove_all (cached);
+  pthread_mutex_unlock (&lock);
 }
 
 static enum MHD_Result
@@ -58,6 +71,8 @@
 {
   if (strcmp (request->path, "/load") == 0)
     return report_load (request);
+  if (strcmp (request->path, "/orders") == 0)
+    return engine_orders_handle (request);
   if (strcmp (request->path, "/v1/chat/completions") == 0
       || strcmp (request->path, "/v1/completions") == 0)
     return complete (request);
@@ -70,10 +85,11 @@
   json_t *report;
 
   pthread_mutex_lock (&lock);
-  report = json_pack ("{sssssIsIsI}", "incarnation", incarnation, "weights", own.weights,
-                      "running", (json_int_t)running, "waiting", (json_int_t)0,
-                      "waiting_tokens", (json_int_t)0);
+  report = json_pack ("{sssIsIsI}", "incarnation", incarnation, "running",
+                      (json_int_t)running, "waiting", (json_int_t)0, "waiting_tokens",
+                      (json_int_t)0);
   pthread_mutex_unlock (&lock);
+  engine_orders_report (report);
   return standin_answer (request, 200, report);
 }
 
@@ -123,7 +139,7 @@
   const char *weights = standin_header (request, "Kingcuppoint-Expect-Weights");
 
   return (expected != NULL && strcmp (expected, incarnation) != 0)
-         || (weights != NULL && strcmp (weights, own.weights) != 0);
+         || (weights != NULL && strcmp (weights, engine_orders_weights ()) != 0);
 }
 
 /* Returns the tokens of the leading blocks that were cached, and caches all of them. */
--- /dev/null
+++ b/standin/engine_orders.c
@@ -0,0 +1,117 @@
+#include "standin/engine_orders.h"
+
+#include <pthread.h>
+#include <string.h>
+
+#include "base/clock.h"
+
+#define TEXT_MAX 40
+
+static enum MHD_Result take_order (const struct standin_request *request);
+static void settle (void);
+
+static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+static char weights[TEXT_MAX];
+static char role[TEXT_MAX] = "serve";
+static char next_weights[TEXT_MAX];
+static bool loading;
+static int64_t ready_ns;
+static int64_t load_ms;
+static int64_t greatest_fencing = -1;
+static bool checks_fencing;
+static json_t *loads; /* each load: start_ns, end_ns (monotonic), fencing, weights */
+static engine_weights_changed *changed;
+
+/* Takes over the options; weights_changed is told of every load. */
+void
+engine_orders_start (const struct standin_options *options,
+                     engine_weights_changed *weights_changed)
+{
+  g_strlcpy (weights, options->weights, sizeof weights);
+  checks_fencing = options->checks_fencing;
+  load_ms = options->load_ms;
+  changed = weights_changed;
+  loads = json_array ();
+}
+
+/* GET answers all loads so far; POST {"fencing", "weights", "role"} is an order. */
+enum MHD_Result
+engine_orders_handle (const struct standin_request *request)
+{
+  json_t *copy;
+
+  if (strcmp (request->method, "POST") == 0)
+    return take_order (request);
+  pthread_mutex_lock (&lock);
+  settle ();
+  copy = json_deep_copy (loads);
+  pthread_mutex_unlock (&lock);
+  return standin_answer (request, 200, copy);
+}
+
+/* Adds weights, role and whether weights are being loaded to a load report. */
+void
+engine_orders_report (json_t *report)
+{
+  pthread_mutex_lock (&lock);
+  settle ();
+  json_object_set_new (report, "weights", json_string (weights));
+  json_object_set_new (report, "role", json_string (role));
+  json_object_set_new (report, "loading", json_boolean (loading));
+  pthread_mutex_unlock (&lock);
+}
+
+/* Returns the weights in place. */
+const char *
+engine_orders_weights (void)
+{
+  pthread_mutex_lock (&lock);
+  settle ();
+  pthread_mutex_unlock (&lock);
+  return weights;
+}
+
+static enum MHD_Result
+take_order (const struct standin_request *request)
+{
+  json_t *order = json_loadb (request->body.data, request->body.len, 0, NULL);
+  int64_t fencing = json_integer_value (json_object_get (order, "fencing"));
+  const char *wanted = json_string_value (json_object_get (order, "weights"));
+  const char *wanted_role = json_string_value (json_object_get (order, "role"));
+  int64_t now = kcp_clock_monotonic_ns (&kcp_clock_system);
+  unsigned status = 200;
+
+  pthread_mutex_lock (&lock);
+  settle ();
+  if (checks_fencing && fencing < greatest_fencing)
+    status = 409;
+  else
+    {
+      greatest_fencing = MAX (greatest_fencing, fencing);
+      if (wanted_role != NULL)
+        g_strlcpy (role, wanted_role, sizeof role);
+      if (wanted != NULL && !loading && strcmp (wanted, weights) != 0)
+        {
+          loading = true;
+          ready_ns = now + load_ms * KCP_NS_PER_MS;
+          g_strlcpy (next_weights, wanted, sizeof next_weights);
+          json_array_append_new (loads,
+                                 json_pack ("{sIsIsIss}", "start_ns", (json_int_t)now,
+                                            "end_ns", (json_int_t)ready_ns, "fencing",
+                                            (json_int_t)fencing, "weights", wanted));
+        }
+    }
+  pthread_mutex_unlock (&lock);
+  json_decref (order);
+  return standin_answer (request, status, json_object ());
+}
+
+static void
+settle (void)
+{
+  if (!loading || kcp_clock_monotonic_ns (&kcp_clock_system) < ready_ns)
+    return;
+  loading = false;
+  memcpy (weights, next_weights, sizeof weights);
+  changed ();
+}
--- /dev/null
+++ b/tests/process/test_orders.c
@@ -0,0 +1,175 @@
+#include <check.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "tests/harness/cluster.h"
+
+#define ENGINES     6
+#define MAX_LOADING 2
+#define LIMIT_S     15
+#define POLL_MS     20
+#define VM_SETTINGS "[backends]\norder_lease_ms=700\n"
+
+static struct cluster *cluster;
+
+static void
+set_up (void)
+{
+  static char *const checks[] = { "--load-ms", "150", "--checks-fencing", NULL };
+  static char *const ignores[] = { "--load-ms", "150", NULL };
+
+  cluster = cluster_new ("orders");
+  for (int i = 0; i < ENGINES; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("engine-%d", i + 1);
+      g_autofree char *data_center = g_strdup_printf ("dc%d", i % 2 + 1);
+
+      cluster_add_engine (cluster, name, data_center, i < ENGINES / 2 ? checks : ignores);
+    }
+  for (int i = 0; i < 4; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("vm-%d", i + 1);
+      g_autofree char *data_center = g_strdup_printf ("dc%d", i % 2 + 1);
+
+      cluster_add_vm (cluster, name, data_center, VM_SETTINGS);
+    }
+  cluster_publish_list (cluster, 0);
+  cluster_publish_standard (cluster);
+  cluster_wait_ready (cluster);
+}
+
+static void
+tear_down (void)
+{
+  cluster_free (cluster);
+}
+
+static void
+want_weights (const char *weights)
+{
+  for (int i = 0; i < ENGINES; i++)
+    {
+      g_autofree char *body = g_strdup_printf (
+          "{\"engine\":\"engine-%d\",\"weights\":\"%s\"}", i + 1, weights);
+      struct client_answer answer = client_run (&(struct client_call){
+          .port = cluster_vm (cluster, 3)->admin_port,
+          .path = "/admin/v1/orders",
+          .key = CLUSTER_TOKEN,
+          .body = body,
+      });
+
+      ck_assert_int_eq (answer.status, 202);
+      client_answer_clear (&answer);
+    }
+}
+
+static json_t *
+engine_get (guint index, const char *path)
+{
+  const struct process *engine = g_ptr_array_index (cluster->engines, index);
+  struct client_answer answer
+      = client_run (&(struct client_call){ .port = engine->port, .path = path });
+  json_t *document = client_json (&answer);
+
+  client_answer_clear (&answer);
+  return document;
+}
+
+static void
+wait_for_weights (const char *weights)
+{
+  int64_t limit = kcp_clock_monotonic_ns (&kcp_clock_system) + LIMIT_S * KCP_NS_PER_S;
+  guint loaded = 0;
+
+  while (loaded < ENGINES)
+    {
+      loaded = 0;
+      for (guint i = 0; i < ENGINES; i++)
+        {
+          json_t *report = engine_get (i, "/load");
+
+          loaded += g_strcmp0 (json_string_value (json_object_get (report, "weights")),
+                               weights)
+                    == 0;
+          json_decref (report);
+        }
+      ck_assert_msg (kcp_clock_monotonic_ns (&kcp_clock_system) < limit,
+                     "%u of %d engines loaded", loaded, ENGINES);
+      g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+}
+
+/* Returns how many loads were under way at once at most, over all engines. */
+static int
+greatest_overlap (void)
+{
+  json_t *all = json_array ();
+  int greatest = 0;
+  json_t *load;
+  size_t i;
+
+  for (guint e = 0; e < ENGINES; e++)
+    {
+      json_t *loads = engine_get (e, "/orders");
+
+      json_array_extend (all, loads);
+      json_decref (loads);
+    }
+  json_array_foreach (all, i, load)
+  {
+    json_int_t start = json_integer_value (json_object_get (load, "start_ns"));
+    int overlap = 0;
+    json_t *other;
+    size_t j;
+
+    json_array_foreach (all, j, other) overlap
+        += json_integer_value (json_object_get (other, "start_ns")) <= start
+           && json_integer_value (json_object_get (other, "end_ns")) > start;
+    greatest = MAX (greatest, overlap);
+  }
+  json_decref (all);
+  return greatest;
+}
+
+START_TEST (test_all_engines_load_and_at_most_two_at_once)
+{
+  want_weights ("w2");
+  wait_for_weights ("w2");
+  ck_assert_int_le (greatest_overlap (), MAX_LOADING);
+}
+END_TEST
+
+START_TEST (test_a_paused_or_dead_holder_delays_orders_but_never_breaks_the_limit)
+{
+  want_weights ("w2");
+  process_signal (cluster_vm (cluster, 0), SIGSTOP);
+  process_signal (cluster_vm (cluster, 1), SIGKILL);
+  (void)process_wait (cluster_vm (cluster, 1));
+  wait_for_weights ("w2");
+  want_weights ("w3");
+  process_signal (cluster_vm (cluster, 0), SIGCONT);
+  wait_for_weights ("w3");
+  ck_assert_int_le (greatest_overlap (), MAX_LOADING);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("orders");
+  TCase *tests = tcase_create ("orders");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, test_all_engines_load_and_at_most_two_at_once);
+  tcase_add_test (tests,
+                  test_a_paused_or_dead_holder_delays_orders_but_never_breaks_the_limit);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
