Prove that a shutdown cuts no stream and a leaving server gets no work

Cause: two of the users' invariants had no test.

Change: tests/process/test_drain.c. 20 streams are open when SIGTERM comes, and one more call arrives after /readyz has failed; all must be whole. A server is marked leaving in a list that lags 500 ms and is then out; 3 s later no call may reach it.

--- /dev/null
+++ b/tests/process/test_drain.c
@@ -0,0 +1,167 @@
+#include <check.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "tests/harness/cluster.h"
+
+#define STREAMS 20
+#define TOKENS  30
+#define LEAVING_LIMIT_MS                                                                 \
+  3000 /* no new work so long after the list says that a server leaves */
+#define LIST_LAG_MS 500
+#define CALLS_AFTER 40
+
+static const char stream_body[]
+    = "{\"model\":\"" CLUSTER_MODEL
+      "\",\"prompt\":\"p\",\"max_tokens\":30,\"stream\":true}";
+
+static struct cluster *cluster;
+
+static void
+set_up (void)
+{
+  static char *const options[] = { "--token-ms", "30", NULL };
+
+  cluster = cluster_new ("drain");
+  cluster_add_engine (cluster, "engine-1", "dc1", options);
+  cluster_add_engine (cluster, "engine-2", "dc1", options);
+  cluster_add_vm (cluster, "vm-1", "dc1", NULL);
+  cluster_publish_list (cluster, 0);
+  cluster_publish_standard (cluster);
+  cluster_wait_ready (cluster);
+}
+
+static void
+tear_down (void)
+{
+  cluster_free (cluster);
+}
+
+static struct client_answer
+call_once (const char *body)
+{
+  return client_run (&(struct client_call){
+      .port = cluster_vm (cluster, 0)->port,
+      .path = "/v1/completions",
+      .key = CLUSTER_TEAM_KEY,
+      .profile = "review",
+      .body = body,
+  });
+}
+
+static void *
+run_stream (void *user)
+{
+  struct client_answer *answer = user;
+
+  *answer = call_once (stream_body);
+  return NULL;
+}
+
+static long
+ready_status (void)
+{
+  struct client_answer answer = client_run (
+      &(struct client_call){ .port = cluster_vm (cluster, 0)->port, .path = "/readyz" });
+  long status = answer.curl == 0 ? answer.status : 0;
+
+  client_answer_clear (&answer);
+  return status;
+}
+
+static void
+wait_for_running (json_int_t wanted)
+{
+  for (json_int_t running = 0; running < wanted;)
+    {
+      json_t *list = cluster_admin_get (cluster_vm (cluster, 0)->admin_port,
+                                        "/admin/v1/backend-servers");
+      json_t *server;
+      size_t i;
+
+      running = 0;
+      json_array_foreach (list, i, server) running
+          += json_integer_value (json_object_get (server, "in_flight"));
+      json_decref (list);
+    }
+}
+
+START_TEST (test_a_graceful_shutdown_cuts_no_stream)
+{
+  struct client_answer answers[STREAMS];
+  pthread_t threads[STREAMS];
+  struct client_answer late;
+
+  for (int i = 0; i < STREAMS; i++)
+    pthread_create (&threads[i], NULL, run_stream, &answers[i]);
+  wait_for_running (STREAMS);
+  process_signal (cluster_vm (cluster, 0), SIGTERM);
+  while (ready_status () == 200)
+    continue;
+  /* The balancer may still send new calls until it has seen that the VM is not ready. */
+  late = call_once (stream_body);
+  for (int i = 0; i < STREAMS; i++)
+    pthread_join (threads[i], NULL);
+  ck_assert_int_eq (process_wait (cluster_vm (cluster, 0)), 0);
+  for (int i = 0; i <= STREAMS; i++)
+    {
+      struct client_answer *answer = i < STREAMS ? &answers[i] : &late;
+      bool done;
+      g_autofree char *text = client_stream_text (answer, &done);
+      g_auto (GStrv) tokens = g_strsplit (text != NULL ? text : "", " ", -1);
+
+      ck_assert_msg (answer->curl == 0 && answer->status == 200 && done, "stream %d: %s",
+                     i, answer->body->str);
+      ck_assert_uint_eq (g_strv_length (tokens), TOKENS + 1);
+      client_answer_clear (answer);
+    }
+}
+END_TEST
+
+START_TEST (test_a_leaving_server_gets_no_new_work)
+{
+  int64_t until;
+
+  cluster_set_member (cluster, "engine", "engine-1",
+                      ((struct process *)g_ptr_array_index (cluster->engines, 0))->port,
+                      "dc1", "leaving");
+  cluster_publish_list (cluster, LIST_LAG_MS);
+  until = kcp_clock_monotonic_ns (&kcp_clock_system)
+          + (LIST_LAG_MS + LEAVING_LIMIT_MS) * KCP_NS_PER_MS;
+  while (kcp_clock_monotonic_ns (&kcp_clock_system) < until)
+    g_usleep (10 * G_TIME_SPAN_MILLISECOND);
+  cluster_faults (cluster->list, "{\"out\":true}");
+  for (int i = 0; i < CALLS_AFTER; i++)
+    {
+      g_autofree char *body = g_strdup_printf (
+          "{\"model\":\"" CLUSTER_MODEL "\",\"prompt\":\"p%d\",\"max_tokens\":1}", i);
+      struct client_answer answer = call_once (body);
+      g_autofree char *backend = client_header (&answer, "Kingcuppoint-Backend");
+
+      ck_assert_int_eq (answer.status, 200);
+      ck_assert_str_eq (backend, "engine-2");
+      client_answer_clear (&answer);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("drain");
+  TCase *tests = tcase_create ("drain");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, test_a_graceful_shutdown_cuts_no_stream);
+  tcase_add_test (tests, test_a_leaving_server_gets_no_new_work);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
