--- a/src/profile/config.c
+++ b/src/profile/config.c
@@ -7,31 +7,26 @@
 
 #include "base/counter.h"
 #include "base/id.h"
+#include "profile/config_entry.h"
 
 #define STEP "config"
 
-struct config_entry
-{
-  uint64_t version; /* offset of the winning record, plus one */
-  json_t *document;
-  struct kcp_profile *profile; /* for profiles/NAME */
-  struct kcp_team *team;       /* for teams/NAME */
-};
-
 struct kcp_config
 {
   pthread_mutex_t lock;
   pthread_cond_t changed;
   const struct kcp_clock *clock;
-  GHashTable *entries; /* key, struct config_entry */
+  GHashTable *entries; /* key, struct kcp_config_entry */
   uint64_t next;       /* the first offset not applied */
+  uint64_t version;    /* the greatest of all entries */
+  uint64_t digest;     /* exclusive or of the entries' digests */
   bool loaded;
+  bool confirmed;
   int64_t confirmed_ns; /* when the log was last seen to hold nothing newer */
 };
 
-static struct config_entry *
-parse_entry (const char *key, json_t *document, struct kcp_error *error);
-static void entry_free (gpointer data);
+static bool put_entry (struct kcp_config *config, struct kcp_config_entry *entry);
+static bool read_snapshot (json_t *snapshot, GPtrArray *entries, struct kcp_error *error);
 static enum kcp_config_result apply_locked (struct kcp_config *config, uint64_t offset,
                                             json_t *record, struct kcp_error *error);
 
@@ -48,7 +43,8 @@
   pthread_cond_init (&config->changed, &attr);
   pthread_condattr_destroy (&attr);
   config->clock = clock;
-  config->entries = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
+  config->entries
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kcp_config_entry_unref);
   return config;
 }
 
@@ -87,12 +83,14 @@
 bool
 kcp_config_check_document (const char *key, json_t *document, struct kcp_error *error)
 {
-  struct config_entry *entry = parse_entry (key, document, error);
+  struct kcp_config_entry *entry = NULL;
 
-  if (entry == NULL)
-    return false;
-  entry_free (entry);
-  return true;
+  if (document == NULL)
+    kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL, "%s: no document", key);
+  else
+    entry = kcp_config_entry_new (key, document, error);
+  kcp_config_entry_unref (entry);
+  return entry != NULL;
 }
 
 /* Returns the first offset that has not been applied. */
@@ -142,27 +140,27 @@
 {
   pthread_mutex_lock (&config->lock);
   config->loaded = true;
+  config->confirmed = true;
   config->confirmed_ns = kcp_clock_monotonic_ns (config->clock);
   pthread_mutex_unlock (&config->lock);
 }
 
-/* Returns the nanoseconds since the last confirmation. */
+/* Returns the nanoseconds since the last confirmation, INT64_MAX if there was none. */
 int64_t
 kcp_config_age_ns (struct kcp_config *config)
 {
-  int64_t confirmed;
+  struct kcp_config_position position;
 
-  pthread_mutex_lock (&config->lock);
-  confirmed = config->confirmed_ns;
-  pthread_mutex_unlock (&config->lock);
-  return kcp_clock_monotonic_ns (config->clock) - confirmed;
+  kcp_config_position (config, &position);
+  return position.age_ns >= 0 ? position.age_ns : INT64_MAX;
 }
 
-/* Returns a new reference to a document and its version, or NULL and version 0. */
+/* Returns a new reference to a document and the version of its last change, which is 0 if
+   there was none; NULL if there is no document or it was deleted. */
 json_t *
 kcp_config_document (struct kcp_config *config, const char *key, uint64_t *version)
 {
-  struct config_entry *entry;
+  struct kcp_config_entry *entry;
   json_t *document = NULL;
 
   pthread_mutex_lock (&config->lock);
@@ -180,30 +178,122 @@
 {
   json_t *keys = json_object ();
   GHashTableIter iter;
-  gpointer key;
   gpointer value;
 
   pthread_mutex_lock (&config->lock);
   g_hash_table_iter_init (&iter, config->entries);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    if (g_str_has_prefix (key, prefix))
-      json_object_set_new (
-          keys, key, json_integer ((json_int_t)((struct config_entry *)value)->version));
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct kcp_config_entry *entry = value;
+
+      if (entry->document != NULL && g_str_has_prefix (entry->key, prefix))
+        json_object_set_new (keys, entry->key, json_integer ((json_int_t)entry->version));
+    }
   pthread_mutex_unlock (&config->lock);
   return keys;
 }
 
+/* Tells how far the configuration is and how old its confirmation is. */
+void
+kcp_config_position (struct kcp_config *config, struct kcp_config_position *position)
+{
+  int64_t now_ns = kcp_clock_monotonic_ns (config->clock);
+
+  pthread_mutex_lock (&config->lock);
+  *position = (struct kcp_config_position){
+    .version = config->version,
+    .digest = config->digest,
+    .loaded = config->loaded,
+    .age_ns = config->confirmed ? MAX (now_ns - config->confirmed_ns, 0) : -1,
+  };
+  pthread_mutex_unlock (&config->lock);
+}
+
+/* Returns everything in force as a new object, for kcp_config_adopt() on another VM. */
+json_t *
+kcp_config_snapshot (struct kcp_config *config)
+{
+  return kcp_config_snapshot_since (config, 0);
+}
+
+/* Returns what changed after a version as a new object. A VM whose own version is that
+   one needs no more, unless its digest still differs after it adopted the answer; it then
+   asks for everything. */
+json_t *
+kcp_config_snapshot_since (struct kcp_config *config, uint64_t version)
+{
+  json_t *entries = json_object ();
+  GHashTableIter iter;
+  gpointer value;
+  bool loaded;
+
+  pthread_mutex_lock (&config->lock);
+  loaded = config->loaded;
+  g_hash_table_iter_init (&iter, config->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct kcp_config_entry *entry = value;
+
+      if (entry->version > version)
+        json_object_set_new (entries, entry->key, kcp_config_entry_to_json (entry));
+    }
+  pthread_mutex_unlock (&config->lock);
+  return json_pack ("{sbso}", "loaded", loaded, "entries", entries);
+}
+
+/* Takes over from another VM's snapshot each entry that is newer than the one held, and
+   none that is older. The whole snapshot is validated first; one wrong entry changes
+   nothing. Marks the configuration as loaded if the sender's was. It does not confirm
+   the configuration: see kcp_config_confirm_from(). */
+bool
+kcp_config_adopt (struct kcp_config *config, json_t *snapshot, struct kcp_error *error)
+{
+  g_autoptr (GPtrArray) entries = g_ptr_array_new_with_free_func (kcp_config_entry_unref);
+
+  if (!read_snapshot (snapshot, entries, error))
+    return false;
+  pthread_mutex_lock (&config->lock);
+  for (guint i = 0; i < entries->len; i++)
+    put_entry (config, g_ptr_array_index (entries, i));
+  if (json_is_true (json_object_get (snapshot, "loaded")))
+    config->loaded = true;
+  pthread_cond_broadcast (&config->changed);
+  pthread_mutex_unlock (&config->lock);
+  return true;
+}
+
+/* Takes over another VM's confirmation if both hold the same documents. position is what
+   that VM told; asked_ns is the monotonic time at which it was asked, so that the
+   time on the way never makes the confirmation look younger than it is. */
+void
+kcp_config_confirm_from (struct kcp_config *config,
+                         const struct kcp_config_position *position, int64_t asked_ns)
+{
+  int64_t confirmed_ns = asked_ns - position->age_ns;
+
+  if (!position->loaded || position->age_ns < 0)
+    return;
+  pthread_mutex_lock (&config->lock);
+  if (position->version == config->version && position->digest == config->digest
+      && (!config->confirmed || confirmed_ns > config->confirmed_ns))
+    {
+      config->confirmed = true;
+      config->confirmed_ns = confirmed_ns;
+    }
+  pthread_mutex_unlock (&config->lock);
+}
+
 /* Returns a reference to the profile in force, or NULL. */
 struct kcp_profile *
 kcp_config_profile (struct kcp_config *config, const char *name)
 {
   g_autofree char *key = g_strconcat ("profiles/", name, NULL);
-  struct config_entry *entry;
+  struct kcp_config_entry *entry;
   struct kcp_profile *profile = NULL;
 
   pthread_mutex_lock (&config->lock);
   entry = g_hash_table_lookup (config->entries, key);
-  if (entry != NULL)
+  if (entry != NULL && entry->profile != NULL)
     profile = kcp_profile_ref (entry->profile);
   pthread_mutex_unlock (&config->lock);
   return profile;
@@ -223,7 +313,7 @@
   g_hash_table_iter_init (&iter, config->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      struct config_entry *entry = value;
+      struct kcp_config_entry *entry = value;
 
       if (entry->team != NULL && kcp_team_has_key_hash (entry->team, hash)
           && found == NULL)
@@ -239,8 +329,9 @@
 {
   const char *op = json_string_value (json_object_get (record, "op"));
   const char *key = json_string_value (json_object_get (record, "key"));
+  const char *id = json_string_value (json_object_get (record, "id"));
   uint64_t base = (uint64_t)json_integer_value (json_object_get (record, "base"));
-  struct config_entry *entry;
+  struct kcp_config_entry *entry;
 
   if (op == NULL || key == NULL)
     {
@@ -254,48 +345,54 @@
                      "%s: based on a version not in force", key);
       return KCP_CONFIG_STALE_BASE;
     }
-  if (strcmp (op, "delete") == 0)
-    {
-      g_hash_table_remove (config->entries, key);
-      return KCP_CONFIG_APPLIED;
-    }
-  entry = parse_entry (key, json_object_get (record, "doc"), error);
+  entry = kcp_config_entry_new (
+      key, strcmp (op, "delete") == 0 ? NULL : json_object_get (record, "doc"), error);
   if (entry == NULL)
     return KCP_CONFIG_INVALID;
-  entry->version = offset + 1;
-  g_hash_table_insert (config->entries, g_strdup (key), entry);
+  entry->version = MAX (config->version, offset) + 1;
+  g_strlcpy (entry->id, id != NULL ? id : "", sizeof entry->id);
+  put_entry (config, entry);
+  kcp_config_entry_unref (entry);
   kcp_counter_add (KCP_COUNT_CONFIG_APPLIED, 1);
   return KCP_CONFIG_APPLIED;
 }
 
-static struct config_entry *
-parse_entry (const char *key, json_t *document, struct kcp_error *error)
+/* Puts an entry in force unless a newer one is; takes a reference of its own. */
+static bool
+put_entry (struct kcp_config *config, struct kcp_config_entry *entry)
 {
-  struct config_entry *entry = g_new0 (struct config_entry, 1);
+  struct kcp_config_entry *held = g_hash_table_lookup (config->entries, entry->key);
 
-  if (g_str_has_prefix (key, "profiles/"))
-    entry->profile = kcp_profile_parse (key + strlen ("profiles/"), document, error);
-  else if (g_str_has_prefix (key, "teams/"))
-    entry->team = kcp_team_parse (key + strlen ("teams/"), document, error);
-  else
-    kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL, "%s: unknown kind of document",
-                   key);
-  if (entry->profile == NULL && entry->team == NULL)
-    {
-      g_free (entry);
-      return NULL;
-    }
-  entry->document = json_deep_copy (document);
-  return entry;
+  if (!kcp_config_entry_is_newer (entry, held))
+    return false;
+  config->digest ^= kcp_config_entry_digest (entry);
+  if (held != NULL)
+    config->digest ^= kcp_config_entry_digest (held);
+  config->version = MAX (config->version, entry->version);
+  kcp_config_entry_ref (entry);
+  g_hash_table_replace (config->entries, entry->key, entry);
+  return true;
 }
 
-static void
-entry_free (gpointer data)
+static bool
+read_snapshot (json_t *snapshot, GPtrArray *entries, struct kcp_error *error)
 {
-  struct config_entry *entry = data;
+  json_t *list = json_object_get (snapshot, "entries");
+  const char *key;
+  json_t *value;
 
-  json_decref (entry->document);
-  kcp_profile_unref (entry->profile);
-  kcp_team_unref (entry->team);
-  g_free (entry);
+  if (!json_is_object (list))
+    {
+      kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL, "snapshot without entries");
+      return false;
+    }
+  json_object_foreach (list, key, value)
+  {
+    struct kcp_config_entry *entry = kcp_config_entry_from_json (key, value, error);
+
+    if (entry == NULL)
+      return false;
+    g_ptr_array_add (entries, entry);
+  }
+  return true;
 }
--- a/src/profile/config.h
+++ b/src/profile/config.h
@@ -19,6 +19,16 @@
   KCP_CONFIG_OLD /* the offset was applied before */
 };
 
+/* How far a configuration is. Two VMs with equal version and digest hold the same
+   documents. version never goes down, so VMs can share it by keeping the greater. */
+struct kcp_config_position
+{
+  uint64_t version; /* of the newest change held */
+  uint64_t digest;
+  bool loaded;
+  int64_t age_ns; /* since the log was seen to hold nothing newer; -1: never */
+};
+
 struct kcp_config;
 
 struct kcp_config *kcp_config_new (const struct kcp_clock *clock);
@@ -37,6 +47,15 @@
 kcp_config_document (struct kcp_config *config, const char *key, uint64_t *version);
 json_t *kcp_config_keys (struct kcp_config *config, const char *prefix);
 struct kcp_profile *kcp_config_profile (struct kcp_config *config, const char *name);
+void
+kcp_config_position (struct kcp_config *config, struct kcp_config_position *position);
+json_t *kcp_config_snapshot (struct kcp_config *config);
+json_t *kcp_config_snapshot_since (struct kcp_config *config, uint64_t version);
+bool
+kcp_config_adopt (struct kcp_config *config, json_t *snapshot, struct kcp_error *error);
+void
+kcp_config_confirm_from (struct kcp_config *config,
+                         const struct kcp_config_position *position, int64_t asked_ns);
 struct kcp_team *kcp_config_team_by_key (struct kcp_config *config, struct kcp_str key);
 
 #endif
