Keep the configuration alive past a trimmed or replaced log

Cause: a VM only remembered the next offset. A trimmed log left new VMs without configuration for good; a log restored to an earlier state reused offsets that every VM skipped, so no new change could win; a lost answer to an append was reported as "not_run" although it took effect.

Now what the log decides (config_log, a pure function of its records) is apart from what is in force, which is its join with what was held before, newer version by key. Then: - checkpoints: appended after checkpoint_records records or checkpoint_age_s seconds, and at once (random delay of 4 polls) when the log alone no longer gives what is in force. One that covers the trimmed part closes the gap; without one nothing in force changes, and a VM that holds nothing says that it has no configuration. If a gap lasts 40 polls, a VM that holds a configuration starts the stream over (root). - a replaced log is noticed by its end, by comparing the last record after a failure or a pause, by the offset of one's own append, and by the hash of the last record read that each record carries. It is then read again from the start; what it lacks is carried into it before the next change. - versions grow past everything joined, so reused offsets never collide with a version in force; ETags carry the publication's id. - a publication is looked up in the log by its id, whatever was answered. 500 and other 5xx but 503 leave an append's execution unknown. - the confirmation counts from when the log was asked, not from the answer. - PUT says which VMs have the change in force (kcp_router.vm_source).

Ruled out: a generation number in (generation, offset) for the whole state: two VMs may each hold something of the lost tail that the other lacks.

Not solved: a VM that starts after the restore, before anyone noticed, and reaches no peer, can accept a change of a document whose lost version is newer; the newer one wins once it is carried back.

--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -113,8 +113,14 @@
       = kcp_platform_log_new (settings->platform_log_url, settings->platform_timeout_ms);
   router->booking
       = kcp_booking_start (server->log, settings->vm_id, settings->booking_batch_ms);
-  server->tail = kcp_config_tail_start (server->log, router->config, router->timeline,
-                                        settings->platform_poll_ms);
+  server->tail = kcp_config_tail_start (
+      server->log, router->config, router->timeline,
+      &(struct kcp_config_tail_options){
+          .clock = router->clock,
+          .poll_ms = settings->platform_poll_ms,
+          .checkpoint_records = (uint64_t)settings->platform_checkpoint_records,
+          .checkpoint_age_s = settings->platform_checkpoint_age_s,
+      });
   server->list_poller = kcp_list_poller_start (
       router->registry, settings->platform_list_url, settings->platform_timeout_ms,
       settings->platform_poll_ms, NULL, NULL);
--- a/src/http/admin.c
+++ b/src/http/admin.c
@@ -4,19 +4,18 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "http/etag.h"
 #include "http/listen.h"
 #include "http/responder.h"
-#include "platform/config_tail.h"
-
-#define STEP              "admin"
-#define THREADS           2
-#define MAX_CONNECTIONS   64
-#define MAX_HEADER_BYTES  (16u << 10)
-#define MAX_BODY_BYTES    (1u << 20)
-#define IDLE_TIMEOUT_S    15
-#define ETAG_MAX          32
-#define IN_FORCE_LIMIT_MS 5000
-#define RETRY_AFTER_S     1
+#include "http/vm_reports.h"
+#include "platform/publish.h"
+
+#define STEP             "admin"
+#define THREADS          8
+#define MAX_CONNECTIONS  64
+#define MAX_HEADER_BYTES (16u << 10)
+#define MAX_BODY_BYTES   (1u << 20)
+#define IDLE_TIMEOUT_S   15
 
 struct kcp_admin
 {
@@ -61,17 +60,19 @@
 static enum MHD_Result handle_profiles (const struct operation *op);
 static enum MHD_Result handle_teams (const struct operation *op);
 static enum MHD_Result handle_config (const struct operation *op);
+static enum MHD_Result handle_vms (const struct operation *op);
 static enum MHD_Result handle_backends (const struct operation *op);
 static enum MHD_Result handle_timeline (const struct operation *op);
 static enum MHD_Result handle_document (const struct operation *op, const char *kind);
 static enum MHD_Result get_document (const struct operation *op, const char *key);
 static enum MHD_Result change_document (const struct operation *op, const char *key);
-static bool read_base (const struct operation *op, const char *key, uint64_t *base,
-                       struct kcp_error *error);
-static bool append_change (const struct operation *op, json_t *record, uint64_t *offset,
-                           struct kcp_error *error);
+static bool read_document (const struct operation *op,
+                           struct kcp_publication *publication, struct kcp_error *error);
+static bool read_base (const struct operation *op, const char *key,
+                       struct kcp_config_base *base, struct kcp_error *error);
 static enum MHD_Result
-answer_change (const struct operation *op, const char *key, uint64_t offset);
+answer_change (const struct operation *op, const struct kcp_publication *publication,
+               uint64_t version);
 static enum MHD_Result
 fail (const struct operation *op, enum kcp_error_code code, const char *detail);
 
@@ -79,6 +80,7 @@
   { "/admin/v1/profiles", false, handle_profiles },
   { "/admin/v1/teams", false, handle_teams },
   { "/admin/v1/config", true, handle_config },
+  { "/admin/v1/vms", true, handle_vms },
   { "/admin/v1/backend-servers", true, handle_backends },
   { "/admin/v1/timeline", true, handle_timeline },
 };
@@ -226,14 +228,28 @@
 handle_config (const struct operation *op)
 {
   struct kcp_router *router = op->admin->router;
+  struct kcp_config_position position;
+  struct kcp_config_status status;
+  json_t *answer;
+
+  kcp_config_position (router->config, &position);
+  kcp_config_status (router->config, &status);
+  answer = json_pack (
+      "{sssIsIsbsbsbsoso}", "vm", router->settings->vm_id, "version",
+      (json_int_t)position.version, "next_offset", (json_int_t)status.next, "loaded",
+      position.loaded, "gap", status.gap, "ahead_of_log", status.ahead, "vms",
+      kcp_vm_reports_new (router), "documents", kcp_config_keys (router->config, ""));
+  if (position.age_ns >= 0)
+    json_object_set_new (answer, "age_ms",
+                         json_integer (position.age_ns / KCP_NS_PER_MS));
+  return kcp_responder_json (op->connection, MHD_HTTP_OK, answer, NULL);
+}
 
-  return kcp_responder_json (
-      op->connection, MHD_HTTP_OK,
-      json_pack ("{sssIsbso}", "vm", router->settings->vm_id, "next_offset",
-                 (json_int_t)kcp_config_next_offset (router->config), "loaded",
-                 kcp_config_is_loaded (router->config), "documents",
-                 kcp_config_keys (router->config, "")),
-      NULL);
+static enum MHD_Result
+handle_vms (const struct operation *op)
+{
+  return kcp_responder_json (op->connection, MHD_HTTP_OK,
+                             kcp_vm_reports_new (op->admin->router), NULL);
 }
 
 static enum MHD_Result
@@ -279,105 +295,102 @@
 static enum MHD_Result
 get_document (const struct operation *op, const char *key)
 {
-  uint64_t version;
-  json_t *document = kcp_config_document (op->admin->router->config, key, &version);
-  char etag[ETAG_MAX];
+  struct kcp_config_base base;
+  json_t *document = kcp_config_document (op->admin->router->config, key, &base);
+  char etag[KCP_ETAG_MAX];
 
   if (document == NULL)
     return fail (op, KCP_ERR_NOT_FOUND, "there is no such document");
-  (void)snprintf (etag, sizeof etag, "\"%" G_GUINT64_FORMAT "\"", version);
+  kcp_etag_format (&base, etag);
   return kcp_responder_json (op->connection, MHD_HTTP_OK, document, etag);
 }
 
 static enum MHD_Result
 change_document (const struct operation *op, const char *key)
 {
-  bool put = strcmp (op->method, MHD_HTTP_METHOD_PUT) == 0;
-  json_t *document = NULL;
-  json_t *record;
-  json_error_t where;
+  struct kcp_publication publication = { .key = key };
+  struct kcp_publish_outcome outcome;
   struct kcp_error error;
-  uint64_t base;
-  uint64_t offset;
   bool done;
 
-  if (put)
-    {
-      document
-          = json_loadb (op->body->str, op->body->len, JSON_REJECT_DUPLICATES, &where);
-      if (document == NULL)
-        return fail (op, KCP_ERR_BAD_REQUEST, where.text);
-    }
-  if (!read_base (op, key, &base, &error)
-      || (put && !kcp_config_check_document (key, document, &error)))
+  if (!read_document (op, &publication, &error)
+      || !read_base (op, key, &publication.base, &error))
     {
-      json_decref (document);
+      json_decref (publication.document);
       return kcp_responder_problem (op->connection, &error);
     }
-  record = json_pack ("{sssssIso*}", "op", put ? "put" : "delete", "key", key, "base",
-                      (json_int_t)base, "doc", document);
-  done = append_change (op, record, &offset, &error);
-  json_decref (record);
-  return done ? answer_change (op, key, offset)
+  done = kcp_publish (op->admin->log, op->admin->router->config, &publication, &outcome,
+                      &error);
+  json_decref (publication.document);
+  return done ? answer_change (op, &publication, outcome.version)
               : kcp_responder_problem (op->connection, &error);
 }
 
+/* Reads and validates the body of a PUT; a DELETE has none. */
+static bool
+read_document (const struct operation *op, struct kcp_publication *publication,
+               struct kcp_error *error)
+{
+  json_error_t where;
+
+  if (strcmp (op->method, MHD_HTTP_METHOD_DELETE) == 0)
+    return true;
+  publication->document
+      = json_loadb (op->body->str, op->body->len, JSON_REJECT_DUPLICATES, &where);
+  if (publication->document == NULL)
+    {
+      kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL, "%s: line %d: %s",
+                     publication->key, where.line, where.text);
+      return false;
+    }
+  return kcp_config_check_document (publication->key, publication->document, error);
+}
+
 /* Gives the version that a change is based on: that of If-Match, or the one in force. */
 static bool
-read_base (const struct operation *op, const char *key, uint64_t *base,
+read_base (const struct operation *op, const char *key, struct kcp_config_base *base,
            struct kcp_error *error)
 {
   const char *match = MHD_lookup_connection_value (op->connection, MHD_HEADER_KIND,
                                                    MHD_HTTP_HEADER_IF_MATCH);
   const char *none = MHD_lookup_connection_value (op->connection, MHD_HEADER_KIND,
                                                   MHD_HTTP_HEADER_IF_NONE_MATCH);
-  uint64_t current;
+  bool exists = kcp_config_base (op->admin->router->config, key, base);
 
-  json_decref (kcp_config_document (op->admin->router->config, key, &current));
-  *base = none != NULL ? 0 : current;
-  if (match == NULL)
-    return true;
-  if (sscanf (match, "\"%" G_GUINT64_FORMAT "\"", base) != 1)
+  if (none != NULL && exists)
+    {
+      kcp_error_set (error, KCP_ERR_STALE_BASE, STEP, NULL, "%s: exists already", key);
+      return false;
+    }
+  if (match != NULL && strcmp (match, "*") != 0 && !kcp_etag_parse (match, base))
     {
       kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL,
                      "If-Match: not an ETag given here");
       return false;
     }
+  if (!exists && (match != NULL || strcmp (op->method, MHD_HTTP_METHOD_DELETE) == 0))
+    {
+      kcp_error_set (error, match != NULL ? KCP_ERR_STALE_BASE : KCP_ERR_NOT_FOUND, STEP,
+                     NULL, "%s: there is no such document", key);
+      return false;
+    }
   return true;
 }
 
-static bool
-append_change (const struct operation *op, json_t *record, uint64_t *offset,
-               struct kcp_error *error)
-{
-  if (!kcp_platform_log_append (op->admin->log, KCP_CONFIG_STREAM, record, offset, error))
-    return false;
-  if (kcp_config_wait_offset (op->admin->router->config, *offset + 1, IN_FORCE_LIMIT_MS))
-    return true;
-  kcp_error_set (error, KCP_ERR_PLATFORM, STEP, NULL,
-                 "the change was appended but is not in force here yet");
-  error->execution = KCP_UNKNOWN;
-  error->retry_after_s = RETRY_AFTER_S;
-  return false;
-}
-
-/* Tells whether the change at an offset won. A document's version is its offset plus 1.
- */
+/* Says which VMs have the change in force, and which have not said so. */
 static enum MHD_Result
-answer_change (const struct operation *op, const char *key, uint64_t offset)
+answer_change (const struct operation *op, const struct kcp_publication *publication,
+               uint64_t version)
 {
-  uint64_t version;
-  json_t *document = kcp_config_document (op->admin->router->config, key, &version);
-  bool deleted = document == NULL && strcmp (op->method, MHD_HTTP_METHOD_DELETE) == 0;
-  char etag[ETAG_MAX];
-
-  json_decref (document);
-  if (!deleted && version != offset + 1)
-    return fail (op, KCP_ERR_STALE_BASE, "another change came first");
-  (void)snprintf (etag, sizeof etag, "\"%" G_GUINT64_FORMAT "\"", version);
-  return kcp_responder_json (
-      op->connection, MHD_HTTP_OK,
-      json_pack ("{sssI}", "key", key, "version", (json_int_t)version), etag);
+  struct kcp_config_base now = { .version = version };
+  char etag[KCP_ETAG_MAX];
+  json_t *answer
+      = json_pack ("{sssI}", "key", publication->key, "version", (json_int_t)version);
+
+  g_strlcpy (now.id, publication->id, sizeof now.id);
+  kcp_etag_format (&now, etag);
+  kcp_vm_reports_add_in_force (op->admin->router, version, answer);
+  return kcp_responder_json (op->connection, MHD_HTTP_OK, answer, etag);
 }
 
 static enum MHD_Result
--- /dev/null
+++ b/src/http/etag.h
@@ -0,0 +1,12 @@
+/* ETags of documents: the version and the publication's id. */
+#ifndef KCP_HTTP_ETAG_H
+#define KCP_HTTP_ETAG_H
+
+#include "profile/config_record.h"
+
+#define KCP_ETAG_MAX 64
+
+void kcp_etag_format (const struct kcp_config_base *base, char out[KCP_ETAG_MAX]);
+bool kcp_etag_parse (const char *text, struct kcp_config_base *base);
+
+#endif
--- /dev/null
+++ b/src/http/vm_reports.h
@@ -0,0 +1,11 @@
+/* What the VMs say about the configuration that they have in force. */
+#ifndef KCP_HTTP_VM_REPORTS_H
+#define KCP_HTTP_VM_REPORTS_H
+
+#include "request/router.h"
+
+json_t *kcp_vm_reports_new (const struct kcp_router *router);
+void kcp_vm_reports_add_in_force (const struct kcp_router *router, uint64_t version,
+                                  json_t *answer);
+
+#endif
--- /dev/null
+++ b/src/platform/checkpoint_plan.c
@@ -0,0 +1,77 @@
+#include "platform/checkpoint_plan.h"
+
+enum reason
+{
+  REASON_NONE,
+  REASON_ROUTINE, /* many records, or a long time, since the newest checkpoint */
+  REASON_URGENT,  /* the log alone no longer gives what is in force */
+  REASON_GAP      /* nothing was found that closes the gap */
+};
+
+static enum reason
+find_reason (struct kcp_checkpoint_plan *plan, const struct kcp_config_status *status,
+             uint64_t first, int64_t now_ns);
+static int64_t
+delay_ns (const struct kcp_checkpoint_plan *plan, enum reason reason, double random);
+
+/* To be called after each read that reached the end of the log, whose first kept offset
+   is first. random is from 0 to 1. Tells which checkpoint is to be appended now; the
+   plan then waits for a full delay before it asks again. */
+enum kcp_checkpoint_kind
+kcp_checkpoint_plan_step (struct kcp_checkpoint_plan *plan,
+                          const struct kcp_config_status *status, uint64_t first,
+                          int64_t now_ns, double random)
+{
+  enum reason reason = find_reason (plan, status, first, now_ns);
+
+  if (reason != (enum reason)plan->reason)
+    {
+      plan->reason = reason;
+      plan->due_ns = now_ns + delay_ns (plan, reason, random);
+    }
+  if (reason == REASON_NONE || now_ns < plan->due_ns)
+    return KCP_CHECKPOINT_NONE;
+  plan->reason = REASON_NONE;
+  return reason == REASON_GAP ? KCP_CHECKPOINT_ROOT : KCP_CHECKPOINT_ORDINARY;
+}
+
+static enum reason
+find_reason (struct kcp_checkpoint_plan *plan, const struct kcp_config_status *status,
+             uint64_t first, int64_t now_ns)
+{
+  bool usable = status->has_checkpoint && status->checkpoint_upto >= first;
+
+  if (!plan->seen || plan->seen_upto != status->checkpoint_upto)
+    {
+      plan->seen = true;
+      plan->seen_upto = status->checkpoint_upto;
+      plan->seen_ns = now_ns;
+    }
+  if (status->empty)
+    return REASON_NONE;
+  if (status->gap)
+    return REASON_GAP;
+  if (status->ahead || status->announce || (first > 0 && !usable))
+    return REASON_URGENT;
+  if (status->records_since >= plan->max_records
+      || now_ns - plan->seen_ns >= plan->max_age_ns)
+    return REASON_ROUTINE;
+  return REASON_NONE;
+}
+
+static int64_t
+delay_ns (const struct kcp_checkpoint_plan *plan, enum reason reason, double random)
+{
+  switch (reason)
+    {
+    case REASON_ROUTINE:
+      return (int64_t)(random * (double)plan->spread_ns);
+    case REASON_URGENT:
+      return (int64_t)(random * (double)plan->urgent_ns);
+    case REASON_GAP:
+      return plan->root_after_ns + (int64_t)(random * (double)plan->urgent_ns);
+    case REASON_NONE:
+      break;
+    }
+  return 0;
+}
--- a/src/platform/config_tail.h
+++ b/src/platform/config_tail.h
@@ -10,9 +10,18 @@
 
 struct kcp_config_tail;
 
+struct kcp_config_tail_options
+{
+  const struct kcp_clock *clock;
+  int64_t poll_ms;
+  uint64_t checkpoint_records;
+  int64_t checkpoint_age_s;
+};
+
 struct kcp_config_tail *
 kcp_config_tail_start (struct kcp_platform_log *log, struct kcp_config *config,
-                       struct kcp_timeline *timeline, int64_t poll_ms);
+                       struct kcp_timeline *timeline,
+                       const struct kcp_config_tail_options *options);
 void kcp_config_tail_stop (struct kcp_config_tail *tail);
 
 #endif
--- a/src/platform/platform_log.c
+++ b/src/platform/platform_log.c
@@ -5,10 +5,12 @@
 #include "base/counter.h"
 #include "platform/http_call.h"
 
-#define STEP             "platform_log"
-#define HTTP_STATUS_OK   200
-#define HTTP_STATUS_GONE 410
-#define RETRY_AFTER_S    1
+#define STEP                    "platform_log"
+#define HTTP_STATUS_OK          200
+#define HTTP_STATUS_GONE        410
+#define HTTP_STATUS_INTERNAL    500
+#define HTTP_STATUS_UNAVAILABLE 503
+#define RETRY_AFTER_S           1
 
 static bool refuse (struct kcp_platform_log *log, const char *stream, long status,
                     struct kcp_error *error);
@@ -122,5 +124,8 @@
   kcp_error_set (error, code, STEP, log->url, "stream %s answered %ld", stream, status);
   if (error != NULL)
     error->retry_after_s = RETRY_AFTER_S;
+  if (error != NULL && status >= HTTP_STATUS_INTERNAL
+      && status != HTTP_STATUS_UNAVAILABLE)
+    error->execution = KCP_UNKNOWN;
   return false;
 }
--- /dev/null
+++ b/src/platform/publish.h
@@ -0,0 +1,20 @@
+/* Publishes one change of the configuration through the platform's log. */
+#ifndef KCP_PLATFORM_PUBLISH_H
+#define KCP_PLATFORM_PUBLISH_H
+
+#include "platform/platform_log.h"
+#include "profile/config.h"
+
+struct kcp_publication
+{
+  const char *key;
+  json_t *document; /* NULL: delete */
+  struct kcp_config_base base;
+  char id[KCP_ID_LEN + 1]; /* set by kcp_publish() */
+};
+
+bool kcp_publish (struct kcp_platform_log *log, struct kcp_config *config,
+                  struct kcp_publication *publication,
+                  struct kcp_publish_outcome *outcome, struct kcp_error *error);
+
+#endif
--- a/src/profile/config.c
+++ b/src/profile/config.c
@@ -16,10 +16,12 @@
   pthread_mutex_t lock;
   pthread_cond_t changed;
   const struct kcp_clock *clock;
-  GHashTable *entries; /* key, struct kcp_config_entry */
-  uint64_t next;       /* the first offset not applied */
+  struct kcp_config_log log;
+  struct kcp_publish_outcomes outcomes;
+  GHashTable *entries; /* in force: key, struct kcp_config_entry */
   uint64_t version;    /* the greatest of all entries */
   uint64_t digest;     /* exclusive or of the entries' digests */
+  bool suspicion;
   bool loaded;
   bool confirmed;
   int64_t confirmed_ns; /* when the log was last seen to hold nothing newer */
@@ -27,8 +29,13 @@
 
 static bool put_entry (struct kcp_config *config, struct kcp_config_entry *entry);
 static bool read_snapshot (json_t *snapshot, GPtrArray *entries, struct kcp_error *error);
-static enum kcp_config_result apply_locked (struct kcp_config *config, uint64_t offset,
-                                            json_t *record, struct kcp_error *error);
+static void put_log_in_force (struct kcp_config *config);
+static void
+note_outcome (struct kcp_config *config, json_t *record, enum kcp_config_result result,
+              const struct kcp_config_entry *changed);
+static bool wait_changed (struct kcp_config *config, const struct timespec *limit);
+static struct kcp_config_base base_of (const struct kcp_config_entry *entry);
+static bool is_level (const struct kcp_config *config);
 
 /* Makes an empty configuration; clock must outlive it. */
 struct kcp_config *
@@ -43,6 +50,8 @@
   pthread_cond_init (&config->changed, &attr);
   pthread_condattr_destroy (&attr);
   config->clock = clock;
+  kcp_config_log_init (&config->log);
+  kcp_publish_outcomes_init (&config->outcomes);
   config->entries
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kcp_config_entry_unref);
   return config;
@@ -54,29 +63,179 @@
 {
   if (config == NULL)
     return;
+  kcp_config_log_clear (&config->log);
+  kcp_publish_outcomes_clear (&config->outcomes);
   g_hash_table_unref (config->entries);
   pthread_cond_destroy (&config->changed);
   pthread_mutex_destroy (&config->lock);
   g_free (config);
 }
 
-/* Applies the record at an offset of the log. Every VM that applies the same records in
-   offset order holds the same documents. error may be NULL. */
+/* Applies the record at an offset of the log and puts in force what it decides, unless
+   something newer is. error may be NULL. */
 enum kcp_config_result
 kcp_config_apply (struct kcp_config *config, uint64_t offset, json_t *record,
                   struct kcp_error *error)
 {
-  enum kcp_config_result result = KCP_CONFIG_OLD;
+  struct kcp_config_entry *changed;
+  enum kcp_config_result result;
 
   pthread_mutex_lock (&config->lock);
-  if (offset >= config->next)
+  result = kcp_config_log_apply (&config->log, offset, record, &changed, error);
+  if (changed != NULL)
+    put_entry (config, changed);
+  if (result == KCP_CONFIG_CHECKPOINT || result == KCP_CONFIG_REWOUND)
+    put_log_in_force (config);
+  note_outcome (config, record, result, changed);
+  pthread_cond_broadcast (&config->changed);
+  pthread_mutex_unlock (&config->lock);
+  return result;
+}
+
+/* Forgets what was read of the log, to read on from first, the first offset that it still
+   keeps. What is in force stays. */
+void
+kcp_config_log_trimmed (struct kcp_config *config, uint64_t first)
+{
+  pthread_mutex_lock (&config->lock);
+  kcp_config_log_restart (&config->log, first);
+  pthread_mutex_unlock (&config->lock);
+}
+
+/* Forgets what was read of the log, to read it again from its start, because it was
+   replaced by one that ends before offset end. What is in force stays. */
+void
+kcp_config_log_replaced (struct kcp_config *config, uint64_t end)
+{
+  pthread_mutex_lock (&config->lock);
+  kcp_config_log_start_again (&config->log, end);
+  pthread_mutex_unlock (&config->lock);
+}
+
+/* Asks for the last record read to be compared with the log once more. */
+void
+kcp_config_suspect_log (struct kcp_config *config)
+{
+  pthread_mutex_lock (&config->lock);
+  config->suspicion = true;
+  pthread_mutex_unlock (&config->lock);
+}
+
+/* Tells whether kcp_config_suspect_log() was called since this was last asked. */
+bool
+kcp_config_take_suspicion (struct kcp_config *config)
+{
+  bool suspicion;
+
+  pthread_mutex_lock (&config->lock);
+  suspicion = config->suspicion;
+  config->suspicion = false;
+  pthread_mutex_unlock (&config->lock);
+  return suspicion;
+}
+
+/* Returns a new record that puts a document, or deletes it if document is NULL. */
+json_t *
+kcp_config_change_record (struct kcp_config *config, const char *id, const char *key,
+                          const struct kcp_config_base *base, json_t *document)
+{
+  json_t *record = kcp_config_record_change (id, key, base, document);
+
+  pthread_mutex_lock (&config->lock);
+  kcp_config_log_add_seen (&config->log, record);
+  pthread_mutex_unlock (&config->lock);
+  return record;
+}
+
+/* Tells whether the log still has the record that was applied at an offset; false means
+   that it was replaced by another one. */
+bool
+kcp_config_log_matches (struct kcp_config *config, uint64_t offset, const json_t *record)
+{
+  bool holds;
+
+  pthread_mutex_lock (&config->lock);
+  holds = kcp_config_log_holds (&config->log, offset, record);
+  pthread_mutex_unlock (&config->lock);
+  return holds;
+}
+
+/* Tells how what is in force stands to what was read of the log. */
+void
+kcp_config_status (struct kcp_config *config, struct kcp_config_status *status)
+{
+  const struct kcp_config_log *log = &config->log;
+
+  pthread_mutex_lock (&config->lock);
+  *status = (struct kcp_config_status){
+    .next = log->next,
+    .gap = log->gap,
+    .ahead = config->digest != log->digest,
+    .announce = log->announce,
+    .empty = config->version == 0,
+    .has_checkpoint = log->has_checkpoint,
+    .checkpoint_upto = log->checkpoint_upto,
+    .records_since = log->records_since,
+  };
+  pthread_mutex_unlock (&config->lock);
+}
+
+/* Returns a new checkpoint record. A root one makes everything in force the start of the
+   stream; another one holds what the log decided so far, and apart from it what is in
+   force here but not in the log. Returns NULL if the log's state is not known. */
+json_t *
+kcp_config_checkpoint (struct kcp_config *config, bool root)
+{
+  const struct kcp_config_log *log = &config->log;
+  char id[KCP_ID_LEN + 1];
+  json_t *entries = json_object ();
+  json_t *carried = json_object ();
+  json_t *record = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  kcp_id_random (id);
+  pthread_mutex_lock (&config->lock);
+  g_hash_table_iter_init (&iter, root ? config->entries : log->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    json_object_set_new (entries, ((struct kcp_config_entry *)value)->key,
+                         kcp_config_entry_to_json (value));
+  g_hash_table_iter_init (&iter, config->entries);
+  while (!root && g_hash_table_iter_next (&iter, NULL, &value))
     {
-      result = apply_locked (config, offset, record, error);
-      config->next = offset + 1;
-      pthread_cond_broadcast (&config->changed);
+      const struct kcp_config_entry *entry = value;
+
+      if (kcp_config_entry_is_newer (entry,
+                                     g_hash_table_lookup (log->entries, entry->key)))
+        json_object_set_new (carried, entry->key, kcp_config_entry_to_json (entry));
     }
+  if (root || !log->gap)
+    record = json_pack ("{sssssIsIsbsOsO}", "op", "checkpoint", "id", id, "upto",
+                        (json_int_t)log->next, "version",
+                        (json_int_t)(root ? config->version : log->version), "root", root,
+                        "entries", entries, "carried", carried);
+  if (record != NULL)
+    kcp_config_log_add_seen (log, record);
   pthread_mutex_unlock (&config->lock);
-  return result;
+  json_decref (entries);
+  json_decref (carried);
+  return record;
+}
+
+/* Gives the version that is the base of the next change of a document; false if there is
+   no such document now. */
+bool
+kcp_config_base (struct kcp_config *config, const char *key, struct kcp_config_base *base)
+{
+  const struct kcp_config_entry *entry;
+  bool exists;
+
+  pthread_mutex_lock (&config->lock);
+  entry = g_hash_table_lookup (config->entries, key);
+  *base = base_of (entry);
+  exists = entry != NULL && entry->document != NULL;
+  pthread_mutex_unlock (&config->lock);
+  return exists;
 }
 
 /* Validates a document for a key such as "profiles/NAME" without applying it. */
@@ -100,26 +259,45 @@
   uint64_t next;
 
   pthread_mutex_lock (&config->lock);
-  next = config->next;
+  next = config->log.next;
   pthread_mutex_unlock (&config->lock);
   return next;
 }
 
-/* Waits until all offsets below next are applied; false after timeout_ms milliseconds. */
+/* Waits until the publication with an id was read in the log and gives its outcome; false
+   after timeout_ms milliseconds. */
 bool
-kcp_config_wait_offset (struct kcp_config *config, uint64_t next, int64_t timeout_ms)
+kcp_config_wait_outcome (struct kcp_config *config, const char *id, int64_t timeout_ms,
+                         struct kcp_publish_outcome *outcome)
 {
   int64_t until = kcp_clock_monotonic_ns (&kcp_clock_system) + timeout_ms * KCP_NS_PER_MS;
   struct timespec limit = kcp_timespec_from_ns (until);
-  bool reached;
+  bool found;
 
   pthread_mutex_lock (&config->lock);
-  while (config->next < next)
-    if (pthread_cond_timedwait (&config->changed, &config->lock, &limit) == ETIMEDOUT)
+  while (!kcp_publish_outcomes_find (&config->outcomes, id, outcome))
+    if (!wait_changed (config, &limit))
       break;
-  reached = config->next >= next;
+  found = kcp_publish_outcomes_find (&config->outcomes, id, outcome);
   pthread_mutex_unlock (&config->lock);
-  return reached;
+  return found;
+}
+
+/* Waits until the log holds everything that is in force; false after timeout_ms
+   milliseconds. */
+bool
+kcp_config_wait_level (struct kcp_config *config, int64_t timeout_ms)
+{
+  int64_t until = kcp_clock_monotonic_ns (&kcp_clock_system) + timeout_ms * KCP_NS_PER_MS;
+  struct timespec limit = kcp_timespec_from_ns (until);
+  bool level;
+
+  pthread_mutex_lock (&config->lock);
+  while (!is_level (config) && wait_changed (config, &limit))
+    continue;
+  level = is_level (config);
+  pthread_mutex_unlock (&config->lock);
+  return level;
 }
 
 /* Tells whether the log, or a peer that had read it, has been read to its end once. */
@@ -134,14 +312,15 @@
   return loaded;
 }
 
-/* Notes that nothing newer than what is held was in the log just now. */
+/* Notes that the log held nothing newer than what is in force at asked_ns, the monotonic
+   time at which it was asked. */
 void
-kcp_config_confirm (struct kcp_config *config)
+kcp_config_confirm (struct kcp_config *config, int64_t asked_ns)
 {
   pthread_mutex_lock (&config->lock);
   config->loaded = true;
   config->confirmed = true;
-  config->confirmed_ns = kcp_clock_monotonic_ns (config->clock);
+  config->confirmed_ns = MAX (config->confirmed_ns, asked_ns);
   pthread_mutex_unlock (&config->lock);
 }
 
@@ -155,17 +334,18 @@
   return position.age_ns >= 0 ? position.age_ns : INT64_MAX;
 }
 
-/* Returns a new reference to a document and the version of its last change, which is 0 if
-   there was none; NULL if there is no document or it was deleted. */
+/* Returns a new copy of a document and its version as the base of the next change; NULL
+   if there is no document or it was deleted. */
 json_t *
-kcp_config_document (struct kcp_config *config, const char *key, uint64_t *version)
+kcp_config_document (struct kcp_config *config, const char *key,
+                     struct kcp_config_base *base)
 {
-  struct kcp_config_entry *entry;
+  const struct kcp_config_entry *entry;
   json_t *document = NULL;
 
   pthread_mutex_lock (&config->lock);
   entry = g_hash_table_lookup (config->entries, key);
-  *version = entry != NULL ? entry->version : 0;
+  *base = base_of (entry);
   if (entry != NULL)
     document = json_deep_copy (entry->document);
   pthread_mutex_unlock (&config->lock);
@@ -323,40 +503,6 @@
   return found;
 }
 
-static enum kcp_config_result
-apply_locked (struct kcp_config *config, uint64_t offset, json_t *record,
-              struct kcp_error *error)
-{
-  const char *op = json_string_value (json_object_get (record, "op"));
-  const char *key = json_string_value (json_object_get (record, "key"));
-  const char *id = json_string_value (json_object_get (record, "id"));
-  uint64_t base = (uint64_t)json_integer_value (json_object_get (record, "base"));
-  struct kcp_config_entry *entry;
-
-  if (op == NULL || key == NULL)
-    {
-      kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL, "record without op or key");
-      return KCP_CONFIG_INVALID;
-    }
-  entry = g_hash_table_lookup (config->entries, key);
-  if (base != (entry != NULL ? entry->version : 0))
-    {
-      kcp_error_set (error, KCP_ERR_STALE_BASE, STEP, NULL,
-                     "%s: based on a version not in force", key);
-      return KCP_CONFIG_STALE_BASE;
-    }
-  entry = kcp_config_entry_new (
-      key, strcmp (op, "delete") == 0 ? NULL : json_object_get (record, "doc"), error);
-  if (entry == NULL)
-    return KCP_CONFIG_INVALID;
-  entry->version = MAX (config->version, offset) + 1;
-  g_strlcpy (entry->id, id != NULL ? id : "", sizeof entry->id);
-  put_entry (config, entry);
-  kcp_config_entry_unref (entry);
-  kcp_counter_add (KCP_COUNT_CONFIG_APPLIED, 1);
-  return KCP_CONFIG_APPLIED;
-}
-
 /* Puts an entry in force unless a newer one is; takes a reference of its own. */
 static bool
 put_entry (struct kcp_config *config, struct kcp_config_entry *entry)
@@ -374,25 +520,58 @@
   return true;
 }
 
+static void
+put_log_in_force (struct kcp_config *config)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, config->log.entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    put_entry (config, value);
+}
+
+static void
+note_outcome (struct kcp_config *config, json_t *record, enum kcp_config_result result,
+              const struct kcp_config_entry *changed)
+{
+  const char *id = json_string_value (json_object_get (record, "id"));
+  struct kcp_publish_outcome outcome
+      = { .result = result, .version = changed != NULL ? changed->version : 0 };
+
+  if (result == KCP_CONFIG_APPLIED)
+    kcp_counter_add (KCP_COUNT_CONFIG_APPLIED, 1);
+  if (id != NULL && result != KCP_CONFIG_OLD && result != KCP_CONFIG_GAP)
+    kcp_publish_outcomes_add (&config->outcomes, id, &outcome);
+}
+
 static bool
-read_snapshot (json_t *snapshot, GPtrArray *entries, struct kcp_error *error)
+wait_changed (struct kcp_config *config, const struct timespec *limit)
 {
-  json_t *list = json_object_get (snapshot, "entries");
-  const char *key;
-  json_t *value;
+  return pthread_cond_timedwait (&config->changed, &config->lock, limit) != ETIMEDOUT;
+}
 
-  if (!json_is_object (list))
-    {
-      kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL, "snapshot without entries");
-      return false;
-    }
-  json_object_foreach (list, key, value)
-  {
-    struct kcp_config_entry *entry = kcp_config_entry_from_json (key, value, error);
-
-    if (entry == NULL)
-      return false;
-    g_ptr_array_add (entries, entry);
-  }
-  return true;
+static struct kcp_config_base
+base_of (const struct kcp_config_entry *entry)
+{
+  struct kcp_config_base base = { 0 };
+
+  if (entry == NULL)
+    return base;
+  base.version = entry->version;
+  g_strlcpy (base.id, entry->id, sizeof base.id);
+  return base;
+}
+
+static bool
+is_level (const struct kcp_config *config)
+{
+  return !config->log.gap && config->digest == config->log.digest;
+}
+
+static bool
+read_snapshot (json_t *snapshot, GPtrArray *entries, struct kcp_error *error)
+{
+  return kcp_config_record_read_entries (json_object_get (snapshot, "entries"), entries,
+                                         error);
 }
--- a/src/profile/config.h
+++ b/src/profile/config.h
@@ -8,17 +8,12 @@
 
 #include "base/clock.h"
 #include "base/error.h"
+#include "profile/config_log.h"
+#include "profile/config_record.h"
 #include "profile/profile.h"
+#include "profile/publish_outcomes.h"
 #include "profile/team.h"
 
-enum kcp_config_result
-{
-  KCP_CONFIG_APPLIED,
-  KCP_CONFIG_STALE_BASE,
-  KCP_CONFIG_INVALID,
-  KCP_CONFIG_OLD /* the offset was applied before */
-};
-
 /* How far a configuration is. Two VMs with equal version and digest hold the same
    documents. version never goes down, so VMs can share it by keeping the greater. */
 struct kcp_config_position
@@ -29,22 +24,49 @@
   int64_t age_ns; /* since the log was seen to hold nothing newer; -1: never */
 };
 
+/* How what is in force stands to what was read of the log. */
+struct kcp_config_status
+{
+  uint64_t next; /* the first offset not applied */
+  bool gap;      /* the log's start is missing, and no checkpoint stands in for it */
+  bool ahead;    /* something in force is not in the log */
+  bool announce; /* the log was replaced, and no checkpoint followed yet */
+  bool empty;    /* nothing was ever published */
+  bool has_checkpoint;
+  uint64_t checkpoint_upto;
+  uint64_t records_since; /* the newest checkpoint */
+};
+
 struct kcp_config;
 
 struct kcp_config *kcp_config_new (const struct kcp_clock *clock);
 void kcp_config_free (struct kcp_config *config);
 enum kcp_config_result kcp_config_apply (struct kcp_config *config, uint64_t offset,
                                          json_t *record, struct kcp_error *error);
+bool kcp_config_base (struct kcp_config *config, const char *key,
+                      struct kcp_config_base *base);
 bool
 kcp_config_check_document (const char *key, json_t *document, struct kcp_error *error);
 uint64_t kcp_config_next_offset (struct kcp_config *config);
+void kcp_config_status (struct kcp_config *config, struct kcp_config_status *status);
+void kcp_config_log_trimmed (struct kcp_config *config, uint64_t first);
+void kcp_config_log_replaced (struct kcp_config *config, uint64_t end);
+void kcp_config_suspect_log (struct kcp_config *config);
+bool kcp_config_take_suspicion (struct kcp_config *config);
+json_t *
+kcp_config_change_record (struct kcp_config *config, const char *id, const char *key,
+                          const struct kcp_config_base *base, json_t *document);
 bool
-kcp_config_wait_offset (struct kcp_config *config, uint64_t next, int64_t timeout_ms);
+kcp_config_log_matches (struct kcp_config *config, uint64_t offset, const json_t *record);
+json_t *kcp_config_checkpoint (struct kcp_config *config, bool root);
+bool kcp_config_wait_outcome (struct kcp_config *config, const char *id,
+                              int64_t timeout_ms, struct kcp_publish_outcome *outcome);
+bool kcp_config_wait_level (struct kcp_config *config, int64_t timeout_ms);
 bool kcp_config_is_loaded (struct kcp_config *config);
-void kcp_config_confirm (struct kcp_config *config);
+void kcp_config_confirm (struct kcp_config *config, int64_t asked_ns);
 int64_t kcp_config_age_ns (struct kcp_config *config);
-json_t *
-kcp_config_document (struct kcp_config *config, const char *key, uint64_t *version);
+json_t *kcp_config_document (struct kcp_config *config, const char *key,
+                             struct kcp_config_base *base);
 json_t *kcp_config_keys (struct kcp_config *config, const char *prefix);
 struct kcp_profile *kcp_config_profile (struct kcp_config *config, const char *name);
 void
--- /dev/null
+++ b/src/profile/config_record.h
@@ -0,0 +1,40 @@
+/* The records of the configuration stream:
+   {"op": "put", "id", "key", "base", "base_id", "doc"},
+   {"op": "delete", "id", "key", "base", "base_id"},
+   {"op": "checkpoint", "id", "upto", "version", "entries", "carried"} and the same with
+   "root": true. */
+#ifndef KCP_PROFILE_CONFIG_RECORD_H
+#define KCP_PROFILE_CONFIG_RECORD_H
+
+#include <glib.h>
+#include <jansson.h>
+#include <stdint.h>
+
+#include "base/error.h"
+#include "base/id.h"
+
+struct kcp_config_checkpoint
+{
+  uint64_t upto;    /* entries holds all records before this offset */
+  uint64_t version; /* greatest version decided before it */
+  bool root;        /* the stream starts over here */
+};
+
+/* What a change is based on; version 0 and an empty id where there was no document. */
+struct kcp_config_base
+{
+  uint64_t version;
+  char id[KCP_ID_LEN + 1];
+};
+
+json_t *kcp_config_record_change (const char *id, const char *key,
+                                  const struct kcp_config_base *base, json_t *document);
+bool kcp_config_record_is_checkpoint (json_t *record);
+bool kcp_config_record_read_checkpoint (json_t *record,
+                                        struct kcp_config_checkpoint *checkpoint,
+                                        GPtrArray *entries, GPtrArray *carried,
+                                        struct kcp_error *error);
+bool kcp_config_record_read_entries (json_t *list, GPtrArray *entries,
+                                     struct kcp_error *error);
+
+#endif
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -10,6 +10,15 @@
 #include "profile/config.h"
 #include "settings/settings.h"
 
+/* Where other VMs' reports come from. list returns a new array of objects with "vm",
+   "data_center", "state" and "version", the greatest that the VM told of
+   kcp_config_position(), without this VM; NULL: this VM knows of no other. */
+struct kcp_vm_source
+{
+  json_t *(*list) (void *user);
+  void *user;
+};
+
 /* Every pointer outlives all requests. */
 struct kcp_router
 {
@@ -21,6 +30,7 @@
   struct kcp_fetch_pool *fetch_pool;
   struct kcp_booking *booking;
   struct kcp_placement_costs costs;
+  struct kcp_vm_source vm_source;
   GQuark data_center;
   int draining;     /* atomic; 1 once the VM is leaving */
   int64_t requests; /* atomic; requests not yet ended */
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -84,6 +84,8 @@
   TEXT ("platform", "list_url", platform_list_url, true, NULL),
   INT ("platform", "timeout_ms", platform_timeout_ms, 10, 60000, 1000),
   INT ("platform", "poll_ms", platform_poll_ms, 10, 60000, 500),
+  INT ("platform", "checkpoint_records", platform_checkpoint_records, 1, 1000000, 512),
+  INT ("platform", "checkpoint_age_s", platform_checkpoint_age_s, 1, 86400, 3600),
   INT ("backends", "connect_timeout_ms", backends_connect_timeout_ms, 1, 60000, 250),
   INT ("backends", "idle_timeout_ms", backends_idle_timeout_ms, 10, 3600000, 5000),
   INT ("backends", "load_poll_ms", backends_load_poll_ms, 10, 60000, 200),
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -42,6 +42,8 @@
   char *platform_list_url;
   int64_t platform_timeout_ms;
   int64_t platform_poll_ms;
+  int64_t platform_checkpoint_records;
+  int64_t platform_checkpoint_age_s;
   int64_t backends_connect_timeout_ms;
   int64_t backends_idle_timeout_ms;
   int64_t backends_load_poll_ms;
--- a/tests/unit/test_config.c
+++ b/tests/unit/test_config_state.c
@@ -79,7 +79,7 @@
   ck_assert_int_eq (put (old, 0, "a", 0, 1), KCP_CONFIG_APPLIED);
   ck_assert_int_eq (put (ahead, 0, "a", 0, 1), KCP_CONFIG_APPLIED);
   ck_assert_int_eq (put (ahead, 1, "a", 1, 2), KCP_CONFIG_APPLIED);
-  kcp_config_confirm (ahead);
+  kcp_config_confirm (ahead, kcp_clock_monotonic_ns (&clock_now));
   ck_assert (adopt (ahead, old));
   ck_assert_int_eq (importance (ahead, "a"), 2);
   ck_assert (!kcp_config_is_loaded (old));
@@ -140,7 +140,7 @@
   int64_t asked_ns;
 
   put (from, 0, "a", 0, 1);
-  kcp_config_confirm (from);
+  kcp_config_confirm (from, kcp_clock_monotonic_ns (&clock_now));
   asked_ns = kcp_clock_monotonic_ns (&clock_now);
   kcp_clock_advance (&clock_now, 3 * KCP_NS_PER_S);
   kcp_config_position (from, &position);
