Decide retries within a budget and quarantine requests that crash engines

With the token bucket (10 in 100, burst 32) at most 1032. What may not be repeated is sent again only if no byte went out.

Ruled out: a clearing that wins over a block (a request that crashed two engines could run again through a VM that had not heard of the second); a block is left only by expiry.

--- /dev/null
+++ b/src/policy/quarantine.h
@@ -0,0 +1,53 @@
+/* Requests that were in flight on crashing engines: suspects after one crash, blocked
+   after two. Times are passed in. Not thread-safe: the caller holds a lock. */
+#ifndef KCP_POLICY_QUARANTINE_H
+#define KCP_POLICY_QUARANTINE_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+enum kcp_quarantine_state
+{
+  KCP_QUARANTINE_NONE,
+  KCP_QUARANTINE_SUSPECT,
+  KCP_QUARANTINE_BLOCKED
+};
+
+/* What VMs tell each other of one request. The greater rank wins. A clearing raises the
+   rank, so that it outlasts repeats of the older suspicion; blocked is the greatest. */
+struct kcp_quarantine_fact
+{
+  uint64_t fingerprint;
+  uint64_t crash;   /* hash of the incarnation that crashed; 0 if cleared */
+  uint32_t rank;    /* see kcp_quarantine_rank_state() */
+  uint32_t left_ms; /* until it expires; shrinks as it is passed on */
+};
+
+struct kcp_quarantine;
+
+typedef void kcp_quarantine_visitor (void *user, const struct kcp_quarantine_fact *fact);
+
+uint64_t kcp_quarantine_fingerprint (struct kcp_str team, struct kcp_str body);
+struct kcp_quarantine *kcp_quarantine_new (size_t capacity, int64_t keep_ns);
+void kcp_quarantine_free (struct kcp_quarantine *quarantine);
+enum kcp_quarantine_state kcp_quarantine_rank_state (uint32_t rank);
+enum kcp_quarantine_state kcp_quarantine_state (struct kcp_quarantine *quarantine,
+                                                uint64_t fingerprint, int64_t now_ns);
+void kcp_quarantine_add_crash (struct kcp_quarantine *quarantine, uint64_t fingerprint,
+                               uint64_t crash, int64_t now_ns);
+void kcp_quarantine_add_completion (struct kcp_quarantine *quarantine,
+                                    uint64_t fingerprint, int64_t now_ns);
+bool kcp_quarantine_begin (struct kcp_quarantine *quarantine, uint64_t server);
+bool
+kcp_quarantine_has_suspect (const struct kcp_quarantine *quarantine, uint64_t server);
+void kcp_quarantine_end (struct kcp_quarantine *quarantine, uint64_t server);
+bool kcp_quarantine_merge (struct kcp_quarantine *quarantine,
+                           const struct kcp_quarantine_fact *fact, int64_t now_ns);
+void kcp_quarantine_visit (struct kcp_quarantine *quarantine, int64_t now_ns,
+                           kcp_quarantine_visitor *visitor, void *user);
+size_t kcp_quarantine_count (const struct kcp_quarantine *quarantine);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_policy_failures.c
@@ -0,0 +1,211 @@
+/* Retries and quarantine. */
+#include <check.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "policy/quarantine.h"
+#include "policy/retry.h"
+
+#define KEEP_NS (60 * KCP_NS_PER_S)
+#define SEED    1u
+
+static guint32 seed = SEED;
+
+struct decision_case
+{
+  bool repeatable;
+  bool holds;
+  enum kcp_retry_progress progress;
+  enum kcp_retry_decision expected;
+};
+
+START_TEST (test_what_may_not_be_repeated_is_sent_again_only_if_no_byte_went_out)
+{
+  static const struct decision_case cases[] = {
+    { false, false, KCP_RETRY_UNSENT, KCP_RETRY_OTHER },
+    { false, false, KCP_RETRY_REFUSED, KCP_RETRY_GIVE_UP },
+    { false, true, KCP_RETRY_SENT, KCP_RETRY_GIVE_UP },
+    { false, true, KCP_RETRY_FORWARDED, KCP_RETRY_RESUME_SAME },
+    { false, false, KCP_RETRY_FORWARDED, KCP_RETRY_GIVE_UP },
+    { true, false, KCP_RETRY_UNSENT, KCP_RETRY_OTHER },
+    { true, false, KCP_RETRY_REFUSED, KCP_RETRY_OTHER },
+    { true, false, KCP_RETRY_SENT, KCP_RETRY_OTHER },
+    { true, true, KCP_RETRY_FORWARDED, KCP_RETRY_RESUME_SAME },
+    { true, false, KCP_RETRY_FORWARDED, KCP_RETRY_RESUME_OTHER },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct kcp_retry_budget budget;
+      struct kcp_retry_facts facts = {
+        .repeatable = cases[i].repeatable,
+        .server_holds_stream = cases[i].holds,
+        .progress = cases[i].progress,
+        .attempts = 1,
+        .left_ns = 1,
+      };
+
+      kcp_retry_budget_init (&budget, 10);
+      ck_assert_int_eq (kcp_retry_decide (&facts, &budget), cases[i].expected);
+      facts.left_ns = 0;
+      ck_assert_int_eq (kcp_retry_decide (&facts, &budget), KCP_RETRY_GIVE_UP);
+      facts.left_ns = 1;
+      facts.attempts = KCP_RETRY_ATTEMPTS_MAX;
+      ck_assert_int_eq (kcp_retry_decide (&facts, &budget), KCP_RETRY_GIVE_UP);
+    }
+}
+END_TEST
+
+START_TEST (test_in_a_whole_outage_retries_stay_within_a_tenth_and_the_burst)
+{
+  struct kcp_retry_facts facts
+      = { .repeatable = true, .progress = KCP_RETRY_SENT, .left_ns = 1 };
+  struct kcp_retry_budget budget;
+  int requests = 10000;
+  int retries = 0;
+
+  kcp_retry_budget_init (&budget, 10);
+  for (int i = 0; i < requests; i++)
+    {
+      kcp_retry_budget_add_request (&budget);
+      for (facts.attempts = 1; kcp_retry_decide (&facts, &budget) != KCP_RETRY_GIVE_UP;
+           facts.attempts++)
+        retries++;
+    }
+  ck_assert_int_le (retries, requests / 10 + KCP_RETRY_BURST);
+}
+END_TEST
+
+START_TEST (test_the_second_crash_blocks_and_a_completed_companion_goes_free)
+{
+  struct kcp_quarantine *quarantine = kcp_quarantine_new (100, KEEP_NS);
+
+  kcp_quarantine_add_crash (quarantine, 1, 77, 0);
+  kcp_quarantine_add_crash (quarantine, 2, 77, 0);
+  kcp_quarantine_add_crash (quarantine, 1, 77, 0);
+  ck_assert_int_eq (kcp_quarantine_state (quarantine, 1, 1), KCP_QUARANTINE_SUSPECT);
+  ck_assert (kcp_quarantine_begin (quarantine, 5));
+  ck_assert (!kcp_quarantine_begin (quarantine, 5));
+  ck_assert (kcp_quarantine_begin (quarantine, 6));
+  kcp_quarantine_end (quarantine, 5);
+  kcp_quarantine_add_crash (quarantine, 1, 88, 0);
+  kcp_quarantine_add_completion (quarantine, 2, 0);
+  ck_assert_int_eq (kcp_quarantine_state (quarantine, 1, 1), KCP_QUARANTINE_BLOCKED);
+  ck_assert_int_eq (kcp_quarantine_state (quarantine, 2, 1), KCP_QUARANTINE_NONE);
+  kcp_quarantine_add_completion (quarantine, 1, 0);
+  ck_assert_int_eq (kcp_quarantine_state (quarantine, 1, 1), KCP_QUARANTINE_BLOCKED);
+  ck_assert_int_eq (kcp_quarantine_state (quarantine, 1, KEEP_NS), KCP_QUARANTINE_NONE);
+  kcp_quarantine_free (quarantine);
+}
+END_TEST
+
+START_TEST (test_the_table_stays_bounded_and_keeps_the_blocked)
+{
+  struct kcp_quarantine *quarantine = kcp_quarantine_new (10, KEEP_NS);
+
+  kcp_quarantine_add_crash (quarantine, 1, 1, 0);
+  kcp_quarantine_add_crash (quarantine, 1, 2, 0);
+  for (uint64_t i = 2; i < 100; i++)
+    kcp_quarantine_add_crash (quarantine, i, 1, (int64_t)i);
+  ck_assert_uint_le (kcp_quarantine_count (quarantine), 10);
+  ck_assert_int_eq (kcp_quarantine_state (quarantine, 1, 100), KCP_QUARANTINE_BLOCKED);
+  kcp_quarantine_free (quarantine);
+}
+END_TEST
+
+static void
+send_to (void *user, const struct kcp_quarantine_fact *fact)
+{
+  kcp_quarantine_merge (user, fact, 1);
+}
+
+/* However VMs learn of crashes and completions, and in whatever order they tell each
+   other, they end with the same state. */
+START_TEST (test_vms_agree_in_whatever_order_facts_arrive)
+{
+  GRand *random = g_rand_new_with_seed (seed);
+
+  for (int run = 0; run < 500; run++)
+    {
+      struct kcp_quarantine *vms[3];
+
+      for (int i = 0; i < 3; i++)
+        vms[i] = kcp_quarantine_new (100, KEEP_NS);
+      for (int step = 0; step < 12; step++)
+        {
+          struct kcp_quarantine *vm = vms[g_rand_int_range (random, 0, 3)];
+          uint64_t request = (uint64_t)g_rand_int_range (random, 1, 3);
+
+          switch (g_rand_int_range (random, 0, 3))
+            {
+            case 0:
+              kcp_quarantine_add_crash (vm, request, g_rand_int (random) % 3 + 1, 1);
+              break;
+            case 1:
+              kcp_quarantine_add_completion (vm, request, 1);
+              break;
+            default:
+              kcp_quarantine_visit (vm, 1, send_to, vms[g_rand_int_range (random, 0, 3)]);
+              break;
+            }
+        }
+      for (int round = 0; round < 9; round++)
+        kcp_quarantine_visit (vms[round % 3], 1, send_to, vms[(round + 1) % 3]);
+      for (int i = 1; i < 3; i++)
+        for (uint64_t request = 1; request < 3; request++)
+          ck_assert_int_eq (kcp_quarantine_state (vms[i], request, 1),
+                            kcp_quarantine_state (vms[0], request, 1));
+      for (int i = 0; i < 3; i++)
+        kcp_quarantine_free (vms[i]);
+    }
+  g_rand_free (random);
+}
+END_TEST
+
+START_TEST (test_crashes_seen_by_two_vms_add_up_to_a_block)
+{
+  struct kcp_quarantine *vms[2];
+
+  for (int i = 0; i < 2; i++)
+    {
+      vms[i] = kcp_quarantine_new (100, KEEP_NS);
+      kcp_quarantine_add_crash (vms[i], 1, (uint64_t)i + 1, 1);
+    }
+  kcp_quarantine_visit (vms[0], 1, send_to, vms[1]);
+  kcp_quarantine_visit (vms[1], 1, send_to, vms[0]);
+  for (int i = 0; i < 2; i++)
+    {
+      ck_assert_int_eq (kcp_quarantine_state (vms[i], 1, 1), KCP_QUARANTINE_BLOCKED);
+      kcp_quarantine_free (vms[i]);
+    }
+}
+END_TEST
+
+int
+main (int argc, char **argv)
+{
+  Suite *suite = suite_create ("policy_failures");
+  TCase *tests = tcase_create ("policy_failures");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  if (argc > 1)
+    seed = (guint32)g_ascii_strtoull (argv[1], NULL, 10);
+  (void)printf ("seed %u\n", seed);
+  tcase_add_test (tests,
+                  test_what_may_not_be_repeated_is_sent_again_only_if_no_byte_went_out);
+  tcase_add_test (tests,
+                  test_in_a_whole_outage_retries_stay_within_a_tenth_and_the_burst);
+  tcase_add_test (tests,
+                  test_the_second_crash_blocks_and_a_completed_companion_goes_free);
+  tcase_add_test (tests, test_the_table_stays_bounded_and_keeps_the_blocked);
+  tcase_add_test (tests, test_vms_agree_in_whatever_order_facts_arrive);
+  tcase_add_test (tests, test_crashes_seen_by_two_vms_add_up_to_a_block);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
