--- /dev/null
+++ b/bench/fake_vm.c
@@ -0,0 +1,625 @@
+#include "bench/fake_vm.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "policy/prefix.h"
+
+#define BELIEF_ENTRIES     65536
+#define QUARANTINE_ENTRIES 4096
+#define QUARANTINE_NS      (3600 * KCP_NS_PER_S)
+#define RETRY_PERCENT      10
+#define RUN_WEIGHT         8 /* a new answer counts one part in so many */
+#define RUN_FIRST_NS       KCP_NS_PER_S
+#define URGENT_EXTRA       4 /* places above the limit that are kept for urgent work */
+#define UNLIMITED          1000000
+#define WORK_PER_ANSWER    500 /* prompt tokens that an answer's work counts for */
+
+static const struct kcp_limit_settings limit_settings = {
+  .least = 4,
+  .greatest = 64,
+  .target_ns = 300 * KCP_NS_PER_MS,
+  .interval_ns = 200 * KCP_NS_PER_MS,
+};
+
+static const struct kcp_placement_costs costs = {
+  .ns_per_prompt_token = ENGINE_NS_PER_TOKEN,
+  .ns_per_running = 2 * KCP_NS_PER_MS,
+  .tolerance_ns = 20 * KCP_NS_PER_MS,
+  .waste_percent = 100,
+};
+
+/* One try to find a place: the VM, and the engine found. */
+struct search
+{
+  struct fake_vm *vm;
+  int engine;
+};
+
+static void init_facts (struct fake_vm *vm);
+static void free_facts (struct fake_vm *vm);
+static void queue_job (struct fake_vm *vm, struct job *job);
+static void pump (struct fake_vm *vm);
+static bool fits (void *user, struct kcp_admission_item *item);
+static int choose (struct fake_vm *vm, const struct job *job);
+static int choose_placed (struct fake_vm *vm, const struct job *job);
+static size_t
+list_usable (const struct fake_vm *vm, const struct job *job, unsigned *engines);
+static struct kcp_placement_candidate
+make_candidate (struct fake_vm *vm, const struct job *job, unsigned number,
+                int64_t leading);
+static void find_leading (struct fake_vm *vm, const struct job *job,
+                          const unsigned *engines, size_t count, int64_t *leading);
+static int64_t engine_in_flight (const struct fake_vm *vm, unsigned number);
+static void dispatch (struct fake_vm *vm, struct job *job, unsigned number);
+static void reach_engine (void *user, void *subject);
+static void end_attempt (struct job *job);
+static void fail_attempt (struct job *job, enum kcp_retry_progress progress);
+static void end_job (struct job *job, enum job_end end);
+static void refuse (struct fake_vm *vm, struct job *job, int64_t retry_after_s);
+static void displace (struct fake_vm *vm, const struct job *urgent);
+static void shed_for (struct fake_vm *vm, const struct job *job);
+static struct kcp_admission_now now_of (const struct fake_vm *vm);
+static struct job *job_of (struct kcp_admission_item *item);
+
+/* Makes a VM that knows nothing yet. */
+struct fake_vm *
+fake_vm_new (struct world *world, unsigned number, unsigned data_center)
+{
+  struct fake_vm *vm = g_new0 (struct fake_vm, 1);
+
+  vm->world = world;
+  vm->number = number;
+  vm->data_center = data_center;
+  vm->open = g_ptr_array_new ();
+  vm->admission = kcp_admission_new ();
+  vm->quarantine = kcp_quarantine_new (QUARANTINE_ENTRIES, QUARANTINE_NS);
+  init_facts (vm);
+  return vm;
+}
+
+/* Frees the VM. */
+void
+fake_vm_free (struct fake_vm *vm)
+{
+  free_facts (vm);
+  kcp_admission_free (vm->admission);
+  kcp_quarantine_free (vm->quarantine);
+  g_ptr_array_unref (vm->open);
+  g_free (vm);
+}
+
+/* Replaces the process by a new one that knows nothing; the old one ends its requests. */
+void
+fake_vm_restart (struct fake_vm *vm)
+{
+  free_facts (vm);
+  init_facts (vm);
+}
+
+/* Takes a caller's request. */
+void
+fake_vm_take (struct fake_vm *vm, struct job *job)
+{
+  job->vm = vm;
+  g_ptr_array_add (vm->open, job);
+  for (unsigned i = 0; i < DATA_CENTERS; i++)
+    kcp_retry_budget_add_request (&vm->budgets[i]);
+  if (kcp_quarantine_state (vm->quarantine, job->fingerprint, sim_now (vm->world->sim))
+      == KCP_QUARANTINE_BLOCKED)
+    end_job (job, JOB_BLOCKED);
+  else
+    queue_job (vm, job);
+}
+
+/* Ends what is past its deadline, and starts what has a place. */
+void
+fake_vm_tick (struct fake_vm *vm)
+{
+  int64_t now_ns = sim_now (vm->world->sim);
+
+  for (guint i = vm->open->len; i > 0; i--)
+    {
+      struct job *job = g_ptr_array_index (vm->open, i - 1);
+
+      if (job->deadline_ns >= now_ns)
+        continue;
+      if (job->engine != NULL && job->epoch == job->engine->epoch)
+        fake_engine_cancel (job->engine, job);
+      end_job (job, JOB_LATE);
+    }
+  pump (vm);
+}
+
+/* Takes in a load report. */
+void
+fake_vm_report (struct fake_vm *vm, const struct fake_engine *engine,
+                const struct engine_report *report)
+{
+  struct engine_view *view = &vm->views[engine->number];
+
+  view->report = *report;
+  view->report_ns = sim_now (vm->world->sim);
+  view->sent_tokens = 0;
+  view->begun = 0;
+  view->ended = 0;
+  view->dead = false;
+  pump (vm);
+}
+
+/* Takes in cache events; what went missing before one of them is a gap. */
+void
+fake_vm_events (struct fake_vm *vm, const struct fake_engine *engine,
+                uint64_t incarnation, const GArray *events)
+{
+  struct engine_view *view = &vm->views[engine->number];
+  kcp_belief_slot slot;
+
+  if (incarnation != engine->incarnation)
+    return;
+  if (view->incarnation != incarnation)
+    {
+      view->incarnation = incarnation;
+      view->next_seq = 0;
+    }
+  slot = kcp_beliefs_slot (vm->beliefs, engine->hash, incarnation);
+  for (guint i = 0; i < events->len; i++)
+    {
+      const struct cache_event *event = &g_array_index (events, struct cache_event, i);
+
+      if (event->seq < view->next_seq)
+        continue;
+      if (event->seq != view->next_seq && !vm->world->run.variant.keep_on_gap)
+        kcp_beliefs_reset (vm->beliefs, slot);
+      view->next_seq = event->seq + 1;
+      if (event->stored)
+        kcp_beliefs_add (vm->beliefs, slot, event->block);
+      else
+        kcp_beliefs_remove (vm->beliefs, slot, event->block);
+    }
+}
+
+/* Takes in the first token of a request's present attempt. */
+void
+fake_vm_first_token (struct job *job)
+{
+  struct fake_vm *vm = job->vm;
+  struct fake_engine *engine = job->engine;
+  int64_t now_ns = sim_now (vm->world->sim);
+  int64_t uncached = job->prompt_tokens - job->cached_tokens;
+  int64_t delay_ns = now_ns - job->dispatched_ns - uncached * costs.ns_per_prompt_token;
+
+  if (job->first_token_ns == 0)
+    job->first_token_ns = now_ns;
+  if (!vm->world->run.variant.fixed_limit)
+    kcp_limit_observe (&vm->views[engine->number].limit, &limit_settings,
+                       engine_in_flight (vm, engine->number), delay_ns, now_ns);
+  if (!vm->world->run.variant.no_learning)
+    kcp_beliefs_learn (vm->beliefs,
+                       kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation),
+                       job->chain, job->blocks);
+}
+
+/* Takes in the end of a request's present attempt. */
+void
+fake_vm_finished (struct job *job, bool whole)
+{
+  struct fake_vm *vm = job->vm;
+  int64_t now_ns = sim_now (vm->world->sim);
+
+  if (job->end != JOB_OPEN)
+    return;
+  if (whole)
+    {
+      int64_t *run_ns = &vm->run_ns[job->class];
+
+      *run_ns += (now_ns - job->dispatched_ns - *run_ns) / RUN_WEIGHT;
+      kcp_quarantine_add_completion (vm->quarantine, job->fingerprint, now_ns);
+      end_job (job, JOB_ANSWERED);
+      return;
+    }
+  kcp_quarantine_add_crash (vm->quarantine, job->fingerprint, job->engine->incarnation,
+                            now_ns);
+  vm->views[job->engine->number].dead = true;
+  fail_attempt (job, job->generated > 0 ? KCP_RETRY_FORWARDED : KCP_RETRY_SENT);
+}
+
+static void
+init_facts (struct fake_vm *vm)
+{
+  vm->beliefs = kcp_beliefs_new (BELIEF_ENTRIES);
+  memset (vm->views, 0, sizeof vm->views);
+  for (unsigned i = 0; i < WORLD_ENGINES_MAX; i++)
+    kcp_limit_init (&vm->views[i].limit, &limit_settings);
+  for (unsigned i = 0; i < DATA_CENTERS; i++)
+    kcp_retry_budget_init (&vm->budgets[i], RETRY_PERCENT);
+  for (int i = 0; i < KCP_CLASSES; i++)
+    vm->run_ns[i] = RUN_FIRST_NS;
+}
+
+static void
+free_facts (struct fake_vm *vm)
+{
+  kcp_beliefs_free (vm->beliefs);
+}
+
+static void
+queue_job (struct fake_vm *vm, struct job *job)
+{
+  struct kcp_admission_now now = now_of (vm);
+  struct kcp_admission_verdict verdict;
+  enum bench_policy policy = vm->world->run.policy;
+
+  if (policy != BENCH_KINGCUPPOINT && policy != BENCH_ALL_KNOWING)
+    {
+      int engine = choose (vm, job);
+
+      if (engine == KCP_PLACEMENT_NONE)
+        end_job (job, JOB_FAILED);
+      else
+        dispatch (vm, job, (unsigned)engine);
+      return;
+    }
+  job->item = (struct kcp_admission_item){
+    .pool = job->data_centers,
+    .class = job->class,
+    .team = vm->world->run.variant.one_queue ? 0 : job->team,
+    .share = 1,
+    .importance = job->importance,
+    .work
+    = WORK_PER_ANSWER + job->prompt_tokens - (int64_t)job->blocks * KCP_BLOCK_TOKENS,
+    .deadline_ns = job->deadline_ns,
+    .run_ns = vm->run_ns[job->class],
+    .fingerprint = vm->world->run.variant.fifo_promises ? 0 : job->fingerprint,
+  };
+  if (vm->world->run.variant.shed_importance)
+    shed_for (vm, job);
+  verdict = kcp_admission_offer (vm->admission, &job->item, &now);
+  if (!verdict.queued)
+    refuse (vm, job, verdict.retry_after_s);
+  else
+    pump (vm);
+  if (job->end == JOB_OPEN && job->item.position != NULL
+      && job->class == KCP_CLASS_URGENT)
+    displace (vm, job);
+}
+
+static void
+pump (struct fake_vm *vm)
+{
+  struct search search = { .vm = vm };
+  int64_t now_ns = sim_now (vm->world->sim);
+  struct kcp_admission_now now = now_of (vm);
+  struct kcp_admission_item *item;
+
+  while ((item = kcp_admission_expired (vm->admission, now_ns)) != NULL)
+    refuse (vm, job_of (item), kcp_admission_retry_after_s (vm->admission, item, &now));
+  while ((item = kcp_admission_next (vm->admission, fits, &search, now_ns)) != NULL)
+    dispatch (vm, job_of (item), (unsigned)search.engine);
+}
+
+static bool
+fits (void *user, struct kcp_admission_item *item)
+{
+  struct search *search = user;
+
+  search->engine = choose (search->vm, job_of (item));
+  return search->engine != KCP_PLACEMENT_NONE;
+}
+
+static int
+choose (struct fake_vm *vm, const struct job *job)
+{
+  unsigned engines[WORLD_ENGINES_MAX];
+  size_t count = list_usable (vm, job, engines);
+  unsigned best = 0;
+
+  if (count == 0)
+    return KCP_PLACEMENT_NONE;
+  switch (vm->world->run.policy)
+    {
+    case BENCH_RANDOM:
+      return (
+          int)engines[g_rand_int_range (sim_random (vm->world->sim), 0, (gint32)count)];
+    case BENCH_LEAST_LOADED:
+      for (unsigned i = 1; i < count; i++)
+        if (engine_in_flight (vm, engines[i]) < engine_in_flight (vm, engines[best]))
+          best = i;
+      return (int)engines[best];
+    case BENCH_PREFIX_HASH:
+      for (unsigned i = 1; i < count; i++)
+        if (kcp_placement_rank (job->chain[job->blocks - 1],
+                                vm->world->engines[engines[i]]->hash)
+            > kcp_placement_rank (job->chain[job->blocks - 1],
+                                  vm->world->engines[engines[best]]->hash))
+          best = i;
+      return (int)engines[best];
+    case BENCH_KINGCUPPOINT:
+    case BENCH_ALL_KNOWING:
+    case BENCH_POLICIES:
+      break;
+    }
+  return choose_placed (vm, job);
+}
+
+static int
+choose_placed (struct fake_vm *vm, const struct job *job)
+{
+  const struct variant *variant = &vm->world->run.variant;
+  struct kcp_placement_costs used = costs;
+  struct kcp_placement_candidate candidates[WORLD_ENGINES_MAX];
+  unsigned engines[WORLD_ENGINES_MAX];
+  int64_t leading[WORLD_ENGINES_MAX];
+  size_t count = list_usable (vm, job, engines);
+  struct kcp_placement_request request = {
+    .prefix_head = job->blocks > 0 ? job->chain[0] : job->fingerprint,
+    .prompt_tokens = job->prompt_tokens,
+  };
+  int chosen;
+
+  if (variant->no_waste)
+    used.waste_percent = 0;
+  if (variant->no_tolerance)
+    used.tolerance_ns = 0;
+  find_leading (vm, job, engines, count, leading);
+  for (size_t i = 0; i < count; i++)
+    candidates[i] = make_candidate (vm, job, engines[i], leading[i]);
+  chosen = kcp_placement_choose (&request, candidates, count, &used);
+  return chosen == KCP_PLACEMENT_NONE ? chosen : (int)engines[chosen];
+}
+
+static size_t
+list_usable (const struct fake_vm *vm, const struct job *job, unsigned *engines)
+{
+  const struct world *world = vm->world;
+  bool suspect
+      = kcp_quarantine_state (vm->quarantine, job->fingerprint, sim_now (world->sim))
+        == KCP_QUARANTINE_SUSPECT;
+  size_t count = 0;
+
+  for (unsigned i = 0; i < world->run.deployment->engines; i++)
+    {
+      const struct fake_engine *engine = world->engines[i];
+
+      if (((job->data_centers >> engine->data_center) & 1u) == 0 || vm->views[i].dead
+          || !world_reaches (world, vm->data_center, engine->data_center))
+        continue;
+      if (suspect && kcp_quarantine_has_suspect (vm->quarantine, engine->hash))
+        continue;
+      engines[count++] = i;
+    }
+  return count;
+}
+
+static struct kcp_placement_candidate
+make_candidate (struct fake_vm *vm, const struct job *job, unsigned number,
+                int64_t leading)
+{
+  const struct world *world = vm->world;
+  const struct engine_view *view = &vm->views[number];
+  const struct fake_engine *engine = world->engines[number];
+  bool knows = world->run.policy == BENCH_ALL_KNOWING;
+  struct engine_report report = knows ? fake_engine_report (engine) : view->report;
+  int64_t limit = (int64_t)view->limit.value;
+
+  if (world->run.variant.no_limit)
+    limit = UNLIMITED;
+  return (struct kcp_placement_candidate){
+    .hash = engine->hash,
+    .queued_tokens = report.waiting_tokens,
+    .report_age_ns = knows ? 0 : sim_now (world->sim) - view->report_ns,
+    .sent_tokens = knows ? 0 : view->sent_tokens,
+    .in_flight = engine_in_flight (vm, number),
+    .limit = limit + (job->class == KCP_CLASS_URGENT ? URGENT_EXTRA : 0),
+    .cached_tokens = MIN (leading * KCP_BLOCK_TOKENS, job->prompt_tokens),
+    .transfer_ns = world_transfer_ns (world, vm->data_center, engine->data_center),
+  };
+}
+
+static void
+find_leading (struct fake_vm *vm, const struct job *job, const unsigned *engines,
+              size_t count, int64_t *leading)
+{
+  kcp_belief_slot slots[WORLD_ENGINES_MAX];
+
+  for (size_t i = 0; i < count; i++)
+    {
+      const struct fake_engine *engine = vm->world->engines[engines[i]];
+
+      leading[i] = fake_engine_leading (engine, job) / KCP_BLOCK_TOKENS;
+      slots[i] = kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation);
+    }
+  if (vm->world->run.policy == BENCH_ALL_KNOWING)
+    return;
+  if (vm->world->run.variant.no_beliefs)
+    memset (leading, 0, count * sizeof *leading);
+  else
+    kcp_beliefs_leading (vm->beliefs, job->chain, job->blocks, slots, count, leading);
+}
+
+static int64_t
+engine_in_flight (const struct fake_vm *vm, unsigned number)
+{
+  const struct engine_view *view = &vm->views[number];
+  int64_t known = view->report.running + view->report.waiting + view->begun - view->ended;
+
+  if (vm->world->run.policy == BENCH_ALL_KNOWING)
+    return (int64_t)vm->world->engines[number]->batch->len
+           + vm->world->engines[number]->waiting->len;
+  return MAX (known, 0);
+}
+
+static void
+dispatch (struct fake_vm *vm, struct job *job, unsigned number)
+{
+  struct world *world = vm->world;
+  struct fake_engine *engine = world->engines[number];
+  struct engine_view *view = &vm->views[number];
+  int64_t leading;
+
+  find_leading (vm, job, &number, 1, &leading);
+  job->engine = engine;
+  job->epoch = engine->epoch;
+  job->dispatched_ns = sim_now (world->sim);
+  job->sent_tokens = job->prompt_tokens - leading * KCP_BLOCK_TOKENS;
+  world->sent++;
+  world->retried += job->attempts > 0;
+  job->attempts++;
+  job->in_flight = true;
+  view->sent_tokens += job->sent_tokens;
+  view->begun++;
+  job->held = kcp_quarantine_state (vm->quarantine, job->fingerprint, job->dispatched_ns)
+                  == KCP_QUARANTINE_SUSPECT
+              && kcp_quarantine_begin (vm->quarantine, engine->hash);
+  sim_after (world->sim, world_transfer_ns (world, vm->data_center, engine->data_center),
+             reach_engine, engine, job);
+}
+
+static void
+reach_engine (void *user, void *subject)
+{
+  struct fake_engine *engine = user;
+  struct job *job = subject;
+
+  if (job->end != JOB_OPEN)
+    return;
+  if (engine->up)
+    {
+      fake_engine_send (engine, job);
+      return;
+    }
+  job->vm->views[engine->number].dead = true;
+  fail_attempt (job, KCP_RETRY_UNSENT);
+}
+
+static void
+end_attempt (struct job *job)
+{
+  struct fake_vm *vm = job->vm;
+
+  if (!job->in_flight)
+    return;
+  job->in_flight = false;
+  vm->views[job->engine->number].ended++;
+  if (job->held)
+    kcp_quarantine_end (vm->quarantine, job->engine->hash);
+  job->held = false;
+}
+
+static void
+fail_attempt (struct job *job, enum kcp_retry_progress progress)
+{
+  struct fake_vm *vm = job->vm;
+  int64_t now_ns = sim_now (vm->world->sim);
+  struct kcp_retry_facts facts = {
+    .repeatable = true,
+    .progress = progress,
+    .attempts = job->attempts,
+    .left_ns = job->deadline_ns - now_ns,
+  };
+  struct kcp_retry_budget *budget = &vm->budgets[job->engine->data_center];
+  struct kcp_retry_budget endless;
+
+  kcp_retry_budget_init (&endless, 100);
+  if (vm->world->run.variant.unlimited_retries)
+    budget = &endless;
+  end_attempt (job);
+  if (kcp_quarantine_state (vm->quarantine, job->fingerprint, now_ns)
+      == KCP_QUARANTINE_BLOCKED)
+    end_job (job, JOB_BLOCKED);
+  else if (kcp_retry_decide (&facts, budget) == KCP_RETRY_GIVE_UP)
+    end_job (job, JOB_FAILED);
+  else
+    queue_job (vm, job);
+}
+
+static void
+end_job (struct job *job, enum job_end end)
+{
+  struct fake_vm *vm = job->vm;
+  int64_t now_ns = sim_now (vm->world->sim);
+
+  job->end = end;
+  job->ended_ns = now_ns;
+  end_attempt (job);
+  kcp_admission_remove (vm->admission, &job->item, now_ns);
+  g_ptr_array_remove_fast (vm->open, job);
+  if (end == JOB_ANSWERED || end == JOB_LATE)
+    pump (vm);
+}
+
+static void
+refuse (struct fake_vm *vm, struct job *job, int64_t retry_after_s)
+{
+  job->retry_after_s = retry_after_s;
+  end_job (job, JOB_REFUSED);
+  world_caller_returns (vm->world, job, retry_after_s);
+}
+
+/* Variants: urgent work that found no place takes that of normal work. */
+static void
+displace (struct fake_vm *vm, const struct job *urgent)
+{
+  const struct variant *variant = &vm->world->run.variant;
+  struct job *victim = NULL;
+
+  if (!variant->abort_unstarted && !variant->abort_any)
+    return;
+  for (guint i = 0; i < vm->open->len; i++)
+    {
+      struct job *job = g_ptr_array_index (vm->open, i);
+
+      if (job->class == KCP_CLASS_URGENT || !job->at_engine
+          || (job->first_token_ns > 0 && !variant->abort_any)
+          || ((urgent->data_centers >> job->engine->data_center) & 1u) == 0)
+        continue;
+      if (victim == NULL || job->importance < victim->importance)
+        victim = job;
+    }
+  if (victim == NULL)
+    return;
+  fake_engine_cancel (victim->engine, victim);
+  end_attempt (victim);
+  queue_job (vm, victim);
+  pump (vm);
+}
+
+/* Variant: a request that would be refused takes the place of a waiting one that is less
+   important. */
+static void
+shed_for (struct fake_vm *vm, const struct job *job)
+{
+  struct kcp_admission_now now = now_of (vm);
+  struct job *victim = NULL;
+
+  if (kcp_admission_would_queue (vm->admission, &job->item, &now))
+    return;
+  for (guint i = 0; i < vm->open->len; i++)
+    {
+      struct job *other = g_ptr_array_index (vm->open, i);
+
+      if (other->item.position == NULL
+          || other->class != job->class || other->importance >= job->importance)
+        continue;
+      if (victim == NULL || other->importance < victim->importance)
+        victim = other;
+    }
+  if (victim == NULL)
+    return;
+  kcp_admission_remove (vm->admission, &victim->item, now.monotonic_ns);
+  refuse (vm, victim, kcp_admission_retry_after_s (vm->admission, &victim->item, &now));
+}
+
+static struct kcp_admission_now
+now_of (const struct fake_vm *vm)
+{
+  int64_t now_ns = sim_now (vm->world->sim);
+
+  return (struct kcp_admission_now){ now_ns, now_ns / KCP_NS_PER_MS };
+}
+
+static struct job *
+job_of (struct kcp_admission_item *item)
+{
+  return (struct job *)(void *)((char *)item - G_STRUCT_OFFSET (struct job, item));
+}
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -2,6 +2,7 @@
 #ifndef KCP_POLICY_PLACEMENT_H
 #define KCP_POLICY_PLACEMENT_H
 
+#include <stdbool.h>
 #include <stddef.h>
 #include <stdint.h>
 
@@ -11,12 +12,13 @@
 struct kcp_placement_candidate
 {
   uint64_t hash;         /* of the server's id */
-  int64_t queued_tokens; /* prompt tokens to be computed before this request */
-  int64_t running;       /* requests being computed */
-  int64_t in_flight;     /* attempts of this VM */
-  int64_t concurrency;   /* attempts of this VM at most */
+  int64_t queued_tokens; /* prompt tokens queued there, by its last report */
+  int64_t report_age_ns; /* of that report */
+  int64_t sent_tokens;   /* uncached prompt tokens sent by this VM since then */
+  int64_t in_flight;     /* requests there: reported, and this VM's since then */
+  int64_t limit;         /* of in_flight for a request of this class */
   int64_t cached_tokens; /* of this request's prompt, as far as is believed */
-  int64_t transfer_ns;   /* time for the prompt to get there and the answer back */
+  int64_t transfer_ns;   /* for the prompt to get there and the answer back */
 };
 
 struct kcp_placement_request
@@ -31,10 +33,12 @@
   int64_t ns_per_prompt_token;
   int64_t ns_per_running; /* slowdown by each request being computed */
   int64_t tolerance_ns;   /* expected times this close count as equal */
+  int64_t waste_percent;  /* of the uncached tokens' time, for the delay of others */
 };
 
 int kcp_placement_choose (const struct kcp_placement_request *request,
                           const struct kcp_placement_candidate *candidates, size_t count,
                           const struct kcp_placement_costs *costs);
+uint64_t kcp_placement_rank (uint64_t prefix_head, uint64_t server);
 
 #endif
--- a/src/request/choose.c
+++ b/src/request/choose.c
@@ -108,9 +108,9 @@
 {
   return (struct kcp_placement_candidate){
     .hash = view->backend->hash,
-    .queued_tokens = view->report.waiting_tokens + view->sent_tokens,
-    .running = view->report.running,
+    .queued_tokens = view->report.waiting_tokens,
+    .sent_tokens = view->sent_tokens,
     .in_flight = view->in_flight,
-    .concurrency = request->router->settings->backends_concurrency,
+    .limit = request->router->settings->backends_concurrency,
   };
 }
