--- a/src/backend/fetch.c
+++ b/src/backend/fetch.c
@@ -55,6 +55,7 @@
   int64_t connect_ms;
   int64_t idle_ms;
   int64_t total_ms;
+  bool once;
   const struct kcp_fetch_events *events;
   void *user;
   bool active;
@@ -120,6 +121,7 @@
   fetch->connect_ms = spec->connect_ms;
   fetch->idle_ms = spec->idle_ms;
   fetch->total_ms = spec->total_ms;
+  fetch->once = spec->once;
   fetch->events = spec->events;
   fetch->user = spec->user;
   fetch->headers = curl_slist_append (NULL, "Expect:");
@@ -303,6 +305,7 @@
   curl_easy_setopt (curl, CURLOPT_HEADERDATA, fetch);
   curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, on_data);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, fetch);
+  curl_easy_setopt (curl, CURLOPT_FRESH_CONNECT, fetch->once ? 1L : 0L);
   if (fetch->body_len > 0)
     {
       curl_easy_setopt (curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)fetch->body_len);
--- a/src/backend/fetch.h
+++ b/src/backend/fetch.h
@@ -48,6 +48,8 @@
   int64_t connect_ms; /* limit for the connection */
   int64_t idle_ms;    /* limit between two arrivals; 0: none */
   int64_t total_ms;   /* limit for the whole call; 0: none */
+  bool once;          /* never sent twice: takes a new connection, since libcurl repeats
+                         a request when a kept one turns out to be closed */
   const struct kcp_fetch_events *events;
   void *user;
 };
--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -33,6 +33,12 @@
   [KCP_COUNT_RPC_RECEIVED] = { "rpc_received", "Datagrams accepted from other VMs" },
   [KCP_COUNT_RPC_REJECTED]
   = { "rpc_rejected", "Datagrams dropped as malformed or unauthentic" },
+  [KCP_COUNT_BOOKING_CHECKPOINTS]
+  = { "booking_checkpoints", "Checkpoints of booking streams begun" },
+  [KCP_COUNT_BOOKING_LOG_WENT_BACK]
+  = { "booking_log_went_back", "Times a booking stream had lost records that were read" },
+  [KCP_COUNT_BOOKING_OUTCOMES_LOST]
+  = { "booking_outcomes_lost", "Outcomes given up after appends failed for too long" },
 };
 
 static uint64_t values[KCP_COUNTERS];
--- a/src/base/error.c
+++ b/src/base/error.c
@@ -38,6 +38,8 @@
   = { 409, "outcome-unknown", "The outcome of this call is unknown" },
   [KCP_ERR_SHUTDOWN] = { 503, "shutdown", "This VM is shutting down" },
   [KCP_ERR_INTERNAL] = { 500, "internal", "An internal error occurred" },
+  [KCP_ERR_KEY_EXPIRED]
+  = { 422, "key-expired", "The idempotency key is older than keys are remembered" },
 };
 
 static const char *const execution_names[] = {
--- a/src/booking/booking.h
+++ b/src/booking/booking.h
@@ -5,39 +5,37 @@
 #include <jansson.h>
 #include <stdint.h>
 
-#include "base/error.h"
-#include "base/id.h"
+#include "base/clock.h"
+#include "booking/pending.h"
 #include "platform/platform_log.h"
+#include "settings/settings.h"
 
-enum kcp_claim_result
+/* Everything is copied but clock, which must outlive the module. */
+struct kcp_booking_options
 {
-  KCP_CLAIM_WON,    /* the caller of kcp_booking_claim() may dispatch, once */
-  KCP_CLAIM_REPEAT, /* the recorded outcome answers the call */
-  KCP_CLAIM_REFUSED /* error says why */
+  const struct kcp_settings *settings;
+  const struct kcp_clock *clock;
+  /* Tells whether another VM is believed to live; NULL: every VM is. Called on any
+     booking thread. */
+  bool (*is_alive) (void *user, const char *vm);
+  void *user;
 };
 
-struct kcp_claim_answer
+/* A call that may not be repeated. */
+struct kcp_booking_call
 {
-  enum kcp_claim_result result;
-  char claim[KCP_ID_LEN + 1]; /* of a won claim */
-  json_t *outcome;            /* of a repeat; borrowed */
-  struct kcp_error error;     /* of a refusal */
+  const char *key;             /* hash of team, service and idempotency key */
+  const char *body_hash;       /* hash of method, path and body */
+  const char *idempotency_key; /* as the caller gave it */
+  int64_t left_ms;             /* time until its deadline */
 };
 
-/* Called once for each claim, on the booking thread. */
-typedef void kcp_claim_done (void *user, const struct kcp_claim_answer *answer);
-
-/* Called once for each outcome, on the booking thread, when it is in the log or could not
-   be put there. */
-typedef void kcp_outcome_done (void *user);
-
 struct kcp_booking;
 
-struct kcp_booking *
-kcp_booking_start (struct kcp_platform_log *log, const char *vm, int64_t batch_ms);
+struct kcp_booking *kcp_booking_start (const struct kcp_booking_options *options);
 void kcp_booking_stop (struct kcp_booking *booking);
-void kcp_booking_claim (struct kcp_booking *booking, const char *key,
-                        const char *body_hash, kcp_claim_done *done, void *user);
+void kcp_booking_claim (struct kcp_booking *booking, const struct kcp_booking_call *call,
+                        kcp_claim_done *done, void *user);
 void kcp_booking_record_outcome (struct kcp_booking *booking, const char *key,
                                  const char *claim, json_t *outcome,
                                  kcp_outcome_done *done, void *user);
--- /dev/null
+++ b/src/booking/checkpoint.c
@@ -0,0 +1,185 @@
+#include "booking/checkpoint.h"
+
+#include <glib.h>
+
+#include "booking/entry.h"
+
+#define ENTRIES_PER_PART 256
+#define PARTS_MAX        65536
+#define OPEN_MAX         8 /* checkpoints of different writers read at once */
+
+struct kcp_checkpoint_writer
+{
+  char *id;
+  uint64_t as_of;
+  int64_t time_ms;
+  json_t *parts; /* lists of entries */
+};
+
+/* One checkpoint of which some parts have been read. */
+struct gathering
+{
+  json_t *parts; /* records, or null where one is missing */
+  int64_t have;
+  uint64_t as_of;
+};
+
+struct kcp_checkpoint_reader
+{
+  GHashTable *open; /* id, struct gathering */
+};
+
+static json_t *make_part (const struct kcp_checkpoint_writer *writer, size_t index);
+static struct gathering *
+find_gathering (struct kcp_checkpoint_reader *reader, const char *id, int64_t parts);
+static void gathering_free (gpointer data);
+
+/* Starts a checkpoint of the state as of an offset, at a log time. */
+struct kcp_checkpoint_writer *
+kcp_checkpoint_writer_new (const char *id, uint64_t as_of, int64_t time_ms)
+{
+  struct kcp_checkpoint_writer *writer = g_new0 (struct kcp_checkpoint_writer, 1);
+
+  writer->id = g_strdup (id);
+  writer->as_of = as_of;
+  writer->time_ms = time_ms;
+  writer->parts = json_pack ("[[]]");
+  return writer;
+}
+
+/* Adds an entry; takes it over. */
+void
+kcp_checkpoint_writer_add (struct kcp_checkpoint_writer *writer, json_t *entry)
+{
+  json_t *last = json_array_get (writer->parts, json_array_size (writer->parts) - 1);
+
+  if (json_array_size (last) == ENTRIES_PER_PART)
+    {
+      last = json_array ();
+      json_array_append_new (writer->parts, last);
+    }
+  json_array_append_new (last, entry);
+}
+
+/* Returns the checkpoint as a new list of objects with the members "checkpoint" and
+   "entries", and frees the writer. */
+json_t *
+kcp_checkpoint_writer_end (struct kcp_checkpoint_writer *writer)
+{
+  json_t *list = json_array ();
+
+  for (size_t i = 0; i < json_array_size (writer->parts); i++)
+    json_array_append_new (list, make_part (writer, i));
+  json_decref (writer->parts);
+  g_free (writer->id);
+  g_free (writer);
+  return list;
+}
+
+/* Makes a reader that has seen no part. */
+struct kcp_checkpoint_reader *
+kcp_checkpoint_reader_new (void)
+{
+  struct kcp_checkpoint_reader *reader = g_new0 (struct kcp_checkpoint_reader, 1);
+
+  reader->open = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, gathering_free);
+  return reader;
+}
+
+/* Frees the reader; NULL is allowed. */
+void
+kcp_checkpoint_reader_free (struct kcp_checkpoint_reader *reader)
+{
+  if (reader == NULL)
+    return;
+  g_hash_table_unref (reader->open);
+  g_free (reader);
+}
+
+/* Forgets the parts read so far. */
+void
+kcp_checkpoint_reader_clear (struct kcp_checkpoint_reader *reader)
+{
+  g_hash_table_remove_all (reader->open);
+}
+
+/* Takes a part. Returns a new list of all parts, in order, once none is missing, and NULL
+   before. */
+json_t *
+kcp_checkpoint_reader_add (struct kcp_checkpoint_reader *reader, const json_t *record)
+{
+  const json_t *head = json_object_get (record, "checkpoint");
+  const char *id = kcp_entry_text (head, "id");
+  int64_t index = kcp_entry_int (head, "part");
+  int64_t parts = kcp_entry_int (head, "parts");
+  struct gathering *gathering;
+  json_t *whole;
+
+  if (index < 0 || index >= parts || parts > PARTS_MAX)
+    return NULL;
+  gathering = find_gathering (reader, id, parts);
+  if (gathering == NULL || (size_t)parts != json_array_size (gathering->parts))
+    return NULL;
+  if (json_is_null (json_array_get (gathering->parts, (size_t)index)))
+    {
+      json_array_set (gathering->parts, (size_t)index, (json_t *)record);
+      gathering->have++;
+    }
+  if (gathering->have < parts)
+    return NULL;
+  whole = json_incref (gathering->parts);
+  kcp_checkpoint_reader_clear (reader);
+  return whole;
+}
+
+/* Returns the offset up to which, exclusively, a part's checkpoint holds the state. */
+uint64_t
+kcp_checkpoint_as_of (const json_t *record)
+{
+  return (uint64_t)kcp_entry_int (json_object_get (record, "checkpoint"), "as_of");
+}
+
+/* Returns the log time of a part's checkpoint. */
+int64_t
+kcp_checkpoint_time_ms (const json_t *record)
+{
+  return kcp_entry_int (json_object_get (record, "checkpoint"), "ms");
+}
+
+static json_t *
+make_part (const struct kcp_checkpoint_writer *writer, size_t index)
+{
+  json_t *head
+      = json_pack ("{sssIsIsIsI}", "id", writer->id, "as_of", (json_int_t)writer->as_of,
+                   "ms", (json_int_t)writer->time_ms, "part", (json_int_t)index, "parts",
+                   (json_int_t)json_array_size (writer->parts));
+
+  return json_pack ("{sosO}", "checkpoint", head, "entries",
+                    json_array_get (writer->parts, index));
+}
+
+static struct gathering *
+find_gathering (struct kcp_checkpoint_reader *reader, const char *id, int64_t parts)
+{
+  struct gathering *gathering = g_hash_table_lookup (reader->open, id);
+
+  if (gathering != NULL)
+    return gathering;
+  if (g_hash_table_size (reader->open) == OPEN_MAX)
+    kcp_checkpoint_reader_clear (reader);
+  gathering = g_new0 (struct gathering, 1);
+  gathering->parts = json_array ();
+  for (int64_t i = 0; i < parts; i++)
+    json_array_append_new (gathering->parts, json_null ());
+  g_hash_table_insert (reader->open, g_strdup (id), gathering);
+  return gathering;
+}
+
+static void
+gathering_free (gpointer data)
+{
+  struct gathering *gathering = data;
+
+  json_decref (gathering->parts);
+  g_free (gathering);
+}
--- a/src/booking/claims.c
+++ b/src/booking/claims.c
@@ -3,27 +3,78 @@
 #include <glib.h>
 #include <string.h>
 
+#include "booking/checkpoint.h"
+#include "booking/entry.h"
+
+#define STEPS_PER_WINDOW 1440 /* records that move the log time over a whole window */
+#define STEP_MIN_MS      1000
+#define SWEEP_MS         60000
+
+/* Last record of one writer. */
+struct writer
+{
+  uint64_t seq;
+  int64_t seen_ms;
+};
+
+/* The log time is the greatest time of the applied records, except that one record
+   moves it by at most step_ms: a writer with a wrong clock can't expire all claims at
+   once. It runs late in a stream with few records, which keeps claims longer. */
 struct kcp_claims
 {
+  int64_t keep_ms; /* a key is forgotten so long after its last claim */
+  int64_t step_ms;
   uint64_t next;
-  GHashTable *by_key; /* key, struct kcp_claim_view with an owned outcome */
+  int64_t now_ms;   /* the log time */
+  int64_t swept_ms; /* log time of the last expiry */
+  uint64_t first;   /* the first offset applied */
+  int64_t first_ms; /* log time of that record; 0 before it */
+  bool complete;    /* every key claimed within the window is known */
+  uint64_t checkpoint_offset;
+  char last_writer[KCP_ID_LEN + 1];
+  uint64_t last_seq;
+  GHashTable *by_key;  /* key, struct kcp_claim_view */
+  GHashTable *writers; /* writer, struct writer */
+  struct kcp_checkpoint_reader *reader;
 };
 
-static void apply_claim (struct kcp_claims *claims, const char *key, json_t *entry);
-static void apply_outcome (struct kcp_claims *claims, const char *key, json_t *entry);
-static void apply_release (struct kcp_claims *claims, const char *key, json_t *entry);
+static void advance (struct kcp_claims *claims, const json_t *record);
+static bool accept_writer (struct kcp_claims *claims, const json_t *record);
+static void apply_entry (struct kcp_claims *claims, const json_t *entry);
+static void apply_claim (struct kcp_claims *claims, const char *key, const json_t *entry);
+static void
+apply_outcome (struct kcp_claims *claims, const char *key, const json_t *entry);
+static void
+apply_release (struct kcp_claims *claims, const char *key, const json_t *entry);
+static void
+apply_restore (struct kcp_claims *claims, const char *key, const json_t *entry);
+static void apply_checkpoint (struct kcp_claims *claims, const json_t *record);
+static void load (struct kcp_claims *claims, const json_t *parts);
+static void load_entry (struct kcp_claims *claims, const json_t *entry);
+static struct kcp_claim_view *view_from (const json_t *entry);
 static struct kcp_claim_view *
-find_held (struct kcp_claims *claims, const char *key, json_t *entry);
-static const char *text_of (json_t *entry, const char *key);
+find_held (struct kcp_claims *claims, const char *key, const json_t *entry);
+static bool is_expired (const struct kcp_claims *claims, int64_t ms);
+static void sweep (struct kcp_claims *claims);
+static gboolean key_is_expired (gpointer key, gpointer value, gpointer user);
+static gboolean writer_is_expired (gpointer key, gpointer value, gpointer user);
+static json_t *
+restate (const char *op, const char *key, const struct kcp_claim_view *view);
 static void view_free (gpointer data);
 
-/* Makes an empty state. */
+/* Makes the empty state of a stream that starts at offset 0. window_ms is the time for
+   which a key is remembered. */
 struct kcp_claims *
-kcp_claims_new (void)
+kcp_claims_new (int64_t window_ms)
 {
   struct kcp_claims *claims = g_new0 (struct kcp_claims, 1);
 
+  claims->keep_ms = window_ms + KCP_CLOCK_MARGIN_MS;
+  claims->step_ms = MAX (window_ms / STEPS_PER_WINDOW, STEP_MIN_MS);
+  claims->complete = true;
   claims->by_key = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, view_free);
+  claims->writers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  claims->reader = kcp_checkpoint_reader_new ();
   return claims;
 }
 
@@ -33,11 +84,15 @@
 {
   if (claims == NULL)
     return;
+  kcp_checkpoint_reader_free (claims->reader);
   g_hash_table_unref (claims->by_key);
+  g_hash_table_unref (claims->writers);
   g_free (claims);
 }
 
-/* Applies the record at an offset; offsets that were applied before change nothing. */
+/* Applies the record at an offset; offsets that were applied before change nothing. A
+   record whose writer has a later one in the log already is void: so a writer that
+   appends again settles the fate of every append whose answer it has lost. */
 void
 kcp_claims_apply (struct kcp_claims *claims, uint64_t offset, json_t *record)
 {
@@ -47,18 +102,91 @@
   if (offset < claims->next)
     return;
   claims->next = offset + 1;
-  json_array_foreach (json_object_get (record, "entries"), i, entry)
-  {
-    const char *op = text_of (entry, "op");
-    const char *key = text_of (entry, "key");
-
-    if (strcmp (op, "claim") == 0)
-      apply_claim (claims, key, entry);
-    else if (strcmp (op, "outcome") == 0)
-      apply_outcome (claims, key, entry);
-    else if (strcmp (op, "release") == 0)
-      apply_release (claims, key, entry);
-  }
+  advance (claims, record);
+  if (!accept_writer (claims, record))
+    return;
+  if (json_object_get (record, "checkpoint") != NULL)
+    apply_checkpoint (claims, record);
+  else
+    json_array_foreach (json_object_get (record, "entries"), i, entry)
+        apply_entry (claims, entry);
+  if (!claims->complete && is_expired (claims, claims->first_ms))
+    claims->complete = true;
+  sweep (claims);
+}
+
+/* Goes on at the first offset that is still kept, after records that were not applied
+   have been trimmed. Everything is forgotten, and the state is incomplete until a
+   checkpoint is found or the window has passed since that record. */
+void
+kcp_claims_skip_to (struct kcp_claims *claims, uint64_t first)
+{
+  g_hash_table_remove_all (claims->by_key);
+  g_hash_table_remove_all (claims->writers);
+  kcp_checkpoint_reader_clear (claims->reader);
+  claims->next = first;
+  claims->last_writer[0] = '\0';
+  claims->first = first;
+  claims->first_ms = 0;
+  claims->now_ms = 0;
+  claims->swept_ms = 0;
+  claims->complete = false;
+}
+
+/* Reads again from an offset after the log was put back to an earlier state. Keys that
+   were known stay known. */
+void
+kcp_claims_read_again (struct kcp_claims *claims, uint64_t first)
+{
+  g_hash_table_remove_all (claims->writers);
+  kcp_checkpoint_reader_clear (claims->reader);
+  claims->next = first;
+  claims->last_writer[0] = '\0';
+}
+
+/* Returns where to read next: at the last record applied, so that it can be compared with
+   kcp_claims_matches(), or after it if none is remembered. */
+uint64_t
+kcp_claims_read_offset (const struct kcp_claims *claims)
+{
+  return claims->last_writer[0] != '\0' ? claims->next - 1 : claims->next;
+}
+
+/* Forgets the last record applied because it is no longer kept. */
+void
+kcp_claims_forget_last (struct kcp_claims *claims)
+{
+  claims->last_writer[0] = '\0';
+}
+
+/* Tells whether a record read at an offset is the one that was applied there last. It
+   is not if the log was put back and has grown again. */
+bool
+kcp_claims_matches (const struct kcp_claims *claims, uint64_t offset,
+                    const json_t *record)
+{
+  if (offset + 1 != claims->next || claims->last_writer[0] == '\0')
+    return true;
+  return strcmp (kcp_entry_text (record, "writer"), claims->last_writer) == 0
+         && (uint64_t)kcp_entry_int (record, "seq") == claims->last_seq;
+}
+
+/* Tells whether every key claimed within the window is known. */
+bool
+kcp_claims_is_complete (const struct kcp_claims *claims)
+{
+  return claims->complete;
+}
+
+/* Tells whether every claim is known of a key that was made at key_ms, in milliseconds of
+   the time of day; 0 if the key does not show when. */
+bool
+kcp_claims_covers (const struct kcp_claims *claims, int64_t key_ms)
+{
+  if (claims->complete)
+    return true;
+  return key_ms > 0 && claims->first_ms > 0
+         && key_ms > claims->first_ms + KCP_CLOCK_MARGIN_MS;
 }
 
 /* Returns the first offset not applied. */
@@ -68,6 +196,36 @@
   return claims->next;
 }
 
+/* Returns the last sequence number seen of a writer, or 0. */
+uint64_t
+kcp_claims_last_seq (const struct kcp_claims *claims, const char *writer)
+{
+  const struct writer *found = g_hash_table_lookup (claims->writers, writer);
+
+  return found != NULL ? found->seq : 0;
+}
+
+/* Returns the log time in milliseconds of the time of day. */
+int64_t
+kcp_claims_now_ms (const struct kcp_claims *claims)
+{
+  return claims->now_ms;
+}
+
+/* Returns the offset that follows the last whole checkpoint, or 0. */
+uint64_t
+kcp_claims_checkpoint_offset (const struct kcp_claims *claims)
+{
+  return claims->checkpoint_offset;
+}
+
+/* Returns the number of keys held. */
+size_t
+kcp_claims_count (const struct kcp_claims *claims)
+{
+  return g_hash_table_size (claims->by_key);
+}
+
 /* Gives what is known of a key. */
 void
 kcp_claims_look_up (const struct kcp_claims *claims, const char *key,
@@ -75,84 +233,291 @@
 {
   const struct kcp_claim_view *found = g_hash_table_lookup (claims->by_key, key);
 
-  *view = found != NULL ? *found : (struct kcp_claim_view){ .state = KCP_CLAIM_NONE };
+  *view = (struct kcp_claim_view){ .state = KCP_CLAIM_NONE };
+  if (found != NULL && !is_expired (claims, found->touched_ms))
+    *view = *found;
 }
 
-/* Returns a new log entry that claims a key. */
+/* Returns a checkpoint of the state as a new list of record members: what a reader needs
+   that starts at kcp_claims_next_offset(). */
 json_t *
-kcp_claims_make_claim (const char *key, const char *body_hash, const char *claim,
-                       const char *vm)
+kcp_claims_snapshot (const struct kcp_claims *claims, const char *id)
 {
-  return json_pack ("{ssssssssss}", "op", "claim", "key", key, "body", body_hash, "claim",
-                    claim, "vm", vm);
+  struct kcp_checkpoint_writer *out
+      = kcp_checkpoint_writer_new (id, claims->next, claims->now_ms);
+  GHashTableIter at;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&at, claims->writers);
+  while (g_hash_table_iter_next (&at, &key, &value))
+    {
+      const struct writer *writer = value;
+
+      kcp_checkpoint_writer_add (out, json_pack ("{sssssIsI}", "op", KCP_OP_WRITER,
+                                                 "writer", (const char *)key, "seq",
+                                                 (json_int_t)writer->seq, "seen",
+                                                 (json_int_t)writer->seen_ms));
+    }
+  g_hash_table_iter_init (&at, claims->by_key);
+  while (g_hash_table_iter_next (&at, &key, &value))
+    kcp_checkpoint_writer_add (out, restate (KCP_OP_CARRIED, key, value));
+  return kcp_checkpoint_writer_end (out);
 }
 
-/* Returns a new log entry that records the outcome of a held claim. */
+/* Returns a new list of entries that restate every key, for a log that lost some. */
 json_t *
-kcp_claims_make_outcome (const char *key, const char *claim, json_t *outcome)
+kcp_claims_restore_entries (const struct kcp_claims *claims)
 {
-  return json_pack ("{sssssssO}", "op", "outcome", "key", key, "claim", claim, "outcome",
-                    outcome);
+  json_t *entries = json_array ();
+  GHashTableIter at;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&at, claims->by_key);
+  while (g_hash_table_iter_next (&at, &key, &value))
+    json_array_append_new (entries, restate (KCP_OP_RESTORE, key, value));
+  return entries;
 }
 
-/* Returns a new log entry that gives up a claim that was never dispatched. */
-json_t *
-kcp_claims_make_release (const char *key, const char *claim)
+static void
+advance (struct kcp_claims *claims, const json_t *record)
 {
-  return json_pack ("{ssssss}", "op", "release", "key", key, "claim", claim);
+  int64_t ms = kcp_entry_int (record, "ms");
+
+  if (claims->now_ms == 0)
+    claims->now_ms = ms;
+  else
+    claims->now_ms = MAX (claims->now_ms, MIN (ms, claims->now_ms + claims->step_ms));
+  if (claims->first_ms == 0)
+    claims->first_ms = claims->now_ms;
+}
+
+/* Notes a record's sequence number; false if its writer was seen with a later one. */
+static bool
+accept_writer (struct kcp_claims *claims, const json_t *record)
+{
+  const char *name = kcp_entry_text (record, "writer");
+  uint64_t seq = (uint64_t)kcp_entry_int (record, "seq");
+  struct writer *writer = g_hash_table_lookup (claims->writers, name);
+
+  g_strlcpy (claims->last_writer, name, sizeof claims->last_writer);
+  claims->last_seq = seq;
+  if (writer == NULL)
+    {
+      writer = g_new0 (struct writer, 1);
+      g_hash_table_insert (claims->writers, g_strdup (name), writer);
+    }
+  writer->seen_ms = claims->now_ms;
+  if (seq <= writer->seq)
+    return false;
+  writer->seq = seq;
+  return true;
 }
 
 static void
-apply_claim (struct kcp_claims *claims, const char *key, json_t *entry)
+apply_entry (struct kcp_claims *claims, const json_t *entry)
 {
-  struct kcp_claim_view *view;
+  const char *op = kcp_entry_text (entry, "op");
+  const char *key = kcp_entry_text (entry, "key");
 
-  if (g_hash_table_contains (claims->by_key, key))
-    return;
-  view = g_new0 (struct kcp_claim_view, 1);
+  if (strcmp (op, KCP_OP_CLAIM) == 0)
+    apply_claim (claims, key, entry);
+  else if (strcmp (op, KCP_OP_OUTCOME) == 0)
+    apply_outcome (claims, key, entry);
+  else if (strcmp (op, KCP_OP_RELEASE) == 0)
+    apply_release (claims, key, entry);
+  else if (strcmp (op, KCP_OP_RESTORE) == 0)
+    apply_restore (claims, key, entry);
+}
+
+/* A claim of a key that is held loses, but keeps the key from being forgotten: a VM whose
+   log time runs a little ahead may have seen it win. */
+static void
+apply_claim (struct kcp_claims *claims, const char *key, const json_t *entry)
+{
+  struct kcp_claim_view *view = g_hash_table_lookup (claims->by_key, key);
+
+  if (view != NULL && !is_expired (claims, view->touched_ms))
+    {
+      view->touched_ms = claims->now_ms;
+      return;
+    }
+  view = view_from (entry);
   view->state = KCP_CLAIM_HELD;
-  g_strlcpy (view->claim, text_of (entry, "claim"), sizeof view->claim);
-  g_strlcpy (view->body_hash, text_of (entry, "body"), sizeof view->body_hash);
-  g_strlcpy (view->vm, text_of (entry, "vm"), sizeof view->vm);
-  g_hash_table_insert (claims->by_key, g_strdup (key), view);
+  view->claimed_ms = claims->now_ms;
+  view->touched_ms = claims->now_ms;
+  g_hash_table_replace (claims->by_key, g_strdup (key), view);
 }
 
 static void
-apply_outcome (struct kcp_claims *claims, const char *key, json_t *entry)
+apply_outcome (struct kcp_claims *claims, const char *key, const json_t *entry)
 {
   struct kcp_claim_view *view = find_held (claims, key, entry);
 
   if (view == NULL)
     return;
   view->state = KCP_CLAIM_DECIDED;
-  view->outcome = json_incref (json_object_get (entry, "outcome"));
+  view->outcome = g_strdup (kcp_entry_text (entry, "outcome"));
 }
 
+/* A release counts only in the first half of the time a key is kept; after it another VM
+   may already take the claim for expired. */
 static void
-apply_release (struct kcp_claims *claims, const char *key, json_t *entry)
+apply_release (struct kcp_claims *claims, const char *key, const json_t *entry)
 {
-  if (find_held (claims, key, entry) != NULL)
+  const struct kcp_claim_view *view = find_held (claims, key, entry);
+
+  if (view != NULL && claims->now_ms - view->claimed_ms <= claims->keep_ms / 2)
     g_hash_table_remove (claims->by_key, key);
 }
 
+static void
+apply_restore (struct kcp_claims *claims, const char *key, const json_t *entry)
+{
+  struct kcp_claim_view *view = g_hash_table_lookup (claims->by_key, key);
+
+  if (view == NULL)
+    load_entry (claims, entry);
+}
+
+/* A complete state learns nothing from a checkpoint: it knows what happened since. One as
+   of an offset that was not read from on, or that is not below its own, is left out. */
+static void
+apply_checkpoint (struct kcp_claims *claims, const json_t *record)
+{
+  uint64_t as_of = kcp_checkpoint_as_of (record);
+  json_t *parts = NULL;
+
+  if (as_of >= claims->first && as_of < claims->next)
+    parts = kcp_checkpoint_reader_add (claims->reader, record);
+  if (parts == NULL)
+    return;
+  claims->checkpoint_offset = claims->next;
+  if (!claims->complete)
+    {
+      load (claims, parts);
+      claims->next = as_of;
+      claims->complete = true;
+    }
+  json_decref (parts);
+}
+
+/* Replaces the state by the parts of a checkpoint. */
+static void
+load (struct kcp_claims *claims, const json_t *parts)
+{
+  const json_t *part;
+  json_t *entry;
+  size_t i;
+  size_t j;
+
+  g_hash_table_remove_all (claims->by_key);
+  g_hash_table_remove_all (claims->writers);
+  claims->last_writer[0] = '\0';
+  json_array_foreach (parts, i, part)
+  {
+    claims->now_ms = kcp_checkpoint_time_ms (part);
+    json_array_foreach (json_object_get (part, "entries"), j, entry)
+        load_entry (claims, entry);
+  }
+}
+
+static void
+load_entry (struct kcp_claims *claims, const json_t *entry)
+{
+  const char *outcome = json_string_value (json_object_get (entry, "outcome"));
+  struct kcp_claim_view *view;
+
+  if (strcmp (kcp_entry_text (entry, "op"), KCP_OP_WRITER) == 0)
+    {
+      struct writer *writer = g_new0 (struct writer, 1);
+
+      writer->seq = (uint64_t)kcp_entry_int (entry, "seq");
+      writer->seen_ms = kcp_entry_int (entry, "seen");
+      g_hash_table_replace (claims->writers, g_strdup (kcp_entry_text (entry, "writer")),
+                            writer);
+      return;
+    }
+  view = view_from (entry);
+  view->state = outcome != NULL ? KCP_CLAIM_DECIDED : KCP_CLAIM_HELD;
+  view->outcome = g_strdup (outcome);
+  view->claimed_ms = kcp_entry_int (entry, "claimed");
+  view->touched_ms = kcp_entry_int (entry, "touched");
+  g_hash_table_replace (claims->by_key, g_strdup (kcp_entry_text (entry, "key")), view);
+}
+
+static struct kcp_claim_view *
+view_from (const json_t *entry)
+{
+  struct kcp_claim_view *view = g_new0 (struct kcp_claim_view, 1);
+
+  g_strlcpy (view->claim, kcp_entry_text (entry, "claim"), sizeof view->claim);
+  g_strlcpy (view->body_hash, kcp_entry_text (entry, "body"), sizeof view->body_hash);
+  g_strlcpy (view->vm, kcp_entry_text (entry, "vm"), sizeof view->vm);
+  g_strlcpy (view->writer, kcp_entry_text (entry, "writer"), sizeof view->writer);
+  view->until_ms = kcp_entry_int (entry, "until");
+  return view;
+}
+
 /* Returns the held claim of a key if the entry is by its holder, or NULL. */
 static struct kcp_claim_view *
-find_held (struct kcp_claims *claims, const char *key, json_t *entry)
+find_held (struct kcp_claims *claims, const char *key, const json_t *entry)
 {
   struct kcp_claim_view *view = g_hash_table_lookup (claims->by_key, key);
 
   if (view == NULL || view->state != KCP_CLAIM_HELD
-      || strcmp (view->claim, text_of (entry, "claim")) != 0)
+      || strcmp (view->claim, kcp_entry_text (entry, "claim")) != 0)
     return NULL;
   return view;
 }
 
-static const char *
-text_of (json_t *entry, const char *key)
+static bool
+is_expired (const struct kcp_claims *claims, int64_t ms)
+{
+  return claims->now_ms > ms + claims->keep_ms;
+}
+
+static void
+sweep (struct kcp_claims *claims)
+{
+  if (claims->now_ms < claims->swept_ms + SWEEP_MS)
+    return;
+  claims->swept_ms = claims->now_ms;
+  g_hash_table_foreach_remove (claims->by_key, key_is_expired, claims);
+  g_hash_table_foreach_remove (claims->writers, writer_is_expired, claims);
+}
+
+static gboolean
+key_is_expired (gpointer key, gpointer value, gpointer user)
+{
+  const struct kcp_claim_view *view = value;
+
+  (void)key;
+  return is_expired (user, view->touched_ms);
+}
+
+static gboolean
+writer_is_expired (gpointer key, gpointer value, gpointer user)
+{
+  const struct writer *writer = value;
+
+  (void)key;
+  return is_expired (user, writer->seen_ms);
+}
+
+static json_t *
+restate (const char *op, const char *key, const struct kcp_claim_view *view)
 {
-  const char *text = json_string_value (json_object_get (entry, key));
+  json_t *entry
+      = json_pack ("{sssssssssssssIsIsI}", "op", op, "key", key, "body", view->body_hash,
+                   "claim", view->claim, "vm", view->vm, "writer", view->writer, "until",
+                   (json_int_t)view->until_ms, "claimed", (json_int_t)view->claimed_ms,
+                   "touched", (json_int_t)view->touched_ms);
 
-  return text != NULL ? text : "";
+  if (view->outcome != NULL)
+    json_object_set_new (entry, "outcome", json_string (view->outcome));
+  return entry;
 }
 
 static void
@@ -160,6 +525,6 @@
 {
   struct kcp_claim_view *view = data;
 
-  json_decref (view->outcome);
+  g_free (view->outcome);
   g_free (view);
 }
--- a/src/booking/claims.h
+++ b/src/booking/claims.h
@@ -1,5 +1,5 @@
-/* The state machine of one booking stream: which claim of each key won, by offset. Pure.
- */
+/* The state machine of one booking stream: which claim of each key won, by offset. Pure:
+   it reads no clock and does no I/O. */
 #ifndef KCP_BOOKING_CLAIMS_H
 #define KCP_BOOKING_CLAIMS_H
 
@@ -9,6 +9,9 @@
 
 #include "base/id.h"
 
+#define KCP_CLAIM_VM_MAX    64
+#define KCP_CLOCK_MARGIN_MS 60000 /* how far the clocks of two VMs may differ */
+
 enum kcp_claim_state
 {
   KCP_CLAIM_NONE,
@@ -16,28 +19,41 @@
   KCP_CLAIM_DECIDED /* the outcome is recorded */
 };
 
-/* What is known of a key. outcome is borrowed and NULL unless decided. */
+/* What is known of a key. outcome is owned by the state and NULL unless decided. */
 struct kcp_claim_view
 {
   enum kcp_claim_state state;
   char claim[KCP_ID_LEN + 1];
   char body_hash[KCP_HASH_HEX_LEN + 1];
-  char vm[64];
-  json_t *outcome;
+  char vm[KCP_CLAIM_VM_MAX];
+  char writer[KCP_ID_LEN + 1];
+  int64_t until_ms;
+  int64_t claimed_ms; /* log time of the winning claim */
+  int64_t touched_ms; /* log time of the last claim of the key */
+  char *outcome;      /* sealed */
 };
 
 struct kcp_claims;
 
-struct kcp_claims *kcp_claims_new (void);
+struct kcp_claims *kcp_claims_new (int64_t window_ms);
 void kcp_claims_free (struct kcp_claims *claims);
 void kcp_claims_apply (struct kcp_claims *claims, uint64_t offset, json_t *record);
+void kcp_claims_skip_to (struct kcp_claims *claims, uint64_t first);
+void kcp_claims_read_again (struct kcp_claims *claims, uint64_t first);
+uint64_t kcp_claims_read_offset (const struct kcp_claims *claims);
+void kcp_claims_forget_last (struct kcp_claims *claims);
+bool kcp_claims_matches (const struct kcp_claims *claims, uint64_t offset,
+                         const json_t *record);
+bool kcp_claims_is_complete (const struct kcp_claims *claims);
+bool kcp_claims_covers (const struct kcp_claims *claims, int64_t key_ms);
 uint64_t kcp_claims_next_offset (const struct kcp_claims *claims);
+uint64_t kcp_claims_last_seq (const struct kcp_claims *claims, const char *writer);
+int64_t kcp_claims_now_ms (const struct kcp_claims *claims);
+uint64_t kcp_claims_checkpoint_offset (const struct kcp_claims *claims);
+size_t kcp_claims_count (const struct kcp_claims *claims);
 void kcp_claims_look_up (const struct kcp_claims *claims, const char *key,
                          struct kcp_claim_view *view);
-
-json_t *kcp_claims_make_claim (const char *key, const char *body_hash, const char *claim,
-                               const char *vm);
-json_t *kcp_claims_make_outcome (const char *key, const char *claim, json_t *outcome);
-json_t *kcp_claims_make_release (const char *key, const char *claim);
+json_t *kcp_claims_snapshot (const struct kcp_claims *claims, const char *id);
+json_t *kcp_claims_restore_entries (const struct kcp_claims *claims);
 
 #endif
--- /dev/null
+++ b/src/booking/decide.h
@@ -0,0 +1,25 @@
+/* What a claim of a key is answered. Pure. */
+#ifndef KCP_BOOKING_DECIDE_H
+#define KCP_BOOKING_DECIDE_H
+
+#include "booking/claims.h"
+#include "booking/pending.h"
+
+struct kcp_decision_facts
+{
+  const char *claim; /* id of the claim to be answered */
+  const char *body_hash;
+  int64_t key_ms; /* when the key was made; 0: not shown by it */
+  int64_t now_ms; /* time of day */
+  int64_t window_ms;
+  int64_t log_now_ms;
+  bool covered;      /* every claim of the key is known */
+  bool holder_alive; /* the VM of the view is believed to live */
+  struct kcp_claim_view view;
+};
+
+bool
+kcp_decide_early (const struct kcp_decision_facts *facts, struct kcp_claim_answer *out);
+bool kcp_decide (const struct kcp_decision_facts *facts, struct kcp_claim_answer *out);
+
+#endif
--- /dev/null
+++ b/src/booking/layout.h
@@ -0,0 +1,14 @@
+/* The number of booking streams, on which all VMs have to agree: a key belongs to one
+   stream only. */
+#ifndef KCP_BOOKING_LAYOUT_H
+#define KCP_BOOKING_LAYOUT_H
+
+#include "base/error.h"
+#include "platform/platform_log.h"
+
+bool kcp_layout_state (struct kcp_platform_log *log, int64_t partitions,
+                       struct kcp_error *error);
+bool kcp_layout_check (struct kcp_platform_log *log, int64_t partitions,
+                       struct kcp_error *error);
+
+#endif
--- /dev/null
+++ b/src/booking/partition.c
@@ -0,0 +1,753 @@
+#include "booking/partition.h"
+
+#include <glib.h>
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/logger.h"
+#include "booking/decide.h"
+#include "booking/entry.h"
+
+#define STEP                    "booking"
+#define RETRY_MS                250
+#define RETRY_AFTER_S           1
+#define ENTRIES_PER_RECORD      256
+#define WAITING_MAX             20000
+#define MAINTAIN_MIN_MS         100
+#define MAINTAIN_MAX_MS         30000
+#define MAINTAIN_PER_CHECKPOINT 8
+#define JITTER_SHARE            4
+
+enum phase
+{
+  PHASE_IDLE,
+  PHASE_APPENDING,
+  PHASE_SETTLING, /* the record is in the log: read up to it */
+  PHASE_LOOKUP,   /* the append's answer was lost: read to the end to find the record */
+  PHASE_CHECKING, /* read to the end before claiming keys that were held */
+  PHASE_MAINTAINING
+};
+
+struct kcp_partition
+{
+  struct kcp_partition_options options;
+  struct kcp_claims *claims;
+  enum phase phase;
+  struct kcp_pending_queue waiting;
+  size_t waiting_count;
+  struct kcp_pending_queue flight; /* what the record under way holds */
+  json_t *record;
+  bool record_is_part; /* of a checkpoint */
+  uint64_t seq;        /* of the record made last */
+  uint64_t settle_at;
+  bool in_doubt; /* a record may still arrive; a later one voids it */
+  bool checked;  /* the log was read since a held key was claimed */
+  bool restore;  /* the log lost records */
+  bool tick;     /* an empty record is due, so that the log time moves on */
+  int64_t retry_at_ms;
+  int64_t maintain_at_ms;
+  int64_t checkpoint_at_ms; /* time of day of the next checkpoint */
+  uint64_t checkpoint_seen;
+  json_t *parts; /* of a checkpoint, not yet appended */
+  struct kcp_error last_error;
+};
+
+static void answer (struct kcp_pending *pending, const struct kcp_claim_answer *result);
+static void refuse (struct kcp_pending *pending, const struct kcp_error *error);
+static void enqueue (struct kcp_partition *partition, struct kcp_pending *pending);
+static bool answer_early (struct kcp_partition *partition, struct kcp_pending *pending,
+                          int64_t now_ms);
+static bool
+decide (struct kcp_partition *partition, struct kcp_pending *pending, int64_t now_ms);
+static struct kcp_decision_facts
+facts_of (const struct kcp_partition *partition, const struct kcp_pending *pending,
+          int64_t now_ms);
+static bool holds_held_claim (struct kcp_partition *partition);
+static void drop_old_outcomes (struct kcp_partition *partition, int64_t now_ms);
+static struct kcp_partition_action
+append_waiting (struct kcp_partition *partition, int64_t now_ms);
+static struct kcp_partition_action
+append_part (struct kcp_partition *partition, int64_t now_ms);
+static struct kcp_partition_action
+read_next (struct kcp_partition *partition, enum phase phase);
+static json_t *
+entry_of (const struct kcp_partition *partition, struct kcp_pending *pending);
+static bool pass_trimmed (struct kcp_partition *partition, uint64_t first);
+static bool flight_has_claims (const struct kcp_partition *partition);
+static void keep_for_retry (struct kcp_partition *partition);
+static void
+refuse_flight (struct kcp_partition *partition, const struct kcp_error *error);
+static void give_up (struct kcp_partition *partition, const struct kcp_error *error);
+static void settle (struct kcp_partition *partition, int64_t now_ms);
+static void settle_claim (struct kcp_partition *partition, struct kcp_pending *pending,
+                          int64_t now_ms);
+static void apply (struct kcp_partition *partition, const struct kcp_log_batch *batch);
+static bool
+log_went_back (struct kcp_partition *partition, const struct kcp_log_batch *batch);
+static void go_on (struct kcp_partition *partition, bool at_end, int64_t now_ms);
+static void go_on_lookup (struct kcp_partition *partition, bool at_end, int64_t now_ms);
+static void go_on_settling (struct kcp_partition *partition, bool at_end, int64_t now_ms);
+static void answer_checked (struct kcp_partition *partition, int64_t now_ms);
+static void refuse_checked (struct kcp_partition *partition);
+static void maintain (struct kcp_partition *partition, int64_t now_ms);
+static void note_checkpoint (struct kcp_partition *partition, int64_t now_ms);
+static void queue_restore (struct kcp_partition *partition);
+static void drop_record (struct kcp_partition *partition);
+
+/* Makes a partition that has read nothing. */
+struct kcp_partition *
+kcp_partition_new (const struct kcp_partition_options *options, int64_t now_ms)
+{
+  struct kcp_partition *partition = g_new0 (struct kcp_partition, 1);
+
+  partition->options = *options;
+  partition->claims = kcp_claims_new (options->window_ms);
+  partition->maintain_at_ms = now_ms;
+  partition->parts = json_array ();
+  CK_STAILQ_INIT (&partition->waiting);
+  CK_STAILQ_INIT (&partition->flight);
+  note_checkpoint (partition, now_ms);
+  return partition;
+}
+
+/* Refuses the claims that are not decided and frees the partition; NULL is allowed. A
+   refused claim may hold its key until the window has passed, but is never dispatched. */
+void
+kcp_partition_free (struct kcp_partition *partition)
+{
+  struct kcp_pending *pending;
+  struct kcp_error error;
+
+  if (partition == NULL)
+    return;
+  kcp_error_set (&error, KCP_ERR_SHUTDOWN, STEP, NULL, "this VM is shutting down");
+  error.retry_after_s = RETRY_AFTER_S;
+  CK_STAILQ_CONCAT (&partition->waiting, &partition->flight);
+  while ((pending = CK_STAILQ_FIRST (&partition->waiting)) != NULL)
+    {
+      CK_STAILQ_REMOVE_HEAD (&partition->waiting, link);
+      kcp_pending_recorded (pending);
+      refuse (pending, &error);
+    }
+  json_decref (partition->record);
+  json_decref (partition->parts);
+  kcp_claims_free (partition->claims);
+  g_free (partition);
+}
+
+/* Takes over an entry. A claim that can be answered without the log, or while the log is
+   known to be out, is answered at once. */
+void
+kcp_partition_post (struct kcp_partition *partition, struct kcp_pending *pending,
+                    int64_t now_ms)
+{
+  pending->since_ms = now_ms;
+  if (pending->kind == KCP_PENDING_CLAIM && answer_early (partition, pending, now_ms))
+    return;
+  enqueue (partition, pending);
+}
+
+/* Returns what is to be done now. Its result must be reported before the next call. */
+struct kcp_partition_action
+kcp_partition_next (struct kcp_partition *partition, int64_t now_ms)
+{
+  const struct kcp_partition_action nothing = { .step = KCP_PARTITION_WAIT };
+
+  if (partition->phase != PHASE_IDLE)
+    return read_next (partition, partition->phase);
+  if (now_ms < partition->retry_at_ms)
+    return nothing;
+  drop_old_outcomes (partition, now_ms);
+  if (!partition->checked && holds_held_claim (partition))
+    return read_next (partition, PHASE_CHECKING);
+  if (partition->in_doubt || partition->tick || !CK_STAILQ_EMPTY (&partition->waiting))
+    return append_waiting (partition, now_ms);
+  if (json_array_size (partition->parts) > 0)
+    return append_part (partition, now_ms);
+  if (now_ms >= partition->maintain_at_ms)
+    return read_next (partition, PHASE_MAINTAINING);
+  return nothing;
+}
+
+/* Reports that the record is in the log. Whatever was in doubt before is settled: it is
+   below offset, or void. */
+void
+kcp_partition_appended (struct kcp_partition *partition, uint64_t offset)
+{
+  struct kcp_pending *pending;
+
+  partition->in_doubt = false;
+  partition->tick = false;
+  if (partition->record_is_part)
+    json_array_remove (partition->parts, 0);
+  drop_record (partition);
+  partition->settle_at = offset;
+  partition->phase = flight_has_claims (partition) ? PHASE_SETTLING : PHASE_IDLE;
+  CK_STAILQ_FOREACH (pending, &partition->flight, link)
+  kcp_pending_recorded (pending);
+  if (partition->phase == PHASE_IDLE)
+    settle (partition, 0);
+}
+
+/* Reports that the record is not in the log, or, if the error's execution is unknown,
+   that it may be. */
+void
+kcp_partition_append_failed (struct kcp_partition *partition,
+                             const struct kcp_error *error, int64_t now_ms)
+{
+  partition->last_error = *error;
+  partition->retry_at_ms = now_ms + RETRY_MS;
+  drop_record (partition);
+  keep_for_retry (partition);
+  if (error->execution == KCP_NOT_RUN)
+    {
+      partition->phase = PHASE_IDLE;
+      refuse_flight (partition, error);
+      return;
+    }
+  partition->in_doubt = true;
+  partition->phase = flight_has_claims (partition) ? PHASE_LOOKUP : PHASE_IDLE;
+}
+
+/* Reports what a read returned. */
+void
+kcp_partition_read (struct kcp_partition *partition, const struct kcp_log_batch *batch,
+                    int64_t now_ms)
+{
+  if (log_went_back (partition, batch))
+    {
+      kcp_counter_add (KCP_COUNT_BOOKING_LOG_WENT_BACK, 1);
+      kcp_logger_write (G_LOG_LEVEL_WARNING, "booking_log_went_back", NULL);
+      kcp_claims_read_again (partition->claims, batch->first);
+      partition->restore = true;
+      return;
+    }
+  apply (partition, batch);
+  note_checkpoint (partition, now_ms);
+  go_on (partition, kcp_claims_next_offset (partition->claims) >= batch->next, now_ms);
+}
+
+/* Reports that a read failed. For KCP_ERR_TRIMMED batch->first is the first offset kept.
+ */
+void
+kcp_partition_read_failed (struct kcp_partition *partition,
+                           const struct kcp_log_batch *batch,
+                           const struct kcp_error *error, int64_t now_ms)
+{
+  if (error->code == KCP_ERR_TRIMMED && pass_trimmed (partition, batch->first))
+    return;
+  partition->last_error = *error;
+  partition->retry_at_ms = now_ms + RETRY_MS;
+  switch (partition->phase)
+    {
+    case PHASE_SETTLING:
+    case PHASE_LOOKUP:
+      give_up (partition, error);
+      break;
+    case PHASE_CHECKING:
+      refuse_checked (partition);
+      break;
+    case PHASE_IDLE:
+    case PHASE_APPENDING:
+    case PHASE_MAINTAINING:
+      break;
+    }
+  partition->phase = PHASE_IDLE;
+}
+
+/* Tells whether nothing waits to be appended or decided. */
+bool
+kcp_partition_is_idle (const struct kcp_partition *partition)
+{
+  return partition->phase == PHASE_IDLE && !partition->in_doubt
+         && CK_STAILQ_EMPTY (&partition->waiting);
+}
+
+/* Returns the state read so far. */
+const struct kcp_claims *
+kcp_partition_claims (const struct kcp_partition *partition)
+{
+  return partition->claims;
+}
+
+static void
+answer (struct kcp_pending *pending, const struct kcp_claim_answer *result)
+{
+  if (pending->done != NULL)
+    pending->done (pending->user, result);
+  kcp_pending_free (pending);
+}
+
+/* Refuses a claim and frees it; other entries are only freed. */
+static void
+refuse (struct kcp_pending *pending, const struct kcp_error *error)
+{
+  struct kcp_claim_answer result = { .result = KCP_CLAIM_REFUSED, .error = *error };
+
+  result.error.execution = KCP_NOT_RUN;
+  result.error.retry_after_s = RETRY_AFTER_S;
+  answer (pending, &result);
+}
+
+static void
+enqueue (struct kcp_partition *partition, struct kcp_pending *pending)
+{
+  CK_STAILQ_INSERT_TAIL (&partition->waiting, pending, link);
+  partition->waiting_count++;
+}
+
+static bool
+answer_early (struct kcp_partition *partition, struct kcp_pending *pending,
+              int64_t now_ms)
+{
+  struct kcp_decision_facts facts = facts_of (partition, pending, now_ms);
+  struct kcp_claim_answer result;
+
+  if (kcp_decide_early (&facts, &result))
+    {
+      answer (pending, &result);
+      return true;
+    }
+  if (partition->waiting_count >= WAITING_MAX)
+    kcp_error_set (&partition->last_error, KCP_ERR_OVERLOADED, STEP, NULL,
+                   "too many entries wait for the booking log");
+  else if (now_ms >= partition->retry_at_ms && !partition->in_doubt)
+    return false;
+  refuse (pending, &partition->last_error);
+  return true;
+}
+
+/* Answers a claim whose key was just looked up; false if nobody holds the key. */
+static bool
+decide (struct kcp_partition *partition, struct kcp_pending *pending, int64_t now_ms)
+{
+  struct kcp_decision_facts facts = facts_of (partition, pending, now_ms);
+  struct kcp_claim_answer result;
+
+  if (!kcp_decide (&facts, &result))
+    return false;
+  answer (pending, &result);
+  return true;
+}
+
+static struct kcp_decision_facts
+facts_of (const struct kcp_partition *partition, const struct kcp_pending *pending,
+          int64_t now_ms)
+{
+  const struct kcp_partition_options *options = &partition->options;
+  struct kcp_decision_facts facts = {
+    .claim = pending->claim,
+    .body_hash = pending->body_hash,
+    .key_ms = pending->key_ms,
+    .now_ms = now_ms,
+    .window_ms = options->window_ms,
+    .log_now_ms = kcp_claims_now_ms (partition->claims),
+    .covered = kcp_claims_covers (partition->claims, pending->key_ms),
+  };
+
+  kcp_claims_look_up (partition->claims, pending->key, &facts.view);
+  facts.holder_alive
+      = options->is_alive == NULL || options->is_alive (options->user, facts.view.vm);
+  return facts;
+}
+
+static bool
+holds_held_claim (struct kcp_partition *partition)
+{
+  struct kcp_pending *pending;
+  struct kcp_claim_view view;
+
+  CK_STAILQ_FOREACH (pending, &partition->waiting, link)
+  {
+    if (pending->kind != KCP_PENDING_CLAIM)
+      continue;
+    kcp_claims_look_up (partition->claims, pending->key, &view);
+    if (view.state != KCP_CLAIM_NONE)
+      return true;
+  }
+  return false;
+}
+
+/* Drops outcomes that could not be appended for too long; a repeat of their key answers
+   that the outcome is unknown. */
+static void
+drop_old_outcomes (struct kcp_partition *partition, int64_t now_ms)
+{
+  struct kcp_pending_queue kept = CK_STAILQ_HEAD_INITIALIZER (kept);
+  struct kcp_pending *pending;
+
+  while ((pending = CK_STAILQ_FIRST (&partition->waiting)) != NULL)
+    {
+      CK_STAILQ_REMOVE_HEAD (&partition->waiting, link);
+      if (pending->kind == KCP_PENDING_OUTCOME
+          && now_ms - pending->since_ms > partition->options.outcome_retry_ms)
+        {
+          kcp_counter_add (KCP_COUNT_BOOKING_OUTCOMES_LOST, 1);
+          kcp_logger_write (G_LOG_LEVEL_WARNING, "booking_outcome_lost", "key",
+                            pending->key, NULL);
+          kcp_pending_recorded (pending);
+          kcp_pending_free (pending);
+          partition->waiting_count--;
+        }
+      else
+        CK_STAILQ_INSERT_TAIL (&kept, pending, link);
+    }
+  CK_STAILQ_CONCAT (&partition->waiting, &kept);
+}
+
+static struct kcp_partition_action
+append_waiting (struct kcp_partition *partition, int64_t now_ms)
+{
+  json_t *entries = json_array ();
+  struct kcp_pending *pending;
+
+  while ((pending = CK_STAILQ_FIRST (&partition->waiting)) != NULL
+         && json_array_size (entries) < ENTRIES_PER_RECORD)
+    {
+      CK_STAILQ_REMOVE_HEAD (&partition->waiting, link);
+      CK_STAILQ_INSERT_TAIL (&partition->flight, pending, link);
+      partition->waiting_count--;
+      json_array_append_new (entries, entry_of (partition, pending));
+    }
+  partition->checked = false;
+  partition->record_is_part = false;
+  partition->record
+      = kcp_entry_record (partition->options.writer, ++partition->seq, now_ms, entries);
+  partition->phase = PHASE_APPENDING;
+  return (struct kcp_partition_action){ .step = KCP_PARTITION_APPEND,
+                                        .record = partition->record };
+}
+
+static struct kcp_partition_action
+append_part (struct kcp_partition *partition, int64_t now_ms)
+{
+  partition->record_is_part = true;
+  partition->record = kcp_entry_record (partition->options.writer, ++partition->seq,
+                                        now_ms, json_array ());
+  json_object_update (partition->record, json_array_get (partition->parts, 0));
+  partition->phase = PHASE_APPENDING;
+  return (struct kcp_partition_action){ .step = KCP_PARTITION_APPEND,
+                                        .record = partition->record };
+}
+
+static struct kcp_partition_action
+read_next (struct kcp_partition *partition, enum phase phase)
+{
+  partition->phase = phase;
+  return (struct kcp_partition_action){
+    .step = KCP_PARTITION_READ,
+    .from = kcp_claims_read_offset (partition->claims),
+  };
+}
+
+/* Moves on to the first offset kept; false if the next one to be read is kept. */
+static bool
+pass_trimmed (struct kcp_partition *partition, uint64_t first)
+{
+  struct kcp_claims *claims = partition->claims;
+
+  if (first > kcp_claims_next_offset (claims))
+    kcp_claims_skip_to (claims, first);
+  else if (kcp_claims_read_offset (claims) < kcp_claims_next_offset (claims))
+    kcp_claims_forget_last (claims);
+  else
+    return false;
+  return true;
+}
+
+static json_t *
+entry_of (const struct kcp_partition *partition, struct kcp_pending *pending)
+{
+  if (pending->entry == NULL)
+    pending->entry = kcp_entry_claim (&(struct kcp_claim_entry){
+        .key = pending->key,
+        .body_hash = pending->body_hash,
+        .claim = pending->claim,
+        .vm = partition->options.vm,
+        .writer = partition->options.writer,
+        .until_ms = pending->until_ms,
+    });
+  return json_incref (pending->entry);
+}
+
+static bool
+flight_has_claims (const struct kcp_partition *partition)
+{
+  struct kcp_pending *pending;
+
+  CK_STAILQ_FOREACH (pending, &partition->flight, link)
+  if (pending->kind == KCP_PENDING_CLAIM)
+    return true;
+  return false;
+}
+
+/* Puts what is no claim back into the queue: these entries may be appended twice. */
+static void
+keep_for_retry (struct kcp_partition *partition)
+{
+  struct kcp_pending_queue claims = CK_STAILQ_HEAD_INITIALIZER (claims);
+  struct kcp_pending *pending;
+
+  while ((pending = CK_STAILQ_FIRST (&partition->flight)) != NULL)
+    {
+      CK_STAILQ_REMOVE_HEAD (&partition->flight, link);
+      if (pending->kind == KCP_PENDING_CLAIM)
+        {
+          CK_STAILQ_INSERT_TAIL (&claims, pending, link);
+          continue;
+        }
+      enqueue (partition, pending);
+      kcp_pending_recorded (pending);
+    }
+  CK_STAILQ_CONCAT (&partition->flight, &claims);
+}
+
+static void
+refuse_flight (struct kcp_partition *partition, const struct kcp_error *error)
+{
+  struct kcp_pending *pending;
+
+  while ((pending = CK_STAILQ_FIRST (&partition->flight)) != NULL)
+    {
+      CK_STAILQ_REMOVE_HEAD (&partition->flight, link);
+      refuse (pending, error);
+    }
+}
+
+/* Refuses the claims under way, which from here on are never dispatched. Their releases
+   go into the next record: that one voids the claims, if they are not in the log by then,
+   and frees their keys, if they are. */
+static void
+give_up (struct kcp_partition *partition, const struct kcp_error *error)
+{
+  struct kcp_pending *pending;
+
+  CK_STAILQ_FOREACH (pending, &partition->flight, link)
+  enqueue (partition, kcp_pending_release (pending->key, pending->claim));
+  partition->phase = PHASE_IDLE;
+  refuse_flight (partition, error);
+}
+
+/* Answers what the record held: the state now shows who won. */
+static void
+settle (struct kcp_partition *partition, int64_t now_ms)
+{
+  struct kcp_pending *pending;
+
+  partition->phase = PHASE_IDLE;
+  while ((pending = CK_STAILQ_FIRST (&partition->flight)) != NULL)
+    {
+      CK_STAILQ_REMOVE_HEAD (&partition->flight, link);
+      if (pending->kind == KCP_PENDING_CLAIM)
+        settle_claim (partition, pending, now_ms);
+      else
+        kcp_pending_free (pending);
+    }
+}
+
+/* A claim that may hold its key, but is refused all the same, is released. */
+static void
+settle_claim (struct kcp_partition *partition, struct kcp_pending *pending,
+              int64_t now_ms)
+{
+  struct kcp_decision_facts facts = facts_of (partition, pending, now_ms);
+  bool may_hold = !facts.covered || facts.view.state == KCP_CLAIM_NONE
+                  || strcmp (facts.view.claim, pending->claim) == 0;
+  struct kcp_claim_answer result;
+
+  if (!kcp_decide (&facts, &result))
+    kcp_error_set (&result.error, KCP_ERR_PLATFORM, STEP, NULL,
+                   "the claim did not take effect");
+  if (may_hold && result.result == KCP_CLAIM_REFUSED)
+    enqueue (partition, kcp_pending_release (pending->key, pending->claim));
+  answer (pending, &result);
+}
+
+/* Applies the records in order. Loading a checkpoint moves the state back to its offset,
+   from where the next read goes on. */
+static void
+apply (struct kcp_partition *partition, const struct kcp_log_batch *batch)
+{
+  json_t *item;
+  size_t i;
+
+  json_array_foreach (batch->records, i, item)
+  {
+    uint64_t offset = (uint64_t)kcp_entry_int (item, "offset");
+
+    kcp_claims_apply (partition->claims, offset, json_object_get (item, "record"));
+    if (kcp_claims_next_offset (partition->claims) <= offset)
+      return;
+  }
+}
+
+/* Tells whether the log no longer holds what was read from it. */
+static bool
+log_went_back (struct kcp_partition *partition, const struct kcp_log_batch *batch)
+{
+  const json_t *item = json_array_get (batch->records, 0);
+
+  if (batch->next < kcp_claims_next_offset (partition->claims))
+    return true;
+  return item != NULL
+         && !kcp_claims_matches (partition->claims,
+                                 (uint64_t)kcp_entry_int (item, "offset"),
+                                 json_object_get (item, "record"));
+}
+
+static void
+go_on (struct kcp_partition *partition, bool at_end, int64_t now_ms)
+{
+  if (at_end && partition->restore)
+    queue_restore (partition);
+  switch (partition->phase)
+    {
+    case PHASE_SETTLING:
+      go_on_settling (partition, at_end, now_ms);
+      break;
+    case PHASE_LOOKUP:
+      go_on_lookup (partition, at_end, now_ms);
+      break;
+    case PHASE_CHECKING:
+      if (at_end)
+        answer_checked (partition, now_ms);
+      break;
+    case PHASE_MAINTAINING:
+      if (at_end)
+        maintain (partition, now_ms);
+      break;
+    case PHASE_IDLE:
+    case PHASE_APPENDING:
+      break;
+    }
+}
+
+static void
+go_on_settling (struct kcp_partition *partition, bool at_end, int64_t now_ms)
+{
+  if (kcp_claims_next_offset (partition->claims) > partition->settle_at)
+    settle (partition, now_ms);
+  else if (at_end)
+    {
+      kcp_error_set (&partition->last_error, KCP_ERR_PLATFORM, STEP, NULL,
+                     "the log no longer holds the claim");
+      give_up (partition, &partition->last_error);
+    }
+}
+
+static void
+go_on_lookup (struct kcp_partition *partition, bool at_end, int64_t now_ms)
+{
+  if (kcp_claims_last_seq (partition->claims, partition->options.writer)
+      >= partition->seq)
+    {
+      partition->in_doubt = false;
+      partition->retry_at_ms = now_ms;
+      settle (partition, now_ms);
+    }
+  else if (at_end)
+    give_up (partition, &partition->last_error);
+}
+
+/* Answers the waiting claims whose key turned out to be held or decided. */
+static void
+answer_checked (struct kcp_partition *partition, int64_t now_ms)
+{
+  struct kcp_pending_queue left = CK_STAILQ_HEAD_INITIALIZER (left);
+  struct kcp_pending *pending;
+
+  partition->phase = PHASE_IDLE;
+  partition->checked = true;
+  while ((pending = CK_STAILQ_FIRST (&partition->waiting)) != NULL)
+    {
+      CK_STAILQ_REMOVE_HEAD (&partition->waiting, link);
+      if (pending->kind == KCP_PENDING_CLAIM && decide (partition, pending, now_ms))
+        partition->waiting_count--;
+      else
+        CK_STAILQ_INSERT_TAIL (&left, pending, link);
+    }
+  CK_STAILQ_CONCAT (&partition->waiting, &left);
+}
+
+static void
+refuse_checked (struct kcp_partition *partition)
+{
+  struct kcp_pending_queue left = CK_STAILQ_HEAD_INITIALIZER (left);
+  struct kcp_pending *pending;
+
+  while ((pending = CK_STAILQ_FIRST (&partition->waiting)) != NULL)
+    {
+      CK_STAILQ_REMOVE_HEAD (&partition->waiting, link);
+      if (pending->kind == KCP_PENDING_CLAIM)
+        {
+          partition->waiting_count--;
+          refuse (pending, &partition->last_error);
+        }
+      else
+        CK_STAILQ_INSERT_TAIL (&left, pending, link);
+    }
+  CK_STAILQ_CONCAT (&partition->waiting, &left);
+}
+
+/* Starts a checkpoint when one is due. An incomplete state appends an empty record from
+   time to time instead, so that the log time moves on and the window passes. */
+static void
+maintain (struct kcp_partition *partition, int64_t now_ms)
+{
+  struct kcp_claims *claims = partition->claims;
+  char id[KCP_ID_LEN + 1];
+
+  partition->phase = PHASE_IDLE;
+  partition->maintain_at_ms
+      = now_ms
+        + CLAMP (partition->options.checkpoint_ms / MAINTAIN_PER_CHECKPOINT,
+                 MAINTAIN_MIN_MS, MAINTAIN_MAX_MS);
+  if (!kcp_claims_is_complete (claims))
+    {
+      partition->tick = now_ms > kcp_claims_now_ms (claims) + MAINTAIN_MAX_MS;
+      return;
+    }
+  if (now_ms < partition->checkpoint_at_ms || kcp_claims_next_offset (claims) == 0)
+    return;
+  kcp_id_random (id);
+  json_decref (partition->parts);
+  partition->parts = kcp_claims_snapshot (claims, id);
+  kcp_counter_add (KCP_COUNT_BOOKING_CHECKPOINTS, 1);
+  partition->checkpoint_at_ms = now_ms + partition->options.checkpoint_ms;
+}
+
+/* Puts the next checkpoint off when a new one was read, a little further at some VMs so
+   that they don't all write one. */
+static void
+note_checkpoint (struct kcp_partition *partition, int64_t now_ms)
+{
+  uint64_t seen = kcp_claims_checkpoint_offset (partition->claims);
+  int64_t period_ms = partition->options.checkpoint_ms;
+  int64_t jitter_ms
+      = g_str_hash (partition->options.writer) % MAX (period_ms / JITTER_SHARE, 1);
+
+  if (seen == partition->checkpoint_seen && partition->checkpoint_at_ms > 0)
+    return;
+  partition->checkpoint_seen = seen;
+  partition->checkpoint_at_ms = now_ms + period_ms + jitter_ms;
+}
+
+static void
+queue_restore (struct kcp_partition *partition)
+{
+  json_t *entries = kcp_claims_restore_entries (partition->claims);
+  json_t *entry;
+  size_t i;
+
+  partition->restore = false;
+  json_array_foreach (entries, i, entry)
+      enqueue (partition, kcp_pending_restated (json_incref (entry)));
+  json_decref (entries);
+}
+
+static void
+drop_record (struct kcp_partition *partition)
+{
+  json_decref (partition->record);
+  partition->record = NULL;
+}
--- /dev/null
+++ b/src/booking/partition.h
@@ -0,0 +1,59 @@
+/* One booking stream as one VM works on it: the calls that wait for a decision, the
+   append under way and what is due next. Pure: the owner does the I/O that it asks for
+   and passes the time in. Not safe for use by two threads at once. */
+#ifndef KCP_BOOKING_PARTITION_H
+#define KCP_BOOKING_PARTITION_H
+
+#include "base/error.h"
+#include "booking/claims.h"
+#include "booking/pending.h"
+#include "platform/platform_log.h"
+
+/* Texts are borrowed and must outlive the partition. */
+struct kcp_partition_options
+{
+  const char *vm;
+  const char *writer; /* random for each start of the process */
+  int64_t window_ms;
+  int64_t checkpoint_ms;    /* time between two checkpoints */
+  int64_t outcome_retry_ms; /* how long an outcome is tried again */
+  /* Tells whether a VM is believed to live; NULL: every VM is. */
+  bool (*is_alive) (void *user, const char *vm);
+  void *user;
+};
+
+enum kcp_partition_step
+{
+  KCP_PARTITION_WAIT,   /* nothing is due now */
+  KCP_PARTITION_APPEND, /* append record, then report the result */
+  KCP_PARTITION_READ    /* read from from, then report the result */
+};
+
+struct kcp_partition_action
+{
+  enum kcp_partition_step step;
+  json_t *record; /* borrowed until the result is reported */
+  uint64_t from;
+};
+
+struct kcp_partition;
+
+struct kcp_partition *
+kcp_partition_new (const struct kcp_partition_options *options, int64_t now_ms);
+void kcp_partition_free (struct kcp_partition *partition);
+void kcp_partition_post (struct kcp_partition *partition, struct kcp_pending *pending,
+                         int64_t now_ms);
+struct kcp_partition_action
+kcp_partition_next (struct kcp_partition *partition, int64_t now_ms);
+void kcp_partition_appended (struct kcp_partition *partition, uint64_t offset);
+void kcp_partition_append_failed (struct kcp_partition *partition,
+                                  const struct kcp_error *error, int64_t now_ms);
+void kcp_partition_read (struct kcp_partition *partition,
+                         const struct kcp_log_batch *batch, int64_t now_ms);
+void kcp_partition_read_failed (struct kcp_partition *partition,
+                                const struct kcp_log_batch *batch,
+                                const struct kcp_error *error, int64_t now_ms);
+bool kcp_partition_is_idle (const struct kcp_partition *partition);
+const struct kcp_claims *kcp_partition_claims (const struct kcp_partition *partition);
+
+#endif
--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -111,8 +111,8 @@
   router->data_center = g_quark_from_string (settings->vm_data_center);
   server->log
       = kcp_platform_log_new (settings->platform_log_url, settings->platform_timeout_ms);
-  router->booking
-      = kcp_booking_start (server->log, settings->vm_id, settings->booking_batch_ms);
+  router->booking = kcp_booking_start (
+      &(struct kcp_booking_options){ .settings = settings, .clock = router->clock });
   server->tail = kcp_config_tail_start (server->log, router->config, router->timeline,
                                         settings->platform_poll_ms);
   server->list_poller = kcp_list_poller_start (
--- a/src/platform/platform_log.c
+++ b/src/platform/platform_log.c
@@ -64,7 +64,11 @@
       done = true;
     }
   else
-    refuse (log, stream, answer.status, error);
+    {
+      refuse (log, stream, answer.status, error);
+      if (error != NULL)
+        error->execution = KCP_UNKNOWN;
+    }
   kcp_http_answer_clear (&answer);
   return done;
 }
--- a/src/request/service.c
+++ b/src/request/service.c
@@ -7,11 +7,17 @@
 
 #define STEP_DISPATCH  "dispatch"
 #define STEP_ANSWER    "answer"
+#define STEP_CLAIM     "booking"
 #define BODY_MAX_BYTES (8u << 20)
 #define RETRY_AFTER_S  1
 
+/* A larger answer is not kept for repeats. */
+#define OUTCOME_BODY_MAX_BYTES (256u << 10)
+
 static void claim (struct kcp_request *request);
 static void on_claimed (void *user, const struct kcp_claim_answer *answer);
+static void start_claimed (struct kcp_request *request);
+static void release_claim (struct kcp_request *request);
 static void place_and_dispatch (struct kcp_request *request);
 static void dispatch (struct kcp_request *request);
 static char **make_headers (const struct kcp_request *request);
@@ -21,10 +27,12 @@
 static void on_done (void *user, enum kcp_fetch_end end, long status);
 static void complete (struct kcp_request *request, long status);
 static void record_outcome (struct kcp_request *request);
+static json_t *make_outcome (const struct kcp_request *request);
 static void on_recorded (void *user);
 static void answer_whole (struct kcp_request *request);
 static const char *content_type (const struct kcp_request *request);
 static void answer_repeat (struct kcp_request *request, json_t *outcome);
+static void fail_without_body (struct kcp_request *request);
 static void fail_attempt (struct kcp_request *request, enum kcp_fetch_end end);
 
 static const struct kcp_fetch_events events = {
@@ -59,8 +67,14 @@
   kcp_id_hash (kcp_str_from_c (scope), request->claim_key);
   kcp_id_hash ((struct kcp_str){ content->str, content->len }, body_hash);
   kcp_request_ref (request);
-  kcp_booking_claim (request->router->booking, request->claim_key, body_hash, on_claimed,
-                     request);
+  kcp_booking_claim (request->router->booking,
+                     &(struct kcp_booking_call){
+                         .key = request->claim_key,
+                         .body_hash = body_hash,
+                         .idempotency_key = call->idempotency_key,
+                         .left_ms = kcp_request_left_ms (request),
+                     },
+                     on_claimed, request);
 }
 
 static void
@@ -75,7 +89,7 @@
       memcpy (request->claim, answer->claim, sizeof request->claim);
       kcp_timeline_add (request->router->timeline, KCP_EVENT_CLAIMED, request->id, NULL,
                         0);
-      place_and_dispatch (request);
+      start_claimed (request);
       break;
     case KCP_CLAIM_REPEAT:
       answer_repeat (request, answer->outcome);
@@ -88,6 +102,35 @@
   kcp_request_unref (request);
 }
 
+/* Dispatches a call whose claim won, unless its deadline has passed since: the thread may
+   have been paused for any time. */
+static void
+start_claimed (struct kcp_request *request)
+{
+  struct kcp_error error;
+
+  if (kcp_request_left_ms (request) > 0)
+    {
+      place_and_dispatch (request);
+      return;
+    }
+  release_claim (request);
+  kcp_error_set (&error, KCP_ERR_DEADLINE, STEP_CLAIM, NULL,
+                 "the deadline passed before the call was dispatched");
+  error.retry_after_s = RETRY_AFTER_S;
+  kcp_request_fail (request, &error);
+}
+
+/* Gives up the claim, if one is held, of a call that no backend server has seen. */
+static void
+release_claim (struct kcp_request *request)
+{
+  if (request->claim[0] == '\0')
+    return;
+  kcp_booking_release (request->router->booking, request->claim_key, request->claim);
+  request->claim[0] = '\0';
+}
+
 static void
 place_and_dispatch (struct kcp_request *request)
 {
@@ -101,17 +144,20 @@
       dispatch (request);
       return;
     }
-  if (request->claim[0] != '\0')
-    kcp_booking_release (request->router->booking, request->claim_key, request->claim);
+  release_claim (request);
   kcp_request_fail (request, &error);
 }
 
+/* A claimed call is not cancelled when its caller leaves: its outcome is still recorded.
+ */
 static void
 dispatch (struct kcp_request *request)
 {
   const struct kcp_settings *settings = request->router->settings;
   g_autofree char *url = g_strconcat (request->backend->url, request->call->path, NULL);
   g_auto (GStrv) headers = NULL;
+  bool claimed = request->claim[0] != '\0';
+  struct kcp_fetch *fetch;
 
   kcp_id_random (request->attempt);
   headers = make_headers (request);
@@ -119,7 +165,7 @@
   kcp_timeline_add (request->router->timeline, KCP_EVENT_DISPATCHED, request->id,
                     request->backend->id, 0);
   kcp_registry_begin_attempt (request->router->registry, request->backend, 0);
-  request->fetch = kcp_fetch_start (
+  fetch = kcp_fetch_start (
       request->router->fetch_pool,
       &(struct kcp_fetch_spec){
           .method = request->call->method,
@@ -129,9 +175,14 @@
           .connect_ms = settings->backends_connect_timeout_ms,
           .idle_ms = settings->backends_idle_timeout_ms,
           .total_ms = kcp_request_left_ms (request) + 1,
+          .once = claimed,
           .events = &events,
           .user = kcp_request_ref (request),
       });
+  if (claimed)
+    kcp_fetch_unref (fetch);
+  else
+    request->fetch = fetch;
 }
 
 static char **
@@ -222,18 +273,13 @@
 }
 
 /* The answer waits for its outcome to be in the log, so that a caller that has it can
-   repeat the call at any VM and gets the same one. */
+   repeat the call at any VM and gets the same one. If the first append fails, the answer
+   goes out all the same. */
 static void
 record_outcome (struct kcp_request *request)
 {
-  json_t *outcome = json_pack (
-      "{sisssssssO}", "status", (int)request->service_status, "content_type",
-      content_type (request), "backend", request->backend->id, "data_center",
-      g_quark_to_string (request->backend->data_center), "body", json_null ());
-
-  json_object_set_new (
-      outcome, "body",
-      json_stringn (request->service_body->str, request->service_body->len));
+  json_t *outcome = make_outcome (request);
+
   kcp_timeline_add (request->router->timeline, KCP_EVENT_OUTCOME, request->id, NULL,
                     request->service_status);
   kcp_booking_record_outcome (request->router->booking, request->claim_key,
@@ -242,6 +288,25 @@
   json_decref (outcome);
 }
 
+/* Returns the answer as a new document; the body is base64, or absent if it is too large
+   to be kept. */
+static json_t *
+make_outcome (const struct kcp_request *request)
+{
+  const GString *body = request->service_body;
+  json_t *outcome
+      = json_pack ("{sissssss}", "status", (int)request->service_status, "content_type",
+                   content_type (request), "backend", request->backend->id, "data_center",
+                   g_quark_to_string (request->backend->data_center));
+  g_autofree char *text = NULL;
+
+  if (body->len > OUTCOME_BODY_MAX_BYTES)
+    return outcome;
+  text = g_base64_encode ((const unsigned char *)body->str, body->len);
+  json_object_set_new (outcome, "body", json_string (text));
+  return outcome;
+}
+
 static void
 on_recorded (void *user)
 {
@@ -274,19 +339,38 @@
 static void
 answer_repeat (struct kcp_request *request, json_t *outcome)
 {
-  json_t *body = json_object_get (outcome, "body");
+  const char *text = json_string_value (json_object_get (outcome, "body"));
+  g_autofree unsigned char *body = NULL;
+  gsize len = 0;
 
+  if (text == NULL)
+    {
+      fail_without_body (request);
+      return;
+    }
+  body = g_base64_decode (text, &len);
   kcp_request_add_headers (request);
   kcp_reply_add_header (request->reply, "Kingcuppoint-Repeat", "true");
   kcp_reply_begin (request->reply,
                    (unsigned)json_integer_value (json_object_get (outcome, "status")),
                    json_string_value (json_object_get (outcome, "content_type")));
-  kcp_reply_write (request->reply, (struct kcp_str){ json_string_value (body),
-                                                     json_string_length (body) });
+  kcp_reply_write (request->reply, (struct kcp_str){ (const char *)body, len });
   kcp_counter_add (KCP_COUNT_COMPLETED, 1);
   kcp_request_end (request, KCP_EVENT_COMPLETED);
 }
 
+static void
+fail_without_body (struct kcp_request *request)
+{
+  struct kcp_error error;
+
+  kcp_error_set (&error, KCP_ERR_OUTCOME_UNKNOWN, STEP_CLAIM, NULL,
+                 "this call ran, but its answer was too large to be kept; look up its "
+                 "status");
+  error.execution = KCP_RAN;
+  kcp_request_fail (request, &error);
+}
+
 static void
 fail_attempt (struct kcp_request *request, enum kcp_fetch_end end)
 {
@@ -299,9 +383,7 @@
   if (end == KCP_FETCH_REFUSED)
     {
       error.retry_after_s = RETRY_AFTER_S;
-      if (request->claim[0] != '\0')
-        kcp_booking_release (request->router->booking, request->claim_key,
-                             request->claim);
+      release_claim (request);
     }
   kcp_request_fail (request, &error);
 }
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -92,6 +92,8 @@
   INT ("booking", "partitions", booking_partitions, 1, 1024, 4),
   INT ("booking", "batch_ms", booking_batch_ms, 0, 1000, 2),
   INT ("booking", "dedupe_window_s", booking_dedupe_window_s, 1, 31536000, 86400),
+  INT ("booking", "checkpoint_ms", booking_checkpoint_ms, 100, 86400000, 3600000),
+  INT ("booking", "outcome_retry_ms", booking_outcome_retry_ms, 0, 86400000, 600000),
   INT ("retry", "budget_percent", retry_budget_percent, 0, 100, 10),
   INT ("retry", "quarantine_s", quarantine_s, 1, 86400, 3600),
 };
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -50,6 +50,8 @@
   int64_t booking_partitions;
   int64_t booking_batch_ms;
   int64_t booking_dedupe_window_s;
+  int64_t booking_checkpoint_ms;
+  int64_t booking_outcome_retry_ms;
   int64_t retry_budget_percent;
   int64_t quarantine_s;
 };
