Find a team by a table of key hashes

Ruled out: keeping the scan and caching the last teams; it only moves the cost to the first request of each team. The table compares hashes of secrets, so that its timing tells nothing that helps to find a key. A hash that two teams have belongs to the first by name on every VM, whatever the order in which they came. The table is built anew at most once after a change that replaced a team, at the next look-up: building it at each change would have cost a full pass for each record of a long log.

Key hashes and unknown keys in a team's document are now checked: a hash in upper case would never have matched.

--- /dev/null
+++ b/bench/bench_config.c
@@ -0,0 +1,141 @@
+/* The configuration at the target size: how long finding a team by its key, applying a
+   change and taking over a whole configuration take, and how large they are. */
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/id.h"
+#include "profile/config.h"
+
+#define LOOKUPS  2000
+#define PROFILES 24
+
+static const unsigned sizes[] = { 8, 400, 4000 };
+
+static json_t *team_document (unsigned number);
+static json_t *profile_document (void);
+static uint64_t
+put (struct kcp_config *config, uint64_t offset, const char *key, json_t *document);
+static struct kcp_config *fill (unsigned teams);
+static double lookup_us (struct kcp_config *config, unsigned teams);
+static void report (unsigned teams);
+
+/* Prints one line for each number of teams. */
+int
+main (void)
+{
+  (void)puts (
+      "configuration: teams, us a key, us a change, whole: KB, ms to write, ms to "
+      "take over, KB of memory");
+  for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
+    report (sizes[i]);
+  return EXIT_SUCCESS;
+}
+
+static void
+report (unsigned teams)
+{
+  size_t before = mallinfo2 ().uordblks;
+  struct kcp_config *config = fill (teams);
+  size_t memory = mallinfo2 ().uordblks - before;
+  struct kcp_config *other = kcp_config_new (&kcp_clock_system);
+  double key_us = lookup_us (config, teams);
+  int64_t start_ns = kcp_clock_monotonic_ns (&kcp_clock_system);
+  json_t *snapshot = kcp_config_snapshot (config);
+  char *text = json_dumps (snapshot, JSON_COMPACT);
+  int64_t written_ns = kcp_clock_monotonic_ns (&kcp_clock_system);
+  json_t *read = json_loads (text, 0, NULL);
+  int64_t done_ns;
+  int64_t changed_ns;
+
+  if (!kcp_config_adopt (other, read, NULL))
+    abort ();
+  done_ns = kcp_clock_monotonic_ns (&kcp_clock_system);
+  (void)put (config, PROFILES + teams, "profiles/new", profile_document ());
+  (void)put (config, PROFILES + teams + 1, "teams/new", team_document (teams));
+  changed_ns = (kcp_clock_monotonic_ns (&kcp_clock_system) - done_ns) / 2;
+  (void)printf ("%6u %8.2f %8.1f %8zu %8.1f %8.1f %8zu\n", teams, key_us,
+                (double)changed_ns / KCP_NS_PER_US, strlen (text) / 1024,
+                (double)(written_ns - start_ns) / KCP_NS_PER_MS,
+                (double)(done_ns - written_ns) / KCP_NS_PER_MS, memory / 1024);
+  free (text);
+  json_decref (snapshot);
+  json_decref (read);
+  kcp_config_free (config);
+  kcp_config_free (other);
+}
+
+static struct kcp_config *
+fill (unsigned teams)
+{
+  struct kcp_config *config = kcp_config_new (&kcp_clock_system);
+  uint64_t offset = 0;
+
+  for (unsigned i = 0; i < PROFILES; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("profiles/p%u", i);
+
+      offset = put (config, offset, key, profile_document ());
+    }
+  for (unsigned i = 0; i < teams; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("teams/team-%u", i);
+
+      offset = put (config, offset, key, team_document (i));
+    }
+  return config;
+}
+
+static double
+lookup_us (struct kcp_config *config, unsigned teams)
+{
+  int64_t start_ns = kcp_clock_monotonic_ns (&kcp_clock_system);
+
+  for (unsigned i = 0; i < LOOKUPS; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("key-%u", i * 7919 % teams);
+      struct kcp_team *team = kcp_config_team_by_key (config, kcp_str_from_c (key));
+
+      if (team == NULL)
+        abort ();
+      kcp_team_unref (team);
+    }
+  return (double)(kcp_clock_monotonic_ns (&kcp_clock_system) - start_ns) / KCP_NS_PER_US
+         / LOOKUPS;
+}
+
+static uint64_t
+put (struct kcp_config *config, uint64_t offset, const char *key, json_t *document)
+{
+  const struct kcp_config_base base = { 0 };
+  char id[KCP_ID_LEN + 1];
+  json_t *record;
+
+  kcp_id_random (id);
+  record = kcp_config_change_record (config, id, key, &base, document);
+  if (kcp_config_apply (config, offset, record, NULL) != KCP_CONFIG_APPLIED)
+    abort ();
+  json_decref (record);
+  json_decref (document);
+  return offset + 1;
+}
+
+static json_t *
+team_document (unsigned number)
+{
+  g_autofree char *key = g_strdup_printf ("key-%u", number);
+  char hash[KCP_HASH_HEX_LEN + 1];
+
+  kcp_id_hash (kcp_str_from_c (key), hash);
+  return json_pack ("{s[s]s[sss]si}", "key_hashes", hash, "profiles", "p1", "p2", "p3",
+                    "share", 5);
+}
+
+static json_t *
+profile_document (void)
+{
+  return json_pack ("{s[sss]s[sss]s[sss]sssbsi}", "prompt_in", "dc1", "dc2", "dc3",
+                    "cache_in", "dc1", "dc2", "dc3", "compute_in", "dc1", "dc2", "dc3",
+                    "class", "urgent", "repeatable", 1, "deadline_ms", 5000);
+}
--- a/src/profile/config.c
+++ b/src/profile/config.c
@@ -8,6 +8,7 @@
 #include "base/counter.h"
 #include "base/id.h"
 #include "profile/config_entry.h"
+#include "profile/team_index.h"
 
 #define STEP "config"
 
@@ -19,8 +20,10 @@
   struct kcp_config_log log;
   struct kcp_publish_outcomes outcomes;
   GHashTable *entries; /* in force: key, struct kcp_config_entry */
-  uint64_t version;    /* the greatest of all entries */
-  uint64_t digest;     /* exclusive or of the entries' digests */
+  struct kcp_team_index teams;
+  bool teams_stale; /* a team was replaced since teams was built */
+  uint64_t version; /* the greatest of all entries */
+  uint64_t digest;  /* exclusive or of the entries' digests */
   bool suspicion;
   bool loaded;
   bool confirmed;
@@ -29,6 +32,7 @@
 
 static bool put_entry (struct kcp_config *config, struct kcp_config_entry *entry);
 static bool read_snapshot (json_t *snapshot, GPtrArray *entries, struct kcp_error *error);
+static void index_teams (struct kcp_config *config);
 static void put_log_in_force (struct kcp_config *config);
 static void
 note_outcome (struct kcp_config *config, json_t *record, enum kcp_config_result result,
@@ -52,6 +56,7 @@
   config->clock = clock;
   kcp_config_log_init (&config->log);
   kcp_publish_outcomes_init (&config->outcomes);
+  kcp_team_index_init (&config->teams);
   config->entries
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, kcp_config_entry_unref);
   return config;
@@ -65,6 +70,7 @@
     return;
   kcp_config_log_clear (&config->log);
   kcp_publish_outcomes_clear (&config->outcomes);
+  kcp_team_index_clear (&config->teams);
   g_hash_table_unref (config->entries);
   pthread_cond_destroy (&config->changed);
   pthread_mutex_destroy (&config->lock);
@@ -484,21 +490,15 @@
 kcp_config_team_by_key (struct kcp_config *config, struct kcp_str key)
 {
   char hash[KCP_HASH_HEX_LEN + 1];
-  struct kcp_team *found = NULL;
-  GHashTableIter iter;
-  gpointer value;
+  struct kcp_team *found;
 
   kcp_id_hash (key, hash);
   pthread_mutex_lock (&config->lock);
-  g_hash_table_iter_init (&iter, config->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct kcp_config_entry *entry = value;
-
-      if (entry->team != NULL && kcp_team_has_key_hash (entry->team, hash)
-          && found == NULL)
-        found = kcp_team_ref (entry->team);
-    }
+  if (config->teams_stale)
+    index_teams (config);
+  found = kcp_team_index_find (&config->teams, hash);
+  if (found != NULL)
+    kcp_team_ref (found);
   pthread_mutex_unlock (&config->lock);
   return found;
 }
@@ -508,6 +508,7 @@
 put_entry (struct kcp_config *config, struct kcp_config_entry *entry)
 {
   struct kcp_config_entry *held = g_hash_table_lookup (config->entries, entry->key);
+  bool replaces_team = held != NULL && held->team != NULL;
 
   if (!kcp_config_entry_is_newer (entry, held))
     return false;
@@ -517,9 +518,27 @@
   config->version = MAX (config->version, entry->version);
   kcp_config_entry_ref (entry);
   g_hash_table_replace (config->entries, entry->key, entry);
+  if (replaces_team)
+    config->teams_stale = true;
+  else if (entry->team != NULL)
+    kcp_team_index_add (&config->teams, entry->team);
   return true;
 }
 
+static void
+index_teams (struct kcp_config *config)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  config->teams_stale = false;
+  kcp_team_index_remove_all (&config->teams);
+  g_hash_table_iter_init (&iter, config->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct kcp_config_entry *)value)->team != NULL)
+      kcp_team_index_add (&config->teams, ((struct kcp_config_entry *)value)->team);
+}
+
 static void
 put_log_in_force (struct kcp_config *config)
 {
--- a/src/profile/team.c
+++ b/src/profile/team.c
@@ -1,6 +1,7 @@
 #include "profile/team.h"
 
 #include <glib.h>
+#include <string.h>
 
 #include "base/id.h"
 
@@ -9,6 +10,8 @@
 
 static char **
 read_list (const char *name, json_t *document, const char *key, struct kcp_error *error);
+static bool check_hashes (const struct kcp_team *team, struct kcp_error *error);
+static bool check_keys (const char *name, json_t *document, struct kcp_error *error);
 static bool
 read_share (const char *name, json_t *document, int *out, struct kcp_error *error);
 static void clear (gpointer data);
@@ -22,10 +25,11 @@
 
   team->name = g_strdup (name);
   team->share = 1;
-  if (!read_share (name, document, &team->share, error))
+  if (!check_keys (name, document, error)
+      || !read_share (name, document, &team->share, error))
     goto fail;
   team->key_hashes = read_list (name, document, "key_hashes", error);
-  if (team->key_hashes == NULL)
+  if (team->key_hashes == NULL || !check_hashes (team, error))
     goto fail;
   team->profiles = read_list (name, document, "profiles", error);
   if (team->profiles == NULL)
@@ -99,6 +103,47 @@
   return (char **)g_ptr_array_free (texts, FALSE);
 }
 
+static bool
+check_hashes (const struct kcp_team *team, struct kcp_error *error)
+{
+  for (size_t i = 0; team->key_hashes[i] != NULL; i++)
+    if (strlen (team->key_hashes[i]) != KCP_HASH_HEX_LEN
+        || strspn (team->key_hashes[i], "0123456789abcdef") != KCP_HASH_HEX_LEN)
+      {
+        kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL,
+                       "teams/%s: key_hashes[%zu]: a BLAKE2b-256 hash of %d lower case "
+                       "hexadecimal digits is allowed",
+                       team->name, i, KCP_HASH_HEX_LEN);
+        return false;
+      }
+  return true;
+}
+
+static bool
+check_keys (const char *name, json_t *document, struct kcp_error *error)
+{
+  static const char *const known[] = { "share", "key_hashes", "profiles", NULL };
+  const char *key;
+  json_t *value;
+
+  if (!json_is_object (document))
+    {
+      kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL,
+                     "teams/%s: not a JSON object", name);
+      return false;
+    }
+  json_object_foreach (document, key, value)
+  {
+    if (!g_strv_contains (known, key))
+      {
+        kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL,
+                       "teams/%s: %s: unknown key", name, key);
+        return false;
+      }
+  }
+  return true;
+}
+
 static bool
 read_share (const char *name, json_t *document, int *out, struct kcp_error *error)
 {
--- /dev/null
+++ b/src/profile/team_index.c
@@ -0,0 +1,55 @@
+#include "profile/team_index.h"
+
+#include <string.h>
+
+static void release (gpointer team);
+
+/* Makes an empty index. */
+void
+kcp_team_index_init (struct kcp_team_index *index)
+{
+  index->by_hash = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, release);
+}
+
+/* Frees what the index holds. */
+void
+kcp_team_index_clear (struct kcp_team_index *index)
+{
+  g_hash_table_unref (index->by_hash);
+}
+
+/* Empties the index. */
+void
+kcp_team_index_remove_all (struct kcp_team_index *index)
+{
+  g_hash_table_remove_all (index->by_hash);
+}
+
+/* Adds a team under each of its key hashes. A hash that two teams have belongs to the one
+   whose name sorts first, in whatever order they are added. */
+void
+kcp_team_index_add (struct kcp_team_index *index, struct kcp_team *team)
+{
+  for (char **hash = team->key_hashes; *hash != NULL; hash++)
+    {
+      const struct kcp_team *held = g_hash_table_lookup (index->by_hash, *hash);
+
+      if (held == NULL || strcmp (team->name, held->name) < 0)
+        g_hash_table_replace (index->by_hash, g_strdup (*hash), kcp_team_ref (team));
+    }
+}
+
+/* Returns the team, borrowed, that has a key with this hash, or NULL. The table compares
+   hashes of secrets, never secrets, so its timing tells nothing that helps to find one.
+ */
+struct kcp_team *
+kcp_team_index_find (const struct kcp_team_index *index, const char *hash)
+{
+  return g_hash_table_lookup (index->by_hash, hash);
+}
+
+static void
+release (gpointer team)
+{
+  kcp_team_unref (team);
+}
--- a/tests/unit/test_config_state.c
+++ b/tests/unit/test_config_state.c
@@ -155,6 +155,53 @@
 }
 END_TEST
 
+/* Puts teams/NAME with the hash of one key at an offset. */
+static void
+put_team (struct kcp_config *config, uint64_t offset, const char *name, uint64_t base,
+          const char *key)
+{
+  g_autofree char *path = g_strconcat ("teams/", name, NULL);
+  const struct kcp_config_base from = { .version = base };
+  char hash[KCP_HASH_HEX_LEN + 1];
+  json_t *document;
+  json_t *record;
+
+  kcp_id_hash (kcp_str_from_c (key), hash);
+  document = json_pack ("{s[s]s[s]}", "key_hashes", hash, "profiles", "p");
+  record = json_pack ("{sssssIsO}", "op", "put", "key", path, "base",
+                      (json_int_t)from.version, "doc", document);
+  ck_assert_int_eq (kcp_config_apply (config, offset, record, NULL), KCP_CONFIG_APPLIED);
+  json_decref (document);
+  json_decref (record);
+}
+
+static bool
+key_is_of (struct kcp_config *config, const char *key, const char *name)
+{
+  struct kcp_team *team = kcp_config_team_by_key (config, kcp_str_from_c (key));
+  bool same = team == NULL ? name == NULL : g_strcmp0 (team->name, name) == 0;
+
+  kcp_team_unref (team);
+  return same;
+}
+
+START_TEST (test_a_key_finds_its_team_until_it_is_replaced)
+{
+  struct kcp_config *config = kcp_config_new (&clock_now);
+
+  put_team (config, 0, "b", 0, "shared");
+  put_team (config, 1, "c", 0, "other");
+  put_team (config, 2, "a", 0, "shared");
+  ck_assert (key_is_of (config, "shared", "a"));
+  put_team (config, 3, "a", 3, "new");
+  ck_assert (key_is_of (config, "shared", "b"));
+  ck_assert (key_is_of (config, "new", "a"));
+  put_team (config, 4, "c", 2, "third");
+  ck_assert (key_is_of (config, "other", NULL));
+  kcp_config_free (config);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -168,6 +215,7 @@
   tcase_add_test (tests, test_snapshot_with_one_wrong_entry_changes_nothing);
   tcase_add_test (tests, test_a_deleted_document_does_not_come_back_from_a_peer);
   tcase_add_test (tests, test_a_peers_confirmation_counts_from_when_it_was_asked);
+  tcase_add_test (tests, test_a_key_finds_its_team_until_it_is_replaced);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
