--- a/bench/fake_vm.h
+++ b/bench/fake_vm.h
@@ -18,6 +18,8 @@
   int64_t sent_tokens; /* since the report */
   int64_t begun;       /* attempts since the report */
   int64_t ended;
+  int64_t own;  /* attempts of this VM under way */
+  int64_t held; /* requests that the present search left waiting for it */
   bool dead;
   struct kcp_limit limit;
   uint64_t incarnation;
--- a/bench/world.h
+++ b/bench/world.h
@@ -37,6 +37,10 @@
 {
   const char *name;
   bool no_waste;         /* placement ignores the delay that a miss causes others */
+  int64_t waste_percent; /* another weight of that delay */
+  int64_t waste_rise_ms;
+  bool flat_waste;       /* that weight is the same at every load */
+  int64_t target_ms;     /* another target of the limit */
   bool no_tolerance;     /* no rendezvous order among close candidates */
   bool no_beliefs;       /* prompts are placed by load alone */
   bool reset_on_gap;     /* lost events end what is believed of their engine */
--- a/src/policy/limit.c
+++ b/src/policy/limit.c
@@ -1,6 +1,9 @@
 #include "policy/limit.h"
 
-#define REDUCTION 0.9 /* factor on too long a delay */
+#include <math.h>
+
+#define REDUCTION 0.95 /* factor on too long a delay */
+#define INCREASE  0.5  /* requests, on a report without delay */
 
 /* Starts at the greatest limit, so that a VM that has just started refuses nothing that
    its servers could do. */
@@ -10,26 +13,19 @@
   *limit = (struct kcp_limit){ .value = (double)settings->greatest };
 }
 
-/* Takes in one measured delay, beyond what computing the prompt takes, at a time when so
-   many requests were in flight: additive increase while the delay is within the target
-   and the limit is in use, multiplicative decrease otherwise, at most once an interval.
- */
+/* Takes in one load report: additive increase while the delay is within the target and
+   the limit is in use, multiplicative decrease from what is in flight otherwise. Every VM
+   sees the same reports, so that their limits agree without being shared. */
 void
 kcp_limit_observe (struct kcp_limit *limit, const struct kcp_limit_settings *settings,
-                   int64_t in_flight, int64_t delay_ns, int64_t now_ns)
+                   const struct kcp_limit_facts *facts)
 {
-  if (delay_ns <= settings->target_ns)
-    {
-      if ((double)in_flight >= limit->value - 1.0)
-        limit->value += 1.0 / limit->value;
-    }
-  else if (now_ns - limit->reduced_ns >= settings->interval_ns)
-    {
-      limit->value *= REDUCTION;
-      limit->reduced_ns = now_ns;
-    }
-  if (limit->value > (double)settings->greatest)
-    limit->value = (double)settings->greatest;
-  if (limit->value < (double)settings->least)
-    limit->value = (double)settings->least;
+  double in_flight = (double)facts->in_flight;
+
+  if (facts->waiting > 0 || facts->delay_ns > settings->target_ns)
+    limit->value = fmin (limit->value, in_flight) * REDUCTION;
+  else if (in_flight >= limit->value - 1.0)
+    limit->value += INCREASE;
+  limit->value = fmin (limit->value, (double)settings->greatest);
+  limit->value = fmax (limit->value, (double)settings->least);
 }
--- a/src/policy/limit.h
+++ b/src/policy/limit.h
@@ -1,5 +1,5 @@
-/* How many requests a server may have in flight: a limit that follows the delay measured
-   there. Pure: the time is passed in. */
+/* How many requests a server may have in flight: a limit that follows the delay that its
+   load reports show. */
 #ifndef KCP_POLICY_LIMIT_H
 #define KCP_POLICY_LIMIT_H
 
@@ -9,19 +9,25 @@
 {
   int64_t least;
   int64_t greatest;
-  int64_t target_ns;   /* delay by queueing up to which the limit may grow */
-  int64_t interval_ns; /* between two reductions */
+  int64_t target_ns; /* delay by queueing up to which the limit may grow */
+};
+
+/* What a server's load report says. */
+struct kcp_limit_facts
+{
+  int64_t in_flight;
+  int64_t waiting;  /* of in_flight, those that no computing has begun of */
+  int64_t delay_ns; /* to compute the prompts that are there */
 };
 
 struct kcp_limit
 {
   double value;
-  int64_t reduced_ns; /* time of the last reduction */
 };
 
 void kcp_limit_init (struct kcp_limit *limit, const struct kcp_limit_settings *settings);
 void
 kcp_limit_observe (struct kcp_limit *limit, const struct kcp_limit_settings *settings,
-                   int64_t in_flight, int64_t delay_ns, int64_t now_ns);
+                   const struct kcp_limit_facts *facts);
 
 #endif
