Let the engine stand-in break, freeze, cross and resume streams

Cause: the stand-in's answer was the same for every prompt, so that a crossed answer looked right, and nothing could make a stream break. The text is now a hash of the prompt with the token's number, and an answer so far at the end of the prompt is gone on from. PUT /faults takes break_after, exit_after, freeze_after, duplicate_at, skip_at, delay_ms, cross, forget and refuse, for a number of answers or at random from a seed. A stream whose connection is lost is kept for 2 s under its request id and goes on after Last-Event-ID; DELETE /v1/streams/ID ends it; /load counts started, resumed and cancelled. Ruled out: a fault list for each request id, which tests would have to know beforehand.

--- a/demo/demo.c
+++ b/demo/demo.c
@@ -17,6 +17,7 @@
   const char *profile;
   const char *path;
   const char *body;
+  const char *prompt; /* NULL: not a completion */
   const char *idempotency_key;
   bool stream;
   int64_t cached_tokens; /* expected; -1: any */
@@ -25,7 +26,7 @@
 static bool run_call (struct cluster *cluster, const struct demo_call *call);
 static bool
 answer_is_right (const struct demo_call *call, const struct client_answer *answer);
-static char *expected_text (void);
+static char *long_prompt (const char *question);
 static char *long_prompt_body (const char *question);
 static bool stop_vms (struct cluster *cluster);
 
@@ -35,24 +36,26 @@
 {
   static char *const engine_options[] = { "--token-ms", "5", "--prefill-us", "50", NULL };
   struct cluster *cluster = cluster_new ("demo");
+  g_autofree char *prompt = long_prompt ("Is tanker 4 fit to leave?");
+  g_autofree char *prompt2 = long_prompt ("Is tanker 5 fit to leave?");
   g_autofree char *manifest = long_prompt_body ("Is tanker 4 fit to leave?");
   g_autofree char *manifest2 = long_prompt_body ("Is tanker 5 fit to leave?");
   bool right = true;
   const struct demo_call calls[] = {
     { "manifest review, streamed, cold prefix", 0, "review", "/v1/chat/completions",
-      manifest, NULL, true, 0 },
+      manifest, prompt, NULL, true, 0 },
     { "manifest review, streamed, shared prefix", 1, "review", "/v1/chat/completions",
-      manifest2, NULL, true, 3000 },
+      manifest2, prompt2, NULL, true, 3000 },
     { "route question, urgent", 2, "urgent", "/v1/completions",
       "{\"model\":\"" CLUSTER_MODEL
       "\",\"prompt\":\"Which road to Ayr?\",\"max_tokens\":16}",
-      NULL, false, 0 },
+      "Which road to Ayr?", NULL, false, 0 },
     { "status lookup, idempotent", 1, "lookup", "/services/" CLUSTER_SERVICE "/status/17",
-      NULL, NULL, false, -1 },
+      NULL, NULL, NULL, false, -1 },
     { "delivery booking", 0, "booking", "/services/" CLUSTER_SERVICE "/book",
-      "{\"tanker\":4,\"to\":\"clinic\"}", "demo-booking-1", false, -1 },
+      "{\"tanker\":4,\"to\":\"clinic\"}", NULL, "demo-booking-1", false, -1 },
     { "the same booking at another VM", 2, "booking",
-      "/services/" CLUSTER_SERVICE "/book", "{\"tanker\":4,\"to\":\"clinic\"}",
+      "/services/" CLUSTER_SERVICE "/book", "{\"tanker\":4,\"to\":\"clinic\"}", NULL,
       "demo-booking-1", false, -1 },
   };
 
@@ -105,7 +108,8 @@
 static bool
 answer_is_right (const struct demo_call *call, const struct client_answer *answer)
 {
-  g_autofree char *expected = expected_text ();
+  g_autofree char *expected
+      = client_expected_text (call->prompt ? call->prompt : "", TOKENS);
   g_autofree char *text = NULL;
   bool done = false;
 
@@ -122,28 +126,29 @@
   return done && g_strcmp0 (text, expected) == 0;
 }
 
+/* Returns the contents of both messages. */
 static char *
-expected_text (void)
+long_prompt (const char *question)
 {
   g_autoptr (GString) text = g_string_new (NULL);
 
-  for (int i = 0; i < TOKENS; i++)
-    g_string_append_printf (text, "t%d ", i);
+  for (int i = 0; i * 6 < LONG_PROMPT_BYTES; i++)
+    g_string_append_printf (text, "r%04d ", i);
+  g_string_append (text, question);
   return g_strdup (text->str);
 }
 
 static char *
 long_prompt_body (const char *question)
 {
-  g_autoptr (GString) text
-      = g_string_new ("{\"model\":\"" CLUSTER_MODEL "\",\"stream\":true,"
-                      "\"max_tokens\":16,\"messages\":[{\"role\":"
-                      "\"system\",\"content\":\"");
-
-  for (int i = 0; i * 6 < LONG_PROMPT_BYTES; i++)
-    g_string_append_printf (text, "r%04d ", i);
-  g_string_append_printf (text, "\"},{\"role\":\"user\",\"content\":\"%s\"}]}", question);
-  return g_strdup (text->str);
+  g_autofree char *prompt = long_prompt (question);
+  size_t head = strlen (prompt) - strlen (question);
+
+  return g_strdup_printf ("{\"model\":\"" CLUSTER_MODEL
+                          "\",\"stream\":true,\"max_tokens\":16,"
+                          "\"messages\":[{\"role\":\"system\",\"content\":\"%.*s\"},"
+                          "{\"role\":\"user\",\"content\":\"%s\"}]}",
+                          (int)head, prompt, question);
 }
 
 static bool
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -1,39 +1,77 @@
 /* A model engine: streamed completions with a prefix cache of limited blocks. The answer
-   to a prompt is a fixed function of the prompt, so that callers can check it. */
+   to a prompt is a fixed function of the prompt, so that callers can check it. A stream
+   whose connection is lost is kept for a while and can be resumed under its request id.
+ */
 #include <pthread.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "base/clock.h"
 #include "base/id.h"
 #include "policy/prefix.h"
+#include "standin/answer_text.h"
+#include "standin/faults.h"
 #include "standin/standin.h"
 
 #define TOKENS_DEFAULT 16
 #define CHUNK_MAX      512
+#define KEEP_MS        2000 /* time for which a stream without connection can be resumed */
+#define FREEZE_POLL_MS 5
+#define FREEZE_MAX_MS  20000
+#define STREAMS_PATH   "/v1/streams/"
+#define WRONG_ID       "00000000000000000000000000000000"
 
-/* One stream being written. */
-struct generation
+/* One answer being computed. Guarded by the lock. */
+struct stream
 {
-  int64_t next;   /* the next event's id */
+  char *id;
+  struct standin_answer_text text;
   int64_t tokens; /* content events in all */
-  int64_t prompt_tokens;
   int64_t cached_tokens;
   bool chat;
-  size_t held; /* bytes of chunk not yet sent */
+  bool prefilled;
+  int64_t owner; /* serial of the connection that it is written to; 0: none */
+  int64_t detached_ns;
+};
+
+/* One connection that a stream is written to. Its own thread's, but for stream. */
+struct writer
+{
+  const struct stream *stream; /* compared only: it may have been given up */
+  char *id;
+  int64_t serial;
+  struct standin_faults faults;
+  int64_t next;  /* the next event's id */
+  int64_t count; /* events sent */
+  bool done;     /* the end marker has been made */
+  size_t held;   /* bytes of chunk not yet sent */
   size_t sent;
-  char chunk[CHUNK_MAX];
+  char chunk[2 * CHUNK_MAX];
 };
 
 static void start (const struct standin_options *options);
 static enum MHD_Result handle (const struct standin_request *request);
 static enum MHD_Result report_load (const struct standin_request *request);
+static enum MHD_Result change_faults (const struct standin_request *request);
+static enum MHD_Result cancel (const struct standin_request *request);
 static enum MHD_Result complete (const struct standin_request *request);
+static struct stream *make_stream (const struct standin_request *request, const char *id);
+static enum MHD_Result
+send_stream (const struct standin_request *request, struct writer *writer);
 static bool refuses (const struct standin_request *request);
 static int64_t take_blocks (json_t *blocks);
-static int64_t count_prompt_tokens (json_t *body);
+static void stream_free (gpointer data);
+static void expire_streams (void);
 static ssize_t write_stream (void *user, uint64_t position, char *out, size_t max);
-static void make_chunk (struct generation *generation);
-static void end_generation (void *user);
+static bool wait_turn (struct writer *writer);
+static bool writer_owns (const struct writer *writer, struct stream *copy);
+static void end_prefill (const struct writer *writer);
+static bool make_chunk (struct writer *writer);
+static size_t
+make_event (const struct writer *writer, const struct stream *stream, char *out);
+static void end_writer (void *user);
 
 const struct standin_role standin_engine_role = { "engine", start, handle };
 
@@ -42,7 +80,12 @@
 static char incarnation[KCP_ID_LEN + 1];
 static GHashTable *cached;  /* block identity, as text */
 static GQueue *cache_order; /* the same texts, oldest first */
-static int64_t running;
+static GHashTable *streams; /* request id, struct stream */
+static struct standin_faults faults;
+static int64_t last_serial;
+static int64_t cancelled; /* streams given up before their end */
+static int64_t started;   /* streams begun */
+static int64_t resumed;   /* streams taken over by a further connection */
 
 static void
 start (const struct standin_options *options)
@@ -51,6 +94,8 @@
   kcp_id_random (incarnation);
   cached = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   cache_order = g_queue_new ();
+  streams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, stream_free);
+  (void)standin_faults_read (&faults, KCP_STR ("{}"));
 }
 
 static enum MHD_Result
@@ -58,6 +103,10 @@
 {
   if (strcmp (request->path, "/load") == 0)
     return report_load (request);
+  if (strcmp (request->path, "/faults") == 0)
+    return change_faults (request);
+  if (g_str_has_prefix (request->path, STREAMS_PATH))
+    return cancel (request);
   if (strcmp (request->path, "/v1/chat/completions") == 0
       || strcmp (request->path, "/v1/completions") == 0)
     return complete (request);
@@ -70,46 +119,115 @@
   json_t *report;
 
   pthread_mutex_lock (&lock);
-  report = json_pack ("{sssssIsIsI}", "incarnation", incarnation, "weights", own.weights,
-                      "running", (json_int_t)running, "waiting", (json_int_t)0,
-                      "waiting_tokens", (json_int_t)0);
+  expire_streams ();
+  report = json_pack ("{sssssIsIsIsIsIsI}", "incarnation", incarnation, "weights",
+                      own.weights, "running", (json_int_t)g_hash_table_size (streams),
+                      "waiting", (json_int_t)0, "waiting_tokens", (json_int_t)0,
+                      "cancelled", (json_int_t)cancelled, "started", (json_int_t)started,
+                      "resumed", (json_int_t)resumed);
   pthread_mutex_unlock (&lock);
   return standin_answer (request, 200, report);
 }
 
+static enum MHD_Result
+change_faults (const struct standin_request *request)
+{
+  bool valid;
+
+  pthread_mutex_lock (&lock);
+  valid = standin_faults_read (&faults, request->body);
+  pthread_mutex_unlock (&lock);
+  return standin_answer (request, valid ? 200 : 400, json_object ());
+}
+
+/* DELETE /v1/streams/ID gives a stream up. */
+static enum MHD_Result
+cancel (const struct standin_request *request)
+{
+  bool known;
+
+  pthread_mutex_lock (&lock);
+  known = g_hash_table_remove (streams, request->path + strlen (STREAMS_PATH));
+  cancelled += known;
+  pthread_mutex_unlock (&lock);
+  return standin_answer (request, known ? 200 : 404, json_object ());
+}
+
+/* Starts a stream, or takes one over after the event that the header Last-Event-ID names;
+   -1 takes it over from its first event. */
 static enum MHD_Result
 complete (const struct standin_request *request)
 {
-  json_t *body = json_loadb (request->body.data, request->body.len, 0, NULL);
-  json_t *wanted = json_object_get (body, "max_tokens");
-  struct generation *generation;
-  struct MHD_Response *response;
-  const char *echo = standin_header (request, "Kingcuppoint-Request");
-  enum MHD_Result result;
+  const char *id = standin_header (request, "Kingcuppoint-Request");
+  const char *last = standin_header (request, "Last-Event-ID");
+  struct writer *writer = g_new0 (struct writer, 1);
+  struct stream *stream;
 
-  if (refuses (request))
+  writer->id = g_strdup (id != NULL ? id : "");
+  pthread_mutex_lock (&lock);
+  expire_streams ();
+  if (last != NULL)
+    stream = g_hash_table_lookup (streams, writer->id);
+  else
+    stream = refuses (request) ? NULL : make_stream (request, writer->id);
+  if (stream != NULL)
+    writer->faults = standin_faults_draw (&faults, stream->tokens);
+  if (stream != NULL && writer->faults.values[STANDIN_FAULT_REFUSE] > 0)
     {
-      json_decref (body);
-      return standin_answer (request, 409,
-                             json_pack ("{ss}", "incarnation", incarnation));
+      if (last == NULL && g_hash_table_remove (streams, writer->id))
+        started--;
+      pthread_mutex_unlock (&lock);
+      end_writer (writer);
+      return standin_answer (request, 503, json_object ());
     }
-  generation = g_new0 (struct generation, 1);
-  generation->chat = strcmp (request->path, "/v1/chat/completions") == 0;
-  generation->tokens = wanted != NULL ? json_integer_value (wanted) : TOKENS_DEFAULT;
-  generation->prompt_tokens = count_prompt_tokens (body);
-  generation->cached_tokens = take_blocks (json_object_get (body, "blocks"));
-  generation->cached_tokens = MIN (generation->cached_tokens, generation->prompt_tokens);
-  json_decref (body);
-  pthread_mutex_lock (&lock);
-  running++;
+  if (stream == NULL)
+    {
+      pthread_mutex_unlock (&lock);
+      end_writer (writer);
+      return standin_answer (
+          request, last != NULL ? 404 : 409,
+          json_pack ("{ssss}", "incarnation", incarnation, "weights", own.weights));
+    }
+  writer->stream = stream;
+  writer->serial = ++last_serial;
+  writer->next = last != NULL ? g_ascii_strtoll (last, NULL, 10) + 1 : 0;
+  resumed += last != NULL;
+  stream->owner = writer->serial;
   pthread_mutex_unlock (&lock);
-  g_usleep (
-      (gulong)((generation->prompt_tokens - generation->cached_tokens) * own.prefill_us));
-  response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, CHUNK_MAX, write_stream,
-                                                generation, end_generation);
+  return send_stream (request, writer);
+}
+
+static struct stream *
+make_stream (const struct standin_request *request, const char *id)
+{
+  json_t *body = json_loadb (request->body.data, request->body.len, 0, NULL);
+  json_t *wanted = json_object_get (body, "max_tokens");
+  struct stream *stream = g_new0 (struct stream, 1);
+
+  stream->id = g_strdup (id);
+  stream->chat = strcmp (request->path, "/v1/chat/completions") == 0;
+  standin_answer_text_init (&stream->text, body);
+  stream->tokens = wanted != NULL ? json_integer_value (wanted)
+                                  : MAX (TOKENS_DEFAULT - stream->text.first, 0);
+  stream->cached_tokens = take_blocks (json_object_get (body, "blocks"));
+  stream->cached_tokens = MIN (stream->cached_tokens, stream->text.prompt_tokens);
+  json_decref (body);
+  g_hash_table_replace (streams, stream->id, stream);
+  started++;
+  return stream;
+}
+
+static enum MHD_Result
+send_stream (const struct standin_request *request, struct writer *writer)
+{
+  bool crossed = writer->faults.values[STANDIN_FAULT_CROSS] > 0;
+  struct MHD_Response *response = MHD_create_response_from_callback (
+      MHD_SIZE_UNKNOWN, CHUNK_MAX, write_stream, writer, end_writer);
+  enum MHD_Result result;
+
   MHD_add_response_header (response, "Content-Type", "text/event-stream");
-  if (echo != NULL)
-    MHD_add_response_header (response, "Kingcuppoint-Request", echo);
+  MHD_add_response_header (response, "Kingcuppoint-Request",
+                           crossed ? WRONG_ID : writer->id);
   result = MHD_queue_response (request->connection, 200, response);
   MHD_destroy_response (response);
   return result;
@@ -134,7 +252,6 @@
   json_t *block;
   size_t i;
 
-  pthread_mutex_lock (&lock);
   json_array_foreach (blocks, i, block)
   {
     const char *identity = json_string_value (block);
@@ -151,81 +268,192 @@
     g_hash_table_add (cached, g_strdup (identity));
     g_queue_push_tail (cache_order, g_hash_table_lookup (cached, identity));
   }
-  pthread_mutex_unlock (&lock);
   return hits * KCP_BLOCK_TOKENS;
 }
 
-static int64_t
-count_prompt_tokens (json_t *body)
+static void
+stream_free (gpointer data)
 {
-  json_t *messages = json_object_get (body, "messages");
-  size_t bytes = json_string_length (json_object_get (body, "prompt"));
-  json_t *message;
-  size_t i;
+  struct stream *stream = data;
+
+  g_free (stream->id);
+  g_free (stream);
+}
 
-  json_array_foreach (messages, i, message) bytes
-      += json_string_length (json_object_get (message, "content"));
-  return (int64_t)(bytes + KCP_BYTES_PER_TOKEN - 1) / KCP_BYTES_PER_TOKEN;
+/* Gives up the streams that no connection has come back for. */
+static void
+expire_streams (void)
+{
+  int64_t limit_ns = kcp_clock_monotonic_ns (&kcp_clock_system) - KEEP_MS * KCP_NS_PER_MS;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, streams);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct stream *stream = value;
+
+      if (stream->owner != 0 || stream->detached_ns > limit_ns)
+        continue;
+      g_hash_table_iter_remove (&iter);
+      cancelled++;
+    }
 }
 
 static ssize_t
 write_stream (void *user, uint64_t position, char *out, size_t max)
 {
-  struct generation *generation = user;
+  struct writer *writer = user;
   size_t count;
 
   (void)position;
-  if (generation->sent == generation->held)
+  if (writer->sent == writer->held)
     {
-      if (generation->next > generation->tokens + 1)
+      if (writer->done)
         return MHD_CONTENT_READER_END_OF_STREAM;
-      if (generation->next > 0 && generation->next < generation->tokens
-          && own.token_ms > 0)
-        g_usleep ((gulong)(own.token_ms * G_TIME_SPAN_MILLISECOND));
-      make_chunk (generation);
+      if (!wait_turn (writer) || !make_chunk (writer))
+        return MHD_CONTENT_READER_END_WITH_ERROR;
     }
-  count = MIN (max, generation->held - generation->sent);
-  memcpy (out, generation->chunk + generation->sent, count);
-  generation->sent += count;
+  count = MIN (max, writer->held - writer->sent);
+  memcpy (out, writer->chunk + writer->sent, count);
+  writer->sent += count;
   return (ssize_t)count;
 }
 
+/* Takes the time of the next event and carries out the faults due; false if the
+   connection is to be closed. */
+static bool
+wait_turn (struct writer *writer)
+{
+  const int64_t *values = writer->faults.values;
+  struct stream stream;
+  int64_t wait_us = 0;
+
+  if (!writer_owns (writer, &stream))
+    return false;
+  if (writer->count == values[STANDIN_FAULT_BREAK_AFTER])
+    return false;
+  if (writer->count == values[STANDIN_FAULT_EXIT_AFTER])
+    _exit (EXIT_FAILURE);
+  if (writer->count == values[STANDIN_FAULT_FREEZE_AFTER])
+    {
+      for (int waited = 0; waited < FREEZE_MAX_MS && writer_owns (writer, &stream);
+           waited += FREEZE_POLL_MS)
+        g_usleep (FREEZE_POLL_MS * G_TIME_SPAN_MILLISECOND);
+      return false;
+    }
+  if (writer->count == 0 && values[STANDIN_FAULT_DELAY_MS] > 0)
+    wait_us = values[STANDIN_FAULT_DELAY_MS] * G_TIME_SPAN_MILLISECOND;
+  if (!stream.prefilled)
+    wait_us += (stream.text.prompt_tokens - stream.cached_tokens) * own.prefill_us;
+  if (writer->next > 0 && writer->next < stream.tokens)
+    wait_us += own.token_ms * G_TIME_SPAN_MILLISECOND;
+  if (wait_us > 0)
+    g_usleep ((gulong)wait_us);
+  return true;
+}
+
+/* Copies the stream if this connection is still the one that it is written to. */
+static bool
+writer_owns (const struct writer *writer, struct stream *copy)
+{
+  struct stream *stream;
+  bool owns;
+
+  pthread_mutex_lock (&lock);
+  stream = g_hash_table_lookup (streams, writer->id);
+  owns = stream != NULL && stream == writer->stream && stream->owner == writer->serial;
+  if (owns)
+    *copy = *stream;
+  pthread_mutex_unlock (&lock);
+  return owns;
+}
+
+static void
+end_prefill (const struct writer *writer)
+{
+  struct stream *stream;
+
+  pthread_mutex_lock (&lock);
+  stream = g_hash_table_lookup (streams, writer->id);
+  if (stream != NULL)
+    stream->prefilled = true;
+  pthread_mutex_unlock (&lock);
+}
+
+/* Makes the next event, with its fault; false if the stream was taken away. */
+static bool
+make_chunk (struct writer *writer)
+{
+  struct stream stream;
+  bool skipped = writer->next == writer->faults.values[STANDIN_FAULT_SKIP_AT];
+  bool twice = writer->next == writer->faults.values[STANDIN_FAULT_DUPLICATE_AT];
+
+  if (!writer_owns (writer, &stream))
+    return false;
+  if (writer->faults.values[STANDIN_FAULT_CROSS] > 0)
+    stream.text.hash++;
+  end_prefill (writer);
+  if (skipped && writer->next <= stream.tokens)
+    writer->next++;
+  writer->held = make_event (writer, &stream, writer->chunk);
+  if (twice)
+    writer->held += make_event (writer, &stream, writer->chunk + writer->held);
+  writer->sent = 0;
+  writer->done = writer->next > stream.tokens;
+  writer->next++;
+  writer->count++;
+  return true;
+}
+
 /* Content events have ids 0 to tokens - 1; then come one event with the finish reason and
    usage, and the end marker. */
-static void
-make_chunk (struct generation *generation)
+static size_t
+make_event (const struct writer *writer, const struct stream *stream, char *out)
 {
-  int64_t id = generation->next++;
-  int len;
+  int64_t id = writer->next;
+  char token[STANDIN_TOKEN_MAX];
 
-  if (id < generation->tokens)
-    len = snprintf (
-        generation->chunk, CHUNK_MAX,
-        generation->chat
+  (void)standin_answer_text_token (&stream->text, stream->text.first + id, token);
+  if (id < stream->tokens)
+    return (size_t)snprintf (
+        out, CHUNK_MAX,
+        stream->chat
             ? "id: %" G_GINT64_FORMAT "\ndata: {\"choices\":[{\"index\":0,\"delta\":"
-              "{\"content\":\"t%" G_GINT64_FORMAT " \"},\"finish_reason\":null}]}\n\n"
+              "{\"content\":\"%s\"},\"finish_reason\":null}]}\n\n"
             : "id: %" G_GINT64_FORMAT "\ndata: {\"choices\":[{\"index\":0,\"text\":"
-              "\"t%" G_GINT64_FORMAT " \",\"finish_reason\":null}]}\n\n",
-        id, id);
-  else if (id == generation->tokens)
-    len = snprintf (
-        generation->chunk, CHUNK_MAX,
-        "id: %" G_GINT64_FORMAT "\ndata: {\"choices\":[{\"index\":0,\"delta\":{},"
-        "\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":%" G_GINT64_FORMAT
-        ",\"completion_tokens\":%" G_GINT64_FORMAT
-        ",\"prompt_tokens_details\":{\"cached_tokens\":%" G_GINT64_FORMAT "}}}\n\n",
-        id, generation->prompt_tokens, generation->tokens, generation->cached_tokens);
-  else
-    len = snprintf (generation->chunk, CHUNK_MAX, "data: [DONE]\n\n");
-  generation->held = (size_t)len;
-  generation->sent = 0;
+              "\"%s\",\"finish_reason\":null}]}\n\n",
+        id, token);
+  if (id > stream->tokens)
+    return (size_t)snprintf (out, CHUNK_MAX, "data: [DONE]\n\n");
+  return (size_t)snprintf (
+      out, CHUNK_MAX,
+      "id: %" G_GINT64_FORMAT "\ndata: {\"choices\":[{\"index\":0,\"delta\":{},"
+      "\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":%" G_GINT64_FORMAT
+      ",\"completion_tokens\":%" G_GINT64_FORMAT
+      ",\"prompt_tokens_details\":{\"cached_tokens\":%" G_GINT64_FORMAT "}}}\n\n",
+      id, stream->text.prompt_tokens, stream->tokens, stream->cached_tokens);
 }
 
+/* The connection has ended: the stream ends with it if it was whole, and is kept for a
+   while if not. */
 static void
-end_generation (void *user)
+end_writer (void *user)
 {
+  struct writer *writer = user;
+  struct stream *stream;
+
   pthread_mutex_lock (&lock);
-  running--;
+  stream = g_hash_table_lookup (streams, writer->id);
+  if (writer->serial > 0 && stream != NULL && stream == writer->stream
+      && stream->owner == writer->serial)
+    {
+      stream->owner = 0;
+      stream->detached_ns = kcp_clock_monotonic_ns (&kcp_clock_system);
+      if (writer->done || writer->faults.values[STANDIN_FAULT_FORGET] > 0)
+        g_hash_table_remove (streams, writer->id);
+    }
   pthread_mutex_unlock (&lock);
-  g_free (user);
+  g_free (writer->id);
+  g_free (writer);
 }
--- /dev/null
+++ b/standin/faults.c
@@ -0,0 +1,84 @@
+#include "standin/faults.h"
+
+#define RANDOM_DELAY_MS 30
+
+static const char *const names[STANDIN_FAULTS] = {
+  [STANDIN_FAULT_TIMES] = "times",
+  [STANDIN_FAULT_RANDOM_PERCENT] = "random_percent",
+  [STANDIN_FAULT_SEED] = "seed",
+  [STANDIN_FAULT_BREAK_AFTER] = "break_after",
+  [STANDIN_FAULT_EXIT_AFTER] = "exit_after",
+  [STANDIN_FAULT_FREEZE_AFTER] = "freeze_after",
+  [STANDIN_FAULT_DUPLICATE_AT] = "duplicate_at",
+  [STANDIN_FAULT_SKIP_AT] = "skip_at",
+  [STANDIN_FAULT_DELAY_MS] = "delay_ms",
+  [STANDIN_FAULT_CROSS] = "cross",
+  [STANDIN_FAULT_FORGET] = "forget",
+  [STANDIN_FAULT_REFUSE] = "refuse",
+};
+
+/* Faults that are drawn at random; those that end the process are not among them. */
+static const enum standin_fault random_kinds[] = {
+  STANDIN_FAULT_BREAK_AFTER, STANDIN_FAULT_FREEZE_AFTER, STANDIN_FAULT_DUPLICATE_AT,
+  STANDIN_FAULT_SKIP_AT,     STANDIN_FAULT_DELAY_MS,     STANDIN_FAULT_CROSS,
+  STANDIN_FAULT_REFUSE,
+};
+
+static GRand *numbers;
+
+/* Makes a set without faults. */
+void
+standin_faults_init (struct standin_faults *faults)
+{
+  for (int i = 0; i < STANDIN_FAULTS; i++)
+    faults->values[i] = STANDIN_FAULT_NONE;
+}
+
+/* Replaces the faults by those of a JSON object; false if it is none. */
+bool
+standin_faults_read (struct standin_faults *faults, struct kcp_str document)
+{
+  json_t *json = json_loadb (document.data, document.len, 0, NULL);
+
+  if (!json_is_object (json))
+    {
+      json_decref (json);
+      return false;
+    }
+  standin_faults_init (faults);
+  for (int i = 0; i < STANDIN_FAULTS; i++)
+    if (json_is_integer (json_object_get (json, names[i])))
+      faults->values[i] = json_integer_value (json_object_get (json, names[i]));
+  json_decref (json);
+  g_clear_pointer (&numbers, g_rand_free);
+  numbers = g_rand_new_with_seed ((guint32)faults->values[STANDIN_FAULT_SEED]);
+  return true;
+}
+
+/* Returns the faults of the next answer, which has so many events. */
+struct standin_faults
+standin_faults_draw (struct standin_faults *faults, int64_t events)
+{
+  struct standin_faults drawn;
+
+  standin_faults_init (&drawn);
+  if (faults->values[STANDIN_FAULT_TIMES] > 0)
+    {
+      faults->values[STANDIN_FAULT_TIMES]--;
+      drawn = *faults;
+    }
+  else if (g_rand_int_range (numbers, 0, 100)
+           < faults->values[STANDIN_FAULT_RANDOM_PERCENT])
+    {
+      int kind = g_rand_int_range (numbers, 0, G_N_ELEMENTS (random_kinds));
+      int64_t *value = &drawn.values[random_kinds[kind]];
+
+      *value = g_rand_int_range (numbers, 0, (gint32)events + 2);
+      if (random_kinds[kind] == STANDIN_FAULT_DELAY_MS)
+        *value *= RANDOM_DELAY_MS;
+      if (random_kinds[kind] == STANDIN_FAULT_CROSS
+          || random_kinds[kind] == STANDIN_FAULT_REFUSE)
+        *value = 1;
+    }
+  return drawn;
+}
--- a/tests/harness/client.c
+++ b/tests/harness/client.c
@@ -2,6 +2,7 @@
 
 #include <curl/curl.h>
 #include <string.h>
+#include <xxhash.h>
 
 #define TIMEOUT_MS 10000L
 
@@ -125,6 +126,19 @@
   return g_strdup (text->str);
 }
 
+/* Returns what the engine stand-in answers to a prompt, the contents of all messages of a
+   chat, to be freed with g_free(). */
+char *
+client_expected_text (const char *prompt, int tokens)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+  uint32_t hash = (uint32_t)XXH3_64bits (prompt, strlen (prompt));
+
+  for (int i = 0; i < tokens; i++)
+    g_string_append_printf (text, "t%d:%08x ", i, hash);
+  return g_strdup (text->str);
+}
+
 /* Returns the cached tokens that the answer reports, or -1. */
 int64_t
 client_cached_tokens (const struct client_answer *answer)
--- a/tests/harness/client.h
+++ b/tests/harness/client.h
@@ -37,6 +37,7 @@
 char *client_header (const struct client_answer *answer, const char *name);
 json_t *client_json (const struct client_answer *answer);
 char *client_stream_text (const struct client_answer *answer, bool *done);
+char *client_expected_text (const char *prompt, int tokens);
 int64_t client_cached_tokens (const struct client_answer *answer);
 
 #endif
--- a/tests/process/test_path.c
+++ b/tests/process/test_path.c
@@ -117,9 +117,10 @@
   });
   bool done;
   g_autofree char *text = client_stream_text (&answer, &done);
+  g_autofree char *expected = client_expected_text ("p", 3);
 
   ck_assert (done);
-  ck_assert_str_eq (text, "t0 t1 t2 ");
+  ck_assert_str_eq (text, expected);
   client_answer_clear (&answer);
 }
 END_TEST
