--- a/src/backend/engine_adapter.c
+++ b/src/backend/engine_adapter.c
@@ -2,8 +2,14 @@
 
 #include <stdlib.h>
 
+static void add_answer (json_t *body, const struct kcp_engine_call *call);
+static void add_message (json_t *body, const char *answer);
+static void
+reduce_limit (json_t *body, const char *name, const struct kcp_engine_call *call);
+
 /* Returns the body of an attempt: the caller's, always streamed, with usage, cache salt,
-   priority and block identities. To be freed with free(). */
+   priority and block identities. An answer so far is put behind the prompt, so that the
+   engine goes on from there. To be freed with free(). */
 char *
 kcp_engine_body (const struct kcp_engine_call *call)
 {
@@ -24,6 +30,8 @@
   json_object_set_new (body, "cache_salt", json_string (call->cache_salt));
   json_object_set_new (body, "priority", json_integer (call->priority));
   json_object_set_new (body, "blocks", blocks);
+  if (call->answer[0] != '\0')
+    add_answer (body, call);
   text = json_dumps (body, JSON_COMPACT);
   json_decref (body);
   return text;
@@ -38,6 +46,8 @@
   g_autofree char *incarnation
       = g_strconcat (KCP_HEADER_INCARNATION ": ", call->incarnation, NULL);
   g_autofree char *weights = g_strconcat (KCP_HEADER_WEIGHTS ": ", call->weights, NULL);
+  g_autofree char *last_event
+      = g_strdup_printf ("Last-Event-ID: %" G_GINT64_FORMAT, call->last_event);
   char **headers;
 
   g_strv_builder_add_many (builder, "Content-Type: application/json", request, NULL);
@@ -45,11 +55,51 @@
     g_strv_builder_add (builder, incarnation);
   if (call->weights[0] != '\0')
     g_strv_builder_add (builder, weights);
+  if (call->last_event != KCP_ENGINE_NO_EVENT)
+    g_strv_builder_add (builder, last_event);
   headers = g_strv_builder_end (builder);
   g_strv_builder_unref (builder);
   return headers;
 }
 
+/* Tells whether an answer to this body can be continued from its text alone, with tokens
+   left to it. */
+bool
+kcp_engine_can_continue (const json_t *body, int64_t answer_tokens)
+{
+  static const char *const excluded[]
+      = { "best_of", "echo",      "logprobs",        "top_logprobs",
+          "tools",   "functions", "response_format", "continue_final_message",
+          "suffix" };
+  static const char *const limits[] = { "max_tokens", "max_completion_tokens" };
+  const json_t *count = json_object_get (body, "n");
+
+  if (count != NULL && json_integer_value (count) != 1)
+    return false;
+  for (size_t i = 0; i < G_N_ELEMENTS (excluded); i++)
+    {
+      const json_t *value = json_object_get (body, excluded[i]);
+
+      if (value != NULL && !json_is_null (value) && !json_is_false (value))
+        return false;
+    }
+  for (size_t i = 0; i < G_N_ELEMENTS (limits); i++)
+    {
+      const json_t *limit = json_object_get (body, limits[i]);
+
+      if (limit != NULL && json_integer_value (limit) <= answer_tokens)
+        return false;
+    }
+  return true;
+}
+
+/* Returns the address at which a DELETE gives a stream up, to be freed with g_free(). */
+char *
+kcp_engine_stream_url (const char *engine_url, const char *attempt)
+{
+  return g_strconcat (engine_url, "/v1/streams/", attempt, NULL);
+}
+
 /* Parses the data of one event; false if it is not a chunk. */
 bool
 kcp_engine_chunk_parse (struct kcp_str data, struct kcp_engine_chunk *chunk)
@@ -85,6 +135,22 @@
   return true;
 }
 
+/* Corrects the usage in the last chunk of a continued answer, whose engine counted the
+   answer so far to the prompt. */
+void
+kcp_engine_chunk_add_tokens (struct kcp_engine_chunk *chunk, int64_t answer_tokens)
+{
+  json_t *usage = json_object_get (chunk->json, "usage");
+
+  if (chunk->prompt_tokens < 0 || answer_tokens == 0)
+    return;
+  chunk->completion_tokens += answer_tokens;
+  chunk->prompt_tokens = MAX (chunk->prompt_tokens - answer_tokens, 0);
+  json_object_set_new (usage, "completion_tokens",
+                       json_integer (chunk->completion_tokens));
+  json_object_set_new (usage, "prompt_tokens", json_integer (chunk->prompt_tokens));
+}
+
 /* Frees what a chunk holds. */
 void
 kcp_engine_chunk_clear (struct kcp_engine_chunk *chunk)
@@ -92,3 +158,42 @@
   json_decref (chunk->json);
   chunk->json = NULL;
 }
+
+static void
+add_answer (json_t *body, const struct kcp_engine_call *call)
+{
+  const char *prompt = json_string_value (json_object_get (body, "prompt"));
+
+  if (json_object_get (body, "messages") != NULL)
+    add_message (body, call->answer);
+  else
+    {
+      g_autofree char *text = g_strconcat (prompt, call->answer, NULL);
+
+      json_object_set_new (body, "prompt", json_string (text));
+    }
+  reduce_limit (body, "max_tokens", call);
+  reduce_limit (body, "max_completion_tokens", call);
+}
+
+static void
+add_message (json_t *body, const char *answer)
+{
+  json_t *messages = json_copy (json_object_get (body, "messages"));
+
+  json_array_append_new (messages,
+                         json_pack ("{ssss}", "role", "assistant", "content", answer));
+  json_object_set_new (body, "messages", messages);
+  json_object_set_new (body, "add_generation_prompt", json_false ());
+  json_object_set_new (body, "continue_final_message", json_true ());
+}
+
+static void
+reduce_limit (json_t *body, const char *name, const struct kcp_engine_call *call)
+{
+  json_t *limit = json_object_get (body, name);
+
+  if (json_is_integer (limit))
+    json_object_set_new (body, name,
+                         json_integer (json_integer_value (limit) - call->answer_tokens));
+}
--- a/src/backend/engine_adapter.h
+++ b/src/backend/engine_adapter.h
@@ -12,6 +12,8 @@
 #define KCP_HEADER_INCARNATION "Kingcuppoint-Expect-Incarnation"
 #define KCP_HEADER_WEIGHTS     "Kingcuppoint-Expect-Weights"
 
+#define KCP_ENGINE_NO_EVENT (-2) /* the call starts a stream */
+
 /* What one attempt asks of an engine. */
 struct kcp_engine_call
 {
@@ -22,10 +24,16 @@
   const GArray *chain;     /* identities of the prompt's blocks */
   const char *incarnation; /* empty: not checked */
   const char *weights;     /* empty: not checked */
+  int64_t last_event;      /* resumes a stream after this event; -1: from its first one;
+                              KCP_ENGINE_NO_EVENT: starts one */
+  const char *answer;      /* text of an answer to be continued; empty: none */
+  int64_t answer_tokens;   /* of that text */
 };
 
 char *kcp_engine_body (const struct kcp_engine_call *call);
 char **kcp_engine_headers (const struct kcp_engine_call *call);
+bool kcp_engine_can_continue (const json_t *body, int64_t answer_tokens);
+char *kcp_engine_stream_url (const char *engine_url, const char *attempt);
 
 /* One chunk of an engine's stream. Texts are borrowed from json. */
 struct kcp_engine_chunk
@@ -39,6 +47,7 @@
 };
 
 bool kcp_engine_chunk_parse (struct kcp_str data, struct kcp_engine_chunk *chunk);
+void kcp_engine_chunk_add_tokens (struct kcp_engine_chunk *chunk, int64_t answer_tokens);
 void kcp_engine_chunk_clear (struct kcp_engine_chunk *chunk);
 
 #endif
--- a/src/backend/fetch.c
+++ b/src/backend/fetch.c
@@ -7,6 +7,9 @@
 
 #define POLL_LIMIT_MS    50
 #define CONNECTION_CACHE 256
+#define IDLE_SCAN_NS     (50 * KCP_NS_PER_MS)
+#define KEPT_MAX_S       30L /* age at which an unused connection is closed */
+#define READ_BUFFER      (4L << 10)
 
 enum command_kind
 {
@@ -30,6 +33,7 @@
   pthread_mutex_t lock; /* guards commands and stopping */
   struct command_queue commands;
   bool stopping;
+  int64_t scan_due_ns; /* when the calls are next looked through for silence */
   CURLM *multi;
   CK_LIST_HEAD (active_list, kcp_fetch) active; /* the worker's thread only */
   const struct kcp_clock *clock;
@@ -55,6 +59,8 @@
   int64_t connect_ms;
   int64_t idle_ms;
   int64_t total_ms;
+  bool reuse;
+  bool sent; /* a connection was there, so the server may have got a byte */
   const struct kcp_fetch_events *events;
   void *user;
   bool active;
@@ -66,8 +72,11 @@
 
 static void worker_start (struct worker *worker, const struct kcp_clock *clock);
 static void worker_stop (struct worker *worker);
+static bool worker_drop_commands (struct worker *worker);
+static void worker_clear (struct worker *worker);
 static void *worker_run (void *user);
 static bool worker_run_commands (struct worker *worker);
+static struct command *take_command (struct worker *worker);
 static void worker_read_messages (struct worker *worker);
 static void worker_end_silent (struct worker *worker);
 static void post (struct kcp_fetch *fetch, enum command_kind kind);
@@ -75,6 +84,8 @@
 static void finish (struct kcp_fetch *fetch, enum kcp_fetch_end end);
 static void unpause (struct kcp_fetch *fetch);
 static enum kcp_fetch_end end_of (const struct kcp_fetch *fetch, CURLcode rc);
+static int
+on_connected (void *user, char *address, char *own_address, int port, int own_port);
 static size_t on_header (char *data, size_t size, size_t count, void *user);
 static size_t on_data (char *data, size_t size, size_t count, void *user);
 static void fetch_clear (gpointer data);
@@ -100,12 +111,23 @@
     return;
   for (unsigned i = 0; i < pool->count; i++)
     worker_stop (&pool->workers[i]);
+  /* The end of one call may have started another one, on any worker. */
+  for (bool dropped = true; dropped;)
+    {
+      dropped = false;
+      for (unsigned i = 0; i < pool->count; i++)
+        dropped = worker_drop_commands (&pool->workers[i]) || dropped;
+    }
+  for (unsigned i = 0; i < pool->count; i++)
+    worker_clear (&pool->workers[i]);
   g_free (pool->workers);
   g_free (pool);
 }
 
 /* Starts a call and returns a reference to it. All texts of the spec are copied. The
-   done event follows exactly once, possibly before this function returns. */
+   done event follows exactly once, possibly before this function returns. Only a call
+   that may run twice may reuse a connection: libcurl sends a request again by itself if a
+   kept connection ends before the first byte of the response. */
 struct kcp_fetch *
 kcp_fetch_start (struct kcp_fetch_pool *pool, const struct kcp_fetch_spec *spec)
 {
@@ -120,6 +142,7 @@
   fetch->connect_ms = spec->connect_ms;
   fetch->idle_ms = spec->idle_ms;
   fetch->total_ms = spec->total_ms;
+  fetch->reuse = spec->reuse;
   fetch->events = spec->events;
   fetch->user = spec->user;
   fetch->headers = curl_slist_append (NULL, "Expect:");
@@ -179,6 +202,30 @@
   pthread_mutex_unlock (&worker->lock);
   curl_multi_wakeup (worker->multi);
   pthread_join (worker->thread, NULL);
+}
+
+/* Ends the calls that were posted after the worker's thread had ended; false if there
+   were none. */
+static bool
+worker_drop_commands (struct worker *worker)
+{
+  struct command *command;
+  bool dropped = false;
+
+  while ((command = take_command (worker)) != NULL)
+    {
+      if (command->kind == COMMAND_START)
+        command->fetch->events->done (command->fetch->user, KCP_FETCH_CANCELLED, 0);
+      kcp_fetch_unref (command->fetch);
+      g_free (command);
+      dropped = true;
+    }
+  return dropped;
+}
+
+static void
+worker_clear (struct worker *worker)
+{
   curl_multi_cleanup (worker->multi);
   pthread_mutex_destroy (&worker->lock);
 }
@@ -207,17 +254,11 @@
 static bool
 worker_run_commands (struct worker *worker)
 {
-  struct command_queue taken = CK_STAILQ_HEAD_INITIALIZER (taken);
   struct command *command;
   bool stopping;
 
-  pthread_mutex_lock (&worker->lock);
-  CK_STAILQ_CONCAT (&taken, &worker->commands);
-  stopping = worker->stopping;
-  pthread_mutex_unlock (&worker->lock);
-  while ((command = CK_STAILQ_FIRST (&taken)) != NULL)
+  while ((command = take_command (worker)) != NULL)
     {
-      CK_STAILQ_REMOVE_HEAD (&taken, link);
       switch (command->kind)
         {
         case COMMAND_START:
@@ -235,9 +276,25 @@
       kcp_fetch_unref (command->fetch);
       g_free (command);
     }
+  pthread_mutex_lock (&worker->lock);
+  stopping = worker->stopping;
+  pthread_mutex_unlock (&worker->lock);
   return !stopping;
 }
 
+static struct command *
+take_command (struct worker *worker)
+{
+  struct command *command;
+
+  pthread_mutex_lock (&worker->lock);
+  command = CK_STAILQ_FIRST (&worker->commands);
+  if (command != NULL)
+    CK_STAILQ_REMOVE_HEAD (&worker->commands, link);
+  pthread_mutex_unlock (&worker->lock);
+  return command;
+}
+
 static void
 worker_read_messages (struct worker *worker)
 {
@@ -255,7 +312,8 @@
     }
 }
 
-/* Ends the calls on whose connection nothing has arrived for their idle limit. */
+/* Ends the calls on whose connection nothing has arrived for their idle limit. Looks at
+   all calls, so not at every turn of the loop. */
 static void
 worker_end_silent (struct worker *worker)
 {
@@ -263,6 +321,9 @@
   struct kcp_fetch *fetch;
   struct kcp_fetch *next;
 
+  if (now < worker->scan_due_ns)
+    return;
+  worker->scan_due_ns = now + IDLE_SCAN_NS;
   CK_LIST_FOREACH_SAFE (fetch, &worker->active, link, next)
   if (fetch->idle_ms > 0 && !fetch->paused
       && now - fetch->last_arrival_ns > fetch->idle_ms * KCP_NS_PER_MS)
@@ -294,6 +355,11 @@
   curl_easy_setopt (curl, CURLOPT_NOPROXY, "*");
   curl_easy_setopt (curl, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (curl, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (curl, CURLOPT_FRESH_CONNECT, fetch->reuse ? 0L : 1L);
+  curl_easy_setopt (curl, CURLOPT_MAXAGE_CONN, KEPT_MAX_S);
+  curl_easy_setopt (curl, CURLOPT_BUFFERSIZE, READ_BUFFER);
+  curl_easy_setopt (curl, CURLOPT_PREREQFUNCTION, on_connected);
+  curl_easy_setopt (curl, CURLOPT_PREREQDATA, fetch);
   curl_easy_setopt (curl, CURLOPT_PRIVATE, fetch);
   curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, fetch->method);
   curl_easy_setopt (curl, CURLOPT_HTTPHEADER, fetch->headers);
@@ -341,18 +407,29 @@
 static enum kcp_fetch_end
 end_of (const struct kcp_fetch *fetch, CURLcode rc)
 {
-  curl_off_t connected_us = 0;
-
   if (rc == CURLE_OK)
     return KCP_FETCH_WHOLE;
   if (fetch->aborted)
     return KCP_FETCH_CANCELLED;
-  curl_easy_getinfo (fetch->curl, CURLINFO_PRETRANSFER_TIME_T, &connected_us);
-  if (connected_us == 0)
+  if (!fetch->sent)
     return KCP_FETCH_REFUSED;
   return rc == CURLE_OPERATION_TIMEDOUT ? KCP_FETCH_TIMED_OUT : KCP_FETCH_BROKEN;
 }
 
+/* Called before the first byte of the request leaves. */
+static int
+on_connected (void *user, char *address, char *own_address, int port, int own_port)
+{
+  struct kcp_fetch *fetch = user;
+
+  (void)address;
+  (void)own_address;
+  (void)port;
+  (void)own_port;
+  fetch->sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 static size_t
 on_header (char *data, size_t size, size_t count, void *user)
 {
--- a/src/backend/fetch.h
+++ b/src/backend/fetch.h
@@ -48,6 +48,7 @@
   int64_t connect_ms; /* limit for the connection */
   int64_t idle_ms;    /* limit between two arrivals; 0: none */
   int64_t total_ms;   /* limit for the whole call; 0: none */
+  bool reuse;         /* a kept connection may be taken; see kcp_fetch_start() */
   const struct kcp_fetch_events *events;
   void *user;
 };
--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -103,6 +103,8 @@
   router->config = kcp_config_new (router->clock);
   router->registry = kcp_registry_new (router->clock);
   router->fetch_pool = kcp_fetch_pool_new (router->clock, (unsigned)settings->vm_workers);
+  router->timers = kcp_timers_new (router->clock);
+  router->retry_gate = kcp_retry_gate_new (settings->retry_budget_percent);
   router->costs = (struct kcp_placement_costs){
     .ns_per_prompt_token = NS_PER_PROMPT_TOKEN,
     .ns_per_running = NS_PER_RUNNING,
@@ -185,6 +187,8 @@
   kcp_config_tail_stop (server->tail);
   kcp_fetch_pool_free (router->fetch_pool);
   kcp_booking_stop (router->booking);
+  kcp_timers_free (router->timers);
+  kcp_retry_gate_free (router->retry_gate);
   kcp_platform_log_free (server->log);
   kcp_registry_free (router->registry);
   kcp_config_free (router->config);
--- a/src/request/choose.c
+++ b/src/request/choose.c
@@ -94,7 +94,8 @@
   const struct kcp_profile *profile = request->profile;
   GQuark data_center = view->backend->data_center;
 
-  if (view->state != KCP_BACKEND_LIVE || g_strcmp0 (want, have) != 0)
+  if (view->state != KCP_BACKEND_LIVE || g_strcmp0 (want, have) != 0
+      || kcp_request_has_tried (request, view->backend->id))
     return false;
   if (!kcp_dc_set_has (&profile->compute_in, data_center)
       || !kcp_dc_set_has (&profile->prompt_in, data_center))
--- a/src/request/completion.c
+++ b/src/request/completion.c
@@ -1,48 +1,64 @@
-#include <stdlib.h>
+/* Decides where a completion runs and what follows each attempt that ends. */
 #include <string.h>
 
-#include "backend/engine_adapter.h"
 #include "base/counter.h"
 #include "policy/prefix.h"
 #include "request/choose.h"
 #include "request/request_private.h"
 
-#define STEP_DISPATCH   "dispatch"
-#define STEP_ANSWER     "answer"
-#define EVENT_MAX_BYTES (1u << 20)
-#define RETRY_AFTER_S   1
-#define HTTP_STATUS_OK  200
-
-static void dispatch (struct kcp_request *request);
-static void on_header (void *user, struct kcp_str line);
-static enum kcp_fetch_flow on_data (void *user, long status, struct kcp_str data);
-static void on_done (void *user, enum kcp_fetch_end end, long status);
-static enum kcp_fetch_flow take_events (struct kcp_request *request, struct kcp_str data);
-static bool
-take_event (struct kcp_request *request, const struct kcp_sse_event *event, bool *room);
-static void
-take_chunk (struct kcp_request *request, const struct kcp_engine_chunk *chunk);
-static bool forward_event (struct kcp_request *request, struct kcp_str data);
-static void begin_stream (struct kcp_request *request);
-static void complete (struct kcp_request *request);
-static void write_whole (struct kcp_request *request);
-static void
-fail_attempt (struct kcp_request *request, enum kcp_fetch_end end, long status);
+#define STEP_DISPATCH           "dispatch"
+#define STEP_ANSWER             "answer"
+#define RETRY_AFTER_S           1
+#define SAME_ENGINE_STALLS      2 /* attempts in a row without an event at one engine */
+#define HTTP_STATUS_BAD_REQUEST 400
+#define HTTP_STATUS_NOT_FOUND   404
+#define HTTP_STATUS_CONFLICT    409
+#define HTTP_STATUS_UNPROCESSED 422
+#define HTTP_STATUS_TOO_MANY    429
+#define HTTP_STATUS_UNAVAILABLE 503
 
-static const struct kcp_fetch_events events = {
-  .header = on_header,
-  .data = on_data,
-  .done = on_done,
+/* What the end of an attempt tells. */
+enum failure
+{
+  FAILURE_UNSENT,      /* no connection */
+  FAILURE_REFUSED,     /* the engine has no place */
+  FAILURE_MISMATCH,    /* the engine is another incarnation or has other weights */
+  FAILURE_BAD_REQUEST, /* the engine does not take such a body */
+  FAILURE_NO_STREAM,   /* the engine holds no such stream any more */
+  FAILURE_SILENT,      /* a new connection to a known stream is silent too */
+  FAILURE_BROKEN       /* anything else: the stream stopped */
 };
 
+static int64_t next_due_ns (const struct kcp_request *request, int64_t now_ns);
+static int64_t on_timer (void *user);
+static void on_timer_released (void *user);
+static void place (struct kcp_request *request);
+static enum failure
+classify (const struct kcp_attempt *attempt, enum kcp_fetch_end end, long status);
+static void note_execution (struct kcp_request *request,
+                            const struct kcp_attempt *attempt, enum failure failure);
+static void note_engine (struct kcp_request *request, const struct kcp_attempt *attempt,
+                         enum failure failure);
+static void
+update_report (struct kcp_request *request, const struct kcp_attempt *attempt);
+static enum kcp_retry_decision
+decide (struct kcp_request *request, const struct kcp_attempt *attempt,
+        enum failure failure);
+static void try_again (struct kcp_request *request, const struct kcp_attempt *attempt,
+                       enum kcp_retry_decision decision, enum failure failure);
+static void give_up (struct kcp_request *request, const struct kcp_attempt *attempt,
+                     enum failure failure);
+static void fail_deadline (struct kcp_request *request);
+
 /* Parses the prompt, chooses an engine and sends the request there. The lock is held. */
 void
 kcp_completion_start (struct kcp_request *request)
 {
+  struct kcp_router *router = request->router;
   struct kcp_error error;
   struct kcp_str text;
 
-  if (!kcp_prompt_parse (request->call, request->router->settings->callers_max_json_depth,
+  if (!kcp_prompt_parse (request->call, router->settings->callers_max_json_depth,
                          &request->prompt, &error))
     {
       kcp_request_fail (request, &error);
@@ -51,254 +67,292 @@
   text = (struct kcp_str){ request->prompt.text->str, request->prompt.text->len };
   request->block_hashes = kcp_prefix_hash (text);
   request->text = g_string_new (NULL);
-  kcp_sse_init (&request->sse, EVENT_MAX_BYTES);
-  request->backend = kcp_choose_engine (request, &error);
-  if (request->backend == NULL)
+  request->tried = g_ptr_array_new_with_free_func (g_free);
+  request->timer
+      = kcp_timers_add (router->timers, next_due_ns (request, request->started_ns),
+                        on_timer, on_timer_released, kcp_request_ref (request));
+  place (request);
+}
+
+/* Copies what an engine reported last. */
+void
+kcp_completion_read_report (struct kcp_request *request,
+                            const struct kcp_backend *backend,
+                            struct kcp_backend_report *report)
+{
+  g_autoptr (GArray) views
+      = kcp_registry_view (request->router->registry, KCP_MEMBER_ENGINE);
+
+  for (guint i = 0; i < views->len; i++)
     {
-      kcp_request_fail (request, &error);
-      return;
+      const struct kcp_backend_view *view
+          = &g_array_index (views, struct kcp_backend_view, i);
+
+      if (view->backend == backend)
+        *report = view->report;
     }
-  kcp_timeline_add (request->router->timeline, KCP_EVENT_PLACED, request->id,
-                    request->backend->id, 0);
-  dispatch (request);
 }
 
-static void
-dispatch (struct kcp_request *request)
+/* Decides what follows the attempt that counted. The lock is held. */
+void
+kcp_completion_attempt_ended (struct kcp_request *request,
+                              const struct kcp_attempt *attempt, enum kcp_fetch_end end,
+                              long status)
 {
-  const struct kcp_settings *settings = request->router->settings;
-  const struct kcp_backend_report *report = &request->backend->report;
-  struct kcp_prefix_seed seed = {
-    .team = kcp_str_from_c (request->team->name),
-    .model = kcp_str_from_c (request->prompt.model),
-    .weights = kcp_str_from_c (report->weights),
-  };
-  struct kcp_engine_call call = {
-    .body = request->prompt.body,
-    .attempt = request->attempt,
-    .cache_salt = request->team->name,
-    .priority = request->profile->class,
-    .incarnation = report->incarnation,
-    .weights = report->weights,
-  };
-  g_autofree char *url = g_strconcat (
-      request->backend->url,
-      request->call->kind == KCP_CALL_CHAT ? "/v1/chat/completions" : "/v1/completions",
-      NULL);
-  g_auto (GStrv) headers = NULL;
-  char *body;
-
-  kcp_id_random (request->attempt);
-  g_clear_pointer (&request->chain, g_array_unref);
-  request->chain = kcp_prefix_chain (&seed, request->block_hashes);
-  call.chain = request->chain;
-  headers = kcp_engine_headers (&call);
-  body = kcp_engine_body (&call);
-  kcp_counter_add (KCP_COUNT_ATTEMPTS, 1);
-  kcp_timeline_add (request->router->timeline, KCP_EVENT_DISPATCHED, request->id,
-                    request->backend->id, 0);
-  kcp_registry_begin_attempt (request->router->registry, request->backend, 0);
-  request->fetch
-      = kcp_fetch_start (request->router->fetch_pool,
-                         &(struct kcp_fetch_spec){
-                             .method = "POST",
-                             .url = url,
-                             .headers = headers,
-                             .body = kcp_str_from_c (body),
-                             .connect_ms = settings->backends_connect_timeout_ms,
-                             .idle_ms = settings->backends_idle_timeout_ms,
-                             .total_ms = kcp_request_left_ms (request) + 1,
-                             .events = &events,
-                             .user = kcp_request_ref (request),
-                         });
-  free (body);
+  enum failure failure = classify (attempt, end, status);
+  enum kcp_retry_decision decision;
+  struct kcp_error error;
+
+  if (attempt->done_seen)
+    {
+      kcp_completion_finish (request);
+      return;
+    }
+  note_execution (request, attempt, failure);
+  if (end == KCP_FETCH_CANCELLED && !attempt->rejected)
+    {
+      kcp_error_set (&error, KCP_ERR_SHUTDOWN, STEP_ANSWER, NULL,
+                     "this VM stopped before the answer was whole");
+      error.execution = request->execution;
+      kcp_request_fail (request, &error);
+      return;
+    }
+  request->stalled = attempt->events > 0 ? 1 : request->stalled + 1;
+  note_engine (request, attempt, failure);
+  decision = decide (request, attempt, failure);
+  if (decision == KCP_RETRY_GIVE_UP)
+    give_up (request, attempt, failure);
+  else
+    try_again (request, attempt, decision, failure);
 }
 
-static void
-on_header (void *user, struct kcp_str line)
+static int64_t
+next_due_ns (const struct kcp_request *request, int64_t now_ns)
 {
-  static const char name[] = KCP_HEADER_REQUEST ":";
-  struct kcp_request *request = user;
+  int64_t heartbeat_ms = request->router->settings->callers_heartbeat_ms;
 
-  pthread_mutex_lock (&request->lock);
-  if (line.len > strlen (name)
-      && g_ascii_strncasecmp (line.data, name, strlen (name)) == 0)
-    request->echoed = kcp_str_equal (kcp_str_trim (kcp_str_skip (line, strlen (name))),
-                                     kcp_str_from_c (request->attempt));
-  pthread_mutex_unlock (&request->lock);
+  if (!request->prompt.stream)
+    return request->deadline_ns;
+  return MIN (request->deadline_ns, now_ns + heartbeat_ms * KCP_NS_PER_MS);
 }
 
-static enum kcp_fetch_flow
-on_data (void *user, long status, struct kcp_str data)
+/* Ends a request at its deadline, and keeps a quiet stream open. */
+static int64_t
+on_timer (void *user)
 {
   struct kcp_request *request = user;
-  enum kcp_fetch_flow flow = KCP_FETCH_CONTINUE;
+  int64_t now = kcp_clock_monotonic_ns (request->router->clock);
+  int64_t next = KCP_TIMER_END;
 
   pthread_mutex_lock (&request->lock);
-  if (!request->echoed)
+  if (!request->ended && now >= request->deadline_ns)
+    fail_deadline (request);
+  else if (!request->ended)
     {
-      kcp_counter_add (KCP_COUNT_ANSWERS_DROPPED, 1);
-      flow = KCP_FETCH_ABORT;
+      next = next_due_ns (request, now);
+      if (request->prompt.stream && request->forwarded == request->forwarded_seen)
+        kcp_completion_write_heartbeat (request);
+      request->forwarded_seen = request->forwarded;
     }
-  else if (status == HTTP_STATUS_OK)
-    flow = take_events (request, data);
   pthread_mutex_unlock (&request->lock);
-  return flow;
+  return next;
 }
 
 static void
-on_done (void *user, enum kcp_fetch_end end, long status)
+on_timer_released (void *user)
 {
-  struct kcp_request *request = user;
-
-  pthread_mutex_lock (&request->lock);
-  kcp_registry_end_attempt (request->router->registry, request->backend);
-  if (request->done_seen)
-    complete (request);
-  else
-    fail_attempt (request, end, status);
-  pthread_mutex_unlock (&request->lock);
-  kcp_request_unref (request);
+  kcp_request_unref (user);
 }
 
-static enum kcp_fetch_flow
-take_events (struct kcp_request *request, struct kcp_str data)
+static void
+place (struct kcp_request *request)
 {
-  struct kcp_sse_event event;
-  bool room = true;
-
-  if (!kcp_sse_feed (&request->sse, data))
-    return KCP_FETCH_ABORT;
-  while (!request->done_seen && kcp_sse_next (&request->sse, &event))
-    if (!take_event (request, &event, &room))
-      return KCP_FETCH_ABORT;
-  return room ? KCP_FETCH_CONTINUE : KCP_FETCH_PAUSE;
+  struct kcp_error error;
+  struct kcp_backend *backend = kcp_choose_engine (request, &error);
+
+  if (backend == NULL)
+    {
+      error.execution = request->execution;
+      kcp_request_fail (request, &error);
+      return;
+    }
+  kcp_timeline_add (request->router->timeline, KCP_EVENT_PLACED, request->id, backend->id,
+                    0);
+  if (request->attempts == 0)
+    kcp_retry_gate_add_request (request->router->retry_gate, backend->data_center);
+  kcp_attempt_start (request, backend, NULL);
 }
 
-/* Takes one event; false if it is not the next one of this answer. room is cleared when
-   the caller reads more slowly than the engine writes. */
-static bool
-take_event (struct kcp_request *request, const struct kcp_sse_event *event, bool *room)
+/* A refusal counts only if it names this attempt. */
+static enum failure
+classify (const struct kcp_attempt *attempt, enum kcp_fetch_end end, long status)
 {
-  struct kcp_engine_chunk chunk;
-  int64_t id;
-
-  if (kcp_str_equal (event->data, KCP_STR ("[DONE]")))
+  if (end == KCP_FETCH_REFUSED)
+    return FAILURE_UNSENT;
+  if (attempt->resumes && end == KCP_FETCH_SILENT && !attempt->echoed)
+    return FAILURE_SILENT;
+  if (end != KCP_FETCH_WHOLE || !attempt->echoed)
+    return FAILURE_BROKEN;
+  switch (status)
     {
-      request->done_seen = true;
-      return true;
+    case HTTP_STATUS_BAD_REQUEST:
+    case HTTP_STATUS_UNPROCESSED:
+      return FAILURE_BAD_REQUEST;
+    case HTTP_STATUS_NOT_FOUND:
+      return attempt->resumes ? FAILURE_NO_STREAM : FAILURE_BAD_REQUEST;
+    case HTTP_STATUS_CONFLICT:
+      return FAILURE_MISMATCH;
+    case HTTP_STATUS_TOO_MANY:
+    case HTTP_STATUS_UNAVAILABLE:
+      return FAILURE_REFUSED;
+    default:
+      return FAILURE_BROKEN;
     }
-  if (!kcp_str_to_int64 (event->id, &id) || id != request->forwarded
-      || !kcp_engine_chunk_parse (event->data, &chunk))
-    return false;
-  if (request->forwarded == 0)
-    kcp_timeline_add (request->router->timeline, KCP_EVENT_FIRST_TOKEN, request->id,
-                      request->backend->id, 0);
-  take_chunk (request, &chunk);
-  if (request->prompt.stream)
-    *room = forward_event (request, event->data) && *room;
-  request->forwarded++;
-  kcp_engine_chunk_clear (&chunk);
-  return true;
 }
 
 static void
-take_chunk (struct kcp_request *request, const struct kcp_engine_chunk *chunk)
+note_execution (struct kcp_request *request, const struct kcp_attempt *attempt,
+                enum failure failure)
 {
-  if (chunk->content != NULL && !request->prompt.stream)
-    g_string_append (request->text, chunk->content);
-  if (chunk->finish_reason != NULL)
-    {
-      g_free (request->finish_reason);
-      request->finish_reason = g_strdup (chunk->finish_reason);
-    }
-  if (chunk->prompt_tokens >= 0)
-    {
-      request->prompt_tokens = chunk->prompt_tokens;
-      request->cached_tokens = chunk->cached_tokens;
-      request->completion_tokens = chunk->completion_tokens;
-    }
+  if (attempt->events > 0)
+    request->execution = KCP_RAN;
+  else if (failure == FAILURE_BROKEN || failure == FAILURE_SILENT)
+    request->execution = MAX (request->execution, KCP_UNKNOWN);
 }
 
-static bool
-forward_event (struct kcp_request *request, struct kcp_str data)
+/* Tells the registry what the attempt showed, and keeps the request away from an engine
+   that failed it. An engine counts as dead only if a new connection failed. */
+static void
+note_engine (struct kcp_request *request, const struct kcp_attempt *attempt,
+             enum failure failure)
 {
-  g_autofree char *text = g_strdup_printf ("id: %" G_GINT64_FORMAT "\ndata: %.*s\n\n",
-                                           request->forwarded, KCP_STR_ARG (data));
+  bool dead = failure == FAILURE_UNSENT || failure == FAILURE_SILENT;
+  bool stuck = failure == FAILURE_BROKEN && request->stalled > SAME_ENGINE_STALLS;
 
-  begin_stream (request);
-  return kcp_reply_write (request->reply, kcp_str_from_c (text));
+  if (dead)
+    kcp_registry_set_state (request->router->registry, attempt->backend,
+                            KCP_BACKEND_DEAD);
+  if (failure == FAILURE_MISMATCH)
+    update_report (request, attempt);
+  if ((dead || stuck || failure == FAILURE_REFUSED)
+      && !kcp_request_has_tried (request, attempt->backend->id))
+    g_ptr_array_add (request->tried, g_strdup (attempt->backend->id));
 }
 
+/* Takes over the incarnation and weights with which an engine refused. */
 static void
-begin_stream (struct kcp_request *request)
+update_report (struct kcp_request *request, const struct kcp_attempt *attempt)
 {
-  if (kcp_reply_has_begun (request->reply))
-    return;
-  kcp_request_add_headers (request);
-  kcp_reply_begin (request->reply, HTTP_STATUS_OK, "text/event-stream");
+  struct kcp_backend_report report = { 0 };
+  json_t *body = json_loadb (attempt->refusal->str, attempt->refusal->len, 0, NULL);
+  const char *incarnation = json_string_value (json_object_get (body, "incarnation"));
+  const char *weights = json_string_value (json_object_get (body, "weights"));
+
+  kcp_completion_read_report (request, attempt->backend, &report);
+  if (incarnation != NULL)
+    g_strlcpy (report.incarnation, incarnation, sizeof report.incarnation);
+  if (weights != NULL)
+    g_strlcpy (report.weights, weights, sizeof report.weights);
+  kcp_registry_report (request->router->registry, attempt->backend, &report);
+  json_decref (body);
 }
 
-static void
-complete (struct kcp_request *request)
+static enum kcp_retry_decision
+decide (struct kcp_request *request, const struct kcp_attempt *attempt,
+        enum failure failure)
 {
-  if (request->ended)
-    return;
-  if (request->prompt.stream)
-    {
-      begin_stream (request);
-      kcp_reply_write (request->reply, KCP_STR ("data: [DONE]\n\n"));
-    }
-  else
-    write_whole (request);
-  kcp_counter_add (KCP_COUNT_COMPLETED, 1);
-  kcp_counter_add (KCP_COUNT_PROMPT_TOKENS, (uint64_t)request->prompt_tokens);
-  kcp_counter_add (KCP_COUNT_CACHED_TOKENS, (uint64_t)request->cached_tokens);
-  kcp_request_end (request, KCP_EVENT_COMPLETED);
+  const struct kcp_router *router = request->router;
+  bool holds_stream = failure == FAILURE_BROKEN && request->stalled <= SAME_ENGINE_STALLS;
+  struct kcp_retry_facts facts = {
+    .repeatable = request->profile->repeatable,
+    .server_holds_stream = holds_stream,
+    .progress = failure == FAILURE_UNSENT ? KCP_RETRY_UNSENT : KCP_RETRY_REFUSED,
+    .attempts = request->stalled,
+    .left_ns = request->deadline_ns - kcp_clock_monotonic_ns (router->clock),
+  };
+
+  if (failure == FAILURE_BAD_REQUEST)
+    return KCP_RETRY_GIVE_UP;
+  if (request->execution != KCP_NOT_RUN)
+    facts.progress = KCP_RETRY_SENT;
+  if (request->forwarded > 0 || holds_stream)
+    facts.progress = KCP_RETRY_FORWARDED;
+  return kcp_retry_gate_decide (router->retry_gate, attempt->backend->data_center,
+                                &facts);
 }
 
 static void
-write_whole (struct kcp_request *request)
+try_again (struct kcp_request *request, const struct kcp_attempt *attempt,
+           enum kcp_retry_decision decision, enum failure failure)
 {
-  bool chat = request->call->kind == KCP_CALL_CHAT;
-  json_t *choice = chat ? json_pack ("{s{ssss}}", "message", "role", "assistant",
-                                     "content", request->text->str)
-                        : json_pack ("{ss}", "text", request->text->str);
-  json_t *answer;
-  char *text;
-
-  json_object_set_new (choice, "index", json_integer (0));
-  json_object_set_new (choice, "finish_reason", json_string (request->finish_reason));
-  answer = json_pack (
-      "{sssssss[o]s{sIsIsIs{sI}}}", "id", request->id, "object",
-      chat ? "chat.completion" : "text_completion", "model", request->prompt.model,
-      "choices", choice, "usage", "prompt_tokens", (json_int_t)request->prompt_tokens,
-      "completion_tokens", (json_int_t)request->completion_tokens, "total_tokens",
-      (json_int_t)(request->prompt_tokens + request->completion_tokens),
-      "prompt_tokens_details", "cached_tokens", (json_int_t)request->cached_tokens);
-  text = json_dumps (answer, JSON_COMPACT);
-  kcp_request_add_headers (request);
-  kcp_reply_begin (request->reply, HTTP_STATUS_OK, "application/json");
-  kcp_reply_write (request->reply, kcp_str_from_c (text));
-  free (text);
-  json_decref (answer);
+  bool same = decision == KCP_RETRY_RESUME_SAME;
+  bool begun = request->forwarded > 0;
+
+  if (!same && request->finish_reason != NULL)
+    {
+      kcp_completion_finish (request);
+      return;
+    }
+  if (!same && begun
+      && (request->text_cut
+          || !kcp_engine_can_continue (request->prompt.body, request->answer_tokens)))
+    {
+      give_up (request, attempt, failure);
+      return;
+    }
+  kcp_counter_add (begun ? KCP_COUNT_RESUMED : KCP_COUNT_RETRIES, 1);
+  kcp_timeline_add (request->router->timeline,
+                    begun ? KCP_EVENT_RESUMED : KCP_EVENT_RETRIED, request->id,
+                    attempt->backend->id, request->forwarded);
+  if (same)
+    {
+      kcp_attempt_start (request, kcp_backend_ref (attempt->backend), attempt);
+      return;
+    }
+  if (failure == FAILURE_BROKEN || failure == FAILURE_SILENT)
+    kcp_attempt_cancel_stream (attempt);
+  place (request);
 }
 
 static void
-fail_attempt (struct kcp_request *request, enum kcp_fetch_end end, long status)
+give_up (struct kcp_request *request, const struct kcp_attempt *attempt,
+         enum failure failure)
 {
   struct kcp_error error;
 
-  if (end == KCP_FETCH_CANCELLED)
+  if (kcp_request_left_ms (request) == 0)
     {
-      kcp_counter_add (KCP_COUNT_CANCELLED, 1);
-      kcp_request_end (request, KCP_EVENT_CANCELLED);
+      fail_deadline (request);
       return;
     }
-  kcp_error_set (&error, KCP_ERR_BACKEND,
-                 end == KCP_FETCH_REFUSED ? STEP_DISPATCH : STEP_ANSWER,
-                 request->backend->id, "the answer did not end (HTTP %ld)", status);
-  error.execution = end == KCP_FETCH_REFUSED ? KCP_NOT_RUN : KCP_UNKNOWN;
-  error.retry_after_s = RETRY_AFTER_S;
+  if (failure == FAILURE_BAD_REQUEST)
+    kcp_error_set (&error, KCP_ERR_BAD_REQUEST, STEP_DISPATCH, attempt->backend->id,
+                   "the engine does not take this body");
+  else
+    {
+      kcp_error_set (&error, KCP_ERR_BACKEND,
+                     failure == FAILURE_UNSENT ? STEP_DISPATCH : STEP_ANSWER,
+                     attempt->backend->id, "no whole answer after %u attempts",
+                     request->attempts);
+      error.retry_after_s = RETRY_AFTER_S;
+    }
+  error.execution = request->execution;
+  kcp_request_fail (request, &error);
+}
+
+/* An attempt under way may have run. */
+static void
+fail_deadline (struct kcp_request *request)
+{
+  struct kcp_error error;
+
+  if (request->forwarded > 0)
+    request->execution = KCP_RAN;
+  else if (request->current != NULL)
+    request->execution = MAX (request->execution, KCP_UNKNOWN);
+  kcp_error_set (&error, KCP_ERR_DEADLINE, STEP_ANSWER,
+                 request->backend != NULL ? request->backend->id : NULL,
+                 "the deadline has passed");
+  error.execution = request->execution;
   kcp_request_fail (request, &error);
 }
--- /dev/null
+++ b/src/request/completion_answer.c
@@ -0,0 +1,145 @@
+/* Writes what an engine answers to the caller: event by event, or as one document. */
+#include <stdlib.h>
+
+#include "base/counter.h"
+#include "request/request_private.h"
+
+#define HTTP_STATUS_OK     200
+#define ANSWER_MAX_BYTES   (8u << 20) /* of an answer that is not streamed */
+#define CONTINUE_MAX_BYTES (1u << 20) /* of a streamed answer that can be continued */
+
+static void
+take_content (struct kcp_request *request, const struct kcp_engine_chunk *chunk);
+static void
+take_totals (struct kcp_request *request, const struct kcp_engine_chunk *chunk);
+static bool forward (struct kcp_request *request, struct kcp_str data);
+static void begin_stream (struct kcp_request *request);
+static void write_whole (struct kcp_request *request);
+
+/* Takes the next chunk of the answer. data is its text as the engine sent it, which is
+   not passed on if changed says that the chunk differs from it. False if the caller reads
+   more slowly than the engine writes. The lock is held. */
+bool
+kcp_completion_take (struct kcp_request *request, struct kcp_str data,
+                     const struct kcp_engine_chunk *chunk, bool changed)
+{
+  char *text = NULL;
+  bool room = true;
+
+  if (request->forwarded == 0)
+    kcp_timeline_add (request->router->timeline, KCP_EVENT_FIRST_TOKEN, request->id,
+                      request->backend->id, 0);
+  take_content (request, chunk);
+  take_totals (request, chunk);
+  if (request->prompt.stream && changed)
+    text = json_dumps (chunk->json, JSON_COMPACT);
+  if (request->prompt.stream)
+    room = forward (request, text != NULL ? kcp_str_from_c (text) : data);
+  free (text);
+  request->forwarded++;
+  return room;
+}
+
+/* Writes a comment into a begun stream that has been quiet, so that a caller that is gone
+   is noticed. The lock is held. */
+void
+kcp_completion_write_heartbeat (struct kcp_request *request)
+{
+  if (kcp_reply_has_begun (request->reply) && kcp_reply_is_drained (request->reply))
+    kcp_reply_write (request->reply, KCP_STR (": \n\n"));
+}
+
+/* Ends a request whose answer is whole. The lock is held. */
+void
+kcp_completion_finish (struct kcp_request *request)
+{
+  if (request->prompt.stream)
+    {
+      begin_stream (request);
+      kcp_reply_write (request->reply, KCP_STR ("data: [DONE]\n\n"));
+    }
+  else
+    write_whole (request);
+  kcp_counter_add (KCP_COUNT_COMPLETED, 1);
+  kcp_counter_add (KCP_COUNT_PROMPT_TOKENS, (uint64_t)request->prompt_tokens);
+  kcp_counter_add (KCP_COUNT_CACHED_TOKENS, (uint64_t)request->cached_tokens);
+  kcp_request_end (request, KCP_EVENT_COMPLETED);
+}
+
+static void
+take_content (struct kcp_request *request, const struct kcp_engine_chunk *chunk)
+{
+  size_t limit = request->prompt.stream ? CONTINUE_MAX_BYTES : ANSWER_MAX_BYTES;
+
+  if (chunk->content == NULL || chunk->content[0] == '\0')
+    return;
+  request->answer_tokens++;
+  if (!request->text_cut)
+    g_string_append (request->text, chunk->content);
+  if (request->text->len <= limit)
+    return;
+  request->text_cut = true;
+  g_string_truncate (request->text, 0);
+}
+
+static void
+take_totals (struct kcp_request *request, const struct kcp_engine_chunk *chunk)
+{
+  if (chunk->finish_reason != NULL)
+    {
+      g_free (request->finish_reason);
+      request->finish_reason = g_strdup (chunk->finish_reason);
+    }
+  if (chunk->prompt_tokens >= 0)
+    {
+      request->prompt_tokens = chunk->prompt_tokens;
+      request->cached_tokens = chunk->cached_tokens;
+      request->completion_tokens = chunk->completion_tokens;
+    }
+}
+
+static bool
+forward (struct kcp_request *request, struct kcp_str data)
+{
+  g_autofree char *text = g_strdup_printf ("id: %" G_GINT64_FORMAT "\ndata: %.*s\n\n",
+                                           request->forwarded, KCP_STR_ARG (data));
+
+  begin_stream (request);
+  return kcp_reply_write (request->reply, kcp_str_from_c (text));
+}
+
+static void
+begin_stream (struct kcp_request *request)
+{
+  if (kcp_reply_has_begun (request->reply))
+    return;
+  kcp_request_add_headers (request);
+  kcp_reply_begin (request->reply, HTTP_STATUS_OK, "text/event-stream");
+}
+
+static void
+write_whole (struct kcp_request *request)
+{
+  bool chat = request->call->kind == KCP_CALL_CHAT;
+  json_t *choice = chat ? json_pack ("{s{ssss}}", "message", "role", "assistant",
+                                     "content", request->text->str)
+                        : json_pack ("{ss}", "text", request->text->str);
+  json_t *answer;
+  char *text;
+
+  json_object_set_new (choice, "index", json_integer (0));
+  json_object_set_new (choice, "finish_reason", json_string (request->finish_reason));
+  answer = json_pack (
+      "{sssssss[o]s{sIsIsIs{sI}}}", "id", request->id, "object",
+      chat ? "chat.completion" : "text_completion", "model", request->prompt.model,
+      "choices", choice, "usage", "prompt_tokens", (json_int_t)request->prompt_tokens,
+      "completion_tokens", (json_int_t)request->completion_tokens, "total_tokens",
+      (json_int_t)(request->prompt_tokens + request->completion_tokens),
+      "prompt_tokens_details", "cached_tokens", (json_int_t)request->cached_tokens);
+  text = json_dumps (answer, JSON_COMPACT);
+  kcp_request_add_headers (request);
+  kcp_reply_begin (request->reply, HTTP_STATUS_OK, "application/json");
+  kcp_reply_write (request->reply, kcp_str_from_c (text));
+  free (text);
+  json_decref (answer);
+}
--- a/src/request/reply.c
+++ b/src/request/reply.c
@@ -139,6 +139,18 @@
   return kcp_reply_status (reply) != 0;
 }
 
+/* Tells whether all that was written has been read. */
+bool
+kcp_reply_is_drained (struct kcp_reply *reply)
+{
+  bool drained;
+
+  pthread_mutex_lock (&reply->lock);
+  drained = reply->taken == reply->held->len;
+  pthread_mutex_unlock (&reply->lock);
+  return drained;
+}
+
 /* Tells whether the reply has begun; if not, the reader is stopped until it does. */
 bool
 kcp_reply_wait_begun (struct kcp_reply *reply)
--- a/src/request/request.c
+++ b/src/request/request.c
@@ -1,6 +1,7 @@
 #include "request/request_private.h"
 
 #include <ck_pr.h>
+#include <string.h>
 
 #include "base/counter.h"
 #include "base/logger.h"
@@ -47,7 +48,12 @@
 {
   pthread_mutex_lock (&request->lock);
   kcp_reply_on_drained (request->reply, NULL, NULL);
-  if (!request->ended && request->fetch != NULL)
+  if (!request->ended && request->call->kind != KCP_CALL_SERVICE)
+    {
+      kcp_counter_add (KCP_COUNT_CANCELLED, 1);
+      kcp_request_end (request, KCP_EVENT_CANCELLED);
+    }
+  else if (!request->ended && request->fetch != NULL)
     kcp_fetch_cancel (request->fetch);
   pthread_mutex_unlock (&request->lock);
 }
@@ -94,6 +100,10 @@
                     request->backend != NULL ? request->backend->id : NULL,
                     took_ns / KCP_NS_PER_US);
   kcp_reply_finish (request->reply);
+  kcp_attempt_abandon (request);
+  if (request->timer != NULL)
+    kcp_timer_cancel (request->timer);
+  request->timer = NULL;
   ck_pr_sub_64 ((uint64_t *)&request->router->requests, 1);
 }
 
@@ -118,6 +128,17 @@
   return MAX (left, 0) / KCP_NS_PER_MS;
 }
 
+/* Tells whether the request has failed at this backend server, so that it should be sent
+   to another one. The lock is held. */
+bool
+kcp_request_has_tried (const struct kcp_request *request, const char *backend_id)
+{
+  for (guint i = 0; request->tried != NULL && i < request->tried->len; i++)
+    if (strcmp (g_ptr_array_index (request->tried, i), backend_id) == 0)
+      return true;
+  return false;
+}
+
 static void
 start_locked (struct kcp_request *request)
 {
@@ -276,8 +297,8 @@
   struct kcp_request *request = user;
 
   pthread_mutex_lock (&request->lock);
-  if (!request->ended && request->fetch != NULL)
-    kcp_fetch_unpause (request->fetch);
+  if (!request->ended && request->current != NULL)
+    kcp_fetch_unpause (request->current->fetch);
   pthread_mutex_unlock (&request->lock);
 }
 
@@ -291,7 +312,7 @@
   kcp_team_unref (request->team);
   kcp_profile_unref (request->profile);
   kcp_prompt_clear (&request->prompt);
-  kcp_sse_clear (&request->sse);
+  g_clear_pointer (&request->tried, g_ptr_array_unref);
   g_clear_pointer (&request->block_hashes, g_array_unref);
   g_clear_pointer (&request->chain, g_array_unref);
   if (request->text != NULL)
--- a/src/request/request_private.h
+++ b/src/request/request_private.h
@@ -4,8 +4,9 @@
 
 #include <pthread.h>
 
-#include "backend/sse.h"
+#include "backend/engine_adapter.h"
 #include "base/id.h"
+#include "request/attempt.h"
 #include "request/prompt.h"
 #include "request/request.h"
 
@@ -27,14 +28,21 @@
   struct kcp_prompt prompt;
   GArray *block_hashes;
   GArray *chain;
-  struct kcp_sse sse;
-  int64_t forwarded; /* events passed on; the next event's expected id */
-  GString *text;     /* the answer so far, for callers that did not ask for a stream */
+  struct kcp_attempt *current; /* the attempt that counts; NULL between two */
+  unsigned attempts;
+  unsigned stalled; /* failed attempts in a row, but for one that gave an event */
+  GPtrArray *tried; /* ids of engines that failed this request */
+  enum kcp_execution execution; /* what failed attempts leave it to be */
+  struct kcp_timer *timer;
+  int64_t forwarded;      /* events taken and passed on */
+  int64_t forwarded_seen; /* the same when the timer fired last */
+  GString *text;          /* the answer so far */
+  bool text_cut;          /* it has grown too long to be kept */
+  int64_t answer_tokens;  /* of the answer so far */
   char *finish_reason;
   int64_t prompt_tokens;
   int64_t cached_tokens;
   int64_t completion_tokens;
-  bool done_seen;
 
   /* Services. */
   GString *service_body;
@@ -43,7 +51,7 @@
   char claim_key[KCP_HASH_HEX_LEN + 1];
   char claim[KCP_ID_LEN + 1]; /* empty: none is held */
 
-  /* The attempt under way. */
+  /* The attempt under way of a service call; backend also of a completion. */
   char attempt[KCP_ID_LEN + 1];
   struct kcp_backend *backend;
   struct kcp_fetch *fetch;
@@ -56,9 +64,21 @@
 void kcp_request_end (struct kcp_request *request, enum kcp_event event);
 void kcp_request_add_headers (struct kcp_request *request);
 int64_t kcp_request_left_ms (struct kcp_request *request);
+bool kcp_request_has_tried (const struct kcp_request *request, const char *backend_id);
 
 /* Both are called with the lock held, on any thread. */
 void kcp_completion_start (struct kcp_request *request);
 void kcp_service_start (struct kcp_request *request);
 
+void kcp_completion_read_report (struct kcp_request *request,
+                                 const struct kcp_backend *backend,
+                                 struct kcp_backend_report *report);
+void kcp_completion_attempt_ended (struct kcp_request *request,
+                                   const struct kcp_attempt *attempt,
+                                   enum kcp_fetch_end end, long status);
+bool kcp_completion_take (struct kcp_request *request, struct kcp_str data,
+                          const struct kcp_engine_chunk *chunk, bool changed);
+void kcp_completion_write_heartbeat (struct kcp_request *request);
+void kcp_completion_finish (struct kcp_request *request);
+
 #endif
--- /dev/null
+++ b/src/request/retry_gate.c
@@ -0,0 +1,72 @@
+#include "request/retry_gate.h"
+
+#include <pthread.h>
+
+struct kcp_retry_gate
+{
+  pthread_mutex_t lock; /* no other lock is taken under it */
+  int64_t budget_percent;
+  GHashTable *budgets; /* interned name of a data center, struct kcp_retry_budget */
+};
+
+static struct kcp_retry_budget *
+budget_of (struct kcp_retry_gate *gate, GQuark data_center);
+
+/* Makes full budgets of so many retries for 100 requests. */
+struct kcp_retry_gate *
+kcp_retry_gate_new (int64_t budget_percent)
+{
+  struct kcp_retry_gate *gate = g_new0 (struct kcp_retry_gate, 1);
+
+  pthread_mutex_init (&gate->lock, NULL);
+  gate->budget_percent = budget_percent;
+  gate->budgets = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  return gate;
+}
+
+/* Frees the budgets; NULL is allowed. */
+void
+kcp_retry_gate_free (struct kcp_retry_gate *gate)
+{
+  if (gate == NULL)
+    return;
+  g_hash_table_unref (gate->budgets);
+  pthread_mutex_destroy (&gate->lock);
+  g_free (gate);
+}
+
+/* Counts a request whose first attempt goes to the data center. */
+void
+kcp_retry_gate_add_request (struct kcp_retry_gate *gate, GQuark data_center)
+{
+  pthread_mutex_lock (&gate->lock);
+  kcp_retry_budget_add_request (budget_of (gate, data_center));
+  pthread_mutex_unlock (&gate->lock);
+}
+
+/* Decides what follows an attempt that failed in the data center. */
+enum kcp_retry_decision
+kcp_retry_gate_decide (struct kcp_retry_gate *gate, GQuark data_center,
+                       const struct kcp_retry_facts *facts)
+{
+  enum kcp_retry_decision decision;
+
+  pthread_mutex_lock (&gate->lock);
+  decision = kcp_retry_decide (facts, budget_of (gate, data_center));
+  pthread_mutex_unlock (&gate->lock);
+  return decision;
+}
+
+static struct kcp_retry_budget *
+budget_of (struct kcp_retry_gate *gate, GQuark data_center)
+{
+  gpointer key = (gpointer)g_quark_to_string (data_center);
+  struct kcp_retry_budget *budget = g_hash_table_lookup (gate->budgets, key);
+
+  if (budget != NULL)
+    return budget;
+  budget = g_new0 (struct kcp_retry_budget, 1);
+  kcp_retry_budget_init (budget, gate->budget_percent);
+  g_hash_table_insert (gate->budgets, key, budget);
+  return budget;
+}
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -8,6 +8,8 @@
 #include "booking/booking.h"
 #include "policy/placement.h"
 #include "profile/config.h"
+#include "request/retry_gate.h"
+#include "request/timers.h"
 #include "settings/settings.h"
 
 /* Every pointer outlives all requests. */
@@ -21,6 +23,8 @@
   struct kcp_fetch_pool *fetch_pool;
   struct kcp_booking *booking;
   struct kcp_placement_costs costs;
+  struct kcp_timers *timers;
+  struct kcp_retry_gate *retry_gate;
   GQuark data_center;
   int draining;     /* atomic; 1 once the VM is leaving */
   int64_t requests; /* atomic; requests not yet ended */
