Count references where the thread sanitizer sees them

Cause: GLib's reference counts are atomics inside an uninstrumented library, so the thread sanitizer reported 10 races between a last reader and the free that follows it, and every process under it exited with 66. The five modules of the answer path now count by base/ref, and sanitizer runs take GLib's slices from malloc for the same reason. Ruled out: a suppression file, which would hide real races in the same functions.

--- a/Makefile
+++ b/Makefile
@@ -69,7 +69,7 @@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(CHECKLIBS) $(LDLIBS)
 
 check: all $(UNIT_BIN) $(PROCESS_BIN)
-	@BUILD=$(BUILD) tests/run $(UNIT_BIN) $(PROCESS_BIN)
+	@BUILD=$(BUILD) $(if $(SAN),G_SLICE=always-malloc) tests/run $(UNIT_BIN) $(PROCESS_BIN)
 
 demo: deps
 	@$(MAKE) --no-print-directory $(BUILD)/kingcuppoint $(BUILD)/kcp-standin $(BUILD)/kcp-demo
--- a/src/backend/fetch.c
+++ b/src/backend/fetch.c
@@ -5,6 +5,8 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "base/ref.h"
+
 #define POLL_LIMIT_MS    50
 #define CONNECTION_CACHE 256
 #define IDLE_SCAN_NS     (50 * KCP_NS_PER_MS)
@@ -131,7 +133,7 @@
 struct kcp_fetch *
 kcp_fetch_start (struct kcp_fetch_pool *pool, const struct kcp_fetch_spec *spec)
 {
-  struct kcp_fetch *fetch = g_atomic_rc_box_new0 (struct kcp_fetch);
+  struct kcp_fetch *fetch = kcp_ref_new (sizeof (struct kcp_fetch));
   unsigned index = __atomic_fetch_add (&pool->next, 1, __ATOMIC_RELAXED) % pool->count;
 
   fetch->worker = &pool->workers[index];
@@ -170,7 +172,7 @@
 struct kcp_fetch *
 kcp_fetch_ref (struct kcp_fetch *fetch)
 {
-  return g_atomic_rc_box_acquire (fetch);
+  return kcp_ref_acquire (fetch);
 }
 
 /* Drops a reference; NULL is allowed. */
@@ -178,7 +180,7 @@
 kcp_fetch_unref (struct kcp_fetch *fetch)
 {
   if (fetch != NULL)
-    g_atomic_rc_box_release_full (fetch, fetch_clear);
+    kcp_ref_release (fetch, fetch_clear);
 }
 
 static void
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -5,6 +5,7 @@
 
 #include "backend/engine_adapter.h"
 #include "base/counter.h"
+#include "base/ref.h"
 #include "policy/prefix.h"
 #include "request/request_private.h"
 
@@ -46,7 +47,7 @@
 kcp_attempt_start (struct kcp_request *request, struct kcp_backend *backend,
                    const struct kcp_attempt *broken)
 {
-  struct kcp_attempt *attempt = g_atomic_rc_box_new0 (struct kcp_attempt);
+  struct kcp_attempt *attempt = kcp_ref_new (sizeof (struct kcp_attempt));
 
   attempt->request = kcp_request_ref (request);
   attempt->backend = backend;
@@ -108,7 +109,7 @@
 kcp_attempt_unref (struct kcp_attempt *attempt)
 {
   if (attempt != NULL)
-    g_atomic_rc_box_release_full (attempt, clear);
+    kcp_ref_release (attempt, clear);
 }
 
 static void
@@ -152,7 +153,7 @@
           .total_ms = kcp_request_left_ms (request) + LIMIT_SLACK_MS,
           .reuse = request->attempts == 1 && request->profile->repeatable,
           .events = &events,
-          .user = g_atomic_rc_box_acquire (attempt),
+          .user = kcp_ref_acquire (attempt),
       });
   free (body);
 }
--- a/src/request/reply.c
+++ b/src/request/reply.c
@@ -3,6 +3,8 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "base/ref.h"
+
 struct kcp_reply
 {
   pthread_mutex_t lock;
@@ -31,7 +33,7 @@
 struct kcp_reply *
 kcp_reply_new (size_t limit, kcp_reply_wait *wait, kcp_reply_wake *wake, void *reader)
 {
-  struct kcp_reply *reply = g_atomic_rc_box_new0 (struct kcp_reply);
+  struct kcp_reply *reply = kcp_ref_new (sizeof (struct kcp_reply));
 
   pthread_mutex_init (&reply->lock, NULL);
   reply->limit = limit;
@@ -47,7 +49,7 @@
 struct kcp_reply *
 kcp_reply_ref (struct kcp_reply *reply)
 {
-  return g_atomic_rc_box_acquire (reply);
+  return kcp_ref_acquire (reply);
 }
 
 /* Drops a reference; NULL is allowed. */
@@ -55,7 +57,7 @@
 kcp_reply_unref (struct kcp_reply *reply)
 {
   if (reply != NULL)
-    g_atomic_rc_box_release_full (reply, clear);
+    kcp_ref_release (reply, clear);
 }
 
 /* Names whom to tell when a full reply has been read down to half its limit. */
--- a/src/request/request.c
+++ b/src/request/request.c
@@ -5,6 +5,7 @@
 
 #include "base/counter.h"
 #include "base/logger.h"
+#include "base/ref.h"
 #include "request/problem.h"
 
 #define STEP_ADMIT "admit"
@@ -24,7 +25,7 @@
 kcp_request_start (struct kcp_router *router, struct kcp_call *call,
                    struct kcp_reply *reply)
 {
-  struct kcp_request *request = g_atomic_rc_box_new0 (struct kcp_request);
+  struct kcp_request *request = kcp_ref_new (sizeof (struct kcp_request));
 
   pthread_mutex_init (&request->lock, NULL);
   request->router = router;
@@ -62,7 +63,7 @@
 struct kcp_request *
 kcp_request_ref (struct kcp_request *request)
 {
-  return g_atomic_rc_box_acquire (request);
+  return kcp_ref_acquire (request);
 }
 
 /* Drops a reference; NULL is allowed. */
@@ -70,7 +71,7 @@
 kcp_request_unref (struct kcp_request *request)
 {
   if (request != NULL)
-    g_atomic_rc_box_release_full (request, clear);
+    kcp_ref_release (request, clear);
 }
 
 /* Answers with an error, at once. The lock is held. */
--- a/src/request/timers.c
+++ b/src/request/timers.c
@@ -5,6 +5,8 @@
 #include <pthread.h>
 #include <stdbool.h>
 
+#include "base/ref.h"
+
 struct kcp_timers
 {
   pthread_t thread;
@@ -83,7 +85,7 @@
 kcp_timers_add (struct kcp_timers *timers, int64_t due_ns, kcp_timer_fire *fire_timer,
                 kcp_timer_release *release, void *user)
 {
-  struct kcp_timer *timer = g_atomic_rc_box_new0 (struct kcp_timer);
+  struct kcp_timer *timer = kcp_ref_new (sizeof (struct kcp_timer));
 
   *timer = (struct kcp_timer){
     .timers = timers,
@@ -92,7 +94,7 @@
     .release = release,
     .user = user,
   };
-  g_atomic_rc_box_acquire (timer);
+  kcp_ref_acquire (timer);
   pthread_mutex_lock (&timers->lock);
   timer->place = g_sequence_insert_sorted (timers->queue, timer, compare, NULL);
   if (g_sequence_iter_is_begin (timer->place))
@@ -121,7 +123,7 @@
     }
   if (queued)
     end (timer);
-  g_atomic_rc_box_release (timer);
+  kcp_ref_release (timer, NULL);
 }
 
 static void *
@@ -190,7 +192,7 @@
 end (struct kcp_timer *timer)
 {
   timer->release (timer->user);
-  g_atomic_rc_box_release (timer);
+  kcp_ref_release (timer, NULL);
 }
 
 static gint
