--- a/src/request/router.h
+++ b/src/request/router.h
@@ -9,6 +9,8 @@
 #include "booking/booking.h"
 #include "policy/placement.h"
 #include "profile/config.h"
+#include "request/retry_gate.h"
+#include "request/timers.h"
 #include "settings/settings.h"
 
 /* Where other VMs' reports come from. list returns a new array of objects with "vm",
@@ -33,6 +35,8 @@
   struct kcp_orders *orders;
   struct kcp_placement_costs costs;
   struct kcp_vm_source vm_source;
+  struct kcp_timers *timers;
+  struct kcp_retry_gate *retry_gate;
   GQuark data_center;
   int draining;     /* atomic; 1 once the VM is leaving */
   int64_t requests; /* atomic; requests not yet ended */
--- a/src/request/service.c
+++ b/src/request/service.c
@@ -175,7 +175,7 @@
           .connect_ms = settings->backends_connect_timeout_ms,
           .idle_ms = settings->backends_idle_timeout_ms,
           .total_ms = kcp_request_left_ms (request) + 1,
-          .once = claimed,
+          .reuse = !claimed,
           .events = &events,
           .user = kcp_request_ref (request),
       });
--- a/standin/engine_orders.c
+++ b/standin/engine_orders.c
@@ -5,32 +5,27 @@
 
 #include "base/clock.h"
 
-#define TEXT_MAX 40
-
 static enum MHD_Result take_order (const struct standin_request *request);
 static void settle (void);
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
-static char weights[TEXT_MAX];
-static char role[TEXT_MAX] = "serve";
-static char next_weights[TEXT_MAX];
+static char weights[ENGINE_WEIGHTS_MAX];
+static char role[ENGINE_WEIGHTS_MAX] = "serve";
+static char next_weights[ENGINE_WEIGHTS_MAX];
 static bool loading;
 static int64_t ready_ns;
 static int64_t load_ms;
 static int64_t greatest_fencing = -1;
 static bool checks_fencing;
 static json_t *loads; /* each load: start_ns, end_ns (monotonic), fencing, weights */
-static engine_weights_changed *changed;
 
-/* Takes over the options; weights_changed is told of every load. */
+/* Takes over the options. */
 void
-engine_orders_start (const struct standin_options *options,
-                     engine_weights_changed *weights_changed)
+engine_orders_start (const struct standin_options *options)
 {
   g_strlcpy (weights, options->weights, sizeof weights);
   checks_fencing = options->checks_fencing;
   load_ms = options->load_ms;
-  changed = weights_changed;
   loads = json_array ();
 }
 
@@ -61,14 +56,14 @@
   pthread_mutex_unlock (&lock);
 }
 
-/* Returns the weights in place. */
-const char *
-engine_orders_weights (void)
+/* Copies the weights in place. */
+void
+engine_orders_weights (char out[ENGINE_WEIGHTS_MAX])
 {
   pthread_mutex_lock (&lock);
   settle ();
+  memcpy (out, weights, sizeof weights);
   pthread_mutex_unlock (&lock);
-  return weights;
 }
 
 static enum MHD_Result
@@ -113,5 +108,4 @@
     return;
   loading = false;
   memcpy (weights, next_weights, sizeof weights);
-  changed ();
 }
--- a/standin/engine_orders.h
+++ b/standin/engine_orders.h
@@ -4,13 +4,11 @@
 
 #include "standin/standin.h"
 
-/* Called when new weights are in place. */
-typedef void engine_weights_changed (void);
+#define ENGINE_WEIGHTS_MAX 40
 
-void engine_orders_start (const struct standin_options *options,
-                          engine_weights_changed *changed);
+void engine_orders_start (const struct standin_options *options);
 enum MHD_Result engine_orders_handle (const struct standin_request *request);
 void engine_orders_report (json_t *report);
-const char *engine_orders_weights (void);
+void engine_orders_weights (char out[ENGINE_WEIGHTS_MAX]);
 
 #endif
