Wait for the last byte of every answer before a VM ends

Cause: the drain counted requests, which end when their answer is written into the reply, not when the caller has it; and at the drain limit the callers' server was stopped with suspended connections, on which libmicrohttpd aborts the process (signal 6 seen in a trial).

Ruled out: ending open requests and stopping at once.

Change: the VM waits for open exchanges, ends what is open at the limit with a shutdown error whose execution is unknown once dispatched, and waits at most 1 s more for those last bytes.

--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -15,6 +15,7 @@
 #define NS_PER_RUNNING      2000000
 #define TOLERANCE_NS        50000000
 #define DRAIN_POLL_MS       20
+#define LAST_BYTES_LIMIT_MS 1000
 
 /* Everything one VM runs, in the order in which it is started. */
 struct server
@@ -34,6 +35,7 @@
 static void announce (const struct server *server);
 static void wait_for_signal (void);
 static void drain (struct server *server);
+static void wait_for_answers (struct server *server, int64_t limit_ms);
 static void stop (struct server *server);
 
 /* Runs the entry process of one VM until SIGTERM or SIGINT, and then ends every request
@@ -102,6 +104,7 @@
       = kcp_timeline_new (router->clock, (size_t)settings->vm_timeline_entries);
   router->config = kcp_config_new (router->clock);
   router->registry = kcp_registry_new (router->clock);
+  router->open_requests = kcp_open_requests_new ();
   router->fetch_pool = kcp_fetch_pool_new (router->clock, (unsigned)settings->vm_workers);
   router->timers = kcp_timers_new (router->clock);
   router->retry_gate = kcp_retry_gate_new (settings->retry_budget_percent);
@@ -172,25 +175,37 @@
     continue;
 }
 
-/* Fails /readyz first, so that the balancer looks away, and then waits for the requests
-   to end. */
+/* Fails /readyz first, so that the balancer looks away, and then waits until every answer
+   has been sent to its last byte. Requests that are still open at the limit are ended
+   with an error, since the callers' server cannot stop while a connection waits for its
+   answer. */
 static void
 drain (struct server *server)
 {
   const struct kcp_settings *settings = server->settings;
-  int64_t waited_ms = 0;
 
   kcp_logger_write (G_LOG_LEVEL_MESSAGE, "draining", NULL);
   kcp_timeline_add (server->router.timeline, KCP_EVENT_STOPPING, NULL, NULL, 0);
   ck_pr_store_int (&server->router.draining, 1);
   g_usleep ((gulong)(settings->vm_drain_notice_ms * G_TIME_SPAN_MILLISECOND));
-  while (ck_pr_load_64 ((uint64_t *)&server->router.requests) > 0
-         && waited_ms < settings->vm_drain_limit_ms)
+  wait_for_answers (server, settings->vm_drain_limit_ms);
+  kcp_open_requests_end_all (server->router.open_requests);
+  wait_for_answers (server, LAST_BYTES_LIMIT_MS);
+  kcp_logger_write (G_LOG_LEVEL_MESSAGE, "drained", NULL);
+}
+
+static void
+wait_for_answers (struct server *server, int64_t limit_ms)
+{
+  int64_t waited_ms = 0;
+
+  while (waited_ms < limit_ms
+         && (kcp_entry_open_exchanges (server->entry) > 0
+             || kcp_open_requests_count (server->router.open_requests) > 0))
     {
       g_usleep (DRAIN_POLL_MS * G_TIME_SPAN_MILLISECOND);
       waited_ms += DRAIN_POLL_MS;
     }
-  kcp_logger_write (G_LOG_LEVEL_MESSAGE, "drained", NULL);
 }
 
 static void
@@ -211,6 +226,7 @@
   kcp_platform_log_free (server->log);
   kcp_registry_free (router->registry);
   kcp_config_free (router->config);
+  kcp_open_requests_free (router->open_requests);
   kcp_timeline_free (router->timeline);
   kcp_settings_free (server->settings);
 }
--- a/src/http/entry.c
+++ b/src/http/entry.c
@@ -21,6 +21,7 @@
   struct MHD_Daemon *daemon;
   char *certificate;
   char *key;
+  unsigned exchanges; /* atomic; calls whose answer is not wholly sent */
 };
 
 /* One HTTP exchange. Only the server's thread touches it, but for the wake call. */
@@ -46,6 +47,13 @@
   int count;
 };
 
+/* Returns how many calls have not been answered to the last byte. */
+unsigned
+kcp_entry_open_exchanges (struct kcp_entry *entry)
+{
+  return ck_pr_load_uint (&entry->exchanges);
+}
+
 static enum MHD_Result
 on_access (void *user, struct MHD_Connection *connection, const char *url,
            const char *method, const char *version, const char *data, size_t *size,
@@ -172,6 +180,7 @@
   kcp_request_unref (exchange->request);
   kcp_reply_unref (exchange->reply);
   kcp_call_free (exchange->call);
+  ck_pr_dec_uint (&exchange->entry->exchanges);
   g_free (exchange);
 }
 
@@ -180,6 +189,7 @@
 {
   struct exchange *exchange = g_new0 (struct exchange, 1);
 
+  ck_pr_inc_uint (&entry->exchanges);
   exchange->entry = entry;
   exchange->connection = connection;
   return exchange;
--- a/src/request/request.c
+++ b/src/request/request.c
@@ -1,6 +1,5 @@
 #include "request/request_private.h"
 
-#include <ck_pr.h>
 #include <string.h>
 
 #include "base/counter.h"
@@ -33,7 +32,7 @@
   request->reply = kcp_reply_ref (reply);
   request->started_ns = kcp_clock_monotonic_ns (router->clock);
   kcp_id_random (request->id);
-  ck_pr_add_64 ((uint64_t *)&router->requests, 1);
+  kcp_open_requests_add (router->open_requests, request);
   kcp_counter_add (KCP_COUNT_REQUESTS, 1);
   kcp_timeline_add (router->timeline, KCP_EVENT_ACCEPTED, request->id, NULL, 0);
   kcp_reply_on_drained (reply, on_drained, request);
@@ -105,7 +104,7 @@
   if (request->timer != NULL)
     kcp_timer_cancel (request->timer);
   request->timer = NULL;
-  ck_pr_sub_64 ((uint64_t *)&request->router->requests, 1);
+  kcp_open_requests_remove (request->router->open_requests, request);
 }
 
 /* Adds the response headers that say which request this is and where it ran. */
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -9,6 +9,7 @@
 #include "booking/booking.h"
 #include "policy/placement.h"
 #include "profile/config.h"
+#include "request/open_requests.h"
 #include "request/retry_gate.h"
 #include "request/timers.h"
 #include "settings/settings.h"
@@ -35,11 +36,11 @@
   struct kcp_orders *orders;
   struct kcp_placement_costs costs;
   struct kcp_vm_source vm_source;
+  struct kcp_open_requests *open_requests;
   struct kcp_timers *timers;
   struct kcp_retry_gate *retry_gate;
   GQuark data_center;
-  int draining;     /* atomic; 1 once the VM is leaving */
-  int64_t requests; /* atomic; requests not yet ended */
+  int draining; /* atomic; 1 once the VM is leaving */
 };
 
 #endif
--- a/tests/process/test_drain.c
+++ b/tests/process/test_drain.c
@@ -2,6 +2,7 @@
 #include <pthread.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "base/clock.h"
 #include "tests/harness/cluster.h"
@@ -10,8 +11,9 @@
 #define TOKENS  30
 #define LEAVING_LIMIT_MS                                                                 \
   3000 /* no new work so long after the list says that a server leaves */
-#define LIST_LAG_MS 500
-#define CALLS_AFTER 40
+#define LIST_LAG_MS  500
+#define SLOW_READ_US 60000
+#define CALLS_AFTER  40
 
 static const char stream_body[]
     = "{\"model\":\"" CLUSTER_MODEL
@@ -60,6 +62,24 @@
   return NULL;
 }
 
+/* A caller that reads its answer long after the engine has written it. */
+static void *
+run_slow_stream (void *user)
+{
+  struct client_answer *answer = user;
+
+  *answer = client_run (&(struct client_call){
+      .port = cluster_vm (cluster, 0)->port,
+      .path = "/v1/completions",
+      .key = CLUSTER_TEAM_KEY,
+      .profile = "review",
+      .body = "{\"model\":\"" CLUSTER_MODEL
+              "\",\"prompt\":\"p\",\"max_tokens\":30,\"stream\":true}",
+      .read_delay_us = SLOW_READ_US,
+  });
+  return NULL;
+}
+
 static long
 ready_status (void)
 {
@@ -88,11 +108,33 @@
     }
 }
 
+static void *
+stop_soon (void *user)
+{
+  struct process *vm = user;
+
+  for (json_int_t accepted = 0; accepted < 1;)
+    {
+      json_t *events = cluster_admin_get (vm->admin_port, "/admin/v1/timeline");
+      json_t *event;
+      size_t i;
+
+      json_array_foreach (events, i, event) accepted
+          += strcmp (json_string_value (json_object_get (event, "event")), "first_token")
+             == 0;
+      json_decref (events);
+    }
+  process_signal (vm, SIGTERM);
+  return NULL;
+}
+
 START_TEST (test_a_graceful_shutdown_cuts_no_stream)
 {
   struct client_answer answers[STREAMS];
   pthread_t threads[STREAMS];
   struct client_answer late;
+  struct client_answer slow_answer;
+  pthread_t slow;
 
   for (int i = 0; i < STREAMS; i++)
     pthread_create (&threads[i], NULL, run_stream, &answers[i]);
@@ -100,10 +142,15 @@
   process_signal (cluster_vm (cluster, 0), SIGTERM);
   while (ready_status () == 200)
     continue;
+  pthread_create (&slow, NULL, run_slow_stream, &slow_answer);
   /* The balancer may still send new calls until it has seen that the VM is not ready. */
   late = call_once (stream_body);
   for (int i = 0; i < STREAMS; i++)
     pthread_join (threads[i], NULL);
+  pthread_join (slow, NULL);
+  ck_assert_int_eq (slow_answer.curl, 0);
+  ck_assert_ptr_nonnull (strstr (slow_answer.body->str, "[DONE]"));
+  client_answer_clear (&slow_answer);
   ck_assert_int_eq (process_wait (cluster_vm (cluster, 0)), 0);
   for (int i = 0; i <= STREAMS; i++)
     {
@@ -120,6 +167,32 @@
 }
 END_TEST
 
+START_TEST (test_streams_open_at_the_drain_limit_end_in_an_error)
+{
+  struct process *vm
+      = cluster_add_vm (cluster, "vm-2", "dc1", "[vm]\ndrain_limit_ms=0\n");
+  struct client_call call = {
+    .port = vm->port,
+    .path = "/v1/completions",
+    .key = CLUSTER_TEAM_KEY,
+    .profile = "review",
+    .body = stream_body,
+  };
+  struct client_answer answer;
+  pthread_t stopper;
+
+  cluster_wait_ready (cluster);
+  pthread_create (&stopper, NULL, stop_soon, vm);
+  answer = client_run (&call);
+  pthread_join (stopper, NULL);
+  ck_assert_int_eq (process_wait (vm), 0);
+  ck_assert_ptr_nonnull (strstr (answer.body->str, "event: error"));
+  ck_assert_ptr_nonnull (strstr (answer.body->str, "\"execution\":\"unknown\""));
+  ck_assert_ptr_null (strstr (answer.body->str, "[DONE]"));
+  client_answer_clear (&answer);
+}
+END_TEST
+
 START_TEST (test_a_leaving_server_gets_no_new_work)
 {
   int64_t until;
@@ -158,6 +231,7 @@
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_a_graceful_shutdown_cuts_no_stream);
+  tcase_add_test (tests, test_streams_open_at_the_drain_limit_end_in_an_error);
   tcase_add_test (tests, test_a_leaving_server_gets_no_new_work);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_NORMAL);
