Compare the record before each new one read from the configuration stream

The hash of the last record read that each record carried showed a replaced log only if its writer had read past the point of difference.

Records need no hash for that, and no checkpoint announces a replacement: both are gone.

--- a/src/platform/checkpoint_plan.c
+++ b/src/platform/checkpoint_plan.c
@@ -47,12 +47,12 @@
       plan->seen_upto = status->checkpoint_upto;
       plan->seen_ns = now_ns;
     }
-  if (status->empty)
-    return REASON_NONE;
   if (status->gap)
-    return REASON_GAP;
-  if (status->ahead || status->announce || (first > 0 && !usable))
+    return status->empty ? REASON_NONE : REASON_GAP;
+  if (status->ahead || (first > 0 && !usable))
     return REASON_URGENT;
+  if (status->empty)
+    return REASON_NONE;
   if (status->records_since >= plan->max_records
       || now_ns - plan->seen_ns >= plan->max_age_ns)
     return REASON_ROUTINE;
--- a/src/platform/publish.c
+++ b/src/platform/publish.c
@@ -90,7 +90,7 @@
 
   kcp_id_random (publication->id);
   next = kcp_config_next_offset (config);
-  record = kcp_config_change_record (config, publication->id, publication->key,
+  record = kcp_config_record_change (publication->id, publication->key,
                                      &publication->base, publication->document);
   answered = kcp_platform_log_append (log, KCP_CONFIG_STREAM, record, &offset, error);
   json_decref (record);
--- a/src/profile/config.c
+++ b/src/profile/config.c
@@ -98,26 +98,16 @@
   return result;
 }
 
-/* Forgets what was read of the log, to read on from first, the first offset that it still
-   keeps. What is in force stays. */
+/* Forgets what was read of the log, to read it again from its first kept offset, because
+   records were trimmed or the log was replaced. What is in force stays. */
 void
-kcp_config_log_trimmed (struct kcp_config *config, uint64_t first)
+kcp_config_log_restarted (struct kcp_config *config, uint64_t first)
 {
   pthread_mutex_lock (&config->lock);
   kcp_config_log_restart (&config->log, first);
   pthread_mutex_unlock (&config->lock);
 }
 
-/* Forgets what was read of the log, to read it again from its start, because it was
-   replaced by one that ends before offset end. What is in force stays. */
-void
-kcp_config_log_replaced (struct kcp_config *config, uint64_t end)
-{
-  pthread_mutex_lock (&config->lock);
-  kcp_config_log_start_again (&config->log, end);
-  pthread_mutex_unlock (&config->lock);
-}
-
 /* Asks for the last record read to be compared with the log once more. */
 void
 kcp_config_suspect_log (struct kcp_config *config)
@@ -140,17 +130,16 @@
   return suspicion;
 }
 
-/* Returns a new record that puts a document, or deletes it if document is NULL. */
-json_t *
-kcp_config_change_record (struct kcp_config *config, const char *id, const char *key,
-                          const struct kcp_config_base *base, json_t *document)
+/* Tells whether kcp_config_log_matches() knows the record before the next offset. */
+bool
+kcp_config_can_compare (struct kcp_config *config)
 {
-  json_t *record = kcp_config_record_change (id, key, base, document);
+  bool can;
 
   pthread_mutex_lock (&config->lock);
-  kcp_config_log_add_seen (&config->log, record);
+  can = config->log.has_last;
   pthread_mutex_unlock (&config->lock);
-  return record;
+  return can;
 }
 
 /* Tells whether the log still has the record that was applied at an offset; false means
@@ -177,7 +166,6 @@
     .next = log->next,
     .gap = log->gap,
     .ahead = config->digest != log->digest,
-    .announce = log->announce,
     .empty = config->version == 0,
     .has_checkpoint = log->has_checkpoint,
     .checkpoint_upto = log->checkpoint_upto,
@@ -220,8 +208,6 @@
                         (json_int_t)log->next, "version",
                         (json_int_t)(root ? config->version : log->version), "root", root,
                         "entries", entries, "carried", carried);
-  if (record != NULL)
-    kcp_config_log_add_seen (log, record);
   pthread_mutex_unlock (&config->lock);
   json_decref (entries);
   json_decref (carried);
@@ -281,7 +267,7 @@
   bool found;
 
   pthread_mutex_lock (&config->lock);
-  while (!kcp_publish_outcomes_find (&config->outcomes, id, outcome))
+  while (timeout_ms > 0 && !kcp_publish_outcomes_find (&config->outcomes, id, outcome))
     if (!wait_changed (config, &limit))
       break;
   found = kcp_publish_outcomes_find (&config->outcomes, id, outcome);
--- a/src/profile/config.h
+++ b/src/profile/config.h
@@ -30,7 +30,6 @@
   uint64_t next; /* the first offset not applied */
   bool gap;      /* the log's start is missing, and no checkpoint stands in for it */
   bool ahead;    /* something in force is not in the log */
-  bool announce; /* the log was replaced, and no checkpoint followed yet */
   bool empty;    /* nothing was ever published */
   bool has_checkpoint;
   uint64_t checkpoint_upto;
@@ -49,13 +48,10 @@
 kcp_config_check_document (const char *key, json_t *document, struct kcp_error *error);
 uint64_t kcp_config_next_offset (struct kcp_config *config);
 void kcp_config_status (struct kcp_config *config, struct kcp_config_status *status);
-void kcp_config_log_trimmed (struct kcp_config *config, uint64_t first);
-void kcp_config_log_replaced (struct kcp_config *config, uint64_t end);
+void kcp_config_log_restarted (struct kcp_config *config, uint64_t first);
 void kcp_config_suspect_log (struct kcp_config *config);
 bool kcp_config_take_suspicion (struct kcp_config *config);
-json_t *
-kcp_config_change_record (struct kcp_config *config, const char *id, const char *key,
-                          const struct kcp_config_base *base, json_t *document);
+bool kcp_config_can_compare (struct kcp_config *config);
 bool
 kcp_config_log_matches (struct kcp_config *config, uint64_t offset, const json_t *record);
 json_t *kcp_config_checkpoint (struct kcp_config *config, bool root);
--- a/src/profile/config_log.c
+++ b/src/profile/config_log.c
@@ -6,8 +6,7 @@
 
 #include "profile/config_record.h"
 
-#define STEP       "config"
-#define HASH_SHIFT 11 /* leaves 53 bits */
+#define STEP "config"
 
 static enum kcp_config_result
 apply_change (struct kcp_config_log *log, uint64_t offset, json_t *record,
@@ -20,9 +19,7 @@
 static void join (struct kcp_config_log *log, const GPtrArray *entries);
 static void put_entry (struct kcp_config_log *log, struct kcp_config_entry *entry);
 static void forget (struct kcp_config_log *log);
-static bool saw_this_log (const struct kcp_config_log *log, json_t *record);
-static bool hash_is_known (const struct kcp_config_log *log, uint64_t offset);
-static int64_t hash_record (const json_t *record);
+static uint64_t hash_record (const json_t *record);
 
 /* Makes the state before the first record. */
 void
@@ -51,29 +48,7 @@
   log->gap_start = first;
   log->has_checkpoint = false;
   log->records_since = 0;
-  log->hashes_from = first;
-}
-
-/* Starts over because the log was replaced, by one that ends before offset end. The
-   others may not have noticed, so a checkpoint from end on is to tell them. */
-void
-kcp_config_log_start_again (struct kcp_config_log *log, uint64_t end)
-{
-  kcp_config_log_restart (log, 0);
-  log->trusted_until = end;
-  log->announce = true;
-}
-
-/* Adds to a record that is to be appended which record was read last here, so that its
-   readers notice if they read another one at that offset. */
-void
-kcp_config_log_add_seen (const struct kcp_config_log *log, json_t *record)
-{
-  if (log->next <= log->hashes_from)
-    return;
-  json_object_set_new (record, "seen", json_integer ((json_int_t)log->next - 1));
-  json_object_set_new (record, "seen_hash",
-                       json_integer (log->hashes[(log->next - 1) % KCP_CONFIG_HASHES]));
+  log->has_last = false;
 }
 
 /* Applies the record at an offset. changed gets a borrowed entry, or NULL; after a
@@ -89,10 +64,9 @@
     return KCP_CONFIG_OLD;
   if (offset > log->next)
     kcp_config_log_restart (log, offset);
-  if (offset >= log->trusted_until && !saw_this_log (log, record))
-    return KCP_CONFIG_REPLACED;
   log->next = offset + 1;
-  log->hashes[offset % KCP_CONFIG_HASHES] = hash_record (record);
+  log->has_last = true;
+  log->last_hash = hash_record (record);
   log->records_since++;
   result = kcp_config_record_is_checkpoint (record)
                ? apply_checkpoint (log, offset, record, error)
@@ -107,8 +81,8 @@
 kcp_config_log_holds (const struct kcp_config_log *log, uint64_t offset,
                       const json_t *record)
 {
-  return !hash_is_known (log, offset)
-         || log->hashes[offset % KCP_CONFIG_HASHES] == hash_record (record);
+  return !log->has_last || offset + 1 != log->next
+         || log->last_hash == hash_record (record);
 }
 
 static enum kcp_config_result
@@ -175,12 +149,11 @@
   log->has_checkpoint = true;
   log->checkpoint_upto = checkpoint.root ? offset : checkpoint.upto;
   log->records_since = 0;
-  log->announce = log->announce && offset < log->trusted_until;
   if (log->gap && !checkpoint.root)
     {
       log->gap = false;
       log->next = checkpoint.upto;
-      log->hashes_from = checkpoint.upto;
+      log->has_last = false;
       return KCP_CONFIG_REWOUND;
     }
   log->gap = false;
@@ -234,33 +207,12 @@
   log->digest = 0;
 }
 
-/* Compares the record that the writer read last with the one read here. */
-static bool
-saw_this_log (const struct kcp_config_log *log, json_t *record)
-{
-  json_t *seen = json_object_get (record, "seen");
-  uint64_t offset = (uint64_t)json_integer_value (seen);
-
-  if (!json_is_integer (seen) || !hash_is_known (log, offset))
-    return true;
-  return log->hashes[offset % KCP_CONFIG_HASHES]
-         == json_integer_value (json_object_get (record, "seen_hash"));
-}
-
-static bool
-hash_is_known (const struct kcp_config_log *log, uint64_t offset)
-{
-  return offset >= log->hashes_from && offset < log->next
-         && offset + KCP_CONFIG_HASHES >= log->next;
-}
-
-/* The hash fits the whole numbers of JSON. */
-static int64_t
+static uint64_t
 hash_record (const json_t *record)
 {
   char *text = json_dumps (record, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
   uint64_t hash = text != NULL ? XXH3_64bits (text, strlen (text)) : 0;
 
   free (text);
-  return (int64_t)(hash >> HASH_SHIFT);
+  return hash;
 }
--- a/src/profile/config_log.h
+++ b/src/profile/config_log.h
@@ -15,12 +15,9 @@
   KCP_CONFIG_OLD,        /* the offset was applied before */
   KCP_CONFIG_GAP,        /* records before this one are missing */
   KCP_CONFIG_CHECKPOINT, /* joined */
-  KCP_CONFIG_REWOUND,    /* a checkpoint closed the gap; read on from next */
-  KCP_CONFIG_REPLACED    /* its writer read another log than was read here */
+  KCP_CONFIG_REWOUND     /* a checkpoint closed the gap; read on from next */
 };
 
-#define KCP_CONFIG_HASHES 1024 /* records whose hashes are kept */
-
 struct kcp_config_log
 {
   GHashTable *entries; /* key, struct kcp_config_entry */
@@ -32,17 +29,13 @@
   bool has_checkpoint;
   uint64_t checkpoint_upto; /* the newest checkpoint holds all records before it */
   uint64_t records_since;   /* the newest checkpoint, or the start */
-  uint64_t hashes_from;     /* the first offset whose hash is known */
-  int64_t hashes[KCP_CONFIG_HASHES]; /* of the newest records, by offset */
-  uint64_t trusted_until; /* records before it were read again after a replacement */
-  bool announce;          /* no checkpoint followed the replacement yet */
+  bool has_last;            /* the record before next was read */
+  uint64_t last_hash;
 };
 
 void kcp_config_log_init (struct kcp_config_log *log);
 void kcp_config_log_clear (struct kcp_config_log *log);
 void kcp_config_log_restart (struct kcp_config_log *log, uint64_t first);
-void kcp_config_log_start_again (struct kcp_config_log *log, uint64_t end);
-void kcp_config_log_add_seen (const struct kcp_config_log *log, json_t *record);
 enum kcp_config_result
 kcp_config_log_apply (struct kcp_config_log *log, uint64_t offset, json_t *record,
                       struct kcp_config_entry **changed, struct kcp_error *error);
