Check settings that belong together, and never show a secret in an error

A malformed line of the settings file, such as "token: SECRET", was quoted in the error by GKeyFile's message. Malformed lines are now found before GKeyFile sees them, all in one run, and shown by number only.

tls_certificate without tls_key, the reverse, and a default deadline over the maximum are errors with file, line and key.

--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -109,6 +109,11 @@
 static void
 find_unknown (const char *path, const char *text, GKeyFile *file, GPtrArray *errors);
 static void find_repeated (const char *path, const char *text, GPtrArray *errors);
+static void find_malformed (const char *path, const char *text, GPtrArray *errors);
+static void check_together (const char *path, const char *text,
+                            const struct kcp_settings *settings, GPtrArray *errors);
+static void check_pair (const char *path, const char *text, const char *group,
+                        const char *certificate, const char *key, GPtrArray *errors);
 static const struct key_kind *find_kind (const char *group, const char *key);
 static int find_line (const char *text, const char *group, const char *key);
 static void add_error (GPtrArray *errors, const char *path, int line, const char *group,
@@ -131,16 +136,20 @@
   return kcp_settings_parse (path, text, errors);
 }
 
-/* Checks settings given as text; path only names the file in errors. */
+/* Checks settings given as text; path only names the file in errors. No error shows a
+   text of the file that may be a secret, so GKeyFile's own messages are not used. */
 struct kcp_settings *
 kcp_settings_parse (const char *path, const char *text, GPtrArray *errors)
 {
   g_autoptr (GKeyFile) file = g_key_file_new ();
-  g_autoptr (GError) error = NULL;
+  guint before = errors->len;
 
-  if (!g_key_file_load_from_data (file, text, strlen (text), G_KEY_FILE_NONE, &error))
+  find_malformed (path, text, errors);
+  if (errors->len > before)
+    return NULL;
+  if (!g_key_file_load_from_data (file, text, strlen (text), G_KEY_FILE_NONE, NULL))
     {
-      g_ptr_array_add (errors, g_strdup_printf ("%s: %s", path, error->message));
+      g_ptr_array_add (errors, g_strdup_printf ("%s: not a valid INI file", path));
       return NULL;
     }
   return build (path, text, file, errors);
@@ -174,6 +183,7 @@
   find_repeated (path, text, errors);
   for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
     read_key (path, text, file, &kinds[i], settings, errors);
+  check_together (path, text, settings, errors);
   if (errors->len == before)
     return settings;
   kcp_settings_free (settings);
@@ -295,6 +305,56 @@
     }
 }
 
+static void
+find_malformed (const char *path, const char *text, GPtrArray *errors)
+{
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  bool grouped = false;
+
+  for (int i = 0; lines[i] != NULL; i++)
+    {
+      const char *line = g_strstrip (lines[i]);
+      const char *what = NULL;
+
+      if (line[0] == '\0' || line[0] == '#')
+        continue;
+      if (line[0] == '[' && g_str_has_suffix (line, "]"))
+        grouped = true;
+      else if (strchr (line, '=') == NULL || line[0] == '=')
+        what = "not a [group], a key=value or a # comment";
+      else if (!grouped)
+        what = "a key before the first [group]";
+      if (what != NULL)
+        g_ptr_array_add (errors, g_strdup_printf ("%s:%d: %s", path, i + 1, what));
+    }
+}
+
+/* Checks keys that only make sense together. */
+static void
+check_together (const char *path, const char *text, const struct kcp_settings *settings,
+                GPtrArray *errors)
+{
+  check_pair (path, text, "callers", settings->callers_tls_certificate,
+              settings->callers_tls_key, errors);
+  check_pair (path, text, "operators", settings->operators_tls_certificate,
+              settings->operators_tls_key, errors);
+  if (settings->callers_default_deadline_ms > settings->callers_max_deadline_ms)
+    add_error (errors, path, find_line (text, "callers", "default_deadline_ms"),
+               "callers", "default_deadline_ms", "greater than callers.max_deadline_ms");
+}
+
+static void
+check_pair (const char *path, const char *text, const char *group,
+            const char *certificate, const char *key, GPtrArray *errors)
+{
+  if (certificate != NULL && key == NULL)
+    add_error (errors, path, find_line (text, group, "tls_certificate"), group, "tls_key",
+               "missing, required with tls_certificate");
+  if (key != NULL && certificate == NULL)
+    add_error (errors, path, find_line (text, group, "tls_key"), group, "tls_certificate",
+               "missing, required with tls_key");
+}
+
 static const struct key_kind *
 find_kind (const char *group, const char *key)
 {
