--- a/src/cmd/check.c
+++ b/src/cmd/check.c
@@ -1,36 +1,37 @@
-#include <jansson.h>
 #include <stdio.h>
 
 #include "cmd/cmd.h"
+#include "cmd/document_file.h"
 #include "cmd/options.h"
-#include "profile/profile.h"
 #include "settings/settings.h"
 
 static int check_settings (const char *path);
-static int check_profile (const char *path);
+static int check_profiles (char **paths);
 
-/* Validates a settings or profile file and prints every error found. */
+/* Validates a settings file, or profile and team files, and prints every error found in
+   the settings and the first one of each other file. */
 int
 kcp_cmd_check (int argc, char **argv)
 {
   g_autofree char *settings = NULL;
-  g_autofree char *profile = NULL;
+  g_auto (GStrv) profiles = NULL;
   const GOptionEntry entries[] = {
     { "settings", 's', 0, G_OPTION_ARG_FILENAME, &settings, "settings to validate",
       "FILE" },
-    { "profile", 'p', 0, G_OPTION_ARG_FILENAME, &profile, "profile to validate", "FILE" },
+    { "profile", 'p', 0, G_OPTION_ARG_FILENAME_ARRAY, &profiles,
+      "profile or team to validate; may be repeated", "FILE" },
     { 0 },
   };
 
   if (!kcp_options_parse (&argc, &argv, entries, NULL,
                           "kingcuppoint check --settings kingcuppoint.ini"))
     return KCP_EXIT_USAGE;
-  if ((settings == NULL) == (profile == NULL))
+  if ((settings == NULL) == (profiles == NULL) || argc > 1)
     {
       (void)fprintf (stderr, "kingcuppoint: check: give --settings or --profile\n");
       return KCP_EXIT_USAGE;
     }
-  return settings != NULL ? check_settings (settings) : check_profile (profile);
+  return settings != NULL ? check_settings (settings) : check_profiles (profiles);
 }
 
 static int
@@ -48,26 +49,18 @@
 }
 
 static int
-check_profile (const char *path)
+check_profiles (char **paths)
 {
-  g_autofree char *name = g_path_get_basename (path);
-  json_error_t where;
-  struct kcp_error error;
-  struct kcp_profile *profile;
-  json_t *document = json_load_file (path, JSON_REJECT_DUPLICATES, &where);
+  int code = KCP_EXIT_OK;
 
-  if (document == NULL)
+  for (char **path = paths; *path != NULL; path++)
     {
-      (void)fprintf (stderr, "%s:%d: %s\n", path, where.line, where.text);
-      return KCP_EXIT_USAGE;
-    }
-  profile = kcp_profile_parse (name, document, &error);
-  json_decref (document);
-  if (profile == NULL)
-    {
-      (void)fprintf (stderr, "%s: %s\n", path, error.detail);
-      return KCP_EXIT_USAGE;
+      struct kcp_document_file file;
+
+      if (kcp_document_file_load (*path, &file))
+        kcp_document_file_clear (&file);
+      else
+        code = KCP_EXIT_USAGE;
     }
-  kcp_profile_unref (profile);
-  return KCP_EXIT_OK;
+  return code;
 }
--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -11,5 +11,9 @@
 
 int kcp_cmd_serve (int argc, char **argv);
 int kcp_cmd_check (int argc, char **argv);
+int kcp_cmd_publish (int argc, char **argv);
+int kcp_cmd_profiles (int argc, char **argv);
+int kcp_cmd_status (int argc, char **argv);
+int kcp_cmd_timeline (int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/src/cmd/document_file.c
@@ -0,0 +1,84 @@
+#include "cmd/document_file.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "profile/config.h"
+
+#define SUFFIX ".json"
+
+static char *make_key (const char *path, json_t *document);
+static int find_line (const char *text, const char *key, const char *detail);
+
+/* Loads and validates a document; false after a message "file:line: document: key: what"
+   on standard error. A document with key_hashes is a team, any other one a profile. */
+bool
+kcp_document_file_load (const char *path, struct kcp_document_file *file)
+{
+  g_autofree char *text = NULL;
+  g_autoptr (GError) failure = NULL;
+  struct kcp_error error;
+  json_error_t where;
+  size_t len;
+
+  *file = (struct kcp_document_file){ 0 };
+  if (!g_file_get_contents (path, &text, &len, &failure))
+    {
+      (void)fprintf (stderr, "%s: %s\n", path, failure->message);
+      return false;
+    }
+  file->document = json_loadb (text, len, JSON_REJECT_DUPLICATES, &where);
+  if (file->document == NULL)
+    {
+      (void)fprintf (stderr, "%s:%d: %s\n", path, where.line, where.text);
+      return false;
+    }
+  file->key = make_key (path, file->document);
+  if (kcp_config_check_document (file->key, file->document, &error))
+    return true;
+  (void)fprintf (stderr, "%s:%d: %s\n", path, find_line (text, file->key, error.detail),
+                 error.detail);
+  kcp_document_file_clear (file);
+  return false;
+}
+
+/* Frees what a file holds. */
+void
+kcp_document_file_clear (struct kcp_document_file *file)
+{
+  g_free (file->key);
+  json_decref (file->document);
+  *file = (struct kcp_document_file){ 0 };
+}
+
+static char *
+make_key (const char *path, json_t *document)
+{
+  g_autofree char *name = g_path_get_basename (path);
+  bool team = json_object_get (document, "key_hashes") != NULL;
+
+  if (g_str_has_suffix (name, SUFFIX))
+    name[strlen (name) - strlen (SUFFIX)] = '\0';
+  return g_strconcat (team ? "teams/" : "profiles/", name, NULL);
+}
+
+/* Returns the line of the member that an error "document: member: what" is about, or 1;
+   jansson keeps no line numbers. */
+static int
+find_line (const char *text, const char *key, const char *detail)
+{
+  size_t skip = strlen (key) + strlen (": ");
+  g_autofree char *member = NULL;
+  g_autofree char *quoted = NULL;
+  const char *at;
+  int line = 1;
+
+  if (strlen (detail) <= skip)
+    return line;
+  member = g_strndup (detail + skip, strcspn (detail + skip, ":["));
+  quoted = g_strdup_printf ("\"%s\"", member);
+  at = strstr (text, quoted);
+  for (const char *c = text; at != NULL && c < at; c++)
+    line += *c == '\n';
+  return line;
+}
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -1,9 +1,11 @@
 #include <curl/curl.h>
+#include <locale.h>
 #include <sodium.h>
 #include <stdio.h>
 #include <string.h>
 
 #include "cmd/cmd.h"
+#include "cmd/options.h"
 
 #define VERSION "0.1.0"
 
@@ -19,7 +21,11 @@
 
 static const struct command commands[] = {
   { "serve", kcp_cmd_serve, "run the entry process of one VM" },
-  { "check", kcp_cmd_check, "validate settings and profile files" },
+  { "check", kcp_cmd_check, "validate settings, profile and team files" },
+  { "publish", kcp_cmd_publish, "publish profiles and teams" },
+  { "profiles", kcp_cmd_profiles, "show the profiles and teams in force" },
+  { "status", kcp_cmd_status, "show configuration, VMs and backend servers" },
+  { "timeline", kcp_cmd_timeline, "merge the time lines of processes" },
   { "version", show_version, "print the version" },
   { "--help", show_help, "print this text" },
 };
@@ -28,6 +34,7 @@
 int
 main (int argc, char **argv)
 {
+  (void)setlocale (LC_ALL, "");
   if (sodium_init () < 0 || curl_global_init (CURL_GLOBAL_DEFAULT) != CURLE_OK)
     {
       (void)fprintf (stderr, "kingcuppoint: a library could not be initialised\n");
@@ -43,8 +50,10 @@
 static int
 show_version (int argc, char **argv)
 {
-  (void)argc;
-  (void)argv;
+  const GOptionEntry entries[] = { { 0 } };
+
+  if (!kcp_options_parse (&argc, &argv, entries, NULL, "kingcuppoint version"))
+    return KCP_EXIT_USAGE;
   (void)puts ("kingcuppoint " VERSION);
   return KCP_EXIT_OK;
 }
--- a/src/profile/config.c
+++ b/src/profile/config.c
@@ -344,24 +344,25 @@
   return document;
 }
 
-/* Returns a new object that maps each key with this prefix to its version. */
+/* Returns a new object that maps each key with this prefix, in order, to its version. */
 json_t *
 kcp_config_keys (struct kcp_config *config, const char *prefix)
 {
   json_t *keys = json_object ();
-  GHashTableIter iter;
-  gpointer value;
+  GList *sorted;
 
   pthread_mutex_lock (&config->lock);
-  g_hash_table_iter_init (&iter, config->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
+  sorted = g_list_sort (g_hash_table_get_keys (config->entries), (GCompareFunc)strcmp);
+  for (const GList *at = sorted; at != NULL; at = at->next)
     {
-      const struct kcp_config_entry *entry = value;
+      const struct kcp_config_entry *entry
+          = g_hash_table_lookup (config->entries, at->data);
 
       if (entry->document != NULL && g_str_has_prefix (entry->key, prefix))
         json_object_set_new (keys, entry->key, json_integer ((json_int_t)entry->version));
     }
   pthread_mutex_unlock (&config->lock);
+  g_list_free (sorted);
   return keys;
 }
 
