--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 CHECKLIBS = $(shell pkg-config --libs check)
 LDFLAGS += $(SANFLAGS)
 
-SRC = $(sort $(wildcard src/*/*.c))
+SRC = $(sort $(wildcard src/*/*.c src/*/gen/*.c))
 LIBSRC = $(filter-out src/cmd/main.c,$(SRC))
 STANDIN = $(sort $(wildcard standin/*.c))
 HARNESS = $(sort $(wildcard tests/harness/*.c))
--- /dev/null
+++ b/src/peer/codec.c
@@ -0,0 +1,338 @@
+#include "peer/codec.h"
+
+#include <string.h>
+
+#define PLAIN_MAX          (KCP_WIRE_BOX_MAX - crypto_secretbox_MACBYTES)
+#define RPC_CALL_BYTES     40 /* ONC RPC call without credentials */
+#define BOX_LENGTH_BYTES   4
+#define DATAGRAM_IP_HEADER 28 /* IPv4 and UDP */
+
+G_STATIC_ASSERT (KCP_WIRE_NONCE == crypto_secretbox_NONCEBYTES);
+G_STATIC_ASSERT (KCP_WIRE_BUCKETS == KCP_FACTS_BUCKETS);
+G_STATIC_ASSERT (KCP_WIRE_CHUNK_MAX == KCP_MESSAGE_CHUNK_MAX);
+G_STATIC_ASSERT (KCP_WIRE_FACTS_MAX == KCP_MESSAGE_FACTS_MAX);
+
+static bool encode (const struct kcp_message *message, char *plain, size_t *len);
+static void to_wire_body (const struct kcp_message *message, struct kcp_wire_body *wire);
+static void to_wire_fact (const struct kcp_fact *fact, struct kcp_wire_fact *wire);
+static bool from_wire (const struct kcp_wire_message *wire, struct kcp_message *message);
+static bool
+from_wire_body (const struct kcp_wire_body *wire, struct kcp_message *message);
+static bool from_wire_fact (const struct kcp_wire_fact *wire, struct kcp_fact *fact);
+static bool copy_text (char *out, size_t size, const char *text);
+static bool copy_id (char *out, const char *text);
+
+/* Reads a key of 64 hexadecimal digits. */
+bool
+kcp_peer_key_parse (const char *hex, struct kcp_peer_key *key)
+{
+  size_t len;
+
+  return sodium_hex2bin (key->bytes, sizeof key->bytes, hex, strlen (hex), NULL, &len,
+                         NULL)
+             == 0
+         && len == sizeof key->bytes;
+}
+
+/* Encodes, encrypts and authenticates a message. sealed->box.box_val has room for
+   KCP_WIRE_BOX_MAX bytes. Returns false if the message does not fit. */
+bool
+kcp_codec_seal (const struct kcp_peer_key *key, const struct kcp_message *message,
+                struct kcp_wire_sealed *sealed)
+{
+  char plain[PLAIN_MAX];
+  size_t len;
+
+  if (!encode (message, plain, &len))
+    return false;
+  randombytes_buf (sealed->nonce, sizeof sealed->nonce);
+  (void)crypto_secretbox_easy ((unsigned char *)sealed->box.box_val,
+                               (unsigned char *)plain, len,
+                               (unsigned char *)sealed->nonce, key->bytes);
+  sealed->box.box_len = (u_int)(len + crypto_secretbox_MACBYTES);
+  return true;
+}
+
+/* Checks, decrypts and decodes a message. The caller clears it after success; after a
+   failure it holds nothing. */
+bool
+kcp_codec_open (const struct kcp_peer_key *key, const struct kcp_wire_sealed *sealed,
+                struct kcp_message *message)
+{
+  char plain[PLAIN_MAX];
+  struct kcp_wire_message wire = { 0 };
+  size_t len = sealed->box.box_len;
+  bool ok = false;
+  XDR xdr;
+
+  *message = (struct kcp_message){ .facts = NULL };
+  if (len < crypto_secretbox_MACBYTES || len > KCP_WIRE_BOX_MAX)
+    return false;
+  if (crypto_secretbox_open_easy ((unsigned char *)plain,
+                                  (const unsigned char *)sealed->box.box_val, len,
+                                  (const unsigned char *)sealed->nonce, key->bytes)
+      != 0)
+    return false;
+  xdrmem_create (&xdr, plain, (u_int)(len - crypto_secretbox_MACBYTES), XDR_DECODE);
+  if (xdr_kcp_wire_message (&xdr, &wire))
+    ok = from_wire (&wire, message);
+  xdr_destroy (&xdr);
+  xdr_free ((xdrproc_t)xdr_kcp_wire_message, &wire);
+  if (!ok)
+    kcp_message_clear (message);
+  return ok;
+}
+
+/* Returns the bytes that a sealed message takes on the network, with the headers of RPC,
+   UDP and IP. */
+size_t
+kcp_codec_bytes (const struct kcp_wire_sealed *sealed)
+{
+  size_t padded = (sealed->box.box_len + BYTES_PER_XDR_UNIT - 1) / BYTES_PER_XDR_UNIT
+                  * BYTES_PER_XDR_UNIT;
+
+  return DATAGRAM_IP_HEADER + RPC_CALL_BYTES + KCP_WIRE_NONCE + BOX_LENGTH_BYTES + padded;
+}
+
+static bool
+encode (const struct kcp_message *message, char *plain, size_t *len)
+{
+  struct kcp_wire_fact facts[KCP_WIRE_FACTS_MAX];
+  struct kcp_wire_message wire = {
+    .from = (char *)message->from,
+    .to = (char *)message->to,
+    .from_session = message->from_session,
+    .to_session = message->to_session,
+    .sequence = message->sequence,
+    .stamp = message->stamp,
+    .facts.facts_val = facts,
+  };
+  bool ok;
+  XDR xdr;
+
+  wire.facts.facts_len = MIN (message->facts->len, KCP_WIRE_FACTS_MAX);
+  for (u_int i = 0; i < wire.facts.facts_len; i++)
+    to_wire_fact (&g_array_index (message->facts, struct kcp_fact, i), &facts[i]);
+  to_wire_body (message, &wire.body);
+  xdrmem_create (&xdr, plain, PLAIN_MAX, XDR_ENCODE);
+  ok = xdr_kcp_wire_message (&xdr, &wire);
+  *len = xdr_getpos (&xdr);
+  xdr_destroy (&xdr);
+  return ok;
+}
+
+static void
+to_wire_body (const struct kcp_message *message, struct kcp_wire_body *wire)
+{
+  wire->kind = message->kind;
+  switch (message->kind)
+    {
+    case KCP_MESSAGE_PROBE:
+    case KCP_MESSAGE_ACK:
+    case KCP_MESSAGE_INDIRECT_PROBE:
+      wire->kcp_wire_body_u.probe = (struct kcp_wire_probe){
+        .number = message->of.probe.number,
+        .target = (char *)message->of.probe.target,
+        .config_age_ns = message->of.probe.config_age_ns,
+      };
+      break;
+    case KCP_MESSAGE_DIGEST:
+      wire->kcp_wire_body_u.digest.answer = message->of.digest.answer;
+      for (int i = 0; i < KCP_WIRE_BUCKETS; i++)
+        wire->kcp_wire_body_u.digest.buckets[i] = message->of.digest.digest.buckets[i];
+      break;
+    case KCP_MESSAGE_PULL:
+      wire->kcp_wire_body_u.pull = (struct kcp_wire_pull){
+        .number = message->of.pull.number,
+        .since = message->of.pull.since,
+        .first = message->of.pull.first,
+        .count = message->of.pull.count,
+      };
+      break;
+    case KCP_MESSAGE_CHUNK:
+      wire->kcp_wire_body_u.chunk = (struct kcp_wire_chunk){
+        .number = message->of.chunk.number,
+        .snapshot = message->of.chunk.snapshot,
+        .total = message->of.chunk.total,
+        .index = message->of.chunk.index,
+        .data = { message->of.chunk.len, (char *)message->of.chunk.data },
+      };
+      break;
+    case KCP_MESSAGE_FACTS:
+    case KCP_MESSAGE_KINDS:
+      break;
+    }
+}
+
+static void
+to_wire_fact (const struct kcp_fact *fact, struct kcp_wire_fact *wire)
+{
+  *wire = (struct kcp_wire_fact){
+    .id = (char *)fact->id,
+    .number = fact->number,
+    .state = fact->state,
+    .expires_ms = fact->expires_ms,
+    .payload.kind = fact->kind,
+  };
+  switch (fact->kind)
+    {
+    case KCP_FACT_VM:
+      wire->payload.kcp_wire_payload_u.vm = (struct kcp_wire_place){
+        .data_center = (char *)fact->of.vm.data_center,
+        .address = (char *)fact->of.vm.address,
+        .port = fact->of.vm.port,
+      };
+      break;
+    case KCP_FACT_CONFIG:
+      wire->payload.kcp_wire_payload_u.config = (struct kcp_wire_config){
+        .number = fact->of.config.version,
+        .digest = fact->of.config.digest,
+        .loaded = fact->of.config.loaded,
+      };
+      break;
+    case KCP_FACT_BACKEND:
+      wire->payload.kcp_wire_payload_u.incarnation = (char *)fact->of.incarnation;
+      break;
+    case KCP_FACT_LOAD:
+      wire->payload.kcp_wire_payload_u.load = (struct kcp_wire_load){
+        .running = fact->of.load.running,
+        .waiting = fact->of.load.waiting,
+      };
+      break;
+    case KCP_FACT_QUARANTINE:
+    case KCP_FACT_KINDS:
+      break;
+    }
+}
+
+static bool
+from_wire (const struct kcp_wire_message *wire, struct kcp_message *message)
+{
+  if (!copy_id (message->from, wire->from) || !copy_id (message->to, wire->to)
+      || !from_wire_body (&wire->body, message))
+    return false;
+  message->from_session = wire->from_session;
+  message->to_session = wire->to_session;
+  message->sequence = wire->sequence;
+  message->stamp = wire->stamp;
+  message->facts
+      = g_array_sized_new (FALSE, FALSE, sizeof (struct kcp_fact), wire->facts.facts_len);
+  for (u_int i = 0; i < wire->facts.facts_len; i++)
+    {
+      struct kcp_fact fact;
+
+      if (!from_wire_fact (&wire->facts.facts_val[i], &fact))
+        return false;
+      g_array_append_val (message->facts, fact);
+    }
+  return true;
+}
+
+static bool
+from_wire_body (const struct kcp_wire_body *wire, struct kcp_message *message)
+{
+  const struct kcp_wire_probe *probe = &wire->kcp_wire_body_u.probe;
+  const struct kcp_wire_chunk *chunk = &wire->kcp_wire_body_u.chunk;
+
+  if (wire->kind >= KCP_MESSAGE_KINDS)
+    return false;
+  message->kind = wire->kind;
+  switch (message->kind)
+    {
+    case KCP_MESSAGE_PROBE:
+    case KCP_MESSAGE_ACK:
+    case KCP_MESSAGE_INDIRECT_PROBE:
+      message->of.probe.number = probe->number;
+      message->of.probe.config_age_ns = probe->config_age_ns;
+      return copy_text (message->of.probe.target, KCP_FACT_ID_MAX, probe->target);
+    case KCP_MESSAGE_DIGEST:
+      message->of.digest.answer = wire->kcp_wire_body_u.digest.answer;
+      for (int i = 0; i < KCP_WIRE_BUCKETS; i++)
+        message->of.digest.digest.buckets[i] = wire->kcp_wire_body_u.digest.buckets[i];
+      return true;
+    case KCP_MESSAGE_PULL:
+      message->of.pull = (struct kcp_message_pull){
+        .number = wire->kcp_wire_body_u.pull.number,
+        .since = wire->kcp_wire_body_u.pull.since,
+        .first = wire->kcp_wire_body_u.pull.first,
+        .count = wire->kcp_wire_body_u.pull.count,
+      };
+      return true;
+    case KCP_MESSAGE_CHUNK:
+      message->of.chunk = (struct kcp_message_chunk){
+        .number = chunk->number,
+        .snapshot = chunk->snapshot,
+        .total = chunk->total,
+        .index = chunk->index,
+        .len = chunk->data.data_len,
+      };
+      if (chunk->data.data_len > 0)
+        memcpy (message->of.chunk.data, chunk->data.data_val, chunk->data.data_len);
+      return true;
+    case KCP_MESSAGE_FACTS:
+      return true;
+    case KCP_MESSAGE_KINDS:
+      break;
+    }
+  return false;
+}
+
+/* Zeroes what a fact does not use, so that equal facts are equal in all bytes. */
+static bool
+from_wire_fact (const struct kcp_wire_fact *wire, struct kcp_fact *fact)
+{
+  const struct kcp_wire_place *place = &wire->payload.kcp_wire_payload_u.vm;
+  const struct kcp_wire_config *config = &wire->payload.kcp_wire_payload_u.config;
+  const struct kcp_wire_load *load = &wire->payload.kcp_wire_payload_u.load;
+
+  if (wire->payload.kind >= KCP_FACT_KINDS || wire->expires_ms < 0)
+    return false;
+  memset (fact, 0, sizeof *fact);
+  fact->kind = wire->payload.kind;
+  fact->number = wire->number;
+  fact->state = wire->state;
+  fact->expires_ms = wire->expires_ms;
+  if (!copy_id (fact->id, wire->id))
+    return false;
+  switch (fact->kind)
+    {
+    case KCP_FACT_VM:
+      fact->of.vm.port = (uint16_t)place->port;
+      return fact->state < KCP_VM_STATES && place->port <= UINT16_MAX
+             && copy_id (fact->of.vm.data_center, place->data_center)
+             && copy_text (fact->of.vm.address, KCP_FACT_ADDRESS_MAX, place->address);
+    case KCP_FACT_CONFIG:
+      fact->of.config = (struct kcp_config_told){
+        .version = config->number,
+        .digest = config->digest,
+        .loaded = config->loaded,
+      };
+      return true;
+    case KCP_FACT_BACKEND:
+      return copy_text (fact->of.incarnation, KCP_FACT_INCARNATION_MAX,
+                        wire->payload.kcp_wire_payload_u.incarnation);
+    case KCP_FACT_LOAD:
+      fact->of.load = (struct kcp_load_sums){
+        .running = load->running,
+        .waiting = load->waiting,
+      };
+      return true;
+    case KCP_FACT_QUARANTINE:
+      return true;
+    case KCP_FACT_KINDS:
+      break;
+    }
+  return false;
+}
+
+static bool
+copy_text (char *out, size_t size, const char *text)
+{
+  return text != NULL && g_strlcpy (out, text, size) < size;
+}
+
+static bool
+copy_id (char *out, const char *text)
+{
+  return copy_text (out, KCP_FACT_ID_MAX, text) && out[0] != '\0';
+}
--- /dev/null
+++ b/src/peer/fact.c
@@ -0,0 +1,183 @@
+#include "peer/fact.h"
+
+#include <glib.h>
+#include <string.h>
+#include <xxhash.h>
+
+struct fact_kind
+{
+  const char *name;
+  bool inside; /* told only to VMs of the same data center */
+};
+
+static const struct fact_kind kinds[KCP_FACT_KINDS] = {
+  [KCP_FACT_VM] = { "vm", false },
+  [KCP_FACT_CONFIG] = { "config", false },
+  [KCP_FACT_BACKEND] = { "backend", true },
+  [KCP_FACT_QUARANTINE] = { "quarantine", false },
+  [KCP_FACT_LOAD] = { "load", false },
+};
+
+static const char *const state_names[KCP_VM_STATES] = {
+  [KCP_VM_ALIVE] = "alive",
+  [KCP_VM_LEAVING] = "leaving",
+  [KCP_VM_SUSPECT] = "suspect",
+  [KCP_VM_DEAD] = "dead",
+};
+
+static int compare_u64 (uint64_t a, uint64_t b);
+static int compare_content (const struct kcp_fact *a, const struct kcp_fact *b);
+static int compare_place (const struct kcp_vm_place *a, const struct kcp_vm_place *b);
+static uint64_t hash_text (uint64_t hash, const char *text);
+static uint64_t hash_u64 (uint64_t hash, uint64_t value);
+
+/* Compares two facts of the same key: by number, state, expiry and then content, so that
+   of two different facts one is always greater. */
+int
+kcp_fact_compare (const struct kcp_fact *a, const struct kcp_fact *b)
+{
+  int order = compare_u64 (a->number, b->number);
+
+  if (order == 0)
+    order = compare_u64 (a->state, b->state);
+  if (order == 0)
+    order = compare_u64 ((uint64_t)a->expires_ms, (uint64_t)b->expires_ms);
+  if (order == 0)
+    order = compare_content (a, b);
+  return order;
+}
+
+/* Returns a hash of the whole fact, the same on every VM. */
+uint64_t
+kcp_fact_hash (const struct kcp_fact *fact)
+{
+  uint64_t hash = kcp_fact_key_hash (fact);
+
+  hash = hash_u64 (hash, fact->number);
+  hash = hash_u64 (hash, fact->state);
+  hash = hash_u64 (hash, (uint64_t)fact->expires_ms);
+  switch (fact->kind)
+    {
+    case KCP_FACT_VM:
+      hash = hash_text (hash, fact->of.vm.data_center);
+      hash = hash_text (hash, fact->of.vm.address);
+      hash = hash_u64 (hash, fact->of.vm.port);
+      break;
+    case KCP_FACT_CONFIG:
+      hash = hash_u64 (hash, fact->of.config.version);
+      hash = hash_u64 (hash, fact->of.config.digest);
+      hash = hash_u64 (hash, fact->of.config.loaded);
+      break;
+    case KCP_FACT_BACKEND:
+      hash = hash_text (hash, fact->of.incarnation);
+      break;
+    case KCP_FACT_LOAD:
+      hash = hash_u64 (hash, (uint64_t)fact->of.load.running);
+      hash = hash_u64 (hash, (uint64_t)fact->of.load.waiting);
+      break;
+    case KCP_FACT_QUARANTINE:
+    case KCP_FACT_KINDS:
+      break;
+    }
+  return hash;
+}
+
+/* Returns a hash of the kind and id, the same on every VM. */
+uint64_t
+kcp_fact_key_hash (const struct kcp_fact *fact)
+{
+  return XXH64 (fact->id, strlen (fact->id), (XXH64_hash_t)fact->kind);
+}
+
+/* Tells whether two facts are about the same thing. */
+bool
+kcp_fact_is_same_key (const struct kcp_fact *a, const struct kcp_fact *b)
+{
+  return a->kind == b->kind && strcmp (a->id, b->id) == 0;
+}
+
+/* Tells whether facts of a kind are told only to VMs of the same data center. */
+bool
+kcp_fact_stays_inside (enum kcp_fact_kind kind)
+{
+  return kinds[kind].inside;
+}
+
+/* Returns the name of a kind. */
+const char *
+kcp_fact_kind_name (enum kcp_fact_kind kind)
+{
+  return kinds[kind].name;
+}
+
+/* Returns the name of a VM's state. */
+const char *
+kcp_vm_state_name (enum kcp_vm_state state)
+{
+  return state_names[state];
+}
+
+static int
+compare_u64 (uint64_t a, uint64_t b)
+{
+  return (a > b) - (a < b);
+}
+
+static int
+compare_content (const struct kcp_fact *a, const struct kcp_fact *b)
+{
+  int order = 0;
+
+  switch (a->kind)
+    {
+    case KCP_FACT_VM:
+      order = compare_place (&a->of.vm, &b->of.vm);
+      break;
+    case KCP_FACT_CONFIG:
+      order = compare_u64 (a->of.config.version, b->of.config.version);
+      if (order == 0)
+        order = compare_u64 (a->of.config.digest, b->of.config.digest);
+      if (order == 0)
+        order = compare_u64 (a->of.config.loaded, b->of.config.loaded);
+      break;
+    case KCP_FACT_BACKEND:
+      order = strcmp (a->of.incarnation, b->of.incarnation);
+      break;
+    case KCP_FACT_LOAD:
+      order = compare_u64 ((uint64_t)a->of.load.running, (uint64_t)b->of.load.running);
+      if (order == 0)
+        order = compare_u64 ((uint64_t)a->of.load.waiting, (uint64_t)b->of.load.waiting);
+      break;
+    case KCP_FACT_QUARANTINE:
+    case KCP_FACT_KINDS:
+      break;
+    }
+  return order;
+}
+
+static int
+compare_place (const struct kcp_vm_place *a, const struct kcp_vm_place *b)
+{
+  int order = strcmp (a->data_center, b->data_center);
+
+  if (order == 0)
+    order = strcmp (a->address, b->address);
+  if (order == 0)
+    order = (a->port > b->port) - (a->port < b->port);
+  return order;
+}
+
+static uint64_t
+hash_text (uint64_t hash, const char *text)
+{
+  return XXH64 (text, strlen (text), hash);
+}
+
+/* Hashes the value's bytes from the least significant one, on every machine alike. */
+static uint64_t
+hash_u64 (uint64_t hash, uint64_t value)
+{
+  uint64_t little = GUINT64_TO_LE (value);
+
+  return XXH64 (&little, sizeof little, hash);
+}
--- /dev/null
+++ b/src/peer/facts.c
@@ -0,0 +1,360 @@
+#include "peer/facts.h"
+
+#include <string.h>
+
+#define FIXED_BYTES  32 /* encoded: kind, length of the id, numbers and expiry */
+#define PLACE_BYTES  12 /* encoded: lengths and port */
+#define CONFIG_BYTES 20 /* encoded: version, digest and whether loaded */
+#define XDR_UNIT     4
+
+/* The most facts held of each kind. A full kind keeps those that expire last and, of
+   these, the greatest ids, so that all VMs keep the same ones. */
+static const size_t capacities[KCP_FACT_KINDS] = {
+  [KCP_FACT_VM] = 2048,         [KCP_FACT_CONFIG] = 2048, [KCP_FACT_BACKEND] = 8192,
+  [KCP_FACT_QUARANTINE] = 2048, [KCP_FACT_LOAD] = 128,
+};
+
+struct entry
+{
+  struct kcp_fact fact;
+  unsigned sent; /* how often it was passed on since it changed */
+  bool fresh;    /* is in the list of those to pass on */
+};
+
+struct kcp_facts
+{
+  GHashTable *tables[KCP_FACT_KINDS]; /* id in the entry, struct entry */
+  GPtrArray *fresh;                   /* struct entry, those to pass on */
+};
+
+static bool make_room (struct kcp_facts *facts, const struct kcp_fact *fact);
+static bool is_kept_before (const struct kcp_fact *a, const struct kcp_fact *b);
+static void add_fresh (struct kcp_facts *facts, struct entry *entry);
+static void drop_fresh (struct kcp_facts *facts, struct entry *entry);
+static void drop (struct kcp_facts *facts, struct entry *entry);
+static struct entry *
+next_to_send (const struct kcp_facts *facts, const struct kcp_facts_scope *scope,
+              size_t left, const GArray *out);
+static bool is_in (const GArray *facts, const struct kcp_fact *fact);
+static size_t text_bytes (const char *text);
+
+/* Makes an empty table. */
+struct kcp_facts *
+kcp_facts_new (void)
+{
+  struct kcp_facts *facts = g_new0 (struct kcp_facts, 1);
+
+  for (int i = 0; i < KCP_FACT_KINDS; i++)
+    facts->tables[i] = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free);
+  facts->fresh = g_ptr_array_new ();
+  return facts;
+}
+
+/* Frees the table; NULL is allowed. */
+void
+kcp_facts_free (struct kcp_facts *facts)
+{
+  if (facts == NULL)
+    return;
+  g_ptr_array_unref (facts->fresh);
+  for (int i = 0; i < KCP_FACT_KINDS; i++)
+    g_hash_table_unref (facts->tables[i]);
+  g_free (facts);
+}
+
+/* Keeps the greater of a fact and the one held. Returns whether the table changed; the
+   fact is then passed on. An expired fact changes nothing. now_ms is since the epoch. */
+bool
+kcp_facts_join (struct kcp_facts *facts, const struct kcp_fact *fact, int64_t now_ms)
+{
+  struct entry *entry = g_hash_table_lookup (facts->tables[fact->kind], fact->id);
+
+  if (fact->expires_ms != 0 && fact->expires_ms <= now_ms)
+    return false;
+  if (entry != NULL && kcp_fact_compare (fact, &entry->fact) <= 0)
+    return false;
+  if (entry == NULL)
+    {
+      if (!make_room (facts, fact))
+        return false;
+      entry = g_new0 (struct entry, 1);
+      entry->fact = *fact;
+      g_hash_table_insert (facts->tables[fact->kind], entry->fact.id, entry);
+    }
+  entry->fact = *fact;
+  entry->sent = 0;
+  add_fresh (facts, entry);
+  return true;
+}
+
+/* Returns the fact held, valid until the table changes, or NULL. */
+const struct kcp_fact *
+kcp_facts_get (const struct kcp_facts *facts, enum kcp_fact_kind kind, const char *id)
+{
+  const struct entry *entry = g_hash_table_lookup (facts->tables[kind], id);
+
+  return entry != NULL ? &entry->fact : NULL;
+}
+
+/* Forgets a fact. It comes back if another VM still tells it. */
+void
+kcp_facts_remove (struct kcp_facts *facts, enum kcp_fact_kind kind, const char *id)
+{
+  struct entry *entry = g_hash_table_lookup (facts->tables[kind], id);
+
+  if (entry != NULL)
+    drop (facts, entry);
+}
+
+/* Forgets every fact that expired by now_ms. */
+void
+kcp_facts_expire (struct kcp_facts *facts, int64_t now_ms)
+{
+  for (int kind = 0; kind < KCP_FACT_KINDS; kind++)
+    {
+      g_autoptr (GPtrArray) list = kcp_facts_list (facts, kind);
+
+      for (guint i = 0; i < list->len; i++)
+        {
+          const struct kcp_fact *fact = g_ptr_array_index (list, i);
+
+          if (fact->expires_ms != 0 && fact->expires_ms <= now_ms)
+            kcp_facts_remove (facts, kind, fact->id);
+        }
+    }
+}
+
+/* Returns how many facts of a kind are held. */
+size_t
+kcp_facts_count (const struct kcp_facts *facts, enum kcp_fact_kind kind)
+{
+  return g_hash_table_size (facts->tables[kind]);
+}
+
+/* Returns the facts of a kind as a new array of const struct kcp_fact pointers, which
+   are valid until the table changes. */
+GPtrArray *
+kcp_facts_list (const struct kcp_facts *facts, enum kcp_fact_kind kind)
+{
+  GPtrArray *list = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, facts->tables[kind]);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_add (list, &((struct entry *)value)->fact);
+  return list;
+}
+
+/* Returns the bytes that a fact takes in a message. */
+size_t
+kcp_facts_encoded_bytes (const struct kcp_fact *fact)
+{
+  size_t bytes = FIXED_BYTES + text_bytes (fact->id);
+
+  switch (fact->kind)
+    {
+    case KCP_FACT_VM:
+      bytes += PLACE_BYTES + text_bytes (fact->of.vm.data_center)
+               + text_bytes (fact->of.vm.address);
+      break;
+    case KCP_FACT_CONFIG:
+      bytes += CONFIG_BYTES;
+      break;
+    case KCP_FACT_BACKEND:
+      bytes += XDR_UNIT + text_bytes (fact->of.incarnation);
+      break;
+    case KCP_FACT_LOAD:
+      bytes += sizeof (struct kcp_load_sums);
+      break;
+    case KCP_FACT_QUARANTINE:
+    case KCP_FACT_KINDS:
+      break;
+    }
+  return bytes;
+}
+
+/* Tells whether there are facts to pass on. */
+bool
+kcp_facts_has_fresh (const struct kcp_facts *facts)
+{
+  return facts->fresh->len > 0;
+}
+
+/* Appends to out the facts to pass on that fit, those sent least often first. */
+void
+kcp_facts_pick (struct kcp_facts *facts, struct kcp_facts_scope scope, GArray *out)
+{
+  size_t left = scope.budget_bytes;
+  struct entry *entry;
+
+  while (out->len < scope.budget_facts
+         && (entry = next_to_send (facts, &scope, left, out)) != NULL)
+    {
+      left -= kcp_facts_encoded_bytes (&entry->fact);
+      g_array_append_val (out, entry->fact);
+      if (++entry->sent >= scope.copies)
+        drop_fresh (facts, entry);
+    }
+}
+
+/* Computes the digest of what may be told to a VM of the same, or another, data center.
+ */
+void
+kcp_facts_digest (const struct kcp_facts *facts, bool same_data_center,
+                  struct kcp_facts_digest *digest)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  *digest = (struct kcp_facts_digest){ .buckets = { 0 } };
+  for (int kind = 0; kind < KCP_FACT_KINDS; kind++)
+    {
+      if (kcp_fact_stays_inside (kind) && !same_data_center)
+        continue;
+      g_hash_table_iter_init (&iter, facts->tables[kind]);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          const struct kcp_fact *fact = &((struct entry *)value)->fact;
+
+          digest->buckets[kcp_fact_key_hash (fact) % KCP_FACTS_BUCKETS]
+              ^= kcp_fact_hash (fact);
+        }
+    }
+}
+
+/* Appends to out facts of those buckets whose digest differs from theirs, as many as fit,
+   beginning with number start modulo their count. Returns their count. */
+size_t
+kcp_facts_differing (const struct kcp_facts *facts, struct kcp_facts_scope scope,
+                     const struct kcp_facts_digest *theirs, uint64_t start, GArray *out)
+{
+  g_autoptr (GPtrArray) candidates = g_ptr_array_new ();
+  struct kcp_facts_digest ours;
+  size_t left = scope.budget_bytes;
+  GHashTableIter iter;
+  gpointer value;
+
+  kcp_facts_digest (facts, scope.same_data_center, &ours);
+  for (int kind = 0; kind < KCP_FACT_KINDS; kind++)
+    {
+      if (kcp_fact_stays_inside (kind) && !scope.same_data_center)
+        continue;
+      g_hash_table_iter_init (&iter, facts->tables[kind]);
+      while (g_hash_table_iter_next (&iter, NULL, &value))
+        {
+          uint64_t bucket = kcp_fact_key_hash (&((struct entry *)value)->fact);
+
+          bucket %= KCP_FACTS_BUCKETS;
+          if (ours.buckets[bucket] != theirs->buckets[bucket])
+            g_ptr_array_add (candidates, &((struct entry *)value)->fact);
+        }
+    }
+  for (guint i = 0; i < candidates->len && out->len < scope.budget_facts; i++)
+    {
+      const struct kcp_fact *fact
+          = g_ptr_array_index (candidates, (guint)((start + i) % candidates->len));
+      size_t bytes = kcp_facts_encoded_bytes (fact);
+
+      if (bytes > left)
+        break;
+      left -= bytes;
+      g_array_append_vals (out, fact, 1);
+    }
+  return candidates->len;
+}
+
+/* Makes room for a new fact of a full kind by dropping the one that is kept last.
+   Returns false if that would be the new one. */
+static bool
+make_room (struct kcp_facts *facts, const struct kcp_fact *fact)
+{
+  struct entry *last = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (kcp_facts_count (facts, fact->kind) < capacities[fact->kind])
+    return true;
+  g_hash_table_iter_init (&iter, facts->tables[fact->kind]);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (last == NULL || is_kept_before (&last->fact, &((struct entry *)value)->fact))
+      last = value;
+  if (last == NULL || !is_kept_before (fact, &last->fact))
+    return false;
+  drop (facts, last);
+  return true;
+}
+
+static bool
+is_kept_before (const struct kcp_fact *a, const struct kcp_fact *b)
+{
+  uint64_t a_expiry = a->expires_ms == 0 ? UINT64_MAX : (uint64_t)a->expires_ms;
+  uint64_t b_expiry = b->expires_ms == 0 ? UINT64_MAX : (uint64_t)b->expires_ms;
+
+  if (a_expiry != b_expiry)
+    return a_expiry > b_expiry;
+  return strcmp (a->id, b->id) > 0;
+}
+
+static void
+add_fresh (struct kcp_facts *facts, struct entry *entry)
+{
+  if (entry->fresh)
+    return;
+  entry->fresh = true;
+  g_ptr_array_add (facts->fresh, entry);
+}
+
+static void
+drop_fresh (struct kcp_facts *facts, struct entry *entry)
+{
+  if (!entry->fresh)
+    return;
+  entry->fresh = false;
+  (void)g_ptr_array_remove_fast (facts->fresh, entry);
+}
+
+static void
+drop (struct kcp_facts *facts, struct entry *entry)
+{
+  drop_fresh (facts, entry);
+  (void)g_hash_table_remove (facts->tables[entry->fact.kind], entry->fact.id);
+}
+
+static struct entry *
+next_to_send (const struct kcp_facts *facts, const struct kcp_facts_scope *scope,
+              size_t left, const GArray *out)
+{
+  struct entry *least = NULL;
+
+  for (guint i = 0; i < facts->fresh->len; i++)
+    {
+      struct entry *entry = g_ptr_array_index (facts->fresh, i);
+
+      if (least != NULL && entry->sent >= least->sent)
+        continue;
+      if (kcp_fact_stays_inside (entry->fact.kind) && !scope->same_data_center)
+        continue;
+      if (kcp_facts_encoded_bytes (&entry->fact) > left || is_in (out, &entry->fact))
+        continue;
+      least = entry;
+    }
+  return least;
+}
+
+static bool
+is_in (const GArray *facts, const struct kcp_fact *fact)
+{
+  for (guint i = 0; i < facts->len; i++)
+    if (kcp_fact_is_same_key (&g_array_index (facts, struct kcp_fact, i), fact))
+      return true;
+  return false;
+}
+
+static size_t
+text_bytes (const char *text)
+{
+  size_t len = strlen (text);
+
+  return (len + XDR_UNIT - 1) / XDR_UNIT * XDR_UNIT;
+}
--- /dev/null
+++ b/src/peer/facts.h
@@ -0,0 +1,50 @@
+/* The table of facts a VM holds, with those it has yet to pass on. Not locked: one
+   thread at a time. */
+#ifndef KCP_PEER_FACTS_H
+#define KCP_PEER_FACTS_H
+
+#include <glib.h>
+#include <stddef.h>
+
+#include "peer/fact.h"
+
+#define KCP_FACTS_BUCKETS 64
+
+/* Hashes of the facts, by bucket of their key. Equal tables have equal digests. */
+struct kcp_facts_digest
+{
+  uint64_t buckets[KCP_FACTS_BUCKETS];
+};
+
+/* What may be passed on to one receiver. */
+struct kcp_facts_scope
+{
+  bool same_data_center;
+  unsigned copies;     /* how often a fact is passed on before it rests */
+  size_t budget_bytes; /* of encoded facts */
+  size_t budget_facts;
+};
+
+struct kcp_facts;
+
+struct kcp_facts *kcp_facts_new (void);
+void kcp_facts_free (struct kcp_facts *facts);
+bool
+kcp_facts_join (struct kcp_facts *facts, const struct kcp_fact *fact, int64_t now_ms);
+const struct kcp_fact *
+kcp_facts_get (const struct kcp_facts *facts, enum kcp_fact_kind kind, const char *id);
+void kcp_facts_remove (struct kcp_facts *facts, enum kcp_fact_kind kind, const char *id);
+void kcp_facts_expire (struct kcp_facts *facts, int64_t now_ms);
+size_t kcp_facts_count (const struct kcp_facts *facts, enum kcp_fact_kind kind);
+GPtrArray *kcp_facts_list (const struct kcp_facts *facts, enum kcp_fact_kind kind);
+size_t kcp_facts_encoded_bytes (const struct kcp_fact *fact);
+
+bool kcp_facts_has_fresh (const struct kcp_facts *facts);
+void kcp_facts_pick (struct kcp_facts *facts, struct kcp_facts_scope scope, GArray *out);
+void kcp_facts_digest (const struct kcp_facts *facts, bool same_data_center,
+                       struct kcp_facts_digest *digest);
+size_t
+kcp_facts_differing (const struct kcp_facts *facts, struct kcp_facts_scope scope,
+                     const struct kcp_facts_digest *theirs, uint64_t start, GArray *out);
+
+#endif
--- /dev/null
+++ b/src/peer/membership.c
@@ -0,0 +1,546 @@
+#include "peer/membership.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "peer/membership_private.h"
+
+#define SPREADS_PER_INTERVAL 5
+#define SPREAD_FANOUT        2
+#define SYNC_INTERVALS       20
+#define LAPSE_INTERVALS      2
+#define SUSPICION_INTERVALS  4
+#define FORGET_NS            (3600 * KCP_NS_PER_S)
+#define URGENT_FANOUT        4
+
+static void check_lapse (struct kcp_membership *membership, struct kcp_peer_time now);
+static void check_members (struct kcp_membership *membership, struct kcp_peer_time now);
+static void spread (struct kcp_membership *membership, unsigned fanout);
+static void sync_tables (struct kcp_membership *membership, struct kcp_peer_time now);
+static void refute (struct kcp_membership *membership, struct kcp_peer_time now,
+                    const struct kcp_fact *fact);
+static void replace_config (struct kcp_membership *membership, struct kcp_peer_time now,
+                            const struct kcp_fact *fact);
+static void note_vm (struct kcp_membership *membership, struct kcp_peer_time now,
+                     const struct kcp_fact *fact, bool was_dead);
+static int64_t suspicion_ns (const struct kcp_membership *membership);
+static bool
+lacks (const struct kcp_config_told *held, const struct kcp_config_told *told);
+static void forget (struct kcp_membership *membership, struct member *member);
+
+/* Makes the membership of one VM, which knows of no other yet. */
+struct kcp_membership *
+kcp_membership_new (const struct kcp_membership_spec *spec, struct kcp_peer_time now)
+{
+  struct kcp_membership *membership = g_new0 (struct kcp_membership, 1);
+
+  *membership = (struct kcp_membership){
+    .place = spec->place,
+    .incarnation = spec->incarnation,
+    .first_incarnation = spec->incarnation,
+    .config_confirmed_ns = -1,
+    .probe_interval_ns = spec->probe_interval_ns,
+    .events = spec->events,
+    .facts = kcp_facts_new (),
+    .members = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, g_free),
+    .order = g_ptr_array_new_with_free_func (g_free),
+    .next_number = 1,
+    .trusted = true,
+    .last_tick_ns = now.monotonic_ns,
+    .next_probe_ns = now.monotonic_ns,
+    .next_spread_ns = now.monotonic_ns,
+    .next_sync_ns = now.monotonic_ns,
+  };
+  g_strlcpy (membership->id, spec->id, sizeof membership->id);
+  kcp_membership_announce (membership, now);
+  return membership;
+}
+
+/* Frees the membership; NULL is allowed. */
+void
+kcp_membership_free (struct kcp_membership *membership)
+{
+  if (membership == NULL)
+    return;
+  g_ptr_array_unref (membership->order);
+  g_hash_table_unref (membership->members);
+  kcp_facts_free (membership->facts);
+  g_free (membership);
+}
+
+/* Does what is due. To be called several times in each probe interval. */
+void
+kcp_membership_tick (struct kcp_membership *membership, struct kcp_peer_time now)
+{
+  check_lapse (membership, now);
+  check_members (membership, now);
+  kcp_membership_probe_tick (membership, now);
+  if (now.monotonic_ns >= membership->next_spread_ns)
+    {
+      membership->next_spread_ns
+          = now.monotonic_ns + membership->probe_interval_ns / SPREADS_PER_INTERVAL;
+      if (kcp_facts_has_fresh (membership->facts))
+        spread (membership, SPREAD_FANOUT);
+    }
+  if (now.monotonic_ns >= membership->next_sync_ns)
+    sync_tables (membership, now);
+  membership->last_tick_ns = now.monotonic_ns;
+}
+
+/* Adds a VM of the platform's list, which is probed even if no other VM tells of it. */
+void
+kcp_membership_add_seed (struct kcp_membership *membership, const char *id,
+                         const struct kcp_vm_place *place)
+{
+  struct member *member;
+
+  if (strcmp (id, membership->id) == 0)
+    return;
+  member = kcp_membership_member (membership, id);
+  if (!member->is_seed && !kcp_facts_get (membership->facts, KCP_FACT_VM, id))
+    g_ptr_array_add (membership->order, g_strdup (id));
+  member->is_seed = true;
+  member->place = *place;
+}
+
+/* Forgets which VMs the platform's list had, ahead of a newer list. What other VMs told
+   stays. */
+void
+kcp_membership_clear_seeds (struct kcp_membership *membership)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, membership->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct member *)value)->is_seed = false;
+}
+
+/* Tells the others that this VM is leaving. */
+void
+kcp_membership_leave (struct kcp_membership *membership, struct kcp_peer_time now)
+{
+  membership->own_state = KCP_VM_LEAVING;
+  kcp_membership_announce (membership, now);
+  spread (membership, URGENT_FANOUT);
+}
+
+/* Joins a fact of this VM's own making. Returns whether it was greater than the one held.
+ */
+bool
+kcp_membership_publish (struct kcp_membership *membership, struct kcp_peer_time now,
+                        const struct kcp_fact *fact)
+{
+  if (!kcp_facts_join (membership->facts, fact, now.realtime_ms))
+    return false;
+  membership->events.changed (membership->events.user, fact);
+  return true;
+}
+
+/* Tells the others which configuration this VM holds, and how long ago it was seen to be
+   the newest; -1 if it never was. */
+void
+kcp_membership_set_config (struct kcp_membership *membership, struct kcp_peer_time now,
+                           const struct kcp_config_told *held, int64_t age_ns)
+{
+  bool same = membership->config_number != 0
+              && membership->config.version == held->version
+              && membership->config.digest == held->digest
+              && membership->config.loaded == held->loaded;
+
+  membership->config = *held;
+  membership->config_confirmed_ns = age_ns < 0 ? -1 : now.monotonic_ns - age_ns;
+  if (same)
+    return;
+  membership->config_number
+      = MAX (membership->config_number + 1, membership->first_incarnation);
+  kcp_membership_announce_config (membership, now);
+}
+
+/* Finds a VM that holds what this one lacks: one of those with the newest version, picked
+   by choice, a random number. Copies its configuration fact. */
+bool
+kcp_membership_newer_config (const struct kcp_membership *membership, uint64_t choice,
+                             struct kcp_fact *newest)
+{
+  g_autoptr (GPtrArray) list = kcp_facts_list (membership->facts, KCP_FACT_CONFIG);
+  g_autoptr (GPtrArray) found = g_ptr_array_new ();
+  uint64_t version = membership->config.version;
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      struct kcp_fact *fact = g_ptr_array_index (list, i);
+      const struct kcp_config_told *told = &fact->of.config;
+
+      if (told->version < version || strcmp (fact->id, membership->id) == 0
+          || kcp_membership_is_gone (membership, fact->id)
+          || !lacks (&membership->config, told))
+        continue;
+      if (told->version > version)
+        g_ptr_array_set_size (found, 0);
+      version = told->version;
+      g_ptr_array_add (found, fact);
+    }
+  if (found->len == 0)
+    return false;
+  *newest = *(struct kcp_fact *)g_ptr_array_index (found, (guint)(choice % found->len));
+  return true;
+}
+
+/* Returns when the probe of a number was sent, on the monotonic clock, or -1 if it is not
+   the one under way. */
+int64_t
+kcp_membership_asked_ns (const struct kcp_membership *membership, uint64_t number)
+{
+  return membership->probe.number == number ? membership->probe.sent_ns : -1;
+}
+
+/* Finds where a VM listens. */
+bool
+kcp_membership_place (const struct kcp_membership *membership, const char *id,
+                      struct kcp_vm_place *place)
+{
+  const struct kcp_fact *fact = kcp_facts_get (membership->facts, KCP_FACT_VM, id);
+  const struct member *member = g_hash_table_lookup (membership->members, id);
+
+  /* A VM that was replaced under its old id listens where the list says. */
+  if (member != NULL && member->is_seed
+      && (fact == NULL || kcp_membership_is_gone (membership, id)))
+    *place = member->place;
+  else if (fact != NULL)
+    *place = fact->of.vm;
+  else
+    return false;
+  return true;
+}
+
+/* Tells whether this VM's view of the others is current: false from the moment it finds
+   that it did not run for a while until another VM acknowledges a probe sent since. One
+   that knows of no other living VM has nothing to distrust. */
+bool
+kcp_membership_is_trusted (const struct kcp_membership *membership)
+{
+  g_autoptr (GPtrArray) list = kcp_facts_list (membership->facts, KCP_FACT_VM);
+  size_t others = 0;
+
+  for (guint i = 0; i < list->len; i++)
+    if (((struct kcp_fact *)g_ptr_array_index (list, i))->state != KCP_VM_DEAD)
+      others++;
+  return membership->trusted || others <= 1;
+}
+
+/* Returns this VM's incarnation, which grows when it refutes a suspicion. */
+uint64_t
+kcp_membership_incarnation (const struct kcp_membership *membership)
+{
+  return membership->incarnation;
+}
+
+/* Returns the table of facts, to read. */
+struct kcp_facts *
+kcp_membership_facts (struct kcp_membership *membership)
+{
+  return membership->facts;
+}
+
+/* Returns all known VMs, this one included, as a new JSON array. */
+json_t *
+kcp_membership_to_json (const struct kcp_membership *membership)
+{
+  g_autoptr (GPtrArray) list = kcp_facts_list (membership->facts, KCP_FACT_VM);
+  json_t *vms = json_array ();
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct kcp_fact *vm = g_ptr_array_index (list, i);
+      const struct kcp_fact *config
+          = kcp_facts_get (membership->facts, KCP_FACT_CONFIG, vm->id);
+      json_t *object = json_pack (
+          "{sssssssIsssi}", "id", vm->id, "data_center", vm->of.vm.data_center, "state",
+          kcp_vm_state_name (vm->state), "incarnation", (json_int_t)vm->number, "address",
+          vm->of.vm.address, "port", (int)vm->of.vm.port);
+
+      if (config != NULL)
+        json_object_set_new (object, "config",
+                             json_pack ("{sIsb}", "version",
+                                        (json_int_t)config->of.config.version, "loaded",
+                                        config->of.config.loaded));
+      json_array_append_new (vms, object);
+    }
+  return vms;
+}
+
+/* Tells whether a VM is known to be dead. */
+bool
+kcp_membership_is_gone (const struct kcp_membership *membership, const char *id)
+{
+  const struct kcp_fact *fact = kcp_facts_get (membership->facts, KCP_FACT_VM, id);
+
+  return fact != NULL && fact->state == KCP_VM_DEAD;
+}
+
+/* Returns the member of an id, made if it is new. */
+struct member *
+kcp_membership_member (struct kcp_membership *membership, const char *id)
+{
+  struct member *member = g_hash_table_lookup (membership->members, id);
+
+  if (member != NULL)
+    return member;
+  member = g_new0 (struct member, 1);
+  g_strlcpy (member->id, id, sizeof member->id);
+  g_hash_table_insert (membership->members, member->id, member);
+  return member;
+}
+
+/* Joins a fact that a message brought. One about this VM itself that overrides its own is
+   refuted. */
+void
+kcp_membership_join (struct kcp_membership *membership, struct kcp_peer_time now,
+                     const struct kcp_fact *fact)
+{
+  const struct kcp_fact *held = kcp_facts_get (membership->facts, fact->kind, fact->id);
+  bool was_dead = held != NULL && fact->kind == KCP_FACT_VM && held->state == KCP_VM_DEAD;
+  bool is_own = strcmp (fact->id, membership->id) == 0;
+
+  if (fact->kind == KCP_FACT_VM && is_own)
+    {
+      refute (membership, now, fact);
+      return;
+    }
+  if (fact->kind == KCP_FACT_CONFIG && is_own)
+    {
+      replace_config (membership, now, fact);
+      return;
+    }
+  if (!kcp_membership_publish (membership, now, fact))
+    return;
+  if (fact->kind == KCP_FACT_VM)
+    note_vm (membership, now, fact, was_dead);
+}
+
+/* Joins this VM's own fact, to be passed on. */
+void
+kcp_membership_announce (struct kcp_membership *membership, struct kcp_peer_time now)
+{
+  struct kcp_fact fact = {
+    .kind = KCP_FACT_VM,
+    .number = membership->incarnation,
+    .state = membership->own_state,
+    .of.vm = membership->place,
+  };
+
+  g_strlcpy (fact.id, membership->id, sizeof fact.id);
+  (void)kcp_membership_publish (membership, now, &fact);
+}
+
+/* Joins this VM's own configuration fact, to be passed on. */
+void
+kcp_membership_announce_config (struct kcp_membership *membership,
+                                struct kcp_peer_time now)
+{
+  struct kcp_fact fact = {
+    .kind = KCP_FACT_CONFIG,
+    .number = membership->config_number,
+    .of.config = membership->config,
+  };
+
+  g_strlcpy (fact.id, membership->id, sizeof fact.id);
+  (void)kcp_membership_publish (membership, now, &fact);
+}
+
+/* Picks a random VM that is not dead, other than this one and except, which may be NULL.
+ */
+bool
+kcp_membership_random_peer (struct kcp_membership *membership, const char *except,
+                            char id[KCP_FACT_ID_MAX])
+{
+  g_autoptr (GPtrArray) list = kcp_facts_list (membership->facts, KCP_FACT_VM);
+  uint64_t start = membership->events.random (membership->events.user);
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct kcp_fact *vm
+          = g_ptr_array_index (list, (guint)((start + i) % list->len));
+
+      if (vm->state == KCP_VM_DEAD || strcmp (vm->id, membership->id) == 0
+          || g_strcmp0 (vm->id, except) == 0)
+        continue;
+      g_strlcpy (id, vm->id, KCP_FACT_ID_MAX);
+      return true;
+    }
+  return false;
+}
+
+/* Notices that this process did not run for a while. Others may have suspected it
+   meanwhile, and what it knows of them is old: it announces itself anew, drops the probe
+   under way and gives every suspect its full time again. */
+static void
+check_lapse (struct kcp_membership *membership, struct kcp_peer_time now)
+{
+  int64_t lapse = now.monotonic_ns - membership->last_tick_ns;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (lapse <= LAPSE_INTERVALS * membership->probe_interval_ns)
+    return;
+  membership->incarnation++;
+  kcp_membership_announce (membership, now);
+  membership->trusted = false;
+  membership->trusted_from = membership->next_number;
+  membership->probe = (struct probe){ .number = 0 };
+  membership->next_probe_ns = now.monotonic_ns;
+  membership->next_sync_ns = now.monotonic_ns;
+  g_hash_table_iter_init (&iter, membership->members);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct member *member = value;
+
+      if (member->dead_ns != 0)
+        member->dead_ns = now.monotonic_ns + suspicion_ns (membership);
+    }
+}
+
+/* Declares suspects dead whose time ran out, and forgets the long dead. */
+static void
+check_members (struct kcp_membership *membership, struct kcp_peer_time now)
+{
+  g_autoptr (GList) members = g_hash_table_get_values (membership->members);
+
+  for (GList *at = members; at != NULL; at = at->next)
+    {
+      struct member *member = at->data;
+      const struct kcp_fact *held
+          = kcp_facts_get (membership->facts, KCP_FACT_VM, member->id);
+
+      if (held != NULL && member->dead_ns != 0 && now.monotonic_ns >= member->dead_ns)
+        {
+          struct kcp_fact dead = *held;
+
+          dead.state = KCP_VM_DEAD;
+          kcp_membership_join (membership, now, &dead);
+        }
+      else if (member->forget_ns != 0 && now.monotonic_ns >= member->forget_ns)
+        forget (membership, member);
+      else if (held == NULL && !member->is_seed)
+        (void)g_hash_table_remove (membership->members, member->id);
+    }
+}
+
+/* Sends facts that are to be passed on to a few random VMs. */
+static void
+spread (struct kcp_membership *membership, unsigned fanout)
+{
+  char id[KCP_FACT_ID_MAX];
+
+  for (unsigned i = 0; i < fanout; i++)
+    {
+      struct kcp_message message = { .kind = KCP_MESSAGE_FACTS };
+
+      if (!kcp_membership_random_peer (membership, NULL, id))
+        return;
+      kcp_membership_send (membership, id, &message);
+    }
+}
+
+static void
+sync_tables (struct kcp_membership *membership, struct kcp_peer_time now)
+{
+  char id[KCP_FACT_ID_MAX];
+
+  membership->next_sync_ns
+      = now.monotonic_ns + SYNC_INTERVALS * membership->probe_interval_ns;
+  if (membership->sync_target[0] != '\0')
+    g_strlcpy (id, membership->sync_target, sizeof id);
+  else if (!kcp_membership_random_peer (membership, NULL, id))
+    {
+      membership->next_sync_ns = now.monotonic_ns + membership->probe_interval_ns;
+      return;
+    }
+  membership->sync_target[0] = '\0';
+  kcp_facts_expire (membership->facts, now.realtime_ms);
+  kcp_membership_send_digest (membership, id, false);
+}
+
+static void
+refute (struct kcp_membership *membership, struct kcp_peer_time now,
+        const struct kcp_fact *fact)
+{
+  const struct kcp_fact *own
+      = kcp_facts_get (membership->facts, KCP_FACT_VM, membership->id);
+
+  if (own != NULL && kcp_fact_compare (fact, own) <= 0)
+    return;
+  membership->incarnation = MAX (membership->incarnation, fact->number) + 1;
+  kcp_membership_announce (membership, now);
+  spread (membership, URGENT_FANOUT);
+}
+
+/* What this VM told before it was restarted must not hide what it holds now. */
+static void
+replace_config (struct kcp_membership *membership, struct kcp_peer_time now,
+                const struct kcp_fact *fact)
+{
+  if (membership->config_number == 0 || fact->number < membership->config_number)
+    return;
+  if (fact->number == membership->config_number
+      && !lacks (&membership->config, &fact->of.config))
+    return;
+  membership->config_number = fact->number + 1;
+  kcp_membership_announce_config (membership, now);
+}
+
+static void
+note_vm (struct kcp_membership *membership, struct kcp_peer_time now,
+         const struct kcp_fact *fact, bool was_dead)
+{
+  struct member *member = kcp_membership_member (membership, fact->id);
+
+  member->dead_ns = 0;
+  member->forget_ns = 0;
+  if (fact->state == KCP_VM_SUSPECT)
+    member->dead_ns = now.monotonic_ns + suspicion_ns (membership);
+  if (fact->state == KCP_VM_DEAD)
+    member->forget_ns = now.monotonic_ns + FORGET_NS;
+  if (fact->state < KCP_VM_SUSPECT && was_dead)
+    {
+      /* A network partition may have healed: compare tables with the other side soon,
+         at most once in a probe interval. */
+      g_strlcpy (membership->sync_target, fact->id, sizeof membership->sync_target);
+      membership->next_sync_ns
+          = MIN (membership->next_sync_ns,
+                 now.monotonic_ns
+                     + (int64_t)(membership->events.random (membership->events.user)
+                                 % (uint64_t)membership->probe_interval_ns));
+    }
+}
+
+/* A suspect has longer to refute where more VMs have to pass the suspicion on. */
+static int64_t
+suspicion_ns (const struct kcp_membership *membership)
+{
+  size_t vms = kcp_facts_count (membership->facts, KCP_FACT_VM);
+  int64_t factor_percent = 100;
+
+  for (size_t n = 10; n < vms; n = n * 3 / 2)
+    factor_percent += 18; /* log10 (1.5) in percent */
+  return SUSPICION_INTERVALS * membership->probe_interval_ns * factor_percent / 100;
+}
+
+/* Tells whether a configuration lacks something that one of no lesser version has. */
+static bool
+lacks (const struct kcp_config_told *held, const struct kcp_config_told *told)
+{
+  return told->version != held->version || told->digest != held->digest
+         || (told->loaded && !held->loaded);
+}
+
+static void
+forget (struct kcp_membership *membership, struct member *member)
+{
+  member->forget_ns = 0;
+  kcp_facts_remove (membership->facts, KCP_FACT_VM, member->id);
+  kcp_facts_remove (membership->facts, KCP_FACT_CONFIG, member->id);
+  if (!member->is_seed)
+    (void)g_hash_table_remove (membership->members, member->id);
+}
--- /dev/null
+++ b/src/peer/membership_probe.c
@@ -0,0 +1,148 @@
+#include <string.h>
+
+#include "peer/membership_private.h"
+
+#define INDIRECT_PROBES  3
+#define REVIVE_INTERVALS 4
+
+static void
+ask_others (struct kcp_membership *membership, int64_t now_ns, int64_t limit_ns);
+static void suspect_target (struct kcp_membership *membership, struct kcp_peer_time now);
+static void probe_next (struct kcp_membership *membership, int64_t now_ns);
+static bool take_target (struct kcp_membership *membership, char id[KCP_FACT_ID_MAX]);
+static void fill_order (struct kcp_membership *membership);
+static void probe_dead (struct kcp_membership *membership);
+
+/* Probes one VM in each interval: directly, then through others, and suspects it if no
+   acknowledgement came by the next interval. */
+void
+kcp_membership_probe_tick (struct kcp_membership *membership, struct kcp_peer_time now)
+{
+  ask_others (membership, now.monotonic_ns, membership->probe_interval_ns / 2);
+  if (now.monotonic_ns < membership->next_probe_ns)
+    return;
+  suspect_target (membership, now);
+  membership->next_probe_ns = now.monotonic_ns + membership->probe_interval_ns;
+  probe_next (membership, now.monotonic_ns);
+  if (++membership->intervals % REVIVE_INTERVALS == 0)
+    probe_dead (membership);
+}
+
+static void
+ask_others (struct kcp_membership *membership, int64_t now_ns, int64_t limit_ns)
+{
+  struct probe *probe = &membership->probe;
+  char id[KCP_FACT_ID_MAX];
+
+  if (probe->target[0] == '\0' || probe->indirect || now_ns - probe->sent_ns < limit_ns)
+    return;
+  probe->indirect = true;
+  for (int i = 0; i < INDIRECT_PROBES; i++)
+    {
+      struct kcp_message message = {
+        .kind = KCP_MESSAGE_INDIRECT_PROBE,
+        .of.probe = { .number = probe->number },
+      };
+
+      if (!kcp_membership_random_peer (membership, probe->target, id))
+        return;
+      g_strlcpy (message.of.probe.target, probe->target, sizeof message.of.probe.target);
+      kcp_membership_send (membership, id, &message);
+    }
+}
+
+static void
+suspect_target (struct kcp_membership *membership, struct kcp_peer_time now)
+{
+  struct probe *probe = &membership->probe;
+  const struct kcp_fact *held
+      = kcp_facts_get (membership->facts, KCP_FACT_VM, probe->target);
+
+  if (probe->target[0] != '\0' && held != NULL && held->state < KCP_VM_SUSPECT)
+    {
+      struct kcp_fact suspect = *held;
+
+      suspect.state = KCP_VM_SUSPECT;
+      kcp_membership_join (membership, now, &suspect);
+      /* Tells the suspect itself at once, so that it can refute. */
+      kcp_membership_send_probe (membership, probe->target, membership->next_number++);
+    }
+  probe->target[0] = '\0';
+}
+
+static void
+probe_next (struct kcp_membership *membership, int64_t now_ns)
+{
+  struct probe *probe = &membership->probe;
+
+  if (!take_target (membership, probe->target))
+    return;
+  probe->number = membership->next_number++;
+  probe->sent_ns = now_ns;
+  probe->indirect = false;
+  kcp_membership_send_probe (membership, probe->target, probe->number);
+}
+
+/* Takes the next VM of the round; each VM is probed once in a round of random order. */
+static bool
+take_target (struct kcp_membership *membership, char id[KCP_FACT_ID_MAX])
+{
+  if (membership->order->len == 0)
+    fill_order (membership);
+  while (membership->order->len > 0)
+    {
+      g_autofree char *next
+          = g_ptr_array_steal_index (membership->order, membership->order->len - 1);
+      struct kcp_vm_place place;
+
+      if (kcp_membership_is_gone (membership, next)
+          || !kcp_membership_place (membership, next, &place))
+        continue;
+      g_strlcpy (id, next, KCP_FACT_ID_MAX);
+      return true;
+    }
+  id[0] = '\0';
+  return false;
+}
+
+static void
+fill_order (struct kcp_membership *membership)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, membership->members);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    g_ptr_array_add (membership->order, g_strdup (key));
+  for (guint i = membership->order->len; i > 1; i--)
+    {
+      guint other = (guint)(membership->events.random (membership->events.user) % i);
+      gpointer last = membership->order->pdata[i - 1];
+
+      membership->order->pdata[i - 1] = membership->order->pdata[other];
+      membership->order->pdata[other] = last;
+    }
+}
+
+/* Probes one VM that is taken for dead, so that the two sides of a healed network
+   partition find each other. */
+static void
+probe_dead (struct kcp_membership *membership)
+{
+  g_autoptr (GList) members = g_hash_table_get_values (membership->members);
+  guint count = g_list_length (members);
+  guint start;
+
+  if (count == 0)
+    return;
+  start = (guint)(membership->events.random (membership->events.user) % count);
+  for (guint i = 0; i < count; i++)
+    {
+      const struct member *member = g_list_nth_data (members, (start + i) % count);
+
+      if (!kcp_membership_is_gone (membership, member->id))
+        continue;
+      kcp_membership_send_probe (membership, member->id, membership->next_number++);
+      return;
+    }
+}
--- /dev/null
+++ b/src/peer/membership_receive.c
@@ -0,0 +1,176 @@
+#include <string.h>
+
+#include "peer/membership_private.h"
+
+#define DIFFERING_BYTES    900
+#define DIFFERING_MESSAGES 12
+#define CORRECTIONS_MAX    8
+
+static void
+correct_sender (struct kcp_membership *membership, const struct kcp_message *message);
+static void handle_ack (struct kcp_membership *membership, struct kcp_peer_time now,
+                        const struct kcp_message *message);
+static void handle_indirect_probe (struct kcp_membership *membership,
+                                   const struct kcp_message *message);
+static void
+handle_digest (struct kcp_membership *membership, const struct kcp_message *message);
+static void send_ack (struct kcp_membership *membership, struct kcp_peer_time now,
+                      const char *to, uint64_t number, const char *target);
+static void pass_on_ack (struct kcp_membership *membership, struct kcp_peer_time now,
+                         const struct kcp_message *message);
+
+/* Handles a message that was accepted as authentic. Its facts are joined first. */
+void
+kcp_membership_receive (struct kcp_membership *membership, struct kcp_peer_time now,
+                        const struct kcp_message *message)
+{
+  correct_sender (membership, message);
+  for (guint i = 0; i < message->facts->len; i++)
+    kcp_membership_join (membership, now,
+                         &g_array_index (message->facts, struct kcp_fact, i));
+  switch (message->kind)
+    {
+    case KCP_MESSAGE_PROBE:
+      send_ack (membership, now, message->from, message->of.probe.number, membership->id);
+      break;
+    case KCP_MESSAGE_ACK:
+      handle_ack (membership, now, message);
+      break;
+    case KCP_MESSAGE_INDIRECT_PROBE:
+      handle_indirect_probe (membership, message);
+      break;
+    case KCP_MESSAGE_DIGEST:
+      handle_digest (membership, message);
+      break;
+    case KCP_MESSAGE_FACTS:
+    case KCP_MESSAGE_PULL:
+    case KCP_MESSAGE_CHUNK:
+    case KCP_MESSAGE_KINDS:
+      break;
+    }
+}
+
+static void
+correct_sender (struct kcp_membership *membership, const struct kcp_message *message);
+/* Answers suspicions and deaths that were refuted with the refutations: a VM that missed
+   one would take a living VM for dead until tables are compared. */
+static void
+correct_sender (struct kcp_membership *membership, const struct kcp_message *message)
+{
+  struct kcp_message answer = {
+    .kind = KCP_MESSAGE_FACTS,
+    .facts = g_array_new (FALSE, FALSE, sizeof (struct kcp_fact)),
+  };
+
+  for (guint i = 0; i < message->facts->len; i++)
+    {
+      const struct kcp_fact *told = &g_array_index (message->facts, struct kcp_fact, i);
+      const struct kcp_fact *held
+          = kcp_facts_get (membership->facts, told->kind, told->id);
+
+      if (told->kind == KCP_FACT_VM && told->state >= KCP_VM_SUSPECT && held != NULL
+          && held->number > told->number && answer.facts->len < CORRECTIONS_MAX)
+        g_array_append_vals (answer.facts, held, 1);
+    }
+  if (answer.facts->len > 0)
+    kcp_membership_send (membership, message->from, &answer);
+  kcp_message_clear (&answer);
+}
+
+static void
+handle_ack (struct kcp_membership *membership, struct kcp_peer_time now,
+            const struct kcp_message *message)
+{
+  struct probe *probe = &membership->probe;
+  const struct kcp_message_probe *ack = &message->of.probe;
+
+  if (ack->number >= membership->trusted_from && ack->number < membership->next_number)
+    membership->trusted = true;
+  if (probe->number == ack->number && strcmp (probe->target, ack->target) == 0)
+    probe->target[0] = '\0';
+  pass_on_ack (membership, now, message);
+}
+
+static void
+handle_indirect_probe (struct kcp_membership *membership,
+                       const struct kcp_message *message)
+{
+  uint64_t number = membership->next_number++;
+  struct relay *relay = &membership->relays[number % RELAYS_MAX];
+
+  *relay = (struct relay){
+    .number = number,
+    .requester_number = message->of.probe.number,
+  };
+  g_strlcpy (relay->requester, message->from, sizeof relay->requester);
+  kcp_membership_send_probe (membership, message->of.probe.target, number);
+}
+
+static void
+handle_digest (struct kcp_membership *membership, const struct kcp_message *message)
+{
+  const struct kcp_message_digest *theirs = &message->of.digest;
+  uint64_t start = membership->events.random (membership->events.user);
+  struct kcp_facts_digest ours;
+  struct kcp_vm_place place;
+  struct kcp_facts_scope scope = {
+    .budget_bytes = DIFFERING_BYTES,
+    .budget_facts = KCP_MESSAGE_FACTS_MAX,
+  };
+  size_t sent = 0;
+
+  if (!kcp_membership_place (membership, message->from, &place))
+    return;
+  scope.same_data_center = strcmp (place.data_center, membership->place.data_center) == 0;
+  for (int i = 0; i < DIFFERING_MESSAGES; i++)
+    {
+      struct kcp_message answer = {
+        .kind = KCP_MESSAGE_FACTS,
+        .facts = g_array_new (FALSE, FALSE, sizeof (struct kcp_fact)),
+      };
+      size_t count = kcp_facts_differing (membership->facts, scope, &theirs->digest,
+                                          start + sent, answer.facts);
+
+      if (answer.facts->len == 0 || sent >= count)
+        {
+          kcp_message_clear (&answer);
+          break;
+        }
+      sent += answer.facts->len;
+      kcp_membership_send (membership, message->from, &answer);
+    }
+  kcp_facts_digest (membership->facts, scope.same_data_center, &ours);
+  if (memcmp (&ours, &theirs->digest, sizeof ours) != 0 && !theirs->answer)
+    kcp_membership_send_digest (membership, message->from, true);
+}
+
+static void
+send_ack (struct kcp_membership *membership, struct kcp_peer_time now, const char *to,
+          uint64_t number, const char *target)
+{
+  int64_t confirmed_ns = membership->config_confirmed_ns;
+  struct kcp_message message = {
+    .kind = KCP_MESSAGE_ACK,
+    .of.probe = {
+      .number = number,
+      .config_age_ns = confirmed_ns < 0 ? -1 : now.monotonic_ns - confirmed_ns,
+    },
+  };
+
+  g_strlcpy (message.of.probe.target, target, sizeof message.of.probe.target);
+  kcp_membership_send (membership, to, &message);
+}
+
+/* Passes an acknowledgement on to the VM that asked for the probe. */
+static void
+pass_on_ack (struct kcp_membership *membership, struct kcp_peer_time now,
+             const struct kcp_message *message)
+{
+  uint64_t number = message->of.probe.number;
+  struct relay *relay = &membership->relays[number % RELAYS_MAX];
+
+  if (number == 0 || relay->number != number)
+    return;
+  relay->number = 0;
+  send_ack (membership, now, relay->requester, relay->requester_number, message->from);
+}
--- /dev/null
+++ b/src/peer/membership_send.c
@@ -0,0 +1,151 @@
+#include <string.h>
+
+#include "peer/membership_private.h"
+
+#define FACTS_BYTES        900 /* in a message without a digest */
+#define DIGEST_FACTS_BYTES 300
+#define COPIES_MIN         3
+
+static void add_own (struct kcp_membership *membership, struct kcp_message *message);
+static void add_fact (struct kcp_message *message, const struct kcp_fact *fact);
+static void add_fresh (struct kcp_membership *membership, const char *to,
+                       struct kcp_message *message);
+static bool is_announcing (enum kcp_message_kind kind);
+static unsigned copies (const struct kcp_membership *membership);
+
+/* Sends a message to a VM, filled up with facts. A VM whose place is not known gets none.
+   Takes the message's facts. */
+void
+kcp_membership_send (struct kcp_membership *membership, const char *to,
+                     struct kcp_message *message)
+{
+  struct kcp_vm_place place;
+
+  if (message->facts == NULL)
+    message->facts = g_array_new (FALSE, FALSE, sizeof (struct kcp_fact));
+  if (kcp_membership_place (membership, to, &place))
+    {
+      const struct kcp_fact *told = kcp_facts_get (membership->facts, KCP_FACT_VM, to);
+
+      g_strlcpy (message->from, membership->id, sizeof message->from);
+      g_strlcpy (message->to, to, sizeof message->to);
+      if (is_announcing (message->kind))
+        add_own (membership, message);
+      /* A VM that is taken for suspect or dead has to hear of it to refute it. */
+      if (told != NULL && told->state >= KCP_VM_SUSPECT)
+        add_fact (message, told);
+      add_fresh (membership, to, message);
+      if (message->kind != KCP_MESSAGE_FACTS || message->facts->len > 0)
+        membership->events.send (membership->events.user, &place, message);
+    }
+  kcp_message_clear (message);
+}
+
+/* Sends a probe. */
+void
+kcp_membership_send_probe (struct kcp_membership *membership, const char *to,
+                           uint64_t number)
+{
+  struct kcp_message message
+      = { .kind = KCP_MESSAGE_PROBE, .of.probe = { .number = number } };
+
+  kcp_membership_send (membership, to, &message);
+}
+
+/* Sends the digest of the facts. */
+void
+kcp_membership_send_digest (struct kcp_membership *membership, const char *to,
+                            bool answer)
+{
+  struct kcp_message message
+      = { .kind = KCP_MESSAGE_DIGEST, .of.digest = { .answer = answer } };
+  struct kcp_vm_place place;
+
+  if (!kcp_membership_place (membership, to, &place))
+    return;
+  kcp_facts_digest (membership->facts,
+                    strcmp (place.data_center, membership->place.data_center) == 0,
+                    &message.of.digest.digest);
+  kcp_membership_send (membership, to, &message);
+}
+
+/* Adds this VM's own facts, by which the receiver learns where to answer. */
+static void
+add_own (struct kcp_membership *membership, struct kcp_message *message)
+{
+  static const enum kcp_fact_kind kinds[] = { KCP_FACT_VM, KCP_FACT_CONFIG };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      const struct kcp_fact *own
+          = kcp_facts_get (membership->facts, kinds[i], membership->id);
+
+      if (own != NULL)
+        add_fact (message, own);
+    }
+}
+
+static void
+add_fact (struct kcp_message *message, const struct kcp_fact *fact)
+{
+  g_array_append_vals (message->facts, fact, 1);
+}
+
+static void
+add_fresh (struct kcp_membership *membership, const char *to, struct kcp_message *message)
+{
+  const struct kcp_fact *receiver = kcp_facts_get (membership->facts, KCP_FACT_VM, to);
+  size_t budget = message->kind == KCP_MESSAGE_DIGEST ? DIGEST_FACTS_BYTES : FACTS_BYTES;
+
+  if (message->kind == KCP_MESSAGE_CHUNK)
+    return;
+  for (guint i = 0; i < message->facts->len; i++)
+    {
+      size_t bytes
+          = kcp_facts_encoded_bytes (&g_array_index (message->facts, struct kcp_fact, i));
+
+      budget -= MIN (budget, bytes);
+    }
+  kcp_facts_pick (
+      membership->facts,
+      (struct kcp_facts_scope){
+          .same_data_center
+          = receiver != NULL
+            && strcmp (receiver->of.vm.data_center, membership->place.data_center) == 0,
+          .copies = copies (membership),
+          .budget_bytes = budget,
+          .budget_facts = KCP_MESSAGE_FACTS_MAX,
+      },
+      message->facts);
+}
+
+static bool
+is_announcing (enum kcp_message_kind kind)
+{
+  switch (kind)
+    {
+    case KCP_MESSAGE_PROBE:
+    case KCP_MESSAGE_ACK:
+    case KCP_MESSAGE_INDIRECT_PROBE:
+    case KCP_MESSAGE_DIGEST:
+      return true;
+    case KCP_MESSAGE_FACTS:
+    case KCP_MESSAGE_PULL:
+    case KCP_MESSAGE_CHUNK:
+    case KCP_MESSAGE_KINDS:
+      break;
+    }
+  return false;
+}
+
+/* Returns how often each VM passes a fact on: it grows with the logarithm of their
+   number, so that a rumour reaches nearly all; comparing tables reaches the rest. */
+static unsigned
+copies (const struct kcp_membership *membership)
+{
+  unsigned count = COPIES_MIN;
+
+  for (size_t n = kcp_facts_count (membership->facts, KCP_FACT_VM); n > 8; n /= 2)
+    count++;
+  return count;
+}
--- /dev/null
+++ b/src/peer/session.c
@@ -0,0 +1,154 @@
+#include "peer/session.h"
+
+#include <string.h>
+
+#define PEERS_MAX   4096
+#define WINDOW_BITS 64
+#define RETIRED_MAX 4
+
+/* One sender, as this process has heard it. */
+struct sender
+{
+  uint64_t session;
+  uint64_t greatest; /* sequence number */
+  uint64_t window;   /* bit n: greatest - n was received */
+  uint64_t retired[RETIRED_MAX];
+  unsigned retirements;
+};
+
+struct kcp_sessions
+{
+  char id[KCP_FACT_ID_MAX];
+  uint64_t session;
+  uint64_t sequence;
+  GHashTable *senders; /* owned id, struct sender */
+};
+
+static struct sender *find_sender (struct kcp_sessions *sessions, const char *id);
+static bool accept_session (struct sender *sender, uint64_t session);
+static bool accept_sequence (struct sender *sender, uint64_t sequence);
+static bool needs_session (enum kcp_message_kind kind);
+
+/* Makes the state of one process, whose session no other process of this VM had. */
+struct kcp_sessions *
+kcp_sessions_new (const char *id, uint64_t session)
+{
+  struct kcp_sessions *sessions = g_new0 (struct kcp_sessions, 1);
+
+  g_strlcpy (sessions->id, id, sizeof sessions->id);
+  sessions->session = session;
+  sessions->senders = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return sessions;
+}
+
+/* Frees the state; NULL is allowed. */
+void
+kcp_sessions_free (struct kcp_sessions *sessions)
+{
+  if (sessions == NULL)
+    return;
+  g_hash_table_unref (sessions->senders);
+  g_free (sessions);
+}
+
+/* Marks a message that is about to be sent. */
+void
+kcp_sessions_stamp (struct kcp_sessions *sessions, struct kcp_message *message)
+{
+  const struct sender *receiver = g_hash_table_lookup (sessions->senders, message->to);
+
+  message->from_session = sessions->session;
+  message->to_session = receiver != NULL ? receiver->session : 0;
+  message->sequence = ++sessions->sequence;
+}
+
+/* Tells whether an authentic message is for this process and was not received before.
+   Answers must name this very process. What only tells facts or asks for an answer may
+   come from a VM that does not know it yet; received again after a restart it changes
+   nothing, since facts are joined. */
+bool
+kcp_sessions_accept (struct kcp_sessions *sessions, const struct kcp_message *message)
+{
+  struct sender *sender;
+
+  if (strcmp (message->to, sessions->id) != 0 || strcmp (message->from, sessions->id) == 0
+      || message->from_session == 0)
+    return false;
+  if (needs_session (message->kind) && message->to_session != sessions->session)
+    return false;
+  sender = find_sender (sessions, message->from);
+  return accept_session (sender, message->from_session)
+         && accept_sequence (sender, message->sequence);
+}
+
+static struct sender *
+find_sender (struct kcp_sessions *sessions, const char *id)
+{
+  struct sender *sender = g_hash_table_lookup (sessions->senders, id);
+
+  if (sender != NULL)
+    return sender;
+  if (g_hash_table_size (sessions->senders) >= PEERS_MAX)
+    g_hash_table_remove_all (sessions->senders);
+  sender = g_new0 (struct sender, 1);
+  g_hash_table_insert (sessions->senders, g_strdup (id), sender);
+  return sender;
+}
+
+/* A session that was not seen before is that of a new process of the VM; the one before
+   it is over. Sessions are not compared, since a new process's clock may be behind. */
+static bool
+accept_session (struct sender *sender, uint64_t session)
+{
+  if (sender->session == session)
+    return true;
+  for (int i = 0; i < RETIRED_MAX; i++)
+    if (sender->retired[i] == session)
+      return false;
+  if (sender->session != 0)
+    sender->retired[sender->retirements++ % RETIRED_MAX] = sender->session;
+  sender->session = session;
+  sender->greatest = 0;
+  sender->window = 0;
+  return true;
+}
+
+static bool
+accept_sequence (struct sender *sender, uint64_t sequence)
+{
+  uint64_t behind;
+
+  if (sequence > sender->greatest)
+    {
+      uint64_t ahead = sequence - sender->greatest;
+
+      sender->window = ahead < WINDOW_BITS ? sender->window << ahead : 0;
+      sender->window |= 1;
+      sender->greatest = sequence;
+      return true;
+    }
+  behind = sender->greatest - sequence;
+  if (behind >= WINDOW_BITS || (sender->window >> behind & 1) != 0)
+    return false;
+  sender->window |= 1ULL << behind;
+  return true;
+}
+
+static bool
+needs_session (enum kcp_message_kind kind)
+{
+  switch (kind)
+    {
+    case KCP_MESSAGE_ACK:
+    case KCP_MESSAGE_CHUNK:
+      return true;
+    case KCP_MESSAGE_PROBE:
+    case KCP_MESSAGE_INDIRECT_PROBE:
+    case KCP_MESSAGE_FACTS:
+    case KCP_MESSAGE_DIGEST:
+    case KCP_MESSAGE_PULL:
+    case KCP_MESSAGE_KINDS:
+      break;
+    }
+  return false;
+}
--- /dev/null
+++ b/src/peer/session.h
@@ -0,0 +1,16 @@
+/* Which messages are fresh: a sequence number for each process that sends, and the
+   receiver's process for those that act on an answer. */
+#ifndef KCP_PEER_SESSION_H
+#define KCP_PEER_SESSION_H
+
+#include "peer/message.h"
+
+struct kcp_sessions;
+
+struct kcp_sessions *kcp_sessions_new (const char *id, uint64_t session);
+void kcp_sessions_free (struct kcp_sessions *sessions);
+void kcp_sessions_stamp (struct kcp_sessions *sessions, struct kcp_message *message);
+bool
+kcp_sessions_accept (struct kcp_sessions *sessions, const struct kcp_message *message);
+
+#endif
--- /dev/null
+++ b/tests/harness/peer_net.h
@@ -0,0 +1,61 @@
+/* A network of VMs' memberships in one process: the real core, virtual time, and messages
+   that are lost, doubled, late, out of order or cut off. */
+#ifndef KCP_TESTS_HARNESS_PEER_NET_H
+#define KCP_TESTS_HARNESS_PEER_NET_H
+
+#include "peer/codec.h"
+#include "peer/membership.h"
+#include "peer/session.h"
+
+struct peer_net;
+
+struct peer_vm
+{
+  struct peer_net *net;
+  guint index;
+  char id[KCP_FACT_ID_MAX];
+  struct kcp_vm_place place;
+  struct kcp_membership *membership;
+  struct kcp_sessions *sessions;
+  GQueue *inbox; /* messages that came while it was frozen */
+  bool frozen;   /* does not run; its messages wait */
+  bool dead;
+  int side; /* messages between VMs of different sides are lost */
+  int64_t next_tick_ns;
+  uint64_t incarnations; /* of its processes */
+  uint64_t bytes_sent;   /* with headers, if measured */
+  uint64_t messages_sent;
+  uint64_t rejected;
+};
+
+struct peer_net
+{
+  GRand *random;
+  GPtrArray *vms;   /* struct peer_vm */
+  GSequence *queue; /* messages under way, by time */
+  int64_t now_ns;
+  int64_t probe_interval_ns;
+  int broken_link[2]; /* two VMs that cannot reach each other; equal: none */
+  int loss_percent;
+  int repeat_percent;
+  int64_t delay_max_ns;
+  bool measured; /* messages are sealed and their bytes counted */
+  struct kcp_peer_key key;
+};
+
+struct peer_net *peer_net_new (guint32 seed, guint vms, guint data_centers);
+void peer_net_free (struct peer_net *net);
+struct peer_vm *peer_net_vm (struct peer_net *net, guint index);
+void peer_net_restart (struct peer_net *net, struct peer_vm *vm);
+void peer_net_seed_all (struct peer_net *net);
+void peer_net_run (struct peer_net *net, int64_t duration_ns);
+int64_t peer_net_run_until (struct peer_net *net, bool (*done) (struct peer_net *net),
+                            int64_t limit_ns);
+struct kcp_peer_time peer_net_time (const struct peer_net *net);
+bool peer_net_is_converged (struct peer_net *net);
+bool peer_net_publish (struct peer_vm *vm, enum kcp_fact_kind kind, const char *id,
+                       uint64_t number, uint64_t state);
+guint peer_net_holders (struct peer_net *net, enum kcp_fact_kind kind, const char *id);
+int peer_net_state (const struct peer_vm *viewer, const struct peer_vm *about);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_peer_membership.c
@@ -0,0 +1,408 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "base/clock.h"
+#include "tests/harness/peer_net.h"
+
+#define FAULT_RUNS        20
+#define DEFAULT_SEED      1
+#define CONVERGE_LIMIT_NS (60 * KCP_NS_PER_S)
+#define HEAL_LIMIT_NS     (30 * KCP_NS_PER_S)
+
+static guint32 seed = DEFAULT_SEED;
+
+/* Tells whether every VM that runs sees every other that runs as alive. */
+static bool
+all_alive (struct peer_net *net)
+{
+  for (guint i = 0; i < net->vms->len; i++)
+    for (guint j = 0; j < net->vms->len; j++)
+      {
+        struct peer_vm *viewer = peer_net_vm (net, i);
+        struct peer_vm *about = peer_net_vm (net, j);
+
+        if (!viewer->dead && !about->dead
+            && peer_net_state (viewer, about) != KCP_VM_ALIVE)
+          return false;
+      }
+  return true;
+}
+
+/* Tells whether every VM knows every other and takes none for dead. Over a network that
+   loses a fifth of the messages, suspicions come and are refuted all the time. */
+static bool
+all_known (struct peer_net *net)
+{
+  for (guint i = 0; i < net->vms->len; i++)
+    for (guint j = 0; j < net->vms->len; j++)
+      {
+        int state = peer_net_state (peer_net_vm (net, i), peer_net_vm (net, j));
+
+        if (state < 0 || state == KCP_VM_DEAD)
+          return false;
+      }
+  return true;
+}
+
+/* Tells whether every VM that runs sees those that do not as dead, and no other. */
+static bool
+deaths_known (struct peer_net *net)
+{
+  for (guint i = 0; i < net->vms->len; i++)
+    for (guint j = 0; j < net->vms->len; j++)
+      {
+        struct peer_vm *viewer = peer_net_vm (net, i);
+        struct peer_vm *about = peer_net_vm (net, j);
+
+        if (!viewer->dead
+            && about->dead != (peer_net_state (viewer, about) == KCP_VM_DEAD))
+          return false;
+      }
+  return true;
+}
+
+static bool
+alive_and_equal (struct peer_net *net)
+{
+  return all_alive (net) && peer_net_is_converged (net);
+}
+
+static struct peer_net *
+new_joined (guint vms, guint data_centers)
+{
+  struct peer_net *net = peer_net_new (seed, vms, data_centers);
+
+  peer_net_seed_all (net);
+  ck_assert_int_ge (peer_net_run_until (net, alive_and_equal, CONVERGE_LIMIT_NS), 0);
+  return net;
+}
+
+/* Replaces a VM's process by one that starts while the VM's clock is behind. */
+static void
+restart_in_the_past (struct peer_net *net, struct peer_vm *vm)
+{
+  int64_t now_ns = net->now_ns;
+
+  net->now_ns = KCP_NS_PER_MS;
+  peer_net_restart (net, vm);
+  net->now_ns = now_ns;
+  vm->next_tick_ns = now_ns;
+  peer_net_seed_all (net);
+}
+
+START_TEST (test_all_learn_each_other_from_one_over_a_bad_network)
+{
+  struct peer_net *net = peer_net_new (seed, 20, 3);
+
+  net->loss_percent = 20;
+  net->repeat_percent = 20;
+  net->delay_max_ns = 100 * KCP_NS_PER_MS;
+  for (guint i = 1; i < net->vms->len; i++)
+    kcp_membership_add_seed (peer_net_vm (net, i)->membership, peer_net_vm (net, 0)->id,
+                             &peer_net_vm (net, 0)->place);
+  ck_assert_int_ge (peer_net_run_until (net, all_known, CONVERGE_LIMIT_NS), 0);
+  peer_net_run (net, 60 * KCP_NS_PER_S);
+  ck_assert (all_known (net));
+  net->loss_percent = 0;
+  ck_assert_int_ge (peer_net_run_until (net, alive_and_equal, HEAL_LIMIT_NS), 0);
+  peer_net_free (net);
+}
+END_TEST
+
+START_TEST (test_a_dead_vm_is_found_and_no_other_is_taken_for_dead)
+{
+  struct peer_net *net = new_joined (20, 3);
+
+  net->loss_percent = 5;
+  peer_net_vm (net, 7)->dead = true;
+  ck_assert_int_ge (peer_net_run_until (net, deaths_known, CONVERGE_LIMIT_NS), 0);
+  peer_net_free (net);
+}
+END_TEST
+
+START_TEST (test_a_broken_link_between_two_makes_no_suspect)
+{
+  struct peer_net *net = new_joined (6, 3);
+  uint64_t before[2];
+
+  for (guint i = 0; i < 2; i++)
+    before[i] = kcp_membership_incarnation (peer_net_vm (net, i)->membership);
+  net->broken_link[1] = 1;
+  peer_net_run (net, 60 * KCP_NS_PER_S);
+  for (guint i = 0; i < 2; i++)
+    ck_assert_uint_eq (kcp_membership_incarnation (peer_net_vm (net, i)->membership),
+                       before[i]);
+  peer_net_free (net);
+}
+END_TEST
+
+START_TEST (test_a_healed_partition_converges)
+{
+  struct peer_net *net = new_joined (21, 3);
+
+  for (guint i = 0; i < net->vms->len; i += 3)
+    peer_net_vm (net, i)->side = 1;
+  peer_net_run (net, 20 * KCP_NS_PER_S);
+  ck_assert_int_eq (peer_net_state (peer_net_vm (net, 1), peer_net_vm (net, 0)),
+                    KCP_VM_DEAD);
+  for (int i = 0; i < 50; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("print%d", i);
+
+      ck_assert (
+          peer_net_publish (peer_net_vm (net, i % 21), KCP_FACT_QUARANTINE, id, 1, 1));
+    }
+  peer_net_run (net, 20 * KCP_NS_PER_S);
+  ck_assert (!peer_net_is_converged (net));
+  for (guint i = 0; i < net->vms->len; i++)
+    peer_net_vm (net, i)->side = 0;
+  ck_assert_int_ge (peer_net_run_until (net, alive_and_equal, HEAL_LIMIT_NS), 0);
+  ck_assert_uint_eq (
+      kcp_facts_count (kcp_membership_facts (peer_net_vm (net, 0)->membership),
+                       KCP_FACT_QUARANTINE),
+      50);
+  peer_net_free (net);
+}
+END_TEST
+
+START_TEST (test_a_frozen_vm_notices_and_refutes_its_death)
+{
+  struct peer_net *net = new_joined (9, 3);
+  struct peer_vm *frozen = peer_net_vm (net, 4);
+  uint64_t incarnation = kcp_membership_incarnation (frozen->membership);
+
+  frozen->frozen = true;
+  peer_net_run (net, 15 * KCP_NS_PER_S);
+  ck_assert_int_eq (peer_net_state (peer_net_vm (net, 0), frozen), KCP_VM_DEAD);
+  frozen->frozen = false;
+  kcp_membership_tick (frozen->membership, peer_net_time (net));
+  ck_assert (!kcp_membership_is_trusted (frozen->membership));
+  ck_assert_uint_gt (kcp_membership_incarnation (frozen->membership), incarnation);
+  ck_assert_int_ge (peer_net_run_until (net, alive_and_equal, HEAL_LIMIT_NS), 0);
+  ck_assert (kcp_membership_is_trusted (frozen->membership));
+  peer_net_free (net);
+}
+END_TEST
+
+START_TEST (test_a_lapse_makes_no_suspect_dead_at_once)
+{
+  struct peer_net *net = new_joined (3, 1);
+  struct peer_vm *frozen = peer_net_vm (net, 0);
+  struct peer_vm *other = peer_net_vm (net, 1);
+  struct kcp_fact suspect = *kcp_facts_get (kcp_membership_facts (frozen->membership),
+                                            KCP_FACT_VM, other->id);
+  struct kcp_message message = {
+    .kind = KCP_MESSAGE_FACTS,
+    .facts = g_array_new (FALSE, FALSE, sizeof suspect),
+  };
+
+  suspect.state = KCP_VM_SUSPECT;
+  g_array_append_val (message.facts, suspect);
+  kcp_membership_receive (frozen->membership, peer_net_time (net), &message);
+  kcp_message_clear (&message);
+  frozen->frozen = true;
+  peer_net_run (net, 10 * KCP_NS_PER_S);
+  frozen->frozen = false;
+  kcp_membership_tick (frozen->membership, peer_net_time (net));
+  ck_assert_int_eq (peer_net_state (frozen, other), KCP_VM_SUSPECT);
+  ck_assert_int_ge (peer_net_run_until (net, alive_and_equal, HEAL_LIMIT_NS), 0);
+  peer_net_free (net);
+}
+END_TEST
+
+START_TEST (test_a_restarted_data_center_is_alive_again)
+{
+  struct peer_net *net = new_joined (18, 3);
+
+  for (guint i = 0; i < net->vms->len; i += 3)
+    peer_net_restart (net, peer_net_vm (net, i));
+  peer_net_seed_all (net);
+  ck_assert_int_ge (peer_net_run_until (net, alive_and_equal, HEAL_LIMIT_NS), 0);
+  peer_net_free (net);
+}
+END_TEST
+
+START_TEST (test_a_vm_replaced_with_its_clock_behind_is_alive_again)
+{
+  struct peer_net *net = new_joined (6, 2);
+  struct peer_vm *vm = peer_net_vm (net, 2);
+
+  vm->dead = true;
+  peer_net_run (net, 20 * KCP_NS_PER_S);
+  restart_in_the_past (net, vm);
+  ck_assert_int_ge (peer_net_run_until (net, alive_and_equal, HEAL_LIMIT_NS), 0);
+  peer_net_free (net);
+}
+END_TEST
+
+START_TEST (test_a_false_suspicion_is_refuted)
+{
+  struct peer_net *net = new_joined (12, 3);
+  struct peer_vm *victim = peer_net_vm (net, 5);
+  struct kcp_fact suspect = *kcp_facts_get (
+      kcp_membership_facts (peer_net_vm (net, 0)->membership), KCP_FACT_VM, victim->id);
+  uint64_t number = suspect.number;
+
+  ck_assert (peer_net_publish (peer_net_vm (net, 0), KCP_FACT_VM, victim->id, number,
+                               KCP_VM_DEAD));
+  ck_assert_int_ge (peer_net_run_until (net, alive_and_equal, HEAL_LIMIT_NS), 0);
+  ck_assert_uint_gt (kcp_membership_incarnation (victim->membership), number);
+  peer_net_free (net);
+}
+END_TEST
+
+START_TEST (test_leaving_is_known_before_the_end)
+{
+  struct peer_net *net = new_joined (12, 3);
+  struct peer_vm *leaving = peer_net_vm (net, 3);
+
+  kcp_membership_leave (leaving->membership, peer_net_time (net));
+  peer_net_run (net, 3 * KCP_NS_PER_S);
+  for (guint i = 0; i < net->vms->len; i++)
+    ck_assert_int_eq (peer_net_state (peer_net_vm (net, i), leaving), KCP_VM_LEAVING);
+  peer_net_free (net);
+}
+END_TEST
+
+START_TEST (test_facts_of_a_data_center_stay_inside)
+{
+  struct peer_net *net = new_joined (12, 3);
+
+  ck_assert (peer_net_publish (peer_net_vm (net, 0), KCP_FACT_BACKEND, "engine-1", 1, 0));
+  peer_net_run (net, 30 * KCP_NS_PER_S);
+  ck_assert_uint_eq (peer_net_holders (net, KCP_FACT_BACKEND, "engine-1"), 4);
+  peer_net_free (net);
+}
+END_TEST
+
+START_TEST (test_what_a_vm_lacks_of_the_configuration_is_found)
+{
+  struct peer_net *net = new_joined (6, 3);
+  struct kcp_fact newest;
+
+  for (guint i = 0; i < 6; i++)
+    kcp_membership_set_config (peer_net_vm (net, i)->membership, peer_net_time (net),
+                               &(struct kcp_config_told){ 3 + (i == 4), 9, true }, 0);
+  peer_net_run (net, 5 * KCP_NS_PER_S);
+  ck_assert (kcp_membership_newer_config (peer_net_vm (net, 1)->membership, 77, &newest));
+  ck_assert_str_eq (newest.id, "vm004");
+  ck_assert (
+      !kcp_membership_newer_config (peer_net_vm (net, 4)->membership, 77, &newest));
+  peer_net_free (net);
+}
+END_TEST
+
+/* A VM that is restarted tells its new, older configuration; what it told before is not
+   held against it. */
+START_TEST (test_a_restarted_vm_tells_what_it_holds_now)
+{
+  struct peer_net *net = new_joined (6, 3);
+  struct peer_vm *vm = peer_net_vm (net, 2);
+  const struct kcp_fact *told;
+
+  for (guint i = 0; i < 6; i++)
+    kcp_membership_set_config (peer_net_vm (net, i)->membership, peer_net_time (net),
+                               &(struct kcp_config_told){ 5, 9, true }, 0);
+  peer_net_run (net, 5 * KCP_NS_PER_S);
+  restart_in_the_past (net, vm);
+  kcp_membership_set_config (vm->membership, peer_net_time (net),
+                             &(struct kcp_config_told){ 0, 0, false }, -1);
+  peer_net_run (net, 10 * KCP_NS_PER_S);
+  told = kcp_facts_get (kcp_membership_facts (peer_net_vm (net, 0)->membership),
+                        KCP_FACT_CONFIG, vm->id);
+  ck_assert_uint_eq (told->of.config.version, 0);
+  peer_net_free (net);
+}
+END_TEST
+
+static void
+inject_fault (struct peer_net *net)
+{
+  struct peer_vm *vm
+      = peer_net_vm (net, (guint)g_rand_int_range (net->random, 0, (gint)net->vms->len));
+
+  switch (g_rand_int_range (net->random, 0, 6))
+    {
+    case 0:
+      peer_net_restart (net, vm);
+      break;
+    case 1:
+      vm->frozen = !vm->frozen;
+      break;
+    case 2:
+      vm->side = g_rand_int_range (net->random, 0, 3);
+      break;
+    case 3:
+      net->loss_percent = g_rand_int_range (net->random, 0, 50);
+      break;
+    case 4:
+      net->delay_max_ns = g_rand_int_range (net->random, 1, 300) * KCP_NS_PER_MS;
+      break;
+    default:
+      (void)peer_net_publish (vm, KCP_FACT_QUARANTINE, "print", g_rand_int (net->random),
+                              1);
+      break;
+    }
+}
+
+START_TEST (test_random_faults_are_healed)
+{
+  for (guint32 run = 0; run < FAULT_RUNS; run++)
+    {
+      struct peer_net *net = peer_net_new (seed + run, 12, 3);
+
+      net->repeat_percent = 10;
+      peer_net_seed_all (net);
+      for (int i = 0; i < 30; i++)
+        {
+          inject_fault (net);
+          peer_net_run (net, g_rand_int_range (net->random, 1, 3000) * KCP_NS_PER_MS);
+        }
+      net->loss_percent = 0;
+      net->delay_max_ns = KCP_NS_PER_MS;
+      for (guint i = 0; i < net->vms->len; i++)
+        {
+          peer_net_vm (net, i)->side = 0;
+          peer_net_vm (net, i)->frozen = false;
+        }
+      peer_net_seed_all (net);
+      ck_assert_msg (peer_net_run_until (net, alive_and_equal, HEAL_LIMIT_NS) >= 0,
+                     "seed %u did not heal", seed + run);
+      peer_net_free (net);
+    }
+}
+END_TEST
+
+int
+main (int argc, char **argv)
+{
+  Suite *suite = suite_create ("peer_membership");
+  TCase *tests = tcase_create ("peer_membership");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  if (argc > 1)
+    seed = (guint32)strtoul (argv[1], NULL, 10);
+  (void)printf ("seed %u\n", seed);
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, test_all_learn_each_other_from_one_over_a_bad_network);
+  tcase_add_test (tests, test_a_dead_vm_is_found_and_no_other_is_taken_for_dead);
+  tcase_add_test (tests, test_a_broken_link_between_two_makes_no_suspect);
+  tcase_add_test (tests, test_a_healed_partition_converges);
+  tcase_add_test (tests, test_a_frozen_vm_notices_and_refutes_its_death);
+  tcase_add_test (tests, test_a_lapse_makes_no_suspect_dead_at_once);
+  tcase_add_test (tests, test_a_restarted_data_center_is_alive_again);
+  tcase_add_test (tests, test_a_vm_replaced_with_its_clock_behind_is_alive_again);
+  tcase_add_test (tests, test_a_false_suspicion_is_refuted);
+  tcase_add_test (tests, test_leaving_is_known_before_the_end);
+  tcase_add_test (tests, test_facts_of_a_data_center_stay_inside);
+  tcase_add_test (tests, test_what_a_vm_lacks_of_the_configuration_is_found);
+  tcase_add_test (tests, test_a_restarted_vm_tells_what_it_holds_now);
+  tcase_add_test (tests, test_random_faults_are_healed);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
