--- /dev/null
+++ b/src/peer/config_pull.c
@@ -0,0 +1,129 @@
+#include "peer/config_pull.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+
+#define BATCH_CHUNKS   32
+#define RETRY_NS       (100 * KCP_NS_PER_MS)
+#define TRIES_MAX      5
+#define TEXT_BYTES_MAX (64u << 20)
+
+static bool
+learn_size (struct kcp_config_pull *pull, const struct kcp_message_chunk *chunk);
+static bool batch_is_present (const struct kcp_config_pull *pull);
+static uint32_t chunks_of (uint32_t total);
+
+/* Starts to fetch from a VM what changed after version since. number is random. */
+void
+kcp_config_pull_start (struct kcp_config_pull *pull, const char *from, uint64_t number,
+                       uint64_t since)
+{
+  kcp_config_pull_clear (pull);
+  *pull = (struct kcp_config_pull){
+    .state = KCP_PULL_ACTIVE,
+    .number = number,
+    .since = since,
+    .text = g_byte_array_new (),
+    .present = g_byte_array_new (),
+  };
+  g_strlcpy (pull->from, from, sizeof pull->from);
+}
+
+/* Fills in the next request if one is due: the first, one for the next chunks, or a
+   repeated one when chunks were lost. Fails the pull after several in vain. */
+bool
+kcp_config_pull_request (struct kcp_config_pull *pull, int64_t now_ns,
+                         struct kcp_message_pull *request)
+{
+  if (pull->state != KCP_PULL_ACTIVE)
+    return false;
+  if (pull->asked > 0 && !batch_is_present (pull) && now_ns - pull->sent_ns < RETRY_NS)
+    return false;
+  if (pull->tries >= TRIES_MAX)
+    {
+      pull->state = KCP_PULL_FAILED;
+      return false;
+    }
+  while (pull->first < pull->present->len && pull->present->data[pull->first] != 0)
+    pull->first++;
+  pull->asked = BATCH_CHUNKS;
+  pull->tries++;
+  pull->sent_ns = now_ns;
+  *request = (struct kcp_message_pull){
+    .number = pull->number,
+    .since = pull->since,
+    .first = pull->first,
+    .count = pull->asked,
+  };
+  return true;
+}
+
+/* Takes a chunk. One that is not of this pull, or does not fit, changes nothing. */
+void
+kcp_config_pull_accept (struct kcp_config_pull *pull, const char *from,
+                        const struct kcp_message_chunk *chunk)
+{
+  uint32_t offset = chunk->index * KCP_MESSAGE_CHUNK_MAX;
+
+  if (pull->state != KCP_PULL_ACTIVE || chunk->number != pull->number
+      || strcmp (from, pull->from) != 0 || !learn_size (pull, chunk)
+      || chunk->index >= pull->present->len || pull->present->data[chunk->index] != 0
+      || chunk->len != MIN (pull->total - offset, KCP_MESSAGE_CHUNK_MAX))
+    return;
+  memcpy (pull->text->data + offset, chunk->data, chunk->len);
+  pull->present->data[chunk->index] = 1;
+  pull->tries = 0;
+  if (--pull->missing == 0)
+    pull->state = KCP_PULL_DONE;
+}
+
+/* Returns the text of a pull that is done. */
+struct kcp_str
+kcp_config_pull_text (const struct kcp_config_pull *pull)
+{
+  return (struct kcp_str){ (const char *)pull->text->data, pull->total };
+}
+
+/* Frees what the pull holds and makes it idle. */
+void
+kcp_config_pull_clear (struct kcp_config_pull *pull)
+{
+  g_clear_pointer (&pull->text, g_byte_array_unref);
+  g_clear_pointer (&pull->present, g_byte_array_unref);
+  pull->state = KCP_PULL_IDLE;
+}
+
+/* Learns the size from the first chunk; the others have to be of the same text. */
+static bool
+learn_size (struct kcp_config_pull *pull, const struct kcp_message_chunk *chunk)
+{
+  if (pull->total != 0)
+    return chunk->total == pull->total && chunk->snapshot == pull->snapshot;
+  if (chunk->total == 0 || chunk->total > TEXT_BYTES_MAX)
+    return false;
+  pull->total = chunk->total;
+  pull->snapshot = chunk->snapshot;
+  pull->missing = chunks_of (chunk->total);
+  g_byte_array_set_size (pull->text, pull->total);
+  g_byte_array_set_size (pull->present, pull->missing);
+  memset (pull->present->data, 0, pull->present->len);
+  return true;
+}
+
+static bool
+batch_is_present (const struct kcp_config_pull *pull)
+{
+  uint32_t end = MIN (pull->first + pull->asked, pull->present->len);
+
+  for (uint32_t i = pull->first; i < end; i++)
+    if (pull->present->data[i] == 0)
+      return false;
+  return pull->total != 0;
+}
+
+static uint32_t
+chunks_of (uint32_t total)
+{
+  return (total + KCP_MESSAGE_CHUNK_MAX - 1) / KCP_MESSAGE_CHUNK_MAX;
+}
