Test that VMs that restart together serve at once, or refuse truthfully

With the log out, or trimmed without a checkpoint while nobody holds a configuration, a new VM answers 503 no-configuration.

--- /dev/null
+++ b/tests/process/test_restart.c
@@ -0,0 +1,186 @@
+#include <check.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "tests/harness/cluster.h"
+
+#define VMS             3
+#define SERVES_LIMIT_MS 5000 /* the target for a configuration in force everywhere */
+#define POLL_MS         2
+#define RECORDS         400 /* in the log before the restart */
+
+static struct cluster *cluster;
+
+static void
+set_up (void)
+{
+  cluster = cluster_new ("restart");
+  cluster_add_engine (cluster, "engine-1", "dc1", NULL);
+  cluster_publish_list (cluster, 0);
+}
+
+static void
+tear_down (void)
+{
+  cluster_free (cluster);
+}
+
+static struct client_answer
+complete (const struct process *vm)
+{
+  return client_run (&(struct client_call){
+      .port = vm->port,
+      .path = "/v1/completions",
+      .key = CLUSTER_TEAM_KEY,
+      .profile = "urgent",
+      .body = "{\"model\":\"" CLUSTER_MODEL "\",\"prompt\":\"p\",\"max_tokens\":1}",
+  });
+}
+
+/* Waits for the first right answer; every answer before it has to say that nothing ran
+   and when to come back. Returns the milliseconds since start_ns. */
+static int64_t
+first_answer_ms (const struct process *vm, int64_t start_ns)
+{
+  for (;;)
+    {
+      struct client_answer answer = complete (vm);
+      int64_t ms
+          = (kcp_clock_monotonic_ns (&kcp_clock_system) - start_ns) / KCP_NS_PER_MS;
+      g_autofree char *retry = client_header (&answer, "Retry-After");
+      bool served = answer.status == 200;
+
+      ck_assert_msg (
+          served || strstr (answer.body->str, "\"execution\":\"not_run\"") != NULL,
+          "%ld %s", answer.status, answer.body->str);
+      ck_assert_msg (served || (answer.status == 503 && retry != NULL), "%ld %s",
+                     answer.status, answer.body->str);
+      client_answer_clear (&answer);
+      if (served)
+        return ms;
+      ck_assert_int_le (ms, SERVES_LIMIT_MS);
+      g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+}
+
+static void
+add_vms (void)
+{
+  for (int i = 0; i < VMS; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("vm-%d", i + 1);
+
+      cluster_add_vm (cluster, name, "dc1", "[platform]\ncheckpoint_records=100\n");
+    }
+}
+
+static void
+kill_vms (void)
+{
+  g_ptr_array_set_size (cluster->vms, 0);
+}
+
+START_TEST (test_vms_that_restart_together_serve_at_once)
+{
+  g_autofree char *document = g_strdup ("{\"prompt_in\":[\"dc1\"],\"cache_in\":[\"dc1\"],"
+                                        "\"compute_in\":[\"dc1\"]}");
+  int64_t start_ns;
+
+  add_vms ();
+  cluster_publish_standard (cluster);
+  cluster_wait_ready (cluster);
+  for (int i = 0; i < RECORDS; i++)
+    ck_assert_int_eq (cluster_put (cluster_vm (cluster, 0)->admin_port,
+                                   "/admin/v1/profiles/often", document, NULL),
+                      200);
+  kill_vms ();
+  start_ns = kcp_clock_monotonic_ns (&kcp_clock_system);
+  add_vms ();
+  for (guint i = 0; i < VMS; i++)
+    {
+      int64_t ms = first_answer_ms (cluster_vm (cluster, i), start_ns);
+
+      ck_assert_int_le (ms, SERVES_LIMIT_MS);
+      (void)printf ("%s: first right answer %" G_GINT64_FORMAT
+                    " ms after the first of %d VMs was started\n",
+                    cluster_vm (cluster, i)->name, ms, VMS);
+    }
+}
+END_TEST
+
+START_TEST (test_where_nothing_knows_the_configuration_the_refusal_says_so)
+{
+  struct client_answer answer;
+  g_autofree char *retry = NULL;
+  int64_t start_ns;
+
+  add_vms ();
+  cluster_publish_standard (cluster);
+  cluster_wait_ready (cluster);
+  cluster_faults (cluster->log, "{\"out\":true}");
+  answer = complete (cluster_vm (cluster, 0));
+  ck_assert_int_eq (answer.status, 200);
+  client_answer_clear (&answer);
+  kill_vms ();
+  add_vms ();
+  answer = complete (cluster_vm (cluster, 1));
+  retry = client_header (&answer, "Retry-After");
+  ck_assert_int_eq (answer.status, 503);
+  ck_assert_ptr_nonnull (strstr (answer.body->str, ":no-configuration\""));
+  ck_assert_ptr_nonnull (strstr (answer.body->str, "\"execution\":\"not_run\""));
+  ck_assert_ptr_nonnull (retry);
+  client_answer_clear (&answer);
+  ck_assert_int_eq (cluster_put (cluster_vm (cluster, 1)->admin_port,
+                                 "/admin/v1/profiles/x",
+                                 "{\"prompt_in\":[\"dc1\"],\"cache_in\":[\"dc1\"],"
+                                 "\"compute_in\":[\"dc1\"]}",
+                                 NULL),
+                    503);
+  cluster_faults (cluster->log, "{\"out\":false}");
+  start_ns = kcp_clock_monotonic_ns (&kcp_clock_system);
+  (void)printf ("first right answer %" G_GINT64_FORMAT " ms after the log came back\n",
+                first_answer_ms (cluster_vm (cluster, 1), start_ns));
+}
+END_TEST
+
+START_TEST (test_a_new_vm_on_a_trimmed_log_without_checkpoint_refuses_truthfully)
+{
+  struct client_answer answer;
+
+  cluster_add_vm (cluster, "vm-1", "dc1", NULL);
+  cluster_publish_standard (cluster);
+  cluster_wait_ready (cluster);
+  kill_vms ();
+  cluster_faults (cluster->log, "{\"trim\":{\"stream\":\"config\",\"first\":3}}");
+  cluster_add_vm (cluster, "vm-2", "dc1", NULL);
+  answer = complete (cluster_vm (cluster, 0));
+  ck_assert_int_eq (answer.status, 503);
+  ck_assert_ptr_nonnull (strstr (answer.body->str, ":no-configuration\""));
+  ck_assert_ptr_nonnull (strstr (answer.body->str, "\"execution\":\"not_run\""));
+  client_answer_clear (&answer);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("restart");
+  TCase *tests = tcase_create ("restart");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, test_vms_that_restart_together_serve_at_once);
+  tcase_add_test (tests, test_where_nothing_knows_the_configuration_the_refusal_says_so);
+  tcase_add_test (tests,
+                  test_a_new_vm_on_a_trimmed_log_without_checkpoint_refuses_truthfully);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
