Doubt what was read of the log once nothing can be compared any more

Its last record had been trimmed, so that nothing showed that the log had been replaced meanwhile; it read on from a state of its own.

Ruled out: trusting a VM that compared a short time ago; it only makes the fault rarer.

--- a/src/platform/checkpoint_plan.c
+++ b/src/platform/checkpoint_plan.c
@@ -5,7 +5,7 @@
   REASON_NONE,
   REASON_ROUTINE, /* many records, or a long time, since the newest checkpoint */
   REASON_URGENT,  /* the log alone no longer gives what is in force */
-  REASON_GAP      /* nothing was found that closes the gap */
+  REASON_GAP      /* no checkpoint was found where the log alone gives no state */
 };
 
 static enum reason
@@ -47,7 +47,7 @@
       plan->seen_upto = status->checkpoint_upto;
       plan->seen_ns = now_ns;
     }
-  if (status->gap)
+  if (status->gap || status->unverified)
     return status->empty ? REASON_NONE : REASON_GAP;
   if (status->ahead || (first > 0 && !usable))
     return REASON_URGENT;
--- a/src/platform/config_reader.c
+++ b/src/platform/config_reader.c
@@ -90,7 +90,7 @@
 
   if (first <= next)
     {
-      reader->gone = next;
+      kcp_config_log_doubted (reader->config);
       return;
     }
   kcp_config_log_restarted (reader->config, first);
@@ -124,7 +124,7 @@
 static bool
 can_compare (const struct kcp_config_reader *reader, uint64_t next)
 {
-  return next > 0 && next != reader->gone && kcp_config_can_compare (reader->config);
+  return next > 0 && kcp_config_can_compare (reader->config);
 }
 
 /* Returns false if the log is to be read again from an earlier offset. */
--- a/src/platform/config_reader.h
+++ b/src/platform/config_reader.h
@@ -14,7 +14,6 @@
   struct kcp_checkpoint_plan plan;
   int64_t compare_ns;  /* how long the last record goes without being compared */
   int64_t compared_ns; /* when it was compared last */
-  uint64_t gone;       /* the next offset whose record before it was trimmed */
   bool compare;        /* the last record applied is to be read again and compared */
   bool comparing;      /* the read under way does so */
 };
--- a/src/profile/config.c
+++ b/src/profile/config.c
@@ -108,6 +108,16 @@
   pthread_mutex_unlock (&config->lock);
 }
 
+/* Notes that the record before the next offset was trimmed, so that it can no longer be
+   compared. The state is kept until a checkpoint replaces it. */
+void
+kcp_config_log_doubted (struct kcp_config *config)
+{
+  pthread_mutex_lock (&config->lock);
+  kcp_config_log_doubt (&config->log);
+  pthread_mutex_unlock (&config->lock);
+}
+
 /* Asks for the last record read to be compared with the log once more. */
 void
 kcp_config_suspect_log (struct kcp_config *config)
@@ -165,6 +175,7 @@
   *status = (struct kcp_config_status){
     .next = log->next,
     .gap = log->gap,
+    .unverified = log->unverified,
     .ahead = config->digest != log->digest,
     .empty = config->version == 0,
     .has_checkpoint = log->has_checkpoint,
--- a/src/profile/config.h
+++ b/src/profile/config.h
@@ -27,10 +27,11 @@
 /* How what is in force stands to what was read of the log. */
 struct kcp_config_status
 {
-  uint64_t next; /* the first offset not applied */
-  bool gap;      /* the log's start is missing, and no checkpoint stands in for it */
-  bool ahead;    /* something in force is not in the log */
-  bool empty;    /* nothing was ever published */
+  uint64_t next;   /* the first offset not applied */
+  bool gap;        /* the log's start is missing, and no checkpoint stands in for it */
+  bool unverified; /* the log may have been replaced, and what would show it is trimmed */
+  bool ahead;      /* something in force is not in the log */
+  bool empty;      /* nothing was ever published */
   bool has_checkpoint;
   uint64_t checkpoint_upto;
   uint64_t records_since; /* the newest checkpoint */
@@ -51,6 +52,7 @@
 void kcp_config_log_restarted (struct kcp_config *config, uint64_t first);
 void kcp_config_suspect_log (struct kcp_config *config);
 bool kcp_config_take_suspicion (struct kcp_config *config);
+void kcp_config_log_doubted (struct kcp_config *config);
 bool kcp_config_can_compare (struct kcp_config *config);
 bool
 kcp_config_log_matches (struct kcp_config *config, uint64_t offset, const json_t *record);
--- a/src/profile/config_log.c
+++ b/src/profile/config_log.c
@@ -45,12 +45,25 @@
   forget (log);
   log->next = first;
   log->gap = first > 0;
+  log->unverified = false;
   log->gap_start = first;
   log->has_checkpoint = false;
   log->records_since = 0;
   log->has_last = false;
 }
 
+/* Notes that the record before next was trimmed, so that nothing shows any longer whether
+   this is still the log that was read. The next checkpoint decides. */
+void
+kcp_config_log_doubt (struct kcp_config_log *log)
+{
+  log->has_last = false;
+  if (log->gap)
+    return;
+  log->unverified = true;
+  log->gap_start = log->next;
+}
+
 /* Applies the record at an offset. changed gets a borrowed entry, or NULL; after a
    checkpoint any number of entries may have changed. error may be NULL. */
 enum kcp_config_result
@@ -134,13 +147,15 @@
   g_autoptr (GPtrArray) entries = g_ptr_array_new_with_free_func (kcp_config_entry_unref);
   g_autoptr (GPtrArray) carried = g_ptr_array_new_with_free_func (kcp_config_entry_unref);
   struct kcp_config_checkpoint checkpoint;
+  bool resumes;
 
   if (!kcp_config_record_read_checkpoint (record, &checkpoint, entries, carried, error)
       || checkpoint.upto > offset)
     return KCP_CONFIG_INVALID;
-  if (!checkpoint.root && log->gap && checkpoint.upto < log->gap_start)
+  resumes = !checkpoint.root && (log->gap || log->unverified);
+  if (resumes && checkpoint.upto < log->gap_start)
     return KCP_CONFIG_GAP;
-  if (checkpoint.root || log->gap)
+  if (checkpoint.root || resumes)
     {
       forget (log);
       log->version = checkpoint.version;
@@ -149,14 +164,14 @@
   log->has_checkpoint = true;
   log->checkpoint_upto = checkpoint.root ? offset : checkpoint.upto;
   log->records_since = 0;
-  if (log->gap && !checkpoint.root)
+  log->gap = false;
+  log->unverified = false;
+  if (resumes)
     {
-      log->gap = false;
       log->next = checkpoint.upto;
       log->has_last = false;
       return KCP_CONFIG_REWOUND;
     }
-  log->gap = false;
   join (log, carried);
   return KCP_CONFIG_CHECKPOINT;
 }
--- a/src/profile/config_log.h
+++ b/src/profile/config_log.h
@@ -25,6 +25,7 @@
   uint64_t digest;     /* exclusive or of the entries' digests */
   uint64_t next;       /* the first offset not applied */
   bool gap;            /* records before gap_start are missing */
+  bool unverified;     /* the log may have been replaced before gap_start */
   uint64_t gap_start;
   bool has_checkpoint;
   uint64_t checkpoint_upto; /* the newest checkpoint holds all records before it */
@@ -36,6 +37,7 @@
 void kcp_config_log_init (struct kcp_config_log *log);
 void kcp_config_log_clear (struct kcp_config_log *log);
 void kcp_config_log_restart (struct kcp_config_log *log, uint64_t first);
+void kcp_config_log_doubt (struct kcp_config_log *log);
 enum kcp_config_result
 kcp_config_log_apply (struct kcp_config_log *log, uint64_t offset, json_t *record,
                       struct kcp_config_entry **changed, struct kcp_error *error);
--- a/tests/unit/test_config_history.c
+++ b/tests/unit/test_config_history.c
@@ -160,7 +160,7 @@
   if (status.ahead)
     append (world, kcp_config_checkpoint (vm->config, false));
   (void)kcp_config_base (vm->config, key, &base);
-  kcp_id_random (pending.id);
+  (void)g_snprintf (pending.id, sizeof pending.id, "%08x", g_rand_int (world->random));
   document = json_pack ("{s[s]s[s]s[s]}", "prompt_in", "d", "cache_in", "d", "compute_in",
                         "d");
   if (status.next > world->first + world->records->len)
@@ -208,7 +208,9 @@
           struct kcp_config_base base;
 
           (void)kcp_config_base (world->vms[other].config, name, &base);
-          alone = alone && (other == i || base.version < own.version);
+          alone = alone
+                  && (other == i || base.version < own.version
+                      || (base.version == own.version && strcmp (base.id, own.id) < 0));
         }
       if (alone && own.version > 0)
         return true;
