Bound what slow callers cost, and refuse requests of doubtful length

Cause: what a caller had read of a reply stayed in its buffer until the caller had read all of it, the text kept for a continuation had no bound, and a request with Content-Length and Transfer-Encoding, or one of them twice, left its connection open for what followed. The buffer drops what has been read once that is the greater part, is given back when empty and asks for a pause at half the limit, as it grows by doubling; the text is dropped beyond stream_buffer_bytes (such a stream resumes at its own engine only); a whole answer over 8 MB is an error; a request of doubtful length gets 400 and a closed connection at once. New: test_callers, 9 checks (deadlines, heartbeats, non-repeatable completions, refusals, slow callers, smuggled headers, stalled requests, TLS). Its bound on memory is the streams of a VM at the target in 64 MB.

--- a/src/http/entry.c
+++ b/src/http/entry.c
@@ -12,7 +12,7 @@
 #include "request/request.h"
 
 #define STEP          "entry"
-#define READ_BLOCK    (16u << 10)
+#define READ_BLOCK    (4u << 10)
 #define RETRY_AFTER_S 1
 
 struct kcp_entry
@@ -32,6 +32,7 @@
   struct kcp_reply *reply;
   struct kcp_request *request;
   struct kcp_error error; /* code is not KCP_OK: to be answered once the body is read */
+  bool unsound;           /* the headers leave in doubt where the request ends */
 };
 
 /* Headers that mean something here and may be given only once. */
@@ -60,7 +61,7 @@
 static struct kcp_call *
 route_service (const char *url, const char *method, struct kcp_error *error);
 static bool
-headers_are_single (struct MHD_Connection *connection, struct kcp_error *error);
+headers_are_sound (struct MHD_Connection *connection, struct kcp_error *error);
 static enum MHD_Result
 count_header (void *user, enum MHD_ValueKind kind, const char *key, const char *value);
 static char *header (struct MHD_Connection *connection, const char *name);
@@ -190,16 +191,14 @@
 read_head (struct exchange *exchange, const char *url, const char *method)
 {
   struct MHD_Connection *connection = exchange->connection;
+  bool sound = headers_are_sound (connection, &exchange->error);
   struct kcp_str key = kcp_responder_bearer (connection);
-  struct kcp_call *call = route (url, method, &exchange->error);
+  struct kcp_call *call;
 
+  exchange->unsound = !sound;
+  call = sound ? route (url, method, &exchange->error) : NULL;
   if (call == NULL)
     return false;
-  if (!headers_are_single (connection, &exchange->error))
-    {
-      kcp_call_free (call);
-      return false;
-    }
   call->key = key.len > 0 ? kcp_str_dup (key) : NULL;
   call->profile = header (connection, "Kingcuppoint-Profile");
   call->idempotency_key = header (connection, "Idempotency-Key");
@@ -250,7 +249,7 @@
 }
 
 static bool
-headers_are_single (struct MHD_Connection *connection, struct kcp_error *error)
+headers_are_sound (struct MHD_Connection *connection, struct kcp_error *error)
 {
   for (size_t i = 0; i < G_N_ELEMENTS (single_headers); i++)
     {
@@ -264,7 +263,13 @@
           return false;
         }
     }
-  return true;
+  if (MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Content-Length") == NULL
+      || MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Transfer-Encoding")
+             == NULL)
+    return true;
+  kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL,
+                 "Content-Length: not allowed beside Transfer-Encoding");
+  return false;
 }
 
 static enum MHD_Result
@@ -308,7 +313,9 @@
   struct kcp_router *router = exchange->entry->router;
 
   if (exchange->error.code != KCP_OK)
-    return kcp_responder_problem (exchange->connection, &exchange->error);
+    return exchange->unsound
+               ? kcp_responder_problem_close (exchange->connection, &exchange->error)
+               : kcp_responder_problem (exchange->connection, &exchange->error);
   if (exchange->request == NULL)
     {
       struct kcp_call *call = exchange->call;
--- a/src/http/responder.c
+++ b/src/http/responder.c
@@ -5,6 +5,7 @@
 
 #include "request/problem.h"
 
+static struct MHD_Response *make_problem (const struct kcp_error *error);
 static enum MHD_Result send_response (struct MHD_Connection *connection, unsigned status,
                                       struct MHD_Response *response);
 
@@ -39,6 +40,25 @@
 /* Sends an error as a problem document. */
 enum MHD_Result
 kcp_responder_problem (struct MHD_Connection *connection, const struct kcp_error *error)
+{
+  return send_response (connection, kcp_error_http_status (error->code),
+                        make_problem (error));
+}
+
+/* Sends an error as a problem document and closes the connection, since where the request
+   ends is in doubt. */
+enum MHD_Result
+kcp_responder_problem_close (struct MHD_Connection *connection,
+                             const struct kcp_error *error)
+{
+  struct MHD_Response *response = make_problem (error);
+
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  return send_response (connection, kcp_error_http_status (error->code), response);
+}
+
+static struct MHD_Response *
+make_problem (const struct kcp_error *error)
 {
   json_t *problem = kcp_problem_new (error, NULL);
   char *text = json_dumps (problem, JSON_COMPACT);
@@ -54,7 +74,7 @@
 
       MHD_add_response_header (response, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
     }
-  return send_response (connection, kcp_error_http_status (error->code), response);
+  return response;
 }
 
 /* Returns the token of an "Authorization: Bearer" header, or the empty string. */
--- a/src/http/responder.h
+++ b/src/http/responder.h
@@ -13,6 +13,8 @@
                                     json_t *document, const char *etag);
 enum MHD_Result
 kcp_responder_problem (struct MHD_Connection *connection, const struct kcp_error *error);
+enum MHD_Result kcp_responder_problem_close (struct MHD_Connection *connection,
+                                             const struct kcp_error *error);
 struct kcp_str kcp_responder_bearer (struct MHD_Connection *connection);
 
 #endif
--- a/src/request/completion_answer.c
+++ b/src/request/completion_answer.c
@@ -4,14 +4,15 @@
 #include "base/counter.h"
 #include "request/request_private.h"
 
-#define HTTP_STATUS_OK     200
-#define ANSWER_MAX_BYTES   (8u << 20) /* of an answer that is not streamed */
-#define CONTINUE_MAX_BYTES (1u << 20) /* of a streamed answer that can be continued */
+#define HTTP_STATUS_OK   200
+#define STEP_ANSWER      "answer"
+#define ANSWER_MAX_BYTES (8u << 20) /* of an answer that is not streamed */
 
 static void
 take_content (struct kcp_request *request, const struct kcp_engine_chunk *chunk);
 static void
 take_totals (struct kcp_request *request, const struct kcp_engine_chunk *chunk);
+static void fail_too_large (struct kcp_request *request);
 static bool forward (struct kcp_request *request, struct kcp_str data);
 static void begin_stream (struct kcp_request *request);
 static void write_whole (struct kcp_request *request);
@@ -31,6 +32,11 @@
                       request->backend->id, 0);
   take_content (request, chunk);
   take_totals (request, chunk);
+  if (request->text_cut && !request->prompt.stream)
+    {
+      fail_too_large (request);
+      return true;
+    }
   if (request->prompt.stream && changed)
     text = json_dumps (chunk->json, JSON_COMPACT);
   if (request->prompt.stream)
@@ -66,10 +72,14 @@
   kcp_request_end (request, KCP_EVENT_COMPLETED);
 }
 
+/* Keeps the text of the answer, for a continuation at another engine; a stream that has
+   grown over its buffer can be read on at its own engine only. */
 static void
 take_content (struct kcp_request *request, const struct kcp_engine_chunk *chunk)
 {
-  size_t limit = request->prompt.stream ? CONTINUE_MAX_BYTES : ANSWER_MAX_BYTES;
+  const struct kcp_settings *settings = request->router->settings;
+  size_t limit = request->prompt.stream ? (size_t)settings->callers_stream_buffer_bytes
+                                        : ANSWER_MAX_BYTES;
 
   if (chunk->content == NULL || chunk->content[0] == '\0')
     return;
@@ -79,7 +89,8 @@
   if (request->text->len <= limit)
     return;
   request->text_cut = true;
-  g_string_truncate (request->text, 0);
+  g_string_free (request->text, TRUE);
+  request->text = g_string_new (NULL);
 }
 
 static void
@@ -98,6 +109,17 @@
     }
 }
 
+static void
+fail_too_large (struct kcp_request *request)
+{
+  struct kcp_error error;
+
+  kcp_error_set (&error, KCP_ERR_BACKEND, STEP_ANSWER, request->backend->id,
+                 "the answer has more than %u bytes; ask for a stream", ANSWER_MAX_BYTES);
+  error.execution = KCP_RAN;
+  kcp_request_fail (request, &error);
+}
+
 static bool
 forward (struct kcp_request *request, struct kcp_str data)
 {
--- a/src/request/reply.c
+++ b/src/request/reply.c
@@ -5,10 +5,12 @@
 
 #include "base/ref.h"
 
+#define KEPT_BYTES 4096 /* of an empty buffer */
+
 struct kcp_reply
 {
   pthread_mutex_t lock;
-  size_t limit; /* bytes held before the writer is asked to pause */
+  size_t limit; /* bytes of the buffer */
   kcp_reply_wait *wait;
   kcp_reply_wake *wake;
   void *reader; /* argument of both */
@@ -25,11 +27,13 @@
 };
 
 static void clear (gpointer data);
+static void compact (struct kcp_reply *reply);
 static void stop_reader (struct kcp_reply *reply);
 static void wake_reader (struct kcp_reply *reply, bool waits);
 
-/* Makes an empty reply that holds about limit bytes. wait and wake stop and resume the
-   reader. */
+/* Makes an empty reply. The writer is asked to pause once it holds half of limit bytes,
+   since the buffer grows by doubling; what is written in one piece is always taken. wait
+   and wake stop and resume the reader. */
 struct kcp_reply *
 kcp_reply_new (size_t limit, kcp_reply_wait *wait, kcp_reply_wake *wake, void *reader)
 {
@@ -60,7 +64,7 @@
     kcp_ref_release (reply, clear);
 }
 
-/* Names whom to tell when a full reply has been read down to half its limit. */
+/* Names whom to tell when a full reply has been read down to a quarter of its limit. */
 void
 kcp_reply_on_drained (struct kcp_reply *reply, kcp_reply_drained *drained, void *user)
 {
@@ -111,7 +115,7 @@
 
   pthread_mutex_lock (&reply->lock);
   g_string_append_len (reply->held, data.data, (gssize)data.len);
-  room = reply->held->len - reply->taken < reply->limit;
+  room = reply->held->len - reply->taken < reply->limit / 2;
   reply->writer_waits = !room;
   waits = reply->reader_waits;
   reply->reader_waits = false;
@@ -226,12 +230,8 @@
       memcpy (out, reply->held->str + reply->taken, (size_t)result);
       reply->taken += (size_t)result;
     }
-  if (reply->taken == reply->held->len)
-    {
-      g_string_truncate (reply->held, 0);
-      reply->taken = 0;
-    }
-  if (reply->writer_waits && reply->held->len - reply->taken <= reply->limit / 2)
+  compact (reply);
+  if (reply->writer_waits && reply->held->len - reply->taken <= reply->limit / 4)
     {
       reply->writer_waits = false;
       drained = reply->drained;
@@ -254,6 +254,24 @@
   pthread_mutex_destroy (&reply->lock);
 }
 
+/* Gives a large buffer back once it is empty, and otherwise drops what has been read once
+   that is the greater part, so that a reader that is never done does not make the buffer
+   grow, and each byte is moved once at most. */
+static void
+compact (struct kcp_reply *reply)
+{
+  if (reply->taken == reply->held->len && reply->held->allocated_len > KEPT_BYTES)
+    {
+      g_string_free (reply->held, TRUE);
+      reply->held = g_string_new (NULL);
+      reply->taken = 0;
+    }
+  if (reply->taken <= reply->held->len / 2)
+    return;
+  g_string_erase (reply->held, 0, (gssize)reply->taken);
+  reply->taken = 0;
+}
+
 static void
 stop_reader (struct kcp_reply *reply)
 {
--- a/src/request/reply.h
+++ b/src/request/reply.h
@@ -13,7 +13,8 @@
 typedef void kcp_reply_wait (void *user);
 /* Called without the reply's lock when a waiting reader can go on, from any thread. */
 typedef void kcp_reply_wake (void *user);
-/* Called when a full reply has been read down to half its limit, from any thread. */
+/* Called when a full reply has been read down to a quarter of its limit, from any thread.
+ */
 typedef void kcp_reply_drained (void *user);
 
 struct kcp_reply;
--- a/tests/harness/client.c
+++ b/tests/harness/client.c
@@ -26,7 +26,8 @@
       = { .headers = g_string_new (NULL), .body = g_string_new (NULL) };
   struct transfer transfer = { call, &answer };
   g_autofree char *url
-      = g_strdup_printf ("http://127.0.0.1:%d%s", call->port, call->path);
+      = g_strdup_printf ("%s://127.0.0.1:%d%s", call->certificate ? "https" : "http",
+                         call->port, call->path);
   g_autofree char *bearer = call->key ? g_strconcat ("Bearer ", call->key, NULL) : NULL;
   struct curl_slist *headers = curl_slist_append (NULL, "Expect:");
   CURL *curl = curl_easy_init ();
@@ -49,6 +50,8 @@
   curl_easy_setopt (curl, CURLOPT_HEADERDATA, &transfer);
   curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, on_body);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, &transfer);
+  if (call->certificate != NULL)
+    curl_easy_setopt (curl, CURLOPT_CAINFO, call->certificate);
   if (call->body != NULL)
     curl_easy_setopt (curl, CURLOPT_POSTFIELDS, call->body);
   if (call->method != NULL)
--- a/tests/harness/client.h
+++ b/tests/harness/client.h
@@ -17,9 +17,10 @@
   const char *idempotency_key;
   const char *header; /* one more header line */
   const char *body;
-  long timeout_ms;       /* 0: 10 s */
-  int64_t read_delay_us; /* pause after each piece, for a slow caller */
-  int64_t abort_after;   /* leave after so many bytes; 0: never */
+  long timeout_ms;         /* 0: 10 s */
+  int64_t read_delay_us;   /* pause after each piece, for a slow caller */
+  int64_t abort_after;     /* leave after so many bytes; 0: never */
+  const char *certificate; /* the server's, for TLS; NULL: no TLS */
 };
 
 struct client_answer
--- /dev/null
+++ b/tests/harness/raw.c
@@ -0,0 +1,64 @@
+#include "tests/harness/raw.h"
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define READ_BLOCK 4096
+
+/* Connects and sends a text; receive_buffer is in bytes, 0 leaves it. Returns the socket,
+   to be closed. */
+int
+raw_connect (int port, const char *text, int receive_buffer)
+{
+  struct sockaddr_in address = {
+    .sin_family = AF_INET,
+    .sin_port = htons ((uint16_t)port),
+    .sin_addr.s_addr = htonl (INADDR_LOOPBACK),
+  };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  if (receive_buffer > 0)
+    (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) != 0
+      || write (fd, text, strlen (text)) != (ssize_t)strlen (text))
+    abort ();
+  return fd;
+}
+
+/* Sends a text on a connection of its own and reads until the server closes it or the
+   time is over. */
+struct raw_answer
+raw_exchange (int port, const char *text, int64_t limit_ms)
+{
+  struct raw_answer answer = { .text = g_string_new (NULL) };
+  int64_t start_us = g_get_monotonic_time ();
+  int fd = raw_connect (port, text, 0);
+  struct pollfd wait = { .fd = fd, .events = POLLIN };
+  char block[READ_BLOCK];
+
+  while (!answer.closed && answer.took_ms < limit_ms)
+    {
+      ssize_t count;
+
+      if (poll (&wait, 1, (int)(limit_ms - answer.took_ms)) > 0)
+        {
+          count = read (fd, block, sizeof block);
+          answer.closed = count <= 0;
+          g_string_append_len (answer.text, block, MAX (count, 0));
+        }
+      answer.took_ms = (g_get_monotonic_time () - start_us) / G_TIME_SPAN_MILLISECOND;
+    }
+  (void)close (fd);
+  return answer;
+}
+
+/* Frees what an answer holds. */
+void
+raw_answer_clear (struct raw_answer *answer)
+{
+  g_string_free (answer->text, TRUE);
+}
--- /dev/null
+++ b/tests/process/test_callers.c
@@ -0,0 +1,317 @@
+/* Deadlines, slow callers, quiet streams, bad and stalled input, TLS. */
+#include <check.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "tests/harness/cluster.h"
+#include "tests/harness/raw.h"
+
+#define SLOW_CALLERS       8
+#define SLOW_TOKENS        100000 /* about 9 MB as events */
+#define SLOW_RECEIVE_BYTES 4096
+#define SLOW_WATCH_MS      2000
+#define STREAMS_A_VM       337 /* 2.9 million tokens/s, 43 ms apart, over 370 VMs */
+#define STREAMS_MAX_KB     (64 << 10)
+#define ANSWER_SLACK_MS    300
+#define IDLE_TIMEOUT_MS    1000
+#define CERTIFICATE        "tests/tls/certificate.pem"
+
+static const char vm_settings[] = "idle_timeout_ms=3000\n"
+                                  "[callers]\nheartbeat_ms=100\nidle_timeout_s=1\n"
+                                  "stream_buffer_bytes=16384\n";
+static const char tls_settings[]
+    = "[callers]\ntls_certificate=" CERTIFICATE "\ntls_key=tests/tls/key.pem\n";
+
+static struct cluster *cluster;
+static struct process *engine;
+
+static void
+set_up (void)
+{
+  cluster = cluster_new ("callers");
+  engine = cluster_add_engine (cluster, "engine-1", "dc1", NULL);
+  cluster_add_vm (cluster, "vm-1", "dc1", vm_settings);
+  cluster_add_vm (cluster, "vm-tls", "dc1", tls_settings);
+  cluster_publish_list (cluster, 0);
+  cluster_publish_standard (cluster);
+  cluster_wait_ready (cluster);
+}
+
+static void
+tear_down (void)
+{
+  for (guint i = 0; i < cluster->vms->len; i++)
+    {
+      process_signal (cluster_vm (cluster, i), SIGTERM);
+      ck_assert_int_eq (process_wait (cluster_vm (cluster, i)), 0);
+    }
+  cluster_free (cluster);
+}
+
+static struct client_answer
+complete (const char *profile, const char *header, int tokens)
+{
+  g_autofree char *body
+      = g_strdup_printf ("{\"model\":\"" CLUSTER_MODEL "\",\"prompt\":\"p\","
+                         "\"max_tokens\":%d,\"stream\":true}",
+                         tokens);
+
+  return client_run (&(struct client_call){
+      .port = cluster_vm (cluster, 0)->port,
+      .path = "/v1/completions",
+      .key = CLUSTER_TEAM_KEY,
+      .profile = profile,
+      .header = header,
+      .body = body,
+  });
+}
+
+static int64_t
+engine_count (const char *key)
+{
+  json_t *load = cluster_admin_get (engine->port, "/load");
+  int64_t count = json_integer_value (json_object_get (load, key));
+
+  json_decref (load);
+  return count;
+}
+
+START_TEST (test_a_passed_deadline_is_answered_at_once_and_ends_the_work)
+{
+  struct client_answer answer;
+
+  cluster_faults (engine, "{\"times\":1,\"delay_ms\":2000}");
+  answer = complete ("review", "Kingcuppoint-Deadline-Ms: 200", 4);
+  (void)fprintf (stderr, "deadline 200 ms: answered after %" G_GINT64_FORMAT " us\n",
+                 answer.total_us);
+  ck_assert_int_eq (answer.status, 504);
+  ck_assert_ptr_nonnull (strstr (answer.body->str, "\"execution\":\"unknown\""));
+  ck_assert_int_ge (answer.total_us, 200 * G_TIME_SPAN_MILLISECOND);
+  ck_assert_int_le (answer.total_us, (200 + ANSWER_SLACK_MS) * G_TIME_SPAN_MILLISECOND);
+  for (int i = 0; i < 500 && engine_count ("cancelled") == 0; i++)
+    g_usleep (2 * G_TIME_SPAN_MILLISECOND);
+  ck_assert_int_eq (engine_count ("cancelled"), 1);
+  ck_assert_int_eq (engine_count ("running"), 0);
+  client_answer_clear (&answer);
+}
+END_TEST
+
+START_TEST (test_a_deadline_within_a_stream_ends_it_with_an_error)
+{
+  struct client_answer answer;
+
+  cluster_faults (engine, "{\"times\":1,\"freeze_after\":3}");
+  answer = complete ("review", "Kingcuppoint-Deadline-Ms: 300", 8);
+  ck_assert_int_eq (answer.status, 200);
+  ck_assert_ptr_nonnull (strstr (answer.body->str, "event: error"));
+  ck_assert_ptr_nonnull (strstr (answer.body->str, "\"execution\":\"ran\""));
+  ck_assert_ptr_null (strstr (answer.body->str, "[DONE]"));
+  ck_assert_int_le (answer.total_us, (300 + ANSWER_SLACK_MS) * G_TIME_SPAN_MILLISECOND);
+  client_answer_clear (&answer);
+}
+END_TEST
+
+START_TEST (test_a_quiet_stream_carries_heartbeats)
+{
+  struct client_answer answer;
+  int beats = 0;
+
+  cluster_faults (engine, "{\"times\":1,\"freeze_after\":3}");
+  answer = complete ("review", "Kingcuppoint-Deadline-Ms: 1050", 8);
+  for (const char *at = answer.body->str; (at = strstr (at, ": \n\n")) != NULL; at++)
+    beats++;
+  (void)fprintf (stderr, "heartbeats in about 1 s at 100 ms: %d\n", beats);
+  ck_assert_int_ge (beats, 5);
+  ck_assert_int_le (beats, 11);
+  client_answer_clear (&answer);
+}
+END_TEST
+
+START_TEST (test_a_completion_that_may_not_be_repeated_runs_once)
+{
+  struct client_answer answer;
+
+  cluster_faults (engine, "{\"times\":1,\"break_after\":3,\"forget\":1}");
+  answer = complete ("booking", NULL, 8);
+  ck_assert_ptr_nonnull (strstr (answer.body->str, "event: error"));
+  ck_assert_ptr_null (strstr (answer.body->str, "[DONE]"));
+  ck_assert_int_eq (engine_count ("started"), 1);
+  client_answer_clear (&answer);
+  cluster_faults (engine, "{\"times\":1,\"break_after\":3}");
+  answer = complete ("booking", NULL, 8);
+  ck_assert_ptr_nonnull (strstr (answer.body->str, "[DONE]"));
+  ck_assert_int_eq (engine_count ("started"), 2);
+  ck_assert_int_eq (engine_count ("resumed"), 1);
+  client_answer_clear (&answer);
+}
+END_TEST
+
+START_TEST (test_a_refusal_of_every_engine_is_not_run)
+{
+  struct client_answer answer;
+
+  cluster_faults (engine, "{\"times\":100,\"refuse\":1}");
+  answer = complete ("review", NULL, 4);
+  ck_assert_int_eq (answer.status, 503);
+  ck_assert_ptr_nonnull (strstr (answer.body->str, "\"execution\":\"not_run\""));
+  ck_assert_ptr_nonnull (strstr (answer.headers->str, "Retry-After: "));
+  ck_assert_int_eq (engine_count ("started"), 0);
+  client_answer_clear (&answer);
+}
+END_TEST
+
+/* Returns the memory of the first VM in kB, without the pages of its program. */
+static int64_t
+memory_kb (void)
+{
+  g_autofree char *path
+      = g_strdup_printf ("/proc/%d/status", (int)cluster_vm (cluster, 0)->pid);
+  g_autofree char *text = NULL;
+  const char *at;
+
+  ck_assert (g_file_get_contents (path, &text, NULL, NULL));
+  at = strstr (text, "RssAnon:");
+  ck_assert_ptr_nonnull (at);
+  return g_ascii_strtoll (at + strlen ("RssAnon:"), NULL, 10);
+}
+
+START_TEST (test_slow_callers_do_not_make_the_vm_grow)
+{
+  g_autofree char *body
+      = g_strdup_printf ("{\"model\":\"" CLUSTER_MODEL
+                         "\",\"prompt\":\"slow\",\"max_tokens\":%d,\"stream\":true}",
+                         SLOW_TOKENS);
+  g_autofree char *text = g_strdup_printf (
+      "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: "
+      "Bearer " CLUSTER_TEAM_KEY
+      "\r\nKingcuppoint-Profile: review\r\nContent-Length: %zu\r\n\r\n%s",
+      strlen (body), body);
+  struct client_answer warm = complete ("review", NULL, 4);
+  int64_t before_kb = memory_kb ();
+  int64_t most_kb = 0;
+  int sockets[SLOW_CALLERS];
+
+  client_answer_clear (&warm);
+  for (int i = 0; i < SLOW_CALLERS; i++)
+    sockets[i] = raw_connect (cluster_vm (cluster, 0)->port, text, SLOW_RECEIVE_BYTES);
+  for (int waited = 0; waited < SLOW_WATCH_MS; waited += 20)
+    {
+      g_usleep (20 * G_TIME_SPAN_MILLISECOND);
+      most_kb = MAX (most_kb, memory_kb () - before_kb);
+    }
+  for (int i = 0; i < SLOW_CALLERS; i++)
+    (void)close (sockets[i]);
+  (void)fprintf (stderr, "%d slow callers: %" G_GINT64_FORMAT " kB more\n", SLOW_CALLERS,
+                 most_kb);
+  ck_assert_int_le (most_kb, SLOW_CALLERS * STREAMS_MAX_KB / STREAMS_A_VM);
+}
+END_TEST
+
+struct raw_call
+{
+  const char *headers;
+  const char *body;
+};
+
+START_TEST (test_smuggled_headers_are_refused_and_the_connection_closed)
+{
+  static const struct raw_call calls[] = {
+    { "Content-Length: 5\r\nContent-Length: 50\r\n", "{\"a\":" },
+    { "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n" },
+    { "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n", "0\r\n\r\n" },
+    { "Content-Length: abc\r\n", "{}" },
+    { "Content-Length: -5\r\n", "{}" },
+    { "Content-Length: 99999999999999999999999\r\n", "{}" },
+    { "Content-Length: 2\r\nHost: b\r\n", "{}" },
+    { "Content-Length: 2\r\nAuthorization: Bearer x\r\n", "{}" },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (calls); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "POST /v1/completions HTTP/1.1\r\nHost: a\r\nAuthorization: "
+          "Bearer " CLUSTER_TEAM_KEY "\r\nKingcuppoint-Profile: review\r\n%s\r\n%s",
+          calls[i].headers, calls[i].body);
+      struct raw_answer answer
+          = raw_exchange (cluster_vm (cluster, 0)->port, text, 2 * IDLE_TIMEOUT_MS);
+
+      ck_assert_msg (g_str_has_prefix (answer.text->str, "HTTP/1.1 4")
+                         || answer.text->len == 0,
+                     "call %zu: %s", i, answer.text->str);
+      ck_assert_msg (answer.closed, "call %zu: still open, %s", i, answer.text->str);
+      raw_answer_clear (&answer);
+    }
+  ck_assert_int_eq (engine_count ("started"), 0);
+}
+END_TEST
+
+START_TEST (test_a_request_that_stalls_is_closed)
+{
+  static const char *const stalled[] = {
+    "POST /v1/comp",
+    "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-",
+    "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n{\"a\"",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (stalled); i++)
+    {
+      struct raw_answer answer
+          = raw_exchange (cluster_vm (cluster, 0)->port, stalled[i], 4 * IDLE_TIMEOUT_MS);
+
+      ck_assert_msg (answer.closed, "%zu: still open", i);
+      ck_assert_int_ge (answer.took_ms, IDLE_TIMEOUT_MS / 2);
+      raw_answer_clear (&answer);
+    }
+}
+END_TEST
+
+START_TEST (test_callers_can_use_tls)
+{
+  struct client_answer answer = client_run (&(struct client_call){
+      .port = cluster_vm (cluster, 1)->port,
+      .path = "/v1/completions",
+      .key = CLUSTER_TEAM_KEY,
+      .profile = "review",
+      .certificate = CERTIFICATE,
+      .body = "{\"model\":\"" CLUSTER_MODEL
+              "\",\"prompt\":\"p\",\"max_tokens\":500,\"stream\":true}",
+  });
+  g_autofree char *expected = client_expected_text ("p", 500);
+  bool done = false;
+  g_autofree char *text = client_stream_text (&answer, &done);
+
+  ck_assert_int_eq (answer.curl, 0);
+  ck_assert (done);
+  ck_assert_str_eq (text, expected);
+  client_answer_clear (&answer);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("callers");
+  TCase *tests = tcase_create ("callers");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_checked_fixture (tests, set_up, tear_down);
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, test_a_passed_deadline_is_answered_at_once_and_ends_the_work);
+  tcase_add_test (tests, test_a_deadline_within_a_stream_ends_it_with_an_error);
+  tcase_add_test (tests, test_a_quiet_stream_carries_heartbeats);
+  tcase_add_test (tests, test_a_completion_that_may_not_be_repeated_runs_once);
+  tcase_add_test (tests, test_a_refusal_of_every_engine_is_not_run);
+  tcase_add_test (tests, test_slow_callers_do_not_make_the_vm_grow);
+  tcase_add_test (tests, test_smuggled_headers_are_refused_and_the_connection_closed);
+  tcase_add_test (tests, test_a_request_that_stalls_is_closed);
+  tcase_add_test (tests, test_callers_can_use_tls);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
