--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -9,12 +9,14 @@
 #include "cmd/options.h"
 #include "http/admin.h"
 #include "http/entry.h"
+#include "peer/peer.h"
 #include "platform/config_tail.h"
 
 #define NS_PER_PROMPT_TOKEN 50000
 #define NS_PER_RUNNING      2000000
 #define TOLERANCE_NS        50000000
 #define DRAIN_POLL_MS       20
+#define LAST_BYTES_LIMIT_MS 1000
 
 /* Everything one VM runs, in the order in which it is started. */
 struct server
@@ -23,6 +25,7 @@
   struct kcp_router router;
   struct kcp_platform_log *log;
   struct kcp_config_tail *tail;
+  struct kcp_peer *peer;
   struct kcp_list_poller *list_poller;
   struct kcp_load_poller *load_poller;
   struct kcp_admin *admin;
@@ -34,6 +37,7 @@
 static void announce (const struct server *server);
 static void wait_for_signal (void);
 static void drain (struct server *server);
+static void wait_for_answers (struct server *server, int64_t limit_ms);
 static void stop (struct server *server);
 
 /* Runs the entry process of one VM until SIGTERM or SIGINT, and then ends every request
@@ -102,6 +106,7 @@
       = kcp_timeline_new (router->clock, (size_t)settings->vm_timeline_entries);
   router->config = kcp_config_new (router->clock);
   router->registry = kcp_registry_new (router->clock);
+  router->open_requests = kcp_open_requests_new ();
   router->fetch_pool = kcp_fetch_pool_new (router->clock, (unsigned)settings->vm_workers);
   router->timers = kcp_timers_new (router->clock);
   router->retry_gate = kcp_retry_gate_new (settings->retry_budget_percent);
@@ -113,15 +118,41 @@
   router->data_center = g_quark_from_string (settings->vm_data_center);
   server->log
       = kcp_platform_log_new (settings->platform_log_url, settings->platform_timeout_ms);
-  router->booking
-      = kcp_booking_start (server->log, settings->vm_id, settings->booking_batch_ms);
-  server->tail = kcp_config_tail_start (server->log, router->config, router->timeline,
-                                        settings->platform_poll_ms);
+  router->booking = kcp_booking_start (
+      &(struct kcp_booking_options){ .settings = settings, .clock = router->clock });
+  server->tail = kcp_config_tail_start (
+      server->log, router->config, router->timeline,
+      &(struct kcp_config_tail_options){
+          .clock = router->clock,
+          .poll_ms = settings->platform_poll_ms,
+          .checkpoint_records = (uint64_t)settings->platform_checkpoint_records,
+          .checkpoint_age_s = settings->platform_checkpoint_age_s,
+      });
+  server->peer = kcp_peer_start (settings, router->clock, router->timeline,
+                                 router->config, &error);
+  if (server->peer == NULL)
+    {
+      kcp_logger_error ("start_failed", NULL, &error);
+      return false;
+    }
+  router->vm_source = (struct kcp_vm_source){ kcp_peer_config_view, server->peer };
   server->list_poller = kcp_list_poller_start (
       router->registry, settings->platform_list_url, settings->platform_timeout_ms,
-      settings->platform_poll_ms, NULL, NULL);
+      settings->platform_poll_ms, kcp_peer_observe_list, server->peer);
   server->load_poller = kcp_load_poller_start (
       router->registry, settings->platform_timeout_ms, settings->backends_load_poll_ms);
+  router->orders = kcp_orders_start (&(struct kcp_orders_options){
+      .log = server->log,
+      .registry = router->registry,
+      .clock = router->clock,
+      .timeline = router->timeline,
+      .vm = settings->vm_id,
+      .data_center = router->data_center,
+      .limit = (unsigned)settings->backends_max_loading,
+      .lease_ms = settings->backends_order_lease_ms,
+      .poll_ms = settings->platform_poll_ms,
+      .timeout_ms = settings->platform_timeout_ms,
+  });
   server->admin = kcp_admin_start (router, server->log, &error);
   if (server->admin != NULL)
     server->entry = kcp_entry_start (router, &error);
@@ -136,9 +167,11 @@
   g_autofree char *callers = g_strdup_printf ("%d", kcp_entry_port (server->entry));
   g_autofree char *operators = g_strdup_printf ("%d", kcp_admin_port (server->admin));
 
+  g_autofree char *peers = g_strdup_printf ("%d", kcp_peer_port (server->peer));
+
   kcp_timeline_add (server->router.timeline, KCP_EVENT_STARTED, NULL, NULL, 0);
   kcp_logger_write (G_LOG_LEVEL_MESSAGE, "listening", "callers", callers, "operators",
-                    operators, NULL);
+                    operators, "peers", peers, NULL);
 }
 
 static void
@@ -154,25 +187,38 @@
     continue;
 }
 
-/* Fails /readyz first, so that the balancer looks away, and then waits for the requests
-   to end. */
+/* Fails /readyz first, so that the balancer looks away, and then waits until every answer
+   has been sent to its last byte. Requests that are still open at the limit are ended
+   with an error, since the callers' server cannot stop while a connection waits for its
+   answer. */
 static void
 drain (struct server *server)
 {
   const struct kcp_settings *settings = server->settings;
-  int64_t waited_ms = 0;
 
   kcp_logger_write (G_LOG_LEVEL_MESSAGE, "draining", NULL);
   kcp_timeline_add (server->router.timeline, KCP_EVENT_STOPPING, NULL, NULL, 0);
   ck_pr_store_int (&server->router.draining, 1);
+  kcp_peer_leave (server->peer);
   g_usleep ((gulong)(settings->vm_drain_notice_ms * G_TIME_SPAN_MILLISECOND));
-  while (ck_pr_load_64 ((uint64_t *)&server->router.requests) > 0
-         && waited_ms < settings->vm_drain_limit_ms)
+  wait_for_answers (server, settings->vm_drain_limit_ms);
+  kcp_open_requests_end_all (server->router.open_requests);
+  wait_for_answers (server, LAST_BYTES_LIMIT_MS);
+  kcp_logger_write (G_LOG_LEVEL_MESSAGE, "drained", NULL);
+}
+
+static void
+wait_for_answers (struct server *server, int64_t limit_ms)
+{
+  int64_t waited_ms = 0;
+
+  while (waited_ms < limit_ms
+         && (kcp_entry_open_exchanges (server->entry) > 0
+             || kcp_open_requests_count (server->router.open_requests) > 0))
     {
       g_usleep (DRAIN_POLL_MS * G_TIME_SPAN_MILLISECOND);
       waited_ms += DRAIN_POLL_MS;
     }
-  kcp_logger_write (G_LOG_LEVEL_MESSAGE, "drained", NULL);
 }
 
 static void
@@ -182,8 +228,10 @@
 
   kcp_entry_stop (server->entry);
   kcp_admin_stop (server->admin);
+  kcp_orders_stop (router->orders);
   kcp_load_poller_stop (server->load_poller);
   kcp_list_poller_stop (server->list_poller);
+  kcp_peer_stop (server->peer);
   kcp_config_tail_stop (server->tail);
   kcp_fetch_pool_free (router->fetch_pool);
   kcp_booking_stop (router->booking);
@@ -192,6 +240,7 @@
   kcp_platform_log_free (server->log);
   kcp_registry_free (router->registry);
   kcp_config_free (router->config);
+  kcp_open_requests_free (router->open_requests);
   kcp_timeline_free (router->timeline);
   kcp_settings_free (server->settings);
 }
--- a/src/platform/config_tail.c
+++ b/src/platform/config_tail.c
@@ -4,13 +4,16 @@
 #include <glib.h>
 #include <pthread.h>
 
+#include "base/id.h"
 #include "base/logger.h"
+#include "platform/config_reader.h"
 
 struct kcp_config_tail
 {
   struct kcp_platform_log *log;
   struct kcp_config *config;
-  struct kcp_timeline *timeline;
+  const struct kcp_clock *clock;
+  struct kcp_config_reader reader;
   int64_t poll_ms;
   pthread_t thread;
   int stopping;
@@ -18,22 +21,33 @@
 
 static void *run (void *user);
 static void read_once (struct kcp_config_tail *tail);
-static void apply_batch (struct kcp_config_tail *tail, const struct kcp_log_batch *batch);
+static void take_batch (struct kcp_config_tail *tail, const struct kcp_log_batch *batch,
+                        int64_t asked_ns);
+static void
+append_checkpoint (struct kcp_config_tail *tail, enum kcp_checkpoint_kind kind);
+static double random_share (void);
 
 /* Starts following; everything passed in must outlive the thread. poll_ms bounds a long
-   poll and the pause after a failed one. */
+   poll and the pause after a failed one. A checkpoint is appended after max_records
+   records or max_age_s seconds without one, and whenever the log alone no longer gives
+   what is in force. */
 struct kcp_config_tail *
 kcp_config_tail_start (struct kcp_platform_log *log, struct kcp_config *config,
-                       struct kcp_timeline *timeline, int64_t poll_ms)
+                       struct kcp_timeline *timeline,
+                       const struct kcp_config_tail_options *options)
 {
   struct kcp_config_tail *tail = g_new0 (struct kcp_config_tail, 1);
 
   *tail = (struct kcp_config_tail){
     .log = log,
     .config = config,
-    .timeline = timeline,
-    .poll_ms = poll_ms,
+    .clock = options->clock,
+    .poll_ms = options->poll_ms,
   };
+  kcp_config_reader_init (&tail->reader, config, timeline,
+                          options->poll_ms * KCP_NS_PER_MS);
+  tail->reader.plan.max_records = options->checkpoint_records;
+  tail->reader.plan.max_age_ns = options->checkpoint_age_s * KCP_NS_PER_S;
   pthread_create (&tail->thread, NULL, run, tail);
   return tail;
 }
@@ -62,39 +76,56 @@
 static void
 read_once (struct kcp_config_tail *tail)
 {
+  int64_t asked_ns = kcp_clock_monotonic_ns (tail->clock);
+  uint64_t from = kcp_config_reader_from (&tail->reader, asked_ns);
   struct kcp_log_batch batch;
   struct kcp_error error;
-  uint64_t from = kcp_config_next_offset (tail->config);
 
   if (kcp_platform_log_read (tail->log, KCP_CONFIG_STREAM, from, tail->poll_ms, &batch,
                              &error))
     {
-      apply_batch (tail, &batch);
+      take_batch (tail, &batch, asked_ns);
       kcp_log_batch_clear (&batch);
       return;
     }
+  if (error.code == KCP_ERR_TRIMMED)
+    {
+      kcp_config_reader_trimmed (&tail->reader, batch.first);
+      return;
+    }
+  kcp_config_reader_failed (&tail->reader);
   kcp_logger_error ("config_read_failed", NULL, &error);
   g_usleep ((gulong)(tail->poll_ms * G_TIME_SPAN_MILLISECOND));
 }
 
 static void
-apply_batch (struct kcp_config_tail *tail, const struct kcp_log_batch *batch)
+take_batch (struct kcp_config_tail *tail, const struct kcp_log_batch *batch,
+            int64_t asked_ns)
+{
+  enum kcp_checkpoint_kind kind
+      = kcp_config_reader_take (&tail->reader, batch, asked_ns,
+                                kcp_clock_monotonic_ns (tail->clock), random_share ());
+
+  if (kind != KCP_CHECKPOINT_NONE)
+    append_checkpoint (tail, kind);
+}
+
+static void
+append_checkpoint (struct kcp_config_tail *tail, enum kcp_checkpoint_kind kind)
+{
+  json_t *record = kcp_config_checkpoint (tail->config, kind == KCP_CHECKPOINT_ROOT);
+  struct kcp_error error;
+  uint64_t offset;
+
+  if (record == NULL)
+    return;
+  if (!kcp_platform_log_append (tail->log, KCP_CONFIG_STREAM, record, &offset, &error))
+    kcp_logger_error ("config_checkpoint_failed", NULL, &error);
+  json_decref (record);
+}
+
+static double
+random_share (void)
 {
-  json_t *item;
-  size_t i;
-
-  json_array_foreach (batch->records, i, item)
-  {
-    uint64_t offset = (uint64_t)json_integer_value (json_object_get (item, "offset"));
-    struct kcp_error error;
-
-    if (kcp_config_apply (tail->config, offset, json_object_get (item, "record"), &error)
-        == KCP_CONFIG_APPLIED)
-      kcp_timeline_add (
-          tail->timeline, KCP_EVENT_CONFIG_IN_FORCE, NULL,
-          json_string_value (json_object_get (json_object_get (item, "record"), "key")),
-          (int64_t)offset);
-  }
-  if (kcp_config_next_offset (tail->config) >= batch->next)
-    kcp_config_confirm (tail->config);
+  return (double)(kcp_id_random_u64 () >> 11) / (double)(1ULL << 53);
 }
--- /dev/null
+++ b/src/policy/limit.c
@@ -0,0 +1,31 @@
+#include "policy/limit.h"
+
+#include <math.h>
+
+#define REDUCTION 0.95 /* factor on too long a delay */
+#define INCREASE  0.5  /* requests, on a report without delay */
+
+/* Starts at the greatest limit, so that a VM that has just started refuses nothing that
+   its servers could do. */
+void
+kcp_limit_init (struct kcp_limit *limit, const struct kcp_limit_settings *settings)
+{
+  *limit = (struct kcp_limit){ .value = (double)settings->greatest };
+}
+
+/* Takes in one load report: additive increase while the delay is within the target and
+   the limit is in use, multiplicative decrease from what is in flight otherwise. Every VM
+   sees the same reports, so that their limits agree without being shared. */
+void
+kcp_limit_observe (struct kcp_limit *limit, const struct kcp_limit_settings *settings,
+                   const struct kcp_limit_facts *facts)
+{
+  double in_flight = (double)facts->in_flight;
+
+  if (facts->waiting > 0 || facts->delay_ns > settings->target_ns)
+    limit->value = fmin (limit->value, in_flight) * REDUCTION;
+  else if (in_flight >= limit->value - 1.0)
+    limit->value += INCREASE;
+  limit->value = fmin (limit->value, (double)settings->greatest);
+  limit->value = fmax (limit->value, (double)settings->least);
+}
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -3,15 +3,26 @@
 #define KCP_REQUEST_ROUTER_H
 
 #include "backend/fetch.h"
+#include "backend/orders.h"
 #include "backend/registry.h"
 #include "base/timeline.h"
 #include "booking/booking.h"
 #include "policy/placement.h"
 #include "profile/config.h"
+#include "request/open_requests.h"
 #include "request/retry_gate.h"
 #include "request/timers.h"
 #include "settings/settings.h"
 
+/* Where other VMs' reports come from. list returns a new array of objects with "vm",
+   "data_center", "state" and "version", the greatest that the VM told of
+   kcp_config_position(), without this VM; NULL: this VM knows of no other. */
+struct kcp_vm_source
+{
+  json_t *(*list) (void *user);
+  void *user;
+};
+
 /* Every pointer outlives all requests. */
 struct kcp_router
 {
@@ -22,12 +33,14 @@
   struct kcp_registry *registry;
   struct kcp_fetch_pool *fetch_pool;
   struct kcp_booking *booking;
+  struct kcp_orders *orders;
   struct kcp_placement_costs costs;
+  struct kcp_vm_source vm_source;
+  struct kcp_open_requests *open_requests;
   struct kcp_timers *timers;
   struct kcp_retry_gate *retry_gate;
   GQuark data_center;
-  int draining;     /* atomic; 1 once the VM is leaving */
-  int64_t requests; /* atomic; requests not yet ended */
+  int draining; /* atomic; 1 once the VM is leaving */
 };
 
 #endif
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -59,7 +59,7 @@
   INT ("callers", "port", callers_port, 0, PORT_MAX, 8080),
   INT ("callers", "threads", callers_threads, 1, 64, 2),
   INT ("callers", "max_body_bytes", callers_max_body_bytes, 1024, 1 << 30, 8 << 20),
-  INT ("callers", "max_header_bytes", callers_max_header_bytes, 1024, 1 << 20, 16 << 10),
+  INT ("callers", "max_header_bytes", callers_max_header_bytes, 1024, 1 << 20, 8 << 10),
   INT ("callers", "max_connections", callers_max_connections, 1, 65536, 4096),
   INT ("callers", "max_json_depth", callers_max_json_depth, 4, 1024, 64),
   INT ("callers", "idle_timeout_s", callers_idle_timeout_s, 1, 3600, 15),
@@ -84,14 +84,19 @@
   TEXT ("platform", "list_url", platform_list_url, true, NULL),
   INT ("platform", "timeout_ms", platform_timeout_ms, 10, 60000, 1000),
   INT ("platform", "poll_ms", platform_poll_ms, 10, 60000, 500),
+  INT ("platform", "checkpoint_records", platform_checkpoint_records, 1, 1000000, 512),
+  INT ("platform", "checkpoint_age_s", platform_checkpoint_age_s, 1, 86400, 3600),
   INT ("backends", "connect_timeout_ms", backends_connect_timeout_ms, 1, 60000, 250),
   INT ("backends", "idle_timeout_ms", backends_idle_timeout_ms, 10, 3600000, 5000),
   INT ("backends", "load_poll_ms", backends_load_poll_ms, 10, 60000, 200),
   INT ("backends", "concurrency", backends_concurrency, 1, 65536, 64),
   INT ("backends", "max_loading", backends_max_loading, 1, 64, 2),
+  INT ("backends", "order_lease_ms", backends_order_lease_ms, 500, 600000, 5000),
   INT ("booking", "partitions", booking_partitions, 1, 1024, 4),
   INT ("booking", "batch_ms", booking_batch_ms, 0, 1000, 2),
   INT ("booking", "dedupe_window_s", booking_dedupe_window_s, 1, 31536000, 86400),
+  INT ("booking", "checkpoint_ms", booking_checkpoint_ms, 100, 86400000, 3600000),
+  INT ("booking", "outcome_retry_ms", booking_outcome_retry_ms, 0, 86400000, 600000),
   INT ("retry", "budget_percent", retry_budget_percent, 0, 100, 10),
   INT ("retry", "quarantine_s", quarantine_s, 1, 86400, 3600),
 };
@@ -107,6 +112,11 @@
 static void
 find_unknown (const char *path, const char *text, GKeyFile *file, GPtrArray *errors);
 static void find_repeated (const char *path, const char *text, GPtrArray *errors);
+static void find_malformed (const char *path, const char *text, GPtrArray *errors);
+static void check_together (const char *path, const char *text,
+                            const struct kcp_settings *settings, GPtrArray *errors);
+static void check_pair (const char *path, const char *text, const char *group,
+                        const char *certificate, const char *key, GPtrArray *errors);
 static const struct key_kind *find_kind (const char *group, const char *key);
 static int find_line (const char *text, const char *group, const char *key);
 static void add_error (GPtrArray *errors, const char *path, int line, const char *group,
@@ -129,16 +139,20 @@
   return kcp_settings_parse (path, text, errors);
 }
 
-/* Checks settings given as text; path only names the file in errors. */
+/* Checks settings given as text; path only names the file in errors. No error shows a
+   text of the file that may be a secret, so GKeyFile's own messages are not used. */
 struct kcp_settings *
 kcp_settings_parse (const char *path, const char *text, GPtrArray *errors)
 {
   g_autoptr (GKeyFile) file = g_key_file_new ();
-  g_autoptr (GError) error = NULL;
+  guint before = errors->len;
 
-  if (!g_key_file_load_from_data (file, text, strlen (text), G_KEY_FILE_NONE, &error))
+  find_malformed (path, text, errors);
+  if (errors->len > before)
+    return NULL;
+  if (!g_key_file_load_from_data (file, text, strlen (text), G_KEY_FILE_NONE, NULL))
     {
-      g_ptr_array_add (errors, g_strdup_printf ("%s: %s", path, error->message));
+      g_ptr_array_add (errors, g_strdup_printf ("%s: not a valid INI file", path));
       return NULL;
     }
   return build (path, text, file, errors);
@@ -172,6 +186,7 @@
   find_repeated (path, text, errors);
   for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
     read_key (path, text, file, &kinds[i], settings, errors);
+  check_together (path, text, settings, errors);
   if (errors->len == before)
     return settings;
   kcp_settings_free (settings);
@@ -293,6 +308,56 @@
     }
 }
 
+static void
+find_malformed (const char *path, const char *text, GPtrArray *errors)
+{
+  g_auto (GStrv) lines = g_strsplit (text, "\n", -1);
+  bool grouped = false;
+
+  for (int i = 0; lines[i] != NULL; i++)
+    {
+      const char *line = g_strstrip (lines[i]);
+      const char *what = NULL;
+
+      if (line[0] == '\0' || line[0] == '#')
+        continue;
+      if (line[0] == '[' && g_str_has_suffix (line, "]"))
+        grouped = true;
+      else if (strchr (line, '=') == NULL || line[0] == '=')
+        what = "not a [group], a key=value or a # comment";
+      else if (!grouped)
+        what = "a key before the first [group]";
+      if (what != NULL)
+        g_ptr_array_add (errors, g_strdup_printf ("%s:%d: %s", path, i + 1, what));
+    }
+}
+
+/* Checks keys that only make sense together. */
+static void
+check_together (const char *path, const char *text, const struct kcp_settings *settings,
+                GPtrArray *errors)
+{
+  check_pair (path, text, "callers", settings->callers_tls_certificate,
+              settings->callers_tls_key, errors);
+  check_pair (path, text, "operators", settings->operators_tls_certificate,
+              settings->operators_tls_key, errors);
+  if (settings->callers_default_deadline_ms > settings->callers_max_deadline_ms)
+    add_error (errors, path, find_line (text, "callers", "default_deadline_ms"),
+               "callers", "default_deadline_ms", "greater than callers.max_deadline_ms");
+}
+
+static void
+check_pair (const char *path, const char *text, const char *group,
+            const char *certificate, const char *key, GPtrArray *errors)
+{
+  if (certificate != NULL && key == NULL)
+    add_error (errors, path, find_line (text, group, "tls_certificate"), group, "tls_key",
+               "missing, required with tls_certificate");
+  if (key != NULL && certificate == NULL)
+    add_error (errors, path, find_line (text, group, "tls_key"), group, "tls_certificate",
+               "missing, required with tls_key");
+}
+
 static const struct key_kind *
 find_kind (const char *group, const char *key)
 {
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -12,6 +12,7 @@
 #include "base/id.h"
 #include "policy/prefix.h"
 #include "standin/answer_text.h"
+#include "standin/engine_orders.h"
 #include "standin/faults.h"
 #include "standin/standin.h"
 
@@ -53,6 +54,7 @@
 
 static void start (const struct standin_options *options);
 static enum MHD_Result handle (const struct standin_request *request);
+static void drop_old_weights (void);
 static enum MHD_Result report_load (const struct standin_request *request);
 static enum MHD_Result change_faults (const struct standin_request *request);
 static enum MHD_Result cancel (const struct standin_request *request);
@@ -78,9 +80,10 @@
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static struct standin_options own;
 static char incarnation[KCP_ID_LEN + 1];
-static GHashTable *cached;  /* block identity, as text */
-static GQueue *cache_order; /* the same texts, oldest first */
-static GHashTable *streams; /* request id, struct stream */
+static GHashTable *cached;                      /* block identity, as text */
+static char cached_weights[ENGINE_WEIGHTS_MAX]; /* that the cached blocks belong to */
+static GQueue *cache_order;                     /* the same texts, oldest first */
+static GHashTable *streams;                     /* request id, struct stream */
 static struct standin_faults faults;
 static int64_t last_serial;
 static int64_t cancelled; /* streams given up before their end */
@@ -96,6 +99,22 @@
   cache_order = g_queue_new ();
   streams = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, stream_free);
   (void)standin_faults_read (&faults, KCP_STR ("{}"));
+  engine_orders_start (options);
+  engine_orders_weights (cached_weights);
+}
+
+/* New weights make every cached block useless. The lock is held. */
+static void
+drop_old_weights (void)
+{
+  char weights[ENGINE_WEIGHTS_MAX];
+
+  engine_orders_weights (weights);
+  if (strcmp (weights, cached_weights) == 0)
+    return;
+  memcpy (cached_weights, weights, sizeof weights);
+  g_queue_clear (cache_order);
+  g_hash_table_remove_all (cached);
 }
 
 static enum MHD_Result
@@ -103,6 +122,8 @@
 {
   if (strcmp (request->path, "/load") == 0)
     return report_load (request);
+  if (strcmp (request->path, "/orders") == 0)
+    return engine_orders_handle (request);
   if (strcmp (request->path, "/faults") == 0)
     return change_faults (request);
   if (g_str_has_prefix (request->path, STREAMS_PATH))
@@ -120,12 +141,12 @@
 
   pthread_mutex_lock (&lock);
   expire_streams ();
-  report = json_pack ("{sssssIsIsIsIsIsI}", "incarnation", incarnation, "weights",
-                      own.weights, "running", (json_int_t)g_hash_table_size (streams),
-                      "waiting", (json_int_t)0, "waiting_tokens", (json_int_t)0,
-                      "cancelled", (json_int_t)cancelled, "started", (json_int_t)started,
-                      "resumed", (json_int_t)resumed);
+  report = json_pack ("{sssIsIsIsIsIsI}", "incarnation", incarnation, "running",
+                      (json_int_t)g_hash_table_size (streams), "waiting", (json_int_t)0,
+                      "waiting_tokens", (json_int_t)0, "cancelled", (json_int_t)cancelled,
+                      "started", (json_int_t)started, "resumed", (json_int_t)resumed);
   pthread_mutex_unlock (&lock);
+  engine_orders_report (report);
   return standin_answer (request, 200, report);
 }
 
@@ -186,7 +207,7 @@
       end_writer (writer);
       return standin_answer (
           request, last != NULL ? 404 : 409,
-          json_pack ("{ssss}", "incarnation", incarnation, "weights", own.weights));
+          json_pack ("{ssss}", "incarnation", incarnation, "weights", cached_weights));
     }
   writer->stream = stream;
   writer->serial = ++last_serial;
@@ -240,8 +261,9 @@
   const char *expected = standin_header (request, "Kingcuppoint-Expect-Incarnation");
   const char *weights = standin_header (request, "Kingcuppoint-Expect-Weights");
 
+  drop_old_weights ();
   return (expected != NULL && strcmp (expected, incarnation) != 0)
-         || (weights != NULL && strcmp (weights, own.weights) != 0);
+         || (weights != NULL && strcmp (weights, cached_weights) != 0);
 }
 
 /* Returns the tokens of the leading blocks that were cached, and caches all of them. */
--- /dev/null
+++ b/standin/engine_orders.h
@@ -0,0 +1,14 @@
+/* Orders to the stand-in engine: loading weights and taking a role. */
+#ifndef KCP_STANDIN_ENGINE_ORDERS_H
+#define KCP_STANDIN_ENGINE_ORDERS_H
+
+#include "standin/standin.h"
+
+#define ENGINE_WEIGHTS_MAX 40
+
+void engine_orders_start (const struct standin_options *options);
+enum MHD_Result engine_orders_handle (const struct standin_request *request);
+void engine_orders_report (json_t *report);
+void engine_orders_weights (char out[ENGINE_WEIGHTS_MAX]);
+
+#endif
