Let operators start the configuration over when every copy of it is lost

Cause: if every VM is replaced while the log has neither its start nor a checkpoint, every publication was refused with 503 no-configuration for ever. It is refused with 412 as long as the VM asked holds a configuration or the log gives one. Any method on /admin/v1/config was answered as GET before; only GET and PUT are allowed now.

Ruled out: starting over by itself on the first PUT; it would hide from the operator that everything else is gone.

--- a/src/cmd/publish.c
+++ b/src/cmd/publish.c
@@ -9,6 +9,9 @@
 static bool load_files (char **paths, GArray *files);
 static bool publish (const struct kcp_admin_client *client,
                      const struct kcp_document_file *file, const char *base);
+static bool start_over (const struct kcp_admin_client *client, const GArray *files);
+static bool publish_each (const struct kcp_admin_client *client, const GArray *files,
+                          const char *base);
 static void print_answer (const struct kcp_document_file *file, json_t *answer);
 static void print_names (const char *label, json_t *names);
 static void clear_file (gpointer file);
@@ -21,6 +24,7 @@
   g_autofree char *url = NULL;
   g_autofree char *token_path = NULL;
   g_autofree char *base = NULL;
+  gboolean all = FALSE;
   g_autoptr (GArray) files
       = g_array_new (FALSE, FALSE, sizeof (struct kcp_document_file));
   const GOptionEntry entries[] = {
@@ -29,17 +33,19 @@
       "file with the operators' token, in place of KINGCUPPOINT_TOKEN", "FILE" },
     { "base", 'b', 0, G_OPTION_ARG_STRING, &base,
       "ETag that the one FILE is based on; by default the version in force", "ETAG" },
+    { "start-over", 0, 0, G_OPTION_ARG_NONE, &all,
+      "make the files the whole configuration, where no VM holds one any more", NULL },
     { 0 },
   };
   struct kcp_admin_client client;
-  bool done = true;
+  bool done;
 
   g_array_set_clear_func (files, clear_file);
   if (!kcp_options_parse (
           &argc, &argv, entries, "FILE…",
           "kingcuppoint publish urgent.json --admin http://10.0.0.5:8081"))
     return KCP_EXIT_USAGE;
-  if (argc < 2 || (base != NULL && argc > 2))
+  if (argc < 2 || (base != NULL && (argc > 2 || all)))
     {
       (void)fprintf (stderr, "kingcuppoint: publish: give FILE, one only with --base\n");
       return KCP_EXIT_USAGE;
@@ -51,12 +57,46 @@
       kcp_admin_client_clear (&client);
       return KCP_EXIT_USAGE;
     }
-  for (guint i = 0; i < files->len && done; i++)
-    done = publish (&client, &g_array_index (files, struct kcp_document_file, i), base);
+  done = all ? start_over (&client, files) : publish_each (&client, files, base);
   kcp_admin_client_clear (&client);
   return done ? KCP_EXIT_OK : KCP_EXIT_FAILED;
 }
 
+static bool
+publish_each (const struct kcp_admin_client *client, const GArray *files,
+              const char *base)
+{
+  bool done = true;
+
+  for (guint i = 0; i < files->len && done; i++)
+    done = publish (client, &g_array_index (files, struct kcp_document_file, i), base);
+  return done;
+}
+
+static bool
+start_over (const struct kcp_admin_client *client, const GArray *files)
+{
+  json_t *documents = json_object ();
+  json_t *body = json_pack ("{so}", "documents", documents);
+  struct kcp_http_answer answer;
+  bool done;
+
+  for (guint i = 0; i < files->len; i++)
+    {
+      const struct kcp_document_file *file
+          = &g_array_index (files, struct kcp_document_file, i);
+
+      json_object_set (documents, file->key, file->document);
+    }
+  done = kcp_admin_client_run (client, "PUT", "/admin/v1/config", body, NULL, &answer);
+  if (done)
+    (void)printf ("configuration version %" JSON_INTEGER_FORMAT "\n",
+                  json_integer_value (json_object_get (answer.body, "version")));
+  json_decref (body);
+  kcp_http_answer_clear (&answer);
+  return done;
+}
+
 static bool
 load_files (char **paths, GArray *files)
 {
--- a/src/http/admin.c
+++ b/src/http/admin.c
@@ -60,6 +60,8 @@
 static enum MHD_Result handle_profiles (const struct operation *op);
 static enum MHD_Result handle_teams (const struct operation *op);
 static enum MHD_Result handle_config (const struct operation *op);
+static enum MHD_Result show_config (const struct operation *op);
+static enum MHD_Result start_over (const struct operation *op);
 static enum MHD_Result handle_vms (const struct operation *op);
 static enum MHD_Result handle_backends (const struct operation *op);
 static enum MHD_Result handle_timeline (const struct operation *op);
@@ -226,6 +228,35 @@
 
 static enum MHD_Result
 handle_config (const struct operation *op)
+{
+  if (strcmp (op->method, MHD_HTTP_METHOD_GET) == 0)
+    return show_config (op);
+  if (strcmp (op->method, MHD_HTTP_METHOD_PUT) == 0)
+    return start_over (op);
+  return fail (op, KCP_ERR_METHOD, "GET and PUT are allowed");
+}
+
+/* Takes {"documents": {KEY: DOCUMENT}} where no VM holds a configuration any more. */
+static enum MHD_Result
+start_over (const struct operation *op)
+{
+  struct kcp_router *router = op->admin->router;
+  json_t *body = json_loadb (op->body->str, op->body->len, JSON_REJECT_DUPLICATES, NULL);
+  json_t *documents = json_object_get (body, "documents");
+  struct kcp_error error;
+  bool done = false;
+
+  if (!json_is_object (documents) || json_object_size (documents) == 0)
+    kcp_error_set (&error, KCP_ERR_BAD_REQUEST, STEP, NULL,
+                   "documents: required, an object of documents by key is allowed");
+  else
+    done = kcp_publish_start_over (op->admin->log, router->config, documents, &error);
+  json_decref (body);
+  return done ? show_config (op) : kcp_responder_problem (op->connection, &error);
+}
+
+static enum MHD_Result
+show_config (const struct operation *op)
 {
   struct kcp_router *router = op->admin->router;
   struct kcp_config_position position;
--- a/src/platform/publish.h
+++ b/src/platform/publish.h
@@ -16,5 +16,7 @@
 bool kcp_publish (struct kcp_platform_log *log, struct kcp_config *config,
                   struct kcp_publication *publication,
                   struct kcp_publish_outcome *outcome, struct kcp_error *error);
+bool kcp_publish_start_over (struct kcp_platform_log *log, struct kcp_config *config,
+                             json_t *documents, struct kcp_error *error);
 
 #endif
--- a/tests/process/test_restart.c
+++ b/tests/process/test_restart.c
@@ -146,6 +146,62 @@
 }
 END_TEST
 
+static void
+wait_for_gap (void)
+{
+  bool gap = false;
+
+  for (int waited = 0; !gap; waited += POLL_MS)
+    {
+      json_t *config
+          = cluster_admin_get (cluster_vm (cluster, 0)->admin_port, "/admin/v1/config");
+
+      gap = json_is_true (json_object_get (config, "gap"));
+      json_decref (config);
+      ck_assert_int_le (waited, SERVES_LIMIT_MS);
+      g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+}
+
+static long
+start_over (const char *body)
+{
+  return cluster_put (cluster_vm (cluster, 0)->admin_port, "/admin/v1/config", body,
+                      NULL);
+}
+
+START_TEST (test_operators_can_start_over_only_where_no_vm_holds_a_configuration)
+{
+  static const char body[] = "{\"documents\":{\"profiles/only\":{\"prompt_in\":[\"dc1\"],"
+                             "\"cache_in\":[\"dc1\"],\"compute_in\":[\"dc1\"]}}}";
+  json_t *held;
+
+  cluster_add_vm (cluster, "vm-1", "dc1", NULL);
+  cluster_publish_standard (cluster);
+  cluster_wait_ready (cluster);
+  ck_assert_int_eq (start_over (body), 412);
+  kill_vms ();
+  cluster_faults (cluster->log, "{\"trim\":{\"stream\":\"config\",\"first\":3}}");
+  cluster_add_vm (cluster, "vm-2", "dc1", NULL);
+  cluster_add_vm (cluster, "vm-3", "dc1", NULL);
+  wait_for_gap ();
+  ck_assert_int_eq (start_over ("{\"documents\":{\"profiles/only\":{}}}"), 400);
+  ck_assert_int_eq (start_over (body), 200);
+  ck_assert_int_eq (start_over (body), 412);
+  for (int waited = 0;; waited += POLL_MS)
+    {
+      held = cluster_admin_get (cluster_vm (cluster, 1)->admin_port,
+                                "/admin/v1/profiles/only");
+      if (json_object_get (held, "compute_in") != NULL)
+        break;
+      json_decref (held);
+      ck_assert_int_le (waited, SERVES_LIMIT_MS);
+      g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  json_decref (held);
+}
+END_TEST
+
 START_TEST (test_a_new_vm_on_a_trimmed_log_without_checkpoint_refuses_truthfully)
 {
   struct client_answer answer;
@@ -178,6 +234,8 @@
   tcase_add_test (tests, test_where_nothing_knows_the_configuration_the_refusal_says_so);
   tcase_add_test (tests,
                   test_a_new_vm_on_a_trimmed_log_without_checkpoint_refuses_truthfully);
+  tcase_add_test (tests,
+                  test_operators_can_start_over_only_where_no_vm_holds_a_configuration);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
