--- a/src/base/error.c
+++ b/src/base/error.c
@@ -40,6 +40,8 @@
   [KCP_ERR_INTERNAL] = { 500, "internal", "An internal error occurred" },
   [KCP_ERR_KEY_EXPIRED]
   = { 422, "key-expired", "The idempotency key is older than keys are remembered" },
+  [KCP_ERR_RECORDS_MISSING]
+  = { 503, "records-missing", "Records of earlier calls are no longer kept" },
 };
 
 static const char *const execution_names[] = {
--- a/src/booking/decide.c
+++ b/src/booking/decide.c
@@ -99,7 +99,7 @@
     kcp_error_set (error, KCP_ERR_INTERNAL, STEP, NULL,
                    "this VM's clock is behind the time in the booking log");
   else if (!facts->covered)
-    kcp_error_set (error, KCP_ERR_TRIMMED, STEP, NULL,
+    kcp_error_set (error, KCP_ERR_RECORDS_MISSING, STEP, NULL,
                    "records of earlier calls are no longer kept; a key that was made "
                    "later, as UUIDv7, can be used");
   else
--- a/standin/log.c
+++ b/standin/log.c
@@ -23,6 +23,16 @@
 static char *stream_name (const char *path);
 static json_t *collect (const struct stream *stream, uint64_t from);
 static void record_free (gpointer data);
+static uint64_t put (const char *name, json_t *record);
+static void *put_late (void *user);
+
+/* An append that takes effect after its answer. */
+struct late_append
+{
+  char *name;
+  json_t *record;
+  int64_t delay_ms;
+};
 
 const struct standin_role standin_log_role = { "log", start, handle };
 
@@ -32,6 +42,8 @@
 static bool out;             /* every call fails */
 static int64_t lose_answers; /* so many appends answer 500 after they took effect */
 static int64_t append_delay_ms;
+static int64_t late_appends; /* so many appends answer 500 and take effect later */
+static int64_t late_ms;      /* how much later */
 
 static void
 start (const struct standin_options *options)
@@ -64,7 +76,6 @@
 append (const struct standin_request *request, const char *name)
 {
   json_t *record = json_loadb (request->body.data, request->body.len, 0, NULL);
-  struct stream *stream;
   uint64_t offset;
   bool lose;
 
@@ -73,18 +84,52 @@
   if (append_delay_ms > 0)
     g_usleep ((gulong)(append_delay_ms * G_TIME_SPAN_MILLISECOND));
   pthread_mutex_lock (&lock);
-  stream = find_stream (name);
-  offset = stream->first + stream->records->len;
-  g_ptr_array_add (stream->records, record);
+  if (late_appends > 0)
+    {
+      struct late_append *late = g_new0 (struct late_append, 1);
+      pthread_t thread;
+
+      *late = (struct late_append){ g_strdup (name), record, late_ms };
+      late_appends--;
+      pthread_mutex_unlock (&lock);
+      if (pthread_create (&thread, NULL, put_late, late) == 0)
+        pthread_detach (thread);
+      return standin_answer (request, 500, json_object ());
+    }
+  offset = put (name, record);
   lose = lose_answers > 0;
   lose_answers -= lose;
-  pthread_cond_broadcast (&appended);
   pthread_mutex_unlock (&lock);
   if (lose)
     return standin_answer (request, 500, json_object ());
   return standin_answer (request, 200, json_pack ("{sI}", "offset", (json_int_t)offset));
 }
 
+/* Adds a record, which is taken over, and returns its offset. The lock is held. */
+static uint64_t
+put (const char *name, json_t *record)
+{
+  struct stream *stream = find_stream (name);
+
+  g_ptr_array_add (stream->records, record);
+  pthread_cond_broadcast (&appended);
+  return stream->first + stream->records->len - 1;
+}
+
+static void *
+put_late (void *user)
+{
+  struct late_append *late = user;
+
+  g_usleep ((gulong)(late->delay_ms * G_TIME_SPAN_MILLISECOND));
+  pthread_mutex_lock (&lock);
+  (void)put (late->name, late->record);
+  pthread_mutex_unlock (&lock);
+  g_free (late->name);
+  g_free (late);
+  return NULL;
+}
+
 static enum MHD_Result
 read_from (const struct standin_request *request, const char *name)
 {
@@ -112,6 +157,7 @@
 }
 
 /* Faults: {"out": bool, "lose_answers": N, "append_delay_ms": N,
+   "late_appends": N, "late_ms": N,
    "trim": {"stream": NAME, "first": N}, "truncate": {"stream": NAME, "next": N}}. */
 static enum MHD_Result
 change_faults (const struct standin_request *request)
@@ -126,6 +172,10 @@
     out = json_is_true (json_object_get (faults, "out"));
   if (json_object_get (faults, "lose_answers") != NULL)
     lose_answers = json_integer_value (json_object_get (faults, "lose_answers"));
+  if (json_object_get (faults, "late_appends") != NULL)
+    late_appends = json_integer_value (json_object_get (faults, "late_appends"));
+  if (json_object_get (faults, "late_ms") != NULL)
+    late_ms = json_integer_value (json_object_get (faults, "late_ms"));
   if (json_object_get (faults, "append_delay_ms") != NULL)
     append_delay_ms = json_integer_value (json_object_get (faults, "append_delay_ms"));
   if (trim != NULL)
--- a/standin/service.c
+++ b/standin/service.c
@@ -13,6 +13,7 @@
 
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static json_t *executions; /* key, count */
+static json_t *calls;      /* of each execution: its key and its Content-Type */
 static const char *own_name;
 static int64_t delay_ms;
 static int64_t lose_answers; /* so many calls close the connection after they ran */
@@ -22,10 +23,11 @@
 {
   own_name = options->name;
   executions = json_object ();
+  calls = json_array ();
 }
 
-/* GET /executions answers the counts; PUT /faults {"delay_ms": N, "lose_answers": N};
-   anything else is executed. */
+/* GET /executions answers the counts, GET /calls the executions in order; PUT /faults
+   {"delay_ms": N, "lose_answers": N}; anything else is executed. */
 static enum MHD_Result
 handle (const struct standin_request *request)
 {
@@ -33,10 +35,10 @@
 
   if (strcmp (request->path, "/faults") == 0)
     return change_faults (request);
-  if (strcmp (request->path, "/executions") != 0)
+  if (strcmp (request->path, "/executions") != 0 && strcmp (request->path, "/calls") != 0)
     return execute (request);
   pthread_mutex_lock (&lock);
-  counts = json_deep_copy (executions);
+  counts = json_deep_copy (strcmp (request->path, "/calls") == 0 ? calls : executions);
   pthread_mutex_unlock (&lock);
   return standin_answer (request, 200, counts);
 }
@@ -53,6 +55,9 @@
     {
       count = json_integer_value (json_object_get (executions, key)) + 1;
       json_object_set_new (executions, key, json_integer (count));
+      json_array_append_new (calls, json_pack ("{ssss?sI}", "key", key, "content_type",
+                                               standin_header (request, "Content-Type"),
+                                               "execution", count));
     }
   lose = lose_answers > 0;
   lose_answers -= lose;
--- a/tests/harness/process.c
+++ b/tests/harness/process.c
@@ -41,11 +41,12 @@
   abort ();
 }
 
-/* Sends a signal to the process. */
+/* Sends a signal to the process, unless it has ended. */
 void
 process_signal (struct process *process, int number)
 {
-  (void)kill (process->pid, number);
+  if (process->pid > 0)
+    (void)kill (process->pid, number);
 }
 
 /* Waits for the process to end and returns its exit code, or 128 and its signal. */
--- a/tests/unit/test_booking.c
+++ b/tests/unit/test_partition.c
@@ -1,6 +1,6 @@
 /* Seeded runs of the booking decisions of several VMs against a log in memory that loses
    answers, lets appends arrive late or twice, trims and goes out, while VMs pause and
-   restart. Usage: test_booking [SEED], for one run only. */
+   restart. Usage: test_partition [SEED], for one run only. */
 #include <check.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -573,8 +573,8 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("booking");
-  TCase *tests = tcase_create ("booking");
+  Suite *suite = suite_create ("partition");
+  TCase *tests = tcase_create ("partition");
   SRunner *runner = srunner_create (suite);
   int failed;
 
