Let the limit of a server follow its queue and nothing else

Cause: one long prompt being computed is 820 ms of work, so that a limit on the time to compute what is there (300 ms) fell to its least in normal work. It now falls only on reports of requests that have no place in the batch.

--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -38,6 +38,7 @@
   { .name = "waste_flat3", .flat_waste = true, .waste_percent = 3000 },
   { .name = "waste_rise_30", .waste_rise_ms = 30 },
   { .name = "waste_rise_300", .waste_rise_ms = 300 },
+  { .name = "limit_others", .limit_others = true },
   { .name = "no_tolerance", .no_tolerance = true },
   { .name = "no_beliefs", .no_beliefs = true },
   { .name = "reset_on_gap", .reset_on_gap = true },
--- a/src/policy/limit.c
+++ b/src/policy/limit.c
@@ -2,8 +2,8 @@
 
 #include <math.h>
 
-#define REDUCTION 0.95 /* factor on too long a delay */
-#define INCREASE  0.5  /* requests, on a report without delay */
+#define REDUCTION 0.95 /* factor on a report that shows a queue */
+#define INCREASE  0.5  /* requests, on a report without one */
 
 /* Starts at the greatest limit, so that a VM that has just started refuses nothing that
    its servers could do. */
@@ -22,7 +22,7 @@
 {
   double in_flight = (double)facts->in_flight;
 
-  if (facts->waiting > 0 || facts->delay_ns > settings->target_ns)
+  if (facts->waiting > 0)
     limit->value = fmin (limit->value, in_flight) * REDUCTION;
   else if (in_flight >= limit->value - 1.0)
     limit->value += INCREASE;
--- a/src/policy/limit.h
+++ b/src/policy/limit.h
@@ -1,4 +1,4 @@
-/* How many requests a server may have in flight: a limit that follows the delay that its
+/* How many requests a server may have in flight: a limit that follows the queue that its
    load reports show. */
 #ifndef KCP_POLICY_LIMIT_H
 #define KCP_POLICY_LIMIT_H
@@ -9,15 +9,13 @@
 {
   int64_t least;
   int64_t greatest;
-  int64_t target_ns; /* delay by queueing up to which the limit may grow */
 };
 
 /* What a server's load report says. */
 struct kcp_limit_facts
 {
   int64_t in_flight;
-  int64_t waiting;  /* of in_flight, those that no computing has begun of */
-  int64_t delay_ns; /* to compute the prompts that are there */
+  int64_t waiting; /* of in_flight, those that have no place in the server's batch */
 };
 
 struct kcp_limit
