--- a/bench/fake_engine.c
+++ b/bench/fake_engine.c
@@ -11,6 +11,7 @@
   GList *link;   /* in unpinned, while there are no pins */
 };
 
+static struct engine_report make_report (const struct fake_engine *engine);
 static void step (void *user, void *subject);
 static void end_step (void *user, void *subject);
 static void fill_batch (struct fake_engine *engine);
@@ -71,6 +72,7 @@
   job->admitted = false;
   job->order = engine->arrivals++;
   job->stored = 0;
+  job->prefill_left = job->prompt_tokens - fake_engine_leading (engine, job);
   g_ptr_array_add (engine->waiting, job);
   if (!engine->stepping)
     {
@@ -123,9 +125,18 @@
   engine->seq = 0;
 }
 
-/* Returns the load of the present moment. */
+/* Returns the load of the present moment, worked out once for each time. */
 struct engine_report
-fake_engine_report (const struct fake_engine *engine)
+fake_engine_report (struct fake_engine *engine)
+{
+  if (engine->report_ns != sim_now (engine->sim) + 1)
+    engine->report = make_report (engine);
+  engine->report_ns = sim_now (engine->sim) + 1;
+  return engine->report;
+}
+
+static struct engine_report
+make_report (const struct fake_engine *engine)
 {
   struct engine_report report
       = { .running = engine->batch->len, .waiting = engine->waiting->len };
@@ -134,7 +145,7 @@
     {
       const struct job *job = g_ptr_array_index (engine->waiting, i);
 
-      report.waiting_tokens += job->prompt_tokens - fake_engine_leading (engine, job);
+      report.waiting_tokens += job->prefill_left;
       report.importance = MAX (report.importance, job->importance);
     }
   for (guint i = 0; i < engine->batch->len; i++)
--- a/bench/fake_engine.h
+++ b/bench/fake_engine.h
@@ -57,6 +57,8 @@
   int64_t arrivals;
   bool stepping;
   int64_t busy_ns;
+  struct engine_report report; /* of the time report_ns */
+  int64_t report_ns;
 };
 
 struct fake_engine *
@@ -67,7 +69,7 @@
 void fake_engine_cancel (struct fake_engine *engine, struct job *job);
 void fake_engine_crash (struct fake_engine *engine);
 void fake_engine_restart (struct fake_engine *engine);
-struct engine_report fake_engine_report (const struct fake_engine *engine);
+struct engine_report fake_engine_report (struct fake_engine *engine);
 int64_t fake_engine_leading (const struct fake_engine *engine, const struct job *job);
 
 #endif
--- a/bench/fake_vm.c
+++ b/bench/fake_vm.c
@@ -416,7 +416,7 @@
 {
   const struct world *world = vm->world;
   const struct engine_view *view = &vm->views[number];
-  const struct fake_engine *engine = world->engines[number];
+  struct fake_engine *engine = world->engines[number];
   bool knows = world->run.policy == BENCH_ALL_KNOWING;
   struct engine_report report = knows ? fake_engine_report (engine) : view->report;
   int64_t limit
@@ -445,18 +445,19 @@
 {
   kcp_belief_slot slots[WORLD_ENGINES_MAX];
 
+  memset (leading, 0, count * sizeof *leading);
+  if (vm->world->run.variant.no_beliefs)
+    return;
   for (size_t i = 0; i < count; i++)
     {
       const struct fake_engine *engine = vm->world->engines[engines[i]];
 
-      leading[i] = fake_engine_leading (engine, job) / KCP_BLOCK_TOKENS;
-      slots[i] = kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation);
+      if (vm->world->run.policy == BENCH_ALL_KNOWING)
+        leading[i] = fake_engine_leading (engine, job) / KCP_BLOCK_TOKENS;
+      else
+        slots[i] = kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation);
     }
-  if (vm->world->run.policy == BENCH_ALL_KNOWING)
-    return;
-  if (vm->world->run.variant.no_beliefs)
-    memset (leading, 0, count * sizeof *leading);
-  else
+  if (vm->world->run.policy != BENCH_ALL_KNOWING)
     kcp_beliefs_leading (vm->beliefs, job->chain, job->blocks, slots, count, leading);
 }
 
