--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -103,6 +103,8 @@
   router->config = kcp_config_new (router->clock);
   router->registry = kcp_registry_new (router->clock);
   router->fetch_pool = kcp_fetch_pool_new (router->clock, (unsigned)settings->vm_workers);
+  router->timers = kcp_timers_new (router->clock);
+  router->retry_gate = kcp_retry_gate_new (settings->retry_budget_percent);
   router->costs = (struct kcp_placement_costs){
     .ns_per_prompt_token = NS_PER_PROMPT_TOKEN,
     .ns_per_running = NS_PER_RUNNING,
@@ -111,15 +113,33 @@
   router->data_center = g_quark_from_string (settings->vm_data_center);
   server->log
       = kcp_platform_log_new (settings->platform_log_url, settings->platform_timeout_ms);
-  router->booking
-      = kcp_booking_start (server->log, settings->vm_id, settings->booking_batch_ms);
-  server->tail = kcp_config_tail_start (server->log, router->config, router->timeline,
-                                        settings->platform_poll_ms);
+  router->booking = kcp_booking_start (
+      &(struct kcp_booking_options){ .settings = settings, .clock = router->clock });
+  server->tail = kcp_config_tail_start (
+      server->log, router->config, router->timeline,
+      &(struct kcp_config_tail_options){
+          .clock = router->clock,
+          .poll_ms = settings->platform_poll_ms,
+          .checkpoint_records = (uint64_t)settings->platform_checkpoint_records,
+          .checkpoint_age_s = settings->platform_checkpoint_age_s,
+      });
   server->list_poller = kcp_list_poller_start (
       router->registry, settings->platform_list_url, settings->platform_timeout_ms,
       settings->platform_poll_ms, NULL, NULL);
   server->load_poller = kcp_load_poller_start (
       router->registry, settings->platform_timeout_ms, settings->backends_load_poll_ms);
+  router->orders = kcp_orders_start (&(struct kcp_orders_options){
+      .log = server->log,
+      .registry = router->registry,
+      .clock = router->clock,
+      .timeline = router->timeline,
+      .vm = settings->vm_id,
+      .data_center = router->data_center,
+      .limit = (unsigned)settings->backends_max_loading,
+      .lease_ms = settings->backends_order_lease_ms,
+      .poll_ms = settings->platform_poll_ms,
+      .timeout_ms = settings->platform_timeout_ms,
+  });
   server->admin = kcp_admin_start (router, server->log, &error);
   if (server->admin != NULL)
     server->entry = kcp_entry_start (router, &error);
@@ -180,11 +200,14 @@
 
   kcp_entry_stop (server->entry);
   kcp_admin_stop (server->admin);
+  kcp_orders_stop (router->orders);
   kcp_load_poller_stop (server->load_poller);
   kcp_list_poller_stop (server->list_poller);
   kcp_config_tail_stop (server->tail);
   kcp_fetch_pool_free (router->fetch_pool);
   kcp_booking_stop (router->booking);
+  kcp_timers_free (router->timers);
+  kcp_retry_gate_free (router->retry_gate);
   kcp_platform_log_free (server->log);
   kcp_registry_free (router->registry);
   kcp_config_free (router->config);
--- a/src/platform/platform_log.c
+++ b/src/platform/platform_log.c
@@ -5,11 +5,16 @@
 #include "base/counter.h"
 #include "platform/http_call.h"
 
-#define STEP             "platform_log"
-#define HTTP_STATUS_OK   200
-#define HTTP_STATUS_GONE 410
-#define RETRY_AFTER_S    1
+#define STEP                     "platform_log"
+#define HTTP_STATUS_OK           200
+#define HTTP_STATUS_SERVER_ERROR 500
+#define HTTP_STATUS_UNAVAILABLE  503
+#define HTTP_STATUS_GONE         410
+#define HTTP_STATUS_INTERNAL     500
+#define HTTP_STATUS_UNAVAILABLE  503
+#define RETRY_AFTER_S            1
 
+static bool may_have_appended (long status);
 static bool refuse (struct kcp_platform_log *log, const char *stream, long status,
                     struct kcp_error *error);
 
@@ -64,7 +69,11 @@
       done = true;
     }
   else
-    refuse (log, stream, answer.status, error);
+    {
+      refuse (log, stream, answer.status, error);
+      if (error != NULL && may_have_appended (answer.status))
+        error->execution = KCP_UNKNOWN;
+    }
   kcp_http_answer_clear (&answer);
   return done;
 }
@@ -111,6 +120,14 @@
   batch->records = NULL;
 }
 
+/* Tells whether an append that was answered with this status may be in the log. The log
+   answers 503 and every client error without appending. */
+static bool
+may_have_appended (long status)
+{
+  return status >= HTTP_STATUS_SERVER_ERROR && status != HTTP_STATUS_UNAVAILABLE;
+}
+
 static bool
 refuse (struct kcp_platform_log *log, const char *stream, long status,
         struct kcp_error *error)
@@ -122,5 +139,8 @@
   kcp_error_set (error, code, STEP, log->url, "stream %s answered %ld", stream, status);
   if (error != NULL)
     error->retry_after_s = RETRY_AFTER_S;
+  if (error != NULL && status >= HTTP_STATUS_INTERNAL
+      && status != HTTP_STATUS_UNAVAILABLE)
+    error->execution = KCP_UNKNOWN;
   return false;
 }
