--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -99,8 +99,8 @@
 print_row (const char *name, struct run run, guint32 seed)
 {
   double sum[FIGURES] = { 0 };
-  double least[FIGURES];
-  double greatest[FIGURES];
+  double least[FIGURES] = { 0 };
+  double greatest[FIGURES] = { 0 };
 
   for (guint32 i = 0; i < SEEDS; i++)
     {
--- a/bench/fake_vm.c
+++ b/bench/fake_vm.c
@@ -168,7 +168,8 @@
       view->incarnation = incarnation;
       view->next_seq = 0;
     }
-  slot = kcp_beliefs_slot (vm->beliefs, engine->hash, incarnation);
+  if (!kcp_beliefs_slot (vm->beliefs, engine->hash, incarnation, &slot))
+    return;
   for (guint i = 0; i < events->len; i++)
     {
       const struct cache_event *event = &g_array_index (events, struct cache_event, i);
@@ -192,13 +193,13 @@
   struct fake_vm *vm = job->vm;
   struct fake_engine *engine = job->engine;
   int64_t now_ns = sim_now (vm->world->sim);
+  kcp_belief_slot slot;
 
   if (job->first_token_ns == 0)
     job->first_token_ns = now_ns;
-  if (!vm->world->run.variant.no_learning)
-    kcp_beliefs_learn (vm->beliefs,
-                       kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation),
-                       job->chain, job->blocks);
+  if (!vm->world->run.variant.no_learning
+      && kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation, &slot))
+    kcp_beliefs_learn (vm->beliefs, slot, job->chain, job->blocks);
 }
 
 /* Takes in the end of a request's present attempt. */
@@ -455,7 +456,8 @@
       if (vm->world->run.policy == BENCH_ALL_KNOWING)
         leading[i] = fake_engine_leading (engine, job) / KCP_BLOCK_TOKENS;
       else
-        slots[i] = kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation);
+        (void)kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation,
+                                &slots[i]);
     }
   if (vm->world->run.policy != BENCH_ALL_KNOWING)
     kcp_beliefs_leading (vm->beliefs, job->chain, job->blocks, slots, count, leading);
@@ -525,7 +527,7 @@
 {
   struct fake_vm *vm = job->vm;
 
-  if (!job->in_flight)
+  if (!job->in_flight || job->engine == NULL)
     return;
   job->in_flight = false;
   vm->views[job->engine->number].ended++;
--- /dev/null
+++ b/src/backend/event_reader.c
@@ -0,0 +1,304 @@
+#include "backend/event_reader.h"
+
+#include <jansson.h>
+#include <pthread.h>
+#include <string.h>
+
+#include "base/ref.h"
+
+#define SCAN_MS        100        /* between two looks for engines that are not read */
+#define POLL_WAIT_MS   1000       /* for which an engine holds a poll without events */
+#define BODY_MAX_BYTES (8u << 20) /* of one answer */
+#define BLOCK_DIGITS   16
+#define HTTP_STATUS_OK 200
+
+/* The reading of one engine. Guarded by the reader's lock, but for body, which belongs to
+   the poll under way. */
+struct source
+{
+  struct kcp_event_reader *reader;
+  struct kcp_backend *backend;
+  struct kcp_fetch *fetch; /* the poll under way, or NULL */
+  char incarnation[KCP_INCARNATION_MAX];
+  uint64_t next; /* number of the next event */
+  bool seen;     /* in the present scan */
+  GString *body;
+};
+
+struct kcp_event_reader
+{
+  struct kcp_registry *registry;
+  struct kcp_fetch_pool *pool;
+  int64_t timeout_ms;
+  kcp_cache_observer *observer;
+  void *user;
+  pthread_t thread;
+  pthread_mutex_t lock; /* guards what follows; no other lock is taken under it */
+  pthread_cond_t changed;
+  bool stopping;
+  size_t polling;
+  GHashTable *sources; /* struct kcp_backend, struct source */
+};
+
+static void *run (void *user);
+static void scan (struct kcp_event_reader *reader);
+static struct source *
+find_source (struct kcp_event_reader *reader, struct kcp_backend *backend);
+static gboolean is_gone (gpointer key, gpointer value, gpointer user);
+static void poll_source (struct source *source);
+static enum kcp_fetch_flow on_data (void *user, long status, struct kcp_str data);
+static void on_done (void *user, enum kcp_fetch_end end, long status);
+static bool read_events (const struct source *source, json_t *body,
+                         struct kcp_cache_events *events, uint64_t *next);
+static void
+read_event (json_t *entry, uint64_t *expected, struct kcp_cache_events *events);
+static void source_free (gpointer data);
+
+static const struct kcp_fetch_events fetch_events = {
+  .data = on_data,
+  .done = on_done,
+};
+
+/* Starts reading every engine of the registry. timeout_ms bounds a poll beyond the time
+   for which the engine holds it. The registry, the pool and user outlive the reader. */
+struct kcp_event_reader *
+kcp_event_reader_start (struct kcp_registry *registry, struct kcp_fetch_pool *pool,
+                        int64_t timeout_ms, kcp_cache_observer *observer, void *user)
+{
+  struct kcp_event_reader *reader = g_new0 (struct kcp_event_reader, 1);
+
+  reader->registry = registry;
+  reader->pool = pool;
+  reader->timeout_ms = timeout_ms;
+  reader->observer = observer;
+  reader->user = user;
+  reader->sources = g_hash_table_new_full (NULL, NULL, NULL, source_free);
+  pthread_mutex_init (&reader->lock, NULL);
+  pthread_cond_init (&reader->changed, NULL);
+  pthread_create (&reader->thread, NULL, run, reader);
+  return reader;
+}
+
+/* Ends all polls and frees the reader, before the pool is freed; NULL is allowed. */
+void
+kcp_event_reader_stop (struct kcp_event_reader *reader)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (reader == NULL)
+    return;
+  pthread_mutex_lock (&reader->lock);
+  reader->stopping = true;
+  pthread_cond_broadcast (&reader->changed);
+  pthread_mutex_unlock (&reader->lock);
+  pthread_join (reader->thread, NULL);
+  pthread_mutex_lock (&reader->lock);
+  g_hash_table_iter_init (&iter, reader->sources);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct source *)value)->fetch != NULL)
+      kcp_fetch_cancel (((struct source *)value)->fetch);
+  while (reader->polling > 0)
+    pthread_cond_wait (&reader->changed, &reader->lock);
+  pthread_mutex_unlock (&reader->lock);
+  g_hash_table_unref (reader->sources);
+  pthread_cond_destroy (&reader->changed);
+  pthread_mutex_destroy (&reader->lock);
+  g_free (reader);
+}
+
+static void *
+run (void *user)
+{
+  struct kcp_event_reader *reader = user;
+
+  pthread_mutex_lock (&reader->lock);
+  while (!reader->stopping)
+    {
+      struct timespec until = kcp_clock_realtime (&kcp_clock_system);
+
+      until = kcp_timespec_from_ns (kcp_timespec_ns (until) + SCAN_MS * KCP_NS_PER_MS);
+      pthread_mutex_unlock (&reader->lock);
+      scan (reader);
+      pthread_mutex_lock (&reader->lock);
+      if (!reader->stopping)
+        pthread_cond_timedwait (&reader->changed, &reader->lock, &until);
+    }
+  pthread_mutex_unlock (&reader->lock);
+  return NULL;
+}
+
+/* Starts a poll at every engine that has none under way, and forgets engines that are no
+   longer listed. One that does not answer delays no other. */
+static void
+scan (struct kcp_event_reader *reader)
+{
+  g_autoptr (GArray) views = kcp_registry_view (reader->registry, KCP_MEMBER_ENGINE);
+  GHashTableIter iter;
+  gpointer value;
+
+  pthread_mutex_lock (&reader->lock);
+  g_hash_table_iter_init (&iter, reader->sources);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    ((struct source *)value)->seen = false;
+  for (guint i = 0; i < views->len; i++)
+    {
+      const struct kcp_backend_view *view
+          = &g_array_index (views, struct kcp_backend_view, i);
+      struct source *source = find_source (reader, view->backend);
+
+      source->seen = true;
+      if (source->fetch == NULL)
+        poll_source (source);
+    }
+  g_hash_table_foreach_remove (reader->sources, is_gone, NULL);
+  pthread_mutex_unlock (&reader->lock);
+}
+
+static struct source *
+find_source (struct kcp_event_reader *reader, struct kcp_backend *backend)
+{
+  struct source *source = g_hash_table_lookup (reader->sources, backend);
+
+  if (source != NULL)
+    return source;
+  source = g_new0 (struct source, 1);
+  source->reader = reader;
+  source->backend = kcp_backend_ref (backend);
+  source->body = g_string_new (NULL);
+  g_hash_table_insert (reader->sources, backend, source);
+  return source;
+}
+
+static gboolean
+is_gone (gpointer key, gpointer value, gpointer user)
+{
+  const struct source *source = value;
+
+  (void)key;
+  (void)user;
+  return !source->seen && source->fetch == NULL;
+}
+
+static void
+poll_source (struct source *source)
+{
+  struct kcp_event_reader *reader = source->reader;
+  g_autofree char *url
+      = g_strdup_printf ("%s/events?from=%" G_GUINT64_FORMAT "&wait_ms=%d",
+                         source->backend->url, source->next, POLL_WAIT_MS);
+  const struct kcp_fetch_spec spec = {
+    .method = "GET",
+    .url = url,
+    .connect_ms = reader->timeout_ms,
+    .total_ms = POLL_WAIT_MS + reader->timeout_ms,
+    .reuse = true,
+    .events = &fetch_events,
+    .user = source,
+  };
+
+  g_string_truncate (source->body, 0);
+  reader->polling++;
+  source->fetch = kcp_fetch_start (reader->pool, &spec);
+}
+
+static enum kcp_fetch_flow
+on_data (void *user, long status, struct kcp_str data)
+{
+  struct source *source = user;
+
+  if (status != HTTP_STATUS_OK || source->body->len + data.len > BODY_MAX_BYTES)
+    return KCP_FETCH_ABORT;
+  g_string_append_len (source->body, data.data, (gssize)data.len);
+  return KCP_FETCH_CONTINUE;
+}
+
+static void
+on_done (void *user, enum kcp_fetch_end end, long status)
+{
+  struct source *source = user;
+  struct kcp_event_reader *reader = source->reader;
+  struct kcp_cache_events events = { 0 };
+  json_t *body = NULL;
+  uint64_t next;
+  bool read = false;
+
+  events.list = g_array_new (FALSE, FALSE, sizeof (struct kcp_cache_event));
+  if (end == KCP_FETCH_WHOLE && status == HTTP_STATUS_OK)
+    body = json_loadb (source->body->str, source->body->len, 0, NULL);
+  pthread_mutex_lock (&reader->lock);
+  read = body != NULL && read_events (source, body, &events, &next);
+  if (read)
+    {
+      memcpy (source->incarnation, events.incarnation, sizeof source->incarnation);
+      source->next = next;
+    }
+  pthread_mutex_unlock (&reader->lock);
+  if (read)
+    reader->observer (reader->user, source->backend, &events);
+  g_array_unref (events.list);
+  json_decref (body);
+  pthread_mutex_lock (&reader->lock);
+  kcp_fetch_unref (source->fetch);
+  source->fetch = NULL;
+  reader->polling--;
+  if (read && !reader->stopping)
+    poll_source (source);
+  pthread_cond_broadcast (&reader->changed);
+  pthread_mutex_unlock (&reader->lock);
+}
+
+/* Reads one answer; false if it is not one. An engine that has restarted numbers its
+   events anew: it is then read again from the first. */
+static bool
+read_events (const struct source *source, json_t *body, struct kcp_cache_events *events,
+             uint64_t *next)
+{
+  const char *incarnation = json_string_value (json_object_get (body, "incarnation"));
+  json_t *after = json_object_get (body, "next");
+  uint64_t expected = source->next;
+  json_t *entry;
+  size_t i;
+
+  if (incarnation == NULL || !json_is_integer (after))
+    return false;
+  g_strlcpy (events->incarnation, incarnation, sizeof events->incarnation);
+  *next = (uint64_t)json_integer_value (after);
+  if (strcmp (events->incarnation, source->incarnation) != 0 && source->next > 0)
+    {
+      *next = 0;
+      return true;
+    }
+  json_array_foreach (json_object_get (body, "events"), i, entry)
+      read_event (entry, &expected, events);
+  events->gaps += expected < *next;
+  return true;
+}
+
+static void
+read_event (json_t *entry, uint64_t *expected, struct kcp_cache_events *events)
+{
+  const char *operation = json_string_value (json_object_get (entry, "op"));
+  const char *block = json_string_value (json_object_get (entry, "block"));
+  json_t *number = json_object_get (entry, "seq");
+  struct kcp_cache_event event;
+
+  if (operation == NULL || block == NULL || strlen (block) != BLOCK_DIGITS
+      || !json_is_integer (number))
+    return;
+  events->gaps += (uint64_t)json_integer_value (number) != *expected;
+  *expected = (uint64_t)json_integer_value (number) + 1;
+  event.block = g_ascii_strtoull (block, NULL, 16);
+  event.stored = strcmp (operation, "stored") == 0;
+  g_array_append_val (events->list, event);
+}
+
+static void
+source_free (gpointer data)
+{
+  struct source *source = data;
+
+  kcp_backend_unref (source->backend);
+  g_string_free (source->body, TRUE);
+  g_free (source);
+}
--- a/src/backend/load_poller.c
+++ b/src/backend/load_poller.c
@@ -1,47 +1,90 @@
 #include "backend/load_poller.h"
 
-#include <ck_pr.h>
 #include <pthread.h>
-
-#include "platform/http_call.h"
+#include <string.h>
 
 #define HTTP_STATUS_OK 200
+#define BODY_MAX_BYTES (64u << 10) /* of one report */
+
+/* One poll under way. */
+struct poll
+{
+  struct kcp_load_poller *poller;
+  struct kcp_backend *backend;
+  struct kcp_fetch *fetch;
+  GString *body;
+};
 
 struct kcp_load_poller
 {
   struct kcp_registry *registry;
+  struct kcp_fetch_pool *pool;
   int64_t timeout_ms;
   int64_t poll_ms;
   pthread_t thread;
-  int stopping;
+  pthread_mutex_t lock; /* guards what follows; no other lock is taken under it */
+  pthread_cond_t changed;
+  bool stopping;
+  GHashTable *polls; /* struct kcp_backend, struct poll */
 };
 
 static void *run (void *user);
 static void poll_all (struct kcp_load_poller *poller);
 static void poll_one (struct kcp_load_poller *poller, struct kcp_backend *backend);
+static enum kcp_fetch_flow on_data (void *user, long status, struct kcp_str data);
+static void on_done (void *user, enum kcp_fetch_end end, long status);
 static void read_report (json_t *body, struct kcp_backend_report *report);
+static void poll_free (gpointer data);
 
-/* Starts polling every poll_ms milliseconds. */
+static const struct kcp_fetch_events events = {
+  .data = on_data,
+  .done = on_done,
+};
+
+/* Starts polling every poll_ms milliseconds. An engine that does not answer is polled
+   again when its poll has ended, after timeout_ms at most, and delays no other. The
+   registry and the pool outlive the poller. */
 struct kcp_load_poller *
-kcp_load_poller_start (struct kcp_registry *registry, int64_t timeout_ms, int64_t poll_ms)
+kcp_load_poller_start (struct kcp_registry *registry, struct kcp_fetch_pool *pool,
+                       int64_t timeout_ms, int64_t poll_ms)
 {
   struct kcp_load_poller *poller = g_new0 (struct kcp_load_poller, 1);
 
   poller->registry = registry;
+  poller->pool = pool;
   poller->timeout_ms = timeout_ms;
   poller->poll_ms = poll_ms;
+  poller->polls = g_hash_table_new_full (NULL, NULL, NULL, poll_free);
+  pthread_mutex_init (&poller->lock, NULL);
+  pthread_cond_init (&poller->changed, NULL);
   pthread_create (&poller->thread, NULL, run, poller);
   return poller;
 }
 
-/* Stops polling and frees the poller; NULL is allowed. */
+/* Ends all polls and frees the poller, before the pool is freed; NULL is allowed. */
 void
 kcp_load_poller_stop (struct kcp_load_poller *poller)
 {
+  GHashTableIter iter;
+  gpointer value;
+
   if (poller == NULL)
     return;
-  ck_pr_store_int (&poller->stopping, 1);
+  pthread_mutex_lock (&poller->lock);
+  poller->stopping = true;
+  pthread_cond_broadcast (&poller->changed);
+  pthread_mutex_unlock (&poller->lock);
   pthread_join (poller->thread, NULL);
+  pthread_mutex_lock (&poller->lock);
+  g_hash_table_iter_init (&iter, poller->polls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    kcp_fetch_cancel (((struct poll *)value)->fetch);
+  while (g_hash_table_size (poller->polls) > 0)
+    pthread_cond_wait (&poller->changed, &poller->lock);
+  pthread_mutex_unlock (&poller->lock);
+  g_hash_table_unref (poller->polls);
+  pthread_cond_destroy (&poller->changed);
+  pthread_mutex_destroy (&poller->lock);
   g_free (poller);
 }
 
@@ -50,11 +93,21 @@
 {
   struct kcp_load_poller *poller = user;
 
-  while (!ck_pr_load_int (&poller->stopping))
+  pthread_mutex_lock (&poller->lock);
+  while (!poller->stopping)
     {
+      struct timespec now = kcp_clock_realtime (&kcp_clock_system);
+      int64_t until_ns = kcp_timespec_ns (now) + poller->poll_ms * KCP_NS_PER_MS;
+      struct timespec until = kcp_timespec_from_ns (until_ns);
+      int rc = 0;
+
+      pthread_mutex_unlock (&poller->lock);
       poll_all (poller);
-      g_usleep ((gulong)(poller->poll_ms * G_TIME_SPAN_MILLISECOND));
+      pthread_mutex_lock (&poller->lock);
+      while (!poller->stopping && rc == 0)
+        rc = pthread_cond_timedwait (&poller->changed, &poller->lock, &until);
     }
+  pthread_mutex_unlock (&poller->lock);
   return NULL;
 }
 
@@ -63,26 +116,72 @@
 {
   g_autoptr (GArray) views = kcp_registry_view (poller->registry, KCP_MEMBER_ENGINE);
 
+  pthread_mutex_lock (&poller->lock);
   for (guint i = 0; i < views->len; i++)
-    poll_one (poller, g_array_index (views, struct kcp_backend_view, i).backend);
+    {
+      struct kcp_backend *backend
+          = g_array_index (views, struct kcp_backend_view, i).backend;
+
+      if (!g_hash_table_contains (poller->polls, backend))
+        poll_one (poller, backend);
+    }
+  pthread_mutex_unlock (&poller->lock);
 }
 
 static void
 poll_one (struct kcp_load_poller *poller, struct kcp_backend *backend)
 {
   g_autofree char *url = g_strconcat (backend->url, "/load", NULL);
-  struct kcp_http_call call = { .url = url, .timeout_ms = (long)poller->timeout_ms };
-  struct kcp_http_answer answer;
+  struct poll *poll = g_new0 (struct poll, 1);
+  const struct kcp_fetch_spec spec = {
+    .method = "GET",
+    .url = url,
+    .connect_ms = poller->timeout_ms,
+    .total_ms = poller->timeout_ms,
+    .reuse = true,
+    .events = &events,
+    .user = poll,
+  };
+
+  poll->poller = poller;
+  poll->backend = kcp_backend_ref (backend);
+  poll->body = g_string_new (NULL);
+  g_hash_table_insert (poller->polls, backend, poll);
+  poll->fetch = kcp_fetch_start (poller->pool, &spec);
+}
+
+static enum kcp_fetch_flow
+on_data (void *user, long status, struct kcp_str data)
+{
+  struct poll *poll = user;
+
+  if (status != HTTP_STATUS_OK || poll->body->len + data.len > BODY_MAX_BYTES)
+    return KCP_FETCH_ABORT;
+  g_string_append_len (poll->body, data.data, (gssize)data.len);
+  return KCP_FETCH_CONTINUE;
+}
+
+static void
+on_done (void *user, enum kcp_fetch_end end, long status)
+{
+  struct poll *poll = user;
+  struct kcp_load_poller *poller = poll->poller;
   struct kcp_backend_report report = { 0 };
+  json_t *body = NULL;
 
-  if (!kcp_http_call_run (&call, &answer, NULL))
-    return;
-  if (answer.status == HTTP_STATUS_OK)
+  if (end == KCP_FETCH_WHOLE && status == HTTP_STATUS_OK)
+    body = json_loadb (poll->body->str, poll->body->len, 0, NULL);
+  if (json_is_object (body))
     {
-      read_report (answer.body, &report);
-      kcp_registry_report (poller->registry, backend, &report);
+      read_report (body, &report);
+      kcp_registry_report (poller->registry, poll->backend, &report);
     }
-  kcp_http_answer_clear (&answer);
+  json_decref (body);
+  pthread_mutex_lock (&poller->lock);
+  g_hash_table_remove (poller->polls, poll->backend);
+  if (poller->stopping)
+    pthread_cond_broadcast (&poller->changed);
+  pthread_mutex_unlock (&poller->lock);
 }
 
 static void
@@ -98,3 +197,14 @@
   report->waiting = json_integer_value (json_object_get (body, "waiting"));
   report->waiting_tokens = json_integer_value (json_object_get (body, "waiting_tokens"));
 }
+
+static void
+poll_free (gpointer data)
+{
+  struct poll *poll = data;
+
+  kcp_backend_unref (poll->backend);
+  kcp_fetch_unref (poll->fetch);
+  g_string_free (poll->body, TRUE);
+  g_free (poll);
+}
--- a/src/backend/registry.c
+++ b/src/backend/registry.c
@@ -8,10 +8,13 @@
   pthread_mutex_t lock;
   const struct kcp_clock *clock;
   GHashTable *by_id; /* id, struct kcp_backend */
+  kcp_registry_observer *observer;
+  void *user;
 };
 
 static void backend_release (gpointer data);
 static void view_clear (gpointer data);
+static void tell_observer (struct kcp_registry *registry);
 static bool
 same_server (const struct kcp_backend *backend, const struct kcp_member *member);
 
@@ -39,6 +42,15 @@
   g_free (registry);
 }
 
+/* Sets the observer, before any other thread uses the registry. */
+void
+kcp_registry_observe (struct kcp_registry *registry, kcp_registry_observer *observer,
+                      void *user)
+{
+  registry->observer = observer;
+  registry->user = user;
+}
+
 /* Takes over the platform's list: new servers are added, missing ones forgotten, and
    leaving ones marked. A server that left does not come back under the same address
    before its list entry says live again. */
@@ -82,9 +94,11 @@
   backend->report = *report;
   backend->report.arrived_ns = kcp_clock_monotonic_ns (registry->clock);
   backend->sent_tokens = 0;
+  backend->since_report = 0;
   if (backend->state == KCP_BACKEND_DEAD)
     backend->state = KCP_BACKEND_LIVE;
   pthread_mutex_unlock (&registry->lock);
+  tell_observer (registry);
 }
 
 /* Changes a server's state; one that is leaving stays so. */
@@ -105,6 +119,7 @@
 {
   pthread_mutex_lock (&registry->lock);
   backend->in_flight++;
+  backend->since_report++;
   backend->sent_tokens += uncached_tokens;
   pthread_mutex_unlock (&registry->lock);
 }
@@ -115,7 +130,9 @@
 {
   pthread_mutex_lock (&registry->lock);
   backend->in_flight--;
+  backend->since_report--;
   pthread_mutex_unlock (&registry->lock);
+  tell_observer (registry);
 }
 
 /* Returns an array of struct kcp_backend_view of all servers of a kind, to be freed with
@@ -139,6 +156,7 @@
         .report = backend->report,
         .in_flight = backend->in_flight,
         .sent_tokens = backend->sent_tokens,
+        .since_report = backend->since_report,
       };
 
       if (backend->kind != kind)
@@ -205,6 +223,13 @@
   return list;
 }
 
+static void
+tell_observer (struct kcp_registry *registry)
+{
+  if (registry->observer != NULL)
+    registry->observer (registry->user);
+}
+
 static void
 backend_release (gpointer data)
 {
--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -10,10 +10,14 @@
 #include "http/admin.h"
 #include "http/entry.h"
 #include "platform/config_tail.h"
+#include "request/admit.h"
 
 #define NS_PER_PROMPT_TOKEN 50000
 #define NS_PER_RUNNING      2000000
 #define TOLERANCE_NS        50000000
+#define WASTE_PERCENT       300
+#define WASTE_RISE_NS       100000000
+#define WASTE_PERCENT_MAX   3000
 #define DRAIN_POLL_MS       20
 
 /* Everything one VM runs, in the order in which it is started. */
@@ -25,6 +29,7 @@
   struct kcp_config_tail *tail;
   struct kcp_list_poller *list_poller;
   struct kcp_load_poller *load_poller;
+  struct kcp_event_reader *event_reader;
   struct kcp_admin *admin;
   struct kcp_entry *entry;
 };
@@ -109,8 +114,15 @@
     .ns_per_prompt_token = NS_PER_PROMPT_TOKEN,
     .ns_per_running = NS_PER_RUNNING,
     .tolerance_ns = TOLERANCE_NS,
+    .waste_percent = WASTE_PERCENT,
+    .waste_rise_ns = WASTE_RISE_NS,
+    .waste_percent_max = WASTE_PERCENT_MAX,
   };
   router->data_center = g_quark_from_string (settings->vm_data_center);
+  router->facts = kcp_engine_facts_new (settings->backends_believed_blocks,
+                                        settings->backends_concurrency);
+  router->admit = kcp_admit_start (router);
+  kcp_registry_observe (router->registry, kcp_admit_wake, router->admit);
   server->log
       = kcp_platform_log_new (settings->platform_log_url, settings->platform_timeout_ms);
   router->booking = kcp_booking_start (
@@ -126,8 +138,12 @@
   server->list_poller = kcp_list_poller_start (
       router->registry, settings->platform_list_url, settings->platform_timeout_ms,
       settings->platform_poll_ms, NULL, NULL);
-  server->load_poller = kcp_load_poller_start (
-      router->registry, settings->platform_timeout_ms, settings->backends_load_poll_ms);
+  server->load_poller = kcp_load_poller_start (router->registry, router->fetch_pool,
+                                               settings->platform_timeout_ms,
+                                               settings->backends_load_poll_ms);
+  server->event_reader = kcp_event_reader_start (
+      router->registry, router->fetch_pool, settings->platform_timeout_ms,
+      kcp_engine_facts_take_events, router->facts);
   router->orders = kcp_orders_start (&(struct kcp_orders_options){
       .log = server->log,
       .registry = router->registry,
@@ -201,13 +217,17 @@
   kcp_entry_stop (server->entry);
   kcp_admin_stop (server->admin);
   kcp_orders_stop (router->orders);
+  kcp_event_reader_stop (server->event_reader);
   kcp_load_poller_stop (server->load_poller);
   kcp_list_poller_stop (server->list_poller);
   kcp_config_tail_stop (server->tail);
+  kcp_admit_stop (router->admit);
   kcp_fetch_pool_free (router->fetch_pool);
   kcp_booking_stop (router->booking);
   kcp_timers_free (router->timers);
   kcp_retry_gate_free (router->retry_gate);
+  kcp_admit_free (router->admit);
+  kcp_engine_facts_free (router->facts);
   kcp_platform_log_free (server->log);
   kcp_registry_free (router->registry);
   kcp_config_free (router->config);
--- a/src/policy/beliefs.c
+++ b/src/policy/beliefs.c
@@ -24,6 +24,7 @@
 {
   uint64_t server;
   uint64_t incarnation;
+  uint64_t dead; /* the incarnation before */
   uint16_t generation;
 };
 
@@ -36,6 +37,8 @@
   GHashTable *by_hash; /* hash of the server's id, its slot plus 1 */
 };
 
+static kcp_belief_slot
+find_or_add (struct kcp_beliefs *beliefs, uint64_t server, uint64_t incarnation);
 static struct bucket *bucket_of (const struct kcp_beliefs *beliefs, uint64_t block);
 static bool is_current (const struct kcp_beliefs *beliefs, const struct entry *entry);
 static void drop_entries (struct kcp_beliefs *beliefs, kcp_belief_slot slot);
@@ -71,37 +74,27 @@
   g_free (beliefs);
 }
 
-/* Returns the slot of a server, given the hashes of its id and of its incarnation. All
-   that was believed of an earlier incarnation is forgotten. Past
-   KCP_BELIEFS_SERVERS_MAX servers the last slot is shared, and holds what was said of
-   whichever server used it last. */
-kcp_belief_slot
-kcp_beliefs_slot (struct kcp_beliefs *beliefs, uint64_t server, uint64_t incarnation)
+/* Finds the slot of a server, given the hashes of its id and of its incarnation. All that
+   was believed of an earlier incarnation is forgotten. False if this one is known to be
+   dead: what is said of it late changes nothing. Past KCP_BELIEFS_SERVERS_MAX servers the
+   last slot is shared, and holds what was said of whichever server used it last. */
+bool
+kcp_beliefs_slot (struct kcp_beliefs *beliefs, uint64_t server, uint64_t incarnation,
+                  kcp_belief_slot *slot)
 {
-  guint found = GPOINTER_TO_UINT (g_hash_table_lookup (beliefs->by_hash, &server));
-  kcp_belief_slot slot = (kcp_belief_slot)(found - 1);
   struct server *known;
 
-  if (found == 0)
-    {
-      struct server fresh = { .server = server, .incarnation = incarnation, 1 };
-
-      slot = (kcp_belief_slot)MIN (beliefs->servers->len, KCP_BELIEFS_SERVERS_MAX - 1);
-      if (slot == beliefs->servers->len)
-        {
-          g_array_append_val (beliefs->servers, fresh);
-          g_hash_table_insert (beliefs->by_hash, g_memdup2 (&server, sizeof server),
-                               GUINT_TO_POINTER (slot + 1u));
-        }
-    }
-  known = &g_array_index (beliefs->servers, struct server, slot);
-  if (known->incarnation != incarnation || known->server != server)
-    {
-      known->incarnation = incarnation;
-      known->server = server;
-      kcp_beliefs_reset (beliefs, slot);
-    }
-  return slot;
+  *slot = find_or_add (beliefs, server, incarnation);
+  known = &g_array_index (beliefs->servers, struct server, *slot);
+  if (known->incarnation == incarnation && known->server == server)
+    return true;
+  if (known->dead == incarnation && known->server == server)
+    return false;
+  known->dead = known->incarnation;
+  known->incarnation = incarnation;
+  known->server = server;
+  kcp_beliefs_reset (beliefs, *slot);
+  return true;
 }
 
 /* Forgets all that is believed of a server. */
@@ -196,6 +189,24 @@
          + beliefs->servers->len * sizeof (struct server);
 }
 
+static kcp_belief_slot
+find_or_add (struct kcp_beliefs *beliefs, uint64_t server, uint64_t incarnation)
+{
+  struct server fresh = { .server = server, .incarnation = incarnation, .generation = 1 };
+  guint found = GPOINTER_TO_UINT (g_hash_table_lookup (beliefs->by_hash, &server));
+  kcp_belief_slot slot;
+
+  if (found > 0)
+    return (kcp_belief_slot)(found - 1);
+  slot = (kcp_belief_slot)MIN (beliefs->servers->len, KCP_BELIEFS_SERVERS_MAX - 1);
+  if (slot < beliefs->servers->len)
+    return slot;
+  g_array_append_val (beliefs->servers, fresh);
+  g_hash_table_insert (beliefs->by_hash, g_memdup2 (&server, sizeof server),
+                       GUINT_TO_POINTER (slot + 1u));
+  return slot;
+}
+
 /* Block identities are hashes, so that their low bits serve as they are. */
 static struct bucket *
 bucket_of (const struct kcp_beliefs *beliefs, uint64_t block)
--- a/src/policy/beliefs.h
+++ b/src/policy/beliefs.h
@@ -17,8 +17,8 @@
 
 struct kcp_beliefs *kcp_beliefs_new (size_t entries);
 void kcp_beliefs_free (struct kcp_beliefs *beliefs);
-kcp_belief_slot
-kcp_beliefs_slot (struct kcp_beliefs *beliefs, uint64_t server, uint64_t incarnation);
+bool kcp_beliefs_slot (struct kcp_beliefs *beliefs, uint64_t server, uint64_t incarnation,
+                       kcp_belief_slot *slot);
 void kcp_beliefs_reset (struct kcp_beliefs *beliefs, kcp_belief_slot slot);
 void kcp_beliefs_add (struct kcp_beliefs *beliefs, kcp_belief_slot slot, uint64_t block);
 void
--- /dev/null
+++ b/src/request/admit.c
@@ -0,0 +1,399 @@
+#include "request/admit.h"
+
+#include <ck_pr.h>
+#include <string.h>
+#include <xxhash.h>
+
+#include "policy/prefix.h"
+#include "policy/quarantine.h"
+
+#define STEP            "queue"
+#define TICK_MS         50  /* at which waiting requests are looked through at least */
+#define RUN_WEIGHT      8   /* a new answer counts one part in so many */
+#define ANSWER_TOKENS   500 /* prompt tokens that an answer's work counts for */
+#define SHUTDOWN_WAIT_S 1
+
+struct kcp_admit
+{
+  struct kcp_router *router;
+  pthread_t thread;
+  pthread_mutex_t lock; /* after a request's; the registry's and the facts' come after */
+  pthread_cond_t changed;
+  bool stopping;
+  struct kcp_admission *queue;
+  GHashTable *waiting;          /* set of struct kcp_request; each a reference */
+  uint64_t run_ns[KCP_CLASSES]; /* atomic; mean from dispatch to the end of the answer */
+  unsigned count;               /* atomic; requests that wait */
+  int woken;                    /* atomic; a place may have become free */
+};
+
+/* One look for a request that can start. */
+struct search
+{
+  struct kcp_admit *admit;
+  struct kcp_choice choice;
+};
+
+static void *run (void *user);
+static void start_waiting (struct kcp_admit *admit);
+static bool fits (void *user, struct kcp_admission_item *item);
+static void refuse_expired (struct kcp_admit *admit);
+static void refuse_all (struct kcp_admit *admit);
+static void refuse_at_shutdown (struct kcp_error *error);
+static void fill_item (struct kcp_admit *admit, struct kcp_request *request);
+static uint64_t pool_of (const struct kcp_request *request);
+static void
+refuse (struct kcp_request *request, int64_t retry_after_s, struct kcp_error *error);
+static struct kcp_request *
+take_out (struct kcp_admit *admit, struct kcp_admission_item *item);
+static void fail_waiting (struct kcp_request *request, const struct kcp_error *error);
+static struct kcp_admission_now now_of (const struct kcp_admit *admit);
+
+/* Starts the thread. The router outlives it. */
+struct kcp_admit *
+kcp_admit_start (struct kcp_router *router)
+{
+  struct kcp_admit *admit = g_new0 (struct kcp_admit, 1);
+
+  admit->router = router;
+  admit->queue = kcp_admission_new ();
+  admit->waiting = g_hash_table_new (NULL, NULL);
+  pthread_mutex_init (&admit->lock, NULL);
+  pthread_cond_init (&admit->changed, NULL);
+  pthread_create (&admit->thread, NULL, run, admit);
+  return admit;
+}
+
+/* Ends the thread and refuses what still waits. Nothing is queued any more; NULL is
+   allowed. */
+void
+kcp_admit_stop (struct kcp_admit *admit)
+{
+  if (admit == NULL)
+    return;
+  pthread_mutex_lock (&admit->lock);
+  admit->stopping = true;
+  pthread_cond_signal (&admit->changed);
+  pthread_mutex_unlock (&admit->lock);
+  pthread_join (admit->thread, NULL);
+  refuse_all (admit);
+}
+
+/* Frees the stopped queue, after the last request has ended; NULL is allowed. */
+void
+kcp_admit_free (struct kcp_admit *admit)
+{
+  if (admit == NULL)
+    return;
+  kcp_admission_free (admit->queue);
+  g_hash_table_unref (admit->waiting);
+  pthread_cond_destroy (&admit->changed);
+  pthread_mutex_destroy (&admit->lock);
+  g_free (admit);
+}
+
+/* Finds a place for a request, or queues it, or refuses it at once if it could not be
+   answered by its deadline. The request's lock is held. */
+enum kcp_admit_result
+kcp_admit_request (struct kcp_admit *admit, struct kcp_request *request,
+                   struct kcp_choice *choice, struct kcp_error *error)
+{
+  struct kcp_admission_now now = now_of (admit);
+  struct kcp_admission_verdict verdict = { 0 };
+  bool stopping;
+  bool regardless = request->attempts > 0;
+  bool queue_is_empty = ck_pr_load_uint (&admit->count) == 0;
+
+  if (regardless || queue_is_empty)
+    switch (kcp_choose_engine (request, regardless, choice, error))
+      {
+      case KCP_CHOSEN:
+        return KCP_ADMIT_PLACED;
+      case KCP_CHOOSE_NONE:
+        return KCP_ADMIT_REFUSED;
+      case KCP_CHOOSE_WAIT:
+        break;
+      }
+  pthread_mutex_lock (&admit->lock);
+  fill_item (admit, request);
+  stopping = admit->stopping;
+  if (!stopping)
+    verdict = kcp_admission_offer (admit->queue, &request->item, &now);
+  if (verdict.queued)
+    {
+      g_hash_table_add (admit->waiting, kcp_request_ref (request));
+      ck_pr_inc_uint (&admit->count);
+    }
+  pthread_mutex_unlock (&admit->lock);
+  if (verdict.queued)
+    {
+      kcp_admit_wake (admit);
+      kcp_timeline_add (admit->router->timeline, KCP_EVENT_QUEUED, request->id, NULL,
+                        verdict.wait_ns / KCP_NS_PER_US);
+      return KCP_ADMIT_QUEUED;
+    }
+  if (stopping)
+    refuse_at_shutdown (error);
+  else
+    refuse (request, verdict.retry_after_s, error);
+  return KCP_ADMIT_REFUSED;
+}
+
+/* Takes a request out of the queue, if it waits there, because it has ended. The
+   request's lock is held, and the caller has a reference of its own. */
+void
+kcp_admit_forget (struct kcp_admit *admit, struct kcp_request *request)
+{
+  bool waited;
+
+  if (ck_pr_load_uint (&admit->count) == 0)
+    return;
+  pthread_mutex_lock (&admit->lock);
+  waited = g_hash_table_remove (admit->waiting, request);
+  if (waited)
+    {
+      kcp_admission_remove (admit->queue, &request->item,
+                            kcp_clock_monotonic_ns (admit->router->clock));
+      ck_pr_dec_uint (&admit->count);
+    }
+  pthread_mutex_unlock (&admit->lock);
+  if (waited)
+    kcp_request_unref (request);
+}
+
+/* Takes in the time that an answer took from its dispatch to its end. */
+void
+kcp_admit_note_answer (struct kcp_admit *admit, enum kcp_class class, int64_t run_ns)
+{
+  int64_t mean = kcp_admit_run_ns (admit, class);
+
+  ck_pr_store_64 (&admit->run_ns[class],
+                  (uint64_t)(mean == 0 ? run_ns : mean + (run_ns - mean) / RUN_WEIGHT));
+}
+
+/* Returns the mean of these times; 0 before the first answer. */
+int64_t
+kcp_admit_run_ns (struct kcp_admit *admit, enum kcp_class class)
+{
+  return (int64_t)ck_pr_load_64 (&admit->run_ns[class]);
+}
+
+/* Has the waiting requests looked through, because a place may have become free. If the
+   lock is taken, its holder or the next tick sees to it. user is the queue. */
+void
+kcp_admit_wake (void *user)
+{
+  struct kcp_admit *admit = user;
+
+  if (ck_pr_load_uint (&admit->count) == 0)
+    return;
+  ck_pr_store_int (&admit->woken, 1);
+  if (pthread_mutex_trylock (&admit->lock) != 0)
+    return;
+  pthread_cond_signal (&admit->changed);
+  pthread_mutex_unlock (&admit->lock);
+}
+
+static void *
+run (void *user)
+{
+  struct kcp_admit *admit = user;
+
+  pthread_mutex_lock (&admit->lock);
+  while (!admit->stopping)
+    {
+      struct timespec until = kcp_clock_realtime (&kcp_clock_system);
+
+      until = kcp_timespec_from_ns (kcp_timespec_ns (until) + TICK_MS * KCP_NS_PER_MS);
+      if (ck_pr_load_int (&admit->woken) == 0)
+        pthread_cond_timedwait (&admit->changed, &admit->lock, &until);
+      ck_pr_store_int (&admit->woken, 0);
+      pthread_mutex_unlock (&admit->lock);
+      refuse_expired (admit);
+      start_waiting (admit);
+      pthread_mutex_lock (&admit->lock);
+    }
+  pthread_mutex_unlock (&admit->lock);
+  return NULL;
+}
+
+/* Starts waiting requests one by one, so that each sees the places that are left. */
+static void
+start_waiting (struct kcp_admit *admit)
+{
+  struct search search = { .admit = admit };
+  struct kcp_request *request;
+
+  kcp_engine_facts_clear_held (admit->router->facts);
+  do
+    {
+      struct kcp_admission_item *item;
+
+      pthread_mutex_lock (&admit->lock);
+      item = kcp_admission_next (admit->queue, fits, &search,
+                                 kcp_clock_monotonic_ns (admit->router->clock));
+      request = item != NULL ? take_out (admit, item) : NULL;
+      pthread_mutex_unlock (&admit->lock);
+      if (request == NULL)
+        return;
+      pthread_mutex_lock (&request->lock);
+      if (request->ended)
+        kcp_backend_unref (search.choice.backend);
+      else
+        kcp_completion_placed (request, &search.choice);
+      pthread_mutex_unlock (&request->lock);
+      kcp_request_unref (request);
+    }
+  while (request != NULL);
+}
+
+/* Reads members of a waiting request that do not change while it waits. */
+static bool
+fits (void *user, struct kcp_admission_item *item)
+{
+  struct search *search = user;
+  struct kcp_error error;
+
+  return kcp_choose_engine (kcp_request_of_item (item), false, &search->choice, &error)
+         == KCP_CHOSEN;
+}
+
+static void
+refuse_expired (struct kcp_admit *admit)
+{
+  struct kcp_request *request;
+
+  do
+    {
+      struct kcp_admission_now now = now_of (admit);
+      struct kcp_admission_item *item;
+      struct kcp_error error;
+      int64_t retry_after_s = 0;
+
+      pthread_mutex_lock (&admit->lock);
+      item = kcp_admission_expired (admit->queue, now.monotonic_ns);
+      request = item != NULL ? take_out (admit, item) : NULL;
+      if (request != NULL)
+        retry_after_s = kcp_admission_retry_after_s (admit->queue, item, &now);
+      pthread_mutex_unlock (&admit->lock);
+      if (request == NULL)
+        return;
+      refuse (request, retry_after_s, &error);
+      fail_waiting (request, &error);
+    }
+  while (request != NULL);
+}
+
+static void
+refuse_all (struct kcp_admit *admit)
+{
+  g_autoptr (GPtrArray) requests = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer key;
+  struct kcp_error error;
+
+  pthread_mutex_lock (&admit->lock);
+  g_hash_table_iter_init (&iter, admit->waiting);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      struct kcp_request *request = key;
+
+      kcp_admission_remove (admit->queue, &request->item,
+                            kcp_clock_monotonic_ns (admit->router->clock));
+      g_ptr_array_add (requests, request);
+    }
+  g_hash_table_remove_all (admit->waiting);
+  ck_pr_store_uint (&admit->count, 0);
+  pthread_mutex_unlock (&admit->lock);
+  refuse_at_shutdown (&error);
+  for (guint i = 0; i < requests->len; i++)
+    fail_waiting (g_ptr_array_index (requests, i), &error);
+}
+
+static void
+refuse_at_shutdown (struct kcp_error *error)
+{
+  kcp_error_set (error, KCP_ERR_SHUTDOWN, STEP, NULL,
+                 "this VM stopped before the request was sent");
+  error->retry_after_s = SHUTDOWN_WAIT_S;
+}
+
+static void
+fill_item (struct kcp_admit *admit, struct kcp_request *request)
+{
+  const GString *text = request->prompt.text;
+  const GString *body = request->call->body;
+  struct kcp_str team = kcp_str_from_c (request->team->name);
+
+  request->item = (struct kcp_admission_item){
+    .pool = pool_of (request),
+    .class = request->profile->class,
+    .team = XXH3_64bits (team.data, team.len),
+    .share = request->team->share,
+    .importance = request->profile->importance,
+    .work = ANSWER_TOKENS + kcp_prefix_tokens ((struct kcp_str){ text->str, text->len }),
+    .deadline_ns = request->deadline_ns,
+    .run_ns = kcp_admit_run_ns (admit, request->profile->class),
+    .fingerprint
+    = kcp_quarantine_fingerprint (team, (struct kcp_str){ body->str, body->len }),
+  };
+}
+
+/* Requests of one model that may run in the same data centers wait for the same places.
+ */
+static uint64_t
+pool_of (const struct kcp_request *request)
+{
+  const struct kcp_profile *profile = request->profile;
+  const char *model = request->prompt.model;
+  uint64_t pool = XXH3_64bits (model, strlen (model));
+
+  for (unsigned i = 0; i < profile->compute_in.count; i++)
+    {
+      const char *name = g_quark_to_string (profile->compute_in.members[i]);
+
+      if (kcp_dc_set_has (&profile->prompt_in, profile->compute_in.members[i])
+          && kcp_dc_set_has (&profile->cache_in, profile->compute_in.members[i]))
+        pool ^= XXH3_64bits (name, strlen (name));
+    }
+  return pool;
+}
+
+static void
+refuse (struct kcp_request *request, int64_t retry_after_s, struct kcp_error *error)
+{
+  kcp_error_set (error, KCP_ERR_OVERLOADED, STEP, NULL,
+                 "the queue of class %s is too long for this deadline",
+                 kcp_class_name (request->profile->class));
+  error->retry_after_s = (int)retry_after_s;
+}
+
+/* Returns the request of an item that has left the queue, with its reference. The lock is
+   held. */
+static struct kcp_request *
+take_out (struct kcp_admit *admit, struct kcp_admission_item *item)
+{
+  struct kcp_request *request = kcp_request_of_item (item);
+
+  g_hash_table_remove (admit->waiting, request);
+  ck_pr_dec_uint (&admit->count);
+  return request;
+}
+
+static void
+fail_waiting (struct kcp_request *request, const struct kcp_error *error)
+{
+  pthread_mutex_lock (&request->lock);
+  kcp_request_fail (request, error);
+  pthread_mutex_unlock (&request->lock);
+  kcp_request_unref (request);
+}
+
+static struct kcp_admission_now
+now_of (const struct kcp_admit *admit)
+{
+  const struct kcp_clock *clock = admit->router->clock;
+
+  return (struct kcp_admission_now){ kcp_clock_monotonic_ns (clock),
+                                     kcp_clock_realtime_ms (clock) };
+}
--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -68,7 +68,8 @@
   kcp_counter_add (KCP_COUNT_ATTEMPTS, 1);
   kcp_timeline_add (request->router->timeline, KCP_EVENT_DISPATCHED, request->id,
                     backend->id, request->attempts);
-  kcp_registry_begin_attempt (request->router->registry, backend, 0);
+  kcp_registry_begin_attempt (request->router->registry, backend,
+                              broken == NULL ? request->uncached_tokens : 0);
   send_call (attempt);
 }
 
--- a/src/request/choose.h
+++ b/src/request/choose.h
@@ -1,11 +1,26 @@
-/* Chooses the backend server of a request from the registry's view. */
+/* Chooses the backend server of a request from what this VM knows. */
 #ifndef KCP_REQUEST_CHOOSE_H
 #define KCP_REQUEST_CHOOSE_H
 
 #include "request/request_private.h"
 
-struct kcp_backend *
-kcp_choose_engine (struct kcp_request *request, struct kcp_error *error);
+enum kcp_choose_result
+{
+  KCP_CHOSEN,
+  KCP_CHOOSE_WAIT, /* the best engine has no place now */
+  KCP_CHOOSE_NONE  /* no server may run it */
+};
+
+struct kcp_choice
+{
+  struct kcp_backend *backend; /* a reference */
+  uint64_t incarnation;        /* hash of the one that the choice was made for */
+  int64_t uncached_tokens;     /* to be computed there, as far as is believed */
+};
+
+enum kcp_choose_result
+kcp_choose_engine (struct kcp_request *request, bool regardless,
+                   struct kcp_choice *choice, struct kcp_error *error);
 struct kcp_backend *
 kcp_choose_service (struct kcp_request *request, struct kcp_error *error);
 
--- a/src/request/completion.c
+++ b/src/request/completion.c
@@ -3,7 +3,7 @@
 
 #include "base/counter.h"
 #include "policy/prefix.h"
-#include "request/choose.h"
+#include "request/admit.h"
 #include "request/request_private.h"
 
 #define STEP_DISPATCH           "dispatch"
@@ -33,6 +33,7 @@
 static int64_t on_timer (void *user);
 static void on_timer_released (void *user);
 static void place (struct kcp_request *request);
+static void note_answer (struct kcp_request *request, const struct kcp_attempt *attempt);
 static enum failure
 classify (const struct kcp_attempt *attempt, enum kcp_fetch_end end, long status);
 static void note_execution (struct kcp_request *request,
@@ -105,6 +106,7 @@
 
   if (attempt->done_seen)
     {
+      note_answer (request, attempt);
       kcp_completion_finish (request);
       return;
     }
@@ -167,20 +169,51 @@
 static void
 place (struct kcp_request *request)
 {
+  struct kcp_choice choice;
   struct kcp_error error;
-  struct kcp_backend *backend = kcp_choose_engine (request, &error);
 
-  if (backend == NULL)
+  switch (kcp_admit_request (request->router->admit, request, &choice, &error))
     {
+    case KCP_ADMIT_PLACED:
+      kcp_completion_placed (request, &choice);
+      break;
+    case KCP_ADMIT_QUEUED:
+      break;
+    case KCP_ADMIT_REFUSED:
       error.execution = request->execution;
       kcp_request_fail (request, &error);
-      return;
+      break;
     }
-  kcp_timeline_add (request->router->timeline, KCP_EVENT_PLACED, request->id, backend->id,
-                    0);
+}
+
+/* Sends the request to the engine chosen; takes over the choice's reference. The lock is
+   held. */
+void
+kcp_completion_placed (struct kcp_request *request, struct kcp_choice *choice)
+{
+  struct kcp_router *router = request->router;
+
+  kcp_timeline_add (router->timeline, KCP_EVENT_PLACED, request->id, choice->backend->id,
+                    choice->uncached_tokens);
   if (request->attempts == 0)
-    kcp_retry_gate_add_request (request->router->retry_gate, backend->data_center);
-  kcp_attempt_start (request, backend, NULL);
+    kcp_retry_gate_add_request (router->retry_gate, choice->backend->data_center);
+  request->uncached_tokens = choice->uncached_tokens;
+  request->incarnation = choice->incarnation;
+  request->dispatched_ns = kcp_clock_monotonic_ns (router->clock);
+  kcp_attempt_start (request, choice->backend, NULL);
+}
+
+/* Learns from a whole answer where the prompt is cached now and how long it took. */
+static void
+note_answer (struct kcp_request *request, const struct kcp_attempt *attempt)
+{
+  struct kcp_router *router = request->router;
+  int64_t now = kcp_clock_monotonic_ns (router->clock);
+
+  kcp_engine_facts_learn (router->facts, attempt->backend->hash, request->incarnation,
+                          request->chain);
+  kcp_admit_note_answer (router->admit, request->profile->class,
+                         now - request->dispatched_ns);
 }
 
 /* A refusal counts only if it names this attempt. */
--- /dev/null
+++ b/src/request/engine_facts.h
@@ -0,0 +1,31 @@
+/* What this VM holds of engines besides their load reports: believed caches and limits of
+   what they may have in flight. Safe from any thread; its lock comes after the
+   registry's. */
+#ifndef KCP_REQUEST_ENGINE_FACTS_H
+#define KCP_REQUEST_ENGINE_FACTS_H
+
+#include <glib.h>
+
+#include "backend/event_reader.h"
+#include "backend/registry.h"
+
+struct kcp_engine_facts;
+
+struct kcp_engine_facts *
+kcp_engine_facts_new (int64_t belief_entries, int64_t concurrency);
+void kcp_engine_facts_free (struct kcp_engine_facts *facts);
+uint64_t kcp_engine_facts_incarnation (const char *incarnation);
+int64_t kcp_engine_facts_limit (struct kcp_engine_facts *facts,
+                                const struct kcp_backend_view *view);
+int64_t
+kcp_engine_facts_leading (struct kcp_engine_facts *facts,
+                          const struct kcp_backend_view *view, const GArray *chain);
+void kcp_engine_facts_learn (struct kcp_engine_facts *facts, uint64_t server,
+                             uint64_t incarnation, const GArray *chain);
+void kcp_engine_facts_take_events (void *user, const struct kcp_backend *backend,
+                                   const struct kcp_cache_events *events);
+void kcp_engine_facts_clear_held (struct kcp_engine_facts *facts);
+void kcp_engine_facts_add_held (struct kcp_engine_facts *facts, uint64_t server);
+int64_t kcp_engine_facts_held (struct kcp_engine_facts *facts, uint64_t server);
+
+#endif
--- a/src/request/request.c
+++ b/src/request/request.c
@@ -6,6 +6,7 @@
 #include "base/counter.h"
 #include "base/logger.h"
 #include "base/ref.h"
+#include "request/admit.h"
 #include "request/problem.h"
 
 #define STEP_ADMIT "admit"
@@ -66,6 +67,14 @@
   return kcp_ref_acquire (request);
 }
 
+/* Returns the request that a queue's item is a member of. */
+struct kcp_request *
+kcp_request_of_item (struct kcp_admission_item *item)
+{
+  return (struct kcp_request *)(void *)((char *)item
+                                        - G_STRUCT_OFFSET (struct kcp_request, item));
+}
+
 /* Drops a reference; NULL is allowed. */
 void
 kcp_request_unref (struct kcp_request *request)
@@ -102,6 +111,7 @@
                     took_ns / KCP_NS_PER_US);
   kcp_reply_finish (request->reply);
   kcp_attempt_abandon (request);
+  kcp_admit_forget (request->router->admit, request);
   if (request->timer != NULL)
     kcp_timer_cancel (request->timer);
   request->timer = NULL;
--- a/src/request/request_private.h
+++ b/src/request/request_private.h
@@ -6,6 +6,7 @@
 
 #include "backend/engine_adapter.h"
 #include "base/id.h"
+#include "policy/admission.h"
 #include "request/attempt.h"
 #include "request/prompt.h"
 #include "request/request.h"
@@ -34,6 +35,10 @@
   GPtrArray *tried; /* ids of engines that failed this request */
   enum kcp_execution execution; /* what failed attempts leave it to be */
   struct kcp_timer *timer;
+  struct kcp_admission_item item; /* guarded by the lock of the queue */
+  int64_t uncached_tokens;        /* to be computed, as believed when it was placed */
+  uint64_t incarnation;           /* hash of the engine's when it was placed */
+  int64_t dispatched_ns;
   int64_t forwarded;      /* events taken and passed on */
   int64_t forwarded_seen; /* the same when the timer fired last */
   GString *text;          /* the answer so far */
@@ -59,7 +64,10 @@
   bool bytes_sent; /* the backend server may have seen the request */
 };
 
+struct kcp_choice;
+
 struct kcp_request *kcp_request_ref (struct kcp_request *request);
+struct kcp_request *kcp_request_of_item (struct kcp_admission_item *item);
 void kcp_request_fail (struct kcp_request *request, const struct kcp_error *error);
 void kcp_request_end (struct kcp_request *request, enum kcp_event event);
 void kcp_request_add_headers (struct kcp_request *request);
@@ -70,6 +78,7 @@
 void kcp_completion_start (struct kcp_request *request);
 void kcp_service_start (struct kcp_request *request);
 
+void kcp_completion_placed (struct kcp_request *request, struct kcp_choice *choice);
 void kcp_completion_read_report (struct kcp_request *request,
                                  const struct kcp_backend *backend,
                                  struct kcp_backend_report *report);
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -9,6 +9,7 @@
 #include "booking/booking.h"
 #include "policy/placement.h"
 #include "profile/config.h"
+#include "request/engine_facts.h"
 #include "request/retry_gate.h"
 #include "request/timers.h"
 #include "settings/settings.h"
@@ -22,6 +23,8 @@
   void *user;
 };
 
+struct kcp_admit;
+
 /* Every pointer outlives all requests. */
 struct kcp_router
 {
@@ -37,6 +40,8 @@
   struct kcp_vm_source vm_source;
   struct kcp_timers *timers;
   struct kcp_retry_gate *retry_gate;
+  struct kcp_engine_facts *facts;
+  struct kcp_admit *admit;
   GQuark data_center;
   int draining;     /* atomic; 1 once the VM is leaving */
   int64_t requests; /* atomic; requests not yet ended */
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -89,6 +89,7 @@
   INT ("backends", "connect_timeout_ms", backends_connect_timeout_ms, 1, 60000, 250),
   INT ("backends", "idle_timeout_ms", backends_idle_timeout_ms, 10, 3600000, 5000),
   INT ("backends", "load_poll_ms", backends_load_poll_ms, 10, 60000, 200),
+  INT ("backends", "believed_blocks", backends_believed_blocks, 1024, 1 << 26, 1 << 18),
   INT ("backends", "concurrency", backends_concurrency, 1, 65536, 64),
   INT ("backends", "max_loading", backends_max_loading, 1, 64, 2),
   INT ("backends", "order_lease_ms", backends_order_lease_ms, 500, 600000, 5000),
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -48,6 +48,7 @@
   int64_t backends_idle_timeout_ms;
   int64_t backends_load_poll_ms;
   int64_t backends_concurrency;
+  int64_t backends_believed_blocks;
   int64_t backends_max_loading;
   int64_t backends_order_lease_ms;
   int64_t booking_partitions;
--- a/standin/engine.c
+++ b/standin/engine.c
@@ -12,6 +12,7 @@
 #include "base/id.h"
 #include "policy/prefix.h"
 #include "standin/answer_text.h"
+#include "standin/engine_events.h"
 #include "standin/engine_orders.h"
 #include "standin/faults.h"
 #include "standin/standin.h"
@@ -120,6 +121,8 @@
 static enum MHD_Result
 handle (const struct standin_request *request)
 {
+  if (engine_events_handles (request))
+    return engine_events_handle (request, incarnation);
   if (strcmp (request->path, "/load") == 0)
     return report_load (request);
   if (strcmp (request->path, "/orders") == 0)
@@ -286,8 +289,12 @@
         continue;
       }
     if (g_hash_table_size (cached) >= (guint)own.cache_blocks)
-      g_hash_table_remove (cached, g_queue_pop_head (cache_order));
+      {
+        engine_events_add (g_queue_peek_head (cache_order), false);
+        g_hash_table_remove (cached, g_queue_pop_head (cache_order));
+      }
     g_hash_table_add (cached, g_strdup (identity));
+    engine_events_add (identity, true);
     g_queue_push_tail (cache_order, g_hash_table_lookup (cached, identity));
   }
   return hits * KCP_BLOCK_TOKENS;
--- /dev/null
+++ b/tests/process/test_queue.c
@@ -0,0 +1,273 @@
+/* Waiting for a place, and placement by what engines report as cached. */
+#include <check.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/harness/cluster.h"
+
+#define CALLERS       6
+#define PROMPT_BYTES  12000 /* three whole blocks */
+#define PREFIXES      6
+#define WAIT_LIMIT_MS 5000
+#define WAIT_POLL_MS  5
+#define FROZEN        3
+#define SEEN_LIMIT_MS 1000 /* in force within a second, whatever other engines do */
+
+static struct cluster *cluster;
+
+struct caller
+{
+  pthread_t thread;
+  const char *header;
+  struct client_answer answer;
+};
+
+static void
+stop_vms (void)
+{
+  for (guint i = 0; i < cluster->vms->len; i++)
+    {
+      process_signal (cluster_vm (cluster, i), SIGTERM);
+      ck_assert_int_eq (process_wait (cluster_vm (cluster, i)), 0);
+    }
+  cluster_free (cluster);
+}
+
+static void
+publish_and_wait (void)
+{
+  cluster_publish_list (cluster, 0);
+  cluster_publish_standard (cluster);
+  cluster_wait_ready (cluster);
+}
+
+static void *
+call (void *user)
+{
+  struct caller *caller = user;
+
+  caller->answer = client_run (&(struct client_call){
+      .port = cluster_vm (cluster, 0)->port,
+      .path = "/v1/completions",
+      .key = CLUSTER_TEAM_KEY,
+      .profile = "review",
+      .header = caller->header,
+      .body = "{\"model\":\"" CLUSTER_MODEL "\",\"prompt\":\"p\",\"max_tokens\":8}",
+  });
+  return NULL;
+}
+
+static int64_t
+metric (const char *name)
+{
+  struct client_answer answer = client_run (
+      &(struct client_call){ .port = cluster_vm (cluster, 0)->port, .path = "/metrics" });
+  g_autofree char *line = g_strdup_printf ("\nkingcuppoint_%s_total ", name);
+  const char *at = strstr (answer.body->str, line);
+  int64_t value = at != NULL ? g_ascii_strtoll (at + strlen (line), NULL, 10) : -1;
+
+  client_answer_clear (&answer);
+  return value;
+}
+
+static unsigned
+count_events (const char *kind)
+{
+  json_t *timeline
+      = cluster_admin_get (cluster_vm (cluster, 0)->admin_port, "/admin/v1/timeline");
+  char *text = json_dumps (timeline, JSON_COMPACT);
+  g_autofree char *wanted = g_strdup_printf ("\"%s\"", kind);
+  unsigned count = 0;
+
+  for (const char *at = text; (at = strstr (at, wanted)) != NULL; at++)
+    count++;
+  free (text);
+  json_decref (timeline);
+  return count;
+}
+
+/* With one place, callers are served one after the other, and none is refused. */
+START_TEST (test_requests_wait_for_a_place_and_all_get_one)
+{
+  static char *const options[] = { "--token-ms", "10", NULL };
+  struct caller callers[CALLERS] = { 0 };
+
+  cluster = cluster_new ("queue");
+  cluster_add_engine (cluster, "engine-1", "dc1", options);
+  cluster_add_vm (cluster, "vm-1", "dc1", "concurrency=1\n");
+  publish_and_wait ();
+  for (int i = 0; i < CALLERS; i++)
+    pthread_create (&callers[i].thread, NULL, call, &callers[i]);
+  for (int i = 0; i < CALLERS; i++)
+    {
+      pthread_join (callers[i].thread, NULL);
+      ck_assert_int_eq (callers[i].answer.status, 200);
+      client_answer_clear (&callers[i].answer);
+    }
+  ck_assert_uint_ge (count_events ("queued"), 1);
+  ck_assert_int_eq (metric ("refused"), 0);
+  stop_vms ();
+}
+END_TEST
+
+/* A request that can't be answered in time is refused before its deadline, as not run and
+   with a time to come back. */
+START_TEST (test_a_request_that_would_be_late_is_refused_as_not_run)
+{
+  static char *const options[] = { "--token-ms", "60", NULL };
+  struct caller callers[CALLERS] = { 0 };
+  struct caller late = { .header = "Kingcuppoint-Deadline-Ms: 300" };
+  g_autofree char *retry = NULL;
+
+  cluster = cluster_new ("queue");
+  cluster_add_engine (cluster, "engine-1", "dc1", options);
+  cluster_add_vm (cluster, "vm-1", "dc1", "concurrency=1\n");
+  publish_and_wait ();
+  call (&callers[0]);
+  client_answer_clear (&callers[0].answer);
+  for (int i = 0; i < CALLERS; i++)
+    pthread_create (&callers[i].thread, NULL, call, &callers[i]);
+  for (int waited = 0; count_events ("queued") < 2; waited += WAIT_POLL_MS)
+    {
+      ck_assert_int_lt (waited, WAIT_LIMIT_MS);
+      g_usleep (WAIT_POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  call (&late);
+  ck_assert_int_eq (late.answer.status, 429);
+  ck_assert_int_lt (late.answer.total_us, 300000);
+  ck_assert_ptr_nonnull (strstr (late.answer.body->str, "\"execution\":\"not_run\""));
+  retry = client_header (&late.answer, "Retry-After");
+  ck_assert_ptr_nonnull (retry);
+  client_answer_clear (&late.answer);
+  for (int i = 0; i < CALLERS; i++)
+    {
+      pthread_join (callers[i].thread, NULL);
+      ck_assert_int_eq (callers[i].answer.status, 200);
+      client_answer_clear (&callers[i].answer);
+    }
+  stop_vms ();
+}
+END_TEST
+
+static struct client_answer
+complete_prefix (guint vm, int prefix)
+{
+  g_autofree char *text = g_strnfill (PROMPT_BYTES, (char)('a' + prefix));
+  g_autofree char *body = g_strdup_printf (
+      "{\"model\":\"" CLUSTER_MODEL "\",\"prompt\":\"%s\",\"max_tokens\":2}", text);
+
+  return client_run (&(struct client_call){
+      .port = cluster_vm (cluster, vm)->port,
+      .path = "/v1/completions",
+      .key = CLUSTER_TEAM_KEY,
+      .profile = "review",
+      .body = body,
+  });
+}
+
+/* A VM that has never seen a prompt sends it to the engine that has told of its blocks,
+   also if some of its events were lost. */
+START_TEST (test_a_vm_places_by_the_events_that_engines_send)
+{
+  cluster = cluster_new ("queue");
+  cluster_add_engine (cluster, "engine-1", "dc1", NULL);
+  cluster_add_vm (cluster, "vm-1", "dc1", NULL);
+  cluster_add_vm (cluster, "vm-2", "dc1", NULL);
+  publish_and_wait ();
+  for (int i = 0; i < PREFIXES; i++)
+    {
+      struct client_answer answer = complete_prefix (1, i);
+
+      ck_assert_int_eq (answer.status, 200);
+      client_answer_clear (&answer);
+    }
+  for (int waited = 0; metric ("cache_events") < PREFIXES * 3; waited += WAIT_POLL_MS)
+    {
+      ck_assert_int_lt (waited, WAIT_LIMIT_MS);
+      g_usleep (WAIT_POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  cluster_add_engine (cluster, "engine-2", "dc1", NULL);
+  cluster_publish_list (cluster, 0);
+  cluster_wait_ready (cluster);
+  for (int i = 0; i < PREFIXES; i++)
+    {
+      struct client_answer answer = complete_prefix (0, i);
+      g_autofree char *backend = client_header (&answer, "Kingcuppoint-Backend");
+
+      ck_assert_int_eq (answer.status, 200);
+      ck_assert_str_eq (backend, "engine-1");
+      client_answer_clear (&answer);
+    }
+  stop_vms ();
+}
+END_TEST
+
+static bool
+has_reported (const char *id)
+{
+  json_t *list = cluster_admin_get (cluster_vm (cluster, 0)->admin_port,
+                                    "/admin/v1/backend-servers");
+  bool reported = false;
+  json_t *server;
+  size_t i;
+
+  json_array_foreach (list, i, server)
+  {
+    if (g_strcmp0 (json_string_value (json_object_get (server, "id")), id) == 0)
+      reported = json_string_length (json_object_get (server, "incarnation")) > 0;
+  }
+  json_decref (list);
+  return reported;
+}
+
+/* Engines that do not answer must not delay the reports of the others. */
+START_TEST (test_frozen_engines_delay_no_other_report)
+{
+  int64_t started_us;
+
+  cluster = cluster_new ("queue");
+  for (int i = 1; i <= FROZEN; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("engine-%d", i);
+
+      cluster_add_engine (cluster, name, "dc1", NULL);
+    }
+  cluster_add_vm (cluster, "vm-1", "dc1", NULL);
+  publish_and_wait ();
+  for (guint i = 0; i < FROZEN; i++)
+    process_signal (g_ptr_array_index (cluster->engines, i), SIGSTOP);
+  cluster_add_engine (cluster, "engine-new", "dc1", NULL);
+  cluster_publish_list (cluster, 0);
+  started_us = g_get_monotonic_time ();
+  while (!has_reported ("engine-new"))
+    {
+      ck_assert_int_lt (g_get_monotonic_time () - started_us,
+                        SEEN_LIMIT_MS * G_TIME_SPAN_MILLISECOND);
+      g_usleep (WAIT_POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  stop_vms ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("queue");
+  TCase *tests = tcase_create ("queue");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, test_requests_wait_for_a_place_and_all_get_one);
+  tcase_add_test (tests, test_a_request_that_would_be_late_is_refused_as_not_run);
+  tcase_add_test (tests, test_a_vm_places_by_the_events_that_engines_send);
+  tcase_add_test (tests, test_frozen_engines_delay_no_other_report);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- /dev/null
+++ b/tests/unit/test_policy_decisions.c
@@ -0,0 +1,301 @@
+/* Beliefs, placement, limits and admission. */
+#include <check.h>
+#include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/clock.h"
+#include "policy/admission.h"
+#include "policy/beliefs.h"
+#include "policy/limit.h"
+#include "policy/placement.h"
+
+#define SEED         1u
+#define BELIEFS      4096
+#define TEAMS_MANY   4000
+#define WORK         1000
+#define LONG_NS      (1000 * KCP_NS_PER_S)
+#define TARGET_BYTES 64 /* 256 MB for 1.2 million blocks, with room for all else */
+
+static guint32 seed = SEED;
+
+START_TEST (test_beliefs_die_with_the_incarnation)
+{
+  struct kcp_beliefs *beliefs = kcp_beliefs_new (BELIEFS);
+  const uint64_t chain[] = { 11, 12, 13 };
+  kcp_belief_slot slot;
+  kcp_belief_slot found;
+  int64_t leading;
+
+  ck_assert (kcp_beliefs_slot (beliefs, 1, 100, &slot));
+  kcp_beliefs_learn (beliefs, slot, chain, 3);
+  kcp_beliefs_leading (beliefs, chain, 3, &slot, 1, &leading);
+  ck_assert_int_eq (leading, 3);
+  ck_assert (kcp_beliefs_slot (beliefs, 1, 200, &found));
+  ck_assert_uint_eq (found, slot);
+  kcp_beliefs_leading (beliefs, chain, 3, &slot, 1, &leading);
+  ck_assert_int_eq (leading, 0);
+  ck_assert (!kcp_beliefs_slot (beliefs, 1, 100, &found));
+  ck_assert (kcp_beliefs_slot (beliefs, 1, 200, &found));
+  kcp_beliefs_free (beliefs);
+}
+END_TEST
+
+START_TEST (test_beliefs_count_only_leading_blocks_of_each_server)
+{
+  struct kcp_beliefs *beliefs = kcp_beliefs_new (BELIEFS);
+  const uint64_t chain[] = { 21, 22, 23 };
+  kcp_belief_slot slots[2];
+  int64_t leading[2];
+
+  ck_assert (kcp_beliefs_slot (beliefs, 1, 1, &slots[0]));
+  ck_assert (kcp_beliefs_slot (beliefs, 2, 1, &slots[1]));
+  kcp_beliefs_learn (beliefs, slots[0], chain, 2);
+  kcp_beliefs_learn (beliefs, slots[1], chain, 3);
+  kcp_beliefs_remove (beliefs, slots[1], 22);
+  kcp_beliefs_leading (beliefs, chain, 3, slots, 2, leading);
+  ck_assert_int_eq (leading[0], 2);
+  ck_assert_int_eq (leading[1], 1);
+  kcp_beliefs_free (beliefs);
+}
+END_TEST
+
+/* After any number of events the index takes the same memory, and what it believes was
+   said of that server in its present life. */
+START_TEST (test_beliefs_stay_bounded_and_never_invent)
+{
+  struct kcp_beliefs *beliefs = kcp_beliefs_new (BELIEFS);
+  GRand *random = g_rand_new_with_seed (seed);
+  bool held[4][256] = { 0 };
+  uint64_t incarnations[4] = { 1, 1, 1, 1 };
+
+  for (int i = 0; i < 200000; i++)
+    {
+      int server = g_rand_int_range (random, 0, 4);
+      uint64_t block = (uint64_t)g_rand_int_range (random, 0, 256);
+      uint64_t id = block * 0x9E3779B97F4A7C15u + 1;
+      kcp_belief_slot slot;
+      int64_t leading;
+
+      if (g_rand_int_range (random, 0, 5000) == 0)
+        {
+          incarnations[server]++;
+          memset (held[server], 0, sizeof held[server]);
+        }
+      ck_assert (
+          kcp_beliefs_slot (beliefs, (uint64_t)server + 1, incarnations[server], &slot));
+      kcp_beliefs_leading (beliefs, &id, 1, &slot, 1, &leading);
+      ck_assert (leading == 0 || held[server][block]);
+      held[server][block] = g_rand_boolean (random);
+      if (held[server][block])
+        kcp_beliefs_add (beliefs, slot, id);
+      else
+        kcp_beliefs_remove (beliefs, slot, id);
+    }
+  ck_assert_uint_le (kcp_beliefs_bytes (beliefs) / BELIEFS, TARGET_BYTES);
+  g_rand_free (random);
+  kcp_beliefs_free (beliefs);
+}
+END_TEST
+
+START_TEST (test_placement_waits_for_a_cached_prefix_rather_than_computing_it_anew)
+{
+  const struct kcp_placement_costs costs
+      = { .ns_per_prompt_token = 50000, .ns_per_running = 1, .waste_percent = 300 };
+  const struct kcp_placement_request request
+      = { .prefix_head = 1, .prompt_tokens = 16000 };
+  struct kcp_placement_candidate candidates[] = {
+    { .hash = 1,
+      .in_flight = 5,
+      .limit = 5,
+      .place_wait_ns = 200 * KCP_NS_PER_MS,
+      .cached_tokens = 16000 },
+    { .hash = 2, .in_flight = 0, .limit = 5 },
+  };
+
+  ck_assert_int_eq (kcp_placement_choose (&request, candidates, 2, &costs), 0);
+  ck_assert (!kcp_placement_has_place (&candidates[0]));
+  candidates[0].place_wait_ns = 10 * KCP_NS_PER_S;
+  ck_assert_int_eq (kcp_placement_choose (&request, candidates, 2, &costs), 1);
+  ck_assert_int_eq (kcp_placement_choose (&request, candidates, 0, &costs),
+                    KCP_PLACEMENT_NONE);
+}
+END_TEST
+
+START_TEST (test_a_limit_falls_on_queues_and_recovers)
+{
+  const struct kcp_limit_settings settings = { .least = 4, .greatest = 64 };
+  struct kcp_limit limit;
+
+  kcp_limit_init (&limit, &settings);
+  for (int i = 0; i < 100; i++)
+    kcp_limit_observe (&limit, &settings,
+                       &(struct kcp_limit_facts){ .in_flight = 30, .waiting = 6 });
+  ck_assert_double_le (limit.value, 30.0);
+  ck_assert_double_ge (limit.value, 4.0);
+  for (int i = 0; i < 200; i++)
+    kcp_limit_observe (&limit, &settings,
+                       &(struct kcp_limit_facts){ .in_flight = (int64_t)limit.value });
+  ck_assert_double_eq (limit.value, 64.0);
+}
+END_TEST
+
+static struct kcp_admission_item
+make_item (enum kcp_class class, uint64_t team, int64_t deadline_ns, uint64_t fingerprint)
+{
+  return (struct kcp_admission_item){
+    .pool = 1,
+    .class = class,
+    .team = team,
+    .share = 1,
+    .work = WORK,
+    .deadline_ns = deadline_ns,
+    .fingerprint = fingerprint,
+  };
+}
+
+static bool
+takes_all (void *user, struct kcp_admission_item *item)
+{
+  (void)user;
+  (void)item;
+  return true;
+}
+
+/* One team that asks for a hundred times as much gets no more places than the others. */
+START_TEST (test_places_are_shared_between_4000_teams)
+{
+  struct kcp_admission *admission = kcp_admission_new ();
+  const struct kcp_admission_now now = { 0, 0 };
+  size_t count = TEAMS_MANY + 100;
+  g_autofree struct kcp_admission_item *items = g_new0 (struct kcp_admission_item, count);
+  g_autofree int *got = g_new0 (int, TEAMS_MANY);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      uint64_t team = i < 100 ? 0 : i - 100;
+
+      items[i] = make_item (KCP_CLASS_NORMAL, team, LONG_NS, i);
+      ck_assert (kcp_admission_offer (admission, &items[i], &now).queued);
+    }
+  for (size_t i = 0; i < TEAMS_MANY; i++)
+    got[kcp_admission_next (admission, takes_all, NULL, 0)->team]++;
+  for (size_t team = 0; team < TEAMS_MANY; team++)
+    ck_assert_int_eq (got[team], 1);
+  ck_assert_uint_eq (kcp_admission_waiting (admission), 100);
+  kcp_admission_free (admission);
+}
+END_TEST
+
+START_TEST (test_urgent_requests_go_first_and_the_nearest_deadline_within_a_team)
+{
+  struct kcp_admission *admission = kcp_admission_new ();
+  const struct kcp_admission_now now = { 0, 0 };
+  struct kcp_admission_item items[] = {
+    make_item (KCP_CLASS_NORMAL, 1, LONG_NS, 1),
+    make_item (KCP_CLASS_NORMAL, 1, LONG_NS / 2, 2),
+    make_item (KCP_CLASS_URGENT, 2, LONG_NS, 3),
+  };
+  const uint64_t expected[] = { 3, 2, 1 };
+
+  for (int i = 0; i < 3; i++)
+    ck_assert (kcp_admission_offer (admission, &items[i], &now).queued);
+  for (int i = 0; i < 3; i++)
+    ck_assert_uint_eq (kcp_admission_next (admission, takes_all, NULL, 0)->fingerprint,
+                       expected[i]);
+  ck_assert_ptr_null (kcp_admission_next (admission, takes_all, NULL, 0));
+  kcp_admission_free (admission);
+}
+END_TEST
+
+/* Starts one request each 100 ms for 2 s while ten wait, so that the rate is known. */
+static int64_t
+fill_and_run (struct kcp_admission *admission, struct kcp_admission_item *items)
+{
+  struct kcp_admission_now now = { 0, 0 };
+
+  for (int i = 0; i < 30; i++)
+    {
+      items[i] = make_item (KCP_CLASS_NORMAL, 1, LONG_NS, 8 * (uint64_t)i);
+      ck_assert (kcp_admission_offer (admission, &items[i], &now).queued);
+    }
+  for (int i = 0; i < 20; i++)
+    {
+      now.monotonic_ns += 100 * KCP_NS_PER_MS;
+      ck_assert_ptr_nonnull (
+          kcp_admission_next (admission, takes_all, NULL, now.monotonic_ns));
+    }
+  return now.monotonic_ns;
+}
+
+START_TEST (test_a_deadline_that_cannot_be_met_is_refused_with_a_time_that_works)
+{
+  struct kcp_admission *admission = kcp_admission_new ();
+  g_autofree struct kcp_admission_item *items = g_new0 (struct kcp_admission_item, 40);
+  int64_t now_ns = fill_and_run (admission, items);
+  struct kcp_admission_now now = { now_ns, now_ns / KCP_NS_PER_MS };
+  struct kcp_admission_item late
+      = make_item (KCP_CLASS_NORMAL, 1, now_ns + 200 * KCP_NS_PER_MS, 5);
+  struct kcp_admission_item light
+      = make_item (KCP_CLASS_NORMAL, 2, now_ns + 400 * KCP_NS_PER_MS, 6);
+  struct kcp_admission_verdict verdict = kcp_admission_offer (admission, &late, &now);
+
+  ck_assert (!verdict.queued);
+  ck_assert_int_ge (verdict.retry_after_s, 1);
+  ck_assert (kcp_admission_offer (admission, &light, &now).queued);
+  for (int i = 0; i < 11; i++)
+    ck_assert_ptr_nonnull (kcp_admission_next (admission, takes_all, NULL, now_ns));
+  now.monotonic_ns += verdict.retry_after_s * KCP_NS_PER_S;
+  now.realtime_ms += verdict.retry_after_s * KCP_MS_PER_S;
+  late.deadline_ns = now.monotonic_ns + 200 * KCP_NS_PER_MS;
+  ck_assert (kcp_admission_offer (admission, &late, &now).queued);
+  kcp_admission_free (admission);
+}
+END_TEST
+
+START_TEST (test_a_request_is_given_up_when_its_last_start_has_passed)
+{
+  struct kcp_admission *admission = kcp_admission_new ();
+  const struct kcp_admission_now now = { 0, 0 };
+  struct kcp_admission_item item = make_item (KCP_CLASS_NORMAL, 1, 1000, 1);
+
+  item.run_ns = 400;
+  ck_assert (kcp_admission_offer (admission, &item, &now).queued);
+  ck_assert_ptr_null (kcp_admission_expired (admission, 600));
+  ck_assert_ptr_eq (kcp_admission_expired (admission, 601), &item);
+  ck_assert_uint_eq (kcp_admission_waiting (admission), 0);
+  kcp_admission_remove (admission, &item, 601);
+  kcp_admission_free (admission);
+}
+END_TEST
+
+int
+main (int argc, char **argv)
+{
+  Suite *suite = suite_create ("policy_decisions");
+  TCase *tests = tcase_create ("policy_decisions");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  if (argc > 1)
+    seed = (guint32)g_ascii_strtoull (argv[1], NULL, 10);
+  (void)printf ("seed %u\n", seed);
+  tcase_add_test (tests, test_beliefs_die_with_the_incarnation);
+  tcase_add_test (tests, test_beliefs_count_only_leading_blocks_of_each_server);
+  tcase_add_test (tests, test_beliefs_stay_bounded_and_never_invent);
+  tcase_add_test (tests,
+                  test_placement_waits_for_a_cached_prefix_rather_than_computing_it_anew);
+  tcase_add_test (tests, test_a_limit_falls_on_queues_and_recovers);
+  tcase_add_test (tests, test_places_are_shared_between_4000_teams);
+  tcase_add_test (tests,
+                  test_urgent_requests_go_first_and_the_nearest_deadline_within_a_team);
+  tcase_add_test (tests,
+                  test_a_deadline_that_cannot_be_met_is_refused_with_a_time_that_works);
+  tcase_add_test (tests, test_a_request_is_given_up_when_its_last_start_has_passed);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
