--- a/bench/fake_vm.c
+++ b/bench/fake_vm.c
@@ -18,7 +18,6 @@
 static const struct kcp_limit_settings limit_settings = {
   .least = 4,
   .greatest = 64,
-  .target_ns = 300 * KCP_NS_PER_MS,
 };
 
 static const struct kcp_placement_costs costs = {
@@ -150,7 +149,6 @@
                        &(struct kcp_limit_facts){
                            .in_flight = report->running + report->waiting,
                            .waiting = report->waiting,
-                           .delay_ns = report->waiting_tokens * costs.ns_per_prompt_token,
                        });
   pump (vm);
 }
@@ -170,7 +168,8 @@
       view->incarnation = incarnation;
       view->next_seq = 0;
     }
-  slot = kcp_beliefs_slot (vm->beliefs, engine->hash, incarnation);
+  if (!kcp_beliefs_slot (vm->beliefs, engine->hash, incarnation, &slot))
+    return;
   for (guint i = 0; i < events->len; i++)
     {
       const struct cache_event *event = &g_array_index (events, struct cache_event, i);
@@ -194,13 +193,13 @@
   struct fake_vm *vm = job->vm;
   struct fake_engine *engine = job->engine;
   int64_t now_ns = sim_now (vm->world->sim);
+  kcp_belief_slot slot;
 
   if (job->first_token_ns == 0)
     job->first_token_ns = now_ns;
-  if (!vm->world->run.variant.no_learning)
-    kcp_beliefs_learn (vm->beliefs,
-                       kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation),
-                       job->chain, job->blocks);
+  if (!vm->world->run.variant.no_learning
+      && kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation, &slot))
+    kcp_beliefs_learn (vm->beliefs, slot, job->chain, job->blocks);
 }
 
 /* Takes in the end of a request's present attempt. */
@@ -418,7 +417,7 @@
 {
   const struct world *world = vm->world;
   const struct engine_view *view = &vm->views[number];
-  const struct fake_engine *engine = world->engines[number];
+  struct fake_engine *engine = world->engines[number];
   bool knows = world->run.policy == BENCH_ALL_KNOWING;
   struct engine_report report = knows ? fake_engine_report (engine) : view->report;
   int64_t limit
@@ -447,18 +446,20 @@
 {
   kcp_belief_slot slots[WORLD_ENGINES_MAX];
 
+  memset (leading, 0, count * sizeof *leading);
+  if (vm->world->run.variant.no_beliefs)
+    return;
   for (size_t i = 0; i < count; i++)
     {
       const struct fake_engine *engine = vm->world->engines[engines[i]];
 
-      leading[i] = fake_engine_leading (engine, job) / KCP_BLOCK_TOKENS;
-      slots[i] = kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation);
+      if (vm->world->run.policy == BENCH_ALL_KNOWING)
+        leading[i] = fake_engine_leading (engine, job) / KCP_BLOCK_TOKENS;
+      else
+        (void)kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation,
+                                &slots[i]);
     }
-  if (vm->world->run.policy == BENCH_ALL_KNOWING)
-    return;
-  if (vm->world->run.variant.no_beliefs)
-    memset (leading, 0, count * sizeof *leading);
-  else
+  if (vm->world->run.policy != BENCH_ALL_KNOWING)
     kcp_beliefs_leading (vm->beliefs, job->chain, job->blocks, slots, count, leading);
 }
 
@@ -466,7 +467,10 @@
 engine_in_flight (const struct fake_vm *vm, unsigned number)
 {
   const struct engine_view *view = &vm->views[number];
-  int64_t known = view->report.running + view->report.waiting + view->begun - view->ended;
+  int64_t own = view->begun - view->ended;
+  int64_t known
+      = view->report.running + view->report.waiting
+        + (own > 0 && vm->world->run.variant.limit_others ? own * WORKLOAD_VMS : own);
 
   if (vm->world->run.policy == BENCH_ALL_KNOWING)
     return (int64_t)vm->world->engines[number]->batch->len
@@ -523,7 +527,7 @@
 {
   struct fake_vm *vm = job->vm;
 
-  if (!job->in_flight)
+  if (!job->in_flight || job->engine == NULL)
     return;
   job->in_flight = false;
   vm->views[job->engine->number].ended++;
--- a/src/request/router.h
+++ b/src/request/router.h
@@ -9,6 +9,7 @@
 #include "booking/booking.h"
 #include "policy/placement.h"
 #include "profile/config.h"
+#include "request/engine_facts.h"
 #include "request/open_requests.h"
 #include "request/retry_gate.h"
 #include "request/timers.h"
@@ -23,6 +24,8 @@
   void *user;
 };
 
+struct kcp_admit;
+
 /* Every pointer outlives all requests. */
 struct kcp_router
 {
@@ -39,6 +42,8 @@
   struct kcp_open_requests *open_requests;
   struct kcp_timers *timers;
   struct kcp_retry_gate *retry_gate;
+  struct kcp_engine_facts *facts;
+  struct kcp_admit *admit;
   GQuark data_center;
   int draining; /* atomic; 1 once the VM is leaving */
 };
