Start a booking stream at its last checkpoint, and bound each decision

Cause: a VM that starts read every record the log keeps, and a claim waited for all of it; outcomes not appended at a stop were not counted.

Now a checkpoint that is whole is noted in booking-N-checkpoints, and a starting VM reads from there; a wrong note costs a read from the start and never a decision. A claim that waits longer than platform.timeout_ms while the log is read is refused not_run, and the reading goes on. The stand-in's log bounds an answer to 1 MiB, as a log of this kind must.

--- a/src/booking/booking.c
+++ b/src/booking/booking.c
@@ -58,6 +58,7 @@
       .window_ms = settings->booking_dedupe_window_s * KCP_MS_PER_S,
       .checkpoint_ms = settings->booking_checkpoint_ms,
       .outcome_retry_ms = settings->booking_outcome_retry_ms,
+      .decision_limit_ms = settings->platform_timeout_ms,
       .is_alive = options->is_alive,
       .user = options->user,
     },
--- a/src/booking/claims.c
+++ b/src/booking/claims.c
@@ -134,10 +134,16 @@
 }
 
 /* Reads again from an offset after the log was put back to an earlier state. Keys that
-   were known stay known. */
+   were known stay known; a state that is not complete is read anew. */
 void
 kcp_claims_read_again (struct kcp_claims *claims, uint64_t first)
 {
+  if (!claims->complete)
+    {
+      kcp_claims_skip_to (claims, first);
+      claims->complete = first == 0;
+      return;
+    }
   g_hash_table_remove_all (claims->writers);
   kcp_checkpoint_reader_clear (claims->reader);
   claims->next = first;
--- /dev/null
+++ b/src/booking/hint.h
@@ -0,0 +1,11 @@
+/* Where the last checkpoint of a booking stream is, so that a VM that starts need not
+   read the stream from its start. */
+#ifndef KCP_BOOKING_HINT_H
+#define KCP_BOOKING_HINT_H
+
+#include "platform/platform_log.h"
+
+void kcp_hint_write (struct kcp_platform_log *log, const char *stream, uint64_t as_of);
+uint64_t kcp_hint_read (struct kcp_platform_log *log, const char *stream);
+
+#endif
--- a/src/booking/partition.c
+++ b/src/booking/partition.c
@@ -49,11 +49,16 @@
   int64_t checkpoint_at_ms; /* time of day of the next checkpoint */
   uint64_t checkpoint_seen;
   json_t *parts; /* of a checkpoint, not yet appended */
+  uint64_t parts_as_of;
+  bool hint_due;  /* the checkpoint is whole in the log */
+  bool caught_up; /* the end of the log was reached since records were skipped */
+  bool hinted;    /* reading began at a checkpoint that has not been found yet */
   struct kcp_error last_error;
 };
 
 static void answer (struct kcp_pending *pending, const struct kcp_claim_answer *result);
 static void refuse (struct kcp_pending *pending, const struct kcp_error *error);
+static void note_lost (const struct kcp_pending *pending);
 static void enqueue (struct kcp_partition *partition, struct kcp_pending *pending);
 static bool answer_early (struct kcp_partition *partition, struct kcp_pending *pending,
                           int64_t now_ms);
@@ -88,7 +93,8 @@
 static void go_on_lookup (struct kcp_partition *partition, bool at_end, int64_t now_ms);
 static void go_on_settling (struct kcp_partition *partition, bool at_end, int64_t now_ms);
 static void answer_checked (struct kcp_partition *partition, int64_t now_ms);
-static void refuse_checked (struct kcp_partition *partition);
+static void refuse_overdue (struct kcp_partition *partition, int64_t now_ms);
+static void refuse_waiting (struct kcp_partition *partition, int64_t before_ms);
 static void maintain (struct kcp_partition *partition, int64_t now_ms);
 static void note_checkpoint (struct kcp_partition *partition, int64_t now_ms);
 static void queue_restore (struct kcp_partition *partition);
@@ -110,6 +116,29 @@
   return partition;
 }
 
+/* Starts reading at the offset of a checkpoint rather than at the start of the stream.
+   That may be wrong at no risk: the state is incomplete until a checkpoint was read, and
+   if there is none the stream is read from its start. */
+void
+kcp_partition_start_at (struct kcp_partition *partition, uint64_t as_of)
+{
+  if (as_of == 0)
+    return;
+  kcp_claims_skip_to (partition->claims, as_of);
+  partition->hinted = true;
+}
+
+/* Tells, once, that a checkpoint is whole in the log, and as of which offset. */
+bool
+kcp_partition_take_hint (struct kcp_partition *partition, uint64_t *as_of)
+{
+  bool due = partition->hint_due;
+
+  partition->hint_due = false;
+  *as_of = partition->parts_as_of;
+  return due;
+}
+
 /* Refuses the claims that are not decided and frees the partition; NULL is allowed. A
    refused claim may hold its key until the window has passed, but is never dispatched. */
 void
@@ -127,6 +156,7 @@
     {
       CK_STAILQ_REMOVE_HEAD (&partition->waiting, link);
       kcp_pending_recorded (pending);
+      note_lost (pending);
       refuse (pending, &error);
     }
   json_decref (partition->record);
@@ -179,7 +209,10 @@
   partition->in_doubt = false;
   partition->tick = false;
   if (partition->record_is_part)
-    json_array_remove (partition->parts, 0);
+    {
+      json_array_remove (partition->parts, 0);
+      partition->hint_due = json_array_size (partition->parts) == 0;
+    }
   drop_record (partition);
   partition->settle_at = offset;
   partition->phase = flight_has_claims (partition) ? PHASE_SETTLING : PHASE_IDLE;
@@ -214,6 +247,8 @@
 kcp_partition_read (struct kcp_partition *partition, const struct kcp_log_batch *batch,
                     int64_t now_ms)
 {
+  bool at_end;
+
   if (log_went_back (partition, batch))
     {
       kcp_counter_add (KCP_COUNT_BOOKING_LOG_WENT_BACK, 1);
@@ -224,7 +259,16 @@
     }
   apply (partition, batch);
   note_checkpoint (partition, now_ms);
-  go_on (partition, kcp_claims_next_offset (partition->claims) >= batch->next, now_ms);
+  at_end = kcp_claims_next_offset (partition->claims) >= batch->next;
+  if (at_end && partition->hinted && !kcp_claims_is_complete (partition->claims))
+    {
+      partition->hinted = false;
+      kcp_claims_read_again (partition->claims, 0);
+      return;
+    }
+  partition->caught_up = partition->caught_up || at_end;
+  go_on (partition, at_end, now_ms);
+  refuse_overdue (partition, now_ms);
 }
 
 /* Reports that a read failed. For KCP_ERR_TRIMMED batch->first is the first offset kept.
@@ -245,7 +289,7 @@
       give_up (partition, error);
       break;
     case PHASE_CHECKING:
-      refuse_checked (partition);
+      refuse_waiting (partition, G_MAXINT64);
       break;
     case PHASE_IDLE:
     case PHASE_APPENDING:
@@ -289,6 +333,16 @@
   answer (pending, &result);
 }
 
+static void
+note_lost (const struct kcp_pending *pending)
+{
+  if (pending->kind != KCP_PENDING_OUTCOME)
+    return;
+  kcp_counter_add (KCP_COUNT_BOOKING_OUTCOMES_LOST, 1);
+  kcp_logger_write (G_LOG_LEVEL_WARNING, "booking_outcome_lost", "key", pending->key,
+                    NULL);
+}
+
 static void
 enqueue (struct kcp_partition *partition, struct kcp_pending *pending)
 {
@@ -303,6 +357,7 @@
   struct kcp_decision_facts facts = facts_of (partition, pending, now_ms);
   struct kcp_claim_answer result;
 
+  facts.covered = facts.covered || !partition->caught_up;
   if (kcp_decide_early (&facts, &result))
     {
       answer (pending, &result);
@@ -382,9 +437,7 @@
       if (pending->kind == KCP_PENDING_OUTCOME
           && now_ms - pending->since_ms > partition->options.outcome_retry_ms)
         {
-          kcp_counter_add (KCP_COUNT_BOOKING_OUTCOMES_LOST, 1);
-          kcp_logger_write (G_LOG_LEVEL_WARNING, "booking_outcome_lost", "key",
-                            pending->key, NULL);
+          note_lost (pending);
           kcp_pending_recorded (pending);
           kcp_pending_free (pending);
           partition->waiting_count--;
@@ -447,7 +500,10 @@
   struct kcp_claims *claims = partition->claims;
 
   if (first > kcp_claims_next_offset (claims))
-    kcp_claims_skip_to (claims, first);
+    {
+      kcp_claims_skip_to (claims, first);
+      partition->caught_up = false;
+    }
   else if (kcp_claims_read_offset (claims) < kcp_claims_next_offset (claims))
     kcp_claims_forget_last (claims);
   else
@@ -523,7 +579,8 @@
   struct kcp_pending *pending;
 
   CK_STAILQ_FOREACH (pending, &partition->flight, link)
-  enqueue (partition, kcp_pending_release (pending->key, pending->claim));
+  if (pending->kind == KCP_PENDING_CLAIM)
+    enqueue (partition, kcp_pending_release (pending->key, pending->claim));
   partition->phase = PHASE_IDLE;
   refuse_flight (partition, error);
 }
@@ -669,8 +726,27 @@
   CK_STAILQ_CONCAT (&partition->waiting, &left);
 }
 
+/* Refuses the claims that have waited for too long while the log is read, which goes on.
+ */
 static void
-refuse_checked (struct kcp_partition *partition)
+refuse_overdue (struct kcp_partition *partition, int64_t now_ms)
+{
+  int64_t since_ms = now_ms - partition->options.decision_limit_ms;
+  const struct kcp_pending *oldest = CK_STAILQ_FIRST (&partition->flight);
+
+  kcp_error_set (&partition->last_error, KCP_ERR_PLATFORM, STEP, NULL,
+                 "the booking log is still being read");
+  if (oldest != NULL && oldest->since_ms < since_ms)
+    {
+      give_up (partition, &partition->last_error);
+      partition->maintain_at_ms = now_ms;
+    }
+  refuse_waiting (partition, since_ms);
+}
+
+/* Refuses the waiting claims posted before a time. */
+static void
+refuse_waiting (struct kcp_partition *partition, int64_t before_ms)
 {
   struct kcp_pending_queue left = CK_STAILQ_HEAD_INITIALIZER (left);
   struct kcp_pending *pending;
@@ -678,7 +754,7 @@
   while ((pending = CK_STAILQ_FIRST (&partition->waiting)) != NULL)
     {
       CK_STAILQ_REMOVE_HEAD (&partition->waiting, link);
-      if (pending->kind == KCP_PENDING_CLAIM)
+      if (pending->kind == KCP_PENDING_CLAIM && pending->since_ms < before_ms)
         {
           partition->waiting_count--;
           refuse (pending, &partition->last_error);
@@ -712,6 +788,7 @@
   kcp_id_random (id);
   json_decref (partition->parts);
   partition->parts = kcp_claims_snapshot (claims, id);
+  partition->parts_as_of = kcp_claims_next_offset (claims);
   kcp_counter_add (KCP_COUNT_BOOKING_CHECKPOINTS, 1);
   partition->checkpoint_at_ms = now_ms + partition->options.checkpoint_ms;
 }
--- a/src/booking/partition.h
+++ b/src/booking/partition.h
@@ -15,8 +15,9 @@
   const char *vm;
   const char *writer; /* random for each start of the process */
   int64_t window_ms;
-  int64_t checkpoint_ms;    /* time between two checkpoints */
-  int64_t outcome_retry_ms; /* how long an outcome is tried again */
+  int64_t checkpoint_ms;     /* time between two checkpoints */
+  int64_t outcome_retry_ms;  /* how long an outcome is tried again */
+  int64_t decision_limit_ms; /* how long a claim waits while the log is being read */
   /* Tells whether a VM is believed to live; NULL: every VM is. */
   bool (*is_alive) (void *user, const char *vm);
   void *user;
@@ -41,6 +42,8 @@
 struct kcp_partition *
 kcp_partition_new (const struct kcp_partition_options *options, int64_t now_ms);
 void kcp_partition_free (struct kcp_partition *partition);
+void kcp_partition_start_at (struct kcp_partition *partition, uint64_t as_of);
+bool kcp_partition_take_hint (struct kcp_partition *partition, uint64_t *as_of);
 void kcp_partition_post (struct kcp_partition *partition, struct kcp_pending *pending,
                          int64_t now_ms);
 struct kcp_partition_action
--- a/src/booking/worker.c
+++ b/src/booking/worker.c
@@ -4,6 +4,7 @@
 #include <pthread.h>
 
 #include "base/logger.h"
+#include "booking/hint.h"
 #include "booking/layout.h"
 
 #define WAKE_MS            100
@@ -170,7 +171,11 @@
 serve (struct kcp_booking_worker *worker, struct served *served)
 {
   if (served->partition == NULL)
-    served->partition = kcp_partition_new (&worker->options.partition, now_ms (worker));
+    {
+      served->partition = kcp_partition_new (&worker->options.partition, now_ms (worker));
+      kcp_partition_start_at (served->partition,
+                              kcp_hint_read (worker->options.log, served->stream));
+    }
   take_posted (worker, served, agree_on_layout (worker));
   while (step (worker, served))
     take_posted (worker, served, worker->layout_agreed);
@@ -250,11 +255,14 @@
 {
   struct kcp_error error;
   uint64_t offset;
+  uint64_t as_of;
 
   if (kcp_platform_log_append (worker->options.log, served->stream, record, &offset,
                                &error))
     {
       kcp_partition_appended (served->partition, offset);
+      if (kcp_partition_take_hint (served->partition, &as_of))
+        kcp_hint_write (worker->options.log, served->stream, as_of);
       return;
     }
   kcp_logger_error ("booking_append_failed", NULL, &error);
--- a/standin/log.c
+++ b/standin/log.c
@@ -5,7 +5,8 @@
 #include "base/clock.h"
 #include "standin/standin.h"
 
-#define READ_MAX 1000
+#define READ_MAX       1000       /* records in one answer */
+#define READ_MAX_BYTES (1u << 20) /* their size; one record is always answered */
 
 struct stream
 {
@@ -234,12 +235,20 @@
 collect (const struct stream *stream, uint64_t from)
 {
   json_t *list = json_array ();
+  size_t bytes = 0;
 
   for (uint64_t i = from - stream->first;
-       i < stream->records->len && json_array_size (list) < READ_MAX; i++)
-    json_array_append_new (
-        list, json_pack ("{sIsO}", "offset", (json_int_t)(stream->first + i), "record",
-                         g_ptr_array_index (stream->records, (guint)i)));
+       i < stream->records->len && json_array_size (list) < READ_MAX
+       && bytes < READ_MAX_BYTES;
+       i++)
+    {
+      json_t *record = g_ptr_array_index (stream->records, (guint)i);
+
+      bytes += json_dumpb (record, NULL, 0, JSON_COMPACT);
+      json_array_append_new (list, json_pack ("{sIsO}", "offset",
+                                              (json_int_t)(stream->first + i), "record",
+                                              record));
+    }
   return list;
 }
 
--- a/tests/unit/test_partition.c
+++ b/tests/unit/test_partition.c
@@ -19,6 +19,7 @@
 #define PLAIN_ROUNDS  6 /* windows after which a plain key is used again */
 #define CHECKPOINT_MS 15000
 #define DEADLINE_MS   4000
+#define DECISION_MS   1000
 #define SKEW_MS       20000
 #define START_MS      1700000000000LL
 
@@ -81,6 +82,7 @@
   uint64_t first;
   GPtrArray *records; /* json_t */
   GArray *late;       /* struct late */
+  uint64_t hint;      /* offset of the last checkpoint noted */
   int64_t out_until_ms;
   int key_round; /* every key is replaced by a new one after a while */
   struct vm vms[VMS];
@@ -117,8 +119,11 @@
           .window_ms = WINDOW_MS,
           .checkpoint_ms = CHECKPOINT_MS,
           .outcome_retry_ms = WINDOW_MS,
+          .decision_limit_ms = DECISION_MS,
       },
       vm_now (vm));
+  if (chance (vm->sim, 70))
+    kcp_partition_start_at (vm->partition, vm->sim->hint);
 }
 
 static void
@@ -343,13 +348,18 @@
 vm_deliver (struct vm *vm)
 {
   struct exchange exchange = vm->exchange;
+  uint64_t as_of;
   int64_t now = vm_now (vm);
 
   vm->exchange = (struct exchange){ .step = KCP_PARTITION_WAIT };
   if (exchange.step == KCP_PARTITION_APPEND && exchange.failed)
     kcp_partition_append_failed (vm->partition, &exchange.error, now);
   else if (exchange.step == KCP_PARTITION_APPEND)
-    kcp_partition_appended (vm->partition, exchange.offset);
+    {
+      kcp_partition_appended (vm->partition, exchange.offset);
+      if (kcp_partition_take_hint (vm->partition, &as_of))
+        vm->sim->hint = as_of;
+    }
   else if (exchange.failed)
     kcp_partition_read_failed (vm->partition, &exchange.batch, &exchange.error, now);
   else
