--- a/bench/bench_config.c
+++ b/bench/bench_config.c
@@ -27,7 +27,7 @@
 {
   (void)puts (
       "configuration: teams, us a key, us a change, whole: KB, ms to write, ms to "
-      "take over, KB of memory");
+      "take over, KB of memory, ms a checkpoint");
   for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
     report (sizes[i]);
   return EXIT_SUCCESS;
@@ -48,6 +48,8 @@
   json_t *read = json_loads (text, 0, NULL);
   int64_t done_ns;
   int64_t changed_ns;
+  int64_t read_ns;
+  json_t *checkpoint;
 
   if (!kcp_config_adopt (other, read, NULL))
     abort ();
@@ -55,10 +57,18 @@
   (void)put (config, PROFILES + teams, "profiles/new", profile_document ());
   (void)put (config, PROFILES + teams + 1, "teams/new", team_document (teams));
   changed_ns = (kcp_clock_monotonic_ns (&kcp_clock_system) - done_ns) / 2;
-  (void)printf ("%6u %8.2f %8.1f %8zu %8.1f %8.1f %8zu\n", teams, key_us,
+  checkpoint = kcp_config_checkpoint (config, false);
+  read_ns = kcp_clock_monotonic_ns (&kcp_clock_system);
+  if (kcp_config_apply (config, PROFILES + teams + 2, checkpoint, NULL)
+      != KCP_CONFIG_CHECKPOINT)
+    abort ();
+  read_ns = kcp_clock_monotonic_ns (&kcp_clock_system) - read_ns;
+  (void)printf ("%6u %8.2f %8.1f %8zu %8.1f %8.1f %8zu %8.1f\n", teams, key_us,
                 (double)changed_ns / KCP_NS_PER_US, strlen (text) / 1024,
                 (double)(written_ns - start_ns) / KCP_NS_PER_MS,
-                (double)(done_ns - written_ns) / KCP_NS_PER_MS, memory / 1024);
+                (double)(done_ns - written_ns) / KCP_NS_PER_MS, memory / 1024,
+                (double)read_ns / KCP_NS_PER_MS);
+  json_decref (checkpoint);
   free (text);
   json_decref (snapshot);
   json_decref (read);
--- a/src/profile/config.c
+++ b/src/profile/config.c
@@ -33,6 +33,10 @@
 static bool put_entry (struct kcp_config *config, struct kcp_config_entry *entry);
 static bool read_snapshot (json_t *snapshot, GPtrArray *entries, struct kcp_error *error);
 static void index_teams (struct kcp_config *config);
+static GPtrArray *new_entries (void);
+static void
+collect (GHashTable *from, GHashTable *than, uint64_t version, GPtrArray *out);
+static json_t *to_json (const GPtrArray *entries);
 static void put_log_in_force (struct kcp_config *config);
 static void
 note_outcome (struct kcp_config *config, json_t *record, enum kcp_config_result result,
@@ -192,37 +196,27 @@
 kcp_config_checkpoint (struct kcp_config *config, bool root)
 {
   const struct kcp_config_log *log = &config->log;
+  g_autoptr (GPtrArray) entries = new_entries ();
+  g_autoptr (GPtrArray) carried = new_entries ();
   char id[KCP_ID_LEN + 1];
-  json_t *entries = json_object ();
-  json_t *carried = json_object ();
-  json_t *record = NULL;
-  GHashTableIter iter;
-  gpointer value;
+  uint64_t upto;
+  uint64_t version;
+  bool known;
 
   kcp_id_random (id);
   pthread_mutex_lock (&config->lock);
-  g_hash_table_iter_init (&iter, root ? config->entries : log->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    json_object_set_new (entries, ((struct kcp_config_entry *)value)->key,
-                         kcp_config_entry_to_json (value));
-  g_hash_table_iter_init (&iter, config->entries);
-  while (!root && g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct kcp_config_entry *entry = value;
-
-      if (kcp_config_entry_is_newer (entry,
-                                     g_hash_table_lookup (log->entries, entry->key)))
-        json_object_set_new (carried, entry->key, kcp_config_entry_to_json (entry));
-    }
-  if (root || !log->gap)
-    record = json_pack ("{sssssIsIsbsOsO}", "op", "checkpoint", "id", id, "upto",
-                        (json_int_t)log->next, "version",
-                        (json_int_t)(root ? config->version : log->version), "root", root,
-                        "entries", entries, "carried", carried);
+  known = root || !log->gap;
+  upto = log->next;
+  version = root ? config->version : log->version;
+  collect (root ? config->entries : log->entries, NULL, 0, entries);
+  if (!root)
+    collect (config->entries, log->entries, 0, carried);
   pthread_mutex_unlock (&config->lock);
-  json_decref (entries);
-  json_decref (carried);
-  return record;
+  if (!known)
+    return NULL;
+  return json_pack ("{sssssIsIsbsoso}", "op", "checkpoint", "id", id, "upto",
+                    (json_int_t)upto, "version", (json_int_t)version, "root", root,
+                    "entries", to_json (entries), "carried", to_json (carried));
 }
 
 /* Gives the version that is the base of the next change of a document; false if there is
@@ -406,23 +400,14 @@
 json_t *
 kcp_config_snapshot_since (struct kcp_config *config, uint64_t version)
 {
-  json_t *entries = json_object ();
-  GHashTableIter iter;
-  gpointer value;
+  g_autoptr (GPtrArray) entries = new_entries ();
   bool loaded;
 
   pthread_mutex_lock (&config->lock);
   loaded = config->loaded;
-  g_hash_table_iter_init (&iter, config->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct kcp_config_entry *entry = value;
-
-      if (entry->version > version)
-        json_object_set_new (entries, entry->key, kcp_config_entry_to_json (entry));
-    }
+  collect (config->entries, NULL, version, entries);
   pthread_mutex_unlock (&config->lock);
-  return json_pack ("{sbso}", "loaded", loaded, "entries", entries);
+  return json_pack ("{sbso}", "loaded", loaded, "entries", to_json (entries));
 }
 
 /* Takes over from another VM's snapshot each entry that is newer than the one held, and
@@ -537,6 +522,47 @@
       kcp_team_index_add (&config->teams, ((struct kcp_config_entry *)value)->team);
 }
 
+static GPtrArray *
+new_entries (void)
+{
+  return g_ptr_array_new_with_free_func (kcp_config_entry_unref);
+}
+
+/* Adds references to the entries after a version that are newer than those of another
+   table, which may be NULL. */
+static void
+collect (GHashTable *from, GHashTable *than, uint64_t version, GPtrArray *out)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, from);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      struct kcp_config_entry *entry = value;
+      const struct kcp_config_entry *other
+          = than != NULL ? g_hash_table_lookup (than, key) : NULL;
+
+      if (entry->version > version && kcp_config_entry_is_newer (entry, other))
+        g_ptr_array_add (out, kcp_config_entry_ref (entry));
+    }
+}
+
+static json_t *
+to_json (const GPtrArray *entries)
+{
+  json_t *object = json_object ();
+
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const struct kcp_config_entry *entry = g_ptr_array_index (entries, i);
+
+      json_object_set_new (object, entry->key, kcp_config_entry_to_json (entry));
+    }
+  return object;
+}
+
 static void
 put_log_in_force (struct kcp_config *config)
 {
--- a/src/profile/config_log.c
+++ b/src/profile/config_log.c
@@ -16,7 +16,10 @@
                   struct kcp_error *error);
 static bool
 base_is_current (const struct kcp_config_log *log, const char *key, json_t *record);
-static void join (struct kcp_config_log *log, const GPtrArray *entries);
+static bool take_state (struct kcp_config_log *log, json_t *record, uint64_t version,
+                        struct kcp_error *error);
+static bool join (struct kcp_config_log *log, json_t *record, const char *member,
+                  struct kcp_error *error);
 static void put_entry (struct kcp_config_log *log, struct kcp_config_entry *entry);
 static void forget (struct kcp_config_log *log);
 static uint64_t hash_record (const json_t *record);
@@ -144,23 +147,18 @@
 apply_checkpoint (struct kcp_config_log *log, uint64_t offset, json_t *record,
                   struct kcp_error *error)
 {
-  g_autoptr (GPtrArray) entries = g_ptr_array_new_with_free_func (kcp_config_entry_unref);
-  g_autoptr (GPtrArray) carried = g_ptr_array_new_with_free_func (kcp_config_entry_unref);
   struct kcp_config_checkpoint checkpoint;
   bool resumes;
 
-  if (!kcp_config_record_read_checkpoint (record, &checkpoint, entries, carried, error)
+  if (!kcp_config_record_read_checkpoint (record, &checkpoint, error)
       || checkpoint.upto > offset)
     return KCP_CONFIG_INVALID;
   resumes = !checkpoint.root && (log->gap || log->unverified);
   if (resumes && checkpoint.upto < log->gap_start)
     return KCP_CONFIG_GAP;
-  if (checkpoint.root || resumes)
-    {
-      forget (log);
-      log->version = checkpoint.version;
-      join (log, entries);
-    }
+  if ((checkpoint.root || resumes)
+      && !take_state (log, record, checkpoint.version, error))
+    return KCP_CONFIG_INVALID;
   log->has_checkpoint = true;
   log->checkpoint_upto = checkpoint.root ? offset : checkpoint.upto;
   log->records_since = 0;
@@ -172,8 +170,25 @@
       log->has_last = false;
       return KCP_CONFIG_REWOUND;
     }
-  join (log, carried);
-  return KCP_CONFIG_CHECKPOINT;
+  return join (log, record, "carried", error) ? KCP_CONFIG_CHECKPOINT
+                                              : KCP_CONFIG_INVALID;
+}
+
+/* Takes the entries of a checkpoint in place of the state; a wrong one leaves it. */
+static bool
+take_state (struct kcp_config_log *log, json_t *record, uint64_t version,
+            struct kcp_error *error)
+{
+  g_autoptr (GPtrArray) entries = g_ptr_array_new_with_free_func (kcp_config_entry_unref);
+
+  if (!kcp_config_record_read_entries (json_object_get (record, "entries"), entries,
+                                       error))
+    return false;
+  forget (log);
+  log->version = version;
+  for (guint i = 0; i < entries->len; i++)
+    put_entry (log, g_ptr_array_index (entries, i));
+  return true;
 }
 
 static bool
@@ -188,9 +203,15 @@
   return base == entry->version && (base_id == NULL || strcmp (base_id, entry->id) == 0);
 }
 
-static void
-join (struct kcp_config_log *log, const GPtrArray *entries)
+/* Joins the entries of a member; a wrong one changes nothing. */
+static bool
+join (struct kcp_config_log *log, json_t *record, const char *member,
+      struct kcp_error *error)
 {
+  g_autoptr (GPtrArray) entries = g_ptr_array_new_with_free_func (kcp_config_entry_unref);
+
+  if (!kcp_config_record_read_entries (json_object_get (record, member), entries, error))
+    return false;
   for (guint i = 0; i < entries->len; i++)
     {
       struct kcp_config_entry *entry = g_ptr_array_index (entries, i);
@@ -199,6 +220,7 @@
                                      g_hash_table_lookup (log->entries, entry->key)))
         put_entry (log, entry);
     }
+  return true;
 }
 
 static void
@@ -222,12 +244,18 @@
   log->digest = 0;
 }
 
+/* Every publication and checkpoint has a random id of its own. */
 static uint64_t
 hash_record (const json_t *record)
 {
-  char *text = json_dumps (record, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
-  uint64_t hash = text != NULL ? XXH3_64bits (text, strlen (text)) : 0;
+  const json_t *id = json_object_get (record, "id");
+  char *text;
+  uint64_t hash;
 
+  if (json_is_string (id))
+    return XXH3_64bits (json_string_value (id), json_string_length (id));
+  text = json_dumps (record, JSON_COMPACT | JSON_SORT_KEYS | JSON_ENCODE_ANY);
+  hash = text != NULL ? XXH3_64bits (text, strlen (text)) : 0;
   free (text);
   return hash;
 }
--- a/src/profile/config_record.c
+++ b/src/profile/config_record.c
@@ -27,25 +27,19 @@
   return op != NULL && strcmp (op, "checkpoint") == 0;
 }
 
-/* Reads and validates a checkpoint; entries and carried get owned entries. */
+/* Reads a checkpoint apart from its members "entries" and "carried". */
 bool
 kcp_config_record_read_checkpoint (json_t *record,
                                    struct kcp_config_checkpoint *checkpoint,
-                                   GPtrArray *entries, GPtrArray *carried,
                                    struct kcp_error *error)
 {
   checkpoint->root = json_is_true (json_object_get (record, "root"));
-  if (!read_offset (record, "upto", &checkpoint->upto)
-      || !read_offset (record, "version", &checkpoint->version))
-    {
-      kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL,
-                     "checkpoint without upto or version");
-      return false;
-    }
-  return kcp_config_record_read_entries (json_object_get (record, "entries"), entries,
-                                         error)
-         && kcp_config_record_read_entries (json_object_get (record, "carried"), carried,
-                                            error);
+  if (read_offset (record, "upto", &checkpoint->upto)
+      && read_offset (record, "version", &checkpoint->version))
+    return true;
+  kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL,
+                 "checkpoint without upto or version");
+  return false;
 }
 
 /* Reads an object of entries by key; false if one of them is wrong. */
--- a/src/profile/config_record.h
+++ b/src/profile/config_record.h
@@ -32,7 +32,6 @@
 bool kcp_config_record_is_checkpoint (json_t *record);
 bool kcp_config_record_read_checkpoint (json_t *record,
                                         struct kcp_config_checkpoint *checkpoint,
-                                        GPtrArray *entries, GPtrArray *carried,
                                         struct kcp_error *error);
 bool kcp_config_record_read_entries (json_t *list, GPtrArray *entries,
                                      struct kcp_error *error);
