Refuse to speak about documents before the configuration is known

GET on a document answered 404 on a VM that had neither read the log nor heard from another VM; test_restart, extended, failed with 404 in place of 503. Such a VM now waits up to 500 ms and then answers 503 no-configuration with Retry-After, to PUT and DELETE as well (412 "another change came first" before, where a document existed). Refusing without the wait was tried: PUTs sent right after the start of a VM failed.

Counters: config_checkpoints, config_log_restarts; config_applied no longer counts records that are read again.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -33,6 +33,10 @@
   [KCP_COUNT_RPC_RECEIVED] = { "rpc_received", "Datagrams accepted from other VMs" },
   [KCP_COUNT_RPC_REJECTED]
   = { "rpc_rejected", "Datagrams dropped as malformed or unauthentic" },
+  [KCP_COUNT_CONFIG_CHECKPOINTS]
+  = { "config_checkpoints", "Checkpoints appended to the configuration stream" },
+  [KCP_COUNT_CONFIG_RESTARTS]
+  = { "config_log_restarts", "Times the configuration stream was read anew" },
 };
 
 static uint64_t values[KCP_COUNTERS];
--- a/src/http/admin.c
+++ b/src/http/admin.c
@@ -15,6 +15,8 @@
 #define MAX_CONNECTIONS  64
 #define MAX_HEADER_BYTES (16u << 10)
 #define MAX_BODY_BYTES   (1u << 20)
+#define LOAD_WAIT_MS     500
+#define RETRY_AFTER_S    1
 #define IDLE_TIMEOUT_S   15
 
 struct kcp_admin
@@ -66,6 +68,7 @@
 static enum MHD_Result handle_backends (const struct operation *op);
 static enum MHD_Result handle_timeline (const struct operation *op);
 static enum MHD_Result handle_document (const struct operation *op, const char *kind);
+static enum MHD_Result refuse_unloaded (const struct operation *op);
 static enum MHD_Result get_document (const struct operation *op, const char *key);
 static enum MHD_Result change_document (const struct operation *op, const char *key);
 static bool read_document (const struct operation *op,
@@ -309,6 +312,8 @@
   g_autofree char *prefix = g_strconcat (kind, "/", NULL);
   bool whole_kind = op->rest[0] == '\0' || strcmp (op->rest, "/") == 0;
 
+  if (!kcp_config_wait_loaded (op->admin->router->config, LOAD_WAIT_MS))
+    return refuse_unloaded (op);
   if (strcmp (op->method, MHD_HTTP_METHOD_GET) == 0)
     return whole_kind
                ? kcp_responder_json (op->connection, MHD_HTTP_OK,
@@ -323,6 +328,18 @@
   return change_document (op, key);
 }
 
+/* Nothing that this VM could say about documents would be true. */
+static enum MHD_Result
+refuse_unloaded (const struct operation *op)
+{
+  struct kcp_error error;
+
+  kcp_error_set (&error, KCP_ERR_NO_CONFIGURATION, STEP, NULL,
+                 "neither the log nor another VM has given the configuration yet");
+  error.retry_after_s = RETRY_AFTER_S;
+  return kcp_responder_problem (op->connection, &error);
+}
+
 static enum MHD_Result
 get_document (const struct operation *op, const char *key)
 {
--- a/src/platform/config_tail.c
+++ b/src/platform/config_tail.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <pthread.h>
 
+#include "base/counter.h"
 #include "base/id.h"
 #include "base/logger.h"
 #include "platform/config_reader.h"
@@ -119,7 +120,9 @@
 
   if (record == NULL)
     return;
-  if (!kcp_platform_log_append (tail->log, KCP_CONFIG_STREAM, record, &offset, &error))
+  if (kcp_platform_log_append (tail->log, KCP_CONFIG_STREAM, record, &offset, &error))
+    kcp_counter_add (KCP_COUNT_CONFIG_CHECKPOINTS, 1);
+  else
     kcp_logger_error ("config_checkpoint_failed", NULL, &error);
   json_decref (record);
 }
--- a/src/profile/config.c
+++ b/src/profile/config.c
@@ -110,6 +110,7 @@
   pthread_mutex_lock (&config->lock);
   kcp_config_log_restart (&config->log, first);
   pthread_mutex_unlock (&config->lock);
+  kcp_counter_add (KCP_COUNT_CONFIG_RESTARTS, 1);
 }
 
 /* Notes that the record before the next offset was trimmed, so that it can no longer be
@@ -309,12 +310,30 @@
   return loaded;
 }
 
+/* Waits until the configuration is loaded; false after timeout_ms milliseconds. */
+bool
+kcp_config_wait_loaded (struct kcp_config *config, int64_t timeout_ms)
+{
+  int64_t until = kcp_clock_monotonic_ns (&kcp_clock_system) + timeout_ms * KCP_NS_PER_MS;
+  struct timespec limit = kcp_timespec_from_ns (until);
+  bool loaded;
+
+  pthread_mutex_lock (&config->lock);
+  while (!config->loaded && wait_changed (config, &limit))
+    continue;
+  loaded = config->loaded;
+  pthread_mutex_unlock (&config->lock);
+  return loaded;
+}
+
 /* Notes that the log held nothing newer than what is in force at asked_ns, the monotonic
    time at which it was asked. */
 void
 kcp_config_confirm (struct kcp_config *config, int64_t asked_ns)
 {
   pthread_mutex_lock (&config->lock);
+  if (!config->loaded)
+    pthread_cond_broadcast (&config->changed);
   config->loaded = true;
   config->confirmed = true;
   config->confirmed_ns = MAX (config->confirmed_ns, asked_ns);
@@ -495,6 +514,7 @@
 
   if (!kcp_config_entry_is_newer (entry, held))
     return false;
+  kcp_counter_add (KCP_COUNT_CONFIG_APPLIED, 1);
   config->digest ^= kcp_config_entry_digest (entry);
   if (held != NULL)
     config->digest ^= kcp_config_entry_digest (held);
@@ -582,8 +602,6 @@
   struct kcp_publish_outcome outcome
       = { .result = result, .version = changed != NULL ? changed->version : 0 };
 
-  if (result == KCP_CONFIG_APPLIED)
-    kcp_counter_add (KCP_COUNT_CONFIG_APPLIED, 1);
   if (id != NULL && result != KCP_CONFIG_OLD && result != KCP_CONFIG_GAP)
     kcp_publish_outcomes_add (&config->outcomes, id, &outcome);
 }
--- a/src/profile/config.h
+++ b/src/profile/config.h
@@ -61,6 +61,7 @@
                               int64_t timeout_ms, struct kcp_publish_outcome *outcome);
 bool kcp_config_wait_level (struct kcp_config *config, int64_t timeout_ms);
 bool kcp_config_is_loaded (struct kcp_config *config);
+bool kcp_config_wait_loaded (struct kcp_config *config, int64_t timeout_ms);
 void kcp_config_confirm (struct kcp_config *config, int64_t asked_ns);
 int64_t kcp_config_age_ns (struct kcp_config *config);
 json_t *kcp_config_document (struct kcp_config *config, const char *key,
--- a/tests/process/test_restart.c
+++ b/tests/process/test_restart.c
@@ -111,6 +111,17 @@
 }
 END_TEST
 
+static long
+admin_status (guint vm, const char *path)
+{
+  struct client_answer answer = client_run (&(struct client_call){
+      .port = cluster_vm (cluster, vm)->admin_port, .path = path, .key = CLUSTER_TOKEN });
+  long status = answer.status;
+
+  client_answer_clear (&answer);
+  return status;
+}
+
 START_TEST (test_where_nothing_knows_the_configuration_the_refusal_says_so)
 {
   struct client_answer answer;
@@ -139,6 +150,9 @@
                                  "\"compute_in\":[\"dc1\"]}",
                                  NULL),
                     503);
+  ck_assert_int_eq (admin_status (1, "/admin/v1/profiles/urgent"), 503);
+  ck_assert_int_eq (admin_status (1, "/admin/v1/teams"), 503);
+  ck_assert_int_eq (admin_status (1, "/admin/v1/config"), 200);
   cluster_faults (cluster->log, "{\"out\":false}");
   start_ns = kcp_clock_monotonic_ns (&kcp_clock_system);
   (void)printf ("first right answer %" G_GINT64_FORMAT " ms after the log came back\n",
