--- a/tests/process/test_callers.c
+++ b/tests/process/test_callers.c
@@ -19,6 +19,13 @@
 #define IDLE_TIMEOUT_MS    1000
 #define CERTIFICATE        "tests/tls/certificate.pem"
 
+/* Sanitizers multiply the memory of a process and keep what it freed. */
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+#define MEMORY_IS_OWN false
+#else
+#define MEMORY_IS_OWN true
+#endif
+
 static const char vm_settings[] = "idle_timeout_ms=3000\n"
                                   "[callers]\nheartbeat_ms=100\nidle_timeout_s=1\n"
                                   "stream_buffer_bytes=16384\n";
@@ -206,7 +213,8 @@
     (void)close (sockets[i]);
   (void)fprintf (stderr, "%d slow callers: %" G_GINT64_FORMAT " kB more\n", SLOW_CALLERS,
                  most_kb);
-  ck_assert_int_le (most_kb, SLOW_CALLERS * STREAMS_MAX_KB / STREAMS_A_VM);
+  if (MEMORY_IS_OWN)
+    ck_assert_int_le (most_kb, SLOW_CALLERS * STREAMS_MAX_KB / STREAMS_A_VM);
 }
 END_TEST
 
--- /dev/null
+++ b/tests/unit/test_timers.c
@@ -0,0 +1,111 @@
+/* Timers fire in order, again, and not after they were given back. */
+#include <check.h>
+#include <glib.h>
+#include <stdlib.h>
+
+#include "request/timers.h"
+
+#define WAIT_MS 2000
+
+struct shot
+{
+  int fired;    /* atomic */
+  int released; /* atomic */
+  int again;    /* times to be called again */
+  int order;    /* position among all shots */
+};
+
+static int shots; /* atomic */
+
+static int64_t
+fire (void *user)
+{
+  struct shot *shot = user;
+
+  shot->order = __atomic_add_fetch (&shots, 1, __ATOMIC_ACQ_REL);
+  (void)__atomic_add_fetch (&shot->fired, 1, __ATOMIC_ACQ_REL);
+  if (shot->again-- == 0)
+    return KCP_TIMER_END;
+  return kcp_clock_monotonic_ns (&kcp_clock_system) + KCP_NS_PER_MS;
+}
+
+static void
+release (void *user)
+{
+  struct shot *shot = user;
+
+  (void)__atomic_add_fetch (&shot->released, 1, __ATOMIC_ACQ_REL);
+}
+
+static void
+wait_released (struct shot *shot)
+{
+  for (int i = 0; i < WAIT_MS && __atomic_load_n (&shot->released, __ATOMIC_ACQUIRE) == 0;
+       i++)
+    g_usleep (G_TIME_SPAN_MILLISECOND);
+  ck_assert_int_eq (__atomic_load_n (&shot->released, __ATOMIC_ACQUIRE), 1);
+}
+
+START_TEST (test_timers_fire_in_order_and_again)
+{
+  struct kcp_timers *timers = kcp_timers_new (&kcp_clock_system);
+  int64_t now = kcp_clock_monotonic_ns (&kcp_clock_system);
+  struct shot late = { 0 };
+  struct shot soon = { .again = 2 };
+  struct kcp_timer *late_timer
+      = kcp_timers_add (timers, now + 60 * KCP_NS_PER_MS, fire, release, &late);
+  struct kcp_timer *soon_timer
+      = kcp_timers_add (timers, now + KCP_NS_PER_MS, fire, release, &soon);
+
+  wait_released (&late);
+  wait_released (&soon);
+  ck_assert_int_eq (soon.fired, 3);
+  ck_assert_int_eq (late.fired, 1);
+  ck_assert_int_gt (late.order, soon.order);
+  ck_assert_int_ge (kcp_clock_monotonic_ns (&kcp_clock_system), now + 60 * KCP_NS_PER_MS);
+  kcp_timer_cancel (late_timer);
+  kcp_timer_cancel (soon_timer);
+  kcp_timers_free (timers);
+}
+END_TEST
+
+START_TEST (test_a_timer_given_back_does_not_fire)
+{
+  struct kcp_timers *timers = kcp_timers_new (&kcp_clock_system);
+  int64_t due = kcp_clock_monotonic_ns (&kcp_clock_system) + 50 * KCP_NS_PER_MS;
+  struct shot given_back = { 0 };
+  struct shot after = { 0 };
+  struct shot left = { 0 };
+  struct kcp_timer *first = kcp_timers_add (timers, due, fire, release, &given_back);
+  struct kcp_timer *second
+      = kcp_timers_add (timers, due + KCP_NS_PER_MS, fire, release, &after);
+
+  kcp_timer_cancel (first);
+  ck_assert_int_eq (given_back.released, 1);
+  wait_released (&after);
+  ck_assert_int_eq (given_back.fired, 0);
+  kcp_timer_cancel (second);
+  first = kcp_timers_add (timers, due + KCP_NS_PER_S * 3600, fire, release, &left);
+  kcp_timers_free (timers);
+  ck_assert_int_eq (left.released, 1);
+  ck_assert_int_eq (left.fired, 0);
+  kcp_timer_cancel (first);
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("timers");
+  TCase *tests = tcase_create ("timers");
+  SRunner *runner = srunner_create (suite);
+  int failed;
+
+  tcase_add_test (tests, test_timers_fire_in_order_and_again);
+  tcase_add_test (tests, test_a_timer_given_back_does_not_fire);
+  suite_add_tcase (suite, tests);
+  srunner_run_all (runner, CK_NORMAL);
+  failed = srunner_ntests_failed (runner);
+  srunner_free (runner);
+  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
