Keep the cost of a request that crashes engines at two

Cause: copies of the request that went through other VMs were in flight when the first engine crashed, and suspects of different VMs met on one engine. A crash is now told to all VMs of the cell at once; a VM takes back copies without a token and what has become blocked; each engine has one VM that runs suspects on it; a copy waits 3 s for the VM that saw the crash.

Wiring is left to the peers' facts.

--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -52,16 +52,25 @@
   { .name = "abort_any", .abort_any = true },
   { .name = "fifo_promises", .fifo_promises = true },
   { .name = "unlimited_retries", .unlimited_retries = true },
+  { .name = "shared_suspects", .shared_suspects = true },
+  { .name = "copies_run", .copies_run = true },
+  { .name = "slow_quarantine", .slow_quarantine = true },
+  { .name = "old_quarantine",
+    .slow_quarantine = true,
+    .shared_suspects = true,
+    .copies_run = true },
 };
 
 static void print_heading (const char *what);
 static void print_row (const char *name, struct run run, guint32 seed);
 static void print_loads (const struct deployment *deployment, guint32 seed);
-static void print_faults (const struct deployment *deployment, guint32 seed);
+static void
+print_faults (const struct deployment *deployment, guint32 seed, const char *name);
 static void print_variants (const char *name, guint32 seed);
 
 /* Arguments: nothing for the whole table; a number for the first seed; "variants" or a
-   variant's name for the ways that were weighed. */
+   variant's name for the ways that were weighed; "faults", the first seed and a variant's
+   name for that one under faults. */
 int
 main (int argc, char **argv)
 {
@@ -71,6 +80,12 @@
     seed = (guint32)g_ascii_strtoull (argv[2], NULL, 10);
   else if (argc > 1 && g_ascii_isdigit (argv[1][0]))
     seed = (guint32)g_ascii_strtoull (argv[1], NULL, 10);
+  if (argc > 1 && strcmp (argv[1], "faults") == 0)
+    {
+      for (size_t i = 0; i < deployment_count; i++)
+        print_faults (&deployments[i], seed, argc > 3 ? argv[3] : "as is");
+      return 0;
+    }
   if (argc > 1 && !g_ascii_isdigit (argv[1][0]))
     {
       print_variants (argv[1], seed);
@@ -81,7 +96,7 @@
   for (size_t i = 0; i < deployment_count; i++)
     {
       print_loads (&deployments[i], seed);
-      print_faults (&deployments[i], seed);
+      print_faults (&deployments[i], seed, "as is");
     }
   return 0;
 }
@@ -146,16 +161,21 @@
 }
 
 static void
-print_faults (const struct deployment *deployment, guint32 seed)
+print_faults (const struct deployment *deployment, guint32 seed, const char *name)
 {
+  const struct variant *variant = &variants[0];
   g_autofree char *what = g_strdup_printf ("%s faults", deployment->name);
 
+  for (size_t i = 0; i < G_N_ELEMENTS (variants); i++)
+    if (strcmp (variants[i].name, name) == 0)
+      variant = &variants[i];
   print_heading (what);
   for (int fault = FAULT_ENGINE_CRASH; fault < FAULTS; fault++)
     print_row (
         fault_names[fault],
         (struct run){ .deployment = deployment,
                       .policy = BENCH_KINGCUPPOINT,
+                      .variant = *variant,
                       .fault = (enum fault)fault,
                       .load = fault == FAULT_SURGE ? LOAD_OF_SURGE : LOAD_OF_FAULTS },
         seed);
--- a/bench/fake_vm.c
+++ b/bench/fake_vm.c
@@ -13,6 +13,7 @@
 #define RUN_FIRST_NS       KCP_NS_PER_S
 #define URGENT_EXTRA       4 /* places above the limit that are kept for urgent work */
 #define UNLIMITED          1000000
+#define IMPORTANCE_NS      (5 * KCP_NS_PER_MS) /* for one point of it, in a variant */
 #define WORK_PER_ANSWER    500 /* prompt tokens that an answer's work counts for */
 
 static const struct kcp_limit_settings limit_settings = {
@@ -45,6 +46,7 @@
 static int choose_placed (struct fake_vm *vm, const struct job *job);
 static size_t
 list_usable (const struct fake_vm *vm, const struct job *job, unsigned *engines);
+static bool may_run_suspect (const struct fake_vm *vm, const struct fake_engine *engine);
 static struct kcp_placement_candidate
 make_candidate (struct fake_vm *vm, const struct job *job, unsigned number,
                 int64_t leading);
@@ -131,6 +133,33 @@
   pump (vm);
 }
 
+/* Takes back the requests in flight that have become blocked, and copies of suspects that
+   have no token yet. */
+void
+fake_vm_withdraw (struct fake_vm *vm)
+{
+  int64_t now_ns = sim_now (vm->world->sim);
+
+  for (guint i = vm->open->len; i > 0; i--)
+    {
+      struct job *job = g_ptr_array_index (vm->open, i - 1);
+      bool blocked = kcp_quarantine_state (vm->quarantine, job->fingerprint, now_ns)
+                     == KCP_QUARANTINE_BLOCKED;
+
+      if (!blocked
+          && (job->held || !job->in_flight || job->first_token_ns > 0
+              || !kcp_quarantine_must_wait (vm->quarantine, job->fingerprint, now_ns)))
+        continue;
+      if (job->engine != NULL && job->epoch == job->engine->epoch)
+        fake_engine_cancel (job->engine, job);
+      end_attempt (job);
+      if (blocked)
+        end_job (job, JOB_BLOCKED);
+      else
+        queue_job (vm, job);
+    }
+}
+
 /* Takes in a load report. */
 void
 fake_vm_report (struct fake_vm *vm, const struct fake_engine *engine,
@@ -222,6 +251,7 @@
     }
   kcp_quarantine_add_crash (vm->quarantine, job->fingerprint, job->engine->incarnation,
                             now_ns);
+  world_spread_quarantine (vm->world, vm);
   vm->views[job->engine->number].dead = true;
   fail_attempt (job, job->generated > 0 ? KCP_RETRY_FORWARDED : KCP_RETRY_SENT);
 }
@@ -397,6 +427,10 @@
         == KCP_QUARANTINE_SUSPECT;
   size_t count = 0;
 
+  if (!world->run.variant.copies_run
+      && kcp_quarantine_must_wait (vm->quarantine, job->fingerprint,
+                                   sim_now (world->sim)))
+    return 0;
   for (unsigned i = 0; i < world->run.deployment->engines; i++)
     {
       const struct fake_engine *engine = world->engines[i];
@@ -404,13 +438,28 @@
       if (((job->data_centers >> engine->data_center) & 1u) == 0 || vm->views[i].dead
           || !world_reaches (world, vm->data_center, engine->data_center))
         continue;
-      if (suspect && kcp_quarantine_has_suspect (vm->quarantine, engine->hash))
+      if (suspect && !may_run_suspect (vm, engine))
         continue;
       engines[count++] = i;
     }
   return count;
 }
 
+/* Suspects run on the servers that this VM is home of; a VM that is home of none uses
+   the one that its number names. */
+static bool
+may_run_suspect (const struct fake_vm *vm, const struct fake_engine *engine)
+{
+  const struct world *world = vm->world;
+  uint64_t vms[WORKLOAD_VMS];
+
+  for (unsigned i = 0; i < world->vm_count; i++)
+    vms[i] = i + 1;
+  return !kcp_quarantine_has_suspect (vm->quarantine, engine->hash)
+         && (world->run.variant.shared_suspects
+             || kcp_quarantine_is_home (engine->hash, vms, world->vm_count, vm->number));
+}
+
 static struct kcp_placement_candidate
 make_candidate (struct fake_vm *vm, const struct job *job, unsigned number,
                 int64_t leading)
@@ -423,8 +472,11 @@
   int64_t limit
       = (int64_t)view->limit.value + (job->class == KCP_CLASS_URGENT ? URGENT_EXTRA : 0);
   int64_t in_flight = engine_in_flight (vm, number);
+  int64_t importance_ns = 0;
   int64_t place_ns = vm->run_ns[job->class] / (view->own + 1);
 
+  if (world->run.variant.place_importance)
+    importance_ns = report.importance * IMPORTANCE_NS;
   if (world->run.variant.no_limit)
     limit = UNLIMITED;
   return (struct kcp_placement_candidate){
@@ -434,7 +486,8 @@
     .sent_tokens = knows ? 0 : view->sent_tokens,
     .in_flight = in_flight,
     .limit = limit,
-    .place_wait_ns = in_flight < limit ? 0 : (view->held + 1) * place_ns,
+    .place_wait_ns
+    = (in_flight < limit ? 0 : (view->held + 1) * place_ns) + importance_ns,
     .cached_tokens = MIN (leading * KCP_BLOCK_TOKENS, job->prompt_tokens),
     .transfer_ns = world_transfer_ns (world, vm->data_center, engine->data_center),
   };
@@ -511,7 +564,7 @@
   struct fake_engine *engine = user;
   struct job *job = subject;
 
-  if (job->end != JOB_OPEN)
+  if (job->end != JOB_OPEN || !job->in_flight)
     return;
   if (engine->up)
     {
--- a/bench/fake_vm.h
+++ b/bench/fake_vm.h
@@ -45,6 +45,7 @@
 void fake_vm_restart (struct fake_vm *vm);
 void fake_vm_take (struct fake_vm *vm, struct job *job);
 void fake_vm_tick (struct fake_vm *vm);
+void fake_vm_withdraw (struct fake_vm *vm);
 void fake_vm_report (struct fake_vm *vm, const struct fake_engine *engine,
                      const struct engine_report *report);
 void fake_vm_events (struct fake_vm *vm, const struct fake_engine *engine,
--- a/bench/world.c
+++ b/bench/world.c
@@ -20,6 +20,7 @@
 #define EVENTS_LAG_MAX_MS 600
 #define TICK_NS           (50 * KCP_NS_PER_MS)
 #define GOSSIP_NS         (200 * KCP_NS_PER_MS)
+#define SPREAD_NS         (2 * KCP_NS_PER_MS)
 #define RESTART_NS        (5 * KCP_NS_PER_S)
 #define POISON_EVERY_NS   (1 * KCP_NS_PER_S)
 #define POISON_TOKENS     800
@@ -46,6 +47,7 @@
 static void send_events (void *user, void *subject);
 static GArray *lose_some (struct world *world, const GArray *events);
 static void deliver_events (void *user, void *subject);
+static void spread (void *user, void *subject);
 static void tick (void *user, void *subject);
 static void gossip (void *user, void *subject);
 static void merge_fact (void *user, const struct kcp_quarantine_fact *fact);
@@ -119,6 +121,30 @@
   return a == b ? 0 : world->run.deployment->transfer_ns;
 }
 
+/* Has a VM that saw a crash tell all others at once, and not only in its turn. */
+void
+world_spread_quarantine (struct world *world, struct fake_vm *vm)
+{
+  if (!world->run.variant.slow_quarantine)
+    sim_after (world->sim, SPREAD_NS, spread, world, vm);
+}
+
+static void
+spread (void *user, void *subject)
+{
+  struct world *world = user;
+  struct fake_vm *vm = subject;
+
+  for (unsigned i = 0; i < world->vm_count; i++)
+    if (world->vms[i] != vm
+        && world_reaches (world, vm->data_center, world->vms[i]->data_center))
+      {
+        kcp_quarantine_visit (vm->quarantine, sim_now (world->sim), merge_fact,
+                              world->vms[i]);
+        fake_vm_withdraw (world->vms[i]);
+      }
+}
+
 /* In a surge, has a refused caller come back when it was told to. */
 void
 world_caller_returns (struct world *world, const struct job *refused,
--- a/bench/world.h
+++ b/bench/world.h
@@ -54,6 +54,9 @@
   bool abort_any;        /* urgent work displaces any normal request */
   bool fifo_promises;    /* returns are not told from new requests */
   bool unlimited_retries;
+  bool shared_suspects; /* any VM runs suspects on any engine */
+  bool copies_run;      /* copies of a suspect run while another VM tries it */
+  bool slow_quarantine; /* crashes are told by gossip only */
 };
 
 struct run
@@ -91,6 +94,7 @@
 void world_free (struct world *world);
 bool world_reaches (const struct world *world, unsigned a, unsigned b);
 int64_t world_transfer_ns (const struct world *world, unsigned a, unsigned b);
+void world_spread_quarantine (struct world *world, struct fake_vm *vm);
 void world_caller_returns (struct world *world, const struct job *refused,
                            int64_t retry_after_s);
 
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -4,18 +4,23 @@
 #include <xxhash.h>
 
 #include "base/clock.h"
+#include "policy/placement.h"
 
 /* A rank is a generation, raised by each clearing, above the number of crashes in it. */
 #define RANK_CRASH_BITS 2
 #define RANK_CRASH_MASK 3u
 #define RANK_BLOCKED    UINT32_MAX
 
+/* For which a suspect that crashed an engine of another VM is left to that VM. */
+#define OTHER_FIRST_NS (3 * KCP_NS_PER_S)
+
 struct entry
 {
   uint64_t fingerprint;
   uint64_t crash;
   uint32_t rank;
   int64_t expires_ns;
+  int64_t told_ns; /* when another VM told of the suspicion; 0: seen here */
 };
 
 struct kcp_quarantine
@@ -100,6 +105,7 @@
     case KCP_QUARANTINE_NONE:
       entry->rank++;
       entry->crash = crash;
+      entry->told_ns = 0;
       break;
     case KCP_QUARANTINE_SUSPECT:
       if (entry->crash != crash)
@@ -149,6 +155,32 @@
   g_hash_table_remove (quarantine->busy, &server);
 }
 
+/* Tells whether this VM, vms[own], is the one that may run suspects on a server: each
+   server has one such VM, the first in rendezvous order, so that suspects of different
+   VMs do not meet either. */
+bool
+kcp_quarantine_is_home (uint64_t server, const uint64_t *vms, size_t count, size_t own)
+{
+  for (size_t i = 0; i < count; i++)
+    if (i != own
+        && kcp_placement_rank (vms[i], server) > kcp_placement_rank (vms[own], server))
+      return false;
+  return true;
+}
+
+/* Tells whether a copy of a suspect has to wait: the VM that saw the crash tries again
+   first, so that copies sent through several VMs do not crash an engine each. */
+bool
+kcp_quarantine_must_wait (struct kcp_quarantine *quarantine, uint64_t fingerprint,
+                          int64_t now_ns)
+{
+  const struct entry *entry = find (quarantine, fingerprint, now_ns);
+
+  return entry != NULL && entry->told_ns > 0
+         && kcp_quarantine_rank_state (entry->rank) == KCP_QUARANTINE_SUSPECT
+         && now_ns - entry->told_ns < OTHER_FIRST_NS;
+}
+
 /* Takes over what another VM knows; true if that changed the table. Two suspicions from
    different crashes make a block. Ranks never fall, so that order, loss and repeats do
    not matter, and no fact outlives the time it had left. */
@@ -169,6 +201,7 @@
     return false;
   entry->rank = two_crashes ? RANK_BLOCKED : fact->rank;
   entry->crash = fact->crash;
+  entry->told_ns = now_ns;
   entry->expires_ns = MAX (entry->expires_ns, expires_ns);
   return true;
 }
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -44,6 +44,10 @@
 bool
 kcp_quarantine_has_suspect (const struct kcp_quarantine *quarantine, uint64_t server);
 void kcp_quarantine_end (struct kcp_quarantine *quarantine, uint64_t server);
+bool
+kcp_quarantine_is_home (uint64_t server, const uint64_t *vms, size_t count, size_t own);
+bool kcp_quarantine_must_wait (struct kcp_quarantine *quarantine, uint64_t fingerprint,
+                               int64_t now_ns);
 bool kcp_quarantine_merge (struct kcp_quarantine *quarantine,
                            const struct kcp_quarantine_fact *fact, int64_t now_ns);
 void kcp_quarantine_visit (struct kcp_quarantine *quarantine, int64_t now_ns,
--- a/tests/unit/test_policy_failures.c
+++ b/tests/unit/test_policy_failures.c
@@ -183,6 +183,44 @@
 }
 END_TEST
 
+START_TEST (test_each_server_has_one_home_for_suspects)
+{
+  uint64_t vms[7];
+
+  for (size_t i = 0; i < G_N_ELEMENTS (vms); i++)
+    vms[i] = i + 1;
+  for (uint64_t server = 1; server < 500; server++)
+    {
+      int homes = 0;
+
+      for (size_t own = 0; own < G_N_ELEMENTS (vms); own++)
+        homes += kcp_quarantine_is_home (server, vms, G_N_ELEMENTS (vms), own);
+      ck_assert_int_eq (homes, 1);
+    }
+}
+END_TEST
+
+START_TEST (test_a_copy_of_a_suspect_waits_for_the_vm_that_saw_the_crash)
+{
+  struct kcp_quarantine *first = kcp_quarantine_new (100, KEEP_NS);
+  struct kcp_quarantine *other = kcp_quarantine_new (100, KEEP_NS);
+
+  kcp_quarantine_add_crash (first, 1, 77, 1);
+  kcp_quarantine_visit (first, 1, send_to, other);
+  ck_assert (!kcp_quarantine_must_wait (first, 1, 2));
+  ck_assert (kcp_quarantine_must_wait (other, 1, 2));
+  kcp_quarantine_add_completion (first, 1, 3);
+  kcp_quarantine_visit (first, 3, send_to, other);
+  ck_assert (!kcp_quarantine_must_wait (other, 1, 4));
+  kcp_quarantine_add_crash (first, 1, 88, 5);
+  kcp_quarantine_visit (first, 5, send_to, other);
+  ck_assert (kcp_quarantine_must_wait (other, 1, 6));
+  ck_assert (!kcp_quarantine_must_wait (other, 1, 10 * KCP_NS_PER_S));
+  kcp_quarantine_free (first);
+  kcp_quarantine_free (other);
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -203,6 +241,8 @@
   tcase_add_test (tests, test_the_table_stays_bounded_and_keeps_the_blocked);
   tcase_add_test (tests, test_vms_agree_in_whatever_order_facts_arrive);
   tcase_add_test (tests, test_crashes_seen_by_two_vms_add_up_to_a_block);
+  tcase_add_test (tests, test_each_server_has_one_home_for_suspects);
+  tcase_add_test (tests, test_a_copy_of_a_suspect_waits_for_the_vm_that_saw_the_crash);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
