Use one set of costs in the router and the bench, with the same callers for every policy

The costs move to src/policy; rendezvous goes by the last block, beliefs are formed when a prompt is sent, waste counts 600% and as much more for each 30 ms of mean queue.

--- a/bench/fake_engine.c
+++ b/bench/fake_engine.c
@@ -4,6 +4,8 @@
 
 #include "policy/prefix.h"
 
+#define EVENTS_KEPT_MAX 4096
+
 struct cached
 {
   uint64_t block;
@@ -360,7 +362,8 @@
 {
   struct cache_event event = { engine->seq++, block, stored };
 
-  g_array_append_val (engine->events, event);
+  if (engine->events->len < EVENTS_KEPT_MAX)
+    g_array_append_val (engine->events, event);
 }
 
 static void
--- a/bench/fake_vm.c
+++ b/bench/fake_vm.c
@@ -21,15 +21,6 @@
   .greatest = 64,
 };
 
-static const struct kcp_placement_costs costs = {
-  .ns_per_prompt_token = ENGINE_NS_PER_TOKEN,
-  .ns_per_running = 2 * KCP_NS_PER_MS,
-  .tolerance_ns = 20 * KCP_NS_PER_MS,
-  .waste_percent = 300,
-  .waste_rise_ns = 100 * KCP_NS_PER_MS,
-  .waste_percent_max = 3000,
-};
-
 /* One try to find a place: the VM, and the engine found. */
 struct search
 {
@@ -356,7 +347,7 @@
     {
     case BENCH_RANDOM:
       return (
-          int)engines[g_rand_int_range (sim_random (vm->world->sim), 0, (gint32)count)];
+          int)engines[g_rand_int_range (sim_noise (vm->world->sim), 0, (gint32)count)];
     case BENCH_LEAST_LOADED:
       for (unsigned i = 1; i < count; i++)
         if (engine_in_flight (vm, engines[i]) < engine_in_flight (vm, engines[best]))
@@ -382,13 +373,13 @@
 choose_placed (struct fake_vm *vm, const struct job *job)
 {
   const struct variant *variant = &vm->world->run.variant;
-  struct kcp_placement_costs used = costs;
+  struct kcp_placement_costs used = kcp_placement_standard_costs;
   struct kcp_placement_candidate candidates[WORLD_ENGINES_MAX];
   unsigned engines[WORLD_ENGINES_MAX];
   int64_t leading[WORLD_ENGINES_MAX];
   size_t count = list_usable (vm, job, engines);
   struct kcp_placement_request request = {
-    .prefix_head = job->blocks > 0 ? job->chain[0] : job->fingerprint,
+    .prefix_head = job->blocks > 0 ? job->chain[job->blocks - 1] : job->fingerprint,
     .prompt_tokens = job->prompt_tokens,
     .urgent = job->class == KCP_CLASS_URGENT,
   };
@@ -404,6 +395,12 @@
     used.waste_percent = variant->waste_percent;
   if (variant->no_tolerance)
     used.tolerance_ns = 0;
+  if (variant->tolerance_ms > 0)
+    used.tolerance_ns = variant->tolerance_ms * KCP_NS_PER_MS;
+  if (variant->head_first && job->blocks > 0)
+    request.prefix_head = job->chain[0];
+  if (variant->waste_max > 0)
+    used.waste_percent_max = variant->waste_max;
   find_leading (vm, job, engines, count, leading);
   for (size_t i = 0; i < count; i++)
     candidates[i] = make_candidate (vm, job, engines[i], leading[i]);
@@ -537,6 +534,7 @@
   struct world *world = vm->world;
   struct fake_engine *engine = world->engines[number];
   struct engine_view *view = &vm->views[number];
+  kcp_belief_slot slot;
   int64_t leading;
 
   find_leading (vm, job, &number, 1, &leading);
@@ -549,6 +547,9 @@
   job->attempts++;
   job->in_flight = true;
   view->sent_tokens += job->sent_tokens;
+  if (!world->run.variant.learn_late
+      && kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation, &slot))
+    kcp_beliefs_learn (vm->beliefs, slot, job->chain, job->blocks);
   view->begun++;
   view->own++;
   job->held = kcp_quarantine_state (vm->quarantine, job->fingerprint, job->dispatched_ns)
--- a/bench/sim.c
+++ b/bench/sim.c
@@ -16,6 +16,7 @@
   uint64_t number;
   GArray *heap;
   GRand *random;
+  GRand *noise;
 };
 
 static bool comes_first (const struct slot *a, const struct slot *b);
@@ -31,6 +32,7 @@
 
   sim->heap = g_array_new (FALSE, FALSE, sizeof (struct slot));
   sim->random = g_rand_new_with_seed (seed);
+  sim->noise = g_rand_new_with_seed (~seed);
   return sim;
 }
 
@@ -40,6 +42,7 @@
 {
   g_array_unref (sim->heap);
   g_rand_free (sim->random);
+  g_rand_free (sim->noise);
   g_free (sim);
 }
 
@@ -50,13 +53,20 @@
   return sim->now_ns;
 }
 
-/* Returns the only source of randomness. */
+/* Returns the randomness of the callers, which draw the same in every run of a seed. */
 GRand *
 sim_random (struct sim *sim)
 {
   return sim->random;
 }
 
+/* Returns the randomness of all else. */
+GRand *
+sim_noise (struct sim *sim)
+{
+  return sim->noise;
+}
+
 /* Calls event after a delay of virtual time. */
 void
 sim_after (struct sim *sim, int64_t delay_ns, sim_event *event, void *user, void *subject)
--- a/bench/sim.h
+++ b/bench/sim.h
@@ -14,6 +14,7 @@
 void sim_free (struct sim *sim);
 int64_t sim_now (const struct sim *sim);
 GRand *sim_random (struct sim *sim);
+GRand *sim_noise (struct sim *sim);
 void sim_after (struct sim *sim, int64_t delay_ns, sim_event *event, void *user,
                 void *subject);
 void sim_run (struct sim *sim, int64_t until_ns);
--- a/bench/world.c
+++ b/bench/world.c
@@ -205,7 +205,7 @@
 static void
 give_to_vm (struct world *world, struct job *job)
 {
-  gint32 at = g_rand_int_range (sim_random (world->sim), 0, (gint32)world->vm_count);
+  gint32 at = g_rand_int_range (sim_noise (world->sim), 0, (gint32)world->vm_count);
 
   fake_vm_take (world->vms[at], job);
 }
@@ -258,6 +258,8 @@
   struct world *world = user;
 
   (void)subject;
+  if (world->run.policy != BENCH_KINGCUPPOINT)
+    return;
   for (unsigned i = 0; i < world->run.deployment->engines; i++)
     {
       struct fake_engine *engine = world->engines[i];
@@ -287,7 +289,7 @@
   double lost = world->run.fault == FAULT_EVENTS_LOST ? LOST_IN_FAULT : LOST_USUALLY;
 
   for (guint i = 0; i < events->len; i++)
-    if (g_rand_double (sim_random (world->sim)) >= lost)
+    if (g_rand_double (sim_noise (world->sim)) >= lost)
       g_array_append_val (kept, g_array_index (events, struct cache_event, i));
   return kept;
 }
@@ -322,7 +324,7 @@
   (void)subject;
   for (unsigned i = 0; i < world->vm_count; i++)
     {
-      unsigned other = (unsigned)g_rand_int_range (sim_random (world->sim), 0,
+      unsigned other = (unsigned)g_rand_int_range (sim_noise (world->sim), 0,
                                                    (gint32)world->vm_count);
 
       if (other != i
@@ -449,6 +451,6 @@
 static int64_t
 lag_ns (struct world *world, int64_t min_ms, int64_t max_ms)
 {
-  return g_rand_int_range (sim_random (world->sim), (gint32)min_ms, (gint32)max_ms)
+  return g_rand_int_range (sim_noise (world->sim), (gint32)min_ms, (gint32)max_ms)
          * KCP_NS_PER_MS;
 }
--- a/bench/world.h
+++ b/bench/world.h
@@ -40,6 +40,10 @@
   int64_t waste_percent; /* another weight of that delay */
   int64_t waste_rise_ms;
   bool flat_waste;       /* that weight is the same at every load */
+  int64_t waste_max;     /* another greatest weight of waste */
+  bool learn_late;       /* believe in a prompt's blocks at its first token only */
+  int64_t tolerance_ms;  /* another tolerance */
+  bool head_first;       /* rendezvous by the first block of the prompt */
   bool limit_others;     /* assume that the other VMs send as much */
   bool no_tolerance;     /* no rendezvous order among close candidates */
   bool no_beliefs;       /* prompts are placed by load alone */
--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -12,13 +12,7 @@
 #include "platform/config_tail.h"
 #include "request/admit.h"
 
-#define NS_PER_PROMPT_TOKEN 50000
-#define NS_PER_RUNNING      2000000
-#define TOLERANCE_NS        50000000
-#define WASTE_PERCENT       300
-#define WASTE_RISE_NS       100000000
-#define WASTE_PERCENT_MAX   3000
-#define DRAIN_POLL_MS       20
+#define DRAIN_POLL_MS 20
 
 /* Everything one VM runs, in the order in which it is started. */
 struct server
@@ -110,14 +104,7 @@
   router->fetch_pool = kcp_fetch_pool_new (router->clock, (unsigned)settings->vm_workers);
   router->timers = kcp_timers_new (router->clock);
   router->retry_gate = kcp_retry_gate_new (settings->retry_budget_percent);
-  router->costs = (struct kcp_placement_costs){
-    .ns_per_prompt_token = NS_PER_PROMPT_TOKEN,
-    .ns_per_running = NS_PER_RUNNING,
-    .tolerance_ns = TOLERANCE_NS,
-    .waste_percent = WASTE_PERCENT,
-    .waste_rise_ns = WASTE_RISE_NS,
-    .waste_percent_max = WASTE_PERCENT_MAX,
-  };
+  router->costs = kcp_placement_standard_costs;
   router->data_center = g_quark_from_string (settings->vm_data_center);
   router->facts = kcp_engine_facts_new (settings->backends_believed_blocks,
                                         settings->backends_concurrency);
--- a/src/policy/placement.c
+++ b/src/policy/placement.c
@@ -2,8 +2,20 @@
 
 #include <xxhash.h>
 
+#include "base/clock.h"
+
 #define PERCENT 100
 
+/* The costs that the router uses. */
+const struct kcp_placement_costs kcp_placement_standard_costs = {
+  .ns_per_prompt_token = 50 * KCP_NS_PER_US,
+  .ns_per_running = 2 * KCP_NS_PER_MS,
+  .tolerance_ns = 20 * KCP_NS_PER_MS,
+  .waste_percent = 600,
+  .waste_rise_ns = 30 * KCP_NS_PER_MS,
+  .waste_percent_max = 3000,
+};
+
 /* One decision: what it is about, and the weight of waste in it. */
 struct decision
 {
@@ -25,9 +37,9 @@
 /* Returns the index of the candidate with the least expected time to first token, or
    KCP_PLACEMENT_NONE if there are none. One without a free place may be the best: the
    request then does better to wait for it than to be computed anew elsewhere. Candidates
-   within the tolerance of the least are taken in rendezvous order over the head of the
-   prompt (Thaler and Ravishankar, 1998), so that VMs that know nothing of each other send
-   equal prompts to one server. */
+   within the tolerance of the least are taken in rendezvous order over the last block of
+   the prompt (Thaler and Ravishankar, 1998), so that VMs that know nothing of each other
+   send equal prompts to one server. */
 int
 kcp_placement_choose (const struct kcp_placement_request *request,
                       const struct kcp_placement_candidate *candidates, size_t count,
--- a/src/policy/placement.h
+++ b/src/policy/placement.h
@@ -24,7 +24,7 @@
 
 struct kcp_placement_request
 {
-  uint64_t prefix_head; /* identity of the first block, or of the prompt if it is short */
+  uint64_t prefix_head; /* identity of the last block, or of the prompt if it is short */
   int64_t prompt_tokens;
   bool urgent; /* servers compute it before what is queued there */
 };
@@ -40,6 +40,8 @@
   int64_t waste_percent_max;
 };
 
+extern const struct kcp_placement_costs kcp_placement_standard_costs;
+
 int kcp_placement_choose (const struct kcp_placement_request *request,
                           const struct kcp_placement_candidate *candidates, size_t count,
                           const struct kcp_placement_costs *costs);
--- a/src/request/choose.c
+++ b/src/request/choose.c
@@ -43,9 +43,9 @@
 {
   const GString *text = request->prompt.text;
   struct kcp_placement_request placement = {
-    .prefix_head = request->block_hashes->len > 0
-                       ? g_array_index (request->block_hashes, uint64_t, 0)
-                       : XXH3_64bits (text->str, text->len),
+    .prefix_head = request->block_hashes->len > 0 ? g_array_index (
+                       request->block_hashes, uint64_t, request->block_hashes->len - 1)
+                                                  : XXH3_64bits (text->str, text->len),
     .prompt_tokens = kcp_prefix_tokens ((struct kcp_str){ text->str, text->len }),
     .urgent = request->profile->class == KCP_CLASS_URGENT,
   };
--- a/src/request/completion.c
+++ b/src/request/completion.c
@@ -192,6 +192,7 @@
 kcp_completion_placed (struct kcp_request *request, struct kcp_choice *choice)
 {
   struct kcp_router *router = request->router;
+  uint64_t server = choice->backend->hash;
 
   kcp_timeline_add (router->timeline, KCP_EVENT_PLACED, request->id, choice->backend->id,
                     choice->uncached_tokens);
@@ -201,6 +202,7 @@
   request->incarnation = choice->incarnation;
   request->dispatched_ns = kcp_clock_monotonic_ns (router->clock);
   kcp_attempt_start (request, choice->backend, NULL);
+  kcp_engine_facts_learn (router->facts, server, choice->incarnation, request->chain);
 }
 
 /* Learns from a whole answer where the prompt is cached now and how long it took. */
