--- a/bench/fake_vm.c
+++ b/bench/fake_vm.c
@@ -13,6 +13,7 @@
 #define RUN_FIRST_NS       KCP_NS_PER_S
 #define URGENT_EXTRA       4 /* places above the limit that are kept for urgent work */
 #define UNLIMITED          1000000
+#define IMPORTANCE_NS      (5 * KCP_NS_PER_MS) /* for one point of it, in a variant */
 #define WORK_PER_ANSWER    500 /* prompt tokens that an answer's work counts for */
 
 static const struct kcp_limit_settings limit_settings = {
@@ -20,15 +21,6 @@
   .greatest = 64,
 };
 
-static const struct kcp_placement_costs costs = {
-  .ns_per_prompt_token = ENGINE_NS_PER_TOKEN,
-  .ns_per_running = 2 * KCP_NS_PER_MS,
-  .tolerance_ns = 20 * KCP_NS_PER_MS,
-  .waste_percent = 300,
-  .waste_rise_ns = 100 * KCP_NS_PER_MS,
-  .waste_percent_max = 3000,
-};
-
 /* One try to find a place: the VM, and the engine found. */
 struct search
 {
@@ -45,6 +37,7 @@
 static int choose_placed (struct fake_vm *vm, const struct job *job);
 static size_t
 list_usable (const struct fake_vm *vm, const struct job *job, unsigned *engines);
+static bool may_run_suspect (const struct fake_vm *vm, const struct fake_engine *engine);
 static struct kcp_placement_candidate
 make_candidate (struct fake_vm *vm, const struct job *job, unsigned number,
                 int64_t leading);
@@ -131,6 +124,33 @@
   pump (vm);
 }
 
+/* Takes back the requests in flight that have become blocked, and copies of suspects that
+   have no token yet. */
+void
+fake_vm_withdraw (struct fake_vm *vm)
+{
+  int64_t now_ns = sim_now (vm->world->sim);
+
+  for (guint i = vm->open->len; i > 0; i--)
+    {
+      struct job *job = g_ptr_array_index (vm->open, i - 1);
+      bool blocked = kcp_quarantine_state (vm->quarantine, job->fingerprint, now_ns)
+                     == KCP_QUARANTINE_BLOCKED;
+
+      if (!blocked
+          && (job->held || !job->in_flight || job->first_token_ns > 0
+              || !kcp_quarantine_must_wait (vm->quarantine, job->fingerprint, now_ns)))
+        continue;
+      if (job->engine != NULL && job->epoch == job->engine->epoch)
+        fake_engine_cancel (job->engine, job);
+      end_attempt (job);
+      if (blocked)
+        end_job (job, JOB_BLOCKED);
+      else
+        queue_job (vm, job);
+    }
+}
+
 /* Takes in a load report. */
 void
 fake_vm_report (struct fake_vm *vm, const struct fake_engine *engine,
@@ -222,6 +242,7 @@
     }
   kcp_quarantine_add_crash (vm->quarantine, job->fingerprint, job->engine->incarnation,
                             now_ns);
+  world_spread_quarantine (vm->world, vm);
   vm->views[job->engine->number].dead = true;
   fail_attempt (job, job->generated > 0 ? KCP_RETRY_FORWARDED : KCP_RETRY_SENT);
 }
@@ -326,7 +347,7 @@
     {
     case BENCH_RANDOM:
       return (
-          int)engines[g_rand_int_range (sim_random (vm->world->sim), 0, (gint32)count)];
+          int)engines[g_rand_int_range (sim_noise (vm->world->sim), 0, (gint32)count)];
     case BENCH_LEAST_LOADED:
       for (unsigned i = 1; i < count; i++)
         if (engine_in_flight (vm, engines[i]) < engine_in_flight (vm, engines[best]))
@@ -352,13 +373,13 @@
 choose_placed (struct fake_vm *vm, const struct job *job)
 {
   const struct variant *variant = &vm->world->run.variant;
-  struct kcp_placement_costs used = costs;
+  struct kcp_placement_costs used = kcp_placement_standard_costs;
   struct kcp_placement_candidate candidates[WORLD_ENGINES_MAX];
   unsigned engines[WORLD_ENGINES_MAX];
   int64_t leading[WORLD_ENGINES_MAX];
   size_t count = list_usable (vm, job, engines);
   struct kcp_placement_request request = {
-    .prefix_head = job->blocks > 0 ? job->chain[0] : job->fingerprint,
+    .prefix_head = job->blocks > 0 ? job->chain[job->blocks - 1] : job->fingerprint,
     .prompt_tokens = job->prompt_tokens,
     .urgent = job->class == KCP_CLASS_URGENT,
   };
@@ -374,6 +395,12 @@
     used.waste_percent = variant->waste_percent;
   if (variant->no_tolerance)
     used.tolerance_ns = 0;
+  if (variant->tolerance_ms > 0)
+    used.tolerance_ns = variant->tolerance_ms * KCP_NS_PER_MS;
+  if (variant->head_first && job->blocks > 0)
+    request.prefix_head = job->chain[0];
+  if (variant->waste_max > 0)
+    used.waste_percent_max = variant->waste_max;
   find_leading (vm, job, engines, count, leading);
   for (size_t i = 0; i < count; i++)
     candidates[i] = make_candidate (vm, job, engines[i], leading[i]);
@@ -397,6 +424,10 @@
         == KCP_QUARANTINE_SUSPECT;
   size_t count = 0;
 
+  if (!world->run.variant.copies_run
+      && kcp_quarantine_must_wait (vm->quarantine, job->fingerprint,
+                                   sim_now (world->sim)))
+    return 0;
   for (unsigned i = 0; i < world->run.deployment->engines; i++)
     {
       const struct fake_engine *engine = world->engines[i];
@@ -404,13 +435,28 @@
       if (((job->data_centers >> engine->data_center) & 1u) == 0 || vm->views[i].dead
           || !world_reaches (world, vm->data_center, engine->data_center))
         continue;
-      if (suspect && kcp_quarantine_has_suspect (vm->quarantine, engine->hash))
+      if (suspect && !may_run_suspect (vm, engine))
         continue;
       engines[count++] = i;
     }
   return count;
 }
 
+/* Suspects run on the servers that this VM is home of; a VM that is home of none uses
+   the one that its number names. */
+static bool
+may_run_suspect (const struct fake_vm *vm, const struct fake_engine *engine)
+{
+  const struct world *world = vm->world;
+  uint64_t vms[WORKLOAD_VMS];
+
+  for (unsigned i = 0; i < world->vm_count; i++)
+    vms[i] = i + 1;
+  return !kcp_quarantine_has_suspect (vm->quarantine, engine->hash)
+         && (world->run.variant.shared_suspects
+             || kcp_quarantine_is_home (engine->hash, vms, world->vm_count, vm->number));
+}
+
 static struct kcp_placement_candidate
 make_candidate (struct fake_vm *vm, const struct job *job, unsigned number,
                 int64_t leading)
@@ -423,8 +469,11 @@
   int64_t limit
       = (int64_t)view->limit.value + (job->class == KCP_CLASS_URGENT ? URGENT_EXTRA : 0);
   int64_t in_flight = engine_in_flight (vm, number);
+  int64_t importance_ns = 0;
   int64_t place_ns = vm->run_ns[job->class] / (view->own + 1);
 
+  if (world->run.variant.place_importance)
+    importance_ns = report.importance * IMPORTANCE_NS;
   if (world->run.variant.no_limit)
     limit = UNLIMITED;
   return (struct kcp_placement_candidate){
@@ -434,7 +483,8 @@
     .sent_tokens = knows ? 0 : view->sent_tokens,
     .in_flight = in_flight,
     .limit = limit,
-    .place_wait_ns = in_flight < limit ? 0 : (view->held + 1) * place_ns,
+    .place_wait_ns
+    = (in_flight < limit ? 0 : (view->held + 1) * place_ns) + importance_ns,
     .cached_tokens = MIN (leading * KCP_BLOCK_TOKENS, job->prompt_tokens),
     .transfer_ns = world_transfer_ns (world, vm->data_center, engine->data_center),
   };
@@ -484,6 +534,7 @@
   struct world *world = vm->world;
   struct fake_engine *engine = world->engines[number];
   struct engine_view *view = &vm->views[number];
+  kcp_belief_slot slot;
   int64_t leading;
 
   find_leading (vm, job, &number, 1, &leading);
@@ -496,6 +547,9 @@
   job->attempts++;
   job->in_flight = true;
   view->sent_tokens += job->sent_tokens;
+  if (!world->run.variant.learn_late
+      && kcp_beliefs_slot (vm->beliefs, engine->hash, engine->incarnation, &slot))
+    kcp_beliefs_learn (vm->beliefs, slot, job->chain, job->blocks);
   view->begun++;
   view->own++;
   job->held = kcp_quarantine_state (vm->quarantine, job->fingerprint, job->dispatched_ns)
@@ -511,7 +565,7 @@
   struct fake_engine *engine = user;
   struct job *job = subject;
 
-  if (job->end != JOB_OPEN)
+  if (job->end != JOB_OPEN || !job->in_flight)
     return;
   if (engine->up)
     {
--- a/bench/world.c
+++ b/bench/world.c
@@ -20,6 +20,7 @@
 #define EVENTS_LAG_MAX_MS 600
 #define TICK_NS           (50 * KCP_NS_PER_MS)
 #define GOSSIP_NS         (200 * KCP_NS_PER_MS)
+#define SPREAD_NS         (2 * KCP_NS_PER_MS)
 #define RESTART_NS        (5 * KCP_NS_PER_S)
 #define POISON_EVERY_NS   (1 * KCP_NS_PER_S)
 #define POISON_TOKENS     800
@@ -46,6 +47,7 @@
 static void send_events (void *user, void *subject);
 static GArray *lose_some (struct world *world, const GArray *events);
 static void deliver_events (void *user, void *subject);
+static void spread (void *user, void *subject);
 static void tick (void *user, void *subject);
 static void gossip (void *user, void *subject);
 static void merge_fact (void *user, const struct kcp_quarantine_fact *fact);
@@ -119,6 +121,30 @@
   return a == b ? 0 : world->run.deployment->transfer_ns;
 }
 
+/* Has a VM that saw a crash tell all others at once, and not only in its turn. */
+void
+world_spread_quarantine (struct world *world, struct fake_vm *vm)
+{
+  if (!world->run.variant.slow_quarantine)
+    sim_after (world->sim, SPREAD_NS, spread, world, vm);
+}
+
+static void
+spread (void *user, void *subject)
+{
+  struct world *world = user;
+  struct fake_vm *vm = subject;
+
+  for (unsigned i = 0; i < world->vm_count; i++)
+    if (world->vms[i] != vm
+        && world_reaches (world, vm->data_center, world->vms[i]->data_center))
+      {
+        kcp_quarantine_visit (vm->quarantine, sim_now (world->sim), merge_fact,
+                              world->vms[i]);
+        fake_vm_withdraw (world->vms[i]);
+      }
+}
+
 /* In a surge, has a refused caller come back when it was told to. */
 void
 world_caller_returns (struct world *world, const struct job *refused,
@@ -179,7 +205,7 @@
 static void
 give_to_vm (struct world *world, struct job *job)
 {
-  gint32 at = g_rand_int_range (sim_random (world->sim), 0, (gint32)world->vm_count);
+  gint32 at = g_rand_int_range (sim_noise (world->sim), 0, (gint32)world->vm_count);
 
   fake_vm_take (world->vms[at], job);
 }
@@ -232,6 +258,8 @@
   struct world *world = user;
 
   (void)subject;
+  if (world->run.policy != BENCH_KINGCUPPOINT)
+    return;
   for (unsigned i = 0; i < world->run.deployment->engines; i++)
     {
       struct fake_engine *engine = world->engines[i];
@@ -261,7 +289,7 @@
   double lost = world->run.fault == FAULT_EVENTS_LOST ? LOST_IN_FAULT : LOST_USUALLY;
 
   for (guint i = 0; i < events->len; i++)
-    if (g_rand_double (sim_random (world->sim)) >= lost)
+    if (g_rand_double (sim_noise (world->sim)) >= lost)
       g_array_append_val (kept, g_array_index (events, struct cache_event, i));
   return kept;
 }
@@ -296,7 +324,7 @@
   (void)subject;
   for (unsigned i = 0; i < world->vm_count; i++)
     {
-      unsigned other = (unsigned)g_rand_int_range (sim_random (world->sim), 0,
+      unsigned other = (unsigned)g_rand_int_range (sim_noise (world->sim), 0,
                                                    (gint32)world->vm_count);
 
       if (other != i
@@ -423,6 +451,6 @@
 static int64_t
 lag_ns (struct world *world, int64_t min_ms, int64_t max_ms)
 {
-  return g_rand_int_range (sim_random (world->sim), (gint32)min_ms, (gint32)max_ms)
+  return g_rand_int_range (sim_noise (world->sim), (gint32)min_ms, (gint32)max_ms)
          * KCP_NS_PER_MS;
 }
--- a/bench/world.h
+++ b/bench/world.h
@@ -40,6 +40,10 @@
   int64_t waste_percent; /* another weight of that delay */
   int64_t waste_rise_ms;
   bool flat_waste;       /* that weight is the same at every load */
+  int64_t waste_max;     /* another greatest weight of waste */
+  bool learn_late;       /* believe in a prompt's blocks at its first token only */
+  int64_t tolerance_ms;  /* another tolerance */
+  bool head_first;       /* rendezvous by the first block of the prompt */
   bool limit_others;     /* assume that the other VMs send as much */
   bool no_tolerance;     /* no rendezvous order among close candidates */
   bool no_beliefs;       /* prompts are placed by load alone */
@@ -54,6 +58,9 @@
   bool abort_any;        /* urgent work displaces any normal request */
   bool fifo_promises;    /* returns are not told from new requests */
   bool unlimited_retries;
+  bool shared_suspects; /* any VM runs suspects on any engine */
+  bool copies_run;      /* copies of a suspect run while another VM tries it */
+  bool slow_quarantine; /* crashes are told by gossip only */
 };
 
 struct run
@@ -91,6 +98,7 @@
 void world_free (struct world *world);
 bool world_reaches (const struct world *world, unsigned a, unsigned b);
 int64_t world_transfer_ns (const struct world *world, unsigned a, unsigned b);
+void world_spread_quarantine (struct world *world, struct fake_vm *vm);
 void world_caller_returns (struct world *world, const struct job *refused,
                            int64_t retry_after_s);
 
