Poll the platform's list by its ETag

Cause: worked out for the target, a list of 5,900 engines and 370 VMs has 1,055,953 bytes (counted on a list made up in that shape); read twice a second that is 2.1 MB/s a VM, where 30 KB/s is allowed for all control.

Change: polls carry If-None-Match; 304 changes nothing.

A list without ETag is read whole each time, as before.

--- a/src/backend/list_poller.c
+++ b/src/backend/list_poller.c
@@ -16,6 +16,7 @@
   pthread_t thread;
   int stopping;
   int has_list;
+  struct kcp_vm_list list; /* the thread only */
 };
 
 static void *run (void *user);
@@ -46,6 +47,7 @@
     return;
   ck_pr_store_int (&poller->stopping, 1);
   pthread_join (poller->thread, NULL);
+  kcp_vm_list_clear (&poller->list);
   g_free (poller->url);
   g_free (poller);
 }
@@ -73,17 +75,17 @@
 static void
 poll_once (struct kcp_list_poller *poller)
 {
-  struct kcp_vm_list list;
   struct kcp_error error;
 
-  if (!kcp_vm_list_fetch (poller->url, poller->timeout_ms, &list, &error))
+  if (!kcp_vm_list_fetch (poller->url, poller->timeout_ms, &poller->list, &error))
     {
       kcp_logger_error ("list_read_failed", NULL, &error);
       return;
     }
-  kcp_registry_apply_list (poller->registry, &list);
+  if (poller->list.members == NULL)
+    return;
+  kcp_registry_apply_list (poller->registry, &poller->list);
   if (poller->observer != NULL)
-    poller->observer (poller->user, &list);
-  kcp_vm_list_clear (&list);
+    poller->observer (poller->user, &poller->list);
   ck_pr_store_int (&poller->has_list, 1);
 }
--- a/src/platform/vm_list.c
+++ b/src/platform/vm_list.c
@@ -4,9 +4,10 @@
 
 #include "platform/http_call.h"
 
-#define STEP           "vm_list"
-#define HTTP_STATUS_OK 200
-#define PORT_MAX       65535
+#define STEP                     "vm_list"
+#define HTTP_STATUS_OK           200
+#define HTTP_STATUS_NOT_MODIFIED 304
+#define PORT_MAX                 65535
 
 static const char *const kind_names[KCP_MEMBER_KINDS] = {
   [KCP_MEMBER_ENTRY] = "entry",       [KCP_MEMBER_ENGINE] = "engine",
@@ -14,50 +15,67 @@
   [KCP_MEMBER_KV_STORE] = "kv_store",
 };
 
+static bool read_members (json_t *body, struct kcp_vm_list *list);
 static struct kcp_member *parse_member (json_t *object);
 static int parse_kind (json_t *object);
 static void member_free (gpointer data);
 
-/* Reads the list at a URL. Members that cannot be understood are left out. Blocks. */
+/* Reads the list at a URL unless it is the one that the list's ETag names. Members that
+   cannot be understood are left out. Blocks. */
 bool
 kcp_vm_list_fetch (const char *url, int64_t timeout_ms, struct kcp_vm_list *list,
                    struct kcp_error *error)
 {
-  struct kcp_http_call call = { .url = url, .timeout_ms = (long)timeout_ms };
+  g_autofree char *condition = g_strconcat ("If-None-Match: ", list->etag, NULL);
+  struct kcp_http_call call = {
+    .url = url,
+    .timeout_ms = (long)timeout_ms,
+    .header = list->etag[0] != '\0' ? condition : NULL,
+  };
   struct kcp_http_answer answer;
-  json_t *members;
-  json_t *object;
-  size_t i;
+  bool read;
 
-  list->members = NULL;
+  kcp_vm_list_clear (list);
   if (!kcp_http_call_run (&call, &answer, error))
     return false;
-  members = json_object_get (answer.body, "members");
-  if (answer.status == HTTP_STATUS_OK && json_is_array (members))
-    {
-      list->members = g_ptr_array_new_with_free_func (member_free);
-      json_array_foreach (members, i, object)
-      {
-        struct kcp_member *member = parse_member (object);
-
-        if (member != NULL)
-          g_ptr_array_add (list->members, member);
-      }
-    }
-  else
+  read = answer.status == HTTP_STATUS_NOT_MODIFIED
+         || (answer.status == HTTP_STATUS_OK && read_members (answer.body, list));
+  if (read && answer.status == HTTP_STATUS_OK)
+    g_strlcpy (list->etag, answer.etag, sizeof list->etag);
+  if (!read)
     kcp_error_set (error, KCP_ERR_PLATFORM, STEP, url, "the list answered %ld",
                    answer.status);
   kcp_http_answer_clear (&answer);
-  return list->members != NULL;
+  return read;
 }
 
-/* Frees a list's members. */
+/* Frees a list's members; its ETag stays. */
 void
 kcp_vm_list_clear (struct kcp_vm_list *list)
 {
   g_clear_pointer (&list->members, g_ptr_array_unref);
 }
 
+static bool
+read_members (json_t *body, struct kcp_vm_list *list)
+{
+  json_t *members = json_object_get (body, "members");
+  json_t *object;
+  size_t i;
+
+  if (!json_is_array (members))
+    return false;
+  list->members = g_ptr_array_new_with_free_func (member_free);
+  json_array_foreach (members, i, object)
+  {
+    struct kcp_member *member = parse_member (object);
+
+    if (member != NULL)
+      g_ptr_array_add (list->members, member);
+  }
+  return true;
+}
+
 static struct kcp_member *
 parse_member (json_t *object)
 {
--- a/src/platform/vm_list.h
+++ b/src/platform/vm_list.h
@@ -30,9 +30,13 @@
   bool checks_fencing; /* the engine refuses orders with an old fencing number */
 };
 
+#define KCP_VM_LIST_ETAG_MAX 64
+
+/* Zeroed before the first fetch. members is NULL if the last fetch found nothing new. */
 struct kcp_vm_list
 {
   GPtrArray *members; /* struct kcp_member */
+  char etag[KCP_VM_LIST_ETAG_MAX];
 };
 
 bool kcp_vm_list_fetch (const char *url, int64_t timeout_ms, struct kcp_vm_list *list,
