--- a/src/request/attempt.c
+++ b/src/request/attempt.c
@@ -98,6 +98,7 @@
     .url = url,
     .connect_ms = router->settings->backends_connect_timeout_ms,
     .total_ms = router->settings->backends_idle_timeout_ms,
+    .reuse = true,
     .events = &ignored_events,
   };
 
--- a/tests/process/test_streams.c
+++ b/tests/process/test_streams.c
@@ -9,6 +9,7 @@
 #include "tests/harness/cluster.h"
 
 #define TOKENS          12
+#define LONG_TOKENS     600
 #define HISTORY_CALLERS 8
 #define HISTORY_CALLS   15
 #define WAIT_LIMIT_MS   5000
@@ -78,22 +79,34 @@
     cluster_faults (g_ptr_array_index (cluster->engines, i), faults);
 }
 
-/* Injects faults into the engine at which the prompt is cached and thus placed. */
-static void
-fault_engine_of (const char *prompt, const char *faults)
+/* Returns the engine at which the prompt is placed. */
+static struct process *
+engine_of (const char *prompt)
 {
   struct client_answer answer = complete (prompt, 1, false, false, NULL);
   g_autofree char *name = client_header (&answer, "Kingcuppoint-Backend");
+  struct process *found = NULL;
 
-  ck_assert_ptr_nonnull (name);
   for (guint i = 0; i < cluster->engines->len; i++)
     {
-      const struct process *engine = g_ptr_array_index (cluster->engines, i);
+      struct process *engine = g_ptr_array_index (cluster->engines, i);
 
-      if (strcmp (engine->name, name) == 0)
-        cluster_faults (engine, faults);
+      if (g_strcmp0 (engine->name, name) == 0)
+        found = engine;
     }
+  ck_assert_ptr_nonnull (found);
   client_answer_clear (&answer);
+  return found;
+}
+
+static int64_t
+engine_load (const struct process *engine, const char *key)
+{
+  json_t *load = cluster_admin_get (engine->port, "/load");
+  int64_t value = json_integer_value (json_object_get (load, key));
+
+  json_decref (load);
+  return value;
 }
 
 static int64_t
@@ -102,13 +115,7 @@
   int64_t sum = 0;
 
   for (guint i = 0; i < cluster->engines->len; i++)
-    {
-      const struct process *engine = g_ptr_array_index (cluster->engines, i);
-      json_t *load = engine->pid != 0 ? cluster_admin_get (engine->port, "/load") : NULL;
-
-      sum += json_integer_value (json_object_get (load, key));
-      json_decref (load);
-    }
+    sum += engine_load (g_ptr_array_index (cluster->engines, i), key);
   return sum;
 }
 
@@ -181,7 +188,7 @@
   g_autofree char *prompt = g_strdup_printf ("fault %d", _i);
   struct client_answer answer;
 
-  fault_engine_of (prompt, fault->faults);
+  cluster_faults (engine_of (prompt), fault->faults);
   answer = complete (prompt, TOKENS, fault->chat, fault->stream, NULL);
   assert_whole (&answer, prompt, TOKENS, fault->stream);
   client_answer_clear (&answer);
@@ -192,7 +199,7 @@
 {
   struct client_answer answer;
 
-  fault_engine_of ("dying", "{\"times\":1,\"exit_after\":6}");
+  cluster_faults (engine_of ("dying"), "{\"times\":1,\"exit_after\":6}");
   answer = complete ("dying", TOKENS, _i == 0, true, NULL);
   assert_whole (&answer, "dying", TOKENS, true);
   client_answer_clear (&answer);
@@ -227,6 +234,42 @@
 }
 END_TEST
 
+struct long_call
+{
+  pthread_t thread;
+  const char *prompt;
+  struct client_answer answer;
+};
+
+static void *
+run_long_call (void *user)
+{
+  struct long_call *call = user;
+
+  call->answer = complete (call->prompt, LONG_TOKENS, false, true, NULL);
+  return NULL;
+}
+
+START_TEST (test_a_stream_goes_on_when_its_engine_is_signalled)
+{
+  static const int signals[] = { SIGKILL, SIGSTOP };
+  struct long_call call = { .prompt = "signalled" };
+  struct process *engine = engine_of (call.prompt);
+
+  ck_assert_int_eq (pthread_create (&call.thread, NULL, run_long_call, &call), 0);
+  while (engine_load (engine, "running") == 0)
+    g_usleep (WAIT_POLL_MS * G_TIME_SPAN_MILLISECOND);
+  process_signal (engine, signals[_i]);
+  (void)pthread_join (call.thread, NULL);
+  (void)fprintf (stderr, "signal %d: whole after %" G_GINT64_FORMAT " ms\n", signals[_i],
+                 call.answer.total_us / G_TIME_SPAN_MILLISECOND);
+  process_signal (engine, SIGCONT);
+  assert_whole (&call.answer, call.prompt, LONG_TOKENS, true);
+  ck_assert_int_ge (counter ("resumed"), 1);
+  client_answer_clear (&call.answer);
+}
+END_TEST
+
 struct caller
 {
   pthread_t thread;
@@ -329,6 +372,7 @@
                        G_N_ELEMENTS (stream_faults));
   tcase_add_loop_test (tests, test_a_stream_goes_on_at_another_engine_when_its_own_dies,
                        0, 2);
+  tcase_add_loop_test (tests, test_a_stream_goes_on_when_its_engine_is_signalled, 0, 2);
   tcase_add_test (tests, test_a_caller_that_leaves_ends_the_work_of_its_engine);
   tcase_add_test (
       tests, test_concurrent_streams_under_random_faults_are_whole_or_end_in_an_error);
