--- a/bench/bench_policy.c
+++ b/bench/bench_policy.c
@@ -38,6 +38,7 @@
   { .name = "waste_flat3", .flat_waste = true, .waste_percent = 3000 },
   { .name = "waste_rise_30", .waste_rise_ms = 30 },
   { .name = "waste_rise_300", .waste_rise_ms = 300 },
+  { .name = "limit_others", .limit_others = true },
   { .name = "no_tolerance", .no_tolerance = true },
   { .name = "no_beliefs", .no_beliefs = true },
   { .name = "reset_on_gap", .reset_on_gap = true },
@@ -98,8 +99,8 @@
 print_row (const char *name, struct run run, guint32 seed)
 {
   double sum[FIGURES] = { 0 };
-  double least[FIGURES];
-  double greatest[FIGURES];
+  double least[FIGURES] = { 0 };
+  double greatest[FIGURES] = { 0 };
 
   for (guint32 i = 0; i < SEEDS; i++)
     {
--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -39,6 +39,10 @@
   = { "booking_log_went_back", "Times a booking stream had lost records that were read" },
   [KCP_COUNT_BOOKING_OUTCOMES_LOST]
   = { "booking_outcomes_lost", "Outcomes given up after appends failed for too long" },
+  [KCP_COUNT_CONFIG_CHECKPOINTS]
+  = { "config_checkpoints", "Checkpoints appended to the configuration stream" },
+  [KCP_COUNT_CONFIG_RESTARTS]
+  = { "config_log_restarts", "Times the configuration stream was read anew" },
 };
 
 static uint64_t values[KCP_COUNTERS];
--- a/src/http/admin.c
+++ b/src/http/admin.c
@@ -15,6 +15,8 @@
 #define MAX_CONNECTIONS  64
 #define MAX_HEADER_BYTES (16u << 10)
 #define MAX_BODY_BYTES   (1u << 20)
+#define LOAD_WAIT_MS     500
+#define RETRY_AFTER_S    1
 #define IDLE_TIMEOUT_S   15
 
 struct kcp_admin
@@ -60,11 +62,14 @@
 static enum MHD_Result handle_profiles (const struct operation *op);
 static enum MHD_Result handle_teams (const struct operation *op);
 static enum MHD_Result handle_config (const struct operation *op);
+static enum MHD_Result show_config (const struct operation *op);
+static enum MHD_Result start_over (const struct operation *op);
 static enum MHD_Result handle_vms (const struct operation *op);
 static enum MHD_Result handle_backends (const struct operation *op);
 static enum MHD_Result handle_timeline (const struct operation *op);
 static enum MHD_Result handle_orders (const struct operation *op);
 static enum MHD_Result handle_document (const struct operation *op, const char *kind);
+static enum MHD_Result refuse_unloaded (const struct operation *op);
 static enum MHD_Result get_document (const struct operation *op, const char *key);
 static enum MHD_Result change_document (const struct operation *op, const char *key);
 static bool read_document (const struct operation *op,
@@ -228,6 +233,35 @@
 
 static enum MHD_Result
 handle_config (const struct operation *op)
+{
+  if (strcmp (op->method, MHD_HTTP_METHOD_GET) == 0)
+    return show_config (op);
+  if (strcmp (op->method, MHD_HTTP_METHOD_PUT) == 0)
+    return start_over (op);
+  return fail (op, KCP_ERR_METHOD, "GET and PUT are allowed");
+}
+
+/* Takes {"documents": {KEY: DOCUMENT}} where no VM holds a configuration any more. */
+static enum MHD_Result
+start_over (const struct operation *op)
+{
+  struct kcp_router *router = op->admin->router;
+  json_t *body = json_loadb (op->body->str, op->body->len, JSON_REJECT_DUPLICATES, NULL);
+  json_t *documents = json_object_get (body, "documents");
+  struct kcp_error error;
+  bool done = false;
+
+  if (!json_is_object (documents) || json_object_size (documents) == 0)
+    kcp_error_set (&error, KCP_ERR_BAD_REQUEST, STEP, NULL,
+                   "documents: required, an object of documents by key is allowed");
+  else
+    done = kcp_publish_start_over (op->admin->log, router->config, documents, &error);
+  json_decref (body);
+  return done ? show_config (op) : kcp_responder_problem (op->connection, &error);
+}
+
+static enum MHD_Result
+show_config (const struct operation *op)
 {
   struct kcp_router *router = op->admin->router;
   struct kcp_config_position position;
@@ -316,6 +350,8 @@
   g_autofree char *prefix = g_strconcat (kind, "/", NULL);
   bool whole_kind = op->rest[0] == '\0' || strcmp (op->rest, "/") == 0;
 
+  if (!kcp_config_wait_loaded (op->admin->router->config, LOAD_WAIT_MS))
+    return refuse_unloaded (op);
   if (strcmp (op->method, MHD_HTTP_METHOD_GET) == 0)
     return whole_kind
                ? kcp_responder_json (op->connection, MHD_HTTP_OK,
@@ -330,6 +366,18 @@
   return change_document (op, key);
 }
 
+/* Nothing that this VM could say about documents would be true. */
+static enum MHD_Result
+refuse_unloaded (const struct operation *op)
+{
+  struct kcp_error error;
+
+  kcp_error_set (&error, KCP_ERR_NO_CONFIGURATION, STEP, NULL,
+                 "neither the log nor another VM has given the configuration yet");
+  error.retry_after_s = RETRY_AFTER_S;
+  return kcp_responder_problem (op->connection, &error);
+}
+
 static enum MHD_Result
 get_document (const struct operation *op, const char *key)
 {
