--- a/src/policy/lane.c
+++ b/src/policy/lane.c
@@ -6,7 +6,7 @@
 
 #define RATE_SAMPLE_NS  (250 * KCP_NS_PER_MS) /* busy time of one sample of the rate */
 #define RATE_WEIGHT     0.3                   /* of the newest sample */
-#define FLOWS_TRIED_MAX 64                    /* flows looked at for one free place */
+#define FLOWS_TRIED_MAX 4                     /* flows looked at for one free place */
 #define SWEEP_FACTOR    2 /* flows kept for one with requests, before a sweep */
 #define SWEEP_LEAST     64
 
