Refuse at once what no engine may run, also while others wait

Cause: a request that came while others waited went to the queue without a look at the engines, so that an unknown model waited until its deadline (the test's caller gave up after 10 s) and left a lane behind. An engine that answers polls for events without waiting is asked only as often as the scans come, in place of at once.

--- a/src/backend/event_reader.c
+++ b/src/backend/event_reader.c
@@ -213,6 +213,8 @@
   return KCP_FETCH_CONTINUE;
 }
 
+/* Goes on at once only if there were events, so that an engine that answers without
+   waiting is asked no more often than the scans come. */
 static void
 on_done (void *user, enum kcp_fetch_end end, long status)
 {
@@ -221,6 +223,7 @@
   struct kcp_cache_events events = { 0 };
   json_t *body = NULL;
   uint64_t next;
+  bool had_events = false;
   bool read = false;
 
   events.list = g_array_new (FALSE, FALSE, sizeof (struct kcp_cache_event));
@@ -236,13 +239,14 @@
   pthread_mutex_unlock (&reader->lock);
   if (read)
     reader->observer (reader->user, source->backend, &events);
+  had_events = events.list->len > 0;
   g_array_unref (events.list);
   json_decref (body);
   pthread_mutex_lock (&reader->lock);
   kcp_fetch_unref (source->fetch);
   source->fetch = NULL;
   reader->polling--;
-  if (read && !reader->stopping)
+  if (had_events && !reader->stopping)
     poll_source (source);
   pthread_cond_broadcast (&reader->changed);
   pthread_mutex_unlock (&reader->lock);
--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -92,8 +92,8 @@
   g_free (admit);
 }
 
-/* Finds a place for a request, or queues it, or refuses it at once if it could not be
-   answered by its deadline. The request's lock is held. */
+/* Finds a place for a request, or queues it behind those that wait, or refuses it at once
+   if it could not be answered by its deadline. The request's lock is held. */
 enum kcp_admit_result
 kcp_admit_request (struct kcp_admit *admit, struct kcp_request *request,
                    struct kcp_choice *choice, struct kcp_error *error)
@@ -104,16 +104,18 @@
   bool regardless = request->attempts > 0;
   bool queue_is_empty = ck_pr_load_uint (&admit->count) == 0;
 
-  if (regardless || queue_is_empty)
-    switch (kcp_choose_engine (request, regardless, choice, error))
-      {
-      case KCP_CHOSEN:
+  switch (kcp_choose_engine (request, regardless, choice, error))
+    {
+    case KCP_CHOSEN:
+      if (regardless || queue_is_empty)
         return KCP_ADMIT_PLACED;
-      case KCP_CHOOSE_NONE:
-        return KCP_ADMIT_REFUSED;
-      case KCP_CHOOSE_WAIT:
-        break;
-      }
+      kcp_backend_unref (choice->backend);
+      break;
+    case KCP_CHOOSE_NONE:
+      return KCP_ADMIT_REFUSED;
+    case KCP_CHOOSE_WAIT:
+      break;
+    }
   pthread_mutex_lock (&admit->lock);
   fill_item (admit, request);
   stopping = admit->stopping;
--- a/tests/process/test_queue.c
+++ b/tests/process/test_queue.c
@@ -152,6 +152,111 @@
 }
 END_TEST
 
+static bool
+is_leaving (void)
+{
+  json_t *list = cluster_admin_get (cluster_vm (cluster, 0)->admin_port,
+                                    "/admin/v1/backend-servers");
+  char *text = json_dumps (list, JSON_COMPACT);
+  bool leaving = strstr (text, "\"leaving\"") != NULL;
+
+  free (text);
+  json_decref (list);
+  return leaving;
+}
+
+static int64_t
+started_at (guint engine)
+{
+  struct process *process = g_ptr_array_index (cluster->engines, engine);
+  struct client_answer answer
+      = client_run (&(struct client_call){ .port = process->port, .path = "/load" });
+  json_t *report = client_json (&answer);
+  int64_t started = json_integer_value (json_object_get (report, "started"));
+
+  json_decref (report);
+  client_answer_clear (&answer);
+  return started;
+}
+
+/* What waits for an engine that leaves goes to another one. */
+START_TEST (test_the_queue_gives_a_leaving_engine_no_more_work)
+{
+  static char *const options[] = { "--token-ms", "40", NULL };
+  struct caller callers[CALLERS] = { 0 };
+  int64_t started;
+
+  cluster = cluster_new ("queue");
+  cluster_add_engine (cluster, "engine-1", "dc1", options);
+  cluster_add_vm (cluster, "vm-1", "dc1", "concurrency=1\n");
+  publish_and_wait ();
+  for (int i = 0; i < CALLERS; i++)
+    pthread_create (&callers[i].thread, NULL, call, &callers[i]);
+  for (int waited = 0; count_events ("queued") < 3; waited += WAIT_POLL_MS)
+    {
+      ck_assert_int_lt (waited, WAIT_LIMIT_MS);
+      g_usleep (WAIT_POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  cluster_set_member (cluster, "engine", "engine-1",
+                      ((struct process *)g_ptr_array_index (cluster->engines, 0))->port,
+                      "dc1", "leaving");
+  cluster_add_engine (cluster, "engine-2", "dc1", options);
+  cluster_publish_list (cluster, 0);
+  for (int waited = 0; !is_leaving (); waited += WAIT_POLL_MS)
+    {
+      ck_assert_int_lt (waited, WAIT_LIMIT_MS);
+      g_usleep (WAIT_POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  started = started_at (0);
+  for (int i = 0; i < CALLERS; i++)
+    {
+      pthread_join (callers[i].thread, NULL);
+      ck_assert_int_eq (callers[i].answer.status, 200);
+      client_answer_clear (&callers[i].answer);
+    }
+  ck_assert_int_eq (started_at (0), started);
+  ck_assert_int_ge (started_at (1), 1);
+  stop_vms ();
+}
+END_TEST
+
+/* A model that no engine serves is refused at once, also while others wait. */
+START_TEST (test_an_unknown_model_is_refused_while_others_wait)
+{
+  static char *const options[] = { "--token-ms", "40", NULL };
+  struct caller callers[CALLERS] = { 0 };
+  struct client_answer answer;
+
+  cluster = cluster_new ("queue");
+  cluster_add_engine (cluster, "engine-1", "dc1", options);
+  cluster_add_vm (cluster, "vm-1", "dc1", "concurrency=1\n");
+  publish_and_wait ();
+  for (int i = 0; i < CALLERS; i++)
+    pthread_create (&callers[i].thread, NULL, call, &callers[i]);
+  for (int waited = 0; count_events ("queued") < 2; waited += WAIT_POLL_MS)
+    {
+      ck_assert_int_lt (waited, WAIT_LIMIT_MS);
+      g_usleep (WAIT_POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  answer = client_run (&(struct client_call){
+      .port = cluster_vm (cluster, 0)->port,
+      .path = "/v1/completions",
+      .key = CLUSTER_TEAM_KEY,
+      .profile = "review",
+      .body = "{\"model\":\"none\",\"prompt\":\"p\"}",
+  });
+  ck_assert_int_eq (answer.status, 503);
+  client_answer_clear (&answer);
+  for (int i = 0; i < CALLERS; i++)
+    {
+      pthread_join (callers[i].thread, NULL);
+      ck_assert_int_eq (callers[i].answer.status, 200);
+      client_answer_clear (&callers[i].answer);
+    }
+  stop_vms ();
+}
+END_TEST
+
 static struct client_answer
 complete_prefix (guint vm, int prefix)
 {
@@ -263,6 +368,8 @@
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_requests_wait_for_a_place_and_all_get_one);
   tcase_add_test (tests, test_a_request_that_would_be_late_is_refused_as_not_run);
+  tcase_add_test (tests, test_the_queue_gives_a_leaving_engine_no_more_work);
+  tcase_add_test (tests, test_an_unknown_model_is_refused_while_others_wait);
   tcase_add_test (tests, test_a_vm_places_by_the_events_that_engines_send);
   tcase_add_test (tests, test_frozen_engines_delay_no_other_report);
   suite_add_tcase (suite, tests);
