--- a/standin/log.c
+++ b/standin/log.c
@@ -62,10 +62,14 @@
 handle (const struct standin_request *request)
 {
   g_autofree char *name = stream_name (request->path);
+  bool fails;
 
   if (strcmp (request->path, "/faults") == 0)
     return change_faults (request);
-  if (out)
+  pthread_mutex_lock (&lock);
+  fails = out;
+  pthread_mutex_unlock (&lock);
+  if (fails)
     return standin_answer (request, 503, json_object ());
   if (name == NULL)
     return standin_answer (request, 404, json_object ());
@@ -78,12 +82,16 @@
 {
   json_t *record = json_loadb (request->body.data, request->body.len, 0, NULL);
   uint64_t offset;
+  int64_t wait_ms;
   bool lose;
 
   if (record == NULL)
     return standin_answer (request, 400, json_object ());
-  if (append_delay_ms > 0)
-    g_usleep ((gulong)(append_delay_ms * G_TIME_SPAN_MILLISECOND));
+  pthread_mutex_lock (&lock);
+  wait_ms = append_delay_ms;
+  pthread_mutex_unlock (&lock);
+  if (wait_ms > 0)
+    g_usleep ((gulong)(wait_ms * G_TIME_SPAN_MILLISECOND));
   pthread_mutex_lock (&lock);
   if (late_appends > 0)
     {
--- a/standin/service.c
+++ b/standin/service.c
@@ -48,6 +48,7 @@
 {
   const char *key = standin_header (request, "Idempotency-Key");
   json_int_t count = 0;
+  int64_t wait_ms;
   bool lose;
 
   pthread_mutex_lock (&lock);
@@ -61,9 +62,10 @@
     }
   lose = lose_answers > 0;
   lose_answers -= lose;
+  wait_ms = delay_ms;
   pthread_mutex_unlock (&lock);
-  if (delay_ms > 0)
-    g_usleep ((gulong)(delay_ms * G_TIME_SPAN_MILLISECOND));
+  if (wait_ms > 0)
+    g_usleep ((gulong)(wait_ms * G_TIME_SPAN_MILLISECOND));
   if (lose)
     return MHD_NO;
   return standin_answer (request, 200,
--- a/tests/process/test_booking.c
+++ b/tests/process/test_booking.c
@@ -31,7 +31,7 @@
 struct booking
 {
   int call;
-  int vm;
+  int port;
   char key[HISTORY_TEXT_MAX];
   int64_t invoked_ms;
   int64_t returned_ms;
@@ -74,14 +74,14 @@
 
 /* The content type names the call, so that the service can tell which one it ran. */
 static struct client_answer
-book (int vm, const char *key, int call)
+book_at (int port, const char *key, int call)
 {
   g_autofree char *header = g_strdup_printf (
       "Content-Type: call/%d\r\nKingcuppoint-Deadline-Ms: %d", call, DEADLINE_MS);
 
   return client_run (&(struct client_call){
       .method = "POST",
-      .port = cluster_vm (cluster, (guint)vm)->port,
+      .port = port,
       .path = "/services/" CLUSTER_SERVICE "/book",
       .key = CLUSTER_TEAM_KEY,
       .profile = "booking",
@@ -90,13 +90,19 @@
   });
 }
 
+static struct client_answer
+book (int vm, const char *key, int call)
+{
+  return book_at (cluster_vm (cluster, (guint)vm)->port, key, call);
+}
+
 static gpointer
 run_booking (gpointer user)
 {
   struct booking *booking = user;
 
   booking->invoked_ms = kcp_clock_realtime_ms (&kcp_clock_system);
-  booking->answer = book (booking->vm, booking->key, booking->call);
+  booking->answer = book_at (booking->port, booking->key, booking->call);
   booking->returned_ms = kcp_clock_realtime_ms (&kcp_clock_system);
   return NULL;
 }
@@ -106,7 +112,7 @@
 {
   struct booking *booking = g_new0 (struct booking, 1);
 
-  booking->vm = vm;
+  booking->port = cluster_vm (cluster, (guint)vm)->port;
   booking->call = ++calls_made;
   g_strlcpy (booking->key, key, sizeof booking->key);
   booking->thread = g_thread_new ("booking", run_booking, booking);
