--- a/src/booking/claims.c
+++ b/src/booking/claims.c
@@ -90,7 +90,8 @@
   g_free (claims);
 }
 
-/* Applies the record at an offset; offsets that were applied before change nothing. A
+/* Applies the record at an offset; offsets that were applied before change nothing, and
+   one that leaves others out is taken for the first one kept. A
    record whose writer has a later one in the log already is void: so a writer that
    appends again settles the fate of every append whose answer it has lost. */
 void
@@ -101,6 +102,8 @@
 
   if (offset < claims->next)
     return;
+  if (offset > claims->next)
+    kcp_claims_skip_to (claims, offset);
   claims->next = offset + 1;
   advance (claims, record);
   if (!accept_writer (claims, record))
--- a/tests/unit/test_claims.c
+++ b/tests/unit/test_claims.c
@@ -150,8 +150,8 @@
   as_of = next;
   parts = kcp_claims_snapshot (claims, "c");
   ck_assert_uint_gt (json_array_size (parts), 2);
-  put (claims, "b", 1, claim_of ("late", "2"));
   kcp_claims_skip_to (reader, as_of);
+  put (reader, "b", 1, claim_of ("late", "2"));
   for (size_t i = 0; i < json_array_size (parts); i++)
     {
       json_t *record = kcp_entry_record ("c", i + 1, now_ms, json_array ());
@@ -171,6 +171,15 @@
 }
 END_TEST
 
+START_TEST (test_a_log_that_leaves_records_out_makes_the_state_incomplete)
+{
+  put (claims, "a", 1, claim_of ("k", "1"));
+  next++;
+  put (claims, "b", 1, claim_of ("k", "2"));
+  ck_assert (!kcp_claims_is_complete (claims));
+}
+END_TEST
+
 START_TEST (test_a_trimmed_log_is_complete_again_once_the_window_has_passed)
 {
   kcp_claims_skip_to (claims, 5);
@@ -329,6 +338,7 @@
   tcase_add_test (tests,
                   test_a_reader_of_a_trimmed_log_is_incomplete_until_a_whole_checkpoint);
   tcase_add_test (tests, test_a_trimmed_log_is_complete_again_once_the_window_has_passed);
+  tcase_add_test (tests, test_a_log_that_leaves_records_out_makes_the_state_incomplete);
   tcase_add_test (tests, test_keys_survive_a_log_that_was_put_back);
   tcase_add_test (tests, test_a_log_that_grew_again_after_it_was_put_back_is_noticed);
   tcase_add_test (tests,
