--- a/tests/process/test_booking.c
+++ b/tests/process/test_booking.c
@@ -31,7 +31,7 @@
 struct booking
 {
   int call;
-  int vm;
+  int port;
   char key[HISTORY_TEXT_MAX];
   int64_t invoked_ms;
   int64_t returned_ms;
@@ -74,14 +74,14 @@
 
 /* The content type names the call, so that the service can tell which one it ran. */
 static struct client_answer
-book (int vm, const char *key, int call)
+book_at (int port, const char *key, int call)
 {
   g_autofree char *header = g_strdup_printf (
       "Content-Type: call/%d\r\nKingcuppoint-Deadline-Ms: %d", call, DEADLINE_MS);
 
   return client_run (&(struct client_call){
       .method = "POST",
-      .port = cluster_vm (cluster, (guint)vm)->port,
+      .port = port,
       .path = "/services/" CLUSTER_SERVICE "/book",
       .key = CLUSTER_TEAM_KEY,
       .profile = "booking",
@@ -90,13 +90,19 @@
   });
 }
 
+static struct client_answer
+book (int vm, const char *key, int call)
+{
+  return book_at (cluster_vm (cluster, (guint)vm)->port, key, call);
+}
+
 static gpointer
 run_booking (gpointer user)
 {
   struct booking *booking = user;
 
   booking->invoked_ms = kcp_clock_realtime_ms (&kcp_clock_system);
-  booking->answer = book (booking->vm, booking->key, booking->call);
+  booking->answer = book_at (booking->port, booking->key, booking->call);
   booking->returned_ms = kcp_clock_realtime_ms (&kcp_clock_system);
   return NULL;
 }
@@ -106,7 +112,7 @@
 {
   struct booking *booking = g_new0 (struct booking, 1);
 
-  booking->vm = vm;
+  booking->port = cluster_vm (cluster, (guint)vm)->port;
   booking->call = ++calls_made;
   g_strlcpy (booking->key, key, sizeof booking->key);
   booking->thread = g_thread_new ("booking", run_booking, booking);
@@ -463,6 +469,39 @@
 }
 END_TEST
 
+START_TEST (test_a_refused_connection_frees_the_key)
+{
+  process_kill (service);
+  expect (0, "k", 502, "not_run");
+  cluster_set_member (cluster, "service", "service-1", 0, "dc1", NULL);
+  service = cluster_add_service (cluster, "service-2", "dc1");
+  cluster_publish_list (cluster, 0);
+  expect_in_time (1, "k", 200);
+  ck_assert_int_eq (executions ("k"), 1);
+}
+END_TEST
+
+START_TEST (test_a_caller_that_leaves_finds_the_outcome_later)
+{
+  struct client_answer answer;
+
+  cluster_faults (service, "{\"delay_ms\":300}");
+  answer = client_run (&(struct client_call){
+      .method = "POST",
+      .port = cluster_vm (cluster, 0)->port,
+      .path = "/services/" CLUSTER_SERVICE "/book",
+      .key = CLUSTER_TEAM_KEY,
+      .profile = "booking",
+      .idempotency_key = "k",
+      .timeout_ms = 150,
+  });
+  ck_assert_int_ne (answer.curl, 0);
+  client_answer_clear (&answer);
+  expect_in_time (1, "k", 200);
+  ck_assert_int_eq (executions ("k"), 1);
+}
+END_TEST
+
 START_TEST (test_another_body_of_the_same_key_is_refused)
 {
   struct client_answer answer;
@@ -695,6 +734,8 @@
   tcase_add_test (tests, test_a_log_put_back_gets_its_keys_again);
   tcase_add_test (tests, test_vms_with_other_partitions_refuse);
   tcase_add_test (tests, test_a_kept_connection_that_closes_repeats_nothing);
+  tcase_add_test (tests, test_a_refused_connection_frees_the_key);
+  tcase_add_test (tests, test_a_caller_that_leaves_finds_the_outcome_later);
   tcase_add_test (tests, test_another_body_of_the_same_key_is_refused);
   tcase_add_test (tests, test_random_faults_keep_every_invariant);
   suite_add_tcase (suite, tests);
