Compare tables when a probe shows that they differ

Sending each fact more often was ruled out, since the bytes of a busy deployment grow with the copies and some VM is still missed now and then.

Probes and their acknowledgements now carry a hash of the facts. A VM that has nothing left to pass on and hears another hash compares its table with that VM soon, at a random time and at most once in a probe interval. The digests are kept up to date rather than computed.

--- a/src/peer/codec.c
+++ b/src/peer/codec.c
@@ -134,6 +134,7 @@
         .number = message->of.probe.number,
         .target = (char *)message->of.probe.target,
         .config_age_ns = message->of.probe.config_age_ns,
+        .facts = message->of.probe.facts,
       };
       break;
     case KCP_MESSAGE_DIGEST:
@@ -244,6 +245,7 @@
     case KCP_MESSAGE_INDIRECT_PROBE:
       message->of.probe.number = probe->number;
       message->of.probe.config_age_ns = probe->config_age_ns;
+      message->of.probe.facts = probe->facts;
       return copy_text (message->of.probe.target, KCP_FACT_ID_MAX, probe->target);
     case KCP_MESSAGE_DIGEST:
       message->of.digest.answer = wire->kcp_wire_body_u.digest.answer;
--- a/src/peer/facts.c
+++ b/src/peer/facts.c
@@ -25,6 +25,7 @@
 {
   GHashTable *tables[KCP_FACT_KINDS]; /* id in the entry, struct entry */
   GPtrArray *fresh;                   /* struct entry, those to pass on */
+  struct kcp_facts_digest digests[2]; /* of those told everywhere, and of all */
 };
 
 static bool make_room (struct kcp_facts *facts, const struct kcp_fact *fact);
@@ -32,6 +33,7 @@
 static void add_fresh (struct kcp_facts *facts, struct entry *entry);
 static void drop_fresh (struct kcp_facts *facts, struct entry *entry);
 static void drop (struct kcp_facts *facts, struct entry *entry);
+static void toggle_digest (struct kcp_facts *facts, const struct kcp_fact *fact);
 static struct entry *
 next_to_send (const struct kcp_facts *facts, const struct kcp_facts_scope *scope,
               size_t left, const GArray *out);
@@ -81,7 +83,10 @@
       entry->fact = *fact;
       g_hash_table_insert (facts->tables[fact->kind], entry->fact.id, entry);
     }
+  else
+    toggle_digest (facts, &entry->fact);
   entry->fact = *fact;
+  toggle_digest (facts, fact);
   entry->sent = 0;
   add_fresh (facts, entry);
   return true;
@@ -198,29 +203,25 @@
     }
 }
 
-/* Computes the digest of what may be told to a VM of the same, or another, data center.
+/* Copies the digest of what may be told to a VM of the same, or another, data center.
  */
 void
 kcp_facts_digest (const struct kcp_facts *facts, bool same_data_center,
                   struct kcp_facts_digest *digest)
 {
-  GHashTableIter iter;
-  gpointer value;
+  *digest = facts->digests[same_data_center];
+}
 
-  *digest = (struct kcp_facts_digest){ .buckets = { 0 } };
-  for (int kind = 0; kind < KCP_FACT_KINDS; kind++)
-    {
-      if (kcp_fact_stays_inside (kind) && !same_data_center)
-        continue;
-      g_hash_table_iter_init (&iter, facts->tables[kind]);
-      while (g_hash_table_iter_next (&iter, NULL, &value))
-        {
-          const struct kcp_fact *fact = &((struct entry *)value)->fact;
+/* Returns a hash of all facts that are told everywhere. Equal tables have equal hashes.
+ */
+uint64_t
+kcp_facts_hash (const struct kcp_facts *facts)
+{
+  uint64_t hash = 0;
 
-          digest->buckets[kcp_fact_key_hash (fact) % KCP_FACTS_BUCKETS]
-              ^= kcp_fact_hash (fact);
-        }
-    }
+  for (int i = 0; i < KCP_FACTS_BUCKETS; i++)
+    hash ^= facts->digests[false].buckets[i];
+  return hash;
 }
 
 /* Appends to out facts of those buckets whose digest differs from theirs, as many as fit,
@@ -318,9 +319,22 @@
 drop (struct kcp_facts *facts, struct entry *entry)
 {
   drop_fresh (facts, entry);
+  toggle_digest (facts, &entry->fact);
   (void)g_hash_table_remove (facts->tables[entry->fact.kind], entry->fact.id);
 }
 
+/* Puts a fact into the digests, or takes it out. */
+static void
+toggle_digest (struct kcp_facts *facts, const struct kcp_fact *fact)
+{
+  uint64_t bucket = kcp_fact_key_hash (fact) % KCP_FACTS_BUCKETS;
+  uint64_t hash = kcp_fact_hash (fact);
+
+  facts->digests[true].buckets[bucket] ^= hash;
+  if (!kcp_fact_stays_inside (fact->kind))
+    facts->digests[false].buckets[bucket] ^= hash;
+}
+
 static struct entry *
 next_to_send (const struct kcp_facts *facts, const struct kcp_facts_scope *scope,
               size_t left, const GArray *out)
--- a/src/peer/facts.h
+++ b/src/peer/facts.h
@@ -43,6 +43,7 @@
 void kcp_facts_pick (struct kcp_facts *facts, struct kcp_facts_scope scope, GArray *out);
 void kcp_facts_digest (const struct kcp_facts *facts, bool same_data_center,
                        struct kcp_facts_digest *digest);
+uint64_t kcp_facts_hash (const struct kcp_facts *facts);
 size_t
 kcp_facts_differing (const struct kcp_facts *facts, struct kcp_facts_scope scope,
                      const struct kcp_facts_digest *theirs, uint64_t start, GArray *out);
--- a/src/peer/gen/wire.h
+++ b/src/peer/gen/wire.h
@@ -66,6 +66,7 @@
 	u_quad_t number;
 	char *target;
 	quad_t config_age_ns;
+	u_quad_t facts;
 };
 typedef struct kcp_wire_probe kcp_wire_probe;
 
--- a/src/peer/gen/wire_xdr.c
+++ b/src/peer/gen/wire_xdr.c
@@ -104,6 +104,8 @@
 		 return FALSE;
 	 if (!xdr_quad_t (xdrs, &objp->config_age_ns))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->facts))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/src/peer/membership.c
+++ b/src/peer/membership.c
@@ -336,6 +336,23 @@
   (void)kcp_membership_publish (membership, now, &fact);
 }
 
+/* Has the tables compared with those of a VM soon, at most once in a probe interval and
+   at a random time, so that VMs that notice the same thing do not all do so at once. */
+void
+kcp_membership_sync_soon (struct kcp_membership *membership, struct kcp_peer_time now,
+                          const char *id)
+{
+  uint64_t random = membership->events.random (membership->events.user);
+  int64_t earliest
+      = MAX (now.monotonic_ns, membership->synced_ns + membership->probe_interval_ns);
+  int64_t at_ns = earliest + (int64_t)(random % (uint64_t)membership->probe_interval_ns);
+
+  if (at_ns >= membership->next_sync_ns)
+    return;
+  membership->next_sync_ns = at_ns;
+  g_strlcpy (membership->sync_target, id, sizeof membership->sync_target);
+}
+
 /* Joins this VM's own configuration fact, to be passed on. */
 void
 kcp_membership_announce_config (struct kcp_membership *membership,
@@ -460,6 +477,7 @@
       return;
     }
   membership->sync_target[0] = '\0';
+  membership->synced_ns = now.monotonic_ns;
   kcp_facts_expire (membership->facts, now.realtime_ms);
   kcp_membership_send_digest (membership, id, false);
 }
@@ -506,14 +524,8 @@
     member->forget_ns = now.monotonic_ns + FORGET_NS;
   if (fact->state < KCP_VM_SUSPECT && was_dead)
     {
-      /* A network partition may have healed: compare tables with the other side soon,
-         at most once in a probe interval. */
-      g_strlcpy (membership->sync_target, fact->id, sizeof membership->sync_target);
-      membership->next_sync_ns
-          = MIN (membership->next_sync_ns,
-                 now.monotonic_ns
-                     + (int64_t)(membership->events.random (membership->events.user)
-                                 % (uint64_t)membership->probe_interval_ns));
+      /* A network partition may have healed. */
+      kcp_membership_sync_soon (membership, now, fact->id);
     }
 }
 
--- a/src/peer/membership_private.h
+++ b/src/peer/membership_private.h
@@ -59,12 +59,15 @@
   int64_t next_probe_ns;
   int64_t next_spread_ns;
   int64_t next_sync_ns;
+  int64_t synced_ns; /* when tables were compared last */
 };
 
 bool kcp_membership_is_gone (const struct kcp_membership *membership, const char *id);
 struct member *kcp_membership_member (struct kcp_membership *membership, const char *id);
 void kcp_membership_join (struct kcp_membership *membership, struct kcp_peer_time now,
                           const struct kcp_fact *fact);
+void kcp_membership_sync_soon (struct kcp_membership *membership,
+                               struct kcp_peer_time now, const char *id);
 void kcp_membership_announce_config (struct kcp_membership *membership,
                                      struct kcp_peer_time now);
 void
--- a/src/peer/membership_receive.c
+++ b/src/peer/membership_receive.c
@@ -84,6 +84,9 @@
   struct probe *probe = &membership->probe;
   const struct kcp_message_probe *ack = &message->of.probe;
 
+  if (ack->facts != kcp_facts_hash (membership->facts)
+      && !kcp_facts_has_fresh (membership->facts))
+    kcp_membership_sync_soon (membership, now, message->from);
   if (ack->number >= membership->trusted_from && ack->number < membership->next_number)
     membership->trusted = true;
   if (probe->number == ack->number && strcmp (probe->target, ack->target) == 0)
@@ -153,6 +156,7 @@
     .kind = KCP_MESSAGE_ACK,
     .of.probe = {
       .number = number,
+      .facts = kcp_facts_hash (membership->facts),
       .config_age_ns = confirmed_ns < 0 ? -1 : now.monotonic_ns - confirmed_ns,
     },
   };
--- a/src/peer/message.h
+++ b/src/peer/message.h
@@ -25,6 +25,7 @@
   uint64_t number; /* the sender's, given back in the acknowledgement */
   char target[KCP_FACT_ID_MAX];
   int64_t config_age_ns; /* of the acknowledging VM's configuration; -1: unknown */
+  uint64_t facts;        /* hash of the sender's facts */
 };
 
 struct kcp_message_digest
--- a/src/peer/wire.x
+++ b/src/peer/wire.x
@@ -52,6 +52,7 @@
   unsigned hyper number;
   string target<KCP_WIRE_ID_MAX>;
   hyper config_age_ns;
+  unsigned hyper facts;
 };
 
 struct kcp_wire_digest {
--- a/tests/unit/test_peer_membership.c
+++ b/tests/unit/test_peer_membership.c
@@ -8,6 +8,7 @@
 #define FAULT_RUNS        20
 #define DEFAULT_SEED      1
 #define CONVERGE_LIMIT_NS (60 * KCP_NS_PER_S)
+#define SPREAD_LIMIT_NS   (5 * KCP_NS_PER_S)
 #define HEAL_LIMIT_NS     (30 * KCP_NS_PER_S)
 
 static guint32 seed = DEFAULT_SEED;
@@ -276,6 +277,33 @@
 }
 END_TEST
 
+static bool
+all_hold_print (struct peer_net *net)
+{
+  return peer_net_holders (net, KCP_FACT_QUARANTINE, "print") == net->vms->len;
+}
+
+START_TEST (test_a_fact_reaches_every_vm_in_time)
+{
+  for (guint vms = 7; vms <= 63; vms += 28)
+    {
+      struct peer_net *net = new_joined (vms, 3);
+
+      for (guint i = 0; i < 20; i++)
+        {
+          for (guint j = 0; j < vms; j++)
+            kcp_facts_remove (kcp_membership_facts (peer_net_vm (net, j)->membership),
+                              KCP_FACT_QUARANTINE, "print");
+          ck_assert (peer_net_publish (peer_net_vm (net, i % vms), KCP_FACT_QUARANTINE,
+                                       "print", i + 1, 1));
+          ck_assert_msg (peer_net_run_until (net, all_hold_print, SPREAD_LIMIT_NS) >= 0,
+                         "fact %u did not reach all of %u VMs", i, vms);
+        }
+      peer_net_free (net);
+    }
+}
+END_TEST
+
 START_TEST (test_what_a_vm_lacks_of_the_configuration_is_found)
 {
   struct peer_net *net = new_joined (6, 3);
@@ -397,6 +425,7 @@
   tcase_add_test (tests, test_a_false_suspicion_is_refuted);
   tcase_add_test (tests, test_leaving_is_known_before_the_end);
   tcase_add_test (tests, test_facts_of_a_data_center_stay_inside);
+  tcase_add_test (tests, test_a_fact_reaches_every_vm_in_time);
   tcase_add_test (tests, test_what_a_vm_lacks_of_the_configuration_is_found);
   tcase_add_test (tests, test_a_restarted_vm_tells_what_it_holds_now);
   tcase_add_test (tests, test_random_faults_are_healed);
