Count datagrams that are no call between VMs as rejected

What the RPC library drops before the procedure is called was dropped without being counted. A datagram after which the procedure was not reached now counts as rejected.

--- a/src/peer/rpc_link.c
+++ b/src/peer/rpc_link.c
@@ -20,6 +20,7 @@
   int fd; /* closed with the transport */
   SVCXPRT *transport;
   uint32_t xid;
+  bool dispatched; /* the datagram being served was a call of this program */
   uint16_t port;
 };
 
@@ -100,7 +101,10 @@
 
       if (poll (&waiting, 1, 0) != 1)
         return;
+      link->dispatched = false;
       svc_getreq_poll (&waiting, 1);
+      if (!link->dispatched)
+        link->events.reject (link->events.user);
     }
 }
 
@@ -170,13 +174,15 @@
   return inet_pton (AF_INET, address, &out->sin_addr) == 1;
 }
 
-/* Takes one call. No call is answered, also not a wrong one. */
+/* Takes one call and never answers it. Calls of another program do not come here; the
+   library answers these with an error. */
 static void
 dispatch (struct svc_req *request, SVCXPRT *transport)
 {
   struct kcp_rpc_link *link = the_link;
   struct kcp_wire_sealed sealed = { .box.box_val = NULL };
 
+  link->dispatched = true;
   if (request->rq_proc == KCP_PEER_MESSAGE
       && svc_getargs (transport, (xdrproc_t)xdr_kcp_wire_sealed, (char *)&sealed))
     link->events.receive (link->events.user, &sealed);
--- a/src/peer/rpc_link.h
+++ b/src/peer/rpc_link.h
@@ -9,7 +9,7 @@
 
 /* Told of each datagram that holds a call of the right program and procedure. */
 typedef void kcp_rpc_receiver (void *user, const struct kcp_wire_sealed *sealed);
-/* Told of each call whose argument cannot be decoded. */
+/* Told of each datagram that is no call of this program, or cannot be decoded. */
 typedef void kcp_rpc_rejecter (void *user);
 
 struct kcp_rpc_events
--- a/tests/process/test_peer.c
+++ b/tests/process/test_peer.c
@@ -1,8 +1,11 @@
 #include <check.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "tests/harness/cluster.h"
 
@@ -10,6 +13,8 @@
 #define DATA_CENTERS  3
 #define POLL_MS       5
 #define IN_FORCE_MS   5000 /* the stated bound on a new configuration */
+#define RUBBISH       200
+#define DEFAULT_SEED  1
 #define MEMBERSHIP_MS 10000
 #define QUICK_PROBES  "[peers]\nprobe_interval_ms=100\n"
 #define CLOSED_PORT   1
@@ -18,6 +23,7 @@
   "\"class\":\"urgent\",\"repeatable\":true}"
 
 static struct cluster *cluster;
+static guint32 seed = DEFAULT_SEED;
 
 static int64_t
 now_ms (void)
@@ -223,20 +229,81 @@
 }
 END_TEST
 
+static int64_t
+read_counter (const struct process *vm, const char *name)
+{
+  struct client_answer answer
+      = client_run (&(struct client_call){ .port = vm->port, .path = "/metrics" });
+  g_autofree char *line = g_strdup_printf ("\n%s ", name);
+  const char *found = strstr (answer.body->str, line);
+  int64_t value = found != NULL ? g_ascii_strtoll (found + strlen (line), NULL, 10) : -1;
+
+  client_answer_clear (&answer);
+  return value;
+}
+
+/* Sends rubbish, half of it behind the header of a right call. */
+static void
+send_rubbish (int port)
+{
+  g_autoptr (GRand) random = g_rand_new_with_seed (seed);
+  const uint32_t header[] = { 1, 0, 2, 0x20004b43, 1, 1, 0, 0, 0, 0 };
+  struct sockaddr_in to = {
+    .sin_family = AF_INET,
+    .sin_port = htons ((uint16_t)port),
+    .sin_addr.s_addr = htonl (INADDR_LOOPBACK),
+  };
+  int fd = socket (AF_INET, SOCK_DGRAM, 0);
+
+  for (int i = 0; i < RUBBISH; i++)
+    {
+      uint32_t words[100];
+      size_t len = (size_t)g_rand_int_range (random, 1, sizeof words);
+
+      for (size_t j = 0; j < G_N_ELEMENTS (words); j++)
+        words[j] = g_rand_int (random);
+      for (size_t j = 0; i % 2 == 0 && j < G_N_ELEMENTS (header); j++)
+        words[j] = htonl (header[j]);
+      ck_assert_int_ge (sendto (fd, words, len, 0, (struct sockaddr *)&to, sizeof to), 0);
+    }
+  (void)close (fd);
+}
+
+START_TEST (test_rubbish_is_dropped_and_counted)
+{
+  const struct process *vm = cluster_vm (cluster, 0);
+  int64_t start = now_ms ();
+
+  send_rubbish (vm->peer_port);
+  while (read_counter (vm, "kingcuppoint_rpc_rejected_total") < RUBBISH)
+    {
+      ck_assert_msg (now_ms () - start < MEMBERSHIP_MS, "%d rejected",
+                     (int)read_counter (vm, "kingcuppoint_rpc_rejected_total"));
+      g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  for (guint i = 0; i < cluster->vms->len; i++)
+    wait_seen (cluster_vm (cluster, i)->name, "alive", NULL);
+}
+END_TEST
+
 int
-main (void)
+main (int argc, char **argv)
 {
   Suite *suite = suite_create ("peer");
   TCase *tests = tcase_create ("peer");
   SRunner *runner = srunner_create (suite);
   int failed;
 
+  if (argc > 1)
+    seed = (guint32)strtoul (argv[1], NULL, 10);
+  (void)printf ("seed %u\n", seed);
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_a_cut_off_data_center_gets_new_configuration_from_peers);
   tcase_add_test (tests, test_a_restarted_vm_serves_while_the_log_is_out);
   tcase_add_test (tests, test_frozen_killed_and_leaving_vms_are_seen_as_they_are);
   tcase_add_test (tests, test_members_stay_while_the_list_is_down);
+  tcase_add_test (tests, test_rubbish_is_dropped_and_counted);
   suite_add_tcase (suite, tests);
   srunner_run_all (runner, CK_NORMAL);
   failed = srunner_ntests_failed (runner);
