--- a/src/booking/worker.c
+++ b/src/booking/worker.c
@@ -7,6 +7,7 @@
 #include "booking/hint.h"
 #include "booking/layout.h"
 
+#define STEP               "booking"
 #define WAKE_MS            100
 #define STOP_LIMIT_MS      2000
 #define LAYOUT_RETRY_MS    250
@@ -55,6 +56,7 @@
 static void
 read_from (struct kcp_booking_worker *worker, struct served *served, uint64_t from);
 static void finish (struct kcp_booking_worker *worker);
+static void refuse_posted (struct served *served);
 static struct served *find (struct kcp_booking_worker *worker, unsigned index);
 static int64_t now_ms (const struct kcp_booking_worker *worker);
 static void refuse (struct kcp_pending *pending, const struct kcp_error *error);
@@ -95,6 +97,7 @@
   while ((served = CK_STAILQ_FIRST (&worker->served)) != NULL)
     {
       CK_STAILQ_REMOVE_HEAD (&worker->served, link);
+      refuse_posted (served);
       kcp_partition_free (served->partition);
       g_free (served->stream);
       g_free (served);
@@ -305,6 +308,22 @@
     }
 }
 
+/* Answers what was posted after the thread had ended. */
+static void
+refuse_posted (struct served *served)
+{
+  struct kcp_pending *pending;
+  struct kcp_error error;
+
+  kcp_error_set (&error, KCP_ERR_SHUTDOWN, STEP, NULL, "this VM is shutting down");
+  while ((pending = CK_STAILQ_FIRST (&served->posted)) != NULL)
+    {
+      CK_STAILQ_REMOVE_HEAD (&served->posted, link);
+      kcp_pending_recorded (pending);
+      refuse (pending, &error);
+    }
+}
+
 /* Returns the partition of an index, made on its first use. The lock is held. */
 static struct served *
 find (struct kcp_booking_worker *worker, unsigned index)
@@ -335,6 +354,7 @@
 
   result.error.execution = KCP_NOT_RUN;
   result.error.retry_after_s = RETRY_AFTER_S;
-  pending->done (pending->user, &result);
+  if (pending->done != NULL)
+    pending->done (pending->user, &result);
   kcp_pending_free (pending);
 }
