--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -16,6 +16,9 @@
 #define STREAM_HOLD_MS     3000
 #define OVERHEAD_TARGET_US 1000
 #define MEMORY_TARGET_KB   (64 * 1024)
+#define CONTROL_ENGINES    20
+#define CONTROL_S          3
+#define POLLS_PER_S        20 /* load polls of an engine, by the cluster's settings */
 #define US_PER_S           1000000.0
 
 static const char short_body[] = "{\"model\":\"" CLUSTER_MODEL
@@ -37,6 +40,8 @@
 static void measure_latency (struct cluster *cluster);
 static void measure_throughput (struct cluster *cluster);
 static void measure_streams (struct cluster *cluster);
+static void measure_control (struct cluster *cluster);
+static double control_seconds (const struct process *vm);
 static long memory_kb (const struct process *process, const char *field);
 static double cpu_seconds (const struct process *process);
 
@@ -49,6 +54,7 @@
   measure_latency (cluster);
   measure_throughput (cluster);
   measure_streams (cluster);
+  measure_control (cluster);
   stop_cluster (cluster);
   return EXIT_SUCCESS;
 }
@@ -211,6 +217,39 @@
   curl_slist_free_all (headers);
 }
 
+/* Measures what a VM without requests spends, and what each further engine adds. The
+   cluster's settings poll loads every 50 ms. */
+static void
+measure_control (struct cluster *cluster)
+{
+  struct process *vm = cluster_vm (cluster, 0);
+  double before = control_seconds (vm);
+  double after;
+
+  for (int i = 0; i < CONTROL_ENGINES; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("engine-%d", i + 10);
+
+      cluster_add_engine (cluster, name, "dc1", NULL);
+    }
+  cluster_publish_list (cluster, 0);
+  cluster_wait_ready (cluster);
+  after = control_seconds (vm);
+  (void)printf ("control: %.2f%% of a core with 1 engine, %.2f%% with %d; %.0f us a load "
+                "report\n",
+                before * 100 / CONTROL_S, after * 100 / CONTROL_S, CONTROL_ENGINES + 1,
+                (after - before) * US_PER_S / CONTROL_S / CONTROL_ENGINES / POLLS_PER_S);
+}
+
+static double
+control_seconds (const struct process *vm)
+{
+  double before = cpu_seconds (vm);
+
+  g_usleep (CONTROL_S * G_USEC_PER_SEC);
+  return cpu_seconds (vm) - before;
+}
+
 static struct curl_slist *
 make_headers (void)
 {
