Try the next server of a service that refuses connections; take a port once

Change: a call that no server has seen, a booking included, goes to the next server of the service that has not refused it. The listening address is no longer shared.

--- a/src/http/listen.c
+++ b/src/http/listen.c
@@ -40,8 +40,8 @@
       MHD_OPTION_THREAD_POOL_SIZE, listen->threads, MHD_OPTION_CONNECTION_LIMIT,
       listen->max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       listen->max_header_bytes * 2, MHD_OPTION_CONNECTION_TIMEOUT, listen->idle_timeout_s,
-      MHD_OPTION_NOTIFY_COMPLETED, listen->completed, listen->user,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
+      MHD_OPTION_NOTIFY_COMPLETED, listen->completed, listen->user, MHD_OPTION_ARRAY, tls,
+      MHD_OPTION_END);
   if (daemon == NULL)
     kcp_error_set (error, KCP_ERR_INTERNAL, STEP, listen->address, "port %d: %s",
                    listen->port, strerror (errno));
--- a/src/request/service.c
+++ b/src/request/service.c
@@ -33,6 +33,7 @@
 static const char *content_type (const struct kcp_request *request);
 static void answer_repeat (struct kcp_request *request, json_t *outcome);
 static void fail_without_body (struct kcp_request *request);
+static bool try_next_server (struct kcp_request *request);
 static void fail_attempt (struct kcp_request *request, enum kcp_fetch_end end);
 
 static const struct kcp_fetch_events events = {
@@ -182,7 +183,10 @@
   if (claimed)
     kcp_fetch_unref (fetch);
   else
-    request->fetch = fetch;
+    {
+      kcp_fetch_unref (request->fetch);
+      request->fetch = fetch;
+    }
 }
 
 static char **
@@ -371,11 +375,38 @@
   kcp_request_fail (request, &error);
 }
 
+/* Sends a call that no server has seen to another one, also a booking: its claim still
+   holds. False if there is none or no time is left. */
+static bool
+try_next_server (struct kcp_request *request)
+{
+  struct kcp_backend *next;
+  struct kcp_error error;
+
+  if (request->ended || kcp_request_left_ms (request) == 0)
+    return false;
+  if (request->tried == NULL)
+    request->tried = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_add (request->tried, g_strdup (request->backend->id));
+  next = kcp_choose_service (request, &error);
+  if (next == NULL)
+    return false;
+  kcp_counter_add (KCP_COUNT_RETRIES, 1);
+  kcp_timeline_add (request->router->timeline, KCP_EVENT_RETRIED, request->id,
+                    request->backend->id, 0);
+  kcp_backend_unref (request->backend);
+  request->backend = next;
+  dispatch (request);
+  return true;
+}
+
 static void
 fail_attempt (struct kcp_request *request, enum kcp_fetch_end end)
 {
   struct kcp_error error;
 
+  if (end == KCP_FETCH_REFUSED && try_next_server (request))
+    return;
   kcp_error_set (&error, KCP_ERR_BACKEND,
                  end == KCP_FETCH_REFUSED ? STEP_DISPATCH : STEP_ANSWER,
                  request->backend->id, "the service gave no whole answer");
--- a/tests/process/test_booking.c
+++ b/tests/process/test_booking.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 #include "tests/history/history.h"
 
 #define VMS               3
@@ -713,8 +714,6 @@
 {
   Suite *suite = suite_create ("booking");
   TCase *tests = tcase_create ("booking");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   seed = argc > 1 ? atoi (argv[1]) : 1;
   tcase_add_checked_fixture (tests, set_up, tear_down);
@@ -739,8 +738,5 @@
   tcase_add_test (tests, test_another_body_of_the_same_key_is_refused);
   tcase_add_test (tests, test_random_faults_keep_every_invariant);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_cache.c
+++ b/tests/process/test_cache.c
@@ -4,6 +4,7 @@
 
 #include "base/id.h"
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 
 #define OTHER_KEY    "ulaanbaatar-test-key"
 #define PROMPT_BYTES 12000
@@ -131,8 +132,6 @@
 {
   Suite *suite = suite_create ("cache");
   TCase *tests = tcase_create ("cache");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -140,8 +139,5 @@
   tcase_add_test (tests, test_an_engine_that_comes_back_empty_is_not_believed);
   tcase_add_test (tests, test_requests_go_on_while_weights_roll_and_use_no_older_cache);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_callers.c
+++ b/tests/process/test_callers.c
@@ -8,6 +8,7 @@
 
 #include "tests/harness/cluster.h"
 #include "tests/harness/raw.h"
+#include "tests/harness/run_suite.h"
 
 #define SLOW_CALLERS       8
 #define SLOW_TOKENS        100000 /* about 9 MB as events */
@@ -303,8 +304,6 @@
 {
   Suite *suite = suite_create ("callers");
   TCase *tests = tcase_create ("callers");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -318,8 +317,5 @@
   tcase_add_test (tests, test_a_request_that_stalls_is_closed);
   tcase_add_test (tests, test_callers_can_use_tls);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_config.c
+++ b/tests/process/test_config.c
@@ -7,6 +7,7 @@
 
 #include "base/clock.h"
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 
 #define VMS            3
 #define OPERATORS      4
@@ -354,8 +355,6 @@
 {
   Suite *suite = suite_create ("config");
   TCase *tests = tcase_create ("config");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   if (argc > 1)
     seed = (unsigned)atoi (argv[1]);
@@ -376,8 +375,5 @@
   tcase_add_test (
       tests, test_a_wrong_document_names_document_key_and_reason_and_changes_nothing);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_drain.c
+++ b/tests/process/test_drain.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 
 #define STREAMS 20
 #define TOKENS  30
@@ -225,8 +226,6 @@
 {
   Suite *suite = suite_create ("drain");
   TCase *tests = tcase_create ("drain");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -234,8 +233,5 @@
   tcase_add_test (tests, test_streams_open_at_the_drain_limit_end_in_an_error);
   tcase_add_test (tests, test_a_leaving_server_gets_no_new_work);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_golden.c
+++ b/tests/process/test_golden.c
@@ -12,6 +12,7 @@
 #include <string.h>
 
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 
 #define FOLDER "tests/golden"
 
@@ -174,8 +175,6 @@
 {
   Suite *suite = suite_create ("golden");
   TCase *tests = tcase_create ("golden");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   record = argc > 1 && strcmp (argv[1], "record") == 0;
   (void)g_setenv ("KINGCUPPOINT_TOKEN", CLUSTER_TOKEN, TRUE);
@@ -185,8 +184,5 @@
   tcase_add_loop_test (tests, test_session_is_as_recorded, 0,
                        (int)G_N_ELEMENTS (sessions));
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_orders.c
+++ b/tests/process/test_orders.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 
 #define ENGINES     6
 #define MAX_LOADING 2
@@ -159,8 +160,6 @@
 {
   Suite *suite = suite_create ("orders");
   TCase *tests = tcase_create ("orders");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -168,8 +167,5 @@
   tcase_add_test (tests,
                   test_a_paused_or_dead_holder_delays_orders_but_never_breaks_the_limit);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_path.c
+++ b/tests/process/test_path.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 
 static struct cluster *cluster;
 
@@ -130,8 +131,6 @@
 {
   Suite *suite = suite_create ("path");
   TCase *tests = tcase_create ("path");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -139,8 +138,5 @@
   tcase_add_test (tests, test_bodies_that_are_too_large_or_too_deep_are_refused);
   tcase_add_test (tests, test_a_stream_comes_whole_and_in_order);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_peer.c
+++ b/tests/process/test_peer.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 
 #define VMS           6
 #define DATA_CENTERS  3
@@ -291,8 +292,6 @@
 {
   Suite *suite = suite_create ("peer");
   TCase *tests = tcase_create ("peer");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   if (argc > 1)
     seed = (guint32)strtoul (argv[1], NULL, 10);
@@ -305,8 +304,5 @@
   tcase_add_test (tests, test_members_stay_while_the_list_is_down);
   tcase_add_test (tests, test_rubbish_is_dropped_and_counted);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_place.c
+++ b/tests/process/test_place.c
@@ -6,6 +6,7 @@
 
 #include "base/id.h"
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 
 #define CALLS 30
 
@@ -139,8 +140,6 @@
 {
   Suite *suite = suite_create ("place");
   TCase *tests = tcase_create ("place");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -148,8 +147,5 @@
   tcase_add_test (tests, test_a_vm_elsewhere_relays_only_if_the_profile_says_so);
   tcase_add_test (tests, test_work_is_refused_rather_than_run_elsewhere);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_quarantine.c
+++ b/tests/process/test_quarantine.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 
 #define ENGINES      6
 #define VMS          3
@@ -163,8 +164,6 @@
 {
   Suite *suite = suite_create ("quarantine");
   TCase *tests = tcase_create ("quarantine");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -172,8 +171,5 @@
   tcase_add_test (tests,
                   test_a_request_that_crashes_engines_costs_two_however_often_it_comes);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_queue.c
+++ b/tests/process/test_queue.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 
 #define CALLERS       6
 #define PROMPT_BYTES  12000 /* three whole blocks */
@@ -362,8 +363,6 @@
 {
   Suite *suite = suite_create ("queue");
   TCase *tests = tcase_create ("queue");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_requests_wait_for_a_place_and_all_get_one);
@@ -373,8 +372,5 @@
   tcase_add_test (tests, test_a_vm_places_by_the_events_that_engines_send);
   tcase_add_test (tests, test_frozen_engines_delay_no_other_report);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_restart.c
+++ b/tests/process/test_restart.c
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 
 #define VMS             3
 #define SERVES_LIMIT_MS 5000 /* the target for a configuration in force everywhere */
@@ -239,8 +240,6 @@
 {
   Suite *suite = suite_create ("restart");
   TCase *tests = tcase_create ("restart");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -251,8 +250,5 @@
   tcase_add_test (tests,
                   test_operators_can_start_over_only_where_no_vm_holds_a_configuration);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/process/test_streams.c
+++ b/tests/process/test_streams.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "tests/harness/cluster.h"
+#include "tests/harness/run_suite.h"
 
 #define TOKENS          12
 #define LONG_TOKENS     600
@@ -361,8 +362,6 @@
 {
   Suite *suite = suite_create ("streams");
   TCase *tests = tcase_create ("streams");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   seed = argc > 1 ? (unsigned)strtoul (argv[1], NULL, 10) : 1;
   (void)fprintf (stderr, "seed %u\n", seed);
@@ -377,8 +376,5 @@
   tcase_add_test (
       tests, test_concurrent_streams_under_random_faults_are_whole_or_end_in_an_error);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -6,6 +6,7 @@
 #include "base/timeline.h"
 #include "policy/prefix.h"
 #include "settings/settings.h"
+#include "tests/harness/run_suite.h"
 
 START_TEST (test_settings_report_every_error_with_line_and_range)
 {
@@ -104,16 +105,11 @@
 {
   Suite *suite = suite_create ("base");
   TCase *tests = tcase_create ("base");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tests, test_settings_report_every_error_with_line_and_range);
   tcase_add_test (tests, test_sse_gives_the_same_events_however_the_bytes_are_cut);
   tcase_add_test (tests, test_prefix_chains_differ_by_team_weights_and_any_earlier_block);
   tcase_add_test (tests, test_timeline_stamps_never_go_back_and_follow_what_was_observed);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_claims.c
+++ b/tests/unit/test_claims.c
@@ -7,6 +7,7 @@
 #include "booking/entry.h"
 #include "booking/seal.h"
 #include "booking/uuid7.h"
+#include "tests/harness/run_suite.h"
 
 #define WINDOW_MS 60000
 #define START_MS  1700000000000LL
@@ -324,8 +325,6 @@
 {
   Suite *suite = suite_create ("claims");
   TCase *tests = tcase_create ("claims");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_add_test (tests, test_the_first_claim_wins_until_its_holder_releases_it);
@@ -347,8 +346,5 @@
   tcase_add_test (tests, test_the_time_of_a_uuid_of_version_7);
   tcase_add_test (tests, test_a_sealed_outcome_opens_only_with_its_key_and_scope);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_config_history.c
+++ b/tests/unit/test_config_history.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "platform/config_reader.h"
+#include "tests/harness/run_suite.h"
 
 #define VMS       5
 #define KEYS      3
@@ -374,8 +375,6 @@
 {
   Suite *suite = suite_create ("config history");
   TCase *tests = tcase_create ("config history");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   if (argc > 1)
     first_seed = (unsigned)atoi (argv[1]);
@@ -383,8 +382,5 @@
   tcase_add_test (
       tests, test_vms_agree_and_nothing_accepted_is_lost_whatever_happens_to_the_log);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_config_state.c
+++ b/tests/unit/test_config_state.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "profile/config.h"
+#include "tests/harness/run_suite.h"
 
 #define PROFILE_TEXT                                                                     \
   "{\"prompt_in\":[\"dc1\"],\"cache_in\":[\"dc1\"],\"compute_in\":[\"dc1\"],"            \
@@ -207,8 +208,6 @@
 {
   Suite *suite = suite_create ("config");
   TCase *tests = tcase_create ("config");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tests, set_up, NULL);
   tcase_add_test (tests, test_snapshot_brings_a_new_vm_level_and_never_an_older_version);
@@ -217,8 +216,5 @@
   tcase_add_test (tests, test_a_peers_confirmation_counts_from_when_it_was_asked);
   tcase_add_test (tests, test_a_key_finds_its_team_until_it_is_replaced);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_engine_adapter.c
+++ b/tests/unit/test_engine_adapter.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "backend/engine_adapter.h"
+#include "tests/harness/run_suite.h"
 
 static json_t *
 make_body (const char *text)
@@ -115,16 +116,11 @@
 {
   Suite *suite = suite_create ("engine_adapter");
   TCase *tests = tcase_create ("engine_adapter");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tests, test_a_continuation_puts_the_answer_behind_the_prompt);
   tcase_add_test (tests, test_only_what_its_text_says_whole_can_be_continued);
   tcase_add_test (tests, test_the_usage_of_a_continuation_counts_the_whole_answer);
   tcase_add_test (tests, test_a_resumption_names_the_last_event);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_fuzz.c
+++ b/tests/unit/test_fuzz.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "tests/fuzz/fuzz.h"
+#include "tests/harness/run_suite.h"
 
 #define CORPUS    "tests/fuzz/corpus"
 #define ROUNDS    20000
@@ -111,8 +112,6 @@
 {
   Suite *suite = suite_create ("fuzz");
   TCase *tests = tcase_create ("fuzz");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   seed = argc > 1 ? (guint32)strtoul (argv[1], NULL, 10) : 1;
   (void)fprintf (stderr, "seed %u\n", seed);
@@ -120,8 +119,5 @@
   tcase_add_loop_test (tests, test_a_parser_withstands_mutated_inputs, 0,
                        G_N_ELEMENTS (targets));
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_history.c
+++ b/tests/unit/test_history.c
@@ -1,6 +1,7 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "tests/harness/run_suite.h"
 #include "tests/history/history.h"
 
 static struct history *history;
@@ -80,8 +81,6 @@
 {
   Suite *suite = suite_create ("history");
   TCase *tests = tcase_create ("history");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_add_test (tests, test_once_rejects_a_second_execution_within_the_window);
@@ -90,8 +89,5 @@
   tcase_add_test (tests, test_answers_rejects_one_that_no_earlier_execution_gave);
   tcase_add_test (tests, test_answers_rejects_one_given_before_the_execution);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "backend/order_state.h"
+#include "tests/harness/run_suite.h"
 
 #define LIMIT   2
 #define ENGINES 5
@@ -83,14 +84,9 @@
 {
   Suite *suite = suite_create ("orders");
   TCase *tests = tcase_create ("orders");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tests, test_at_most_the_limit_is_open_and_one_an_engine);
   tcase_add_test (tests, test_a_grant_for_an_older_want_does_not_hold);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_partition.c
+++ b/tests/unit/test_partition.c
@@ -8,6 +8,7 @@
 
 #include "booking/entry.h"
 #include "booking/partition.h"
+#include "tests/harness/run_suite.h"
 #include "tests/history/history.h"
 
 #define RUNS          300
@@ -585,8 +586,6 @@
 {
   Suite *suite = suite_create ("partition");
   TCase *tests = tcase_create ("partition");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   if (argc > 1)
     {
@@ -596,8 +595,5 @@
   tcase_set_timeout (tests, 300);
   tcase_add_test (tests, test_random_runs_keep_every_invariant);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_peer_membership.c
+++ b/tests/unit/test_peer_membership.c
@@ -4,6 +4,7 @@
 
 #include "base/clock.h"
 #include "tests/harness/peer_net.h"
+#include "tests/harness/run_suite.h"
 
 #define FAULT_RUNS        20
 #define DEFAULT_SEED      1
@@ -407,8 +408,6 @@
 {
   Suite *suite = suite_create ("peer_membership");
   TCase *tests = tcase_create ("peer_membership");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   if (argc > 1)
     seed = (guint32)strtoul (argv[1], NULL, 10);
@@ -430,8 +429,5 @@
   tcase_add_test (tests, test_a_restarted_vm_tells_what_it_holds_now);
   tcase_add_test (tests, test_random_faults_are_healed);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_peer_messages.c
+++ b/tests/unit/test_peer_messages.c
@@ -8,6 +8,7 @@
 #include "peer/config_pull.h"
 #include "peer/config_source.h"
 #include "peer/session.h"
+#include "tests/harness/run_suite.h"
 
 #define DEFAULT_SEED 1
 #define FUZZ_RUNS    20000
@@ -362,8 +363,6 @@
 {
   Suite *suite = suite_create ("peer_messages");
   TCase *tests = tcase_create ("peer_messages");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   if (sodium_init () < 0)
     return EXIT_FAILURE;
@@ -382,8 +381,5 @@
   tcase_add_test (tests, test_a_long_configuration_comes_in_chunks_despite_loss);
   tcase_add_test (tests, test_a_pull_ends_when_the_other_is_silent_or_wrong);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_policy_decisions.c
+++ b/tests/unit/test_policy_decisions.c
@@ -10,6 +10,7 @@
 #include "policy/beliefs.h"
 #include "policy/limit.h"
 #include "policy/placement.h"
+#include "tests/harness/run_suite.h"
 
 #define SEED         1u
 #define BELIEFS      4096
@@ -275,8 +276,6 @@
 {
   Suite *suite = suite_create ("policy_decisions");
   TCase *tests = tcase_create ("policy_decisions");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   if (argc > 1)
     seed = (guint32)g_ascii_strtoull (argv[1], NULL, 10);
@@ -294,8 +293,5 @@
                   test_a_deadline_that_cannot_be_met_is_refused_with_a_time_that_works);
   tcase_add_test (tests, test_a_request_is_given_up_when_its_last_start_has_passed);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_policy_failures.c
+++ b/tests/unit/test_policy_failures.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "policy/quarantine.h"
 #include "policy/retry.h"
+#include "tests/harness/run_suite.h"
 
 #define KEEP_NS (60 * KCP_NS_PER_S)
 #define SEED    1u
@@ -226,8 +227,6 @@
 {
   Suite *suite = suite_create ("policy_failures");
   TCase *tests = tcase_create ("policy_failures");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   if (argc > 1)
     seed = (guint32)g_ascii_strtoull (argv[1], NULL, 10);
@@ -244,8 +243,5 @@
   tcase_add_test (tests, test_each_server_has_one_home_for_suspects);
   tcase_add_test (tests, test_a_copy_of_a_suspect_waits_for_the_vm_that_saw_the_crash);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_reply.c
+++ b/tests/unit/test_reply.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "request/reply.h"
+#include "tests/harness/run_suite.h"
 
 #define LIMIT_BYTES 1024
 #define TOTAL_BYTES 2000000
@@ -163,8 +164,6 @@
 {
   Suite *suite = suite_create ("reply");
   TCase *tests = tcase_create ("reply");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   seed = argc > 1 ? (unsigned)strtoul (argv[1], NULL, 10) : 1;
   (void)fprintf (stderr, "seed %u\n", seed);
@@ -173,8 +172,5 @@
                   test_a_reply_passes_every_byte_in_order_and_holds_a_bounded_number);
   tcase_add_test (tests, test_only_the_first_beginning_counts);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "settings/settings.h"
+#include "tests/harness/run_suite.h"
 
 #define SECRET "s3cret-of-the-operators"
 #define GOOD                                                                             \
@@ -83,14 +84,9 @@
 {
   Suite *suite = suite_create ("settings");
   TCase *tests = tcase_create ("settings");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tests, test_every_error_has_file_line_key_and_range);
   tcase_add_test (tests, test_no_error_shows_a_secret);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_timeline.c
+++ b/tests/unit/test_timeline.c
@@ -5,6 +5,7 @@
 
 #include "base/timeline.h"
 #include "base/timeline_merge.h"
+#include "tests/harness/run_suite.h"
 
 #define LOGICAL_BITS 16
 
@@ -100,15 +101,10 @@
 {
   Suite *suite = suite_create ("timeline");
   TCase *tests = tcase_create ("timeline");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tests, test_a_stamp_from_a_wrong_clock_does_not_move_ours);
   tcase_add_test (tests, test_events_are_ordered_by_stamp_then_vm);
   tcase_add_test (tests, test_events_are_filtered_by_request_vm_and_kind);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
--- a/tests/unit/test_timers.c
+++ b/tests/unit/test_timers.c
@@ -4,6 +4,7 @@
 #include <stdlib.h>
 
 #include "request/timers.h"
+#include "tests/harness/run_suite.h"
 
 #define WAIT_MS 2000
 
@@ -98,14 +99,9 @@
 {
   Suite *suite = suite_create ("timers");
   TCase *tests = tcase_create ("timers");
-  SRunner *runner = srunner_create (suite);
-  int failed;
 
   tcase_add_test (tests, test_timers_fire_in_order_and_again);
   tcase_add_test (tests, test_a_timer_given_back_does_not_fire);
   suite_add_tcase (suite, tests);
-  srunner_run_all (runner, CK_NORMAL);
-  failed = srunner_ntests_failed (runner);
-  srunner_free (runner);
-  return failed == 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+  return run_suite (suite);
 }
