--- a/src/booking/partition.c
+++ b/src/booking/partition.c
@@ -1,4 +1,4 @@
-#include "booking/partition.h"
+#include "booking/partition_private.h"
 
 #include <glib.h>
 #include <string.h>
@@ -8,58 +8,12 @@
 #include "booking/decide.h"
 #include "booking/entry.h"
 
-#define STEP                    "booking"
-#define RETRY_MS                250
-#define RETRY_AFTER_S           1
-#define ENTRIES_PER_RECORD      256
-#define WAITING_MAX             20000
-#define MAINTAIN_MIN_MS         100
-#define MAINTAIN_MAX_MS         30000
-#define MAINTAIN_PER_CHECKPOINT 8
-#define JITTER_SHARE            4
-
-enum phase
-{
-  PHASE_IDLE,
-  PHASE_APPENDING,
-  PHASE_SETTLING, /* the record is in the log: read up to it */
-  PHASE_LOOKUP,   /* the append's answer was lost: read to the end to find the record */
-  PHASE_CHECKING, /* read to the end before claiming keys that were held */
-  PHASE_MAINTAINING
-};
-
-struct kcp_partition
-{
-  struct kcp_partition_options options;
-  struct kcp_claims *claims;
-  enum phase phase;
-  struct kcp_pending_queue waiting;
-  size_t waiting_count;
-  struct kcp_pending_queue flight; /* what the record under way holds */
-  json_t *record;
-  bool record_is_part; /* of a checkpoint */
-  uint64_t seq;        /* of the record made last */
-  uint64_t settle_at;
-  bool in_doubt; /* a record may still arrive; a later one voids it */
-  bool checked;  /* the log was read since a held key was claimed */
-  bool restore;  /* the log lost records */
-  bool tick;     /* an empty record is due, so that the log time moves on */
-  int64_t retry_at_ms;
-  int64_t maintain_at_ms;
-  int64_t checkpoint_at_ms; /* time of day of the next checkpoint */
-  uint64_t checkpoint_seen;
-  json_t *parts; /* of a checkpoint, not yet appended */
-  uint64_t parts_as_of;
-  bool hint_due;  /* the checkpoint is whole in the log */
-  bool caught_up; /* the end of the log was reached since records were skipped */
-  bool hinted;    /* reading began at a checkpoint that has not been found yet */
-  struct kcp_error last_error;
-};
-
-static void answer (struct kcp_pending *pending, const struct kcp_claim_answer *result);
-static void refuse (struct kcp_pending *pending, const struct kcp_error *error);
-static void note_lost (const struct kcp_pending *pending);
-static void enqueue (struct kcp_partition *partition, struct kcp_pending *pending);
+#define STEP               "booking"
+#define RETRY_MS           250
+#define RETRY_AFTER_S      1
+#define ENTRIES_PER_RECORD 256
+#define WAITING_MAX        20000
+
 static bool answer_early (struct kcp_partition *partition, struct kcp_pending *pending,
                           int64_t now_ms);
 static bool
@@ -72,9 +26,7 @@
 static struct kcp_partition_action
 append_waiting (struct kcp_partition *partition, int64_t now_ms);
 static struct kcp_partition_action
-append_part (struct kcp_partition *partition, int64_t now_ms);
-static struct kcp_partition_action
-read_next (struct kcp_partition *partition, enum phase phase);
+read_next (struct kcp_partition *partition, enum kcp_partition_phase phase);
 static json_t *
 entry_of (const struct kcp_partition *partition, struct kcp_pending *pending);
 static bool pass_trimmed (struct kcp_partition *partition, uint64_t first);
@@ -95,9 +47,6 @@
 static void answer_checked (struct kcp_partition *partition, int64_t now_ms);
 static void refuse_overdue (struct kcp_partition *partition, int64_t now_ms);
 static void refuse_waiting (struct kcp_partition *partition, int64_t before_ms);
-static void maintain (struct kcp_partition *partition, int64_t now_ms);
-static void note_checkpoint (struct kcp_partition *partition, int64_t now_ms);
-static void queue_restore (struct kcp_partition *partition);
 static void drop_record (struct kcp_partition *partition);
 
 /* Makes a partition that has read nothing. */
@@ -112,7 +61,7 @@
   partition->parts = json_array ();
   CK_STAILQ_INIT (&partition->waiting);
   CK_STAILQ_INIT (&partition->flight);
-  note_checkpoint (partition, now_ms);
+  kcp_partition_note_checkpoint (partition, now_ms);
   return partition;
 }
 
@@ -156,8 +105,8 @@
     {
       CK_STAILQ_REMOVE_HEAD (&partition->waiting, link);
       kcp_pending_recorded (pending);
-      note_lost (pending);
-      refuse (pending, &error);
+      kcp_pending_note_lost (pending);
+      kcp_pending_refuse (pending, &error);
     }
   json_decref (partition->record);
   json_decref (partition->parts);
@@ -174,7 +123,7 @@
   pending->since_ms = now_ms;
   if (pending->kind == KCP_PENDING_CLAIM && answer_early (partition, pending, now_ms))
     return;
-  enqueue (partition, pending);
+  kcp_partition_enqueue (partition, pending);
 }
 
 /* Returns what is to be done now. Its result must be reported before the next call. */
@@ -193,7 +142,7 @@
   if (partition->in_doubt || partition->tick || !CK_STAILQ_EMPTY (&partition->waiting))
     return append_waiting (partition, now_ms);
   if (json_array_size (partition->parts) > 0)
-    return append_part (partition, now_ms);
+    return kcp_partition_append_part (partition, now_ms);
   if (now_ms >= partition->maintain_at_ms)
     return read_next (partition, PHASE_MAINTAINING);
   return nothing;
@@ -258,7 +207,7 @@
       return;
     }
   apply (partition, batch);
-  note_checkpoint (partition, now_ms);
+  kcp_partition_note_checkpoint (partition, now_ms);
   at_end = kcp_claims_next_offset (partition->claims) >= batch->next;
   if (at_end && partition->hinted && !kcp_claims_is_complete (partition->claims))
     {
@@ -314,37 +263,9 @@
   return partition->claims;
 }
 
-static void
-answer (struct kcp_pending *pending, const struct kcp_claim_answer *result)
-{
-  if (pending->done != NULL)
-    pending->done (pending->user, result);
-  kcp_pending_free (pending);
-}
-
-/* Refuses a claim and frees it; other entries are only freed. */
-static void
-refuse (struct kcp_pending *pending, const struct kcp_error *error)
-{
-  struct kcp_claim_answer result = { .result = KCP_CLAIM_REFUSED, .error = *error };
-
-  result.error.execution = KCP_NOT_RUN;
-  result.error.retry_after_s = RETRY_AFTER_S;
-  answer (pending, &result);
-}
-
-static void
-note_lost (const struct kcp_pending *pending)
-{
-  if (pending->kind != KCP_PENDING_OUTCOME)
-    return;
-  kcp_counter_add (KCP_COUNT_BOOKING_OUTCOMES_LOST, 1);
-  kcp_logger_write (G_LOG_LEVEL_WARNING, "booking_outcome_lost", "key", pending->key,
-                    NULL);
-}
-
-static void
-enqueue (struct kcp_partition *partition, struct kcp_pending *pending)
+/* Adds an entry behind those that wait. */
+void
+kcp_partition_enqueue (struct kcp_partition *partition, struct kcp_pending *pending)
 {
   CK_STAILQ_INSERT_TAIL (&partition->waiting, pending, link);
   partition->waiting_count++;
@@ -360,7 +281,7 @@
   facts.covered = facts.covered || !partition->caught_up;
   if (kcp_decide_early (&facts, &result))
     {
-      answer (pending, &result);
+      kcp_pending_answer (pending, &result);
       return true;
     }
   if (partition->waiting_count >= WAITING_MAX)
@@ -368,7 +289,7 @@
                    "too many entries wait for the booking log");
   else if (now_ms >= partition->retry_at_ms && !partition->in_doubt)
     return false;
-  refuse (pending, &partition->last_error);
+  kcp_pending_refuse (pending, &partition->last_error);
   return true;
 }
 
@@ -381,7 +302,7 @@
 
   if (!kcp_decide (&facts, &result))
     return false;
-  answer (pending, &result);
+  kcp_pending_answer (pending, &result);
   return true;
 }
 
@@ -437,7 +358,7 @@
       if (pending->kind == KCP_PENDING_OUTCOME
           && now_ms - pending->since_ms > partition->options.outcome_retry_ms)
         {
-          note_lost (pending);
+          kcp_pending_note_lost (pending);
           kcp_pending_recorded (pending);
           kcp_pending_free (pending);
           partition->waiting_count--;
@@ -472,19 +393,7 @@
 }
 
 static struct kcp_partition_action
-append_part (struct kcp_partition *partition, int64_t now_ms)
-{
-  partition->record_is_part = true;
-  partition->record = kcp_entry_record (partition->options.writer, ++partition->seq,
-                                        now_ms, json_array ());
-  json_object_update (partition->record, json_array_get (partition->parts, 0));
-  partition->phase = PHASE_APPENDING;
-  return (struct kcp_partition_action){ .step = KCP_PARTITION_APPEND,
-                                        .record = partition->record };
-}
-
-static struct kcp_partition_action
-read_next (struct kcp_partition *partition, enum phase phase)
+read_next (struct kcp_partition *partition, enum kcp_partition_phase phase)
 {
   partition->phase = phase;
   return (struct kcp_partition_action){
@@ -552,7 +461,7 @@
           CK_STAILQ_INSERT_TAIL (&claims, pending, link);
           continue;
         }
-      enqueue (partition, pending);
+      kcp_partition_enqueue (partition, pending);
       kcp_pending_recorded (pending);
     }
   CK_STAILQ_CONCAT (&partition->flight, &claims);
@@ -566,7 +475,7 @@
   while ((pending = CK_STAILQ_FIRST (&partition->flight)) != NULL)
     {
       CK_STAILQ_REMOVE_HEAD (&partition->flight, link);
-      refuse (pending, error);
+      kcp_pending_refuse (pending, error);
     }
 }
 
@@ -580,7 +489,7 @@
 
   CK_STAILQ_FOREACH (pending, &partition->flight, link)
   if (pending->kind == KCP_PENDING_CLAIM)
-    enqueue (partition, kcp_pending_release (pending->key, pending->claim));
+    kcp_partition_enqueue (partition, kcp_pending_release (pending->key, pending->claim));
   partition->phase = PHASE_IDLE;
   refuse_flight (partition, error);
 }
@@ -616,8 +525,8 @@
     kcp_error_set (&result.error, KCP_ERR_PLATFORM, STEP, NULL,
                    "the claim did not take effect");
   if (may_hold && result.result == KCP_CLAIM_REFUSED)
-    enqueue (partition, kcp_pending_release (pending->key, pending->claim));
-  answer (pending, &result);
+    kcp_partition_enqueue (partition, kcp_pending_release (pending->key, pending->claim));
+  kcp_pending_answer (pending, &result);
 }
 
 /* Applies the records in order. Loading a checkpoint moves the state back to its offset,
@@ -656,7 +565,7 @@
 go_on (struct kcp_partition *partition, bool at_end, int64_t now_ms)
 {
   if (at_end && partition->restore)
-    queue_restore (partition);
+    kcp_partition_queue_restore (partition);
   switch (partition->phase)
     {
     case PHASE_SETTLING:
@@ -671,7 +580,7 @@
       break;
     case PHASE_MAINTAINING:
       if (at_end)
-        maintain (partition, now_ms);
+        kcp_partition_maintain (partition, now_ms);
       break;
     case PHASE_IDLE:
     case PHASE_APPENDING:
@@ -757,7 +666,7 @@
       if (pending->kind == KCP_PENDING_CLAIM && pending->since_ms < before_ms)
         {
           partition->waiting_count--;
-          refuse (pending, &partition->last_error);
+          kcp_pending_refuse (pending, &partition->last_error);
         }
       else
         CK_STAILQ_INSERT_TAIL (&left, pending, link);
@@ -765,63 +674,6 @@
   CK_STAILQ_CONCAT (&partition->waiting, &left);
 }
 
-/* Starts a checkpoint when one is due. An incomplete state appends an empty record from
-   time to time instead, so that the log time moves on and the window passes. */
-static void
-maintain (struct kcp_partition *partition, int64_t now_ms)
-{
-  struct kcp_claims *claims = partition->claims;
-  char id[KCP_ID_LEN + 1];
-
-  partition->phase = PHASE_IDLE;
-  partition->maintain_at_ms
-      = now_ms
-        + CLAMP (partition->options.checkpoint_ms / MAINTAIN_PER_CHECKPOINT,
-                 MAINTAIN_MIN_MS, MAINTAIN_MAX_MS);
-  if (!kcp_claims_is_complete (claims))
-    {
-      partition->tick = now_ms > kcp_claims_now_ms (claims) + MAINTAIN_MAX_MS;
-      return;
-    }
-  if (now_ms < partition->checkpoint_at_ms || kcp_claims_next_offset (claims) == 0)
-    return;
-  kcp_id_random (id);
-  json_decref (partition->parts);
-  partition->parts = kcp_claims_snapshot (claims, id);
-  partition->parts_as_of = kcp_claims_next_offset (claims);
-  kcp_counter_add (KCP_COUNT_BOOKING_CHECKPOINTS, 1);
-  partition->checkpoint_at_ms = now_ms + partition->options.checkpoint_ms;
-}
-
-/* Puts the next checkpoint off when a new one was read, a little further at some VMs so
-   that they don't all write one. */
-static void
-note_checkpoint (struct kcp_partition *partition, int64_t now_ms)
-{
-  uint64_t seen = kcp_claims_checkpoint_offset (partition->claims);
-  int64_t period_ms = partition->options.checkpoint_ms;
-  int64_t jitter_ms
-      = g_str_hash (partition->options.writer) % MAX (period_ms / JITTER_SHARE, 1);
-
-  if (seen == partition->checkpoint_seen && partition->checkpoint_at_ms > 0)
-    return;
-  partition->checkpoint_seen = seen;
-  partition->checkpoint_at_ms = now_ms + period_ms + jitter_ms;
-}
-
-static void
-queue_restore (struct kcp_partition *partition)
-{
-  json_t *entries = kcp_claims_restore_entries (partition->claims);
-  json_t *entry;
-  size_t i;
-
-  partition->restore = false;
-  json_array_foreach (entries, i, entry)
-      enqueue (partition, kcp_pending_restated (json_incref (entry)));
-  json_decref (entries);
-}
-
 static void
 drop_record (struct kcp_partition *partition)
 {
--- /dev/null
+++ b/src/booking/partition_private.h
@@ -0,0 +1,52 @@
+/* Members of a partition, shared by the modules of this folder that carry it out. */
+#ifndef KCP_BOOKING_PARTITION_PRIVATE_H
+#define KCP_BOOKING_PARTITION_PRIVATE_H
+
+#include "booking/partition.h"
+
+enum kcp_partition_phase
+{
+  PHASE_IDLE,
+  PHASE_APPENDING,
+  PHASE_SETTLING, /* the record is in the log: read up to it */
+  PHASE_LOOKUP,   /* the append's answer was lost: read to the end to find the record */
+  PHASE_CHECKING, /* read to the end before claiming keys that were held */
+  PHASE_MAINTAINING
+};
+
+struct kcp_partition
+{
+  struct kcp_partition_options options;
+  struct kcp_claims *claims;
+  enum kcp_partition_phase phase;
+  struct kcp_pending_queue waiting;
+  size_t waiting_count;
+  struct kcp_pending_queue flight; /* what the record under way holds */
+  json_t *record;
+  bool record_is_part; /* of a checkpoint */
+  uint64_t seq;        /* of the record made last */
+  uint64_t settle_at;
+  bool in_doubt; /* a record may still arrive; a later one voids it */
+  bool checked;  /* the log was read since a held key was claimed */
+  bool restore;  /* the log lost records */
+  bool tick;     /* an empty record is due, so that the log time moves on */
+  int64_t retry_at_ms;
+  int64_t maintain_at_ms;
+  int64_t checkpoint_at_ms; /* time of day of the next checkpoint */
+  uint64_t checkpoint_seen;
+  json_t *parts; /* of a checkpoint, not yet appended */
+  uint64_t parts_as_of;
+  bool hint_due;  /* the checkpoint is whole in the log */
+  bool caught_up; /* the end of the log was reached since records were skipped */
+  bool hinted;    /* reading began at a checkpoint that has not been found yet */
+  struct kcp_error last_error;
+};
+
+void kcp_partition_enqueue (struct kcp_partition *partition, struct kcp_pending *pending);
+void kcp_partition_maintain (struct kcp_partition *partition, int64_t now_ms);
+void kcp_partition_note_checkpoint (struct kcp_partition *partition, int64_t now_ms);
+void kcp_partition_queue_restore (struct kcp_partition *partition);
+struct kcp_partition_action
+kcp_partition_append_part (struct kcp_partition *partition, int64_t now_ms);
+
+#endif
--- a/src/booking/pending.c
+++ b/src/booking/pending.c
@@ -1,5 +1,10 @@
 #include "booking/pending.h"
 
+#include "base/counter.h"
+#include "base/logger.h"
+
+#define RETRY_AFTER_S 1
+
 #include <glib.h>
 
 #include "booking/entry.h"
@@ -87,3 +92,34 @@
   g_strlcpy (pending->claim, claim, sizeof pending->claim);
   return pending;
 }
+
+/* Answers a claim and frees it. */
+void
+kcp_pending_answer (struct kcp_pending *pending, const struct kcp_claim_answer *result)
+{
+  if (pending->done != NULL)
+    pending->done (pending->user, result);
+  kcp_pending_free (pending);
+}
+
+/* Refuses a claim and frees it; other entries are only freed. */
+void
+kcp_pending_refuse (struct kcp_pending *pending, const struct kcp_error *error)
+{
+  struct kcp_claim_answer result = { .result = KCP_CLAIM_REFUSED, .error = *error };
+
+  result.error.execution = KCP_NOT_RUN;
+  result.error.retry_after_s = RETRY_AFTER_S;
+  kcp_pending_answer (pending, &result);
+}
+
+/* Counts and logs an outcome that is given up; other entries are passed over. */
+void
+kcp_pending_note_lost (const struct kcp_pending *pending)
+{
+  if (pending->kind != KCP_PENDING_OUTCOME)
+    return;
+  kcp_counter_add (KCP_COUNT_BOOKING_OUTCOMES_LOST, 1);
+  kcp_logger_write (G_LOG_LEVEL_WARNING, "booking_outcome_lost", "key", pending->key,
+                    NULL);
+}
--- a/src/booking/pending.h
+++ b/src/booking/pending.h
@@ -68,4 +68,9 @@
 void kcp_pending_recorded (struct kcp_pending *pending);
 void kcp_pending_free (struct kcp_pending *pending);
 
+void
+kcp_pending_answer (struct kcp_pending *pending, const struct kcp_claim_answer *result);
+void kcp_pending_refuse (struct kcp_pending *pending, const struct kcp_error *error);
+void kcp_pending_note_lost (const struct kcp_pending *pending);
+
 #endif
