Give what an engine reports of its orders a module of its own

Cause: orders.c had 443 lines and asked engines besides following grants. Moved without change into order_report.c; orders.c has 393 lines.

--- /dev/null
+++ b/src/backend/order_report.c
@@ -0,0 +1,49 @@
+#include "backend/order_report.h"
+
+#include <string.h>
+
+#include "platform/http_call.h"
+
+#define HTTP_STATUS_OK 200
+
+static void copy_text (char *out, size_t size, json_t *object, const char *key);
+
+/* Asks the engine at a URL. One that does not answer is not reachable. Blocks. */
+struct kcp_order_report
+kcp_order_report_read (const char *url, int64_t timeout_ms)
+{
+  g_autofree char *load = g_strconcat (url, "/load", NULL);
+  struct kcp_http_call call = {
+    .url = load,
+    .timeout_ms = (long)timeout_ms,
+  };
+  struct kcp_http_answer answer;
+  struct kcp_order_report report = { 0 };
+
+  if (!kcp_http_call_run (&call, &answer, NULL))
+    return report;
+  report.reachable = answer.status == HTTP_STATUS_OK;
+  report.loading = json_is_true (json_object_get (answer.body, "loading"));
+  copy_text (report.weights, sizeof report.weights, answer.body, "weights");
+  copy_text (report.role, sizeof report.role, answer.body, "role");
+  kcp_http_answer_clear (&answer);
+  return report;
+}
+
+/* Tells whether an engine has what is wanted and is done with loading it. */
+bool
+kcp_order_report_meets (const struct kcp_order_report *report,
+                        const struct kcp_order_want *want)
+{
+  return report->reachable && !report->loading
+         && (want->weights == NULL || strcmp (want->weights, report->weights) == 0)
+         && (want->role == NULL || strcmp (want->role, report->role) == 0);
+}
+
+static void
+copy_text (char *out, size_t size, json_t *object, const char *key)
+{
+  const char *text = json_string_value (json_object_get (object, key));
+
+  g_strlcpy (out, text != NULL ? text : "", size);
+}
--- /dev/null
+++ b/src/backend/order_report.h
@@ -0,0 +1,20 @@
+/* What an engine says of its weights and role, asked just now. */
+#ifndef KCP_BACKEND_ORDER_REPORT_H
+#define KCP_BACKEND_ORDER_REPORT_H
+
+#include "backend/backend.h"
+#include "backend/order_state.h"
+
+struct kcp_order_report
+{
+  bool reachable;
+  bool loading;
+  char weights[KCP_WEIGHTS_MAX];
+  char role[KCP_WEIGHTS_MAX];
+};
+
+struct kcp_order_report kcp_order_report_read (const char *url, int64_t timeout_ms);
+bool kcp_order_report_meets (const struct kcp_order_report *report,
+                             const struct kcp_order_want *want);
+
+#endif
--- a/src/backend/orders.c
+++ b/src/backend/orders.c
@@ -5,23 +5,14 @@
 #include <pthread.h>
 #include <string.h>
 
+#include "backend/order_report.h"
 #include "base/logger.h"
 #include "platform/http_call.h"
 
-#define HTTP_STATUS_OK  200
 #define SEND_MARGIN_MS  200 /* of a lease, kept free for the order to arrive */
 #define LAPSE_MARGIN_MS 500 /* an observer waits so much longer than the holder */
 #define JITTER_MS       100 /* spreads the grants of the VMs of a data center */
 
-/* What an engine says of itself just now. */
-struct engine_report
-{
-  bool reachable;
-  bool loading;
-  char weights[KCP_WEIGHTS_MAX];
-  char role[KCP_WEIGHTS_MAX];
-};
-
 /* A grant as this VM follows it. */
 struct followed_grant
 {
@@ -51,22 +42,18 @@
                         struct kcp_order_want *want, struct kcp_order_grant *grant);
 static void clear_facts (struct kcp_order_want *want, struct kcp_order_grant *grant);
 static void follow (struct kcp_orders *orders, const struct kcp_order_grant *grant);
-static bool
-is_satisfied (const struct kcp_order_want *want, const struct engine_report *report);
 static void ask_for_grant (struct kcp_orders *orders, const struct kcp_order_want *want);
 static void
 carry_out (struct kcp_orders *orders, const struct kcp_backend_view *view,
            const struct kcp_order_want *want, const struct kcp_order_grant *grant,
-           const struct engine_report *report);
+           const struct kcp_order_report *report);
 static void observe (struct kcp_orders *orders, const struct kcp_order_grant *grant,
-                     const struct engine_report *report);
+                     const struct kcp_order_report *report);
 static void
 send_order (struct kcp_orders *orders, const struct kcp_backend_view *view,
             const struct kcp_order_want *want, const struct kcp_order_grant *grant);
 static void close_grant (struct kcp_orders *orders, const char *op,
                          const struct kcp_order_grant *grant);
-static struct engine_report read_engine (struct kcp_orders *orders, const char *url);
-static void copy_text (char *out, size_t size, json_t *object, const char *key);
 
 /* Starts the thread that follows the stream of orders. Everything in options outlives it.
  */
@@ -199,7 +186,7 @@
 {
   struct kcp_order_want want;
   struct kcp_order_grant grant;
-  struct engine_report report;
+  struct kcp_order_report report;
 
   if (view->backend->data_center != orders->options.data_center
       || !copy_facts (orders, view->backend->id, &want, &grant))
@@ -210,10 +197,10 @@
              != 0
       || want.role != NULL)
     {
-      report = read_engine (orders, view->backend->url);
+      report = kcp_order_report_read (view->backend->url, orders->options.timeout_ms);
       if (grant.offset == KCP_ORDER_NONE)
         {
-          if (report.reachable && !is_satisfied (&want, &report))
+          if (report.reachable && !kcp_order_report_meets (&report, &want))
             ask_for_grant (orders, &want);
         }
       else
@@ -280,14 +267,6 @@
   g_hash_table_insert (orders->followed, g_strdup (grant->engine), followed);
 }
 
-static bool
-is_satisfied (const struct kcp_order_want *want, const struct engine_report *report)
-{
-  return report->reachable && !report->loading
-         && (want->weights == NULL || strcmp (want->weights, report->weights) == 0)
-         && (want->role == NULL || strcmp (want->role, report->role) == 0);
-}
-
 /* Appends a grant if one could hold. The lease is counted from before the append, so that
    it ends for the holder before it ends for any observer. */
 static void
@@ -328,12 +307,12 @@
 static void
 carry_out (struct kcp_orders *orders, const struct kcp_backend_view *view,
            const struct kcp_order_want *want, const struct kcp_order_grant *grant,
-           const struct engine_report *report)
+           const struct kcp_order_report *report)
 {
   const struct followed_grant *followed
       = g_hash_table_lookup (orders->followed, grant->engine);
 
-  if (is_satisfied (want, report))
+  if (kcp_order_report_meets (report, want))
     close_grant (orders, "done", grant);
   else if (followed != NULL && followed->own && followed->offset == grant->offset)
     {
@@ -351,7 +330,7 @@
 /* Closes a grant whose holder can no longer act on it, once its engine is not loading. */
 static void
 observe (struct kcp_orders *orders, const struct kcp_order_grant *grant,
-         const struct engine_report *report)
+         const struct kcp_order_report *report)
 {
   struct followed_grant *followed = g_hash_table_lookup (orders->followed, grant->engine);
   int64_t waited_ns;
@@ -412,32 +391,3 @@
     g_hash_table_remove (orders->followed, grant->engine);
   json_decref (record);
 }
-
-static struct engine_report
-read_engine (struct kcp_orders *orders, const char *url)
-{
-  g_autofree char *load = g_strconcat (url, "/load", NULL);
-  struct kcp_http_call call = {
-    .url = load,
-    .timeout_ms = (long)orders->options.timeout_ms,
-  };
-  struct kcp_http_answer answer;
-  struct engine_report report = { 0 };
-
-  if (!kcp_http_call_run (&call, &answer, NULL))
-    return report;
-  report.reachable = answer.status == HTTP_STATUS_OK;
-  report.loading = json_is_true (json_object_get (answer.body, "loading"));
-  copy_text (report.weights, sizeof report.weights, answer.body, "weights");
-  copy_text (report.role, sizeof report.role, answer.body, "role");
-  kcp_http_answer_clear (&answer);
-  return report;
-}
-
-static void
-copy_text (char *out, size_t size, json_t *object, const char *key)
-{
-  const char *text = json_string_value (json_object_get (object, key));
-
-  g_strlcpy (out, text != NULL ? text : "", size);
-}
