Keep what callers wrote out of the logs when their JSON is not valid

Cause: the parser's message quotes the body next to the error, and the refusal's detail is logged, so that a piece of a prompt could reach the log. Found by a new check in tests/process/test_path.c, which sends marked prompts, whole and malformed, and a marked key, and looks for them and for the team's key and the operators' token in log, time line and metrics.

Change: the detail says line, column and one of six texts of our own.

--- a/src/request/prompt.c
+++ b/src/request/prompt.c
@@ -2,6 +2,7 @@
 
 #define STEP "parse"
 
+static const char *syntax_error (const json_error_t *where);
 static bool depth_is_within (const GString *text, int64_t max_depth);
 static bool read_messages (struct kcp_prompt *prompt, struct kcp_error *error);
 static bool read_content (json_t *content, GString *out);
@@ -29,7 +30,7 @@
   if (prompt->body == NULL)
     {
       kcp_error_set (error, KCP_ERR_BAD_REQUEST, STEP, NULL, "body:%d:%d: %s", where.line,
-                     where.column, where.text);
+                     where.column, syntax_error (&where));
       return false;
     }
   prompt->text = g_string_new (NULL);
@@ -51,6 +52,28 @@
   *prompt = (struct kcp_prompt){ 0 };
 }
 
+/* Returns what is wrong with a body in words of our own: the parser's text quotes the
+   body, which may not reach the logs. */
+static const char *
+syntax_error (const json_error_t *where)
+{
+  switch (json_error_code (where))
+    {
+    case json_error_duplicate_key:
+      return "a key is given twice";
+    case json_error_premature_end_of_input:
+      return "the end is missing";
+    case json_error_end_of_input_expected:
+      return "more follows the end";
+    case json_error_invalid_utf8:
+      return "not UTF-8";
+    case json_error_numeric_overflow:
+      return "a number is too large";
+    default:
+      return "not valid JSON";
+    }
+}
+
 /* Counts brackets outside texts, so that the parser never recurses deeper. */
 static bool
 depth_is_within (const GString *text, int64_t max_depth)
--- a/tests/process/test_path.c
+++ b/tests/process/test_path.c
@@ -6,6 +6,8 @@
 #include "tests/harness/cluster.h"
 #include "tests/harness/run_suite.h"
 
+#define MARKER "MARKED-7f3a"
+
 static struct cluster *cluster;
 
 static void
@@ -126,6 +128,60 @@
 }
 END_TEST
 
+/* Sends marked prompts, whole and malformed, and a wrong key. */
+static void
+send_marked (void)
+{
+  static const char *const bodies[] = {
+    "{\"model\":\"" CLUSTER_MODEL "\",\"prompt\":\"" MARKER "\",\"max_tokens\":2}",
+    "{\"model\":\"" CLUSTER_MODEL "\",\"prompt\":" MARKER "}",
+    "{\"model\":\"" CLUSTER_MODEL "\",\"" MARKER "\":1,\"" MARKER "\":2}",
+    "{\"model\":\"" MARKER "\",\"prompt\":7}",
+  };
+
+  for (size_t i = 0; i <= G_N_ELEMENTS (bodies); i++)
+    {
+      bool wrong_key = i == G_N_ELEMENTS (bodies);
+      struct client_answer answer = client_run (&(struct client_call){
+          .port = cluster_vm (cluster, 0)->port,
+          .path = "/v1/completions",
+          .key = wrong_key ? MARKER : CLUSTER_TEAM_KEY,
+          .profile = "urgent",
+          .body = bodies[wrong_key ? 0 : i],
+      });
+
+      ck_assert_int_eq (answer.curl, 0);
+      client_answer_clear (&answer);
+    }
+}
+
+START_TEST (test_prompts_and_secrets_reach_no_log_time_line_or_metric)
+{
+  static const char *const secrets[] = { MARKER, CLUSTER_TEAM_KEY, CLUSTER_TOKEN };
+  struct process *vm = cluster_vm (cluster, 0);
+  struct client_answer metrics;
+  g_autofree char *log = NULL;
+  char *events;
+  json_t *timeline;
+
+  send_marked ();
+  ck_assert (g_file_get_contents (vm->log_path, &log, NULL, NULL));
+  timeline = cluster_admin_get (vm->admin_port, "/admin/v1/timeline");
+  events = json_dumps (timeline, 0);
+  metrics = client_run (&(struct client_call){ .port = vm->port, .path = "/metrics" });
+  for (size_t i = 0; i < G_N_ELEMENTS (secrets); i++)
+    {
+      ck_assert_msg (strstr (log, secrets[i]) == NULL, "log: %s",
+                     strstr (log, secrets[i]));
+      ck_assert_ptr_null (strstr (events, secrets[i]));
+      ck_assert_ptr_null (strstr (metrics.body->str, secrets[i]));
+    }
+  client_answer_clear (&metrics);
+  free (events);
+  json_decref (timeline);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -137,6 +193,7 @@
   tcase_add_test (tests, test_bad_calls_get_a_clear_error_that_says_not_run);
   tcase_add_test (tests, test_bodies_that_are_too_large_or_too_deep_are_refused);
   tcase_add_test (tests, test_a_stream_comes_whole_and_in_order);
+  tcase_add_test (tests, test_prompts_and_secrets_reach_no_log_time_line_or_metric);
   suite_add_tcase (suite, tests);
   return run_suite (suite);
 }
