Stop the exchange between VMs after the last request, and start in steps

Cause: at shutdown the peers were freed before the queue and the calls to backend servers had ended; a request that ends late asks the peers for the living VMs or tells them of a crash.

--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -34,6 +34,9 @@
 
 static struct kcp_settings *load_settings (int argc, char **argv);
 static bool start (struct server *server);
+static void start_tables (struct server *server);
+static void start_platform (struct server *server);
+static void start_backends (struct server *server);
 static void announce (const struct server *server);
 static void wait_for_signal (void);
 static void drain (struct server *server);
@@ -95,10 +98,33 @@
 
 static bool
 start (struct server *server)
+{
+  struct kcp_error error;
+
+  start_tables (server);
+  start_platform (server);
+  server->peer = kcp_peer_start (server->settings, server->router.clock,
+                                 server->router.timeline, server->router.config, &error);
+  if (server->peer == NULL)
+    goto fail;
+  start_backends (server);
+  server->admin = kcp_admin_start (&server->router, server->log, &error);
+  if (server->admin == NULL)
+    goto fail;
+  server->entry = kcp_entry_start (&server->router, &error);
+  if (server->entry != NULL)
+    return true;
+fail:
+  kcp_logger_error ("start_failed", NULL, &error);
+  return false;
+}
+
+/* Makes what requests share, without any thread towards the outside. */
+static void
+start_tables (struct server *server)
 {
   const struct kcp_settings *settings = server->settings;
   struct kcp_router *router = &server->router;
-  struct kcp_error error;
 
   router->settings = settings;
   router->clock = &kcp_clock_system;
@@ -112,10 +138,21 @@
   router->retry_gate = kcp_retry_gate_new (settings->retry_budget_percent);
   router->costs = kcp_placement_standard_costs;
   router->data_center = g_quark_from_string (settings->vm_data_center);
+  router->suspects
+      = kcp_suspects_new (router->clock, settings->quarantine_s * KCP_NS_PER_S);
   router->facts = kcp_engine_facts_new (settings->backends_believed_blocks,
                                         settings->backends_concurrency);
   router->admit = kcp_admit_start (router);
   kcp_registry_observe (router->registry, kcp_admit_wake, router->admit);
+}
+
+/* Starts what follows the platform's log. */
+static void
+start_platform (struct server *server)
+{
+  const struct kcp_settings *settings = server->settings;
+  struct kcp_router *router = &server->router;
+
   server->log
       = kcp_platform_log_new (settings->platform_log_url, settings->platform_timeout_ms);
   router->booking = kcp_booking_start (
@@ -128,15 +165,15 @@
           .checkpoint_records = (uint64_t)settings->platform_checkpoint_records,
           .checkpoint_age_s = settings->platform_checkpoint_age_s,
       });
-  server->peer = kcp_peer_start (settings, router->clock, router->timeline,
-                                 router->config, &error);
-  if (server->peer == NULL)
-    {
-      kcp_logger_error ("start_failed", NULL, &error);
-      return false;
-    }
-  router->suspects
-      = kcp_suspects_new (router->clock, settings->quarantine_s * KCP_NS_PER_S);
+}
+
+/* Starts what follows the platform's list and the backend servers in it. */
+static void
+start_backends (struct server *server)
+{
+  const struct kcp_settings *settings = server->settings;
+  struct kcp_router *router = &server->router;
+
   kcp_share_suspects (router->suspects, server->peer);
   router->vm_source = (struct kcp_vm_source){ kcp_peer_config_view, server->peer };
   server->list_poller = kcp_list_poller_start (
@@ -160,12 +197,6 @@
       .poll_ms = settings->platform_poll_ms,
       .timeout_ms = settings->platform_timeout_ms,
   });
-  server->admin = kcp_admin_start (router, server->log, &error);
-  if (server->admin != NULL)
-    server->entry = kcp_entry_start (router, &error);
-  if (server->entry == NULL)
-    kcp_logger_error ("start_failed", NULL, &error);
-  return server->entry != NULL;
 }
 
 static void
@@ -239,10 +270,11 @@
   kcp_event_reader_stop (server->event_reader);
   kcp_load_poller_stop (server->load_poller);
   kcp_list_poller_stop (server->list_poller);
-  kcp_peer_stop (server->peer);
   kcp_config_tail_stop (server->tail);
   kcp_admit_stop (router->admit);
   kcp_fetch_pool_free (router->fetch_pool);
+  /* Requests that end until here may tell the other VMs. */
+  kcp_peer_stop (server->peer);
   kcp_booking_stop (router->booking);
   kcp_timers_free (router->timers);
   kcp_retry_gate_free (router->retry_gate);
