--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 CHECKLIBS = $(shell pkg-config --libs check)
 LDFLAGS += $(SANFLAGS)
 
-SRC = $(sort $(wildcard src/*/*.c src/*/gen/*.c))
+SRC = $(sort $(wildcard src/*/*.c src/*/gen/*.c platform/*.c))
 LIBSRC = $(filter-out src/cmd/main.c,$(SRC))
 STANDIN = $(sort $(wildcard standin/*.c))
 HARNESS = $(sort $(wildcard tests/harness/*.c tests/history/*.c tests/fuzz/*.c))
@@ -23,7 +23,7 @@
 BENCH = $(sort $(wildcard bench/*.c))
 DEMO = $(sort $(wildcard demo/*.c))
 OURS = $(filter-out src/peer/gen/%,$(SRC) $(STANDIN) $(HARNESS) $(UNIT) $(PROCESS) $(BENCH) $(DEMO))
-HEADERS = $(wildcard src/*/*.h standin/*.h tests/*/*.h bench/*.h demo/*.h)
+HEADERS = $(wildcard src/*/*.h platform/*.h standin/*.h tests/*/*.h bench/*.h demo/*.h)
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 UNIT_BIN = $(patsubst tests/unit/%.c,$(BUILD)/unit/%,$(UNIT))
--- a/src/backend/backend.h
+++ b/src/backend/backend.h
@@ -6,7 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "platform/vm_list.h"
+#include "logstore/vm_list.h"
 
 #define KCP_INCARNATION_MAX 40
 #define KCP_WEIGHTS_MAX     40
--- a/src/backend/order_report.c
+++ b/src/backend/order_report.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "platform/http_call.h"
+#include "logstore/http_call.h"
 
 #define HTTP_STATUS_OK 200
 
--- a/src/backend/orders.c
+++ b/src/backend/orders.c
@@ -7,7 +7,7 @@
 
 #include "backend/order_report.h"
 #include "base/logger.h"
-#include "platform/http_call.h"
+#include "logstore/http_call.h"
 
 #define SEND_MARGIN_MS  200 /* of a lease, kept free for the order to arrive */
 #define LAPSE_MARGIN_MS 500 /* an observer waits so much longer than the holder */
--- a/src/backend/orders.h
+++ b/src/backend/orders.h
@@ -5,7 +5,7 @@
 #include "backend/order_state.h"
 #include "backend/registry.h"
 #include "base/timeline.h"
-#include "platform/platform_log.h"
+#include "logstore/platform_log.h"
 
 #define KCP_ORDER_STREAM "orders"
 
--- a/src/backend/poller.c
+++ b/src/backend/poller.c
@@ -9,9 +9,17 @@
 #define EVENTS_MAX 256
 #define NO_TIMER   (-1)
 
+/* A descriptor that is not libcurl's. */
+struct watch
+{
+  kcp_poller_handler *handler;
+  void *user;
+};
+
 struct kcp_poller
 {
   const struct kcp_clock *clock;
+  GHashTable *watches; /* descriptor -> struct watch */
   CURLM *multi;
   int epoll;
   int wakeup;     /* eventfd */
@@ -36,6 +44,7 @@
 
   poller->clock = clock;
   poller->due_ns = NO_TIMER;
+  poller->watches = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   poller->multi = curl_multi_init ();
   poller->epoll = epoll_create1 (EPOLL_CLOEXEC);
   poller->wakeup = eventfd (0, EFD_CLOEXEC | EFD_NONBLOCK);
@@ -55,6 +64,7 @@
 kcp_poller_free (struct kcp_poller *poller)
 {
   curl_multi_cleanup (poller->multi);
+  g_hash_table_unref (poller->watches);
   (void)close (poller->wakeup);
   (void)close (poller->epoll);
   g_free (poller);
@@ -67,6 +77,32 @@
   return poller->multi;
 }
 
+/* Calls handler at each turn in which one of the epoll events has come at fd, until
+   kcp_poller_unwatch(). Errors and hang-ups are reported whatever events say. Ends the
+   process if the kernel refuses the descriptor. */
+void
+kcp_poller_watch (struct kcp_poller *poller, int fd, uint32_t events,
+                  kcp_poller_handler *handler, void *user)
+{
+  struct epoll_event event = { .events = events, .data.fd = fd };
+  struct watch *watch = g_new0 (struct watch, 1);
+
+  watch->handler = handler;
+  watch->user = user;
+  g_hash_table_replace (poller->watches, GINT_TO_POINTER (fd), watch);
+  if (epoll_ctl (poller->epoll, EPOLL_CTL_ADD, fd, &event) != 0
+      && epoll_ctl (poller->epoll, EPOLL_CTL_MOD, fd, &event) != 0)
+    abort ();
+}
+
+/* Ends a watch; to be called before fd is closed. Allowed from within a handler. */
+void
+kcp_poller_unwatch (struct kcp_poller *poller, int fd)
+{
+  if (g_hash_table_remove (poller->watches, GINT_TO_POINTER (fd)))
+    (void)epoll_ctl (poller->epoll, EPOLL_CTL_DEL, fd, NULL);
+}
+
 /* Makes the current or next turn return. Safe from any thread. */
 void
 kcp_poller_wake (struct kcp_poller *poller)
@@ -139,13 +175,17 @@
 static void
 handle_event (struct kcp_poller *poller, const struct epoll_event *event)
 {
+  const struct watch *watch
+      = g_hash_table_lookup (poller->watches, GINT_TO_POINTER (event->data.fd));
   uint64_t count;
   int running;
   int flags = ((event->events & (EPOLLIN | EPOLLHUP)) != 0 ? CURL_CSELECT_IN : 0)
               | ((event->events & EPOLLOUT) != 0 ? CURL_CSELECT_OUT : 0)
               | ((event->events & EPOLLERR) != 0 ? CURL_CSELECT_ERR : 0);
 
-  if (event->data.fd != poller->wakeup)
+  if (watch != NULL)
+    watch->handler (watch->user, event->events);
+  else if (event->data.fd != poller->wakeup)
     curl_multi_socket_action (poller->multi, event->data.fd, flags, &running);
   else if (read (poller->wakeup, &count, sizeof count) < 0)
     return; /* another turn took the count */
--- a/src/backend/poller.h
+++ b/src/backend/poller.h
@@ -1,5 +1,5 @@
-/* Drives a libcurl multi handle by epoll, so that a turn costs as much as there is to do
-   and not as many connections as are open. */
+/* Drives a libcurl multi handle and further descriptors by epoll, so that a turn costs as
+   much as there is to do and not as many connections as are open. */
 #ifndef KCP_BACKEND_POLLER_H
 #define KCP_BACKEND_POLLER_H
 
@@ -9,9 +9,15 @@
 
 struct kcp_poller;
 
+/* Called with the epoll events of a watched descriptor. */
+typedef void kcp_poller_handler (void *user, uint32_t events);
+
 struct kcp_poller *kcp_poller_new (const struct kcp_clock *clock);
 void kcp_poller_free (struct kcp_poller *poller);
 CURLM *kcp_poller_multi (struct kcp_poller *poller);
+void kcp_poller_watch (struct kcp_poller *poller, int fd, uint32_t events,
+                       kcp_poller_handler *handler, void *user);
+void kcp_poller_unwatch (struct kcp_poller *poller, int fd);
 void kcp_poller_wake (struct kcp_poller *poller);
 void kcp_poller_turn (struct kcp_poller *poller, int64_t limit_ms);
 
--- a/src/base/clock.c
+++ b/src/base/clock.c
@@ -28,6 +28,14 @@
   return kcp_timespec_ns (kcp_clock_monotonic (clock));
 }
 
+/* Returns the time since boot in nanoseconds, which unlike the monotonic time goes on
+   while the VM is suspended. */
+int64_t
+kcp_clock_boottime_ns (const struct kcp_clock *clock)
+{
+  return kcp_timespec_ns (read_clock (clock, CLOCK_BOOTTIME, clock->monotonic));
+}
+
 /* Returns the time of day in milliseconds since the epoch. */
 int64_t
 kcp_clock_realtime_ms (const struct kcp_clock *clock)
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -20,7 +20,7 @@
 struct kcp_clock
 {
   enum kcp_clock_kind kind;
-  struct timespec monotonic;
+  struct timespec monotonic; /* also shown as the time since boot */
   struct timespec realtime;
 };
 
@@ -29,6 +29,7 @@
 struct timespec kcp_clock_monotonic (const struct kcp_clock *clock);
 struct timespec kcp_clock_realtime (const struct kcp_clock *clock);
 int64_t kcp_clock_monotonic_ns (const struct kcp_clock *clock);
+int64_t kcp_clock_boottime_ns (const struct kcp_clock *clock);
 int64_t kcp_clock_realtime_ms (const struct kcp_clock *clock);
 void kcp_clock_advance (struct kcp_clock *clock, int64_t ns);
 int64_t kcp_timespec_ns (struct timespec t);
--- /dev/null
+++ b/src/base/histogram.h
@@ -0,0 +1,20 @@
+/* Latency histograms of the process, shown at the metrics address. */
+#ifndef KCP_BASE_HISTOGRAM_H
+#define KCP_BASE_HISTOGRAM_H
+
+#include <glib.h>
+#include <stdint.h>
+
+enum kcp_histogram
+{
+  KCP_HISTOGRAM_REQUEST,    /* arrival to final answer */
+  KCP_HISTOGRAM_FIRST_BYTE, /* arrival to the first byte of a server's answer */
+  KCP_HISTOGRAM_STORE,      /* a call to the platform's store */
+  KCP_HISTOGRAM_ORDER,      /* an order to a server */
+  KCP_HISTOGRAMS
+};
+
+void kcp_histogram_add (enum kcp_histogram histogram, int64_t ns);
+void kcp_histogram_print (GString *out);
+
+#endif
--- a/src/booking/booking.h
+++ b/src/booking/booking.h
@@ -7,7 +7,7 @@
 
 #include "base/clock.h"
 #include "booking/pending.h"
-#include "platform/platform_log.h"
+#include "logstore/platform_log.h"
 #include "settings/settings.h"
 
 /* Everything is copied but clock, which must outlive the module. */
--- a/src/booking/hint.h
+++ b/src/booking/hint.h
@@ -3,7 +3,7 @@
 #ifndef KCP_BOOKING_HINT_H
 #define KCP_BOOKING_HINT_H
 
-#include "platform/platform_log.h"
+#include "logstore/platform_log.h"
 
 void kcp_hint_write (struct kcp_platform_log *log, const char *stream, uint64_t as_of);
 uint64_t kcp_hint_read (struct kcp_platform_log *log, const char *stream);
--- a/src/booking/layout.h
+++ b/src/booking/layout.h
@@ -4,7 +4,7 @@
 #define KCP_BOOKING_LAYOUT_H
 
 #include "base/error.h"
-#include "platform/platform_log.h"
+#include "logstore/platform_log.h"
 
 bool kcp_layout_state (struct kcp_platform_log *log, int64_t partitions,
                        struct kcp_error *error);
--- a/src/booking/partition.h
+++ b/src/booking/partition.h
@@ -7,7 +7,7 @@
 #include "base/error.h"
 #include "booking/claims.h"
 #include "booking/pending.h"
-#include "platform/platform_log.h"
+#include "logstore/platform_log.h"
 
 /* Texts are borrowed and must outlive the partition. */
 struct kcp_partition_options
--- a/src/cmd/admin_client.h
+++ b/src/cmd/admin_client.h
@@ -2,7 +2,7 @@
 #ifndef KCP_CMD_ADMIN_CLIENT_H
 #define KCP_CMD_ADMIN_CLIENT_H
 
-#include "platform/http_call.h"
+#include "logstore/http_call.h"
 
 struct kcp_admin_client
 {
--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -10,6 +10,7 @@
 };
 
 int kcp_cmd_serve (int argc, char **argv);
+int kcp_cmd_route (int argc, char **argv);
 int kcp_cmd_check (int argc, char **argv);
 int kcp_cmd_publish (int argc, char **argv);
 int kcp_cmd_profiles (int argc, char **argv);
--- a/src/cmd/main.c
+++ b/src/cmd/main.c
@@ -21,6 +21,7 @@
 
 static const struct command commands[] = {
   { "serve", kcp_cmd_serve, "run the entry process of one VM" },
+  { "route", kcp_cmd_route, "run a VM that routes by operators' routes" },
   { "check", kcp_cmd_check, "validate settings, profile and team files" },
   { "publish", kcp_cmd_publish, "publish profiles and teams" },
   { "profiles", kcp_cmd_profiles, "show the profiles and teams in force" },
--- /dev/null
+++ b/src/cmd/route.c
@@ -0,0 +1,365 @@
+#include <ck_pr.h>
+#include <malloc.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "base/counter.h"
+#include "base/decision_log.h"
+#include "base/histogram.h"
+#include "cmd/cmd.h"
+#include "cmd/options.h"
+#include "forward/door.h"
+#include "forward/feed.h"
+#include "forward/gateway.h"
+#include "forward/rollout.h"
+#include "platform/platform.h"
+#include "settings/forward_settings.h"
+
+/* Time that is left of the grace for the last bytes. */
+#define GRACE_MARGIN_NS  (500 * KCP_NS_PER_MS)
+#define DRAIN_LOOK_NS    (50 * KCP_NS_PER_MS)
+#define SETTINGS_LOOK_NS KCP_NS_PER_S
+/* One arena and small stacks: VMs have little memory. */
+#define TRIM_THRESHOLD (1 << 20)
+
+struct vm
+{
+  char *path; /* of the settings */
+  struct kcp_forward_settings *settings;
+  struct kcp_gateway gateway;
+  struct kcp_platform_store *store;
+  struct kcp_feed *feed;
+  struct kcp_rollout *rollout;
+  struct kcp_door *door;
+  struct kcp_side_door *ready;
+  struct kcp_side_door *metrics;
+  struct kcp_loop_timer drain;
+  struct kcp_loop_timer watch;
+  struct timespec changed; /* of the settings file, when it was last read */
+  int64_t stopping_ns;     /* when the drain began; 0: not */
+};
+
+/* Written by the signal handler, read by the loop. */
+static int signal_events = -1;
+static unsigned signals_taken;
+
+enum signal_bit
+{
+  SIGNAL_STOP = 1,
+  SIGNAL_RELOAD = 2
+};
+
+static char *read_options (int argc, char **argv, bool *usage);
+static struct kcp_forward_settings *load (const char *path);
+static bool start (struct vm *vm);
+static void stop (struct vm *vm);
+static void watch_signals (struct vm *vm);
+static void on_signal (int number);
+static void on_signal_event (void *user, uint32_t events);
+static void begin_drain (struct vm *vm);
+static void on_drain (void *user);
+static void reload (struct vm *vm, const char *cause);
+static void on_watch (void *user);
+static struct timespec file_time (const char *path);
+static unsigned answer_ready (void *user, GString *text);
+static unsigned answer_metrics (void *user, GString *text);
+static void on_feed_changed (void *user);
+static void flush_log (void *user);
+
+/* Runs one VM that routes by the operators' routes, until SIGTERM or SIGINT. */
+int
+kcp_cmd_route (int argc, char **argv)
+{
+  struct vm vm = { 0 };
+  bool usage = false;
+  int code = KCP_EXIT_FAILED;
+
+  vm.path = read_options (argc, argv, &usage);
+  if (usage)
+    return KCP_EXIT_USAGE;
+  (void)mallopt (M_ARENA_MAX, 1);
+  (void)mallopt (M_TRIM_THRESHOLD, TRIM_THRESHOLD);
+  vm.settings = load (vm.path);
+  if (vm.settings == NULL)
+    {
+      g_free (vm.path);
+      return KCP_EXIT_USAGE;
+    }
+  kcp_decision_log_init (&kcp_clock_system, vm.settings->vm_id,
+                         vm.settings->vm_data_center, STDOUT_FILENO);
+  kcp_gateway_init (&vm.gateway, vm.settings, &kcp_platform_dialect, &kcp_clock_system);
+  watch_signals (&vm);
+  if (start (&vm))
+    {
+      KCP_LOG ("started", KCP_LOG_TEXT ("callers", vm.settings->callers_listen),
+               KCP_LOG_TEXT ("store", vm.settings->store_address),
+               KCP_LOG_INT ("pid", getpid ()));
+      kcp_loop_run (vm.gateway.loop);
+      code = KCP_EXIT_OK;
+    }
+  stop (&vm);
+  return code;
+}
+
+static char *
+read_options (int argc, char **argv, bool *usage)
+{
+  char *path = NULL;
+  const GOptionEntry entries[] = {
+    { "settings", 's', 0, G_OPTION_ARG_FILENAME, &path,
+      "settings of this VM; without it the file that " KCP_PLATFORM_SETTINGS_VARIABLE
+      " names",
+      "FILE" },
+    { 0 },
+  };
+
+  if (!kcp_options_parse (&argc, &argv, entries, NULL,
+                          "kingcuppoint route --settings route.ini"))
+    *usage = true;
+  if (path == NULL)
+    path = g_strdup (getenv (KCP_PLATFORM_SETTINGS_VARIABLE));
+  if (path == NULL && !*usage)
+    {
+      (void)fprintf (stderr, "kingcuppoint: route: --settings is required\n");
+      *usage = true;
+    }
+  return path;
+}
+
+static struct kcp_forward_settings *
+load (const char *path)
+{
+  g_autoptr (GPtrArray) errors = g_ptr_array_new_with_free_func (g_free);
+  struct kcp_forward_settings *settings = kcp_forward_settings_load (path, errors);
+
+  for (guint i = 0; i < errors->len; i++)
+    (void)fprintf (stderr, "%s\n", (char *)g_ptr_array_index (errors, i));
+  return settings;
+}
+
+static bool
+start (struct vm *vm)
+{
+  const struct kcp_forward_settings *settings = vm->settings;
+  struct kcp_gateway *gateway = &vm->gateway;
+  struct kcp_error error;
+
+  vm->ready = kcp_side_door_open (gateway->loop, settings->ready_listen,
+                                  gateway->dialect->ready_path, answer_ready, vm, &error);
+  if (vm->ready == NULL)
+    goto fail;
+  if (settings->metrics_listen != NULL)
+    {
+      vm->metrics = kcp_side_door_open (gateway->loop, settings->metrics_listen, NULL,
+                                        answer_metrics, vm, &error);
+      if (vm->metrics == NULL)
+        goto fail;
+    }
+  vm->door = kcp_door_open (gateway, settings->callers_listen, &error);
+  if (vm->door == NULL)
+    goto fail;
+  vm->store = kcp_platform_store_new (gateway->client, settings->store_address,
+                                      settings->store_timeout_ms);
+  vm->rollout = kcp_rollout_start (gateway, kcp_platform_store_calls (vm->store));
+  vm->feed = kcp_feed_start (gateway, kcp_platform_store_calls (vm->store),
+                             on_feed_changed, vm);
+  kcp_loop_add_step (gateway->loop, flush_log, vm);
+  vm->changed = file_time (vm->path);
+  on_watch (vm);
+  return true;
+fail:
+  KCP_LOG ("start_failed", KCP_LOG_TEXT ("step", error.step),
+           KCP_LOG_TEXT ("peer", error.peer), KCP_LOG_TEXT ("detail", error.detail));
+  kcp_decision_log_flush ();
+  return false;
+}
+
+static void
+stop (struct vm *vm)
+{
+  KCP_LOG ("stopped", KCP_LOG_INT ("open_requests", vm->gateway.open_requests),
+           KCP_LOG_INT ("log_lines_dropped", kcp_decision_log_dropped ()));
+  kcp_loop_timer_cancel (&vm->drain);
+  kcp_loop_timer_cancel (&vm->watch);
+  kcp_door_close (vm->door);
+  kcp_side_door_close (vm->ready);
+  kcp_side_door_close (vm->metrics);
+  kcp_rollout_stop (vm->rollout);
+  kcp_feed_stop (vm->feed);
+  kcp_gateway_clear (&vm->gateway);
+  kcp_platform_store_free (vm->store);
+  kcp_forward_settings_free (vm->settings);
+  kcp_decision_log_flush ();
+  g_free (vm->path);
+}
+
+static void
+watch_signals (struct vm *vm)
+{
+  struct sigaction action = { .sa_handler = on_signal, .sa_flags = SA_RESTART };
+
+  signal_events = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
+  if (signal_events < 0)
+    abort ();
+  kcp_poller_watch (kcp_loop_poller (vm->gateway.loop), signal_events, EPOLLIN,
+                    on_signal_event, vm);
+  (void)sigaction (SIGTERM, &action, NULL);
+  (void)sigaction (SIGINT, &action, NULL);
+  (void)sigaction (SIGHUP, &action, NULL);
+  (void)signal (SIGPIPE, SIG_IGN);
+}
+
+static void
+on_signal (int number)
+{
+  uint64_t one = 1;
+
+  ck_pr_or_uint (&signals_taken, number == SIGHUP ? SIGNAL_RELOAD : SIGNAL_STOP);
+  if (write (signal_events, &one, sizeof one) < 0)
+    return; /* the counter is full, so that the loop wakes anyway */
+}
+
+static void
+on_signal_event (void *user, uint32_t events)
+{
+  struct vm *vm = user;
+  uint64_t count;
+  unsigned taken;
+
+  (void)events;
+  if (read (signal_events, &count, sizeof count) < 0)
+    return;
+  taken = ck_pr_fas_uint (&signals_taken, 0);
+  if ((taken & SIGNAL_RELOAD) != 0)
+    reload (vm, "signal");
+  if ((taken & SIGNAL_STOP) != 0)
+    begin_drain (vm);
+}
+
+/* Fails the balancer's question first, and goes on serving until it has looked away. */
+static void
+begin_drain (struct vm *vm)
+{
+  if (vm->stopping_ns != 0)
+    return;
+  vm->stopping_ns = kcp_loop_now (vm->gateway.loop);
+  vm->gateway.draining = true;
+  KCP_LOG ("draining", KCP_LOG_INT ("open_requests", vm->gateway.open_requests));
+  on_drain (vm);
+}
+
+/* Ends the process once the balancer has looked away and no request is open, and in any
+   case before the grace is over. */
+static void
+on_drain (void *user)
+{
+  struct vm *vm = user;
+  const struct kcp_forward_settings *settings = vm->settings;
+  struct kcp_loop *loop = vm->gateway.loop;
+  int64_t now = kcp_loop_now (loop);
+  int64_t passed_ns = now - vm->stopping_ns;
+  int64_t most_ns = (int64_t)(settings->drain_grace_s * KCP_NS_PER_S) - GRACE_MARGIN_NS;
+  bool noticed = passed_ns >= settings->drain_notice_ms * KCP_NS_PER_MS;
+
+  if ((noticed && vm->gateway.open_requests == 0) || passed_ns >= most_ns)
+    kcp_loop_stop (loop);
+  else
+    kcp_loop_timer_set (loop, &vm->drain, now + DRAIN_LOOK_NS, on_drain, vm);
+}
+
+/* Reads the settings again. Limits of waits and retries take effect at once; addresses
+   and the VM's name need a restart. */
+static void
+reload (struct vm *vm, const char *cause)
+{
+  struct kcp_forward_settings *fresh = load (vm->path);
+  const struct kcp_forward_settings *old = vm->settings;
+  bool restart;
+
+  if (fresh == NULL)
+    {
+      KCP_LOG ("reload_failed", KCP_LOG_TEXT ("cause", cause));
+      return;
+    }
+  restart = g_strcmp0 (fresh->callers_listen, old->callers_listen) != 0
+            || g_strcmp0 (fresh->ready_listen, old->ready_listen) != 0
+            || g_strcmp0 (fresh->metrics_listen, old->metrics_listen) != 0
+            || g_strcmp0 (fresh->store_address, old->store_address) != 0
+            || g_strcmp0 (fresh->vm_id, old->vm_id) != 0;
+  KCP_LOG ("reloaded", KCP_LOG_TEXT ("cause", cause),
+           KCP_LOG_INT ("restart_needed", restart));
+  vm->gateway.settings = fresh;
+  kcp_forward_settings_free (vm->settings);
+  vm->settings = fresh;
+}
+
+/* Looks whether the settings file has changed without a signal. */
+static void
+on_watch (void *user)
+{
+  struct vm *vm = user;
+  struct kcp_loop *loop = vm->gateway.loop;
+  struct timespec changed = file_time (vm->path);
+
+  if (changed.tv_sec != vm->changed.tv_sec || changed.tv_nsec != vm->changed.tv_nsec)
+    {
+      vm->changed = changed;
+      reload (vm, "file_changed");
+    }
+  kcp_loop_timer_set (loop, &vm->watch, kcp_loop_now (loop) + SETTINGS_LOOK_NS, on_watch,
+                      vm);
+}
+
+static struct timespec
+file_time (const char *path)
+{
+  struct stat info;
+
+  if (stat (path, &info) != 0)
+    return (struct timespec){ 0 };
+  return info.st_mtim;
+}
+
+static unsigned
+answer_ready (void *user, GString *text)
+{
+  const struct vm *vm = user;
+  bool ready = kcp_gateway_is_ready (&vm->gateway);
+
+  g_string_assign (text, ready ? "ready\n" : "not ready\n");
+  return ready ? 200 : 503;
+}
+
+static unsigned
+answer_metrics (void *user, GString *text)
+{
+  const struct vm *vm = user;
+
+  kcp_counter_print (text);
+  kcp_histogram_print (text);
+  g_string_append_printf (text, "kingcuppoint_open_requests %u\n",
+                          vm->gateway.open_requests);
+  return 200;
+}
+
+static void
+on_feed_changed (void *user)
+{
+  const struct vm *vm = user;
+
+  if (vm->rollout != NULL)
+    kcp_rollout_look (vm->rollout);
+}
+
+static void
+flush_log (void *user)
+{
+  (void)user;
+  kcp_decision_log_flush ();
+}
--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -11,7 +11,7 @@
 #include "http/admin.h"
 #include "http/entry.h"
 #include "peer/peer.h"
-#include "platform/config_tail.h"
+#include "logstore/config_tail.h"
 #include "request/admit.h"
 
 #define DRAIN_POLL_MS       20
--- /dev/null
+++ b/src/forward/choose.c
@@ -0,0 +1,303 @@
+#include "forward/choose.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/id.h"
+#include "policy/place.h"
+
+/* Parts from this size on are worth a place of their own, a fetch and a save. */
+#define LONG_PART_TOKENS 1024
+/* A part that is fetched costs about a third of one that is read. */
+#define FETCH_SHARE 3
+/* Servers with old weights are left out this long before they must no longer be used. */
+#define REPLACE_MARGIN_NS (900 * KCP_NS_PER_MS)
+
+static void gather (struct kcp_gateway *gateway, struct kcp_choice *choice,
+                    struct kcp_server *server, struct kcp_place_candidate *candidate);
+static bool is_usable (const struct kcp_choice *choice, const struct kcp_server *server);
+static void
+judge_weights (const struct kcp_gateway *gateway, const char *model,
+               const struct kcp_server *server, struct kcp_place_candidate *candidate);
+static int64_t uncached (struct kcp_gateway *gateway, const struct kcp_choice *choice,
+                         const struct kcp_server *server);
+static void add_home_bonus (const struct kcp_choice *choice, const GPtrArray *servers,
+                            struct kcp_place_candidate *candidates);
+static void plan_transfers (struct kcp_gateway *gateway, struct kcp_choice *choice);
+static const char *
+find_holder (struct kcp_gateway *gateway, const struct kcp_prefix_belief *belief,
+             const struct kcp_server *chosen);
+static bool has_long_part (const struct kcp_ask *ask);
+static char *make_cache_space (const struct kcp_choice *choice, int64_t version);
+static uint64_t part_key (const char *cache_space, const struct kcp_prompt_part *part);
+static uint64_t server_key (const struct kcp_server *server);
+static bool is_near (const struct kcp_gateway *gateway, const struct kcp_server *server);
+
+/* Chooses the server for the request's next attempt among those that its service has, and
+   what goes with it. choice->server is NULL if none may be used now. */
+void
+kcp_choose (struct kcp_gateway *gateway, struct kcp_choice *choice)
+{
+  const GPtrArray *servers = kcp_servers_all (gateway->servers);
+  g_autofree struct kcp_place_candidate *candidates
+      = g_new0 (struct kcp_place_candidate, servers->len + 1);
+  const struct kcp_place_costs *costs
+      = choice->ask->model != NULL ? &kcp_place_engine_costs : &kcp_place_plain_costs;
+  int at;
+
+  choice->server = NULL;
+  choice->usable = 0;
+  choice->soonest_free_ns = 0;
+  for (guint i = 0; i < servers->len; i++)
+    {
+      gather (gateway, choice, g_ptr_array_index (servers, i), &candidates[i]);
+      choice->usable += candidates[i].usable;
+    }
+  if (has_long_part (choice->ask))
+    add_home_bonus (choice, servers, candidates);
+  at = servers->len == 0
+           ? KCP_PLACE_NONE
+           : kcp_place_choose (candidates, servers->len, costs, kcp_id_random_u64 ());
+  if (at == KCP_PLACE_NONE)
+    return;
+  choice->server = g_ptr_array_index (servers, (guint)at);
+  choice->cost_us = kcp_place_cost (&candidates[at], costs);
+  choice->uncached_tokens = candidates[at].uncached_tokens;
+  g_clear_pointer (&choice->cache_space, g_free);
+  choice->weights = 0;
+  choice->fetch_from = NULL;
+  choice->save_to = NULL;
+  if (choice->ask->model == NULL)
+    return;
+  choice->weights = kcp_server_version (choice->server, choice->ask->model);
+  choice->cache_space = make_cache_space (choice, choice->weights);
+  if (has_long_part (choice->ask))
+    plan_transfers (gateway, choice);
+}
+
+/* Frees what the choice owns. */
+void
+kcp_choice_clear (struct kcp_choice *choice)
+{
+  g_clear_pointer (&choice->cache_space, g_free);
+}
+
+/* Notes that the chosen server has read the request's prompt. */
+void
+kcp_choice_remember (struct kcp_gateway *gateway, const struct kcp_choice *choice)
+{
+  const GArray *parts = choice->ask->parts;
+  int64_t now = kcp_loop_now (gateway->loop);
+
+  if (choice->cache_space == NULL || parts == NULL)
+    return;
+  for (guint i = 0; i + 1 < parts->len; i++)
+    {
+      const struct kcp_prompt_part *part
+          = &g_array_index (parts, struct kcp_prompt_part, i);
+      struct kcp_prefix_belief *belief;
+
+      if (part->tokens < LONG_PART_TOKENS)
+        continue;
+      belief = kcp_prefix_memory_make (gateway->prefixes,
+                                       part_key (choice->cache_space, part));
+      kcp_prefix_belief_add (belief, server_key (choice->server), now);
+      belief->saved = belief->saved || choice->save_to != NULL;
+    }
+}
+
+static void
+gather (struct kcp_gateway *gateway, struct kcp_choice *choice, struct kcp_server *server,
+        struct kcp_place_candidate *candidate)
+{
+  int64_t now = kcp_loop_now (gateway->loop);
+  const char *model = choice->ask->model;
+  int64_t free_ns;
+
+  candidate->usable = is_usable (choice, server);
+  if (!candidate->usable)
+    return;
+  candidate->nearby = is_near (gateway, server);
+  candidate->suspected = now < server->suspected_until_ns;
+  candidate->loading = now < server->loading_until_ns;
+  candidate->open = server->open;
+  candidate->slots = (unsigned)server->entry.slots;
+  candidate->unread_tokens = server->unread_tokens;
+  free_ns = MAX (server->suspected_until_ns, server->loading_until_ns);
+  if (choice->soonest_free_ns == 0 || free_ns < choice->soonest_free_ns)
+    choice->soonest_free_ns = MAX (free_ns, now);
+  if (model == NULL)
+    return;
+  judge_weights (gateway, model, server, candidate);
+  candidate->uncached_tokens = uncached (gateway, choice, server);
+}
+
+static bool
+is_usable (const struct kcp_choice *choice, const struct kcp_server *server)
+{
+  if (server->entry.state != KCP_SERVER_READY
+      || strcmp (server->entry.service, choice->service) != 0)
+    return false;
+  for (guint i = 0; i < choice->tried->len; i++)
+    if (g_ptr_array_index (choice->tried, i) == server)
+      return false;
+  return choice->ask->model == NULL
+         || kcp_server_version (server, choice->ask->model) > 0;
+}
+
+static void
+judge_weights (const struct kcp_gateway *gateway, const char *model,
+               const struct kcp_server *server, struct kcp_place_candidate *candidate)
+{
+  const struct kcp_named_weights *named = kcp_gateway_weights (gateway, model);
+  int64_t limit_ns
+      = gateway->settings->weights_replace_ms * KCP_NS_PER_MS - REPLACE_MARGIN_NS;
+
+  candidate->weights = KCP_PLACE_WEIGHTS_CURRENT;
+  if (named == NULL || kcp_server_version (server, model) >= named->version)
+    return;
+  candidate->weights = kcp_loop_now (gateway->loop) - named->known_ns < limit_ns
+                           ? KCP_PLACE_WEIGHTS_OLD
+                           : KCP_PLACE_WEIGHTS_REFUSED;
+}
+
+/* Counts the prompt's tokens that the server is believed to have to read, where one that
+   it can fetch counts as a share of one. */
+static int64_t
+uncached (struct kcp_gateway *gateway, const struct kcp_choice *choice,
+          const struct kcp_server *server)
+{
+  const GArray *parts = choice->ask->parts;
+  int64_t tokens = choice->ask->prompt_tokens;
+  g_autofree char *space = NULL;
+
+  if (!has_long_part (choice->ask))
+    return tokens;
+  space = make_cache_space (choice, kcp_server_version (server, choice->ask->model));
+  for (guint i = 0; i + 1 < parts->len; i++)
+    {
+      const struct kcp_prompt_part *part
+          = &g_array_index (parts, struct kcp_prompt_part, i);
+      const struct kcp_prefix_belief *belief
+          = kcp_prefix_memory_find (gateway->prefixes, part_key (space, part));
+
+      if (belief == NULL)
+        break;
+      if (kcp_prefix_belief_has (belief, server_key (server)))
+        tokens -= part->tokens;
+      else
+        tokens -= part->tokens - part->tokens / FETCH_SHARE;
+    }
+  return MAX (tokens, 0);
+}
+
+/* All VMs of a data centre that know nothing of a prefix choose alike: the first server
+   of a rendezvous order counts as if a part of the prefix were there. */
+static void
+add_home_bonus (const struct kcp_choice *choice, const GPtrArray *servers,
+                struct kcp_place_candidate *candidates)
+{
+  const struct kcp_prompt_part *first
+      = &g_array_index (choice->ask->parts, struct kcp_prompt_part, 0);
+  uint64_t best_score = 0;
+  struct kcp_place_candidate *home = NULL;
+
+  for (guint i = 0; i < servers->len; i++)
+    {
+      const struct kcp_server *server = g_ptr_array_index (servers, i);
+      uint64_t score;
+
+      if (!candidates[i].usable || !candidates[i].nearby
+          || candidates[i].weights != KCP_PLACE_WEIGHTS_CURRENT)
+        continue;
+      score = XXH3_64bits_withSeed (first->id, strlen (first->id), server_key (server));
+      if (home != NULL && score <= best_score)
+        continue;
+      home = &candidates[i];
+      best_score = score;
+    }
+  if (home != NULL)
+    home->uncached_tokens = MAX (home->uncached_tokens - first->tokens / FETCH_SHARE, 0);
+}
+
+/* A part that is not believed to be at the chosen server is fetched from one that has it,
+   or else from the store of kept cache; a part that is new to this VM is saved there. */
+static void
+plan_transfers (struct kcp_gateway *gateway, struct kcp_choice *choice)
+{
+  const struct kcp_service_info *store
+      = kcp_routes_cache_store (gateway->routes, gateway->settings->vm_data_center);
+  const struct kcp_prompt_part *part
+      = &g_array_index (choice->ask->parts, struct kcp_prompt_part, 0);
+  const struct kcp_prefix_belief *belief
+      = kcp_prefix_memory_find (gateway->prefixes, part_key (choice->cache_space, part));
+
+  if (belief == NULL || !belief->saved)
+    choice->save_to = store != NULL ? store->cache_store : NULL;
+  if (belief != NULL && kcp_prefix_belief_has (belief, server_key (choice->server)))
+    return;
+  choice->fetch_from
+      = belief != NULL ? find_holder (gateway, belief, choice->server) : NULL;
+  if (choice->fetch_from == NULL && store != NULL)
+    choice->fetch_from = store->cache_store;
+}
+
+static const char *
+find_holder (struct kcp_gateway *gateway, const struct kcp_prefix_belief *belief,
+             const struct kcp_server *chosen)
+{
+  const GPtrArray *servers = kcp_servers_all (gateway->servers);
+  int64_t now = kcp_loop_now (gateway->loop);
+
+  for (guint i = 0; i < servers->len; i++)
+    {
+      const struct kcp_server *server = g_ptr_array_index (servers, i);
+
+      if (server != chosen && now >= server->suspected_until_ns
+          && strcmp (server->entry.data_center, chosen->entry.data_center) == 0
+          && kcp_prefix_belief_has (belief, server_key (server)))
+        return server->entry.address;
+    }
+  return NULL;
+}
+
+/* The last part belongs to one request or session. */
+static bool
+has_long_part (const struct kcp_ask *ask)
+{
+  return ask->parts != NULL && ask->parts->len > 1
+         && g_array_index (ask->parts, struct kcp_prompt_part, 0).tokens
+                >= LONG_PART_TOKENS;
+}
+
+/* Requests share cache only under the same weights, and those of an isolated team only
+   with each other. */
+static char *
+make_cache_space (const struct kcp_choice *choice, int64_t version)
+{
+  const struct kcp_team_access *team = choice->team;
+  bool isolated = team != NULL && team->isolated;
+
+  return g_strdup_printf ("%s/%" G_GINT64_FORMAT "/%s", choice->ask->model, version,
+                          isolated ? team->name : "");
+}
+
+static uint64_t
+part_key (const char *cache_space, const struct kcp_prompt_part *part)
+{
+  return XXH3_64bits_withSeed (part->id, strlen (part->id),
+                               XXH3_64bits (cache_space, strlen (cache_space)));
+}
+
+static uint64_t
+server_key (const struct kcp_server *server)
+{
+  return XXH3_64bits_withSeed (server->entry.id, strlen (server->entry.id),
+                               (uint64_t)server->entry.started_ms);
+}
+
+static bool
+is_near (const struct kcp_gateway *gateway, const struct kcp_server *server)
+{
+  return g_strcmp0 (server->entry.data_center, gateway->settings->vm_data_center) == 0;
+}
--- /dev/null
+++ b/src/forward/door.c
@@ -0,0 +1,492 @@
+#include "forward/door.h"
+
+#include <string.h>
+#include <sys/epoll.h>
+
+#include "base/decision_log.h"
+#include "forward/forward.h"
+#include "forward/server_loop.h"
+
+#define CONNECTION_MEMORY  (20u << 10)
+#define READ_BLOCK         (4u << 10)
+#define IDLE_TIMEOUT_S     20u
+#define BODY_STANDARD_MAX  (8 << 20) /* until a configuration says otherwise */
+#define CONNECTIONS_MAX    3000u
+#define STATUS_BAD_REQUEST MHD_HTTP_BAD_REQUEST
+
+struct kcp_door
+{
+  struct kcp_gateway *gateway;
+  struct kcp_server_loop server;
+};
+
+/* One request of a caller and its answer, on the way through the door. */
+struct exchange
+{
+  struct kcp_door *door;
+  struct MHD_Connection *connection;
+  struct kcp_ask *ask; /* until the request is started */
+  struct kcp_forward *forward;
+  struct kcp_answer answer;
+  bool head_read;
+  bool suspended;
+  bool gone; /* the caller has closed its connection */
+};
+
+/* One connection, for as long as it is open. */
+struct caller
+{
+  struct kcp_door *door;
+  int fd;
+  struct exchange *exchange; /* under way, or NULL */
+};
+
+/* What is wrong with a request's head. */
+struct head_check
+{
+  struct kcp_ask *ask;
+  const struct kcp_dialect *dialect;
+  const char *dropped; /* names that concern only this connection, or NULL */
+  unsigned lengths;
+  unsigned encodings;
+  const char *problem;
+};
+
+static void *on_uri (void *user, const char *uri, struct MHD_Connection *connection);
+static void on_connection (void *user, struct MHD_Connection *connection, void **state,
+                           enum MHD_ConnectionNotificationCode code);
+static enum MHD_Result
+on_access (void *user, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *data, size_t *size,
+           void **state);
+static void on_completed (void *user, struct MHD_Connection *connection, void **state,
+                          enum MHD_RequestTerminationCode code);
+static void on_hang_up (void *user, uint32_t events);
+static enum MHD_Result read_head (struct exchange *exchange, const char *method);
+static enum MHD_Result
+take_header (void *user, enum MHD_ValueKind kind, const char *key, const char *value);
+static bool is_token (const char *text);
+static bool is_dropped (const struct head_check *check, const char *name);
+static bool names_token (const char *list, const char *name);
+static void set_idle_limit (const struct exchange *exchange);
+static size_t body_max (const struct kcp_gateway *gateway);
+static bool
+body_is_too_large (struct MHD_Connection *connection, const struct kcp_gateway *gateway);
+static enum MHD_Result
+reject (struct exchange *exchange, unsigned status, const char *problem);
+static enum MHD_Result advance (struct exchange *exchange);
+static void on_changed (void *user);
+static enum MHD_Result send_answer (struct exchange *exchange);
+static ssize_t read_answer (void *user, uint64_t position, char *out, size_t max);
+static void suspend (struct exchange *exchange);
+static void resume (struct exchange *exchange);
+static void drop_forward (struct exchange *exchange);
+static struct caller *caller_of (struct MHD_Connection *connection);
+
+/* Opens the callers' server at an IP:PORT. */
+struct kcp_door *
+kcp_door_open (struct kcp_gateway *gateway, const char *address, struct kcp_error *error)
+{
+  struct kcp_door *door = g_new0 (struct kcp_door, 1);
+  struct sockaddr_in at;
+  struct MHD_Daemon *daemon;
+
+  door->gateway = gateway;
+  if (!kcp_server_loop_address (address, &at, error))
+    goto fail;
+  daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, ntohs (at.sin_port), NULL,
+      NULL, on_access, door, MHD_OPTION_SOCK_ADDR, &at,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+      MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT,
+      IDLE_TIMEOUT_S, MHD_OPTION_URI_LOG_CALLBACK, on_uri, door,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, door, MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, door, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+  if (kcp_server_loop_start (&door->server, gateway->loop, daemon, address, error))
+    return door;
+fail:
+  kcp_door_close (door);
+  return NULL;
+}
+
+/* Closes the server, its connections and their requests; NULL is allowed. */
+void
+kcp_door_close (struct kcp_door *door)
+{
+  if (door == NULL)
+    return;
+  kcp_server_loop_stop (&door->server);
+  g_free (door);
+}
+
+/* Called with the request line's path and query as received. */
+static void *
+on_uri (void *user, const char *uri, struct MHD_Connection *connection)
+{
+  struct exchange *exchange = g_new0 (struct exchange, 1);
+
+  exchange->door = user;
+  exchange->connection = connection;
+  exchange->ask = g_new0 (struct kcp_ask, 1);
+  exchange->ask->target = g_strdup (uri);
+  exchange->ask->body = g_string_new (NULL);
+  kcp_answer_init (&exchange->answer, on_changed, exchange);
+  return exchange;
+}
+
+/* Watches each connection for the caller's hanging up, which the server does not look for
+   while a request waits for its answer. */
+static void
+on_connection (void *user, struct MHD_Connection *connection, void **state,
+               enum MHD_ConnectionNotificationCode code)
+{
+  struct kcp_door *door = user;
+  struct kcp_poller *poller = kcp_loop_poller (door->gateway->loop);
+  struct caller *caller = *state;
+
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    {
+      caller = g_new0 (struct caller, 1);
+      caller->door = door;
+      caller->fd = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+                       ->connect_fd;
+      *state = caller;
+      kcp_poller_watch (poller, caller->fd, EPOLLRDHUP | EPOLLET, on_hang_up, caller);
+      return;
+    }
+  if (caller == NULL)
+    return;
+  kcp_poller_unwatch (poller, caller->fd);
+  g_free (caller);
+  *state = NULL;
+}
+
+static enum MHD_Result
+on_access (void *user, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *data, size_t *size,
+           void **state)
+{
+  struct exchange *exchange = *state;
+  const struct kcp_door *door = user;
+
+  (void)connection;
+  (void)url;
+  (void)version;
+  if (exchange->gone)
+    return MHD_NO;
+  if (!exchange->head_read)
+    return read_head (exchange, method);
+  if (*size > 0)
+    {
+      if (exchange->ask->body->len + *size <= body_max (door->gateway))
+        g_string_append_len (exchange->ask->body, data, (gssize)*size);
+      else
+        exchange->answer.status = MHD_HTTP_CONTENT_TOO_LARGE;
+      *size = 0;
+      return MHD_YES;
+    }
+  return advance (exchange);
+}
+
+static void
+on_completed (void *user, struct MHD_Connection *connection, void **state,
+              enum MHD_RequestTerminationCode code)
+{
+  struct exchange *exchange = *state;
+  struct caller *caller = caller_of (connection);
+
+  (void)user;
+  (void)code;
+  if (exchange == NULL)
+    return;
+  *state = NULL;
+  if (caller != NULL)
+    caller->exchange = NULL;
+  exchange->gone = true;
+  drop_forward (exchange);
+  kcp_answer_clear (&exchange->answer);
+  if (exchange->ask != NULL)
+    kcp_ask_clear (exchange->ask);
+  g_free (exchange->ask);
+  g_free (exchange);
+}
+
+/* Ends the work of a caller that has hung up. */
+static void
+on_hang_up (void *user, uint32_t events)
+{
+  struct caller *caller = user;
+  struct exchange *exchange = caller->exchange;
+
+  (void)events;
+  if (exchange == NULL || exchange->gone)
+    return;
+  exchange->gone = true;
+  drop_forward (exchange);
+  resume (exchange);
+}
+
+static enum MHD_Result
+read_head (struct exchange *exchange, const char *method)
+{
+  struct MHD_Connection *connection = exchange->connection;
+  struct caller *caller = caller_of (connection);
+  struct head_check check = {
+    .ask = exchange->ask,
+    .dialect = exchange->door->gateway->dialect,
+    .dropped = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Connection"),
+  };
+
+  exchange->head_read = true;
+  if (caller != NULL)
+    caller->exchange = exchange;
+  exchange->ask->method = g_strdup (method);
+  exchange->ask->host = g_strdup (
+      MHD_lookup_connection_value (connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST));
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, take_header, &check);
+  if (check.lengths > 1 || check.encodings > 1 || (check.lengths > 0 && check.encodings))
+    check.problem = "unclear_length";
+  if (check.problem != NULL)
+    return reject (exchange, STATUS_BAD_REQUEST, check.problem);
+  set_idle_limit (exchange);
+  if (body_is_too_large (connection, exchange->door->gateway))
+    return reject (exchange, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large");
+  return MHD_YES;
+}
+
+/* Sorts one header into what the router reads, what concerns only this connection, and
+   what is passed on. */
+static enum MHD_Result
+take_header (void *user, enum MHD_ValueKind kind, const char *key, const char *value)
+{
+  struct head_check *check = user;
+  g_autofree char *line = NULL;
+
+  (void)kind;
+  if (value == NULL)
+    value = "";
+  if (!is_token (key))
+    check->problem = "bad_header_name";
+  if (g_ascii_strcasecmp (key, MHD_HTTP_HEADER_CONTENT_LENGTH) == 0)
+    check->lengths++;
+  if (g_ascii_strcasecmp (key, MHD_HTTP_HEADER_TRANSFER_ENCODING) == 0)
+    {
+      check->encodings++;
+      if (g_ascii_strcasecmp (value, "chunked") != 0)
+        check->problem = "unknown_transfer_encoding";
+    }
+  if (check->dialect->read_ask_header (check->ask, key, value))
+    return MHD_YES;
+  if (is_dropped (check, key))
+    return MHD_YES;
+  line = value[0] != '\0' ? g_strdup_printf ("%s: %s", key, value)
+                          : g_strdup_printf ("%s;", key);
+  check->ask->forwarded = curl_slist_append (check->ask->forwarded, line);
+  return MHD_YES;
+}
+
+static bool
+is_token (const char *text)
+{
+  const char *extra = "!#$%&'*+-.^_`|~";
+
+  for (const char *c = text; *c != '\0'; c++)
+    if (!g_ascii_isalnum (*c) && strchr (extra, *c) == NULL)
+      return false;
+  return text[0] != '\0';
+}
+
+static bool
+is_dropped (const struct head_check *check, const char *name)
+{
+  static const char *const names[] = {
+    MHD_HTTP_HEADER_CONNECTION,
+    MHD_HTTP_HEADER_TRANSFER_ENCODING,
+    MHD_HTTP_HEADER_CONTENT_LENGTH,
+    MHD_HTTP_HEADER_EXPECT,
+    MHD_HTTP_HEADER_TE,
+    MHD_HTTP_HEADER_TRAILER,
+    MHD_HTTP_HEADER_UPGRADE,
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Proxy-Authorization",
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (g_ascii_strcasecmp (name, names[i]) == 0)
+      return true;
+  return check->dropped != NULL && g_ascii_strcasecmp (name, MHD_HTTP_HEADER_HOST) != 0
+         && names_token (check->dropped, name);
+}
+
+/* Tells whether a comma-separated list names the token. */
+static bool
+names_token (const char *list, const char *name)
+{
+  g_auto (GStrv) items = g_strsplit (list, ",", -1);
+
+  for (char **item = items; *item != NULL; item++)
+    if (g_ascii_strcasecmp (g_strstrip (*item), name) == 0)
+      return true;
+  return false;
+}
+
+/* Connections may lie idle for as long as the configuration allows. */
+static void
+set_idle_limit (const struct exchange *exchange)
+{
+  const struct kcp_routes *routes = exchange->door->gateway->routes;
+  int64_t idle_ms = routes != NULL ? routes->limits.idle_timeout_ms : 0;
+
+  if (idle_ms > 0)
+    MHD_set_connection_option (exchange->connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                               (unsigned)(idle_ms / KCP_MS_PER_S + 1));
+}
+
+static size_t
+body_max (const struct kcp_gateway *gateway)
+{
+  int64_t most = gateway->routes != NULL ? gateway->routes->limits.max_body_bytes : 0;
+
+  return most > 0 ? (size_t)most : BODY_STANDARD_MAX;
+}
+
+static bool
+body_is_too_large (struct MHD_Connection *connection, const struct kcp_gateway *gateway)
+{
+  const char *text = MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
+                                                  MHD_HTTP_HEADER_CONTENT_LENGTH);
+  int64_t length;
+
+  return text != NULL && kcp_str_to_int64 (kcp_str_from_c (text), &length)
+         && length > (int64_t)body_max (gateway);
+}
+
+/* Answers without a request and closes the connection. */
+static enum MHD_Result
+reject (struct exchange *exchange, unsigned status, const char *problem)
+{
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer (0, "", MHD_RESPMEM_PERSISTENT);
+  enum MHD_Result result;
+
+  KCP_LOG ("rejected", KCP_LOG_TEXT ("request", exchange->ask->id),
+           KCP_LOG_INT ("status", status), KCP_LOG_TEXT ("why", problem));
+  MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  result = MHD_queue_response (exchange->connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+/* Starts the request, or sends its answer once that has begun. */
+static enum MHD_Result
+advance (struct exchange *exchange)
+{
+  if (exchange->answer.status == MHD_HTTP_CONTENT_TOO_LARGE && exchange->forward == NULL)
+    return reject (exchange, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large");
+  if (exchange->forward == NULL)
+    {
+      struct kcp_ask *ask = exchange->ask;
+
+      exchange->ask = NULL;
+      exchange->forward
+          = kcp_forward_start (exchange->door->gateway, ask, &exchange->answer);
+    }
+  if (exchange->answer.begun)
+    return send_answer (exchange);
+  suspend (exchange);
+  return MHD_YES;
+}
+
+static void
+on_changed (void *user)
+{
+  struct exchange *exchange = user;
+
+  if (!exchange->gone)
+    resume (exchange);
+}
+
+static enum MHD_Result
+send_answer (struct exchange *exchange)
+{
+  struct kcp_answer *answer = &exchange->answer;
+  struct MHD_Response *response;
+  enum MHD_Result result;
+
+  if (answer->streaming)
+    response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, READ_BLOCK,
+                                                  read_answer, exchange, NULL);
+  else
+    response = MHD_create_response_from_buffer (answer->body->len, answer->body->str,
+                                                MHD_RESPMEM_MUST_COPY);
+  for (guint i = 0; i + 1 < answer->headers->len; i += 2)
+    MHD_add_response_header (response, g_ptr_array_index (answer->headers, i),
+                             g_ptr_array_index (answer->headers, i + 1));
+  if (exchange->door->gateway->draining)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  result = MHD_queue_response (exchange->connection, answer->status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static ssize_t
+read_answer (void *user, uint64_t position, char *out, size_t max)
+{
+  struct exchange *exchange = user;
+  GString *body = exchange->answer.body;
+  size_t count = MIN (max, body->len);
+
+  (void)position;
+  if (count > 0)
+    {
+      memcpy (out, body->str, count);
+      g_string_erase (body, 0, (gssize)count);
+      return (ssize_t)count;
+    }
+  if (exchange->gone)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  switch (exchange->answer.end)
+    {
+    case KCP_ANSWER_OPEN:
+      break;
+    case KCP_ANSWER_WHOLE:
+      return MHD_CONTENT_READER_END_OF_STREAM;
+    case KCP_ANSWER_BROKEN:
+      return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+  suspend (exchange);
+  return 0;
+}
+
+static void
+suspend (struct exchange *exchange)
+{
+  exchange->suspended = true;
+  MHD_suspend_connection (exchange->connection);
+}
+
+static void
+resume (struct exchange *exchange)
+{
+  if (!exchange->suspended)
+    return;
+  exchange->suspended = false;
+  exchange->door->server.work = true;
+  MHD_resume_connection (exchange->connection);
+}
+
+static void
+drop_forward (struct exchange *exchange)
+{
+  if (exchange->forward != NULL)
+    kcp_forward_free (exchange->forward);
+  exchange->forward = NULL;
+}
+
+static struct caller *
+caller_of (struct MHD_Connection *connection)
+{
+  return MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+      ->socket_context;
+}
--- /dev/null
+++ b/src/forward/event_cutter.c
@@ -0,0 +1,113 @@
+#include "forward/event_cutter.h"
+
+#include <string.h>
+
+#define EVENT_MAX (1u << 20) /* bytes of one event */
+
+static size_t event_len (const GString *text);
+static void take_event (struct kcp_event_cutter *cutter, size_t len, GString *out);
+static struct kcp_str find_id (struct kcp_str event);
+static bool is_repeat (const struct kcp_event_cutter *cutter, struct kcp_str id);
+
+/* Starts before the first event. */
+void
+kcp_event_cutter_init (struct kcp_event_cutter *cutter)
+{
+  cutter->pending = g_string_new (NULL);
+  cutter->last_id = g_string_new (NULL);
+}
+
+/* Frees what the cutter holds. */
+void
+kcp_event_cutter_clear (struct kcp_event_cutter *cutter)
+{
+  g_string_free (cutter->pending, TRUE);
+  g_string_free (cutter->last_id, TRUE);
+}
+
+/* Takes bytes in and appends the events that are whole now to out. An event whose id is
+   not greater than the last one's is dropped: it was passed on before the stream broke.
+   False: an event is longer than any sound one. */
+bool
+kcp_event_cutter_feed (struct kcp_event_cutter *cutter, struct kcp_str bytes,
+                       GString *out)
+{
+  size_t len;
+
+  g_string_append_len (cutter->pending, bytes.data, (gssize)bytes.len);
+  while ((len = event_len (cutter->pending)) > 0)
+    take_event (cutter, len, out);
+  return cutter->pending->len <= EVENT_MAX;
+}
+
+/* Forgets the event that is not whole. */
+void
+kcp_event_cutter_drop (struct kcp_event_cutter *cutter)
+{
+  g_string_truncate (cutter->pending, 0);
+}
+
+/* Returns the length of the first event with its blank line, or 0 if it is not whole. */
+static size_t
+event_len (const GString *text)
+{
+  for (size_t i = 0; i + 1 < text->len; i++)
+    {
+      if (text->str[i] != '\n')
+        continue;
+      if (text->str[i + 1] == '\n')
+        return i + 2;
+      if (i + 2 < text->len && text->str[i + 1] == '\r' && text->str[i + 2] == '\n')
+        return i + 3;
+    }
+  return 0;
+}
+
+static void
+take_event (struct kcp_event_cutter *cutter, size_t len, GString *out)
+{
+  struct kcp_str event = { .data = cutter->pending->str, .len = len };
+  struct kcp_str id = find_id (event);
+
+  if (!is_repeat (cutter, id))
+    {
+      g_string_append_len (out, event.data, (gssize)event.len);
+      if (id.len > 0)
+        {
+          g_string_truncate (cutter->last_id, 0);
+          g_string_append_len (cutter->last_id, id.data, (gssize)id.len);
+        }
+    }
+  g_string_erase (cutter->pending, 0, (gssize)len);
+}
+
+static struct kcp_str
+find_id (struct kcp_str event)
+{
+  const struct kcp_str field = KCP_STR ("id:");
+
+  while (event.len > 0)
+    {
+      const char *end = memchr (event.data, '\n', event.len);
+      size_t len = end != NULL ? (size_t)(end - event.data) : event.len;
+      struct kcp_str line = { .data = event.data, .len = len };
+
+      if (kcp_str_has_prefix (line, field))
+        return kcp_str_trim (kcp_str_skip (line, field.len));
+      event = kcp_str_skip (event, len + 1);
+    }
+  return (struct kcp_str){ .data = "", .len = 0 };
+}
+
+static bool
+is_repeat (const struct kcp_event_cutter *cutter, struct kcp_str id)
+{
+  int64_t last;
+  int64_t now;
+
+  if (cutter->last_id->len == 0 || id.len == 0 || !kcp_str_to_int64 (id, &now))
+    return false;
+  if (!kcp_str_to_int64 (kcp_str_from_c (cutter->last_id->str), &last))
+    return false;
+  return now <= last;
+}
--- /dev/null
+++ b/src/forward/forward.h
@@ -0,0 +1,16 @@
+/* One caller's request from its arrival to its final answer: the check against the
+   routes, its attempts at servers, and the answer. One machine for plain answers and
+   streams. */
+#ifndef KCP_FORWARD_FORWARD_H
+#define KCP_FORWARD_FORWARD_H
+
+#include "forward/answer.h"
+#include "forward/gateway.h"
+
+struct kcp_forward;
+
+struct kcp_forward *kcp_forward_start (struct kcp_gateway *gateway, struct kcp_ask *ask,
+                                       struct kcp_answer *answer);
+void kcp_forward_free (struct kcp_forward *forward);
+
+#endif
--- /dev/null
+++ b/src/forward/gateway.c
@@ -0,0 +1,130 @@
+#include "forward/gateway.h"
+
+#include <string.h>
+
+#include "base/counter.h"
+#include "base/decision_log.h"
+
+#define REMEMBERED_PARTS 8192u
+
+static void named_free (gpointer data);
+
+/* Makes the shared tables; settings, dialect and clock must outlive them. */
+void
+kcp_gateway_init (struct kcp_gateway *gateway,
+                  const struct kcp_forward_settings *settings,
+                  const struct kcp_dialect *dialect, const struct kcp_clock *clock)
+{
+  memset (gateway, 0, sizeof *gateway);
+  gateway->settings = settings;
+  gateway->dialect = dialect;
+  gateway->clock = clock;
+  gateway->loop = kcp_loop_new (clock);
+  gateway->client = kcp_http_client_new (gateway->loop);
+  gateway->servers = kcp_servers_new ();
+  gateway->weights = g_ptr_array_new_with_free_func (named_free);
+  gateway->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  gateway->prefixes = kcp_prefix_memory_new (REMEMBERED_PARTS);
+}
+
+/* Frees what kcp_gateway_init() made; no request may be open. */
+void
+kcp_gateway_clear (struct kcp_gateway *gateway)
+{
+  kcp_http_client_free (gateway->client);
+  kcp_loop_free (gateway->loop);
+  kcp_servers_free (gateway->servers);
+  g_ptr_array_unref (gateway->weights);
+  g_hash_table_unref (gateway->budgets);
+  kcp_prefix_memory_free (gateway->prefixes);
+  kcp_routes_unref (gateway->routes);
+}
+
+/* Puts routes in force unless a version that is as new is. Takes over the reference. */
+bool
+kcp_gateway_take_routes (struct kcp_gateway *gateway, struct kcp_routes *routes)
+{
+  int64_t before = gateway->routes != NULL ? gateway->routes->version : 0;
+
+  if (gateway->routes != NULL && routes->version <= before)
+    {
+      kcp_routes_unref (routes);
+      return false;
+    }
+  KCP_LOG ("routes_in_force", KCP_LOG_INT ("version", routes->version),
+           KCP_LOG_INT ("before", before), KCP_LOG_INT ("routes", routes->routes->len),
+           KCP_LOG_INT ("teams", routes->teams->len));
+  kcp_counter_add (KCP_COUNT_CONFIG_APPLIED, 1);
+  kcp_routes_unref (gateway->routes);
+  gateway->routes = routes;
+  return true;
+}
+
+/* Takes in that operators have named a version of a model's weights, at known_ns. */
+void
+kcp_gateway_name_weights (struct kcp_gateway *gateway, const char *model, int64_t version,
+                          int64_t known_ns)
+{
+  struct kcp_named_weights *named
+      = (struct kcp_named_weights *)kcp_gateway_weights (gateway, model);
+
+  if (named == NULL)
+    {
+      named = g_new0 (struct kcp_named_weights, 1);
+      named->model = g_strdup (model);
+      g_ptr_array_add (gateway->weights, named);
+    }
+  if (version <= named->version)
+    return;
+  KCP_LOG ("weights_named", KCP_LOG_TEXT ("model", model),
+           KCP_LOG_INT ("version", version), KCP_LOG_INT ("before", named->version));
+  named->version = version;
+  named->known_ns = known_ns;
+}
+
+/* Returns the newest named version of a model, or NULL if none was named. */
+const struct kcp_named_weights *
+kcp_gateway_weights (const struct kcp_gateway *gateway, const char *model)
+{
+  for (guint i = 0; i < gateway->weights->len; i++)
+    {
+      const struct kcp_named_weights *named = g_ptr_array_index (gateway->weights, i);
+
+      if (strcmp (named->model, model) == 0)
+        return named;
+    }
+  return NULL;
+}
+
+/* Returns this VM's share of the retries towards a service. */
+struct kcp_resend_budget *
+kcp_gateway_budget (struct kcp_gateway *gateway, const char *service)
+{
+  const struct kcp_forward_settings *settings = gateway->settings;
+  struct kcp_resend_budget *budget = g_hash_table_lookup (gateway->budgets, service);
+
+  if (budget != NULL)
+    return budget;
+  budget = g_new0 (struct kcp_resend_budget, 1);
+  kcp_resend_budget_init (
+      budget, settings->retry_ratio, settings->retry_burst / (double)settings->retry_vms,
+      (int64_t)(settings->retry_window_s * KCP_NS_PER_S), kcp_loop_now (gateway->loop));
+  g_hash_table_insert (gateway->budgets, g_strdup (service), budget);
+  return budget;
+}
+
+/* Tells whether the balancer should send new connections. */
+bool
+kcp_gateway_is_ready (const struct kcp_gateway *gateway)
+{
+  return !gateway->draining && gateway->routes != NULL;
+}
+
+static void
+named_free (gpointer data)
+{
+  struct kcp_named_weights *named = data;
+
+  g_free (named->model);
+  g_free (named);
+}
--- /dev/null
+++ b/src/forward/gateway.h
@@ -0,0 +1,54 @@
+/* What the requests of one VM share. One thread: nothing here is locked. */
+#ifndef KCP_FORWARD_GATEWAY_H
+#define KCP_FORWARD_GATEWAY_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "forward/dialect.h"
+#include "forward/http_client.h"
+#include "forward/loop.h"
+#include "forward/prefix_memory.h"
+#include "forward/servers.h"
+#include "policy/resend.h"
+#include "route/routes.h"
+#include "settings/forward_settings.h"
+
+/* A version of a model's weights that operators have named. */
+struct kcp_named_weights
+{
+  char *model;
+  int64_t version;
+  int64_t known_ns; /* when this VM learned of it */
+};
+
+struct kcp_gateway
+{
+  const struct kcp_forward_settings *settings;
+  const struct kcp_dialect *dialect;
+  const struct kcp_clock *clock;
+  struct kcp_loop *loop;
+  struct kcp_http_client *client;
+  struct kcp_routes *routes; /* in force; NULL: none is known yet */
+  struct kcp_servers *servers;
+  GPtrArray *weights;  /* struct kcp_named_weights */
+  GHashTable *budgets; /* service -> struct kcp_resend_budget */
+  struct kcp_prefix_memory *prefixes;
+  bool draining;
+  unsigned open_requests;
+};
+
+void kcp_gateway_init (struct kcp_gateway *gateway,
+                       const struct kcp_forward_settings *settings,
+                       const struct kcp_dialect *dialect, const struct kcp_clock *clock);
+void kcp_gateway_clear (struct kcp_gateway *gateway);
+bool kcp_gateway_take_routes (struct kcp_gateway *gateway, struct kcp_routes *routes);
+void kcp_gateway_name_weights (struct kcp_gateway *gateway, const char *model,
+                               int64_t version, int64_t known_ns);
+const struct kcp_named_weights *
+kcp_gateway_weights (const struct kcp_gateway *gateway, const char *model);
+struct kcp_resend_budget *
+kcp_gateway_budget (struct kcp_gateway *gateway, const char *service);
+bool kcp_gateway_is_ready (const struct kcp_gateway *gateway);
+
+#endif
--- /dev/null
+++ b/src/forward/http_client.c
@@ -0,0 +1,354 @@
+#include "forward/http_client.h"
+
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define CONNECTION_CACHE   1024L
+#define READ_BUFFER        (16L << 10)
+#define UPLOAD_BUFFER      (16L << 10)
+#define SPARE_HANDLES_MAX  64u
+#define KEEPALIVE_IDLE_S   1
+#define KEEPALIVE_COUNT    3
+#define STATUS_LINE_PREFIX "HTTP/"
+
+struct kcp_http_client
+{
+  struct kcp_loop *loop;
+  CURLM *multi;
+  GPtrArray *spare; /* easy handles to be used again */
+  GHashTable *open; /* set of struct kcp_http_call */
+};
+
+struct kcp_http_call
+{
+  struct kcp_http_client *client;
+  CURL *curl;
+  struct curl_slist *headers;
+  struct kcp_str body;
+  size_t body_sent;
+  int64_t silence_ms;
+  bool sent; /* a connection was there, so the server may have got a byte */
+  char error[CURL_ERROR_SIZE];
+  void (*header) (void *user, struct kcp_str name, struct kcp_str value);
+  bool (*data) (void *user, struct kcp_str bytes);
+  void (*done) (void *user, const struct kcp_http_result *result);
+  void *user;
+};
+
+static const char *const end_names[KCP_HTTP_ENDS] = {
+  [KCP_HTTP_WHOLE] = "whole",
+  [KCP_HTTP_UNSENT] = "unsent",
+  [KCP_HTTP_BROKEN] = "broken",
+  [KCP_HTTP_TIMED_OUT] = "timed_out",
+};
+
+static void read_messages (void *user);
+static void finish (struct kcp_http_call *call, CURLcode code);
+static enum kcp_http_end end_of (const struct kcp_http_call *call, CURLcode code);
+static void set_up (struct kcp_http_call *call, const struct kcp_http_spec *spec);
+static void set_method (struct kcp_http_call *call, const struct kcp_http_spec *spec);
+static void set_limits (struct kcp_http_call *call, const struct kcp_http_spec *spec);
+static CURL *take_handle (struct kcp_http_client *client);
+static void release (struct kcp_http_call *call);
+static int
+on_connected (void *user, char *address, char *own_address, int port, int own_port);
+static int on_socket_made (void *user, curl_socket_t fd, curlsocktype purpose);
+static size_t on_header (char *data, size_t size, size_t count, void *user);
+static size_t on_data (char *data, size_t size, size_t count, void *user);
+static size_t on_read_body (char *out, size_t size, size_t count, void *user);
+
+/* Makes a client on the loop, which must outlive it. */
+struct kcp_http_client *
+kcp_http_client_new (struct kcp_loop *loop)
+{
+  struct kcp_http_client *client = g_new0 (struct kcp_http_client, 1);
+
+  client->loop = loop;
+  client->multi = kcp_poller_multi (kcp_loop_poller (loop));
+  client->spare = g_ptr_array_new ();
+  client->open = g_hash_table_new (NULL, NULL);
+  curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, CONNECTION_CACHE);
+  curl_multi_setopt (client->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
+  kcp_loop_add_step (loop, read_messages, client);
+  return client;
+}
+
+/* Ends all calls without their done callbacks and frees the client; NULL is allowed. */
+void
+kcp_http_client_free (struct kcp_http_client *client)
+{
+  GHashTableIter iter;
+  gpointer call;
+
+  if (client == NULL)
+    return;
+  g_hash_table_iter_init (&iter, client->open);
+  while (g_hash_table_iter_next (&iter, &call, NULL))
+    {
+      g_hash_table_iter_steal (&iter);
+      release (call);
+    }
+  for (guint i = 0; i < client->spare->len; i++)
+    curl_easy_cleanup (g_ptr_array_index (client->spare, i));
+  g_ptr_array_unref (client->spare);
+  g_hash_table_unref (client->open);
+  g_free (client);
+}
+
+/* Starts a call. Its done callback follows exactly once, unless it is cancelled before.
+ */
+struct kcp_http_call *
+kcp_http_start (struct kcp_http_client *client, const struct kcp_http_spec *spec)
+{
+  struct kcp_http_call *call = g_new0 (struct kcp_http_call, 1);
+
+  call->client = client;
+  call->headers = spec->headers;
+  call->body = spec->body;
+  call->silence_ms = spec->silence_ms;
+  call->header = spec->header;
+  call->data = spec->data;
+  call->done = spec->done;
+  call->user = spec->user;
+  call->curl = take_handle (client);
+  set_up (call, spec);
+  set_method (call, spec);
+  set_limits (call, spec);
+  g_hash_table_add (client->open, call);
+  curl_multi_add_handle (client->multi, call->curl);
+  return call;
+}
+
+/* Ends a call and its connection, without a done callback. Not to be called from a header
+   or data callback. */
+void
+kcp_http_cancel (struct kcp_http_call *call)
+{
+  g_hash_table_remove (call->client->open, call);
+  release (call);
+}
+
+/* Returns the status of the answer under way, or 0. */
+long
+kcp_http_status (const struct kcp_http_call *call)
+{
+  long status = 0;
+
+  curl_easy_getinfo (call->curl, CURLINFO_RESPONSE_CODE, &status);
+  return status;
+}
+
+/* Returns the end's name in logs. */
+const char *
+kcp_http_end_name (enum kcp_http_end end)
+{
+  return end_names[end];
+}
+
+static void
+read_messages (void *user)
+{
+  struct kcp_http_client *client = user;
+  CURLMsg *message;
+  int left;
+
+  while ((message = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      struct kcp_http_call *call = NULL;
+
+      if (message->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
+      finish (call, message->data.result);
+    }
+}
+
+static void
+finish (struct kcp_http_call *call, CURLcode code)
+{
+  struct kcp_http_result result = { .end = end_of (call, code) };
+  char reason[CURL_ERROR_SIZE];
+  long made = 0;
+
+  curl_easy_getinfo (call->curl, CURLINFO_RESPONSE_CODE, &result.status);
+  curl_easy_getinfo (call->curl, CURLINFO_NUM_CONNECTS, &made);
+  result.kept = call->sent && made == 0;
+  g_strlcpy (reason, call->error[0] != '\0' ? call->error : curl_easy_strerror (code),
+             sizeof reason);
+  result.reason = reason;
+  g_hash_table_remove (call->client->open, call);
+  curl_multi_remove_handle (call->client->multi, call->curl);
+  call->done (call->user, &result);
+  release (call);
+}
+
+static enum kcp_http_end
+end_of (const struct kcp_http_call *call, CURLcode code)
+{
+  if (code == CURLE_OK)
+    return KCP_HTTP_WHOLE;
+  if (!call->sent)
+    return KCP_HTTP_UNSENT;
+  return code == CURLE_OPERATION_TIMEDOUT ? KCP_HTTP_TIMED_OUT : KCP_HTTP_BROKEN;
+}
+
+static void
+set_up (struct kcp_http_call *call, const struct kcp_http_spec *spec)
+{
+  CURL *curl = call->curl;
+  char url[64];
+
+  (void)g_snprintf (url, sizeof url, "http://%s/", spec->address);
+  curl_easy_setopt (curl, CURLOPT_URL, url);
+  curl_easy_setopt (curl, CURLOPT_REQUEST_TARGET, spec->target);
+  curl_easy_setopt (curl, CURLOPT_HTTPHEADER, call->headers);
+  curl_easy_setopt (curl, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (curl, CURLOPT_ERRORBUFFER, call->error);
+  curl_easy_setopt (curl, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (curl, CURLOPT_NOPROXY, "*");
+  curl_easy_setopt (curl, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (curl, CURLOPT_TCP_NODELAY, 1L);
+  curl_easy_setopt (curl, CURLOPT_BUFFERSIZE, READ_BUFFER);
+  curl_easy_setopt (curl, CURLOPT_UPLOAD_BUFFERSIZE, UPLOAD_BUFFER);
+  curl_easy_setopt (curl, CURLOPT_PREREQFUNCTION, on_connected);
+  curl_easy_setopt (curl, CURLOPT_PREREQDATA, call);
+  curl_easy_setopt (curl, CURLOPT_SOCKOPTFUNCTION, on_socket_made);
+  curl_easy_setopt (curl, CURLOPT_SOCKOPTDATA, call);
+  curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, on_header);
+  curl_easy_setopt (curl, CURLOPT_HEADERDATA, call);
+  curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, on_data);
+  curl_easy_setopt (curl, CURLOPT_WRITEDATA, call);
+}
+
+/* libcurl sends a request without a body again by itself when a kept connection ends
+   before the answer; one whose body it reads by a callback that cannot go back it does
+   not. */
+static void
+set_method (struct kcp_http_call *call, const struct kcp_http_spec *spec)
+{
+  CURL *curl = call->curl;
+  bool bodiless
+      = strcmp (spec->method, "GET") == 0 || strcmp (spec->method, "DELETE") == 0;
+
+  curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, spec->method);
+  if (strcmp (spec->method, "HEAD") == 0)
+    curl_easy_setopt (curl, CURLOPT_NOBODY, 1L);
+  else if (spec->body.len > 0 || !bodiless)
+    {
+      curl_easy_setopt (curl, CURLOPT_POST, 1L);
+      curl_easy_setopt (curl, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)spec->body.len);
+      curl_easy_setopt (curl, CURLOPT_READFUNCTION, on_read_body);
+      curl_easy_setopt (curl, CURLOPT_READDATA, call);
+    }
+}
+
+static void
+set_limits (struct kcp_http_call *call, const struct kcp_http_spec *spec)
+{
+  CURL *curl = call->curl;
+
+  curl_easy_setopt (curl, CURLOPT_CONNECTTIMEOUT_MS, (long)spec->connect_ms);
+  curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, (long)spec->total_ms);
+  curl_easy_setopt (curl, CURLOPT_MAXAGE_CONN, (long)spec->kept_s);
+  curl_easy_setopt (curl, CURLOPT_FRESH_CONNECT, spec->fresh ? 1L : 0L);
+}
+
+static CURL *
+take_handle (struct kcp_http_client *client)
+{
+  if (client->spare->len == 0)
+    return curl_easy_init ();
+  return g_ptr_array_steal_index_fast (client->spare, client->spare->len - 1);
+}
+
+static void
+release (struct kcp_http_call *call)
+{
+  struct kcp_http_client *client = call->client;
+
+  curl_multi_remove_handle (client->multi, call->curl);
+  curl_slist_free_all (call->headers);
+  if (client->spare->len < SPARE_HANDLES_MAX)
+    {
+      curl_easy_reset (call->curl);
+      g_ptr_array_add (client->spare, call->curl);
+    }
+  else
+    curl_easy_cleanup (call->curl);
+  g_free (call);
+}
+
+/* Called before the first byte of the request leaves. */
+static int
+on_connected (void *user, char *address, char *own_address, int port, int own_port)
+{
+  struct kcp_http_call *call = user;
+
+  (void)address;
+  (void)own_address;
+  (void)port;
+  (void)own_port;
+  call->sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+/* Lets the kernel end a connection whose peer has gone silent. */
+static int
+on_socket_made (void *user, curl_socket_t fd, curlsocktype purpose)
+{
+  const struct kcp_http_call *call = user;
+  unsigned silence_ms = (unsigned)call->silence_ms;
+  int on = 1;
+  int idle_s = KEEPALIVE_IDLE_S;
+  int count = KEEPALIVE_COUNT;
+
+  (void)purpose;
+  if (silence_ms == 0)
+    return CURL_SOCKOPT_OK;
+  (void)setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle_s, sizeof idle_s);
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &idle_s, sizeof idle_s);
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &silence_ms, sizeof silence_ms);
+  return CURL_SOCKOPT_OK;
+}
+
+static size_t
+on_header (char *data, size_t size, size_t count, void *user)
+{
+  struct kcp_http_call *call = user;
+  struct kcp_str line = { .data = data, .len = size * count };
+  const char *colon = memchr (line.data, ':', line.len);
+
+  if (call->header == NULL || colon == NULL
+      || kcp_str_has_prefix (line, KCP_STR (STATUS_LINE_PREFIX)))
+    return line.len;
+  call->header (call->user,
+                (struct kcp_str){ .data = line.data, .len = (size_t)(colon - line.data) },
+                kcp_str_trim (kcp_str_skip (line, (size_t)(colon - line.data) + 1)));
+  return line.len;
+}
+
+static size_t
+on_data (char *data, size_t size, size_t count, void *user)
+{
+  struct kcp_http_call *call = user;
+  struct kcp_str bytes = { .data = data, .len = size * count };
+
+  if (call->data != NULL && !call->data (call->user, bytes))
+    return 0;
+  return bytes.len;
+}
+
+static size_t
+on_read_body (char *out, size_t size, size_t count, void *user)
+{
+  struct kcp_http_call *call = user;
+  size_t len = MIN (size * count, call->body.len - call->body_sent);
+
+  memcpy (out, call->body.data + call->body_sent, len);
+  call->body_sent += len;
+  return len;
+}
--- /dev/null
+++ b/src/forward/loop.c
@@ -0,0 +1,163 @@
+#include "forward/loop.h"
+
+#define TURN_LIMIT_MS 1000
+
+struct step
+{
+  kcp_loop_step *run;
+  void *user;
+};
+
+struct kcp_loop
+{
+  const struct kcp_clock *clock;
+  struct kcp_poller *poller;
+  GSequence *timers; /* struct kcp_loop_timer, the earliest first */
+  GArray *steps;
+  bool stopping;
+};
+
+static int64_t turn_limit_ms (const struct kcp_loop *loop);
+static void fire_timers (struct kcp_loop *loop);
+static gint compare_timers (gconstpointer a, gconstpointer b, gpointer user);
+
+/* Makes a loop; clock must outlive it. */
+struct kcp_loop *
+kcp_loop_new (const struct kcp_clock *clock)
+{
+  struct kcp_loop *loop = g_new0 (struct kcp_loop, 1);
+
+  loop->clock = clock;
+  loop->poller = kcp_poller_new (clock);
+  loop->timers = g_sequence_new (NULL);
+  loop->steps = g_array_new (FALSE, TRUE, sizeof (struct step));
+  return loop;
+}
+
+/* Frees a loop whose transfers have ended; set timers are forgotten. */
+void
+kcp_loop_free (struct kcp_loop *loop)
+{
+  if (loop == NULL)
+    return;
+  g_array_unref (loop->steps);
+  g_sequence_free (loop->timers);
+  kcp_poller_free (loop->poller);
+  g_free (loop);
+}
+
+/* Returns the loop's poller. */
+struct kcp_poller *
+kcp_loop_poller (struct kcp_loop *loop)
+{
+  return loop->poller;
+}
+
+/* Returns the time since boot in nanoseconds. */
+int64_t
+kcp_loop_now (const struct kcp_loop *loop)
+{
+  return kcp_clock_boottime_ns (loop->clock);
+}
+
+/* Runs step at each turn, after the steps that were added before. */
+void
+kcp_loop_add_step (struct kcp_loop *loop, kcp_loop_step *step, void *user)
+{
+  struct step entry = { .run = step, .user = user };
+
+  g_array_append_val (loop->steps, entry);
+}
+
+/* Turns until kcp_loop_stop(). */
+void
+kcp_loop_run (struct kcp_loop *loop)
+{
+  while (!loop->stopping)
+    {
+      kcp_poller_turn (loop->poller, turn_limit_ms (loop));
+      fire_timers (loop);
+      for (guint i = 0; i < loop->steps->len; i++)
+        {
+          const struct step *step = &g_array_index (loop->steps, struct step, i);
+
+          step->run (step->user);
+        }
+    }
+}
+
+/* Ends kcp_loop_run() after the current turn. */
+void
+kcp_loop_stop (struct kcp_loop *loop)
+{
+  loop->stopping = true;
+}
+
+/* Lets timer fire once at due_ns, or moves a set one. */
+void
+kcp_loop_timer_set (struct kcp_loop *loop, struct kcp_loop_timer *timer, int64_t due_ns,
+                    void (*fire) (void *user), void *user)
+{
+  kcp_loop_timer_cancel (timer);
+  timer->loop = loop;
+  timer->due_ns = due_ns;
+  timer->fire = fire;
+  timer->user = user;
+  timer->place = g_sequence_insert_sorted (loop->timers, timer, compare_timers, NULL);
+}
+
+/* Takes a timer back; one that is not set is left alone. */
+void
+kcp_loop_timer_cancel (struct kcp_loop_timer *timer)
+{
+  if (timer->place == NULL)
+    return;
+  g_sequence_remove (timer->place);
+  timer->place = NULL;
+}
+
+static int64_t
+turn_limit_ms (const struct kcp_loop *loop)
+{
+  GSequenceIter *first = g_sequence_get_begin_iter (loop->timers);
+  const struct kcp_loop_timer *timer;
+  int64_t left_ns;
+
+  if (g_sequence_iter_is_end (first))
+    return TURN_LIMIT_MS;
+  timer = g_sequence_get (first);
+  left_ns = timer->due_ns - kcp_loop_now (loop);
+  if (left_ns <= 0)
+    return 0;
+  return MIN (TURN_LIMIT_MS, left_ns / KCP_NS_PER_MS + 1);
+}
+
+static void
+fire_timers (struct kcp_loop *loop)
+{
+  int64_t now = kcp_loop_now (loop);
+
+  for (;;)
+    {
+      GSequenceIter *first = g_sequence_get_begin_iter (loop->timers);
+      struct kcp_loop_timer *timer;
+
+      if (g_sequence_iter_is_end (first))
+        return;
+      timer = g_sequence_get (first);
+      if (timer->due_ns > now)
+        return;
+      kcp_loop_timer_cancel (timer);
+      timer->fire (timer->user);
+    }
+}
+
+static gint
+compare_timers (gconstpointer a, gconstpointer b, gpointer user)
+{
+  int64_t first = ((const struct kcp_loop_timer *)a)->due_ns;
+  int64_t second = ((const struct kcp_loop_timer *)b)->due_ns;
+
+  (void)user;
+  return first < second ? -1 : first > second;
+}
--- /dev/null
+++ b/src/forward/rollout.h
@@ -0,0 +1,15 @@
+/* Brings the servers to the weights that operators name: takes the right to give orders,
+   sends them, and follows each one until the server has the new weights. */
+#ifndef KCP_FORWARD_ROLLOUT_H
+#define KCP_FORWARD_ROLLOUT_H
+
+#include "forward/gateway.h"
+
+struct kcp_rollout;
+
+struct kcp_rollout *
+kcp_rollout_start (struct kcp_gateway *gateway, const struct kcp_store *store);
+void kcp_rollout_stop (struct kcp_rollout *rollout);
+void kcp_rollout_look (struct kcp_rollout *rollout);
+
+#endif
--- /dev/null
+++ b/src/forward/server_loop.c
@@ -0,0 +1,103 @@
+#include "forward/server_loop.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+
+#define STEP "listen"
+/* The daemon looks for idle connections when it runs, so it runs at least that often. */
+#define RUN_AT_LEAST_NS KCP_NS_PER_S
+#define RUNS_A_TURN_MAX 4
+
+static void on_ready (void *user, uint32_t events);
+static void run (void *user);
+
+/* Reads "A.B.C.D:PORT". */
+bool
+kcp_server_loop_address (const char *text, struct sockaddr_in *out,
+                         struct kcp_error *error)
+{
+  const char *colon = strchr (text, ':');
+  g_autofree char *host = colon != NULL ? g_strndup (text, colon - text) : NULL;
+
+  memset (out, 0, sizeof *out);
+  out->sin_family = AF_INET;
+  if (colon == NULL || inet_pton (AF_INET, host, &out->sin_addr) != 1)
+    {
+      kcp_error_set (error, KCP_ERR_INTERNAL, STEP, text, "not an address");
+      return false;
+    }
+  out->sin_port = htons ((uint16_t)atoi (colon + 1));
+  return true;
+}
+
+/* Lets the loop run a daemon that was started with MHD_USE_EPOLL and no thread. daemon
+   NULL: it could not be started at that address, which becomes the error. */
+bool
+kcp_server_loop_start (struct kcp_server_loop *server, struct kcp_loop *loop,
+                       struct MHD_Daemon *daemon, const char *address,
+                       struct kcp_error *error)
+{
+  const union MHD_DaemonInfo *info;
+
+  server->loop = loop;
+  server->daemon = daemon;
+  if (daemon == NULL)
+    {
+      kcp_error_set (error, KCP_ERR_INTERNAL, STEP, address, "cannot listen: %s",
+                     g_strerror (errno));
+      return false;
+    }
+  info = MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_EPOLL_FD);
+  server->epoll = info->epoll_fd;
+  kcp_poller_watch (kcp_loop_poller (loop), server->epoll, EPOLLIN, on_ready, server);
+  kcp_loop_add_step (loop, run, server);
+  return true;
+}
+
+/* Stops the daemon; its connections are closed. */
+void
+kcp_server_loop_stop (struct kcp_server_loop *server)
+{
+  if (server->daemon == NULL)
+    return;
+  kcp_poller_unwatch (kcp_loop_poller (server->loop), server->epoll);
+  MHD_stop_daemon (server->daemon);
+  server->daemon = NULL;
+}
+
+static void
+on_ready (void *user, uint32_t events)
+{
+  struct kcp_server_loop *server = user;
+
+  (void)events;
+  server->work = true;
+}
+
+static void
+run (void *user)
+{
+  struct kcp_server_loop *server = user;
+  int64_t now = kcp_loop_now (server->loop);
+
+  if (server->daemon == NULL)
+    return;
+  if (!server->work && now - server->run_ns < RUN_AT_LEAST_NS)
+    return;
+  server->run_ns = now;
+  for (int i = 0; i < RUNS_A_TURN_MAX; i++)
+    {
+      MHD_UNSIGNED_LONG_LONG wait_ms;
+
+      server->work = false;
+      MHD_run (server->daemon);
+      if (!server->work
+          && (MHD_get_timeout (server->daemon, &wait_ms) != MHD_YES || wait_ms > 0))
+        return;
+    }
+  kcp_poller_wake (kcp_loop_poller (server->loop));
+  server->work = true;
+}
--- /dev/null
+++ b/src/forward/server_loop.h
@@ -0,0 +1,27 @@
+/* Runs a libmicrohttpd server without threads of its own on the event loop. */
+#ifndef KCP_FORWARD_SERVER_LOOP_H
+#define KCP_FORWARD_SERVER_LOOP_H
+
+#include <microhttpd.h>
+#include <netinet/in.h>
+
+#include "base/error.h"
+#include "forward/loop.h"
+
+struct kcp_server_loop
+{
+  struct kcp_loop *loop;
+  struct MHD_Daemon *daemon;
+  int epoll;      /* the daemon's own */
+  bool work;      /* the daemon has something to do in this turn */
+  int64_t run_ns; /* when it last ran */
+};
+
+bool kcp_server_loop_address (const char *text, struct sockaddr_in *out,
+                              struct kcp_error *error);
+bool kcp_server_loop_start (struct kcp_server_loop *server, struct kcp_loop *loop,
+                            struct MHD_Daemon *daemon, const char *address,
+                            struct kcp_error *error);
+void kcp_server_loop_stop (struct kcp_server_loop *server);
+
+#endif
--- /dev/null
+++ b/src/forward/servers.c
@@ -0,0 +1,308 @@
+#include "forward/servers.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/decision_log.h"
+#include "base/ref.h"
+
+#define SUSPECT_BASE_NS    (500 * KCP_NS_PER_MS)
+#define SUSPECT_DOUBLINGS  3u
+#define REFUSAL_SUSPECT_NS (250 * KCP_NS_PER_MS)
+#define VERSION_UNKNOWN    0
+
+struct kcp_servers
+{
+  GPtrArray *all; /* struct kcp_server, references */
+};
+
+static bool
+is_reborn (const struct kcp_server *server, const struct kcp_server_entry *entry);
+static void replace_entry (struct kcp_server *server, struct kcp_server_entry *entry);
+static void log_change (const struct kcp_server *server, const char *what);
+static void server_clear (void *object);
+static void server_drop (gpointer data);
+static void weights_clear (gpointer data);
+
+/* Makes an empty entry. */
+void
+kcp_server_entry_init (struct kcp_server_entry *entry)
+{
+  memset (entry, 0, sizeof *entry);
+  entry->weights = g_array_new (FALSE, TRUE, sizeof (struct kcp_server_weights));
+  g_array_set_clear_func (entry->weights, weights_clear);
+}
+
+/* Frees what an entry owns. */
+void
+kcp_server_entry_clear (struct kcp_server_entry *entry)
+{
+  g_free (entry->id);
+  g_free (entry->service);
+  g_free (entry->address);
+  g_free (entry->data_center);
+  g_array_unref (entry->weights);
+}
+
+/* Notes that the server carries a model at that version. */
+void
+kcp_server_entry_add_weights (struct kcp_server_entry *entry, const char *model,
+                              int64_t version)
+{
+  struct kcp_server_weights weights = { .model = g_strdup (model), .version = version };
+
+  g_array_append_val (entry->weights, weights);
+}
+
+/* Takes a further reference. */
+struct kcp_server *
+kcp_server_ref (struct kcp_server *server)
+{
+  return kcp_ref_acquire (server);
+}
+
+/* Drops a reference; NULL is allowed. */
+void
+kcp_server_unref (struct kcp_server *server)
+{
+  if (server != NULL)
+    kcp_ref_release (server, server_clear);
+}
+
+/* Returns the version of the model's weights there, or 0 if the server has none. */
+int64_t
+kcp_server_version (const struct kcp_server *server, const char *model)
+{
+  for (guint i = 0; i < server->entry.weights->len; i++)
+    {
+      const struct kcp_server_weights *weights
+          = &g_array_index (server->entry.weights, struct kcp_server_weights, i);
+
+      if (strcmp (weights->model, model) == 0)
+        return weights->version;
+    }
+  return VERSION_UNKNOWN;
+}
+
+/* Takes in a version that an answer showed; versions never go back within a start. */
+void
+kcp_server_learn_version (struct kcp_server *server, const char *model, int64_t version)
+{
+  for (guint i = 0; i < server->entry.weights->len; i++)
+    {
+      struct kcp_server_weights *weights
+          = &g_array_index (server->entry.weights, struct kcp_server_weights, i);
+
+      if (strcmp (weights->model, model) != 0 || version <= weights->version)
+        continue;
+      weights->version = version;
+      server->loading_until_ns = 0;
+      KCP_LOG ("server_weights", KCP_LOG_TEXT ("server", server->entry.id),
+               KCP_LOG_TEXT ("model", model), KCP_LOG_INT ("version", version));
+    }
+}
+
+/* Returns how many orders the server has taken since its start, as far as known. */
+int64_t
+kcp_server_orders (const struct kcp_server *server)
+{
+  return MAX (server->orders_learned, server->entry.orders_taken);
+}
+
+/* Notes a connection that could not be made or an answer that did not come: the server is
+   suspected for a time that doubles with each failure in a row. */
+void
+kcp_server_note_failure (struct kcp_server *server, int64_t now_ns)
+{
+  unsigned doublings = MIN (server->failures, SUSPECT_DOUBLINGS);
+
+  server->failures++;
+  server->suspected_until_ns = now_ns + (SUSPECT_BASE_NS << doublings);
+}
+
+/* Notes that the server refused a request before running it. */
+void
+kcp_server_note_refusal (struct kcp_server *server, int64_t now_ns)
+{
+  server->suspected_until_ns
+      = MAX (server->suspected_until_ns, now_ns + REFUSAL_SUSPECT_NS);
+}
+
+/* Notes a sound answer. */
+void
+kcp_server_note_answer (struct kcp_server *server)
+{
+  server->failures = 0;
+  server->suspected_until_ns = 0;
+}
+
+/* Makes an empty table. */
+struct kcp_servers *
+kcp_servers_new (void)
+{
+  struct kcp_servers *servers = g_new0 (struct kcp_servers, 1);
+
+  servers->all = g_ptr_array_new_with_free_func (server_drop);
+  return servers;
+}
+
+/* Frees the table; servers live on as long as requests refer to them. */
+void
+kcp_servers_free (struct kcp_servers *servers)
+{
+  if (servers == NULL)
+    return;
+  g_ptr_array_unref (servers->all);
+  g_free (servers);
+}
+
+/* Adds a server or takes in what it says now. Takes over what entry owns. A server that
+   started again under its old id is a new one, of which nothing is known. */
+void
+kcp_servers_apply (struct kcp_servers *servers, struct kcp_server_entry *entry)
+{
+  struct kcp_server *server = kcp_servers_find (servers, entry->id);
+
+  if (server != NULL && entry->started_ms < server->entry.started_ms)
+    {
+      log_change (server, "older_entry_dropped");
+      kcp_server_entry_clear (entry);
+      return;
+    }
+  if (server != NULL && is_reborn (server, entry))
+    {
+      log_change (server, "restarted");
+      g_ptr_array_remove_fast (servers->all, server);
+      server = NULL;
+    }
+  if (server == NULL)
+    {
+      server = kcp_ref_new (sizeof *server);
+      server->entry = *entry;
+      server->orders_learned = -1;
+      g_ptr_array_add (servers->all, server);
+      log_change (server, "added");
+      return;
+    }
+  replace_entry (server, entry);
+}
+
+/* Takes a server away at at_ns, unless its entry comes back before. */
+void
+kcp_servers_remove (struct kcp_servers *servers, const char *id, int64_t at_ns)
+{
+  struct kcp_server *server = kcp_servers_find (servers, id);
+
+  if (server == NULL || server->gone_at_ns != 0)
+    return;
+  server->gone_at_ns = at_ns;
+  log_change (server, "entry_removed");
+}
+
+/* Takes away the servers whose time has come. */
+void
+kcp_servers_remove_due (struct kcp_servers *servers, int64_t now_ns)
+{
+  for (guint i = servers->all->len; i > 0; i--)
+    {
+      struct kcp_server *server = g_ptr_array_index (servers->all, i - 1);
+
+      if (server->gone_at_ns == 0 || now_ns < server->gone_at_ns)
+        continue;
+      log_change (server, "gone");
+      g_ptr_array_remove_index_fast (servers->all, i - 1);
+    }
+}
+
+/* Returns the known servers, struct kcp_server, in no order. */
+const GPtrArray *
+kcp_servers_all (const struct kcp_servers *servers)
+{
+  return servers->all;
+}
+
+/* Returns the server of that id, borrowed, or NULL. */
+struct kcp_server *
+kcp_servers_find (const struct kcp_servers *servers, const char *id)
+{
+  for (guint i = 0; i < servers->all->len; i++)
+    {
+      struct kcp_server *server = g_ptr_array_index (servers->all, i);
+
+      if (strcmp (server->entry.id, id) == 0)
+        return server;
+    }
+  return NULL;
+}
+
+static bool
+is_reborn (const struct kcp_server *server, const struct kcp_server_entry *entry)
+{
+  return entry->started_ms != server->entry.started_ms
+         || strcmp (entry->address, server->entry.address) != 0
+         || strcmp (entry->service, server->entry.service) != 0;
+}
+
+/* Versions that answers have shown go before an entry that was written earlier. */
+static void
+replace_entry (struct kcp_server *server, struct kcp_server_entry *entry)
+{
+  enum kcp_server_state before = server->entry.state;
+
+  for (guint i = 0; i < entry->weights->len; i++)
+    {
+      struct kcp_server_weights *weights
+          = &g_array_index (entry->weights, struct kcp_server_weights, i);
+      int64_t known = kcp_server_version (server, weights->model);
+
+      if (weights->version > known)
+        {
+          server->loading_until_ns = 0;
+          KCP_LOG ("server_weights", KCP_LOG_TEXT ("server", entry->id),
+                   KCP_LOG_TEXT ("model", weights->model),
+                   KCP_LOG_INT ("version", weights->version));
+        }
+      weights->version = MAX (weights->version, known);
+    }
+  kcp_server_entry_clear (&server->entry);
+  server->entry = *entry;
+  server->gone_at_ns = 0;
+  if (before != server->entry.state)
+    log_change (server,
+                server->entry.state == KCP_SERVER_LEAVING ? "leaving" : "ready_again");
+}
+
+static void
+log_change (const struct kcp_server *server, const char *what)
+{
+  KCP_LOG ("server", KCP_LOG_TEXT ("change", what),
+           KCP_LOG_TEXT ("server", server->entry.id),
+           KCP_LOG_TEXT ("service", server->entry.service),
+           KCP_LOG_TEXT ("address", server->entry.address),
+           KCP_LOG_TEXT ("server_dc", server->entry.data_center));
+}
+
+static void
+server_drop (gpointer data)
+{
+  struct kcp_server *server = data;
+
+  server->gone = true;
+  kcp_server_unref (server);
+}
+
+static void
+server_clear (void *object)
+{
+  struct kcp_server *server = object;
+
+  kcp_server_entry_clear (&server->entry);
+}
+
+static void
+weights_clear (gpointer data)
+{
+  struct kcp_server_weights *weights = data;
+
+  g_free (weights->model);
+}
--- /dev/null
+++ b/src/forward/servers.h
@@ -0,0 +1,75 @@
+/* The backend servers that are known, with what this VM has learned of each. One thread.
+ */
+#ifndef KCP_FORWARD_SERVERS_H
+#define KCP_FORWARD_SERVERS_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+enum kcp_server_state
+{
+  KCP_SERVER_READY,
+  KCP_SERVER_LEAVING
+};
+
+struct kcp_server_weights
+{
+  char *model;
+  int64_t version;
+};
+
+/* What a server says of itself in its entry. */
+struct kcp_server_entry
+{
+  char *id; /* incarnation that requests can demand */
+  char *service;
+  char *address; /* IP:PORT */
+  char *data_center;
+  enum kcp_server_state state;
+  int64_t slots;
+  int64_t started_ms;   /* Unix time of its start */
+  int64_t orders_taken; /* since its start */
+  GArray *weights;      /* struct kcp_server_weights */
+};
+
+struct kcp_server
+{
+  struct kcp_server_entry entry;
+  bool gone;             /* in no table any more */
+  int64_t gone_at_ns;    /* its entry was removed and it is taken away then; 0: no */
+  unsigned open;         /* this VM's requests in flight there */
+  int64_t unread_tokens; /* of their prompts, without an answer so far */
+  unsigned failures;     /* in a row */
+  int64_t suspected_until_ns;
+  int64_t loading_until_ns; /* it is believed to take new weights until then */
+  int64_t orders_learned;   /* orders taken, from its answers; -1: see entry */
+};
+
+struct kcp_servers;
+
+void kcp_server_entry_init (struct kcp_server_entry *entry);
+void kcp_server_entry_clear (struct kcp_server_entry *entry);
+void kcp_server_entry_add_weights (struct kcp_server_entry *entry, const char *model,
+                                   int64_t version);
+struct kcp_server *kcp_server_ref (struct kcp_server *server);
+void kcp_server_unref (struct kcp_server *server);
+int64_t kcp_server_version (const struct kcp_server *server, const char *model);
+void
+kcp_server_learn_version (struct kcp_server *server, const char *model, int64_t version);
+int64_t kcp_server_orders (const struct kcp_server *server);
+void kcp_server_note_failure (struct kcp_server *server, int64_t now_ns);
+void kcp_server_note_refusal (struct kcp_server *server, int64_t now_ns);
+void kcp_server_note_answer (struct kcp_server *server);
+
+struct kcp_servers *kcp_servers_new (void);
+void kcp_servers_free (struct kcp_servers *servers);
+void kcp_servers_apply (struct kcp_servers *servers, struct kcp_server_entry *entry);
+void kcp_servers_remove (struct kcp_servers *servers, const char *id, int64_t at_ns);
+void kcp_servers_remove_due (struct kcp_servers *servers, int64_t now_ns);
+const GPtrArray *kcp_servers_all (const struct kcp_servers *servers);
+struct kcp_server *kcp_servers_find (const struct kcp_servers *servers, const char *id);
+
+#endif
--- /dev/null
+++ b/src/forward/side_door.c
@@ -0,0 +1,90 @@
+#include <string.h>
+
+#include "forward/door.h"
+#include "forward/server_loop.h"
+
+#define CONNECTION_MEMORY 4096u
+#define IDLE_TIMEOUT_S    10u
+
+struct kcp_side_door
+{
+  struct kcp_server_loop server;
+  char *path;
+  kcp_side_door_answer *answer;
+  void *user;
+};
+
+static enum MHD_Result
+on_access (void *user, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *data, size_t *size,
+           void **state);
+
+/* Opens a server that answers one path, NULL for any, with what answer gives. */
+struct kcp_side_door *
+kcp_side_door_open (struct kcp_loop *loop, const char *address, const char *path,
+                    kcp_side_door_answer *answer, void *user, struct kcp_error *error)
+{
+  struct kcp_side_door *door = g_new0 (struct kcp_side_door, 1);
+  struct sockaddr_in at;
+  struct MHD_Daemon *daemon;
+
+  door->path = g_strdup (path);
+  door->answer = answer;
+  door->user = user;
+  if (!kcp_server_loop_address (address, &at, error))
+    goto fail;
+  daemon
+      = MHD_start_daemon (MHD_USE_EPOLL, ntohs (at.sin_port), NULL, NULL, on_access, door,
+                          MHD_OPTION_SOCK_ADDR, &at, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+                          (size_t)CONNECTION_MEMORY, MHD_OPTION_CONNECTION_TIMEOUT,
+                          IDLE_TIMEOUT_S, MHD_OPTION_END);
+  if (kcp_server_loop_start (&door->server, loop, daemon, address, error))
+    return door;
+fail:
+  kcp_side_door_close (door);
+  return NULL;
+}
+
+/* Closes the server; NULL is allowed. */
+void
+kcp_side_door_close (struct kcp_side_door *door)
+{
+  if (door == NULL)
+    return;
+  kcp_server_loop_stop (&door->server);
+  g_free (door->path);
+  g_free (door);
+}
+
+static enum MHD_Result
+on_access (void *user, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *data, size_t *size,
+           void **state)
+{
+  struct kcp_side_door *door = user;
+  g_autoptr (GString) text = g_string_new (NULL);
+  struct MHD_Response *response;
+  unsigned status = MHD_HTTP_NOT_FOUND;
+  enum MHD_Result result;
+
+  (void)method;
+  (void)version;
+  (void)data;
+  if (*state == NULL)
+    {
+      *state = door;
+      return MHD_YES;
+    }
+  if (*size > 0)
+    {
+      *size = 0;
+      return MHD_YES;
+    }
+  if (door->path == NULL || strcmp (url, door->path) == 0)
+    status = door->answer (door->user, text);
+  response
+      = MHD_create_response_from_buffer (text->len, text->str, MHD_RESPMEM_MUST_COPY);
+  result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
--- a/src/http/admin.c
+++ b/src/http/admin.c
@@ -8,7 +8,7 @@
 #include "http/listen.h"
 #include "http/responder.h"
 #include "http/vm_reports.h"
-#include "platform/publish.h"
+#include "logstore/publish.h"
 
 #define STEP             "admin"
 #define THREADS          8
--- a/src/http/admin.h
+++ b/src/http/admin.h
@@ -2,7 +2,7 @@
 #ifndef KCP_HTTP_ADMIN_H
 #define KCP_HTTP_ADMIN_H
 
-#include "platform/platform_log.h"
+#include "logstore/platform_log.h"
 #include "request/router.h"
 
 struct kcp_admin;
--- a/src/platform/checkpoint_plan.c
+++ b/src/logstore/checkpoint_plan.c
@@ -1,4 +1,4 @@
-#include "platform/checkpoint_plan.h"
+#include "logstore/checkpoint_plan.h"
 
 enum reason
 {
--- a/src/platform/checkpoint_plan.h
+++ b/src/logstore/checkpoint_plan.h
@@ -1,7 +1,7 @@
 /* Decides when this VM appends a checkpoint to the configuration stream. Every VM decides
    alone; a random delay makes it likely that one comes first and the others see it. */
-#ifndef KCP_PLATFORM_CHECKPOINT_PLAN_H
-#define KCP_PLATFORM_CHECKPOINT_PLAN_H
+#ifndef KCP_LOGSTORE_CHECKPOINT_PLAN_H
+#define KCP_LOGSTORE_CHECKPOINT_PLAN_H
 
 #include "profile/config.h"
 
--- a/src/platform/config_reader.c
+++ b/src/logstore/config_reader.c
@@ -1,4 +1,4 @@
-#include "platform/config_reader.h"
+#include "logstore/config_reader.h"
 
 #include "base/logger.h"
 
--- a/src/platform/config_reader.h
+++ b/src/logstore/config_reader.h
@@ -1,11 +1,11 @@
 /* Follows the configuration stream without doing I/O: says from where to read, takes what
    was read, and tells when a checkpoint is to be appended. */
-#ifndef KCP_PLATFORM_CONFIG_READER_H
-#define KCP_PLATFORM_CONFIG_READER_H
+#ifndef KCP_LOGSTORE_CONFIG_READER_H
+#define KCP_LOGSTORE_CONFIG_READER_H
 
 #include "base/timeline.h"
-#include "platform/checkpoint_plan.h"
-#include "platform/platform_log.h"
+#include "logstore/checkpoint_plan.h"
+#include "logstore/platform_log.h"
 
 struct kcp_config_reader
 {
--- a/src/platform/config_tail.c
+++ b/src/logstore/config_tail.c
@@ -1,4 +1,4 @@
-#include "platform/config_tail.h"
+#include "logstore/config_tail.h"
 
 #include <ck_pr.h>
 #include <glib.h>
@@ -7,7 +7,7 @@
 #include "base/counter.h"
 #include "base/id.h"
 #include "base/logger.h"
-#include "platform/config_reader.h"
+#include "logstore/config_reader.h"
 
 struct kcp_config_tail
 {
--- a/src/platform/config_tail.h
+++ b/src/logstore/config_tail.h
@@ -1,9 +1,9 @@
 /* A thread that follows the configuration stream of the platform's log. */
-#ifndef KCP_PLATFORM_CONFIG_TAIL_H
-#define KCP_PLATFORM_CONFIG_TAIL_H
+#ifndef KCP_LOGSTORE_CONFIG_TAIL_H
+#define KCP_LOGSTORE_CONFIG_TAIL_H
 
 #include "base/timeline.h"
-#include "platform/platform_log.h"
+#include "logstore/platform_log.h"
 #include "profile/config.h"
 
 #define KCP_CONFIG_STREAM "config"
--- a/src/platform/http_call.c
+++ b/src/logstore/http_call.c
@@ -1,4 +1,4 @@
-#include "platform/http_call.h"
+#include "logstore/http_call.h"
 
 #include <curl/curl.h>
 #include <pthread.h>
--- a/src/platform/http_call.h
+++ b/src/logstore/http_call.h
@@ -1,6 +1,6 @@
 /* One blocking HTTP call with JSON bodies, by libcurl. */
-#ifndef KCP_PLATFORM_HTTP_CALL_H
-#define KCP_PLATFORM_HTTP_CALL_H
+#ifndef KCP_LOGSTORE_HTTP_CALL_H
+#define KCP_LOGSTORE_HTTP_CALL_H
 
 #include <jansson.h>
 #include <stdbool.h>
--- a/src/platform/platform_log.c
+++ b/src/logstore/platform_log.c
@@ -1,9 +1,9 @@
-#include "platform/platform_log.h"
+#include "logstore/platform_log.h"
 
 #include <glib.h>
 
 #include "base/counter.h"
-#include "platform/http_call.h"
+#include "logstore/http_call.h"
 
 #define STEP                     "platform_log"
 #define HTTP_STATUS_OK           200
--- a/src/platform/platform_log.h
+++ b/src/logstore/platform_log.h
@@ -1,6 +1,6 @@
 /* Client of the platform's append-only log. Streams are named; offsets start at 0. */
-#ifndef KCP_PLATFORM_PLATFORM_LOG_H
-#define KCP_PLATFORM_PLATFORM_LOG_H
+#ifndef KCP_LOGSTORE_PLATFORM_LOG_H
+#define KCP_LOGSTORE_PLATFORM_LOG_H
 
 #include <jansson.h>
 #include <stdint.h>
--- a/src/platform/publish.c
+++ b/src/logstore/publish.c
@@ -1,8 +1,8 @@
-#include "platform/publish.h"
+#include "logstore/publish.h"
 
 #include <string.h>
 
-#include "platform/config_tail.h"
+#include "logstore/config_tail.h"
 
 #define STEP          "publish"
 #define TRIES         3
--- a/src/platform/publish.h
+++ b/src/logstore/publish.h
@@ -1,8 +1,8 @@
 /* Publishes one change of the configuration through the platform's log. */
-#ifndef KCP_PLATFORM_PUBLISH_H
-#define KCP_PLATFORM_PUBLISH_H
+#ifndef KCP_LOGSTORE_PUBLISH_H
+#define KCP_LOGSTORE_PUBLISH_H
 
-#include "platform/platform_log.h"
+#include "logstore/platform_log.h"
 #include "profile/config.h"
 
 struct kcp_publication
--- a/src/platform/vm_list.c
+++ b/src/logstore/vm_list.c
@@ -1,8 +1,8 @@
-#include "platform/vm_list.h"
+#include "logstore/vm_list.h"
 
 #include <string.h>
 
-#include "platform/http_call.h"
+#include "logstore/http_call.h"
 
 #define STEP                     "vm_list"
 #define HTTP_STATUS_OK           200
--- a/src/platform/vm_list.h
+++ b/src/logstore/vm_list.h
@@ -1,6 +1,6 @@
 /* The platform's list of VMs and backend servers. It may lag. */
-#ifndef KCP_PLATFORM_VM_LIST_H
-#define KCP_PLATFORM_VM_LIST_H
+#ifndef KCP_LOGSTORE_VM_LIST_H
+#define KCP_LOGSTORE_VM_LIST_H
 
 #include <glib.h>
 #include <stdbool.h>
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -8,7 +8,7 @@
 #include "base/error.h"
 #include "base/timeline.h"
 #include "peer/fact.h"
-#include "platform/vm_list.h"
+#include "logstore/vm_list.h"
 #include "profile/config.h"
 #include "settings/settings.h"
 
--- /dev/null
+++ b/src/policy/claim.c
@@ -0,0 +1,124 @@
+#include "policy/claim.h"
+
+#include <glib.h>
+#include <string.h>
+
+static bool is_own (const struct kcp_claim *claim);
+
+/* Starts without knowledge of the log; own names this VM for all its starts. */
+void
+kcp_claim_init (struct kcp_claim *claim, const char *own,
+                const struct kcp_claim_times *times)
+{
+  memset (claim, 0, sizeof *claim);
+  g_strlcpy (claim->own, own, sizeof claim->own);
+  claim->times = *times;
+}
+
+/* Tells what to do next if orders are wanted. until_ns receives when to ask again, or for
+   KCP_CLAIM_HELD the end of the right. */
+enum kcp_claim_next
+kcp_claim_step (struct kcp_claim *claim, bool wanted, int64_t now_ns, int64_t *until_ns)
+{
+  int64_t free_ns;
+
+  *until_ns = now_ns + claim->times.read_ns;
+  if (!wanted)
+    return KCP_CLAIM_REST;
+  if (kcp_claim_is_held (claim, now_ns)
+      && (claim->appending || claim->valid_until_ns - now_ns > claim->times.renew_ns))
+    {
+      *until_ns = claim->valid_until_ns;
+      return KCP_CLAIM_HELD;
+    }
+  if (claim->appending)
+    return KCP_CLAIM_REST;
+  if (now_ns < claim->rest_until_ns)
+    {
+      *until_ns = claim->rest_until_ns;
+      return KCP_CLAIM_REST;
+    }
+  if (!claim->known)
+    return KCP_CLAIM_READ;
+  if (claim->holder[0] == '\0' || is_own (claim))
+    return KCP_CLAIM_APPEND;
+  free_ns = claim->seen_ns + claim->times.pause_ns;
+  if (now_ns >= free_ns)
+    return KCP_CLAIM_APPEND;
+  /* The holder may have renewed it, so look again before its pause ends. */
+  claim->known = false;
+  claim->rest_until_ns = MIN (now_ns + claim->times.read_ns, free_ns);
+  *until_ns = claim->rest_until_ns;
+  return KCP_CLAIM_REST;
+}
+
+/* Notes that a reading or an append was sent. */
+void
+kcp_claim_sent (struct kcp_claim *claim, int64_t now_ns)
+{
+  claim->appending = true;
+  claim->sent_ns = now_ns;
+}
+
+/* Takes in what was read: the log's end and its newest claim; holder NULL: there is none.
+ */
+void
+kcp_claim_read (struct kcp_claim *claim, int64_t end, const char *holder, int64_t offset,
+                int64_t now_ns)
+{
+  claim->appending = false;
+  claim->known = true;
+  claim->end = end;
+  if (holder == NULL)
+    {
+      claim->holder[0] = '\0';
+      return;
+    }
+  if (offset != claim->offset || strcmp (holder, claim->holder) != 0)
+    claim->seen_ns = now_ns;
+  g_strlcpy (claim->holder, holder, sizeof claim->holder);
+  claim->offset = offset;
+}
+
+/* Takes in that this VM's claim lies at that offset. */
+void
+kcp_claim_appended (struct kcp_claim *claim, int64_t offset, int64_t now_ns)
+{
+  claim->appending = false;
+  claim->known = true;
+  claim->offset = offset;
+  claim->end = offset + 1;
+  claim->seen_ns = now_ns;
+  g_strlcpy (claim->holder, claim->own, sizeof claim->holder);
+  claim->valid_until_ns = claim->sent_ns + claim->times.valid_ns;
+}
+
+/* Takes in that a reading or an append failed, was refused, or got no answer: the log has
+   to be read again, not before retry_ns have passed. */
+void
+kcp_claim_failed (struct kcp_claim *claim, int64_t retry_ns, int64_t now_ns)
+{
+  claim->appending = false;
+  claim->known = false;
+  claim->rest_until_ns = now_ns + retry_ns;
+}
+
+/* Tells whether this VM may send an order now. To be asked right before the sending. */
+bool
+kcp_claim_is_held (const struct kcp_claim *claim, int64_t now_ns)
+{
+  return is_own (claim) && now_ns < claim->valid_until_ns;
+}
+
+/* Returns the fencing token of the held claim; tokens of later claims are greater. */
+int64_t
+kcp_claim_fence (const struct kcp_claim *claim)
+{
+  return claim->offset + 1;
+}
+
+static bool
+is_own (const struct kcp_claim *claim)
+{
+  return claim->holder[0] != '\0' && strcmp (claim->holder, claim->own) == 0;
+}
--- /dev/null
+++ b/src/policy/claim.h
@@ -0,0 +1,60 @@
+/* The right to give orders to servers, held by one VM at a time. Pure: what was read from
+   the platform's log and the time go in, decisions come out.
+
+   A claim is a record that was appended on the condition that nothing had been appended
+   since the log was read. It is valid for a fixed time from the moment at which its
+   append was sent. Another VM may append its own only once a pause has passed since it
+   read the newest claim, long enough that the former holder's right has lapsed and its
+   last order lies a lease behind. The offset of the claim is the fencing token. */
+#ifndef KCP_POLICY_CLAIM_H
+#define KCP_POLICY_CLAIM_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define KCP_CLAIM_HOLDER_MAX 64
+
+enum kcp_claim_next
+{
+  KCP_CLAIM_REST,   /* nothing until the time given */
+  KCP_CLAIM_READ,   /* read the log's end */
+  KCP_CLAIM_APPEND, /* append a claim at the known end */
+  KCP_CLAIM_HELD    /* orders may be sent until the time given */
+};
+
+struct kcp_claim_times
+{
+  int64_t valid_ns; /* from the append's sending */
+  int64_t renew_ns; /* before its end a held claim is renewed */
+  int64_t pause_ns; /* from another VM's claim being read until it may be superseded */
+  int64_t read_ns;  /* between two readings while another VM's claim stands */
+};
+
+struct kcp_claim
+{
+  char own[KCP_CLAIM_HOLDER_MAX]; /* this VM */
+  struct kcp_claim_times times;
+  bool known;                        /* the log's end was read */
+  bool appending;                    /* an append or a reading is under way */
+  int64_t end;                       /* the offset behind the newest record */
+  char holder[KCP_CLAIM_HOLDER_MAX]; /* of the newest claim; empty: none */
+  int64_t offset;                    /* of the newest claim */
+  int64_t seen_ns;                   /* when that claim was first read */
+  int64_t valid_until_ns;            /* of this VM's right; 0: none */
+  int64_t sent_ns;                   /* when the append under way was sent */
+  int64_t rest_until_ns;
+};
+
+void kcp_claim_init (struct kcp_claim *claim, const char *own,
+                     const struct kcp_claim_times *times);
+enum kcp_claim_next
+kcp_claim_step (struct kcp_claim *claim, bool wanted, int64_t now_ns, int64_t *until_ns);
+void kcp_claim_sent (struct kcp_claim *claim, int64_t now_ns);
+void kcp_claim_read (struct kcp_claim *claim, int64_t end, const char *holder,
+                     int64_t offset, int64_t now_ns);
+void kcp_claim_appended (struct kcp_claim *claim, int64_t offset, int64_t now_ns);
+void kcp_claim_failed (struct kcp_claim *claim, int64_t retry_ns, int64_t now_ns);
+bool kcp_claim_is_held (const struct kcp_claim *claim, int64_t now_ns);
+int64_t kcp_claim_fence (const struct kcp_claim *claim);
+
+#endif
--- /dev/null
+++ b/src/policy/place.c
@@ -0,0 +1,69 @@
+#include "policy/place.h"
+
+/* Engines read about 48 prompt tokens in a millisecond. */
+const struct kcp_place_costs kcp_place_engine_costs = {
+  .per_token = 21,
+  .per_open = 1500,
+  .per_full = 20000,
+  .far = 30000,
+  .old_weights = 250000,
+  .suspected = 2000000,
+  .loading = 1500000,
+};
+
+const struct kcp_place_costs kcp_place_plain_costs = {
+  .per_token = 0,
+  .per_open = 6000,
+  .per_full = 30000,
+  .far = 8000,
+  .old_weights = 0,
+  .suspected = 2000000,
+  .loading = 0,
+};
+
+/* Returns the index of the candidate with the least cost, or KCP_PLACE_NONE if none is
+   usable. Among equals, draw, a uniform random number, decides. */
+int
+kcp_place_choose (const struct kcp_place_candidate *candidates, size_t count,
+                  const struct kcp_place_costs *costs, uint64_t draw)
+{
+  int best = KCP_PLACE_NONE;
+  int64_t best_cost = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      size_t at = (i + draw % count) % count;
+      int64_t cost;
+
+      if (!candidates[at].usable || candidates[at].weights == KCP_PLACE_WEIGHTS_REFUSED)
+        continue;
+      cost = kcp_place_cost (&candidates[at], costs);
+      if (best != KCP_PLACE_NONE && cost >= best_cost)
+        continue;
+      best = (int)at;
+      best_cost = cost;
+    }
+  return best;
+}
+
+/* Returns the expected time to the first byte, with penalties, in microseconds. */
+int64_t
+kcp_place_cost (const struct kcp_place_candidate *candidate,
+                const struct kcp_place_costs *costs)
+{
+  int64_t cost
+      = costs->per_token * (candidate->uncached_tokens + candidate->unread_tokens);
+
+  cost += costs->per_open * candidate->open;
+  if (candidate->open >= candidate->slots)
+    cost += costs->per_full * (candidate->open - candidate->slots + 1);
+  if (!candidate->nearby)
+    cost += costs->far;
+  if (candidate->weights == KCP_PLACE_WEIGHTS_OLD)
+    cost += costs->old_weights;
+  if (candidate->suspected)
+    cost += costs->suspected;
+  if (candidate->loading)
+    cost += costs->loading;
+  return cost;
+}
--- /dev/null
+++ b/src/route/routes.c
@@ -0,0 +1,231 @@
+#include "route/routes.h"
+
+#include <string.h>
+
+#include "base/ref.h"
+
+static void routes_clear (void *object);
+static void route_free (gpointer data);
+static void team_free (gpointer data);
+static void service_free (gpointer data);
+static void target_clear (gpointer data);
+static struct kcp_str host_without_port (struct kcp_str host);
+
+/* Makes an empty document of that version, with one reference. */
+struct kcp_routes *
+kcp_routes_new (int64_t version)
+{
+  struct kcp_routes *routes = kcp_ref_new (sizeof *routes);
+
+  routes->version = version;
+  routes->routes = g_ptr_array_new_with_free_func (route_free);
+  routes->teams = g_ptr_array_new_with_free_func (team_free);
+  routes->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  routes->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  return routes;
+}
+
+/* Takes a further reference. */
+struct kcp_routes *
+kcp_routes_ref (struct kcp_routes *routes)
+{
+  return kcp_ref_acquire (routes);
+}
+
+/* Drops a reference; NULL is allowed. */
+void
+kcp_routes_unref (struct kcp_routes *routes)
+{
+  if (routes != NULL)
+    kcp_ref_release (routes, routes_clear);
+}
+
+/* Adds a route; the caller fills in its texts, which the document then owns. */
+struct kcp_route *
+kcp_routes_add_route (struct kcp_routes *routes)
+{
+  struct kcp_route *route = g_new0 (struct kcp_route, 1);
+
+  route->targets = g_array_new (FALSE, TRUE, sizeof (struct kcp_target));
+  g_array_set_clear_func (route->targets, target_clear);
+  g_ptr_array_add (routes->routes, route);
+  return route;
+}
+
+/* Adds a service that gets a share of the route's requests by its weight. */
+void
+kcp_routes_add_target (struct kcp_route *route, const char *service, int64_t weight)
+{
+  struct kcp_target target = { .service = g_strdup (service), .weight = weight };
+
+  g_array_append_val (route->targets, target);
+}
+
+/* Adds a team without keys. */
+struct kcp_team_access *
+kcp_routes_add_team (struct kcp_routes *routes, const char *name)
+{
+  struct kcp_team_access *team = g_new0 (struct kcp_team_access, 1);
+
+  team->name = g_strdup (name);
+  team->priority = KCP_PRIORITY_NONE;
+  g_ptr_array_add (routes->teams, team);
+  return team;
+}
+
+/* Lets a key name a team of the same document. */
+void
+kcp_routes_add_key (struct kcp_routes *routes, struct kcp_team_access *team,
+                    const char *key)
+{
+  g_hash_table_insert (routes->keys, g_strdup (key), team);
+}
+
+/* Adds a service. */
+struct kcp_service_info *
+kcp_routes_add_service (struct kcp_routes *routes, const char *name)
+{
+  struct kcp_service_info *service = g_new0 (struct kcp_service_info, 1);
+
+  service->name = g_strdup (name);
+  g_hash_table_insert (routes->services, service->name, service);
+  return service;
+}
+
+/* Returns the route of that host whose path prefix is the longest that begins path, or
+   NULL. A port behind the host's name is left out of account. */
+const struct kcp_route *
+kcp_routes_find (const struct kcp_routes *routes, struct kcp_str host,
+                 struct kcp_str path)
+{
+  const struct kcp_route *best = NULL;
+  size_t best_len = 0;
+
+  host = host_without_port (host);
+  for (guint i = 0; i < routes->routes->len; i++)
+    {
+      const struct kcp_route *route = g_ptr_array_index (routes->routes, i);
+      struct kcp_str prefix = kcp_str_from_c (route->path_prefix);
+
+      if (prefix.len < best_len || !kcp_str_has_prefix (path, prefix))
+        continue;
+      if (strlen (route->host) != host.len
+          || g_ascii_strncasecmp (route->host, host.data, host.len) != 0)
+        continue;
+      best = route;
+      best_len = prefix.len;
+    }
+  return best;
+}
+
+/* Returns the team that holds the key, or NULL. */
+const struct kcp_team_access *
+kcp_routes_team (const struct kcp_routes *routes, struct kcp_str key)
+{
+  g_autofree char *text = kcp_str_dup (key);
+
+  return g_hash_table_lookup (routes->keys, text);
+}
+
+/* Picks one of the route's services by weight; draw is a uniform random number. */
+const char *
+kcp_route_target (const struct kcp_route *route, uint64_t draw)
+{
+  int64_t total = 0;
+  int64_t at;
+
+  for (guint i = 0; i < route->targets->len; i++)
+    total += g_array_index (route->targets, struct kcp_target, i).weight;
+  at = total > 0 ? (int64_t)(draw % (uint64_t)total) : 0;
+  for (guint i = 0; i < route->targets->len; i++)
+    {
+      const struct kcp_target *target
+          = &g_array_index (route->targets, struct kcp_target, i);
+
+      if (at < target->weight || i + 1 == route->targets->len)
+        return target->service;
+      at -= target->weight;
+    }
+  return NULL;
+}
+
+/* Returns a store of KV cache, one in that data center if there is one, or NULL. */
+const struct kcp_service_info *
+kcp_routes_cache_store (const struct kcp_routes *routes, const char *data_center)
+{
+  const struct kcp_service_info *found = NULL;
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, routes->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct kcp_service_info *service = value;
+
+      if (service->cache_store == NULL)
+        continue;
+      if (found == NULL || g_strcmp0 (service->cache_store_dc, data_center) == 0)
+        found = service;
+    }
+  return found;
+}
+
+static struct kcp_str
+host_without_port (struct kcp_str host)
+{
+  for (size_t i = host.len; i > 0; i--)
+    if (host.data[i - 1] == ':')
+      return (struct kcp_str){ .data = host.data, .len = i - 1 };
+  return host;
+}
+
+static void
+routes_clear (void *object)
+{
+  struct kcp_routes *routes = object;
+
+  g_ptr_array_unref (routes->routes);
+  g_hash_table_unref (routes->keys);
+  g_ptr_array_unref (routes->teams);
+  g_hash_table_unref (routes->services);
+}
+
+static void
+route_free (gpointer data)
+{
+  struct kcp_route *route = data;
+
+  g_free (route->name);
+  g_free (route->host);
+  g_free (route->path_prefix);
+  g_array_unref (route->targets);
+  g_free (route);
+}
+
+static void
+team_free (gpointer data)
+{
+  struct kcp_team_access *team = data;
+
+  g_free (team->name);
+  g_free (team);
+}
+
+static void
+service_free (gpointer data)
+{
+  struct kcp_service_info *service = data;
+
+  g_free (service->name);
+  g_free (service->cache_store);
+  g_free (service->cache_store_dc);
+  g_free (service);
+}
+
+static void
+target_clear (gpointer data)
+{
+  struct kcp_target *target = data;
+
+  g_free (target->service);
+}
--- /dev/null
+++ b/src/route/routes.h
@@ -0,0 +1,97 @@
+/* The operators' configuration of routed traffic, as one immutable document: which
+   request goes to which service, how it may be repeated, and which key belongs to which
+   team. */
+#ifndef KCP_ROUTE_ROUTES_H
+#define KCP_ROUTE_ROUTES_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+/* What may be done again when the outcome of an attempt is unknown. */
+enum kcp_repeat
+{
+  KCP_REPEAT_IDEMPOTENT, /* may run more than once */
+  KCP_REPEAT_ONCE,       /* may run at most once */
+  KCP_REPEAT_RESUMABLE   /* a stream that goes on behind its last event elsewhere */
+};
+
+struct kcp_target
+{
+  char *service;
+  int64_t weight;
+};
+
+struct kcp_route
+{
+  char *name;
+  char *host;
+  char *path_prefix; /* begins and ends with a slash */
+  enum kcp_repeat repeat;
+  bool streaming;
+  bool open;         /* needs no key */
+  bool prompt;       /* carries a prompt for a model engine */
+  int priority;      /* 0 is the most urgent */
+  int max_runs;      /* servers that may run one request */
+  int64_t limit_ms;  /* a request has its final answer by then */
+  int64_t target_ms; /* objective for the first byte */
+  GArray *targets;   /* struct kcp_target, at least one */
+};
+
+struct kcp_team_access
+{
+  char *name;
+  int priority;  /* goes before the route's; KCP_PRIORITY_NONE */
+  bool isolated; /* shares no cache with other teams */
+};
+
+#define KCP_PRIORITY_NONE (-1)
+
+struct kcp_service_info
+{
+  char *name;
+  char *cache_store; /* address of a store of KV cache, or NULL for a service */
+  char *cache_store_dc;
+  int64_t max_connections;
+};
+
+struct kcp_caller_limits
+{
+  int64_t max_header_bytes;
+  int64_t max_body_bytes;
+  int64_t header_timeout_ms;
+  int64_t idle_timeout_ms;
+};
+
+struct kcp_routes
+{
+  int64_t version;
+  GPtrArray *routes;    /* struct kcp_route */
+  GPtrArray *teams;     /* struct kcp_team_access */
+  GHashTable *keys;     /* key text -> struct kcp_team_access, borrowed */
+  GHashTable *services; /* name -> struct kcp_service_info */
+  bool keyed;           /* false: requests carry no keys */
+  struct kcp_caller_limits limits;
+};
+
+struct kcp_routes *kcp_routes_new (int64_t version);
+struct kcp_routes *kcp_routes_ref (struct kcp_routes *routes);
+void kcp_routes_unref (struct kcp_routes *routes);
+struct kcp_route *kcp_routes_add_route (struct kcp_routes *routes);
+void kcp_routes_add_target (struct kcp_route *route, const char *service, int64_t weight);
+struct kcp_team_access *kcp_routes_add_team (struct kcp_routes *routes, const char *name);
+void kcp_routes_add_key (struct kcp_routes *routes, struct kcp_team_access *team,
+                         const char *key);
+struct kcp_service_info *
+kcp_routes_add_service (struct kcp_routes *routes, const char *name);
+const struct kcp_route *kcp_routes_find (const struct kcp_routes *routes,
+                                         struct kcp_str host, struct kcp_str path);
+const struct kcp_team_access *
+kcp_routes_team (const struct kcp_routes *routes, struct kcp_str key);
+const char *kcp_route_target (const struct kcp_route *route, uint64_t draw);
+const struct kcp_service_info *
+kcp_routes_cache_store (const struct kcp_routes *routes, const char *data_center);
+
+#endif
--- /dev/null
+++ b/src/settings/forward_settings.c
@@ -0,0 +1,76 @@
+#include "settings/forward_settings.h"
+
+#include "settings/ini.h"
+
+#define MEMBER(member) offsetof (struct kcp_forward_settings, member)
+#define ADDRESS(in, name, member, must)                                                  \
+  {                                                                                      \
+    .group = in, .key = name, .type = KCP_INI_ADDRESS, .required = must,                 \
+    .offset = MEMBER (member)                                                            \
+  }
+#define NAME(in, name, member)                                                           \
+  {                                                                                      \
+    .group = in, .key = name, .type = KCP_INI_NAME, .required = true,                    \
+    .offset = MEMBER (member)                                                            \
+  }
+#define INT(in, name, member, least, most, usual)                                        \
+  {                                                                                      \
+    .group = in, .key = name, .type = KCP_INI_INT, .min = least, .max = most,            \
+    .standard = usual, .offset = MEMBER (member)                                         \
+  }
+#define REAL(in, name, member, least, most, usual)                                       \
+  {                                                                                      \
+    .group = in, .key = name, .type = KCP_INI_REAL, .min = least, .max = most,           \
+    .real_standard = usual, .offset = MEMBER (member)                                    \
+  }
+
+static const struct kcp_ini_key keys[] = {
+  NAME ("vm", "id", vm_id),
+  NAME ("vm", "data_center", vm_data_center),
+  ADDRESS ("callers", "listen", callers_listen, true),
+  ADDRESS ("ready", "listen", ready_listen, true),
+  ADDRESS ("metrics", "listen", metrics_listen, false),
+  ADDRESS ("store", "address", store_address, true),
+  INT ("store", "timeout_ms", store_timeout_ms, 10, 60000, 800),
+  INT ("store", "poll_ms", store_poll_ms, 10, 60000, 700),
+  INT ("store", "wait_ms", store_wait_ms, 0, 30000, 1500),
+  REAL ("drain", "grace_s", drain_grace_s, 1, 3600, 8),
+  INT ("drain", "notice_ms", drain_notice_ms, 0, 600000, 3200),
+  INT ("servers", "lapse_ms", servers_lapse_ms, 0, 60000, 2300),
+  INT ("servers", "connect_ms", servers_connect_ms, 1, 60000, 250),
+  INT ("servers", "silence_ms", servers_silence_ms, 0, 60000, 1200),
+  INT ("servers", "kept_s", servers_kept_s, 1, 3600, 3),
+  REAL ("retry", "ratio", retry_ratio, 0, 1, 0.1),
+  REAL ("retry", "burst", retry_burst, 1, 100000, 10),
+  REAL ("retry", "window_s", retry_window_s, 1, 3600, 10),
+  INT ("retry", "vms", retry_vms, 1, 100000, 10),
+  INT ("weights", "replace_ms", weights_replace_ms, 100, 3600000, 10000),
+  INT ("orders", "turn_ms", orders_turn_ms, 100, 600000, 3000),
+};
+
+static const struct kcp_ini_table ini_table = {
+  .keys = keys,
+  .count = G_N_ELEMENTS (keys),
+  .size = sizeof (struct kcp_forward_settings),
+};
+
+/* Reads and checks the file at path; see kcp_ini_load(). */
+struct kcp_forward_settings *
+kcp_forward_settings_load (const char *path, GPtrArray *errors)
+{
+  return kcp_ini_load (&ini_table, path, errors);
+}
+
+/* Checks settings given as text; see kcp_ini_parse(). */
+struct kcp_forward_settings *
+kcp_forward_settings_parse (const char *path, const char *text, GPtrArray *errors)
+{
+  return kcp_ini_parse (&ini_table, path, text, errors);
+}
+
+/* Frees settings; NULL is allowed. */
+void
+kcp_forward_settings_free (struct kcp_forward_settings *settings)
+{
+  kcp_ini_free (&ini_table, settings);
+}
--- a/tests/unit/test_config_history.c
+++ b/tests/unit/test_config_history.c
@@ -6,7 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "platform/config_reader.h"
+#include "logstore/config_reader.h"
 #include "tests/harness/run_suite.h"
 
 #define VMS       5
