--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -33,13 +33,6 @@
 #define REPORT_FAILURES  3u
 #define DATA_CENTERS_MAX 64u
 
-enum order_state
-{
-  ORDER_SENT,    /* no answer yet */
-  ORDER_LOADING, /* taken, or perhaps taken */
-  ORDER_REPORT   /* the server is asked how far it is */
-};
-
 /* An order to one server, until its outcome is known. */
 struct order
 {
@@ -47,7 +40,7 @@
   struct kcp_server *server; /* a reference */
   char *model;
   int64_t version;
-  enum order_state state;
+  bool sent; /* false: the server's report is awaited first */
   struct kcp_http_call *call;
   struct kcp_own_call own; /* lives as long as the call */
   GString *body;           /* of the answer */
@@ -64,7 +57,6 @@
   GPtrArray *orders; /* struct order */
   struct kcp_loop_timer look;
   GString *record; /* the claim that is being appended */
-  bool was_held;
 };
 
 static void look (void *user);
@@ -78,8 +70,9 @@
 number_data_center (const char *name, const char **names, unsigned *count);
 static struct order *
 find_order (const struct kcp_rollout *rollout, const struct kcp_server *server);
-static void send_order (struct kcp_rollout *rollout, struct kcp_server *server,
-                        const struct kcp_named_weights *named);
+static void begin_order (struct kcp_rollout *rollout, struct kcp_server *server,
+                         const struct kcp_named_weights *named);
+static void send_order (struct order *order);
 static void on_order_done (void *user, const struct kcp_http_result *result);
 static void wait_for_report (struct order *order, int64_t wait_ms);
 static void ask_report (void *user);
@@ -211,10 +204,7 @@
       at = kcp_rollout_choose (facts, servers->len, kcp_rollout_limit (carriers));
       if (at == KCP_ROLLOUT_NONE)
         return;
-      send_order (rollout, g_ptr_array_index (servers, (guint)at), named);
-      if (rollout->claim.valid_until_ns - kcp_loop_now (rollout->gateway->loop)
-          < ORDER_LEFT_MS * KCP_NS_PER_MS)
-        return;
+      begin_order (rollout, g_ptr_array_index (servers, (guint)at), named);
     }
 }
 
@@ -266,28 +256,50 @@
   return NULL;
 }
 
+/* An order names how many the server has taken, so that one that is carried out late does
+   nothing; where that is not known, the server is asked first. */
 static void
-send_order (struct kcp_rollout *rollout, struct kcp_server *server,
-            const struct kcp_named_weights *named)
+begin_order (struct kcp_rollout *rollout, struct kcp_server *server,
+             const struct kcp_named_weights *named)
 {
-  struct kcp_gateway *gateway = rollout->gateway;
   struct order *order = g_new0 (struct order, 1);
-  struct kcp_order text = {
-    .server_id = server->entry.id,
-    .model = named->model,
-    .version = named->version,
-    .orders_taken = kcp_server_orders (server),
-    .holder = rollout->claim.own,
-    .fence = kcp_claim_fence (&rollout->claim),
-  };
 
   order->rollout = rollout;
   order->server = kcp_server_ref (server);
   order->model = g_strdup (named->model);
   order->version = named->version;
   order->body = g_string_new (NULL);
-  order->sent_ns = kcp_loop_now (gateway->loop);
+  order->sent_ns = kcp_loop_now (rollout->gateway->loop);
   g_ptr_array_add (rollout->orders, order);
+  if (server->orders_taken < 0)
+    ask_report (order);
+  else
+    send_order (order);
+}
+
+/* Sends the order if the right to it lasts until it is there. */
+static void
+send_order (struct order *order)
+{
+  struct kcp_rollout *rollout = order->rollout;
+  struct kcp_gateway *gateway = rollout->gateway;
+  struct kcp_server *server = order->server;
+  struct kcp_order text = {
+    .server_id = server->entry.id,
+    .model = order->model,
+    .version = order->version,
+    .orders_taken = server->orders_taken,
+    .holder = rollout->claim.own,
+    .fence = kcp_claim_fence (&rollout->claim),
+  };
+
+  order->sent_ns = kcp_loop_now (gateway->loop);
+  if (!kcp_claim_is_held (&rollout->claim, order->sent_ns + ORDER_LEFT_NS))
+    {
+      order_end (order, "no_right");
+      return;
+    }
+  order->sent = true;
   server->loading_until_ns = order->sent_ns + FORGET_MS * KCP_NS_PER_MS;
   gateway->dialect->write_order (&text, &order->own);
   KCP_LOG ("order_sent", KCP_LOG_TEXT ("server", server->entry.id),
@@ -332,7 +344,7 @@
   switch (answer)
     {
     case KCP_ORDER_ACCEPTED:
-      order->server->orders_learned = kcp_server_orders (order->server) + 1;
+      order->server->orders_taken++;
       wait_for_report (order, FIRST_REPORT_MS);
       break;
     case KCP_ORDER_HOLDS:
@@ -354,7 +366,6 @@
 {
   struct kcp_loop *loop = order->rollout->gateway->loop;
 
-  order->state = ORDER_LOADING;
   kcp_loop_timer_set (loop, &order->timer, kcp_loop_now (loop) + wait_ms * KCP_NS_PER_MS,
                       ask_report, order);
 }
@@ -371,7 +382,6 @@
       order_end (order, order->server->gone ? "server_gone" : "done");
       return;
     }
-  order->state = ORDER_REPORT;
   gateway->dialect->write_report_call (&order->own);
   g_string_truncate (order->body, 0);
   order->call
@@ -435,12 +445,13 @@
 
       kcp_server_learn_version (order->server, weights->model, weights->version);
     }
-  order->server->orders_learned
-      = MAX (order->server->orders_learned, report->orders_taken);
+  order->server->orders_taken = MAX (order->server->orders_taken, report->orders_taken);
   if (kcp_server_version (order->server, order->model) >= order->version)
     order_end (order, "done");
   else if (report->busy && now - order->sent_ns < FORGET_MS * KCP_NS_PER_MS)
     wait_for_report (order, REPORT_MS);
+  else if (!report->busy && !order->sent)
+    send_order (order);
   else
     order_end (order, report->busy ? "slow" : "not_taken");
 }
--- a/src/forward/servers.c
+++ b/src/forward/servers.c
@@ -102,13 +102,6 @@
     }
 }
 
-/* Returns how many orders the server has taken since its start, as far as known. */
-int64_t
-kcp_server_orders (const struct kcp_server *server)
-{
-  return MAX (server->orders_learned, server->entry.orders_taken);
-}
-
 /* Notes a connection that could not be made or an answer that did not come: the server is
    suspected for a time that doubles with each failure in a row. */
 void
@@ -179,7 +172,7 @@
     {
       server = kcp_ref_new (sizeof *server);
       server->entry = *entry;
-      server->orders_learned = -1;
+      server->orders_taken = -1;
       g_ptr_array_add (servers->all, server);
       log_change (server, "added");
       return;
--- a/src/forward/servers.h
+++ b/src/forward/servers.h
@@ -31,7 +31,6 @@
   enum kcp_server_state state;
   int64_t slots;
   int64_t started_ms;   /* Unix time of its start */
-  int64_t orders_taken; /* since its start */
   GArray *weights;      /* struct kcp_server_weights */
 };
 
@@ -45,7 +44,7 @@
   unsigned failures;     /* in a row */
   int64_t suspected_until_ns;
   int64_t loading_until_ns; /* it is believed to take new weights until then */
-  int64_t orders_learned;   /* orders taken, from its answers; -1: see entry */
+  int64_t orders_taken;     /* since its start, from its reports; -1: not known */
 };
 
 struct kcp_servers;
@@ -59,7 +58,6 @@
 int64_t kcp_server_version (const struct kcp_server *server, const char *model);
 void
 kcp_server_learn_version (struct kcp_server *server, const char *model, int64_t version);
-int64_t kcp_server_orders (const struct kcp_server *server);
 void kcp_server_note_failure (struct kcp_server *server, int64_t now_ns);
 void kcp_server_note_refusal (struct kcp_server *server, int64_t now_ns);
 void kcp_server_note_answer (struct kcp_server *server);
