Orders go to the servers furthest behind; rebuild on changed headers

Cause 2: objects in target/ had no dependencies, so a changed struct was built in half of them; the costs in the log were -2^32 tokens off.

--- a/Makefile
+++ b/Makefile
@@ -98,6 +98,6 @@
 	@scripts/deps
 
 clean:
-	rm -rf build build-address build-thread
+	rm -rf build build-address build-thread target
 
--include $(shell find build build-address build-thread -name '*.d' 2>/dev/null)
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -15,13 +15,14 @@
 #define CLAIM_VALID_MS 1500
 #define CLAIM_RENEW_MS 700
 /* Clocks of two VMs run apart, and an order may be on its way. */
-#define CLAIM_MARGIN_MS  500
-#define CLAIM_READ_MS    900
-#define CLAIM_RETRY_MS   150
-#define FIRST_CLAIM_MS   250 /* VMs without a claim to go by wait up to that long */
-#define LOOK_MS          100 /* while servers have old weights */
-#define IDLE_LOOK_MS     1000
-#define ORDER_LEFT_MS    500 /* of the right, for an order to be sent */
+#define CLAIM_MARGIN_MS 500
+#define CLAIM_READ_MS   900
+#define CLAIM_RETRY_MS  150
+#define FIRST_CLAIM_MS  250 /* VMs without a claim to go by wait up to that long */
+#define LOOK_MS         100 /* while servers have old weights */
+#define IDLE_LOOK_MS    1000
+/* What must be left of the right when an order is sent. */
+#define ORDER_LEFT_NS    (500 * KCP_NS_PER_MS)
 #define ORDER_CONNECT_MS 200
 #define ORDER_TOTAL_MS   400
 #define FIRST_REPORT_MS                                                                  \
@@ -201,7 +202,8 @@
       gather (rollout, named, facts);
       for (guint i = 0; i < servers->len; i++)
         carriers += facts[i].able;
-      at = kcp_rollout_choose (facts, servers->len, kcp_rollout_limit (carriers));
+      at = kcp_rollout_choose (facts, servers->len, named->version,
+                               kcp_rollout_limit (carriers));
       if (at == KCP_ROLLOUT_NONE)
         return;
       begin_order (rollout, g_ptr_array_index (servers, (guint)at), named);
@@ -223,7 +225,7 @@
 
       out[i] = (struct kcp_rollout_server){
         .able = server->entry.state == KCP_SERVER_READY && version > 0,
-        .current = version >= named->version,
+        .version = version,
         .loading = find_order (rollout, server) != NULL,
         .data_center = number_data_center (server->entry.data_center, names, &count),
         .open = server->open,
--- a/src/policy/rollout.c
+++ b/src/policy/rollout.c
@@ -4,7 +4,9 @@
 #define SERVERS_A_LOAD 5u /* servers for each that may load at once */
 
 static unsigned count_current (const struct kcp_rollout_server *servers, size_t count,
-                               unsigned data_center);
+                               unsigned data_center, int64_t wanted);
+static bool goes_before (const struct kcp_rollout_server *a, unsigned a_current,
+                         const struct kcp_rollout_server *b, unsigned b_current);
 
 /* Returns how many of count servers may load at once. */
 unsigned
@@ -15,10 +17,11 @@
   return share > LOADING_LEAST ? share : LOADING_LEAST;
 }
 
-/* Returns the index of the server to be ordered next, or KCP_ROLLOUT_NONE. */
+/* Returns the index of the server to be brought to the wanted version next, or
+   KCP_ROLLOUT_NONE. */
 int
 kcp_rollout_choose (const struct kcp_rollout_server *servers, size_t count,
-                    unsigned limit)
+                    int64_t wanted, unsigned limit)
 {
   unsigned loading = 0;
   unsigned best_current = 0;
@@ -32,12 +35,11 @@
     {
       unsigned current;
 
-      if (!servers[i].able || servers[i].current || servers[i].loading)
+      if (!servers[i].able || servers[i].version >= wanted || servers[i].loading)
         continue;
-      current = count_current (servers, count, servers[i].data_center);
+      current = count_current (servers, count, servers[i].data_center, wanted);
       if (best != KCP_ROLLOUT_NONE
-          && (current > best_current
-              || (current == best_current && servers[i].open >= servers[best].open)))
+          && !goes_before (&servers[i], current, &servers[best], best_current))
         continue;
       best = (int)i;
       best_current = current;
@@ -48,13 +50,24 @@
 /* Counts the servers there that are current or on the way. */
 static unsigned
 count_current (const struct kcp_rollout_server *servers, size_t count,
-               unsigned data_center)
+               unsigned data_center, int64_t wanted)
 {
   unsigned current = 0;
 
   for (size_t i = 0; i < count; i++)
     if (servers[i].data_center == data_center
-        && (servers[i].current || servers[i].loading))
+        && (servers[i].version >= wanted || servers[i].loading))
       current++;
   return current;
 }
+
+static bool
+goes_before (const struct kcp_rollout_server *a, unsigned a_current,
+             const struct kcp_rollout_server *b, unsigned b_current)
+{
+  if (a->version != b->version)
+    return a->version < b->version;
+  if (a_current != b_current)
+    return a_current < b_current;
+  return a->open < b->open;
+}
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -2,8 +2,10 @@
 
    Load pattern: new weights are named while traffic goes on, sometimes again before the
    last ones are everywhere. Only a share of the servers load at once, so that the others
-   carry the traffic and none loads slower than it must; the data centre with the fewest
-   current servers goes first, and there the server with the least to do. */
+   carry the traffic and none loads slower than it must. The servers that are furthest
+   behind go first, so that none is left out when versions come faster than they are
+   loaded; among them the data centre with the fewest current servers, and there the
+   server with the least to do. */
 #ifndef KCP_POLICY_ROLLOUT_H
 #define KCP_POLICY_ROLLOUT_H
 
@@ -16,7 +18,7 @@
 struct kcp_rollout_server
 {
   bool able;            /* ready, carries the model, and no order is to be kept from it */
-  bool current;         /* has the wanted weights */
+  int64_t version;      /* of its weights */
   bool loading;         /* an order is under way there, or its outcome is not known */
   unsigned data_center; /* small number */
   unsigned open;        /* requests in flight there */
@@ -24,6 +26,6 @@
 
 unsigned kcp_rollout_limit (size_t count);
 int kcp_rollout_choose (const struct kcp_rollout_server *servers, size_t count,
-                        unsigned limit);
+                        int64_t wanted, unsigned limit);
 
 #endif
