--- a/src/base/decision_log.c
+++ b/src/base/decision_log.c
@@ -2,6 +2,7 @@
 
 #include <errno.h>
 #include <glib.h>
+#include <limits.h>
 #include <poll.h>
 #include <stdio.h>
 #include <string.h>
@@ -27,6 +28,7 @@
 
 static struct log_state state = { .fd = -1 };
 
+static size_t whole_lines (const GString *text);
 static bool has_room (void);
 static void report_dropped (void);
 static void append_head (const char *event);
@@ -78,14 +80,15 @@
 kcp_decision_log_flush (void)
 {
   struct pollfd ready = { .fd = state.fd, .events = POLLOUT };
+  size_t len;
   ssize_t count;
 
   if (state.fd < 0 || state.pending->len == 0)
     return;
   if (poll (&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0)
     return;
-  /* A pipe that polls as writable takes PIPE_BUF bytes without blocking. */
-  count = write (state.fd, state.pending->str, MIN (state.pending->len, 4096u));
+  len = whole_lines (state.pending);
+  count = write (state.fd, state.pending->str, len);
   if (count > 0)
     g_string_erase (state.pending, 0, count);
 }
@@ -97,6 +100,20 @@
   return state.dropped;
 }
 
+/* Returns the bytes of the lines that fit into one write. A pipe that polls as writable
+   takes PIPE_BUF bytes without blocking, and in one piece. */
+static size_t
+whole_lines (const GString *text)
+{
+  size_t len = MIN (text->len, (size_t)PIPE_BUF);
+
+  if (len == text->len)
+    return len;
+  while (len > 0 && text->str[len - 1] != '\n')
+    len--;
+  return len > 0 ? len : PIPE_BUF;
+}
+
 static bool
 has_room (void)
 {
--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -267,6 +267,12 @@
   int64_t most_ns = (int64_t)(settings->drain_grace_s * KCP_NS_PER_S) - GRACE_MARGIN_NS;
   bool noticed = passed_ns >= settings->drain_notice_ms * KCP_NS_PER_MS;
 
+  if (noticed && !vm->gateway.closing)
+    {
+      vm->gateway.closing = true;
+      KCP_LOG ("closing", KCP_LOG_INT ("open_requests", vm->gateway.open_requests));
+      kcp_door_close_idle (vm->door);
+    }
   if ((noticed && vm->gateway.open_requests == 0) || passed_ns >= most_ns)
     kcp_loop_stop (loop);
   else
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -10,8 +10,9 @@
 #define LONG_PART_TOKENS 1024
 /* A part that is fetched costs about a third of one that is read. */
 #define FETCH_SHARE 3
-/* Servers with old weights are left out this long before they must no longer be used. */
-#define REPLACE_MARGIN_NS (900 * KCP_NS_PER_MS)
+/* Servers with old weights are left out this long before they must no longer begin work,
+   since a request may wait there before it begins. */
+#define REPLACE_MARGIN_NS (2500 * KCP_NS_PER_MS)
 
 static void gather (struct kcp_gateway *gateway, struct kcp_choice *choice,
                     struct kcp_server *server, struct kcp_place_candidate *candidate);
@@ -150,15 +151,17 @@
                const struct kcp_server *server, struct kcp_place_candidate *candidate)
 {
   const struct kcp_named_weights *named = kcp_gateway_weights (gateway, model);
+  int64_t version = kcp_server_version (server, model);
   int64_t limit_ns
       = gateway->settings->weights_replace_ms * KCP_NS_PER_MS - REPLACE_MARGIN_NS;
 
   candidate->weights = KCP_PLACE_WEIGHTS_CURRENT;
-  if (named == NULL || kcp_server_version (server, model) >= named->version)
+  if (named == NULL || version >= named->version)
     return;
-  candidate->weights = kcp_loop_now (gateway->loop) - named->known_ns < limit_ns
-                           ? KCP_PLACE_WEIGHTS_OLD
-                           : KCP_PLACE_WEIGHTS_REFUSED;
+  candidate->weights = KCP_PLACE_WEIGHTS_OLD;
+  if (kcp_loop_now (gateway->loop) - kcp_named_weights_replaced (named, version)
+      >= limit_ns)
+    candidate->weights = KCP_PLACE_WEIGHTS_REFUSED;
 }
 
 /* Counts the prompt's tokens that the server is believed to have to read, where one that
--- a/src/forward/door.c
+++ b/src/forward/door.c
@@ -10,6 +10,7 @@
 #define CONNECTION_MEMORY  (20u << 10)
 #define READ_BLOCK         (4u << 10)
 #define IDLE_TIMEOUT_S     20u
+#define CLOSING_TIMEOUT_S  1u
 #define BODY_STANDARD_MAX  (8 << 20) /* until a configuration says otherwise */
 #define CONNECTIONS_MAX    3000u
 #define STATUS_BAD_REQUEST MHD_HTTP_BAD_REQUEST
@@ -18,6 +19,7 @@
 {
   struct kcp_gateway *gateway;
   struct kcp_server_loop server;
+  GHashTable *callers; /* set of struct caller */
 };
 
 /* One request of a caller and its answer, on the way through the door. */
@@ -38,7 +40,9 @@
 {
   struct kcp_door *door;
   int fd;
+  struct MHD_Connection *connection;
   struct exchange *exchange; /* under way, or NULL */
+  bool hung_up;
 };
 
 /* What is wrong with a request's head. */
@@ -92,6 +96,7 @@
   struct MHD_Daemon *daemon;
 
   door->gateway = gateway;
+  door->callers = g_hash_table_new (NULL, NULL);
   if (!kcp_server_loop_address (address, &at, error))
     goto fail;
   daemon = MHD_start_daemon (
@@ -109,6 +114,25 @@
   return NULL;
 }
 
+/* Closes the connections on which no request is under way, soon after this call. */
+void
+kcp_door_close_idle (struct kcp_door *door)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, door->callers);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const struct caller *caller = key;
+
+      if (caller->exchange == NULL)
+        MHD_set_connection_option (caller->connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                   CLOSING_TIMEOUT_S);
+    }
+  door->server.work = true;
+}
+
 /* Closes the server, its connections and their requests; NULL is allowed. */
 void
 kcp_door_close (struct kcp_door *door)
@@ -116,6 +140,8 @@
   if (door == NULL)
     return;
   kcp_server_loop_stop (&door->server);
+  if (door->callers != NULL)
+    g_hash_table_unref (door->callers);
   g_free (door);
 }
 
@@ -150,13 +176,16 @@
       caller->door = door;
       caller->fd = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
                        ->connect_fd;
+      caller->connection = connection;
       *state = caller;
+      g_hash_table_add (door->callers, caller);
       kcp_poller_watch (poller, caller->fd, EPOLLRDHUP | EPOLLET, on_hang_up, caller);
       return;
     }
   if (caller == NULL)
     return;
   kcp_poller_unwatch (poller, caller->fd);
+  g_hash_table_remove (door->callers, caller);
   g_free (caller);
   *state = NULL;
 }
@@ -219,6 +248,8 @@
   struct exchange *exchange = caller->exchange;
 
   (void)events;
+  /* Its request may still lie unread in the connection. */
+  caller->hung_up = true;
   if (exchange == NULL || exchange->gone)
     return;
   exchange->gone = true;
@@ -238,6 +269,8 @@
   };
 
   exchange->head_read = true;
+  if (caller != NULL && caller->hung_up)
+    return MHD_NO;
   if (caller != NULL)
     caller->exchange = exchange;
   exchange->ask->method = g_strdup (method);
--- a/src/forward/door.h
+++ b/src/forward/door.h
@@ -14,6 +14,7 @@
 
 struct kcp_door *
 kcp_door_open (struct kcp_gateway *gateway, const char *address, struct kcp_error *error);
+void kcp_door_close_idle (struct kcp_door *door);
 void kcp_door_close (struct kcp_door *door);
 struct kcp_side_door *
 kcp_side_door_open (struct kcp_loop *loop, const char *address, const char *path,
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -147,7 +147,7 @@
       end_with (forward, MHD_HTTP_BAD_REQUEST, "not_run", "no_request_id");
       return false;
     }
-  if (gateway->routes == NULL)
+  if (gateway->routes == NULL || gateway->closing)
     {
       refuse (forward);
       return false;
--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -79,7 +79,23 @@
   KCP_LOG ("weights_named", KCP_LOG_TEXT ("model", model),
            KCP_LOG_INT ("version", version), KCP_LOG_INT ("before", named->version));
   named->version = version;
-  named->known_ns = known_ns;
+  named->count = MIN (named->count + 1, KCP_NAMED_VERSIONS_MAX);
+  memmove (&named->versions[1], &named->versions[0],
+           (named->count - 1) * sizeof named->versions[0]);
+  named->versions[0]
+      = (struct kcp_named_version){ .version = version, .known_ns = known_ns };
+}
+
+/* Returns when this VM learned that version was to be replaced: when the first one that
+   is newer became known. 0: it is the newest. */
+int64_t
+kcp_named_weights_replaced (const struct kcp_named_weights *named, int64_t version)
+{
+  int64_t replaced_ns = 0;
+
+  for (unsigned i = 0; i < named->count && named->versions[i].version > version; i++)
+    replaced_ns = named->versions[i].known_ns;
+  return replaced_ns;
 }
 
 /* Returns the newest named version of a model, or NULL if none was named. */
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -14,14 +14,24 @@
 #include "route/routes.h"
 #include "settings/forward_settings.h"
 
-/* A version of a model's weights that operators have named. */
-struct kcp_named_weights
+#define KCP_NAMED_VERSIONS_MAX 16
+
+struct kcp_named_version
 {
-  char *model;
   int64_t version;
   int64_t known_ns; /* when this VM learned of it */
 };
 
+/* The versions of a model's weights that operators have named, as far as this VM knows.
+ */
+struct kcp_named_weights
+{
+  char *model;
+  int64_t version;                                           /* the newest */
+  struct kcp_named_version versions[KCP_NAMED_VERSIONS_MAX]; /* the newest first */
+  unsigned count;
+};
+
 struct kcp_gateway
 {
   const struct kcp_forward_settings *settings;
@@ -34,7 +44,8 @@
   GPtrArray *weights;  /* struct kcp_named_weights */
   GHashTable *budgets; /* service -> struct kcp_resend_budget */
   struct kcp_prefix_memory *prefixes;
-  bool draining;
+  bool draining; /* the balancer is told to look away */
+  bool closing;  /* it has: no request is begun any more */
   unsigned open_requests;
 };
 
@@ -45,6 +56,8 @@
 bool kcp_gateway_take_routes (struct kcp_gateway *gateway, struct kcp_routes *routes);
 void kcp_gateway_name_weights (struct kcp_gateway *gateway, const char *model,
                                int64_t version, int64_t known_ns);
+int64_t
+kcp_named_weights_replaced (const struct kcp_named_weights *named, int64_t version);
 const struct kcp_named_weights *
 kcp_gateway_weights (const struct kcp_gateway *gateway, const char *model);
 struct kcp_resend_budget *
--- a/src/forward/servers.h
+++ b/src/forward/servers.h
@@ -30,8 +30,8 @@
   char *data_center;
   enum kcp_server_state state;
   int64_t slots;
-  int64_t started_ms;   /* Unix time of its start */
-  GArray *weights;      /* struct kcp_server_weights */
+  int64_t started_ms; /* Unix time of its start */
+  GArray *weights;    /* struct kcp_server_weights */
 };
 
 struct kcp_server
