--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -210,8 +210,7 @@
       const struct kcp_server *server = g_ptr_array_index (servers, i);
       uint64_t score;
 
-      if (!candidates[i].usable || !candidates[i].nearby
-          || candidates[i].weights != KCP_PLACE_WEIGHTS_CURRENT)
+      if (!candidates[i].usable || candidates[i].weights != KCP_PLACE_WEIGHTS_CURRENT)
         continue;
       score = XXH3_64bits_withSeed (first->id, strlen (first->id), server_key (server));
       if (home != NULL && score <= best_score)
@@ -220,7 +219,8 @@
       best_score = score;
     }
   if (home != NULL)
-    home->uncached_tokens = MAX (home->uncached_tokens - first->tokens / FETCH_SHARE, 0);
+    home->uncached_tokens
+        = MAX (home->uncached_tokens - first->tokens * 2 / FETCH_SHARE, 0);
 }
 
 /* A part that is not believed to be at the chosen server is fetched from one that has it,
@@ -237,12 +237,10 @@
 
   if (belief == NULL || !belief->saved)
     choice->save_to = store != NULL ? store->cache_store : NULL;
-  if (belief != NULL && kcp_prefix_belief_has (belief, server_key (choice->server)))
-    return;
-  choice->fetch_from
-      = belief != NULL ? find_holder (gateway, belief, choice->server) : NULL;
-  if (choice->fetch_from == NULL && store != NULL)
+  if (store != NULL)
     choice->fetch_from = store->cache_store;
+  else if (belief != NULL)
+    choice->fetch_from = find_holder (gateway, belief, choice->server);
 }
 
 static const char *
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -11,6 +11,7 @@
 #include "forward/choose.h"
 #include "forward/event_cutter.h"
 #include "policy/comeback.h"
+#include "policy/urgency.h"
 
 #define ANSWER_MAX (64u << 20) /* bytes of a plain answer that are held */
 /* Requests whose callers do not say how long they wait, on routes without a limit. */
@@ -241,6 +242,8 @@
            KCP_LOG_TEXT ("route", forward->choice.route->name),
            KCP_LOG_TEXT ("server", server->entry.id),
            KCP_LOG_INT ("try", forward->tried->len),
+           KCP_LOG_INT ("team_priority",
+                        forward->choice.team ? forward->choice.team->priority : -1),
            KCP_LOG_INT ("routes_version", forward->routes->version),
            KCP_LOG_INT ("weights", forward->choice.weights),
            KCP_LOG_INT ("usable", forward->choice.usable),
@@ -277,9 +280,8 @@
     .weights = choice->weights,
     .team = team != NULL ? team->name : NULL,
     .left_ms = left_ms (forward),
-    .priority = team != NULL && team->priority != KCP_PRIORITY_NONE
-                    ? team->priority
-                    : choice->route->priority,
+    .priority = kcp_urgency (choice->route->priority,
+                             team != NULL ? team->priority : KCP_PRIORITY_NONE),
     .cache_space = choice->cache_space,
     .fetch_from = choice->fetch_from,
     .save_to = choice->save_to,
