--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -14,9 +14,11 @@
 #include "base/histogram.h"
 #include "cmd/cmd.h"
 #include "cmd/options.h"
+#include "forward/cache_reader.h"
 #include "forward/door.h"
 #include "forward/feed.h"
 #include "forward/gateway.h"
+#include "forward/mesh.h"
 #include "forward/rollout.h"
 #include "platform/platform.h"
 #include "settings/forward_settings.h"
@@ -35,6 +37,8 @@
   struct kcp_gateway gateway;
   struct kcp_platform_store *store;
   struct kcp_feed *feed;
+  struct kcp_mesh *mesh;
+  struct kcp_cache_reader *cache_reader;
   struct kcp_rollout *rollout;
   struct kcp_door *door;
   struct kcp_side_door *ready;
@@ -166,6 +170,10 @@
     goto fail;
   vm->store = kcp_platform_store_new (gateway->client, settings->store_address,
                                       settings->store_timeout_ms);
+  vm->mesh = kcp_mesh_start (gateway, kcp_platform_store_calls (vm->store), &error);
+  if (vm->mesh == NULL)
+    goto fail;
+  vm->cache_reader = kcp_cache_reader_start (gateway, vm->mesh);
   vm->rollout = kcp_rollout_start (gateway, kcp_platform_store_calls (vm->store));
   vm->feed = kcp_feed_start (gateway, kcp_platform_store_calls (vm->store),
                              on_feed_changed, vm);
@@ -191,6 +199,8 @@
   kcp_side_door_close (vm->ready);
   kcp_side_door_close (vm->metrics);
   kcp_rollout_stop (vm->rollout);
+  kcp_cache_reader_stop (vm->cache_reader);
+  kcp_mesh_stop (vm->mesh);
   kcp_feed_stop (vm->feed);
   kcp_gateway_clear (&vm->gateway);
   kcp_platform_store_free (vm->store);
@@ -250,6 +260,7 @@
     return;
   vm->stopping_ns = kcp_loop_now (vm->gateway.loop);
   vm->gateway.draining = true;
+  kcp_mesh_leave (vm->mesh);
   KCP_LOG ("draining", KCP_LOG_INT ("open_requests", vm->gateway.open_requests));
   on_drain (vm);
 }
--- /dev/null
+++ b/src/forward/cache_reader.c
@@ -0,0 +1,267 @@
+#include "forward/cache_reader.h"
+
+#include "base/counter.h"
+#include "base/decision_log.h"
+#include "forward/choose.h"
+
+#define LOOK_NS      (500 * KCP_NS_PER_MS) /* for servers to begin or end reading */
+#define WAIT_MS      1000                  /* that a server may hold an empty answer */
+#define PAUSE_NS     (250 * KCP_NS_PER_MS) /* between two calls */
+#define RETRY_NS     (1000 * KCP_NS_PER_MS)
+#define CONNECT_MS   250
+#define ANSWER_MS    600 /* beyond the wait */
+#define KEPT_S       5
+#define FAILURES_MAX 3u /* then nothing is known of the server's cache */
+
+/* One server whose events are read. */
+struct source
+{
+  struct kcp_cache_reader *reader;
+  struct kcp_server *server; /* a reference */
+  int64_t start;             /* of the server, as its events name it; 0: not known */
+  int64_t next;
+  GHashTable *parts; /* set of kcp_part_key() */
+  struct kcp_http_call *call;
+  char *path;
+  GString *body;
+  struct kcp_loop_timer timer;
+  unsigned failures;
+};
+
+struct kcp_cache_reader
+{
+  struct kcp_gateway *gateway;
+  struct kcp_mesh *mesh;
+  GPtrArray *sources;
+  struct kcp_loop_timer look;
+};
+
+static void look (void *user);
+static bool
+is_wanted (const struct kcp_cache_reader *reader, const struct kcp_server *server);
+static bool
+has_source (const struct kcp_cache_reader *reader, const struct kcp_server *server);
+static void add_source (struct kcp_cache_reader *reader, struct kcp_server *server);
+static void ask (void *user);
+static bool on_data (void *user, struct kcp_str bytes);
+static void on_done (void *user, const struct kcp_http_result *result);
+static void apply (struct source *source, const struct kcp_cache_events *events);
+static void show (struct source *source);
+static void forget (struct source *source);
+static void source_free (gpointer data);
+
+/* Starts; gateway and mesh must outlive the reader. */
+struct kcp_cache_reader *
+kcp_cache_reader_start (struct kcp_gateway *gateway, struct kcp_mesh *mesh)
+{
+  struct kcp_cache_reader *reader = g_new0 (struct kcp_cache_reader, 1);
+
+  reader->gateway = gateway;
+  reader->mesh = mesh;
+  reader->sources = g_ptr_array_new_with_free_func (source_free);
+  look (reader);
+  return reader;
+}
+
+/* Ends the reading; NULL is allowed. */
+void
+kcp_cache_reader_stop (struct kcp_cache_reader *reader)
+{
+  if (reader == NULL)
+    return;
+  kcp_loop_timer_cancel (&reader->look);
+  g_ptr_array_unref (reader->sources);
+  g_free (reader);
+}
+
+/* Begins to read where this VM has become the reader, and ends where it is not any more.
+ */
+static void
+look (void *user)
+{
+  struct kcp_cache_reader *reader = user;
+  struct kcp_loop *loop = reader->gateway->loop;
+  const GPtrArray *servers = kcp_servers_all (reader->gateway->servers);
+
+  for (guint i = reader->sources->len; i > 0; i--)
+    {
+      struct source *source = g_ptr_array_index (reader->sources, i - 1);
+
+      if (source->server->gone || !is_wanted (reader, source->server))
+        g_ptr_array_remove_index_fast (reader->sources, i - 1);
+    }
+  for (guint i = 0; i < servers->len; i++)
+    {
+      struct kcp_server *server = g_ptr_array_index (servers, i);
+
+      if (is_wanted (reader, server) && !has_source (reader, server))
+        add_source (reader, server);
+    }
+  kcp_loop_timer_set (loop, &reader->look, kcp_loop_now (loop) + LOOK_NS, look, reader);
+}
+
+static bool
+is_wanted (const struct kcp_cache_reader *reader, const struct kcp_server *server)
+{
+  return server->entry.weights->len > 0 && server->entry.state == KCP_SERVER_READY
+         && kcp_mesh_is_reader (reader->mesh, server);
+}
+
+static bool
+has_source (const struct kcp_cache_reader *reader, const struct kcp_server *server)
+{
+  for (guint i = 0; i < reader->sources->len; i++)
+    if (((const struct source *)g_ptr_array_index (reader->sources, i))->server == server)
+      return true;
+  return false;
+}
+
+static void
+add_source (struct kcp_cache_reader *reader, struct kcp_server *server)
+{
+  struct source *source = g_new0 (struct source, 1);
+
+  source->reader = reader;
+  source->server = kcp_server_ref (server);
+  source->parts = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
+  source->body = g_string_new (NULL);
+  g_ptr_array_add (reader->sources, source);
+  KCP_LOG ("cache_events", KCP_LOG_TEXT ("change", "reading"),
+           KCP_LOG_TEXT ("server", server->entry.id));
+  ask (source);
+}
+
+static void
+ask (void *user)
+{
+  struct source *source = user;
+  struct kcp_gateway *gateway = source->reader->gateway;
+  struct kcp_own_call own;
+
+  g_free (source->path);
+  gateway->dialect->write_events_call (source->next, WAIT_MS, &own, &source->path);
+  g_string_truncate (source->body, 0);
+  source->call
+      = kcp_http_start (gateway->client, &(struct kcp_http_spec){
+                                             .method = own.method,
+                                             .address = source->server->entry.address,
+                                             .target = source->path,
+                                             .headers = own.headers,
+                                             .connect_ms = CONNECT_MS,
+                                             .total_ms = WAIT_MS + ANSWER_MS,
+                                             .kept_s = KEPT_S,
+                                             .data = on_data,
+                                             .done = on_done,
+                                             .user = source,
+                                         });
+}
+
+static bool
+on_data (void *user, struct kcp_str bytes)
+{
+  struct source *source = user;
+
+  g_string_append_len (source->body, bytes.data, (gssize)bytes.len);
+  return true;
+}
+
+static void
+on_done (void *user, const struct kcp_http_result *result)
+{
+  struct source *source = user;
+  struct kcp_gateway *gateway = source->reader->gateway;
+  struct kcp_cache_events events = { 0 };
+  struct kcp_str body = { .data = source->body->str, .len = source->body->len };
+  bool sound = result->end == KCP_HTTP_WHOLE && result->status == 200
+               && gateway->dialect->read_events (body, &events);
+
+  source->call = NULL;
+  if (sound)
+    {
+      source->failures = 0;
+      apply (source, &events);
+      g_array_unref (events.events);
+    }
+  else if (++source->failures == FAILURES_MAX)
+    {
+      KCP_LOG ("cache_events", KCP_LOG_TEXT ("change", "lost"),
+               KCP_LOG_TEXT ("server", source->server->entry.id),
+               KCP_LOG_INT ("status", result->status),
+               KCP_LOG_TEXT ("reason", result->reason));
+      forget (source);
+    }
+  kcp_loop_timer_set (gateway->loop, &source->timer,
+                      kcp_loop_now (gateway->loop) + (sound ? PAUSE_NS : RETRY_NS), ask,
+                      source);
+}
+
+/* Events that are missing may have told of parts that are gone, so that all is forgotten;
+   what is read again is told again. */
+static void
+apply (struct source *source, const struct kcp_cache_events *events)
+{
+  if (events->lost || (source->start != 0 && events->start != source->start))
+    {
+      kcp_counter_add (KCP_COUNT_CACHE_GAPS, 1);
+      g_hash_table_remove_all (source->parts);
+    }
+  source->start = events->start;
+  source->next = events->next;
+  kcp_counter_add (KCP_COUNT_CACHE_EVENTS, events->events->len);
+  for (guint i = 0; i < events->events->len; i++)
+    {
+      const struct kcp_cache_event *event
+          = &g_array_index (events->events, struct kcp_cache_event, i);
+      uint64_t key;
+
+      if (event->cache_space == NULL || event->part == NULL)
+        continue;
+      key = kcp_part_key (event->cache_space, event->part);
+      if (event->tokens >= KCP_LONG_PART_TOKENS)
+        g_hash_table_add (source->parts, g_memdup2 (&key, sizeof key));
+      else
+        g_hash_table_remove (source->parts, &key);
+    }
+  show (source);
+}
+
+static void
+show (struct source *source)
+{
+  g_autoptr (GArray) parts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, source->parts);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    g_array_append_val (parts, *(uint64_t *)key);
+  source->server->held_by_own = true;
+  kcp_server_take_held (source->server, parts,
+                        kcp_loop_now (source->reader->gateway->loop));
+}
+
+static void
+forget (struct source *source)
+{
+  g_hash_table_remove_all (source->parts);
+  source->start = 0;
+  source->next = 0;
+  source->server->held_by_own = false;
+  g_clear_pointer (&source->server->held, g_array_unref);
+}
+
+static void
+source_free (gpointer data)
+{
+  struct source *source = data;
+
+  if (source->call != NULL)
+    kcp_http_cancel (source->call);
+  kcp_loop_timer_cancel (&source->timer);
+  forget (source);
+  g_hash_table_unref (source->parts);
+  g_string_free (source->body, TRUE);
+  g_free (source->path);
+  kcp_server_unref (source->server);
+  g_free (source);
+}
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -6,13 +6,15 @@
 #include "base/id.h"
 #include "policy/place.h"
 
-/* Parts from this size on are worth a place of their own, a fetch and a save. */
-#define LONG_PART_TOKENS 1024
 /* A part that is fetched costs about a third of one that is read. */
 #define FETCH_SHARE 3
 /* Servers with old weights are left out this long before they must no longer begin work,
    since a request may wait there before it begins. */
 #define REPLACE_MARGIN_NS (2500 * KCP_NS_PER_MS)
+/* What a server's events show lags behind what this VM has sent there. */
+#define EVENTS_LAG_NS (1000 * KCP_NS_PER_MS)
+/* Events that were read longer ago say nothing. */
+#define HELD_STALE_NS (4 * KCP_NS_PER_S)
 
 static void gather (struct kcp_gateway *gateway, struct kcp_choice *choice,
                     struct kcp_server *server, struct kcp_place_candidate *candidate);
@@ -26,12 +28,12 @@
                             struct kcp_place_candidate *candidates);
 static void plan_transfers (struct kcp_gateway *gateway, struct kcp_choice *choice);
 static const char *
-find_holder (struct kcp_gateway *gateway, const struct kcp_prefix_belief *belief,
-             const struct kcp_server *chosen);
+find_holder (struct kcp_gateway *gateway, uint64_t part, const struct kcp_server *chosen);
 static bool has_long_part (const struct kcp_ask *ask);
 static char *make_cache_space (const struct kcp_choice *choice, int64_t version);
-static uint64_t part_key (const char *cache_space, const struct kcp_prompt_part *part);
-static uint64_t server_key (const struct kcp_server *server);
+static bool
+believed_at (struct kcp_gateway *gateway, const struct kcp_server *server, uint64_t part);
+static bool held_anywhere (struct kcp_gateway *gateway, const struct kcp_choice *choice);
 static bool is_near (const struct kcp_gateway *gateway, const struct kcp_server *server);
 
 /* Chooses the server for the request's next attempt among those that its service has, and
@@ -54,7 +56,7 @@
       gather (gateway, choice, g_ptr_array_index (servers, i), &candidates[i]);
       choice->usable += candidates[i].usable;
     }
-  if (has_long_part (choice->ask))
+  if (has_long_part (choice->ask) && !held_anywhere (gateway, choice))
     add_home_bonus (choice, servers, candidates);
   at = servers->len == 0
            ? KCP_PLACE_NONE
@@ -98,11 +100,11 @@
           = &g_array_index (parts, struct kcp_prompt_part, i);
       struct kcp_prefix_belief *belief;
 
-      if (part->tokens < LONG_PART_TOKENS)
+      if (part->tokens < KCP_LONG_PART_TOKENS)
         continue;
       belief = kcp_prefix_memory_make (gateway->prefixes,
-                                       part_key (choice->cache_space, part));
-      kcp_prefix_belief_add (belief, server_key (choice->server), now);
+                                       kcp_part_key (choice->cache_space, part->id));
+      kcp_prefix_belief_add (belief, kcp_server_key (choice->server), now);
       belief->saved = belief->saved || choice->save_to != NULL;
     }
 }
@@ -121,9 +123,9 @@
   candidate->nearby = is_near (gateway, server);
   candidate->suspected = now < server->suspected_until_ns;
   candidate->loading = now < server->loading_until_ns;
-  candidate->open = server->open;
+  candidate->open = server->open + server->others_open;
   candidate->slots = (unsigned)server->entry.slots;
-  candidate->unread_tokens = server->unread_tokens;
+  candidate->unread_tokens = server->unread_tokens + server->others_unread_tokens;
   free_ns = MAX (server->suspected_until_ns, server->loading_until_ns);
   if (choice->soonest_free_ns == 0 || free_ns < choice->soonest_free_ns)
     choice->soonest_free_ns = MAX (free_ns, now);
@@ -181,15 +183,14 @@
     {
       const struct kcp_prompt_part *part
           = &g_array_index (parts, struct kcp_prompt_part, i);
-      const struct kcp_prefix_belief *belief
-          = kcp_prefix_memory_find (gateway->prefixes, part_key (space, part));
+      uint64_t key = kcp_part_key (space, part->id);
 
-      if (belief == NULL)
-        break;
-      if (kcp_prefix_belief_has (belief, server_key (server)))
+      if (believed_at (gateway, server, key))
         tokens -= part->tokens;
-      else
+      else if (kcp_prefix_memory_find (gateway->prefixes, key) != NULL)
         tokens -= part->tokens - part->tokens / FETCH_SHARE;
+      else
+        break;
     }
   return MAX (tokens, 0);
 }
@@ -212,7 +213,8 @@
 
       if (!candidates[i].usable || candidates[i].weights != KCP_PLACE_WEIGHTS_CURRENT)
         continue;
-      score = XXH3_64bits_withSeed (first->id, strlen (first->id), server_key (server));
+      score
+          = XXH3_64bits_withSeed (first->id, strlen (first->id), kcp_server_key (server));
       if (home != NULL && score <= best_score)
         continue;
       home = &candidates[i];
@@ -232,34 +234,40 @@
       = kcp_routes_cache_store (gateway->routes, gateway->settings->vm_data_center);
   const struct kcp_prompt_part *part
       = &g_array_index (choice->ask->parts, struct kcp_prompt_part, 0);
-  const struct kcp_prefix_belief *belief
-      = kcp_prefix_memory_find (gateway->prefixes, part_key (choice->cache_space, part));
+  const struct kcp_prefix_belief *belief = kcp_prefix_memory_find (
+      gateway->prefixes, kcp_part_key (choice->cache_space, part->id));
 
   if (belief == NULL || !belief->saved)
     choice->save_to = store != NULL ? store->cache_store : NULL;
-  if (store != NULL)
+  if (believed_at (gateway, choice->server, kcp_part_key (choice->cache_space, part->id)))
+    return;
+  choice->fetch_from = find_holder (gateway, kcp_part_key (choice->cache_space, part->id),
+                                    choice->server);
+  if (choice->fetch_from == NULL && store != NULL)
     choice->fetch_from = store->cache_store;
-  else if (belief != NULL)
-    choice->fetch_from = find_holder (gateway, belief, choice->server);
 }
 
+/* Returns the address of another server that is known to keep the part, one in the chosen
+   server's data centre if there is one, or NULL. */
 static const char *
-find_holder (struct kcp_gateway *gateway, const struct kcp_prefix_belief *belief,
-             const struct kcp_server *chosen)
+find_holder (struct kcp_gateway *gateway, uint64_t part, const struct kcp_server *chosen)
 {
   const GPtrArray *servers = kcp_servers_all (gateway->servers);
   int64_t now = kcp_loop_now (gateway->loop);
+  const struct kcp_server *found = NULL;
 
   for (guint i = 0; i < servers->len; i++)
     {
       const struct kcp_server *server = g_ptr_array_index (servers, i);
 
-      if (server != chosen && now >= server->suspected_until_ns
-          && strcmp (server->entry.data_center, chosen->entry.data_center) == 0
-          && kcp_prefix_belief_has (belief, server_key (server)))
-        return server->entry.address;
+      if (server == chosen || now < server->suspected_until_ns
+          || server->entry.state != KCP_SERVER_READY || !kcp_server_holds (server, part))
+        continue;
+      if (found == NULL
+          || strcmp (server->entry.data_center, chosen->entry.data_center) == 0)
+        found = server;
     }
-  return NULL;
+  return found != NULL ? found->entry.address : NULL;
 }
 
 /* The last part belongs to one request or session. */
@@ -268,7 +276,7 @@
 {
   return ask->parts != NULL && ask->parts->len > 1
          && g_array_index (ask->parts, struct kcp_prompt_part, 0).tokens
-                >= LONG_PART_TOKENS;
+                >= KCP_LONG_PART_TOKENS;
 }
 
 /* Requests share cache only under the same weights, and those of an isolated team only
@@ -283,18 +291,49 @@
                           isolated ? team->name : "");
 }
 
-static uint64_t
-part_key (const char *cache_space, const struct kcp_prompt_part *part)
+/* Returns a hash of a part within a cache space, by which VMs speak of it. */
+uint64_t
+kcp_part_key (const char *cache_space, const char *part)
 {
-  return XXH3_64bits_withSeed (part->id, strlen (part->id),
+  return XXH3_64bits_withSeed (part, strlen (part),
                                XXH3_64bits (cache_space, strlen (cache_space)));
 }
 
-static uint64_t
-server_key (const struct kcp_server *server)
+/* What this VM sent lately goes before what was read of the server's cache, which lags.
+ */
+static bool
+believed_at (struct kcp_gateway *gateway, const struct kcp_server *server, uint64_t part)
 {
-  return XXH3_64bits_withSeed (server->entry.id, strlen (server->entry.id),
-                               (uint64_t)server->entry.started_ms);
+  const struct kcp_prefix_belief *belief;
+  int64_t now = kcp_loop_now (gateway->loop);
+
+  if (kcp_server_holds (server, part))
+    return true;
+  belief = kcp_prefix_memory_find (gateway->prefixes, part);
+  if (belief == NULL)
+    return false;
+  if (server->held == NULL || now - server->held_ns > HELD_STALE_NS)
+    return kcp_prefix_belief_has (belief, kcp_server_key (server), 0);
+  return kcp_prefix_belief_has (belief, kcp_server_key (server), now - EVENTS_LAG_NS);
+}
+
+static bool
+held_anywhere (struct kcp_gateway *gateway, const struct kcp_choice *choice)
+{
+  const GPtrArray *servers = kcp_servers_all (gateway->servers);
+  const struct kcp_prompt_part *first
+      = &g_array_index (choice->ask->parts, struct kcp_prompt_part, 0);
+
+  for (guint i = 0; i < servers->len; i++)
+    {
+      const struct kcp_server *server = g_ptr_array_index (servers, i);
+      g_autofree char *space
+          = make_cache_space (choice, kcp_server_version (server, choice->ask->model));
+
+      if (believed_at (gateway, server, kcp_part_key (space, first->id)))
+        return true;
+    }
+  return false;
 }
 
 static bool
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -99,14 +99,33 @@
   GArray *weights; /* struct kcp_server_weights */
 };
 
+/* A change of what a server keeps in its cache. */
+struct kcp_cache_event
+{
+  char *cache_space;
+  char *part;
+  int64_t tokens; /* of the part that are kept now */
+};
+
+struct kcp_cache_events
+{
+  int64_t start;  /* changes with each start of the server */
+  int64_t next;   /* to be asked for next */
+  bool lost;      /* events before these are missing */
+  GArray *events; /* struct kcp_cache_event, cleared by the array */
+};
+
 /* Topics of the platform's store. */
 enum kcp_store_topic
 {
   KCP_STORE_OPERATOR, /* what operators publish; records have keys */
   KCP_STORE_SERVERS,  /* servers' entries by id; records have keys */
-  KCP_STORE_ORDERS    /* claims of the right to give orders */
+  KCP_STORE_ORDERS,   /* claims of the right to give orders */
+  KCP_STORE_VMS       /* the VMs' entries by address */
 };
 
+#define KCP_STORE_ANYWHERE (-1) /* an append without a condition */
+
 struct kcp_store_record
 {
   int64_t offset;
@@ -142,8 +161,9 @@
                 kcp_store_done *done, void *user);
   void (*read) (void *self, enum kcp_store_topic topic, int64_t from, int64_t wait_ms,
                 kcp_store_done *done, void *user);
-  void (*append) (void *self, enum kcp_store_topic topic, int64_t at,
-                  struct kcp_str record, kcp_store_done *done, void *user);
+  /* Appends a record if the topic ends at offset at; key is empty in topics without. */
+  void (*append) (void *self, enum kcp_store_topic topic, int64_t at, struct kcp_str key,
+                  struct kcp_str value, kcp_store_done *done, void *user);
 };
 
 /* What a record that operators publish says. */
@@ -184,6 +204,10 @@
   enum kcp_order_answer (*read_order_answer) (long status);
   void (*write_report_call) (struct kcp_own_call *call);
   bool (*read_report) (struct kcp_str body, struct kcp_server_report *report);
+  /* The call's path is for the caller to free. */
+  void (*write_events_call) (int64_t since, int64_t wait_ms, struct kcp_own_call *call,
+                             char **path);
+  bool (*read_events) (struct kcp_str body, struct kcp_cache_events *events);
   /* False: the record names no server to be used; why says what is wrong. */
   bool (*read_server) (struct kcp_str key, struct kcp_str value,
                        struct kcp_server_entry *entry, const char **why);
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -380,8 +380,8 @@
 
   attempt->call = NULL;
   if (forward->ask->model != NULL && answers_this (forward))
-    kcp_server_learn_version (attempt->server, forward->ask->model,
-                              attempt->head.weights);
+    kcp_server_learn_version (attempt->server, forward->ask->model, attempt->head.weights,
+                              kcp_loop_now (forward->gateway->loop));
   if (finish_whole (forward, result))
     return;
   end = classify (forward, result);
--- /dev/null
+++ b/src/forward/mesh.c
@@ -0,0 +1,483 @@
+#include "forward/mesh.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "base/counter.h"
+#include "base/decision_log.h"
+#include "base/id.h"
+#include "forward/mesh_message.h"
+#include "forward/server_loop.h"
+
+#define STEP              "mesh"
+#define TELL_NEAR_MS      100
+#define TELL_FAR_EVERY    2  /* messages to other data centres: each second one */
+#define TELL_SILENT_EVERY 10 /* to VMs that are silent */
+#define SILENT_NS         (1500 * KCP_NS_PER_MS) /* then a VM is taken as away */
+#define FORGET_NS         (60 * KCP_NS_PER_S)
+#define LIST_RETRY_MS     500
+
+/* Another VM. */
+struct peer
+{
+  char vm[64]; /* IP:PORT */
+  struct sockaddr_in address;
+  char data_center[64];
+  uint64_t start;
+  uint64_t number;
+  int64_t heard_ns; /* 0: only listed */
+  int64_t listed_ns;
+  bool alive;
+  struct kcp_mesh_message seen; /* its newest message */
+};
+
+struct kcp_mesh
+{
+  struct kcp_gateway *gateway;
+  const struct kcp_store *store;
+  int fd;
+  char own[64];
+  uint64_t start;
+  uint64_t number;
+  bool leaving;
+  bool listed;  /* the list in the store was read */
+  bool entered; /* this VM stands in it */
+  GPtrArray *peers;
+  struct kcp_loop_timer tell;
+  struct kcp_loop_timer list;
+};
+
+static void enter_list (void *user);
+static void on_entered (void *user, const struct kcp_store_answer *answer);
+static void read_list (struct kcp_mesh *mesh, const char *after);
+static void on_listed (void *user, const struct kcp_store_answer *answer);
+static void retry_list (struct kcp_mesh *mesh);
+static void tell (void *user);
+static void make_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
+static void add_row (struct kcp_mesh *mesh, struct kcp_mesh_message *message,
+                     struct kcp_server *server);
+static bool is_due (const struct kcp_mesh *mesh, const struct peer *peer);
+static void on_datagram (void *user, uint32_t events);
+static void take_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
+static struct peer *find_peer (struct kcp_mesh *mesh, const char *vm);
+static struct peer *make_peer (struct kcp_mesh *mesh, const char *vm);
+static void check_peers (struct kcp_mesh *mesh);
+static void sum_rows (struct kcp_mesh *mesh);
+static void
+take_row (struct kcp_mesh *mesh, const struct peer *peer, const struct kcp_mesh_row *row);
+static void peer_free (gpointer data);
+
+/* Opens the VM's socket and begins to find the others. */
+struct kcp_mesh *
+kcp_mesh_start (struct kcp_gateway *gateway, const struct kcp_store *store,
+                struct kcp_error *error)
+{
+  struct kcp_mesh *mesh = g_new0 (struct kcp_mesh, 1);
+  const char *own = gateway->settings->peers_listen;
+  struct sockaddr_in address;
+
+  mesh->gateway = gateway;
+  mesh->store = store;
+  mesh->peers = g_ptr_array_new_with_free_func (peer_free);
+  mesh->start = (uint64_t)kcp_clock_realtime_ms (gateway->clock);
+  g_strlcpy (mesh->own, own, sizeof mesh->own);
+  mesh->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  if (!kcp_server_loop_address (own, &address, error))
+    goto fail;
+  if (mesh->fd < 0 || bind (mesh->fd, (struct sockaddr *)&address, sizeof address) != 0)
+    {
+      kcp_error_set (error, KCP_ERR_INTERNAL, STEP, own, "cannot bind: %s",
+                     g_strerror (errno));
+      goto fail;
+    }
+  kcp_poller_watch (kcp_loop_poller (gateway->loop), mesh->fd, EPOLLIN, on_datagram,
+                    mesh);
+  enter_list (mesh);
+  tell (mesh);
+  return mesh;
+fail:
+  kcp_mesh_stop (mesh);
+  return NULL;
+}
+
+/* Tells the others that this VM takes no more requests. */
+void
+kcp_mesh_leave (struct kcp_mesh *mesh)
+{
+  mesh->leaving = true;
+}
+
+/* Ends the exchange and frees it; NULL is allowed. */
+void
+kcp_mesh_stop (struct kcp_mesh *mesh)
+{
+  if (mesh == NULL)
+    return;
+  kcp_loop_timer_cancel (&mesh->tell);
+  kcp_loop_timer_cancel (&mesh->list);
+  if (mesh->fd >= 0)
+    {
+      kcp_poller_unwatch (kcp_loop_poller (mesh->gateway->loop), mesh->fd);
+      (void)close (mesh->fd);
+    }
+  g_ptr_array_unref (mesh->peers);
+  g_free (mesh);
+}
+
+/* Returns how many VMs are alive, this one counted. */
+unsigned
+kcp_mesh_count (const struct kcp_mesh *mesh)
+{
+  unsigned count = 1;
+
+  for (guint i = 0; i < mesh->peers->len; i++)
+    count += ((const struct peer *)g_ptr_array_index (mesh->peers, i))->alive;
+  return count;
+}
+
+/* Tells whether this VM is the one that reads the server's cache events: the first in a
+   rendezvous order of the live VMs, those in the server's data centre before others. */
+bool
+kcp_mesh_is_reader (const struct kcp_mesh *mesh, const struct kcp_server *server)
+{
+  uint64_t key = kcp_server_key (server);
+  const char *dc = server->entry.data_center;
+  bool own_near = strcmp (mesh->gateway->settings->vm_data_center, dc) == 0;
+  uint64_t own_score = XXH3_64bits_withSeed (mesh->own, strlen (mesh->own), key);
+
+  for (guint i = 0; i < mesh->peers->len; i++)
+    {
+      const struct peer *peer = g_ptr_array_index (mesh->peers, i);
+      bool near = strcmp (peer->data_center, dc) == 0;
+
+      if (!peer->alive || peer->seen.leaving)
+        continue;
+      if (near != own_near
+              ? near
+              : XXH3_64bits_withSeed (peer->vm, strlen (peer->vm), key) > own_score)
+        return false;
+    }
+  return !mesh->leaving;
+}
+
+/* Writes this VM into the list in the store, and then reads it: of two VMs that start
+   together at least one finds the other, which learns of it by its messages. */
+static void
+enter_list (void *user)
+{
+  struct kcp_mesh *mesh = user;
+  const struct kcp_store *store = mesh->store;
+
+  if (mesh->entered)
+    {
+      read_list (mesh, NULL);
+      return;
+    }
+  store->append (store->self, KCP_STORE_VMS, KCP_STORE_ANYWHERE,
+                 kcp_str_from_c (mesh->own), KCP_STR ("{}"), on_entered, mesh);
+}
+
+static void
+on_entered (void *user, const struct kcp_store_answer *answer)
+{
+  struct kcp_mesh *mesh = user;
+
+  if (answer->end != KCP_STORE_DONE)
+    {
+      retry_list (mesh);
+      return;
+    }
+  mesh->entered = true;
+  read_list (mesh, NULL);
+}
+
+static void
+read_list (struct kcp_mesh *mesh, const char *after)
+{
+  mesh->store->list (mesh->store->self, KCP_STORE_VMS, after, on_listed, mesh);
+}
+
+static void
+on_listed (void *user, const struct kcp_store_answer *answer)
+{
+  struct kcp_mesh *mesh = user;
+  g_autofree char *last = NULL;
+
+  if (answer->end != KCP_STORE_DONE)
+    {
+      retry_list (mesh);
+      return;
+    }
+  for (guint i = 0; i < answer->records->len; i++)
+    {
+      const struct kcp_store_record *record
+          = &g_array_index (answer->records, struct kcp_store_record, i);
+
+      g_free (last);
+      last = kcp_str_dup (record->key);
+      if (record->value.len > 0 && find_peer (mesh, last) == NULL)
+        (void)make_peer (mesh, last);
+    }
+  if (answer->more && last != NULL)
+    {
+      read_list (mesh, last);
+      return;
+    }
+  KCP_LOG ("vms_listed", KCP_LOG_INT ("others", mesh->peers->len));
+  mesh->listed = true;
+}
+
+static void
+retry_list (struct kcp_mesh *mesh)
+{
+  struct kcp_loop *loop = mesh->gateway->loop;
+  int64_t wait_ms = LIST_RETRY_MS + (int64_t)(kcp_id_random_u64 () % LIST_RETRY_MS);
+
+  kcp_loop_timer_set (loop, &mesh->list, kcp_loop_now (loop) + wait_ms * KCP_NS_PER_MS,
+                      enter_list, mesh);
+}
+
+static void
+tell (void *user)
+{
+  struct kcp_mesh *mesh = user;
+  struct kcp_loop *loop = mesh->gateway->loop;
+  struct kcp_mesh_message message;
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  size_t len;
+
+  check_peers (mesh);
+  kcp_mesh_message_init (&message);
+  make_message (mesh, &message);
+  len = kcp_mesh_message_encode (&message, bytes, sizeof bytes);
+  for (guint i = 0; len > 0 && i < mesh->peers->len; i++)
+    {
+      const struct peer *peer = g_ptr_array_index (mesh->peers, i);
+
+      if (!is_due (mesh, peer))
+        continue;
+      kcp_counter_add (KCP_COUNT_RPC_SENT, 1);
+      /* A datagram that the kernel does not take is as one that is lost on the way. */
+      (void)sendto (mesh->fd, bytes, len, 0, (const struct sockaddr *)&peer->address,
+                    sizeof peer->address);
+    }
+  kcp_mesh_message_clear (&message);
+  kcp_loop_timer_set (loop, &mesh->tell,
+                      kcp_loop_now (loop) + TELL_NEAR_MS * KCP_NS_PER_MS, tell, mesh);
+}
+
+static void
+make_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
+{
+  const GPtrArray *servers = kcp_servers_all (mesh->gateway->servers);
+
+  g_strlcpy (message->vm, mesh->own, sizeof message->vm);
+  g_strlcpy (message->data_center, mesh->gateway->settings->vm_data_center,
+             sizeof message->data_center);
+  message->start = mesh->start;
+  message->number = ++mesh->number;
+  message->leaving = mesh->leaving;
+  for (guint i = 0; i < servers->len && message->rows->len < KCP_MESH_ROWS_MAX; i++)
+    add_row (mesh, message, g_ptr_array_index (servers, i));
+}
+
+/* Servers of which there is nothing to say are left out. */
+static void
+add_row (struct kcp_mesh *mesh, struct kcp_mesh_message *message,
+         struct kcp_server *server)
+{
+  int64_t now = kcp_loop_now (mesh->gateway->loop);
+  int64_t loading_ns = server->own_loading_until_ns - now;
+  bool read = server->held_by_own && server->held != NULL;
+  struct kcp_mesh_row *row;
+
+  if (server->open == 0 && loading_ns <= 0 && !read
+      && now - server->version_learned_ns > SILENT_NS)
+    return;
+  row = kcp_mesh_message_add_row (message);
+  row->server = kcp_server_key (server);
+  row->open = server->open;
+  row->unread_tokens = (uint32_t)MAX (server->unread_tokens, 0);
+  row->version = (uint32_t)kcp_server_first_version (server);
+  row->loading_ms = loading_ns > 0 ? (uint32_t)(loading_ns / KCP_NS_PER_MS) : 0;
+  row->read = read;
+  for (guint i = 0; read && i < server->held->len && i < KCP_MESH_PARTS_MAX; i++)
+    g_array_append_val (row->parts, g_array_index (server->held, uint64_t, i));
+}
+
+static bool
+is_due (const struct kcp_mesh *mesh, const struct peer *peer)
+{
+  if (!peer->alive)
+    return mesh->number % TELL_SILENT_EVERY == 0;
+  if (strcmp (peer->data_center, mesh->gateway->settings->vm_data_center) == 0)
+    return true;
+  return mesh->number % TELL_FAR_EVERY == 0;
+}
+
+static void
+on_datagram (void *user, uint32_t events)
+{
+  struct kcp_mesh *mesh = user;
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  ssize_t len;
+  bool changed = false;
+
+  (void)events;
+  while ((len = recv (mesh->fd, bytes, sizeof bytes, 0)) > 0)
+    {
+      struct kcp_mesh_message message;
+
+      kcp_mesh_message_init (&message);
+      if (kcp_mesh_message_decode (&message, bytes, (size_t)len))
+        {
+          kcp_counter_add (KCP_COUNT_RPC_RECEIVED, 1);
+          take_message (mesh, &message);
+          changed = true;
+        }
+      else
+        kcp_counter_add (KCP_COUNT_RPC_REJECTED, 1);
+      kcp_mesh_message_clear (&message);
+    }
+  if (changed)
+    sum_rows (mesh);
+}
+
+/* Keeps a message that is newer than what is known of its sender. */
+static void
+take_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
+{
+  struct peer *peer = find_peer (mesh, message->vm);
+  GArray *rows;
+
+  if (strcmp (message->vm, mesh->own) == 0)
+    return;
+  if (peer == NULL)
+    peer = make_peer (mesh, message->vm);
+  if (peer == NULL || message->start < peer->start
+      || (message->start == peer->start && message->number <= peer->number))
+    return;
+  peer->start = message->start;
+  peer->number = message->number;
+  peer->heard_ns = kcp_loop_now (mesh->gateway->loop);
+  g_strlcpy (peer->data_center, message->data_center, sizeof peer->data_center);
+  if (!peer->alive)
+    KCP_LOG ("vm", KCP_LOG_TEXT ("change", "alive"), KCP_LOG_TEXT ("peer", peer->vm),
+             KCP_LOG_TEXT ("peer_dc", peer->data_center));
+  peer->alive = true;
+  peer->seen.leaving = message->leaving;
+  rows = peer->seen.rows;
+  peer->seen.rows = message->rows;
+  message->rows = rows;
+}
+
+static struct peer *
+find_peer (struct kcp_mesh *mesh, const char *vm)
+{
+  for (guint i = 0; i < mesh->peers->len; i++)
+    {
+      struct peer *peer = g_ptr_array_index (mesh->peers, i);
+
+      if (strcmp (peer->vm, vm) == 0)
+        return peer;
+    }
+  return NULL;
+}
+
+/* Returns a new peer, or NULL if its name is no address or this VM's own. */
+static struct peer *
+make_peer (struct kcp_mesh *mesh, const char *vm)
+{
+  struct peer *peer;
+  struct sockaddr_in address;
+  struct kcp_error error;
+
+  if (strcmp (vm, mesh->own) == 0 || !kcp_server_loop_address (vm, &address, &error))
+    return NULL;
+  peer = g_new0 (struct peer, 1);
+  g_strlcpy (peer->vm, vm, sizeof peer->vm);
+  peer->address = address;
+  peer->listed_ns = kcp_loop_now (mesh->gateway->loop);
+  kcp_mesh_message_init (&peer->seen);
+  g_ptr_array_add (mesh->peers, peer);
+  return peer;
+}
+
+/* Takes silent VMs as away, and forgets those that stay so. */
+static void
+check_peers (struct kcp_mesh *mesh)
+{
+  int64_t now = kcp_loop_now (mesh->gateway->loop);
+
+  for (guint i = mesh->peers->len; i > 0; i--)
+    {
+      struct peer *peer = g_ptr_array_index (mesh->peers, i - 1);
+      int64_t last_ns = MAX (peer->heard_ns, peer->listed_ns);
+
+      if (peer->alive && now - peer->heard_ns > SILENT_NS)
+        {
+          KCP_LOG ("vm", KCP_LOG_TEXT ("change", "silent"),
+                   KCP_LOG_TEXT ("peer", peer->vm),
+                   KCP_LOG_TEXT ("peer_dc", peer->data_center));
+          peer->alive = false;
+          sum_rows (mesh);
+        }
+      if (now - last_ns > FORGET_NS)
+        g_ptr_array_remove_index_fast (mesh->peers, i - 1);
+    }
+}
+
+/* Adds up what the live VMs say of each server. */
+static void
+sum_rows (struct kcp_mesh *mesh)
+{
+  const GPtrArray *servers = kcp_servers_all (mesh->gateway->servers);
+
+  for (guint i = 0; i < servers->len; i++)
+    {
+      struct kcp_server *server = g_ptr_array_index (servers, i);
+
+      server->others_open = 0;
+      server->others_unread_tokens = 0;
+    }
+  for (guint i = 0; i < mesh->peers->len; i++)
+    {
+      const struct peer *peer = g_ptr_array_index (mesh->peers, i);
+
+      for (guint j = 0; peer->alive && j < peer->seen.rows->len; j++)
+        take_row (mesh, peer, &g_array_index (peer->seen.rows, struct kcp_mesh_row, j));
+    }
+}
+
+static void
+take_row (struct kcp_mesh *mesh, const struct peer *peer, const struct kcp_mesh_row *row)
+{
+  struct kcp_server *server = kcp_servers_find_key (mesh->gateway->servers, row->server);
+  int64_t now = kcp_loop_now (mesh->gateway->loop);
+
+  if (server == NULL)
+    return;
+  server->others_open += row->open;
+  server->others_unread_tokens += row->unread_tokens;
+  if (row->version > 0)
+    kcp_server_learn_first_version (server, row->version, now);
+  if (row->loading_ms > 0)
+    server->loading_until_ns = MAX (server->loading_until_ns,
+                                    peer->heard_ns + row->loading_ms * KCP_NS_PER_MS);
+  if (row->read && !server->held_by_own)
+    kcp_server_take_held (server, row->parts, now);
+}
+
+static void
+peer_free (gpointer data)
+{
+  struct peer *peer = data;
+
+  kcp_mesh_message_clear (&peer->seen);
+  g_free (peer);
+}
--- /dev/null
+++ b/src/forward/mesh.h
@@ -0,0 +1,19 @@
+/* The exchange between VMs: who they are, from a list in the platform's store and from
+   each other's messages, and what each sees of the servers, so that all place by the
+   whole load and know what each server keeps, though one VM reads it. */
+#ifndef KCP_FORWARD_MESH_H
+#define KCP_FORWARD_MESH_H
+
+#include "base/error.h"
+#include "forward/gateway.h"
+
+struct kcp_mesh;
+
+struct kcp_mesh *kcp_mesh_start (struct kcp_gateway *gateway,
+                                 const struct kcp_store *store, struct kcp_error *error);
+void kcp_mesh_leave (struct kcp_mesh *mesh);
+void kcp_mesh_stop (struct kcp_mesh *mesh);
+unsigned kcp_mesh_count (const struct kcp_mesh *mesh);
+bool kcp_mesh_is_reader (const struct kcp_mesh *mesh, const struct kcp_server *server);
+
+#endif
--- /dev/null
+++ b/src/forward/mesh_message.c
@@ -0,0 +1,166 @@
+#include "forward/mesh_message.h"
+
+#include <rpc/rpc.h>
+#include <string.h>
+
+#define PROGRAM        0x20005043u
+#define VERSION        1u
+#define PROCEDURE_TELL 1u
+
+static bool code_call (XDR *xdr, bool encode);
+static bool_t code_message (XDR *xdr, struct kcp_mesh_message *message);
+static bool_t code_text (XDR *xdr, char *text, size_t size);
+static bool_t code_rows (XDR *xdr, GArray *rows);
+static bool_t code_row (XDR *xdr, struct kcp_mesh_row *row);
+static bool_t code_parts (XDR *xdr, GArray *parts);
+static void row_clear (gpointer data);
+
+/* Makes an empty message. */
+void
+kcp_mesh_message_init (struct kcp_mesh_message *message)
+{
+  memset (message, 0, sizeof *message);
+  message->rows = g_array_new (FALSE, TRUE, sizeof (struct kcp_mesh_row));
+  g_array_set_clear_func (message->rows, row_clear);
+}
+
+/* Frees what a message owns. */
+void
+kcp_mesh_message_clear (struct kcp_mesh_message *message)
+{
+  g_array_unref (message->rows);
+}
+
+/* Adds an empty row. */
+struct kcp_mesh_row *
+kcp_mesh_message_add_row (struct kcp_mesh_message *message)
+{
+  struct kcp_mesh_row row = { .parts = g_array_new (FALSE, FALSE, sizeof (uint64_t)) };
+
+  g_array_append_val (message->rows, row);
+  return &g_array_index (message->rows, struct kcp_mesh_row, message->rows->len - 1);
+}
+
+/* Writes the message as an RPC call; returns its length, or 0 if max is too small. */
+size_t
+kcp_mesh_message_encode (struct kcp_mesh_message *message, char *out, size_t max)
+{
+  XDR xdr;
+  size_t len = 0;
+
+  xdrmem_create (&xdr, out, (u_int)max, XDR_ENCODE);
+  if (code_call (&xdr, true) && code_message (&xdr, message))
+    len = xdr_getpos (&xdr);
+  xdr_destroy (&xdr);
+  return len;
+}
+
+/* Reads an RPC call into an initialised message; false if it is not a sound one. */
+bool
+kcp_mesh_message_decode (struct kcp_mesh_message *message, char *data, size_t len)
+{
+  XDR xdr;
+  bool sound;
+
+  xdrmem_create (&xdr, data, (u_int)len, XDR_DECODE);
+  sound = code_call (&xdr, false) && code_message (&xdr, message)
+          && xdr_getpos (&xdr) == len;
+  xdr_destroy (&xdr);
+  return sound;
+}
+
+static bool
+code_call (XDR *xdr, bool encode)
+{
+  struct rpc_msg call = { 0 };
+  char credentials[2 * MAX_AUTH_BYTES];
+
+  call.rm_direction = CALL;
+  call.rm_call.cb_rpcvers = RPC_MSG_VERSION;
+  call.rm_call.cb_prog = PROGRAM;
+  call.rm_call.cb_vers = VERSION;
+  call.rm_call.cb_proc = PROCEDURE_TELL;
+  call.rm_call.cb_cred.oa_base = credentials;
+  call.rm_call.cb_verf.oa_base = credentials + MAX_AUTH_BYTES;
+  if (encode)
+    return xdr_callmsg (xdr, &call);
+  return xdr_callmsg (xdr, &call) && call.rm_call.cb_prog == PROGRAM
+         && call.rm_call.cb_vers == VERSION && call.rm_call.cb_proc == PROCEDURE_TELL;
+}
+
+static bool_t
+code_message (XDR *xdr, struct kcp_mesh_message *message)
+{
+  bool_t leaving = message->leaving;
+
+  if (!code_text (xdr, message->vm, sizeof message->vm)
+      || !code_text (xdr, message->data_center, sizeof message->data_center)
+      || !xdr_uint64_t (xdr, &message->start) || !xdr_uint64_t (xdr, &message->number)
+      || !xdr_bool (xdr, &leaving))
+    return FALSE;
+  message->leaving = leaving;
+  return code_rows (xdr, message->rows);
+}
+
+static bool_t
+code_text (XDR *xdr, char *text, size_t size)
+{
+  return xdr_string (xdr, &text, (u_int)size - 1);
+}
+
+static bool_t
+code_rows (XDR *xdr, GArray *rows)
+{
+  uint32_t count = rows->len;
+
+  if (!xdr_uint32_t (xdr, &count) || count > KCP_MESH_ROWS_MAX)
+    return FALSE;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (i >= rows->len)
+        {
+          struct kcp_mesh_row row
+              = { .parts = g_array_new (FALSE, FALSE, sizeof (uint64_t)) };
+
+          g_array_append_val (rows, row);
+        }
+      if (!code_row (xdr, &g_array_index (rows, struct kcp_mesh_row, i)))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+static bool_t
+code_row (XDR *xdr, struct kcp_mesh_row *row)
+{
+  bool_t read = row->read;
+
+  if (!xdr_uint64_t (xdr, &row->server) || !xdr_uint32_t (xdr, &row->open)
+      || !xdr_uint32_t (xdr, &row->unread_tokens) || !xdr_uint32_t (xdr, &row->version)
+      || !xdr_uint32_t (xdr, &row->loading_ms) || !xdr_bool (xdr, &read))
+    return FALSE;
+  row->read = read;
+  return !read || code_parts (xdr, row->parts);
+}
+
+static bool_t
+code_parts (XDR *xdr, GArray *parts)
+{
+  uint32_t count = parts->len;
+
+  if (!xdr_uint32_t (xdr, &count) || count > KCP_MESH_PARTS_MAX)
+    return FALSE;
+  g_array_set_size (parts, count);
+  for (uint32_t i = 0; i < count; i++)
+    if (!xdr_uint64_t (xdr, &g_array_index (parts, uint64_t, i)))
+      return FALSE;
+  return TRUE;
+}
+
+static void
+row_clear (gpointer data)
+{
+  struct kcp_mesh_row *row = data;
+
+  g_array_unref (row->parts);
+}
--- /dev/null
+++ b/src/forward/mesh_message.h
@@ -0,0 +1,45 @@
+/* What the VMs tell each other of the servers, as ONC RPC calls without a reply. State,
+   not changes: a message that is lost or comes twice does no harm, and the newest one of
+   a VM replaces its earlier ones. */
+#ifndef KCP_FORWARD_MESH_MESSAGE_H
+#define KCP_FORWARD_MESH_MESSAGE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/str.h"
+
+#define KCP_MESH_MESSAGE_MAX 8192u /* bytes */
+#define KCP_MESH_ROWS_MAX    128u
+#define KCP_MESH_PARTS_MAX   64u
+
+/* One server, as one VM sees it. */
+struct kcp_mesh_row
+{
+  uint64_t server;        /* see kcp_server_key() */
+  uint32_t open;          /* the VM's requests in flight there */
+  uint32_t unread_tokens; /* of their prompts, yet to be read */
+  uint32_t version;       /* of the weights there; 0: not known */
+  uint32_t loading_ms;    /* it takes new weights for that long yet */
+  bool read;              /* the VM reads the server's cache events: parts stand */
+  GArray *parts;          /* uint64_t, long parts of prompts that the server keeps */
+};
+
+struct kcp_mesh_message
+{
+  char vm[64]; /* IP:PORT of the VM's own socket */
+  char data_center[64];
+  uint64_t start;  /* of the VM's process; grows with each */
+  uint64_t number; /* of the message, within the start */
+  bool leaving;
+  GArray *rows; /* struct kcp_mesh_row */
+};
+
+void kcp_mesh_message_init (struct kcp_mesh_message *message);
+void kcp_mesh_message_clear (struct kcp_mesh_message *message);
+struct kcp_mesh_row *kcp_mesh_message_add_row (struct kcp_mesh_message *message);
+size_t kcp_mesh_message_encode (struct kcp_mesh_message *message, char *out, size_t max);
+bool kcp_mesh_message_decode (struct kcp_mesh_message *message, char *data, size_t len);
+
+#endif
--- a/src/forward/prefix_memory.c
+++ b/src/forward/prefix_memory.c
@@ -97,12 +97,13 @@
   oldest->used_ns = now_ns;
 }
 
-/* Tells whether the server is believed to keep the part. */
+/* Tells whether the server has read the part since since_ns. */
 bool
-kcp_prefix_belief_has (const struct kcp_prefix_belief *belief, uint64_t server)
+kcp_prefix_belief_has (const struct kcp_prefix_belief *belief, uint64_t server,
+                       int64_t since_ns)
 {
   for (size_t i = 0; i < KCP_PREFIX_HOLDERS_MAX; i++)
     if (belief->holders[i].server == server)
-      return true;
+      return belief->holders[i].used_ns >= since_ns;
   return false;
 }
--- a/src/forward/prefix_memory.h
+++ b/src/forward/prefix_memory.h
@@ -31,6 +31,7 @@
 kcp_prefix_memory_make (struct kcp_prefix_memory *memory, uint64_t part);
 void
 kcp_prefix_belief_add (struct kcp_prefix_belief *belief, uint64_t server, int64_t now_ns);
-bool kcp_prefix_belief_has (const struct kcp_prefix_belief *belief, uint64_t server);
+bool kcp_prefix_belief_has (const struct kcp_prefix_belief *belief, uint64_t server,
+                            int64_t since_ns);
 
 #endif
--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -302,6 +302,7 @@
       return;
     }
   order->sent = true;
+  server->own_loading_until_ns = order->sent_ns + FORGET_MS * KCP_NS_PER_MS;
   server->loading_until_ns = order->sent_ns + FORGET_MS * KCP_NS_PER_MS;
   gateway->dialect->write_order (&text, &order->own);
   KCP_LOG ("order_sent", KCP_LOG_TEXT ("server", server->entry.id),
@@ -350,7 +351,7 @@
       wait_for_report (order, FIRST_REPORT_MS);
       break;
     case KCP_ORDER_HOLDS:
-      kcp_server_learn_version (order->server, order->model, order->version);
+      kcp_server_learn_version (order->server, order->model, order->version, now);
       order_end (order, "held_already");
       break;
     case KCP_ORDER_CONFLICT:
@@ -445,7 +446,7 @@
       const struct kcp_server_weights *weights
           = &g_array_index (report->weights, struct kcp_server_weights, i);
 
-      kcp_server_learn_version (order->server, weights->model, weights->version);
+      kcp_server_learn_version (order->server, weights->model, weights->version, now);
     }
   order->server->orders_taken = MAX (order->server->orders_taken, report->orders_taken);
   if (kcp_server_version (order->server, order->model) >= order->version)
@@ -475,6 +476,7 @@
            KCP_LOG_INT ("version", order->version), KCP_LOG_TEXT ("outcome", outcome),
            KCP_LOG_INT ("ms", (kcp_loop_now (rollout->gateway->loop) - order->sent_ns)
                                   / KCP_NS_PER_MS));
+  order->server->own_loading_until_ns = 0;
   order->server->loading_until_ns = 0;
   g_ptr_array_remove_fast (rollout->orders, order);
   kcp_rollout_look (rollout);
@@ -557,7 +559,7 @@
 
   kcp_claim_sent (&rollout->claim, kcp_loop_now (rollout->gateway->loop));
   g_string_printf (rollout->record, "{\"holder\":\"%s\"}", rollout->claim.own);
-  store->append (store->self, KCP_STORE_ORDERS, rollout->claim.end,
+  store->append (store->self, KCP_STORE_ORDERS, rollout->claim.end, KCP_STR (""),
                  (struct kcp_str){ rollout->record->str, rollout->record->len },
                  on_claim_appended, rollout);
 }
--- a/src/forward/servers.c
+++ b/src/forward/servers.c
@@ -1,6 +1,7 @@
 #include "forward/servers.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/decision_log.h"
@@ -16,6 +17,20 @@
   GPtrArray *all; /* struct kcp_server, references */
 };
 
+/* Returns the server of that kcp_server_key(), borrowed, or NULL. */
+struct kcp_server *
+kcp_servers_find_key (const struct kcp_servers *servers, uint64_t key)
+{
+  for (guint i = 0; i < servers->all->len; i++)
+    {
+      struct kcp_server *server = g_ptr_array_index (servers->all, i);
+
+      if (kcp_server_key (server) == key)
+        return server;
+    }
+  return NULL;
+}
+
 static bool
 is_reborn (const struct kcp_server *server, const struct kcp_server_entry *entry);
 static void replace_entry (struct kcp_server *server, struct kcp_server_entry *entry);
@@ -69,6 +84,55 @@
     kcp_ref_release (server, server_clear);
 }
 
+/* Returns a hash of the server's id and start, by which VMs speak of it. */
+uint64_t
+kcp_server_key (const struct kcp_server *server)
+{
+  return XXH3_64bits_withSeed (server->entry.id, strlen (server->entry.id),
+                               (uint64_t)server->entry.started_ms);
+}
+
+/* Returns the version of the first model that the server names, or 0. */
+int64_t
+kcp_server_first_version (const struct kcp_server *server)
+{
+  if (server->entry.weights->len == 0)
+    return VERSION_UNKNOWN;
+  return g_array_index (server->entry.weights, struct kcp_server_weights, 0).version;
+}
+
+/* Takes in a version of the first model that another VM has seen. */
+void
+kcp_server_learn_first_version (struct kcp_server *server, int64_t version,
+                                int64_t now_ns)
+{
+  if (server->entry.weights->len > 0)
+    kcp_server_learn_version (
+        server, g_array_index (server->entry.weights, struct kcp_server_weights, 0).model,
+        version, now_ns);
+}
+
+/* Takes in which long parts the server keeps. */
+void
+kcp_server_take_held (struct kcp_server *server, const GArray *parts, int64_t now_ns)
+{
+  if (server->held == NULL)
+    server->held = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  g_array_set_size (server->held, 0);
+  g_array_append_vals (server->held, parts->data, parts->len);
+  server->held_ns = now_ns;
+}
+
+/* Tells whether the server is known to keep a part. */
+bool
+kcp_server_holds (const struct kcp_server *server, uint64_t part)
+{
+  for (guint i = 0; server->held != NULL && i < server->held->len; i++)
+    if (g_array_index (server->held, uint64_t, i) == part)
+      return true;
+  return false;
+}
+
 /* Returns the version of the model's weights there, or 0 if the server has none. */
 int64_t
 kcp_server_version (const struct kcp_server *server, const char *model)
@@ -86,7 +150,8 @@
 
 /* Takes in a version that an answer showed; versions never go back within a start. */
 void
-kcp_server_learn_version (struct kcp_server *server, const char *model, int64_t version)
+kcp_server_learn_version (struct kcp_server *server, const char *model, int64_t version,
+                          int64_t now_ns)
 {
   for (guint i = 0; i < server->entry.weights->len; i++)
     {
@@ -97,6 +162,8 @@
         continue;
       weights->version = version;
       server->loading_until_ns = 0;
+      server->own_loading_until_ns = 0;
+      server->version_learned_ns = now_ns;
       KCP_LOG ("server_weights", KCP_LOG_TEXT ("server", server->entry.id),
                KCP_LOG_TEXT ("model", model), KCP_LOG_INT ("version", version));
     }
@@ -290,6 +357,8 @@
   struct kcp_server *server = object;
 
   kcp_server_entry_clear (&server->entry);
+  if (server->held != NULL)
+    g_array_unref (server->held);
 }
 
 static void
--- a/src/forward/servers.h
+++ b/src/forward/servers.h
@@ -43,8 +43,15 @@
   int64_t unread_tokens; /* of their prompts, without an answer so far */
   unsigned failures;     /* in a row */
   int64_t suspected_until_ns;
-  int64_t loading_until_ns; /* it is believed to take new weights until then */
-  int64_t orders_taken;     /* since its start, from its reports; -1: not known */
+  int64_t loading_until_ns;     /* it is believed to take new weights until then */
+  int64_t own_loading_until_ns; /* as above, by an order of this VM */
+  int64_t version_learned_ns;   /* when an answer last showed a new version; 0: never */
+  unsigned others_open;         /* other VMs' requests in flight there */
+  int64_t others_unread_tokens;
+  GArray *held;         /* uint64_t, long parts of prompts kept there; NULL: not known */
+  bool held_by_own;     /* this VM reads the server's cache events */
+  int64_t held_ns;      /* when held was last confirmed */
+  int64_t orders_taken; /* since its start, from its reports; -1: not known */
 };
 
 struct kcp_servers;
@@ -55,9 +62,16 @@
                                    int64_t version);
 struct kcp_server *kcp_server_ref (struct kcp_server *server);
 void kcp_server_unref (struct kcp_server *server);
-int64_t kcp_server_version (const struct kcp_server *server, const char *model);
+uint64_t kcp_server_key (const struct kcp_server *server);
+int64_t kcp_server_first_version (const struct kcp_server *server);
+void kcp_server_learn_first_version (struct kcp_server *server, int64_t version,
+                                     int64_t now_ns);
 void
-kcp_server_learn_version (struct kcp_server *server, const char *model, int64_t version);
+kcp_server_take_held (struct kcp_server *server, const GArray *parts, int64_t now_ns);
+bool kcp_server_holds (const struct kcp_server *server, uint64_t part);
+int64_t kcp_server_version (const struct kcp_server *server, const char *model);
+void kcp_server_learn_version (struct kcp_server *server, const char *model,
+                               int64_t version, int64_t now_ns);
 void kcp_server_note_failure (struct kcp_server *server, int64_t now_ns);
 void kcp_server_note_refusal (struct kcp_server *server, int64_t now_ns);
 void kcp_server_note_answer (struct kcp_server *server);
@@ -68,6 +82,7 @@
 void kcp_servers_remove (struct kcp_servers *servers, const char *id, int64_t at_ns);
 void kcp_servers_remove_due (struct kcp_servers *servers, int64_t now_ns);
 const GPtrArray *kcp_servers_all (const struct kcp_servers *servers);
+struct kcp_server *kcp_servers_find_key (const struct kcp_servers *servers, uint64_t key);
 struct kcp_server *kcp_servers_find (const struct kcp_servers *servers, const char *id);
 
 #endif
--- a/src/settings/forward_settings.c
+++ b/src/settings/forward_settings.c
@@ -30,6 +30,7 @@
   ADDRESS ("callers", "listen", callers_listen, true),
   ADDRESS ("ready", "listen", ready_listen, true),
   ADDRESS ("metrics", "listen", metrics_listen, false),
+  ADDRESS ("peers", "listen", peers_listen, true),
   ADDRESS ("store", "address", store_address, true),
   INT ("store", "timeout_ms", store_timeout_ms, 10, 60000, 800),
   INT ("store", "poll_ms", store_poll_ms, 10, 60000, 700),
--- a/src/settings/forward_settings.h
+++ b/src/settings/forward_settings.h
@@ -13,6 +13,7 @@
   char *callers_listen; /* addresses are IP:PORT */
   char *ready_listen;
   char *metrics_listen; /* NULL: none */
+  char *peers_listen;   /* datagrams of other VMs */
   char *store_address;
   int64_t store_timeout_ms;
   int64_t store_poll_ms;
