--- a/src/forward/cache_reader.c
+++ b/src/forward/cache_reader.c
@@ -37,6 +37,8 @@
 };
 
 static void look (void *user);
+static void
+look_through (struct kcp_cache_reader *reader, const GPtrArray *servers, bool stores);
 static bool
 is_wanted (const struct kcp_cache_reader *reader, const struct kcp_server *server);
 static bool
@@ -81,7 +83,6 @@
 {
   struct kcp_cache_reader *reader = user;
   struct kcp_loop *loop = reader->gateway->loop;
-  const GPtrArray *servers = kcp_servers_all (reader->gateway->servers);
 
   for (guint i = reader->sources->len; i > 0; i--)
     {
@@ -90,20 +91,28 @@
       if (source->server->gone || !is_wanted (reader, source->server))
         g_ptr_array_remove_index_fast (reader->sources, i - 1);
     }
+  look_through (reader, kcp_servers_all (reader->gateway->servers), false);
+  look_through (reader, kcp_servers_stores (reader->gateway->servers), true);
+  kcp_loop_timer_set (loop, &reader->look, kcp_loop_now (loop) + LOOK_NS, look, reader);
+}
+
+static void
+look_through (struct kcp_cache_reader *reader, const GPtrArray *servers, bool stores)
+{
   for (guint i = 0; i < servers->len; i++)
     {
       struct kcp_server *server = g_ptr_array_index (servers, i);
 
-      if (is_wanted (reader, server) && !has_source (reader, server))
+      if ((stores || server->entry.weights->len > 0) && is_wanted (reader, server)
+          && !has_source (reader, server))
         add_source (reader, server);
     }
-  kcp_loop_timer_set (loop, &reader->look, kcp_loop_now (loop) + LOOK_NS, look, reader);
 }
 
 static bool
 is_wanted (const struct kcp_cache_reader *reader, const struct kcp_server *server)
 {
-  return server->entry.weights->len > 0 && server->entry.state == KCP_SERVER_READY
+  return server->entry.state == KCP_SERVER_READY
          && kcp_mesh_is_reader (reader->mesh, server);
 }
 
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -13,6 +13,8 @@
 #define REPLACE_MARGIN_NS (2500 * KCP_NS_PER_MS)
 /* What a server's events show lags behind what this VM has sent there. */
 #define EVENTS_LAG_NS (1000 * KCP_NS_PER_MS)
+/* What a server is told to save is in the store by then, if it was saved. */
+#define SAVE_LAG_NS (3 * KCP_NS_PER_S)
 /* Events that were read longer ago say nothing. */
 #define HELD_STALE_NS (4 * KCP_NS_PER_S)
 
@@ -26,7 +28,12 @@
                          const struct kcp_server *server);
 static void add_home_bonus (const struct kcp_choice *choice, const GPtrArray *servers,
                             struct kcp_place_candidate *candidates);
+static void mark_home (const struct kcp_choice *choice, const GPtrArray *servers,
+                       struct kcp_place_candidate *candidates);
 static void plan_transfers (struct kcp_gateway *gateway, struct kcp_choice *choice);
+static const struct kcp_server *find_store (const struct kcp_gateway *gateway);
+static bool
+store_has (struct kcp_gateway *gateway, const struct kcp_server *store, uint64_t part);
 static const char *
 find_holder (struct kcp_gateway *gateway, uint64_t part, const struct kcp_server *chosen);
 static bool has_long_part (const struct kcp_ask *ask);
@@ -58,6 +65,9 @@
     }
   if (has_long_part (choice->ask) && !held_anywhere (gateway, choice))
     add_home_bonus (choice, servers, candidates);
+  if (!has_long_part (choice->ask) && choice->ask->parts != NULL
+      && choice->ask->parts->len > 1)
+    mark_home (choice, servers, candidates);
   at = servers->len == 0
            ? KCP_PLACE_NONE
            : kcp_place_choose (candidates, servers->len, costs, kcp_id_random_u64 ());
@@ -85,7 +95,7 @@
   g_clear_pointer (&choice->cache_space, g_free);
 }
 
-/* Notes that the chosen server has read the request's prompt. */
+/* Notes that the request is sent to the chosen server, which will keep its prompt. */
 void
 kcp_choice_remember (struct kcp_gateway *gateway, const struct kcp_choice *choice)
 {
@@ -99,13 +109,16 @@
       const struct kcp_prompt_part *part
           = &g_array_index (parts, struct kcp_prompt_part, i);
       struct kcp_prefix_belief *belief;
+      uint64_t key;
 
       if (part->tokens < KCP_LONG_PART_TOKENS)
         continue;
-      belief = kcp_prefix_memory_make (gateway->prefixes,
-                                       kcp_part_key (choice->cache_space, part->id));
+      key = kcp_part_key (choice->cache_space, part->id);
+      kcp_server_note_sent_part (choice->server, key, now);
+      belief = kcp_prefix_memory_make (gateway->prefixes, key);
       kcp_prefix_belief_add (belief, kcp_server_key (choice->server), now);
-      belief->saved = belief->saved || choice->save_to != NULL;
+      if (choice->save_to != NULL)
+        belief->saved_ns = now;
     }
 }
 
@@ -225,26 +238,83 @@
         = MAX (home->uncached_tokens - first->tokens * 2 / FETCH_SHARE, 0);
 }
 
+static void
+mark_home (const struct kcp_choice *choice, const GPtrArray *servers,
+           struct kcp_place_candidate *candidates)
+{
+  const struct kcp_prompt_part *part = &g_array_index (
+      choice->ask->parts, struct kcp_prompt_part, choice->ask->parts->len - 2);
+  uint64_t best_score = 0;
+  struct kcp_place_candidate *home = NULL;
+
+  for (guint i = 0; i < servers->len; i++)
+    {
+      const struct kcp_server *server = g_ptr_array_index (servers, i);
+      uint64_t score;
+
+      if (!candidates[i].usable || candidates[i].weights != KCP_PLACE_WEIGHTS_CURRENT)
+        continue;
+      score = XXH3_64bits_withSeed (part->id, strlen (part->id), kcp_server_key (server));
+      if (home != NULL && score <= best_score)
+        continue;
+      home = &candidates[i];
+      best_score = score;
+    }
+  if (home != NULL)
+    home->home = true;
+}
+
 /* A part that is not believed to be at the chosen server is fetched from one that has it,
-   or else from the store of kept cache; a part that is new to this VM is saved there. */
+   or else from the store of kept cache; a part that the store lacks is saved there. */
 static void
 plan_transfers (struct kcp_gateway *gateway, struct kcp_choice *choice)
 {
-  const struct kcp_service_info *store
-      = kcp_routes_cache_store (gateway->routes, gateway->settings->vm_data_center);
+  const struct kcp_server *store = find_store (gateway);
   const struct kcp_prompt_part *part
       = &g_array_index (choice->ask->parts, struct kcp_prompt_part, 0);
-  const struct kcp_prefix_belief *belief = kcp_prefix_memory_find (
-      gateway->prefixes, kcp_part_key (choice->cache_space, part->id));
+  uint64_t key = kcp_part_key (choice->cache_space, part->id);
+  bool stored = store != NULL && store_has (gateway, store, key);
 
-  if (belief == NULL || !belief->saved)
-    choice->save_to = store != NULL ? store->cache_store : NULL;
-  if (believed_at (gateway, choice->server, kcp_part_key (choice->cache_space, part->id)))
+  if (store != NULL && !stored)
+    choice->save_to = store->entry.address;
+  if (believed_at (gateway, choice->server, key))
     return;
-  choice->fetch_from = find_holder (gateway, kcp_part_key (choice->cache_space, part->id),
-                                    choice->server);
-  if (choice->fetch_from == NULL && store != NULL)
-    choice->fetch_from = store->cache_store;
+  choice->fetch_from = find_holder (gateway, key, choice->server);
+  if (choice->fetch_from == NULL && stored)
+    choice->fetch_from = store->entry.address;
+}
+
+/* Returns a store of kept cache, one in this VM's data centre if there is one, or NULL.
+ */
+static const struct kcp_server *
+find_store (const struct kcp_gateway *gateway)
+{
+  const GPtrArray *stores = kcp_servers_stores (gateway->servers);
+  const struct kcp_server *found = NULL;
+
+  for (guint i = 0; i < stores->len; i++)
+    {
+      const struct kcp_server *store = g_ptr_array_index (stores, i);
+
+      if (found == NULL || is_near (gateway, store))
+        found = store;
+    }
+  return found;
+}
+
+/* What a server was told to save shows in the store's events only after it was read. */
+static bool
+store_has (struct kcp_gateway *gateway, const struct kcp_server *store, uint64_t part)
+{
+  const struct kcp_prefix_belief *belief;
+  int64_t now = kcp_loop_now (gateway->loop);
+
+  if (kcp_server_holds (store, part))
+    return true;
+  belief = kcp_prefix_memory_find (gateway->prefixes, part);
+  if (belief == NULL || belief->saved_ns == 0)
+    return false;
+  return store->held == NULL || now - belief->saved_ns < SAVE_LAG_NS;
 }
 
 /* Returns the address of another server that is known to keep the part, one in the chosen
@@ -307,7 +377,7 @@
   const struct kcp_prefix_belief *belief;
   int64_t now = kcp_loop_now (gateway->loop);
 
-  if (kcp_server_holds (server, part))
+  if (kcp_server_holds (server, part) || kcp_server_is_sent_part (server, part))
     return true;
   belief = kcp_prefix_memory_find (gateway->prefixes, part);
   if (belief == NULL)
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -235,6 +235,7 @@
   server->open++;
   server->unread_tokens += attempt->unread_tokens;
   g_ptr_array_add (forward->tried, kcp_server_ref (server));
+  kcp_choice_remember (gateway, &forward->choice);
   kcp_counter_add (KCP_COUNT_ATTEMPTS, 1);
   if (forward->tried->len > 1)
     kcp_counter_add (KCP_COUNT_RETRIES, 1);
@@ -250,6 +251,20 @@
            KCP_LOG_INT ("cost_us", forward->choice.cost_us),
            KCP_LOG_INT ("open_there", server->open),
            KCP_LOG_INT ("uncached", forward->choice.uncached_tokens),
+           KCP_LOG_INT ("prompt", forward->ask->prompt_tokens),
+           KCP_LOG_TEXT ("cache_space", forward->choice.cache_space),
+           KCP_LOG_TEXT ("fetch_from", forward->choice.fetch_from),
+           KCP_LOG_TEXT ("save_to", forward->choice.save_to),
+           KCP_LOG_TEXT (
+               "prefix",
+               forward->ask->parts != NULL && forward->ask->parts->len > 0
+                   ? g_array_index (forward->ask->parts, struct kcp_prompt_part, 0).id
+                   : NULL),
+           KCP_LOG_INT (
+               "prefix_tokens",
+               forward->ask->parts != NULL && forward->ask->parts->len > 0
+                   ? g_array_index (forward->ask->parts, struct kcp_prompt_part, 0).tokens
+                   : 0),
            KCP_LOG_INT ("left_ms", left_ms (forward)));
   attempt->call = kcp_http_start (
       gateway->client, &(struct kcp_http_spec){
@@ -417,8 +432,6 @@
   if (result->status >= MHD_HTTP_INTERNAL_SERVER_ERROR)
     return false;
   kcp_server_note_answer (forward->attempt.server);
-  if (success)
-    kcp_choice_remember (forward->gateway, &forward->choice);
   if (is_streamed (forward, result->status))
     {
       const GString *rest = forward->cutter.pending;
--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -57,6 +57,7 @@
   kcp_counter_add (KCP_COUNT_CONFIG_APPLIED, 1);
   kcp_routes_unref (gateway->routes);
   gateway->routes = routes;
+  kcp_servers_take_stores (gateway->servers, routes);
   return true;
 }
 
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -19,8 +19,10 @@
 #define TELL_FAR_EVERY    2  /* messages to other data centres: each second one */
 #define TELL_SILENT_EVERY 10 /* to VMs that are silent */
 #define SILENT_NS         (1500 * KCP_NS_PER_MS) /* then a VM is taken as away */
-#define FORGET_NS         (60 * KCP_NS_PER_S)
-#define LIST_RETRY_MS     500
+/* What a server keeps shows in its events by then. */
+#define SENT_TOLD_NS  (1200 * KCP_NS_PER_MS)
+#define FORGET_NS     (60 * KCP_NS_PER_S)
+#define LIST_RETRY_MS 500
 
 /* Another VM. */
 struct peer
@@ -275,6 +277,7 @@
 make_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
 {
   const GPtrArray *servers = kcp_servers_all (mesh->gateway->servers);
+  const GPtrArray *stores = kcp_servers_stores (mesh->gateway->servers);
 
   g_strlcpy (message->vm, mesh->own, sizeof message->vm);
   g_strlcpy (message->data_center, mesh->gateway->settings->vm_data_center,
@@ -284,6 +287,8 @@
   message->leaving = mesh->leaving;
   for (guint i = 0; i < servers->len && message->rows->len < KCP_MESH_ROWS_MAX; i++)
     add_row (mesh, message, g_ptr_array_index (servers, i));
+  for (guint i = 0; i < stores->len && message->rows->len < KCP_MESH_ROWS_MAX; i++)
+    add_row (mesh, message, g_ptr_array_index (stores, i));
 }
 
 /* Servers of which there is nothing to say are left out. */
@@ -306,6 +311,12 @@
   row->version = (uint32_t)kcp_server_first_version (server);
   row->loading_ms = loading_ns > 0 ? (uint32_t)(loading_ns / KCP_NS_PER_MS) : 0;
   row->read = read;
+  kcp_server_drop_sent_parts (server, now - SENT_TOLD_NS);
+  for (guint i = 0; server->sent_parts != NULL && i < server->sent_parts->len
+                    && i < KCP_MESH_PARTS_MAX;
+       i++)
+    g_array_append_val (row->sent,
+                        g_array_index (server->sent_parts, struct kcp_sent_part, i).part);
   for (guint i = 0; read && i < server->held->len && i < KCP_MESH_PARTS_MAX; i++)
     g_array_append_val (row->parts, g_array_index (server->held, uint64_t, i));
 }
@@ -443,6 +454,7 @@
       struct kcp_server *server = g_ptr_array_index (servers, i);
 
       server->others_open = 0;
+      g_clear_pointer (&server->others_parts, g_array_unref);
       server->others_unread_tokens = 0;
     }
   for (guint i = 0; i < mesh->peers->len; i++)
@@ -464,6 +476,10 @@
     return;
   server->others_open += row->open;
   server->others_unread_tokens += row->unread_tokens;
+  if (row->sent->len > 0 && server->others_parts == NULL)
+    server->others_parts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  if (row->sent->len > 0)
+    g_array_append_vals (server->others_parts, row->sent->data, row->sent->len);
   if (row->version > 0)
     kcp_server_learn_first_version (server, row->version, now);
   if (row->loading_ms > 0)
--- a/src/forward/mesh_message.c
+++ b/src/forward/mesh_message.c
@@ -7,6 +7,7 @@
 #define VERSION        1u
 #define PROCEDURE_TELL 1u
 
+static void add_empty_row (GArray *rows);
 static bool code_call (XDR *xdr, bool encode);
 static bool_t code_message (XDR *xdr, struct kcp_mesh_message *message);
 static bool_t code_text (XDR *xdr, char *text, size_t size);
@@ -35,9 +36,7 @@
 struct kcp_mesh_row *
 kcp_mesh_message_add_row (struct kcp_mesh_message *message)
 {
-  struct kcp_mesh_row row = { .parts = g_array_new (FALSE, FALSE, sizeof (uint64_t)) };
-
-  g_array_append_val (message->rows, row);
+  add_empty_row (message->rows);
   return &g_array_index (message->rows, struct kcp_mesh_row, message->rows->len - 1);
 }
 
@@ -69,6 +68,17 @@
   return sound;
 }
 
+static void
+add_empty_row (GArray *rows)
+{
+  struct kcp_mesh_row row = {
+    .parts = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
+    .sent = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
+  };
+
+  g_array_append_val (rows, row);
+}
+
 static bool
 code_call (XDR *xdr, bool encode)
 {
@@ -118,12 +128,7 @@
   for (uint32_t i = 0; i < count; i++)
     {
       if (i >= rows->len)
-        {
-          struct kcp_mesh_row row
-              = { .parts = g_array_new (FALSE, FALSE, sizeof (uint64_t)) };
-
-          g_array_append_val (rows, row);
-        }
+        add_empty_row (rows);
       if (!code_row (xdr, &g_array_index (rows, struct kcp_mesh_row, i)))
         return FALSE;
     }
@@ -140,7 +145,7 @@
       || !xdr_uint32_t (xdr, &row->loading_ms) || !xdr_bool (xdr, &read))
     return FALSE;
   row->read = read;
-  return !read || code_parts (xdr, row->parts);
+  return code_parts (xdr, row->sent) && (!read || code_parts (xdr, row->parts));
 }
 
 static bool_t
@@ -163,4 +168,5 @@
   struct kcp_mesh_row *row = data;
 
   g_array_unref (row->parts);
+  g_array_unref (row->sent);
 }
--- a/src/forward/mesh_message.h
+++ b/src/forward/mesh_message.h
@@ -12,7 +12,7 @@
 
 #define KCP_MESH_MESSAGE_MAX 8192u /* bytes */
 #define KCP_MESH_ROWS_MAX    128u
-#define KCP_MESH_PARTS_MAX   64u
+#define KCP_MESH_PARTS_MAX   512u
 
 /* One server, as one VM sees it. */
 struct kcp_mesh_row
@@ -24,6 +24,7 @@
   uint32_t loading_ms;    /* it takes new weights for that long yet */
   bool read;              /* the VM reads the server's cache events: parts stand */
   GArray *parts;          /* uint64_t, long parts of prompts that the server keeps */
+  GArray *sent;           /* uint64_t, those that the VM has lately sent there */
 };
 
 struct kcp_mesh_message
--- a/src/forward/prefix_memory.h
+++ b/src/forward/prefix_memory.h
@@ -18,7 +18,7 @@
 struct kcp_prefix_belief
 {
   struct kcp_prefix_holder holders[KCP_PREFIX_HOLDERS_MAX];
-  bool saved; /* a server was told to save it to the store */
+  int64_t saved_ns; /* when a server was last told to save it to the store; 0: never */
 };
 
 struct kcp_prefix_memory;
--- a/src/forward/servers.c
+++ b/src/forward/servers.c
@@ -14,28 +14,19 @@
 
 struct kcp_servers
 {
-  GPtrArray *all; /* struct kcp_server, references */
+  GPtrArray *all;    /* struct kcp_server, references */
+  GPtrArray *stores; /* stores of KV cache, likewise; they take no requests */
 };
 
-/* Returns the server of that kcp_server_key(), borrowed, or NULL. */
-struct kcp_server *
-kcp_servers_find_key (const struct kcp_servers *servers, uint64_t key)
-{
-  for (guint i = 0; i < servers->all->len; i++)
-    {
-      struct kcp_server *server = g_ptr_array_index (servers->all, i);
-
-      if (kcp_server_key (server) == key)
-        return server;
-    }
-  return NULL;
-}
-
 static bool
 is_reborn (const struct kcp_server *server, const struct kcp_server_entry *entry);
 static void replace_entry (struct kcp_server *server, struct kcp_server_entry *entry);
 static void log_change (const struct kcp_server *server, const char *what);
+static struct kcp_server *
+keep_store (const GPtrArray *before, const struct kcp_service_info *service);
 static void server_clear (void *object);
+static struct kcp_server *
+keep_store (const GPtrArray *before, const struct kcp_service_info *service);
 static void server_drop (gpointer data);
 static void weights_clear (gpointer data);
 
@@ -123,6 +114,42 @@
   server->held_ns = now_ns;
 }
 
+/* Notes that this VM has sent a request there whose prompt has the part. */
+void
+kcp_server_note_sent_part (struct kcp_server *server, uint64_t part, int64_t now_ns)
+{
+  struct kcp_sent_part sent = { .part = part, .sent_ns = now_ns };
+
+  if (server->sent_parts == NULL)
+    server->sent_parts = g_array_new (FALSE, FALSE, sizeof (struct kcp_sent_part));
+  g_array_append_val (server->sent_parts, sent);
+}
+
+/* Forgets the parts that were sent before since_ns. */
+void
+kcp_server_drop_sent_parts (struct kcp_server *server, int64_t since_ns)
+{
+  guint old = 0;
+
+  if (server->sent_parts == NULL)
+    return;
+  while (old < server->sent_parts->len
+         && g_array_index (server->sent_parts, struct kcp_sent_part, old).sent_ns
+                < since_ns)
+    old++;
+  g_array_remove_range (server->sent_parts, 0, old);
+}
+
+/* Tells whether another VM has lately sent a prompt with the part there. */
+bool
+kcp_server_is_sent_part (const struct kcp_server *server, uint64_t part)
+{
+  for (guint i = 0; server->others_parts != NULL && i < server->others_parts->len; i++)
+    if (g_array_index (server->others_parts, uint64_t, i) == part)
+      return true;
+  return false;
+}
+
 /* Tells whether the server is known to keep a part. */
 bool
 kcp_server_holds (const struct kcp_server *server, uint64_t part)
@@ -203,6 +230,7 @@
   struct kcp_servers *servers = g_new0 (struct kcp_servers, 1);
 
   servers->all = g_ptr_array_new_with_free_func (server_drop);
+  servers->stores = g_ptr_array_new_with_free_func (server_drop);
   return servers;
 }
 
@@ -213,6 +241,7 @@
   if (servers == NULL)
     return;
   g_ptr_array_unref (servers->all);
+  g_ptr_array_unref (servers->stores);
   g_free (servers);
 }
 
@@ -295,6 +324,75 @@
   return NULL;
 }
 
+/* Returns the stores of KV cache, struct kcp_server. */
+const GPtrArray *
+kcp_servers_stores (const struct kcp_servers *servers)
+{
+  return servers->stores;
+}
+
+/* Takes the stores of KV cache from the configuration; those that stay keep what is known
+   of them. */
+void
+kcp_servers_take_stores (struct kcp_servers *servers, const struct kcp_routes *routes)
+{
+  GPtrArray *before = servers->stores;
+  GHashTableIter iter;
+  gpointer value;
+
+  servers->stores = g_ptr_array_new_with_free_func (server_drop);
+  g_hash_table_iter_init (&iter, routes->services);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct kcp_service_info *service = value;
+
+      if (service->cache_store != NULL)
+        g_ptr_array_add (servers->stores, keep_store (before, service));
+    }
+  g_ptr_array_unref (before);
+  for (guint i = 0; i < servers->stores->len; i++)
+    ((struct kcp_server *)g_ptr_array_index (servers->stores, i))->gone = false;
+}
+
+static struct kcp_server *
+keep_store (const GPtrArray *before, const struct kcp_service_info *service)
+{
+  struct kcp_server *store;
+
+  for (guint i = 0; i < before->len; i++)
+    {
+      store = g_ptr_array_index (before, i);
+      if (strcmp (store->entry.address, service->cache_store) == 0)
+        return kcp_server_ref (store);
+    }
+  store = kcp_ref_new (sizeof *store);
+  kcp_server_entry_init (&store->entry);
+  store->entry.id = g_strdup (service->cache_store);
+  store->entry.address = g_strdup (service->cache_store);
+  store->entry.service = g_strdup (service->name);
+  store->entry.data_center
+      = g_strdup (service->cache_store_dc != NULL ? service->cache_store_dc : "");
+  store->orders_taken = -1;
+  return store;
+}
+
+/* Returns the server or store of that kcp_server_key(), borrowed, or NULL. */
+struct kcp_server *
+kcp_servers_find_key (const struct kcp_servers *servers, uint64_t key)
+{
+  const GPtrArray *lists[] = { servers->all, servers->stores };
+
+  for (size_t list = 0; list < G_N_ELEMENTS (lists); list++)
+    for (guint i = 0; i < lists[list]->len; i++)
+      {
+        struct kcp_server *server = g_ptr_array_index (lists[list], i);
+
+        if (kcp_server_key (server) == key)
+          return server;
+      }
+  return NULL;
+}
+
 static bool
 is_reborn (const struct kcp_server *server, const struct kcp_server_entry *entry)
 {
@@ -359,6 +457,10 @@
   kcp_server_entry_clear (&server->entry);
   if (server->held != NULL)
     g_array_unref (server->held);
+  if (server->sent_parts != NULL)
+    g_array_unref (server->sent_parts);
+  if (server->others_parts != NULL)
+    g_array_unref (server->others_parts);
 }
 
 static void
--- a/src/forward/servers.h
+++ b/src/forward/servers.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "base/str.h"
+#include "route/routes.h"
 
 enum kcp_server_state
 {
@@ -34,6 +35,13 @@
   GArray *weights;    /* struct kcp_server_weights */
 };
 
+/* A part of a prompt that this VM has sent to a server. */
+struct kcp_sent_part
+{
+  uint64_t part;
+  int64_t sent_ns;
+};
+
 struct kcp_server
 {
   struct kcp_server_entry entry;
@@ -51,6 +59,8 @@
   GArray *held;         /* uint64_t, long parts of prompts kept there; NULL: not known */
   bool held_by_own;     /* this VM reads the server's cache events */
   int64_t held_ns;      /* when held was last confirmed */
+  GArray *sent_parts;   /* struct kcp_sent_part, the oldest first; NULL: none */
+  GArray *others_parts; /* uint64_t, long parts that other VMs lately sent; NULL: none */
   int64_t orders_taken; /* since its start, from its reports; -1: not known */
 };
 
@@ -69,6 +79,9 @@
 void
 kcp_server_take_held (struct kcp_server *server, const GArray *parts, int64_t now_ns);
 bool kcp_server_holds (const struct kcp_server *server, uint64_t part);
+void kcp_server_note_sent_part (struct kcp_server *server, uint64_t part, int64_t now_ns);
+void kcp_server_drop_sent_parts (struct kcp_server *server, int64_t since_ns);
+bool kcp_server_is_sent_part (const struct kcp_server *server, uint64_t part);
 int64_t kcp_server_version (const struct kcp_server *server, const char *model);
 void kcp_server_learn_version (struct kcp_server *server, const char *model,
                                int64_t version, int64_t now_ns);
@@ -82,6 +95,9 @@
 void kcp_servers_remove (struct kcp_servers *servers, const char *id, int64_t at_ns);
 void kcp_servers_remove_due (struct kcp_servers *servers, int64_t now_ns);
 const GPtrArray *kcp_servers_all (const struct kcp_servers *servers);
+const GPtrArray *kcp_servers_stores (const struct kcp_servers *servers);
+void
+kcp_servers_take_stores (struct kcp_servers *servers, const struct kcp_routes *routes);
 struct kcp_server *kcp_servers_find_key (const struct kcp_servers *servers, uint64_t key);
 struct kcp_server *kcp_servers_find (const struct kcp_servers *servers, const char *id);
 
--- a/src/policy/place.c
+++ b/src/policy/place.c
@@ -9,6 +9,7 @@
   .old_weights = 250000,
   .suspected = 2000000,
   .loading = 1500000,
+  .away = 20000,
 };
 
 const struct kcp_place_costs kcp_place_plain_costs = {
@@ -61,6 +62,8 @@
     cost += costs->far;
   if (candidate->weights == KCP_PLACE_WEIGHTS_OLD)
     cost += costs->old_weights;
+  if (!candidate->home)
+    cost += costs->away;
   if (candidate->suspected)
     cost += costs->suspected;
   if (candidate->loading)
--- a/src/policy/place.h
+++ b/src/policy/place.h
@@ -34,6 +34,7 @@
   unsigned slots;          /* that it serves at once */
   int64_t unread_tokens;   /* of prompts in flight there that are yet to be read */
   int64_t uncached_tokens; /* of this request's prompt, believed not to be kept there */
+  bool home;               /* first in the order of servers for the prompt's session */
 };
 
 /* Costs in microseconds. */
@@ -46,6 +47,7 @@
   int64_t old_weights; /* of an answer on weights that are being replaced */
   int64_t suspected;
   int64_t loading;
+  int64_t away; /* of a server that is not the session's home */
 };
 
 extern const struct kcp_place_costs kcp_place_engine_costs;
--- a/src/route/routes.c
+++ b/src/route/routes.c
@@ -149,27 +149,6 @@
   return NULL;
 }
 
-/* Returns a store of KV cache, one in that data center if there is one, or NULL. */
-const struct kcp_service_info *
-kcp_routes_cache_store (const struct kcp_routes *routes, const char *data_center)
-{
-  const struct kcp_service_info *found = NULL;
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, routes->services);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct kcp_service_info *service = value;
-
-      if (service->cache_store == NULL)
-        continue;
-      if (found == NULL || g_strcmp0 (service->cache_store_dc, data_center) == 0)
-        found = service;
-    }
-  return found;
-}
-
 static struct kcp_str
 host_without_port (struct kcp_str host)
 {
--- a/src/route/routes.h
+++ b/src/route/routes.h
@@ -91,7 +91,5 @@
 const struct kcp_team_access *
 kcp_routes_team (const struct kcp_routes *routes, struct kcp_str key);
 const char *kcp_route_target (const struct kcp_route *route, uint64_t draw);
-const struct kcp_service_info *
-kcp_routes_cache_store (const struct kcp_routes *routes, const char *data_center);
 
 #endif
