--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -6,6 +6,9 @@
 #include "base/decision_log.h"
 
 #define REMEMBERED_PARTS 8192u
+/* Of the retries that all VMs may make; the rest is for what they know of each other
+ * late. */
+#define BUDGET_SHARE 0.6
 
 static void named_free (gpointer data);
 
@@ -113,20 +116,24 @@
   return NULL;
 }
 
-/* Returns this VM's share of the retries towards a service. */
+/* Returns this VM's share of the retries towards a service, as many as the VMs are now.
+ */
 struct kcp_resend_budget *
 kcp_gateway_budget (struct kcp_gateway *gateway, const char *service)
 {
   const struct kcp_forward_settings *settings = gateway->settings;
   struct kcp_resend_budget *budget = g_hash_table_lookup (gateway->budgets, service);
+  double burst = settings->retry_burst * BUDGET_SHARE / MAX (gateway->vms, 1u);
 
-  if (budget != NULL)
-    return budget;
-  budget = g_new0 (struct kcp_resend_budget, 1);
-  kcp_resend_budget_init (
-      budget, settings->retry_ratio, settings->retry_burst / (double)settings->retry_vms,
-      (int64_t)(settings->retry_window_s * KCP_NS_PER_S), kcp_loop_now (gateway->loop));
-  g_hash_table_insert (gateway->budgets, g_strdup (service), budget);
+  if (budget == NULL)
+    {
+      budget = g_new0 (struct kcp_resend_budget, 1);
+      kcp_resend_budget_init (budget, settings->retry_ratio * BUDGET_SHARE, burst,
+                              (int64_t)(settings->retry_window_s * KCP_NS_PER_S),
+                              kcp_loop_now (gateway->loop));
+      g_hash_table_insert (gateway->budgets, g_strdup (service), budget);
+    }
+  budget->burst = burst;
   return budget;
 }
 
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -47,6 +47,7 @@
   bool draining; /* the balancer is told to look away */
   bool closing;  /* it has: no request is begun any more */
   unsigned open_requests;
+  unsigned vms; /* alive, this one counted, as far as known */
 };
 
 void kcp_gateway_init (struct kcp_gateway *gateway,
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -14,11 +14,19 @@
 #include "forward/mesh_message.h"
 #include "forward/server_loop.h"
 
-#define STEP              "mesh"
-#define TELL_NEAR_MS      100
-#define TELL_FAR_EVERY    2  /* messages to other data centres: each second one */
-#define TELL_SILENT_EVERY 10 /* to VMs that are silent */
-#define SILENT_NS         (1500 * KCP_NS_PER_MS) /* then a VM is taken as away */
+#define STEP    "mesh"
+#define TELL_MS 100
+/* What the exchange may cost, whatever the number of VMs, who take turns: 20 KB/s within
+   the data centre and 10 KB/s to the others, whose bytes are dear. */
+#define NEAR_BYTES_A_TELLING 2000
+#define FAR_BYTES_A_TELLING  1000
+#define TELLINGS_SAVED       4 /* that unspent bytes last for */
+/* A VM is taken as away that is silent for longer than that many of its usual pauses. */
+#define SILENT_PAUSES   6
+#define SILENT_LEAST_NS (1500 * KCP_NS_PER_MS)
+#define SILENT_FIRST_NS (3000 * KCP_NS_PER_MS) /* while its pauses are not known */
+#define PAUSE_WEIGHT    8                      /* of older pauses in the average */
+#define SILENT_EVERY    10u /* VMs taken as away are told each so many tellings */
 /* What a server keeps shows in its events by then. */
 #define SENT_TOLD_NS  (1200 * KCP_NS_PER_MS)
 #define FORGET_NS     (60 * KCP_NS_PER_S)
@@ -33,11 +41,19 @@
   uint64_t start;
   uint64_t number;
   int64_t heard_ns; /* 0: only listed */
+  int64_t pause_ns; /* usual time between its messages; 0: not known */
   int64_t listed_ns;
   bool alive;
   struct kcp_mesh_message seen; /* its newest message */
 };
 
+/* Bytes that may be told to one group of VMs, and whose turn it is there. */
+struct share
+{
+  int64_t bytes;
+  guint turn; /* where in the list of VMs the next telling begins */
+};
+
 struct kcp_mesh
 {
   struct kcp_gateway *gateway;
@@ -46,6 +62,8 @@
   char own[64];
   uint64_t start;
   uint64_t number;
+  struct share near;
+  struct share far;
   bool leaving;
   bool listed;  /* the list in the store was read */
   bool entered; /* this VM stands in it */
@@ -63,7 +81,14 @@
 static void make_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static void add_row (struct kcp_mesh *mesh, struct kcp_mesh_message *message,
                      struct kcp_server *server);
-static bool is_due (const struct kcp_mesh *mesh, const struct peer *peer);
+static void tell_some (struct kcp_mesh *mesh, struct kcp_str bytes, bool near,
+                       struct share *share, int64_t bytes_more);
+static void tell_silent (struct kcp_mesh *mesh, struct kcp_str bytes);
+static void
+send_to (struct kcp_mesh *mesh, const struct peer *peer, struct kcp_str bytes);
+static bool is_near (const struct kcp_mesh *mesh, const struct peer *peer);
+static int64_t silent_ns (const struct peer *peer);
+static void note_pause (struct peer *peer, int64_t now_ns);
 static void on_datagram (void *user, uint32_t events);
 static void take_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static struct peer *find_peer (struct kcp_mesh *mesh, const char *vm);
@@ -251,26 +276,25 @@
   struct kcp_loop *loop = mesh->gateway->loop;
   struct kcp_mesh_message message;
   char bytes[KCP_MESH_MESSAGE_MAX];
+  struct kcp_str text;
   size_t len;
 
   check_peers (mesh);
+  mesh->gateway->vms = kcp_mesh_count (mesh);
   kcp_mesh_message_init (&message);
   make_message (mesh, &message);
   len = kcp_mesh_message_encode (&message, bytes, sizeof bytes);
-  for (guint i = 0; len > 0 && i < mesh->peers->len; i++)
+  text = (struct kcp_str){ .data = bytes, .len = len };
+  if (len > 0)
     {
-      const struct peer *peer = g_ptr_array_index (mesh->peers, i);
-
-      if (!is_due (mesh, peer))
-        continue;
-      kcp_counter_add (KCP_COUNT_RPC_SENT, 1);
-      /* A datagram that the kernel does not take is as one that is lost on the way. */
-      (void)sendto (mesh->fd, bytes, len, 0, (const struct sockaddr *)&peer->address,
-                    sizeof peer->address);
+      tell_some (mesh, text, true, &mesh->near, NEAR_BYTES_A_TELLING);
+      tell_some (mesh, text, false, &mesh->far, FAR_BYTES_A_TELLING);
     }
+  if (len > 0 && mesh->number % SILENT_EVERY == 0)
+    tell_silent (mesh, text);
   kcp_mesh_message_clear (&message);
-  kcp_loop_timer_set (loop, &mesh->tell,
-                      kcp_loop_now (loop) + TELL_NEAR_MS * KCP_NS_PER_MS, tell, mesh);
+  kcp_loop_timer_set (loop, &mesh->tell, kcp_loop_now (loop) + TELL_MS * KCP_NS_PER_MS,
+                      tell, mesh);
 }
 
 static void
@@ -302,7 +326,7 @@
   struct kcp_mesh_row *row;
 
   if (server->open == 0 && loading_ns <= 0 && !read
-      && now - server->version_learned_ns > SILENT_NS)
+      && now - server->version_learned_ns > SILENT_LEAST_NS)
     return;
   row = kcp_mesh_message_add_row (message);
   row->server = kcp_server_key (server);
@@ -321,14 +345,74 @@
     g_array_append_val (row->parts, g_array_index (server->held, uint64_t, i));
 }
 
+/* Tells as many live VMs of this data center, or of the others, as the share allows. */
+static void
+tell_some (struct kcp_mesh *mesh, struct kcp_str bytes, bool near, struct share *share,
+           int64_t bytes_more)
+{
+  guint count = mesh->peers->len;
+
+  share->bytes
+      = MIN (share->bytes + bytes_more, TELLINGS_SAVED * bytes_more + (int64_t)bytes.len);
+  for (guint i = 0; i < count && share->bytes >= (int64_t)bytes.len; i++)
+    {
+      const struct peer *peer = g_ptr_array_index (mesh->peers, share->turn % count);
+
+      share->turn = (share->turn + 1) % count;
+      if (!peer->alive || is_near (mesh, peer) != near)
+        continue;
+      send_to (mesh, peer, bytes);
+      share->bytes -= (int64_t)bytes.len;
+    }
+}
+
+static void
+tell_silent (struct kcp_mesh *mesh, struct kcp_str bytes)
+{
+  for (guint i = 0; i < mesh->peers->len; i++)
+    {
+      const struct peer *peer = g_ptr_array_index (mesh->peers, i);
+
+      if (!peer->alive)
+        send_to (mesh, peer, bytes);
+    }
+}
+
+/* A datagram that the kernel does not take is as one that is lost on the way. */
+static void
+send_to (struct kcp_mesh *mesh, const struct peer *peer, struct kcp_str bytes)
+{
+  kcp_counter_add (KCP_COUNT_RPC_SENT, 1);
+  (void)sendto (mesh->fd, bytes.data, bytes.len, 0,
+                (const struct sockaddr *)&peer->address, sizeof peer->address);
+}
+
 static bool
-is_due (const struct kcp_mesh *mesh, const struct peer *peer)
+is_near (const struct kcp_mesh *mesh, const struct peer *peer)
 {
-  if (!peer->alive)
-    return mesh->number % TELL_SILENT_EVERY == 0;
-  if (strcmp (peer->data_center, mesh->gateway->settings->vm_data_center) == 0)
-    return true;
-  return mesh->number % TELL_FAR_EVERY == 0;
+  return strcmp (peer->data_center, mesh->gateway->settings->vm_data_center) == 0;
+}
+
+/* Returns after what silence a VM is taken as away. */
+static int64_t
+silent_ns (const struct peer *peer)
+{
+  if (peer->pause_ns == 0)
+    return SILENT_FIRST_NS;
+  return MAX (SILENT_LEAST_NS, SILENT_PAUSES * peer->pause_ns);
+}
+
+static void
+note_pause (struct peer *peer, int64_t now_ns)
+{
+  int64_t pause_ns = now_ns - peer->heard_ns;
+
+  if (!peer->alive || peer->heard_ns == 0)
+    return;
+  if (peer->pause_ns == 0)
+    peer->pause_ns = pause_ns;
+  else
+    peer->pause_ns += (pause_ns - peer->pause_ns) / PAUSE_WEIGHT;
 }
 
 static void
@@ -375,6 +459,7 @@
     return;
   peer->start = message->start;
   peer->number = message->number;
+  note_pause (peer, kcp_loop_now (mesh->gateway->loop));
   peer->heard_ns = kcp_loop_now (mesh->gateway->loop);
   g_strlcpy (peer->data_center, message->data_center, sizeof peer->data_center);
   if (!peer->alive)
@@ -430,7 +515,7 @@
       struct peer *peer = g_ptr_array_index (mesh->peers, i - 1);
       int64_t last_ns = MAX (peer->heard_ns, peer->listed_ns);
 
-      if (peer->alive && now - peer->heard_ns > SILENT_NS)
+      if (peer->alive && now - peer->heard_ns > silent_ns (peer))
         {
           KCP_LOG ("vm", KCP_LOG_TEXT ("change", "silent"),
                    KCP_LOG_TEXT ("peer", peer->vm),
--- a/src/policy/resend.c
+++ b/src/policy/resend.c
@@ -6,8 +6,16 @@
 #define LEFT_MIN_MS  20 /* under which another attempt cannot bring an answer */
 
 static enum kcp_resend_decision give_up (const struct kcp_resend_facts *facts);
+static double most_balance (const struct kcp_resend_budget *budget);
 static bool may_send_again (const struct kcp_resend_facts *facts);
 
+/* A small share of the burst still allows one retry. */
+static double
+most_balance (const struct kcp_resend_budget *budget)
+{
+  return MAX (budget->burst, 1.0);
+}
+
 /* Starts a full budget of ratio x requests + burst retries a window. */
 void
 kcp_resend_budget_init (struct kcp_resend_budget *budget, double ratio, double burst,
@@ -25,7 +33,7 @@
 kcp_resend_budget_add_request (struct kcp_resend_budget *budget, int64_t now_ns)
 {
   (void)now_ns;
-  budget->balance = MIN (budget->balance + budget->ratio, 2 * budget->burst);
+  budget->balance = MIN (budget->balance + budget->ratio, most_balance (budget));
 }
 
 /* Takes one retry; false if none is left. */
@@ -35,7 +43,7 @@
   double passed = (double)(now_ns - budget->refilled_ns) / (double)budget->window_ns;
 
   budget->refilled_ns = now_ns;
-  budget->balance = MIN (budget->balance + passed * budget->burst, 2 * budget->burst);
+  budget->balance = MIN (budget->balance + passed * budget->burst, most_balance (budget));
   if (budget->balance < 1)
     return false;
   budget->balance -= 1;
--- a/src/settings/forward_settings.c
+++ b/src/settings/forward_settings.c
@@ -44,7 +44,6 @@
   REAL ("retry", "ratio", retry_ratio, 0, 1, 0.1),
   REAL ("retry", "burst", retry_burst, 1, 100000, 10),
   REAL ("retry", "window_s", retry_window_s, 1, 3600, 10),
-  INT ("retry", "vms", retry_vms, 1, 100000, 10),
   INT ("weights", "replace_ms", weights_replace_ms, 100, 3600000, 10000),
   INT ("orders", "turn_ms", orders_turn_ms, 100, 600000, 3000),
 };
--- a/src/settings/forward_settings.h
+++ b/src/settings/forward_settings.h
@@ -27,7 +27,6 @@
   double retry_ratio;
   double retry_burst;
   double retry_window_s;
-  int64_t retry_vms;
   int64_t weights_replace_ms;
   int64_t orders_turn_ms;
 };
