--- /dev/null
+++ b/tests/harness/fake_platform.c
@@ -0,0 +1,619 @@
+#include "tests/harness/fake_platform.h"
+
+#include <arpa/inet.h>
+#include <jansson.h>
+#include <microhttpd.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define SERVERS_MAX   8u
+#define TOPICS        4u
+#define SLOW_MS       500
+#define STREAM_EVENTS 5
+#define POLL_MS       5
+
+struct record
+{
+  char *key; /* NULL in a topic without keys */
+  char *value;
+};
+
+struct topic
+{
+  const char *name;
+  bool keyed;
+  GPtrArray *records; /* struct record, by offset */
+};
+
+struct fake_platform
+{
+  pthread_mutex_t lock; /* guards all below, and the servers */
+  struct MHD_Daemon *daemon;
+  bool down;
+  bool stopping;
+  struct topic topics[TOPICS];
+  struct fake_server servers[SERVERS_MAX];
+  unsigned server_count;
+};
+
+/* One request on its way in. */
+struct inbound
+{
+  GString *body;
+};
+
+/* A stream that a server gives, event by event. */
+struct stream
+{
+  struct fake_server *server;
+  GString *text;
+  size_t given;
+  bool breaks;
+};
+
+static enum MHD_Result on_store (void *user, struct MHD_Connection *connection,
+                                 const char *url, const char *method, const char *version,
+                                 const char *data, size_t *size, void **state);
+static enum MHD_Result
+on_server (void *user, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *data, size_t *size,
+           void **state);
+static void on_completed (void *user, struct MHD_Connection *connection, void **state,
+                          enum MHD_RequestTerminationCode code);
+
+static struct MHD_Daemon *
+start_daemon (MHD_AccessHandlerCallback handler, void *user, int *port)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  struct MHD_Daemon *daemon = MHD_start_daemon (
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL,
+      handler, user, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, user, MHD_OPTION_END);
+
+  if (daemon == NULL)
+    abort ();
+  *port = MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+  return daemon;
+}
+
+/* Starts the store and that many servers of service "s", with weights of model "m" at
+   version 1, all ready. */
+struct fake_platform *
+fake_platform_start (unsigned servers)
+{
+  static const char *const names[TOPICS]
+      = { "keyed.op", "keyed.servers", "kingcuppoint.orders", "keyed.kingcuppoint.vms" };
+  struct fake_platform *platform = g_new0 (struct fake_platform, 1);
+  int port;
+
+  pthread_mutex_init (&platform->lock, NULL);
+  for (unsigned i = 0; i < TOPICS; i++)
+    platform->topics[i] = (struct topic){ .name = names[i],
+                                          .keyed = g_str_has_prefix (names[i], "keyed."),
+                                          .records = g_ptr_array_new () };
+  platform->daemon = start_daemon (on_store, platform, &port);
+  platform->server_count = servers;
+  for (unsigned i = 0; i < servers; i++)
+    {
+      struct fake_server *server = &platform->servers[i];
+
+      server->platform = platform;
+      (void)g_snprintf (server->id, sizeof server->id, "i-%u", i);
+      server->version = 1;
+      server->headers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      server->body = g_string_new (NULL);
+      server->daemon = start_daemon (on_server, server, &server->port);
+      fake_platform_put_server (platform, i, "ready");
+    }
+  return platform;
+}
+
+/* Stops all of it. */
+void
+fake_platform_stop (struct fake_platform *platform)
+{
+  platform->stopping = true;
+  for (unsigned i = 0; i < platform->server_count; i++)
+    {
+      MHD_stop_daemon (platform->servers[i].daemon);
+      g_hash_table_unref (platform->servers[i].headers);
+      g_string_free (platform->servers[i].body, TRUE);
+    }
+  MHD_stop_daemon (platform->daemon);
+  for (unsigned i = 0; i < TOPICS; i++)
+    {
+      for (guint j = 0; j < platform->topics[i].records->len; j++)
+        {
+          struct record *record = g_ptr_array_index (platform->topics[i].records, j);
+
+          g_free (record->key);
+          g_free (record->value);
+          g_free (record);
+        }
+      g_ptr_array_unref (platform->topics[i].records);
+    }
+  pthread_mutex_destroy (&platform->lock);
+  g_free (platform);
+}
+
+/* Returns the store's port. */
+int
+fake_platform_port (const struct fake_platform *platform)
+{
+  return MHD_get_daemon_info (platform->daemon, MHD_DAEMON_INFO_BIND_PORT)->port;
+}
+
+/* Returns a server, whose members the test may read and set. */
+struct fake_server *
+fake_platform_server (struct fake_platform *platform, unsigned index)
+{
+  return &platform->servers[index];
+}
+
+/* Lets the store refuse every call, or serve again. */
+void
+fake_platform_set_down (struct fake_platform *platform, bool down)
+{
+  platform->down = down;
+}
+
+static void
+add_record (struct fake_platform *platform, unsigned topic, const char *key,
+            const char *value)
+{
+  struct record *record = g_new0 (struct record, 1);
+
+  record->key = g_strdup (key);
+  record->value = g_strdup (value);
+  pthread_mutex_lock (&platform->lock);
+  g_ptr_array_add (platform->topics[topic].records, record);
+  pthread_mutex_unlock (&platform->lock);
+}
+
+/* Lets operators write a record. */
+void
+fake_platform_put (struct fake_platform *platform, const char *key, const char *value)
+{
+  add_record (platform, 0, key, value);
+}
+
+/* Writes any entry into the servers' list; an empty value drops the id. */
+void
+fake_platform_put_entry (struct fake_platform *platform, const char *id,
+                         const char *value)
+{
+  add_record (platform, 1, id, value);
+}
+
+/* Lets a server write its entry. */
+void
+fake_platform_put_server (struct fake_platform *platform, unsigned index,
+                          const char *state)
+{
+  const struct fake_server *server = &platform->servers[index];
+  g_autofree char *text = g_strdup_printf (
+      "{\"service\":\"s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"version\":\"v1\","
+      "\"slots\":8,\"state\":\"%s\",\"seq-no\":17,\"born\":%u,"
+      "\"models\":[{\"name\":\"m\",\"version\":%" G_GINT64_FORMAT "}]}",
+      server->port, state, 1000 + index, server->version);
+
+  fake_platform_put_entry (platform, server->id, text);
+}
+
+/* Returns a header of the newest request that the server ran, to be freed, or NULL. */
+char *
+fake_server_header (struct fake_server *server, const char *name)
+{
+  g_autofree char *lower = g_ascii_strdown (name, -1);
+  char *value;
+
+  pthread_mutex_lock (&server->platform->lock);
+  value = g_strdup (g_hash_table_lookup (server->headers, lower));
+  pthread_mutex_unlock (&server->platform->lock);
+  return value;
+}
+
+static enum MHD_Result
+respond (struct MHD_Connection *connection, unsigned status, const void *data, size_t len,
+         const char *const *headers)
+{
+  struct MHD_Response *response
+      = MHD_create_response_from_buffer (len, (void *)data, MHD_RESPMEM_MUST_COPY);
+  enum MHD_Result result;
+
+  for (; headers != NULL && headers[0] != NULL; headers += 2)
+    MHD_add_response_header (response, headers[0], headers[1]);
+  result = MHD_queue_response (connection, status, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static void
+on_completed (void *user, struct MHD_Connection *connection, void **state,
+              enum MHD_RequestTerminationCode code)
+{
+  struct inbound *inbound = *state;
+
+  (void)user;
+  (void)connection;
+  (void)code;
+  if (inbound == NULL)
+    return;
+  g_string_free (inbound->body, TRUE);
+  g_free (inbound);
+  *state = NULL;
+}
+
+/* Gathers a body; true once it is whole. */
+static bool
+gather (void **state, const char *data, size_t *size)
+{
+  struct inbound *inbound = *state;
+
+  if (inbound == NULL)
+    {
+      inbound = g_new0 (struct inbound, 1);
+      inbound->body = g_string_new (NULL);
+      *state = inbound;
+      return false;
+    }
+  if (*size == 0)
+    return true;
+  g_string_append_len (inbound->body, data, (gssize)*size);
+  *size = 0;
+  return false;
+}
+
+static const char *
+argument (struct MHD_Connection *connection, const char *name)
+{
+  return MHD_lookup_connection_value (connection, MHD_GET_ARGUMENT_KIND, name);
+}
+
+static void
+append_number (GString *out, uint64_t value, int bytes)
+{
+  for (int shift = (bytes - 1) * 8; shift >= 0; shift -= 8)
+    g_string_append_c (out, (char)(value >> shift));
+}
+
+static void
+append_record (GString *out, const struct topic *topic, const struct record *record)
+{
+  size_t len = strlen (record->value);
+
+  if (!topic->keyed)
+    {
+      append_number (out, len, 4);
+      g_string_append (out, record->value);
+      return;
+    }
+  append_number (out, 1 + strlen (record->key) + len, 4);
+  append_number (out, strlen (record->key), 1);
+  g_string_append (out, record->key);
+  g_string_append (out, record->value);
+}
+
+static struct topic *
+find_topic (struct fake_platform *platform, struct MHD_Connection *connection)
+{
+  const char *name = argument (connection, "topic");
+
+  for (unsigned i = 0; name != NULL && i < TOPICS; i++)
+    if (strcmp (platform->topics[i].name, name) == 0)
+      return &platform->topics[i];
+  return NULL;
+}
+
+static enum MHD_Result
+store_list (struct fake_platform *platform, struct MHD_Connection *connection,
+            const struct topic *topic)
+{
+  json_t *newest = json_object ();
+  json_t *items = json_array ();
+  const char *key;
+  json_t *item;
+  char *text;
+  enum MHD_Result result;
+
+  pthread_mutex_lock (&platform->lock);
+  for (guint i = 0; i < topic->records->len; i++)
+    {
+      const struct record *record = g_ptr_array_index (topic->records, i);
+      g_autofree char *value
+          = g_base64_encode ((const guchar *)record->value, strlen (record->value));
+
+      if (record->value[0] == '\0')
+        json_object_del (newest, record->key);
+      else
+        json_object_set_new (newest, record->key,
+                             json_pack ("{sssssI}", "key", record->key, "value", value,
+                                        "offset", (json_int_t)i));
+    }
+  json_object_foreach (newest, key, item) json_array_append (items, item);
+  item = json_pack ("{sosbsI}", "items", items, "has-more", 0, "end",
+                    (json_int_t)topic->records->len);
+  pthread_mutex_unlock (&platform->lock);
+  text = json_dumps (item, JSON_COMPACT);
+  result = respond (connection, 200, text, strlen (text), NULL);
+  free (text);
+  json_decref (item);
+  json_decref (newest);
+  return result;
+}
+
+static enum MHD_Result
+store_read (struct fake_platform *platform, struct MHD_Connection *connection,
+            const struct topic *topic)
+{
+  const char *wait = argument (connection, "wait-ms");
+  int64_t left_ms = wait != NULL ? g_ascii_strtoll (wait, NULL, 10) : 0;
+  guint from = (guint)g_ascii_strtoll (argument (connection, "from"), NULL, 10);
+  g_autoptr (GString) out = g_string_new (NULL);
+
+  while (topic->records->len <= from && left_ms > 0 && !platform->stopping)
+    {
+      g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
+      left_ms -= POLL_MS;
+    }
+  pthread_mutex_lock (&platform->lock);
+  append_number (out, topic->records->len, 8);
+  append_number (out, 0, 8);
+  for (guint i = from; i < topic->records->len; i++)
+    append_record (out, topic, g_ptr_array_index (topic->records, i));
+  pthread_mutex_unlock (&platform->lock);
+  return respond (connection, 200, out->str, out->len, NULL);
+}
+
+static enum MHD_Result
+store_append (struct fake_platform *platform, struct MHD_Connection *connection,
+              struct topic *topic, const GString *body)
+{
+  const char *at = argument (connection, "at");
+  struct record *record = g_new0 (struct record, 1);
+  const char *data = body->str + 4;
+  size_t len = body->len - 4;
+  g_autofree char *text = NULL;
+  guint end;
+  bool moved;
+
+  if (topic->keyed)
+    {
+      size_t key = (unsigned char)data[0];
+
+      record->key = g_strndup (data + 1, key);
+      record->value = g_strndup (data + 1 + key, len - 1 - key);
+    }
+  else
+    record->value = g_strndup (data, len);
+  pthread_mutex_lock (&platform->lock);
+  end = topic->records->len;
+  moved = at != NULL && g_ascii_strtoll (at, NULL, 10) != end;
+  if (!moved)
+    g_ptr_array_add (topic->records, record);
+  pthread_mutex_unlock (&platform->lock);
+  if (moved)
+    {
+      g_free (record->key);
+      g_free (record->value);
+      g_free (record);
+    }
+  text = moved ? g_strdup_printf ("{\"end\":%u}", end)
+               : g_strdup_printf ("{\"offset\":%u,\"end\":%u}", end, end + 1);
+  return respond (connection, moved ? 412 : 200, text, strlen (text), NULL);
+}
+
+static enum MHD_Result
+on_store (void *user, struct MHD_Connection *connection, const char *url,
+          const char *method, const char *version, const char *data, size_t *size,
+          void **state)
+{
+  struct fake_platform *platform = user;
+  struct topic *topic = find_topic (platform, connection);
+
+  (void)method;
+  (void)version;
+  if (!gather (state, data, size))
+    return MHD_YES;
+  if (platform->down || topic == NULL)
+    return respond (connection, 503, "", 0, NULL);
+  if (g_str_has_suffix (url, "/log-newest"))
+    return store_list (platform, connection, topic);
+  if (g_str_has_suffix (url, "/log-read"))
+    return store_read (platform, connection, topic);
+  if (g_str_has_suffix (url, "/log-append"))
+    return store_append (platform, connection, topic, ((struct inbound *)*state)->body);
+  return respond (connection, 404, "", 0, NULL);
+}
+
+static enum MHD_Result
+keep_header (void *user, enum MHD_ValueKind kind, const char *key, const char *value)
+{
+  struct fake_server *server = user;
+
+  (void)kind;
+  g_hash_table_insert (server->headers, g_ascii_strdown (key, -1), g_strdup (value));
+  return MHD_YES;
+}
+
+static enum MHD_Result
+server_report (struct fake_server *server, struct MHD_Connection *connection)
+{
+  g_autofree char *text = g_strdup_printf (
+      "{\"models\":[{\"name\":\"m\",\"version\":%" G_GINT64_FORMAT "}],\"busy\":false,"
+      "\"seq-no\":%" G_GINT64_FORMAT ",\"queued\":0,\"active\":0}",
+      server->version, server->orders_taken);
+
+  return respond (connection, 200, text, strlen (text), NULL);
+}
+
+static enum MHD_Result
+server_order (struct fake_server *server, struct MHD_Connection *connection,
+              const GString *body)
+{
+  json_t *json = json_loads (body->str, 0, NULL);
+  json_t *expected = json_object_get (json, "expected");
+  unsigned status = 202;
+
+  pthread_mutex_lock (&server->platform->lock);
+  if (json_is_integer (expected) && json_integer_value (expected) != server->orders_taken)
+    {
+      status = 409;
+      server->conflicts++;
+    }
+  else
+    {
+      server->orders_taken++;
+      server->version = json_integer_value (json_object_get (json, "version"));
+    }
+  pthread_mutex_unlock (&server->platform->lock);
+  json_decref (json);
+  return respond (connection, status, "", 0, NULL);
+}
+
+static ssize_t
+read_stream (void *user, uint64_t position, char *out, size_t max)
+{
+  struct stream *stream = user;
+  size_t left = stream->text->len - stream->given;
+  size_t count = MIN (MIN (left, max), 12u);
+
+  (void)position;
+  if (left == 0)
+    return stream->breaks ? MHD_CONTENT_READER_END_WITH_ERROR
+                          : MHD_CONTENT_READER_END_OF_STREAM;
+  memcpy (out, stream->text->str + stream->given, count);
+  stream->given += count;
+  g_usleep (G_TIME_SPAN_MILLISECOND);
+  return (ssize_t)count;
+}
+
+static void
+stream_free (void *user)
+{
+  struct stream *stream = user;
+
+  g_string_free (stream->text, TRUE);
+  g_free (stream);
+}
+
+static enum MHD_Result
+server_stream (struct fake_server *server, struct MHD_Connection *connection,
+               const char *id, enum fake_mode mode)
+{
+  const char *after
+      = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Last-Event-Id");
+  struct stream *stream = g_new0 (struct stream, 1);
+  int first = after != NULL ? atoi (after) + 1 : 1;
+  struct MHD_Response *response;
+  enum MHD_Result result;
+
+  stream->server = server;
+  stream->text = g_string_new (NULL);
+  stream->breaks = mode == FAKE_BREAK_OFF;
+  for (int i = first; i <= STREAM_EVENTS; i++)
+    g_string_append_printf (stream->text, "id: %d\ndata: piece %d\n\n", i, i);
+  if (stream->breaks)
+    g_string_truncate (stream->text, 50);
+  response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 64, read_stream, stream,
+                                                stream_free);
+  MHD_add_response_header (response, "Content-Type", "text/event-stream");
+  MHD_add_response_header (response, "Request-Id", id);
+  MHD_add_response_header (response, "Server-Seal", server->id);
+  result = MHD_queue_response (connection, 200, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static ssize_t
+read_truncated (void *user, uint64_t position, char *out, size_t max)
+{
+  (void)user;
+  if (position > 0 || max == 0)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  out[0] = 'x';
+  return 1;
+}
+
+static enum MHD_Result
+server_truncated (struct fake_server *server, struct MHD_Connection *connection,
+                  const char *id)
+{
+  struct MHD_Response *response
+      = MHD_create_response_from_callback (100, 64, read_truncated, NULL, NULL);
+  enum MHD_Result result;
+
+  MHD_add_response_header (response, "Request-Id", id);
+  MHD_add_response_header (response, "Server-Seal", server->id);
+  result = MHD_queue_response (connection, 200, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
+static enum MHD_Result
+server_run (struct fake_server *server, struct MHD_Connection *connection,
+            const char *url, const GString *body)
+{
+  const char *id
+      = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Request-Id");
+  enum fake_mode mode = server->mode;
+  const char *refused[] = { "Request-Id", id, "Not-Executed", "1", NULL };
+  const char *headers[]
+      = { "Request-Id",  mode == FAKE_WRONG_ID ? "another" : id,    "X-Extra", "kept",
+          "Server-Seal", mode == FAKE_UNSIGNED ? NULL : server->id, NULL };
+  g_autofree char *text = g_strdup_printf ("%s ran %s", server->id, url);
+
+  if (id == NULL)
+    return respond (connection, 400, "", 0, NULL);
+  if (mode == FAKE_UNSIGNED)
+    headers[4] = NULL;
+  if (mode == FAKE_REFUSE)
+    return respond (connection, 503, "", 0, refused);
+  pthread_mutex_lock (&server->platform->lock);
+  server->runs++;
+  g_hash_table_remove_all (server->headers);
+  MHD_get_connection_values (connection, MHD_HEADER_KIND, keep_header, server);
+  g_string_assign (server->body, body->str);
+  pthread_mutex_unlock (&server->platform->lock);
+  if (mode == FAKE_SLOW)
+    g_usleep (SLOW_MS * G_TIME_SPAN_MILLISECOND);
+  if (mode == FAKE_HANG_UP)
+    return MHD_NO;
+  if (mode == FAKE_TRUNCATE)
+    return server_truncated (server, connection, id);
+  if (mode == FAKE_FAIL)
+    return respond (connection, 500, text, strlen (text), headers);
+  if (g_str_has_prefix (url, "/stream/"))
+    return server_stream (server, connection, id, mode);
+  return respond (connection, 200, text, strlen (text), headers);
+}
+
+static enum MHD_Result
+on_server (void *user, struct MHD_Connection *connection, const char *url,
+           const char *method, const char *version, const char *data, size_t *size,
+           void **state)
+{
+  struct fake_server *server = user;
+  const GString *body;
+
+  (void)method;
+  (void)version;
+  if (!gather (state, data, size))
+    return MHD_YES;
+  body = ((struct inbound *)*state)->body;
+  if (g_str_has_suffix (url, "/report"))
+    return server_report (server, connection);
+  if (g_str_has_suffix (url, "/order"))
+    return server_order (server, connection, body);
+  if (g_str_has_suffix (url, "/kv-events"))
+    {
+      const char *none = "{\"boot-epoch\":1,\"next\":0,\"lost\":false,\"events\":[]}";
+
+      g_usleep (200 * G_TIME_SPAN_MILLISECOND);
+      return respond (connection, 200, none, strlen (none), NULL);
+    }
+  return server_run (server, connection, url, body);
+}
