--- a/tests/process/test_route.c
+++ b/tests/process/test_route.c
@@ -360,6 +360,8 @@
           ck_assert_ptr_null (strstr (at + 1, events->str));
         }
       ck_assert_ptr_nonnull (strstr (at, "\r\n0\r\n\r\n"));
+      /* No half of an event stands before the one that another server gave. */
+      ck_assert_ptr_null (strstr (answer.text->str, "daid"));
       raw_answer_clear (&answer);
     }
   g_string_free (events, TRUE);
@@ -417,6 +419,27 @@
   return NULL;
 }
 
+/* The end of the head and the hang-up lie in the connection together when the VM looks:
+   the hang-up is seen first. */
+START_TEST (test_a_hang_up_before_the_request_is_read_counts)
+{
+  const char *rest = "Content-Length: 1\r\n\r\nb";
+  int fd = raw_connect (vm.port,
+                        "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n"
+                        "Authorization: Bearer key1\r\n",
+                        0);
+
+  g_usleep (100 * G_TIME_SPAN_MILLISECOND);
+  (void)kill (vm.pid, SIGSTOP);
+  ck_assert_int_eq (write (fd, rest, strlen (rest)), (ssize_t)strlen (rest));
+  (void)close (fd);
+  g_usleep (100 * G_TIME_SPAN_MILLISECOND);
+  (void)kill (vm.pid, SIGCONT);
+  g_usleep (300 * G_TIME_SPAN_MILLISECOND);
+  ck_assert_uint_eq (runs (), 0);
+}
+END_TEST
+
 START_TEST (test_a_drain_cuts_nothing_and_takes_nothing_late)
 {
   struct raw_answer slow = { 0 };
@@ -553,6 +576,7 @@
   tcase_add_test (cases, test_a_stream_that_breaks_off_goes_on_elsewhere_without_a_gap);
   tcase_add_test (cases, test_a_stream_that_no_server_finishes_does_not_look_complete);
   tcase_add_test (cases, test_work_for_a_caller_that_has_gone_ends);
+  tcase_add_test (cases, test_a_hang_up_before_the_request_is_read_counts);
   tcase_add_test (cases, test_a_drain_cuts_nothing_and_takes_nothing_late);
   tcase_add_test (cases, test_a_request_behind_the_notice_is_refused);
   tcase_add_test (cases, test_the_store_may_be_away_and_configurations_never_go_back);
