--- a/src/forward/cache_reader.c
+++ b/src/forward/cache_reader.c
@@ -2,7 +2,7 @@
 
 #include "base/counter.h"
 #include "base/decision_log.h"
-#include "forward/choose.h"
+#include "forward/cached_parts.h"
 
 #define LOOK_NS      (500 * KCP_NS_PER_MS) /* for servers to begin or end reading */
 #define WAIT_MS      1000                  /* that a server may hold an empty answer */
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -4,19 +4,14 @@
 #include <xxhash.h>
 
 #include "base/id.h"
+#include "forward/cached_parts.h"
 #include "policy/place.h"
 
-/* A part that is fetched costs about a third of one that is read. */
-#define FETCH_SHARE 3
+/* Of the first part of a prompt that nobody keeps, what its home counts as having. */
+#define HOME_SHARE(tokens) ((tokens)*2 / 3)
 /* Servers with old weights are left out this long before they must no longer begin work,
    since a request may wait there before it begins. */
 #define REPLACE_MARGIN_NS (2500 * KCP_NS_PER_MS)
-/* What a server's events show lags behind what this VM has sent there. */
-#define EVENTS_LAG_NS (1000 * KCP_NS_PER_MS)
-/* What a server is told to save is in the store by then, if it was saved. */
-#define SAVE_LAG_NS (3 * KCP_NS_PER_S)
-/* Events that were read longer ago say nothing. */
-#define HELD_STALE_NS (4 * KCP_NS_PER_S)
 
 static void gather (struct kcp_gateway *gateway, struct kcp_choice *choice,
                     struct kcp_server *server, struct kcp_place_candidate *candidate);
@@ -24,23 +19,10 @@
 static void
 judge_weights (const struct kcp_gateway *gateway, const char *model,
                const struct kcp_server *server, struct kcp_place_candidate *candidate);
-static int64_t uncached (struct kcp_gateway *gateway, const struct kcp_choice *choice,
-                         const struct kcp_server *server);
 static void add_home_bonus (const struct kcp_choice *choice, const GPtrArray *servers,
                             struct kcp_place_candidate *candidates);
 static void mark_home (const struct kcp_choice *choice, const GPtrArray *servers,
                        struct kcp_place_candidate *candidates);
-static void plan_transfers (struct kcp_gateway *gateway, struct kcp_choice *choice);
-static const struct kcp_server *find_store (const struct kcp_gateway *gateway);
-static bool
-store_has (struct kcp_gateway *gateway, const struct kcp_server *store, uint64_t part);
-static const char *
-find_holder (struct kcp_gateway *gateway, uint64_t part, const struct kcp_server *chosen);
-static bool has_long_part (const struct kcp_ask *ask);
-static char *make_cache_space (const struct kcp_choice *choice, int64_t version);
-static bool
-believed_at (struct kcp_gateway *gateway, const struct kcp_server *server, uint64_t part);
-static bool held_anywhere (struct kcp_gateway *gateway, const struct kcp_choice *choice);
 static bool is_near (const struct kcp_gateway *gateway, const struct kcp_server *server);
 
 /* Chooses the server for the request's next attempt among those that its service has, and
@@ -63,9 +45,9 @@
       gather (gateway, choice, g_ptr_array_index (servers, i), &candidates[i]);
       choice->usable += candidates[i].usable;
     }
-  if (has_long_part (choice->ask) && !held_anywhere (gateway, choice))
+  if (kcp_cached_has_long_part (choice->ask) && !kcp_cached_anywhere (gateway, choice))
     add_home_bonus (choice, servers, candidates);
-  if (!has_long_part (choice->ask) && choice->ask->parts != NULL
+  if (!kcp_cached_has_long_part (choice->ask) && choice->ask->parts != NULL
       && choice->ask->parts->len > 1)
     mark_home (choice, servers, candidates);
   at = servers->len == 0
@@ -83,9 +65,9 @@
   if (choice->ask->model == NULL)
     return;
   choice->weights = kcp_server_version (choice->server, choice->ask->model);
-  choice->cache_space = make_cache_space (choice, choice->weights);
-  if (has_long_part (choice->ask))
-    plan_transfers (gateway, choice);
+  choice->cache_space = kcp_cached_space (choice, choice->weights);
+  if (kcp_cached_has_long_part (choice->ask))
+    kcp_cached_plan (gateway, choice);
 }
 
 /* Frees what the choice owns. */
@@ -145,7 +127,7 @@
   if (model == NULL)
     return;
   judge_weights (gateway, model, server, candidate);
-  candidate->uncached_tokens = uncached (gateway, choice, server);
+  candidate->uncached_tokens = kcp_cached_unread (gateway, choice, server);
 }
 
 static bool
@@ -179,35 +161,6 @@
     candidate->weights = KCP_PLACE_WEIGHTS_REFUSED;
 }
 
-/* Counts the prompt's tokens that the server is believed to have to read, where one that
-   it can fetch counts as a share of one. */
-static int64_t
-uncached (struct kcp_gateway *gateway, const struct kcp_choice *choice,
-          const struct kcp_server *server)
-{
-  const GArray *parts = choice->ask->parts;
-  int64_t tokens = choice->ask->prompt_tokens;
-  g_autofree char *space = NULL;
-
-  if (!has_long_part (choice->ask))
-    return tokens;
-  space = make_cache_space (choice, kcp_server_version (server, choice->ask->model));
-  for (guint i = 0; i + 1 < parts->len; i++)
-    {
-      const struct kcp_prompt_part *part
-          = &g_array_index (parts, struct kcp_prompt_part, i);
-      uint64_t key = kcp_part_key (space, part->id);
-
-      if (believed_at (gateway, server, key))
-        tokens -= part->tokens;
-      else if (kcp_prefix_memory_find (gateway->prefixes, key) != NULL)
-        tokens -= part->tokens - part->tokens / FETCH_SHARE;
-      else
-        break;
-    }
-  return MAX (tokens, 0);
-}
-
 /* All VMs of a data centre that know nothing of a prefix choose alike: the first server
    of a rendezvous order counts as if a part of the prefix were there. */
 static void
@@ -234,8 +187,7 @@
       best_score = score;
     }
   if (home != NULL)
-    home->uncached_tokens
-        = MAX (home->uncached_tokens - first->tokens * 2 / FETCH_SHARE, 0);
+    home->uncached_tokens = MAX (home->uncached_tokens - HOME_SHARE (first->tokens), 0);
 }
 
 static void
@@ -264,148 +216,6 @@
     home->home = true;
 }
 
-/* A part that is not believed to be at the chosen server is fetched from one that has it,
-   or else from the store of kept cache; a part that the store lacks is saved there. */
-static void
-plan_transfers (struct kcp_gateway *gateway, struct kcp_choice *choice)
-{
-  const struct kcp_server *store = find_store (gateway);
-  const struct kcp_prompt_part *part
-      = &g_array_index (choice->ask->parts, struct kcp_prompt_part, 0);
-  uint64_t key = kcp_part_key (choice->cache_space, part->id);
-  bool stored = store != NULL && store_has (gateway, store, key);
-
-  if (store != NULL && !stored)
-    choice->save_to = store->entry.address;
-  if (believed_at (gateway, choice->server, key))
-    return;
-  choice->fetch_from = find_holder (gateway, key, choice->server);
-  if (choice->fetch_from == NULL && stored)
-    choice->fetch_from = store->entry.address;
-}
-
-/* Returns a store of kept cache, one in this VM's data centre if there is one, or NULL.
- */
-static const struct kcp_server *
-find_store (const struct kcp_gateway *gateway)
-{
-  const GPtrArray *stores = kcp_servers_stores (gateway->servers);
-  const struct kcp_server *found = NULL;
-
-  for (guint i = 0; i < stores->len; i++)
-    {
-      const struct kcp_server *store = g_ptr_array_index (stores, i);
-
-      if (found == NULL || is_near (gateway, store))
-        found = store;
-    }
-  return found;
-}
-
-/* What a server was told to save shows in the store's events only after it was read. */
-static bool
-store_has (struct kcp_gateway *gateway, const struct kcp_server *store, uint64_t part)
-{
-  const struct kcp_prefix_belief *belief;
-  int64_t now = kcp_loop_now (gateway->loop);
-
-  if (kcp_server_holds (store, part))
-    return true;
-  belief = kcp_prefix_memory_find (gateway->prefixes, part);
-  if (belief == NULL || belief->saved_ns == 0)
-    return false;
-  return store->held == NULL || now - belief->saved_ns < SAVE_LAG_NS;
-}
-
-/* Returns the address of another server that is known to keep the part, one in the chosen
-   server's data centre if there is one, or NULL. */
-static const char *
-find_holder (struct kcp_gateway *gateway, uint64_t part, const struct kcp_server *chosen)
-{
-  const GPtrArray *servers = kcp_servers_all (gateway->servers);
-  int64_t now = kcp_loop_now (gateway->loop);
-  const struct kcp_server *found = NULL;
-
-  for (guint i = 0; i < servers->len; i++)
-    {
-      const struct kcp_server *server = g_ptr_array_index (servers, i);
-
-      if (server == chosen || now < server->suspected_until_ns
-          || server->entry.state != KCP_SERVER_READY || !kcp_server_holds (server, part))
-        continue;
-      if (found == NULL
-          || strcmp (server->entry.data_center, chosen->entry.data_center) == 0)
-        found = server;
-    }
-  return found != NULL ? found->entry.address : NULL;
-}
-
-/* The last part belongs to one request or session. */
-static bool
-has_long_part (const struct kcp_ask *ask)
-{
-  return ask->parts != NULL && ask->parts->len > 1
-         && g_array_index (ask->parts, struct kcp_prompt_part, 0).tokens
-                >= KCP_LONG_PART_TOKENS;
-}
-
-/* Requests share cache only under the same weights, and those of an isolated team only
-   with each other. */
-static char *
-make_cache_space (const struct kcp_choice *choice, int64_t version)
-{
-  const struct kcp_team_access *team = choice->team;
-  bool isolated = team != NULL && team->isolated;
-
-  return g_strdup_printf ("%s/%" G_GINT64_FORMAT "/%s", choice->ask->model, version,
-                          isolated ? team->name : "");
-}
-
-/* Returns a hash of a part within a cache space, by which VMs speak of it. */
-uint64_t
-kcp_part_key (const char *cache_space, const char *part)
-{
-  return XXH3_64bits_withSeed (part, strlen (part),
-                               XXH3_64bits (cache_space, strlen (cache_space)));
-}
-
-/* What this VM sent lately goes before what was read of the server's cache, which lags.
- */
-static bool
-believed_at (struct kcp_gateway *gateway, const struct kcp_server *server, uint64_t part)
-{
-  const struct kcp_prefix_belief *belief;
-  int64_t now = kcp_loop_now (gateway->loop);
-
-  if (kcp_server_holds (server, part) || kcp_server_is_sent_part (server, part))
-    return true;
-  belief = kcp_prefix_memory_find (gateway->prefixes, part);
-  if (belief == NULL)
-    return false;
-  if (server->held == NULL || now - server->held_ns > HELD_STALE_NS)
-    return kcp_prefix_belief_has (belief, kcp_server_key (server), 0);
-  return kcp_prefix_belief_has (belief, kcp_server_key (server), now - EVENTS_LAG_NS);
-}
-
-static bool
-held_anywhere (struct kcp_gateway *gateway, const struct kcp_choice *choice)
-{
-  const GPtrArray *servers = kcp_servers_all (gateway->servers);
-  const struct kcp_prompt_part *first
-      = &g_array_index (choice->ask->parts, struct kcp_prompt_part, 0);
-
-  for (guint i = 0; i < servers->len; i++)
-    {
-      const struct kcp_server *server = g_ptr_array_index (servers, i);
-      g_autofree char *space
-          = make_cache_space (choice, kcp_server_version (server, choice->ask->model));
-
-      if (believed_at (gateway, server, kcp_part_key (space, first->id)))
-        return true;
-    }
-  return false;
-}
-
 static bool
 is_near (const struct kcp_gateway *gateway, const struct kcp_server *server)
 {
--- a/src/forward/choose.h
+++ b/src/forward/choose.h
@@ -27,10 +27,6 @@
       soonest_free_ns; /* when a server is believed to take requests again; 0: unknown */
 };
 
-/* Parts from this size on are worth a place of their own, a fetch and a save. */
-#define KCP_LONG_PART_TOKENS 1024
-
-uint64_t kcp_part_key (const char *cache_space, const char *part);
 void kcp_choose (struct kcp_gateway *gateway, struct kcp_choice *choice);
 void kcp_choice_clear (struct kcp_choice *choice);
 void kcp_choice_remember (struct kcp_gateway *gateway, const struct kcp_choice *choice);
