--- a/src/forward/cached_parts.c
+++ b/src/forward/cached_parts.c
@@ -3,8 +3,9 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* A part that is fetched costs about a third of one that is read. */
-#define FETCH_SHARE 3
+/* What a part that is fetched costs of one that is read: moving a token from another
+   server takes a twentieth, from the store more, as all share its link. */
+#define FETCH_SHARE 8
 /* What a server's events show lags behind what this VM has sent there. */
 #define EVENTS_LAG_NS (1000 * KCP_NS_PER_MS)
 /* What a server is told to save is in the store by then, if it was saved. */
@@ -16,6 +17,9 @@
 believed_at (struct kcp_gateway *gateway, const struct kcp_server *server, uint64_t part);
 static const char *
 find_holder (struct kcp_gateway *gateway, uint64_t part, const struct kcp_server *chosen);
+static bool can_be_fetched (struct kcp_gateway *gateway, const struct kcp_server *server,
+                            uint64_t part);
+static bool is_elsewhere (struct kcp_gateway *gateway, uint64_t part);
 static const struct kcp_server *find_store (const struct kcp_gateway *gateway);
 static bool
 store_has (struct kcp_gateway *gateway, const struct kcp_server *store, uint64_t part);
@@ -50,15 +54,17 @@
 }
 
 /* Counts the prompt's tokens that the server is believed to have to read, where one that
-   it can fetch counts as a share of one. */
+   it can fetch counts as a share of one. repeated receives those of them that another
+   server has read or is about to, but that cannot be fetched yet. */
 int64_t
 kcp_cached_unread (struct kcp_gateway *gateway, const struct kcp_choice *choice,
-                   const struct kcp_server *server)
+                   const struct kcp_server *server, int64_t *repeated)
 {
   const GArray *parts = choice->ask->parts;
   int64_t tokens = choice->ask->prompt_tokens;
   g_autofree char *space = NULL;
 
+  *repeated = 0;
   if (!kcp_cached_has_long_part (choice->ask))
     return tokens;
   space = kcp_cached_space (choice, kcp_server_version (server, choice->ask->model));
@@ -70,8 +76,10 @@
 
       if (believed_at (gateway, server, key))
         tokens -= part->tokens;
-      else if (kcp_prefix_memory_find (gateway->prefixes, key) != NULL)
+      else if (can_be_fetched (gateway, server, key))
         tokens -= part->tokens - part->tokens / FETCH_SHARE;
+      else if (is_elsewhere (gateway, key))
+        *repeated += part->tokens;
       else
         break;
     }
@@ -118,6 +126,28 @@
     choice->fetch_from = store->entry.address;
 }
 
+static bool
+can_be_fetched (struct kcp_gateway *gateway, const struct kcp_server *server,
+                uint64_t part)
+{
+  const struct kcp_server *store = find_store (gateway);
+
+  return find_holder (gateway, part, server) != NULL
+         || (store != NULL && kcp_server_holds (store, part));
+}
+
+/* Tells whether some server has read the part lately or was sent it. */
+static bool
+is_elsewhere (struct kcp_gateway *gateway, uint64_t part)
+{
+  const GPtrArray *servers = kcp_servers_all (gateway->servers);
+
+  for (guint i = 0; i < servers->len; i++)
+    if (believed_at (gateway, g_ptr_array_index (servers, i), part))
+      return true;
+  return false;
+}
+
 /* What this VM sent lately goes before what was read of the server's cache, which lags.
  */
 static bool
--- a/src/forward/cached_parts.h
+++ b/src/forward/cached_parts.h
@@ -12,7 +12,7 @@
 char *kcp_cached_space (const struct kcp_choice *choice, int64_t version);
 uint64_t kcp_part_key (const char *cache_space, const char *part);
 int64_t kcp_cached_unread (struct kcp_gateway *gateway, const struct kcp_choice *choice,
-                           const struct kcp_server *server);
+                           const struct kcp_server *server, int64_t *repeated);
 bool kcp_cached_anywhere (struct kcp_gateway *gateway, const struct kcp_choice *choice);
 void kcp_cached_plan (struct kcp_gateway *gateway, struct kcp_choice *choice);
 
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -127,7 +127,8 @@
   if (model == NULL)
     return;
   judge_weights (gateway, model, server, candidate);
-  candidate->uncached_tokens = kcp_cached_unread (gateway, choice, server);
+  candidate->uncached_tokens
+      = kcp_cached_unread (gateway, choice, server, &candidate->repeated_tokens);
 }
 
 static bool
--- a/src/policy/place.c
+++ b/src/policy/place.c
@@ -3,6 +3,7 @@
 /* Engines read about 48 prompt tokens in a millisecond. */
 const struct kcp_place_costs kcp_place_engine_costs = {
   .per_token = 21,
+  .per_repeated = 40,
   .per_open = 1500,
   .per_full = 20000,
   .far = 30000,
@@ -55,6 +56,7 @@
   int64_t cost
       = costs->per_token * (candidate->uncached_tokens + candidate->unread_tokens);
 
+  cost += costs->per_repeated * candidate->repeated_tokens;
   cost += costs->per_open * candidate->open;
   if (candidate->open >= candidate->slots)
     cost += costs->per_full * (candidate->open - candidate->slots + 1);
--- a/src/policy/place.h
+++ b/src/policy/place.h
@@ -34,17 +34,20 @@
   unsigned slots;          /* that it serves at once */
   int64_t unread_tokens;   /* of prompts in flight there that are yet to be read */
   int64_t uncached_tokens; /* of this request's prompt, believed not to be kept there */
-  bool home;               /* first in the order of servers for the prompt's session */
+  /* Of these, what another server has read, is reading, or was sent lately. */
+  int64_t repeated_tokens;
+  bool home; /* first in the order of servers for the prompt's session */
 };
 
 /* Costs in microseconds. */
 struct kcp_place_costs
 {
-  int64_t per_token;   /* of a prompt that is read */
-  int64_t per_open;    /* of each request that shares the batch */
-  int64_t per_full;    /* of each request beyond the slots */
-  int64_t far;         /* of a server in another data centre */
-  int64_t old_weights; /* of an answer on weights that are being replaced */
+  int64_t per_token;    /* of a prompt that is read */
+  int64_t per_repeated; /* of one that another server need not have read again */
+  int64_t per_open;     /* of each request that shares the batch */
+  int64_t per_full;     /* of each request beyond the slots */
+  int64_t far;          /* of a server in another data centre */
+  int64_t old_weights;  /* of an answer on weights that are being replaced */
   int64_t suspected;
   int64_t loading;
   int64_t away; /* of a server that is not the session's home */
