--- a/src/cmd/check.c
+++ b/src/cmd/check.c
@@ -1,11 +1,14 @@
 #include <stdio.h>
+#include <string.h>
 
 #include "cmd/cmd.h"
 #include "cmd/document_file.h"
 #include "cmd/options.h"
+#include "settings/forward_settings.h"
 #include "settings/settings.h"
 
 static int check_settings (const char *path);
+static bool routes_traffic (const char *path);
 static int check_profiles (char **paths);
 
 /* Validates a settings file, or profile and team files, and prints every error found in
@@ -38,14 +41,31 @@
 check_settings (const char *path)
 {
   g_autoptr (GPtrArray) errors = g_ptr_array_new_with_free_func (g_free);
-  struct kcp_settings *settings = kcp_settings_load (path, errors);
+  struct kcp_forward_settings *forward = NULL;
+  struct kcp_settings *settings = NULL;
+  bool sound;
 
+  if (routes_traffic (path))
+    forward = kcp_forward_settings_load (path, errors);
+  else
+    settings = kcp_settings_load (path, errors);
   for (guint i = 0; i < errors->len; i++)
     (void)fprintf (stderr, "%s\n", (char *)g_ptr_array_index (errors, i));
-  if (settings == NULL)
-    return KCP_EXIT_USAGE;
+  sound = forward != NULL || settings != NULL;
+  kcp_forward_settings_free (forward);
   kcp_settings_free (settings);
-  return KCP_EXIT_OK;
+  return sound ? KCP_EXIT_OK : KCP_EXIT_USAGE;
+}
+
+/* Tells whether the file is one for the route command, which alone has a [store]. */
+static bool
+routes_traffic (const char *path)
+{
+  g_autofree char *text = NULL;
+
+  if (!g_file_get_contents (path, &text, NULL, NULL))
+    return false;
+  return g_str_has_prefix (text, "[store]") || strstr (text, "\n[store]") != NULL;
 }
 
 static int
--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -10,8 +10,8 @@
 #include "cmd/share_suspects.h"
 #include "http/admin.h"
 #include "http/entry.h"
-#include "peer/peer.h"
 #include "logstore/config_tail.h"
+#include "peer/peer.h"
 #include "request/admit.h"
 
 #define DRAIN_POLL_MS       20
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -31,12 +31,15 @@
 kcp_choose (struct kcp_gateway *gateway, struct kcp_choice *choice)
 {
   const GPtrArray *servers = kcp_servers_all (gateway->servers);
-  g_autofree struct kcp_place_candidate *candidates
-      = g_new0 (struct kcp_place_candidate, servers->len + 1);
+  g_autoptr (GArray) facts
+      = g_array_new (FALSE, TRUE, sizeof (struct kcp_place_candidate));
+  struct kcp_place_candidate *candidates;
   const struct kcp_place_costs *costs
       = choice->ask->model != NULL ? &kcp_place_engine_costs : &kcp_place_plain_costs;
   int at;
 
+  g_array_set_size (facts, servers->len);
+  candidates = (struct kcp_place_candidate *)(void *)facts->data;
   choice->server = NULL;
   choice->usable = 0;
   choice->soonest_free_ns = 0;
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -192,9 +192,8 @@
 {
   /* Takes in a request's header; false: it is to be passed on unchanged. */
   bool (*read_ask_header) (struct kcp_ask *ask, const char *name, const char *value);
-  /* Appends the header lines of a send to list and returns it. */
-  struct curl_slist *(*write_send) (struct curl_slist *list,
-                                    const struct kcp_send_head *head);
+  /* Appends the header lines of a send to list. */
+  void (*write_send) (struct curl_slist **list, const struct kcp_send_head *head);
   /* Takes in an answer's header. */
   void (*read_answer_header) (struct kcp_answer_head *head, struct kcp_str name,
                               struct kcp_str value);
--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -191,9 +191,12 @@
 {
   const GPtrArray *servers = kcp_servers_all (rollout->gateway->servers);
   const struct kcp_named_weights *named;
-  g_autofree struct kcp_rollout_server *facts
-      = g_new0 (struct kcp_rollout_server, servers->len + 1);
+  g_autoptr (GArray) table
+      = g_array_new (FALSE, TRUE, sizeof (struct kcp_rollout_server));
+  struct kcp_rollout_server *facts;
 
+  g_array_set_size (table, servers->len);
+  facts = (struct kcp_rollout_server *)(void *)table->data;
   while ((named = find_need (rollout)) != NULL)
     {
       size_t carriers = 0;
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -7,8 +7,8 @@
 
 #include "base/error.h"
 #include "base/timeline.h"
-#include "peer/fact.h"
 #include "logstore/vm_list.h"
+#include "peer/fact.h"
 #include "profile/config.h"
 #include "settings/settings.h"
 
--- a/src/settings/forward_settings.c
+++ b/src/settings/forward_settings.c
@@ -5,23 +5,23 @@
 #define MEMBER(member) offsetof (struct kcp_forward_settings, member)
 #define ADDRESS(in, name, member, must)                                                  \
   {                                                                                      \
-    .group = in, .key = name, .type = KCP_INI_ADDRESS, .required = must,                 \
+    .group = (in), .key = (name), .type = KCP_INI_ADDRESS, .required = (must),           \
     .offset = MEMBER (member)                                                            \
   }
 #define NAME(in, name, member)                                                           \
   {                                                                                      \
-    .group = in, .key = name, .type = KCP_INI_NAME, .required = true,                    \
+    .group = (in), .key = (name), .type = KCP_INI_NAME, .required = true,                \
     .offset = MEMBER (member)                                                            \
   }
 #define INT(in, name, member, least, most, usual)                                        \
   {                                                                                      \
-    .group = in, .key = name, .type = KCP_INI_INT, .min = least, .max = most,            \
-    .standard = usual, .offset = MEMBER (member)                                         \
+    .group = (in), .key = (name), .type = KCP_INI_INT, .min = (least), .max = (most),    \
+    .standard = (usual), .offset = MEMBER (member)                                       \
   }
 #define REAL(in, name, member, least, most, usual)                                       \
   {                                                                                      \
-    .group = in, .key = name, .type = KCP_INI_REAL, .min = least, .max = most,           \
-    .real_standard = usual, .offset = MEMBER (member)                                    \
+    .group = (in), .key = (name), .type = KCP_INI_REAL, .min = (least), .max = (most),   \
+    .real_standard = (usual), .offset = MEMBER (member)                                  \
   }
 
 static const struct kcp_ini_key keys[] = {
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -8,23 +8,23 @@
 
 #define TEXT(in, name, member, must, text)                                               \
   {                                                                                      \
-    .group = in, .key = name, .type = KCP_INI_TEXT, .required = must, .fallback = text,  \
-    .offset = offsetof (struct kcp_settings, member)                                     \
+    .group = (in), .key = (name), .type = KCP_INI_TEXT, .required = (must),              \
+    .fallback = (text), .offset = offsetof (struct kcp_settings, member)                 \
   }
 #define NAME(in, name, member)                                                           \
   {                                                                                      \
-    .group = in, .key = name, .type = KCP_INI_NAME, .required = true,                    \
+    .group = (in), .key = (name), .type = KCP_INI_NAME, .required = true,                \
     .offset = offsetof (struct kcp_settings, member)                                     \
   }
 #define HEX_KEY(in, name, member)                                                        \
   {                                                                                      \
-    .group = in, .key = name, .type = KCP_INI_HEX_KEY, .required = true,                 \
+    .group = (in), .key = (name), .type = KCP_INI_HEX_KEY, .required = true,             \
     .offset = offsetof (struct kcp_settings, member)                                     \
   }
 #define INT(in, name, member, least, most, usual)                                        \
   {                                                                                      \
-    .group = in, .key = name, .type = KCP_INI_INT, .min = least, .max = most,            \
-    .standard = usual, .offset = offsetof (struct kcp_settings, member)                  \
+    .group = (in), .key = (name), .type = KCP_INI_INT, .min = (least), .max = (most),    \
+    .standard = (usual), .offset = offsetof (struct kcp_settings, member)                \
   }
 
 static const struct kcp_ini_key keys[] = {
