--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,11 @@
 PROCESS = $(sort $(wildcard tests/process/test_*.c))
 BENCH = $(sort $(wildcard bench/*.c))
 DEMO = $(sort $(wildcard demo/*.c))
-OURS = $(filter-out src/peer/gen/%,$(SRC) $(STANDIN) $(HARNESS) $(UNIT) $(PROCESS) $(BENCH) $(DEMO))
-HEADERS = $(wildcard src/*/*.h platform/*.h standin/*.h tests/*/*.h bench/*.h demo/*.h)
+SOAK = $(sort $(wildcard soak/*.c))
+SOAK_SEED ?= $(shell date +%s)
+SOAK_SECONDS ?= 60
+OURS = $(filter-out src/peer/gen/%,$(SRC) $(STANDIN) $(HARNESS) $(UNIT) $(PROCESS) $(BENCH) $(DEMO) $(SOAK))
+HEADERS = $(wildcard src/*/*.h platform/*.h standin/*.h tests/*/*.h bench/*.h demo/*.h soak/*.h)
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 UNIT_BIN = $(patsubst tests/unit/%.c,$(BUILD)/unit/%,$(UNIT))
@@ -31,7 +34,7 @@
 BENCH_BIN = $(patsubst bench/bench_%.c,$(BUILD)/bench_%,$(filter bench/bench_%.c,$(BENCH)))
 BENCH_LIB = $(filter-out bench/bench_%.c,$(BENCH))
 
-.PHONY: all check demo bench bench-policy lint format deps clean
+.PHONY: all check soak demo bench bench-policy lint format deps clean
 .SECONDARY:
 all: $(BUILD)/kingcuppoint $(BUILD)/kcp-standin
 
@@ -56,6 +59,10 @@
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(CHECKLIBS)
 
+$(BUILD)/kcp-soak: $(call obj,$(SOAK) tests/harness/fake_platform.c)
+	@echo 'LD $@'
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
 $(UNIT_BIN): $(BUILD)/unit/test_%: $(BUILD)/tests/unit/test_%.o $(call obj,$(HARNESS)) $(BUILD)/libkingcuppoint.a
 	@mkdir -p $(@D)
 	@echo 'LD $@'
@@ -74,6 +81,10 @@
 check: all $(UNIT_BIN) $(PROCESS_BIN)
 	@BUILD=$(BUILD) $(if $(SAN),G_SLICE=always-malloc) tests/run $(UNIT_BIN) $(PROCESS_BIN)
 
+# A random fault soak of the real program; SEED=N MINUTES=M choose it.
+soak: all $(BUILD)/kcp-soak
+	@BUILD=$(BUILD) $(BUILD)/kcp-soak $(or $(SEED),$(SOAK_SEED)) $(if $(MINUTES),$$(( $(MINUTES) * 60 )),$(SOAK_SECONDS)) $(VMS)
+
 demo: deps
 	@$(MAKE) --no-print-directory $(BUILD)/kingcuppoint $(BUILD)/kcp-standin $(BUILD)/kcp-demo
 	@BUILD=$(BUILD) $(BUILD)/kcp-demo
--- /dev/null
+++ b/soak/proxy.c
@@ -0,0 +1,212 @@
+#include "soak/proxy.h"
+
+#include <arpa/inet.h>
+#include <glib.h>
+#include <poll.h>
+#include <stdbool.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define BLOCK    16384
+#define DELAY_MS 30
+#define POLL_MS  20
+#define BACKLOG  256
+
+struct proxy
+{
+  int listener;
+  int port;
+  int target_port;
+  gint fault;      /* enum proxy_fault; atomic */
+  gint generation; /* grows with each fault, so that open connections know it; atomic */
+  gint stopping;   /* atomic */
+  gint open;       /* connections; atomic */
+  GThread *thread;
+};
+
+struct link
+{
+  struct proxy *proxy;
+  int client;
+  int server;
+  int generation;
+};
+
+static gpointer accept_all (gpointer user);
+static gpointer carry (gpointer user);
+static bool move (struct link *link, int from, int to, bool back);
+static bool is_silent (const struct link *link);
+static int connect_to (int port);
+static void close_with_reset (int fd);
+
+/* Starts a proxy before a port of the loopback. */
+struct proxy *
+proxy_start (int target_port)
+{
+  struct proxy *proxy = g_new0 (struct proxy, 1);
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof address;
+
+  proxy->target_port = target_port;
+  proxy->listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  if (bind (proxy->listener, (struct sockaddr *)&address, len) != 0
+      || listen (proxy->listener, BACKLOG) != 0
+      || getsockname (proxy->listener, (struct sockaddr *)&address, &len) != 0)
+    abort ();
+  proxy->port = ntohs (address.sin_port);
+  proxy->thread = g_thread_new ("proxy", accept_all, proxy);
+  return proxy;
+}
+
+/* Stops it and closes what it carries. */
+void
+proxy_stop (struct proxy *proxy)
+{
+  g_atomic_int_set (&proxy->stopping, 1);
+  (void)g_thread_join (proxy->thread);
+  while (g_atomic_int_get (&proxy->open) > 0)
+    g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
+  (void)close (proxy->listener);
+  g_free (proxy);
+}
+
+/* Returns the port to connect to. */
+int
+proxy_port (const struct proxy *proxy)
+{
+  return proxy->port;
+}
+
+/* Begins a fault, or ends it. */
+void
+proxy_set (struct proxy *proxy, enum proxy_fault fault)
+{
+  g_atomic_int_set (&proxy->fault, (gint)fault);
+  g_atomic_int_inc (&proxy->generation);
+}
+
+static gpointer
+accept_all (gpointer user)
+{
+  struct proxy *proxy = user;
+  struct pollfd wait = { .fd = proxy->listener, .events = POLLIN };
+
+  while (!g_atomic_int_get (&proxy->stopping))
+    {
+      struct link *link;
+      int client;
+
+      if (poll (&wait, 1, POLL_MS) <= 0)
+        continue;
+      client = accept4 (proxy->listener, NULL, NULL, SOCK_CLOEXEC);
+      if (client < 0)
+        continue;
+      if (g_atomic_int_get (&proxy->fault) == PROXY_RESET)
+        {
+          close_with_reset (client);
+          continue;
+        }
+      link = g_new0 (struct link, 1);
+      link->proxy = proxy;
+      link->client = client;
+      link->server = connect_to (proxy->target_port);
+      link->generation = g_atomic_int_get (&proxy->generation);
+      g_atomic_int_inc (&proxy->open);
+      g_thread_unref (g_thread_new ("link", carry, link));
+    }
+  return NULL;
+}
+
+static gpointer
+carry (gpointer user)
+{
+  struct link *link = user;
+  bool going = link->server >= 0;
+
+  while (going && !g_atomic_int_get (&link->proxy->stopping))
+    {
+      struct pollfd wait[] = { { .fd = link->client, .events = POLLIN },
+                               { .fd = link->server, .events = POLLIN } };
+
+      if (g_atomic_int_get (&link->proxy->fault) == PROXY_RESET)
+        break;
+      if (is_silent (link))
+        {
+          g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
+          continue;
+        }
+      if (poll (wait, 2, POLL_MS) <= 0)
+        continue;
+      if (wait[0].revents != 0)
+        going = move (link, link->client, link->server, false);
+      if (going && wait[1].revents != 0)
+        going = move (link, link->server, link->client, true);
+    }
+  if (g_atomic_int_get (&link->proxy->fault) == PROXY_RESET)
+    close_with_reset (link->client);
+  else
+    (void)close (link->client);
+  (void)close (link->server);
+  g_atomic_int_add (&link->proxy->open, -1);
+  g_free (link);
+  return NULL;
+}
+
+/* Carries one piece; false once the connection has ended. */
+static bool
+move (struct link *link, int from, int to, bool back)
+{
+  char block[BLOCK];
+  enum proxy_fault fault = (enum proxy_fault)g_atomic_int_get (&link->proxy->fault);
+  ssize_t count = recv (from, block, sizeof block, 0);
+  ssize_t sent = 0;
+
+  if (count <= 0)
+    return false;
+  if (fault == PROXY_DELAY)
+    g_usleep (DELAY_MS * G_TIME_SPAN_MILLISECOND);
+  if (fault == PROXY_ONE_WAY && back)
+    return true;
+  while (sent < count)
+    {
+      ssize_t now = send (to, block + sent, (size_t)(count - sent), MSG_NOSIGNAL);
+
+      if (now <= 0)
+        return false;
+      sent += now;
+    }
+  return true;
+}
+
+/* Silence holds for connections that were open when it began, and lasts. */
+static bool
+is_silent (const struct link *link)
+{
+  return g_atomic_int_get (&link->proxy->fault) == PROXY_SILENCE
+         && link->generation != g_atomic_int_get (&link->proxy->generation);
+}
+
+static int
+connect_to (int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t)port),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
+    return fd;
+  (void)close (fd);
+  return -1;
+}
+
+static void
+close_with_reset (int fd)
+{
+  struct linger now = { .l_onoff = 1, .l_linger = 0 };
+
+  (void)setsockopt (fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
+  (void)close (fd);
+}
--- /dev/null
+++ b/soak/soak.c
@@ -0,0 +1,529 @@
+/* Runs VMs of routed traffic as processes under random overlapping faults and checks,
+   from what callers and servers see, what must always hold:
+
+   - an answer belongs to the request that it answers, and is whole or does not look so;
+   - what may run once runs at most once;
+   - what is answered 503 or 429 has not run and does not run later;
+   - a stream has each event once, in order;
+   - after the faults all VMs serve again.
+
+   soak SEED SECONDS [VMS]: the same seed gives the same faults in the same order. */
+#include <arpa/inet.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "soak/proxy.h"
+#include "tests/harness/fake_platform.h"
+
+#define SERVERS    4u
+#define VMS_MAX    32u
+#define CALLERS    12u
+#define RECEIVE_MS 4000
+#define FAULT_MS   2500
+#define CALM_MS    9000 /* behind the last fault, until everything has to serve */
+#define GRACE_MS   4000
+#define TEXT_MAX   4096
+
+struct vm
+{
+  int port;
+  int ready_port;
+  int metrics_port;
+  int peer_port;
+  pid_t pid;
+  char *settings;
+  int64_t start_us;  /* to be started then; 0: runs */
+  int64_t resume_us; /* stopped until then; 0: is not */
+  int64_t kill_us;   /* SIGTERM was sent; killed then; 0: not */
+};
+
+struct soak
+{
+  struct fake_platform *platform;
+  struct proxy *proxies[SERVERS];
+  struct vm vms[VMS_MAX];
+  unsigned vm_count;
+  char *folder;
+  GRand *random;
+  gint stopping;
+  gint next_id;
+  gint answered;
+  gint refused;
+  gint unknown;
+  gint broken;         /* promises */
+  GMutex lock;         /* guards refusals */
+  GPtrArray *refusals; /* ids that were told that they have not run */
+  int64_t store_back_us;
+  int64_t mode_back_us[SERVERS];
+  int64_t proxy_back_us[SERVERS];
+};
+
+static struct soak soak;
+
+static void
+report (const char *what, const char *id, const char *text)
+{
+  g_atomic_int_inc (&soak.broken);
+  (void)printf ("BROKEN %s: request %s: %.300s\n", what, id, text);
+}
+
+static int
+free_port (int type)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof address;
+  int fd = socket (AF_INET, type | SOCK_CLOEXEC, 0);
+
+  if (bind (fd, (struct sockaddr *)&address, len) != 0
+      || getsockname (fd, (struct sockaddr *)&address, &len) != 0)
+    abort ();
+  (void)close (fd);
+  return ntohs (address.sin_port);
+}
+
+static void
+write_settings (struct vm *vm, unsigned index)
+{
+  g_autofree char *text = g_strdup_printf (
+      "[vm]\nid = vm%u\ndata_center = z\n[callers]\nlisten = 127.0.0.1:%d\n"
+      "[ready]\nlisten = 127.0.0.1:%d\n[metrics]\nlisten = 127.0.0.1:%d\n"
+      "[peers]\nlisten = 127.0.0.1:%d\n[store]\naddress = 127.0.0.1:%d\n"
+      "poll_ms = 200\n[drain]\ngrace_s = 4\nnotice_ms = 500\n",
+      index, vm->port, vm->ready_port, vm->metrics_port, vm->peer_port,
+      fake_platform_port (soak.platform));
+  g_autofree char *name = g_strdup_printf ("vm%u.ini", index);
+
+  vm->settings = g_build_filename (soak.folder, name, NULL);
+  if (!g_file_set_contents (vm->settings, text, -1, NULL))
+    abort ();
+}
+
+static void
+start_vm (struct vm *vm)
+{
+  const char *build = g_getenv ("BUILD") != NULL ? g_getenv ("BUILD") : "build";
+  g_autofree char *program = g_build_filename (build, "kingcuppoint", NULL);
+
+  vm->start_us = 0;
+  vm->pid = fork ();
+  if (vm->pid != 0)
+    return;
+  (void)prctl (PR_SET_PDEATHSIG, SIGKILL);
+  if (freopen ("/dev/null", "w", stdout) == NULL)
+    _exit (126);
+  (void)execl (program, program, "route", "--settings", vm->settings, (char *)NULL);
+  _exit (127);
+}
+
+static int
+connect_to (int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t)port),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  struct timeval limit = { .tv_sec = RECEIVE_MS / 1000 };
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+  (void)setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+  if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
+    return fd;
+  (void)close (fd);
+  return -1;
+}
+
+/* Reads one answer; true if it is whole by its framing. */
+static bool
+read_answer (int fd, GString *out)
+{
+  char block[TEXT_MAX];
+
+  g_string_truncate (out, 0);
+  for (;;)
+    {
+      const char *head = strstr (out->str, "\r\n\r\n");
+      const char *length = head != NULL ? strstr (out->str, "Content-Length: ") : NULL;
+      ssize_t count;
+
+      if (length != NULL && length < head
+          && out->len >= (size_t)(head + 4 - out->str) + strtoul (length + 16, NULL, 10))
+        return true;
+      if (head != NULL && (length == NULL || length > head)
+          && g_str_has_suffix (out->str, "\r\n0\r\n\r\n"))
+        return true;
+      count = recv (fd, block, sizeof block, 0);
+      if (count <= 0)
+        return false;
+      g_string_append_len (out, block, count);
+    }
+}
+
+static void
+check_stream (const char *id, const char *text, bool whole)
+{
+  int last = 0;
+
+  for (const char *at = strstr (text, "data: piece "); at != NULL;
+       at = strstr (at + 1, "data: piece "))
+    {
+      int piece = atoi (at + strlen ("data: piece "));
+
+      if (piece != last + 1)
+        report ("ORDER", id, text);
+      last = piece;
+    }
+  if (whole && last != FAKE_STREAM_EVENTS)
+    report ("ORDER", id, text);
+}
+
+static void
+check_answer (const char *id, const char *path, const char *text, bool whole)
+{
+  g_autofree char *own = g_strdup_printf ("for %s", id);
+  int status = strlen (text) > 12 ? atoi (text + 9) : 0;
+
+  if (status == 200 && strcmp (path, "stream") == 0)
+    check_stream (id, text, whole);
+  else if (status == 200 && whole && strstr (text, own) == NULL)
+    report ("MIXED", id, text);
+  if (status == 200)
+    g_atomic_int_inc (&soak.answered);
+  else if (whole && (status == 503 || status == 429))
+    {
+      g_atomic_int_inc (&soak.refused);
+      g_mutex_lock (&soak.lock);
+      g_ptr_array_add (soak.refusals, g_strdup (id));
+      g_mutex_unlock (&soak.lock);
+    }
+  else
+    g_atomic_int_inc (&soak.unknown);
+  if (strcmp (path, "once") == 0 && fake_platform_runs (soak.platform, id) > 1)
+    report ("TWICE", id, text);
+}
+
+/* Sends requests over kept connections until the VM closes them. */
+static gpointer
+call (gpointer user)
+{
+  static const char *const paths[] = { "once", "again", "stream" };
+  unsigned number = GPOINTER_TO_UINT (user);
+  g_autoptr (GString) text = g_string_new (NULL);
+  int fd = -1;
+
+  while (!g_atomic_int_get (&soak.stopping))
+    {
+      int count = g_atomic_int_add (&soak.next_id, 1);
+      const char *path = paths[(unsigned)count % G_N_ELEMENTS (paths)];
+      g_autofree char *id = g_strdup_printf ("r%d", count);
+      g_autofree char *request
+          = g_strdup_printf ("POST /%s/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n"
+                             "Authorization: Bearer key1\r\nRequest-Deadline: 2500\r\n"
+                             "Model: m\r\nToken-Usage: 10,5\r\nPrompt-Prefix: a:10\r\n"
+                             "Content-Length: %zu\r\n\r\n%s",
+                             path, id, strlen (id), id);
+      bool whole;
+
+      if (fd < 0)
+        fd = connect_to (soak.vms[(number + (unsigned)count) % soak.vm_count].port);
+      if (fd < 0)
+        {
+          g_usleep (20 * G_TIME_SPAN_MILLISECOND);
+          continue;
+        }
+      whole = send (fd, request, strlen (request), MSG_NOSIGNAL)
+                  == (ssize_t)strlen (request)
+              && read_answer (fd, text);
+      check_answer (id, path, text->str, whole);
+      if (!whole || strstr (text->str, "Connection: close") != NULL)
+        {
+          (void)close (fd);
+          fd = -1;
+        }
+      g_usleep (5 * G_TIME_SPAN_MILLISECOND);
+    }
+  if (fd >= 0)
+    (void)close (fd);
+  return NULL;
+}
+
+static void
+strike_vm (struct vm *vm, int kind, int64_t now_us, int64_t span_us)
+{
+  if (vm->pid == 0 || vm->resume_us != 0 || vm->kill_us != 0)
+    return;
+  switch (kind)
+    {
+    case 0:
+      (void)kill (vm->pid, SIGKILL);
+      (void)waitpid (vm->pid, NULL, 0);
+      vm->pid = 0;
+      vm->start_us = now_us + span_us;
+      break;
+    case 1:
+      (void)kill (vm->pid, SIGSTOP);
+      vm->resume_us = now_us + span_us;
+      break;
+    case 2:
+      (void)kill (vm->pid, SIGTERM);
+      vm->kill_us = now_us + GRACE_MS * G_TIME_SPAN_MILLISECOND;
+      break;
+    default:
+      (void)kill (vm->pid, SIGHUP);
+      break;
+    }
+}
+
+/* Begins one random fault; those before may still last. */
+static void
+strike (int64_t now_us)
+{
+  int64_t span_us
+      = g_rand_int_range (soak.random, 200, FAULT_MS) * G_TIME_SPAN_MILLISECOND;
+  unsigned server = (unsigned)g_rand_int_range (soak.random, 0, SERVERS);
+  unsigned vm = (unsigned)g_rand_int_range (soak.random, 0, (gint32)soak.vm_count);
+  int detail = g_rand_int_range (soak.random, 0, 1000);
+  g_autofree char *version = NULL;
+
+  switch (g_rand_int_range (soak.random, 0, 7))
+    {
+    case 0:
+    case 1:
+      strike_vm (&soak.vms[vm], detail % 4, now_us, span_us);
+      break;
+    case 2:
+      for (unsigned i = 0; detail % 5 == 0 && i < soak.vm_count; i++)
+        strike_vm (&soak.vms[i], 0, now_us, span_us);
+      break;
+    case 3:
+      fake_platform_set_down (soak.platform, true);
+      soak.store_back_us = now_us + span_us;
+      break;
+    case 4:
+      fake_platform_server (soak.platform, server)->mode
+          = (enum fake_mode) (detail % (FAKE_SLOW + 1));
+      soak.mode_back_us[server] = now_us + span_us;
+      break;
+    case 5:
+      proxy_set (soak.proxies[server],
+                 (enum proxy_fault) (1 + detail % (PROXY_FAULTS - 1)));
+      soak.proxy_back_us[server] = now_us + span_us;
+      break;
+    default:
+      version = g_strdup_printf ("{\"model\":\"m\",\"version\":%d}",
+                                 2 + g_atomic_int_get (&soak.next_id));
+      fake_platform_put (soak.platform, "version/m", version);
+      break;
+    }
+}
+
+static void
+heal_vm (struct vm *vm, int64_t now_us, bool all)
+{
+  if (vm->resume_us != 0 && (all || now_us >= vm->resume_us))
+    {
+      (void)kill (vm->pid, SIGCONT);
+      vm->resume_us = 0;
+    }
+  if (vm->kill_us != 0 && waitpid (vm->pid, NULL, WNOHANG) == vm->pid)
+    {
+      vm->pid = 0;
+      vm->kill_us = 0;
+      vm->start_us = now_us;
+    }
+  else if (vm->kill_us != 0 && now_us >= vm->kill_us)
+    {
+      report ("DRAIN", "-", "a VM was still there when its grace was over");
+      (void)kill (vm->pid, SIGKILL);
+    }
+  if (vm->pid == 0 && (all || now_us >= vm->start_us))
+    start_vm (vm);
+}
+
+static void
+heal (int64_t now_us, bool all)
+{
+  for (unsigned i = 0; i < soak.vm_count; i++)
+    heal_vm (&soak.vms[i], now_us, all);
+  if (soak.store_back_us != 0 && (all || now_us >= soak.store_back_us))
+    {
+      fake_platform_set_down (soak.platform, false);
+      soak.store_back_us = 0;
+    }
+  for (unsigned i = 0; i < SERVERS; i++)
+    {
+      if (soak.mode_back_us[i] != 0 && (all || now_us >= soak.mode_back_us[i]))
+        {
+          fake_platform_server (soak.platform, i)->mode = FAKE_ANSWER;
+          soak.mode_back_us[i] = 0;
+        }
+      if (soak.proxy_back_us[i] != 0 && (all || now_us >= soak.proxy_back_us[i]))
+        {
+          proxy_set (soak.proxies[i], PROXY_NONE);
+          soak.proxy_back_us[i] = 0;
+        }
+    }
+}
+
+static bool
+serves (const struct vm *vm)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+  g_autofree char *id = g_strdup_printf ("end%d", g_atomic_int_add (&soak.next_id, 1));
+  g_autofree char *request
+      = g_strdup_printf ("POST /again/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n"
+                         "Authorization: Bearer key1\r\nRequest-Deadline: 2500\r\n"
+                         "Content-Length: 1\r\n\r\nb",
+                         id);
+  int fd = connect_to (vm->port);
+  bool sound;
+
+  if (fd < 0)
+    return false;
+  sound = send (fd, request, strlen (request), MSG_NOSIGNAL) > 0 && read_answer (fd, text)
+          && g_str_has_prefix (text->str, "HTTP/1.1 200");
+  (void)close (fd);
+  return sound;
+}
+
+static void
+check_recovery (void)
+{
+  int64_t end_us = g_get_monotonic_time () + CALM_MS * G_TIME_SPAN_MILLISECOND;
+
+  for (unsigned i = 0; i < soak.vm_count; i++)
+    {
+      bool sound = false;
+
+      while (!sound && g_get_monotonic_time () < end_us)
+        {
+          heal (g_get_monotonic_time (), true);
+          sound = serves (&soak.vms[i]);
+          g_usleep (50 * G_TIME_SPAN_MILLISECOND);
+        }
+      if (!sound)
+        report ("RECOVER", "-", soak.vms[i].settings);
+    }
+}
+
+static void
+check_refusals (void)
+{
+  for (guint i = 0; i < soak.refusals->len; i++)
+    {
+      const char *id = g_ptr_array_index (soak.refusals, i);
+
+      if (fake_platform_runs (soak.platform, id) > 0)
+        report ("REFUSED", id, "was told that it has not run, and ran");
+    }
+}
+
+static void
+set_up (unsigned vms)
+{
+  static const char config[]
+      = "{\"version\":3,\"routes\":["
+        "{\"name\":\"once\",\"host\":\"h\",\"path-prefix\":\"/once/\","
+        "\"route-type\":\"non_idempotent\",\"timeout-ms\":2000,\"max-attempts\":1,"
+        "\"service\":\"s\"},"
+        "{\"name\":\"again\",\"host\":\"h\",\"path-prefix\":\"/again/\","
+        "\"route-type\":\"idempotent\",\"timeout-ms\":2000,\"max-attempts\":2,"
+        "\"service\":\"s\"},"
+        "{\"name\":\"stream\",\"host\":\"h\",\"path-prefix\":\"/stream/\","
+        "\"route-type\":\"streaming\",\"resumable\":true,\"timeout-ms\":2000,"
+        "\"max-attempts\":2,\"service\":\"s\"}],"
+        "\"services\":[{\"name\":\"s\",\"max-conns\":100}],\"limits\":{},"
+        "\"tenants\":[{\"name\":\"t\",\"api-keys\":[\"key1\"]}]}";
+
+  soak.vm_count = vms;
+  soak.folder = g_dir_make_tmp ("kcp-soak-XXXXXX", NULL);
+  soak.refusals = g_ptr_array_new_with_free_func (g_free);
+  soak.platform = fake_platform_start (SERVERS);
+  for (unsigned i = 0; i < SERVERS; i++)
+    {
+      struct fake_server *server = fake_platform_server (soak.platform, i);
+
+      soak.proxies[i] = proxy_start (server->port);
+      server->shown_port = proxy_port (soak.proxies[i]);
+      fake_platform_put_server (soak.platform, i, "ready");
+    }
+  fake_platform_put (soak.platform, "config", config);
+  for (unsigned i = 0; i < vms; i++)
+    {
+      struct vm *vm = &soak.vms[i];
+
+      vm->port = free_port (SOCK_STREAM);
+      vm->ready_port = free_port (SOCK_STREAM);
+      vm->metrics_port = free_port (SOCK_STREAM);
+      vm->peer_port = free_port (SOCK_DGRAM);
+      write_settings (vm, i);
+      start_vm (vm);
+    }
+}
+
+static void
+tear_down (void)
+{
+  for (unsigned i = 0; i < soak.vm_count; i++)
+    {
+      struct vm *vm = &soak.vms[i];
+
+      if (vm->pid > 0)
+        {
+          (void)kill (vm->pid, SIGKILL);
+          (void)waitpid (vm->pid, NULL, 0);
+        }
+      (void)g_unlink (vm->settings);
+      g_free (vm->settings);
+    }
+  for (unsigned i = 0; i < SERVERS; i++)
+    proxy_stop (soak.proxies[i]);
+  fake_platform_stop (soak.platform);
+  (void)g_rmdir (soak.folder);
+  g_free (soak.folder);
+  g_ptr_array_unref (soak.refusals);
+  g_rand_free (soak.random);
+}
+
+int
+main (int argc, char **argv)
+{
+  guint32 seed = argc > 1 ? (guint32)strtoul (argv[1], NULL, 10) : 1;
+  int64_t seconds = argc > 2 ? strtol (argv[2], NULL, 10) : 20;
+  unsigned vms = argc > 3 ? (unsigned)strtoul (argv[3], NULL, 10) : 3;
+  GThread *callers[CALLERS];
+  int64_t end_us;
+
+  soak.random = g_rand_new_with_seed (seed);
+  set_up (MIN (MAX (vms, 1u), VMS_MAX));
+  g_usleep (G_USEC_PER_SEC);
+  for (unsigned i = 0; i < CALLERS; i++)
+    callers[i] = g_thread_new ("caller", call, GUINT_TO_POINTER (i));
+  end_us = g_get_monotonic_time () + seconds * G_USEC_PER_SEC;
+  while (g_get_monotonic_time () < end_us)
+    {
+      strike (g_get_monotonic_time ());
+      for (int i = g_rand_int_range (soak.random, 1, 10); i > 0; i--)
+        {
+          g_usleep (50 * G_TIME_SPAN_MILLISECOND);
+          heal (g_get_monotonic_time (), false);
+        }
+    }
+  check_recovery ();
+  g_atomic_int_set (&soak.stopping, 1);
+  for (unsigned i = 0; i < CALLERS; i++)
+    (void)g_thread_join (callers[i]);
+  check_refusals ();
+  (void)printf ("soak: seed %u, %d answered, %d refused, %d unknown, %d broken\n", seed,
+                soak.answered, soak.refused, soak.unknown, soak.broken);
+  tear_down ();
+  return soak.broken == 0 && soak.answered > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
+}
--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -8,11 +8,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SERVERS_MAX   8u
-#define TOPICS        4u
-#define SLOW_MS       500
-#define STREAM_EVENTS 5
-#define POLL_MS       5
+#define SERVERS_MAX 8u
+#define TOPICS      4u
+#define SLOW_MS     500
+#define POLL_MS     5
 
 struct record
 {
@@ -36,6 +35,7 @@
   struct topic topics[TOPICS];
   struct fake_server servers[SERVERS_MAX];
   unsigned server_count;
+  GHashTable *runs; /* request id -> times that it was run */
 };
 
 /* One request on its way in. */
@@ -90,6 +90,7 @@
   int port;
 
   pthread_mutex_init (&platform->lock, NULL);
+  platform->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   for (unsigned i = 0; i < TOPICS; i++)
     platform->topics[i] = (struct topic){ .name = names[i],
                                           .keyed = g_str_has_prefix (names[i], "keyed."),
@@ -135,6 +136,7 @@
         }
       g_ptr_array_unref (platform->topics[i].records);
     }
+  g_hash_table_unref (platform->runs);
   pthread_mutex_destroy (&platform->lock);
   g_free (platform);
 }
@@ -198,11 +200,24 @@
       "{\"service\":\"s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"version\":\"v1\","
       "\"slots\":8,\"state\":\"%s\",\"seq-no\":17,\"born\":%u,"
       "\"models\":[{\"name\":\"m\",\"version\":%" G_GINT64_FORMAT "}]}",
-      server->port, state, 1000 + index, server->version);
+      server->shown_port != 0 ? server->shown_port : server->port, state, 1000 + index,
+      server->version);
 
   fake_platform_put_entry (platform, server->id, text);
 }
 
+/* Returns how often requests with that id were run, over all servers. */
+unsigned
+fake_platform_runs (struct fake_platform *platform, const char *id)
+{
+  unsigned runs;
+
+  pthread_mutex_lock (&platform->lock);
+  runs = GPOINTER_TO_UINT (g_hash_table_lookup (platform->runs, id));
+  pthread_mutex_unlock (&platform->lock);
+  return runs;
+}
+
 /* Returns a header of the newest request that the server ran, to be freed, or NULL. */
 char *
 fake_server_header (struct fake_server *server, const char *name)
@@ -514,7 +529,7 @@
   stream->server = server;
   stream->text = g_string_new (NULL);
   stream->breaks = mode == FAKE_BREAK_OFF;
-  for (int i = first; i <= STREAM_EVENTS; i++)
+  for (int i = first; i <= FAKE_STREAM_EVENTS; i++)
     g_string_append_printf (stream->text, "id: %d\ndata: piece %d\n\n", i, i);
   if (stream->breaks)
     g_string_truncate (stream->text, 50);
@@ -564,7 +579,8 @@
   const char *headers[]
       = { "Request-Id",  mode == FAKE_WRONG_ID ? "another" : id,    "X-Extra", "kept",
           "Server-Seal", mode == FAKE_UNSIGNED ? NULL : server->id, NULL };
-  g_autofree char *text = g_strdup_printf ("%s ran %s", server->id, url);
+  g_autofree char *text = g_strdup_printf ("%s ran %s for %s", server->id, url,
+                                           mode == FAKE_WRONG_ID ? "another" : id);
 
   if (id == NULL)
     return respond (connection, 400, "", 0, NULL);
@@ -574,6 +590,10 @@
     return respond (connection, 503, "", 0, refused);
   pthread_mutex_lock (&server->platform->lock);
   server->runs++;
+  g_hash_table_replace (
+      server->platform->runs, g_strdup (id),
+      GUINT_TO_POINTER (
+          GPOINTER_TO_UINT (g_hash_table_lookup (server->platform->runs, id)) + 1));
   g_hash_table_remove_all (server->headers);
   MHD_get_connection_values (connection, MHD_HEADER_KIND, keep_header, server);
   g_string_assign (server->body, body->str);
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -22,6 +22,8 @@
   FAKE_SLOW       /* answers after half a second */
 };
 
+#define FAKE_STREAM_EVENTS 5
+
 struct fake_platform;
 
 struct fake_server
@@ -30,6 +32,7 @@
   struct MHD_Daemon *daemon;
   char id[16];
   int port;
+  int shown_port;      /* in its entry, if it is another; 0: port */
   enum fake_mode mode; /* set by the test */
   int64_t version;     /* of its weights */
   int64_t orders_taken;
@@ -51,6 +54,7 @@
                                const char *state);
 void fake_platform_put_entry (struct fake_platform *platform, const char *id,
                               const char *value);
+unsigned fake_platform_runs (struct fake_platform *platform, const char *id);
 char *fake_server_header (struct fake_server *server, const char *name);
 
 #endif
