--- a/src/forward/feed.c
+++ b/src/forward/feed.c
@@ -42,7 +42,6 @@
   struct follow servers;
   struct kcp_lapse lapse;
   struct kcp_loop_timer gone;
-  bool stopped;
 };
 
 static void
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -1,5 +1,3 @@
-#include "forward/mesh.h"
-
 #include <arpa/inet.h>
 #include <errno.h>
 #include <string.h>
@@ -11,92 +9,31 @@
 #include "base/counter.h"
 #include "base/decision_log.h"
 #include "base/id.h"
-#include "forward/mesh_message.h"
+#include "forward/mesh_private.h"
 #include "forward/server_loop.h"
 
-#define STEP    "mesh"
-#define TELL_MS 100
-/* What the exchange may cost, whatever the number of VMs, who take turns: 20 KB/s within
-   the data centre and 10 KB/s to the others, whose bytes are dear. */
-#define NEAR_BYTES_A_TELLING 2000
-#define FAR_BYTES_A_TELLING  1000
-#define TELLINGS_SAVED       4 /* that unspent bytes last for */
+#define STEP "mesh"
 /* A VM is taken as away that is silent for longer than that many of its usual pauses. */
 #define SILENT_PAUSES   6
-#define SILENT_LEAST_NS (1500 * KCP_NS_PER_MS)
 #define SILENT_FIRST_NS (3000 * KCP_NS_PER_MS) /* while its pauses are not known */
 #define PAUSE_WEIGHT    8                      /* of older pauses in the average */
-#define SILENT_EVERY    10u /* VMs taken as away are told each so many tellings */
-/* What a server keeps shows in its events by then. */
-#define SENT_TOLD_NS  (1200 * KCP_NS_PER_MS)
-#define FORGET_NS     (60 * KCP_NS_PER_S)
-#define LIST_RETRY_MS 500
-
-/* Another VM. */
-struct peer
-{
-  char vm[64]; /* IP:PORT */
-  struct sockaddr_in address;
-  char data_center[64];
-  uint64_t start;
-  uint64_t number;
-  int64_t heard_ns; /* 0: only listed */
-  int64_t pause_ns; /* usual time between its messages; 0: not known */
-  int64_t listed_ns;
-  bool alive;
-  struct kcp_mesh_message seen; /* its newest message */
-};
-
-/* Bytes that may be told to one group of VMs, and whose turn it is there. */
-struct share
-{
-  int64_t bytes;
-  guint turn; /* where in the list of VMs the next telling begins */
-};
-
-struct kcp_mesh
-{
-  struct kcp_gateway *gateway;
-  const struct kcp_store *store;
-  int fd;
-  char own[64];
-  uint64_t start;
-  uint64_t number;
-  struct share near;
-  struct share far;
-  bool leaving;
-  bool listed;  /* the list in the store was read */
-  bool entered; /* this VM stands in it */
-  GPtrArray *peers;
-  struct kcp_loop_timer tell;
-  struct kcp_loop_timer list;
-};
+#define FORGET_NS       (60 * KCP_NS_PER_S)
+#define LIST_RETRY_MS   500
 
 static void enter_list (void *user);
 static void on_entered (void *user, const struct kcp_store_answer *answer);
 static void read_list (struct kcp_mesh *mesh, const char *after);
 static void on_listed (void *user, const struct kcp_store_answer *answer);
 static void retry_list (struct kcp_mesh *mesh);
-static void tell (void *user);
-static void make_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
-static void add_row (struct kcp_mesh *mesh, struct kcp_mesh_message *message,
-                     struct kcp_server *server);
-static void tell_some (struct kcp_mesh *mesh, struct kcp_str bytes, bool near,
-                       struct share *share, int64_t bytes_more);
-static void tell_silent (struct kcp_mesh *mesh, struct kcp_str bytes);
-static void
-send_to (struct kcp_mesh *mesh, const struct peer *peer, struct kcp_str bytes);
-static bool is_near (const struct kcp_mesh *mesh, const struct peer *peer);
-static int64_t silent_ns (const struct peer *peer);
-static void note_pause (struct peer *peer, int64_t now_ns);
+static int64_t silent_ns (const struct kcp_mesh_peer *peer);
+static void note_pause (struct kcp_mesh_peer *peer, int64_t now_ns);
 static void on_datagram (void *user, uint32_t events);
 static void take_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
-static struct peer *find_peer (struct kcp_mesh *mesh, const char *vm);
-static struct peer *make_peer (struct kcp_mesh *mesh, const char *vm);
-static void check_peers (struct kcp_mesh *mesh);
+static struct kcp_mesh_peer *find_peer (struct kcp_mesh *mesh, const char *vm);
+static struct kcp_mesh_peer *make_peer (struct kcp_mesh *mesh, const char *vm);
 static void sum_rows (struct kcp_mesh *mesh);
-static void
-take_row (struct kcp_mesh *mesh, const struct peer *peer, const struct kcp_mesh_row *row);
+static void take_row (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer,
+                      const struct kcp_mesh_row *row);
 static void peer_free (gpointer data);
 
 /* Opens the VM's socket and begins to find the others. */
@@ -125,7 +62,7 @@
   kcp_poller_watch (kcp_loop_poller (gateway->loop), mesh->fd, EPOLLIN, on_datagram,
                     mesh);
   enter_list (mesh);
-  tell (mesh);
+  kcp_mesh_tell (mesh);
   return mesh;
 fail:
   kcp_mesh_stop (mesh);
@@ -163,7 +100,7 @@
   unsigned count = 1;
 
   for (guint i = 0; i < mesh->peers->len; i++)
-    count += ((const struct peer *)g_ptr_array_index (mesh->peers, i))->alive;
+    count += ((const struct kcp_mesh_peer *)g_ptr_array_index (mesh->peers, i))->alive;
   return count;
 }
 
@@ -179,7 +116,7 @@
 
   for (guint i = 0; i < mesh->peers->len; i++)
     {
-      const struct peer *peer = g_ptr_array_index (mesh->peers, i);
+      const struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
       bool near = strcmp (peer->data_center, dc) == 0;
 
       if (!peer->alive || peer->seen.leaving)
@@ -256,7 +193,6 @@
       return;
     }
   KCP_LOG ("vms_listed", KCP_LOG_INT ("others", mesh->peers->len));
-  mesh->listed = true;
 }
 
 static void
@@ -269,141 +205,17 @@
                       enter_list, mesh);
 }
 
-static void
-tell (void *user)
-{
-  struct kcp_mesh *mesh = user;
-  struct kcp_loop *loop = mesh->gateway->loop;
-  struct kcp_mesh_message message;
-  char bytes[KCP_MESH_MESSAGE_MAX];
-  struct kcp_str text;
-  size_t len;
-
-  check_peers (mesh);
-  mesh->gateway->vms = kcp_mesh_count (mesh);
-  kcp_mesh_message_init (&message);
-  make_message (mesh, &message);
-  len = kcp_mesh_message_encode (&message, bytes, sizeof bytes);
-  text = (struct kcp_str){ .data = bytes, .len = len };
-  if (len > 0)
-    {
-      tell_some (mesh, text, true, &mesh->near, NEAR_BYTES_A_TELLING);
-      tell_some (mesh, text, false, &mesh->far, FAR_BYTES_A_TELLING);
-    }
-  if (len > 0 && mesh->number % SILENT_EVERY == 0)
-    tell_silent (mesh, text);
-  kcp_mesh_message_clear (&message);
-  kcp_loop_timer_set (loop, &mesh->tell, kcp_loop_now (loop) + TELL_MS * KCP_NS_PER_MS,
-                      tell, mesh);
-}
-
-static void
-make_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
-{
-  const GPtrArray *servers = kcp_servers_all (mesh->gateway->servers);
-  const GPtrArray *stores = kcp_servers_stores (mesh->gateway->servers);
-
-  g_strlcpy (message->vm, mesh->own, sizeof message->vm);
-  g_strlcpy (message->data_center, mesh->gateway->settings->vm_data_center,
-             sizeof message->data_center);
-  message->start = mesh->start;
-  message->number = ++mesh->number;
-  message->leaving = mesh->leaving;
-  for (guint i = 0; i < servers->len && message->rows->len < KCP_MESH_ROWS_MAX; i++)
-    add_row (mesh, message, g_ptr_array_index (servers, i));
-  for (guint i = 0; i < stores->len && message->rows->len < KCP_MESH_ROWS_MAX; i++)
-    add_row (mesh, message, g_ptr_array_index (stores, i));
-}
-
-/* Servers of which there is nothing to say are left out. */
-static void
-add_row (struct kcp_mesh *mesh, struct kcp_mesh_message *message,
-         struct kcp_server *server)
-{
-  int64_t now = kcp_loop_now (mesh->gateway->loop);
-  int64_t loading_ns = server->own_loading_until_ns - now;
-  bool read = server->held_by_own && server->held != NULL;
-  struct kcp_mesh_row *row;
-
-  if (server->open == 0 && loading_ns <= 0 && !read
-      && now - server->version_learned_ns > SILENT_LEAST_NS)
-    return;
-  row = kcp_mesh_message_add_row (message);
-  row->server = kcp_server_key (server);
-  row->open = server->open;
-  row->unread_tokens = (uint32_t)MAX (server->unread_tokens, 0);
-  row->version = (uint32_t)kcp_server_first_version (server);
-  row->loading_ms = loading_ns > 0 ? (uint32_t)(loading_ns / KCP_NS_PER_MS) : 0;
-  row->read = read;
-  kcp_server_drop_sent_parts (server, now - SENT_TOLD_NS);
-  for (guint i = 0; server->sent_parts != NULL && i < server->sent_parts->len
-                    && i < KCP_MESH_PARTS_MAX;
-       i++)
-    g_array_append_val (row->sent,
-                        g_array_index (server->sent_parts, struct kcp_sent_part, i).part);
-  for (guint i = 0; read && i < server->held->len && i < KCP_MESH_PARTS_MAX; i++)
-    g_array_append_val (row->parts, g_array_index (server->held, uint64_t, i));
-}
-
-/* Tells as many live VMs of this data center, or of the others, as the share allows. */
-static void
-tell_some (struct kcp_mesh *mesh, struct kcp_str bytes, bool near, struct share *share,
-           int64_t bytes_more)
-{
-  guint count = mesh->peers->len;
-
-  share->bytes
-      = MIN (share->bytes + bytes_more, TELLINGS_SAVED * bytes_more + (int64_t)bytes.len);
-  for (guint i = 0; i < count && share->bytes >= (int64_t)bytes.len; i++)
-    {
-      const struct peer *peer = g_ptr_array_index (mesh->peers, share->turn % count);
-
-      share->turn = (share->turn + 1) % count;
-      if (!peer->alive || is_near (mesh, peer) != near)
-        continue;
-      send_to (mesh, peer, bytes);
-      share->bytes -= (int64_t)bytes.len;
-    }
-}
-
-static void
-tell_silent (struct kcp_mesh *mesh, struct kcp_str bytes)
-{
-  for (guint i = 0; i < mesh->peers->len; i++)
-    {
-      const struct peer *peer = g_ptr_array_index (mesh->peers, i);
-
-      if (!peer->alive)
-        send_to (mesh, peer, bytes);
-    }
-}
-
-/* A datagram that the kernel does not take is as one that is lost on the way. */
-static void
-send_to (struct kcp_mesh *mesh, const struct peer *peer, struct kcp_str bytes)
-{
-  kcp_counter_add (KCP_COUNT_RPC_SENT, 1);
-  (void)sendto (mesh->fd, bytes.data, bytes.len, 0,
-                (const struct sockaddr *)&peer->address, sizeof peer->address);
-}
-
-static bool
-is_near (const struct kcp_mesh *mesh, const struct peer *peer)
-{
-  return strcmp (peer->data_center, mesh->gateway->settings->vm_data_center) == 0;
-}
-
 /* Returns after what silence a VM is taken as away. */
 static int64_t
-silent_ns (const struct peer *peer)
+silent_ns (const struct kcp_mesh_peer *peer)
 {
   if (peer->pause_ns == 0)
     return SILENT_FIRST_NS;
-  return MAX (SILENT_LEAST_NS, SILENT_PAUSES * peer->pause_ns);
+  return MAX (KCP_MESH_SILENT_LEAST_NS, SILENT_PAUSES * peer->pause_ns);
 }
 
 static void
-note_pause (struct peer *peer, int64_t now_ns)
+note_pause (struct kcp_mesh_peer *peer, int64_t now_ns)
 {
   int64_t pause_ns = now_ns - peer->heard_ns;
 
@@ -447,7 +259,7 @@
 static void
 take_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
 {
-  struct peer *peer = find_peer (mesh, message->vm);
+  struct kcp_mesh_peer *peer = find_peer (mesh, message->vm);
   GArray *rows;
 
   if (strcmp (message->vm, mesh->own) == 0)
@@ -472,12 +284,12 @@
   message->rows = rows;
 }
 
-static struct peer *
+static struct kcp_mesh_peer *
 find_peer (struct kcp_mesh *mesh, const char *vm)
 {
   for (guint i = 0; i < mesh->peers->len; i++)
     {
-      struct peer *peer = g_ptr_array_index (mesh->peers, i);
+      struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
 
       if (strcmp (peer->vm, vm) == 0)
         return peer;
@@ -486,16 +298,16 @@
 }
 
 /* Returns a new peer, or NULL if its name is no address or this VM's own. */
-static struct peer *
+static struct kcp_mesh_peer *
 make_peer (struct kcp_mesh *mesh, const char *vm)
 {
-  struct peer *peer;
+  struct kcp_mesh_peer *peer;
   struct sockaddr_in address;
   struct kcp_error error;
 
   if (strcmp (vm, mesh->own) == 0 || !kcp_server_loop_address (vm, &address, &error))
     return NULL;
-  peer = g_new0 (struct peer, 1);
+  peer = g_new0 (struct kcp_mesh_peer, 1);
   g_strlcpy (peer->vm, vm, sizeof peer->vm);
   peer->address = address;
   peer->listed_ns = kcp_loop_now (mesh->gateway->loop);
@@ -505,14 +317,14 @@
 }
 
 /* Takes silent VMs as away, and forgets those that stay so. */
-static void
-check_peers (struct kcp_mesh *mesh)
+void
+kcp_mesh_check_peers (struct kcp_mesh *mesh)
 {
   int64_t now = kcp_loop_now (mesh->gateway->loop);
 
   for (guint i = mesh->peers->len; i > 0; i--)
     {
-      struct peer *peer = g_ptr_array_index (mesh->peers, i - 1);
+      struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i - 1);
       int64_t last_ns = MAX (peer->heard_ns, peer->listed_ns);
 
       if (peer->alive && now - peer->heard_ns > silent_ns (peer))
@@ -544,7 +356,7 @@
     }
   for (guint i = 0; i < mesh->peers->len; i++)
     {
-      const struct peer *peer = g_ptr_array_index (mesh->peers, i);
+      const struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
 
       for (guint j = 0; peer->alive && j < peer->seen.rows->len; j++)
         take_row (mesh, peer, &g_array_index (peer->seen.rows, struct kcp_mesh_row, j));
@@ -552,7 +364,8 @@
 }
 
 static void
-take_row (struct kcp_mesh *mesh, const struct peer *peer, const struct kcp_mesh_row *row)
+take_row (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer,
+          const struct kcp_mesh_row *row)
 {
   struct kcp_server *server = kcp_servers_find_key (mesh->gateway->servers, row->server);
   int64_t now = kcp_loop_now (mesh->gateway->loop);
@@ -577,7 +390,7 @@
 static void
 peer_free (gpointer data)
 {
-  struct peer *peer = data;
+  struct kcp_mesh_peer *peer = data;
 
   kcp_mesh_message_clear (&peer->seen);
   g_free (peer);
--- /dev/null
+++ b/src/forward/mesh_private.h
@@ -0,0 +1,60 @@
+/* What the files of the exchange between VMs share. */
+#ifndef KCP_FORWARD_MESH_PRIVATE_H
+#define KCP_FORWARD_MESH_PRIVATE_H
+
+#include <netinet/in.h>
+
+#include "forward/mesh.h"
+#include "forward/mesh_message.h"
+
+/* A server's version that was learned longer ago is in its entry by now, and a VM that is
+   silent for longer may be away. */
+#define KCP_MESH_SILENT_LEAST_NS (1500 * KCP_NS_PER_MS)
+
+/* Another VM. */
+struct kcp_mesh_peer
+{
+  char vm[64]; /* IP:PORT */
+  struct sockaddr_in address;
+  char data_center[64];
+  uint64_t start;
+  uint64_t number;
+  int64_t heard_ns; /* 0: only listed */
+  int64_t pause_ns; /* usual time between its messages; 0: not known */
+  int64_t listed_ns;
+  bool alive;
+  struct kcp_mesh_message seen; /* its newest message */
+};
+
+/* Bytes that may be told to one group of VMs, and whose turn it is there. */
+struct kcp_mesh_share
+{
+  int64_t bytes;
+  guint turn; /* where in the list of VMs the next telling begins */
+};
+
+struct kcp_mesh
+{
+  struct kcp_gateway *gateway;
+  const struct kcp_store *store;
+  int fd;
+  char own[64];
+  uint64_t start;
+  uint64_t number;
+  struct kcp_mesh_share near;
+  struct kcp_mesh_share far;
+  bool leaving;
+  bool entered; /* this VM stands in it */
+  GPtrArray *peers;
+  struct kcp_loop_timer tell;
+  struct kcp_loop_timer list;
+};
+
+/* mesh_tell.c */
+void kcp_mesh_tell (void *user);
+bool kcp_mesh_is_near (const struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer);
+
+/* mesh.c */
+void kcp_mesh_check_peers (struct kcp_mesh *mesh);
+
+#endif
--- /dev/null
+++ b/src/forward/mesh_tell.c
@@ -0,0 +1,152 @@
+/* Tells the other VMs, by turns and within a budget of bytes. */
+#include <string.h>
+#include <sys/socket.h>
+
+#include "base/counter.h"
+#include "forward/mesh_private.h"
+
+#define TELL_MS 100
+/* What the exchange may cost, whatever the number of VMs, who take turns: 20 KB/s within
+   the data centre and 10 KB/s to the others, whose bytes are dear. */
+#define NEAR_BYTES_A_TELLING 2000
+#define FAR_BYTES_A_TELLING  1000
+#define TELLINGS_SAVED       4   /* that unspent bytes last for */
+#define SILENT_EVERY         10u /* VMs taken as away are told each so many tellings */
+/* What a server keeps shows in its events by then. */
+#define SENT_TOLD_NS (1200 * KCP_NS_PER_MS)
+
+static void make_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
+static void add_row (struct kcp_mesh *mesh, struct kcp_mesh_message *message,
+                     struct kcp_server *server);
+static void tell_some (struct kcp_mesh *mesh, struct kcp_str bytes, bool near,
+                       struct kcp_mesh_share *share, int64_t bytes_more);
+static void tell_silent (struct kcp_mesh *mesh, struct kcp_str bytes);
+static void
+send_to (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer, struct kcp_str bytes);
+
+/* Tells what this VM sees of the servers, and sets the timer for the next time. */
+void
+kcp_mesh_tell (void *user)
+{
+  struct kcp_mesh *mesh = user;
+  struct kcp_loop *loop = mesh->gateway->loop;
+  struct kcp_mesh_message message;
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  struct kcp_str text;
+  size_t len;
+
+  kcp_mesh_check_peers (mesh);
+  mesh->gateway->vms = kcp_mesh_count (mesh);
+  kcp_mesh_message_init (&message);
+  make_message (mesh, &message);
+  len = kcp_mesh_message_encode (&message, bytes, sizeof bytes);
+  text = (struct kcp_str){ .data = bytes, .len = len };
+  if (len > 0)
+    {
+      tell_some (mesh, text, true, &mesh->near, NEAR_BYTES_A_TELLING);
+      tell_some (mesh, text, false, &mesh->far, FAR_BYTES_A_TELLING);
+    }
+  if (len > 0 && mesh->number % SILENT_EVERY == 0)
+    tell_silent (mesh, text);
+  kcp_mesh_message_clear (&message);
+  kcp_loop_timer_set (loop, &mesh->tell, kcp_loop_now (loop) + TELL_MS * KCP_NS_PER_MS,
+                      kcp_mesh_tell, mesh);
+}
+
+static void
+make_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
+{
+  const GPtrArray *servers = kcp_servers_all (mesh->gateway->servers);
+  const GPtrArray *stores = kcp_servers_stores (mesh->gateway->servers);
+
+  g_strlcpy (message->vm, mesh->own, sizeof message->vm);
+  g_strlcpy (message->data_center, mesh->gateway->settings->vm_data_center,
+             sizeof message->data_center);
+  message->start = mesh->start;
+  message->number = ++mesh->number;
+  message->leaving = mesh->leaving;
+  for (guint i = 0; i < servers->len && message->rows->len < KCP_MESH_ROWS_MAX; i++)
+    add_row (mesh, message, g_ptr_array_index (servers, i));
+  for (guint i = 0; i < stores->len && message->rows->len < KCP_MESH_ROWS_MAX; i++)
+    add_row (mesh, message, g_ptr_array_index (stores, i));
+}
+
+/* Servers of which there is nothing to say are left out. */
+static void
+add_row (struct kcp_mesh *mesh, struct kcp_mesh_message *message,
+         struct kcp_server *server)
+{
+  int64_t now = kcp_loop_now (mesh->gateway->loop);
+  int64_t loading_ns = server->own_loading_until_ns - now;
+  bool read = server->held_by_own && server->held != NULL;
+  struct kcp_mesh_row *row;
+
+  if (server->open == 0 && loading_ns <= 0 && !read
+      && now - server->version_learned_ns > KCP_MESH_SILENT_LEAST_NS)
+    return;
+  row = kcp_mesh_message_add_row (message);
+  row->server = kcp_server_key (server);
+  row->open = server->open;
+  row->unread_tokens = (uint32_t)MAX (server->unread_tokens, 0);
+  row->version = (uint32_t)kcp_server_first_version (server);
+  row->loading_ms = loading_ns > 0 ? (uint32_t)(loading_ns / KCP_NS_PER_MS) : 0;
+  row->read = read;
+  kcp_server_drop_sent_parts (server, now - SENT_TOLD_NS);
+  for (guint i = 0; server->sent_parts != NULL && i < server->sent_parts->len
+                    && i < KCP_MESH_PARTS_MAX;
+       i++)
+    g_array_append_val (row->sent,
+                        g_array_index (server->sent_parts, struct kcp_sent_part, i).part);
+  for (guint i = 0; read && i < server->held->len && i < KCP_MESH_PARTS_MAX; i++)
+    g_array_append_val (row->parts, g_array_index (server->held, uint64_t, i));
+}
+
+/* Tells as many live VMs of this data center, or of the others, as the share allows. */
+static void
+tell_some (struct kcp_mesh *mesh, struct kcp_str bytes, bool near,
+           struct kcp_mesh_share *share, int64_t bytes_more)
+{
+  guint count = mesh->peers->len;
+
+  share->bytes
+      = MIN (share->bytes + bytes_more, TELLINGS_SAVED * bytes_more + (int64_t)bytes.len);
+  for (guint i = 0; i < count && share->bytes >= (int64_t)bytes.len; i++)
+    {
+      const struct kcp_mesh_peer *peer
+          = g_ptr_array_index (mesh->peers, share->turn % count);
+
+      share->turn = (share->turn + 1) % count;
+      if (!peer->alive || kcp_mesh_is_near (mesh, peer) != near)
+        continue;
+      send_to (mesh, peer, bytes);
+      share->bytes -= (int64_t)bytes.len;
+    }
+}
+
+static void
+tell_silent (struct kcp_mesh *mesh, struct kcp_str bytes)
+{
+  for (guint i = 0; i < mesh->peers->len; i++)
+    {
+      const struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
+
+      if (!peer->alive)
+        send_to (mesh, peer, bytes);
+    }
+}
+
+/* A datagram that the kernel does not take is as one that is lost on the way. */
+static void
+send_to (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer, struct kcp_str bytes)
+{
+  kcp_counter_add (KCP_COUNT_RPC_SENT, 1);
+  (void)sendto (mesh->fd, bytes.data, bytes.len, 0,
+                (const struct sockaddr *)&peer->address, sizeof peer->address);
+}
+
+/* Tells whether the other VM is in this one's data center. */
+bool
+kcp_mesh_is_near (const struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer)
+{
+  return strcmp (peer->data_center, mesh->gateway->settings->vm_data_center) == 0;
+}
