--- a/standin/main.c
+++ b/standin/main.c
@@ -89,16 +89,25 @@
 /* Sends a JSON document and takes over the reference to it. */
 enum MHD_Result
 standin_answer (const struct standin_request *request, unsigned status, json_t *document)
+{
+  return standin_answer_as (request, standin_header (request, "Kingcuppoint-Request"),
+                            status, document);
+}
+
+/* Sends a JSON answer that bears the id of an attempt, which may be another one's; NULL:
+   none. Takes over document. */
+enum MHD_Result
+standin_answer_as (const struct standin_request *request, const char *attempt,
+                   unsigned status, json_t *document)
 {
   char *text = json_dumps (document, JSON_COMPACT);
   struct MHD_Response *response
       = MHD_create_response_from_buffer (strlen (text), text, MHD_RESPMEM_MUST_FREE);
-  const char *echo = standin_header (request, "Kingcuppoint-Request");
   enum MHD_Result result;
 
   MHD_add_response_header (response, "Content-Type", "application/json");
-  if (echo != NULL)
-    MHD_add_response_header (response, "Kingcuppoint-Request", echo);
+  if (attempt != NULL)
+    MHD_add_response_header (response, "Kingcuppoint-Request", attempt);
   result = MHD_queue_response (request->connection, status, response);
   MHD_destroy_response (response);
   json_decref (document);
--- a/standin/service.c
+++ b/standin/service.c
@@ -16,7 +16,8 @@
 static json_t *calls;      /* of each execution: its key and its Content-Type */
 static const char *own_name;
 static int64_t delay_ms;
-static int64_t lose_answers; /* so many calls close the connection after they ran */
+static int64_t lose_answers;  /* so many calls close the connection after they ran */
+static int64_t cross_answers; /* so many answers bear another attempt's id */
 
 static void
 start (const struct standin_options *options)
@@ -27,7 +28,7 @@
 }
 
 /* GET /executions answers the counts, GET /calls the executions in order; PUT /faults
-   {"delay_ms": N, "lose_answers": N}; anything else is executed. */
+   {"delay_ms": N, "lose_answers": N, "cross_answers": N}; anything else is executed. */
 static enum MHD_Result
 handle (const struct standin_request *request)
 {
@@ -50,6 +51,7 @@
   json_int_t count = 0;
   int64_t wait_ms;
   bool lose;
+  bool cross;
 
   pthread_mutex_lock (&lock);
   if (key != NULL)
@@ -62,16 +64,18 @@
     }
   lose = lose_answers > 0;
   lose_answers -= lose;
+  cross = cross_answers > 0;
+  cross_answers -= cross;
   wait_ms = delay_ms;
   pthread_mutex_unlock (&lock);
   if (wait_ms > 0)
     g_usleep ((gulong)(wait_ms * G_TIME_SPAN_MILLISECOND));
   if (lose)
     return MHD_NO;
-  return standin_answer (request, 200,
-                         json_pack ("{ssssss#sI}", "service", own_name, "path",
-                                    request->path, "body", request->body.data,
-                                    (int)request->body.len, "execution", count));
+  return standin_answer_as (
+      request, cross ? "another" : standin_header (request, "Kingcuppoint-Request"), 200,
+      json_pack ("{ssssss#sI}", "service", own_name, "path", request->path, "body",
+                 request->body.data, (int)request->body.len, "execution", count));
 }
 
 static enum MHD_Result
@@ -82,6 +86,7 @@
   pthread_mutex_lock (&lock);
   delay_ms = json_integer_value (json_object_get (faults, "delay_ms"));
   lose_answers = json_integer_value (json_object_get (faults, "lose_answers"));
+  cross_answers = json_integer_value (json_object_get (faults, "cross_answers"));
   pthread_mutex_unlock (&lock);
   json_decref (faults);
   return standin_answer (request, 200, json_object ());
--- a/standin/standin.h
+++ b/standin/standin.h
@@ -45,6 +45,9 @@
 
 enum MHD_Result
 standin_answer (const struct standin_request *request, unsigned status, json_t *document);
+enum MHD_Result
+standin_answer_as (const struct standin_request *request, const char *attempt,
+                   unsigned status, json_t *document);
 int64_t standin_query_int (const struct standin_request *request, const char *name,
                            int64_t standard);
 const char *standin_header (const struct standin_request *request, const char *name);
--- a/tests/process/test_services.c
+++ b/tests/process/test_services.c
@@ -59,6 +59,36 @@
 }
 END_TEST
 
+/* Answers that bear another attempt's id are not the caller's: a lookup is made again,
+   and a booking, which may have run, is answered as such. */
+START_TEST (test_an_answer_of_another_attempt_is_never_passed_on)
+{
+  static const char *const profiles[] = { "lookup", "booking" };
+
+  for (int round = 0; round < 4; round++)
+    {
+      const char *profile = profiles[round % 2];
+      g_autofree char *key = g_strdup_printf ("crossed-%d", round);
+      struct client_answer answer;
+
+      for (guint i = 0; i < cluster->services->len; i++)
+        cluster_faults (g_ptr_array_index (cluster->services, i),
+                        "{\"cross_answers\":1000}");
+      answer = client_run (&(struct client_call){
+          .port = cluster_vm (cluster, 0)->port,
+          .path = "/services/" CLUSTER_SERVICE "/call",
+          .key = CLUSTER_TEAM_KEY,
+          .profile = profile,
+          .idempotency_key = key,
+          .body = "{}",
+      });
+      ck_assert_msg (answer.status != 200, "%s: %s", key, answer.body->str);
+      ck_assert_ptr_null (strstr (answer.body->str, "\"execution\":1"));
+      client_answer_clear (&answer);
+    }
+}
+END_TEST
+
 START_TEST (test_a_second_process_on_the_same_port_does_not_start)
 {
   g_autofree char *first = g_strdup_printf ("%s/vm-1.ini", cluster->folder);
@@ -92,6 +122,7 @@
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 30);
   tcase_add_test (tests, test_a_dead_server_costs_no_call);
+  tcase_add_test (tests, test_an_answer_of_another_attempt_is_never_passed_on);
   tcase_add_test (tests, test_a_second_process_on_the_same_port_does_not_start);
   suite_add_tcase (suite, tests);
   return run_suite (suite);
