--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -15,7 +15,7 @@
 #include "cmd/cmd.h"
 #include "cmd/options.h"
 #include "forward/cache_reader.h"
-#include "forward/door.h"
+#include "forward/caller_server.h"
 #include "forward/feed.h"
 #include "forward/gateway.h"
 #include "forward/mesh.h"
@@ -40,9 +40,9 @@
   struct kcp_mesh *mesh;
   struct kcp_cache_reader *cache_reader;
   struct kcp_rollout *rollout;
-  struct kcp_door *door;
-  struct kcp_side_door *ready;
-  struct kcp_side_door *metrics;
+  struct kcp_caller_server *callers;
+  struct kcp_text_server *ready;
+  struct kcp_text_server *metrics;
   struct kcp_loop_timer drain;
   struct kcp_loop_timer watch;
   struct timespec changed; /* of the settings file, when it was last read */
@@ -154,19 +154,20 @@
   struct kcp_gateway *gateway = &vm->gateway;
   struct kcp_error error;
 
-  vm->ready = kcp_side_door_open (gateway->loop, settings->ready_listen,
-                                  gateway->dialect->ready_path, answer_ready, vm, &error);
+  vm->ready
+      = kcp_text_server_open (gateway->loop, settings->ready_listen,
+                              gateway->dialect->ready_path, answer_ready, vm, &error);
   if (vm->ready == NULL)
     goto fail;
   if (settings->metrics_listen != NULL)
     {
-      vm->metrics = kcp_side_door_open (gateway->loop, settings->metrics_listen, NULL,
-                                        answer_metrics, vm, &error);
+      vm->metrics = kcp_text_server_open (gateway->loop, settings->metrics_listen, NULL,
+                                          answer_metrics, vm, &error);
       if (vm->metrics == NULL)
         goto fail;
     }
-  vm->door = kcp_door_open (gateway, settings->callers_listen, &error);
-  if (vm->door == NULL)
+  vm->callers = kcp_caller_server_open (gateway, settings->callers_listen, &error);
+  if (vm->callers == NULL)
     goto fail;
   vm->store = kcp_platform_store_new (gateway->client, settings->store_address,
                                       settings->store_timeout_ms);
@@ -195,9 +196,9 @@
            KCP_LOG_INT ("log_lines_dropped", kcp_decision_log_dropped ()));
   kcp_loop_timer_cancel (&vm->drain);
   kcp_loop_timer_cancel (&vm->watch);
-  kcp_door_close (vm->door);
-  kcp_side_door_close (vm->ready);
-  kcp_side_door_close (vm->metrics);
+  kcp_caller_server_close (vm->callers);
+  kcp_text_server_close (vm->ready);
+  kcp_text_server_close (vm->metrics);
   kcp_rollout_stop (vm->rollout);
   kcp_cache_reader_stop (vm->cache_reader);
   kcp_mesh_stop (vm->mesh);
@@ -282,7 +283,7 @@
     {
       vm->gateway.closing = true;
       KCP_LOG ("closing", KCP_LOG_INT ("open_requests", vm->gateway.open_requests));
-      kcp_door_close_idle (vm->door);
+      kcp_caller_server_close_idle (vm->callers);
     }
   if ((noticed && vm->gateway.open_requests == 0) || passed_ns >= most_ns)
     kcp_loop_stop (loop);
--- a/src/forward/answer.h
+++ b/src/forward/answer.h
@@ -1,4 +1,5 @@
-/* The answer to one caller on its way: filled by the request, taken by the door. */
+/* The answer to one caller on its way: filled by the request, taken by the server of
+ * callers. */
 #ifndef KCP_FORWARD_ANSWER_H
 #define KCP_FORWARD_ANSWER_H
 
@@ -18,7 +19,7 @@
   bool streaming;
   unsigned status;
   GPtrArray *headers; /* name, value, name, value ... */
-  GString *body;      /* what the door has not taken yet */
+  GString *body;      /* what the server of callers has not taken yet */
   enum kcp_answer_end end;
   /* Called after each change. */
   void (*changed) (void *user);
--- a/src/forward/cached_parts.c
+++ b/src/forward/cached_parts.c
@@ -26,10 +26,10 @@
 
 /* The last part belongs to one request or session. */
 bool
-kcp_cached_has_long_part (const struct kcp_ask *ask)
+kcp_cached_has_long_part (const struct kcp_inbound *inbound)
 {
-  return ask->parts != NULL && ask->parts->len > 1
-         && g_array_index (ask->parts, struct kcp_prompt_part, 0).tokens
+  return inbound->parts != NULL && inbound->parts->len > 1
+         && g_array_index (inbound->parts, struct kcp_prompt_part, 0).tokens
                 >= KCP_LONG_PART_TOKENS;
 }
 
@@ -41,7 +41,7 @@
   const struct kcp_team_access *team = choice->team;
   bool isolated = team != NULL && team->isolated;
 
-  return g_strdup_printf ("%s/%" G_GINT64_FORMAT "/%s", choice->ask->model, version,
+  return g_strdup_printf ("%s/%" G_GINT64_FORMAT "/%s", choice->inbound->model, version,
                           isolated ? team->name : "");
 }
 
@@ -60,14 +60,14 @@
 kcp_cached_unread (struct kcp_gateway *gateway, const struct kcp_choice *choice,
                    const struct kcp_server *server, int64_t *repeated)
 {
-  const GArray *parts = choice->ask->parts;
-  int64_t tokens = choice->ask->prompt_tokens;
+  const GArray *parts = choice->inbound->parts;
+  int64_t tokens = choice->inbound->prompt_tokens;
   g_autofree char *space = NULL;
 
   *repeated = 0;
-  if (!kcp_cached_has_long_part (choice->ask))
+  if (!kcp_cached_has_long_part (choice->inbound))
     return tokens;
-  space = kcp_cached_space (choice, kcp_server_version (server, choice->ask->model));
+  space = kcp_cached_space (choice, kcp_server_version (server, choice->inbound->model));
   for (guint i = 0; i + 1 < parts->len; i++)
     {
       const struct kcp_prompt_part *part
@@ -92,13 +92,13 @@
 {
   const GPtrArray *servers = kcp_servers_all (gateway->servers);
   const struct kcp_prompt_part *first
-      = &g_array_index (choice->ask->parts, struct kcp_prompt_part, 0);
+      = &g_array_index (choice->inbound->parts, struct kcp_prompt_part, 0);
 
   for (guint i = 0; i < servers->len; i++)
     {
       const struct kcp_server *server = g_ptr_array_index (servers, i);
-      g_autofree char *space
-          = kcp_cached_space (choice, kcp_server_version (server, choice->ask->model));
+      g_autofree char *space = kcp_cached_space (
+          choice, kcp_server_version (server, choice->inbound->model));
 
       if (believed_at (gateway, server, kcp_part_key (space, first->id)))
         return true;
@@ -113,7 +113,7 @@
 {
   const struct kcp_server *store = find_store (gateway);
   const struct kcp_prompt_part *part
-      = &g_array_index (choice->ask->parts, struct kcp_prompt_part, 0);
+      = &g_array_index (choice->inbound->parts, struct kcp_prompt_part, 0);
   uint64_t key = kcp_part_key (choice->cache_space, part->id);
   bool stored = store != NULL && store_has (gateway, store, key);
 
--- a/src/forward/cached_parts.h
+++ b/src/forward/cached_parts.h
@@ -8,7 +8,7 @@
 /* Parts from this size on are worth a place of their own, a fetch and a save. */
 #define KCP_LONG_PART_TOKENS 1024
 
-bool kcp_cached_has_long_part (const struct kcp_ask *ask);
+bool kcp_cached_has_long_part (const struct kcp_inbound *inbound);
 char *kcp_cached_space (const struct kcp_choice *choice, int64_t version);
 uint64_t kcp_part_key (const char *cache_space, const char *part);
 int64_t kcp_cached_unread (struct kcp_gateway *gateway, const struct kcp_choice *choice,
--- a/src/forward/door.c
+++ b/src/forward/caller_server.c
@@ -1,4 +1,4 @@
-#include "forward/door.h"
+#include "forward/caller_server.h"
 
 #include <string.h>
 #include <sys/epoll.h>
@@ -15,19 +15,19 @@
 #define CONNECTIONS_MAX    3000u
 #define STATUS_BAD_REQUEST MHD_HTTP_BAD_REQUEST
 
-struct kcp_door
+struct kcp_caller_server
 {
   struct kcp_gateway *gateway;
   struct kcp_server_loop server;
   GHashTable *callers; /* set of struct caller */
 };
 
-/* One request of a caller and its answer, on the way through the door. */
+/* One request of a caller and its answer, on the way through the server. */
 struct exchange
 {
-  struct kcp_door *door;
+  struct kcp_caller_server *server;
   struct MHD_Connection *connection;
-  struct kcp_ask *ask; /* until the request is started */
+  struct kcp_inbound *inbound; /* until the request is started */
   struct kcp_forward *forward;
   struct kcp_answer answer;
   bool head_read;
@@ -38,7 +38,7 @@
 /* One connection, for as long as it is open. */
 struct caller
 {
-  struct kcp_door *door;
+  struct kcp_caller_server *server;
   int fd;
   struct MHD_Connection *connection;
   struct exchange *exchange; /* under way, or NULL */
@@ -48,7 +48,7 @@
 /* What is wrong with a request's head. */
 struct head_check
 {
-  struct kcp_ask *ask;
+  struct kcp_inbound *inbound;
   const struct kcp_dialect *dialect;
   const char *dropped; /* names that concern only this connection, or NULL */
   unsigned lengths;
@@ -88,40 +88,41 @@
 static struct caller *caller_of (struct MHD_Connection *connection);
 
 /* Opens the callers' server at an IP:PORT. */
-struct kcp_door *
-kcp_door_open (struct kcp_gateway *gateway, const char *address, struct kcp_error *error)
+struct kcp_caller_server *
+kcp_caller_server_open (struct kcp_gateway *gateway, const char *address,
+                        struct kcp_error *error)
 {
-  struct kcp_door *door = g_new0 (struct kcp_door, 1);
+  struct kcp_caller_server *server = g_new0 (struct kcp_caller_server, 1);
   struct sockaddr_in at;
   struct MHD_Daemon *daemon;
 
-  door->gateway = gateway;
-  door->callers = g_hash_table_new (NULL, NULL);
+  server->gateway = gateway;
+  server->callers = g_hash_table_new (NULL, NULL);
   if (!kcp_server_loop_address (address, &at, error))
     goto fail;
   daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, ntohs (at.sin_port), NULL,
-      NULL, on_access, door, MHD_OPTION_SOCK_ADDR, &at,
+      NULL, on_access, server, MHD_OPTION_SOCK_ADDR, &at,
       MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
       MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT,
-      IDLE_TIMEOUT_S, MHD_OPTION_URI_LOG_CALLBACK, on_uri, door,
-      MHD_OPTION_NOTIFY_CONNECTION, on_connection, door, MHD_OPTION_NOTIFY_COMPLETED,
-      on_completed, door, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
-  if (kcp_server_loop_start (&door->server, gateway->loop, daemon, address, error))
-    return door;
+      IDLE_TIMEOUT_S, MHD_OPTION_URI_LOG_CALLBACK, on_uri, server,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_NOTIFY_COMPLETED,
+      on_completed, server, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+  if (kcp_server_loop_start (&server->server, gateway->loop, daemon, address, error))
+    return server;
 fail:
-  kcp_door_close (door);
+  kcp_caller_server_close (server);
   return NULL;
 }
 
 /* Closes the connections on which no request is under way, soon after this call. */
 void
-kcp_door_close_idle (struct kcp_door *door)
+kcp_caller_server_close_idle (struct kcp_caller_server *server)
 {
   GHashTableIter iter;
   gpointer key;
 
-  g_hash_table_iter_init (&iter, door->callers);
+  g_hash_table_iter_init (&iter, server->callers);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
       const struct caller *caller = key;
@@ -130,19 +131,19 @@
         MHD_set_connection_option (caller->connection, MHD_CONNECTION_OPTION_TIMEOUT,
                                    CLOSING_TIMEOUT_S);
     }
-  door->server.work = true;
+  server->server.work = true;
 }
 
 /* Closes the server, its connections and their requests; NULL is allowed. */
 void
-kcp_door_close (struct kcp_door *door)
+kcp_caller_server_close (struct kcp_caller_server *server)
 {
-  if (door == NULL)
+  if (server == NULL)
     return;
-  kcp_server_loop_stop (&door->server);
-  if (door->callers != NULL)
-    g_hash_table_unref (door->callers);
-  g_free (door);
+  kcp_server_loop_stop (&server->server);
+  if (server->callers != NULL)
+    g_hash_table_unref (server->callers);
+  g_free (server);
 }
 
 /* Called with the request line's path and query as received. */
@@ -151,11 +152,11 @@
 {
   struct exchange *exchange = g_new0 (struct exchange, 1);
 
-  exchange->door = user;
+  exchange->server = user;
   exchange->connection = connection;
-  exchange->ask = g_new0 (struct kcp_ask, 1);
-  exchange->ask->target = g_strdup (uri);
-  exchange->ask->body = g_string_new (NULL);
+  exchange->inbound = g_new0 (struct kcp_inbound, 1);
+  exchange->inbound->target = g_strdup (uri);
+  exchange->inbound->body = g_string_new (NULL);
   kcp_answer_init (&exchange->answer, on_changed, exchange);
   return exchange;
 }
@@ -166,26 +167,26 @@
 on_connection (void *user, struct MHD_Connection *connection, void **state,
                enum MHD_ConnectionNotificationCode code)
 {
-  struct kcp_door *door = user;
-  struct kcp_poller *poller = kcp_loop_poller (door->gateway->loop);
+  struct kcp_caller_server *server = user;
+  struct kcp_poller *poller = kcp_loop_poller (server->gateway->loop);
   struct caller *caller = *state;
 
   if (code == MHD_CONNECTION_NOTIFY_STARTED)
     {
       caller = g_new0 (struct caller, 1);
-      caller->door = door;
+      caller->server = server;
       caller->fd = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
                        ->connect_fd;
       caller->connection = connection;
       *state = caller;
-      g_hash_table_add (door->callers, caller);
+      g_hash_table_add (server->callers, caller);
       kcp_poller_watch (poller, caller->fd, EPOLLRDHUP | EPOLLET, on_hang_up, caller);
       return;
     }
   if (caller == NULL)
     return;
   kcp_poller_unwatch (poller, caller->fd);
-  g_hash_table_remove (door->callers, caller);
+  g_hash_table_remove (server->callers, caller);
   g_free (caller);
   *state = NULL;
 }
@@ -196,7 +197,7 @@
            void **state)
 {
   struct exchange *exchange = *state;
-  const struct kcp_door *door = user;
+  const struct kcp_caller_server *server = user;
 
   (void)connection;
   (void)url;
@@ -207,8 +208,8 @@
     return read_head (exchange, method);
   if (*size > 0)
     {
-      if (exchange->ask->body->len + *size <= body_max (door->gateway))
-        g_string_append_len (exchange->ask->body, data, (gssize)*size);
+      if (exchange->inbound->body->len + *size <= body_max (server->gateway))
+        g_string_append_len (exchange->inbound->body, data, (gssize)*size);
       else
         exchange->answer.status = MHD_HTTP_CONTENT_TOO_LARGE;
       *size = 0;
@@ -234,9 +235,9 @@
   exchange->gone = true;
   drop_forward (exchange);
   kcp_answer_clear (&exchange->answer);
-  if (exchange->ask != NULL)
-    kcp_ask_clear (exchange->ask);
-  g_free (exchange->ask);
+  if (exchange->inbound != NULL)
+    kcp_inbound_clear (exchange->inbound);
+  g_free (exchange->inbound);
   g_free (exchange);
 }
 
@@ -263,8 +264,8 @@
   struct MHD_Connection *connection = exchange->connection;
   struct caller *caller = caller_of (connection);
   struct head_check check = {
-    .ask = exchange->ask,
-    .dialect = exchange->door->gateway->dialect,
+    .inbound = exchange->inbound,
+    .dialect = exchange->server->gateway->dialect,
     .dropped = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Connection"),
   };
 
@@ -273,8 +274,8 @@
     return MHD_NO;
   if (caller != NULL)
     caller->exchange = exchange;
-  exchange->ask->method = g_strdup (method);
-  exchange->ask->host = g_strdup (
+  exchange->inbound->method = g_strdup (method);
+  exchange->inbound->host = g_strdup (
       MHD_lookup_connection_value (connection, MHD_HEADER_KIND, MHD_HTTP_HEADER_HOST));
   MHD_get_connection_values (connection, MHD_HEADER_KIND, take_header, &check);
   if (check.lengths > 1 || check.encodings > 1 || (check.lengths > 0 && check.encodings))
@@ -282,7 +283,7 @@
   if (check.problem != NULL)
     return reject (exchange, STATUS_BAD_REQUEST, check.problem);
   set_idle_limit (exchange);
-  if (body_is_too_large (connection, exchange->door->gateway))
+  if (body_is_too_large (connection, exchange->server->gateway))
     return reject (exchange, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large");
   return MHD_YES;
 }
@@ -308,13 +309,13 @@
       if (g_ascii_strcasecmp (value, "chunked") != 0)
         check->problem = "unknown_transfer_encoding";
     }
-  if (check->dialect->read_ask_header (check->ask, key, value))
+  if (check->dialect->read_request_header (check->inbound, key, value))
     return MHD_YES;
   if (is_dropped (check, key))
     return MHD_YES;
   line = value[0] != '\0' ? g_strdup_printf ("%s: %s", key, value)
                           : g_strdup_printf ("%s;", key);
-  check->ask->forwarded = curl_slist_append (check->ask->forwarded, line);
+  check->inbound->forwarded = curl_slist_append (check->inbound->forwarded, line);
   return MHD_YES;
 }
 
@@ -368,7 +369,7 @@
 static void
 set_idle_limit (const struct exchange *exchange)
 {
-  const struct kcp_routes *routes = exchange->door->gateway->routes;
+  const struct kcp_routes *routes = exchange->server->gateway->routes;
   int64_t idle_ms = routes != NULL ? routes->limits.idle_timeout_ms : 0;
 
   if (idle_ms > 0)
@@ -403,7 +404,7 @@
       = MHD_create_response_from_buffer (0, "", MHD_RESPMEM_PERSISTENT);
   enum MHD_Result result;
 
-  KCP_LOG ("rejected", KCP_LOG_TEXT ("request", exchange->ask->id),
+  KCP_LOG ("rejected", KCP_LOG_TEXT ("request", exchange->inbound->id),
            KCP_LOG_INT ("status", status), KCP_LOG_TEXT ("why", problem));
   MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
   result = MHD_queue_response (exchange->connection, status, response);
@@ -419,11 +420,11 @@
     return reject (exchange, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large");
   if (exchange->forward == NULL)
     {
-      struct kcp_ask *ask = exchange->ask;
+      struct kcp_inbound *inbound = exchange->inbound;
 
-      exchange->ask = NULL;
+      exchange->inbound = NULL;
       exchange->forward
-          = kcp_forward_start (exchange->door->gateway, ask, &exchange->answer);
+          = kcp_forward_start (exchange->server->gateway, inbound, &exchange->answer);
     }
   if (exchange->answer.begun)
     return send_answer (exchange);
@@ -456,7 +457,7 @@
   for (guint i = 0; i + 1 < answer->headers->len; i += 2)
     MHD_add_response_header (response, g_ptr_array_index (answer->headers, i),
                              g_ptr_array_index (answer->headers, i + 1));
-  if (exchange->door->gateway->draining)
+  if (exchange->server->gateway->draining)
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
   result = MHD_queue_response (exchange->connection, answer->status, response);
   MHD_destroy_response (response);
@@ -505,7 +506,7 @@
   if (!exchange->suspended)
     return;
   exchange->suspended = false;
-  exchange->door->server.work = true;
+  exchange->server->server.work = true;
   MHD_resume_connection (exchange->connection);
 }
 
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -35,7 +35,7 @@
       = g_array_new (FALSE, TRUE, sizeof (struct kcp_place_candidate));
   struct kcp_place_candidate *candidates;
   const struct kcp_place_costs *costs
-      = choice->ask->model != NULL ? &kcp_place_engine_costs : &kcp_place_plain_costs;
+      = choice->inbound->model != NULL ? &kcp_place_engine_costs : &kcp_place_plain_costs;
   int at;
 
   g_array_set_size (facts, servers->len);
@@ -48,10 +48,11 @@
       gather (gateway, choice, g_ptr_array_index (servers, i), &candidates[i]);
       choice->usable += candidates[i].usable;
     }
-  if (kcp_cached_has_long_part (choice->ask) && !kcp_cached_anywhere (gateway, choice))
+  if (kcp_cached_has_long_part (choice->inbound)
+      && !kcp_cached_anywhere (gateway, choice))
     add_home_bonus (choice, servers, candidates);
-  if (!kcp_cached_has_long_part (choice->ask) && choice->ask->parts != NULL
-      && choice->ask->parts->len > 1)
+  if (!kcp_cached_has_long_part (choice->inbound) && choice->inbound->parts != NULL
+      && choice->inbound->parts->len > 1)
     mark_home (choice, servers, candidates);
   at = servers->len == 0
            ? KCP_PLACE_NONE
@@ -65,11 +66,11 @@
   choice->weights = 0;
   choice->fetch_from = NULL;
   choice->save_to = NULL;
-  if (choice->ask->model == NULL)
+  if (choice->inbound->model == NULL)
     return;
-  choice->weights = kcp_server_version (choice->server, choice->ask->model);
+  choice->weights = kcp_server_version (choice->server, choice->inbound->model);
   choice->cache_space = kcp_cached_space (choice, choice->weights);
-  if (kcp_cached_has_long_part (choice->ask))
+  if (kcp_cached_has_long_part (choice->inbound))
     kcp_cached_plan (gateway, choice);
 }
 
@@ -84,7 +85,7 @@
 void
 kcp_choice_remember (struct kcp_gateway *gateway, const struct kcp_choice *choice)
 {
-  const GArray *parts = choice->ask->parts;
+  const GArray *parts = choice->inbound->parts;
   int64_t now = kcp_loop_now (gateway->loop);
 
   if (choice->cache_space == NULL || parts == NULL)
@@ -112,7 +113,7 @@
         struct kcp_place_candidate *candidate)
 {
   int64_t now = kcp_loop_now (gateway->loop);
-  const char *model = choice->ask->model;
+  const char *model = choice->inbound->model;
   int64_t free_ns;
 
   candidate->usable = is_usable (choice, server);
@@ -143,8 +144,8 @@
   for (guint i = 0; i < choice->tried->len; i++)
     if (g_ptr_array_index (choice->tried, i) == server)
       return false;
-  return choice->ask->model == NULL
-         || kcp_server_version (server, choice->ask->model) > 0;
+  return choice->inbound->model == NULL
+         || kcp_server_version (server, choice->inbound->model) > 0;
 }
 
 static void
@@ -172,7 +173,7 @@
                 struct kcp_place_candidate *candidates)
 {
   const struct kcp_prompt_part *first
-      = &g_array_index (choice->ask->parts, struct kcp_prompt_part, 0);
+      = &g_array_index (choice->inbound->parts, struct kcp_prompt_part, 0);
   uint64_t best_score = 0;
   struct kcp_place_candidate *home = NULL;
 
@@ -199,7 +200,7 @@
            struct kcp_place_candidate *candidates)
 {
   const struct kcp_prompt_part *part = &g_array_index (
-      choice->ask->parts, struct kcp_prompt_part, choice->ask->parts->len - 2);
+      choice->inbound->parts, struct kcp_prompt_part, choice->inbound->parts->len - 2);
   uint64_t best_score = 0;
   struct kcp_place_candidate *home = NULL;
 
--- a/src/forward/choose.h
+++ b/src/forward/choose.h
@@ -9,14 +9,14 @@
 struct kcp_choice
 {
   /* Needs. */
-  const struct kcp_ask *ask;
+  const struct kcp_inbound *inbound;
   const struct kcp_route *route;
   const struct kcp_team_access *team; /* NULL: none */
   const char *service;
   const GPtrArray *tried; /* struct kcp_server that are not to be taken again */
   /* The choice. */
   struct kcp_server *server; /* borrowed; NULL: none can be used */
-  int64_t weights;           /* version there of the ask's model; 0: no model */
+  int64_t weights;           /* version there of the inbound's model; 0: no model */
   int64_t uncached_tokens;   /* believed */
   char *cache_space;         /* owned; NULL without a model */
   const char *fetch_from;    /* borrowed from servers or routes */
--- a/src/forward/dialect.c
+++ b/src/forward/dialect.c
@@ -2,22 +2,22 @@
 
 /* Frees what a request owns. */
 void
-kcp_ask_clear (struct kcp_ask *ask)
+kcp_inbound_clear (struct kcp_inbound *inbound)
 {
-  g_free (ask->method);
-  g_free (ask->target);
-  g_free (ask->host);
-  curl_slist_free_all (ask->forwarded);
-  if (ask->body != NULL)
-    g_string_free (ask->body, TRUE);
-  g_free (ask->id);
-  g_free (ask->key);
-  g_free (ask->resume_after);
-  g_free (ask->model);
-  for (guint i = 0; ask->parts != NULL && i < ask->parts->len; i++)
-    g_free (g_array_index (ask->parts, struct kcp_prompt_part, i).id);
-  if (ask->parts != NULL)
-    g_array_unref (ask->parts);
+  g_free (inbound->method);
+  g_free (inbound->target);
+  g_free (inbound->host);
+  curl_slist_free_all (inbound->forwarded);
+  if (inbound->body != NULL)
+    g_string_free (inbound->body, TRUE);
+  g_free (inbound->id);
+  g_free (inbound->key);
+  g_free (inbound->resume_after);
+  g_free (inbound->model);
+  for (guint i = 0; inbound->parts != NULL && i < inbound->parts->len; i++)
+    g_free (g_array_index (inbound->parts, struct kcp_prompt_part, i).id);
+  if (inbound->parts != NULL)
+    g_array_unref (inbound->parts);
 }
 
 /* Frees what an answer's head owns. */
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -19,7 +19,7 @@
 };
 
 /* A caller's request. */
-struct kcp_ask
+struct kcp_inbound
 {
   char *method;
   char *target; /* path and query, as received */
@@ -174,7 +174,7 @@
   KCP_OPERATOR_WEIGHTS
 };
 
-struct kcp_operator_word
+struct kcp_operator_record
 {
   enum kcp_operator_kind kind;
   union
@@ -191,7 +191,8 @@
 struct kcp_dialect
 {
   /* Takes in a request's header; false: it is to be passed on unchanged. */
-  bool (*read_ask_header) (struct kcp_ask *ask, const char *name, const char *value);
+  bool (*read_request_header) (struct kcp_inbound *inbound, const char *name,
+                               const char *value);
   /* Appends the header lines of a send to list. */
   void (*write_send) (struct curl_slist **list, const struct kcp_send_head *head);
   /* Takes in an answer's header. */
@@ -211,11 +212,11 @@
   bool (*read_server) (struct kcp_str key, struct kcp_str value,
                        struct kcp_server_entry *entry, const char **why);
   bool (*read_operator) (struct kcp_str key, struct kcp_str value,
-                         struct kcp_operator_word *word, const char **why);
+                         struct kcp_operator_record *word, const char **why);
   const char *ready_path; /* of the balancer's question */
 };
 
-void kcp_ask_clear (struct kcp_ask *ask);
+void kcp_inbound_clear (struct kcp_inbound *inbound);
 void kcp_answer_head_clear (struct kcp_answer_head *head);
 
 #endif
--- a/src/forward/feed.c
+++ b/src/forward/feed.c
@@ -277,27 +277,28 @@
 {
   struct kcp_gateway *gateway = feed->gateway;
   int64_t now = kcp_loop_now (gateway->loop);
-  struct kcp_operator_word word = { .kind = KCP_OPERATOR_OTHER };
+  struct kcp_operator_record content = { .kind = KCP_OPERATOR_OTHER };
   const char *why = NULL;
 
   if (record->value.len == 0)
     return;
-  if (!gateway->dialect->read_operator (record->key, record->value, &word, &why))
+  if (!gateway->dialect->read_operator (record->key, record->value, &content, &why))
     {
       log_unread ("operator_record", record, why);
       return;
     }
-  switch (word.kind)
+  switch (content.kind)
     {
     case KCP_OPERATOR_ROUTES:
-      (void)kcp_gateway_take_routes (gateway, word.routes);
+      (void)kcp_gateway_take_routes (gateway, content.routes);
       break;
     case KCP_OPERATOR_WEIGHTS:
       /* When a version that stood before this process was named is not known. */
       if (feed->operator_.first_listing)
         now -= gateway->settings->weights_replace_ms * KCP_NS_PER_MS / 2;
-      kcp_gateway_name_weights (gateway, word.weights.model, word.weights.version, now);
-      g_free (word.weights.model);
+      kcp_gateway_name_weights (gateway, content.weights.model, content.weights.version,
+                                now);
+      g_free (content.weights.model);
       break;
     case KCP_OPERATOR_OTHER:
       break;
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -9,32 +9,32 @@
 /* Requests whose callers do not say how long they wait, on routes without a limit. */
 #define LIMIT_STANDARD_MS 60000
 
-static bool accept_ask (struct kcp_forward *forward);
+static bool accept_inbound (struct kcp_forward *forward);
 static bool find_team (struct kcp_forward *forward);
 static void set_limit (struct kcp_forward *forward);
 static void send_next (struct kcp_forward *forward);
 static void on_limit (void *user);
 static void server_unref (gpointer data);
 
-/* Starts a request. Takes over ask; answer is the door's and outlives the request. The
-   answer may be complete when this returns. */
+/* Starts a request. Takes over inbound; answer is the caller server's and outlives the
+   request. The answer may be complete when this returns. */
 struct kcp_forward *
-kcp_forward_start (struct kcp_gateway *gateway, struct kcp_ask *ask,
+kcp_forward_start (struct kcp_gateway *gateway, struct kcp_inbound *inbound,
                    struct kcp_answer *answer)
 {
   struct kcp_forward *forward = g_new0 (struct kcp_forward, 1);
 
   forward->gateway = gateway;
-  forward->ask = ask;
+  forward->inbound = inbound;
   forward->answer = answer;
   forward->arrived_ns = kcp_loop_now (gateway->loop);
   forward->tried = g_ptr_array_new_with_free_func (server_unref);
-  forward->choice.ask = ask;
+  forward->choice.inbound = inbound;
   forward->choice.tried = forward->tried;
   kcp_event_cutter_init (&forward->cutter);
   gateway->open_requests++;
   kcp_counter_add (KCP_COUNT_REQUESTS, 1);
-  if (accept_ask (forward))
+  if (accept_inbound (forward))
     {
       set_limit (forward);
       kcp_resend_budget_add_request (
@@ -57,19 +57,19 @@
   kcp_event_cutter_clear (&forward->cutter);
   g_ptr_array_unref (forward->tried);
   kcp_routes_unref (forward->routes);
-  kcp_ask_clear (forward->ask);
-  g_free (forward->ask);
+  kcp_inbound_clear (forward->inbound);
+  g_free (forward->inbound);
   g_free (forward);
 }
 
 /* Finds route and team; false: the request has been answered. */
 static bool
-accept_ask (struct kcp_forward *forward)
+accept_inbound (struct kcp_forward *forward)
 {
   struct kcp_gateway *gateway = forward->gateway;
-  struct kcp_ask *ask = forward->ask;
+  struct kcp_inbound *inbound = forward->inbound;
 
-  if (ask->id == NULL)
+  if (inbound->id == NULL)
     {
       kcp_forward_end_with (forward, MHD_HTTP_BAD_REQUEST, "not_run", "no_request_id");
       return false;
@@ -80,8 +80,8 @@
       return false;
     }
   forward->routes = kcp_routes_ref (gateway->routes);
-  forward->choice.route = kcp_routes_find (forward->routes, kcp_str_from_c (ask->host),
-                                           kcp_str_from_c (ask->target));
+  forward->choice.route = kcp_routes_find (
+      forward->routes, kcp_str_from_c (inbound->host), kcp_str_from_c (inbound->target));
   if (forward->choice.route == NULL)
     {
       kcp_forward_end_with (forward, MHD_HTTP_NOT_FOUND, "not_run", "no_route");
@@ -100,19 +100,20 @@
 static bool
 find_team (struct kcp_forward *forward)
 {
-  const struct kcp_ask *ask = forward->ask;
+  const struct kcp_inbound *inbound = forward->inbound;
 
   if (!forward->routes->keyed)
     return true;
-  if (ask->key != NULL)
-    forward->choice.team = kcp_routes_team (forward->routes, kcp_str_from_c (ask->key));
+  if (inbound->key != NULL)
+    forward->choice.team
+        = kcp_routes_team (forward->routes, kcp_str_from_c (inbound->key));
   return forward->choice.team != NULL || forward->choice.route->open;
 }
 
 static void
 set_limit (struct kcp_forward *forward)
 {
-  int64_t patience_ms = forward->ask->patience_ms;
+  int64_t patience_ms = forward->inbound->patience_ms;
   int64_t route_ms = forward->choice.route->limit_ms;
   int64_t limit_ms = route_ms > 0 ? route_ms : LIMIT_STANDARD_MS;
 
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -9,8 +9,9 @@
 
 struct kcp_forward;
 
-struct kcp_forward *kcp_forward_start (struct kcp_gateway *gateway, struct kcp_ask *ask,
-                                       struct kcp_answer *answer);
+struct kcp_forward *
+kcp_forward_start (struct kcp_gateway *gateway, struct kcp_inbound *inbound,
+                   struct kcp_answer *answer);
 void kcp_forward_free (struct kcp_forward *forward);
 
 #endif
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -47,49 +47,50 @@
   kcp_counter_add (KCP_COUNT_ATTEMPTS, 1);
   if (forward->tried->len > 1)
     kcp_counter_add (KCP_COUNT_RETRIES, 1);
-  KCP_LOG ("sent", KCP_LOG_TEXT ("request", forward->ask->id),
-           KCP_LOG_TEXT ("route", forward->choice.route->name),
-           KCP_LOG_TEXT ("server", server->entry.id),
-           KCP_LOG_INT ("try", forward->tried->len),
-           KCP_LOG_INT ("team_priority",
-                        forward->choice.team ? forward->choice.team->priority : -1),
-           KCP_LOG_INT ("routes_version", forward->routes->version),
-           KCP_LOG_INT ("weights", forward->choice.weights),
-           KCP_LOG_INT ("usable", forward->choice.usable),
-           KCP_LOG_INT ("cost_us", forward->choice.cost_us),
-           KCP_LOG_INT ("open_there", server->open),
-           KCP_LOG_INT ("uncached", forward->choice.uncached_tokens),
-           KCP_LOG_INT ("prompt", forward->ask->prompt_tokens),
-           KCP_LOG_TEXT ("cache_space", forward->choice.cache_space),
-           KCP_LOG_TEXT ("fetch_from", forward->choice.fetch_from),
-           KCP_LOG_TEXT ("save_to", forward->choice.save_to),
-           KCP_LOG_TEXT (
-               "prefix",
-               forward->ask->parts != NULL && forward->ask->parts->len > 0
-                   ? g_array_index (forward->ask->parts, struct kcp_prompt_part, 0).id
-                   : NULL),
-           KCP_LOG_INT (
-               "prefix_tokens",
-               forward->ask->parts != NULL && forward->ask->parts->len > 0
-                   ? g_array_index (forward->ask->parts, struct kcp_prompt_part, 0).tokens
-                   : 0),
-           KCP_LOG_INT ("left_ms", kcp_forward_left_ms (forward)));
+  KCP_LOG (
+      "sent", KCP_LOG_TEXT ("request", forward->inbound->id),
+      KCP_LOG_TEXT ("route", forward->choice.route->name),
+      KCP_LOG_TEXT ("server", server->entry.id), KCP_LOG_INT ("try", forward->tried->len),
+      KCP_LOG_INT ("team_priority",
+                   forward->choice.team ? forward->choice.team->priority : -1),
+      KCP_LOG_INT ("routes_version", forward->routes->version),
+      KCP_LOG_INT ("weights", forward->choice.weights),
+      KCP_LOG_INT ("usable", forward->choice.usable),
+      KCP_LOG_INT ("cost_us", forward->choice.cost_us),
+      KCP_LOG_INT ("open_there", server->open),
+      KCP_LOG_INT ("uncached", forward->choice.uncached_tokens),
+      KCP_LOG_INT ("prompt", forward->inbound->prompt_tokens),
+      KCP_LOG_TEXT ("cache_space", forward->choice.cache_space),
+      KCP_LOG_TEXT ("fetch_from", forward->choice.fetch_from),
+      KCP_LOG_TEXT ("save_to", forward->choice.save_to),
+      KCP_LOG_TEXT (
+          "prefix",
+          forward->inbound->parts != NULL && forward->inbound->parts->len > 0
+              ? g_array_index (forward->inbound->parts, struct kcp_prompt_part, 0).id
+              : NULL),
+      KCP_LOG_INT (
+          "prefix_tokens",
+          forward->inbound->parts != NULL && forward->inbound->parts->len > 0
+              ? g_array_index (forward->inbound->parts, struct kcp_prompt_part, 0).tokens
+              : 0),
+      KCP_LOG_INT ("left_ms", kcp_forward_left_ms (forward)));
   attempt->call = kcp_http_start (
-      gateway->client, &(struct kcp_http_spec){
-                           .method = forward->ask->method,
-                           .address = server->entry.address,
-                           .target = forward->ask->target,
-                           .headers = make_headers (forward),
-                           .body = { forward->ask->body->str, forward->ask->body->len },
-                           .connect_ms = settings->servers_connect_ms,
-                           .silence_ms = settings->servers_silence_ms,
-                           .kept_s = settings->servers_kept_s,
-                           .fresh = once && forward->ask->body->len == 0,
-                           .header = on_header,
-                           .data = on_data,
-                           .done = on_done,
-                           .user = forward,
-                       });
+      gateway->client,
+      &(struct kcp_http_spec){
+          .method = forward->inbound->method,
+          .address = server->entry.address,
+          .target = forward->inbound->target,
+          .headers = make_headers (forward),
+          .body = { forward->inbound->body->str, forward->inbound->body->len },
+          .connect_ms = settings->servers_connect_ms,
+          .silence_ms = settings->servers_silence_ms,
+          .kept_s = settings->servers_kept_s,
+          .fresh = once && forward->inbound->body->len == 0,
+          .header = on_header,
+          .data = on_data,
+          .done = on_done,
+          .user = forward,
+      });
 }
 
 static struct curl_slist *
@@ -99,7 +100,7 @@
   const struct kcp_team_access *team = choice->team;
   struct kcp_send_head head = {
     .server_id = choice->server->entry.id,
-    .model = forward->ask->model,
+    .model = forward->inbound->model,
     .weights = choice->weights,
     .team = team != NULL ? team->name : NULL,
     .left_ms = kcp_forward_left_ms (forward),
@@ -109,13 +110,13 @@
     .fetch_from = choice->fetch_from,
     .save_to = choice->save_to,
     .resume_after = forward->cutter.last_id->len > 0 ? forward->cutter.last_id->str
-                                                     : forward->ask->resume_after,
+                                                     : forward->inbound->resume_after,
   };
   struct curl_slist *list = NULL;
 
-  if (forward->ask->model == NULL)
+  if (forward->inbound->model == NULL)
     head.priority = KCP_PRIORITY_NONE;
-  for (const struct curl_slist *line = forward->ask->forwarded; line != NULL;
+  for (const struct curl_slist *line = forward->inbound->forwarded; line != NULL;
        line = line->next)
     list = curl_slist_append (list, line->data);
   forward->gateway->dialect->write_send (&list, &head);
@@ -192,7 +193,7 @@
 {
   const struct kcp_answer_head *head = &forward->attempt.head;
 
-  return head->request_id != NULL && strcmp (head->request_id, forward->ask->id) == 0
+  return head->request_id != NULL && strcmp (head->request_id, forward->inbound->id) == 0
          && !head->encoded;
 }
 
@@ -204,13 +205,14 @@
   enum kcp_attempt_end end;
 
   attempt->call = NULL;
-  if (forward->ask->model != NULL && answers_this (forward))
-    kcp_server_learn_version (attempt->server, forward->ask->model, attempt->head.weights,
+  if (forward->inbound->model != NULL && answers_this (forward))
+    kcp_server_learn_version (attempt->server, forward->inbound->model,
+                              attempt->head.weights,
                               kcp_loop_now (forward->gateway->loop));
   if (finish_whole (forward, result))
     return;
   end = classify (forward, result);
-  KCP_LOG ("attempt_failed", KCP_LOG_TEXT ("request", forward->ask->id),
+  KCP_LOG ("attempt_failed", KCP_LOG_TEXT ("request", forward->inbound->id),
            KCP_LOG_TEXT ("server", attempt->server->entry.id),
            KCP_LOG_TEXT ("end", kcp_http_end_name (result->end)),
            KCP_LOG_INT ("class", end), KCP_LOG_INT ("status", result->status),
@@ -284,7 +286,7 @@
 
   if (!said || result->status == 0)
     return false;
-  return head->request_id != NULL ? strcmp (head->request_id, forward->ask->id) == 0
+  return head->request_id != NULL ? strcmp (head->request_id, forward->inbound->id) == 0
                                   : !result->kept;
 }
 
--- a/src/forward/forward_end.c
+++ b/src/forward/forward_end.c
@@ -79,8 +79,8 @@
 {
   int64_t now = kcp_loop_now (forward->gateway->loop);
   int64_t free_ns = forward->choice.soonest_free_ns;
-  int64_t left
-      = forward->limit_ns > 0 ? kcp_forward_left_ms (forward) : forward->ask->patience_ms;
+  int64_t left = forward->limit_ns > 0 ? kcp_forward_left_ms (forward)
+                                       : forward->inbound->patience_ms;
   int64_t wait_ms = kcp_comeback_ms (free_ns > now ? (free_ns - now) / KCP_NS_PER_MS : 0,
                                      left, kcp_id_random_u64 ());
   char seconds[32];
@@ -129,7 +129,7 @@
   int64_t now = kcp_loop_now (gateway->loop);
   const struct kcp_route *route = forward->choice.route;
 
-  KCP_LOG ("request", KCP_LOG_TEXT ("request", forward->ask->id),
+  KCP_LOG ("request", KCP_LOG_TEXT ("request", forward->inbound->id),
            KCP_LOG_TEXT ("outcome", outcome), KCP_LOG_TEXT ("why", why),
            KCP_LOG_INT ("status", forward->answer->status),
            KCP_LOG_TEXT ("route", route != NULL ? route->name : NULL),
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -23,7 +23,7 @@
 struct kcp_forward
 {
   struct kcp_gateway *gateway;
-  struct kcp_ask *ask; /* owned */
+  struct kcp_inbound *inbound; /* owned */
   struct kcp_answer *answer;
   struct kcp_routes *routes; /* the version under which it was accepted */
   struct kcp_choice choice;
--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -79,7 +79,7 @@
 
   switch (kcp_claim_step (&rollout->claim, wanted, now, &until))
     {
-    case KCP_CLAIM_REST:
+    case KCP_CLAIM_WAIT:
       break;
     case KCP_CLAIM_READ:
       kcp_rollout_read_claim (rollout);
--- a/src/forward/side_door.c
+++ b/src/forward/text_server.c
@@ -1,16 +1,16 @@
 #include <string.h>
 
-#include "forward/door.h"
+#include "forward/caller_server.h"
 #include "forward/server_loop.h"
 
 #define CONNECTION_MEMORY 4096u
 #define IDLE_TIMEOUT_S    10u
 
-struct kcp_side_door
+struct kcp_text_server
 {
   struct kcp_server_loop server;
   char *path;
-  kcp_side_door_answer *answer;
+  kcp_text_answer *answer;
   void *user;
 };
 
@@ -20,40 +20,40 @@
            void **state);
 
 /* Opens a server that answers one path, NULL for any, with what answer gives. */
-struct kcp_side_door *
-kcp_side_door_open (struct kcp_loop *loop, const char *address, const char *path,
-                    kcp_side_door_answer *answer, void *user, struct kcp_error *error)
+struct kcp_text_server *
+kcp_text_server_open (struct kcp_loop *loop, const char *address, const char *path,
+                      kcp_text_answer *answer, void *user, struct kcp_error *error)
 {
-  struct kcp_side_door *door = g_new0 (struct kcp_side_door, 1);
+  struct kcp_text_server *server = g_new0 (struct kcp_text_server, 1);
   struct sockaddr_in at;
   struct MHD_Daemon *daemon;
 
-  door->path = g_strdup (path);
-  door->answer = answer;
-  door->user = user;
+  server->path = g_strdup (path);
+  server->answer = answer;
+  server->user = user;
   if (!kcp_server_loop_address (address, &at, error))
     goto fail;
   daemon
-      = MHD_start_daemon (MHD_USE_EPOLL, ntohs (at.sin_port), NULL, NULL, on_access, door,
-                          MHD_OPTION_SOCK_ADDR, &at, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
-                          (size_t)CONNECTION_MEMORY, MHD_OPTION_CONNECTION_TIMEOUT,
-                          IDLE_TIMEOUT_S, MHD_OPTION_END);
-  if (kcp_server_loop_start (&door->server, loop, daemon, address, error))
-    return door;
+      = MHD_start_daemon (MHD_USE_EPOLL, ntohs (at.sin_port), NULL, NULL, on_access,
+                          server, MHD_OPTION_SOCK_ADDR, &at,
+                          MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
+                          MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S, MHD_OPTION_END);
+  if (kcp_server_loop_start (&server->server, loop, daemon, address, error))
+    return server;
 fail:
-  kcp_side_door_close (door);
+  kcp_text_server_close (server);
   return NULL;
 }
 
 /* Closes the server; NULL is allowed. */
 void
-kcp_side_door_close (struct kcp_side_door *door)
+kcp_text_server_close (struct kcp_text_server *server)
 {
-  if (door == NULL)
+  if (server == NULL)
     return;
-  kcp_server_loop_stop (&door->server);
-  g_free (door->path);
-  g_free (door);
+  kcp_server_loop_stop (&server->server);
+  g_free (server->path);
+  g_free (server);
 }
 
 static enum MHD_Result
@@ -61,7 +61,7 @@
            const char *method, const char *version, const char *data, size_t *size,
            void **state)
 {
-  struct kcp_side_door *door = user;
+  struct kcp_text_server *server = user;
   g_autoptr (GString) text = g_string_new (NULL);
   struct MHD_Response *response;
   unsigned status = MHD_HTTP_NOT_FOUND;
@@ -72,7 +72,7 @@
   (void)data;
   if (*state == NULL)
     {
-      *state = door;
+      *state = server;
       return MHD_YES;
     }
   if (*size > 0)
@@ -80,8 +80,8 @@
       *size = 0;
       return MHD_YES;
     }
-  if (door->path == NULL || strcmp (url, door->path) == 0)
-    status = door->answer (door->user, text);
+  if (server->path == NULL || strcmp (url, server->path) == 0)
+    status = server->answer (server->user, text);
   response
       = MHD_create_response_from_buffer (text->len, text->str, MHD_RESPMEM_MUST_COPY);
   result = MHD_queue_response (connection, status, response);
--- a/src/policy/claim.c
+++ b/src/policy/claim.c
@@ -24,7 +24,7 @@
 
   *until_ns = now_ns + claim->times.read_ns;
   if (!wanted)
-    return KCP_CLAIM_REST;
+    return KCP_CLAIM_WAIT;
   if (kcp_claim_is_held (claim, now_ns)
       && (claim->appending || claim->valid_until_ns - now_ns > claim->times.renew_ns))
     {
@@ -32,11 +32,11 @@
       return KCP_CLAIM_HELD;
     }
   if (claim->appending)
-    return KCP_CLAIM_REST;
+    return KCP_CLAIM_WAIT;
   if (now_ns < claim->rest_until_ns)
     {
       *until_ns = claim->rest_until_ns;
-      return KCP_CLAIM_REST;
+      return KCP_CLAIM_WAIT;
     }
   if (!claim->known)
     return KCP_CLAIM_READ;
@@ -49,7 +49,7 @@
   claim->known = false;
   claim->rest_until_ns = MIN (now_ns + claim->times.read_ns, free_ns);
   *until_ns = claim->rest_until_ns;
-  return KCP_CLAIM_REST;
+  return KCP_CLAIM_WAIT;
 }
 
 /* Notes that a reading or an append was sent. */
--- a/src/policy/claim.h
+++ b/src/policy/claim.h
@@ -16,7 +16,7 @@
 
 enum kcp_claim_next
 {
-  KCP_CLAIM_REST,   /* nothing until the time given */
+  KCP_CLAIM_WAIT,   /* nothing until the time given */
   KCP_CLAIM_READ,   /* read the log's end */
   KCP_CLAIM_APPEND, /* append a claim at the known end */
   KCP_CLAIM_HELD    /* orders may be sent until the time given */
--- a/tests/unit/test_forward_parts.c
+++ b/tests/unit/test_forward_parts.c
@@ -35,7 +35,7 @@
 static struct kcp_routes *
 read_routes (const char *text)
 {
-  struct kcp_operator_word word;
+  struct kcp_operator_record word;
   const char *why = NULL;
 
   if (!kcp_platform_read_operator (KCP_STR ("config"), kcp_str_from_c (text), &word, &why)
--- a/tests/unit/test_forward_policy.c
+++ b/tests/unit/test_forward_policy.c
@@ -311,7 +311,7 @@
 
   switch (kcp_claim_step (&vm->claim, true, now_ns, &until))
     {
-    case KCP_CLAIM_REST:
+    case KCP_CLAIM_WAIT:
     case KCP_CLAIM_HELD:
       return;
     case KCP_CLAIM_READ:
