One state machine for plain calls and completions; a repeatable call is sent again

A plain call was never sent again once bytes had gone out, also when its profile allowed it: a lookup that met a server with crossed answers failed with 502 while a second server was free.

Change: a request's kind and an attempt's kind are tagged unions. attempt.c is one try of either kind, failure.c says how it ended (pure), dispatch.c decides what follows, request_end.c ends a request. The queue and the attempts tell dispatch.c by callbacks. The retry budget covers plain calls too. A call that is given up at its deadline says so (deadline, 504) in place of backend (502).

--- a/src/backend/registry.c
+++ b/src/backend/registry.c
@@ -101,6 +101,17 @@
   tell_observer (registry);
 }
 
+/* Copies what a server reported last; all zeros before its first report. */
+void
+kcp_registry_copy_report (struct kcp_registry *registry,
+                          const struct kcp_backend *backend,
+                          struct kcp_backend_report *report)
+{
+  pthread_mutex_lock (&registry->lock);
+  *report = backend->report;
+  pthread_mutex_unlock (&registry->lock);
+}
+
 /* Changes a server's state; one that is leaving stays so. */
 void
 kcp_registry_set_state (struct kcp_registry *registry, struct kcp_backend *backend,
--- a/src/backend/registry.h
+++ b/src/backend/registry.h
@@ -32,6 +32,9 @@
 kcp_registry_apply_list (struct kcp_registry *registry, const struct kcp_vm_list *list);
 void kcp_registry_report (struct kcp_registry *registry, struct kcp_backend *backend,
                           const struct kcp_backend_report *report);
+void kcp_registry_copy_report (struct kcp_registry *registry,
+                               const struct kcp_backend *backend,
+                               struct kcp_backend_report *report);
 void kcp_registry_set_state (struct kcp_registry *registry, struct kcp_backend *backend,
                              enum kcp_backend_state state);
 void kcp_registry_begin_attempt (struct kcp_registry *registry,
--- a/src/base/str.c
+++ b/src/base/str.c
@@ -44,6 +44,18 @@
   return s;
 }
 
+/* Reads the value of an HTTP header line, without white space around it, if the line has
+   this header; names are compared without case. */
+bool
+kcp_str_header_value (struct kcp_str line, struct kcp_str name, struct kcp_str *value)
+{
+  if (line.len <= name.len || line.data[name.len] != ':'
+      || g_ascii_strncasecmp (line.data, name.data, name.len) != 0)
+    return false;
+  *value = kcp_str_trim (kcp_str_skip (line, name.len + 1));
+  return true;
+}
+
 /* Returns a NUL-terminated copy, to be freed with g_free(). */
 char *
 kcp_str_dup (struct kcp_str s)
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -24,6 +24,8 @@
 bool kcp_str_has_prefix (struct kcp_str s, struct kcp_str prefix);
 struct kcp_str kcp_str_skip (struct kcp_str s, size_t count);
 struct kcp_str kcp_str_trim (struct kcp_str s);
+bool
+kcp_str_header_value (struct kcp_str line, struct kcp_str name, struct kcp_str *value);
 char *kcp_str_dup (struct kcp_str s);
 bool kcp_str_to_int64 (struct kcp_str s, int64_t *out);
 
--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -13,6 +13,7 @@
 #include "logstore/config_tail.h"
 #include "peer/peer.h"
 #include "request/admit.h"
+#include "request/dispatch.h"
 
 #define DRAIN_POLL_MS       20
 #define LAST_BYTES_LIMIT_MS 1000
@@ -142,7 +143,7 @@
       = kcp_suspects_new (router->clock, settings->quarantine_s * KCP_NS_PER_S);
   router->facts = kcp_engine_facts_new (settings->backends_believed_blocks,
                                         settings->backends_concurrency);
-  router->admit = kcp_admit_start (router);
+  router->admit = kcp_admit_start (router, &kcp_dispatch_admit_events);
   kcp_registry_observe (router->registry, kcp_admit_wake, router->admit);
 }
 
--- a/src/request/admit.c
+++ b/src/request/admit.c
@@ -16,6 +16,7 @@
 struct kcp_admit
 {
   struct kcp_router *router;
+  const struct kcp_admit_events *events;
   pthread_t thread;
   pthread_mutex_t lock; /* after a request's; the registry's and the facts' come after */
   pthread_cond_t changed;
@@ -46,16 +47,18 @@
 refuse (struct kcp_request *request, int64_t retry_after_s, struct kcp_error *error);
 static struct kcp_request *
 take_out (struct kcp_admit *admit, struct kcp_admission_item *item);
-static void fail_waiting (struct kcp_request *request, const struct kcp_error *error);
+static void fail_waiting (struct kcp_admit *admit, struct kcp_request *request,
+                          const struct kcp_error *error);
 static struct kcp_admission_now now_of (const struct kcp_admit *admit);
 
-/* Starts the thread. The router outlives it. */
+/* Starts the thread. Router and events outlive it. */
 struct kcp_admit *
-kcp_admit_start (struct kcp_router *router)
+kcp_admit_start (struct kcp_router *router, const struct kcp_admit_events *events)
 {
   struct kcp_admit *admit = g_new0 (struct kcp_admit, 1);
 
   admit->router = router;
+  admit->events = events;
   admit->queue = kcp_admission_new ();
   admit->waiting = g_hash_table_new (NULL, NULL);
   pthread_mutex_init (&admit->lock, NULL);
@@ -120,7 +123,7 @@
   fill_item (admit, request);
   stopping = admit->stopping;
   if (!stopping)
-    verdict = kcp_admission_offer (admit->queue, &request->item, &now);
+    verdict = kcp_admission_offer (admit->queue, &request->completion.item, &now);
   if (verdict.queued)
     {
       g_hash_table_add (admit->waiting, kcp_request_ref (request));
@@ -154,7 +157,7 @@
   waited = g_hash_table_remove (admit->waiting, request);
   if (waited)
     {
-      kcp_admission_remove (admit->queue, &request->item,
+      kcp_admission_remove (admit->queue, &request->completion.item,
                             kcp_clock_monotonic_ns (admit->router->clock));
       ck_pr_dec_uint (&admit->count);
     }
@@ -242,7 +245,7 @@
       if (request->ended)
         kcp_backend_unref (search.choice.backend);
       else
-        kcp_completion_placed (request, &search.choice);
+        admit->events->placed (request, &search.choice);
       pthread_mutex_unlock (&request->lock);
       kcp_request_unref (request);
     }
@@ -281,7 +284,7 @@
       if (request == NULL)
         return;
       refuse (request, retry_after_s, &error);
-      fail_waiting (request, &error);
+      fail_waiting (admit, request, &error);
     }
   while (request != NULL);
 }
@@ -300,7 +303,7 @@
     {
       struct kcp_request *request = key;
 
-      kcp_admission_remove (admit->queue, &request->item,
+      kcp_admission_remove (admit->queue, &request->completion.item,
                             kcp_clock_monotonic_ns (admit->router->clock));
       g_ptr_array_add (requests, request);
     }
@@ -309,7 +312,7 @@
   pthread_mutex_unlock (&admit->lock);
   refuse_at_shutdown (&error);
   for (guint i = 0; i < requests->len; i++)
-    fail_waiting (g_ptr_array_index (requests, i), &error);
+    fail_waiting (admit, g_ptr_array_index (requests, i), &error);
 }
 
 static void
@@ -323,11 +326,11 @@
 static void
 fill_item (struct kcp_admit *admit, struct kcp_request *request)
 {
-  const GString *text = request->prompt.text;
+  const GString *text = request->completion.prompt.text;
   const GString *body = request->call->body;
   struct kcp_str team = kcp_str_from_c (request->team->name);
 
-  request->item = (struct kcp_admission_item){
+  request->completion.item = (struct kcp_admission_item){
     .pool = pool_of (request),
     .class = request->profile->class,
     .team = XXH3_64bits (team.data, team.len),
@@ -347,7 +350,7 @@
 pool_of (const struct kcp_request *request)
 {
   const struct kcp_profile *profile = request->profile;
-  const char *model = request->prompt.model;
+  const char *model = request->completion.prompt.model;
   uint64_t pool = XXH3_64bits (model, strlen (model));
 
   for (unsigned i = 0; i < profile->compute_in.count; i++)
@@ -383,10 +386,11 @@
 }
 
 static void
-fail_waiting (struct kcp_request *request, const struct kcp_error *error)
+fail_waiting (struct kcp_admit *admit, struct kcp_request *request,
+              const struct kcp_error *error)
 {
   pthread_mutex_lock (&request->lock);
-  kcp_request_fail (request, error);
+  admit->events->refused (request, error);
   pthread_mutex_unlock (&request->lock);
   kcp_request_unref (request);
 }
--- a/src/request/admit.h
+++ b/src/request/admit.h
@@ -10,11 +10,20 @@
 enum kcp_admit_result
 {
   KCP_ADMIT_PLACED, /* the choice is to be used at once */
-  KCP_ADMIT_QUEUED, /* kcp_completion_placed() or kcp_completion_refused() follows */
+  KCP_ADMIT_QUEUED, /* one of the events follows */
   KCP_ADMIT_REFUSED /* the error says why */
 };
 
-struct kcp_admit *kcp_admit_start (struct kcp_router *router);
+/* What becomes of a request that waited, told with its lock held. */
+struct kcp_admit_events
+{
+  /* The choice's reference is taken over. */
+  void (*placed) (struct kcp_request *request, struct kcp_choice *choice);
+  void (*refused) (struct kcp_request *request, const struct kcp_error *error);
+};
+
+struct kcp_admit *
+kcp_admit_start (struct kcp_router *router, const struct kcp_admit_events *events);
 void kcp_admit_stop (struct kcp_admit *admit);
 void kcp_admit_free (struct kcp_admit *admit);
 enum kcp_admit_result
--- a/src/request/choose.c
+++ b/src/request/choose.c
@@ -45,11 +45,12 @@
 kcp_choose_engine (struct kcp_request *request, bool regardless,
                    struct kcp_choice *choice, struct kcp_error *error)
 {
-  const GString *text = request->prompt.text;
+  const GString *text = request->completion.prompt.text;
   struct kcp_placement_request placement = {
-    .prefix_head = request->block_hashes->len > 0 ? g_array_index (
-                       request->block_hashes, uint64_t, request->block_hashes->len - 1)
-                                                  : XXH3_64bits (text->str, text->len),
+    .prefix_head = request->completion.block_hashes->len > 0
+                       ? g_array_index (request->completion.block_hashes, uint64_t,
+                                        request->completion.block_hashes->len - 1)
+                       : XXH3_64bits (text->str, text->len),
     .prompt_tokens = kcp_prefix_tokens ((struct kcp_str){ text->str, text->len }),
     .urgent = request->profile->class == KCP_CLASS_URGENT,
   };
@@ -69,7 +70,7 @@
       if (options.kept_apart)
         result = KCP_CHOOSE_WAIT;
       else
-        refuse_without_place (request, request->prompt.model, error);
+        refuse_without_place (request, request->completion.prompt.model, error);
       goto out;
     }
   candidate = &g_array_index (options.candidates, struct kcp_placement_candidate,
@@ -222,13 +223,14 @@
 static void
 add_engines (struct kcp_request *request, struct options *options)
 {
-  const GString *text = request->prompt.text;
+  const GString *text = request->completion.prompt.text;
   int64_t prompt_tokens = kcp_prefix_tokens ((struct kcp_str){ text->str, text->len });
   g_autoptr (GArray) chain = NULL;
   const char *weights = NULL;
 
-  list_allowed (request, KCP_MEMBER_ENGINE, request->prompt.model, options->views);
-  if (request->suspect)
+  list_allowed (request, KCP_MEMBER_ENGINE, request->completion.prompt.model,
+                options->views);
+  if (request->completion.suspect)
     keep_apart (request, options);
   for (guint i = 0; i < options->views->len; i++)
     {
@@ -290,11 +292,11 @@
 {
   struct kcp_prefix_seed seed = {
     .team = kcp_str_from_c (request->team->name),
-    .model = kcp_str_from_c (request->prompt.model),
+    .model = kcp_str_from_c (request->completion.prompt.model),
     .weights = kcp_str_from_c (weights),
   };
 
-  return kcp_prefix_chain (&seed, request->block_hashes);
+  return kcp_prefix_chain (&seed, request->completion.block_hashes);
 }
 
 static void
--- a/src/request/completion_answer.c
+++ b/src/request/completion_answer.c
@@ -2,6 +2,8 @@
 #include <stdlib.h>
 
 #include "base/counter.h"
+#include "request/completion.h"
+#include "request/request_end.h"
 #include "request/request_private.h"
 
 #define HTTP_STATUS_OK   200
@@ -27,22 +29,22 @@
   char *text = NULL;
   bool room = true;
 
-  if (request->forwarded == 0)
+  if (request->completion.forwarded == 0)
     kcp_timeline_add (request->router->timeline, KCP_EVENT_FIRST_TOKEN, request->id,
                       request->backend->id, 0);
   take_content (request, chunk);
   take_totals (request, chunk);
-  if (request->text_cut && !request->prompt.stream)
+  if (request->completion.text_cut && !request->completion.prompt.stream)
     {
       fail_too_large (request);
       return true;
     }
-  if (request->prompt.stream && changed)
+  if (request->completion.prompt.stream && changed)
     text = json_dumps (chunk->json, JSON_COMPACT);
-  if (request->prompt.stream)
+  if (request->completion.prompt.stream)
     room = forward (request, text != NULL ? kcp_str_from_c (text) : data);
   free (text);
-  request->forwarded++;
+  request->completion.forwarded++;
   return room;
 }
 
@@ -59,7 +61,7 @@
 void
 kcp_completion_finish (struct kcp_request *request)
 {
-  if (request->prompt.stream)
+  if (request->completion.prompt.stream)
     {
       begin_stream (request);
       kcp_reply_write (request->reply, KCP_STR ("data: [DONE]\n\n"));
@@ -67,8 +69,8 @@
   else
     write_whole (request);
   kcp_counter_add (KCP_COUNT_COMPLETED, 1);
-  kcp_counter_add (KCP_COUNT_PROMPT_TOKENS, (uint64_t)request->prompt_tokens);
-  kcp_counter_add (KCP_COUNT_CACHED_TOKENS, (uint64_t)request->cached_tokens);
+  kcp_counter_add (KCP_COUNT_PROMPT_TOKENS, (uint64_t)request->completion.prompt_tokens);
+  kcp_counter_add (KCP_COUNT_CACHED_TOKENS, (uint64_t)request->completion.cached_tokens);
   kcp_request_end (request, KCP_EVENT_COMPLETED);
 }
 
@@ -78,19 +80,20 @@
 take_content (struct kcp_request *request, const struct kcp_engine_chunk *chunk)
 {
   const struct kcp_settings *settings = request->router->settings;
-  size_t limit = request->prompt.stream ? (size_t)settings->callers_stream_buffer_bytes
-                                        : ANSWER_MAX_BYTES;
+  size_t limit = request->completion.prompt.stream
+                     ? (size_t)settings->callers_stream_buffer_bytes
+                     : ANSWER_MAX_BYTES;
 
   if (chunk->content == NULL || chunk->content[0] == '\0')
     return;
-  request->answer_tokens++;
-  if (!request->text_cut)
-    g_string_append (request->text, chunk->content);
-  if (request->text->len <= limit)
+  request->completion.answer_tokens++;
+  if (!request->completion.text_cut)
+    g_string_append (request->completion.text, chunk->content);
+  if (request->completion.text->len <= limit)
     return;
-  request->text_cut = true;
-  g_string_free (request->text, TRUE);
-  request->text = g_string_new (NULL);
+  request->completion.text_cut = true;
+  g_string_free (request->completion.text, TRUE);
+  request->completion.text = g_string_new (NULL);
 }
 
 static void
@@ -98,14 +101,14 @@
 {
   if (chunk->finish_reason != NULL)
     {
-      g_free (request->finish_reason);
-      request->finish_reason = g_strdup (chunk->finish_reason);
+      g_free (request->completion.finish_reason);
+      request->completion.finish_reason = g_strdup (chunk->finish_reason);
     }
   if (chunk->prompt_tokens >= 0)
     {
-      request->prompt_tokens = chunk->prompt_tokens;
-      request->cached_tokens = chunk->cached_tokens;
-      request->completion_tokens = chunk->completion_tokens;
+      request->completion.prompt_tokens = chunk->prompt_tokens;
+      request->completion.cached_tokens = chunk->cached_tokens;
+      request->completion.completion_tokens = chunk->completion_tokens;
     }
 }
 
@@ -123,8 +126,9 @@
 static bool
 forward (struct kcp_request *request, struct kcp_str data)
 {
-  g_autofree char *text = g_strdup_printf ("id: %" G_GINT64_FORMAT "\ndata: %.*s\n\n",
-                                           request->forwarded, KCP_STR_ARG (data));
+  g_autofree char *text
+      = g_strdup_printf ("id: %" G_GINT64_FORMAT "\ndata: %.*s\n\n",
+                         request->completion.forwarded, KCP_STR_ARG (data));
 
   begin_stream (request);
   return kcp_reply_write (request->reply, kcp_str_from_c (text));
@@ -144,20 +148,24 @@
 {
   bool chat = request->call->kind == KCP_CALL_CHAT;
   json_t *choice = chat ? json_pack ("{s{ssss}}", "message", "role", "assistant",
-                                     "content", request->text->str)
-                        : json_pack ("{ss}", "text", request->text->str);
+                                     "content", request->completion.text->str)
+                        : json_pack ("{ss}", "text", request->completion.text->str);
   json_t *answer;
   char *text;
 
   json_object_set_new (choice, "index", json_integer (0));
-  json_object_set_new (choice, "finish_reason", json_string (request->finish_reason));
-  answer = json_pack (
-      "{sssssss[o]s{sIsIsIs{sI}}}", "id", request->id, "object",
-      chat ? "chat.completion" : "text_completion", "model", request->prompt.model,
-      "choices", choice, "usage", "prompt_tokens", (json_int_t)request->prompt_tokens,
-      "completion_tokens", (json_int_t)request->completion_tokens, "total_tokens",
-      (json_int_t)(request->prompt_tokens + request->completion_tokens),
-      "prompt_tokens_details", "cached_tokens", (json_int_t)request->cached_tokens);
+  json_object_set_new (choice, "finish_reason",
+                       json_string (request->completion.finish_reason));
+  answer = json_pack ("{sssssss[o]s{sIsIsIs{sI}}}", "id", request->id, "object",
+                      chat ? "chat.completion" : "text_completion", "model",
+                      request->completion.prompt.model, "choices", choice, "usage",
+                      "prompt_tokens", (json_int_t)request->completion.prompt_tokens,
+                      "completion_tokens",
+                      (json_int_t)request->completion.completion_tokens, "total_tokens",
+                      (json_int_t)(request->completion.prompt_tokens
+                                   + request->completion.completion_tokens),
+                      "prompt_tokens_details", "cached_tokens",
+                      (json_int_t)request->completion.cached_tokens);
   text = json_dumps (answer, JSON_COMPACT);
   kcp_request_add_headers (request);
   kcp_reply_begin (request->reply, HTTP_STATUS_OK, "application/json");
--- /dev/null
+++ b/src/request/dispatch.c
@@ -0,0 +1,464 @@
+#include "request/dispatch.h"
+
+#include "base/counter.h"
+#include "request/attempt_kinds.h"
+#include "request/completion.h"
+#include "request/failure.h"
+#include "request/isolate.h"
+#include "request/request_end.h"
+#include "request/request_private.h"
+#include "request/service.h"
+
+#define STEP_DISPATCH       "dispatch"
+#define STEP_ANSWER         "answer"
+#define RETRY_AFTER_S       1
+#define SAME_ENGINE_RESUMES 2 /* in a row without an event */
+
+static void dispatch_completion (struct kcp_request *request);
+static bool dispatch_service (struct kcp_request *request, struct kcp_error *error);
+static void on_placed (struct kcp_request *request, struct kcp_choice *choice);
+static void send_first (struct kcp_request *request, struct kcp_backend *backend,
+                        int64_t uncached_tokens);
+static void on_ended (struct kcp_request *request, struct kcp_attempt *attempt,
+                      enum kcp_fetch_end end, long status);
+static void
+finish (struct kcp_request *request, struct kcp_attempt *attempt, long status);
+static void fail_shutdown (struct kcp_request *request);
+static void note_execution (struct kcp_request *request,
+                            const struct kcp_attempt *attempt, enum kcp_failure failure);
+static void count_stall (struct kcp_request *request, const struct kcp_attempt *attempt);
+static void note_server (struct kcp_request *request, const struct kcp_attempt *attempt,
+                         enum kcp_failure failure);
+static void note_engine (struct kcp_request *request, const struct kcp_attempt *attempt,
+                         enum kcp_failure failure);
+static enum kcp_isolate_end isolate_end (enum kcp_failure failure);
+static enum kcp_retry_decision
+decide (struct kcp_request *request, const struct kcp_attempt *attempt,
+        enum kcp_failure failure);
+static void try_again (struct kcp_request *request, const struct kcp_attempt *attempt,
+                       enum kcp_retry_decision decision, enum kcp_failure failure);
+static void
+go_on_with_stream (struct kcp_request *request, const struct kcp_attempt *attempt,
+                   enum kcp_retry_decision decision, enum kcp_failure failure);
+static void note_retry (struct kcp_request *request, const struct kcp_attempt *attempt,
+                        enum kcp_event event);
+static int64_t forwarded (const struct kcp_request *request);
+static bool can_continue (const struct kcp_request *request);
+static void give_up (struct kcp_request *request, const struct kcp_attempt *attempt,
+                     enum kcp_failure failure);
+static void fail_deadline (struct kcp_request *request);
+static void fail (struct kcp_request *request, struct kcp_error *error);
+
+const struct kcp_admit_events kcp_dispatch_admit_events = {
+  .placed = on_placed,
+  .refused = kcp_request_fail,
+};
+
+static const struct kcp_attempt_events attempt_events = {
+  .take = kcp_completion_take,
+  .ended = on_ended,
+};
+
+/* Chooses a backend server that has not failed the request and sends it there; a
+   completion may wait for a place. */
+void
+kcp_dispatch_request (struct kcp_request *request)
+{
+  struct kcp_error error;
+
+  switch (request->kind)
+    {
+    case KCP_REQUEST_COMPLETION:
+      dispatch_completion (request);
+      break;
+    case KCP_REQUEST_SERVICE:
+      if (!dispatch_service (request, &error))
+        fail (request, &error);
+      break;
+    }
+}
+
+static void
+dispatch_completion (struct kcp_request *request)
+{
+  struct kcp_choice choice;
+  struct kcp_error error;
+
+  kcp_isolate_release (request);
+  if (kcp_isolate_is_blocked (request, &error))
+    {
+      fail (request, &error);
+      return;
+    }
+  switch (kcp_admit_request (request->router->admit, request, &choice, &error))
+    {
+    case KCP_ADMIT_PLACED:
+      on_placed (request, &choice);
+      break;
+    case KCP_ADMIT_QUEUED:
+      break;
+    case KCP_ADMIT_REFUSED:
+      fail (request, &error);
+      break;
+    }
+}
+
+/* False with an error if no server is left that may run the call. */
+static bool
+dispatch_service (struct kcp_request *request, struct kcp_error *error)
+{
+  struct kcp_backend *backend = kcp_choose_service (request, error);
+
+  if (backend == NULL)
+    return false;
+  send_first (request, backend, 0);
+  return true;
+}
+
+/* Sends a completion to the engine chosen, perhaps after it waited, during which other
+   VMs may have learned more of it. */
+static void
+on_placed (struct kcp_request *request, struct kcp_choice *choice)
+{
+  struct kcp_router *router = request->router;
+  struct kcp_completion *completion = &request->completion;
+  uint64_t server = choice->backend->hash;
+  struct kcp_error error;
+
+  if (kcp_isolate_is_blocked (request, &error))
+    {
+      kcp_backend_unref (choice->backend);
+      fail (request, &error);
+      return;
+    }
+  if (!kcp_isolate_begin (request, server))
+    {
+      kcp_backend_unref (choice->backend);
+      dispatch_completion (request);
+      return;
+    }
+  completion->uncached_tokens = choice->uncached_tokens;
+  completion->incarnation = choice->incarnation;
+  completion->dispatched_ns = kcp_clock_monotonic_ns (router->clock);
+  send_first (request, choice->backend, choice->uncached_tokens);
+  kcp_engine_facts_learn (router->facts, server, choice->incarnation, completion->chain);
+}
+
+/* Starts an attempt that is the first at its server; takes over the reference. */
+static void
+send_first (struct kcp_request *request, struct kcp_backend *backend,
+            int64_t uncached_tokens)
+{
+  struct kcp_router *router = request->router;
+
+  kcp_timeline_add (router->timeline, KCP_EVENT_PLACED, request->id, backend->id,
+                    uncached_tokens);
+  if (request->attempts == 0)
+    kcp_retry_gate_add_request (router->retry_gate, backend->data_center);
+  kcp_attempt_start (request, backend, NULL, &attempt_events);
+}
+
+/* Decides what follows the attempt that counted. */
+static void
+on_ended (struct kcp_request *request, struct kcp_attempt *attempt,
+          enum kcp_fetch_end end, long status)
+{
+  struct kcp_attempt_end facts = {
+    .fetch = end,
+    .status = status,
+    .echoed = attempt->echoed,
+    .whole = kcp_attempt_is_whole (attempt, end),
+    .resumes = kcp_attempt_resumes (attempt),
+  };
+  enum kcp_failure failure = kcp_failure_classify (&facts);
+  enum kcp_retry_decision decision;
+
+  if (failure == KCP_FAILURE_NONE)
+    {
+      finish (request, attempt, status);
+      return;
+    }
+  note_execution (request, attempt, failure);
+  note_server (request, attempt, failure);
+  if (end == KCP_FETCH_CANCELLED && !attempt->rejected)
+    {
+      fail_shutdown (request);
+      return;
+    }
+  decision = decide (request, attempt, failure);
+  if (decision == KCP_RETRY_GIVE_UP)
+    give_up (request, attempt, failure);
+  else
+    try_again (request, attempt, decision, failure);
+}
+
+static void
+finish (struct kcp_request *request, struct kcp_attempt *attempt, long status)
+{
+  switch (attempt->kind)
+    {
+    case KCP_ATTEMPT_STREAM:
+      kcp_completion_note_answer (request, attempt);
+      kcp_completion_finish (request);
+      break;
+    case KCP_ATTEMPT_PLAIN:
+      kcp_service_finish (request, attempt, status);
+      break;
+    }
+}
+
+static void
+fail_shutdown (struct kcp_request *request)
+{
+  struct kcp_error error;
+
+  kcp_error_set (&error, KCP_ERR_SHUTDOWN, STEP_ANSWER, NULL,
+                 "this VM stopped before the answer was whole");
+  fail (request, &error);
+}
+
+static void
+note_execution (struct kcp_request *request, const struct kcp_attempt *attempt,
+                enum kcp_failure failure)
+{
+  if (attempt->taken > 0)
+    request->execution = KCP_RAN;
+  else if (failure == KCP_FAILURE_BROKEN || failure == KCP_FAILURE_SILENT)
+    request->execution = MAX (request->execution, KCP_UNKNOWN);
+}
+
+/* Learns from a failed attempt about its server, and keeps the request away from one that
+   failed it. */
+static void
+note_server (struct kcp_request *request, const struct kcp_attempt *attempt,
+             enum kcp_failure failure)
+{
+  switch (attempt->kind)
+    {
+    case KCP_ATTEMPT_STREAM:
+      count_stall (request, attempt);
+      kcp_isolate_note_end (request, attempt->backend->hash, isolate_end (failure));
+      note_engine (request, attempt, failure);
+      break;
+    case KCP_ATTEMPT_PLAIN:
+      if (failure != KCP_FAILURE_UNSENT)
+        request->stalled++;
+      kcp_request_set_tried (request, attempt->backend->id);
+      break;
+    }
+}
+
+/* A resumption at the same engine is no further run of the request, so that it counts
+   apart. */
+static void
+count_stall (struct kcp_request *request, const struct kcp_attempt *attempt)
+{
+  struct kcp_completion *completion = &request->completion;
+
+  if (attempt->taken > 0)
+    {
+      request->stalled = 1;
+      completion->resumed = 1;
+    }
+  else if (kcp_attempt_resumes (attempt))
+    completion->resumed++;
+  else
+    {
+      request->stalled++;
+      completion->resumed = 1;
+    }
+}
+
+/* An engine counts as dead only if a new connection failed. */
+static void
+note_engine (struct kcp_request *request, const struct kcp_attempt *attempt,
+             enum kcp_failure failure)
+{
+  bool dead = failure == KCP_FAILURE_UNSENT || failure == KCP_FAILURE_SILENT;
+  bool stuck = failure == KCP_FAILURE_BROKEN
+               && request->completion.resumed > SAME_ENGINE_RESUMES;
+
+  if (dead)
+    kcp_registry_set_state (request->router->registry, attempt->backend,
+                            KCP_BACKEND_DEAD);
+  if (failure == KCP_FAILURE_MISMATCH)
+    kcp_completion_note_mismatch (request, attempt);
+  if (dead || stuck || failure == KCP_FAILURE_REFUSED)
+    kcp_request_set_tried (request, attempt->backend->id);
+}
+
+static enum kcp_isolate_end
+isolate_end (enum kcp_failure failure)
+{
+  switch (failure)
+    {
+    case KCP_FAILURE_BROKEN:
+    case KCP_FAILURE_SILENT:
+      return KCP_ISOLATE_BROKEN;
+    case KCP_FAILURE_UNSENT:
+    case KCP_FAILURE_MISMATCH:
+      return KCP_ISOLATE_GONE;
+    default:
+      return KCP_ISOLATE_OTHER;
+    }
+}
+
+static enum kcp_retry_decision
+decide (struct kcp_request *request, const struct kcp_attempt *attempt,
+        enum kcp_failure failure)
+{
+  const struct kcp_router *router = request->router;
+  /* New connections also show whether the engine crashed. */
+  bool holds_stream = attempt->kind == KCP_ATTEMPT_STREAM && failure == KCP_FAILURE_BROKEN
+                      && request->completion.resumed <= SAME_ENGINE_RESUMES;
+  struct kcp_retry_facts facts = {
+    .repeatable = request->profile->repeatable,
+    .server_holds_stream = holds_stream,
+    .progress = failure == KCP_FAILURE_UNSENT ? KCP_RETRY_UNSENT : KCP_RETRY_REFUSED,
+    .attempts = request->stalled,
+    .left_ns = request->deadline_ns - kcp_clock_monotonic_ns (router->clock),
+  };
+
+  if (failure == KCP_FAILURE_BAD_REQUEST)
+    return KCP_RETRY_GIVE_UP;
+  if (request->execution != KCP_NOT_RUN)
+    facts.progress = KCP_RETRY_SENT;
+  if (forwarded (request) > 0 || holds_stream)
+    facts.progress = KCP_RETRY_FORWARDED;
+  return kcp_retry_gate_decide (router->retry_gate, attempt->backend->data_center,
+                                &facts);
+}
+
+static void
+try_again (struct kcp_request *request, const struct kcp_attempt *attempt,
+           enum kcp_retry_decision decision, enum kcp_failure failure)
+{
+  struct kcp_error error;
+
+  switch (attempt->kind)
+    {
+    case KCP_ATTEMPT_STREAM:
+      go_on_with_stream (request, attempt, decision, failure);
+      break;
+    case KCP_ATTEMPT_PLAIN:
+      /* If no server is left, what the last one did tells the caller more. */
+      note_retry (request, attempt, KCP_EVENT_RETRIED);
+      if (!dispatch_service (request, &error))
+        give_up (request, attempt, failure);
+      break;
+    }
+}
+
+/* Reads the stream on at its engine, or starts it again at another one. */
+static void
+go_on_with_stream (struct kcp_request *request, const struct kcp_attempt *attempt,
+                   enum kcp_retry_decision decision, enum kcp_failure failure)
+{
+  bool same = decision == KCP_RETRY_RESUME_SAME;
+  bool begun = request->completion.forwarded > 0;
+
+  if (!same && begun && request->completion.finish_reason != NULL)
+    {
+      kcp_completion_finish (request);
+      return;
+    }
+  if (!same && begun && !can_continue (request))
+    {
+      give_up (request, attempt, failure);
+      return;
+    }
+  note_retry (request, attempt, begun ? KCP_EVENT_RESUMED : KCP_EVENT_RETRIED);
+  if (same)
+    {
+      kcp_attempt_start (request, kcp_backend_ref (attempt->backend), attempt,
+                         &attempt_events);
+      return;
+    }
+  if (failure == KCP_FAILURE_BROKEN || failure == KCP_FAILURE_SILENT)
+    kcp_stream_attempt_cancel (attempt);
+  dispatch_completion (request);
+}
+
+static void
+note_retry (struct kcp_request *request, const struct kcp_attempt *attempt,
+            enum kcp_event event)
+{
+  kcp_counter_add (event == KCP_EVENT_RESUMED ? KCP_COUNT_RESUMED : KCP_COUNT_RETRIES, 1);
+  kcp_timeline_add (request->router->timeline, event, request->id, attempt->backend->id,
+                    forwarded (request));
+}
+
+/* Returns the number of events that the caller has; a plain answer goes out whole. */
+static int64_t
+forwarded (const struct kcp_request *request)
+{
+  switch (request->kind)
+    {
+    case KCP_REQUEST_COMPLETION:
+      return request->completion.forwarded;
+    case KCP_REQUEST_SERVICE:
+      return 0;
+    }
+  return 0;
+}
+
+/* Tells whether another engine can go on behind the answer so far. */
+static bool
+can_continue (const struct kcp_request *request)
+{
+  const struct kcp_completion *completion = &request->completion;
+
+  return !completion->text_cut
+         && kcp_engine_can_continue (completion->prompt.body, completion->answer_tokens);
+}
+
+static void
+give_up (struct kcp_request *request, const struct kcp_attempt *attempt,
+         enum kcp_failure failure)
+{
+  struct kcp_error error;
+
+  if (kcp_request_left_ms (request) == 0)
+    {
+      fail_deadline (request);
+      return;
+    }
+  if (request->kind == KCP_REQUEST_COMPLETION && kcp_isolate_is_blocked (request, &error))
+    {
+      fail (request, &error);
+      return;
+    }
+  if (failure == KCP_FAILURE_BAD_REQUEST)
+    kcp_error_set (&error, KCP_ERR_BAD_REQUEST, STEP_DISPATCH, attempt->backend->id,
+                   "the engine does not take this body");
+  else
+    {
+      kcp_error_set (&error, KCP_ERR_BACKEND,
+                     failure == KCP_FAILURE_UNSENT ? STEP_DISPATCH : STEP_ANSWER,
+                     attempt->backend->id, "no whole answer after %u attempts",
+                     request->attempts);
+      error.retry_after_s = RETRY_AFTER_S;
+    }
+  fail (request, &error);
+}
+
+static void
+fail_deadline (struct kcp_request *request)
+{
+  struct kcp_error error;
+
+  kcp_error_set (&error, KCP_ERR_DEADLINE, STEP_ANSWER,
+                 request->backend != NULL ? request->backend->id : NULL,
+                 "the deadline has passed");
+  fail (request, &error);
+}
+
+/* Ends the request with an error that says what its failed attempts leave it to be. */
+static void
+fail (struct kcp_request *request, struct kcp_error *error)
+{
+  error->execution = request->execution;
+  if (request->kind == KCP_REQUEST_SERVICE && request->execution == KCP_NOT_RUN)
+    kcp_service_release_claim (request);
+  kcp_request_fail (request, error);
+}
--- /dev/null
+++ b/src/request/failure.c
@@ -0,0 +1,45 @@
+#include "request/failure.h"
+
+#define HTTP_STATUS_BAD_REQUEST 400
+#define HTTP_STATUS_NOT_FOUND   404
+#define HTTP_STATUS_CONFLICT    409
+#define HTTP_STATUS_UNPROCESSED 422
+#define HTTP_STATUS_TOO_MANY    429
+#define HTTP_STATUS_UNAVAILABLE 503
+
+static enum kcp_failure refusal (const struct kcp_attempt_end *end);
+
+/* Says how an attempt failed. A refusal counts only if it names this attempt. */
+enum kcp_failure
+kcp_failure_classify (const struct kcp_attempt_end *end)
+{
+  if (end->whole)
+    return KCP_FAILURE_NONE;
+  if (end->fetch == KCP_FETCH_REFUSED)
+    return KCP_FAILURE_UNSENT;
+  if (end->resumes && end->fetch == KCP_FETCH_SILENT && !end->echoed)
+    return KCP_FAILURE_SILENT;
+  if (end->fetch != KCP_FETCH_WHOLE || !end->echoed)
+    return KCP_FAILURE_BROKEN;
+  return refusal (end);
+}
+
+static enum kcp_failure
+refusal (const struct kcp_attempt_end *end)
+{
+  switch (end->status)
+    {
+    case HTTP_STATUS_BAD_REQUEST:
+    case HTTP_STATUS_UNPROCESSED:
+      return KCP_FAILURE_BAD_REQUEST;
+    case HTTP_STATUS_NOT_FOUND:
+      return end->resumes ? KCP_FAILURE_NO_STREAM : KCP_FAILURE_BAD_REQUEST;
+    case HTTP_STATUS_CONFLICT:
+      return KCP_FAILURE_MISMATCH;
+    case HTTP_STATUS_TOO_MANY:
+    case HTTP_STATUS_UNAVAILABLE:
+      return KCP_FAILURE_REFUSED;
+    default:
+      return KCP_FAILURE_BROKEN;
+    }
+}
--- a/src/request/isolate.c
+++ b/src/request/isolate.c
@@ -14,7 +14,7 @@
 {
   const GString *body = request->call->body;
 
-  request->fingerprint = kcp_quarantine_fingerprint (
+  request->completion.fingerprint = kcp_quarantine_fingerprint (
       kcp_str_from_c (request->team->name), (struct kcp_str){ body->str, body->len });
 }
 
@@ -24,9 +24,9 @@
 kcp_isolate_is_blocked (struct kcp_request *request, struct kcp_error *error)
 {
   enum kcp_quarantine_state state
-      = kcp_suspects_state (request->router->suspects, request->fingerprint);
+      = kcp_suspects_state (request->router->suspects, request->completion.fingerprint);
 
-  request->suspect = state == KCP_QUARANTINE_SUSPECT;
+  request->completion.suspect = state == KCP_QUARANTINE_SUSPECT;
   if (state != KCP_QUARANTINE_BLOCKED)
     return false;
   kcp_error_set (error, KCP_ERR_QUARANTINED, STEP, NULL,
@@ -74,11 +74,11 @@
 bool
 kcp_isolate_begin (struct kcp_request *request, uint64_t server)
 {
-  if (!request->suspect)
+  if (!request->completion.suspect)
     return true;
   if (!kcp_suspects_begin (request->router->suspects, server))
     return false;
-  request->reserved = server;
+  request->completion.reserved = server;
   return true;
 }
 
@@ -86,9 +86,9 @@
 void
 kcp_isolate_release (struct kcp_request *request)
 {
-  if (request->reserved != 0)
-    kcp_suspects_end (request->router->suspects, request->reserved);
-  request->reserved = 0;
+  if (request->completion.reserved != 0)
+    kcp_suspects_end (request->router->suspects, request->completion.reserved);
+  request->completion.reserved = 0;
 }
 
 /* Makes the request a suspect once the engine at which it was broken off proves to have
@@ -100,15 +100,15 @@
   switch (end)
     {
     case KCP_ISOLATE_BROKEN:
-      request->broken_at = server;
-      request->broken_life = request->incarnation;
+      request->completion.broken_at = server;
+      request->completion.broken_life = request->completion.incarnation;
       break;
     case KCP_ISOLATE_GONE:
-      if (request->broken_at != server)
+      if (request->completion.broken_at != server)
         break;
-      request->broken_at = 0;
-      kcp_suspects_crashed (request->router->suspects, request->fingerprint,
-                            request->broken_life);
+      request->completion.broken_at = 0;
+      kcp_suspects_crashed (request->router->suspects, request->completion.fingerprint,
+                            request->completion.broken_life);
       break;
     case KCP_ISOLATE_OTHER:
       break;
--- a/src/request/open_requests.c
+++ b/src/request/open_requests.c
@@ -1,5 +1,6 @@
 #include "request/open_requests.h"
 
+#include "request/request_end.h"
 #include "request/request_private.h"
 
 #define STEP          "shutdown"
@@ -102,7 +103,7 @@
                  "this VM ended before the request did");
   error.retry_after_s = RETRY_AFTER_S;
   pthread_mutex_lock (&request->lock);
-  if (request->attempts > 0 || request->fetch != NULL || request->claim_key[0] != '\0')
+  if (request->attempts > 0 || request->kind == KCP_REQUEST_SERVICE)
     error.execution = KCP_UNKNOWN;
   kcp_request_fail (request, &error);
   pthread_mutex_unlock (&request->lock);
--- a/src/request/request.c
+++ b/src/request/request.c
@@ -3,21 +3,22 @@
 #include <string.h>
 
 #include "base/counter.h"
-#include "base/logger.h"
 #include "base/ref.h"
-#include "request/admit.h"
-#include "request/isolate.h"
-#include "request/problem.h"
+#include "request/completion.h"
+#include "request/dispatch.h"
+#include "request/request_end.h"
+#include "request/service.h"
 
 #define STEP_ADMIT "admit"
 
+static bool is_claimed (const struct kcp_request *request);
 static void start_locked (struct kcp_request *request);
 static bool authorize (struct kcp_request *request, struct kcp_error *error);
 static bool read_deadline (struct kcp_request *request, struct kcp_error *error);
 static bool check_repeatable (struct kcp_request *request, struct kcp_error *error);
 static bool check_freshness (struct kcp_request *request, struct kcp_error *error);
 static bool check_transit (struct kcp_request *request, struct kcp_error *error);
-static void write_failure (struct kcp_request *request, const struct kcp_error *error);
+static void start_service (struct kcp_request *request);
 static void on_drained (void *user);
 static void clear (gpointer data);
 
@@ -31,6 +32,8 @@
   pthread_mutex_init (&request->lock, NULL);
   request->router = router;
   request->call = call;
+  request->kind
+      = call->kind == KCP_CALL_SERVICE ? KCP_REQUEST_SERVICE : KCP_REQUEST_COMPLETION;
   request->reply = kcp_reply_ref (reply);
   request->started_ns = kcp_clock_monotonic_ns (router->clock);
   kcp_id_random (request->id);
@@ -50,13 +53,11 @@
 {
   pthread_mutex_lock (&request->lock);
   kcp_reply_on_drained (request->reply, NULL, NULL);
-  if (!request->ended && request->call->kind != KCP_CALL_SERVICE)
+  if (!request->ended && !is_claimed (request))
     {
       kcp_counter_add (KCP_COUNT_CANCELLED, 1);
       kcp_request_end (request, KCP_EVENT_CANCELLED);
     }
-  else if (!request->ended && request->fetch != NULL)
-    kcp_fetch_cancel (request->fetch);
   pthread_mutex_unlock (&request->lock);
 }
 
@@ -72,7 +73,8 @@
 kcp_request_of_item (struct kcp_admission_item *item)
 {
   return (struct kcp_request *)(void *)((char *)item
-                                        - G_STRUCT_OFFSET (struct kcp_request, item));
+                                        - G_STRUCT_OFFSET (struct kcp_request,
+                                                           completion.item));
 }
 
 /* Drops a reference; NULL is allowed. */
@@ -83,54 +85,6 @@
     kcp_ref_release (request, clear);
 }
 
-/* Answers with an error, at once. The lock is held. */
-void
-kcp_request_fail (struct kcp_request *request, const struct kcp_error *error)
-{
-  bool refused = error->execution == KCP_NOT_RUN;
-
-  if (request->ended)
-    return;
-  kcp_counter_add (refused ? KCP_COUNT_REFUSED : KCP_COUNT_FAILED, 1);
-  kcp_logger_error (refused ? "request_refused" : "request_failed", request->id, error);
-  write_failure (request, error);
-  kcp_request_end (request, refused ? KCP_EVENT_REFUSED : KCP_EVENT_FAILED);
-}
-
-/* Marks the end of a request whose answer has been written. The lock is held. */
-void
-kcp_request_end (struct kcp_request *request, enum kcp_event event)
-{
-  int64_t took_ns = kcp_clock_monotonic_ns (request->router->clock) - request->started_ns;
-
-  if (request->ended)
-    return;
-  request->ended = true;
-  kcp_timeline_add (request->router->timeline, event, request->id,
-                    request->backend != NULL ? request->backend->id : NULL,
-                    took_ns / KCP_NS_PER_US);
-  kcp_reply_finish (request->reply);
-  kcp_attempt_abandon (request);
-  kcp_isolate_release (request);
-  kcp_admit_forget (request->router->admit, request);
-  if (request->timer != NULL)
-    kcp_timer_cancel (request->timer);
-  request->timer = NULL;
-  kcp_open_requests_remove (request->router->open_requests, request);
-}
-
-/* Adds the response headers that say which request this is and where it ran. */
-void
-kcp_request_add_headers (struct kcp_request *request)
-{
-  kcp_reply_add_header (request->reply, "Kingcuppoint-Request", request->id);
-  if (request->backend == NULL)
-    return;
-  kcp_reply_add_header (request->reply, "Kingcuppoint-Backend", request->backend->id);
-  kcp_reply_add_header (request->reply, "Kingcuppoint-Data-Center",
-                        g_quark_to_string (request->backend->data_center));
-}
-
 /* Returns the milliseconds left until the deadline, at least 0. */
 int64_t
 kcp_request_left_ms (struct kcp_request *request)
@@ -140,6 +94,17 @@
   return MAX (left, 0) / KCP_NS_PER_MS;
 }
 
+/* Notes that the request has failed at this backend server. The lock is held. */
+void
+kcp_request_set_tried (struct kcp_request *request, const char *backend_id)
+{
+  if (kcp_request_has_tried (request, backend_id))
+    return;
+  if (request->tried == NULL)
+    request->tried = g_ptr_array_new_with_free_func (g_free);
+  g_ptr_array_add (request->tried, g_strdup (backend_id));
+}
+
 /* Tells whether the request has failed at this backend server, so that it should be sent
    to another one. The lock is held. */
 bool
@@ -151,6 +116,14 @@
   return false;
 }
 
+/* Tells whether the call is claimed, or may become so: it then goes on without its
+   caller. */
+static bool
+is_claimed (const struct kcp_request *request)
+{
+  return request->kind == KCP_REQUEST_SERVICE && request->service.claim_key[0] != '\0';
+}
+
 static void
 start_locked (struct kcp_request *request)
 {
@@ -163,10 +136,28 @@
       kcp_request_fail (request, &error);
       return;
     }
-  if (request->call->kind == KCP_CALL_SERVICE)
-    kcp_service_start (request);
+  switch (request->kind)
+    {
+    case KCP_REQUEST_COMPLETION:
+      if (kcp_completion_init (request, &error))
+        kcp_dispatch_request (request);
+      else
+        kcp_request_fail (request, &error);
+      break;
+    case KCP_REQUEST_SERVICE:
+      start_service (request);
+      break;
+    }
+}
+
+/* A call that may not run twice is claimed first. */
+static void
+start_service (struct kcp_request *request)
+{
+  if (request->profile->repeatable)
+    kcp_dispatch_request (request);
   else
-    kcp_completion_start (request);
+    kcp_service_claim (request, kcp_dispatch_request);
 }
 
 static bool
@@ -276,33 +267,6 @@
   return false;
 }
 
-static void
-write_failure (struct kcp_request *request, const struct kcp_error *error)
-{
-  json_t *problem = kcp_problem_new (error, request->id);
-  char *text = json_dumps (problem, JSON_COMPACT);
-  bool begun = kcp_reply_has_begun (request->reply);
-  g_autofree char *retry = g_strdup_printf ("%d", error->retry_after_s);
-
-  if (begun)
-    {
-      g_autofree char *event = g_strdup_printf ("event: error\ndata: %s\n\n", text);
-
-      kcp_reply_write (request->reply, kcp_str_from_c (event));
-    }
-  else
-    {
-      kcp_request_add_headers (request);
-      if (error->retry_after_s > 0)
-        kcp_reply_add_header (request->reply, "Retry-After", retry);
-      kcp_reply_begin (request->reply, kcp_error_http_status (error->code),
-                       KCP_PROBLEM_CONTENT_TYPE);
-      kcp_reply_write (request->reply, kcp_str_from_c (text));
-    }
-  free (text);
-  json_decref (problem);
-}
-
 static void
 on_drained (void *user)
 {
@@ -323,17 +287,16 @@
   kcp_reply_unref (request->reply);
   kcp_team_unref (request->team);
   kcp_profile_unref (request->profile);
-  kcp_prompt_clear (&request->prompt);
   g_clear_pointer (&request->tried, g_ptr_array_unref);
-  g_clear_pointer (&request->block_hashes, g_array_unref);
-  g_clear_pointer (&request->chain, g_array_unref);
-  if (request->text != NULL)
-    g_string_free (request->text, TRUE);
-  if (request->service_body != NULL)
-    g_string_free (request->service_body, TRUE);
-  g_free (request->service_content_type);
-  g_free (request->finish_reason);
+  switch (request->kind)
+    {
+    case KCP_REQUEST_COMPLETION:
+      kcp_completion_clear (request);
+      break;
+    case KCP_REQUEST_SERVICE:
+      kcp_service_clear (request);
+      break;
+    }
   kcp_backend_unref (request->backend);
-  kcp_fetch_unref (request->fetch);
   pthread_mutex_destroy (&request->lock);
 }
--- /dev/null
+++ b/src/request/service.h
@@ -0,0 +1,16 @@
+/* What is special in a call of a plain service: the claim of one that may not run twice,
+   and its recorded outcome. Called with the request's lock held. */
+#ifndef KCP_REQUEST_SERVICE_H
+#define KCP_REQUEST_SERVICE_H
+
+#include "request/attempt.h"
+
+void kcp_service_claim (struct kcp_request *request,
+                        void (*won) (struct kcp_request *request));
+void kcp_service_release_claim (struct kcp_request *request);
+bool kcp_service_outlives_caller (const struct kcp_request *request);
+void kcp_service_finish (struct kcp_request *request, struct kcp_attempt *attempt,
+                         long status);
+void kcp_service_clear (struct kcp_request *request);
+
+#endif
--- a/tests/process/test_services.c
+++ b/tests/process/test_services.c
@@ -89,6 +89,37 @@
 }
 END_TEST
 
+/* One server of two gives answers of other calls: every lookup is answered by the second
+   one, which a call that may not run twice never reaches. */
+START_TEST (test_only_a_repeatable_call_is_sent_again_after_a_wrong_answer)
+{
+  unsigned failed = 0;
+
+  cluster_faults (g_ptr_array_index (cluster->services, 0), "{\"cross_answers\":1000}");
+  call_all ("lookup");
+  for (int i = 0; i < CALLS; i++)
+    {
+      g_autofree char *key = g_strdup_printf ("once-%d", i);
+      struct client_answer answer = client_run (&(struct client_call){
+          .port = cluster_vm (cluster, 0)->port,
+          .path = "/services/" CLUSTER_SERVICE "/call",
+          .key = CLUSTER_TEAM_KEY,
+          .profile = "booking",
+          .idempotency_key = key,
+          .body = "{}",
+      });
+
+      if (answer.status != 200)
+        {
+          ck_assert_ptr_nonnull (strstr (answer.body->str, "\"execution\":\"unknown\""));
+          failed++;
+        }
+      client_answer_clear (&answer);
+    }
+  ck_assert_uint_gt (failed, 0);
+}
+END_TEST
+
 START_TEST (test_a_second_process_on_the_same_port_does_not_start)
 {
   g_autofree char *first = g_strdup_printf ("%s/vm-1.ini", cluster->folder);
@@ -123,6 +154,7 @@
   tcase_set_timeout (tests, 30);
   tcase_add_test (tests, test_a_dead_server_costs_no_call);
   tcase_add_test (tests, test_an_answer_of_another_attempt_is_never_passed_on);
+  tcase_add_test (tests, test_only_a_repeatable_call_is_sent_again_after_a_wrong_answer);
   tcase_add_test (tests, test_a_second_process_on_the_same_port_does_not_start);
   suite_add_tcase (suite, tests);
   return run_suite (suite);
--- a/tests/unit/test_policy_failures.c
+++ b/tests/unit/test_policy_failures.c
@@ -7,6 +7,7 @@
 #include "base/clock.h"
 #include "policy/quarantine.h"
 #include "policy/retry.h"
+#include "request/failure.h"
 #include "tests/harness/run_suite.h"
 
 #define KEEP_NS (60 * KCP_NS_PER_S)
@@ -222,6 +223,43 @@
 }
 END_TEST
 
+struct end_case
+{
+  struct kcp_attempt_end end;
+  enum kcp_failure expected;
+};
+
+START_TEST (test_the_end_of_an_attempt_says_how_it_failed)
+{
+  static const struct end_case cases[] = {
+    { { .fetch = KCP_FETCH_WHOLE, .status = 200, .echoed = true, .whole = true },
+      KCP_FAILURE_NONE },
+    { { .fetch = KCP_FETCH_REFUSED }, KCP_FAILURE_UNSENT },
+    { { .fetch = KCP_FETCH_BROKEN, .status = 200, .echoed = true }, KCP_FAILURE_BROKEN },
+    { { .fetch = KCP_FETCH_TIMED_OUT }, KCP_FAILURE_BROKEN },
+    { { .fetch = KCP_FETCH_SILENT }, KCP_FAILURE_BROKEN },
+    { { .fetch = KCP_FETCH_SILENT, .resumes = true }, KCP_FAILURE_SILENT },
+    { { .fetch = KCP_FETCH_SILENT, .resumes = true, .echoed = true },
+      KCP_FAILURE_BROKEN },
+    /* A refusal without this attempt's id may be another call's. */
+    { { .fetch = KCP_FETCH_WHOLE, .status = 503 }, KCP_FAILURE_BROKEN },
+    { { .fetch = KCP_FETCH_WHOLE, .status = 503, .echoed = true }, KCP_FAILURE_REFUSED },
+    { { .fetch = KCP_FETCH_WHOLE, .status = 409, .echoed = true }, KCP_FAILURE_MISMATCH },
+    { { .fetch = KCP_FETCH_WHOLE, .status = 400, .echoed = true },
+      KCP_FAILURE_BAD_REQUEST },
+    { { .fetch = KCP_FETCH_WHOLE, .status = 404, .echoed = true },
+      KCP_FAILURE_BAD_REQUEST },
+    { { .fetch = KCP_FETCH_WHOLE, .status = 404, .echoed = true, .resumes = true },
+      KCP_FAILURE_NO_STREAM },
+    { { .fetch = KCP_FETCH_WHOLE, .status = 200, .echoed = true }, KCP_FAILURE_BROKEN },
+  };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    ck_assert_msg (kcp_failure_classify (&cases[i].end) == cases[i].expected, "case %zu",
+                   i);
+}
+END_TEST
+
 int
 main (int argc, char **argv)
 {
@@ -231,6 +269,7 @@
   if (argc > 1)
     seed = (guint32)g_ascii_strtoull (argv[1], NULL, 10);
   (void)printf ("seed %u\n", seed);
+  tcase_add_test (tests, test_the_end_of_an_attempt_says_how_it_failed);
   tcase_add_test (tests,
                   test_what_may_not_be_repeated_is_sent_again_only_if_no_byte_went_out);
   tcase_add_test (tests,
