--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -174,6 +174,7 @@
   vm->mesh = kcp_mesh_start (gateway, kcp_platform_store_calls (vm->store), &error);
   if (vm->mesh == NULL)
     goto fail;
+  gateway->mesh = vm->mesh;
   vm->cache_reader = kcp_cache_reader_start (gateway, vm->mesh);
   vm->rollout = kcp_rollout_start (gateway, kcp_platform_store_calls (vm->store));
   vm->feed = kcp_feed_start (gateway, kcp_platform_store_calls (vm->store),
@@ -201,6 +202,7 @@
   kcp_text_server_close (vm->metrics);
   kcp_rollout_stop (vm->rollout);
   kcp_cache_reader_stop (vm->cache_reader);
+  vm->gateway.mesh = NULL;
   kcp_mesh_stop (vm->mesh);
   kcp_feed_stop (vm->feed);
   kcp_gateway_clear (&vm->gateway);
--- a/src/forward/cached_parts.c
+++ b/src/forward/cached_parts.c
@@ -156,7 +156,7 @@
   const struct kcp_prefix_belief *belief;
   int64_t now = kcp_loop_now (gateway->loop);
 
-  if (kcp_server_holds (server, part) || kcp_server_is_sent_part (server, part))
+  if (kcp_server_holds (server, part) || kcp_server_is_sent_part (server, part, now))
     return true;
   belief = kcp_prefix_memory_find (gateway->prefixes, part);
   if (belief == NULL)
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -5,6 +5,7 @@
 
 #include "base/id.h"
 #include "forward/cached_parts.h"
+#include "forward/mesh.h"
 #include "policy/place.h"
 
 /* Of the first part of a prompt that nobody keeps, what its home counts as having. */
@@ -86,6 +87,7 @@
 kcp_choice_remember (struct kcp_gateway *gateway, const struct kcp_choice *choice)
 {
   const GArray *parts = choice->inbound->parts;
+  int64_t unread_tokens = choice->uncached_tokens;
   int64_t now = kcp_loop_now (gateway->loop);
 
   if (choice->cache_space == NULL || parts == NULL)
@@ -100,7 +102,8 @@
       if (part->tokens < KCP_LONG_PART_TOKENS)
         continue;
       key = kcp_part_key (choice->cache_space, part->id);
-      kcp_server_note_sent_part (choice->server, key, now);
+      kcp_mesh_announce_prompt (gateway->mesh, choice->server, key, unread_tokens);
+      unread_tokens = 0;
       belief = kcp_prefix_memory_make (gateway->prefixes, key);
       kcp_prefix_belief_add (belief, kcp_server_key (choice->server), now);
       if (choice->save_to != NULL)
@@ -124,7 +127,8 @@
   candidate->loading = now < server->loading_until_ns;
   candidate->open = server->open + server->others_open;
   candidate->slots = (unsigned)server->entry.slots;
-  candidate->unread_tokens = server->unread_tokens + server->others_unread_tokens;
+  candidate->unread_tokens
+      = server->unread_tokens + kcp_server_others_unread (server, now);
   free_ns = MAX (server->suspected_until_ns, server->loading_until_ns);
   if (choice->soonest_free_ns == 0 || free_ns < choice->soonest_free_ns)
     choice->soonest_free_ns = MAX (free_ns, now);
@@ -192,7 +196,7 @@
       best_score = score;
     }
   if (home != NULL)
-    home->uncached_tokens = MAX (home->uncached_tokens - HOME_SHARE (first->tokens), 0);
+    home->home_tokens = MIN (home->uncached_tokens, HOME_SHARE (first->tokens));
 }
 
 static void
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -32,6 +32,8 @@
   unsigned count;
 };
 
+struct kcp_mesh;
+
 struct kcp_gateway
 {
   const struct kcp_forward_settings *settings;
@@ -44,8 +46,9 @@
   GPtrArray *weights;  /* struct kcp_named_weights */
   GHashTable *budgets; /* service -> struct kcp_resend_budget */
   struct kcp_prefix_memory *prefixes;
-  bool draining; /* the balancer is told to look away */
-  bool closing;  /* it has: no request is begun any more */
+  struct kcp_mesh *mesh; /* exchange with the other VMs; NULL: there is none */
+  bool draining;         /* the balancer is told to look away */
+  bool closing;          /* it has: no request is begun any more */
   unsigned open_requests;
   unsigned vms; /* alive, this one counted, as far as known */
 };
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -28,8 +28,9 @@
 static int64_t silent_ns (const struct kcp_mesh_peer *peer);
 static void note_pause (struct kcp_mesh_peer *peer, int64_t now_ns);
 static void on_datagram (void *user, uint32_t events);
+static bool read_message (struct kcp_mesh *mesh, char *bytes, size_t len);
+static bool read_update (struct kcp_mesh *mesh, char *bytes, size_t len);
 static void take_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
-static struct kcp_mesh_peer *find_peer (struct kcp_mesh *mesh, const char *vm);
 static struct kcp_mesh_peer *make_peer (struct kcp_mesh *mesh, const char *vm);
 static void sum_rows (struct kcp_mesh *mesh);
 static void take_row (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer,
@@ -50,6 +51,8 @@
   mesh->peers = g_ptr_array_new_with_free_func (peer_free);
   mesh->start = (uint64_t)kcp_clock_realtime_ms (gateway->clock);
   g_strlcpy (mesh->own, own, sizeof mesh->own);
+  kcp_mesh_update_init (&mesh->pending);
+  mesh->updates_filled_ns = kcp_loop_now (gateway->loop);
   mesh->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (!kcp_server_loop_address (own, &address, error))
     goto fail;
@@ -84,6 +87,8 @@
     return;
   kcp_loop_timer_cancel (&mesh->tell);
   kcp_loop_timer_cancel (&mesh->list);
+  kcp_loop_timer_cancel (&mesh->flush);
+  kcp_mesh_update_clear (&mesh->pending);
   if (mesh->fd >= 0)
     {
       kcp_poller_unwatch (kcp_loop_poller (mesh->gateway->loop), mesh->fd);
@@ -184,7 +189,7 @@
 
       g_free (last);
       last = kcp_str_dup (record->key);
-      if (record->value.len > 0 && find_peer (mesh, last) == NULL)
+      if (record->value.len > 0 && kcp_mesh_find_peer (mesh, last) == NULL)
         (void)make_peer (mesh, last);
     }
   if (answer->more && last != NULL)
@@ -238,28 +243,59 @@
   (void)events;
   while ((len = recv (mesh->fd, bytes, sizeof bytes, 0)) > 0)
     {
-      struct kcp_mesh_message message;
+      bool sound = false;
 
-      kcp_mesh_message_init (&message);
-      if (kcp_mesh_message_decode (&message, bytes, (size_t)len))
+      switch (kcp_mesh_procedure_of (bytes, (size_t)len))
         {
-          kcp_counter_add (KCP_COUNT_RPC_RECEIVED, 1);
-          take_message (mesh, &message);
-          changed = true;
+        case KCP_MESH_TELL:
+          sound = read_message (mesh, bytes, (size_t)len);
+          changed = changed || sound;
+          break;
+        case KCP_MESH_UPDATE:
+          sound = read_update (mesh, bytes, (size_t)len);
+          break;
+        case KCP_MESH_UNSOUND:
+          break;
         }
-      else
-        kcp_counter_add (KCP_COUNT_RPC_REJECTED, 1);
-      kcp_mesh_message_clear (&message);
+      kcp_counter_add (sound ? KCP_COUNT_RPC_RECEIVED : KCP_COUNT_RPC_REJECTED, 1);
     }
   if (changed)
     sum_rows (mesh);
 }
 
+static bool
+read_message (struct kcp_mesh *mesh, char *bytes, size_t len)
+{
+  struct kcp_mesh_message message;
+  bool sound;
+
+  kcp_mesh_message_init (&message);
+  sound = kcp_mesh_message_decode (&message, bytes, len);
+  if (sound)
+    take_message (mesh, &message);
+  kcp_mesh_message_clear (&message);
+  return sound;
+}
+
+static bool
+read_update (struct kcp_mesh *mesh, char *bytes, size_t len)
+{
+  struct kcp_mesh_update update;
+  bool sound;
+
+  kcp_mesh_update_init (&update);
+  sound = kcp_mesh_update_decode (&update, bytes, len);
+  if (sound)
+    kcp_mesh_take_update (mesh, &update);
+  kcp_mesh_update_clear (&update);
+  return sound;
+}
+
 /* Keeps a message that is newer than what is known of its sender. */
 static void
 take_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
 {
-  struct kcp_mesh_peer *peer = find_peer (mesh, message->vm);
+  struct kcp_mesh_peer *peer = kcp_mesh_find_peer (mesh, message->vm);
   GArray *rows;
 
   if (strcmp (message->vm, mesh->own) == 0)
@@ -269,6 +305,8 @@
   if (peer == NULL || message->start < peer->start
       || (message->start == peer->start && message->number <= peer->number))
     return;
+  if (peer->start != message->start)
+    peer->update_number = 0;
   peer->start = message->start;
   peer->number = message->number;
   note_pause (peer, kcp_loop_now (mesh->gateway->loop));
@@ -284,8 +322,9 @@
   message->rows = rows;
 }
 
-static struct kcp_mesh_peer *
-find_peer (struct kcp_mesh *mesh, const char *vm)
+/* Returns what is known of another VM, or NULL. */
+struct kcp_mesh_peer *
+kcp_mesh_find_peer (struct kcp_mesh *mesh, const char *vm)
 {
   for (guint i = 0; i < mesh->peers->len; i++)
     {
@@ -351,7 +390,6 @@
       struct kcp_server *server = g_ptr_array_index (servers, i);
 
       server->others_open = 0;
-      g_clear_pointer (&server->others_parts, g_array_unref);
       server->others_unread_tokens = 0;
     }
   for (guint i = 0; i < mesh->peers->len; i++)
@@ -374,10 +412,6 @@
     return;
   server->others_open += row->open;
   server->others_unread_tokens += row->unread_tokens;
-  if (row->sent->len > 0 && server->others_parts == NULL)
-    server->others_parts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  if (row->sent->len > 0)
-    g_array_append_vals (server->others_parts, row->sent->data, row->sent->len);
   if (row->version > 0)
     kcp_server_learn_first_version (server, row->version, now);
   if (row->loading_ms > 0)
--- a/src/forward/mesh.h
+++ b/src/forward/mesh.h
@@ -13,6 +13,11 @@
                                  const struct kcp_store *store, struct kcp_error *error);
 void kcp_mesh_leave (struct kcp_mesh *mesh);
 void kcp_mesh_stop (struct kcp_mesh *mesh);
+void kcp_mesh_announce_prompt (struct kcp_mesh *mesh, const struct kcp_server *server,
+                               uint64_t part, int64_t unread_tokens);
+void kcp_mesh_announce_loading (struct kcp_mesh *mesh, const struct kcp_server *server,
+                                int64_t loading_ms);
+void kcp_mesh_announce_loaded (struct kcp_mesh *mesh, const struct kcp_server *server);
 unsigned kcp_mesh_count (const struct kcp_mesh *mesh);
 bool kcp_mesh_is_reader (const struct kcp_mesh *mesh, const struct kcp_server *server);
 
--- a/src/forward/mesh_message.c
+++ b/src/forward/mesh_message.c
@@ -3,17 +3,19 @@
 #include <rpc/rpc.h>
 #include <string.h>
 
-#define PROGRAM        0x20005043u
-#define VERSION        1u
-#define PROCEDURE_TELL 1u
+#define PROGRAM 0x20005043u
+#define VERSION 2u
 
 static void add_empty_row (GArray *rows);
-static bool code_call (XDR *xdr, bool encode);
+static bool encode_call (XDR *xdr, enum kcp_mesh_procedure procedure);
+static enum kcp_mesh_procedure decode_call (XDR *xdr);
 static bool_t code_message (XDR *xdr, struct kcp_mesh_message *message);
 static bool_t code_text (XDR *xdr, char *text, size_t size);
 static bool_t code_rows (XDR *xdr, GArray *rows);
 static bool_t code_row (XDR *xdr, struct kcp_mesh_row *row);
 static bool_t code_parts (XDR *xdr, GArray *parts);
+static bool_t code_update (XDR *xdr, struct kcp_mesh_update *update);
+static bool_t code_change (XDR *xdr, struct kcp_mesh_change *change);
 static void row_clear (gpointer data);
 
 /* Makes an empty message. */
@@ -48,7 +50,7 @@
   size_t len = 0;
 
   xdrmem_create (&xdr, out, (u_int)max, XDR_ENCODE);
-  if (code_call (&xdr, true) && code_message (&xdr, message))
+  if (encode_call (&xdr, KCP_MESH_TELL) && code_message (&xdr, message))
     len = xdr_getpos (&xdr);
   xdr_destroy (&xdr);
   return len;
@@ -62,7 +64,63 @@
   bool sound;
 
   xdrmem_create (&xdr, data, (u_int)len, XDR_DECODE);
-  sound = code_call (&xdr, false) && code_message (&xdr, message)
+  sound = decode_call (&xdr) == KCP_MESH_TELL && code_message (&xdr, message)
+          && xdr_getpos (&xdr) == len;
+  xdr_destroy (&xdr);
+  return sound;
+}
+
+/* Says which call the bytes are, by their head. */
+enum kcp_mesh_procedure
+kcp_mesh_procedure_of (char *data, size_t len)
+{
+  XDR xdr;
+  enum kcp_mesh_procedure procedure;
+
+  xdrmem_create (&xdr, data, (u_int)len, XDR_DECODE);
+  procedure = decode_call (&xdr);
+  xdr_destroy (&xdr);
+  return procedure;
+}
+
+/* Makes an update without changes. */
+void
+kcp_mesh_update_init (struct kcp_mesh_update *update)
+{
+  memset (update, 0, sizeof *update);
+  update->changes = g_array_new (FALSE, TRUE, sizeof (struct kcp_mesh_change));
+}
+
+/* Frees what an update owns. */
+void
+kcp_mesh_update_clear (struct kcp_mesh_update *update)
+{
+  g_array_unref (update->changes);
+}
+
+/* Writes the update as an RPC call; returns its length, or 0 if max is too small. */
+size_t
+kcp_mesh_update_encode (struct kcp_mesh_update *update, char *out, size_t max)
+{
+  XDR xdr;
+  size_t len = 0;
+
+  xdrmem_create (&xdr, out, (u_int)max, XDR_ENCODE);
+  if (encode_call (&xdr, KCP_MESH_UPDATE) && code_update (&xdr, update))
+    len = xdr_getpos (&xdr);
+  xdr_destroy (&xdr);
+  return len;
+}
+
+/* Reads an RPC call into an initialised update; false if it is not a sound one. */
+bool
+kcp_mesh_update_decode (struct kcp_mesh_update *update, char *data, size_t len)
+{
+  XDR xdr;
+  bool sound;
+
+  xdrmem_create (&xdr, data, (u_int)len, XDR_DECODE);
+  sound = decode_call (&xdr) == KCP_MESH_UPDATE && code_update (&xdr, update)
           && xdr_getpos (&xdr) == len;
   xdr_destroy (&xdr);
   return sound;
@@ -73,29 +131,43 @@
 {
   struct kcp_mesh_row row = {
     .parts = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
-    .sent = g_array_new (FALSE, FALSE, sizeof (uint64_t)),
   };
 
   g_array_append_val (rows, row);
 }
 
 static bool
-code_call (XDR *xdr, bool encode)
+encode_call (XDR *xdr, enum kcp_mesh_procedure procedure)
 {
-  struct rpc_msg call = { 0 };
-  char credentials[2 * MAX_AUTH_BYTES];
+  struct rpc_msg call = { .rm_direction = CALL };
 
-  call.rm_direction = CALL;
   call.rm_call.cb_rpcvers = RPC_MSG_VERSION;
   call.rm_call.cb_prog = PROGRAM;
   call.rm_call.cb_vers = VERSION;
-  call.rm_call.cb_proc = PROCEDURE_TELL;
+  call.rm_call.cb_proc = (rpcproc_t)procedure;
+  return xdr_callmsg (xdr, &call);
+}
+
+static enum kcp_mesh_procedure
+decode_call (XDR *xdr)
+{
+  struct rpc_msg call = { 0 };
+  char credentials[2 * MAX_AUTH_BYTES];
+
   call.rm_call.cb_cred.oa_base = credentials;
   call.rm_call.cb_verf.oa_base = credentials + MAX_AUTH_BYTES;
-  if (encode)
-    return xdr_callmsg (xdr, &call);
-  return xdr_callmsg (xdr, &call) && call.rm_call.cb_prog == PROGRAM
-         && call.rm_call.cb_vers == VERSION && call.rm_call.cb_proc == PROCEDURE_TELL;
+  if (!xdr_callmsg (xdr, &call) || call.rm_direction != CALL
+      || call.rm_call.cb_prog != PROGRAM || call.rm_call.cb_vers != VERSION)
+    return KCP_MESH_UNSOUND;
+  switch (call.rm_call.cb_proc)
+    {
+    case KCP_MESH_TELL:
+      return KCP_MESH_TELL;
+    case KCP_MESH_UPDATE:
+      return KCP_MESH_UPDATE;
+    default:
+      return KCP_MESH_UNSOUND;
+    }
 }
 
 static bool_t
@@ -145,7 +217,7 @@
       || !xdr_uint32_t (xdr, &row->loading_ms) || !xdr_bool (xdr, &read))
     return FALSE;
   row->read = read;
-  return code_parts (xdr, row->sent) && (!read || code_parts (xdr, row->parts));
+  return !read || code_parts (xdr, row->parts);
 }
 
 static bool_t
@@ -162,11 +234,35 @@
   return TRUE;
 }
 
+static bool_t
+code_update (XDR *xdr, struct kcp_mesh_update *update)
+{
+  uint32_t count = update->changes->len;
+
+  if (!code_text (xdr, update->vm, sizeof update->vm)
+      || !xdr_uint64_t (xdr, &update->start) || !xdr_uint64_t (xdr, &update->number)
+      || !xdr_uint32_t (xdr, &count) || count > KCP_MESH_UPDATES_MAX)
+    return FALSE;
+  g_array_set_size (update->changes, count);
+  for (uint32_t i = 0; i < count; i++)
+    if (!code_change (xdr, &g_array_index (update->changes, struct kcp_mesh_change, i)))
+      return FALSE;
+  return TRUE;
+}
+
+static bool_t
+code_change (XDR *xdr, struct kcp_mesh_change *change)
+{
+  return xdr_uint64_t (xdr, &change->server) && xdr_uint64_t (xdr, &change->part)
+         && xdr_uint32_t (xdr, &change->unread_tokens)
+         && xdr_uint32_t (xdr, &change->version)
+         && xdr_uint32_t (xdr, &change->loading_ms);
+}
+
 static void
 row_clear (gpointer data)
 {
   struct kcp_mesh_row *row = data;
 
   g_array_unref (row->parts);
-  g_array_unref (row->sent);
 }
--- a/src/forward/mesh_message.h
+++ b/src/forward/mesh_message.h
@@ -1,6 +1,7 @@
-/* What the VMs tell each other of the servers, as ONC RPC calls without a reply. State,
-   not changes: a message that is lost or comes twice does no harm, and the newest one of
-   a VM replaces its earlier ones. */
+/* What the VMs tell each other of the servers, as ONC RPC calls without a reply. A
+   message holds the whole state, so that a lost one does no harm and the newest one of a
+   VM replaces its earlier ones. An update holds changes; one that is lost is made good by
+   the next messages. */
 #ifndef KCP_FORWARD_MESH_MESSAGE_H
 #define KCP_FORWARD_MESH_MESSAGE_H
 
@@ -13,6 +14,14 @@
 #define KCP_MESH_MESSAGE_MAX 8192u /* bytes */
 #define KCP_MESH_ROWS_MAX    128u
 #define KCP_MESH_PARTS_MAX   512u
+#define KCP_MESH_UPDATES_MAX 64u
+
+enum kcp_mesh_procedure
+{
+  KCP_MESH_UNSOUND, /* no call of this program */
+  KCP_MESH_TELL,    /* struct kcp_mesh_message */
+  KCP_MESH_UPDATE   /* struct kcp_mesh_update */
+};
 
 /* One server, as one VM sees it. */
 struct kcp_mesh_row
@@ -24,7 +33,6 @@
   uint32_t loading_ms;    /* it takes new weights for that long yet */
   bool read;              /* the VM reads the server's cache events: parts stand */
   GArray *parts;          /* uint64_t, long parts of prompts that the server keeps */
-  GArray *sent;           /* uint64_t, those that the VM has lately sent there */
 };
 
 struct kcp_mesh_message
@@ -37,6 +45,31 @@
   GArray *rows; /* struct kcp_mesh_row */
 };
 
+/* What has just changed at one server. */
+struct kcp_mesh_change
+{
+  uint64_t server;        /* see kcp_server_key() */
+  uint64_t part;          /* long part of a prompt that was sent there; 0: none */
+  uint32_t unread_tokens; /* of that prompt, to be read there */
+  uint32_t version;       /* of the weights that the server has taken; 0: none */
+  uint32_t loading_ms;    /* it takes new weights for about so long; 0: it does not */
+};
+
+/* Changes that the others must not learn late, told at once. */
+struct kcp_mesh_update
+{
+  char vm[64];     /* IP:PORT of the VM's own socket */
+  uint64_t start;  /* of the VM's process */
+  uint64_t number; /* of the update, within the start */
+  GArray *changes; /* struct kcp_mesh_change */
+};
+
+enum kcp_mesh_procedure kcp_mesh_procedure_of (char *data, size_t len);
+void kcp_mesh_update_init (struct kcp_mesh_update *update);
+void kcp_mesh_update_clear (struct kcp_mesh_update *update);
+size_t kcp_mesh_update_encode (struct kcp_mesh_update *update, char *out, size_t max);
+bool kcp_mesh_update_decode (struct kcp_mesh_update *update, char *data, size_t len);
+
 void kcp_mesh_message_init (struct kcp_mesh_message *message);
 void kcp_mesh_message_clear (struct kcp_mesh_message *message);
 struct kcp_mesh_row *kcp_mesh_message_add_row (struct kcp_mesh_message *message);
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -19,6 +19,7 @@
   char data_center[64];
   uint64_t start;
   uint64_t number;
+  uint64_t update_number;
   int64_t heard_ns; /* 0: only listed */
   int64_t pause_ns; /* usual time between its messages; 0: not known */
   int64_t listed_ns;
@@ -43,18 +44,28 @@
   uint64_t number;
   struct kcp_mesh_share near;
   struct kcp_mesh_share far;
+  struct kcp_mesh_share updates;
+  int64_t updates_filled_ns;      /* when its share last grew */
+  struct kcp_mesh_update pending; /* changes that go out with the next flush */
   bool leaving;
   bool entered; /* this VM stands in it */
   GPtrArray *peers;
   struct kcp_loop_timer tell;
   struct kcp_loop_timer list;
+  struct kcp_loop_timer flush;
 };
 
 /* mesh_tell.c */
 void kcp_mesh_tell (void *user);
+void kcp_mesh_send (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer,
+                    struct kcp_str bytes);
 bool kcp_mesh_is_near (const struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer);
 
 /* mesh.c */
 void kcp_mesh_check_peers (struct kcp_mesh *mesh);
+struct kcp_mesh_peer *kcp_mesh_find_peer (struct kcp_mesh *mesh, const char *vm);
+
+/* mesh_update.c */
+void kcp_mesh_take_update (struct kcp_mesh *mesh, const struct kcp_mesh_update *update);
 
 #endif
--- a/src/forward/mesh_tell.c
+++ b/src/forward/mesh_tell.c
@@ -12,8 +12,6 @@
 #define FAR_BYTES_A_TELLING  1000
 #define TELLINGS_SAVED       4   /* that unspent bytes last for */
 #define SILENT_EVERY         10u /* VMs taken as away are told each so many tellings */
-/* What a server keeps shows in its events by then. */
-#define SENT_TOLD_NS (1200 * KCP_NS_PER_MS)
 
 static void make_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static void add_row (struct kcp_mesh *mesh, struct kcp_mesh_message *message,
@@ -21,8 +19,6 @@
 static void tell_some (struct kcp_mesh *mesh, struct kcp_str bytes, bool near,
                        struct kcp_mesh_share *share, int64_t bytes_more);
 static void tell_silent (struct kcp_mesh *mesh, struct kcp_str bytes);
-static void
-send_to (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer, struct kcp_str bytes);
 
 /* Tells what this VM sees of the servers, and sets the timer for the next time. */
 void
@@ -91,12 +87,6 @@
   row->version = (uint32_t)kcp_server_first_version (server);
   row->loading_ms = loading_ns > 0 ? (uint32_t)(loading_ns / KCP_NS_PER_MS) : 0;
   row->read = read;
-  kcp_server_drop_sent_parts (server, now - SENT_TOLD_NS);
-  for (guint i = 0; server->sent_parts != NULL && i < server->sent_parts->len
-                    && i < KCP_MESH_PARTS_MAX;
-       i++)
-    g_array_append_val (row->sent,
-                        g_array_index (server->sent_parts, struct kcp_sent_part, i).part);
   for (guint i = 0; read && i < server->held->len && i < KCP_MESH_PARTS_MAX; i++)
     g_array_append_val (row->parts, g_array_index (server->held, uint64_t, i));
 }
@@ -118,7 +108,7 @@
       share->turn = (share->turn + 1) % count;
       if (!peer->alive || kcp_mesh_is_near (mesh, peer) != near)
         continue;
-      send_to (mesh, peer, bytes);
+      kcp_mesh_send (mesh, peer, bytes);
       share->bytes -= (int64_t)bytes.len;
     }
 }
@@ -131,13 +121,14 @@
       const struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
 
       if (!peer->alive)
-        send_to (mesh, peer, bytes);
+        kcp_mesh_send (mesh, peer, bytes);
     }
 }
 
 /* A datagram that the kernel does not take is as one that is lost on the way. */
-static void
-send_to (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer, struct kcp_str bytes)
+void
+kcp_mesh_send (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer,
+               struct kcp_str bytes)
 {
   kcp_counter_add (KCP_COUNT_RPC_SENT, 1);
   (void)sendto (mesh->fd, bytes.data, bytes.len, 0,
--- a/src/forward/rollout_claim.c
+++ b/src/forward/rollout_claim.c
@@ -34,8 +34,10 @@
 
   if (answer->end == KCP_STORE_TRIMMED)
     {
-      claim->end = answer->next;
-      claim->holder[0] = '\0';
+      kcp_claim_trimmed (claim, answer->next, now);
+      KCP_LOG ("claim_read", KCP_LOG_TEXT ("holder", claim->holder),
+               KCP_LOG_INT ("offset", claim->offset));
+      return;
     }
   if (answer->end != KCP_STORE_DONE)
     {
--- a/src/forward/rollout_order.c
+++ b/src/forward/rollout_order.c
@@ -3,18 +3,20 @@
 
 #include "base/decision_log.h"
 #include "base/histogram.h"
+#include "forward/mesh.h"
 #include "forward/rollout_private.h"
 
 /* What must be left of the right when an order is sent. */
 #define ORDER_LEFT_NS    (500 * KCP_NS_PER_MS)
 #define ORDER_CONNECT_MS 200
 #define ORDER_TOTAL_MS   400
+/* What the other VMs are told that it takes. */
+#define LOADING_MS 1000
 /* Loading takes about a second, so that an earlier report would say nothing. */
-#define FIRST_REPORT_MS 1100
-#define REPORT_MS       250
+#define FIRST_REPORT_MS 700
+#define REPORT_MS       100
 #define REPORT_TOTAL_MS 400
 #define REPORT_FAILURES 3u
-#define UNCLEAR_MS      100 /* until the report behind an order without a clear answer */
 /* An order without effect by then is forgotten, and its server may be ordered anew. */
 #define FORGET_MS 6000
 
@@ -90,6 +92,7 @@
   order->sent = true;
   server->own_loading_until_ns = order->sent_ns + FORGET_MS * KCP_NS_PER_MS;
   server->loading_until_ns = order->sent_ns + FORGET_MS * KCP_NS_PER_MS;
+  kcp_mesh_announce_loading (gateway->mesh, server, LOADING_MS);
   gateway->dialect->write_order (&text, &order->own);
   KCP_LOG ("order_sent", KCP_LOG_TEXT ("server", server->entry.id),
            KCP_LOG_TEXT ("model", order->model), KCP_LOG_INT ("version", order->version),
@@ -142,7 +145,7 @@
       break;
     case KCP_ORDER_CONFLICT:
     case KCP_ORDER_UNKNOWN:
-      wait_for_report (order, result->end == KCP_HTTP_UNSENT ? REPORT_MS : UNCLEAR_MS);
+      wait_for_report (order, REPORT_MS);
       break;
     case KCP_ORDER_WRONG:
       order_end (order, "refused");
@@ -264,6 +267,8 @@
                                   / KCP_NS_PER_MS));
   order->server->own_loading_until_ns = 0;
   order->server->loading_until_ns = 0;
+  if (order->sent)
+    kcp_mesh_announce_loaded (rollout->gateway->mesh, order->server);
   g_ptr_array_remove_fast (rollout->orders, order);
   kcp_rollout_look (rollout);
 }
--- a/src/forward/servers.c
+++ b/src/forward/servers.c
@@ -7,6 +7,10 @@
 #include "base/decision_log.h"
 #include "base/ref.h"
 
+/* Servers read about 48 prompt tokens in a millisecond. */
+#define READ_NS_A_TOKEN 21000
+/* What a server was sent shows in its events by then. */
+#define SENT_SHOWN_NS      (1200 * KCP_NS_PER_MS)
 #define SUSPECT_BASE_NS    (500 * KCP_NS_PER_MS)
 #define SUSPECT_DOUBLINGS  3u
 #define REFUSAL_SUSPECT_NS (250 * KCP_NS_PER_MS)
@@ -114,42 +118,52 @@
   server->held_ns = now_ns;
 }
 
-/* Notes that this VM has sent a request there whose prompt has the part. */
+/* Notes that another VM sends a prompt with the part there, of which so many tokens are
+   to be read behind those that it has been sent before. */
 void
-kcp_server_note_sent_part (struct kcp_server *server, uint64_t part, int64_t now_ns)
+kcp_server_note_others_prompt (struct kcp_server *server, uint64_t part,
+                               int64_t unread_tokens, int64_t now_ns)
 {
   struct kcp_sent_part sent = { .part = part, .sent_ns = now_ns };
-
-  if (server->sent_parts == NULL)
-    server->sent_parts = g_array_new (FALSE, FALSE, sizeof (struct kcp_sent_part));
-  g_array_append_val (server->sent_parts, sent);
-}
-
-/* Forgets the parts that were sent before since_ns. */
-void
-kcp_server_drop_sent_parts (struct kcp_server *server, int64_t since_ns)
-{
   guint old = 0;
 
-  if (server->sent_parts == NULL)
-    return;
-  while (old < server->sent_parts->len
-         && g_array_index (server->sent_parts, struct kcp_sent_part, old).sent_ns
-                < since_ns)
+  server->others_read_until_ns
+      = MAX (server->others_read_until_ns, now_ns) + unread_tokens * READ_NS_A_TOKEN;
+  if (server->others_parts == NULL)
+    server->others_parts = g_array_new (FALSE, FALSE, sizeof (struct kcp_sent_part));
+  while (old < server->others_parts->len
+         && g_array_index (server->others_parts, struct kcp_sent_part, old).sent_ns
+                < now_ns - SENT_SHOWN_NS)
     old++;
-  g_array_remove_range (server->sent_parts, 0, old);
+  g_array_remove_range (server->others_parts, 0, old);
+  g_array_append_val (server->others_parts, sent);
 }
 
 /* Tells whether another VM has lately sent a prompt with the part there. */
 bool
-kcp_server_is_sent_part (const struct kcp_server *server, uint64_t part)
+kcp_server_is_sent_part (const struct kcp_server *server, uint64_t part, int64_t now_ns)
 {
   for (guint i = 0; server->others_parts != NULL && i < server->others_parts->len; i++)
-    if (g_array_index (server->others_parts, uint64_t, i) == part)
-      return true;
+    {
+      const struct kcp_sent_part *sent
+          = &g_array_index (server->others_parts, struct kcp_sent_part, i);
+
+      if (sent->part == part && now_ns - sent->sent_ns <= SENT_SHOWN_NS)
+        return true;
+    }
   return false;
 }
 
+/* Returns how many tokens of other VMs' prompts are yet to be read there, as far as is
+   known. */
+int64_t
+kcp_server_others_unread (const struct kcp_server *server, int64_t now_ns)
+{
+  int64_t told = MAX (server->others_read_until_ns - now_ns, 0) / READ_NS_A_TOKEN;
+
+  return MAX (server->others_unread_tokens, told);
+}
+
 /* Tells whether the server is known to keep a part. */
 bool
 kcp_server_holds (const struct kcp_server *server, uint64_t part)
@@ -457,8 +471,6 @@
   kcp_server_entry_clear (&server->entry);
   if (server->held != NULL)
     g_array_unref (server->held);
-  if (server->sent_parts != NULL)
-    g_array_unref (server->sent_parts);
   if (server->others_parts != NULL)
     g_array_unref (server->others_parts);
 }
--- a/src/forward/servers.h
+++ b/src/forward/servers.h
@@ -35,7 +35,7 @@
   GArray *weights;    /* struct kcp_server_weights */
 };
 
-/* A part of a prompt that this VM has sent to a server. */
+/* A long part of a prompt that another VM has sent to a server. */
 struct kcp_sent_part
 {
   uint64_t part;
@@ -59,9 +59,9 @@
   GArray *held;         /* uint64_t, long parts of prompts kept there; NULL: not known */
   bool held_by_own;     /* this VM reads the server's cache events */
   int64_t held_ns;      /* when held was last confirmed */
-  GArray *sent_parts;   /* struct kcp_sent_part, the oldest first; NULL: none */
-  GArray *others_parts; /* uint64_t, long parts that other VMs lately sent; NULL: none */
-  int64_t orders_taken; /* since its start, from its reports; -1: not known */
+  GArray *others_parts; /* struct kcp_sent_part, the oldest first; NULL: none */
+  int64_t others_read_until_ns; /* until then it reads long prompts of other VMs */
+  int64_t orders_taken;         /* since its start, from its reports; -1: not known */
 };
 
 struct kcp_servers;
@@ -79,9 +79,11 @@
 void
 kcp_server_take_held (struct kcp_server *server, const GArray *parts, int64_t now_ns);
 bool kcp_server_holds (const struct kcp_server *server, uint64_t part);
-void kcp_server_note_sent_part (struct kcp_server *server, uint64_t part, int64_t now_ns);
-void kcp_server_drop_sent_parts (struct kcp_server *server, int64_t since_ns);
-bool kcp_server_is_sent_part (const struct kcp_server *server, uint64_t part);
+void kcp_server_note_others_prompt (struct kcp_server *server, uint64_t part,
+                                    int64_t unread_tokens, int64_t now_ns);
+bool
+kcp_server_is_sent_part (const struct kcp_server *server, uint64_t part, int64_t now_ns);
+int64_t kcp_server_others_unread (const struct kcp_server *server, int64_t now_ns);
 int64_t kcp_server_version (const struct kcp_server *server, const char *model);
 void kcp_server_learn_version (struct kcp_server *server, const char *model,
                                int64_t version, int64_t now_ns);
--- a/src/policy/claim.c
+++ b/src/policy/claim.c
@@ -3,6 +3,9 @@
 #include <glib.h>
 #include <string.h>
 
+/* No VM's name. */
+#define UNKNOWN_HOLDER "?"
+
 static bool is_own (const struct kcp_claim *claim);
 
 /* Starts without knowledge of the log; own names this VM for all its starts. */
@@ -80,6 +83,14 @@
   claim->offset = offset;
 }
 
+/* Takes in that the records behind the known end were dropped, up to end. One of them may
+   have been a claim that still holds, so that the pause is kept as for one just read. */
+void
+kcp_claim_trimmed (struct kcp_claim *claim, int64_t end, int64_t now_ns)
+{
+  kcp_claim_read (claim, end, UNKNOWN_HOLDER, end, now_ns);
+}
+
 /* Takes in that this VM's claim lies at that offset. */
 void
 kcp_claim_appended (struct kcp_claim *claim, int64_t offset, int64_t now_ns)
--- a/src/policy/claim.h
+++ b/src/policy/claim.h
@@ -52,6 +52,7 @@
 void kcp_claim_sent (struct kcp_claim *claim, int64_t now_ns);
 void kcp_claim_read (struct kcp_claim *claim, int64_t end, const char *holder,
                      int64_t offset, int64_t now_ns);
+void kcp_claim_trimmed (struct kcp_claim *claim, int64_t end, int64_t now_ns);
 void kcp_claim_appended (struct kcp_claim *claim, int64_t offset, int64_t now_ns);
 void kcp_claim_failed (struct kcp_claim *claim, int64_t retry_ns, int64_t now_ns);
 bool kcp_claim_is_held (const struct kcp_claim *claim, int64_t now_ns);
--- a/src/policy/place.c
+++ b/src/policy/place.c
@@ -53,8 +53,9 @@
 kcp_place_cost (const struct kcp_place_candidate *candidate,
                 const struct kcp_place_costs *costs)
 {
-  int64_t cost
-      = costs->per_token * (candidate->uncached_tokens + candidate->unread_tokens);
+  int64_t cost = costs->per_token
+                 * (candidate->uncached_tokens - candidate->home_tokens
+                    + candidate->unread_tokens);
 
   cost += costs->per_repeated * candidate->repeated_tokens;
   cost += costs->per_open * candidate->open;
--- a/src/policy/place.h
+++ b/src/policy/place.h
@@ -34,7 +34,11 @@
   unsigned slots;          /* that it serves at once */
   int64_t unread_tokens;   /* of prompts in flight there that are yet to be read */
   int64_t uncached_tokens; /* of this request's prompt, believed not to be kept there */
-  /* Of these, what another server has read, is reading, or was sent lately. */
+  /* Of the uncached tokens, what is not counted, so that all VMs prefer the same server
+     for a prefix that nobody keeps. */
+  int64_t home_tokens;
+  /* Of the uncached tokens, what another server has read, is reading, or was sent lately.
+   */
   int64_t repeated_tokens;
   bool home; /* first in the order of servers for the prompt's session */
 };
--- /dev/null
+++ b/tests/harness/route_vm.c
@@ -0,0 +1,202 @@
+#include "tests/harness/route_vm.h"
+
+#include <arpa/inet.h>
+#include <check.h>
+#include <glib.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static char *write_settings (void);
+
+/* An operator's record, of its version and the team's key. */
+const char route_vm_config_format[]
+    = "{\"version\":%d,\"routes\":["
+      "{\"name\":\"once\",\"host\":\"h\",\"path-prefix\":\"/once/\","
+      "\"route-type\":\"non_idempotent\",\"timeout-ms\":3000,\"max-attempts\":1,"
+      "\"service\":\"s\"},"
+      "{\"name\":\"again\",\"host\":\"h\",\"path-prefix\":\"/again/\","
+      "\"route-type\":\"idempotent\",\"timeout-ms\":3000,\"max-attempts\":2,"
+      "\"service\":\"s\"},"
+      "{\"name\":\"stream\",\"host\":\"h\",\"path-prefix\":\"/stream/\","
+      "\"route-type\":\"streaming\",\"resumable\":true,\"timeout-ms\":3000,"
+      "\"max-attempts\":2,\"sticky\":true,\"service\":\"s\"}],"
+      "\"services\":[{\"name\":\"s\",\"max-conns\":100}],"
+      "\"limits\":{\"max-body-bytes\":100000,\"idle-timeout-ms\":15000},"
+      "\"tenants\":[{\"name\":\"team1\",\"api-keys\":[\"%s\"],\"isolated\":false}]}";
+
+struct route_vm route_vm;
+
+/* Returns a port of the loopback address that is free now; type as of socket(). */
+int
+route_vm_free_port (int type)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof address;
+  int fd = socket (AF_INET, type, 0);
+
+  if (bind (fd, (struct sockaddr *)&address, len) != 0
+      || getsockname (fd, (struct sockaddr *)&address, &len) != 0)
+    abort ();
+  (void)close (fd);
+  return ntohs (address.sin_port);
+}
+
+/* Returns the status of the VM's answer to the balancer's question; 0: none came. */
+int
+route_vm_ready_status (void)
+{
+  struct raw_answer answer = raw_exchange (
+      route_vm.ready_port,
+      "GET /kingcuppoint/readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+      ROUTE_VM_LIMIT_MS);
+  int status = answer.text->len > 12 ? atoi (answer.text->str + 9) : 0;
+
+  raw_answer_clear (&answer);
+  return status;
+}
+
+/* Tells whether a connection to the port can be made. */
+bool
+route_vm_listens (int port)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t)port),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  bool connected = connect (fd, (struct sockaddr *)&address, sizeof address) == 0;
+
+  (void)close (fd);
+  return connected;
+}
+
+/* Waits until the VM is ready; fails the test if that takes too long. */
+void
+route_vm_wait_ready (void)
+{
+  for (int waited = 0; waited < ROUTE_VM_LIMIT_MS; waited += ROUTE_VM_SETTLE_MS)
+    {
+      if (route_vm_listens (route_vm.ready_port) && route_vm_ready_status () == 200)
+        return;
+      g_usleep (ROUTE_VM_SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  ck_abort_msg ("the VM did not get ready");
+}
+
+static char *
+write_settings (void)
+{
+  char *path = g_build_filename (route_vm.folder, "route.ini", NULL);
+  g_autofree char *text = g_strdup_printf (
+      "[vm]\nid = vm1\ndata_center = z\n[callers]\nlisten = 127.0.0.1:%d\n"
+      "[ready]\nlisten = 127.0.0.1:%d\n[metrics]\nlisten = 127.0.0.1:%d\n"
+      "[peers]\nlisten = 127.0.0.1:%d\n[store]\naddress = 127.0.0.1:%d\n"
+      "poll_ms = 100\n[drain]\ngrace_s = 4\nnotice_ms = 700\n",
+      route_vm.port, route_vm.ready_port, route_vm.metrics_port, route_vm.peers_port,
+      fake_platform_port (route_vm.platform));
+
+  ck_assert (g_file_set_contents (path, text, -1, NULL));
+  return path;
+}
+
+/* Starts the VM's process, which ends with this one. */
+void
+route_vm_start (void)
+{
+  g_autofree char *path = write_settings ();
+  const char *build = g_getenv ("BUILD") != NULL ? g_getenv ("BUILD") : "build";
+  g_autofree char *program = g_build_filename (build, "kingcuppoint", NULL);
+  g_autofree char *log = g_build_filename (route_vm.folder, "out.log", NULL);
+
+  route_vm.pid = fork ();
+  if (route_vm.pid == 0)
+    {
+      (void)prctl (PR_SET_PDEATHSIG, SIGKILL);
+      if (freopen (log, "w", stdout) == NULL)
+        _exit (126);
+      (void)execl (program, program, "route", "--settings", path, (char *)NULL);
+      _exit (127);
+    }
+  ck_assert_int_gt (route_vm.pid, 0);
+}
+
+/* Starts the platform, two servers and a VM, and waits until it is ready. */
+void
+route_vm_set_up (void)
+{
+  g_autofree char *config = g_strdup_printf (route_vm_config_format, 3, "key1");
+
+  route_vm = (struct route_vm){ .platform = fake_platform_start (2) };
+  route_vm.folder = g_dir_make_tmp ("kcp-route-XXXXXX", NULL);
+  route_vm.port = route_vm_free_port (SOCK_STREAM);
+  route_vm.ready_port = route_vm_free_port (SOCK_STREAM);
+  route_vm.metrics_port = route_vm_free_port (SOCK_STREAM);
+  route_vm.peers_port = route_vm_free_port (SOCK_DGRAM);
+  fake_platform_put (route_vm.platform, "config", config);
+  route_vm_start ();
+  route_vm_wait_ready ();
+  /* The servers' list is read beside the configuration. */
+  g_usleep (200 * G_TIME_SPAN_MILLISECOND);
+}
+
+/* Ends the process and removes its files. */
+void
+route_vm_tear_down (void)
+{
+  g_autofree char *settings = g_build_filename (route_vm.folder, "route.ini", NULL);
+  g_autofree char *log = g_build_filename (route_vm.folder, "out.log", NULL);
+
+  if (route_vm.pid > 0)
+    {
+      (void)kill (route_vm.pid, SIGKILL);
+      (void)waitpid (route_vm.pid, NULL, 0);
+    }
+  fake_platform_stop (route_vm.platform);
+  (void)g_unlink (settings);
+  (void)g_unlink (log);
+  (void)g_rmdir (route_vm.folder);
+  g_free (route_vm.folder);
+}
+
+/* Sends a request of a known team with the id r1; extra is further header lines. */
+struct raw_answer
+route_vm_send (const char *method, const char *path, const char *extra, const char *body)
+{
+  g_autofree char *text = g_strdup_printf (
+      "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nConnection: close\r\n"
+      "Authorization: Bearer key1\r\nRequest-Deadline: 2500\r\n%s"
+      "Content-Length: %zu\r\n\r\n%s",
+      method, path, extra, strlen (body), body);
+
+  return raw_exchange (route_vm.port, text, ROUTE_VM_LIMIT_MS);
+}
+
+/* Returns the HTTP status of an answer; 0: none came. */
+int
+route_vm_status (const struct raw_answer *answer)
+{
+  return answer->text->len > 12 ? atoi (answer->text->str + 9) : 0;
+}
+
+/* Returns how many requests both servers ran. */
+unsigned
+route_vm_runs (void)
+{
+  return fake_platform_server (route_vm.platform, 0)->runs
+         + fake_platform_server (route_vm.platform, 1)->runs;
+}
+
+/* Sets what the two servers do. */
+void
+route_vm_set_modes (enum fake_mode first, enum fake_mode second)
+{
+  fake_platform_server (route_vm.platform, 0)->mode = first;
+  fake_platform_server (route_vm.platform, 1)->mode = second;
+}
--- /dev/null
+++ b/tests/harness/route_vm.h
@@ -0,0 +1,41 @@
+/* A VM of routed traffic as a process, with two servers behind it and a fake platform. */
+#ifndef KCP_TESTS_HARNESS_ROUTE_VM_H
+#define KCP_TESTS_HARNESS_ROUTE_VM_H
+
+#include <sys/types.h>
+
+#include "tests/harness/fake_platform.h"
+#include "tests/harness/raw.h"
+
+#define ROUTE_VM_LIMIT_MS  8000
+#define ROUTE_VM_SETTLE_MS 20
+
+struct route_vm
+{
+  struct fake_platform *platform;
+  char *folder; /* with its settings and its log, out.log */
+  int port;
+  int ready_port;
+  int metrics_port;
+  int peers_port; /* of datagrams */
+  pid_t pid;
+};
+
+/* The one VM of a test program, as its fixture set it up. */
+extern struct route_vm route_vm;
+extern const char route_vm_config_format[];
+
+void route_vm_set_up (void);
+void route_vm_tear_down (void);
+void route_vm_start (void);
+void route_vm_wait_ready (void);
+int route_vm_ready_status (void);
+int route_vm_free_port (int type);
+bool route_vm_listens (int port);
+struct raw_answer
+route_vm_send (const char *method, const char *path, const char *extra, const char *body);
+int route_vm_status (const struct raw_answer *answer);
+unsigned route_vm_runs (void);
+void route_vm_set_modes (enum fake_mode first, enum fake_mode second);
+
+#endif
--- a/tests/process/test_route.c
+++ b/tests/process/test_route.c
@@ -1,215 +1,24 @@
 /* One VM of routed traffic as a process, before a stand-in of the platform. */
-#include <arpa/inet.h>
 #include <check.h>
 #include <glib.h>
-#include <glib/gstdio.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/prctl.h>
-#include <sys/socket.h>
 #include <sys/wait.h>
-#include <unistd.h>
 
-#include "tests/harness/fake_platform.h"
 #include "tests/harness/raw.h"
+#include "tests/harness/route_vm.h"
 #include "tests/harness/run_suite.h"
 
-#define LIMIT_MS  8000
-#define SETTLE_MS 20
-
-static const char config_format[]
-    = "{\"version\":%d,\"routes\":["
-      "{\"name\":\"once\",\"host\":\"h\",\"path-prefix\":\"/once/\","
-      "\"route-type\":\"non_idempotent\",\"timeout-ms\":3000,\"max-attempts\":1,"
-      "\"service\":\"s\"},"
-      "{\"name\":\"again\",\"host\":\"h\",\"path-prefix\":\"/again/\","
-      "\"route-type\":\"idempotent\",\"timeout-ms\":3000,\"max-attempts\":2,"
-      "\"service\":\"s\"},"
-      "{\"name\":\"stream\",\"host\":\"h\",\"path-prefix\":\"/stream/\","
-      "\"route-type\":\"streaming\",\"resumable\":true,\"timeout-ms\":3000,"
-      "\"max-attempts\":2,\"sticky\":true,\"service\":\"s\"}],"
-      "\"services\":[{\"name\":\"s\",\"max-conns\":100}],"
-      "\"limits\":{\"max-body-bytes\":100000,\"idle-timeout-ms\":15000},"
-      "\"tenants\":[{\"name\":\"team1\",\"api-keys\":[\"%s\"],\"isolated\":false}]}";
-
-struct vm
-{
-  struct fake_platform *platform;
-  char *folder;
-  int port;
-  int ready_port;
-  int metrics_port;
-  pid_t pid;
-};
-
-static struct vm vm;
-
-static int
-free_port (int type)
-{
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t len = sizeof address;
-  int fd = socket (AF_INET, type, 0);
-
-  if (bind (fd, (struct sockaddr *)&address, len) != 0
-      || getsockname (fd, (struct sockaddr *)&address, &len) != 0)
-    abort ();
-  (void)close (fd);
-  return ntohs (address.sin_port);
-}
-
-static int
-ready_status (void)
-{
-  struct raw_answer answer = raw_exchange (
-      vm.ready_port,
-      "GET /kingcuppoint/readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
-      LIMIT_MS);
-  int status = answer.text->len > 12 ? atoi (answer.text->str + 9) : 0;
-
-  raw_answer_clear (&answer);
-  return status;
-}
-
-static bool
-listens (int port)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons ((uint16_t)port),
-                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  bool connected = connect (fd, (struct sockaddr *)&address, sizeof address) == 0;
-
-  (void)close (fd);
-  return connected;
-}
-
-static void
-wait_until_ready (void)
-{
-  for (int waited = 0; waited < LIMIT_MS; waited += SETTLE_MS)
-    {
-      if (listens (vm.ready_port) && ready_status () == 200)
-        return;
-      g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
-    }
-  ck_abort_msg ("the VM did not get ready");
-}
-
-static char *
-write_settings (void)
-{
-  char *path = g_build_filename (vm.folder, "route.ini", NULL);
-  g_autofree char *text = g_strdup_printf (
-      "[vm]\nid = vm1\ndata_center = z\n[callers]\nlisten = 127.0.0.1:%d\n"
-      "[ready]\nlisten = 127.0.0.1:%d\n[metrics]\nlisten = 127.0.0.1:%d\n"
-      "[peers]\nlisten = 127.0.0.1:%d\n[store]\naddress = 127.0.0.1:%d\n"
-      "poll_ms = 100\n[drain]\ngrace_s = 4\nnotice_ms = 700\n",
-      vm.port, vm.ready_port, vm.metrics_port, free_port (SOCK_DGRAM),
-      fake_platform_port (vm.platform));
-
-  ck_assert (g_file_set_contents (path, text, -1, NULL));
-  return path;
-}
-
-static void
-start_vm (void)
-{
-  g_autofree char *path = write_settings ();
-  const char *build = g_getenv ("BUILD") != NULL ? g_getenv ("BUILD") : "build";
-  g_autofree char *program = g_build_filename (build, "kingcuppoint", NULL);
-  g_autofree char *log = g_build_filename (vm.folder, "out.log", NULL);
-
-  vm.pid = fork ();
-  if (vm.pid == 0)
-    {
-      (void)prctl (PR_SET_PDEATHSIG, SIGKILL);
-      if (freopen (log, "w", stdout) == NULL)
-        _exit (126);
-      (void)execl (program, program, "route", "--settings", path, (char *)NULL);
-      _exit (127);
-    }
-  ck_assert_int_gt (vm.pid, 0);
-}
-
-static void
-set_up (void)
-{
-  g_autofree char *config = g_strdup_printf (config_format, 3, "key1");
-
-  vm = (struct vm){ .platform = fake_platform_start (2) };
-  vm.folder = g_dir_make_tmp ("kcp-route-XXXXXX", NULL);
-  vm.port = free_port (SOCK_STREAM);
-  vm.ready_port = free_port (SOCK_STREAM);
-  vm.metrics_port = free_port (SOCK_STREAM);
-  fake_platform_put (vm.platform, "config", config);
-  start_vm ();
-  wait_until_ready ();
-  /* The servers' list is read beside the configuration. */
-  g_usleep (200 * G_TIME_SPAN_MILLISECOND);
-}
-
-static void
-tear_down (void)
-{
-  g_autofree char *settings = g_build_filename (vm.folder, "route.ini", NULL);
-  g_autofree char *log = g_build_filename (vm.folder, "out.log", NULL);
-
-  if (vm.pid > 0)
-    {
-      (void)kill (vm.pid, SIGKILL);
-      (void)waitpid (vm.pid, NULL, 0);
-    }
-  fake_platform_stop (vm.platform);
-  (void)g_unlink (settings);
-  (void)g_unlink (log);
-  (void)g_rmdir (vm.folder);
-  g_free (vm.folder);
-}
-
-static struct raw_answer
-send_request (const char *method, const char *path, const char *extra, const char *body)
-{
-  g_autofree char *text = g_strdup_printf (
-      "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nConnection: close\r\n"
-      "Authorization: Bearer key1\r\nRequest-Deadline: 2500\r\n%s"
-      "Content-Length: %zu\r\n\r\n%s",
-      method, path, extra, strlen (body), body);
-
-  return raw_exchange (vm.port, text, LIMIT_MS);
-}
-
-static int
-status_of (const struct raw_answer *answer)
-{
-  return answer->text->len > 12 ? atoi (answer->text->str + 9) : 0;
-}
-
-static unsigned
-runs (void)
-{
-  return fake_platform_server (vm.platform, 0)->runs
-         + fake_platform_server (vm.platform, 1)->runs;
-}
-
-static void
-set_modes (enum fake_mode first, enum fake_mode second)
-{
-  fake_platform_server (vm.platform, 0)->mode = first;
-  fake_platform_server (vm.platform, 1)->mode = second;
-}
-
 START_TEST (test_a_request_goes_through_unchanged_without_what_is_the_systems)
 {
-  struct raw_answer answer
-      = send_request ("POST", "/once/a%20b?q=1",
-                      "Tenant: forged\r\nCache-Salt: forged\r\nHold: 1\r\nX-Own: kept\r\n"
-                      "Kv-Fetch: 1.2.3.4:5\r\n",
-                      "the body");
+  struct raw_answer answer = route_vm_send (
+      "POST", "/once/a%20b?q=1",
+      "Tenant: forged\r\nCache-Salt: forged\r\nHold: 1\r\nX-Own: kept\r\n"
+      "Kv-Fetch: 1.2.3.4:5\r\n",
+      "the body");
   struct fake_server *server = fake_platform_server (
-      vm.platform, fake_platform_server (vm.platform, 0)->runs == 1 ? 0 : 1);
+      route_vm.platform, fake_platform_server (route_vm.platform, 0)->runs == 1 ? 0 : 1);
   g_autofree char *team = fake_server_header (server, "Tenant");
   g_autofree char *key = fake_server_header (server, "Authorization");
   g_autofree char *space = fake_server_header (server, "Cache-Salt");
@@ -220,8 +29,8 @@
   g_autofree char *expected = fake_server_header (server, "Expect-Instance");
   g_autofree char *deadline = fake_server_header (server, "Request-Deadline");
 
-  ck_assert_int_eq (status_of (&answer), 200);
-  ck_assert_uint_eq (runs (), 1);
+  ck_assert_int_eq (route_vm_status (&answer), 200);
+  ck_assert_uint_eq (route_vm_runs (), 1);
   ck_assert_ptr_nonnull (strstr (answer.text->str, "Server-Seal: i-"));
   ck_assert_ptr_nonnull (strstr (answer.text->str, "X-Extra: kept"));
   ck_assert_ptr_nonnull (strstr (answer.text->str, "ran /once/"));
@@ -243,33 +52,33 @@
 START_TEST (test_unknown_keys_and_routes_are_refused_before_anything_runs)
 {
   struct raw_answer answer = raw_exchange (
-      vm.port,
+      route_vm.port,
       "GET /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\nConnection: close\r\n"
       "Authorization: Bearer other\r\n\r\n",
-      LIMIT_MS);
+      ROUTE_VM_LIMIT_MS);
 
-  ck_assert_int_eq (status_of (&answer), 401);
+  ck_assert_int_eq (route_vm_status (&answer), 401);
   raw_answer_clear (&answer);
-  answer = send_request ("GET", "/nowhere/x", "", "");
-  ck_assert_int_eq (status_of (&answer), 404);
+  answer = route_vm_send ("GET", "/nowhere/x", "", "");
+  ck_assert_int_eq (route_vm_status (&answer), 404);
   raw_answer_clear (&answer);
-  ck_assert_uint_eq (runs (), 0);
+  ck_assert_uint_eq (route_vm_runs (), 0);
 }
 END_TEST
 
 START_TEST (test_a_request_whose_end_is_in_doubt_is_rejected)
 {
   struct raw_answer answer
-      = raw_exchange (vm.port,
+      = raw_exchange (route_vm.port,
                       "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n"
                       "Authorization: Bearer key1\r\nContent-Length: 5\r\n"
                       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
-                      LIMIT_MS);
+                      ROUTE_VM_LIMIT_MS);
 
-  ck_assert_int_eq (status_of (&answer), 400);
+  ck_assert_int_eq (route_vm_status (&answer), 400);
   ck_assert (answer.closed);
   raw_answer_clear (&answer);
-  ck_assert_uint_eq (runs (), 0);
+  ck_assert_uint_eq (route_vm_runs (), 0);
 }
 END_TEST
 
@@ -279,13 +88,13 @@
 
   for (int i = 0; i < 6; i++)
     {
-      set_modes (i % 2 == 0 ? FAKE_REFUSE : FAKE_ANSWER,
-                 i % 2 == 0 ? FAKE_ANSWER : FAKE_REFUSE);
-      answer = send_request ("POST", "/once/x", "", "b");
-      ck_assert_int_eq (status_of (&answer), 200);
+      route_vm_set_modes (i % 2 == 0 ? FAKE_REFUSE : FAKE_ANSWER,
+                          i % 2 == 0 ? FAKE_ANSWER : FAKE_REFUSE);
+      answer = route_vm_send ("POST", "/once/x", "", "b");
+      ck_assert_int_eq (route_vm_status (&answer), 200);
       raw_answer_clear (&answer);
     }
-  ck_assert_uint_eq (runs (), 6);
+  ck_assert_uint_eq (route_vm_runs (), 6);
 }
 END_TEST
 
@@ -293,13 +102,13 @@
 {
   struct raw_answer answer;
 
-  set_modes (FAKE_REFUSE, FAKE_REFUSE);
-  answer = send_request ("POST", "/once/x", "", "b");
-  ck_assert_int_eq (status_of (&answer), 503);
+  route_vm_set_modes (FAKE_REFUSE, FAKE_REFUSE);
+  answer = route_vm_send ("POST", "/once/x", "", "b");
+  ck_assert_int_eq (route_vm_status (&answer), 503);
   ck_assert_ptr_nonnull (strstr (answer.text->str, "Retry-After: 0."));
   ck_assert_int_lt (answer.took_ms, 500);
   raw_answer_clear (&answer);
-  ck_assert_uint_eq (runs (), 0);
+  ck_assert_uint_eq (route_vm_runs (), 0);
 }
 END_TEST
 
@@ -322,15 +131,15 @@
 
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
     {
-      unsigned before = runs ();
+      unsigned before = route_vm_runs ();
       struct raw_answer answer;
 
-      set_modes (cases[i].mode, cases[i].mode);
-      answer = send_request ("POST", cases[i].path, "", "b");
-      ck_assert_msg (status_of (&answer) == cases[i].status, "case %zu: %s", i,
+      route_vm_set_modes (cases[i].mode, cases[i].mode);
+      answer = route_vm_send ("POST", cases[i].path, "", "b");
+      ck_assert_msg (route_vm_status (&answer) == cases[i].status, "case %zu: %s", i,
                      answer.text->str);
-      ck_assert_msg (runs () - before == cases[i].runs, "case %zu: %u runs", i,
-                     runs () - before);
+      ck_assert_msg (route_vm_runs () - before == cases[i].runs, "case %zu: %u runs", i,
+                     route_vm_runs () - before);
       raw_answer_clear (&answer);
     }
 }
@@ -345,12 +154,12 @@
       struct raw_answer answer;
       const char *at;
 
-      set_modes (round % 2 == 0 ? FAKE_BREAK_OFF : FAKE_ANSWER,
-                 round % 2 == 0 ? FAKE_ANSWER : FAKE_BREAK_OFF);
-      answer = send_request ("POST", "/stream/x",
-                             "Model: m\r\nToken-Usage: 10,5\r\nPrompt-Prefix: a:10\r\n",
-                             "b");
-      ck_assert_int_eq (status_of (&answer), 200);
+      route_vm_set_modes (round % 2 == 0 ? FAKE_BREAK_OFF : FAKE_ANSWER,
+                          round % 2 == 0 ? FAKE_ANSWER : FAKE_BREAK_OFF);
+      answer = route_vm_send ("POST", "/stream/x",
+                              "Model: m\r\nToken-Usage: 10,5\r\nPrompt-Prefix: a:10\r\n",
+                              "b");
+      ck_assert_int_eq (route_vm_status (&answer), 200);
       at = answer.text->str;
       for (int piece = 1; piece <= 5; piece++)
         {
@@ -372,10 +181,11 @@
 {
   struct raw_answer answer;
 
-  set_modes (FAKE_BREAK_OFF, FAKE_BREAK_OFF);
-  answer = send_request ("POST", "/stream/x",
-                         "Model: m\r\nToken-Usage: 10,5\r\nPrompt-Prefix: a:10\r\n", "b");
-  ck_assert_int_eq (status_of (&answer), 200);
+  route_vm_set_modes (FAKE_BREAK_OFF, FAKE_BREAK_OFF);
+  answer
+      = route_vm_send ("POST", "/stream/x",
+                       "Model: m\r\nToken-Usage: 10,5\r\nPrompt-Prefix: a:10\r\n", "b");
+  ck_assert_int_eq (route_vm_status (&answer), 200);
   ck_assert (answer.closed);
   ck_assert_ptr_null (strstr (answer.text->str, "\r\n0\r\n\r\n"));
   raw_answer_clear (&answer);
@@ -386,10 +196,10 @@
    may be seen before the request is read; nothing runs on for long. */
 START_TEST (test_work_for_a_caller_that_has_gone_ends)
 {
-  set_modes (FAKE_REFUSE, FAKE_REFUSE);
+  route_vm_set_modes (FAKE_REFUSE, FAKE_REFUSE);
   for (int i = 0; i < 50; i++)
     {
-      int fd = raw_connect (vm.port,
+      int fd = raw_connect (route_vm.port,
                             "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n"
                             "Authorization: Bearer key1\r\nContent-Length: 1\r\n\r\nb",
                             0);
@@ -398,9 +208,10 @@
     }
   g_usleep (600 * G_TIME_SPAN_MILLISECOND);
   {
-    struct raw_answer answer = raw_exchange (
-        vm.metrics_port, "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
-        LIMIT_MS);
+    struct raw_answer answer
+        = raw_exchange (route_vm.metrics_port,
+                        "GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+                        ROUTE_VM_LIMIT_MS);
 
     ck_assert_ptr_nonnull (strstr (answer.text->str, "kingcuppoint_open_requests 0\n"));
     ck_assert_ptr_nonnull (
@@ -415,7 +226,7 @@
 {
   struct raw_answer *answer = user;
 
-  *answer = send_request ("POST", "/once/x", "", "b");
+  *answer = route_vm_send ("POST", "/once/x", "", "b");
   return NULL;
 }
 
@@ -424,19 +235,19 @@
 START_TEST (test_a_hang_up_before_the_request_is_read_counts)
 {
   const char *rest = "Content-Length: 1\r\n\r\nb";
-  int fd = raw_connect (vm.port,
+  int fd = raw_connect (route_vm.port,
                         "POST /once/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r\r\n"
                         "Authorization: Bearer key1\r\n",
                         0);
 
   g_usleep (100 * G_TIME_SPAN_MILLISECOND);
-  (void)kill (vm.pid, SIGSTOP);
+  (void)kill (route_vm.pid, SIGSTOP);
   ck_assert_int_eq (write (fd, rest, strlen (rest)), (ssize_t)strlen (rest));
   (void)close (fd);
   g_usleep (100 * G_TIME_SPAN_MILLISECOND);
-  (void)kill (vm.pid, SIGCONT);
+  (void)kill (route_vm.pid, SIGCONT);
   g_usleep (300 * G_TIME_SPAN_MILLISECOND);
-  ck_assert_uint_eq (runs (), 0);
+  ck_assert_uint_eq (route_vm_runs (), 0);
 }
 END_TEST
 
@@ -446,23 +257,23 @@
   struct raw_answer late;
   GThread *thread;
   int status = 0;
-  int idle = raw_connect (vm.port, "", 0);
+  int idle = raw_connect (route_vm.port, "", 0);
   char byte;
 
-  set_modes (FAKE_SLOW, FAKE_SLOW);
+  route_vm_set_modes (FAKE_SLOW, FAKE_SLOW);
   thread = g_thread_new ("slow", send_slow, &slow);
   g_usleep (100 * G_TIME_SPAN_MILLISECOND);
-  (void)kill (vm.pid, SIGTERM);
+  (void)kill (route_vm.pid, SIGTERM);
   g_usleep (100 * G_TIME_SPAN_MILLISECOND);
-  ck_assert_int_eq (ready_status (), 503);
-  late = send_request ("POST", "/once/y", "", "b");
-  ck_assert_int_eq (status_of (&late), 200);
+  ck_assert_int_eq (route_vm_ready_status (), 503);
+  late = route_vm_send ("POST", "/once/y", "", "b");
+  ck_assert_int_eq (route_vm_status (&late), 200);
   raw_answer_clear (&late);
   (void)g_thread_join (thread);
-  ck_assert_int_eq (status_of (&slow), 200);
+  ck_assert_int_eq (route_vm_status (&slow), 200);
   raw_answer_clear (&slow);
-  ck_assert_int_eq (waitpid (vm.pid, &status, 0), vm.pid);
-  vm.pid = 0;
+  ck_assert_int_eq (waitpid (route_vm.pid, &status, 0), route_vm.pid);
+  route_vm.pid = 0;
   ck_assert (WIFEXITED (status) && WEXITSTATUS (status) == 0);
   ck_assert_int_le (read (idle, &byte, 1), 0);
   (void)close (idle);
@@ -477,42 +288,42 @@
   struct raw_answer late;
   GThread *thread;
 
-  set_modes (FAKE_SLOW, FAKE_SLOW);
-  (void)kill (vm.pid, SIGTERM);
+  route_vm_set_modes (FAKE_SLOW, FAKE_SLOW);
+  (void)kill (route_vm.pid, SIGTERM);
   g_usleep (450 * G_TIME_SPAN_MILLISECOND);
   thread = g_thread_new ("slow", send_slow, &slow);
   g_usleep (400 * G_TIME_SPAN_MILLISECOND);
-  late = send_request ("POST", "/once/y", "", "b");
-  ck_assert_int_eq (status_of (&late), 503);
+  late = route_vm_send ("POST", "/once/y", "", "b");
+  ck_assert_int_eq (route_vm_status (&late), 503);
   ck_assert_ptr_nonnull (strstr (late.text->str, "Connection: close"));
   raw_answer_clear (&late);
   (void)g_thread_join (thread);
-  ck_assert_int_eq (status_of (&slow), 200);
+  ck_assert_int_eq (route_vm_status (&slow), 200);
   raw_answer_clear (&slow);
 }
 END_TEST
 
 START_TEST (test_the_store_may_be_away_and_configurations_never_go_back)
 {
-  g_autofree char *older = g_strdup_printf (config_format, 2, "key0");
-  g_autofree char *newer = g_strdup_printf (config_format, 9, "key2");
+  g_autofree char *older = g_strdup_printf (route_vm_config_format, 2, "key0");
+  g_autofree char *newer = g_strdup_printf (route_vm_config_format, 9, "key2");
   struct raw_answer answer;
 
-  fake_platform_set_down (vm.platform, true);
+  fake_platform_set_down (route_vm.platform, true);
   g_usleep (700 * G_TIME_SPAN_MILLISECOND);
-  answer = send_request ("POST", "/once/x", "", "b");
-  ck_assert_int_eq (status_of (&answer), 200);
+  answer = route_vm_send ("POST", "/once/x", "", "b");
+  ck_assert_int_eq (route_vm_status (&answer), 200);
   raw_answer_clear (&answer);
-  fake_platform_set_down (vm.platform, false);
-  fake_platform_put (vm.platform, "config", older);
+  fake_platform_set_down (route_vm.platform, false);
+  fake_platform_put (route_vm.platform, "config", older);
   g_usleep (1500 * G_TIME_SPAN_MILLISECOND);
-  answer = send_request ("POST", "/once/x", "", "b");
-  ck_assert_int_eq (status_of (&answer), 200);
+  answer = route_vm_send ("POST", "/once/x", "", "b");
+  ck_assert_int_eq (route_vm_status (&answer), 200);
   raw_answer_clear (&answer);
-  fake_platform_put (vm.platform, "config", newer);
+  fake_platform_put (route_vm.platform, "config", newer);
   g_usleep (1500 * G_TIME_SPAN_MILLISECOND);
-  answer = send_request ("POST", "/once/x", "", "b");
-  ck_assert_int_eq (status_of (&answer), 401);
+  answer = route_vm_send ("POST", "/once/x", "", "b");
+  ck_assert_int_eq (route_vm_status (&answer), 401);
   raw_answer_clear (&answer);
 }
 END_TEST
@@ -521,34 +332,35 @@
 {
   unsigned before;
 
-  fake_platform_put_server (vm.platform, 0, "draining");
-  fake_platform_put_entry (vm.platform, "ghost", "{\"service\":\"s\",\"address\":7}");
+  fake_platform_put_server (route_vm.platform, 0, "draining");
+  fake_platform_put_entry (route_vm.platform, "ghost",
+                           "{\"service\":\"s\",\"address\":7}");
   g_usleep (600 * G_TIME_SPAN_MILLISECOND);
-  before = fake_platform_server (vm.platform, 0)->runs;
+  before = fake_platform_server (route_vm.platform, 0)->runs;
   for (int i = 0; i < 20; i++)
     {
-      struct raw_answer answer = send_request ("POST", "/once/x", "", "b");
+      struct raw_answer answer = route_vm_send ("POST", "/once/x", "", "b");
 
-      ck_assert_int_eq (status_of (&answer), 200);
+      ck_assert_int_eq (route_vm_status (&answer), 200);
       raw_answer_clear (&answer);
     }
-  ck_assert_uint_eq (fake_platform_server (vm.platform, 0)->runs, before);
+  ck_assert_uint_eq (fake_platform_server (route_vm.platform, 0)->runs, before);
 }
 END_TEST
 
 /* Orders name the count of the server's report, which is not the one of its entry. */
 START_TEST (test_named_weights_are_brought_to_all_servers)
 {
-  struct fake_server *servers[]
-      = { fake_platform_server (vm.platform, 0), fake_platform_server (vm.platform, 1) };
+  struct fake_server *servers[] = { fake_platform_server (route_vm.platform, 0),
+                                    fake_platform_server (route_vm.platform, 1) };
 
   servers[0]->orders_taken = 4;
-  fake_platform_put (vm.platform, "version/m", "{\"model\":\"m\",\"version\":2}");
-  for (int waited = 0; waited < LIMIT_MS; waited += SETTLE_MS)
+  fake_platform_put (route_vm.platform, "version/m", "{\"model\":\"m\",\"version\":2}");
+  for (int waited = 0; waited < ROUTE_VM_LIMIT_MS; waited += ROUTE_VM_SETTLE_MS)
     {
       if (servers[0]->version == 2 && servers[1]->version == 2)
         break;
-      g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+      g_usleep (ROUTE_VM_SETTLE_MS * G_TIME_SPAN_MILLISECOND);
     }
   ck_assert_int_eq (servers[0]->version, 2);
   ck_assert_int_eq (servers[1]->version, 2);
@@ -563,7 +375,7 @@
   Suite *suite = suite_create ("route");
   TCase *cases = tcase_create ("route");
 
-  tcase_add_checked_fixture (cases, set_up, tear_down);
+  tcase_add_checked_fixture (cases, route_vm_set_up, route_vm_tear_down);
   tcase_set_timeout (cases, 60);
   tcase_add_test (cases,
                   test_a_request_goes_through_unchanged_without_what_is_the_systems);
--- /dev/null
+++ b/tests/process/test_route_peers.c
@@ -0,0 +1,232 @@
+/* What a VM of routed traffic tells the other VMs and takes from them. The test plays
+   another VM. */
+#include <arpa/inet.h>
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+#include "forward/mesh_message.h"
+#include "tests/harness/route_vm.h"
+#include "tests/harness/run_suite.h"
+
+#define REQUESTS    12
+#define RECEIVE_MS  50
+#define FIRST_BORN  1000 /* as the fake platform writes it in the entries */
+#define PROMPT_HEAD "Model: m\r\nToken-Usage: 10,5\r\nPrompt-Prefix: a:10\r\n"
+#define LONG_HEAD   "Model: m\r\nToken-Usage: 9010,5\r\nPrompt-Prefix: ab:9000,cd:10\r\n"
+
+static int peer = -1;
+static char peer_name[64];
+static uint64_t sent; /* messages of the other VM so far */
+
+static void
+open_peer (void)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof address;
+  struct timeval wait = { .tv_usec = RECEIVE_MS * 1000 };
+
+  peer = socket (AF_INET, SOCK_DGRAM, 0);
+  ck_assert_int_eq (bind (peer, (struct sockaddr *)&address, len), 0);
+  ck_assert_int_eq (getsockname (peer, (struct sockaddr *)&address, &len), 0);
+  ck_assert_int_eq (setsockopt (peer, SOL_SOCKET, SO_RCVTIMEO, &wait, sizeof wait), 0);
+  g_snprintf (peer_name, sizeof peer_name, "127.0.0.1:%d", ntohs (address.sin_port));
+  sent = 0;
+}
+
+static void
+send_bytes (const char *bytes, size_t len)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t)route_vm.peers_port),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+
+  ck_assert_uint_gt (len, 0);
+  ck_assert_int_eq (
+      sendto (peer, bytes, len, 0, (struct sockaddr *)&address, sizeof address),
+      (ssize_t)len);
+}
+
+/* Tells that the other VM lives and has nothing in flight. */
+static void
+send_message (void)
+{
+  struct kcp_mesh_message message;
+  char bytes[KCP_MESH_MESSAGE_MAX];
+
+  kcp_mesh_message_init (&message);
+  g_strlcpy (message.vm, peer_name, sizeof message.vm);
+  g_strlcpy (message.data_center, "z", sizeof message.data_center);
+  message.start = 1;
+  message.number = ++sent;
+  send_bytes (bytes, kcp_mesh_message_encode (&message, bytes, sizeof bytes));
+  kcp_mesh_message_clear (&message);
+}
+
+static void
+send_update (uint64_t number, struct kcp_mesh_change change)
+{
+  struct kcp_mesh_update update;
+  char bytes[KCP_MESH_MESSAGE_MAX];
+
+  kcp_mesh_update_init (&update);
+  g_strlcpy (update.vm, peer_name, sizeof update.vm);
+  update.start = 1;
+  update.number = number;
+  g_array_append_val (update.changes, change);
+  send_bytes (bytes, kcp_mesh_update_encode (&update, bytes, sizeof bytes));
+  kcp_mesh_update_clear (&update);
+}
+
+/* Waits for an update of the VM, keeping the other VM alive; false if none came. */
+static bool
+receive_update (struct kcp_mesh_update *update)
+{
+  char bytes[KCP_MESH_MESSAGE_MAX];
+
+  for (int waited = 0; waited < ROUTE_VM_LIMIT_MS; waited += RECEIVE_MS)
+    {
+      ssize_t len = recv (peer, bytes, sizeof bytes, 0);
+
+      send_message ();
+      if (len > 0 && kcp_mesh_procedure_of (bytes, (size_t)len) == KCP_MESH_UPDATE)
+        return kcp_mesh_update_decode (update, bytes, (size_t)len);
+    }
+  return false;
+}
+
+static uint64_t
+server_key (unsigned index)
+{
+  const char *id = fake_platform_server (route_vm.platform, index)->id;
+
+  return XXH3_64bits_withSeed (id, strlen (id), FIRST_BORN + index);
+}
+
+static void
+call (const char *head)
+{
+  struct raw_answer answer = route_vm_send ("POST", "/stream/x", head, "b");
+
+  ck_assert_int_eq (route_vm_status (&answer), 200);
+  raw_answer_clear (&answer);
+}
+
+static void
+set_up (void)
+{
+  route_vm_set_up ();
+  open_peer ();
+  send_message ();
+  g_usleep (ROUTE_VM_SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+static void
+tear_down (void)
+{
+  (void)close (peer);
+  route_vm_tear_down ();
+}
+
+START_TEST (test_a_server_that_loads_weights_for_another_vm_gets_no_requests)
+{
+  struct fake_server *first = fake_platform_server (route_vm.platform, 0);
+
+  send_update (1, (struct kcp_mesh_change){ .server = server_key (0),
+                                            .loading_ms = ROUTE_VM_LIMIT_MS });
+  g_usleep (ROUTE_VM_SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+  for (int i = 0; i < REQUESTS; i++)
+    call (PROMPT_HEAD);
+  ck_assert_uint_eq (first->runs, 0);
+  /* One that comes late, behind the news that the weights are there, changes nothing. */
+  first->version = 2;
+  send_update (3, (struct kcp_mesh_change){ .server = server_key (0), .version = 2 });
+  send_update (2, (struct kcp_mesh_change){ .server = server_key (0),
+                                            .loading_ms = ROUTE_VM_LIMIT_MS });
+  g_usleep (ROUTE_VM_SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+  for (int i = 0; i < REQUESTS; i++)
+    call (PROMPT_HEAD);
+  ck_assert_uint_gt (first->runs, 0);
+}
+END_TEST
+
+START_TEST (test_short_prompts_keep_away_from_a_server_that_reads_another_vms_long_one)
+{
+  send_update (1, (struct kcp_mesh_change){
+                      .server = server_key (1), .part = 5, .unread_tokens = 300000 });
+  g_usleep (ROUTE_VM_SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+  for (int i = 0; i < REQUESTS; i++)
+    call (PROMPT_HEAD);
+  ck_assert_uint_eq (fake_platform_server (route_vm.platform, 1)->runs, 0);
+}
+END_TEST
+
+START_TEST (test_a_long_prompt_is_told_to_the_others_at_once)
+{
+  struct kcp_mesh_update update;
+  const struct kcp_mesh_change *change;
+
+  kcp_mesh_update_init (&update);
+  call (LONG_HEAD);
+  ck_assert (receive_update (&update));
+  change = &g_array_index (update.changes, struct kcp_mesh_change, 0);
+  ck_assert (change->server == server_key (0) || change->server == server_key (1));
+  ck_assert_uint_ne (change->part, 0);
+  ck_assert_uint_ge (change->unread_tokens, 9000);
+  kcp_mesh_update_clear (&update);
+}
+END_TEST
+
+START_TEST (test_a_load_of_weights_is_told_at_its_start_and_its_end)
+{
+  bool started[2] = { false, false };
+  bool ended[2] = { false, false };
+
+  fake_platform_put (route_vm.platform, "version/m", "{\"model\":\"m\",\"version\":2}");
+  while (!ended[0] || !ended[1])
+    {
+      struct kcp_mesh_update update;
+
+      kcp_mesh_update_init (&update);
+      ck_assert (receive_update (&update));
+      for (guint i = 0; i < update.changes->len; i++)
+        {
+          const struct kcp_mesh_change *change
+              = &g_array_index (update.changes, struct kcp_mesh_change, i);
+          unsigned server = change->server == server_key (0) ? 0 : 1;
+
+          if (change->loading_ms > 0)
+            started[server] = true;
+          if (change->version == 2)
+            {
+              ck_assert (started[server]);
+              ended[server] = true;
+            }
+        }
+      kcp_mesh_update_clear (&update);
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("route_peers");
+  TCase *cases = tcase_create ("route_peers");
+
+  tcase_add_checked_fixture (cases, set_up, tear_down);
+  tcase_set_timeout (cases, 60);
+  tcase_add_test (cases,
+                  test_a_server_that_loads_weights_for_another_vm_gets_no_requests);
+  tcase_add_test (
+      cases, test_short_prompts_keep_away_from_a_server_that_reads_another_vms_long_one);
+  tcase_add_test (cases, test_a_long_prompt_is_told_to_the_others_at_once);
+  tcase_add_test (cases, test_a_load_of_weights_is_told_at_its_start_and_its_end);
+  suite_add_tcase (suite, cases);
+  return run_suite (suite);
+}
--- a/tests/unit/test_forward_parts.c
+++ b/tests/unit/test_forward_parts.c
@@ -266,7 +266,6 @@
   row->open = 3;
   row->read = true;
   g_array_append_val (row->parts, part);
-  g_array_append_val (row->sent, part);
   len = kcp_mesh_message_encode (&message, bytes, sizeof bytes);
   ck_assert_uint_gt (len, 0);
   kcp_mesh_message_init (&copy);
@@ -286,6 +285,67 @@
 }
 END_TEST
 
+START_TEST (test_updates_between_vms_survive_the_wire_and_are_told_from_messages)
+{
+  struct kcp_mesh_change change
+      = { .server = 7, .part = 8, .unread_tokens = 9, .version = 10, .loading_ms = 11 };
+  struct kcp_mesh_update update;
+  struct kcp_mesh_update copy;
+  struct kcp_mesh_message message;
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  size_t len;
+
+  kcp_mesh_update_init (&update);
+  g_strlcpy (update.vm, "10.0.0.1:7341", sizeof update.vm);
+  update.start = 5;
+  update.number = 6;
+  g_array_append_val (update.changes, change);
+  len = kcp_mesh_update_encode (&update, bytes, sizeof bytes);
+  ck_assert_uint_gt (len, 0);
+  ck_assert_int_eq (kcp_mesh_procedure_of (bytes, len), KCP_MESH_UPDATE);
+  kcp_mesh_update_init (&copy);
+  ck_assert (kcp_mesh_update_decode (&copy, bytes, len));
+  ck_assert_str_eq (copy.vm, update.vm);
+  ck_assert_uint_eq (copy.number, 6);
+  ck_assert_mem_eq (copy.changes->data, &change, sizeof change);
+  kcp_mesh_update_clear (&copy);
+  kcp_mesh_message_init (&message);
+  ck_assert (!kcp_mesh_message_decode (&message, bytes, len));
+  kcp_mesh_message_clear (&message);
+  for (size_t cut = 0; cut < len; cut++)
+    {
+      kcp_mesh_update_init (&copy);
+      ck_assert (!kcp_mesh_update_decode (&copy, bytes, cut));
+      kcp_mesh_update_clear (&copy);
+    }
+  kcp_mesh_update_clear (&update);
+}
+END_TEST
+
+/* Long prompts that other VMs send to a server queue up there until they are read, and
+   their parts count as being there until the server's events show them. */
+START_TEST (test_prompts_that_other_vms_send_queue_up_and_pass)
+{
+  struct kcp_server server = { 0 };
+  int64_t start_ns = KCP_NS_PER_S;
+
+  kcp_server_note_others_prompt (&server, 1, 10000, start_ns);
+  kcp_server_note_others_prompt (&server, 2, 10000, start_ns);
+  ck_assert_int_eq (kcp_server_others_unread (&server, start_ns), 20000);
+  ck_assert (kcp_server_is_sent_part (&server, 1, start_ns));
+  ck_assert (!kcp_server_is_sent_part (&server, 3, start_ns));
+  /* 10,000 tokens take 210 ms. */
+  ck_assert_int_eq (kcp_server_others_unread (&server, start_ns + 210 * KCP_NS_PER_MS),
+                    10000);
+  ck_assert_int_eq (kcp_server_others_unread (&server, start_ns + KCP_NS_PER_S), 0);
+  ck_assert (kcp_server_is_sent_part (&server, 2, start_ns + KCP_NS_PER_S));
+  ck_assert (!kcp_server_is_sent_part (&server, 2, start_ns + 2 * KCP_NS_PER_S));
+  kcp_server_note_others_prompt (&server, 4, 0, start_ns + 2 * KCP_NS_PER_S);
+  ck_assert_uint_eq (server.others_parts->len, 1);
+  g_array_unref (server.others_parts);
+}
+END_TEST
+
 START_TEST (test_the_memory_of_prefixes_is_bounded)
 {
   struct kcp_prefix_memory *memory = kcp_prefix_memory_new (8);
@@ -405,6 +465,9 @@
   tcase_add_test (cases, test_streams_are_cut_behind_whole_events);
   tcase_add_test (cases,
                   test_messages_between_vms_survive_the_wire_and_nothing_else_passes);
+  tcase_add_test (cases,
+                  test_updates_between_vms_survive_the_wire_and_are_told_from_messages);
+  tcase_add_test (cases, test_prompts_that_other_vms_send_queue_up_and_pass);
   tcase_add_test (cases, test_the_memory_of_prefixes_is_bounded);
   tcase_add_test (cases, test_a_log_that_nobody_reads_does_not_block);
   tcase_add_test (cases, test_log_lines_are_written_whole);
