kingcuppoint explain: one request's story from the VMs' logs; no_retry_left

Change: explain reads the logs of several VMs, with timeline's reader of JSON lines (src/cmd/json_lines), and prints the decisions with what they knew and what had happened within 5 s to the servers met. The refusal says no_retry_left.

Ruled out: a log of its own for stories (a second copy of every line).

--- a/src/cmd/cmd.h
+++ b/src/cmd/cmd.h
@@ -16,5 +16,6 @@
 int kcp_cmd_profiles (int argc, char **argv);
 int kcp_cmd_status (int argc, char **argv);
 int kcp_cmd_timeline (int argc, char **argv);
+int kcp_cmd_explain (int argc, char **argv);
 
 #endif
--- /dev/null
+++ b/src/cmd/explain.c
@@ -0,0 +1,267 @@
+/* Tells what became of one routed request, from the logs of the VMs it went through: each
+   decision with what was known then, and what had just happened to the servers it met. */
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "cmd/cmd.h"
+#include "cmd/json_lines.h"
+#include "cmd/options.h"
+
+/* How long before a request something may have happened that concerns it. */
+#define CONTEXT_MS 5000
+
+struct story
+{
+  const char *id;
+  json_t *lines;   /* of all files, in the order of time */
+  json_t *servers; /* names that the request was sent to */
+  json_t *vms;     /* names that it went through */
+  int64_t first_ms;
+  int64_t last_ms;
+  unsigned count; /* lines of the request */
+};
+
+struct event_text
+{
+  const char *name; /* in the log */
+  const char *text;
+};
+
+static bool read_files (json_t *lines, int count, char **paths);
+static int compare_lines (const void *a, const void *b);
+static json_t *sort_lines (const json_t *lines);
+static void find_request (struct story *story);
+static void print_story (const struct story *story);
+static bool is_of_request (const struct story *story, const json_t *line);
+static bool is_context (const struct story *story, const json_t *line);
+static bool is_store_change (const json_t *line);
+static void print_line (const struct story *story, const json_t *line);
+static void print_fields (const json_t *line);
+static const char *describe (const char *event);
+static const char *text_of (const json_t *line, const char *key);
+static int64_t time_of (const json_t *line);
+
+/* What the events of a request, and those that may explain one, say. */
+static const struct event_text texts[] = {
+  { "sent", "sent to a server" },
+  { "attempt_failed", "that server gave no answer to pass on" },
+  { "request", "ended" },
+  { "server", "(server) its entry changed" },
+  { "server_weights", "(server) showed new weights" },
+  { "order_sent", "(server) ordered to take new weights" },
+  { "order_answered", "(server) answered the order" },
+  { "order_ended", "(server) the order is over" },
+  { "store_lost", "(VM) lost the platform's store" },
+  { "store_regained", "(VM) reached the platform's store again" },
+  { "draining", "(VM) began to drain" },
+  { "closing", "(VM) takes no more requests" },
+  { "started", "(VM) started" },
+};
+
+/* Runs "kingcuppoint explain ID FILE…". */
+int
+kcp_cmd_explain (int argc, char **argv)
+{
+  const GOptionEntry entries[] = { { 0 } };
+  struct story story = { 0 };
+  json_t *read = json_array ();
+  int code = KCP_EXIT_USAGE;
+
+  if (!kcp_options_parse (&argc, &argv, entries, "ID FILE…",
+                          "kingcuppoint explain 7fc5a6c8fb8476cf vm-1.log vm-2.log"))
+    goto out;
+  if (argc < 3)
+    {
+      (void)fprintf (stderr, "kingcuppoint: explain: give a request's ID and FILE\n");
+      goto out;
+    }
+  code = KCP_EXIT_FAILED;
+  if (!read_files (read, argc - 2, &argv[2]))
+    goto out;
+  story = (struct story){
+    .id = argv[1],
+    .lines = sort_lines (read),
+    .servers = json_object (),
+    .vms = json_object (),
+  };
+  find_request (&story);
+  if (story.count == 0)
+    {
+      (void)fprintf (stderr, "kingcuppoint: explain: no line names request %s\n",
+                     story.id);
+      goto out;
+    }
+  print_story (&story);
+  code = KCP_EXIT_OK;
+out:
+  json_decref (story.lines);
+  json_decref (story.servers);
+  json_decref (story.vms);
+  json_decref (read);
+  return code;
+}
+
+static bool
+read_files (json_t *lines, int count, char **paths)
+{
+  for (int i = 0; i < count; i++)
+    if (!kcp_json_lines_read (lines, paths[i], KCP_JSON_LINES_LOG))
+      return false;
+  return true;
+}
+
+/* Lines of one millisecond keep the order in which they were written. */
+static int
+compare_lines (const void *a, const void *b)
+{
+  const json_t *const *first = a;
+  const json_t *const *second = b;
+  int64_t difference = time_of (*first) - time_of (*second);
+
+  if (difference != 0)
+    return difference < 0 ? -1 : 1;
+  return 0;
+}
+
+static json_t *
+sort_lines (const json_t *lines)
+{
+  GPtrArray *order = g_ptr_array_new ();
+  json_t *sorted = json_array ();
+  json_t *line;
+  size_t i;
+
+  json_array_foreach (lines, i, line)
+  {
+    g_ptr_array_add (order, line);
+  }
+  g_ptr_array_sort (order, compare_lines);
+  for (guint at = 0; at < order->len; at++)
+    json_array_append (sorted, g_ptr_array_index (order, at));
+  g_ptr_array_unref (order);
+  return sorted;
+}
+
+static void
+find_request (struct story *story)
+{
+  json_t *line;
+  size_t i;
+
+  json_array_foreach (story->lines, i, line)
+  {
+    const char *server = text_of (line, "server");
+    const char *vm = text_of (line, "vm");
+
+    if (!is_of_request (story, line))
+      continue;
+    if (story->count++ == 0)
+      story->first_ms = time_of (line);
+    story->last_ms = time_of (line);
+    if (server != NULL)
+      json_object_set_new (story->servers, server, json_true ());
+    if (vm != NULL)
+      json_object_set_new (story->vms, vm, json_true ());
+  }
+}
+
+static void
+print_story (const struct story *story)
+{
+  json_t *line;
+  size_t i;
+
+  (void)printf ("request %s: %u lines, %" PRId64 " ms from its first to its last\n",
+                story->id, story->count, story->last_ms - story->first_ms);
+  json_array_foreach (story->lines, i, line)
+  {
+    if (is_of_request (story, line) || is_context (story, line))
+      print_line (story, line);
+  }
+}
+
+static bool
+is_of_request (const struct story *story, const json_t *line)
+{
+  return g_strcmp0 (text_of (line, "request"), story->id) == 0;
+}
+
+/* Tells whether a line of no request says what had happened shortly before to a server
+   that the request met, or to a VM that it went through. */
+static bool
+is_context (const struct story *story, const json_t *line)
+{
+  const char *server = text_of (line, "server");
+  const char *vm = text_of (line, "vm");
+  int64_t at_ms = time_of (line);
+
+  if (text_of (line, "request") != NULL || at_ms < story->first_ms - CONTEXT_MS
+      || at_ms > story->last_ms || describe (text_of (line, "event")) == NULL)
+    return false;
+  if (server != NULL && json_object_get (story->servers, server) != NULL)
+    return true;
+  return vm != NULL && json_object_get (story->vms, vm) != NULL && is_store_change (line);
+}
+
+static bool
+is_store_change (const json_t *line)
+{
+  return text_of (line, "server") == NULL;
+}
+
+static void
+print_line (const struct story *story, const json_t *line)
+{
+  const char *event = text_of (line, "event");
+  const char *text = describe (event);
+
+  (void)printf ("%+8" PRId64 " ms  %s  %s%s%s:", time_of (line) - story->first_ms,
+                text_of (line, "vm"), event, text != NULL ? ", " : "",
+                text != NULL ? text : "");
+  print_fields (line);
+  (void)putchar ('\n');
+}
+
+/* Prints what the line knew; empty fields and those that are printed before are left out.
+ */
+static void
+print_fields (const json_t *line)
+{
+  static const char *const known[] = { "t_ms", "vm", "dc", "event", "request", NULL };
+  const char *key;
+  json_t *value;
+
+  json_object_foreach ((json_t *)line, key, value)
+  {
+    if (g_strv_contains (known, key))
+      continue;
+    if (json_is_integer (value))
+      (void)printf (" %s=%" JSON_INTEGER_FORMAT, key, json_integer_value (value));
+    else if (json_is_string (value) && json_string_length (value) > 0)
+      (void)printf (" %s=%s", key, json_string_value (value));
+  }
+}
+
+/* Returns what an event says, or NULL if it explains no request. */
+static const char *
+describe (const char *event)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (texts); i++)
+    if (g_strcmp0 (event, texts[i].name) == 0)
+      return texts[i].text;
+  return NULL;
+}
+
+static const char *
+text_of (const json_t *line, const char *key)
+{
+  return json_string_value (json_object_get (line, key));
+}
+
+static int64_t
+time_of (const json_t *line)
+{
+  return json_integer_value (json_object_get (line, "t_ms"));
+}
--- a/src/cmd/timeline.c
+++ b/src/cmd/timeline.c
@@ -4,11 +4,10 @@
 #include "base/timeline_merge.h"
 #include "cmd/admin_client.h"
 #include "cmd/cmd.h"
+#include "cmd/json_lines.h"
 #include "cmd/options.h"
 
 static bool add_admin (json_t *events, const char *url, const char *token_path);
-static bool add_file (json_t *events, const char *path);
-static void add_events (json_t *events, json_t *list);
 static void print_events (const json_t *events);
 
 /* Merges the time lines of processes into one, ordered by stamp, as JSON lines. */
@@ -47,7 +46,7 @@
   for (char **url = urls; url != NULL && *url != NULL; url++)
     done = add_admin (events, *url, token_path) && done;
   for (int i = 1; i < argc; i++)
-    done = add_file (events, argv[i]) && done;
+    done = kcp_json_lines_read (events, argv[i], KCP_JSON_LINES_STRICT) && done;
   merged = kcp_timeline_merge (
       &events, 1,
       &(struct kcp_timeline_filter){ .request = request, .vm = vm, .event = kind });
@@ -68,55 +67,11 @@
   if (kcp_admin_client_init (&client, url, token_path))
     list = kcp_admin_client_get (&client, "/admin/v1/timeline");
   kcp_admin_client_clear (&client);
-  add_events (events, list);
+  json_array_extend (events, list);
   json_decref (list);
   return list != NULL;
 }
 
-/* Reads a file that holds the answer of /admin/v1/timeline, or JSON lines as printed
-   here. */
-static bool
-add_file (json_t *events, const char *path)
-{
-  g_autofree char *text = NULL;
-  g_autoptr (GError) error = NULL;
-  g_auto (GStrv) lines = NULL;
-
-  if (!g_file_get_contents (path, &text, NULL, &error))
-    {
-      (void)fprintf (stderr, "kingcuppoint: %s\n", error->message);
-      return false;
-    }
-  lines = g_strsplit (text, "\n", -1);
-  for (int i = 0; lines[i] != NULL; i++)
-    {
-      json_error_t where;
-      json_t *line;
-
-      if (lines[i][0] == '\0')
-        continue;
-      line = json_loads (lines[i], 0, &where);
-      if (line == NULL)
-        {
-          (void)fprintf (stderr, "%s:%d: %s\n", path, i + 1, where.text);
-          return false;
-        }
-      add_events (events, line);
-      json_decref (line);
-    }
-  return true;
-}
-
-/* Takes an array of events or one event. */
-static void
-add_events (json_t *events, json_t *list)
-{
-  if (json_is_object (list))
-    json_array_append (events, list);
-  else
-    json_array_extend (events, list);
-}
-
 static void
 print_events (const json_t *events)
 {
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -76,7 +76,7 @@
     }
   if (gateway->routes == NULL || gateway->closing)
     {
-      kcp_forward_refuse (forward);
+      kcp_forward_refuse (forward, "no_server");
       return false;
     }
   forward->routes = kcp_routes_ref (gateway->routes);
@@ -142,7 +142,7 @@
   else if (forward->runs > 0)
     kcp_forward_end_with (forward, MHD_HTTP_BAD_GATEWAY, "unknown", "no_server_left");
   else
-    kcp_forward_refuse (forward);
+    kcp_forward_refuse (forward, "no_server");
 }
 
 /* Does what the policy says after an attempt without a whole answer. */
@@ -181,7 +181,7 @@
       if (forward->answer->begun)
         kcp_forward_break_off (forward, "refused_to_resume");
       else
-        kcp_forward_refuse (forward);
+        kcp_forward_refuse (forward, "no_retry_left");
       break;
     case KCP_RESEND_PASS_ERROR:
       kcp_forward_pass_answer (forward, (unsigned)status);
--- a/src/forward/forward_end.c
+++ b/src/forward/forward_end.c
@@ -73,9 +73,9 @@
          && status != MHD_HTTP_SERVICE_UNAVAILABLE;
 }
 
-/* Answers that the request has not run, at once, with the time to come back. */
+/* Answers that the request has not run and why, at once, with the time to come back. */
 void
-kcp_forward_refuse (struct kcp_forward *forward)
+kcp_forward_refuse (struct kcp_forward *forward, const char *why)
 {
   int64_t now = kcp_loop_now (forward->gateway->loop);
   int64_t free_ns = forward->choice.soonest_free_ns;
@@ -90,8 +90,7 @@
   kcp_answer_add_header (forward->answer, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
   kcp_counter_add (KCP_COUNT_REFUSED, 1);
   kcp_forward_end_with (forward, MHD_HTTP_SERVICE_UNAVAILABLE, "not_run",
-                        forward->gateway->routes == NULL ? "no_configuration"
-                                                         : "no_server");
+                        forward->gateway->routes == NULL ? "no_configuration" : why);
 }
 
 /* Answers with a problem document of the router's own. */
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -47,7 +47,7 @@
 void kcp_forward_begin_streaming (struct kcp_forward *forward, unsigned status);
 void kcp_forward_pass_answer (struct kcp_forward *forward, unsigned status);
 bool kcp_forward_may_pass_status (long status);
-void kcp_forward_refuse (struct kcp_forward *forward);
+void kcp_forward_refuse (struct kcp_forward *forward, const char *why);
 void kcp_forward_end_with (struct kcp_forward *forward, unsigned status,
                            const char *execution, const char *why);
 void kcp_forward_break_off (struct kcp_forward *forward, const char *why);
