Retries are counted over the last window; a wave of loads fits the updates' budget

Change: policy/resend counts requests and retries in slots of the last window and allows share x (ratio x requests + constant) retries in it. The updates' budget saves up 64 KB, 16 KB/s; loads are announced for 1.3 s.

Tests: 15 refusals of one second after 10 calm ones all go elsewhere (the bucket let 1 go); no window of 50 random loads holds more retries than its requests allow.

--- a/src/forward/mesh_update.c
+++ b/src/forward/mesh_update.c
@@ -4,8 +4,8 @@
 
 #define FLUSH_MS 2 /* in which changes go out together */
 /* What updates may cost a VM, however many VMs there are. */
-#define UPDATE_BYTES_A_SECOND 12000
-#define UPDATE_BYTES_SAVED    12000
+#define UPDATE_BYTES_A_SECOND 16000
+#define UPDATE_BYTES_SAVED    64000
 
 static void announce (struct kcp_mesh *mesh, const struct kcp_mesh_change *change);
 static void flush (void *user);
--- a/src/forward/rollout_order.c
+++ b/src/forward/rollout_order.c
@@ -11,7 +11,7 @@
 #define ORDER_CONNECT_MS 200
 #define ORDER_TOTAL_MS   400
 /* What the other VMs are told that it takes. */
-#define LOADING_MS 1000
+#define LOADING_MS 1300
 /* Loading takes about a second, so that an earlier report would say nothing. */
 #define FIRST_REPORT_MS 700
 #define REPORT_MS       100
--- a/src/policy/resend.c
+++ b/src/policy/resend.c
@@ -1,55 +1,77 @@
 #include "policy/resend.h"
 
 #include <glib.h>
+#include <string.h>
 
+#define SLOTS_KEPT   (KCP_RESEND_SLOTS + 1)
 #define REFUSALS_MAX 4  /* of one request, before the caller is told to come back */
 #define LEFT_MIN_MS  20 /* under which another attempt cannot bring an answer */
 
 static enum kcp_resend_decision give_up (const struct kcp_resend_facts *facts);
-static double most_balance (const struct kcp_resend_budget *budget);
+static int64_t slot_of (const struct kcp_resend_budget *budget, int64_t now_ns);
+static void pass_slots (struct kcp_resend_budget *budget, int64_t now_ns);
 static bool may_send_again (const struct kcp_resend_facts *facts);
 
-/* A small share of the burst still allows one retry. */
-static double
-most_balance (const struct kcp_resend_budget *budget)
-{
-  return MAX (budget->burst, 1.0);
-}
-
-/* Starts a full budget of ratio x requests + burst retries a window. */
+/* Starts with no requests and no retries counted. */
 void
 kcp_resend_budget_init (struct kcp_resend_budget *budget, double ratio, double burst,
                         int64_t window_ns, int64_t now_ns)
 {
+  memset (budget, 0, sizeof *budget);
   budget->ratio = ratio;
   budget->burst = burst;
   budget->window_ns = window_ns;
-  budget->balance = burst;
-  budget->refilled_ns = now_ns;
+  budget->newest = slot_of (budget, now_ns);
 }
 
 /* Counts a request of a caller, which allows a share of a retry. */
 void
 kcp_resend_budget_add_request (struct kcp_resend_budget *budget, int64_t now_ns)
 {
-  (void)now_ns;
-  budget->balance = MIN (budget->balance + budget->ratio, most_balance (budget));
+  pass_slots (budget, now_ns);
+  budget->requests[budget->newest % SLOTS_KEPT]++;
 }
 
 /* Takes one retry; false if none is left. */
 bool
 kcp_resend_budget_take (struct kcp_resend_budget *budget, int64_t now_ns)
 {
-  double passed = (double)(now_ns - budget->refilled_ns) / (double)budget->window_ns;
+  unsigned requests = 0;
+  unsigned retries = 0;
 
-  budget->refilled_ns = now_ns;
-  budget->balance = MIN (budget->balance + passed * budget->burst, most_balance (budget));
-  if (budget->balance < 1)
+  pass_slots (budget, now_ns);
+  for (unsigned i = 0; i < SLOTS_KEPT; i++)
+    {
+      requests += budget->requests[i];
+      retries += budget->retries[i];
+    }
+  if (retries + 1 > budget->ratio * requests + budget->burst)
     return false;
-  budget->balance -= 1;
+  budget->retries[budget->newest % SLOTS_KEPT]++;
   return true;
 }
 
+static int64_t
+slot_of (const struct kcp_resend_budget *budget, int64_t now_ns)
+{
+  return now_ns / (budget->window_ns / KCP_RESEND_SLOTS);
+}
+
+/* Clears the slots that have begun since the last call. */
+static void
+pass_slots (struct kcp_resend_budget *budget, int64_t now_ns)
+{
+  int64_t newest = slot_of (budget, now_ns);
+
+  for (int64_t slot = MAX (budget->newest + 1, newest - KCP_RESEND_SLOTS); slot <= newest;
+       slot++)
+    {
+      budget->requests[slot % SLOTS_KEPT] = 0;
+      budget->retries[slot % SLOTS_KEPT] = 0;
+    }
+  budget->newest = MAX (budget->newest, newest);
+}
+
 /* Decides, and takes from the budget if the request is to be sent again. */
 enum kcp_resend_decision
 kcp_resend_decide (const struct kcp_resend_facts *facts, struct kcp_resend_budget *budget,
--- a/src/policy/resend.h
+++ b/src/policy/resend.h
@@ -44,15 +44,19 @@
   int64_t left_ms;
 };
 
-/* Retries that this VM may still make in the window: a share of the requests of the
-   service plus a constant. One a service. */
+#define KCP_RESEND_SLOTS 20u /* of a window */
+
+/* Retries that this VM may make towards a service in any window of time: a share of the
+   requests of that window plus a constant. Requests of a calm time so pay for the retries
+   of the moment in which many servers refuse at once. */
 struct kcp_resend_budget
 {
   int64_t window_ns;
-  double ratio; /* retries allowed for each request */
-  double burst; /* retries allowed beyond that in a window */
-  double balance;
-  int64_t refilled_ns;
+  double ratio;                            /* retries allowed for each request */
+  double burst;                            /* retries allowed beyond that in a window */
+  int64_t newest;                          /* number of the newest slot */
+  unsigned requests[KCP_RESEND_SLOTS + 1]; /* by slot, of the last window and one more */
+  unsigned retries[KCP_RESEND_SLOTS + 1];
 };
 
 void kcp_resend_budget_init (struct kcp_resend_budget *budget, double ratio, double burst,
--- a/tests/unit/test_forward_policy.c
+++ b/tests/unit/test_forward_policy.c
@@ -187,6 +187,65 @@
 }
 END_TEST
 
+/* Calm traffic, and then a fifth of the servers refuses at once, as when new weights are
+   loaded: the requests sent there in that moment find another server. */
+START_TEST (test_a_calm_time_pays_for_the_retries_of_one_moment)
+{
+  const unsigned a_second = 15;
+  struct kcp_resend_budget budget;
+  unsigned taken = 0;
+
+  kcp_resend_budget_init (&budget, 0.2 * 0.6, 158 * 0.6 / 59, MS (10000), 0);
+  for (unsigned i = 0; i < 10 * a_second; i++)
+    kcp_resend_budget_add_request (&budget, MS (10000) * i / (10 * a_second));
+  for (unsigned i = 0; i < a_second; i++)
+    taken += kcp_resend_budget_take (&budget, MS (10000));
+  ck_assert_uint_eq (taken, a_second);
+}
+END_TEST
+
+/* Whatever comes when, no window holds more retries than its requests, or those of the
+   window before it, allow. */
+START_TEST (test_no_window_holds_more_retries_than_allowed)
+{
+  for (guint32 seed = 1; seed <= 50; seed++)
+    {
+      GRand *random = g_rand_new_with_seed (seed);
+      unsigned requests[600] = { 0 }; /* of each 100 ms */
+      unsigned retries[600] = { 0 };
+      struct kcp_resend_budget budget;
+
+      kcp_resend_budget_init (&budget, 0.12, 2, MS (10000), 0);
+      for (int at = 0; at < 600; at++)
+        {
+          bool calm = (at / 70) % 2 == 0;
+          int arrivals = g_rand_int_range (random, 0, calm ? 4 : 2);
+
+          requests[at] = (unsigned)arrivals;
+          for (int i = 0; i < arrivals; i++)
+            kcp_resend_budget_add_request (&budget, MS (100) * at);
+          for (int i = 0; !calm && i < 5; i++)
+            retries[at] += kcp_resend_budget_take (&budget, MS (100) * at);
+        }
+      for (int from = 100; from + 100 <= 600; from++)
+        {
+          unsigned of_window[2] = { 0 };
+          unsigned taken = 0;
+
+          for (int at = from; at < from + 100; at++)
+            {
+              of_window[0] += requests[at];
+              of_window[1] += requests[at - 100];
+              taken += retries[at];
+            }
+          /* The share of 0.6 that a VM takes leaves room for windows that overlap. */
+          ck_assert_double_le (taken, 0.2 * MAX (of_window[0], of_window[1]) + 4);
+        }
+      g_rand_free (random);
+    }
+}
+END_TEST
+
 START_TEST (test_refused_callers_return_spread_and_in_time)
 {
   int64_t least = INT64_MAX;
@@ -405,6 +464,8 @@
   tcase_add_test (cases, test_what_may_run_once_is_sent_again_only_if_it_did_not_run);
   tcase_add_test (cases, test_a_refusal_after_a_run_never_says_not_run);
   tcase_add_test (cases, test_retries_of_a_storm_stay_within_the_budget);
+  tcase_add_test (cases, test_a_calm_time_pays_for_the_retries_of_one_moment);
+  tcase_add_test (cases, test_no_window_holds_more_retries_than_allowed);
   tcase_add_test (cases, test_refused_callers_return_spread_and_in_time);
   tcase_add_test (cases, test_short_questions_go_before_long_prompts_of_equal_teams);
   tcase_add_test (cases,
