--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -8,7 +8,6 @@
 
 #include "base/counter.h"
 #include "base/decision_log.h"
-#include "base/id.h"
 #include "forward/mesh_private.h"
 #include "forward/server_loop.h"
 
@@ -18,20 +17,13 @@
 #define SILENT_FIRST_NS (3000 * KCP_NS_PER_MS) /* while its pauses are not known */
 #define PAUSE_WEIGHT    8                      /* of older pauses in the average */
 #define FORGET_NS       (60 * KCP_NS_PER_S)
-#define LIST_RETRY_MS   500
 
-static void enter_list (void *user);
-static void on_entered (void *user, const struct kcp_store_answer *answer);
-static void read_list (struct kcp_mesh *mesh, const char *after);
-static void on_listed (void *user, const struct kcp_store_answer *answer);
-static void retry_list (struct kcp_mesh *mesh);
 static int64_t silent_ns (const struct kcp_mesh_peer *peer);
 static void note_pause (struct kcp_mesh_peer *peer, int64_t now_ns);
 static void on_datagram (void *user, uint32_t events);
 static bool read_message (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool read_update (struct kcp_mesh *mesh, char *bytes, size_t len);
 static void take_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
-static struct kcp_mesh_peer *make_peer (struct kcp_mesh *mesh, const char *vm);
 static void sum_rows (struct kcp_mesh *mesh);
 static void take_row (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer,
                       const struct kcp_mesh_row *row);
@@ -64,7 +56,7 @@
     }
   kcp_poller_watch (kcp_loop_poller (gateway->loop), mesh->fd, EPOLLIN, on_datagram,
                     mesh);
-  enter_list (mesh);
+  kcp_mesh_enter_list (mesh);
   kcp_mesh_tell (mesh);
   return mesh;
 fail:
@@ -134,82 +126,6 @@
   return !mesh->leaving;
 }
 
-/* Writes this VM into the list in the store, and then reads it: of two VMs that start
-   together at least one finds the other, which learns of it by its messages. */
-static void
-enter_list (void *user)
-{
-  struct kcp_mesh *mesh = user;
-  const struct kcp_store *store = mesh->store;
-
-  if (mesh->entered)
-    {
-      read_list (mesh, NULL);
-      return;
-    }
-  store->append (store->self, KCP_STORE_VMS, KCP_STORE_ANYWHERE,
-                 kcp_str_from_c (mesh->own), KCP_STR ("{}"), on_entered, mesh);
-}
-
-static void
-on_entered (void *user, const struct kcp_store_answer *answer)
-{
-  struct kcp_mesh *mesh = user;
-
-  if (answer->end != KCP_STORE_DONE)
-    {
-      retry_list (mesh);
-      return;
-    }
-  mesh->entered = true;
-  read_list (mesh, NULL);
-}
-
-static void
-read_list (struct kcp_mesh *mesh, const char *after)
-{
-  mesh->store->list (mesh->store->self, KCP_STORE_VMS, after, on_listed, mesh);
-}
-
-static void
-on_listed (void *user, const struct kcp_store_answer *answer)
-{
-  struct kcp_mesh *mesh = user;
-  g_autofree char *last = NULL;
-
-  if (answer->end != KCP_STORE_DONE)
-    {
-      retry_list (mesh);
-      return;
-    }
-  for (guint i = 0; i < answer->records->len; i++)
-    {
-      const struct kcp_store_record *record
-          = &g_array_index (answer->records, struct kcp_store_record, i);
-
-      g_free (last);
-      last = kcp_str_dup (record->key);
-      if (record->value.len > 0 && kcp_mesh_find_peer (mesh, last) == NULL)
-        (void)make_peer (mesh, last);
-    }
-  if (answer->more && last != NULL)
-    {
-      read_list (mesh, last);
-      return;
-    }
-  KCP_LOG ("vms_listed", KCP_LOG_INT ("others", mesh->peers->len));
-}
-
-static void
-retry_list (struct kcp_mesh *mesh)
-{
-  struct kcp_loop *loop = mesh->gateway->loop;
-  int64_t wait_ms = LIST_RETRY_MS + (int64_t)(kcp_id_random_u64 () % LIST_RETRY_MS);
-
-  kcp_loop_timer_set (loop, &mesh->list, kcp_loop_now (loop) + wait_ms * KCP_NS_PER_MS,
-                      enter_list, mesh);
-}
-
 /* Returns after what silence a VM is taken as away. */
 static int64_t
 silent_ns (const struct kcp_mesh_peer *peer)
@@ -301,7 +217,7 @@
   if (strcmp (message->vm, mesh->own) == 0)
     return;
   if (peer == NULL)
-    peer = make_peer (mesh, message->vm);
+    peer = kcp_mesh_make_peer (mesh, message->vm);
   if (peer == NULL || message->start < peer->start
       || (message->start == peer->start && message->number <= peer->number))
     return;
@@ -337,8 +253,8 @@
 }
 
 /* Returns a new peer, or NULL if its name is no address or this VM's own. */
-static struct kcp_mesh_peer *
-make_peer (struct kcp_mesh *mesh, const char *vm)
+struct kcp_mesh_peer *
+kcp_mesh_make_peer (struct kcp_mesh *mesh, const char *vm)
 {
   struct kcp_mesh_peer *peer;
   struct sockaddr_in address;
--- /dev/null
+++ b/src/forward/mesh_list.c
@@ -0,0 +1,88 @@
+/* The list of VMs in the platform's store, by which a VM finds the others at its start.
+ */
+#include "base/decision_log.h"
+#include "base/id.h"
+#include "forward/mesh_private.h"
+
+#define LIST_RETRY_MS 500
+
+static void on_entered (void *user, const struct kcp_store_answer *answer);
+static void read_list (struct kcp_mesh *mesh, const char *after);
+static void on_listed (void *user, const struct kcp_store_answer *answer);
+static void retry_list (struct kcp_mesh *mesh);
+
+/* Writes this VM into the list in the store, and then reads it: of two VMs that start
+   together at least one finds the other, which learns of it by its messages. */
+void
+kcp_mesh_enter_list (void *user)
+{
+  struct kcp_mesh *mesh = user;
+  const struct kcp_store *store = mesh->store;
+
+  if (mesh->entered)
+    {
+      read_list (mesh, NULL);
+      return;
+    }
+  store->append (store->self, KCP_STORE_VMS, KCP_STORE_ANYWHERE,
+                 kcp_str_from_c (mesh->own), KCP_STR ("{}"), on_entered, mesh);
+}
+
+static void
+on_entered (void *user, const struct kcp_store_answer *answer)
+{
+  struct kcp_mesh *mesh = user;
+
+  if (answer->end != KCP_STORE_DONE)
+    {
+      retry_list (mesh);
+      return;
+    }
+  mesh->entered = true;
+  read_list (mesh, NULL);
+}
+
+static void
+read_list (struct kcp_mesh *mesh, const char *after)
+{
+  mesh->store->list (mesh->store->self, KCP_STORE_VMS, after, on_listed, mesh);
+}
+
+static void
+on_listed (void *user, const struct kcp_store_answer *answer)
+{
+  struct kcp_mesh *mesh = user;
+  g_autofree char *last = NULL;
+
+  if (answer->end != KCP_STORE_DONE)
+    {
+      retry_list (mesh);
+      return;
+    }
+  for (guint i = 0; i < answer->records->len; i++)
+    {
+      const struct kcp_store_record *record
+          = &g_array_index (answer->records, struct kcp_store_record, i);
+
+      g_free (last);
+      last = kcp_str_dup (record->key);
+      if (record->value.len > 0 && kcp_mesh_find_peer (mesh, last) == NULL)
+        (void)kcp_mesh_make_peer (mesh, last);
+    }
+  if (answer->more && last != NULL)
+    {
+      read_list (mesh, last);
+      return;
+    }
+  KCP_LOG ("vms_listed", KCP_LOG_INT ("others", mesh->peers->len));
+}
+
+static void
+retry_list (struct kcp_mesh *mesh)
+{
+  struct kcp_loop *loop = mesh->gateway->loop;
+  int64_t wait_ms = LIST_RETRY_MS + (int64_t)(kcp_id_random_u64 () % LIST_RETRY_MS);
+
+  kcp_loop_timer_set (loop, &mesh->list, kcp_loop_now (loop) + wait_ms * KCP_NS_PER_MS,
+                      kcp_mesh_enter_list, mesh);
+}
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -64,6 +64,10 @@
 /* mesh.c */
 void kcp_mesh_check_peers (struct kcp_mesh *mesh);
 struct kcp_mesh_peer *kcp_mesh_find_peer (struct kcp_mesh *mesh, const char *vm);
+struct kcp_mesh_peer *kcp_mesh_make_peer (struct kcp_mesh *mesh, const char *vm);
+
+/* mesh_list.c */
+void kcp_mesh_enter_list (void *user);
 
 /* mesh_update.c */
 void kcp_mesh_take_update (struct kcp_mesh *mesh, const struct kcp_mesh_update *update);
