--- a/soak/soak.c
+++ b/soak/soak.c
@@ -41,6 +41,7 @@
   int peer_port;
   pid_t pid;
   char *settings;
+  char *log;         /* standard output of all its starts; kept if a promise was broken */
   int64_t start_us;  /* to be started then; 0: runs */
   int64_t resume_us; /* stopped until then; 0: is not */
   int64_t kill_us;   /* SIGTERM was sent; killed then; 0: not */
@@ -102,8 +103,10 @@
       index, vm->port, vm->ready_port, vm->metrics_port, vm->peer_port,
       fake_platform_port (soak.platform));
   g_autofree char *name = g_strdup_printf ("vm%u.ini", index);
+  g_autofree char *log_name = g_strdup_printf ("vm%u.log", index);
 
   vm->settings = g_build_filename (soak.folder, name, NULL);
+  vm->log = g_build_filename (soak.folder, log_name, NULL);
   if (!g_file_set_contents (vm->settings, text, -1, NULL))
     abort ();
 }
@@ -119,7 +122,7 @@
   if (vm->pid != 0)
     return;
   (void)prctl (PR_SET_PDEATHSIG, SIGKILL);
-  if (freopen ("/dev/null", "w", stdout) == NULL)
+  if (freopen (vm->log, "a", stdout) == NULL)
     _exit (126);
   (void)execl (program, program, "route", "--settings", vm->settings, (char *)NULL);
   _exit (127);
@@ -482,12 +485,18 @@
           (void)waitpid (vm->pid, NULL, 0);
         }
       (void)g_unlink (vm->settings);
+      if (soak.broken == 0)
+        (void)g_unlink (vm->log);
       g_free (vm->settings);
+      g_free (vm->log);
     }
   for (unsigned i = 0; i < SERVERS; i++)
     proxy_stop (soak.proxies[i]);
   fake_platform_stop (soak.platform);
-  (void)g_rmdir (soak.folder);
+  if (soak.broken == 0)
+    (void)g_rmdir (soak.folder);
+  else
+    (void)printf ("the VMs' logs are in %s\n", soak.folder);
   g_free (soak.folder);
   g_ptr_array_unref (soak.refusals);
   g_rand_free (soak.random);
