A right that is about to end gives no orders, and no endless loop; reload says what took effect

While a renewal of the claim was under way, the claim said that orders may be sent until its very end, but send_order wants 0.5 s left: it ended the order at once, and give_orders began the same one again, for ever.

Change: what must be left is part of the claim's times; the step and the loop of give_orders ask kcp_claim_may_order.

Test: test_a_right_that_is_about_to_end_gives_no_orders (the step said held).

--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -299,21 +299,18 @@
 reload (struct vm *vm, const char *cause)
 {
   struct kcp_forward_settings *fresh = load (vm->path);
-  const struct kcp_forward_settings *old = vm->settings;
-  bool restart;
+  g_autoptr (GString) at_once = g_string_new (NULL);
+  g_autoptr (GString) at_restart = g_string_new (NULL);
 
   if (fresh == NULL)
     {
       KCP_LOG ("reload_failed", KCP_LOG_TEXT ("cause", cause));
       return;
     }
-  restart = g_strcmp0 (fresh->callers_listen, old->callers_listen) != 0
-            || g_strcmp0 (fresh->ready_listen, old->ready_listen) != 0
-            || g_strcmp0 (fresh->metrics_listen, old->metrics_listen) != 0
-            || g_strcmp0 (fresh->store_address, old->store_address) != 0
-            || g_strcmp0 (fresh->vm_id, old->vm_id) != 0;
+  kcp_forward_settings_compare (vm->settings, fresh, at_once, at_restart);
   KCP_LOG ("reloaded", KCP_LOG_TEXT ("cause", cause),
-           KCP_LOG_INT ("restart_needed", restart));
+           KCP_LOG_TEXT ("took_effect", at_once->str),
+           KCP_LOG_TEXT ("needs_restart", at_restart->str));
   vm->gateway.settings = fresh;
   kcp_forward_settings_free (vm->settings);
   vm->settings = fresh;
--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -13,6 +13,7 @@
 /* Clocks of two VMs run apart, and an order may be on its way. */
 #define CLAIM_MARGIN_MS 500
 #define CLAIM_READ_MS   900
+#define ORDER_LEFT_MS   500
 
 static void look (void *user);
 static const struct kcp_named_weights *find_need (struct kcp_rollout *rollout);
@@ -35,6 +36,7 @@
     .renew_ns = CLAIM_RENEW_MS * KCP_NS_PER_MS,
     .pause_ns = (CLAIM_VALID_MS + turn_ms + CLAIM_MARGIN_MS) * KCP_NS_PER_MS,
     .read_ns = CLAIM_READ_MS * KCP_NS_PER_MS,
+    .order_ns = ORDER_LEFT_MS * KCP_NS_PER_MS,
   };
 
   rollout->gateway = gateway;
@@ -132,7 +134,8 @@
 
   g_array_set_size (table, servers->len);
   facts = (struct kcp_rollout_server *)(void *)table->data;
-  while ((named = find_need (rollout)) != NULL)
+  while (kcp_claim_may_order (&rollout->claim, kcp_loop_now (rollout->gateway->loop))
+         && (named = find_need (rollout)) != NULL)
     {
       size_t carriers = 0;
       int at;
--- a/src/forward/rollout_order.c
+++ b/src/forward/rollout_order.c
@@ -6,8 +6,6 @@
 #include "forward/mesh.h"
 #include "forward/rollout_private.h"
 
-/* What must be left of the right when an order is sent. */
-#define ORDER_LEFT_NS    (500 * KCP_NS_PER_MS)
 #define ORDER_CONNECT_MS 200
 #define ORDER_TOTAL_MS   400
 /* What the other VMs are told that it takes. */
@@ -84,7 +82,7 @@
   };
 
   order->sent_ns = kcp_loop_now (gateway->loop);
-  if (!kcp_claim_is_held (&rollout->claim, order->sent_ns + ORDER_LEFT_NS))
+  if (!kcp_claim_may_order (&rollout->claim, order->sent_ns))
     {
       order_end (order, "no_right");
       return;
--- a/src/policy/claim.c
+++ b/src/policy/claim.c
@@ -28,10 +28,10 @@
   *until_ns = now_ns + claim->times.read_ns;
   if (!wanted)
     return KCP_CLAIM_WAIT;
-  if (kcp_claim_is_held (claim, now_ns)
+  if (kcp_claim_may_order (claim, now_ns)
       && (claim->appending || claim->valid_until_ns - now_ns > claim->times.renew_ns))
     {
-      *until_ns = claim->valid_until_ns;
+      *until_ns = claim->valid_until_ns - claim->times.order_ns;
       return KCP_CLAIM_HELD;
     }
   if (claim->appending)
@@ -114,7 +114,15 @@
   claim->rest_until_ns = now_ns + retry_ns;
 }
 
-/* Tells whether this VM may send an order now. To be asked right before the sending. */
+/* Tells whether this VM may send an order now, so that it arrives within the right. To be
+   asked right before the sending. */
+bool
+kcp_claim_may_order (const struct kcp_claim *claim, int64_t now_ns)
+{
+  return kcp_claim_is_held (claim, now_ns + claim->times.order_ns);
+}
+
+/* Tells whether this VM holds the right at that time. */
 bool
 kcp_claim_is_held (const struct kcp_claim *claim, int64_t now_ns)
 {
--- a/src/policy/claim.h
+++ b/src/policy/claim.h
@@ -28,6 +28,7 @@
   int64_t renew_ns; /* before its end a held claim is renewed */
   int64_t pause_ns; /* from another VM's claim being read until it may be superseded */
   int64_t read_ns;  /* between two readings while another VM's claim stands */
+  int64_t order_ns; /* what must be left of the right when an order is sent */
 };
 
 struct kcp_claim
@@ -55,6 +56,7 @@
 void kcp_claim_trimmed (struct kcp_claim *claim, int64_t end, int64_t now_ns);
 void kcp_claim_appended (struct kcp_claim *claim, int64_t offset, int64_t now_ns);
 void kcp_claim_failed (struct kcp_claim *claim, int64_t retry_ns, int64_t now_ns);
+bool kcp_claim_may_order (const struct kcp_claim *claim, int64_t now_ns);
 bool kcp_claim_is_held (const struct kcp_claim *claim, int64_t now_ns);
 int64_t kcp_claim_fence (const struct kcp_claim *claim);
 
--- a/src/settings/forward_settings.c
+++ b/src/settings/forward_settings.c
@@ -74,3 +74,22 @@
 {
   kcp_ini_free (&ini_table, settings);
 }
+
+/* Appends the keys whose values differ, parted by commas: waits, limits and shares, which
+   take effect at once, and names and addresses, which do so at a restart. */
+void
+kcp_forward_settings_compare (const struct kcp_forward_settings *before,
+                              const struct kcp_forward_settings *after, GString *at_once,
+                              GString *at_restart)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (keys); i++)
+    {
+      const struct kcp_ini_key *key = &keys[i];
+      bool number = key->type == KCP_INI_INT || key->type == KCP_INI_REAL;
+      GString *list = number ? at_once : at_restart;
+
+      if (!kcp_ini_is_same (key, before, after))
+        g_string_append_printf (list, "%s%s.%s", list->len > 0 ? "," : "", key->group,
+                                key->key);
+    }
+}
--- a/src/settings/forward_settings.h
+++ b/src/settings/forward_settings.h
@@ -36,5 +36,8 @@
 struct kcp_forward_settings *
 kcp_forward_settings_parse (const char *path, const char *text, GPtrArray *errors);
 void kcp_forward_settings_free (struct kcp_forward_settings *settings);
+void kcp_forward_settings_compare (const struct kcp_forward_settings *before,
+                                   const struct kcp_forward_settings *after,
+                                   GString *at_once, GString *at_restart);
 
 #endif
--- a/src/settings/ini.c
+++ b/src/settings/ini.c
@@ -84,6 +84,28 @@
   g_free (settings);
 }
 
+/* Tells whether two settings have the same value for the key. */
+bool
+kcp_ini_is_same (const struct kcp_ini_key *key, const void *a, const void *b)
+{
+  const void *first = (const char *)a + key->offset;
+  const void *second = (const char *)b + key->offset;
+
+  switch (key->type)
+    {
+    case KCP_INI_INT:
+      return *(const int64_t *)first == *(const int64_t *)second;
+    case KCP_INI_REAL:
+      return *(const double *)first == *(const double *)second;
+    case KCP_INI_TEXT:
+    case KCP_INI_NAME:
+    case KCP_INI_HEX_KEY:
+    case KCP_INI_ADDRESS:
+      break;
+    }
+  return g_strcmp0 (*(char *const *)first, *(char *const *)second) == 0;
+}
+
 /* Appends an error about a key, with the line on which line_key stands. */
 void
 kcp_ini_add_error (GPtrArray *errors, const char *path, const char *text,
--- a/src/settings/ini.h
+++ b/src/settings/ini.h
@@ -48,6 +48,7 @@
 void *kcp_ini_parse (const struct kcp_ini_table *table, const char *path,
                      const char *text, GPtrArray *errors);
 void kcp_ini_free (const struct kcp_ini_table *table, void *settings);
+bool kcp_ini_is_same (const struct kcp_ini_key *key, const void *a, const void *b);
 void kcp_ini_add_error (GPtrArray *errors, const char *path, const char *text,
                         const char *group, const char *line_key, const char *key,
                         const char *what);
--- a/tests/unit/test_forward_parts.c
+++ b/tests/unit/test_forward_parts.c
@@ -448,12 +448,40 @@
 }
 END_TEST
 
+START_TEST (test_a_reload_says_what_took_effect_and_what_needs_a_restart)
+{
+  g_autoptr (GPtrArray) errors = g_ptr_array_new_with_free_func (g_free);
+  g_autoptr (GString) at_once = g_string_new (NULL);
+  g_autoptr (GString) at_restart = g_string_new (NULL);
+  static const char format[]
+      = "[vm]\nid = a\ndata_center = z\n[callers]\nlisten = 127.0.0.1:1\n"
+        "[ready]\nlisten = 127.0.0.1:2\n[peers]\nlisten = 127.0.0.1:%d\n"
+        "[store]\naddress = 127.0.0.1:4\n[retry]\nratio = %s\nburst = %d\n";
+  g_autofree char *first = g_strdup_printf (format, 3, "0.1", 5);
+  g_autofree char *second = g_strdup_printf (format, 9, "0.2", 7);
+  struct kcp_forward_settings *before
+      = kcp_forward_settings_parse ("f.ini", first, errors);
+  struct kcp_forward_settings *after
+      = kcp_forward_settings_parse ("f.ini", second, errors);
+
+  kcp_forward_settings_compare (before, before, at_once, at_restart);
+  ck_assert_str_eq (at_once->str, "");
+  ck_assert_str_eq (at_restart->str, "");
+  kcp_forward_settings_compare (before, after, at_once, at_restart);
+  ck_assert_str_eq (at_once->str, "retry.ratio,retry.burst");
+  ck_assert_str_eq (at_restart->str, "peers.listen");
+  kcp_forward_settings_free (before);
+  kcp_forward_settings_free (after);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("forward parts");
   TCase *cases = tcase_create ("forward parts");
 
+  tcase_add_test (cases, test_a_reload_says_what_took_effect_and_what_needs_a_restart);
   tcase_add_test (cases, test_the_longest_prefix_of_the_host_wins);
   tcase_add_test (cases, test_keys_name_teams_and_services_share_by_weight);
   tcase_add_test (cases, test_a_configuration_that_cannot_be_read_changes_nothing);
--- a/tests/unit/test_forward_policy.c
+++ b/tests/unit/test_forward_policy.c
@@ -448,6 +448,32 @@
 }
 END_TEST
 
+/* The right is being renewed while the store is slow: orders that would arrive behind its
+   end are not tried, again and again, but wait for the renewal. */
+START_TEST (test_a_right_that_is_about_to_end_gives_no_orders)
+{
+  const struct kcp_claim_times times = { .valid_ns = MS (1500),
+                                         .renew_ns = MS (700),
+                                         .pause_ns = MS (5000),
+                                         .read_ns = MS (900),
+                                         .order_ns = MS (500) };
+  struct kcp_claim claim;
+  int64_t until;
+
+  kcp_claim_init (&claim, "vm", &times);
+  kcp_claim_sent (&claim, 0);
+  kcp_claim_appended (&claim, 0, MS (10));
+  ck_assert_int_eq (kcp_claim_step (&claim, true, MS (600), &until), KCP_CLAIM_HELD);
+  ck_assert_int_eq (until, MS (1000));
+  ck_assert_int_eq (kcp_claim_step (&claim, true, MS (900), &until), KCP_CLAIM_APPEND);
+  kcp_claim_sent (&claim, MS (900));
+  ck_assert_int_eq (kcp_claim_step (&claim, true, MS (950), &until), KCP_CLAIM_HELD);
+  ck_assert_int_eq (kcp_claim_step (&claim, true, MS (1100), &until), KCP_CLAIM_WAIT);
+  ck_assert (!kcp_claim_may_order (&claim, MS (1100)));
+  ck_assert (kcp_claim_is_held (&claim, MS (1100)));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -464,6 +490,7 @@
   tcase_add_test (cases, test_what_may_run_once_is_sent_again_only_if_it_did_not_run);
   tcase_add_test (cases, test_a_refusal_after_a_run_never_says_not_run);
   tcase_add_test (cases, test_retries_of_a_storm_stay_within_the_budget);
+  tcase_add_test (cases, test_a_right_that_is_about_to_end_gives_no_orders);
   tcase_add_test (cases, test_a_calm_time_pays_for_the_retries_of_one_moment);
   tcase_add_test (cases, test_no_window_holds_more_retries_than_allowed);
   tcase_add_test (cases, test_refused_callers_return_spread_and_in_time);
