--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 BENCH_BIN = $(patsubst bench/bench_%.c,$(BUILD)/bench_%,$(filter bench/bench_%.c,$(BENCH)))
 BENCH_LIB = $(filter-out bench/bench_%.c,$(BENCH))
 
-.PHONY: all check soak demo bench bench-policy lint format deps clean
+.PHONY: all check soak soak-seeds demo bench bench-policy lint format deps clean
 .SECONDARY:
 all: $(BUILD)/kingcuppoint $(BUILD)/kcp-standin
 
@@ -85,6 +85,11 @@
 soak: all $(BUILD)/kcp-soak
 	@BUILD=$(BUILD) $(BUILD)/kcp-soak $(or $(SEED),$(SOAK_SEED)) $(if $(MINUTES),$$(( $(MINUTES) * 60 )),$(SOAK_SECONDS)) $(VMS)
 
+# Runs the seeds that broke a promise once.
+soak-seeds: all $(BUILD)/kcp-soak
+	@grep -v '^#' soak/seeds.txt | while read -r seed seconds vms cause; do \
+	  BUILD=$(BUILD) $(BUILD)/kcp-soak $$seed $$seconds $$vms || exit 1; done
+
 demo: deps
 	@$(MAKE) --no-print-directory $(BUILD)/kingcuppoint $(BUILD)/kcp-standin $(BUILD)/kcp-demo
 	@BUILD=$(BUILD) $(BUILD)/kcp-demo
