--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(CHECKLIBS)
 
-$(BUILD)/kcp-soak: $(call obj,$(SOAK) tests/harness/fake_platform.c)
+$(BUILD)/kcp-soak: $(call obj,$(SOAK) tests/harness/fake_platform.c tests/harness/free_port.c)
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -23,6 +23,7 @@
 
 #include "soak/proxy.h"
 #include "tests/harness/fake_platform.h"
+#include "tests/harness/free_port.h"
 
 #define SERVERS    4u
 #define VMS_MAX    32u
@@ -77,21 +78,6 @@
   (void)printf ("BROKEN %s: request %s: %.300s\n", what, id, text);
 }
 
-static int
-free_port (int type)
-{
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t len = sizeof address;
-  int fd = socket (AF_INET, type | SOCK_CLOEXEC, 0);
-
-  if (bind (fd, (struct sockaddr *)&address, len) != 0
-      || getsockname (fd, (struct sockaddr *)&address, &len) != 0)
-    abort ();
-  (void)close (fd);
-  return ntohs (address.sin_port);
-}
-
 static void
 write_settings (struct vm *vm, unsigned index)
 {
--- a/tests/harness/route_vm.c
+++ b/tests/harness/route_vm.c
@@ -13,6 +13,8 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "tests/harness/free_port.h"
+
 static char *write_settings (void);
 
 /* An operator's record, of its version and the team's key. */
@@ -33,22 +35,6 @@
 
 struct route_vm route_vm;
 
-/* Returns a port of the loopback address that is free now; type as of socket(). */
-int
-route_vm_free_port (int type)
-{
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  socklen_t len = sizeof address;
-  int fd = socket (AF_INET, type, 0);
-
-  if (bind (fd, (struct sockaddr *)&address, len) != 0
-      || getsockname (fd, (struct sockaddr *)&address, &len) != 0)
-    abort ();
-  (void)close (fd);
-  return ntohs (address.sin_port);
-}
-
 /* Returns the status of the VM's answer to the balancer's question; 0: none came. */
 int
 route_vm_ready_status (void)
@@ -135,10 +121,10 @@
 
   route_vm = (struct route_vm){ .platform = fake_platform_start (2) };
   route_vm.folder = g_dir_make_tmp ("kcp-route-XXXXXX", NULL);
-  route_vm.port = route_vm_free_port (SOCK_STREAM);
-  route_vm.ready_port = route_vm_free_port (SOCK_STREAM);
-  route_vm.metrics_port = route_vm_free_port (SOCK_STREAM);
-  route_vm.peers_port = route_vm_free_port (SOCK_DGRAM);
+  route_vm.port = free_port (SOCK_STREAM);
+  route_vm.ready_port = free_port (SOCK_STREAM);
+  route_vm.metrics_port = free_port (SOCK_STREAM);
+  route_vm.peers_port = free_port (SOCK_DGRAM);
   fake_platform_put (route_vm.platform, "config", config);
   route_vm_start ();
   route_vm_wait_ready ();
--- a/tests/harness/route_vm.h
+++ b/tests/harness/route_vm.h
@@ -30,7 +30,6 @@
 void route_vm_start (void);
 void route_vm_wait_ready (void);
 int route_vm_ready_status (void);
-int route_vm_free_port (int type);
 bool route_vm_listens (int port);
 struct raw_answer
 route_vm_send (const char *method, const char *path, const char *extra, const char *body);
