--- a/src/booking/partition.c
+++ b/src/booking/partition.c
@@ -30,11 +30,6 @@
 static json_t *
 entry_of (const struct kcp_partition *partition, struct kcp_pending *pending);
 static bool pass_trimmed (struct kcp_partition *partition, uint64_t first);
-static bool flight_has_claims (const struct kcp_partition *partition);
-static void keep_for_retry (struct kcp_partition *partition);
-static void
-refuse_flight (struct kcp_partition *partition, const struct kcp_error *error);
-static void give_up (struct kcp_partition *partition, const struct kcp_error *error);
 static void settle (struct kcp_partition *partition, int64_t now_ms);
 static void settle_claim (struct kcp_partition *partition, struct kcp_pending *pending,
                           int64_t now_ms);
@@ -45,9 +40,6 @@
 static void go_on_lookup (struct kcp_partition *partition, bool at_end, int64_t now_ms);
 static void go_on_settling (struct kcp_partition *partition, bool at_end, int64_t now_ms);
 static void answer_checked (struct kcp_partition *partition, int64_t now_ms);
-static void refuse_overdue (struct kcp_partition *partition, int64_t now_ms);
-static void refuse_waiting (struct kcp_partition *partition, int64_t before_ms);
-static void drop_record (struct kcp_partition *partition);
 
 /* Makes a partition that has read nothing. */
 struct kcp_partition *
@@ -162,9 +154,10 @@
       json_array_remove (partition->parts, 0);
       partition->hint_due = json_array_size (partition->parts) == 0;
     }
-  drop_record (partition);
+  kcp_partition_drop_record (partition);
   partition->settle_at = offset;
-  partition->phase = flight_has_claims (partition) ? PHASE_SETTLING : PHASE_IDLE;
+  partition->phase
+      = kcp_partition_flight_has_claims (partition) ? PHASE_SETTLING : PHASE_IDLE;
   CK_STAILQ_FOREACH (pending, &partition->flight, link)
   kcp_pending_recorded (pending);
   if (partition->phase == PHASE_IDLE)
@@ -179,16 +172,17 @@
 {
   partition->last_error = *error;
   partition->retry_at_ms = now_ms + RETRY_MS;
-  drop_record (partition);
-  keep_for_retry (partition);
+  kcp_partition_drop_record (partition);
+  kcp_partition_keep_for_retry (partition);
   if (error->execution == KCP_NOT_RUN)
     {
       partition->phase = PHASE_IDLE;
-      refuse_flight (partition, error);
+      kcp_partition_refuse_flight (partition, error);
       return;
     }
   partition->in_doubt = true;
-  partition->phase = flight_has_claims (partition) ? PHASE_LOOKUP : PHASE_IDLE;
+  partition->phase
+      = kcp_partition_flight_has_claims (partition) ? PHASE_LOOKUP : PHASE_IDLE;
 }
 
 /* Reports what a read returned. */
@@ -217,7 +211,7 @@
     }
   partition->caught_up = partition->caught_up || at_end;
   go_on (partition, at_end, now_ms);
-  refuse_overdue (partition, now_ms);
+  kcp_partition_refuse_overdue (partition, now_ms);
 }
 
 /* Reports that a read failed. For KCP_ERR_TRIMMED batch->first is the first offset kept.
@@ -235,10 +229,10 @@
     {
     case PHASE_SETTLING:
     case PHASE_LOOKUP:
-      give_up (partition, error);
+      kcp_partition_give_up (partition, error);
       break;
     case PHASE_CHECKING:
-      refuse_waiting (partition, G_MAXINT64);
+      kcp_partition_refuse_waiting (partition, G_MAXINT64);
       break;
     case PHASE_IDLE:
     case PHASE_APPENDING:
@@ -435,65 +429,6 @@
   return json_incref (pending->entry);
 }
 
-static bool
-flight_has_claims (const struct kcp_partition *partition)
-{
-  struct kcp_pending *pending;
-
-  CK_STAILQ_FOREACH (pending, &partition->flight, link)
-  if (pending->kind == KCP_PENDING_CLAIM)
-    return true;
-  return false;
-}
-
-/* Puts what is no claim back into the queue: these entries may be appended twice. */
-static void
-keep_for_retry (struct kcp_partition *partition)
-{
-  struct kcp_pending_queue claims = CK_STAILQ_HEAD_INITIALIZER (claims);
-  struct kcp_pending *pending;
-
-  while ((pending = CK_STAILQ_FIRST (&partition->flight)) != NULL)
-    {
-      CK_STAILQ_REMOVE_HEAD (&partition->flight, link);
-      if (pending->kind == KCP_PENDING_CLAIM)
-        {
-          CK_STAILQ_INSERT_TAIL (&claims, pending, link);
-          continue;
-        }
-      kcp_partition_enqueue (partition, pending);
-      kcp_pending_recorded (pending);
-    }
-  CK_STAILQ_CONCAT (&partition->flight, &claims);
-}
-
-static void
-refuse_flight (struct kcp_partition *partition, const struct kcp_error *error)
-{
-  struct kcp_pending *pending;
-
-  while ((pending = CK_STAILQ_FIRST (&partition->flight)) != NULL)
-    {
-      CK_STAILQ_REMOVE_HEAD (&partition->flight, link);
-      kcp_pending_refuse (pending, error);
-    }
-}
-
-/* Refuses the claims under way, which from here on are never dispatched. Their releases
-   go into the next record: that one voids the claims, if they are not in the log by then,
-   and frees their keys, if they are. */
-static void
-give_up (struct kcp_partition *partition, const struct kcp_error *error)
-{
-  struct kcp_pending *pending;
-
-  CK_STAILQ_FOREACH (pending, &partition->flight, link)
-  if (pending->kind == KCP_PENDING_CLAIM)
-    kcp_partition_enqueue (partition, kcp_pending_release (pending->key, pending->claim));
-  partition->phase = PHASE_IDLE;
-  refuse_flight (partition, error);
-}
-
 /* Answers what the record held: the state now shows who won. */
 static void
 settle (struct kcp_partition *partition, int64_t now_ms)
@@ -597,7 +532,7 @@
     {
       kcp_error_set (&partition->last_error, KCP_ERR_PLATFORM, STEP, NULL,
                      "the log no longer holds the claim");
-      give_up (partition, &partition->last_error);
+      kcp_partition_give_up (partition, &partition->last_error);
     }
 }
 
@@ -612,7 +547,7 @@
       settle (partition, now_ms);
     }
   else if (at_end)
-    give_up (partition, &partition->last_error);
+    kcp_partition_give_up (partition, &partition->last_error);
 }
 
 /* Answers the waiting claims whose key turned out to be held or decided. */
@@ -634,49 +569,3 @@
     }
   CK_STAILQ_CONCAT (&partition->waiting, &left);
 }
-
-/* Refuses the claims that have waited for too long while the log is read, which goes on.
- */
-static void
-refuse_overdue (struct kcp_partition *partition, int64_t now_ms)
-{
-  int64_t since_ms = now_ms - partition->options.decision_limit_ms;
-  const struct kcp_pending *oldest = CK_STAILQ_FIRST (&partition->flight);
-
-  kcp_error_set (&partition->last_error, KCP_ERR_PLATFORM, STEP, NULL,
-                 "the booking log is still being read");
-  if (oldest != NULL && oldest->since_ms < since_ms)
-    {
-      give_up (partition, &partition->last_error);
-      partition->maintain_at_ms = now_ms;
-    }
-  refuse_waiting (partition, since_ms);
-}
-
-/* Refuses the waiting claims posted before a time. */
-static void
-refuse_waiting (struct kcp_partition *partition, int64_t before_ms)
-{
-  struct kcp_pending_queue left = CK_STAILQ_HEAD_INITIALIZER (left);
-  struct kcp_pending *pending;
-
-  while ((pending = CK_STAILQ_FIRST (&partition->waiting)) != NULL)
-    {
-      CK_STAILQ_REMOVE_HEAD (&partition->waiting, link);
-      if (pending->kind == KCP_PENDING_CLAIM && pending->since_ms < before_ms)
-        {
-          partition->waiting_count--;
-          kcp_pending_refuse (pending, &partition->last_error);
-        }
-      else
-        CK_STAILQ_INSERT_TAIL (&left, pending, link);
-    }
-  CK_STAILQ_CONCAT (&partition->waiting, &left);
-}
-
-static void
-drop_record (struct kcp_partition *partition)
-{
-  json_decref (partition->record);
-  partition->record = NULL;
-}
--- a/src/booking/partition_private.h
+++ b/src/booking/partition_private.h
@@ -49,4 +49,15 @@
 struct kcp_partition_action
 kcp_partition_append_part (struct kcp_partition *partition, int64_t now_ms);
 
+/* partition_refuse.c */
+bool kcp_partition_flight_has_claims (const struct kcp_partition *partition);
+void kcp_partition_keep_for_retry (struct kcp_partition *partition);
+void kcp_partition_refuse_flight (struct kcp_partition *partition,
+                                  const struct kcp_error *error);
+void
+kcp_partition_give_up (struct kcp_partition *partition, const struct kcp_error *error);
+void kcp_partition_refuse_overdue (struct kcp_partition *partition, int64_t now_ms);
+void kcp_partition_refuse_waiting (struct kcp_partition *partition, int64_t before_ms);
+void kcp_partition_drop_record (struct kcp_partition *partition);
+
 #endif
--- /dev/null
+++ b/src/booking/partition_refuse.c
@@ -0,0 +1,113 @@
+/* Claims that a partition cannot decide: kept for another try, or refused. */
+#include "booking/partition_private.h"
+
+#define STEP "booking"
+
+/* Tells whether the record under way holds claims. */
+bool
+kcp_partition_flight_has_claims (const struct kcp_partition *partition)
+{
+  struct kcp_pending *pending;
+
+  CK_STAILQ_FOREACH (pending, &partition->flight, link)
+  if (pending->kind == KCP_PENDING_CLAIM)
+    return true;
+  return false;
+}
+
+/* Puts what is no claim back into the queue: these entries may be appended twice. */
+void
+kcp_partition_keep_for_retry (struct kcp_partition *partition)
+{
+  struct kcp_pending_queue claims = CK_STAILQ_HEAD_INITIALIZER (claims);
+  struct kcp_pending *pending;
+
+  while ((pending = CK_STAILQ_FIRST (&partition->flight)) != NULL)
+    {
+      CK_STAILQ_REMOVE_HEAD (&partition->flight, link);
+      if (pending->kind == KCP_PENDING_CLAIM)
+        {
+          CK_STAILQ_INSERT_TAIL (&claims, pending, link);
+          continue;
+        }
+      kcp_partition_enqueue (partition, pending);
+      kcp_pending_recorded (pending);
+    }
+  CK_STAILQ_CONCAT (&partition->flight, &claims);
+}
+
+/* Refuses all that the record under way holds. */
+void
+kcp_partition_refuse_flight (struct kcp_partition *partition,
+                             const struct kcp_error *error)
+{
+  struct kcp_pending *pending;
+
+  while ((pending = CK_STAILQ_FIRST (&partition->flight)) != NULL)
+    {
+      CK_STAILQ_REMOVE_HEAD (&partition->flight, link);
+      kcp_pending_refuse (pending, error);
+    }
+}
+
+/* Refuses the claims under way, which from here on are never dispatched. Their releases
+   go into the next record: that one voids the claims, if they are not in the log by then,
+   and frees their keys, if they are. */
+void
+kcp_partition_give_up (struct kcp_partition *partition, const struct kcp_error *error)
+{
+  struct kcp_pending *pending;
+
+  CK_STAILQ_FOREACH (pending, &partition->flight, link)
+  if (pending->kind == KCP_PENDING_CLAIM)
+    kcp_partition_enqueue (partition, kcp_pending_release (pending->key, pending->claim));
+  partition->phase = PHASE_IDLE;
+  kcp_partition_refuse_flight (partition, error);
+}
+
+/* Refuses the claims that have waited for too long while the log is read, which goes on.
+ */
+void
+kcp_partition_refuse_overdue (struct kcp_partition *partition, int64_t now_ms)
+{
+  int64_t since_ms = now_ms - partition->options.decision_limit_ms;
+  const struct kcp_pending *oldest = CK_STAILQ_FIRST (&partition->flight);
+
+  kcp_error_set (&partition->last_error, KCP_ERR_PLATFORM, STEP, NULL,
+                 "the booking log is still being read");
+  if (oldest != NULL && oldest->since_ms < since_ms)
+    {
+      kcp_partition_give_up (partition, &partition->last_error);
+      partition->maintain_at_ms = now_ms;
+    }
+  kcp_partition_refuse_waiting (partition, since_ms);
+}
+
+/* Refuses the waiting claims posted before a time. */
+void
+kcp_partition_refuse_waiting (struct kcp_partition *partition, int64_t before_ms)
+{
+  struct kcp_pending_queue left = CK_STAILQ_HEAD_INITIALIZER (left);
+  struct kcp_pending *pending;
+
+  while ((pending = CK_STAILQ_FIRST (&partition->waiting)) != NULL)
+    {
+      CK_STAILQ_REMOVE_HEAD (&partition->waiting, link);
+      if (pending->kind == KCP_PENDING_CLAIM && pending->since_ms < before_ms)
+        {
+          partition->waiting_count--;
+          kcp_pending_refuse (pending, &partition->last_error);
+        }
+      else
+        CK_STAILQ_INSERT_TAIL (&left, pending, link);
+    }
+  CK_STAILQ_CONCAT (&partition->waiting, &left);
+}
+
+/* Forgets the record under way. */
+void
+kcp_partition_drop_record (struct kcp_partition *partition)
+{
+  json_decref (partition->record);
+  partition->record = NULL;
+}
--- a/src/peer/membership_private.h
+++ b/src/peer/membership_private.h
@@ -72,6 +72,8 @@
                                      struct kcp_peer_time now);
 void
 kcp_membership_announce (struct kcp_membership *membership, struct kcp_peer_time now);
+bool kcp_membership_lacks (const struct kcp_config_told *held,
+                           const struct kcp_config_told *told);
 bool kcp_membership_random_peer (struct kcp_membership *membership, const char *except,
                                  char id[KCP_FACT_ID_MAX]);
 
--- /dev/null
+++ b/src/peer/membership_view.c
@@ -0,0 +1,160 @@
+/* What a VM can be asked of its membership. */
+#include <string.h>
+
+#include "peer/membership_private.h"
+
+/* Finds a VM that holds what this one lacks: one of those with the newest version, picked
+   by choice, a random number. Copies its configuration fact. */
+bool
+kcp_membership_newer_config (const struct kcp_membership *membership, uint64_t choice,
+                             struct kcp_fact *newest)
+{
+  g_autoptr (GPtrArray) list = kcp_facts_list (membership->facts, KCP_FACT_CONFIG);
+  g_autoptr (GPtrArray) found = g_ptr_array_new ();
+  uint64_t version = membership->config.version;
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      struct kcp_fact *fact = g_ptr_array_index (list, i);
+      const struct kcp_config_told *told = &fact->of.config;
+
+      if (told->version < version || strcmp (fact->id, membership->id) == 0
+          || kcp_membership_is_gone (membership, fact->id)
+          || !kcp_membership_lacks (&membership->config, told))
+        continue;
+      if (told->version > version)
+        g_ptr_array_set_size (found, 0);
+      version = told->version;
+      g_ptr_array_add (found, fact);
+    }
+  if (found->len == 0)
+    return false;
+  *newest = *(struct kcp_fact *)g_ptr_array_index (found, (guint)(choice % found->len));
+  return true;
+}
+
+/* Returns when the probe of a number was sent, on the monotonic clock, or -1 if it is not
+   the one under way. */
+int64_t
+kcp_membership_asked_ns (const struct kcp_membership *membership, uint64_t number)
+{
+  return membership->probe.number == number ? membership->probe.sent_ns : -1;
+}
+
+/* Finds where a VM listens. */
+bool
+kcp_membership_place (const struct kcp_membership *membership, const char *id,
+                      struct kcp_vm_place *place)
+{
+  const struct kcp_fact *fact = kcp_facts_get (membership->facts, KCP_FACT_VM, id);
+  const struct member *member = g_hash_table_lookup (membership->members, id);
+
+  /* A VM that was replaced under its old id listens where the list says. */
+  if (member != NULL && member->is_seed
+      && (fact == NULL || kcp_membership_is_gone (membership, id)))
+    *place = member->place;
+  else if (fact != NULL)
+    *place = fact->of.vm;
+  else
+    return false;
+  return true;
+}
+
+/* Tells whether this VM's view of the others is current: false from the moment it finds
+   that it did not run for a while until another VM acknowledges a probe sent since. One
+   that knows of no other living VM has nothing to distrust. */
+bool
+kcp_membership_is_trusted (const struct kcp_membership *membership)
+{
+  g_autoptr (GPtrArray) list = kcp_facts_list (membership->facts, KCP_FACT_VM);
+  size_t others = 0;
+
+  for (guint i = 0; i < list->len; i++)
+    if (((struct kcp_fact *)g_ptr_array_index (list, i))->state != KCP_VM_DEAD)
+      others++;
+  return membership->trusted || others <= 1;
+}
+
+/* Returns this VM's incarnation, which grows when it refutes a suspicion. */
+uint64_t
+kcp_membership_incarnation (const struct kcp_membership *membership)
+{
+  return membership->incarnation;
+}
+
+/* Returns the table of facts, to read. */
+struct kcp_facts *
+kcp_membership_facts (struct kcp_membership *membership)
+{
+  return membership->facts;
+}
+
+/* Returns all other known VMs as a new JSON array; version is that of the configuration
+   each told, 0 if it told none. */
+json_t *
+kcp_membership_to_json (const struct kcp_membership *membership)
+{
+  g_autoptr (GPtrArray) list = kcp_facts_list (membership->facts, KCP_FACT_VM);
+  json_t *vms = json_array ();
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct kcp_fact *vm = g_ptr_array_index (list, i);
+      const struct kcp_fact *config
+          = kcp_facts_get (membership->facts, KCP_FACT_CONFIG, vm->id);
+      struct kcp_config_told told = { .version = 0 };
+
+      if (strcmp (vm->id, membership->id) == 0)
+        continue;
+      if (config != NULL)
+        told = config->of.config;
+      json_array_append_new (
+          vms, json_pack ("{sssssssIsbsIsssi}", "vm", vm->id, "data_center",
+                          vm->of.vm.data_center, "state", kcp_vm_state_name (vm->state),
+                          "version", (json_int_t)told.version, "loaded", told.loaded,
+                          "incarnation", (json_int_t)vm->number, "address",
+                          vm->of.vm.address, "port", (int)vm->of.vm.port));
+    }
+  return vms;
+}
+
+/* Tells whether a VM is known to be dead. */
+bool
+kcp_membership_is_gone (const struct kcp_membership *membership, const char *id)
+{
+  const struct kcp_fact *fact = kcp_facts_get (membership->facts, KCP_FACT_VM, id);
+
+  return fact != NULL && fact->state == KCP_VM_DEAD;
+}
+
+/* Picks a random VM that is not dead, other than this one and except, which may be NULL.
+ */
+bool
+kcp_membership_random_peer (struct kcp_membership *membership, const char *except,
+                            char id[KCP_FACT_ID_MAX])
+{
+  g_autoptr (GPtrArray) list = kcp_facts_list (membership->facts, KCP_FACT_VM);
+  uint64_t start = membership->events.random (membership->events.user);
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct kcp_fact *vm
+          = g_ptr_array_index (list, (guint)((start + i) % list->len));
+
+      if (vm->state == KCP_VM_DEAD || strcmp (vm->id, membership->id) == 0
+          || g_strcmp0 (vm->id, except) == 0)
+        continue;
+      g_strlcpy (id, vm->id, KCP_FACT_ID_MAX);
+      return true;
+    }
+  return false;
+}
+
+/* Tells whether a configuration lacks something that one of no lesser version has. */
+bool
+kcp_membership_lacks (const struct kcp_config_told *held,
+                      const struct kcp_config_told *told)
+{
+  return told->version != held->version || told->digest != held->digest
+         || (told->loaded && !held->loaded);
+}
