--- a/src/profile/config.c
+++ b/src/profile/config.c
@@ -1,49 +1,21 @@
 #include "profile/config.h"
 
-#include <errno.h>
 #include <glib.h>
 #include <pthread.h>
 #include <string.h>
 
 #include "base/counter.h"
 #include "base/id.h"
-#include "profile/config_entry.h"
-#include "profile/team_index.h"
+#include "profile/config_private.h"
 
 #define STEP "config"
 
-struct kcp_config
-{
-  pthread_mutex_t lock;
-  pthread_cond_t changed;
-  const struct kcp_clock *clock;
-  struct kcp_config_log log;
-  struct kcp_publish_outcomes outcomes;
-  GHashTable *entries; /* in force: key, struct kcp_config_entry */
-  struct kcp_team_index teams;
-  bool teams_stale; /* a team was replaced since teams was built */
-  uint64_t version; /* the greatest of all entries */
-  uint64_t digest;  /* exclusive or of the entries' digests */
-  bool suspicion;
-  bool loaded;
-  bool confirmed;
-  int64_t confirmed_ns; /* when the log was last seen to hold nothing newer */
-};
-
-static bool put_entry (struct kcp_config *config, struct kcp_config_entry *entry);
-static bool read_snapshot (json_t *snapshot, GPtrArray *entries, struct kcp_error *error);
 static void index_teams (struct kcp_config *config);
-static GPtrArray *new_entries (void);
-static void
-collect (GHashTable *from, GHashTable *than, uint64_t version, GPtrArray *out);
-static json_t *to_json (const GPtrArray *entries);
 static void put_log_in_force (struct kcp_config *config);
 static void
 note_outcome (struct kcp_config *config, json_t *record, enum kcp_config_result result,
               const struct kcp_config_entry *changed);
-static bool wait_changed (struct kcp_config *config, const struct timespec *limit);
 static struct kcp_config_base base_of (const struct kcp_config_entry *entry);
-static bool is_level (const struct kcp_config *config);
 
 /* Makes an empty configuration; clock must outlive it. */
 struct kcp_config *
@@ -93,7 +65,7 @@
   pthread_mutex_lock (&config->lock);
   result = kcp_config_log_apply (&config->log, offset, record, &changed, error);
   if (changed != NULL)
-    put_entry (config, changed);
+    kcp_config_put_entry (config, changed);
   if (result == KCP_CONFIG_CHECKPOINT || result == KCP_CONFIG_REWOUND)
     put_log_in_force (config);
   note_outcome (config, record, result, changed);
@@ -197,8 +169,8 @@
 kcp_config_checkpoint (struct kcp_config *config, bool root)
 {
   const struct kcp_config_log *log = &config->log;
-  g_autoptr (GPtrArray) entries = new_entries ();
-  g_autoptr (GPtrArray) carried = new_entries ();
+  g_autoptr (GPtrArray) entries = kcp_config_entries_new ();
+  g_autoptr (GPtrArray) carried = kcp_config_entries_new ();
   char id[KCP_ID_LEN + 1];
   uint64_t upto;
   uint64_t version;
@@ -209,15 +181,16 @@
   known = root || !log->gap;
   upto = log->next;
   version = root ? config->version : log->version;
-  collect (root ? config->entries : log->entries, NULL, 0, entries);
+  kcp_config_entries_collect (root ? config->entries : log->entries, NULL, 0, entries);
   if (!root)
-    collect (config->entries, log->entries, 0, carried);
+    kcp_config_entries_collect (config->entries, log->entries, 0, carried);
   pthread_mutex_unlock (&config->lock);
   if (!known)
     return NULL;
   return json_pack ("{sssssIsIsbsoso}", "op", "checkpoint", "id", id, "upto",
                     (json_int_t)upto, "version", (json_int_t)version, "root", root,
-                    "entries", to_json (entries), "carried", to_json (carried));
+                    "entries", kcp_config_entries_to_json (entries), "carried",
+                    kcp_config_entries_to_json (carried));
 }
 
 /* Gives the version that is the base of the next change of a document; false if there is
@@ -262,42 +235,6 @@
   return next;
 }
 
-/* Waits until the publication with an id was read in the log and gives its outcome; false
-   after timeout_ms milliseconds. */
-bool
-kcp_config_wait_outcome (struct kcp_config *config, const char *id, int64_t timeout_ms,
-                         struct kcp_publish_outcome *outcome)
-{
-  int64_t until = kcp_clock_monotonic_ns (&kcp_clock_system) + timeout_ms * KCP_NS_PER_MS;
-  struct timespec limit = kcp_timespec_from_ns (until);
-  bool found;
-
-  pthread_mutex_lock (&config->lock);
-  while (timeout_ms > 0 && !kcp_publish_outcomes_find (&config->outcomes, id, outcome))
-    if (!wait_changed (config, &limit))
-      break;
-  found = kcp_publish_outcomes_find (&config->outcomes, id, outcome);
-  pthread_mutex_unlock (&config->lock);
-  return found;
-}
-
-/* Waits until the log holds everything that is in force; false after timeout_ms
-   milliseconds. */
-bool
-kcp_config_wait_level (struct kcp_config *config, int64_t timeout_ms)
-{
-  int64_t until = kcp_clock_monotonic_ns (&kcp_clock_system) + timeout_ms * KCP_NS_PER_MS;
-  struct timespec limit = kcp_timespec_from_ns (until);
-  bool level;
-
-  pthread_mutex_lock (&config->lock);
-  while (!is_level (config) && wait_changed (config, &limit))
-    continue;
-  level = is_level (config);
-  pthread_mutex_unlock (&config->lock);
-  return level;
-}
-
 /* Tells whether the log, or a peer that had read it, has been read to its end once. */
 bool
 kcp_config_is_loaded (struct kcp_config *config)
@@ -310,22 +247,6 @@
   return loaded;
 }
 
-/* Waits until the configuration is loaded; false after timeout_ms milliseconds. */
-bool
-kcp_config_wait_loaded (struct kcp_config *config, int64_t timeout_ms)
-{
-  int64_t until = kcp_clock_monotonic_ns (&kcp_clock_system) + timeout_ms * KCP_NS_PER_MS;
-  struct timespec limit = kcp_timespec_from_ns (until);
-  bool loaded;
-
-  pthread_mutex_lock (&config->lock);
-  while (!config->loaded && wait_changed (config, &limit))
-    continue;
-  loaded = config->loaded;
-  pthread_mutex_unlock (&config->lock);
-  return loaded;
-}
-
 /* Notes that the log held nothing newer than what is in force at asked_ns, the monotonic
    time at which it was asked. */
 void
@@ -390,87 +311,6 @@
   return keys;
 }
 
-/* Tells how far the configuration is and how old its confirmation is. */
-void
-kcp_config_position (struct kcp_config *config, struct kcp_config_position *position)
-{
-  int64_t now_ns = kcp_clock_monotonic_ns (config->clock);
-
-  pthread_mutex_lock (&config->lock);
-  *position = (struct kcp_config_position){
-    .version = config->version,
-    .digest = config->digest,
-    .loaded = config->loaded,
-    .age_ns = config->confirmed ? MAX (now_ns - config->confirmed_ns, 0) : -1,
-  };
-  pthread_mutex_unlock (&config->lock);
-}
-
-/* Returns everything in force as a new object, for kcp_config_adopt() on another VM. */
-json_t *
-kcp_config_snapshot (struct kcp_config *config)
-{
-  return kcp_config_snapshot_since (config, 0);
-}
-
-/* Returns what changed after a version as a new object. A VM whose own version is that
-   one needs no more, unless its digest still differs after it adopted the answer; it then
-   asks for everything. */
-json_t *
-kcp_config_snapshot_since (struct kcp_config *config, uint64_t version)
-{
-  g_autoptr (GPtrArray) entries = new_entries ();
-  bool loaded;
-
-  pthread_mutex_lock (&config->lock);
-  loaded = config->loaded;
-  collect (config->entries, NULL, version, entries);
-  pthread_mutex_unlock (&config->lock);
-  return json_pack ("{sbso}", "loaded", loaded, "entries", to_json (entries));
-}
-
-/* Takes over from another VM's snapshot each entry that is newer than the one held, and
-   none that is older. The whole snapshot is validated first; one wrong entry changes
-   nothing. Marks the configuration as loaded if the sender's was. It does not confirm
-   the configuration: see kcp_config_confirm_from(). */
-bool
-kcp_config_adopt (struct kcp_config *config, json_t *snapshot, struct kcp_error *error)
-{
-  g_autoptr (GPtrArray) entries = g_ptr_array_new_with_free_func (kcp_config_entry_unref);
-
-  if (!read_snapshot (snapshot, entries, error))
-    return false;
-  pthread_mutex_lock (&config->lock);
-  for (guint i = 0; i < entries->len; i++)
-    put_entry (config, g_ptr_array_index (entries, i));
-  if (json_is_true (json_object_get (snapshot, "loaded")))
-    config->loaded = true;
-  pthread_cond_broadcast (&config->changed);
-  pthread_mutex_unlock (&config->lock);
-  return true;
-}
-
-/* Takes over another VM's confirmation if both hold the same documents. position is what
-   that VM told; asked_ns is the monotonic time at which it was asked, so that the
-   time on the way never makes the confirmation look younger than it is. */
-void
-kcp_config_confirm_from (struct kcp_config *config,
-                         const struct kcp_config_position *position, int64_t asked_ns)
-{
-  int64_t confirmed_ns = asked_ns - position->age_ns;
-
-  if (!position->loaded || position->age_ns < 0)
-    return;
-  pthread_mutex_lock (&config->lock);
-  if (position->version == config->version && position->digest == config->digest
-      && (!config->confirmed || confirmed_ns > config->confirmed_ns))
-    {
-      config->confirmed = true;
-      config->confirmed_ns = confirmed_ns;
-    }
-  pthread_mutex_unlock (&config->lock);
-}
-
 /* Returns a reference to the profile in force, or NULL. */
 struct kcp_profile *
 kcp_config_profile (struct kcp_config *config, const char *name)
@@ -506,8 +346,8 @@
 }
 
 /* Puts an entry in force unless a newer one is; takes a reference of its own. */
-static bool
-put_entry (struct kcp_config *config, struct kcp_config_entry *entry)
+bool
+kcp_config_put_entry (struct kcp_config *config, struct kcp_config_entry *entry)
 {
   struct kcp_config_entry *held = g_hash_table_lookup (config->entries, entry->key);
   bool replaces_team = held != NULL && held->team != NULL;
@@ -542,47 +382,6 @@
       kcp_team_index_add (&config->teams, ((struct kcp_config_entry *)value)->team);
 }
 
-static GPtrArray *
-new_entries (void)
-{
-  return g_ptr_array_new_with_free_func (kcp_config_entry_unref);
-}
-
-/* Adds references to the entries after a version that are newer than those of another
-   table, which may be NULL. */
-static void
-collect (GHashTable *from, GHashTable *than, uint64_t version, GPtrArray *out)
-{
-  GHashTableIter iter;
-  gpointer key;
-  gpointer value;
-
-  g_hash_table_iter_init (&iter, from);
-  while (g_hash_table_iter_next (&iter, &key, &value))
-    {
-      struct kcp_config_entry *entry = value;
-      const struct kcp_config_entry *other
-          = than != NULL ? g_hash_table_lookup (than, key) : NULL;
-
-      if (entry->version > version && kcp_config_entry_is_newer (entry, other))
-        g_ptr_array_add (out, kcp_config_entry_ref (entry));
-    }
-}
-
-static json_t *
-to_json (const GPtrArray *entries)
-{
-  json_t *object = json_object ();
-
-  for (guint i = 0; i < entries->len; i++)
-    {
-      const struct kcp_config_entry *entry = g_ptr_array_index (entries, i);
-
-      json_object_set_new (object, entry->key, kcp_config_entry_to_json (entry));
-    }
-  return object;
-}
-
 static void
 put_log_in_force (struct kcp_config *config)
 {
@@ -591,7 +390,7 @@
 
   g_hash_table_iter_init (&iter, config->log.entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    put_entry (config, value);
+    kcp_config_put_entry (config, value);
 }
 
 static void
@@ -606,12 +405,6 @@
     kcp_publish_outcomes_add (&config->outcomes, id, &outcome);
 }
 
-static bool
-wait_changed (struct kcp_config *config, const struct timespec *limit)
-{
-  return pthread_cond_timedwait (&config->changed, &config->lock, limit) != ETIMEDOUT;
-}
-
 static struct kcp_config_base
 base_of (const struct kcp_config_entry *entry)
 {
@@ -623,16 +416,3 @@
   g_strlcpy (base.id, entry->id, sizeof base.id);
   return base;
 }
-
-static bool
-is_level (const struct kcp_config *config)
-{
-  return !config->log.gap && config->digest == config->log.digest;
-}
-
-static bool
-read_snapshot (json_t *snapshot, GPtrArray *entries, struct kcp_error *error)
-{
-  return kcp_config_record_read_entries (json_object_get (snapshot, "entries"), entries,
-                                         error);
-}
--- a/src/profile/config_entry.c
+++ b/src/profile/config_entry.c
@@ -137,3 +137,47 @@
   kcp_profile_unref (entry->profile);
   kcp_team_unref (entry->team);
 }
+
+/* Makes an empty array that holds references to entries. */
+GPtrArray *
+kcp_config_entries_new (void)
+{
+  return g_ptr_array_new_with_free_func (kcp_config_entry_unref);
+}
+
+/* Adds references to the entries after a version that are newer than those of another
+   table, which may be NULL. */
+void
+kcp_config_entries_collect (GHashTable *from, GHashTable *than, uint64_t version,
+                            GPtrArray *out)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, from);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      struct kcp_config_entry *entry = value;
+      const struct kcp_config_entry *other
+          = than != NULL ? g_hash_table_lookup (than, key) : NULL;
+
+      if (entry->version > version && kcp_config_entry_is_newer (entry, other))
+        g_ptr_array_add (out, kcp_config_entry_ref (entry));
+    }
+}
+
+/* Returns the entries by their keys as a new object. */
+json_t *
+kcp_config_entries_to_json (const GPtrArray *entries)
+{
+  json_t *object = json_object ();
+
+  for (guint i = 0; i < entries->len; i++)
+    {
+      const struct kcp_config_entry *entry = g_ptr_array_index (entries, i);
+
+      json_object_set_new (object, entry->key, kcp_config_entry_to_json (entry));
+    }
+  return object;
+}
--- /dev/null
+++ b/src/profile/config_wait.c
@@ -0,0 +1,71 @@
+/* Waits until the configuration has changed. */
+#include <errno.h>
+
+#include "profile/config_private.h"
+
+static bool wait_changed (struct kcp_config *config, const struct timespec *limit);
+
+/* Waits until the publication with an id was read in the log and gives its outcome; false
+   after timeout_ms milliseconds. */
+bool
+kcp_config_wait_outcome (struct kcp_config *config, const char *id, int64_t timeout_ms,
+                         struct kcp_publish_outcome *outcome)
+{
+  int64_t until = kcp_clock_monotonic_ns (&kcp_clock_system) + timeout_ms * KCP_NS_PER_MS;
+  struct timespec limit = kcp_timespec_from_ns (until);
+  bool found;
+
+  pthread_mutex_lock (&config->lock);
+  while (timeout_ms > 0 && !kcp_publish_outcomes_find (&config->outcomes, id, outcome))
+    if (!wait_changed (config, &limit))
+      break;
+  found = kcp_publish_outcomes_find (&config->outcomes, id, outcome);
+  pthread_mutex_unlock (&config->lock);
+  return found;
+}
+
+/* Waits until the log holds everything that is in force; false after timeout_ms
+   milliseconds. */
+bool
+kcp_config_wait_level (struct kcp_config *config, int64_t timeout_ms)
+{
+  int64_t until = kcp_clock_monotonic_ns (&kcp_clock_system) + timeout_ms * KCP_NS_PER_MS;
+  struct timespec limit = kcp_timespec_from_ns (until);
+  bool level;
+
+  pthread_mutex_lock (&config->lock);
+  while (!kcp_config_is_level (config) && wait_changed (config, &limit))
+    continue;
+  level = kcp_config_is_level (config);
+  pthread_mutex_unlock (&config->lock);
+  return level;
+}
+
+/* Waits until the configuration is loaded; false after timeout_ms milliseconds. */
+bool
+kcp_config_wait_loaded (struct kcp_config *config, int64_t timeout_ms)
+{
+  int64_t until = kcp_clock_monotonic_ns (&kcp_clock_system) + timeout_ms * KCP_NS_PER_MS;
+  struct timespec limit = kcp_timespec_from_ns (until);
+  bool loaded;
+
+  pthread_mutex_lock (&config->lock);
+  while (!config->loaded && wait_changed (config, &limit))
+    continue;
+  loaded = config->loaded;
+  pthread_mutex_unlock (&config->lock);
+  return loaded;
+}
+
+static bool
+wait_changed (struct kcp_config *config, const struct timespec *limit)
+{
+  return pthread_cond_timedwait (&config->changed, &config->lock, limit) != ETIMEDOUT;
+}
+
+/* Tells whether the log holds everything that is in force. The lock is held. */
+bool
+kcp_config_is_level (const struct kcp_config *config)
+{
+  return !config->log.gap && config->digest == config->log.digest;
+}
