--- a/src/http/admin.c
+++ b/src/http/admin.c
@@ -23,9 +23,7 @@
 {
   struct kcp_router *router;
   struct kcp_platform_log *log;
-  struct MHD_Daemon *daemon;
-  char *certificate;
-  char *key;
+  struct kcp_listener listener;
 };
 
 /* One HTTP exchange: its body so far. */
@@ -115,8 +113,7 @@
 
   admin->router = router;
   admin->log = log;
-  admin->daemon = kcp_listen_start (&listen, &admin->certificate, &admin->key, error);
-  if (admin->daemon != NULL)
+  if (kcp_listener_start (&admin->listener, &listen, error))
     return admin;
   kcp_admin_stop (admin);
   return NULL;
@@ -128,10 +125,7 @@
 {
   if (admin == NULL)
     return;
-  if (admin->daemon != NULL)
-    MHD_stop_daemon (admin->daemon);
-  g_free (admin->certificate);
-  g_free (admin->key);
+  kcp_listener_stop (&admin->listener);
   g_free (admin);
 }
 
@@ -139,7 +133,7 @@
 int
 kcp_admin_port (const struct kcp_admin *admin)
 {
-  return kcp_listen_port (admin->daemon);
+  return kcp_listener_port (&admin->listener);
 }
 
 static enum MHD_Result
--- a/src/http/entry.c
+++ b/src/http/entry.c
@@ -18,9 +18,7 @@
 struct kcp_entry
 {
   struct kcp_router *router;
-  struct MHD_Daemon *daemon;
-  char *certificate;
-  char *key;
+  struct kcp_listener listener;
   unsigned exchanges; /* atomic; calls whose answer is not wholly sent */
 };
 
@@ -107,8 +105,7 @@
   };
 
   entry->router = router;
-  entry->daemon = kcp_listen_start (&listen, &entry->certificate, &entry->key, error);
-  if (entry->daemon != NULL)
+  if (kcp_listener_start (&entry->listener, &listen, error))
     return entry;
   kcp_entry_stop (entry);
   return NULL;
@@ -120,10 +117,7 @@
 {
   if (entry == NULL)
     return;
-  if (entry->daemon != NULL)
-    MHD_stop_daemon (entry->daemon);
-  g_free (entry->certificate);
-  g_free (entry->key);
+  kcp_listener_stop (&entry->listener);
   g_free (entry);
 }
 
@@ -131,7 +125,7 @@
 int
 kcp_entry_port (const struct kcp_entry *entry)
 {
-  return kcp_listen_port (entry->daemon);
+  return kcp_listener_port (&entry->listener);
 }
 
 static enum MHD_Result
--- a/src/http/listen.c
+++ b/src/http/listen.c
@@ -11,15 +11,13 @@
 static bool read_tls (const struct kcp_listen *listen, char **certificate, char **key,
                       struct kcp_error *error);
 
-/* Starts a server with a pool of threads. The TLS texts, NULL without TLS, are owned by
-   the caller and must outlive the server. */
-struct MHD_Daemon *
-kcp_listen_start (const struct kcp_listen *listen, char **certificate, char **key,
-                  struct kcp_error *error)
+/* Starts a server with a pool of threads; after a failure it is to be stopped too. */
+bool
+kcp_listener_start (struct kcp_listener *listener, const struct kcp_listen *listen,
+                    struct kcp_error *error)
 {
   unsigned flags = MHD_USE_AUTO_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC;
   struct sockaddr_in address;
-  struct MHD_Daemon *daemon;
   struct MHD_OptionItem tls[] = {
     { MHD_OPTION_HTTPS_MEM_CERT, 0, NULL },
     { MHD_OPTION_HTTPS_MEM_KEY, 0, NULL },
@@ -27,33 +25,44 @@
   };
 
   if (!make_address (listen, &address, error)
-      || !read_tls (listen, certificate, key, error))
-    return NULL;
-  if (*certificate != NULL)
+      || !read_tls (listen, &listener->certificate, &listener->key, error))
+    return false;
+  if (listener->certificate != NULL)
     flags |= MHD_USE_TLS;
-  tls[0].ptr_value = *certificate;
-  tls[1].ptr_value = *key;
-  if (*certificate == NULL)
+  tls[0].ptr_value = listener->certificate;
+  tls[1].ptr_value = listener->key;
+  if (listener->certificate == NULL)
     tls[0].option = MHD_OPTION_END;
-  daemon = MHD_start_daemon (
+  listener->daemon = MHD_start_daemon (
       flags, 0, NULL, NULL, listen->access, listen->user, MHD_OPTION_SOCK_ADDR, &address,
       MHD_OPTION_THREAD_POOL_SIZE, listen->threads, MHD_OPTION_CONNECTION_LIMIT,
       listen->max_connections, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       listen->max_header_bytes * 2, MHD_OPTION_CONNECTION_TIMEOUT, listen->idle_timeout_s,
       MHD_OPTION_NOTIFY_COMPLETED, listen->completed, listen->user, MHD_OPTION_ARRAY, tls,
       MHD_OPTION_END);
-  if (daemon == NULL)
+  if (listener->daemon == NULL)
     kcp_error_set (error, KCP_ERR_INTERNAL, STEP, listen->address, "port %d: %s",
                    listen->port, strerror (errno));
-  return daemon;
+  return listener->daemon != NULL;
 }
 
-/* Returns the port that a server listens on. */
+/* Stops the server, if it was started, and frees what it holds. */
+void
+kcp_listener_stop (struct kcp_listener *listener)
+{
+  if (listener->daemon != NULL)
+    MHD_stop_daemon (listener->daemon);
+  g_free (listener->certificate);
+  g_free (listener->key);
+  *listener = (struct kcp_listener){ 0 };
+}
+
+/* Returns the port that the server listens on. */
 int
-kcp_listen_port (struct MHD_Daemon *daemon)
+kcp_listener_port (const struct kcp_listener *listener)
 {
   const union MHD_DaemonInfo *info
-      = MHD_get_daemon_info (daemon, MHD_DAEMON_INFO_BIND_PORT);
+      = MHD_get_daemon_info (listener->daemon, MHD_DAEMON_INFO_BIND_PORT);
 
   return info != NULL ? info->port : 0;
 }
--- a/src/http/listen.h
+++ b/src/http/listen.h
@@ -1,4 +1,4 @@
-/* Starts libmicrohttpd servers with the limits and TLS files of the settings. */
+/* libmicrohttpd servers with the limits and TLS files of the settings. */
 #ifndef KCP_HTTP_LISTEN_H
 #define KCP_HTTP_LISTEN_H
 
@@ -21,8 +21,17 @@
   void *user;
 };
 
-struct MHD_Daemon *kcp_listen_start (const struct kcp_listen *listen, char **certificate,
-                                     char **key, struct kcp_error *error);
-int kcp_listen_port (struct MHD_Daemon *daemon);
+/* A server that listens; zeroed before its start. The TLS texts are NULL without TLS. */
+struct kcp_listener
+{
+  struct MHD_Daemon *daemon;
+  char *certificate;
+  char *key;
+};
+
+bool kcp_listener_start (struct kcp_listener *listener, const struct kcp_listen *listen,
+                         struct kcp_error *error);
+void kcp_listener_stop (struct kcp_listener *listener);
+int kcp_listener_port (const struct kcp_listener *listener);
 
 #endif
--- a/src/request/service.c
+++ b/src/request/service.c
@@ -62,14 +62,6 @@
   service->claim[0] = '\0';
 }
 
-/* Tells whether the attempt under way goes on when its caller has left: the outcome of a
-   claimed call is recorded all the same. */
-bool
-kcp_service_outlives_caller (const struct kcp_request *request)
-{
-  return request->kind == KCP_REQUEST_SERVICE && request->service.claim[0] != '\0';
-}
-
 /* Takes over the whole answer of an attempt. One of a claimed call waits for its outcome
    to be in the log, so that a caller that has it can repeat the call at any VM and gets
    the same one. If the first append fails, the answer goes out all the same. */
--- a/src/request/service.h
+++ b/src/request/service.h
@@ -8,7 +8,6 @@
 void kcp_service_claim (struct kcp_request *request,
                         void (*won) (struct kcp_request *request));
 void kcp_service_release_claim (struct kcp_request *request);
-bool kcp_service_outlives_caller (const struct kcp_request *request);
 void kcp_service_finish (struct kcp_request *request, struct kcp_attempt *attempt,
                          long status);
 void kcp_service_clear (struct kcp_request *request);
