--- a/Makefile
+++ b/Makefile
@@ -1,17 +1,27 @@
-# Targets: all, check, demo, bench, bench-policy, lint, format, deps, clean.
+# Targets: all, check, check-packages, soak, soak-seeds, demo, bench, bench-policy, lint, format, deps, clean.
 # SAN=address or SAN=thread builds everything with that sanitizer in its own folder.
 
 SAN ?=
 CC = gcc
 BUILD = build$(if $(SAN),-$(SAN))
 LIBS = ck libtirpc libmicrohttpd libcurl glib-2.0 jansson libxxhash libsodium
+TESTLIBS = check
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wvla -Werror
 SANFLAGS = $(if $(SAN),-fsanitize=$(SAN) $(if $(filter address,$(SAN)),-fsanitize=undefined -fno-sanitize-recover=undefined) -fno-omit-frame-pointer)
-CPPFLAGS += -D_GNU_SOURCE -Isrc -I. $(shell pkg-config --cflags $(LIBS) check)
+
+# Flags $(1) of the modules $(2) from pkg-config.
+module_flags = $(shell pkg-config $(1) $(2))
+# pkg-config is asked once, and only by targets that compile.
+BUILD_CPPFLAGS = $(eval BUILD_CPPFLAGS := $$(call module_flags,--cflags,$(LIBS)))$(BUILD_CPPFLAGS)
+BUILD_LIBS = $(eval BUILD_LIBS := $$(call module_flags,--libs,$(LIBS)))$(BUILD_LIBS)
+TEST_CPPFLAGS = $(eval TEST_CPPFLAGS := $$(call module_flags,--cflags,$(TESTLIBS)))$(TEST_CPPFLAGS)
+CHECKLIBS = $(eval CHECKLIBS := $$(call module_flags,--libs,$(TESTLIBS)))$(CHECKLIBS)
+
+CPPFLAGS += -D_GNU_SOURCE -Isrc -I. $(BUILD_CPPFLAGS)
 CFLAGS ?= -O2 -g
-CFLAGS += -std=c17 $(WARN) $(SANFLAGS) -MMD -MP -pthread
-LDLIBS = $(shell pkg-config --libs $(LIBS)) -lm -pthread
-CHECKLIBS = $(shell pkg-config --libs check)
+DEPFLAGS = -MMD -MP
+CFLAGS += -std=c17 $(WARN) $(SANFLAGS) $(DEPFLAGS) -pthread
+LDLIBS = $(BUILD_LIBS) -lm -pthread
 LDFLAGS += $(SANFLAGS)
 
 SRC = $(sort $(wildcard src/*/*.c src/*/gen/*.c platform/*.c))
@@ -34,10 +44,13 @@
 BENCH_BIN = $(patsubst bench/bench_%.c,$(BUILD)/bench_%,$(filter bench/bench_%.c,$(BENCH)))
 BENCH_LIB = $(filter-out bench/bench_%.c,$(BENCH))
 
-.PHONY: all check soak soak-seeds demo bench bench-policy lint format deps clean
+.PHONY: all check check-packages soak soak-seeds demo bench bench-policy lint format deps clean
 .SECONDARY:
 all: $(BUILD)/kingcuppoint $(BUILD)/kcp-standin
 
+# The tests' library is for the tests and for what links their harness, not for the build.
+$(BUILD)/tests/%.o $(BUILD)/bench/%.o $(BUILD)/demo/%.o: CPPFLAGS += $(TEST_CPPFLAGS)
+
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	@echo 'CC $@'
@@ -81,6 +94,11 @@
 check: all $(UNIT_BIN) $(PROCESS_BIN)
 	@BUILD=$(BUILD) $(if $(SAN),G_SLICE=always-malloc) tests/run $(UNIT_BIN) $(PROCESS_BIN)
 
+# Whether the build's packages are listed, and whether that check can fail.
+check-packages:
+	@scripts/check_packages
+	@BUILD=$(BUILD) tests/run tests/packages/test_check_packages
+
 # A random fault soak of the real program; SEED=N MINUTES=M choose it.
 soak: all $(BUILD)/kcp-soak
 	@BUILD=$(BUILD) $(BUILD)/kcp-soak $(or $(SEED),$(SOAK_SEED)) $(if $(MINUTES),$$(( $(MINUTES) * 60 )),$(SOAK_SECONDS)) $(VMS)
@@ -102,7 +120,7 @@
 
 lint:
 	@clang-format --dry-run --Werror $(OURS) $(HEADERS)
-	@printf '%s\n' $(OURS) | xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- $(CPPFLAGS) -std=c17 2>/dev/null' tidy
+	@printf '%s\n' $(OURS) | xargs -P 8 -n 4 sh -c 'clang-tidy --quiet "$$@" -- $(CPPFLAGS) $(TEST_CPPFLAGS) -std=c17 2>/dev/null' tidy
 	@cppcheck --quiet --std=c11 --enable=warning,performance,portability --inline-suppr \
 	  --suppress=missingIncludeSystem --suppress=unknownMacro --suppress=varFuncNullUB --error-exitcode=1 -j 8 \
 	  -Isrc -I. -D_GNU_SOURCE $(OURS)
