--- a/Makefile
+++ b/Makefile
@@ -9,13 +9,19 @@
 WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Wvla -Werror
 SANFLAGS = $(if $(SAN),-fsanitize=$(SAN) $(if $(filter address,$(SAN)),-fsanitize=undefined -fno-sanitize-recover=undefined) -fno-omit-frame-pointer)
 
-# Flags $(1) of the modules $(2) from pkg-config.
-module_flags = $(shell pkg-config $(1) $(2))
+# Flags $(1) of the modules $(2) from pkg-config. Stops make where one is missing, naming
+# the list $(3) that its Debian package belongs in.
+missing_modules = $(shell for m in $(1); do pkg-config --exists $$m || echo $$m; done)
+module_flags = $(call require_modules,$(call missing_modules,$(2)),$(3))$(shell pkg-config $(1) $(2))$(call require_success,pkg-config $(1) $(2))
+require_modules = $(if $(1),$(error pkg-config finds no $(1): install the Debian package, which $(2) has to list))
+require_success = $(if $(filter-out 0,$(.SHELLSTATUS)),$(error $(1) failed))
+BUILD_LIST = deploy/system.toml
+TEST_LIST = packages.txt
 # pkg-config is asked once, and only by targets that compile.
-BUILD_CPPFLAGS = $(eval BUILD_CPPFLAGS := $$(call module_flags,--cflags,$(LIBS)))$(BUILD_CPPFLAGS)
-BUILD_LIBS = $(eval BUILD_LIBS := $$(call module_flags,--libs,$(LIBS)))$(BUILD_LIBS)
-TEST_CPPFLAGS = $(eval TEST_CPPFLAGS := $$(call module_flags,--cflags,$(TESTLIBS)))$(TEST_CPPFLAGS)
-CHECKLIBS = $(eval CHECKLIBS := $$(call module_flags,--libs,$(TESTLIBS)))$(CHECKLIBS)
+BUILD_CPPFLAGS = $(eval BUILD_CPPFLAGS := $$(call module_flags,--cflags,$(LIBS),$(BUILD_LIST)))$(BUILD_CPPFLAGS)
+BUILD_LIBS = $(eval BUILD_LIBS := $$(call module_flags,--libs,$(LIBS),$(BUILD_LIST)))$(BUILD_LIBS)
+TEST_CPPFLAGS = $(eval TEST_CPPFLAGS := $$(call module_flags,--cflags,$(TESTLIBS),$(TEST_LIST)))$(TEST_CPPFLAGS)
+CHECKLIBS = $(eval CHECKLIBS := $$(call module_flags,--libs,$(TESTLIBS),$(TEST_LIST)))$(CHECKLIBS)
 
 CPPFLAGS += -D_GNU_SOURCE -Isrc -I. $(BUILD_CPPFLAGS)
 CFLAGS ?= -O2 -g
