--- a/src/forward/cached_parts.c
+++ b/src/forward/cached_parts.c
@@ -3,8 +3,8 @@
 #include <string.h>
 #include <xxhash.h>
 
-/* What a part that is fetched costs of one that is read: moving a token from another
-   server takes a twentieth, from the store more, as all share its link. */
+/* A token that is fetched counts as an eighth of one that is read: less from another
+   server, more from the store, whose link all share. */
 #define FETCH_SHARE 8
 /* What a server's events show lags behind what this VM has sent there. */
 #define EVENTS_LAG_NS (1000 * KCP_NS_PER_MS)
