Prefixes nested in levels: place, fetch and save by the whole chain of parts

Cause: cached_parts looked at part 0 alone, found it short, and neither placed, fetched nor saved by what follows. Beliefs run over the levels up to the first gap; the source of a fetch is the server, or the store, with the most of them; the home of what nobody keeps goes by the first level that nobody keeps; the events of parts that are short by themselves count where they end a long prefix.

--- a/src/forward/cache_reader.c
+++ b/src/forward/cache_reader.c
@@ -20,7 +20,7 @@
   struct kcp_server *server; /* a reference */
   int64_t start;             /* of the server, as its events name it; 0: not known */
   int64_t next;
-  GHashTable *parts; /* set of kcp_part_key() */
+  GHashTable *parts; /* kcp_part_key() -> whether it is long by itself */
   struct kcp_http_call *call;
   char *path;
   GString *body;
@@ -226,24 +226,31 @@
       if (event->cache_space == NULL || event->part == NULL)
         continue;
       key = kcp_part_key (event->cache_space, event->part);
-      if (event->tokens >= KCP_LONG_PART_TOKENS)
-        g_hash_table_add (source->parts, g_memdup2 (&key, sizeof key));
+      if (event->tokens > 0)
+        g_hash_table_replace (source->parts, g_memdup2 (&key, sizeof key),
+                              GINT_TO_POINTER (event->tokens >= KCP_LONG_PREFIX_TOKENS));
       else
         g_hash_table_remove (source->parts, &key);
     }
   show (source);
 }
 
+/* Shows the parts that are long by themselves, and short ones that end a long prefix of a
+   prompt that this VM has seen. */
 static void
 show (struct source *source)
 {
+  struct kcp_prefix_memory *prefixes = source->reader->gateway->prefixes;
   g_autoptr (GArray) parts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   GHashTableIter iter;
   gpointer key;
+  gpointer is_long;
 
   g_hash_table_iter_init (&iter, source->parts);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    g_array_append_val (parts, *(uint64_t *)key);
+  while (g_hash_table_iter_next (&iter, &key, &is_long))
+    if (GPOINTER_TO_INT (is_long)
+        || kcp_prefix_memory_find (prefixes, *(uint64_t *)key) != NULL)
+      g_array_append_val (parts, *(uint64_t *)key);
   source->server->held_by_own = true;
   kcp_server_take_held (source->server, parts,
                         kcp_loop_now (source->reader->gateway->loop));
--- a/src/forward/cached_parts.c
+++ b/src/forward/cached_parts.c
@@ -13,6 +13,13 @@
 /* Events that were read longer ago say nothing. */
 #define HELD_STALE_NS (4 * KCP_NS_PER_S)
 
+static uint64_t level_key (const GArray *levels, guint at, const char *space);
+static guint count_believed (struct kcp_gateway *gateway, const struct kcp_choice *choice,
+                             const char *space, const struct kcp_server *server);
+static guint count_stored (struct kcp_gateway *gateway, const struct kcp_choice *choice,
+                           const struct kcp_server *store);
+static const char *
+find_deepest (struct kcp_gateway *gateway, const struct kcp_choice *choice, guint *held);
 static bool
 believed_at (struct kcp_gateway *gateway, const struct kcp_server *server, uint64_t part);
 static const char *
@@ -24,15 +31,6 @@
 static bool
 store_has (struct kcp_gateway *gateway, const struct kcp_server *store, uint64_t part);
 
-/* The last part belongs to one request or session. */
-bool
-kcp_cached_has_long_part (const struct kcp_inbound *inbound)
-{
-  return inbound->parts != NULL && inbound->parts->len > 1
-         && g_array_index (inbound->parts, struct kcp_prompt_part, 0).tokens
-                >= KCP_LONG_PART_TOKENS;
-}
-
 /* Requests share cache only under the same weights, and those of an isolated team only
    with each other. */
 char *
@@ -60,72 +58,120 @@
 kcp_cached_unread (struct kcp_gateway *gateway, const struct kcp_choice *choice,
                    const struct kcp_server *server, int64_t *repeated)
 {
-  const GArray *parts = choice->inbound->parts;
-  int64_t tokens = choice->inbound->prompt_tokens;
-  g_autofree char *space = NULL;
+  const GArray *levels = choice->levels;
+  g_autofree char *space
+      = kcp_cached_space (choice, kcp_server_version (server, choice->inbound->model));
+  guint kept = count_believed (gateway, choice, space, server);
+  int64_t tokens
+      = choice->inbound->prompt_tokens - kcp_prompt_level_tokens (levels, 0, kept);
 
   *repeated = 0;
-  if (!kcp_cached_has_long_part (choice->inbound))
-    return tokens;
-  space = kcp_cached_space (choice, kcp_server_version (server, choice->inbound->model));
-  for (guint i = 0; i + 1 < parts->len; i++)
+  for (guint i = kept; i < levels->len; i++)
     {
-      const struct kcp_prompt_part *part
-          = &g_array_index (parts, struct kcp_prompt_part, i);
-      uint64_t key = kcp_part_key (space, part->id);
-
-      if (believed_at (gateway, server, key))
-        tokens -= part->tokens;
-      else if (can_be_fetched (gateway, server, key))
-        tokens -= part->tokens - part->tokens / FETCH_SHARE;
+      int64_t step = kcp_prompt_level_tokens (levels, i, i + 1);
+      uint64_t key = level_key (levels, i, space);
+
+      if (can_be_fetched (gateway, server, key))
+        tokens -= step - step / FETCH_SHARE;
       else if (is_elsewhere (gateway, key))
-        *repeated += part->tokens;
+        *repeated += step;
       else
         break;
     }
   return MAX (tokens, 0);
 }
 
-/* Tells whether some server is believed to keep the first part of the prompt. */
-bool
+/* Returns how many levels of the prompt's prefix some server is believed to keep, from
+   the first on without a gap. */
+guint
 kcp_cached_anywhere (struct kcp_gateway *gateway, const struct kcp_choice *choice)
 {
   const GPtrArray *servers = kcp_servers_all (gateway->servers);
-  const struct kcp_prompt_part *first
-      = &g_array_index (choice->inbound->parts, struct kcp_prompt_part, 0);
+  guint most = 0;
 
-  for (guint i = 0; i < servers->len; i++)
+  for (guint i = 0; i < servers->len && most < choice->levels->len; i++)
     {
       const struct kcp_server *server = g_ptr_array_index (servers, i);
       g_autofree char *space = kcp_cached_space (
           choice, kcp_server_version (server, choice->inbound->model));
 
-      if (believed_at (gateway, server, kcp_part_key (space, first->id)))
-        return true;
+      most = MAX (most, count_believed (gateway, choice, space, server));
     }
-  return false;
+  return most;
 }
 
-/* A part that is not believed to be at the chosen server is fetched from one that has it,
-   or else from the store of kept cache; a part that the store lacks is saved there. */
+/* What is not believed to be at the chosen server is fetched from the one that has the
+   most levels, or from the store of kept cache if that has more; a prefix that the store
+   lacks a level of is saved there. */
 void
 kcp_cached_plan (struct kcp_gateway *gateway, struct kcp_choice *choice)
 {
   const struct kcp_server *store = find_store (gateway);
-  const struct kcp_prompt_part *part
-      = &g_array_index (choice->inbound->parts, struct kcp_prompt_part, 0);
-  uint64_t key = kcp_part_key (choice->cache_space, part->id);
-  bool stored = store != NULL && store_has (gateway, store, key);
+  guint kept = count_believed (gateway, choice, choice->cache_space, choice->server);
+  guint stored = store != NULL ? count_stored (gateway, choice, store) : 0;
+  guint held = kept;
 
-  if (store != NULL && !stored)
+  if (store != NULL && stored < choice->levels->len)
     choice->save_to = store->entry.address;
-  if (believed_at (gateway, choice->server, key))
-    return;
-  choice->fetch_from = find_holder (gateway, key, choice->server);
-  if (choice->fetch_from == NULL && stored)
+  choice->fetch_from = find_deepest (gateway, choice, &held);
+  if (stored > held)
     choice->fetch_from = store->entry.address;
 }
 
+static uint64_t
+level_key (const GArray *levels, guint at, const char *space)
+{
+  return kcp_part_key (space, g_array_index (levels, struct kcp_prompt_level, at).part);
+}
+
+/* Counts the levels that the server is believed to keep, up to the first that it does
+   not. */
+static guint
+count_believed (struct kcp_gateway *gateway, const struct kcp_choice *choice,
+                const char *space, const struct kcp_server *server)
+{
+  guint count = 0;
+
+  while (count < choice->levels->len
+         && believed_at (gateway, server, level_key (choice->levels, count, space)))
+    count++;
+  return count;
+}
+
+static guint
+count_stored (struct kcp_gateway *gateway, const struct kcp_choice *choice,
+              const struct kcp_server *store)
+{
+  guint count = 0;
+
+  while (count < choice->levels->len
+         && store_has (gateway, store,
+                       level_key (choice->levels, count, choice->cache_space)))
+    count++;
+  return count;
+}
+
+/* Returns the address of the server that is known to keep the most levels if those are
+   more than held, which it raises, or NULL. Among equals, one in the chosen server's data
+   center goes first. */
+static const char *
+find_deepest (struct kcp_gateway *gateway, const struct kcp_choice *choice, guint *held)
+{
+  const char *found = NULL;
+
+  for (guint count = *held + 1; count <= choice->levels->len; count++)
+    {
+      uint64_t key = level_key (choice->levels, count - 1, choice->cache_space);
+      const char *holder = find_holder (gateway, key, choice->server);
+
+      if (holder == NULL)
+        continue;
+      found = holder;
+      *held = count;
+    }
+  return found;
+}
+
 static bool
 can_be_fetched (struct kcp_gateway *gateway, const struct kcp_server *server,
                 uint64_t part)
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -8,7 +8,7 @@
 #include "forward/mesh.h"
 #include "policy/place.h"
 
-/* Of the first part of a prompt that nobody keeps, what its home counts as having. */
+/* Of the levels of a prompt that nobody keeps, what their home counts as having. */
 #define HOME_SHARE(tokens) ((tokens)*2 / 3)
 /* Servers with old weights are left out this long before they must no longer begin work,
    since a request may wait there before it begins. */
@@ -20,8 +20,11 @@
 static void
 judge_weights (const struct kcp_gateway *gateway, const char *model,
                const struct kcp_server *server, struct kcp_place_candidate *candidate);
-static void add_home_bonus (const struct kcp_choice *choice, const GPtrArray *servers,
-                            struct kcp_place_candidate *candidates);
+static void
+add_home_bonus (struct kcp_gateway *gateway, const struct kcp_choice *choice,
+                const GPtrArray *servers, struct kcp_place_candidate *candidates);
+static struct kcp_place_candidate *find_home (const char *part, const GPtrArray *servers,
+                                              struct kcp_place_candidate *candidates);
 static void mark_home (const struct kcp_choice *choice, const GPtrArray *servers,
                        struct kcp_place_candidate *candidates);
 static bool is_near (const struct kcp_gateway *gateway, const struct kcp_server *server);
@@ -41,6 +44,8 @@
 
   g_array_set_size (facts, servers->len);
   candidates = (struct kcp_place_candidate *)(void *)facts->data;
+  if (choice->levels == NULL)
+    choice->levels = kcp_prompt_levels (choice->inbound);
   choice->server = NULL;
   choice->usable = 0;
   choice->soonest_free_ns = 0;
@@ -49,11 +54,9 @@
       gather (gateway, choice, g_ptr_array_index (servers, i), &candidates[i]);
       choice->usable += candidates[i].usable;
     }
-  if (kcp_cached_has_long_part (choice->inbound)
-      && !kcp_cached_anywhere (gateway, choice))
-    add_home_bonus (choice, servers, candidates);
-  if (!kcp_cached_has_long_part (choice->inbound) && choice->inbound->parts != NULL
-      && choice->inbound->parts->len > 1)
+  if (choice->levels->len > 0)
+    add_home_bonus (gateway, choice, servers, candidates);
+  else if (choice->inbound->parts != NULL && choice->inbound->parts->len > 1)
     mark_home (choice, servers, candidates);
   at = servers->len == 0
            ? KCP_PLACE_NONE
@@ -71,7 +74,7 @@
     return;
   choice->weights = kcp_server_version (choice->server, choice->inbound->model);
   choice->cache_space = kcp_cached_space (choice, choice->weights);
-  if (kcp_cached_has_long_part (choice->inbound))
+  if (choice->levels->len > 0)
     kcp_cached_plan (gateway, choice);
 }
 
@@ -80,31 +83,27 @@
 kcp_choice_clear (struct kcp_choice *choice)
 {
   g_clear_pointer (&choice->cache_space, g_free);
+  g_clear_pointer (&choice->levels, g_array_unref);
 }
 
 /* Notes that the request is sent to the chosen server, which will keep its prompt. */
 void
 kcp_choice_remember (struct kcp_gateway *gateway, const struct kcp_choice *choice)
 {
-  const GArray *parts = choice->inbound->parts;
   int64_t unread_tokens = choice->uncached_tokens;
   int64_t now = kcp_loop_now (gateway->loop);
 
-  if (choice->cache_space == NULL || parts == NULL)
+  if (choice->cache_space == NULL)
     return;
-  for (guint i = 0; i + 1 < parts->len; i++)
+  for (guint i = 0; i < choice->levels->len; i++)
     {
-      const struct kcp_prompt_part *part
-          = &g_array_index (parts, struct kcp_prompt_part, i);
-      struct kcp_prefix_belief *belief;
-      uint64_t key;
+      const struct kcp_prompt_level *level
+          = &g_array_index (choice->levels, struct kcp_prompt_level, i);
+      uint64_t key = kcp_part_key (choice->cache_space, level->part);
+      struct kcp_prefix_belief *belief = kcp_prefix_memory_make (gateway->prefixes, key);
 
-      if (part->tokens < KCP_LONG_PART_TOKENS)
-        continue;
-      key = kcp_part_key (choice->cache_space, part->id);
       kcp_mesh_announce_prompt (gateway->mesh, choice->server, key, unread_tokens);
       unread_tokens = 0;
-      belief = kcp_prefix_memory_make (gateway->prefixes, key);
       kcp_prefix_belief_add (belief, kcp_server_key (choice->server), now);
       if (choice->save_to != NULL)
         belief->saved_ns = now;
@@ -135,8 +134,11 @@
   if (model == NULL)
     return;
   judge_weights (gateway, model, server, candidate);
-  candidate->uncached_tokens
-      = kcp_cached_unread (gateway, choice, server, &candidate->repeated_tokens);
+  if (choice->levels->len == 0)
+    candidate->uncached_tokens = choice->inbound->prompt_tokens;
+  else
+    candidate->uncached_tokens
+        = kcp_cached_unread (gateway, choice, server, &candidate->repeated_tokens);
 }
 
 static bool
@@ -170,41 +172,44 @@
     candidate->weights = KCP_PLACE_WEIGHTS_REFUSED;
 }
 
-/* All VMs of a data centre that know nothing of a prefix choose alike: the first server
-   of a rendezvous order counts as if a part of the prefix were there. */
+/* All VMs that know nothing of a level choose alike: the first server of the level's
+   rendezvous order counts as if a part of what nobody keeps were there. */
 static void
-add_home_bonus (const struct kcp_choice *choice, const GPtrArray *servers,
-                struct kcp_place_candidate *candidates)
+add_home_bonus (struct kcp_gateway *gateway, const struct kcp_choice *choice,
+                const GPtrArray *servers, struct kcp_place_candidate *candidates)
 {
-  const struct kcp_prompt_part *first
-      = &g_array_index (choice->inbound->parts, struct kcp_prompt_part, 0);
-  uint64_t best_score = 0;
-  struct kcp_place_candidate *home = NULL;
+  const GArray *levels = choice->levels;
+  guint kept = kcp_cached_anywhere (gateway, choice);
+  int64_t tokens = kcp_prompt_level_tokens (levels, kept, levels->len);
+  struct kcp_place_candidate *home;
 
-  for (guint i = 0; i < servers->len; i++)
-    {
-      const struct kcp_server *server = g_ptr_array_index (servers, i);
-      uint64_t score;
-
-      if (!candidates[i].usable || candidates[i].weights != KCP_PLACE_WEIGHTS_CURRENT)
-        continue;
-      score
-          = XXH3_64bits_withSeed (first->id, strlen (first->id), kcp_server_key (server));
-      if (home != NULL && score <= best_score)
-        continue;
-      home = &candidates[i];
-      best_score = score;
-    }
+  if (kept == levels->len)
+    return;
+  home = find_home (g_array_index (levels, struct kcp_prompt_level, kept).part, servers,
+                    candidates);
   if (home != NULL)
-    home->home_tokens = MIN (home->uncached_tokens, HOME_SHARE (first->tokens));
+    home->home_tokens = MIN (home->uncached_tokens, HOME_SHARE (tokens));
 }
 
+/* A short prompt prefers the first server of its session's order. */
 static void
 mark_home (const struct kcp_choice *choice, const GPtrArray *servers,
            struct kcp_place_candidate *candidates)
 {
   const struct kcp_prompt_part *part = &g_array_index (
       choice->inbound->parts, struct kcp_prompt_part, choice->inbound->parts->len - 2);
+  struct kcp_place_candidate *home = find_home (part->id, servers, candidates);
+
+  if (home != NULL)
+    home->home = true;
+}
+
+/* Returns the usable candidate with current weights that is first in the part's
+   rendezvous order, or NULL. */
+static struct kcp_place_candidate *
+find_home (const char *part, const GPtrArray *servers,
+           struct kcp_place_candidate *candidates)
+{
   uint64_t best_score = 0;
   struct kcp_place_candidate *home = NULL;
 
@@ -215,14 +220,13 @@
 
       if (!candidates[i].usable || candidates[i].weights != KCP_PLACE_WEIGHTS_CURRENT)
         continue;
-      score = XXH3_64bits_withSeed (part->id, strlen (part->id), kcp_server_key (server));
+      score = XXH3_64bits_withSeed (part, strlen (part), kcp_server_key (server));
       if (home != NULL && score <= best_score)
         continue;
       home = &candidates[i];
       best_score = score;
     }
-  if (home != NULL)
-    home->home = true;
+  return home;
 }
 
 static bool
--- a/src/forward/choose.h
+++ b/src/forward/choose.h
@@ -4,6 +4,7 @@
 #define KCP_FORWARD_CHOOSE_H
 
 #include "forward/gateway.h"
+#include "forward/prompt_levels.h"
 
 /* A request's needs, and the choice for its next attempt. */
 struct kcp_choice
@@ -14,6 +15,7 @@
   const struct kcp_team_access *team; /* NULL: none */
   const char *service;
   const GPtrArray *tried; /* struct kcp_server that are not to be taken again */
+  GArray *levels; /* struct kcp_prompt_level, owned; NULL until the first choice */
   /* The choice. */
   struct kcp_server *server; /* borrowed; NULL: none can be used */
   int64_t weights;           /* version there of the inbound's model; 0: no model */
