VERSION: servers with old weights are left out for the last third of their time

Ruled out: a lost or late order (all 208 were answered), and a VM that learned of the version late (all knew it within 30 ms). Change: no new work for old weights in the last third of the time (4 s of 12, 3.3 s of 10); such a server also empties sooner, so that its load begins sooner. Test: test_choose (was test_cached_parts): test_old_weights_are_left_out_while_a_request_may_wait_ past_their_time fails with the former margin, passes now; another keeps half of the time usable.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -10,9 +10,9 @@
 
 /* Of the levels of a prompt that nobody keeps, what their home counts as having. */
 #define HOME_SHARE(tokens) ((tokens)*2 / 3)
-/* Servers with old weights are left out this long before they must no longer begin work,
-   since a request may wait there before it begins. */
-#define REPLACE_MARGIN_NS (2500 * KCP_NS_PER_MS)
+/* Servers with old weights are left out for the last third of the time in which they may
+   begin work, since a request may wait there for seconds before it begins. */
+#define REPLACE_SHARE(ms) ((ms)*2 / 3)
 
 static void gather (struct kcp_gateway *gateway, struct kcp_choice *choice,
                     struct kcp_server *server, struct kcp_place_candidate *candidate);
@@ -162,7 +162,7 @@
   const struct kcp_named_weights *named = kcp_gateway_weights (gateway, model);
   int64_t version = kcp_server_version (server, model);
   int64_t limit_ns
-      = gateway->settings->weights_replace_ms * KCP_NS_PER_MS - REPLACE_MARGIN_NS;
+      = REPLACE_SHARE (gateway->settings->weights_replace_ms) * KCP_NS_PER_MS;
 
   candidate->weights = KCP_PLACE_WEIGHTS_CURRENT;
   if (named == NULL || version >= named->version)
--- a/tests/unit/test_cached_parts.c
+++ b/tests/unit/test_choose.c
@@ -1,6 +1,6 @@
-/* Prompts whose shared prefix has one, two and four levels: by which level they are
-   placed, fetched and saved. Servers "a" and "b" run requests, beside a store of kept
-   cache. */
+/* Where prompts are placed: by which level of a shared prefix of one, two and four they
+   are placed, fetched and saved, and by which weights. Servers "a" and "b" run requests,
+   beside a store of kept cache. */
 #include <check.h>
 #include <string.h>
 
@@ -8,10 +8,12 @@
 #include "platform/platform.h"
 #include "tests/harness/run_suite.h"
 
-#define STORE      "10.0.0.9:1"
-#define OWN_TOKENS 700
-#define LEVELS_MAX 4
-#define CHOICES    100
+#define STORE        "10.0.0.9:1"
+#define OWN_TOKENS   700
+#define LEVELS_MAX   4
+#define REPLACE_MS   12000
+#define WAIT_MOST_MS 2800
+#define CHOICES      100
 
 /* A prompt's shared parts; the last, own part is added to each. */
 struct chain
@@ -26,8 +28,10 @@
   { .count = 4, .tokens = { 400, 400, 400, 400 } },
 };
 
-static struct kcp_forward_settings settings
-    = { .vm_data_center = (char *)"z", .retry_burst = 54, .retry_window_s = 10 };
+static struct kcp_forward_settings settings = { .vm_data_center = (char *)"z",
+                                                .weights_replace_ms = REPLACE_MS,
+                                                .retry_burst = 54,
+                                                .retry_window_s = 10 };
 static struct kcp_gateway gateway;
 static struct kcp_inbound inbound;
 static struct kcp_choice choice;
@@ -228,6 +232,35 @@
 }
 END_TEST
 
+/* Load pattern: a third of the servers dark and new weights on all others, so that
+   requests wait for up to 2.8 s at a server before they begin. */
+START_TEST (test_old_weights_are_left_out_while_a_request_may_wait_past_their_time)
+{
+  int64_t now;
+
+  set_up (&chains[0]);
+  now = kcp_loop_now (gateway.loop);
+  kcp_gateway_name_weights (&gateway, "m", 2,
+                            now - (REPLACE_MS - WAIT_MOST_MS) * KCP_NS_PER_MS);
+  kcp_choose (&gateway, &choice);
+  ck_assert_ptr_null (choice.server);
+  tear_down ();
+}
+END_TEST
+
+START_TEST (test_old_weights_serve_for_half_of_their_time)
+{
+  int64_t now;
+
+  set_up (&chains[0]);
+  now = kcp_loop_now (gateway.loop);
+  kcp_gateway_name_weights (&gateway, "m", 2, now - REPLACE_MS / 2 * KCP_NS_PER_MS);
+  kcp_choose (&gateway, &choice);
+  ck_assert_ptr_nonnull (choice.server);
+  tear_down ();
+}
+END_TEST
+
 /* Requests with different own parts meet at one server while nobody keeps the prefix. */
 START_TEST (test_all_vms_choose_one_home_for_an_unknown_prefix)
 {
@@ -249,8 +282,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("cached parts");
-  TCase *cases = tcase_create ("cached parts");
+  Suite *suite = suite_create ("choose");
+  TCase *cases = tcase_create ("choose");
   int count = G_N_ELEMENTS (chains);
 
   tcase_add_loop_test (cases, test_a_prompt_goes_where_its_prefix_is_kept, 0, count);
@@ -262,6 +295,9 @@
   tcase_add_loop_test (cases, test_a_prefix_that_is_being_read_is_waited_for, 0, count);
   tcase_add_loop_test (cases, test_all_vms_choose_one_home_for_an_unknown_prefix, 0,
                        count);
+  tcase_add_test (cases,
+                  test_old_weights_are_left_out_while_a_request_may_wait_past_their_time);
+  tcase_add_test (cases, test_old_weights_serve_for_half_of_their_time);
   suite_add_tcase (suite, cases);
   return run_suite (suite);
 }
