One VM of each data center contends for the right to give orders

Change: only the first live VM of each data center, in an order that all share, and whoever holds the right contend; if for 2.5 s no server is seen to take weights or to have taken them, all do, so that first VMs that are dead or cut off without the others knowing stop nothing. Who may order is decided by the claims as before. The server with the least in flight over all VMs is ordered first, where it was that VM's own requests. Tests: test_route_peers, test_a_vm_leaves_orders_to_the_first_of_its_data_center_while_they_come, fails before (orders after 250 ms) and passes now, also that orders come though the first VM gives none; test_forward_policy, when a VM contends.

--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -16,8 +16,10 @@
 #define SILENT_PAUSES   6
 #define SILENT_FIRST_NS (3000 * KCP_NS_PER_MS) /* while its pauses are not known */
 #define PAUSE_WEIGHT    8                      /* of older pauses in the average */
+#define FIRST_KEY       1u /* seed of the order in which VMs act for their data center */
 #define FORGET_NS       (60 * KCP_NS_PER_S)
 
+static bool leads (const struct kcp_mesh *mesh, uint64_t key, const char *dc);
 static int64_t silent_ns (const struct kcp_mesh_peer *peer);
 static void note_pause (struct kcp_mesh_peer *peer, int64_t now_ns);
 static void on_datagram (void *user, uint32_t events);
@@ -100,13 +102,27 @@
   return count;
 }
 
+/* Tells whether this VM is the one of its data center that acts for all of them towards
+   the platform's store: the first in a rendezvous order of the live VMs. */
+bool
+kcp_mesh_is_first (const struct kcp_mesh *mesh)
+{
+  return mesh == NULL || leads (mesh, FIRST_KEY, mesh->gateway->settings->vm_data_center);
+}
+
 /* Tells whether this VM is the one that reads the server's cache events: the first in a
    rendezvous order of the live VMs, those in the server's data centre before others. */
 bool
 kcp_mesh_is_reader (const struct kcp_mesh *mesh, const struct kcp_server *server)
 {
-  uint64_t key = kcp_server_key (server);
-  const char *dc = server->entry.data_center;
+  return leads (mesh, kcp_server_key (server), server->entry.data_center);
+}
+
+/* Tells whether this VM is the first in the key's rendezvous order of the live VMs, those
+   of the data center dc before others. A VM that leaves leads nothing. */
+static bool
+leads (const struct kcp_mesh *mesh, uint64_t key, const char *dc)
+{
   bool own_near = strcmp (mesh->gateway->settings->vm_data_center, dc) == 0;
   uint64_t own_score = XXH3_64bits_withSeed (mesh->own, strlen (mesh->own), key);
 
--- a/src/forward/mesh.h
+++ b/src/forward/mesh.h
@@ -20,6 +20,7 @@
                                 int64_t loading_ms);
 void kcp_mesh_announce_loaded (struct kcp_mesh *mesh, const struct kcp_server *server);
 unsigned kcp_mesh_count (const struct kcp_mesh *mesh);
+bool kcp_mesh_is_first (const struct kcp_mesh *mesh);
 bool kcp_mesh_is_reader (const struct kcp_mesh *mesh, const struct kcp_server *server);
 
 #endif
--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "forward/mesh.h"
 #include "forward/rollout_private.h"
 #include "policy/rollout.h"
 
@@ -16,6 +17,8 @@
 #define ORDER_LEFT_MS   500
 
 static void look (void *user);
+static bool contends (struct kcp_rollout *rollout, int64_t now_ns);
+static int64_t last_sign (const struct kcp_rollout *rollout, int64_t now_ns);
 static const struct kcp_named_weights *find_need (struct kcp_rollout *rollout);
 static bool
 needs (const struct kcp_server *server, const struct kcp_named_weights *named);
@@ -75,10 +78,15 @@
   struct kcp_rollout *rollout = user;
   struct kcp_loop *loop = rollout->gateway->loop;
   int64_t now = kcp_loop_now (loop);
-  bool wanted = !rollout->gateway->draining && find_need (rollout) != NULL;
+  bool needed = find_need (rollout) != NULL;
+  int64_t wait_ns = (needed ? LOOK_MS : IDLE_LOOK_MS) * KCP_NS_PER_MS;
+  bool wanted;
   int64_t until;
-  int64_t wait_ns = (wanted ? LOOK_MS : IDLE_LOOK_MS) * KCP_NS_PER_MS;
 
+  if (needed && !rollout->needed)
+    rollout->needed_since_ns = now;
+  rollout->needed = needed;
+  wanted = needed && !rollout->gateway->draining && contends (rollout, now);
   switch (kcp_claim_step (&rollout->claim, wanted, now, &until))
     {
     case KCP_CLAIM_WAIT:
@@ -96,6 +104,35 @@
   kcp_loop_timer_set (loop, &rollout->look, now + wait_ns, look, rollout);
 }
 
+static bool
+contends (struct kcp_rollout *rollout, int64_t now_ns)
+{
+  struct kcp_claim_contest contest = {
+    .first = kcp_mesh_is_first (rollout->gateway->mesh),
+    .holds = kcp_claim_is_held (&rollout->claim, now_ns),
+    .quiet_ns = now_ns - MAX (rollout->needed_since_ns, last_sign (rollout, now_ns)),
+  };
+
+  return kcp_claim_contends (&contest);
+}
+
+/* Returns when a server was last seen to take new weights, or to have taken them. */
+static int64_t
+last_sign (const struct kcp_rollout *rollout, int64_t now_ns)
+{
+  const GPtrArray *servers = kcp_servers_all (rollout->gateway->servers);
+  int64_t sign_ns = 0;
+
+  for (guint i = 0; i < servers->len; i++)
+    {
+      const struct kcp_server *server = g_ptr_array_index (servers, i);
+
+      sign_ns = MAX (sign_ns, server->version_learned_ns);
+      sign_ns = MAX (sign_ns, MIN (server->loading_until_ns, now_ns));
+    }
+  return sign_ns;
+}
+
 /* Returns named weights that some server lacks, or NULL. */
 static const struct kcp_named_weights *
 find_need (struct kcp_rollout *rollout)
@@ -159,6 +196,7 @@
   const char *names[DATA_CENTERS_MAX];
   unsigned count = 0;
 
+  kcp_mesh_sum (rollout->gateway->mesh);
   for (guint i = 0; i < servers->len; i++)
     {
       const struct kcp_server *server = g_ptr_array_index (servers, i);
@@ -169,7 +207,7 @@
         .version = version,
         .loading = kcp_rollout_find_order (rollout, server) != NULL,
         .data_center = number_data_center (server->entry.data_center, names, &count),
-        .open = server->open,
+        .open = server->open + server->others_open,
       };
     }
 }
--- a/src/forward/rollout_private.h
+++ b/src/forward/rollout_private.h
@@ -28,7 +28,9 @@
   struct kcp_claim claim;
   GPtrArray *orders; /* struct kcp_rollout_order */
   struct kcp_loop_timer look;
-  GString *record; /* the claim that is being appended */
+  bool needed;             /* some server lacked named weights at the last look */
+  int64_t needed_since_ns; /* when that began */
+  GString *record;         /* the claim that is being appended */
 };
 
 /* rollout_order.c */
--- a/src/policy/claim.c
+++ b/src/policy/claim.c
@@ -3,6 +3,8 @@
 #include <glib.h>
 #include <string.h>
 
+/* When all VMs contend: those that should give orders have had the time to. */
+#define QUIET_MOST_NS (2500 * (int64_t)1000000)
 /* No VM's name. */
 #define UNKNOWN_HOLDER "?"
 
@@ -18,6 +20,15 @@
   claim->times = *times;
 }
 
+/* Tells whether a VM contends for the right. One of each data center is enough, and its
+   questions to the log do not grow with the VMs; if no orders are seen, all do, since the
+   first ones may be dead or cut off without the others knowing yet. */
+bool
+kcp_claim_contends (const struct kcp_claim_contest *contest)
+{
+  return contest->first || contest->holds || contest->quiet_ns >= QUIET_MOST_NS;
+}
+
 /* Tells what to do next if orders are wanted. until_ns receives when to ask again, or for
    KCP_CLAIM_HELD the end of the right. */
 enum kcp_claim_next
--- a/src/policy/claim.h
+++ b/src/policy/claim.h
@@ -46,6 +46,15 @@
   int64_t rest_until_ns;
 };
 
+/* What decides whether a VM contends for the right. */
+struct kcp_claim_contest
+{
+  bool first;       /* of the live VMs of its data center, in an order that all share */
+  bool holds;       /* it has the right now */
+  int64_t quiet_ns; /* since orders were needed, or were last seen to be given */
+};
+
+bool kcp_claim_contends (const struct kcp_claim_contest *contest);
 void kcp_claim_init (struct kcp_claim *claim, const char *own,
                      const struct kcp_claim_times *times);
 enum kcp_claim_next
--- a/tests/process/test_route_peers.c
+++ b/tests/process/test_route_peers.c
@@ -15,6 +15,8 @@
 
 #define REQUESTS    12
 #define RECEIVE_MS  50
+#define FIRST_SEED  1
+#define LEFT_MS     2000 /* orders are left to another VM for that long at least */
 #define FIRST_BORN  1000 /* as the fake platform writes it in the entries */
 #define PROMPT_HEAD "Model: m\r\nToken-Usage: 10,5\r\nPrompt-Prefix: a:10\r\n"
 #define LONG_HEAD   "Model: m\r\nToken-Usage: 9010,5\r\nPrompt-Prefix: ab:9000,cd:10\r\n"
@@ -213,6 +215,69 @@
 }
 END_TEST
 
+/* Returns a VM's place in the order in which they act for their data center. */
+static uint64_t
+rank (const char *vm)
+{
+  return XXH3_64bits_withSeed (vm, strlen (vm), FIRST_SEED);
+}
+
+/* Takes the place of a VM before or behind the tested one in that order. */
+static void
+take_place (bool before)
+{
+  g_autofree char *own = g_strdup_printf ("127.0.0.1:%d", route_vm.peers_port);
+
+  while ((rank (peer_name) > rank (own)) != before)
+    {
+      (void)close (peer);
+      open_peer ();
+    }
+  send_message ();
+  g_usleep (ROUTE_VM_SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+/* Keeps the other VM alive for so long, and returns after how many milliseconds both
+   servers had version 2; -1: they do not. */
+static int
+wait_for_weights (int limit_ms)
+{
+  for (int waited = 0; waited < limit_ms; waited += RECEIVE_MS)
+    {
+      if (fake_platform_server (route_vm.platform, 0)->version == 2
+          && fake_platform_server (route_vm.platform, 1)->version == 2)
+        return waited;
+      send_message ();
+      g_usleep (RECEIVE_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  return -1;
+}
+
+/* Load pattern: every VM asks the store again and again who gives orders, so that its
+   calls grow with the VMs. */
+START_TEST (test_a_vm_leaves_orders_to_the_first_of_its_data_center_while_they_come)
+{
+  take_place (true);
+  fake_platform_put (route_vm.platform, "version/m", "{\"model\":\"m\",\"version\":2}");
+  ck_assert_int_eq (wait_for_weights (LEFT_MS), -1);
+  ck_assert_int_eq (fake_platform_server (route_vm.platform, 0)->orders_taken, 0);
+  /* The first one gives none, as if it were cut off. */
+  ck_assert_int_ge (wait_for_weights (ROUTE_VM_LIMIT_MS), 0);
+}
+END_TEST
+
+START_TEST (test_the_first_vm_of_a_data_center_gives_orders_at_once)
+{
+  int waited;
+
+  take_place (false);
+  fake_platform_put (route_vm.platform, "version/m", "{\"model\":\"m\",\"version\":2}");
+  waited = wait_for_weights (ROUTE_VM_LIMIT_MS);
+  ck_assert_int_ge (waited, 0);
+  ck_assert_int_le (waited, LEFT_MS);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -227,6 +292,9 @@
       cases, test_short_prompts_keep_away_from_a_server_that_reads_another_vms_long_one);
   tcase_add_test (cases, test_a_long_prompt_is_told_to_the_others_at_once);
   tcase_add_test (cases, test_a_load_of_weights_is_told_at_its_start_and_its_end);
+  tcase_add_test (
+      cases, test_a_vm_leaves_orders_to_the_first_of_its_data_center_while_they_come);
+  tcase_add_test (cases, test_the_first_vm_of_a_data_center_gives_orders_at_once);
   suite_add_tcase (suite, cases);
   return run_suite (suite);
 }
--- a/tests/unit/test_forward_policy.c
+++ b/tests/unit/test_forward_policy.c
@@ -450,6 +450,23 @@
 
 /* The right is being renewed while the store is slow: orders that would arrive behind its
    end are not tried, again and again, but wait for the renewal. */
+/* Load pattern: 195 VMs of five data centers while weights are named again and again. */
+START_TEST (test_one_vm_of_a_data_center_contends_until_no_orders_are_seen)
+{
+  struct kcp_claim_contest contest = { .quiet_ns = 2 * KCP_NS_PER_S };
+
+  ck_assert (!kcp_claim_contends (&contest));
+  contest.first = true;
+  ck_assert (kcp_claim_contends (&contest));
+  contest.first = false;
+  contest.holds = true;
+  ck_assert (kcp_claim_contends (&contest));
+  contest.holds = false;
+  contest.quiet_ns = 3 * KCP_NS_PER_S;
+  ck_assert (kcp_claim_contends (&contest));
+}
+END_TEST
+
 START_TEST (test_a_right_that_is_about_to_end_gives_no_orders)
 {
   const struct kcp_claim_times times = { .valid_ns = MS (1500),
@@ -490,6 +507,7 @@
   tcase_add_test (cases, test_what_may_run_once_is_sent_again_only_if_it_did_not_run);
   tcase_add_test (cases, test_a_refusal_after_a_run_never_says_not_run);
   tcase_add_test (cases, test_retries_of_a_storm_stay_within_the_budget);
+  tcase_add_test (cases, test_one_vm_of_a_data_center_contends_until_no_orders_are_seen);
   tcase_add_test (cases, test_a_right_that_is_about_to_end_gives_no_orders);
   tcase_add_test (cases, test_a_calm_time_pays_for_the_retries_of_one_moment);
   tcase_add_test (cases, test_no_window_holds_more_retries_than_allowed);
