Shared prefixes from 256 tokens on are fetched, and counted where a server keeps them

Change: levels count from 256 tokens on for beliefs and fetches (a fetch there takes a few milliseconds, less than reading 568 tokens); a place of its own, a save to the store and news to the other VMs stay with prefixes of 1,024 tokens and more, so that the exchange does not grow. Test: test_choose, test_a_short_prefix_is_fetched_but_not_saved, fails before (no source) and passes now.

--- a/src/forward/cache_reader.c
+++ b/src/forward/cache_reader.c
@@ -20,7 +20,7 @@
   struct kcp_server *server; /* a reference */
   int64_t start;             /* of the server, as its events name it; 0: not known */
   int64_t next;
-  GHashTable *parts; /* kcp_part_key() -> whether it is long by itself */
+  GHashTable *parts; /* kcp_part_key() -> whether it is worth a fetch by itself */
   struct kcp_http_call *call;
   char *path;
   GString *body;
@@ -227,16 +227,17 @@
         continue;
       key = kcp_part_key (event->cache_space, event->part);
       if (event->tokens > 0)
-        g_hash_table_replace (source->parts, g_memdup2 (&key, sizeof key),
-                              GINT_TO_POINTER (event->tokens >= KCP_LONG_PREFIX_TOKENS));
+        g_hash_table_replace (
+            source->parts, g_memdup2 (&key, sizeof key),
+            GINT_TO_POINTER (event->tokens >= KCP_FETCHED_PREFIX_TOKENS));
       else
         g_hash_table_remove (source->parts, &key);
     }
   show (source);
 }
 
-/* Shows the parts that are long by themselves, and short ones that end a long prefix of a
-   prompt that this VM has seen. */
+/* Shows the parts that are worth a fetch by themselves, and shorter ones that end such a
+   prefix of a prompt that this VM has seen. */
 static void
 show (struct source *source)
 {
--- a/src/forward/cached_parts.c
+++ b/src/forward/cached_parts.c
@@ -111,7 +111,8 @@
   guint stored = store != NULL ? count_stored (gateway, choice, store) : 0;
   guint held = kept;
 
-  if (store != NULL && stored < choice->levels->len)
+  if (store != NULL && stored < choice->levels->len
+      && kcp_prompt_is_long (choice->levels))
     choice->save_to = store->entry.address;
   choice->fetch_from = find_deepest (gateway, choice, &held);
   if (stored > held)
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -55,7 +55,7 @@
       gather (gateway, choice, g_ptr_array_index (servers, i), &candidates[i]);
       choice->usable += candidates[i].usable;
     }
-  if (choice->levels->len > 0)
+  if (kcp_prompt_is_long (choice->levels))
     add_home_bonus (gateway, choice, servers, candidates);
   else if (choice->inbound->parts != NULL && choice->inbound->parts->len > 1)
     mark_home (choice, servers, candidates);
@@ -105,8 +105,11 @@
       uint64_t key = kcp_part_key (choice->cache_space, level->part);
       struct kcp_prefix_belief *belief = kcp_prefix_memory_make (gateway->prefixes, key);
 
-      kcp_mesh_announce_prompt (gateway->mesh, choice->server, key, unread_tokens);
-      unread_tokens = 0;
+      if (level->prefix_tokens >= KCP_LONG_PREFIX_TOKENS)
+        {
+          kcp_mesh_announce_prompt (gateway->mesh, choice->server, key, unread_tokens);
+          unread_tokens = 0;
+        }
       kcp_prefix_belief_add (belief, kcp_server_key (choice->server), now);
       if (choice->save_to != NULL)
         belief->saved_ns = now;
--- a/src/forward/prompt_levels.c
+++ b/src/forward/prompt_levels.c
@@ -1,6 +1,6 @@
 #include "forward/prompt_levels.h"
 
-/* Returns the levels of the request's shared prefix that are long, struct
+/* Returns the levels of the request's shared prefix that are worth a fetch, struct
    kcp_prompt_level, the shortest first; an empty array if there is none. The last part of
    a prompt belongs to one request or session, so that it is no level. */
 GArray *
@@ -17,12 +17,19 @@
 
       tokens += part->tokens;
       level.prefix_tokens = tokens;
-      if (tokens >= KCP_LONG_PREFIX_TOKENS)
+      if (tokens >= KCP_FETCHED_PREFIX_TOKENS)
         g_array_append_val (levels, level);
     }
   return levels;
 }
 
+/* Tells whether the prefix is worth a place of its own. */
+bool
+kcp_prompt_is_long (const GArray *levels)
+{
+  return kcp_prompt_level_tokens (levels, 0, levels->len) >= KCP_LONG_PREFIX_TOKENS;
+}
+
 /* Returns the tokens of the prefix with the first to levels that are not in the one with
    the first from levels. */
 int64_t
--- a/src/forward/prompt_levels.h
+++ b/src/forward/prompt_levels.h
@@ -6,11 +6,14 @@
 #define KCP_FORWARD_PROMPT_LEVELS_H
 
 #include <glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 #include "forward/dialect.h"
 
-/* Prefixes from this size on are worth a place of their own, a fetch and a save. */
+/* Prefixes from this size on are worth a fetch. */
+#define KCP_FETCHED_PREFIX_TOKENS 256
+/* From this size on they are worth a place of their own and a save, too. */
 #define KCP_LONG_PREFIX_TOKENS 1024
 
 struct kcp_prompt_level
@@ -20,6 +23,7 @@
 };
 
 GArray *kcp_prompt_levels (const struct kcp_inbound *inbound);
+bool kcp_prompt_is_long (const GArray *levels);
 int64_t kcp_prompt_level_tokens (const GArray *levels, guint from, guint to);
 
 #endif
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -209,6 +209,24 @@
 }
 END_TEST
 
+/* Load pattern: short questions of many sessions, whose common parts every server would
+   read for itself. */
+START_TEST (test_a_short_prefix_is_fetched_but_not_saved)
+{
+  static const struct chain chain = { .count = 2, .tokens = { 341, 227 } };
+
+  set_up (&chain);
+  show_held (server ("a"), 0);
+  show_held (server ("b"), chain.count);
+  server ("b")->open = 100;
+  kcp_choose (&gateway, &choice);
+  ck_assert_str_eq (choice.server->entry.id, "a");
+  ck_assert_str_eq (choice.fetch_from, "10.0.0.2:1");
+  ck_assert_ptr_null (choice.save_to);
+  tear_down ();
+}
+END_TEST
+
 /* What this VM has just sent goes before the server's events. */
 START_TEST (test_a_prefix_that_is_being_read_is_waited_for)
 {
@@ -292,6 +310,7 @@
   tcase_add_loop_test (cases, test_a_prefix_that_only_the_store_keeps_is_fetched_from_it,
                        0, count);
   tcase_add_test (cases, test_the_source_is_the_one_with_the_most_levels);
+  tcase_add_test (cases, test_a_short_prefix_is_fetched_but_not_saved);
   tcase_add_loop_test (cases, test_a_prefix_that_is_being_read_is_waited_for, 0, count);
   tcase_add_loop_test (cases, test_all_vms_choose_one_home_for_an_unknown_prefix, 0,
                        count);
