What a VM tells by turns always fits a datagram, in half of the bytes

Cause, found while reading: a message was encoded into 8 KB, and one that did not fit was not sent at all, so that its VM fell silent for all others while it lasted. Up to 512 parts were told of each server whose events a VM reads; two VMs that are left read half of the servers each, and a store of kept cache alone has more than 512. Change: 512 parts are shared by all servers of a message, what small ones leave by the large ones. A row says in a word which members follow (28 bytes to 12 for one that has only open requests), and a version only for 6 s after it was learned. The call's version is 3: VMs of the former one take each other as silent, as after any change of it.

--- a/src/forward/mesh_message.c
+++ b/src/forward/mesh_message.c
@@ -4,7 +4,14 @@
 #include <string.h>
 
 #define PROGRAM 0x20005043u
-#define VERSION 2u
+#define VERSION 3u
+/* The first word of a row behind its key. */
+#define ROW_READ       1u
+#define ROW_UNREAD     2u
+#define ROW_VERSION    4u
+#define ROW_LOADING    8u
+#define ROW_OPEN_SHIFT 16
+#define ROW_OPEN_MAX   0xffffu
 
 static void add_empty_row (GArray *rows);
 static bool encode_call (XDR *xdr, enum kcp_mesh_procedure procedure);
@@ -13,6 +20,7 @@
 static bool_t code_text (XDR *xdr, char *text, size_t size);
 static bool_t code_rows (XDR *xdr, GArray *rows);
 static bool_t code_row (XDR *xdr, struct kcp_mesh_row *row);
+static bool_t code_if (XDR *xdr, uint32_t follows, uint32_t *value);
 static bool_t code_parts (XDR *xdr, GArray *parts);
 static bool_t code_update (XDR *xdr, struct kcp_mesh_update *update);
 static bool_t code_change (XDR *xdr, struct kcp_mesh_change *change);
@@ -256,17 +264,34 @@
   return TRUE;
 }
 
+/* Most members of most rows are 0, so that a word says which of them follow. */
 static bool_t
 code_row (XDR *xdr, struct kcp_mesh_row *row)
 {
-  bool_t read = row->read;
+  uint32_t head = MIN (row->open, ROW_OPEN_MAX) << ROW_OPEN_SHIFT;
 
-  if (!xdr_uint64_t (xdr, &row->server) || !xdr_uint32_t (xdr, &row->open)
-      || !xdr_uint32_t (xdr, &row->unread_tokens) || !xdr_uint32_t (xdr, &row->version)
-      || !xdr_uint32_t (xdr, &row->loading_ms) || !xdr_bool (xdr, &read))
+  head |= row->read ? ROW_READ : 0;
+  head |= row->unread_tokens > 0 ? ROW_UNREAD : 0;
+  head |= row->version > 0 ? ROW_VERSION : 0;
+  head |= row->loading_ms > 0 ? ROW_LOADING : 0;
+  if (!xdr_uint64_t (xdr, &row->server) || !xdr_uint32_t (xdr, &head))
     return FALSE;
-  row->read = read;
-  return !read || code_parts (xdr, row->parts);
+  row->open = head >> ROW_OPEN_SHIFT;
+  row->read = (head & ROW_READ) != 0;
+  return code_if (xdr, head & ROW_UNREAD, &row->unread_tokens)
+         && code_if (xdr, head & ROW_VERSION, &row->version)
+         && code_if (xdr, head & ROW_LOADING, &row->loading_ms)
+         && (!row->read || code_parts (xdr, row->parts));
+}
+
+/* A value that does not follow is 0. */
+static bool_t
+code_if (XDR *xdr, uint32_t follows, uint32_t *value)
+{
+  if (follows)
+    return xdr_uint32_t (xdr, value);
+  *value = 0;
+  return TRUE;
 }
 
 static bool_t
--- a/src/forward/mesh_message.h
+++ b/src/forward/mesh_message.h
@@ -13,7 +13,7 @@
 
 #define KCP_MESH_MESSAGE_MAX 8192u /* bytes */
 #define KCP_MESH_ROWS_MAX    128u
-#define KCP_MESH_PARTS_MAX   512u
+#define KCP_MESH_PARTS_MAX   512u /* of all rows together, so that the message fits */
 #define KCP_MESH_UPDATES_MAX 64u
 #define KCP_MESH_RECORDS_MAX 64u
 
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -7,8 +7,7 @@
 #include "forward/mesh.h"
 #include "forward/mesh_message.h"
 
-/* A server's version that was learned longer ago is in its entry by now, and a VM that is
-   silent for longer may be away. */
+/* A VM that is silent for longer may be away. */
 #define KCP_MESH_SILENT_LEAST_NS (1500 * KCP_NS_PER_MS)
 
 /* Another VM. */
--- a/src/forward/mesh_tell.c
+++ b/src/forward/mesh_tell.c
@@ -6,6 +6,8 @@
 #include "forward/mesh_private.h"
 
 #define TELL_MS 100
+/* A version that was learned longer ago is in its server's entry by now. */
+#define VERSION_NEWS_NS (6 * KCP_NS_PER_S)
 /* What the exchange may cost, whatever the number of VMs, who take turns: 20 KB/s within
    the data centre and 10 KB/s to the others, whose bytes are dear. */
 #define NEAR_BYTES_A_TELLING 2000
@@ -17,8 +19,12 @@
 #define SILENT_EVERY       10u /* VMs taken as away are told each so many tellings */
 
 static void make_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
+static guint share_parts (const GPtrArray *servers, const GPtrArray *stores);
+static guint count_rows (const GPtrArray *servers, guint parts);
+static guint count_parts (const GPtrArray *servers, guint most);
+static bool is_read (const struct kcp_server *server);
 static void add_row (struct kcp_mesh *mesh, struct kcp_mesh_message *message,
-                     struct kcp_server *server);
+                     struct kcp_server *server, guint parts_most);
 static void tell_some (struct kcp_mesh *mesh, struct kcp_str bytes, bool near,
                        struct kcp_mesh_share *share, int64_t bytes_more, guint vms_most);
 static void tell_silent (struct kcp_mesh *mesh, struct kcp_str bytes);
@@ -57,6 +63,7 @@
 {
   const GPtrArray *servers = kcp_servers_all (mesh->gateway->servers);
   const GPtrArray *stores = kcp_servers_stores (mesh->gateway->servers);
+  guint parts_most;
 
   g_strlcpy (message->vm, mesh->own, sizeof message->vm);
   g_strlcpy (message->data_center, mesh->gateway->settings->vm_data_center,
@@ -64,33 +71,84 @@
   message->start = mesh->start;
   message->number = ++mesh->number;
   message->leaving = mesh->leaving;
+  parts_most = share_parts (servers, stores);
   for (guint i = 0; i < servers->len && message->rows->len < KCP_MESH_ROWS_MAX; i++)
-    add_row (mesh, message, g_ptr_array_index (servers, i));
+    add_row (mesh, message, g_ptr_array_index (servers, i), parts_most);
   for (guint i = 0; i < stores->len && message->rows->len < KCP_MESH_ROWS_MAX; i++)
-    add_row (mesh, message, g_ptr_array_index (stores, i));
+    add_row (mesh, message, g_ptr_array_index (stores, i), parts_most);
+}
+
+/* Returns how many parts of one server may be told, so that those of all fit. What
+   servers with few parts leave is shared by the others. */
+static guint
+share_parts (const GPtrArray *servers, const GPtrArray *stores)
+{
+  guint rows = count_rows (servers, 0) + count_rows (stores, 0);
+  guint even = KCP_MESH_PARTS_MAX / MAX (rows, 1);
+  guint large = count_rows (servers, even) + count_rows (stores, even);
+  guint used = count_parts (servers, even) + count_parts (stores, even);
+
+  return even + (KCP_MESH_PARTS_MAX - used) / MAX (large, 1);
+}
+
+/* Counts the servers whose cache events this VM reads and that keep more than so many
+   parts; 0: all of them. */
+static guint
+count_rows (const GPtrArray *servers, guint parts)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < servers->len; i++)
+    {
+      const struct kcp_server *server = g_ptr_array_index (servers, i);
+
+      count += is_read (server) && (parts == 0 || server->held->len > parts);
+    }
+  return count;
+}
+
+/* Counts the parts that are told if at most so many of one server are. */
+static guint
+count_parts (const GPtrArray *servers, guint most)
+{
+  guint count = 0;
+
+  for (guint i = 0; i < servers->len; i++)
+    {
+      const struct kcp_server *server = g_ptr_array_index (servers, i);
+
+      count += is_read (server) ? MIN (server->held->len, most) : 0;
+    }
+  return count;
+}
+
+static bool
+is_read (const struct kcp_server *server)
+{
+  return server->held_by_own && server->held != NULL;
 }
 
 /* Servers of which there is nothing to say are left out. */
 static void
 add_row (struct kcp_mesh *mesh, struct kcp_mesh_message *message,
-         struct kcp_server *server)
+         struct kcp_server *server, guint parts_most)
 {
   int64_t now = kcp_loop_now (mesh->gateway->loop);
   int64_t loading_ns = server->own_loading_until_ns - now;
-  bool read = server->held_by_own && server->held != NULL;
+  bool read = is_read (server);
+  bool changed = now - server->version_learned_ns <= VERSION_NEWS_NS;
   struct kcp_mesh_row *row;
 
-  if (server->open == 0 && loading_ns <= 0 && !read
-      && now - server->version_learned_ns > KCP_MESH_SILENT_LEAST_NS)
+  if (server->open == 0 && loading_ns <= 0 && !read && !changed)
     return;
   row = kcp_mesh_message_add_row (message);
   row->server = kcp_server_key (server);
   row->open = server->open;
   row->unread_tokens = (uint32_t)MAX (server->unread_tokens, 0);
-  row->version = (uint32_t)kcp_server_first_version (server);
+  row->version = changed ? (uint32_t)kcp_server_first_version (server) : 0;
   row->loading_ms = loading_ns > 0 ? (uint32_t)(loading_ns / KCP_NS_PER_MS) : 0;
   row->read = read;
-  for (guint i = 0; read && i < server->held->len && i < KCP_MESH_PARTS_MAX; i++)
+  for (guint i = 0; read && i < server->held->len && i < parts_most; i++)
     g_array_append_val (row->parts, g_array_index (server->held, uint64_t, i));
 }
 
--- a/tests/unit/test_forward_parts.c
+++ b/tests/unit/test_forward_parts.c
@@ -285,6 +285,40 @@
 }
 END_TEST
 
+/* Load pattern: two VMs are left, and each reads the events of half of the servers. */
+START_TEST (test_a_message_with_all_that_a_vm_may_tell_fits_a_datagram)
+{
+  struct kcp_mesh_message message;
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  size_t short_len;
+
+  kcp_mesh_message_init (&message);
+  g_strlcpy (message.vm, "255.255.255.255:65535", sizeof message.vm);
+  for (uint64_t i = 0; i < KCP_MESH_ROWS_MAX; i++)
+    {
+      struct kcp_mesh_row *row = kcp_mesh_message_add_row (&message);
+
+      row->server = i;
+      row->open = 3;
+    }
+  short_len = kcp_mesh_message_encode (&message, bytes, sizeof bytes);
+  ck_assert_uint_gt (short_len, 0);
+  /* A row that says only what is open there is a key and a word. */
+  ck_assert_uint_lt (short_len, KCP_MESH_ROWS_MAX * 12 + 200);
+  for (guint i = 0; i < KCP_MESH_ROWS_MAX; i++)
+    {
+      struct kcp_mesh_row *row = &g_array_index (message.rows, struct kcp_mesh_row, i);
+
+      row->unread_tokens = 9;
+      row->version = 9;
+      row->read = true;
+      g_array_set_size (row->parts, KCP_MESH_PARTS_MAX / KCP_MESH_ROWS_MAX);
+    }
+  ck_assert_uint_gt (kcp_mesh_message_encode (&message, bytes, sizeof bytes), 0);
+  kcp_mesh_message_clear (&message);
+}
+END_TEST
+
 START_TEST (test_records_between_vms_survive_the_wire_and_nothing_else_passes)
 {
   struct kcp_mesh_record row
@@ -525,6 +559,7 @@
   tcase_add_test (cases, test_streams_are_cut_behind_whole_events);
   tcase_add_test (cases,
                   test_messages_between_vms_survive_the_wire_and_nothing_else_passes);
+  tcase_add_test (cases, test_a_message_with_all_that_a_vm_may_tell_fits_a_datagram);
   tcase_add_test (cases,
                   test_records_between_vms_survive_the_wire_and_nothing_else_passes);
   tcase_add_test (cases,
