--- /dev/null
+++ b/src/forward/server.c
@@ -0,0 +1,241 @@
+#include "forward/server.h"
+
+#include <string.h>
+
+#include "base/clock.h"
+#include "base/decision_log.h"
+#include "base/ref.h"
+
+/* Servers read about 48 prompt tokens in a millisecond. */
+#define READ_NS_A_TOKEN 21000
+/* What a server was sent shows in its events by then. */
+#define SENT_SHOWN_NS      (1200 * KCP_NS_PER_MS)
+#define SUSPECT_BASE_NS    (500 * KCP_NS_PER_MS)
+#define SUSPECT_DOUBLINGS  3u
+#define REFUSAL_SUSPECT_NS (250 * KCP_NS_PER_MS)
+#define VERSION_UNKNOWN    0
+
+static void server_clear (void *object);
+static void weights_clear (gpointer data);
+
+/* Makes an empty entry. */
+void
+kcp_server_entry_init (struct kcp_server_entry *entry)
+{
+  memset (entry, 0, sizeof *entry);
+  entry->weights = g_array_new (FALSE, TRUE, sizeof (struct kcp_server_weights));
+  g_array_set_clear_func (entry->weights, weights_clear);
+}
+
+/* Frees what an entry owns. */
+void
+kcp_server_entry_clear (struct kcp_server_entry *entry)
+{
+  g_free (entry->id);
+  g_free (entry->service);
+  g_free (entry->address);
+  g_free (entry->data_center);
+  g_array_unref (entry->weights);
+}
+
+/* Notes that the server carries a model at that version. */
+void
+kcp_server_entry_add_weights (struct kcp_server_entry *entry, const char *model,
+                              int64_t version)
+{
+  struct kcp_server_weights weights = { .model = g_strdup (model), .version = version };
+
+  g_array_append_val (entry->weights, weights);
+}
+
+/* Takes a further reference. */
+struct kcp_server *
+kcp_server_ref (struct kcp_server *server)
+{
+  return kcp_ref_acquire (server);
+}
+
+/* Drops a reference; NULL is allowed. */
+void
+kcp_server_unref (struct kcp_server *server)
+{
+  if (server != NULL)
+    kcp_ref_release (server, server_clear);
+}
+
+/* Returns a hash of the server's id and start, by which VMs speak of it. */
+uint64_t
+kcp_server_key (const struct kcp_server *server)
+{
+  return server->key;
+}
+
+/* Returns the version of the first model that the server names, or 0. */
+int64_t
+kcp_server_first_version (const struct kcp_server *server)
+{
+  if (server->entry.weights->len == 0)
+    return VERSION_UNKNOWN;
+  return g_array_index (server->entry.weights, struct kcp_server_weights, 0).version;
+}
+
+/* Takes in a version of the first model that another VM has seen. */
+void
+kcp_server_learn_first_version (struct kcp_server *server, int64_t version,
+                                int64_t now_ns)
+{
+  if (server->entry.weights->len > 0)
+    kcp_server_learn_version (
+        server, g_array_index (server->entry.weights, struct kcp_server_weights, 0).model,
+        version, now_ns);
+}
+
+/* Takes in which long parts the server keeps. */
+void
+kcp_server_take_held (struct kcp_server *server, const GArray *parts, int64_t now_ns)
+{
+  if (server->held == NULL)
+    server->held = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  g_array_set_size (server->held, 0);
+  g_array_append_vals (server->held, parts->data, parts->len);
+  server->held_ns = now_ns;
+}
+
+/* Notes that another VM sends a prompt with the part there, of which so many tokens are
+   to be read behind those that it has been sent before. */
+void
+kcp_server_note_others_prompt (struct kcp_server *server, uint64_t part,
+                               int64_t unread_tokens, int64_t now_ns)
+{
+  struct kcp_sent_part sent = { .part = part, .sent_ns = now_ns };
+  guint old = 0;
+
+  server->others_read_until_ns
+      = MAX (server->others_read_until_ns, now_ns) + unread_tokens * READ_NS_A_TOKEN;
+  if (server->others_parts == NULL)
+    server->others_parts = g_array_new (FALSE, FALSE, sizeof (struct kcp_sent_part));
+  while (old < server->others_parts->len
+         && g_array_index (server->others_parts, struct kcp_sent_part, old).sent_ns
+                < now_ns - SENT_SHOWN_NS)
+    old++;
+  g_array_remove_range (server->others_parts, 0, old);
+  g_array_append_val (server->others_parts, sent);
+}
+
+/* Tells whether another VM has lately sent a prompt with the part there. */
+bool
+kcp_server_is_sent_part (const struct kcp_server *server, uint64_t part, int64_t now_ns)
+{
+  for (guint i = 0; server->others_parts != NULL && i < server->others_parts->len; i++)
+    {
+      const struct kcp_sent_part *sent
+          = &g_array_index (server->others_parts, struct kcp_sent_part, i);
+
+      if (sent->part == part && now_ns - sent->sent_ns <= SENT_SHOWN_NS)
+        return true;
+    }
+  return false;
+}
+
+/* Returns how many tokens of other VMs' prompts are yet to be read there, as far as is
+   known. */
+int64_t
+kcp_server_others_unread (const struct kcp_server *server, int64_t now_ns)
+{
+  int64_t told = MAX (server->others_read_until_ns - now_ns, 0) / READ_NS_A_TOKEN;
+
+  return MAX (server->others_unread_tokens, told);
+}
+
+/* Tells whether the server is known to keep a part. */
+bool
+kcp_server_holds (const struct kcp_server *server, uint64_t part)
+{
+  for (guint i = 0; server->held != NULL && i < server->held->len; i++)
+    if (g_array_index (server->held, uint64_t, i) == part)
+      return true;
+  return false;
+}
+
+/* Returns the version of the model's weights there, or 0 if the server has none. */
+int64_t
+kcp_server_version (const struct kcp_server *server, const char *model)
+{
+  for (guint i = 0; i < server->entry.weights->len; i++)
+    {
+      const struct kcp_server_weights *weights
+          = &g_array_index (server->entry.weights, struct kcp_server_weights, i);
+
+      if (strcmp (weights->model, model) == 0)
+        return weights->version;
+    }
+  return VERSION_UNKNOWN;
+}
+
+/* Takes in a version that an answer showed; versions never go back within a start. */
+void
+kcp_server_learn_version (struct kcp_server *server, const char *model, int64_t version,
+                          int64_t now_ns)
+{
+  for (guint i = 0; i < server->entry.weights->len; i++)
+    {
+      struct kcp_server_weights *weights
+          = &g_array_index (server->entry.weights, struct kcp_server_weights, i);
+
+      if (strcmp (weights->model, model) != 0 || version <= weights->version)
+        continue;
+      weights->version = version;
+      server->loading_until_ns = 0;
+      server->own_loading_until_ns = 0;
+      server->version_learned_ns = now_ns;
+      KCP_LOG ("server_weights", KCP_LOG_TEXT ("server", server->entry.id),
+               KCP_LOG_TEXT ("model", model), KCP_LOG_INT ("version", version));
+    }
+}
+
+/* Notes a connection that could not be made or an answer that did not come: the server is
+   suspected for a time that doubles with each failure in a row. */
+void
+kcp_server_note_failure (struct kcp_server *server, int64_t now_ns)
+{
+  unsigned doublings = MIN (server->failures, SUSPECT_DOUBLINGS);
+
+  server->failures++;
+  server->suspected_until_ns = now_ns + (SUSPECT_BASE_NS << doublings);
+}
+
+/* Notes that the server refused a request before running it. */
+void
+kcp_server_note_refusal (struct kcp_server *server, int64_t now_ns)
+{
+  server->suspected_until_ns
+      = MAX (server->suspected_until_ns, now_ns + REFUSAL_SUSPECT_NS);
+}
+
+/* Notes a sound answer. */
+void
+kcp_server_note_answer (struct kcp_server *server)
+{
+  server->failures = 0;
+  server->suspected_until_ns = 0;
+}
+
+static void
+server_clear (void *object)
+{
+  struct kcp_server *server = object;
+
+  kcp_server_entry_clear (&server->entry);
+  if (server->held != NULL)
+    g_array_unref (server->held);
+  if (server->others_parts != NULL)
+    g_array_unref (server->others_parts);
+}
+
+static void
+weights_clear (gpointer data)
+{
+  struct kcp_server_weights *weights = data;
+
+  g_free (weights->model);
+}
