--- a/tests/unit/test_backlog.c
+++ b/tests/unit/test_backlog.c
@@ -8,13 +8,13 @@
 #include "policy/comeback.h"
 #include "tests/harness/run_suite.h"
 
-#define SERVERS     43
-#define READ_MS     353 /* for 17,020 tokens at 48.2 in a millisecond */
-#define PATIENCE_MS 6000
-#define STEP_MS     10
-#define RUN_MS      24000
-#define OVERLOAD    1.2
-#define SEED        7
+#define SERVERS          43
+#define READ_MS          353 /* for 17,020 tokens at 48.2 in a millisecond */
+#define PATIENCE_MS      6000
+#define STEP_MS          10
+#define RUN_MS           24000
+#define OVERLOAD_PERCENT 120
+#define SEED             7
 
 struct prompt
 {
@@ -146,12 +146,12 @@
                          .prompts = g_array_new (FALSE, FALSE, sizeof (struct prompt)),
                          .callers = g_array_new (FALSE, FALSE, sizeof (struct returning)),
                          .rand = g_rand_new_with_seed (SEED) };
-  double a_step = OVERLOAD * SERVERS * STEP_MS / READ_MS;
-  double due = 0;
+  int64_t due_ms = 0; /* of reading that has to arrive */
 
   for (int64_t now_ms = 0; now_ms < RUN_MS; now_ms += STEP_MS)
     {
-      for (due += a_step; due >= 1; due--)
+      due_ms += SERVERS * STEP_MS * OVERLOAD_PERCENT / 100;
+      for (; due_ms >= READ_MS; due_ms -= READ_MS)
         {
           world.outcome.asked++;
           arrive (&world, now_ms, now_ms + PATIENCE_MS, false);
