Logs say which VM acts for its data center, and explain knows a refusal for a backlog

Which VM reads the servers' list for its data center and contends for orders is a belief that decides what others are told, so that it has a line when it changes (first_vm). kingcuppoint explain names the line backlog. test_route_peers, test_explain and test_mesh_load pass.

--- a/src/cmd/explain.c
+++ b/src/cmd/explain.c
@@ -47,6 +47,7 @@
 static const struct event_text texts[] = {
   { "sent", "sent to a server" },
   { "attempt_failed", "that server gave no answer to pass on" },
+  { "backlog", "refused: too much to read before it at the best server" },
   { "request", "ended" },
   { "server", "(server) its entry changed" },
   { "server_weights", "(server) showed new weights" },
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -100,17 +100,28 @@
   g_free (mesh);
 }
 
-/* Returns how many VMs are alive, this one counted. */
+/* Returns how many other VMs of this data center, or of the others, are alive. */
 unsigned
-kcp_mesh_count (const struct kcp_mesh *mesh)
+kcp_mesh_count_alive (const struct kcp_mesh *mesh, bool near)
 {
-  unsigned count = 1;
+  unsigned count = 0;
 
   for (guint i = 0; i < mesh->peers->len; i++)
-    count += ((const struct kcp_mesh_peer *)g_ptr_array_index (mesh->peers, i))->alive;
+    {
+      const struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
+
+      count += peer->alive && kcp_mesh_is_near (mesh, peer) == near;
+    }
   return count;
 }
 
+/* Returns how many VMs are alive, this one counted. */
+unsigned
+kcp_mesh_count (const struct kcp_mesh *mesh)
+{
+  return 1 + kcp_mesh_count_alive (mesh, true) + kcp_mesh_count_alive (mesh, false);
+}
+
 /* Tells whether this VM is the one of its data center that acts for all of them towards
    the platform's store: the first in a rendezvous order of the live VMs. */
 bool
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -47,6 +47,7 @@
   int64_t updates_filled_ns;      /* when its share last grew */
   struct kcp_mesh_update pending; /* changes that go out with the next flush */
   bool sums_stale; /* messages came since what others have open was added up */
+  bool first;      /* this VM acts for its data center, as last logged */
   bool leaving;
   bool entered;                        /* this VM stands in it */
   kcp_mesh_take_records *take_records; /* NULL: nobody wants them */
@@ -64,6 +65,7 @@
 bool kcp_mesh_is_near (const struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer);
 
 /* mesh.c */
+unsigned kcp_mesh_count_alive (const struct kcp_mesh *mesh, bool near);
 void kcp_mesh_check_peers (struct kcp_mesh *mesh);
 struct kcp_mesh_peer *kcp_mesh_find_peer (struct kcp_mesh *mesh, const char *vm);
 struct kcp_mesh_peer *kcp_mesh_make_peer (struct kcp_mesh *mesh, const char *vm);
--- a/src/forward/mesh_tell.c
+++ b/src/forward/mesh_tell.c
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include "base/counter.h"
+#include "base/decision_log.h"
 #include "forward/mesh_private.h"
 
 #define TELL_MS 100
@@ -18,6 +19,7 @@
 #define TELLINGS_SAVED     4   /* that unspent bytes last for */
 #define SILENT_EVERY       10u /* VMs taken as away are told each so many tellings */
 
+static void note_first (struct kcp_mesh *mesh);
 static void make_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static guint share_parts (const GPtrArray *servers, const GPtrArray *stores);
 static guint count_rows (const GPtrArray *servers, guint parts);
@@ -41,6 +43,7 @@
   size_t len;
 
   kcp_mesh_check_peers (mesh);
+  note_first (mesh);
   mesh->gateway->vms = kcp_mesh_count (mesh);
   kcp_mesh_message_init (&message);
   make_message (mesh, &message);
@@ -58,6 +61,19 @@
                       kcp_mesh_tell, mesh);
 }
 
+/* Logs when this VM begins or ends to act for its data center towards the store. */
+static void
+note_first (struct kcp_mesh *mesh)
+{
+  bool first = kcp_mesh_is_first (mesh);
+
+  if (first == mesh->first)
+    return;
+  mesh->first = first;
+  KCP_LOG ("first_vm", KCP_LOG_TEXT ("change", first ? "this" : "another"),
+           KCP_LOG_INT ("others_near", kcp_mesh_count_alive (mesh, true)));
+}
+
 static void
 make_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
 {
