CONFIG: a reading of the configuration is held for 1.5 s again

Ruled out: the servers' list told between VMs; it carries no configuration. Change: 1.5 s, so that a silent reading ends after 2.3 s. Test: test_route, test_a_configuration_comes_within_three_seconds_of_a_silent_store, with a stand-in that falls silent: fails with 3 s (3 of 3 runs), passes with 1.5 s.

--- a/src/settings/forward_settings.c
+++ b/src/settings/forward_settings.c
@@ -34,7 +34,7 @@
   ADDRESS ("store", "address", store_address, true),
   INT ("store", "timeout_ms", store_timeout_ms, 10, 60000, 800),
   INT ("store", "poll_ms", store_poll_ms, 10, 60000, 700),
-  INT ("store", "wait_ms", store_wait_ms, 0, 30000, 3000),
+  INT ("store", "wait_ms", store_wait_ms, 0, 30000, 1500),
   REAL ("drain", "grace_s", drain_grace_s, 1, 3600, 8),
   INT ("drain", "notice_ms", drain_notice_ms, 0, 600000, 2600),
   INT ("servers", "lapse_ms", servers_lapse_ms, 0, 60000, 2300),
--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -11,6 +11,7 @@
 #define SERVERS_MAX 8u
 #define TOPICS      4u
 #define SLOW_MS     500
+#define NEVER_MS    20000
 #define POLL_MS     5
 
 struct record
@@ -32,6 +33,7 @@
   pthread_mutex_t lock; /* guards all below, and the servers */
   struct MHD_Daemon *daemon;
   bool down;
+  bool silent; /* the store takes calls and never answers them */
   bool stopping;
   struct topic topics[TOPICS];
   struct fake_server servers[SERVERS_MAX];
@@ -163,6 +165,14 @@
   platform->down = down;
 }
 
+/* Lets the store fall silent: the calls that it has then and gets meanwhile are never
+   answered, also behind it. */
+void
+fake_platform_set_silent (struct fake_platform *platform, bool silent)
+{
+  platform->silent = silent;
+}
+
 static void
 add_record (struct fake_platform *platform, unsigned topic, const char *key,
             const char *value)
@@ -354,6 +364,15 @@
   return name != NULL ? topic_of (platform, name) : NULL;
 }
 
+/* Holds a call for longer than any caller waits, and then closes its connection. */
+static enum MHD_Result
+never_answer (const struct fake_platform *platform)
+{
+  for (int held = 0; held < NEVER_MS && !platform->stopping; held += POLL_MS)
+    g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
+  return MHD_NO;
+}
+
 static enum MHD_Result
 store_list (struct fake_platform *platform, struct MHD_Connection *connection,
             const struct topic *topic)
@@ -404,6 +423,8 @@
     {
       g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
       left_ms -= POLL_MS;
+      if (platform->silent)
+        return never_answer (platform);
     }
   pthread_mutex_lock (&platform->lock);
   topic->reads++;
@@ -467,6 +488,8 @@
     return MHD_YES;
   if (platform->down || topic == NULL)
     return respond (connection, 503, "", 0, NULL);
+  if (platform->silent)
+    return never_answer (platform);
   if (g_str_has_suffix (url, "/log-newest"))
     return store_list (platform, connection, topic);
   if (g_str_has_suffix (url, "/log-read"))
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -48,6 +48,7 @@
 int fake_platform_port (const struct fake_platform *platform);
 struct fake_server *fake_platform_server (struct fake_platform *platform, unsigned index);
 void fake_platform_set_down (struct fake_platform *platform, bool down);
+void fake_platform_set_silent (struct fake_platform *platform, bool silent);
 void
 fake_platform_put (struct fake_platform *platform, const char *key, const char *value);
 void fake_platform_put_server (struct fake_platform *platform, unsigned index,
--- a/tests/process/test_route.c
+++ b/tests/process/test_route.c
@@ -10,6 +10,9 @@
 #include "tests/harness/route_vm.h"
 #include "tests/harness/run_suite.h"
 
+#define SILENCE_MS  150
+#define IN_TOUCH_MS 3000
+
 START_TEST (test_a_request_goes_through_unchanged_without_what_is_the_systems)
 {
   struct raw_answer answer = route_vm_send (
@@ -328,6 +331,35 @@
 }
 END_TEST
 
+/* The users count a VM as in touch 3 s after a disruption of the store ended; by then a
+   reading that the store never answers must have been given up and sent again. */
+START_TEST (test_a_configuration_comes_within_three_seconds_of_a_silent_store)
+{
+  g_autofree char *first = g_strdup_printf (route_vm_config_format, 4, "key1");
+  g_autofree char *newer = g_strdup_printf (route_vm_config_format, 9, "key2");
+  int64_t until_us;
+  int status = 0;
+
+  /* A reading that has just been answered is followed by one that is held. */
+  fake_platform_put (route_vm.platform, "config", first);
+  g_usleep (SILENCE_MS * G_TIME_SPAN_MILLISECOND);
+  fake_platform_set_silent (route_vm.platform, true);
+  g_usleep (SILENCE_MS * G_TIME_SPAN_MILLISECOND);
+  fake_platform_set_silent (route_vm.platform, false);
+  until_us = g_get_monotonic_time () + IN_TOUCH_MS * G_TIME_SPAN_MILLISECOND;
+  fake_platform_put (route_vm.platform, "config", newer);
+  while (status != 401 && g_get_monotonic_time () < until_us)
+    {
+      struct raw_answer answer = route_vm_send ("POST", "/once/x", "", "b");
+
+      status = route_vm_status (&answer);
+      raw_answer_clear (&answer);
+      g_usleep (ROUTE_VM_SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  ck_assert_int_eq (status, 401);
+}
+END_TEST
+
 START_TEST (test_a_leaving_server_gets_no_new_work)
 {
   unsigned before;
@@ -392,6 +424,8 @@
   tcase_add_test (cases, test_a_drain_cuts_nothing_and_takes_nothing_late);
   tcase_add_test (cases, test_a_request_behind_the_notice_is_refused);
   tcase_add_test (cases, test_the_store_may_be_away_and_configurations_never_go_back);
+  tcase_add_test (cases,
+                  test_a_configuration_comes_within_three_seconds_of_a_silent_store);
   tcase_add_test (cases, test_a_leaving_server_gets_no_new_work);
   tcase_add_test (cases, test_named_weights_are_brought_to_all_servers);
   suite_add_tcase (suite, cases);
