Log which requests were in flight when a server crashed

What was missing: copies of a request have ids of their own, so the log could not put them together, and attempt_failed looks alike for a crash, a reset, a cut and a caller that left.

Now: sent has a fingerprint of team, method, host, target and body. Attempts that end without an answer are watched until it is known whether their server ended: its address refuses a connection (a probe without a request, at most two per 2 s and server, or another attempt shows it), or another incarnation is listed at its address. Attempts at a server that answered afterwards, that was leaving, or that ended over 20 s before do not count. No decision depends on it yet.

Ruled out: the removal of an entry as evidence (entries expire in an outage of the store too), and a 421 (also sent for other weights).

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -43,6 +43,8 @@
   = { "config_checkpoints", "Checkpoints appended to the configuration stream" },
   [KCP_COUNT_CONFIG_LOG_RESTARTS]
   = { "config_log_restarts", "Times the configuration stream was read anew" },
+  [KCP_COUNT_SERVER_CRASHES]
+  = { "server_crashes", "Crashes of backend servers that requests were in flight at" },
 };
 
 static uint64_t values[KCP_COUNTER_COUNT];
--- a/src/cmd/explain.c
+++ b/src/cmd/explain.c
@@ -53,6 +53,7 @@
   { "request", "ended" },
   { "server", "(server) its entry changed" },
   { "server_weights", "(server) reported new weights" },
+  { "server_crashed", "(server) crashed with requests in flight" },
   { "order_sent", "(server) was ordered to load new weights" },
   { "order_answered", "(server) answered the order" },
   { "order_ended", "(server) the order ended" },
--- a/src/forward/feed.c
+++ b/src/forward/feed.c
@@ -32,6 +32,7 @@
 static void schedule_request (struct kcp_feed_reader *reader);
 static void schedule_retry (struct kcp_feed_reader *reader);
 static bool apply_operator (struct kcp_feed *feed, const struct kcp_store_record *record);
+static void report_entry (struct kcp_feed *feed, struct kcp_str key);
 static void remove_unlisted (struct kcp_feed *feed, GHashTable *listed);
 static void on_removal_due (void *user);
 static void log_rejected_record (const char *what, const struct kcp_store_record *record,
@@ -340,7 +341,22 @@
       log_rejected_record ("server_entry", record, reason);
       return false;
     }
-  return kcp_servers_apply (feed->gateway->servers, &entry);
+  if (!kcp_servers_apply (feed->gateway->servers, &entry))
+    return false;
+  report_entry (feed, record->key);
+  return true;
+}
+
+/* Reports a changed entry to the crash watch, since it shows that the address has another
+   server now. */
+static void
+report_entry (struct kcp_feed *feed, struct kcp_str key)
+{
+  g_autofree char *id = kcp_str_dup (key);
+  const struct kcp_server *server = kcp_servers_find (feed->gateway->servers, id);
+
+  if (server != NULL)
+    kcp_crash_watch_on_entry (feed->gateway->crash_watch, server);
 }
 
 /* Removes a server at the time at_ns. Returns false if the removal was already known. */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -6,12 +6,14 @@
 #include "base/id.h"
 #include "forward/forward_private.h"
 #include "policy/backlog.h"
+#include "policy/fingerprint.h"
 
 /* Timeout on routes that set none. A shorter timeout of the caller takes precedence. */
 #define DEFAULT_TIMEOUT_MS 60000
 
 static bool accept_inbound (struct kcp_forward *forward);
 static bool find_team (struct kcp_forward *forward);
+static void set_fingerprint (struct kcp_forward *forward);
 static void set_deadline (struct kcp_forward *forward);
 static bool is_backlogged (const struct kcp_forward *forward);
 static void refuse_for_backlog (struct kcp_forward *forward);
@@ -39,6 +41,7 @@
   kcp_counter_add (KCP_COUNT_REQUESTS, 1);
   if (accept_inbound (forward))
     {
+      set_fingerprint (forward);
       set_deadline (forward);
       kcp_resend_budget_add_request (
           kcp_gateway_retry_budget (gateway, forward->choice.service),
@@ -118,6 +121,21 @@
   return forward->choice.team != NULL || forward->choice.route->open;
 }
 
+static void
+set_fingerprint (struct kcp_forward *forward)
+{
+  const struct kcp_inbound *inbound = forward->inbound;
+  const struct kcp_team_access *team = forward->choice.team;
+
+  forward->fingerprint = kcp_fingerprint_request (&(struct kcp_request_identity){
+      .team = kcp_str_from_c (team != NULL ? team->name : ""),
+      .method = kcp_str_from_c (inbound->method),
+      .host = kcp_str_from_c (inbound->host),
+      .target = kcp_str_from_c (inbound->target),
+      .body = { inbound->body->str, inbound->body->len },
+  });
+}
+
 static void
 set_deadline (struct kcp_forward *forward)
 {
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -5,6 +5,7 @@
 #include "base/decision_log.h"
 #include "base/histogram.h"
 #include "forward/forward_private.h"
+#include "policy/fingerprint.h"
 #include "policy/queue_priority.h"
 
 #define BUFFERED_ANSWER_MAX (64u << 20) /* bytes of an answer that is not streamed */
@@ -23,6 +24,8 @@
 static bool
 reports_not_run (const struct kcp_forward *forward, const struct kcp_http_result *result);
 static void record_attempt_end (struct kcp_forward *forward, enum kcp_attempt_end end);
+static void watch_for_crash (struct kcp_forward *forward, enum kcp_attempt_end end,
+                             const struct kcp_http_result *result);
 static void clear_attempt (struct kcp_attempt *attempt);
 
 /* Sends the request to the chosen server. The callbacks of the HTTP call continue the
@@ -35,6 +38,7 @@
   struct kcp_attempt *attempt = &forward->attempt;
   struct kcp_server *server = forward->choice.server;
   bool run_once = forward->choice.route->repeat == KCP_REPEAT_ONCE;
+  char fingerprint[KCP_FINGERPRINT_TEXT_SIZE];
 
   attempt->server = kcp_server_ref (server);
   attempt->headers = g_ptr_array_new_with_free_func (g_free);
@@ -74,7 +78,9 @@
           forward->inbound->parts != NULL && forward->inbound->parts->len > 0
               ? g_array_index (forward->inbound->parts, struct kcp_prompt_part, 0).tokens
               : 0),
-      KCP_LOG_INT ("left_ms", kcp_forward_remaining_ms (forward)));
+      KCP_LOG_INT ("left_ms", kcp_forward_remaining_ms (forward)),
+      KCP_LOG_TEXT ("fingerprint",
+                    kcp_fingerprint_text (forward->fingerprint, fingerprint)));
   attempt->call = kcp_http_start (
       gateway->client,
       &(struct kcp_http_spec){
@@ -153,6 +159,8 @@
   size_t before = forward->answer->body->len;
 
   record_first_byte (forward);
+  if (attempt->head.signed_ && answer_matches (forward))
+    attempt->server->last_answer_ns = kcp_loop_now (forward->gateway->loop);
   if (!is_streamed (forward, status))
     {
       g_string_append_len (attempt->buffered_body, bytes.data, (gssize)bytes.len);
@@ -231,6 +239,7 @@
                                   / KCP_NS_PER_MS),
            KCP_LOG_TEXT ("reason", result->reason));
   record_attempt_end (forward, end);
+  watch_for_crash (forward, end, result);
   kcp_forward_after_attempt (forward, end, result->status);
 }
 
@@ -253,6 +262,7 @@
   if (result->status >= MHD_HTTP_INTERNAL_SERVER_ERROR)
     return false;
   kcp_server_record_answer (forward->attempt.server);
+  forward->attempt.server->last_answer_ns = kcp_loop_now (forward->gateway->loop);
   if (is_streamed (forward, result->status))
     {
       const GString *rest = forward->framer.pending;
@@ -321,6 +331,22 @@
     }
 }
 
+/* Has the crash watch find out whether the attempt ended because its server did. */
+static void
+watch_for_crash (struct kcp_forward *forward, enum kcp_attempt_end end,
+                 const struct kcp_http_result *result)
+{
+  struct kcp_crash_watch *watch = forward->gateway->crash_watch;
+  const struct kcp_attempt *attempt = &forward->attempt;
+
+  if (result->refused)
+    kcp_crash_watch_on_refused (watch, attempt->server);
+  if ((end == KCP_ATTEMPT_UNKNOWN || end == KCP_ATTEMPT_INTERRUPTED)
+      && result->end == KCP_HTTP_INTERRUPTED)
+    kcp_crash_watch_add (watch, attempt->server, forward->fingerprint, attempt->sent_ns,
+                         KCP_CRASH_WATCH_PROBE);
+}
+
 /* Ends the attempt, if there is one. Closes its connection if the answer is
    incomplete. */
 void
@@ -331,7 +357,12 @@
   if (attempt->server == NULL)
     return;
   if (attempt->call != NULL)
-    kcp_http_cancel (attempt->call);
+    {
+      kcp_crash_watch_add (forward->gateway->crash_watch, attempt->server,
+                           forward->fingerprint, attempt->sent_ns,
+                           KCP_CRASH_WATCH_PASSIVE);
+      kcp_http_cancel (attempt->call);
+    }
   attempt->server->in_flight--;
   attempt->server->prefill_tokens_pending -= attempt->prefill_tokens_pending;
   clear_attempt (attempt);
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -30,7 +30,8 @@
   struct kcp_attempt attempt;
   struct kcp_event_framer framer;
   struct kcp_loop_timer deadline_timer;
-  GPtrArray *tried; /* struct kcp_server, references */
+  GPtrArray *tried;     /* struct kcp_server, references */
+  uint64_t fingerprint; /* equal for all copies of the request, on all VMs */
   int64_t arrived_ns;
   int64_t deadline_ns;
   unsigned runs;            /* attempts that may have run the request */
--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -4,12 +4,14 @@
 
 #include "base/counter.h"
 #include "base/decision_log.h"
+#include "policy/fingerprint.h"
 
 #define PREFIX_INDEX_CAPACITY 8192u /* prompt parts */
 /* The part of the retry budget that the VMs use. The rest is a margin, since each VM
    learns late how many others are alive. */
 #define RETRY_BUDGET_SHARE 0.6
 
+static void on_crash (void *user, const struct kcp_crash *crash);
 static void desired_weights_free (gpointer data);
 
 /* Initializes the shared state; settings, dialect and clock must outlive it. */
@@ -28,6 +30,7 @@
   gateway->desired_weights = g_ptr_array_new_with_free_func (desired_weights_free);
   gateway->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gateway->prefixes = kcp_prefix_index_new (PREFIX_INDEX_CAPACITY);
+  gateway->crash_watch = kcp_crash_watch_new (gateway->loop, on_crash, gateway);
 }
 
 /* Frees what kcp_gateway_init() allocated. No request may be in flight. */
@@ -35,6 +38,7 @@
 kcp_gateway_clear (struct kcp_gateway *gateway)
 {
   kcp_http_client_free (gateway->client);
+  kcp_crash_watch_free (gateway->crash_watch);
   kcp_loop_free (gateway->loop);
   kcp_servers_free (gateway->servers);
   g_ptr_array_unref (gateway->desired_weights);
@@ -148,6 +152,21 @@
   return !gateway->draining && gateway->routes != NULL;
 }
 
+/* Logs a request that was in flight at a server that crashed. */
+static void
+on_crash (void *user, const struct kcp_crash *crash)
+{
+  char fingerprint[KCP_FINGERPRINT_TEXT_SIZE];
+
+  (void)user;
+  KCP_LOG (
+      "in_flight_at_crash",
+      KCP_LOG_TEXT ("fingerprint",
+                    kcp_fingerprint_text (crash->fingerprint, fingerprint)),
+      KCP_LOG_TEXT ("server", crash->server->entry.id),
+      KCP_LOG_INT ("in_flight_ms", (crash->ended_ns - crash->sent_ns) / KCP_NS_PER_MS));
+}
+
 static void
 desired_weights_free (gpointer data)
 {
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -6,6 +6,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "forward/crash_watch.h"
 #include "forward/dialect.h"
 #include "forward/http_client.h"
 #include "forward/loop.h"
@@ -46,6 +47,7 @@
   GPtrArray *desired_weights; /* struct kcp_desired_weights */
   GHashTable *budgets;        /* service -> struct kcp_resend_budget */
   struct kcp_prefix_index *prefixes;
+  struct kcp_crash_watch *crash_watch;
   struct kcp_mesh *mesh; /* exchange with other VMs; NULL: none */
   bool draining;         /* the load balancer is asked to send no connections */
   bool closing;          /* new requests are refused; the balancer sends none */
--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -1,5 +1,6 @@
 #include "forward/http_client.h"
 
+#include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -173,10 +174,13 @@
   struct kcp_http_result result = { .end = classify_end (call, code) };
   char reason[CURL_ERROR_SIZE];
   long new_connections = 0;
+  long error = 0;
 
   curl_easy_getinfo (call->curl, CURLINFO_RESPONSE_CODE, &result.status);
   curl_easy_getinfo (call->curl, CURLINFO_NUM_CONNECTS, &new_connections);
+  curl_easy_getinfo (call->curl, CURLINFO_OS_ERRNO, &error);
   result.reused = call->connected && new_connections == 0;
+  result.refused = code == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
   g_strlcpy (reason, call->error[0] != '\0' ? call->error : curl_easy_strerror (code),
              sizeof reason);
   result.reason = reason;
--- a/src/forward/http_client.h
+++ b/src/forward/http_client.h
@@ -26,6 +26,7 @@
   enum kcp_http_end end;
   long status;        /* 0: no answer was received */
   bool reused;        /* the connection had carried an earlier call */
+  bool refused;       /* no process accepts connections at the address */
   const char *reason; /* of an end other than KCP_HTTP_COMPLETE */
 };
 
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -50,6 +50,8 @@
   int64_t prefill_tokens_pending; /* of their prompts, while no answer has begun */
   unsigned failures;              /* consecutive */
   int64_t suspected_until_ns;
+  int64_t last_answer_ns;       /* when its newest part of an answer arrived; 0: never */
+  int64_t probe_after_ns;       /* it is not probed before; see forward/crash_watch.h */
   int64_t loading_until_ns;     /* it counts as loading new weights until then */
   int64_t own_loading_until_ns; /* the same, for an order of this VM */
   int64_t version_changed_ns;   /* when it last showed a new version; 0: never */
