Failing test: a request that crashes servers is sent on and on

Four VMs of route in two data centers, six servers of a simulated platform that end when they run a body and come back 1.2 s later as another incarnation at the same address. Copies with ids of their own go to all VMs by turns, beside other requests; further cases: a VM that starts, one that was stopped for a while, all VMs killed at once, servers that crash by chance with copies of a popular request in flight at all of them.

--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -7,12 +7,14 @@
 #include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define SERVERS_MAX 8u
 #define TOPICS      4u
 #define SLOW_MS     500
 #define BLOCK_MS    20000
 #define POLL_MS     5
+#define BORN_STEP   100 /* between the born fields of a server's incarnations */
 
 struct record
 {
@@ -39,6 +41,11 @@
   struct fake_server servers[SERVERS_MAX];
   unsigned server_count;
   GHashTable *runs; /* request id -> number of executions */
+  char *crash_text; /* a body that contains it crashes the server; NULL: none does */
+  unsigned crash_down_ms; /* time until a crashed server is back */
+  GArray *crash_times;    /* int64_t, microseconds: crashes by such bodies */
+  GArray *crash_arrivals; /* int64_t, microseconds: such bodies at all servers */
+  GPtrArray *crash_threads;
 };
 
 /* A request whose body is being received. */
@@ -66,15 +73,18 @@
 static void on_completed (void *user, struct MHD_Connection *connection, void **state,
                           enum MHD_RequestTerminationCode code);
 
+/* Starts a daemon at a port, or at a free one if *port is 0, which it then sets. */
 static struct MHD_Daemon *
 start_daemon (MHD_AccessHandlerCallback handler, void *user, int *port)
 {
-  struct sockaddr_in address
-      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  struct sockaddr_in address = { .sin_family = AF_INET,
+                                 .sin_port = htons ((uint16_t)*port),
+                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   struct MHD_Daemon *daemon = MHD_start_daemon (
-      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD, 0, NULL, NULL,
-      handler, user, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_NOTIFY_COMPLETED,
-      on_completed, user, MHD_OPTION_END);
+      MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC, 0,
+      NULL, NULL, handler, user, MHD_OPTION_SOCK_ADDR, &address,
+      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
+      user, MHD_OPTION_END);
 
   if (daemon == NULL)
     abort ();
@@ -90,10 +100,13 @@
   static const char *const names[TOPICS]
       = { "keyed.op", "keyed.servers", "kingcuppoint.orders", "keyed.kingcuppoint.vms" };
   struct fake_platform *platform = g_new0 (struct fake_platform, 1);
-  int port;
+  int port = 0;
 
   pthread_mutex_init (&platform->lock, NULL);
   platform->runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  platform->crash_times = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  platform->crash_arrivals = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  platform->crash_threads = g_ptr_array_new ();
   for (unsigned i = 0; i < TOPICS; i++)
     platform->topics[i] = (struct topic){ .name = names[i],
                                           .keyed = g_str_has_prefix (names[i], "keyed."),
@@ -120,6 +133,12 @@
 fake_platform_stop (struct fake_platform *platform)
 {
   platform->stopping = true;
+  for (guint i = 0; i < platform->crash_threads->len; i++)
+    g_thread_join (g_ptr_array_index (platform->crash_threads, i));
+  g_ptr_array_unref (platform->crash_threads);
+  g_array_unref (platform->crash_times);
+  g_array_unref (platform->crash_arrivals);
+  g_free (platform->crash_text);
   for (unsigned i = 0; i < platform->server_count; i++)
     {
       MHD_stop_daemon (platform->servers[i].daemon);
@@ -215,11 +234,126 @@
       "\"slots\":8,\"state\":\"%s\",\"seq-no\":17,\"born\":%u,"
       "\"models\":[{\"name\":\"m\",\"version\":%" G_GINT64_FORMAT "}]}",
       server->advertised_port != 0 ? server->advertised_port : server->port, state,
-      1000 + index, server->version);
+      1000 + index + server->starts * BORN_STEP, server->version);
 
   fake_platform_put_server_entry (platform, server->id, text);
 }
 
+/* Ends a server's process: closes its port and connections, and starts another
+   incarnation after the platform's crash_down_ms. */
+static void *
+crash_server (void *user)
+{
+  struct fake_server *server = user;
+  struct fake_platform *platform = server->platform;
+  unsigned index = (unsigned)(server - platform->servers);
+  unsigned down_ms = platform->crash_down_ms;
+
+  (void)close (MHD_quiesce_daemon (server->daemon));
+  MHD_stop_daemon (server->daemon);
+  for (unsigned waited = 0; waited < down_ms && !platform->stopping; waited += POLL_MS)
+    g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
+  fake_platform_put_server_entry (platform, server->id, "");
+  server->starts++;
+  (void)g_snprintf (server->id, sizeof server->id, "i-%u.%u", index, server->starts);
+  server->daemon = start_daemon (on_server, server, &server->port);
+  server->crashing = false;
+  fake_platform_put_server (platform, index, "ready");
+  return NULL;
+}
+
+/* Begins to crash a server unless it is crashing already. Returns false then. */
+static bool
+begin_crash (struct fake_server *server)
+{
+  struct fake_platform *platform = server->platform;
+  bool begins;
+
+  pthread_mutex_lock (&platform->lock);
+  begins = !server->crashing && !platform->stopping;
+  server->crashing = true;
+  if (begins)
+    g_ptr_array_add (platform->crash_threads,
+                     g_thread_new ("crash", crash_server, server));
+  pthread_mutex_unlock (&platform->lock);
+  return begins;
+}
+
+/* Makes each request whose body contains text crash the server that runs it. The server
+   is back after down_ms, as a new incarnation at the same address. */
+void
+fake_platform_crash_on (struct fake_platform *platform, const char *text,
+                        unsigned down_ms)
+{
+  platform->crash_text = g_strdup (text);
+  platform->crash_down_ms = down_ms;
+}
+
+/* Crashes a server without the help of a request. */
+void
+fake_platform_crash_server (struct fake_platform *platform, unsigned index)
+{
+  (void)begin_crash (&platform->servers[index]);
+}
+
+/* Returns the number of crashes by requests. */
+unsigned
+fake_platform_crash_count (struct fake_platform *platform)
+{
+  unsigned count;
+
+  pthread_mutex_lock (&platform->lock);
+  count = platform->crash_times->len;
+  pthread_mutex_unlock (&platform->lock);
+  return count;
+}
+
+/* Returns the monotonic time of a crash by a request, counted from 0, in microseconds. */
+int64_t
+fake_platform_crash_us (struct fake_platform *platform, unsigned number)
+{
+  int64_t time_us;
+
+  pthread_mutex_lock (&platform->lock);
+  time_us = g_array_index (platform->crash_times, int64_t, number);
+  pthread_mutex_unlock (&platform->lock);
+  return time_us;
+}
+
+/* Returns how many requests that crash servers reached servers after time_us, a monotonic
+   time in microseconds. */
+unsigned
+fake_platform_sent_after (struct fake_platform *platform, int64_t time_us)
+{
+  unsigned count = 0;
+
+  pthread_mutex_lock (&platform->lock);
+  for (guint i = 0; i < platform->crash_arrivals->len; i++)
+    count += g_array_index (platform->crash_arrivals, int64_t, i) > time_us;
+  pthread_mutex_unlock (&platform->lock);
+  return count;
+}
+
+static bool
+is_crash_body (struct fake_server *server, const GString *body)
+{
+  struct fake_platform *platform = server->platform;
+  int64_t now_us = g_get_monotonic_time ();
+
+  if (platform->crash_text == NULL || strstr (body->str, platform->crash_text) == NULL)
+    return false;
+  pthread_mutex_lock (&platform->lock);
+  g_array_append_val (platform->crash_arrivals, now_us);
+  pthread_mutex_unlock (&platform->lock);
+  if (begin_crash (server))
+    {
+      pthread_mutex_lock (&platform->lock);
+      g_array_append_val (platform->crash_times, now_us);
+      pthread_mutex_unlock (&platform->lock);
+    }
+  return true;
+}
+
 static struct topic *
 find_topic (struct fake_platform *platform, const char *name)
 {
@@ -633,6 +767,8 @@
 {
   const char *id
       = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Request-Id");
+  const char *wanted
+      = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Expect-Instance");
   enum fake_mode mode = server->mode;
   const char *refusal_headers[] = { "Request-Id", id, "Not-Executed", "1", NULL };
   const char *headers[]
@@ -643,6 +779,10 @@
 
   if (id == NULL)
     return send_answer (connection, 400, "", 0, NULL);
+  if (wanted != NULL && strcmp (wanted, server->id) != 0)
+    return send_answer (connection, 421, "", 0, NULL);
+  if (server->crashing || is_crash_body (server, body))
+    return MHD_NO;
   if (mode == FAKE_UNSIGNED)
     headers[4] = NULL;
   if (mode == FAKE_REFUSE)
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -38,6 +38,8 @@
   int64_t orders_taken;
   unsigned runs;            /* requests that it executed */
   unsigned in_flight;       /* requests in progress */
+  unsigned starts;          /* incarnations after the first */
+  bool crashing;            /* its process is ending or has ended */
   unsigned order_conflicts; /* orders rejected because they expected another count */
   GHashTable *headers;      /* of the last request it executed, names in lower case */
   GString *body;            /* of the last request it executed */
@@ -58,6 +60,12 @@
 unsigned fake_platform_end_offset (struct fake_platform *platform, const char *topic);
 unsigned fake_platform_read_count (struct fake_platform *platform, const char *topic);
 unsigned fake_platform_run_count (struct fake_platform *platform, const char *id);
+void fake_platform_crash_on (struct fake_platform *platform, const char *text,
+                             unsigned down_ms);
+void fake_platform_crash_server (struct fake_platform *platform, unsigned index);
+unsigned fake_platform_crash_count (struct fake_platform *platform);
+int64_t fake_platform_crash_us (struct fake_platform *platform, unsigned number);
+unsigned fake_platform_sent_after (struct fake_platform *platform, int64_t time_us);
 char *fake_server_header (struct fake_server *server, const char *name);
 
 #endif
--- a/tests/harness/route_vm.c
+++ b/tests/harness/route_vm.c
@@ -16,6 +16,7 @@
 #include "tests/harness/free_port.h"
 
 static char *write_settings (void);
+static void prepare (void);
 
 /* Format of the operators' configuration record. Its arguments are the version and the
    team's key. */
@@ -84,11 +85,12 @@
 {
   char *path = g_build_filename (route_vm.folder, "route.ini", NULL);
   g_autofree char *text = g_strdup_printf (
-      "[vm]\nid = vm1\ndata_center = z\n[callers]\nlisten = 127.0.0.1:%d\n"
+      "[vm]\nid = vm1\ndata_center = %s\n[callers]\nlisten = 127.0.0.1:%d\n"
       "[ready]\nlisten = 127.0.0.1:%d\n[metrics]\nlisten = 127.0.0.1:%d\n"
       "[peers]\nlisten = 127.0.0.1:%d\n[store]\naddress = 127.0.0.1:%d\n"
       "poll_ms = 100\n[drain]\ngrace_s = 4\nnotice_ms = 700\n",
-      route_vm.port, route_vm.ready_port, route_vm.metrics_port, route_vm.peers_port,
+      route_vm.data_center != NULL ? route_vm.data_center : "z", route_vm.port,
+      route_vm.ready_port, route_vm.metrics_port, route_vm.peers_port,
       fake_platform_port (route_vm.platform));
 
   ck_assert (g_file_set_contents (path, text, -1, NULL));
@@ -119,16 +121,19 @@
 /* Starts the platform, two servers and the VM, and waits until the VM is ready. */
 void
 route_vm_set_up (void)
+{
+  route_vm_set_up_servers (2);
+}
+
+/* As route_vm_set_up(), with another number of servers. */
+void
+route_vm_set_up_servers (unsigned servers)
 {
   g_autofree char *config = g_strdup_printf (route_vm_config_format, 3, "key1");
 
-  route_vm = (struct route_vm){ .platform = fake_platform_start (2) };
-  route_vm.folder = g_dir_make_tmp ("kcp-route-XXXXXX", NULL);
-  route_vm.port = free_port (SOCK_STREAM);
-  route_vm.ready_port = free_port (SOCK_STREAM);
-  route_vm.metrics_port = free_port (SOCK_STREAM);
-  route_vm.peers_port = free_port (SOCK_DGRAM);
+  route_vm = (struct route_vm){ .platform = fake_platform_start (servers) };
   fake_platform_put_record (route_vm.platform, "config", config);
+  prepare ();
   route_vm_start ();
   route_vm_wait_ready ();
   /* The VM reads the servers' list separately from the configuration and may not have it
@@ -136,38 +141,101 @@
   g_usleep (200 * G_TIME_SPAN_MILLISECOND);
 }
 
-/* Kills the VM, stops the platform and removes the VM's files. */
+/* Gives the VM its folder and its ports. */
+static void
+prepare (void)
+{
+  route_vm.folder = g_dir_make_tmp ("kcp-route-XXXXXX", NULL);
+  route_vm.port = free_port (SOCK_STREAM);
+  route_vm.ready_port = free_port (SOCK_STREAM);
+  route_vm.metrics_port = free_port (SOCK_STREAM);
+  route_vm.peers_port = free_port (SOCK_DGRAM);
+}
+
+/* Starts a further VM before the platform of the fixture's VM, and waits until it is
+   ready. */
 void
-route_vm_tear_down (void)
+route_vm_add (struct route_vm *vm, const char *data_center)
 {
-  g_autofree char *settings = g_build_filename (route_vm.folder, "route.ini", NULL);
-  g_autofree char *log = g_build_filename (route_vm.folder, "out.log", NULL);
+  struct route_vm first = route_vm;
 
-  if (route_vm.pid > 0)
+  route_vm = (struct route_vm){ .platform = first.platform, .data_center = data_center };
+  prepare ();
+  route_vm_start ();
+  route_vm_wait_ready ();
+  *vm = route_vm;
+  route_vm = first;
+}
+
+/* Kills a VM's process. */
+void
+route_vm_kill (struct route_vm *vm)
+{
+  if (vm->pid > 0)
     {
-      (void)kill (route_vm.pid, SIGKILL);
-      (void)waitpid (route_vm.pid, NULL, 0);
+      (void)kill (vm->pid, SIGKILL);
+      (void)waitpid (vm->pid, NULL, 0);
     }
-  fake_platform_stop (route_vm.platform);
+  vm->pid = 0;
+}
+
+/* Starts the process of a further VM again and waits until it is ready. */
+void
+route_vm_restart (struct route_vm *vm)
+{
+  struct route_vm first = route_vm;
+
+  route_vm = *vm;
+  route_vm_start ();
+  route_vm_wait_ready ();
+  *vm = route_vm;
+  route_vm = first;
+}
+
+/* Kills a VM and removes its files. */
+void
+route_vm_remove (struct route_vm *vm)
+{
+  g_autofree char *settings = g_build_filename (vm->folder, "route.ini", NULL);
+  g_autofree char *log = g_build_filename (vm->folder, "out.log", NULL);
+
+  route_vm_kill (vm);
   (void)g_unlink (settings);
   (void)g_unlink (log);
-  (void)g_rmdir (route_vm.folder);
-  g_free (route_vm.folder);
+  (void)g_rmdir (vm->folder);
+  g_free (vm->folder);
 }
 
-/* Sends a request with the id r1 and the key of a known team. extra_headers holds
-   additional header lines. */
+/* Kills the VM, stops the platform and removes the VM's files. */
+void
+route_vm_tear_down (void)
+{
+  route_vm_kill (&route_vm);
+  fake_platform_stop (route_vm.platform);
+  route_vm_remove (&route_vm);
+}
+
+/* Sends a request with the key of a known team to a VM. extra_headers holds additional
+   header lines. */
 struct raw_answer
-route_vm_send (const char *method, const char *path, const char *extra_headers,
-               const char *body)
+route_vm_send_to (const struct route_vm *vm, const char *method, const char *path,
+                  const char *id, const char *extra_headers, const char *body)
 {
   g_autofree char *text = g_strdup_printf (
-      "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nConnection: close\r\n"
+      "%s %s HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\nConnection: close\r\n"
       "Authorization: Bearer key1\r\nRequest-Deadline: 2500\r\n%s"
       "Content-Length: %zu\r\n\r\n%s",
-      method, path, extra_headers, strlen (body), body);
+      method, path, id, extra_headers, strlen (body), body);
 
-  return raw_exchange (route_vm.port, text, ROUTE_VM_TIMEOUT_MS);
+  return raw_exchange (vm->port, text, ROUTE_VM_TIMEOUT_MS);
+}
+
+/* Sends a request with the id r1 and the key of a known team to the fixture's VM. */
+struct raw_answer
+route_vm_send (const char *method, const char *path, const char *extra_headers,
+               const char *body)
+{
+  return route_vm_send_to (&route_vm, method, path, "r1", extra_headers, body);
 }
 
 /* Returns the HTTP status of an answer, or 0 if there was no answer. */
--- a/tests/harness/route_vm.h
+++ b/tests/harness/route_vm.h
@@ -14,7 +14,8 @@
 struct route_vm
 {
   struct fake_platform *platform;
-  char *folder; /* contains its settings and its log, out.log */
+  char *folder;            /* contains its settings and its log, out.log */
+  const char *data_center; /* NULL: "z", that of the servers */
   int port;
   int ready_port;
   int metrics_port;
@@ -28,10 +29,18 @@
 
 void route_vm_set_up (void);
 void route_vm_tear_down (void);
+void route_vm_set_up_servers (unsigned servers);
 void route_vm_start (void);
+void route_vm_add (struct route_vm *vm, const char *data_center);
+void route_vm_kill (struct route_vm *vm);
+void route_vm_restart (struct route_vm *vm);
+void route_vm_remove (struct route_vm *vm);
 void route_vm_wait_ready (void);
 int route_vm_ready_status (void);
 bool route_vm_listens (int port);
+struct raw_answer
+route_vm_send_to (const struct route_vm *vm, const char *method, const char *path,
+                  const char *id, const char *extra_headers, const char *body);
 struct raw_answer route_vm_send (const char *method, const char *path,
                                  const char *extra_headers, const char *body);
 int route_vm_status (const struct raw_answer *answer);
--- /dev/null
+++ b/tests/process/test_route_crashes.c
@@ -0,0 +1,310 @@
+/* Tests that a request that crashes every server that runs it is kept from further
+   servers, whichever VMs get its copies, and that other requests are served. */
+#include <check.h>
+#include <pthread.h>
+#include <signal.h>
+#include <string.h>
+
+#include "tests/harness/route_vm.h"
+#include "tests/harness/run_suite.h"
+
+#define SERVERS          6
+#define OTHERS           3 /* VMs beside the fixture's */
+#define CRASH_TEXT       "deadly"
+#define DOWN_MS          1200 /* until a crashed server is back */
+#define COPY_GAP_MS      300
+#define LONG_COPY_GAP_MS 1500
+#define STABLE_WINDOW_MS 3000 /* stable-window-ms of the users' rule */
+#define RETRIES_MAX      3 /* of the same rule: sent later than that after the third crash */
+#define FEW_COPIES       10
+#define COPIES           30
+#define TRIES_MAX        3
+#define MEET_MS          1500 /* in which VMs that start learn of each other */
+#define STREAM_HEAD      "Model: m\r\nToken-Usage: 10,5\r\nPrompt-Prefix: a:10\r\n"
+
+static const char *const data_centers[OTHERS] = { "z", "y", "y" };
+
+static struct route_vm others[OTHERS];
+static unsigned sent; /* requests so far; each has an id of its own */
+
+static void
+set_up (void)
+{
+  sent = 0;
+  route_vm_set_up_servers (SERVERS);
+  for (int i = 0; i < OTHERS; i++)
+    route_vm_add (&others[i], data_centers[i]);
+  g_usleep (MEET_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+static void
+tear_down (void)
+{
+  for (int i = 0; i < OTHERS; i++)
+    route_vm_remove (&others[i]);
+  route_vm_tear_down ();
+}
+
+/* Returns VM number i, counted over all VMs again and again. */
+static struct route_vm *
+vm_of (unsigned i)
+{
+  unsigned index = i % (OTHERS + 1);
+
+  return index == 0 ? &route_vm : &others[index - 1];
+}
+
+static struct raw_answer
+send_to (const struct route_vm *vm, const char *path, const char *body)
+{
+  g_autofree char *id = g_strdup_printf ("r%u", ++sent);
+  const char *head = g_str_has_prefix (path, "/stream/") ? STREAM_HEAD : "";
+
+  return route_vm_send_to (vm, "POST", path, id, head, body);
+}
+
+static int
+status_at (const struct route_vm *vm, const char *path, const char *body)
+{
+  struct raw_answer answer = send_to (vm, path, body);
+  int status = route_vm_status (&answer);
+
+  raw_answer_clear (&answer);
+  return status;
+}
+
+/* Sends a request and returns true if a server answers it. A request may be refused while
+   the list still has servers that have just crashed; callers retry it, and so does this
+   function. */
+static bool
+is_served (const struct route_vm *vm, const char *path, const char *body)
+{
+  for (int i = 0; i < TRIES_MAX; i++)
+    if (status_at (vm, path, body) == 200)
+      return true;
+  return false;
+}
+
+/* Sends copies of a request that crashes servers to all VMs by turns, gap_ms apart, each
+   followed by another request. Returns the number of those that were not served. */
+static unsigned
+send_copies (const char *path, unsigned count, unsigned gap_ms)
+{
+  unsigned unserved = 0;
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      (void)status_at (vm_of (i), path, CRASH_TEXT);
+      unserved += !is_served (vm_of (i + 1), "/once/innocent", "harmless");
+      g_usleep (gap_ms * G_TIME_SPAN_MILLISECOND);
+    }
+  return unserved;
+}
+
+/* Returns the number of copies that reached servers later than the users' rule allows
+   without limit: STABLE_WINDOW_MS after the third crash. */
+static unsigned
+count_late_retries (void)
+{
+  if (fake_platform_crash_count (route_vm.platform) < 3)
+    return 0;
+  return fake_platform_sent_after (route_vm.platform,
+                                   fake_platform_crash_us (route_vm.platform, 2)
+                                       + STABLE_WINDOW_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+static void
+expect_few_retries (const char *path, unsigned copies, unsigned gap_ms)
+{
+  unsigned unserved;
+  unsigned crashes;
+  unsigned late;
+
+  fake_platform_crash_on (route_vm.platform, CRASH_TEXT, DOWN_MS);
+  unserved = send_copies (path, copies, gap_ms);
+  crashes = fake_platform_crash_count (route_vm.platform);
+  late = count_late_retries ();
+  ck_assert_uint_gt (crashes, 0);
+  ck_assert_msg (late <= RETRIES_MAX && unserved == 0,
+                 "%s: %u servers crashed, %u retries too late, %u others not served",
+                 path, crashes, late, unserved);
+}
+
+START_TEST (test_request_that_crashes_servers_is_sent_on_and_on)
+{
+  expect_few_retries ("/once/x", COPIES, COPY_GAP_MS);
+}
+END_TEST
+
+START_TEST (test_idempotent_request_that_crashes_servers_is_sent_on_and_on)
+{
+  expect_few_retries ("/again/x", COPIES, COPY_GAP_MS);
+}
+END_TEST
+
+START_TEST (test_stream_that_crashes_servers_is_sent_on_and_on)
+{
+  expect_few_retries ("/stream/x", COPIES, COPY_GAP_MS);
+}
+END_TEST
+
+START_TEST (test_request_that_crashes_servers_now_and_then_is_sent_on_and_on)
+{
+  expect_few_retries ("/again/x", FEW_COPIES, LONG_COPY_GAP_MS);
+}
+END_TEST
+
+/* Sends copies to all VMs until the request has crashed three servers, and waits until
+   these are back. */
+static void
+crash_three_servers (void)
+{
+  fake_platform_crash_on (route_vm.platform, CRASH_TEXT, DOWN_MS);
+  for (unsigned i = 0; fake_platform_crash_count (route_vm.platform) < 3; i++)
+    {
+      ck_assert_uint_lt (i, COPIES);
+      (void)status_at (vm_of (i), "/once/x", CRASH_TEXT);
+      g_usleep (COPY_GAP_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  g_usleep (2 * DOWN_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+/* Sends copies to a VM and expects that none of them reaches a server. */
+static void
+expect_none_sent (const struct route_vm *vm)
+{
+  int64_t start_us = g_get_monotonic_time ();
+
+  for (int i = 0; i <= RETRIES_MAX; i++)
+    (void)status_at (vm, "/once/x", CRASH_TEXT);
+  ck_assert_uint_eq (fake_platform_sent_after (route_vm.platform, start_us), 0);
+  ck_assert (is_served (vm, "/once/innocent", "harmless"));
+}
+
+START_TEST (test_refusal_of_a_request_that_crashes_servers)
+{
+  struct raw_answer answer;
+
+  crash_three_servers ();
+  answer = send_to (&others[2], "/once/x", CRASH_TEXT);
+  ck_assert_int_eq (route_vm_status (&answer), 503);
+  ck_assert_ptr_nonnull (strstr (answer.text->str, "Retry-After: "));
+  ck_assert_ptr_nonnull (strstr (answer.text->str, "\"execution\":\"not_run\""));
+  ck_assert_int_lt (answer.elapsed_ms, COPY_GAP_MS);
+  raw_answer_clear (&answer);
+}
+END_TEST
+
+START_TEST (test_vm_that_starts_does_not_know_which_request_crashes_servers)
+{
+  crash_three_servers ();
+  route_vm_kill (&others[2]);
+  route_vm_restart (&others[2]);
+  g_usleep (MEET_MS * G_TIME_SPAN_MILLISECOND);
+  expect_none_sent (&others[2]);
+}
+END_TEST
+
+START_TEST (test_vm_that_was_cut_off_does_not_know_which_request_crashes_servers)
+{
+  ck_assert_int_eq (kill (others[1].pid, SIGSTOP), 0);
+  for (unsigned i = 0; fake_platform_crash_count (route_vm.platform) < 3; i++)
+    {
+      if (i == 0)
+        fake_platform_crash_on (route_vm.platform, CRASH_TEXT, DOWN_MS);
+      ck_assert_uint_lt (i, COPIES);
+      (void)status_at (&route_vm, "/once/x", CRASH_TEXT);
+      g_usleep (COPY_GAP_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  g_usleep (2 * DOWN_MS * G_TIME_SPAN_MILLISECOND);
+  ck_assert_int_eq (kill (others[1].pid, SIGCONT), 0);
+  g_usleep (MEET_MS * G_TIME_SPAN_MILLISECOND);
+  expect_none_sent (&others[1]);
+}
+END_TEST
+
+START_TEST (test_vms_that_all_restart_forget_which_request_crashes_servers)
+{
+  crash_three_servers ();
+  route_vm_kill (&route_vm);
+  for (int i = 0; i < OTHERS; i++)
+    route_vm_kill (&others[i]);
+  route_vm_start ();
+  route_vm_wait_ready ();
+  for (int i = 0; i < OTHERS; i++)
+    route_vm_restart (&others[i]);
+  g_usleep (MEET_MS * G_TIME_SPAN_MILLISECOND);
+  expect_none_sent (&route_vm);
+  expect_none_sent (&others[2]);
+}
+END_TEST
+
+static void
+set_modes (enum fake_mode mode)
+{
+  for (unsigned i = 0; i < SERVERS; i++)
+    fake_platform_server (route_vm.platform, i)->mode = mode;
+}
+
+static void *
+send_popular (void *user)
+{
+  struct raw_answer answer
+      = route_vm_send_to (user, "POST", "/again/popular", "p", "", "popular");
+
+  raw_answer_clear (&answer);
+  return NULL;
+}
+
+/* Crashes the servers with copies of a popular request in flight at all of them. */
+static void
+crash_servers_together (void)
+{
+  pthread_t callers[2 * SERVERS];
+
+  set_modes (FAKE_SLOW);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    ck_assert_int_eq (pthread_create (&callers[i], NULL, send_popular, vm_of (i)), 0);
+  g_usleep (COPY_GAP_MS * G_TIME_SPAN_MILLISECOND);
+  for (unsigned i = 0; i < SERVERS; i++)
+    fake_platform_crash_server (route_vm.platform, i);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    (void)pthread_join (callers[i], NULL);
+  set_modes (FAKE_ANSWER);
+  g_usleep (2 * DOWN_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+START_TEST (test_popular_request_is_blocked_when_all_servers_crash_at_once)
+{
+  fake_platform_crash_on (route_vm.platform, CRASH_TEXT, DOWN_MS);
+  for (int round = 0; round < 3; round++)
+    {
+      crash_servers_together ();
+      for (int i = 0; i <= OTHERS; i++)
+        ck_assert (is_served (vm_of ((unsigned)i), "/again/popular", "popular"));
+    }
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("route crashes");
+  TCase *cases = tcase_create ("route crashes");
+
+  tcase_add_checked_fixture (cases, set_up, tear_down);
+  tcase_set_timeout (cases, 120);
+  tcase_add_test (cases, test_request_that_crashes_servers_is_sent_on_and_on);
+  tcase_add_test (cases, test_idempotent_request_that_crashes_servers_is_sent_on_and_on);
+  tcase_add_test (cases, test_stream_that_crashes_servers_is_sent_on_and_on);
+  tcase_add_test (cases,
+                  test_request_that_crashes_servers_now_and_then_is_sent_on_and_on);
+  tcase_add_test (cases, test_refusal_of_a_request_that_crashes_servers);
+  tcase_add_test (cases, test_vm_that_starts_does_not_know_which_request_crashes_servers);
+  tcase_add_test (cases,
+                  test_vm_that_was_cut_off_does_not_know_which_request_crashes_servers);
+  tcase_add_test (cases, test_vms_that_all_restart_forget_which_request_crashes_servers);
+  tcase_add_test (cases, test_popular_request_is_blocked_when_all_servers_crash_at_once);
+  suite_add_tcase (suite, cases);
+  return run_suite (suite);
+}
