Servers with short ids no longer share a key

What callers saw: nothing known. Found while the crashes of two servers were counted as one: VMs name servers to each other by a hash of id and start time, and two servers with one key are one server to the others: their load, their cached parts and their crashes are added up.

Cause: XXH3 of a text of a few bytes combines the text and the seed by exclusive or, and the start time was the seed: i-1 started at 1001 and i-3 at 1003 have the same key. Evidence: test_servers_with_short_ids_share_a_key failed before (ids i-0 to i-9, starts 1000 to 1009) and passes now. The ids seen on the users' deployments have 12 characters; no collision was seen there. Why the fix works: the seed is now the hash of the id, in which all bits depend on all of the id. During an update, VMs of the old and the new build do not know each other's servers by key, and so not each other's load, until all are updated.

test_route_peers takes the key from the same function.

--- a/src/forward/server.c
+++ b/src/forward/server.c
@@ -1,6 +1,7 @@
 #include "forward/server.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/clock.h"
 #include "base/decision_log.h"
@@ -63,8 +64,16 @@
     kcp_ref_release (server, server_clear);
 }
 
-/* Returns a hash of the server's id and start time, which identifies it in messages
-   between VMs. */
+/* Returns a hash of a server's id and start time. The hash of the id is the seed for the
+   start time: a short text and a seed that differ in the same bits have equal hashes. */
+uint64_t
+kcp_server_make_key (const char *id, int64_t started_ms)
+{
+  return XXH3_64bits_withSeed (&started_ms, sizeof started_ms,
+                               XXH3_64bits (id, strlen (id)));
+}
+
+/* Returns the hash that identifies the server in messages between VMs. */
 uint64_t
 kcp_server_key (const struct kcp_server *server)
 {
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -71,6 +71,7 @@
                                    int64_t version);
 struct kcp_server *kcp_server_ref (struct kcp_server *server);
 void kcp_server_unref (struct kcp_server *server);
+uint64_t kcp_server_make_key (const char *id, int64_t started_ms);
 uint64_t kcp_server_key (const struct kcp_server *server);
 int64_t kcp_server_first_version (const struct kcp_server *server);
 void kcp_server_update_first_version (struct kcp_server *server, int64_t version,
--- a/src/forward/servers.c
+++ b/src/forward/servers.c
@@ -228,8 +228,7 @@
 static void
 add_server (struct kcp_servers *servers, GPtrArray *list, struct kcp_server *server)
 {
-  server->key = XXH3_64bits_withSeed (server->entry.id, strlen (server->entry.id),
-                                      (uint64_t)server->entry.started_ms);
+  server->key = kcp_server_make_key (server->entry.id, server->entry.started_ms);
   g_ptr_array_add (list, server);
   g_hash_table_replace (servers->by_key, &server->key, server);
 }
--- a/tests/process/test_route_peers.c
+++ b/tests/process/test_route_peers.c
@@ -10,6 +10,7 @@
 #include <xxhash.h>
 
 #include "forward/mesh_message.h"
+#include "forward/server.h"
 #include "tests/harness/route_vm.h"
 #include "tests/harness/run_suite.h"
 
@@ -123,7 +124,7 @@
 {
   const char *id = fake_platform_server (route_vm.platform, index)->id;
 
-  return XXH3_64bits_withSeed (id, strlen (id), FIRST_BORN + index);
+  return kcp_server_make_key (id, FIRST_BORN + index);
 }
 
 static void
--- a/tests/unit/test_forward_parts.c
+++ b/tests/unit/test_forward_parts.c
@@ -206,6 +206,34 @@
 }
 END_TEST
 
+/* VMs name servers to each other by their keys. Two servers with one key would be one. */
+START_TEST (test_servers_with_short_ids_share_a_key)
+{
+  struct kcp_servers *servers = kcp_servers_new ();
+
+  for (int i = 0; i < 10; i++)
+    {
+      struct kcp_server_entry entry;
+
+      kcp_server_entry_init (&entry);
+      entry.id = g_strdup_printf ("i-%d", i);
+      entry.service = g_strdup ("s");
+      entry.address = g_strdup_printf ("10.0.0.%d:80", i);
+      entry.data_center = g_strdup ("z");
+      entry.started_ms = 1000 + i;
+      ck_assert (kcp_servers_apply (servers, &entry));
+    }
+  for (guint i = 0; i < 10; i++)
+    {
+      struct kcp_server *server = g_ptr_array_index (kcp_servers_all (servers), i);
+
+      ck_assert_ptr_eq (kcp_servers_find_by_key (servers, kcp_server_key (server)),
+                        server);
+    }
+  kcp_servers_free (servers);
+}
+END_TEST
+
 /* A cache store must stay the same object when the same configuration is applied again,
    and must not be marked as removed. */
 START_TEST (test_cache_store_survives_reconfiguration)
@@ -568,6 +596,7 @@
   tcase_add_test (cases, test_weights_replacement_time_counts_from_first_successor);
   tcase_add_test (cases, test_invalid_server_entries_are_rejected);
   tcase_add_test (cases, test_restarted_server_with_same_id_is_a_new_server);
+  tcase_add_test (cases, test_servers_with_short_ids_share_a_key);
   tcase_add_test (cases, test_cache_store_survives_reconfiguration);
   tcase_add_test (cases, test_interrupted_streams_resume_at_event_boundaries);
   tcase_add_test (cases, test_mesh_message_round_trip_rejects_truncation);
