--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -45,6 +45,8 @@
   = { "config_log_restarts", "Times the configuration stream was read anew" },
   [KCP_COUNT_SERVER_CRASHES]
   = { "server_crashes", "Crashes of backend servers that requests were in flight at" },
+  [KCP_COUNT_BLOCKED]
+  = { "blocked", "Requests ended because copies of them crashed servers" },
 };
 
 static uint64_t values[KCP_COUNTER_COUNT];
--- a/src/cmd/explain.c
+++ b/src/cmd/explain.c
@@ -50,6 +50,7 @@
   { "sent", "sent to a server" },
   { "attempt_failed", "the server returned no answer that could be relayed" },
   { "backlog", "refused: too much prefill work queued ahead of it at the best server" },
+  { "blocked", "not sent: copies of it have crashed too many servers" },
   { "request", "ended" },
   { "server", "(server) its entry changed" },
   { "server_weights", "(server) reported new weights" },
--- a/src/cmd/share_suspects.c
+++ b/src/cmd/share_suspects.c
@@ -26,7 +26,7 @@
   struct kcp_fact fact = {
     .kind = KCP_FACT_QUARANTINE,
     .number = change->rank,
-    .state = change->crash,
+    .state = change->crashes[0],
     .expires_ms = kcp_clock_realtime_ms (&kcp_clock_system) + change->remaining_ms,
   };
 
@@ -43,7 +43,7 @@
   struct kcp_quarantine_fact change = {
     .fingerprint = g_ascii_strtoull (fact->id, NULL, HEX_BASE),
     .rank = (uint32_t)fact->number,
-    .crash = fact->state,
+    .crashes = { fact->state },
     .remaining_ms = (uint32_t)CLAMP (remaining_ms, 0, G_MAXUINT32),
   };
 
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -4,6 +4,7 @@
 #include "base/counter.h"
 #include "base/decision_log.h"
 #include "base/id.h"
+#include "forward/crash_suspects.h"
 #include "forward/forward_private.h"
 #include "policy/backlog.h"
 #include "policy/fingerprint.h"
@@ -17,6 +18,8 @@
 static void set_deadline (struct kcp_forward *forward);
 static bool is_backlogged (const struct kcp_forward *forward);
 static void refuse_for_backlog (struct kcp_forward *forward);
+static bool is_blocked (struct kcp_forward *forward);
+static void end_blocked (struct kcp_forward *forward);
 static void send_next (struct kcp_forward *forward);
 static void on_deadline (void *user);
 static void server_unref (gpointer data);
@@ -182,13 +185,46 @@
   kcp_forward_refuse (forward, "backlog");
 }
 
-/* Sends the request to the next server, or ends it if there is none or its queue is too
-   long. */
+/* Returns true if copies of the request have crashed too many servers. */
+static bool
+is_blocked (struct kcp_forward *forward)
+{
+  return kcp_crash_suspects_is_blocked (forward->gateway, forward->fingerprint,
+                                        &forward->choice.earliest_available_ns);
+}
+
+/* Ends a request that is not sent to any further server. */
+static void
+end_blocked (struct kcp_forward *forward)
+{
+  char fingerprint[KCP_FINGERPRINT_TEXT_SIZE];
+
+  kcp_counter_add (KCP_COUNT_BLOCKED, 1);
+  KCP_LOG ("blocked", KCP_LOG_TEXT ("request", forward->inbound->id),
+           KCP_LOG_TEXT ("fingerprint",
+                         kcp_fingerprint_text (forward->fingerprint, fingerprint)),
+           KCP_LOG_INT ("runs", forward->runs));
+  if (forward->answer->begun)
+    kcp_forward_interrupt (forward, "crashes_servers");
+  else if (forward->runs > 0)
+    kcp_forward_end_with_problem (forward, MHD_HTTP_BAD_GATEWAY, "unknown",
+                                  "crashes_servers");
+  else
+    kcp_forward_refuse (forward, "crashes_servers");
+}
+
+/* Sends the request to the next server, or ends it if there is none, its queue is too
+   long, or the request is blocked. */
 static void
 send_next (struct kcp_forward *forward)
 {
   struct kcp_choice *choice = &forward->choice;
 
+  if (is_blocked (forward))
+    {
+      end_blocked (forward);
+      return;
+    }
   kcp_choose (forward->gateway, choice);
   if (choice->server != NULL && is_backlogged (forward))
     {
@@ -219,6 +255,7 @@
     .repeat = forward->choice.route->repeat,
     .end = end,
     .max_runs = (unsigned)forward->choice.route->max_runs,
+    .suspect = kcp_crash_suspects_is_suspect (forward->gateway, forward->fingerprint),
     .server_available = true,
     .remaining_ms = kcp_forward_remaining_ms (forward),
   };
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -4,6 +4,7 @@
 #include "base/counter.h"
 #include "base/decision_log.h"
 #include "base/histogram.h"
+#include "forward/crash_suspects.h"
 #include "forward/forward_private.h"
 #include "policy/fingerprint.h"
 #include "policy/queue_priority.h"
@@ -263,6 +264,7 @@
     return false;
   kcp_server_record_answer (forward->attempt.server);
   forward->attempt.server->last_answer_ns = kcp_loop_now (forward->gateway->loop);
+  kcp_crash_suspects_clear (forward->gateway, forward->fingerprint);
   if (is_streamed (forward, result->status))
     {
       const GString *rest = forward->framer.pending;
--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -4,7 +4,7 @@
 
 #include "base/counter.h"
 #include "base/decision_log.h"
-#include "policy/fingerprint.h"
+#include "forward/crash_suspects.h"
 
 #define PREFIX_INDEX_CAPACITY 8192u /* prompt parts */
 /* The part of the retry budget that the VMs use. The rest is a margin, since each VM
@@ -30,6 +30,7 @@
   gateway->desired_weights = g_ptr_array_new_with_free_func (desired_weights_free);
   gateway->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gateway->prefixes = kcp_prefix_index_new (PREFIX_INDEX_CAPACITY);
+  gateway->quarantine = kcp_crash_suspects_new ();
   gateway->crash_watch = kcp_crash_watch_new (gateway->loop, on_crash, gateway);
 }
 
@@ -39,6 +40,7 @@
 {
   kcp_http_client_free (gateway->client);
   kcp_crash_watch_free (gateway->crash_watch);
+  kcp_quarantine_free (gateway->quarantine);
   kcp_loop_free (gateway->loop);
   kcp_servers_free (gateway->servers);
   g_ptr_array_unref (gateway->desired_weights);
@@ -152,19 +154,10 @@
   return !gateway->draining && gateway->routes != NULL;
 }
 
-/* Logs a request that was in flight at a server that crashed. */
 static void
 on_crash (void *user, const struct kcp_crash *crash)
 {
-  char fingerprint[KCP_FINGERPRINT_TEXT_SIZE];
-
-  (void)user;
-  KCP_LOG (
-      "in_flight_at_crash",
-      KCP_LOG_TEXT ("fingerprint",
-                    kcp_fingerprint_text (crash->fingerprint, fingerprint)),
-      KCP_LOG_TEXT ("server", crash->server->entry.id),
-      KCP_LOG_INT ("in_flight_ms", (crash->ended_ns - crash->sent_ns) / KCP_NS_PER_MS));
+  kcp_crash_suspects_add (user, crash);
 }
 
 static void
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -12,6 +12,7 @@
 #include "forward/loop.h"
 #include "forward/prefix_index.h"
 #include "forward/servers.h"
+#include "policy/quarantine.h"
 #include "policy/resend.h"
 #include "route/routes.h"
 #include "settings/forward_settings.h"
@@ -48,9 +49,10 @@
   GHashTable *budgets;        /* service -> struct kcp_resend_budget */
   struct kcp_prefix_index *prefixes;
   struct kcp_crash_watch *crash_watch;
-  struct kcp_mesh *mesh; /* exchange with other VMs; NULL: none */
-  bool draining;         /* the load balancer is asked to send no connections */
-  bool closing;          /* new requests are refused; the balancer sends none */
+  struct kcp_quarantine *quarantine; /* see forward/crash_suspects.h */
+  struct kcp_mesh *mesh;             /* exchange with other VMs; NULL: none */
+  bool draining; /* the load balancer is asked to send no connections */
+  bool closing;  /* new requests are refused; the balancer sends none */
   unsigned open_requests;
   unsigned vms; /* known to be alive, including this one */
 };
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -28,6 +28,7 @@
 static bool handle_gossip (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_update (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_records (struct kcp_mesh *mesh, char *bytes, size_t len);
+static bool handle_suspects (struct kcp_mesh *mesh, char *bytes, size_t len);
 static void apply_gossip (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static void apply_row (struct kcp_mesh *mesh, const struct kcp_mesh_row *row);
 static void add_row_load (struct kcp_mesh *mesh, const struct kcp_mesh_row *row);
@@ -50,7 +51,8 @@
   mesh->start_ms = (uint64_t)kcp_clock_realtime_ms (gateway->clock);
   g_strlcpy (mesh->own, own, sizeof mesh->own);
   kcp_mesh_update_init (&mesh->pending);
-  mesh->updates_refilled_ns = kcp_loop_now (gateway->loop);
+  mesh->update_budget.refilled_ns = kcp_loop_now (gateway->loop);
+  kcp_mesh_start_suspects (mesh);
   mesh->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (!kcp_server_loop_parse_address (own, &address, error))
     goto fail;
@@ -97,6 +99,7 @@
   kcp_loop_timer_cancel (&mesh->gossip_timer);
   kcp_loop_timer_cancel (&mesh->list_timer);
   kcp_loop_timer_cancel (&mesh->flush);
+  kcp_mesh_stop_suspects (mesh);
   kcp_mesh_update_clear (&mesh->pending);
   if (mesh->fd >= 0)
     {
@@ -219,6 +222,9 @@
         case KCP_MESH_RECORDS:
           valid = handle_records (mesh, bytes, (size_t)len);
           break;
+        case KCP_MESH_SUSPECTS:
+          valid = handle_suspects (mesh, bytes, (size_t)len);
+          break;
         case KCP_MESH_INVALID:
           break;
         }
@@ -270,6 +276,20 @@
   return valid;
 }
 
+static bool
+handle_suspects (struct kcp_mesh *mesh, char *bytes, size_t len)
+{
+  struct kcp_mesh_suspects suspects;
+  bool valid;
+
+  kcp_mesh_suspects_init (&suspects);
+  valid = kcp_mesh_suspects_decode (&suspects, bytes, len);
+  if (valid)
+    kcp_mesh_apply_suspects (mesh, &suspects);
+  kcp_mesh_suspects_clear (&suspects);
+  return valid;
+}
+
 /* Stores the state from a gossip message unless a newer one of its sender is known. */
 static void
 apply_gossip (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
--- a/src/forward/mesh_message.c
+++ b/src/forward/mesh_message.c
@@ -15,20 +15,29 @@
 #define ROW_IN_FLIGHT_SHIFT 16
 #define ROW_IN_FLIGHT_MAX   0xffffu
 
+/* Encodes or decodes the body of one type of message. */
+typedef bool_t code_body (XDR *xdr, void *message);
+
+static size_t encode (enum kcp_mesh_procedure procedure, void *message, code_body *code,
+                      char *out, size_t max);
+static bool decode (enum kcp_mesh_procedure procedure, void *message, code_body *code,
+                    char *data, size_t len);
 static void add_empty_row (GArray *rows);
 static bool encode_call (XDR *xdr, enum kcp_mesh_procedure procedure);
 static enum kcp_mesh_procedure decode_call (XDR *xdr);
-static bool_t code_message (XDR *xdr, struct kcp_mesh_message *message);
+static bool_t code_message (XDR *xdr, void *user);
 static bool_t code_text (XDR *xdr, char *text, size_t size);
 static bool_t code_rows (XDR *xdr, GArray *rows);
 static bool_t code_row (XDR *xdr, struct kcp_mesh_row *row);
 static bool_t code_optional (XDR *xdr, uint32_t present, uint32_t *value);
 static bool_t code_parts (XDR *xdr, GArray *parts);
-static bool_t code_update (XDR *xdr, struct kcp_mesh_update *update);
+static bool_t code_update (XDR *xdr, void *user);
 static bool_t code_change (XDR *xdr, struct kcp_mesh_change *change);
-static bool_t code_records (XDR *xdr, struct kcp_mesh_records *records);
+static bool_t code_records (XDR *xdr, void *user);
 static bool_t code_record (XDR *xdr, struct kcp_mesh_record *record);
 static bool_t code_bytes (XDR *xdr, struct kcp_str *bytes);
+static bool_t code_suspects (XDR *xdr, void *user);
+static bool_t code_fact (XDR *xdr, struct kcp_quarantine_fact *fact);
 static void row_clear (gpointer data);
 
 /* Initializes a gossip message without rows. */
@@ -59,14 +68,7 @@
 size_t
 kcp_mesh_message_encode (struct kcp_mesh_message *message, char *out, size_t max)
 {
-  XDR xdr;
-  size_t len = 0;
-
-  xdrmem_create (&xdr, out, (u_int)max, XDR_ENCODE);
-  if (encode_call (&xdr, KCP_MESH_GOSSIP) && code_message (&xdr, message))
-    len = xdr_getpos (&xdr);
-  xdr_destroy (&xdr);
-  return len;
+  return encode (KCP_MESH_GOSSIP, message, code_message, out, max);
 }
 
 /* Decodes an RPC call into an initialized message. Returns false if it is not a valid
@@ -74,14 +76,7 @@
 bool
 kcp_mesh_message_decode (struct kcp_mesh_message *message, char *data, size_t len)
 {
-  XDR xdr;
-  bool valid;
-
-  xdrmem_create (&xdr, data, (u_int)len, XDR_DECODE);
-  valid = decode_call (&xdr) == KCP_MESH_GOSSIP && code_message (&xdr, message)
-          && xdr_getpos (&xdr) == len;
-  xdr_destroy (&xdr);
-  return valid;
+  return decode (KCP_MESH_GOSSIP, message, code_message, data, len);
 }
 
 /* Returns the procedure that the RPC call header names. */
@@ -116,14 +111,7 @@
 size_t
 kcp_mesh_update_encode (struct kcp_mesh_update *update, char *out, size_t max)
 {
-  XDR xdr;
-  size_t len = 0;
-
-  xdrmem_create (&xdr, out, (u_int)max, XDR_ENCODE);
-  if (encode_call (&xdr, KCP_MESH_UPDATE) && code_update (&xdr, update))
-    len = xdr_getpos (&xdr);
-  xdr_destroy (&xdr);
-  return len;
+  return encode (KCP_MESH_UPDATE, update, code_update, out, max);
 }
 
 /* Decodes an RPC call into an initialized update. Returns false if it is not a valid
@@ -131,14 +119,7 @@
 bool
 kcp_mesh_update_decode (struct kcp_mesh_update *update, char *data, size_t len)
 {
-  XDR xdr;
-  bool valid;
-
-  xdrmem_create (&xdr, data, (u_int)len, XDR_DECODE);
-  valid = decode_call (&xdr) == KCP_MESH_UPDATE && code_update (&xdr, update)
-          && xdr_getpos (&xdr) == len;
-  xdr_destroy (&xdr);
-  return valid;
+  return decode (KCP_MESH_UPDATE, update, code_update, data, len);
 }
 
 /* Initializes a records message without records. */
@@ -159,27 +140,74 @@
 /* Encodes the records as an RPC call. Returns its length, or 0 if max is too small. */
 size_t
 kcp_mesh_records_encode (struct kcp_mesh_records *records, char *out, size_t max)
+{
+  return encode (KCP_MESH_RECORDS, records, code_records, out, max);
+}
+
+/* Decodes an RPC call into an initialized message, whose keys and values then point into
+   data. Returns false if it is not a valid records message. */
+bool
+kcp_mesh_records_decode (struct kcp_mesh_records *records, char *data, size_t len)
+{
+  return decode (KCP_MESH_RECORDS, records, code_records, data, len);
+}
+
+/* Initializes a suspects message without facts. */
+void
+kcp_mesh_suspects_init (struct kcp_mesh_suspects *suspects)
+{
+  memset (suspects, 0, sizeof *suspects);
+  suspects->facts = g_array_new (FALSE, TRUE, sizeof (struct kcp_quarantine_fact));
+}
+
+/* Frees the contents of a suspects message. */
+void
+kcp_mesh_suspects_clear (struct kcp_mesh_suspects *suspects)
+{
+  g_array_unref (suspects->facts);
+}
+
+/* Encodes the facts as an RPC call. Returns its length, or 0 if max is too small. */
+size_t
+kcp_mesh_suspects_encode (struct kcp_mesh_suspects *suspects, char *out, size_t max)
+{
+  return encode (KCP_MESH_SUSPECTS, suspects, code_suspects, out, max);
+}
+
+/* Decodes an RPC call into an initialized message. Returns false if it is not a valid
+   suspects message. */
+bool
+kcp_mesh_suspects_decode (struct kcp_mesh_suspects *suspects, char *data, size_t len)
+{
+  return decode (KCP_MESH_SUSPECTS, suspects, code_suspects, data, len);
+}
+
+/* Encodes a message as an RPC call. Returns its length, or 0 if max is too small. */
+static size_t
+encode (enum kcp_mesh_procedure procedure, void *message, code_body *code, char *out,
+        size_t max)
 {
   XDR xdr;
   size_t len = 0;
 
   xdrmem_create (&xdr, out, (u_int)max, XDR_ENCODE);
-  if (encode_call (&xdr, KCP_MESH_RECORDS) && code_records (&xdr, records))
+  if (encode_call (&xdr, procedure) && code (&xdr, message))
     len = xdr_getpos (&xdr);
   xdr_destroy (&xdr);
   return len;
 }
 
-/* Decodes an RPC call into an initialized message, whose keys and values then point into
-   data. Returns false if it is not a valid records message. */
-bool
-kcp_mesh_records_decode (struct kcp_mesh_records *records, char *data, size_t len)
+/* Decodes an RPC call into an initialized message. Returns false if it is not a valid
+   call of the procedure. */
+static bool
+decode (enum kcp_mesh_procedure procedure, void *message, code_body *code, char *data,
+        size_t len)
 {
   XDR xdr;
   bool valid;
 
   xdrmem_create (&xdr, data, (u_int)len, XDR_DECODE);
-  valid = decode_call (&xdr) == KCP_MESH_RECORDS && code_records (&xdr, records)
+  valid = decode_call (&xdr) == procedure && code (&xdr, message)
           && xdr_getpos (&xdr) == len;
   xdr_destroy (&xdr);
   return valid;
@@ -226,14 +254,17 @@
       return KCP_MESH_UPDATE;
     case KCP_MESH_RECORDS:
       return KCP_MESH_RECORDS;
+    case KCP_MESH_SUSPECTS:
+      return KCP_MESH_SUSPECTS;
     default:
       return KCP_MESH_INVALID;
     }
 }
 
 static bool_t
-code_message (XDR *xdr, struct kcp_mesh_message *message)
+code_message (XDR *xdr, void *user)
 {
+  struct kcp_mesh_message *message = user;
   bool_t leaving = message->leaving;
 
   if (!code_text (xdr, message->vm, sizeof message->vm)
@@ -313,8 +344,9 @@
 }
 
 static bool_t
-code_update (XDR *xdr, struct kcp_mesh_update *update)
+code_update (XDR *xdr, void *user)
 {
+  struct kcp_mesh_update *update = user;
   uint32_t count = update->changes->len;
 
   if (!code_text (xdr, update->vm, sizeof update->vm)
@@ -338,8 +370,9 @@
 }
 
 static bool_t
-code_records (XDR *xdr, struct kcp_mesh_records *records)
+code_records (XDR *xdr, void *user)
 {
+  struct kcp_mesh_records *records = user;
   uint32_t count = records->records->len;
 
   if (!code_text (xdr, records->vm, sizeof records->vm)
@@ -385,6 +418,38 @@
   return TRUE;
 }
 
+static bool_t
+code_suspects (XDR *xdr, void *user)
+{
+  struct kcp_mesh_suspects *suspects = user;
+  uint32_t count = suspects->facts->len;
+
+  if (!code_text (xdr, suspects->vm, sizeof suspects->vm) || !xdr_uint32_t (xdr, &count)
+      || count > KCP_MESH_SUSPECTS_MAX)
+    return FALSE;
+  g_array_set_size (suspects->facts, count);
+  for (uint32_t i = 0; i < count; i++)
+    if (!code_fact (xdr, &g_array_index (suspects->facts, struct kcp_quarantine_fact, i)))
+      return FALSE;
+  return TRUE;
+}
+
+static bool_t
+code_fact (XDR *xdr, struct kcp_quarantine_fact *fact)
+{
+  bool_t several_incidents = fact->several_incidents;
+
+  for (unsigned i = 0; i < KCP_QUARANTINE_CRASHES_MAX; i++)
+    if (!xdr_uint64_t (xdr, &fact->crashes[i]))
+      return FALSE;
+  if (!xdr_uint64_t (xdr, &fact->fingerprint) || !xdr_uint32_t (xdr, &fact->rank)
+      || !xdr_bool (xdr, &several_incidents) || !xdr_uint32_t (xdr, &fact->first_age_ms)
+      || !xdr_uint32_t (xdr, &fact->remaining_ms))
+    return FALSE;
+  fact->several_incidents = several_incidents;
+  return TRUE;
+}
+
 static void
 row_clear (gpointer data)
 {
--- a/src/forward/mesh_message.h
+++ b/src/forward/mesh_message.h
@@ -2,7 +2,8 @@
    without a reply. A gossip message holds the sender's whole state, so that the newest
    message of a VM replaces its earlier ones and a lost message does no harm. An update
    message holds only changes; if it is lost, the next gossip messages make up for it. A
-   records message relays what one VM has read of the servers' list. */
+   records message relays what one VM has read of the servers' list. A suspects message
+   tells which requests were in flight at servers that crashed. */
 #ifndef KCP_FORWARD_MESH_MESSAGE_H
 #define KCP_FORWARD_MESH_MESSAGE_H
 
@@ -11,19 +12,22 @@
 #include <stdint.h>
 
 #include "base/str.h"
+#include "policy/quarantine.h"
 
-#define KCP_MESH_MESSAGE_MAX 8192u /* bytes */
-#define KCP_MESH_ROWS_MAX    128u
-#define KCP_MESH_PARTS_MAX   512u /* in all rows of a message together, so that it fits */
-#define KCP_MESH_CHANGES_MAX 64u  /* changes in an update message */
-#define KCP_MESH_RECORDS_MAX 64u
+#define KCP_MESH_MESSAGE_MAX  8192u /* bytes */
+#define KCP_MESH_ROWS_MAX     128u
+#define KCP_MESH_PARTS_MAX    512u /* in all rows of a message together, so that it fits */
+#define KCP_MESH_CHANGES_MAX  64u  /* changes in an update message */
+#define KCP_MESH_RECORDS_MAX  64u
+#define KCP_MESH_SUSPECTS_MAX 64u /* facts in a suspects message */
 
 enum kcp_mesh_procedure
 {
   KCP_MESH_INVALID, /* not a call of this RPC program */
   KCP_MESH_GOSSIP,  /* struct kcp_mesh_message */
   KCP_MESH_UPDATE,  /* struct kcp_mesh_update */
-  KCP_MESH_RECORDS  /* struct kcp_mesh_records */
+  KCP_MESH_RECORDS, /* struct kcp_mesh_records */
+  KCP_MESH_SUSPECTS /* struct kcp_mesh_suspects */
 };
 
 /* The state of one server as seen by the sending VM. */
@@ -90,6 +94,13 @@
   GArray *records; /* struct kcp_mesh_record */
 };
 
+/* What one VM knows of requests that were in flight at servers that crashed. */
+struct kcp_mesh_suspects
+{
+  char vm[64];   /* IP:PORT of the VM's own socket */
+  GArray *facts; /* struct kcp_quarantine_fact */
+};
+
 enum kcp_mesh_procedure kcp_mesh_procedure_of (char *data, size_t len);
 void kcp_mesh_update_init (struct kcp_mesh_update *update);
 void kcp_mesh_update_clear (struct kcp_mesh_update *update);
@@ -100,6 +111,12 @@
 void kcp_mesh_records_clear (struct kcp_mesh_records *records);
 size_t kcp_mesh_records_encode (struct kcp_mesh_records *records, char *out, size_t max);
 bool kcp_mesh_records_decode (struct kcp_mesh_records *records, char *data, size_t len);
+void kcp_mesh_suspects_init (struct kcp_mesh_suspects *suspects);
+void kcp_mesh_suspects_clear (struct kcp_mesh_suspects *suspects);
+size_t
+kcp_mesh_suspects_encode (struct kcp_mesh_suspects *suspects, char *out, size_t max);
+bool
+kcp_mesh_suspects_decode (struct kcp_mesh_suspects *suspects, char *data, size_t len);
 
 void kcp_mesh_message_init (struct kcp_mesh_message *message);
 void kcp_mesh_message_clear (struct kcp_mesh_message *message);
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -31,7 +31,18 @@
 struct kcp_mesh_budget
 {
   int64_t bytes;
-  guint next_peer; /* index of the VM at which the next round begins */
+  int64_t refilled_ns; /* when it was last refilled; unused by gossip */
+  guint next_peer;     /* index of the VM at which the next round begins */
+};
+
+/* What the suspects messages need. */
+struct kcp_mesh_suspect_state
+{
+  struct kcp_mesh_budget budget;
+  GArray *changed;       /* uint64_t, fingerprints of suspects to be sent at once */
+  guint repeat_position; /* facts of the table that were repeated in this round */
+  struct kcp_loop_timer flush_timer;
+  struct kcp_loop_timer repeat_timer;
 };
 
 struct kcp_mesh
@@ -45,7 +56,7 @@
   struct kcp_mesh_budget local_budget;
   struct kcp_mesh_budget remote_budget;
   struct kcp_mesh_budget update_budget;
-  int64_t updates_refilled_ns;    /* when update_budget was last refilled */
+  struct kcp_mesh_suspect_state suspects;
   struct kcp_mesh_update pending; /* changes to be sent in the next update message */
   bool peer_load_stale; /* the peers' load has changed since it was last added up */
   bool leader;          /* this VM was the leader of its data center when last logged */
@@ -76,5 +87,13 @@
 
 /* mesh_update.c */
 void kcp_mesh_apply_update (struct kcp_mesh *mesh, const struct kcp_mesh_update *update);
+void kcp_mesh_refill_budget (struct kcp_mesh_budget *budget, int64_t now_ns,
+                             int64_t bytes_per_s, int64_t max_bytes);
+
+/* mesh_suspects.c */
+void kcp_mesh_start_suspects (struct kcp_mesh *mesh);
+void kcp_mesh_stop_suspects (struct kcp_mesh *mesh);
+void
+kcp_mesh_apply_suspects (struct kcp_mesh *mesh, const struct kcp_mesh_suspects *message);
 
 #endif
--- a/src/forward/mesh_update.c
+++ b/src/forward/mesh_update.c
@@ -11,7 +11,6 @@
 
 static void announce (struct kcp_mesh *mesh, const struct kcp_mesh_change *change);
 static void flush (void *user);
-static void refill_budget (struct kcp_mesh *mesh);
 static void send_to_group (struct kcp_mesh *mesh, struct kcp_str bytes, bool local);
 static void apply_change (struct kcp_mesh *mesh, const struct kcp_mesh_change *change);
 
@@ -100,21 +99,22 @@
   g_array_set_size (pending->changes, 0);
   if (datagram.len == 0)
     return;
-  refill_budget (mesh);
+  kcp_mesh_refill_budget (&mesh->update_budget, kcp_loop_now (mesh->gateway->loop),
+                          UPDATE_BYTES_PER_S, UPDATE_BUDGET_MAX_BYTES);
   send_to_group (mesh, datagram, true);
   send_to_group (mesh, datagram, false);
 }
 
-static void
-refill_budget (struct kcp_mesh *mesh)
+/* Adds the bytes for the time since the budget was last refilled, up to max_bytes. */
+void
+kcp_mesh_refill_budget (struct kcp_mesh_budget *budget, int64_t now_ns,
+                        int64_t bytes_per_s, int64_t max_bytes)
 {
-  int64_t now = kcp_loop_now (mesh->gateway->loop);
-  int64_t elapsed_ns = now - mesh->updates_refilled_ns;
-  int64_t refill_bytes = elapsed_ns / KCP_NS_PER_MS * UPDATE_BYTES_PER_S / 1000;
+  int64_t elapsed_ms = (now_ns - budget->refilled_ns) / KCP_NS_PER_MS;
 
-  mesh->update_budget.bytes
-      = MIN (mesh->update_budget.bytes + refill_bytes, UPDATE_BUDGET_MAX_BYTES);
-  mesh->updates_refilled_ns = now;
+  budget->bytes
+      = MIN (budget->bytes + elapsed_ms * bytes_per_s / KCP_MS_PER_S, max_bytes);
+  budget->refilled_ns = now_ns;
 }
 
 /* Sends the update to live VMs in round-robin order until the budget is used up: to VMs
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -1,6 +1,7 @@
 #include "policy/quarantine.h"
 
 #include <glib.h>
+#include <string.h>
 #include <xxhash.h>
 
 #include "base/clock.h"
@@ -12,14 +13,18 @@
 #define RANK_CRASH_MASK 3u
 #define RANK_BLOCKED    UINT32_MAX
 
+_Static_assert(KCP_QUARANTINE_CRASHES_MAX <= RANK_CRASH_MASK, "crashes fit into a rank");
+
 /* Time for which only the VM that observed a crash may retry the suspect. */
 #define REMOTE_SUSPECT_WAIT_NS (3 * KCP_NS_PER_S)
 
 struct entry
 {
   uint64_t fingerprint;
-  uint64_t crash;
+  uint64_t crashes[KCP_QUARANTINE_CRASHES_MAX];
   uint32_t rank;
+  bool several_incidents;
+  int64_t first_crash_ns;
   int64_t expires_ns;
   /* When another VM reported the suspicion; 0: this VM observed the crash. */
   int64_t received_ns;
@@ -29,10 +34,19 @@
 {
   size_t capacity;
   int64_t keep_ns;
+  struct kcp_quarantine_rule rule;
   GHashTable *entries;      /* fingerprint -> struct entry */
   GHashTable *busy_servers; /* set of hashes of servers that run a suspect */
 };
 
+static bool add_incarnation (struct entry *entry, uint64_t incarnation);
+static bool has_incarnation (const struct entry *entry, uint64_t incarnation);
+static void block_if_due (const struct kcp_quarantine *quarantine, struct entry *entry);
+static bool merge_generation (struct entry *entry, const struct kcp_quarantine_fact *fact,
+                              int64_t first_crash_ns);
+static void replace_state (struct entry *entry, const struct kcp_quarantine_fact *fact,
+                           int64_t first_crash_ns);
+static struct kcp_quarantine_fact make_fact (const struct entry *entry, int64_t now_ns);
 static struct entry *
 find (struct kcp_quarantine *quarantine, uint64_t fingerprint, int64_t now_ns);
 static struct entry *
@@ -50,15 +64,25 @@
   return XXH3_64bits_withSeed (body.data, body.len, XXH3_64bits (team.data, team.len));
 }
 
-/* Creates an empty table of at most capacity entries. An entry is kept for keep_ns after
-   its last change. */
+/* Creates an empty table of at most capacity entries, in which a request is blocked after
+   two crashes. An entry is kept for keep_ns after its last change. */
 struct kcp_quarantine *
 kcp_quarantine_new (size_t capacity, int64_t keep_ns)
+{
+  return kcp_quarantine_new_with_rule (capacity, keep_ns,
+                                       &(struct kcp_quarantine_rule){ .crashes = 2 });
+}
+
+/* As kcp_quarantine_new(), with another rule, which is copied. */
+struct kcp_quarantine *
+kcp_quarantine_new_with_rule (size_t capacity, int64_t keep_ns,
+                              const struct kcp_quarantine_rule *rule)
 {
   struct kcp_quarantine *quarantine = g_new0 (struct kcp_quarantine, 1);
 
   quarantine->capacity = capacity;
   quarantine->keep_ns = keep_ns;
+  quarantine->rule = *rule;
   quarantine->entries = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   quarantine->busy_servers
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
@@ -82,7 +106,15 @@
 {
   if (rank == RANK_BLOCKED)
     return KCP_QUARANTINE_BLOCKED;
-  return (rank & RANK_CRASH_MASK) > 0 ? KCP_QUARANTINE_SUSPECT : KCP_QUARANTINE_NONE;
+  return kcp_quarantine_rank_crashes (rank) > 0 ? KCP_QUARANTINE_SUSPECT
+                                                : KCP_QUARANTINE_NONE;
+}
+
+/* Returns the number of crashes that a rank counts since the request was last cleared. */
+unsigned
+kcp_quarantine_rank_crashes (uint32_t rank)
+{
+  return rank & RANK_CRASH_MASK;
 }
 
 /* Returns the state of a request. */
@@ -101,23 +133,71 @@
 kcp_quarantine_add_crash (struct kcp_quarantine *quarantine, uint64_t fingerprint,
                           uint64_t crash, int64_t now_ns)
 {
-  struct entry *entry = find_or_add (quarantine, fingerprint, now_ns);
+  (void)kcp_quarantine_add_crash_of_copy (quarantine,
+                                          &(struct kcp_quarantine_crash){
+                                              .fingerprint = fingerprint,
+                                              .incarnation = crash,
+                                              .sent_ns = now_ns,
+                                              .ended_ns = now_ns,
+                                          },
+                                          now_ns);
+}
+
+/* As kcp_quarantine_add_crash(), with the times of the copy that was in flight. Returns
+   the request's new state. */
+enum kcp_quarantine_state
+kcp_quarantine_add_crash_of_copy (struct kcp_quarantine *quarantine,
+                                  const struct kcp_quarantine_crash *crash,
+                                  int64_t now_ns)
+{
+  struct entry *entry = find_or_add (quarantine, crash->fingerprint, now_ns);
 
   entry->expires_ns = now_ns + quarantine->keep_ns;
-  switch (kcp_quarantine_rank_state (entry->rank))
+  if (entry->rank == RANK_BLOCKED || has_incarnation (entry, crash->incarnation))
+    return kcp_quarantine_rank_state (entry->rank);
+  if (kcp_quarantine_rank_crashes (entry->rank) == 0)
     {
-    case KCP_QUARANTINE_NONE:
-      entry->rank++;
-      entry->crash = crash;
+      entry->first_crash_ns = crash->ended_ns;
       entry->received_ns = 0;
-      break;
-    case KCP_QUARANTINE_SUSPECT:
-      if (entry->crash != crash)
-        entry->rank = RANK_BLOCKED;
-      break;
-    case KCP_QUARANTINE_BLOCKED:
-      break;
     }
+  else if (crash->sent_ns >= entry->first_crash_ns + quarantine->rule.incident_ns)
+    entry->several_incidents = true;
+  (void)add_incarnation (entry, crash->incarnation);
+  entry->first_crash_ns = MIN (entry->first_crash_ns, crash->ended_ns);
+  block_if_due (quarantine, entry);
+  return kcp_quarantine_rank_state (entry->rank);
+}
+
+/* Adds an incarnation. Returns false if it is known or there is no room for it. */
+static bool
+add_incarnation (struct entry *entry, uint64_t incarnation)
+{
+  unsigned count = kcp_quarantine_rank_crashes (entry->rank);
+
+  if (has_incarnation (entry, incarnation) || count == KCP_QUARANTINE_CRASHES_MAX)
+    return false;
+  entry->crashes[count] = incarnation;
+  entry->rank++;
+  return true;
+}
+
+static bool
+has_incarnation (const struct entry *entry, uint64_t incarnation)
+{
+  for (unsigned i = 0; i < kcp_quarantine_rank_crashes (entry->rank); i++)
+    if (entry->crashes[i] == incarnation)
+      return true;
+  return false;
+}
+
+static void
+block_if_due (const struct kcp_quarantine *quarantine, struct entry *entry)
+{
+  const struct kcp_quarantine_rule *rule = &quarantine->rule;
+
+  if (kcp_quarantine_rank_crashes (entry->rank) >= rule->crashes
+      && (entry->several_incidents || rule->incident_ns == 0))
+    entry->rank = RANK_BLOCKED;
 }
 
 /* Clears a suspect that ran to completion. A blocked request stays blocked until its
@@ -131,7 +211,7 @@
   if (entry == NULL || kcp_quarantine_rank_state (entry->rank) != KCP_QUARANTINE_SUSPECT)
     return;
   entry->rank = (entry->rank | RANK_CRASH_MASK) + 1;
-  entry->crash = 0;
+  entry->several_incidents = false;
   entry->expires_ns = now_ns + quarantine->keep_ns;
 }
 
@@ -187,32 +267,63 @@
          && now_ns - entry->received_ns < REMOTE_SUSPECT_WAIT_NS;
 }
 
-/* Merges a fact from another VM. Returns true if the table changed. Two suspicions from
-   different crashes make a blocked request. Ranks never decrease, so the result does not
-   depend on the order, loss or repetition of facts, and no fact lives longer than its
-   remaining time. */
+/* Merges a fact from another VM. Returns true if the table changed. Of two generations
+   the later one holds, within one the crashes are added up, and a block holds above all.
+   The result does not depend on the order, loss or repetition of facts, and no fact lives
+   longer than its remaining time. */
 bool
 kcp_quarantine_merge (struct kcp_quarantine *quarantine,
                       const struct kcp_quarantine_fact *fact, int64_t now_ns)
 {
-  struct entry *entry;
   int64_t expires_ns = now_ns + (int64_t)fact->remaining_ms * KCP_NS_PER_MS;
-  bool two_crashes;
+  int64_t first_crash_ns = now_ns - (int64_t)fact->first_age_ms * KCP_NS_PER_MS;
+  struct entry *entry;
 
   if (fact->remaining_ms == 0)
     return false;
   entry = find_or_add (quarantine, fact->fingerprint, now_ns);
-  two_crashes = fact->rank == entry->rank && fact->crash != entry->crash
-                && kcp_quarantine_rank_state (entry->rank) == KCP_QUARANTINE_SUSPECT;
-  if (fact->rank <= entry->rank && !two_crashes)
+  if (entry->rank == RANK_BLOCKED)
+    return false;
+  if (fact->rank >> RANK_CRASH_BITS > entry->rank >> RANK_CRASH_BITS)
+    replace_state (entry, fact, first_crash_ns);
+  else if (fact->rank >> RANK_CRASH_BITS < entry->rank >> RANK_CRASH_BITS
+           || !merge_generation (entry, fact, first_crash_ns))
     return false;
-  entry->rank = two_crashes ? RANK_BLOCKED : fact->rank;
-  entry->crash = fact->crash;
+  if (entry->rank != RANK_BLOCKED)
+    block_if_due (quarantine, entry);
   entry->received_ns = now_ns;
   entry->expires_ns = MAX (entry->expires_ns, expires_ns);
   return true;
 }
 
+static void
+replace_state (struct entry *entry, const struct kcp_quarantine_fact *fact,
+               int64_t first_crash_ns)
+{
+  entry->rank = fact->rank;
+  entry->several_incidents = fact->several_incidents;
+  entry->first_crash_ns = first_crash_ns;
+  memcpy (entry->crashes, fact->crashes, sizeof entry->crashes);
+}
+
+/* Adds the crashes of a fact of the same generation. Returns false if nothing changed. */
+static bool
+merge_generation (struct entry *entry, const struct kcp_quarantine_fact *fact,
+                  int64_t first_crash_ns)
+{
+  bool changed = fact->several_incidents && !entry->several_incidents;
+
+  if (kcp_quarantine_rank_crashes (fact->rank) == 0)
+    return false;
+  if (kcp_quarantine_rank_crashes (entry->rank) == 0)
+    entry->first_crash_ns = first_crash_ns;
+  for (unsigned i = 0; i < kcp_quarantine_rank_crashes (fact->rank); i++)
+    changed |= add_incarnation (entry, fact->crashes[i]);
+  entry->several_incidents |= fact->several_incidents;
+  entry->first_crash_ns = MIN (entry->first_crash_ns, first_crash_ns);
+  return changed;
+}
+
 /* Calls the visitor for each fact that has not expired. The visitor must not change the
    table. */
 void
@@ -226,18 +337,41 @@
   g_hash_table_iter_init (&iter, quarantine->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      const struct entry *entry = value;
-      struct kcp_quarantine_fact fact = {
-        .fingerprint = entry->fingerprint,
-        .crash = entry->crash,
-        .rank = entry->rank,
-        .remaining_ms = (uint32_t)((entry->expires_ns - now_ns) / KCP_NS_PER_MS),
-      };
+      struct kcp_quarantine_fact fact = make_fact (value, now_ns);
 
       visitor (user, &fact);
     }
 }
 
+/* Stores the fact of one request in out. Returns false if there is none. */
+bool
+kcp_quarantine_get_fact (struct kcp_quarantine *quarantine, uint64_t fingerprint,
+                         int64_t now_ns, struct kcp_quarantine_fact *out)
+{
+  const struct entry *entry = find (quarantine, fingerprint, now_ns);
+
+  if (entry != NULL)
+    *out = make_fact (entry, now_ns);
+  return entry != NULL;
+}
+
+static struct kcp_quarantine_fact
+make_fact (const struct entry *entry, int64_t now_ns)
+{
+  struct kcp_quarantine_fact fact = {
+    .fingerprint = entry->fingerprint,
+    .rank = entry->rank,
+    .several_incidents = entry->several_incidents,
+    .first_age_ms = (uint32_t)MAX ((now_ns - entry->first_crash_ns) / KCP_NS_PER_MS, 0),
+    .remaining_ms = (uint32_t)((entry->expires_ns - now_ns) / KCP_NS_PER_MS),
+  };
+
+  if (entry->rank != RANK_BLOCKED)
+    memcpy (fact.crashes, entry->crashes,
+            kcp_quarantine_rank_crashes (entry->rank) * sizeof (uint64_t));
+  return fact;
+}
+
 /* Returns the number of entries, including expired ones. */
 size_t
 kcp_quarantine_count (const struct kcp_quarantine *quarantine)
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -1,5 +1,9 @@
-/* Table of the requests that were in flight on engines when these crashed. A request is a
-   suspect after one crash and blocked after two.
+/* Table of the requests that were in flight on servers when these crashed. A request is a
+   suspect after one crash and blocked after as many as the table's rule requires.
+
+   Load pattern: one request crashes every server that runs it, and its caller sends
+   copies of it through any VM; meanwhile many servers may crash by chance at the same
+   moment, with copies of popular requests in flight at several of them.
 
    The caller passes the times in. Not thread-safe: the caller holds a lock. */
 #ifndef KCP_POLICY_QUARANTINE_H
@@ -11,6 +15,18 @@
 
 #include "base/str.h"
 
+#define KCP_QUARANTINE_CRASHES_MAX 3u /* incarnations kept for a request */
+
+/* When a request is blocked. */
+struct kcp_quarantine_rule
+{
+  unsigned crashes; /* different incarnations that crashed; at most the maximum above */
+  /* Only if one of them crashed with a copy that was sent this long after the first crash
+     or later; 0: in any case. Servers that crash together with copies of a popular
+     request in flight, or with a copy that was just resent, are one incident. */
+  int64_t incident_ns;
+};
+
 enum kcp_quarantine_state
 {
   KCP_QUARANTINE_NONE,
@@ -24,9 +40,21 @@
 struct kcp_quarantine_fact
 {
   uint64_t fingerprint;
-  uint64_t crash;        /* hash of the incarnation that crashed; 0 if cleared */
-  uint32_t rank;         /* see kcp_quarantine_rank_state() */
-  uint32_t remaining_ms; /* time until expiry; decreases as the fact is forwarded */
+  /* Hashes of the incarnations that crashed; unused ones are 0. */
+  uint64_t crashes[KCP_QUARANTINE_CRASHES_MAX];
+  uint32_t rank;          /* see kcp_quarantine_rank_state() */
+  bool several_incidents; /* see struct kcp_quarantine_rule */
+  uint32_t first_age_ms;  /* time since the first of the crashes */
+  uint32_t remaining_ms;  /* time until expiry; decreases as the fact is forwarded */
+};
+
+/* A crash with a copy of a request in flight. */
+struct kcp_quarantine_crash
+{
+  uint64_t fingerprint;
+  uint64_t incarnation; /* hash, equal on all VMs, so that one crash counts once */
+  int64_t sent_ns;      /* when the copy was sent to it */
+  int64_t ended_ns;     /* when the copy's attempt ended */
 };
 
 struct kcp_quarantine;
@@ -35,12 +63,20 @@
 
 uint64_t kcp_quarantine_fingerprint (struct kcp_str team, struct kcp_str body);
 struct kcp_quarantine *kcp_quarantine_new (size_t capacity, int64_t keep_ns);
+struct kcp_quarantine *
+kcp_quarantine_new_with_rule (size_t capacity, int64_t keep_ns,
+                              const struct kcp_quarantine_rule *rule);
 void kcp_quarantine_free (struct kcp_quarantine *quarantine);
 enum kcp_quarantine_state kcp_quarantine_rank_state (uint32_t rank);
+unsigned kcp_quarantine_rank_crashes (uint32_t rank);
 enum kcp_quarantine_state kcp_quarantine_state (struct kcp_quarantine *quarantine,
                                                 uint64_t fingerprint, int64_t now_ns);
 void kcp_quarantine_add_crash (struct kcp_quarantine *quarantine, uint64_t fingerprint,
                                uint64_t crash, int64_t now_ns);
+enum kcp_quarantine_state
+kcp_quarantine_add_crash_of_copy (struct kcp_quarantine *quarantine,
+                                  const struct kcp_quarantine_crash *crash,
+                                  int64_t now_ns);
 void kcp_quarantine_add_completion (struct kcp_quarantine *quarantine,
                                     uint64_t fingerprint, int64_t now_ns);
 bool kcp_quarantine_reserve_server (struct kcp_quarantine *quarantine, uint64_t server);
@@ -55,6 +91,8 @@
                            const struct kcp_quarantine_fact *fact, int64_t now_ns);
 void kcp_quarantine_visit (struct kcp_quarantine *quarantine, int64_t now_ns,
                            kcp_quarantine_visitor *visitor, void *user);
+bool kcp_quarantine_get_fact (struct kcp_quarantine *quarantine, uint64_t fingerprint,
+                              int64_t now_ns, struct kcp_quarantine_fact *out);
 size_t kcp_quarantine_count (const struct kcp_quarantine *quarantine);
 
 #endif
--- a/src/policy/resend.h
+++ b/src/policy/resend.h
@@ -3,7 +3,8 @@
 
    Load pattern: servers refuse briefly, crash with requests in flight, or lose answers,
    while callers retry on their own. A request that certainly did not run goes to another
-   server at once. A request that may have run does so only where its route allows this.
+   server at once. A request that may have run does so only where its route allows this,
+   and not if copies of it were in flight at servers that crashed: it may be their cause.
    Both are limited by a budget that covers all VMs. */
 #ifndef KCP_POLICY_RESEND_H
 #define KCP_POLICY_RESEND_H
@@ -39,7 +40,8 @@
   unsigned runs;     /* attempts that may have run, including this one */
   unsigned refusals; /* attempts that did not run, including this one */
   unsigned max_runs;
-  bool may_have_run;     /* an earlier attempt of this request may have run */
+  bool suspect;      /* copies of the request were in flight at servers that crashed */
+  bool may_have_run; /* an earlier attempt of this request may have run */
   bool server_available; /* another usable server is known */
   int64_t remaining_ms;  /* time until the caller's deadline */
 };
--- a/src/request/suspects.c
+++ b/src/request/suspects.c
@@ -14,17 +14,8 @@
   void *user;
 };
 
-/* The search for the fact of one request among those visited. */
-struct search
-{
-  uint64_t fingerprint;
-  bool found;
-  struct kcp_quarantine_fact fact;
-};
-
-static struct search find_fact (struct kcp_suspects *suspects, uint64_t fingerprint);
-static void match_fact (void *user, const struct kcp_quarantine_fact *fact);
-static void publish (struct kcp_suspects *suspects, const struct search *search);
+static void
+publish (struct kcp_suspects *suspects, const struct kcp_quarantine_fact *fact);
 
 /* Returns an empty table whose entries expire after keep_ns nanoseconds. clock must
    outlive it. */
@@ -79,14 +70,16 @@
 kcp_suspects_add_crash (struct kcp_suspects *suspects, uint64_t fingerprint,
                         uint64_t incarnation)
 {
-  struct search search;
+  int64_t now = kcp_clock_monotonic_ns (suspects->clock);
+  struct kcp_quarantine_fact fact;
+  bool found;
 
   pthread_mutex_lock (&suspects->lock);
-  kcp_quarantine_add_crash (suspects->quarantine, fingerprint, incarnation,
-                            kcp_clock_monotonic_ns (suspects->clock));
-  search = find_fact (suspects, fingerprint);
+  kcp_quarantine_add_crash (suspects->quarantine, fingerprint, incarnation, now);
+  found = kcp_quarantine_get_fact (suspects->quarantine, fingerprint, now, &fact);
   pthread_mutex_unlock (&suspects->lock);
-  publish (suspects, &search);
+  if (found)
+    publish (suspects, &fact);
 }
 
 /* Clears the suspicion of a request that ran to completion. A request that is not a
@@ -95,17 +88,19 @@
 kcp_suspects_add_completion (struct kcp_suspects *suspects, uint64_t fingerprint)
 {
   int64_t now = kcp_clock_monotonic_ns (suspects->clock);
-  struct search search = { 0 };
+  struct kcp_quarantine_fact fact;
+  bool found = false;
 
   pthread_mutex_lock (&suspects->lock);
   if (kcp_quarantine_state (suspects->quarantine, fingerprint, now)
       != KCP_QUARANTINE_NONE)
     {
       kcp_quarantine_add_completion (suspects->quarantine, fingerprint, now);
-      search = find_fact (suspects, fingerprint);
+      found = kcp_quarantine_get_fact (suspects->quarantine, fingerprint, now, &fact);
     }
   pthread_mutex_unlock (&suspects->lock);
-  publish (suspects, &search);
+  if (found)
+    publish (suspects, &fact);
 }
 
 /* Reserves a server for one suspect. Returns false if another suspect of this VM has
@@ -148,41 +143,22 @@
 void
 kcp_suspects_merge (struct kcp_suspects *suspects, const struct kcp_quarantine_fact *fact)
 {
-  struct search search = { 0 };
+  int64_t now = kcp_clock_monotonic_ns (suspects->clock);
+  struct kcp_quarantine_fact combined;
+  bool found = false;
 
   pthread_mutex_lock (&suspects->lock);
-  if (kcp_quarantine_merge (suspects->quarantine, fact,
-                            kcp_clock_monotonic_ns (suspects->clock)))
-    search = find_fact (suspects, fact->fingerprint);
+  if (kcp_quarantine_merge (suspects->quarantine, fact, now))
+    found = kcp_quarantine_get_fact (suspects->quarantine, fact->fingerprint, now,
+                                     &combined);
   pthread_mutex_unlock (&suspects->lock);
-  if (search.found && search.fact.rank > fact->rank)
-    publish (suspects, &search);
-}
-
-static struct search
-find_fact (struct kcp_suspects *suspects, uint64_t fingerprint)
-{
-  struct search search = { .fingerprint = fingerprint };
-
-  kcp_quarantine_visit (suspects->quarantine, kcp_clock_monotonic_ns (suspects->clock),
-                        match_fact, &search);
-  return search;
-}
-
-static void
-match_fact (void *user, const struct kcp_quarantine_fact *fact)
-{
-  struct search *search = user;
-
-  if (fact->fingerprint != search->fingerprint)
-    return;
-  search->found = true;
-  search->fact = *fact;
+  if (found && combined.rank > fact->rank)
+    publish (suspects, &combined);
 }
 
 static void
-publish (struct kcp_suspects *suspects, const struct search *search)
+publish (struct kcp_suspects *suspects, const struct kcp_quarantine_fact *fact)
 {
-  if (search->found && suspects->publisher != NULL)
-    suspects->publisher (suspects->user, &search->fact);
+  if (suspects->publisher != NULL)
+    suspects->publisher (suspects->user, fact);
 }
--- a/tests/unit/test_forward_parts.c
+++ b/tests/unit/test_forward_parts.c
@@ -386,6 +386,41 @@
 }
 END_TEST
 
+START_TEST (test_mesh_suspects_round_trip_rejects_truncation)
+{
+  struct kcp_quarantine_fact fact = {
+    .fingerprint = 1,
+    .crashes = { 2, 3, 4 },
+    .rank = 7,
+    .several_incidents = true,
+    .first_age_ms = 8,
+    .remaining_ms = 9,
+  };
+  struct kcp_mesh_suspects suspects;
+  struct kcp_mesh_suspects copy;
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  size_t len;
+
+  kcp_mesh_suspects_init (&suspects);
+  g_strlcpy (suspects.vm, "10.0.0.1:7341", sizeof suspects.vm);
+  for (guint i = 0; i < KCP_MESH_SUSPECTS_MAX; i++)
+    g_array_append_val (suspects.facts, fact);
+  len = kcp_mesh_suspects_encode (&suspects, bytes, sizeof bytes);
+  ck_assert_uint_gt (len, 0);
+  ck_assert_int_eq (kcp_mesh_procedure_of (bytes, len), KCP_MESH_SUSPECTS);
+  kcp_mesh_suspects_init (&copy);
+  ck_assert (kcp_mesh_suspects_decode (&copy, bytes, len));
+  ck_assert_str_eq (copy.vm, suspects.vm);
+  ck_assert_uint_eq (copy.facts->len, KCP_MESH_SUSPECTS_MAX);
+  ck_assert_mem_eq (&g_array_index (copy.facts, struct kcp_quarantine_fact, 0), &fact,
+                    sizeof fact);
+  for (size_t cut = 0; cut < len; cut++)
+    ck_assert (!kcp_mesh_suspects_decode (&copy, bytes, cut));
+  kcp_mesh_suspects_clear (&copy);
+  kcp_mesh_suspects_clear (&suspects);
+}
+END_TEST
+
 START_TEST (test_mesh_update_round_trip_is_distinct_from_message)
 {
   struct kcp_mesh_change change = {
@@ -602,6 +637,7 @@
   tcase_add_test (cases, test_mesh_message_round_trip_rejects_truncation);
   tcase_add_test (cases, test_largest_mesh_message_fits_a_datagram);
   tcase_add_test (cases, test_mesh_records_round_trip_rejects_truncation);
+  tcase_add_test (cases, test_mesh_suspects_round_trip_rejects_truncation);
   tcase_add_test (cases, test_mesh_update_round_trip_is_distinct_from_message);
   tcase_add_test (cases, test_prompts_of_other_vms_queue_until_prefilled);
   tcase_add_test (cases, test_prefix_index_is_bounded);
--- a/tests/unit/test_request_crashes.c
+++ b/tests/unit/test_request_crashes.c
@@ -6,6 +6,7 @@
 #include "base/clock.h"
 #include "policy/crash_evidence.h"
 #include "policy/fingerprint.h"
+#include "policy/quarantine.h"
 #include "tests/harness/run_suite.h"
 
 #define MS(x) ((x)*KCP_NS_PER_MS)
@@ -68,6 +69,128 @@
 }
 END_TEST
 
+#define VMS     3
+#define REQUEST 7u
+#define KEEP_NS (600 * KCP_NS_PER_S)
+#define AT_ONCE 1 /* ms between crashes of one incident */
+
+static struct kcp_quarantine *vms[VMS];
+
+static void
+set_up (void)
+{
+  static const struct kcp_quarantine_rule rule
+      = { .crashes = 3, .incident_ns = KCP_NS_PER_S };
+
+  for (int i = 0; i < VMS; i++)
+    vms[i] = kcp_quarantine_new_with_rule (100, KEEP_NS, &rule);
+}
+
+static void
+tear_down (void)
+{
+  for (int i = 0; i < VMS; i++)
+    kcp_quarantine_free (vms[i]);
+}
+
+/* Records at a VM that a server crashed with a copy in flight. */
+static void
+add (int vm, uint64_t server, int64_t sent_ms, int64_t ended_ms)
+{
+  (void)kcp_quarantine_add_crash_of_copy (vms[vm],
+                                          &(struct kcp_quarantine_crash){
+                                              .fingerprint = REQUEST,
+                                              .incarnation = server,
+                                              .sent_ns = MS (sent_ms),
+                                              .ended_ns = MS (ended_ms),
+                                          },
+                                          MS (ended_ms));
+}
+
+/* Has all VMs tell each other what they know. */
+static void
+exchange (int64_t now_ms)
+{
+  for (int from = 0; from < VMS; from++)
+    for (int to = 0; to < VMS; to++)
+      {
+        struct kcp_quarantine_fact fact;
+
+        if (from != to
+            && kcp_quarantine_get_fact (vms[from], REQUEST, MS (now_ms), &fact))
+          (void)kcp_quarantine_merge (vms[to], &fact, MS (now_ms));
+      }
+}
+
+static void
+expect_state (enum kcp_quarantine_state state, int64_t now_ms)
+{
+  for (int i = 0; i < VMS; i++)
+    ck_assert_int_eq (kcp_quarantine_state (vms[i], REQUEST, MS (now_ms)), state);
+}
+
+START_TEST (test_copies_at_different_vms_are_counted_apart)
+{
+  /* Each VM sees one crash; the first two are found late. */
+  add (0, 1, 1000, 1000);
+  exchange (1400);
+  add (2, 3, 2600, 2601);
+  exchange (2605);
+  add (1, 2, 2300, 2300);
+  exchange (2700);
+  expect_state (KCP_QUARANTINE_BLOCKED, 2701);
+}
+END_TEST
+
+START_TEST (test_popular_request_is_blamed_for_servers_that_crash_together)
+{
+  for (int server = 0; server < 6; server++)
+    add (server % VMS, (uint64_t)server + 1, 900, 1000 + server * AT_ONCE);
+  /* A copy was resent to a server that was about to crash as well. */
+  add (0, 7, 1002, 1010);
+  exchange (1010);
+  expect_state (KCP_QUARANTINE_SUSPECT, 1011);
+  kcp_quarantine_add_completion (vms[1], REQUEST, MS (1500));
+  exchange (1500);
+  expect_state (KCP_QUARANTINE_NONE, 1501);
+}
+END_TEST
+
+START_TEST (test_copies_sent_together_are_taken_for_one_incident_for_ever)
+{
+  for (int server = 0; server < VMS; server++)
+    add (server, (uint64_t)server + 1, 1000, 1001);
+  exchange (1010);
+  expect_state (KCP_QUARANTINE_SUSPECT, 1011);
+  add (0, 4, 2100, 2101);
+  exchange (2110);
+  expect_state (KCP_QUARANTINE_BLOCKED, 2111);
+}
+END_TEST
+
+START_TEST (test_answered_request_stays_suspect)
+{
+  add (0, 1, 1000, 1001);
+  add (0, 2, 2000, 2001);
+  exchange (2010);
+  kcp_quarantine_add_completion (vms[1], REQUEST, MS (3000));
+  exchange (3000);
+  add (2, 3, 4000, 4001);
+  exchange (4010);
+  expect_state (KCP_QUARANTINE_SUSPECT, 4011);
+}
+END_TEST
+
+START_TEST (test_block_never_ends)
+{
+  for (int server = 0; server < 3; server++)
+    add (0, (uint64_t)server + 1, server * 1000, server * 1000 + 1);
+  exchange (2010);
+  expect_state (KCP_QUARANTINE_BLOCKED, 2011);
+  expect_state (KCP_QUARANTINE_NONE, 2011 + KEEP_NS / MS (1));
+}
+END_TEST
+
 int
 main (void)
 {
@@ -78,6 +201,12 @@
   tcase_add_test (cases, test_answer_read_after_the_crash_hides_the_crash);
   tcase_add_test (cases, test_request_is_blamed_for_a_crash_long_after_it);
   tcase_add_test (cases, test_different_requests_share_a_fingerprint);
+  tcase_add_checked_fixture (cases, set_up, tear_down);
+  tcase_add_test (cases, test_copies_at_different_vms_are_counted_apart);
+  tcase_add_test (cases, test_popular_request_is_blamed_for_servers_that_crash_together);
+  tcase_add_test (cases, test_copies_sent_together_are_taken_for_one_incident_for_ever);
+  tcase_add_test (cases, test_answered_request_stays_suspect);
+  tcase_add_test (cases, test_block_never_ends);
   suite_add_tcase (suite, cases);
   return run_suite (suite);
 }
