Keep blocked requests in the platform's store

What callers saw: nothing yet.

Cause: the table is in memory only; what the VMs tell each other does not outlive all of them. Why the fix works: the VM whose crash blocks a request writes it to a topic of its own in the store and repeats that until it is done; each VM reads the topic once after its start. One call a start, one a blocked request, one when the block ends.

--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -14,6 +14,7 @@
 #include "base/histogram.h"
 #include "cmd/cmd.h"
 #include "cmd/options.h"
+#include "forward/blocked_store.h"
 #include "forward/cache_reader.h"
 #include "forward/caller_server.h"
 #include "forward/feed.h"
@@ -177,6 +178,8 @@
   if (vm->mesh == NULL)
     goto fail;
   gateway->mesh = vm->mesh;
+  gateway->blocked_store
+      = kcp_blocked_store_start (gateway, kcp_platform_store_interface (vm->store));
   vm->cache_reader = kcp_cache_reader_start (gateway, vm->mesh);
   vm->rollout = kcp_rollout_start (gateway, kcp_platform_store_interface (vm->store));
   vm->feed = kcp_feed_start (gateway, kcp_platform_store_interface (vm->store),
@@ -207,6 +210,8 @@
   vm->gateway.mesh = NULL;
   kcp_mesh_stop (vm->mesh);
   kcp_feed_stop (vm->feed);
+  kcp_blocked_store_stop (vm->gateway.blocked_store);
+  vm->gateway.blocked_store = NULL;
   kcp_gateway_clear (&vm->gateway);
   kcp_platform_store_free (vm->store);
   kcp_forward_settings_free (vm->settings);
--- a/src/forward/crash_suspects.c
+++ b/src/forward/crash_suspects.c
@@ -1,6 +1,7 @@
 #include "forward/crash_suspects.h"
 
 #include "base/decision_log.h"
+#include "forward/blocked_store.h"
 #include "forward/mesh.h"
 #include "policy/fingerprint.h"
 
@@ -14,6 +15,7 @@
 
 static enum kcp_quarantine_state
 state_of (struct kcp_gateway *gateway, uint64_t fingerprint);
+static void store_if_blocked (struct kcp_gateway *gateway, uint64_t fingerprint);
 static void
 log_suspect (struct kcp_gateway *gateway, uint64_t fingerprint, const char *source);
 
@@ -39,6 +41,7 @@
       kcp_loop_now (gateway->loop));
   log_suspect (gateway, crash->fingerprint, crash->server->entry.id);
   kcp_mesh_announce_suspect (gateway->mesh, crash->fingerprint);
+  store_if_blocked (gateway, crash->fingerprint);
 }
 
 /* Merges what another VM knows of a request. The combination may block the request though
@@ -50,9 +53,36 @@
   if (!kcp_quarantine_merge (gateway->quarantine, fact, kcp_loop_now (gateway->loop)))
     return;
   log_suspect (gateway, fact->fingerprint, "another VM");
-  if (state_of (gateway, fact->fingerprint) == KCP_QUARANTINE_BLOCKED
-      && kcp_quarantine_rank_state (fact->rank) != KCP_QUARANTINE_BLOCKED)
-    kcp_mesh_announce_suspect (gateway->mesh, fact->fingerprint);
+  if (state_of (gateway, fact->fingerprint) != KCP_QUARANTINE_BLOCKED
+      || kcp_quarantine_rank_state (fact->rank) == KCP_QUARANTINE_BLOCKED)
+    return;
+  kcp_mesh_announce_suspect (gateway->mesh, fact->fingerprint);
+  if (kcp_mesh_is_leader (gateway->mesh))
+    store_if_blocked (gateway, fact->fingerprint);
+}
+
+/* Blocks a request that the platform's store has as blocked. */
+void
+kcp_crash_suspects_restore (struct kcp_gateway *gateway, uint64_t fingerprint,
+                            int64_t remaining_ms)
+{
+  struct kcp_quarantine_fact fact = kcp_quarantine_blocked_fact (
+      fingerprint, MIN (remaining_ms, KEEP_NS / KCP_NS_PER_MS));
+
+  if (kcp_quarantine_merge (gateway->quarantine, &fact, kcp_loop_now (gateway->loop)))
+    log_suspect (gateway, fingerprint, "store");
+}
+
+/* Has a blocked request kept in the platform's store. */
+static void
+store_if_blocked (struct kcp_gateway *gateway, uint64_t fingerprint)
+{
+  struct kcp_quarantine_fact fact;
+
+  if (kcp_quarantine_get_fact (gateway->quarantine, fingerprint,
+                               kcp_loop_now (gateway->loop), &fact)
+      && kcp_quarantine_rank_state (fact.rank) == KCP_QUARANTINE_BLOCKED)
+    kcp_blocked_store_add (gateway->blocked_store, fingerprint, fact.remaining_ms);
 }
 
 /* Records that a server answered the request, which clears it unless it is blocked. */
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -125,7 +125,8 @@
   KCP_STORE_OPERATOR, /* published by operators; records have keys */
   KCP_STORE_SERVERS,  /* entries of servers, keyed by id */
   KCP_STORE_ORDERS,   /* records of the order lease */
-  KCP_STORE_VMS       /* entries of VMs, keyed by address */
+  KCP_STORE_VMS,      /* entries of VMs, keyed by address */
+  KCP_STORE_BLOCKED   /* blocked requests, keyed by fingerprint */
 };
 
 #define KCP_STORE_UNCONDITIONAL (-1) /* expected_end of an append without a condition */
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -35,6 +35,7 @@
 };
 
 struct kcp_mesh;
+struct kcp_blocked_store;
 
 struct kcp_gateway
 {
@@ -49,8 +50,9 @@
   GHashTable *budgets;        /* service -> struct kcp_resend_budget */
   struct kcp_prefix_index *prefixes;
   struct kcp_crash_watch *crash_watch;
-  struct kcp_quarantine *quarantine; /* see forward/crash_suspects.h */
-  struct kcp_mesh *mesh;             /* exchange with other VMs; NULL: none */
+  struct kcp_quarantine *quarantine;       /* see forward/crash_suspects.h */
+  struct kcp_blocked_store *blocked_store; /* NULL: blocked requests are not stored */
+  struct kcp_mesh *mesh;                   /* exchange with other VMs; NULL: none */
   bool draining; /* the load balancer is asked to send no connections */
   bool closing;  /* new requests are refused; the balancer sends none */
   unsigned open_requests;
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -211,6 +211,7 @@
   if (entry == NULL || kcp_quarantine_rank_state (entry->rank) != KCP_QUARANTINE_SUSPECT)
     return;
   entry->rank = (entry->rank | RANK_CRASH_MASK) + 1;
+  memset (entry->crashes, 0, sizeof entry->crashes);
   entry->several_incidents = false;
   entry->expires_ns = now_ns + quarantine->keep_ns;
 }
@@ -324,6 +325,17 @@
   return changed;
 }
 
+/* Returns the fact that a request is blocked for remaining_ms. */
+struct kcp_quarantine_fact
+kcp_quarantine_blocked_fact (uint64_t fingerprint, int64_t remaining_ms)
+{
+  return (struct kcp_quarantine_fact){
+    .fingerprint = fingerprint,
+    .rank = RANK_BLOCKED,
+    .remaining_ms = (uint32_t)CLAMP (remaining_ms, 0, UINT32_MAX),
+  };
+}
+
 /* Calls the visitor for each fact that has not expired. The visitor must not change the
    table. */
 void
@@ -366,9 +378,7 @@
     .remaining_ms = (uint32_t)((entry->expires_ns - now_ns) / KCP_NS_PER_MS),
   };
 
-  if (entry->rank != RANK_BLOCKED)
-    memcpy (fact.crashes, entry->crashes,
-            kcp_quarantine_rank_crashes (entry->rank) * sizeof (uint64_t));
+  memcpy (fact.crashes, entry->crashes, sizeof fact.crashes);
   return fact;
 }
 
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -87,6 +87,8 @@
                                     size_t own);
 bool kcp_quarantine_must_wait (struct kcp_quarantine *quarantine, uint64_t fingerprint,
                                int64_t now_ns);
+struct kcp_quarantine_fact
+kcp_quarantine_blocked_fact (uint64_t fingerprint, int64_t remaining_ms);
 bool kcp_quarantine_merge (struct kcp_quarantine *quarantine,
                            const struct kcp_quarantine_fact *fact, int64_t now_ns);
 void kcp_quarantine_visit (struct kcp_quarantine *quarantine, int64_t now_ns,
