libcurl no longer repeats a caller's request by itself

Cause: if a kept connection closes before the answer, libcurl sends a request without a body again on a new connection. Only requests of routes that run once asked for a new connection to rule this out. Why the fix works: libcurl calls back before each time it sends; the second time is refused, and the attempt ends as interrupted, so the resend policy decides. Reads of the store, reports and cache events, which may be repeated, still allow it.

--- a/src/forward/cache_reader.c
+++ b/src/forward/cache_reader.c
@@ -161,6 +161,7 @@
                                              .headers = control_call.headers,
                                              .connect_ms = CONNECT_TIMEOUT_MS,
                                              .total_ms = LONG_POLL_MS + ANSWER_TIMEOUT_MS,
+                                             .may_repeat = true,
                                              .max_idle_s = IDLE_CONNECTION_S,
                                              .data = on_data,
                                              .done = on_done,
--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -32,6 +32,7 @@
   int64_t ack_timeout_ms;
   /* A connection was established, so the server may have received a byte. */
   bool connected;
+  bool may_repeat;
   char error[CURL_ERROR_SIZE];
   void (*header) (void *user, struct kcp_str name, struct kcp_str value);
   bool (*data) (void *user, struct kcp_str bytes);
@@ -111,6 +112,7 @@
   call->headers = spec->headers;
   call->body = spec->body;
   call->ack_timeout_ms = spec->ack_timeout_ms;
+  call->may_repeat = spec->may_repeat;
   call->header = spec->header;
   call->data = spec->data;
   call->done = spec->done;
@@ -228,9 +230,9 @@
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, call);
 }
 
-/* libcurl retries a request without a body by itself if a reused connection closes before
-   the answer. It does not retry a request whose body it reads with a callback that cannot
-   be rewound. */
+/* libcurl retries a request by itself if a reused connection closes before the answer;
+   on_connected() prevents this. It cannot retry one whose body it reads with a callback
+   that cannot be rewound. */
 static void
 set_method (struct kcp_http_call *call, const struct kcp_http_spec *spec)
 {
@@ -287,7 +289,7 @@
   g_free (call);
 }
 
-/* Called before the first byte of the request is sent. */
+/* Called each time before the first byte of the request is sent. */
 static int
 on_connected (void *user, char *address, char *own_address, int port, int own_port)
 {
@@ -297,6 +299,8 @@
   (void)own_address;
   (void)port;
   (void)own_port;
+  if (call->connected && !call->may_repeat)
+    return CURL_PREREQFUNC_ABORT;
   call->connected = true;
   return CURL_PREREQFUNC_OK;
 }
--- a/src/forward/http_client.h
+++ b/src/forward/http_client.h
@@ -1,7 +1,6 @@
-/* HTTP calls on the event loop, made by libcurl over persistent connections. libcurl does
-   not send a request with a body a second time; a request without a body needs
-   new_connection to rule this out. Header and data callbacks only collect the answer; the
-   done callback acts on it and may start new calls. */
+/* HTTP calls on the event loop, made by libcurl over persistent connections. A request is
+   sent once, unless may_repeat allows libcurl more. Header and data callbacks only
+   collect the answer; the done callback acts on it and may start new calls. */
 #ifndef KCP_FORWARD_HTTP_CLIENT_H
 #define KCP_FORWARD_HTTP_CLIENT_H
 
@@ -43,6 +42,9 @@
                                  acknowledgement; 0: none */
   int64_t max_idle_s;  /* a connection that has been idle for longer is not reused */
   bool new_connection; /* do not reuse a connection */
+  /* libcurl may send a request without a body again if a reused connection closes before
+     the answer. */
+  bool may_repeat;
   void (*header) (void *user, struct kcp_str name, struct kcp_str value);
   /* Returns false to end the call as interrupted. */
   bool (*data) (void *user, struct kcp_str bytes);
--- a/src/forward/rollout_order.c
+++ b/src/forward/rollout_order.c
@@ -184,6 +184,7 @@
                                     .headers = order->control_call.headers,
                                     .connect_ms = CONNECT_TIMEOUT_MS,
                                     .total_ms = REPORT_TIMEOUT_MS,
+                                    .may_repeat = true,
                                     .max_idle_s = gateway->settings->servers_max_idle_s,
                                     .data = on_report_data,
                                     .done = on_report_done,
--- a/tests/process/test_route.c
+++ b/tests/process/test_route.c
@@ -148,6 +148,26 @@
 }
 END_TEST
 
+/* libcurl repeats a request without a body by itself if a kept connection closes before
+   the answer, which neither the resend policy nor the retry budget would count. */
+START_TEST (test_request_without_body_is_repeated_outside_the_resend_policy)
+{
+  struct raw_answer answer;
+
+  for (int i = 0; i < 4; i++)
+    {
+      answer = route_vm_send ("GET", "/again/x", "", "");
+      ck_assert_int_eq (route_vm_status (&answer), 200);
+      raw_answer_clear (&answer);
+    }
+  route_vm_set_modes (FAKE_HANG_UP, FAKE_HANG_UP);
+  answer = route_vm_send_to (&route_vm, "GET", "/again/x", "r2", "", "");
+  ck_assert_int_eq (route_vm_status (&answer), 502);
+  ck_assert_uint_le (fake_platform_run_count (route_vm.platform, "r2"), 2);
+  raw_answer_clear (&answer);
+}
+END_TEST
+
 START_TEST (test_interrupted_stream_resumes_without_a_gap)
 {
   GString *events = g_string_new (NULL);
@@ -419,6 +439,7 @@
   tcase_add_test (cases, test_refused_request_is_sent_to_another_server);
   tcase_add_test (cases, test_request_refused_by_all_servers_gets_retry_after);
   tcase_add_test (cases, test_request_that_may_have_run_is_repeated_only_if_allowed);
+  tcase_add_test (cases, test_request_without_body_is_repeated_outside_the_resend_policy);
   tcase_add_test (cases, test_interrupted_stream_resumes_without_a_gap);
   tcase_add_test (cases, test_unfinished_stream_does_not_look_complete);
   tcase_add_test (cases, test_requests_of_disconnected_callers_end);
