Failing test: a store that comes back from an older copy

The simulated store can lose its newest records now, names its era in all answers, and answers 410 to a read from an offset that it does not have.

--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -36,6 +36,7 @@
   struct MHD_Daemon *daemon;
   bool down;
   bool unresponsive; /* the store accepts calls and never answers them */
+  unsigned era;      /* rises each time that the store comes back from a copy */
   bool stopping;
   struct topic topics[TOPICS];
   struct fake_server servers[SERVERS_MAX];
@@ -83,8 +84,7 @@
   struct MHD_Daemon *daemon = MHD_start_daemon (
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC, 0,
       NULL, NULL, handler, user, MHD_OPTION_SOCK_ADDR, &address,
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_NOTIFY_COMPLETED, on_completed,
-      user, MHD_OPTION_END);
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, user, MHD_OPTION_END);
 
   if (daemon == NULL)
     abort ();
@@ -364,6 +364,28 @@
   return NULL;
 }
 
+/* Makes the store come back from a copy that lacks the newest records of a topic. Their
+   offsets are given out again. */
+void
+fake_platform_lose_records (struct fake_platform *platform, const char *topic,
+                            unsigned count)
+{
+  GPtrArray *records;
+
+  pthread_mutex_lock (&platform->lock);
+  platform->era++;
+  records = find_topic (platform, topic)->records;
+  for (; count > 0; count--)
+    {
+      struct record *record = g_ptr_array_steal_index (records, records->len - 1);
+
+      g_free (record->key);
+      g_free (record->value);
+      g_free (record);
+    }
+  pthread_mutex_unlock (&platform->lock);
+}
+
 /* Returns the offset after the newest record of a topic. */
 unsigned
 fake_platform_end_offset (struct fake_platform *platform, const char *topic)
@@ -429,6 +451,17 @@
   return result;
 }
 
+/* Sends an answer of the store, which names its era. */
+static enum MHD_Result
+send_store_answer (struct fake_platform *platform, struct MHD_Connection *connection,
+                   unsigned status, const void *data, size_t len)
+{
+  g_autofree char *era = g_strdup_printf ("%u", platform->era);
+  const char *headers[] = { "Store-Era", era, NULL };
+
+  return send_answer (connection, status, data, len, headers);
+}
+
 static void
 on_completed (void *user, struct MHD_Connection *connection, void **state,
               enum MHD_RequestTerminationCode code)
@@ -542,7 +575,7 @@
                     (json_int_t)topic->records->len);
   pthread_mutex_unlock (&platform->lock);
   text = json_dumps (item, JSON_COMPACT);
-  result = send_answer (connection, 200, text, strlen (text), NULL);
+  result = send_store_answer (platform, connection, 200, text, strlen (text));
   free (text);
   json_decref (item);
   json_decref (newest);
@@ -557,6 +590,7 @@
   int64_t remaining_ms = wait != NULL ? g_ascii_strtoll (wait, NULL, 10) : 0;
   guint from = (guint)g_ascii_strtoll (query_argument (connection, "from"), NULL, 10);
   g_autoptr (GString) out = g_string_new (NULL);
+  static const char none_lost[] = "{\"first\":0}";
 
   while (topic->records->len <= from && remaining_ms > 0 && !platform->stopping)
     {
@@ -564,7 +598,11 @@
       remaining_ms -= POLL_MS;
       if (platform->unresponsive)
         return block_call (platform);
+      if (platform->down)
+        return send_store_answer (platform, connection, 503, "", 0);
     }
+  if (from > topic->records->len)
+    return send_store_answer (platform, connection, 410, none_lost, strlen (none_lost));
   pthread_mutex_lock (&platform->lock);
   topic->reads++;
   append_number (out, topic->records->len, 8);
@@ -572,7 +610,7 @@
   for (guint i = from; i < topic->records->len; i++)
     append_record (out, topic, g_ptr_array_index (topic->records, i));
   pthread_mutex_unlock (&platform->lock);
-  return send_answer (connection, 200, out->str, out->len, NULL);
+  return send_store_answer (platform, connection, 200, out->str, out->len);
 }
 
 static enum MHD_Result
@@ -610,7 +648,8 @@
     }
   text = conflict ? g_strdup_printf ("{\"end\":%u}", end)
                   : g_strdup_printf ("{\"offset\":%u,\"end\":%u}", end, end + 1);
-  return send_answer (connection, conflict ? 412 : 200, text, strlen (text), NULL);
+  return send_store_answer (platform, connection, conflict ? 412 : 200, text,
+                            strlen (text));
 }
 
 static enum MHD_Result
@@ -626,7 +665,7 @@
   if (!receive_body (state, data, size))
     return MHD_YES;
   if (platform->down || topic == NULL)
-    return send_answer (connection, 503, "", 0, NULL);
+    return send_store_answer (platform, connection, 503, "", 0);
   if (platform->unresponsive)
     return block_call (platform);
   if (g_str_has_suffix (url, "/log-newest"))
@@ -635,7 +674,7 @@
     return store_read (platform, connection, topic);
   if (g_str_has_suffix (url, "/log-append"))
     return store_append (platform, connection, topic, ((struct inbound *)*state)->body);
-  return send_answer (connection, 404, "", 0, NULL);
+  return send_store_answer (platform, connection, 404, "", 0);
 }
 
 static enum MHD_Result
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -57,6 +57,8 @@
                                const char *state);
 void fake_platform_put_server_entry (struct fake_platform *platform, const char *id,
                                      const char *value);
+void fake_platform_lose_records (struct fake_platform *platform, const char *topic,
+                                 unsigned count);
 unsigned fake_platform_end_offset (struct fake_platform *platform, const char *topic);
 unsigned fake_platform_read_count (struct fake_platform *platform, const char *topic);
 unsigned fake_platform_run_count (struct fake_platform *platform, const char *id);
