test_request_after_drain_notice_is_refused no longer races with the end of the drain

Cause: the request that keeps the process running was answered 100 ms after the late one was due, so a late wake-up of the test found that the process had exited as it should. Now a second request keeps it running until 300 ms after. The check is the same.

--- a/tests/process/test_route.c
+++ b/tests/process/test_route.c
@@ -304,27 +304,33 @@
 }
 END_TEST
 
-/* A request in flight keeps the process running. A request that arrives after the notice
-   period is refused as not run, instead of being interrupted at the end of the grace
-   period. */
+/* Requests in flight keep the process running, the second one until 300 ms after the late
+   request is sent. A request that arrives after the notice period is refused as not run,
+   instead of being interrupted at the end of the grace period. */
 START_TEST (test_request_after_drain_notice_is_refused)
 {
   struct raw_answer slow = { 0 };
+  struct raw_answer slower = { 0 };
   struct raw_answer late;
   GThread *thread;
+  GThread *later_thread;
 
   route_vm_set_modes (FAKE_SLOW, FAKE_SLOW);
   (void)kill (route_vm.pid, SIGTERM);
-  g_usleep (450 * G_TIME_SPAN_MILLISECOND);
-  thread = g_thread_new ("slow", send_request, &slow);
   g_usleep (400 * G_TIME_SPAN_MILLISECOND);
+  thread = g_thread_new ("slow", send_request, &slow);
+  g_usleep (200 * G_TIME_SPAN_MILLISECOND);
+  later_thread = g_thread_new ("slower", send_request, &slower);
+  g_usleep (200 * G_TIME_SPAN_MILLISECOND);
   late = route_vm_send ("POST", "/once/y", "", "b");
   ck_assert_int_eq (route_vm_status (&late), 503);
   ck_assert_ptr_nonnull (strstr (late.text->str, "Connection: close"));
   raw_answer_clear (&late);
   (void)g_thread_join (thread);
+  (void)g_thread_join (later_thread);
   ck_assert_int_eq (route_vm_status (&slow), 200);
   raw_answer_clear (&slow);
+  raw_answer_clear (&slower);
 }
 END_TEST
 
