--- a/src/forward/crash_suspects.c
+++ b/src/forward/crash_suspects.c
@@ -7,8 +7,8 @@
 
 #define ENTRIES_MAX 4096u
 #define KEEP_NS     (600 * KCP_NS_PER_S) /* time until a request is no longer blocked */
-#define INCIDENT_NS                                                                      \
-  (200 * KCP_NS_PER_MS) /* between the incidents in which servers crash */
+/* A copy that is sent earlier than this after the first crash belongs to its incident. */
+#define INCIDENT_NS (200 * KCP_NS_PER_MS)
 
 static const struct kcp_quarantine_rule rule
     = { .crashes = 3, .incident_ns = INCIDENT_NS };
@@ -21,7 +21,7 @@
 static void
 log_suspect (struct kcp_gateway *gateway, uint64_t fingerprint, const char *source);
 
-/* Returns an empty table for a VM. */
+/* Returns an empty table of suspects; free it with kcp_quarantine_free(). */
 struct kcp_quarantine *
 kcp_crash_suspects_new (void)
 {
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -17,7 +17,7 @@
 
 #define KCP_QUARANTINE_CRASHES_MAX 3u /* incarnations kept for a request */
 
-/* When a request is blocked. */
+/* The conditions under which a request is blocked. */
 struct kcp_quarantine_rule
 {
   unsigned crashes; /* different incarnations that crashed; at most the maximum above */
