--- a/src/base/str.c
+++ b/src/base/str.c
@@ -17,6 +17,13 @@
   return a.len == b.len && (a.len == 0 || memcmp (a.data, b.data, a.len) == 0);
 }
 
+/* Returns true if s and text are equal, regardless of the case of ASCII letters. */
+bool
+kcp_str_equals_ignoring_case (struct kcp_str s, const char *text)
+{
+  return strlen (text) == s.len && g_ascii_strncasecmp (s.data, text, s.len) == 0;
+}
+
 /* Returns true if s starts with prefix. */
 bool
 kcp_str_has_prefix (struct kcp_str s, struct kcp_str prefix)
--- a/src/base/str.h
+++ b/src/base/str.h
@@ -21,6 +21,7 @@
 
 struct kcp_str kcp_str_from_c (const char *text);
 bool kcp_str_equal (struct kcp_str a, struct kcp_str b);
+bool kcp_str_equals_ignoring_case (struct kcp_str s, const char *text);
 bool kcp_str_has_prefix (struct kcp_str s, struct kcp_str prefix);
 struct kcp_str kcp_str_skip (struct kcp_str s, size_t count);
 struct kcp_str kcp_str_trim (struct kcp_str s);
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -221,6 +221,8 @@
   enum kcp_attempt_end end;
 
   attempt->call = NULL;
+  attempt->framing = result->framing;
+  attempt->partial_event_len = forward->framer.pending->len;
   if (forward->inbound->model != NULL && answer_matches (forward))
     kcp_server_update_version (attempt->server, forward->inbound->model,
                                attempt->head.weights,
@@ -233,6 +235,9 @@
            KCP_LOG_TEXT ("end", kcp_http_end_name (result->end)),
            KCP_LOG_INT ("class", end), KCP_LOG_INT ("status", result->status),
            KCP_LOG_INT ("kept", result->reused),
+           KCP_LOG_TEXT ("framing", kcp_http_framing_name (attempt->framing)),
+           KCP_LOG_INT ("partial_event", attempt->partial_event_len),
+           KCP_LOG_TEXT ("last_event", forward->framer.last_id->str),
            KCP_LOG_TEXT ("id_seen",
                          attempt->head.request_id ? attempt->head.request_id : "none"),
            KCP_LOG_INT ("not_run", attempt->head.not_run),
--- a/src/forward/forward_end.c
+++ b/src/forward/forward_end.c
@@ -143,6 +143,9 @@
                         forward->routes != NULL ? forward->routes->version : 0),
            KCP_LOG_INT ("tries", forward->tried->len),
            KCP_LOG_INT ("runs", forward->runs),
+           KCP_LOG_TEXT ("framing", kcp_http_framing_name (forward->attempt.framing)),
+           KCP_LOG_INT ("partial_event", forward->attempt.partial_event_len),
+           KCP_LOG_TEXT ("last_event", forward->framer.last_id->str),
            KCP_LOG_INT ("ms", (now - forward->arrived_ns) / KCP_NS_PER_MS));
   kcp_histogram_add (KCP_HISTOGRAM_REQUEST, now - forward->arrived_ns);
   if (end == KCP_ANSWER_INTERRUPTED && strcmp (outcome, "caller_gone") == 0)
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -13,8 +13,10 @@
   struct kcp_http_call *call; /* NULL: not in progress */
   struct kcp_server *server;  /* a reference; NULL: there is no attempt */
   struct kcp_answer_head head;
-  GPtrArray *headers;     /* of the answer: name, value, ... */
-  GString *buffered_body; /* body of an answer that is not streamed */
+  GPtrArray *headers;            /* of the answer: name, value, ... */
+  GString *buffered_body;        /* body of an answer that is not streamed */
+  enum kcp_http_framing framing; /* of the answer, once it has ended */
+  size_t partial_event_len;      /* bytes after the last complete event, likewise */
   int64_t sent_ns;
   int64_t first_byte_ns; /* when the first byte of the answer arrived; 0: not yet */
   int64_t prefill_tokens_pending; /* part of the server's count due to this attempt */
--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -33,6 +33,7 @@
   /* A connection was established, so the server may have received a byte. */
   bool connected;
   bool may_repeat;
+  enum kcp_http_framing framing;
   char error[CURL_ERROR_SIZE];
   void (*header) (void *user, struct kcp_str name, struct kcp_str value);
   bool (*data) (void *user, struct kcp_str bytes);
@@ -47,6 +48,13 @@
   [KCP_HTTP_TIMED_OUT] = "timed_out",
 };
 
+static const char *const framing_names[KCP_HTTP_FRAMING_COUNT] = {
+  [KCP_HTTP_FRAMING_NONE] = "none",
+  [KCP_HTTP_FRAMING_LENGTH] = "length",
+  [KCP_HTTP_FRAMING_CHUNKED] = "chunks",
+  [KCP_HTTP_FRAMING_CLOSE] = "close",
+};
+
 static void read_messages (void *user);
 static void finish (struct kcp_http_call *call, CURLcode code);
 static enum kcp_http_end classify_end (const struct kcp_http_call *call, CURLcode code);
@@ -59,6 +67,8 @@
 on_connected (void *user, char *address, char *own_address, int port, int own_port);
 static int on_socket_created (void *user, curl_socket_t fd, curlsocktype purpose);
 static size_t on_header (char *data, size_t size, size_t count, void *user);
+static void
+read_framing (struct kcp_http_call *call, struct kcp_str name, struct kcp_str value);
 static size_t on_data (char *data, size_t size, size_t count, void *user);
 static size_t on_read_body (char *out, size_t size, size_t count, void *user);
 
@@ -152,6 +162,13 @@
   return end_names[end];
 }
 
+/* Returns the name that the log uses for framing. */
+const char *
+kcp_http_framing_name (enum kcp_http_framing framing)
+{
+  return framing_names[framing];
+}
+
 static void
 read_messages (void *user)
 {
@@ -173,7 +190,8 @@
 static void
 finish (struct kcp_http_call *call, CURLcode code)
 {
-  struct kcp_http_result result = { .end = classify_end (call, code) };
+  struct kcp_http_result result
+      = { .end = classify_end (call, code), .framing = call->framing };
   char reason[CURL_ERROR_SIZE];
   long new_connections = 0;
   long error = 0;
@@ -334,16 +352,36 @@
   struct kcp_http_call *call = user;
   struct kcp_str line = { .data = data, .len = size * count };
   const char *colon = memchr (line.data, ':', line.len);
+  struct kcp_str name;
+  struct kcp_str value;
 
-  if (call->header == NULL || colon == NULL
-      || kcp_str_has_prefix (line, KCP_STR (STATUS_LINE_PREFIX)))
+  if (kcp_str_has_prefix (line, KCP_STR (STATUS_LINE_PREFIX)))
+    {
+      call->framing = KCP_HTTP_FRAMING_CLOSE;
+      return line.len;
+    }
+  if (colon == NULL)
     return line.len;
-  call->header (call->user,
-                (struct kcp_str){ .data = line.data, .len = (size_t)(colon - line.data) },
-                kcp_str_trim (kcp_str_skip (line, (size_t)(colon - line.data) + 1)));
+  name = (struct kcp_str){ .data = line.data, .len = (size_t)(colon - line.data) };
+  value = kcp_str_trim (kcp_str_skip (line, name.len + 1));
+  read_framing (call, name, value);
+  if (call->header != NULL)
+    call->header (call->user, name, value);
   return line.len;
 }
 
+/* Notes how the end of the body is marked. Chunks take precedence over a length. */
+static void
+read_framing (struct kcp_http_call *call, struct kcp_str name, struct kcp_str value)
+{
+  if (kcp_str_equals_ignoring_case (name, "Transfer-Encoding")
+      && kcp_str_equals_ignoring_case (value, "chunked"))
+    call->framing = KCP_HTTP_FRAMING_CHUNKED;
+  else if (kcp_str_equals_ignoring_case (name, "Content-Length")
+           && call->framing == KCP_HTTP_FRAMING_CLOSE)
+    call->framing = KCP_HTTP_FRAMING_LENGTH;
+}
+
 static size_t
 on_data (char *data, size_t size, size_t count, void *user)
 {
--- a/src/forward/http_client.h
+++ b/src/forward/http_client.h
@@ -20,9 +20,20 @@
   KCP_HTTP_END_COUNT
 };
 
+/* How the end of an answer's body is marked. */
+enum kcp_http_framing
+{
+  KCP_HTTP_FRAMING_NONE, /* no answer was received */
+  KCP_HTTP_FRAMING_LENGTH,
+  KCP_HTTP_FRAMING_CHUNKED,
+  KCP_HTTP_FRAMING_CLOSE, /* by the end of the connection */
+  KCP_HTTP_FRAMING_COUNT
+};
+
 struct kcp_http_result
 {
   enum kcp_http_end end;
+  enum kcp_http_framing framing;
   long status;        /* 0: no answer was received */
   bool reused;        /* the connection had carried an earlier call */
   bool refused;       /* no process accepts connections at the address */
@@ -62,5 +73,6 @@
 void kcp_http_cancel (struct kcp_http_call *call);
 long kcp_http_status (const struct kcp_http_call *call);
 const char *kcp_http_end_name (enum kcp_http_end end);
+const char *kcp_http_framing_name (enum kcp_http_framing framing);
 
 #endif
