A stream that ends within an event is broken off, whatever its framing says

Cause: finish_complete took the end of the HTTP framing for the end of the stream. An answer without a length and chunks ends with its connection, so a server that ends in order gave a complete answer; the incomplete event in the framer was appended to it. The same for chunks and a length that hold around half an event.

Why this works: a complete result whose stream stops within an event, or that ends with its connection before the first event, becomes an interrupted one where the call ends, before anything is decided from it. So the resend policy, the records of the server and the crash watch treat it as they treat a reset. Blank lines and comments after the last event are part of no event and are relayed. The framer knows CR as a line end too: such streams used to end as one long incomplete event.

--- a/src/forward/event_framer.c
+++ b/src/forward/event_framer.c
@@ -2,9 +2,13 @@
 
 #include <string.h>
 
-#define EVENT_MAX (1u << 20) /* bytes of one event */
+#define EVENT_MAX     (1u << 20) /* bytes of one event */
+#define COMMENT_START ':'
 
 static size_t event_len (const GString *text);
+static bool may_lack_lf (struct kcp_str text, size_t line_end);
+static size_t line_end_len (struct kcp_str text);
+static struct kcp_str take_line (struct kcp_str *text, bool *terminated);
 static void emit_event (struct kcp_event_framer *framer, size_t len, GString *out);
 static struct kcp_str find_id (struct kcp_str event);
 static bool is_duplicate (const struct kcp_event_framer *framer, struct kcp_str id);
@@ -40,6 +44,33 @@
   return framer->pending->len <= EVENT_MAX;
 }
 
+/* Returns true if the bytes so far end within an event: in the middle of a line, or after
+   a field of an event whose blank line is missing. Blank lines and comments between
+   events belong to none. */
+bool
+kcp_event_framer_is_within_event (const struct kcp_event_framer *framer)
+{
+  struct kcp_str rest = { .data = framer->pending->str, .len = framer->pending->len };
+
+  while (rest.len > 0)
+    {
+      bool terminated;
+      struct kcp_str line = take_line (&rest, &terminated);
+
+      if (!terminated || (line.len > 0 && line.data[0] != COMMENT_START))
+        return true;
+    }
+  return false;
+}
+
+/* Appends what follows the last event, which must not be part of one, to out. */
+void
+kcp_event_framer_flush (struct kcp_event_framer *framer, GString *out)
+{
+  g_string_append_len (out, framer->pending->str, (gssize)framer->pending->len);
+  g_string_truncate (framer->pending, 0);
+}
+
 /* Discards the incomplete event. */
 void
 kcp_event_framer_discard_partial (struct kcp_event_framer *framer)
@@ -52,18 +83,61 @@
 static size_t
 event_len (const GString *text)
 {
-  for (size_t i = 0; i + 1 < text->len; i++)
+  struct kcp_str rest = { .data = text->str, .len = text->len };
+
+  while (rest.len > 0)
     {
-      if (text->str[i] != '\n')
-        continue;
-      if (text->str[i + 1] == '\n')
-        return i + 2;
-      if (i + 2 < text->len && text->str[i + 1] == '\r' && text->str[i + 2] == '\n')
-        return i + 3;
+      size_t line_end = line_end_len (rest);
+      size_t blank_line;
+
+      if (line_end == 0)
+        {
+          rest = kcp_str_skip (rest, 1);
+          continue;
+        }
+      blank_line = line_end_len (kcp_str_skip (rest, line_end));
+      if (blank_line > 0 && !may_lack_lf (rest, line_end))
+        return (size_t)(rest.data - text->str) + line_end + blank_line;
+      rest = kcp_str_skip (rest, line_end);
     }
   return 0;
 }
 
+/* Returns true if text ends with a blank line's CR whose LF may not have arrived yet: the
+   line before it does not end with CR alone. line_end is the length of that line's
+   end. */
+static bool
+may_lack_lf (struct kcp_str text, size_t line_end)
+{
+  bool ends_with_cr = text.len == line_end + 1 && text.data[line_end] == '\r';
+
+  return ends_with_cr && text.data[line_end - 1] != '\r';
+}
+
+/* Returns the length of the line end with which text starts, or 0 if it starts with
+   another byte. A line ends with CR LF, LF or CR. */
+static size_t
+line_end_len (struct kcp_str text)
+{
+  if (kcp_str_has_prefix (text, KCP_STR ("\r\n")))
+    return 2;
+  return text.len > 0 && (text.data[0] == '\n' || text.data[0] == '\r') ? 1 : 0;
+}
+
+/* Removes the first line and its line end from text and returns the line. */
+static struct kcp_str
+take_line (struct kcp_str *text, bool *terminated)
+{
+  struct kcp_str line = { .data = text->data, .len = 0 };
+
+  while (line.len < text->len && line_end_len (kcp_str_skip (*text, line.len)) == 0)
+    line.len++;
+  *terminated = line.len < text->len;
+  *text = kcp_str_skip (*text, line.len);
+  *text = kcp_str_skip (*text, line_end_len (*text));
+  return line;
+}
+
 /* Removes the first event, of length len, from pending and appends it to out unless it is
    a duplicate. */
 static void
@@ -92,13 +166,11 @@
 
   while (event.len > 0)
     {
-      const char *end = memchr (event.data, '\n', event.len);
-      size_t len = end != NULL ? (size_t)(end - event.data) : event.len;
-      struct kcp_str line = { .data = event.data, .len = len };
+      bool terminated;
+      struct kcp_str line = take_line (&event, &terminated);
 
       if (kcp_str_has_prefix (line, field))
         return kcp_str_trim (kcp_str_skip (line, field.len));
-      event = kcp_str_skip (event, len + 1);
     }
   return (struct kcp_str){ .data = "", .len = 0 };
 }
--- a/src/forward/event_framer.h
+++ b/src/forward/event_framer.h
@@ -19,6 +19,8 @@
 void kcp_event_framer_clear (struct kcp_event_framer *framer);
 bool kcp_event_framer_feed (struct kcp_event_framer *framer, struct kcp_str bytes,
                             GString *out);
+bool kcp_event_framer_is_within_event (const struct kcp_event_framer *framer);
+void kcp_event_framer_flush (struct kcp_event_framer *framer, GString *out);
 void kcp_event_framer_discard_partial (struct kcp_event_framer *framer);
 
 #endif
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -18,6 +18,10 @@
 static bool is_streamed (const struct kcp_forward *forward, long status);
 static bool answer_matches (const struct kcp_forward *forward);
 static void on_done (void *user, const struct kcp_http_result *result);
+static struct kcp_http_result
+check_stream_end (const struct kcp_forward *forward, struct kcp_http_result result);
+static bool
+lacks_events (const struct kcp_forward *forward, const struct kcp_http_result *result);
 static bool
 finish_complete (struct kcp_forward *forward, const struct kcp_http_result *result);
 static enum kcp_attempt_end
@@ -214,27 +218,28 @@
 }
 
 static void
-on_done (void *user, const struct kcp_http_result *result)
+on_done (void *user, const struct kcp_http_result *http_result)
 {
   struct kcp_forward *forward = user;
   struct kcp_attempt *attempt = &forward->attempt;
+  struct kcp_http_result result = check_stream_end (forward, *http_result);
   enum kcp_attempt_end end;
 
   attempt->call = NULL;
-  attempt->framing = result->framing;
+  attempt->framing = result.framing;
   attempt->partial_event_len = forward->framer.pending->len;
   if (forward->inbound->model != NULL && answer_matches (forward))
     kcp_server_update_version (attempt->server, forward->inbound->model,
                                attempt->head.weights,
                                kcp_loop_now (forward->gateway->loop));
-  if (finish_complete (forward, result))
+  if (finish_complete (forward, &result))
     return;
-  end = classify (forward, result);
+  end = classify (forward, &result);
   KCP_LOG ("attempt_failed", KCP_LOG_TEXT ("request", forward->inbound->id),
            KCP_LOG_TEXT ("server", attempt->server->entry.id),
-           KCP_LOG_TEXT ("end", kcp_http_end_name (result->end)),
-           KCP_LOG_INT ("class", end), KCP_LOG_INT ("status", result->status),
-           KCP_LOG_INT ("kept", result->reused),
+           KCP_LOG_TEXT ("end", kcp_http_end_name (result.end)),
+           KCP_LOG_INT ("class", end), KCP_LOG_INT ("status", result.status),
+           KCP_LOG_INT ("kept", result.reused),
            KCP_LOG_TEXT ("framing", kcp_http_framing_name (attempt->framing)),
            KCP_LOG_INT ("partial_event", attempt->partial_event_len),
            KCP_LOG_TEXT ("last_event", forward->framer.last_id->str),
@@ -243,10 +248,40 @@
            KCP_LOG_INT ("not_run", attempt->head.not_run),
            KCP_LOG_INT ("ms", (kcp_loop_now (forward->gateway->loop) - attempt->sent_ns)
                                   / KCP_NS_PER_MS),
-           KCP_LOG_TEXT ("reason", result->reason));
+           KCP_LOG_TEXT ("reason", result.reason));
   record_attempt_end (forward, end);
-  watch_for_crash (forward, end, result);
-  kcp_forward_after_attempt (forward, end, result->status);
+  watch_for_crash (forward, end, &result);
+  kcp_forward_after_attempt (forward, end, result.status);
+}
+
+/* Returns the result of a call; as interrupted if HTTP took the answer for complete but
+   its stream has no end. */
+static struct kcp_http_result
+check_stream_end (const struct kcp_forward *forward, struct kcp_http_result result)
+{
+  if (result.end != KCP_HTTP_COMPLETE || !is_streamed (forward, result.status))
+    return result;
+  if (kcp_event_framer_is_within_event (&forward->framer))
+    {
+      result.end = KCP_HTTP_INTERRUPTED;
+      result.reason = "the stream ended within an event";
+    }
+  else if (lacks_events (forward, &result))
+    {
+      result.end = KCP_HTTP_INTERRUPTED;
+      result.reason = "the connection ended before the first event";
+    }
+  return result;
+}
+
+/* Returns true if a stream that ends with its connection has no event. A stream that the
+   caller resumes may have none: the caller may have them all. */
+static bool
+lacks_events (const struct kcp_forward *forward, const struct kcp_http_result *result)
+{
+  return result->framing == KCP_HTTP_FRAMING_CLOSE && !forward->answer->begun
+         && forward->inbound->resume_after == NULL
+         && strcmp (forward->inbound->method, MHD_HTTP_METHOD_HEAD) != 0;
 }
 
 /* Relays the answer if it is complete, comes from the server and belongs to this request.
@@ -272,10 +307,7 @@
   kcp_crash_suspects_clear (forward->gateway, forward->fingerprint);
   if (is_streamed (forward, result->status))
     {
-      const GString *rest = forward->framer.pending;
-
-      g_string_append_len (forward->answer->body, rest->str, (gssize)rest->len);
-      kcp_event_framer_discard_partial (&forward->framer);
+      kcp_event_framer_flush (&forward->framer, forward->answer->body);
       if (!forward->answer->begun)
         kcp_forward_begin_streaming (forward, (unsigned)result->status);
       kcp_forward_finish (forward, KCP_ANSWER_COMPLETE, "answered", NULL);
--- a/tests/process/test_stream_ends.c
+++ b/tests/process/test_stream_ends.c
@@ -27,6 +27,7 @@
   bool reset; /* of the connection, after the body */
 };
 
+/* The last one is closed before its first event. */
 static const struct script closed_within_event[] = {
   { "", EVENT_1 HALF_EVENT, false },
   { "", HALF_EVENT, false },
@@ -37,6 +38,8 @@
   { CHUNKED, "24\r\n" EVENT_1 HALF_EVENT "\r\n" LAST_CHUNK, false },
   { CHUNKED, "24\r\n" EVENT_1 HALF_EVENT "\r\n", false },
   { "Content-Length: 1000\r\n", EVENT_1 HALF_EVENT, false },
+  { "", EVENT_1_CRLF "id: 2\r\ndata: piece 2\r\n\r", false },
+  { "", "", false },
 };
 
 static const struct script reset_streams[] = {
@@ -227,6 +230,19 @@
 }
 END_TEST
 
+/* The caller may have all events already. */
+START_TEST (test_stream_resumed_after_its_last_event_is_empty)
+{
+  struct script script = { .header_lines = "", .body = "" };
+  struct raw_answer answer;
+
+  first = start_server ("i-1", play_script, &script);
+  answer = route_vm_send ("POST", "/stream/x", "Last-Event-Id: 2\r\n", "in");
+  ck_assert (looks_complete (&answer));
+  raw_answer_clear (&answer);
+}
+END_TEST
+
 START_TEST (test_whole_stream_without_length_is_delivered)
 {
   struct script script = { .header_lines = "", .body = whole_streams[_i] };
@@ -262,6 +278,7 @@
                        G_N_ELEMENTS (closed_within_event));
   tcase_add_test (cases, test_server_that_closes_within_an_event_is_suspected);
   tcase_add_test (cases, test_server_that_ends_within_an_event_counts_as_crashed);
+  tcase_add_test (cases, test_stream_resumed_after_its_last_event_is_empty);
   tcase_add_loop_test (cases, test_whole_stream_without_length_is_delivered, 0,
                        G_N_ELEMENTS (whole_streams));
   suite_add_tcase (suite, cases);
--- a/tests/unit/test_forward_parts.c
+++ b/tests/unit/test_forward_parts.c
@@ -280,6 +280,61 @@
 }
 END_TEST
 
+/* Streams with each kind of line end, cut after each of their bytes: complete events are
+   emitted at once, and only a cut between two events is not within one. */
+START_TEST (test_cuts_within_an_event_are_recognised_with_each_line_end)
+{
+  static const char *const line_ends[] = { "\n", "\r\n", "\r" };
+  const char *line_end = line_ends[_i];
+  g_autofree char *event
+      = g_strconcat ("id: 1", line_end, "data: a", line_end, line_end, NULL);
+  g_autofree char *text
+      = g_strconcat (event, "id: 2", line_end, "data: b", line_end, line_end, NULL);
+  size_t len = strlen (event);
+
+  for (size_t cut = 0; cut <= 2 * len; cut++)
+    {
+      struct kcp_event_framer framer;
+      g_autoptr (GString) out = g_string_new (NULL);
+
+      kcp_event_framer_init (&framer);
+      for (size_t i = 0; i < cut; i++)
+        ck_assert (kcp_event_framer_feed (
+            &framer, (struct kcp_str){ .data = text + i, .len = 1 }, out));
+      ck_assert_uint_eq (out->len, cut / len * len);
+      ck_assert_int_eq (kcp_event_framer_is_within_event (&framer), cut % len != 0);
+      kcp_event_framer_clear (&framer);
+    }
+}
+END_TEST
+
+/* Blank lines and comments between events are relayed and belong to no event. */
+START_TEST (test_comment_after_the_last_event_is_not_within_an_event)
+{
+  static const struct
+  {
+    const char *rest;
+    bool within;
+  } cases[] = { { "\n", false },      { ": ping\n", false }, { "\r\n", false },
+                { ": ping", true },   { "id: 2\n", true },   { ": a\ndata: b\n", true },
+                { "\n: a\n", false }, { "d", true } };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct kcp_event_framer framer;
+      g_autoptr (GString) out = g_string_new (NULL);
+      g_autofree char *text = g_strconcat ("id: 1\ndata: a\n\n", cases[i].rest, NULL);
+
+      kcp_event_framer_init (&framer);
+      ck_assert (kcp_event_framer_feed (&framer, kcp_str_from_c (text), out));
+      ck_assert_int_eq (kcp_event_framer_is_within_event (&framer), cases[i].within);
+      kcp_event_framer_flush (&framer, out);
+      ck_assert_str_eq (out->str, text);
+      kcp_event_framer_clear (&framer);
+    }
+}
+END_TEST
+
 START_TEST (test_mesh_message_round_trip_rejects_truncation)
 {
   struct kcp_mesh_message message;
@@ -634,6 +689,9 @@
   tcase_add_test (cases, test_servers_with_short_ids_share_a_key);
   tcase_add_test (cases, test_cache_store_survives_reconfiguration);
   tcase_add_test (cases, test_interrupted_streams_resume_at_event_boundaries);
+  tcase_add_loop_test (cases, test_cuts_within_an_event_are_recognised_with_each_line_end,
+                       0, 3);
+  tcase_add_test (cases, test_comment_after_the_last_event_is_not_within_an_event);
   tcase_add_test (cases, test_mesh_message_round_trip_rejects_truncation);
   tcase_add_test (cases, test_largest_mesh_message_fits_a_datagram);
   tcase_add_test (cases, test_mesh_records_round_trip_rejects_truncation);
