An interrupted stream does not look complete to an HTTP/1.0 caller

What callers saw: nothing was reported. An HTTP/1.0 caller has no chunks: it takes the orderly end of its connection for the end of the answer, and libmicrohttpd ends a connection in order also when the answer ends with an error.

Why this works: the connection is reset (connect with AF_UNSPEC) before libmicrohttpd shuts it down. A linger time of 0 would not do, since the shutdown sends the orderly end first. Callers that speak HTTP/1.1 get chunks, and keep what they have not read yet.

--- a/src/forward/caller_server.c
+++ b/src/forward/caller_server.c
@@ -1,7 +1,9 @@
 #include "forward/caller_server.h"
 
+#include <errno.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 
 #include "base/decision_log.h"
 #include "forward/caller_head.h"
@@ -32,6 +34,7 @@
   struct kcp_forward *forward;
   struct kcp_answer answer;
   bool head_read;
+  bool chunked; /* a streamed answer is sent in chunks, not up to the connection's end */
   bool suspended;
   bool disconnected; /* the caller closed its connection, or the exchange has ended */
 };
@@ -67,6 +70,7 @@
 static void on_changed (void *user);
 static enum MHD_Result send_answer (struct exchange *exchange);
 static ssize_t read_answer (void *user, uint64_t position, char *out, size_t max);
+static void reset_connection (const struct exchange *exchange);
 static void suspend (struct exchange *exchange);
 static void resume (struct exchange *exchange);
 static void free_forward (struct exchange *exchange);
@@ -189,11 +193,13 @@
 
   (void)connection;
   (void)url;
-  (void)version;
   if (exchange->disconnected)
     return MHD_NO;
   if (!exchange->head_read)
-    return read_head (exchange, method);
+    {
+      exchange->chunked = strcmp (version, MHD_HTTP_VERSION_1_0) != 0;
+      return read_head (exchange, method);
+    }
   if (*size > 0)
     {
       if (exchange->inbound->body->len + *size <= body_max (server->gateway))
@@ -395,12 +401,26 @@
     case KCP_ANSWER_COMPLETE:
       return MHD_CONTENT_READER_END_OF_STREAM;
     case KCP_ANSWER_INTERRUPTED:
+      if (!exchange->chunked)
+        reset_connection (exchange);
       return MHD_CONTENT_READER_END_WITH_ERROR;
     }
   suspend (exchange);
   return 0;
 }
 
+/* Resets the connection to a caller that would take its orderly end for the end of the
+   answer. libmicrohttpd ends connections in order, so this has to be done before. */
+static void
+reset_connection (const struct exchange *exchange)
+{
+  const struct sockaddr none = { .sa_family = AF_UNSPEC };
+  const struct caller *caller = find_caller (exchange->connection);
+
+  if (caller != NULL && connect (caller->fd, &none, sizeof none) != 0)
+    KCP_LOG ("reset_failed", KCP_LOG_TEXT ("reason", g_strerror (errno)));
+}
+
 static void
 suspend (struct exchange *exchange)
 {
--- a/tests/harness/raw.c
+++ b/tests/harness/raw.c
@@ -49,6 +49,7 @@
         {
           count = read (fd, block, sizeof block);
           answer.closed = count <= 0;
+          answer.reset = count < 0;
           g_string_append_len (answer.text, block, MAX (count, 0));
         }
       answer.elapsed_ms = (g_get_monotonic_time () - start_us) / G_TIME_SPAN_MILLISECOND;
--- a/tests/harness/raw.h
+++ b/tests/harness/raw.h
@@ -10,6 +10,7 @@
 {
   GString *text;
   bool closed; /* the server closed the connection before the timeout */
+  bool reset;  /* it did so with a reset */
   int64_t elapsed_ms;
 };
 
--- a/tests/process/test_stream_ends.c
+++ b/tests/process/test_stream_ends.c
@@ -154,6 +154,25 @@
 }
 END_TEST
 
+/* An HTTP/1.0 caller knows the end of a stream only by the end of its connection. */
+START_TEST (test_interrupted_stream_does_not_look_complete_to_an_http_1_0_caller)
+{
+  const char *request = "POST /stream/x HTTP/1.0\r\nHost: h\r\nRequest-Id: r1\r\n"
+                        "Authorization: Bearer key1\r\nRequest-Deadline: 2500\r\n"
+                        "Content-Length: 2\r\n\r\nin";
+  struct script script = _i == 0 ? (struct script){ .header_lines = "", .body = EVENT_1 }
+                                 : closed_within_event[0];
+  struct raw_answer answer;
+
+  first = start_server ("i-1", play_script, &script);
+  answer = raw_exchange (route_vm.port, request, ROUTE_VM_TIMEOUT_MS);
+  ck_assert_int_eq (route_vm_status (&answer), 200);
+  ck_assert (answer.closed);
+  ck_assert_int_eq (answer.reset, _i == 1);
+  raw_answer_clear (&answer);
+}
+END_TEST
+
 static unsigned
 count_of (const char *text, const char *part)
 {
@@ -274,6 +293,8 @@
                        0, G_N_ELEMENTS (closed_within_event));
   tcase_add_loop_test (cases, test_reset_stream_does_not_look_complete, 0,
                        G_N_ELEMENTS (reset_streams));
+  tcase_add_loop_test (
+      cases, test_interrupted_stream_does_not_look_complete_to_an_http_1_0_caller, 0, 2);
   tcase_add_loop_test (cases, test_stream_closed_within_an_event_resumes_elsewhere, 0,
                        G_N_ELEMENTS (closed_within_event));
   tcase_add_test (cases, test_server_that_closes_within_an_event_is_suspected);
