Header lines of an interim answer are not those of the answer

What callers saw: a server that sends a 1xx head first had its lines taken with those of the answer: they were relayed, and a Not-Executed or another Request-Id among them decided. A request that had run was answered 503 with 'not run'.

Cause: libcurl gives the header lines of all heads of a call to one callback, and those of a chunked body's trailer too; the attempt collected them all.

Why this works: the HTTP client follows where a head begins (its status line) and ends (its blank line, unless interim); the attempt starts anew at each head, and trailers are read over.

--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -12,6 +12,7 @@
 #define BUFFERED_ANSWER_MAX (64u << 20) /* bytes of an answer that is not streamed */
 
 static struct curl_slist *make_headers (const struct kcp_forward *forward);
+static void on_head (void *user);
 static void on_header (void *user, struct kcp_str name, struct kcp_str value);
 static bool on_data (void *user, struct kcp_str bytes);
 static void record_first_byte (struct kcp_forward *forward);
@@ -98,6 +99,7 @@
           .ack_timeout_ms = settings->servers_ack_timeout_ms,
           .max_idle_s = settings->servers_max_idle_s,
           .new_connection = run_once && forward->inbound->body->len == 0,
+          .head = on_head,
           .header = on_header,
           .data = on_data,
           .done = on_done,
@@ -144,6 +146,18 @@
   return MAX (remaining_ns / KCP_NS_PER_MS, 0);
 }
 
+/* Drops the header lines of an interim answer. */
+static void
+on_head (void *user)
+{
+  struct kcp_forward *forward = user;
+  struct kcp_attempt *attempt = &forward->attempt;
+
+  g_ptr_array_set_size (attempt->headers, 0);
+  kcp_answer_head_clear (&attempt->head);
+  attempt->head = (struct kcp_answer_head){ 0 };
+}
+
 static void
 on_header (void *user, struct kcp_str name, struct kcp_str value)
 {
--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -34,7 +34,10 @@
   bool connected;
   bool may_repeat;
   enum kcp_http_framing framing;
+  bool interim;    /* the head that is being received is that of an interim answer */
+  bool head_ended; /* the answer's head is complete */
   char error[CURL_ERROR_SIZE];
+  void (*head) (void *user);
   void (*header) (void *user, struct kcp_str name, struct kcp_str value);
   bool (*data) (void *user, struct kcp_str bytes);
   void (*done) (void *user, const struct kcp_http_result *result);
@@ -67,6 +70,9 @@
 on_connected (void *user, char *address, char *own_address, int port, int own_port);
 static int on_socket_created (void *user, curl_socket_t fd, curlsocktype purpose);
 static size_t on_header (char *data, size_t size, size_t count, void *user);
+static void begin_head (struct kcp_http_call *call, struct kcp_str status_line);
+static void
+read_header (struct kcp_http_call *call, struct kcp_str line, size_t name_len);
 static void
 read_framing (struct kcp_http_call *call, struct kcp_str name, struct kcp_str value);
 static size_t on_data (char *data, size_t size, size_t count, void *user);
@@ -123,6 +129,7 @@
   call->body = spec->body;
   call->ack_timeout_ms = spec->ack_timeout_ms;
   call->may_repeat = spec->may_repeat;
+  call->head = spec->head;
   call->header = spec->header;
   call->data = spec->data;
   call->done = spec->done;
@@ -352,22 +359,40 @@
   struct kcp_http_call *call = user;
   struct kcp_str line = { .data = data, .len = size * count };
   const char *colon = memchr (line.data, ':', line.len);
-  struct kcp_str name;
-  struct kcp_str value;
 
-  if (kcp_str_has_prefix (line, KCP_STR (STATUS_LINE_PREFIX)))
-    {
-      call->framing = KCP_HTTP_FRAMING_CLOSE;
-      return line.len;
-    }
-  if (colon == NULL)
+  if (call->head_ended) /* a trailer; nothing in it is used */
     return line.len;
-  name = (struct kcp_str){ .data = line.data, .len = (size_t)(colon - line.data) };
-  value = kcp_str_trim (kcp_str_skip (line, name.len + 1));
+  if (kcp_str_has_prefix (line, KCP_STR (STATUS_LINE_PREFIX)))
+    begin_head (call, line);
+  else if (kcp_str_trim (line).len == 0)
+    call->head_ended = !call->interim;
+  else if (colon != NULL)
+    read_header (call, line, (size_t)(colon - line.data));
+  return line.len;
+}
+
+/* Begins a head at its status line. */
+static void
+begin_head (struct kcp_http_call *call, struct kcp_str status_line)
+{
+  const char *space = memchr (status_line.data, ' ', status_line.len);
+
+  call->interim = space != NULL && space[1] == '1';
+  call->framing = KCP_HTTP_FRAMING_CLOSE;
+  if (call->head != NULL)
+    call->head (call->user);
+}
+
+/* Reads a header line whose name has name_len bytes. */
+static void
+read_header (struct kcp_http_call *call, struct kcp_str line, size_t name_len)
+{
+  struct kcp_str name = { .data = line.data, .len = name_len };
+  struct kcp_str value = kcp_str_trim (kcp_str_skip (line, name_len + 1));
+
   read_framing (call, name, value);
   if (call->header != NULL)
     call->header (call->user, name, value);
-  return line.len;
 }
 
 /* Notes how the end of the body is marked. Chunks take precedence over a length. */
--- a/src/forward/http_client.h
+++ b/src/forward/http_client.h
@@ -56,6 +56,8 @@
   /* libcurl may send a request without a body again if a reused connection closes before
      the answer. */
   bool may_repeat;
+  /* An answer's head begins. The header lines so far were those of an interim answer. */
+  void (*head) (void *user);
   void (*header) (void *user, struct kcp_str name, struct kcp_str value);
   /* Returns false to end the call as interrupted. */
   bool (*data) (void *user, struct kcp_str bytes);
