Answers without end, and callers that do not read, stay within memory limits

A server that sends bytes without end, or a caller that does not read its stream, made the VM grow until the deadline.

A stream's server is not read while its caller leaves 16 to 64 KiB unread, as in serve; a slow caller still gets each event once. A whole answer is no longer copied twice on its way to the caller. The search for an event's end goes on where it ended: one event of 1 MiB cost 0.2 s before. A resumed stream can no longer be continued by an answer that is not a stream.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -47,6 +47,10 @@
   = { "server_crashes", "Crashes of backend servers that requests were in flight at" },
   [KCP_COUNT_BLOCKED]
   = { "blocked", "Requests ended because copies of them crashed servers" },
+  [KCP_COUNT_ANSWERS_TOO_LARGE]
+  = { "answers_too_large", "Answers ended because they exceed a limit in bytes" },
+  [KCP_COUNT_STREAMS_PAUSED]
+  = { "streams_paused", "Times a server was not read because its caller did not read" },
 };
 
 static uint64_t values[KCP_COUNTER_COUNT];
--- a/src/forward/cache_reader.c
+++ b/src/forward/cache_reader.c
@@ -11,6 +11,7 @@
 #define CONNECT_TIMEOUT_MS 250
 #define ANSWER_TIMEOUT_MS  600 /* in addition to LONG_POLL_MS */
 #define IDLE_CONNECTION_S  5
+#define EVENTS_MAX_BYTES   (4u << 20) /* bytes of one answer with cache events */
 #define FAILURES_MAX       3u /* consecutive failures that make cached parts unknown */
 
 /* A server or store whose cache events are read. */
@@ -163,6 +164,7 @@
                                              .total_ms = LONG_POLL_MS + ANSWER_TIMEOUT_MS,
                                              .may_repeat = true,
                                              .max_idle_s = IDLE_CONNECTION_S,
+                                             .max_body_bytes = EVENTS_MAX_BYTES,
                                              .data = on_data,
                                              .done = on_done,
                                              .user = source,
--- a/src/forward/caller_server.c
+++ b/src/forward/caller_server.c
@@ -69,6 +69,7 @@
 static enum MHD_Result advance (struct exchange *exchange);
 static void on_changed (void *user);
 static enum MHD_Result send_answer (struct exchange *exchange);
+static struct MHD_Response *make_whole_response (struct kcp_answer *answer);
 static ssize_t read_answer (void *user, uint64_t position, char *out, size_t max);
 static void reset_connection (const struct exchange *exchange);
 static void suspend (struct exchange *exchange);
@@ -364,8 +365,7 @@
     response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, RESPONSE_BLOCK_SIZE,
                                                   read_answer, exchange, NULL);
   else
-    response = MHD_create_response_from_buffer (answer->body->len, answer->body->str,
-                                                MHD_RESPMEM_MUST_COPY);
+    response = make_whole_response (answer);
   for (guint i = 0; i + 1 < answer->headers->len; i += 2)
     MHD_add_response_header (response, g_ptr_array_index (answer->headers, i),
                              g_ptr_array_index (answer->headers, i + 1));
@@ -376,6 +376,17 @@
   return result;
 }
 
+/* Makes the response to an answer that is complete. Takes the answer's body. */
+static struct MHD_Response *
+make_whole_response (struct kcp_answer *answer)
+{
+  size_t len = answer->body->len;
+  char *data = g_string_free (answer->body, FALSE);
+
+  answer->body = g_string_new (NULL);
+  return MHD_create_response_from_buffer (len, data, MHD_RESPMEM_MUST_FREE);
+}
+
 /* Gives libmicrohttpd the next bytes of a streamed answer. Suspends the connection if
    there are none yet. */
 static ssize_t
@@ -390,6 +401,8 @@
     {
       memcpy (out, body->str, count);
       g_string_erase (body, 0, (gssize)count);
+      if (exchange->answer.taken != NULL)
+        exchange->answer.taken (exchange->answer.taken_user);
       return (ssize_t)count;
     }
   if (exchange->disconnected)
--- a/src/forward/event_framer.c
+++ b/src/forward/event_framer.c
@@ -5,7 +5,7 @@
 #define EVENT_MAX     (1u << 20) /* bytes of one event */
 #define COMMENT_START ':'
 
-static size_t event_len (const GString *text);
+static size_t event_len (struct kcp_event_framer *framer);
 static bool may_lack_lf (struct kcp_str text, size_t line_end);
 static size_t line_end_len (struct kcp_str text);
 static struct kcp_str take_line (struct kcp_str *text, bool *terminated);
@@ -19,6 +19,7 @@
 {
   framer->pending = g_string_new (NULL);
   framer->last_id = g_string_new (NULL);
+  framer->searched = 0;
 }
 
 /* Frees the contents of the framer. */
@@ -39,7 +40,7 @@
   size_t len;
 
   g_string_append_len (framer->pending, bytes.data, (gssize)bytes.len);
-  while ((len = event_len (framer->pending)) > 0)
+  while ((len = event_len (framer)) > 0)
     emit_event (framer, len, out);
   return framer->pending->len <= EVENT_MAX;
 }
@@ -69,6 +70,7 @@
 {
   g_string_append_len (out, framer->pending->str, (gssize)framer->pending->len);
   g_string_truncate (framer->pending, 0);
+  framer->searched = 0;
 }
 
 /* Discards the incomplete event. */
@@ -76,30 +78,31 @@
 kcp_event_framer_discard_partial (struct kcp_event_framer *framer)
 {
   g_string_truncate (framer->pending, 0);
+  framer->searched = 0;
 }
 
 /* Returns the length of the first event including its blank line, or 0 if the event is
-   incomplete. */
+   incomplete. Continues where the last search ended. */
 static size_t
-event_len (const GString *text)
+event_len (struct kcp_event_framer *framer)
 {
-  struct kcp_str rest = { .data = text->str, .len = text->len };
+  const GString *text = framer->pending;
+  size_t at = framer->searched;
 
-  while (rest.len > 0)
+  while (at < text->len)
     {
+      struct kcp_str rest = { .data = text->str + at, .len = text->len - at };
       size_t line_end = line_end_len (rest);
-      size_t blank_line;
-
-      if (line_end == 0)
-        {
-          rest = kcp_str_skip (rest, 1);
-          continue;
-        }
-      blank_line = line_end_len (kcp_str_skip (rest, line_end));
-      if (blank_line > 0 && !may_lack_lf (rest, line_end))
-        return (size_t)(rest.data - text->str) + line_end + blank_line;
-      rest = kcp_str_skip (rest, line_end);
+      size_t blank_line = line_end_len (kcp_str_skip (rest, line_end));
+
+      if (line_end > 0 && blank_line > 0 && !may_lack_lf (rest, line_end))
+        return at + line_end + blank_line;
+      /* What follows a line end near the end of the text is not known yet. */
+      if (line_end > 0 && line_end + blank_line == rest.len)
+        break;
+      at += MAX (line_end, 1);
     }
+  framer->searched = at;
   return 0;
 }
 
@@ -156,6 +159,7 @@
         }
     }
   g_string_erase (framer->pending, 0, (gssize)len);
+  framer->searched = 0;
 }
 
 /* Returns the id of an event; empty if it has none. */
--- a/src/forward/event_framer.h
+++ b/src/forward/event_framer.h
@@ -12,6 +12,7 @@
 struct kcp_event_framer
 {
   GString *pending; /* an incomplete event */
+  size_t searched;  /* bytes of pending in which no event ends */
   GString *last_id; /* of the last complete event with an id */
 };
 
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -64,6 +64,7 @@
   forward->gateway->open_requests--;
   kcp_loop_timer_cancel (&forward->deadline_timer);
   kcp_forward_end_attempt (forward);
+  kcp_forward_release_answer (forward);
   kcp_choice_clear (&forward->choice);
   kcp_event_framer_clear (&forward->framer);
   g_ptr_array_unref (forward->tried);
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -9,15 +9,11 @@
 #include "policy/fingerprint.h"
 #include "policy/queue_priority.h"
 
-#define BUFFERED_ANSWER_MAX (64u << 20) /* bytes of an answer that is not streamed */
-
 static struct curl_slist *make_headers (const struct kcp_forward *forward);
 static void on_head (void *user);
 static void on_header (void *user, struct kcp_str name, struct kcp_str value);
 static bool on_data (void *user, struct kcp_str bytes);
 static void record_first_byte (struct kcp_forward *forward);
-static bool is_streamed (const struct kcp_forward *forward, long status);
-static bool answer_matches (const struct kcp_forward *forward);
 static void on_done (void *user, const struct kcp_http_result *result);
 static struct kcp_http_result
 check_stream_end (const struct kcp_forward *forward, struct kcp_http_result result);
@@ -173,26 +169,9 @@
 on_data (void *user, struct kcp_str bytes)
 {
   struct kcp_forward *forward = user;
-  struct kcp_attempt *attempt = &forward->attempt;
-  long status = kcp_http_status (attempt->call);
-  size_t before = forward->answer->body->len;
 
   record_first_byte (forward);
-  if (attempt->head.signed_ && answer_matches (forward))
-    attempt->server->last_answer_ns = kcp_loop_now (forward->gateway->loop);
-  if (!is_streamed (forward, status))
-    {
-      g_string_append_len (attempt->buffered_body, bytes.data, (gssize)bytes.len);
-      return attempt->buffered_body->len <= BUFFERED_ANSWER_MAX;
-    }
-  if (!kcp_event_framer_feed (&forward->framer, bytes, forward->answer->body))
-    return false;
-  if (forward->answer->body->len == before)
-    return true;
-  if (!forward->answer->begun)
-    kcp_forward_begin_streaming (forward, (unsigned)status);
-  forward->answer->changed (forward->answer->user);
-  return true;
+  return kcp_forward_take_bytes (forward, bytes);
 }
 
 /* Records the time of the first byte of the answer. The prefill of the prompt has ended
@@ -211,26 +190,6 @@
                      attempt->first_byte_ns - forward->arrived_ns);
 }
 
-/* Returns true if the answer is streamed to the caller as it arrives. This requires an
-   answer that carries the server's signature and belongs to this request. */
-static bool
-is_streamed (const struct kcp_forward *forward, long status)
-{
-  return forward->choice.route->streaming && status == MHD_HTTP_OK
-         && answer_matches (forward) && forward->attempt.head.signed_;
-}
-
-/* Returns true if the answer belongs to this request and its body consists of the
-   server's own bytes. */
-static bool
-answer_matches (const struct kcp_forward *forward)
-{
-  const struct kcp_answer_head *head = &forward->attempt.head;
-
-  return head->request_id != NULL && strcmp (head->request_id, forward->inbound->id) == 0
-         && !head->encoded;
-}
-
 static void
 on_done (void *user, const struct kcp_http_result *http_result)
 {
@@ -242,27 +201,27 @@
   attempt->call = NULL;
   attempt->framing = result.framing;
   attempt->partial_event_len = forward->framer.pending->len;
-  if (forward->inbound->model != NULL && answer_matches (forward))
+  if (forward->inbound->model != NULL && kcp_forward_answer_matches (forward))
     kcp_server_update_version (attempt->server, forward->inbound->model,
                                attempt->head.weights,
                                kcp_loop_now (forward->gateway->loop));
   if (finish_complete (forward, &result))
     return;
   end = classify (forward, &result);
-  KCP_LOG ("attempt_failed", KCP_LOG_TEXT ("request", forward->inbound->id),
-           KCP_LOG_TEXT ("server", attempt->server->entry.id),
-           KCP_LOG_TEXT ("end", kcp_http_end_name (result.end)),
-           KCP_LOG_INT ("class", end), KCP_LOG_INT ("status", result.status),
-           KCP_LOG_INT ("kept", result.reused),
-           KCP_LOG_TEXT ("framing", kcp_http_framing_name (attempt->framing)),
-           KCP_LOG_INT ("partial_event", attempt->partial_event_len),
-           KCP_LOG_TEXT ("last_event", forward->framer.last_id->str),
-           KCP_LOG_TEXT ("id_seen",
-                         attempt->head.request_id ? attempt->head.request_id : "none"),
-           KCP_LOG_INT ("not_run", attempt->head.not_run),
-           KCP_LOG_INT ("ms", (kcp_loop_now (forward->gateway->loop) - attempt->sent_ns)
-                                  / KCP_NS_PER_MS),
-           KCP_LOG_TEXT ("reason", result.reason));
+  KCP_LOG (
+      "attempt_failed", KCP_LOG_TEXT ("request", forward->inbound->id),
+      KCP_LOG_TEXT ("server", attempt->server->entry.id),
+      KCP_LOG_TEXT ("end", kcp_http_end_name (result.end)), KCP_LOG_INT ("class", end),
+      KCP_LOG_INT ("status", result.status), KCP_LOG_INT ("kept", result.reused),
+      KCP_LOG_TEXT ("framing", kcp_http_framing_name (attempt->framing)),
+      KCP_LOG_INT ("partial_event", attempt->partial_event_len),
+      KCP_LOG_TEXT ("last_event", forward->framer.last_id->str),
+      KCP_LOG_TEXT ("id_seen",
+                    attempt->head.request_id ? attempt->head.request_id : "none"),
+      KCP_LOG_INT ("not_run", attempt->head.not_run),
+      KCP_LOG_INT ("ms", (kcp_loop_now (forward->gateway->loop) - attempt->sent_ns)
+                             / KCP_NS_PER_MS),
+      KCP_LOG_TEXT ("reason", attempt->limit != NULL ? attempt->limit : result.reason));
   record_attempt_end (forward, end);
   watch_for_crash (forward, end, &result);
   kcp_forward_after_attempt (forward, end, result.status);
@@ -273,7 +232,8 @@
 static struct kcp_http_result
 check_stream_end (const struct kcp_forward *forward, struct kcp_http_result result)
 {
-  if (result.end != KCP_HTTP_COMPLETE || !is_streamed (forward, result.status))
+  if (result.end != KCP_HTTP_COMPLETE
+      || !kcp_forward_is_streamed (forward, result.status))
     return result;
   if (kcp_event_framer_is_within_event (&forward->framer))
     {
@@ -306,11 +266,13 @@
 {
   bool success = result->status >= 200 && result->status < 300;
 
-  if (result->end != KCP_HTTP_COMPLETE || !answer_matches (forward)
+  if (result->end != KCP_HTTP_COMPLETE || !kcp_forward_answer_matches (forward)
       || reports_not_run (forward, result))
     return false;
   if (success && !forward->attempt.head.signed_)
     return false;
+  if (forward->answer->begun && !kcp_forward_is_streamed (forward, result->status))
+    return false;
   if (!success
       && (forward->answer->begun || !kcp_forward_may_relay_status (result->status)))
     return false;
@@ -319,7 +281,7 @@
   kcp_server_record_answer (forward->attempt.server);
   forward->attempt.server->last_answer_ns = kcp_loop_now (forward->gateway->loop);
   kcp_crash_suspects_clear (forward->gateway, forward->fingerprint);
-  if (is_streamed (forward, result->status))
+  if (kcp_forward_is_streamed (forward, result->status))
     {
       kcp_event_framer_flush (&forward->framer, forward->answer->body);
       if (!forward->answer->begun)
@@ -340,7 +302,7 @@
     return KCP_ATTEMPT_REFUSED;
   if (forward->answer->begun)
     return KCP_ATTEMPT_INTERRUPTED;
-  if (result->end == KCP_HTTP_COMPLETE && answer_matches (forward)
+  if (result->end == KCP_HTTP_COMPLETE && kcp_forward_answer_matches (forward)
       && result->status >= MHD_HTTP_INTERNAL_SERVER_ERROR
       && kcp_forward_may_relay_status (result->status))
     return KCP_ATTEMPT_ERROR;
--- a/src/forward/forward_end.c
+++ b/src/forward/forward_end.c
@@ -31,11 +31,13 @@
 void
 kcp_forward_relay_answer (struct kcp_forward *forward, unsigned status)
 {
-  const GString *body = forward->attempt.buffered_body;
+  struct kcp_answer *answer = forward->answer;
+  GString *unused = answer->body;
 
-  forward->answer->status = status;
+  answer->status = status;
   copy_headers (forward);
-  g_string_append_len (forward->answer->body, body->str, (gssize)body->len);
+  answer->body = forward->attempt.buffered_body;
+  forward->attempt.buffered_body = unused;
   forward->answer->begun = true;
   kcp_forward_finish (forward, KCP_ANSWER_COMPLETE, "answered", NULL);
 }
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -1,4 +1,5 @@
-/* Declarations shared by forward.c, forward_attempt.c and forward_end.c. */
+/* Declarations shared by forward.c, forward_answer.c, forward_attempt.c and
+   forward_end.c. */
 #ifndef KCP_FORWARD_FORWARD_PRIVATE_H
 #define KCP_FORWARD_FORWARD_PRIVATE_H
 
@@ -18,6 +19,8 @@
   enum kcp_http_framing framing; /* of the answer, once it has ended */
   size_t partial_event_len;      /* bytes after the last complete event, likewise */
   int64_t sent_ns;
+  const char *limit;     /* the limit that the answer exceeds, for the log; NULL: none */
+  bool paused;           /* the server is not read, since the caller does not read */
   int64_t first_byte_ns; /* when the first byte of the answer arrived; 0: not yet */
   int64_t prefill_tokens_pending; /* part of the server's count due to this attempt */
 };
@@ -32,6 +35,8 @@
   struct kcp_attempt attempt;
   struct kcp_event_framer framer;
   struct kcp_loop_timer deadline_timer;
+  struct kcp_loop_timer unpause_timer;
+  size_t answer_bytes;  /* memory of the answer, part of the gateway's sum */
   GPtrArray *tried;     /* struct kcp_server, references */
   uint64_t fingerprint; /* equal for all copies of the request, on all VMs */
   int64_t arrived_ns;
@@ -46,6 +51,12 @@
 int64_t kcp_forward_remaining_ms (const struct kcp_forward *forward);
 void kcp_forward_end_attempt (struct kcp_forward *forward);
 
+/* forward_answer.c */
+bool kcp_forward_take_bytes (struct kcp_forward *forward, struct kcp_str bytes);
+bool kcp_forward_is_streamed (const struct kcp_forward *forward, long status);
+bool kcp_forward_answer_matches (const struct kcp_forward *forward);
+void kcp_forward_release_answer (struct kcp_forward *forward);
+
 /* forward_end.c */
 void kcp_forward_begin_streaming (struct kcp_forward *forward, unsigned status);
 void kcp_forward_relay_answer (struct kcp_forward *forward, unsigned status);
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -12,6 +12,7 @@
 #include "forward/loop.h"
 #include "forward/prefix_index.h"
 #include "forward/servers.h"
+#include "policy/answer_limits.h"
 #include "policy/quarantine.h"
 #include "policy/resend.h"
 #include "route/routes.h"
@@ -56,7 +57,8 @@
   bool draining; /* the load balancer is asked to send no connections */
   bool closing;  /* new requests are refused; the balancer sends none */
   unsigned open_requests;
-  unsigned vms; /* known to be alive, including this one */
+  size_t answer_bytes; /* memory of the answers of all open requests */
+  unsigned vms;        /* known to be alive, including this one */
 };
 
 void kcp_gateway_init (struct kcp_gateway *gateway,
--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -6,6 +6,9 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/counter.h"
+#include "base/decision_log.h"
+
 #define CONNECTION_CACHE   1024L       /* connections kept for reuse */
 #define READ_BUFFER        (16L << 10) /* bytes */
 #define UPLOAD_BUFFER      (16L << 10) /* bytes */
@@ -13,6 +16,9 @@
 #define KEEPALIVE_IDLE_S   1 /* before the first probe and between probes */
 #define KEEPALIVE_COUNT    3 /* unanswered probes */
 #define STATUS_LINE_PREFIX "HTTP/"
+/* Bytes of all header lines of a call: of interim answers, the answer and its trailer. A
+   caller's connection has about as much room for the head that is relayed. */
+#define HEAD_MAX_BYTES (16u << 10)
 
 struct kcp_http_client
 {
@@ -36,6 +42,10 @@
   enum kcp_http_framing framing;
   bool interim;    /* the head that is being received is that of an interim answer */
   bool head_ended; /* the answer's head is complete */
+  size_t head_bytes;
+  size_t body_bytes;
+  size_t max_body_bytes; /* 0: not limited here */
+  const char *limit;     /* the limit that the answer exceeds, for the log; NULL: none */
   char error[CURL_ERROR_SIZE];
   void (*head) (void *user);
   void (*header) (void *user, struct kcp_str name, struct kcp_str value);
@@ -60,6 +70,7 @@
 
 static void read_messages (void *user);
 static void finish (struct kcp_http_call *call, CURLcode code);
+static void record_limit (struct kcp_http_call *call);
 static enum kcp_http_end classify_end (const struct kcp_http_call *call, CURLcode code);
 static void set_up (struct kcp_http_call *call, const struct kcp_http_spec *spec);
 static void set_method (struct kcp_http_call *call, const struct kcp_http_spec *spec);
@@ -129,6 +140,7 @@
   call->body = spec->body;
   call->ack_timeout_ms = spec->ack_timeout_ms;
   call->may_repeat = spec->may_repeat;
+  call->max_body_bytes = spec->max_body_bytes;
   call->head = spec->head;
   call->header = spec->header;
   call->data = spec->data;
@@ -152,6 +164,25 @@
   release_call (call);
 }
 
+/* Delivers no more of the answer after the data callback returns, from which this may be
+   called. The server is not read further. */
+void
+kcp_http_pause (struct kcp_http_call *call)
+{
+  curl_easy_pause (call->curl, CURLPAUSE_RECV);
+}
+
+/* Delivers the answer again. May call the data callback, and the done callback if that
+   one ends the call, so it must not be called from a callback of this client. */
+void
+kcp_http_unpause (struct kcp_http_call *call)
+{
+  CURLcode code = curl_easy_pause (call->curl, CURLPAUSE_CONT);
+
+  if (code != CURLE_OK)
+    finish (call, code);
+}
+
 /* Returns the status of the answer that is being received, or 0 if none has begun. */
 long
 kcp_http_status (const struct kcp_http_call *call)
@@ -208,6 +239,8 @@
   curl_easy_getinfo (call->curl, CURLINFO_OS_ERRNO, &error);
   result.reused = call->connected && new_connections == 0;
   result.refused = code == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
+  if (call->limit != NULL)
+    record_limit (call);
   g_strlcpy (reason, call->error[0] != '\0' ? call->error : curl_easy_strerror (code),
              sizeof reason);
   result.reason = reason;
@@ -217,6 +250,21 @@
   release_call (call);
 }
 
+/* Reports an answer that was ended because it exceeds a limit. */
+static void
+record_limit (struct kcp_http_call *call)
+{
+  char *address = NULL;
+
+  curl_easy_getinfo (call->curl, CURLINFO_EFFECTIVE_URL, &address);
+  kcp_counter_add (KCP_COUNT_ANSWERS_TOO_LARGE, 1);
+  KCP_LOG ("answer_too_large", KCP_LOG_TEXT ("limit", call->limit),
+           KCP_LOG_TEXT ("peer", address), KCP_LOG_INT ("head_bytes", call->head_bytes),
+           KCP_LOG_INT ("body_bytes", call->body_bytes));
+  (void)g_snprintf (call->error, sizeof call->error, "the %s of the answer is too large",
+                    call->limit);
+}
+
 static enum kcp_http_end
 classify_end (const struct kcp_http_call *call, CURLcode code)
 {
@@ -360,6 +408,12 @@
   struct kcp_str line = { .data = data, .len = size * count };
   const char *colon = memchr (line.data, ':', line.len);
 
+  call->head_bytes += line.len;
+  if (call->head_bytes > HEAD_MAX_BYTES)
+    {
+      call->limit = "head";
+      return 0;
+    }
   if (call->head_ended) /* a trailer; nothing in it is used */
     return line.len;
   if (kcp_str_has_prefix (line, KCP_STR (STATUS_LINE_PREFIX)))
@@ -413,6 +467,12 @@
   struct kcp_http_call *call = user;
   struct kcp_str bytes = { .data = data, .len = size * count };
 
+  call->body_bytes += bytes.len;
+  if (call->max_body_bytes > 0 && call->body_bytes > call->max_body_bytes)
+    {
+      call->limit = "body";
+      return 0;
+    }
   if (call->data != NULL && !call->data (call->user, bytes))
     return 0;
   return bytes.len;
--- a/src/forward/http_client.h
+++ b/src/forward/http_client.h
@@ -56,6 +56,8 @@
   /* libcurl may send a request without a body again if a reused connection closes before
      the answer. */
   bool may_repeat;
+  /* A body with more bytes ends the call as interrupted; 0: the data callback decides. */
+  size_t max_body_bytes;
   /* An answer's head begins. The header lines so far were those of an interim answer. */
   void (*head) (void *user);
   void (*header) (void *user, struct kcp_str name, struct kcp_str value);
@@ -73,6 +75,8 @@
 struct kcp_http_call *
 kcp_http_start (struct kcp_http_client *client, const struct kcp_http_spec *spec);
 void kcp_http_cancel (struct kcp_http_call *call);
+void kcp_http_pause (struct kcp_http_call *call);
+void kcp_http_unpause (struct kcp_http_call *call);
 long kcp_http_status (const struct kcp_http_call *call);
 const char *kcp_http_end_name (enum kcp_http_end end);
 const char *kcp_http_framing_name (enum kcp_http_framing framing);
--- a/src/forward/rollout_order.c
+++ b/src/forward/rollout_order.c
@@ -14,6 +14,7 @@
 #define FIRST_REPORT_DELAY_MS 700
 #define REPORT_INTERVAL_MS    100
 #define REPORT_TIMEOUT_MS     400
+#define REPORT_MAX_BYTES      (1u << 20) /* bytes of one report */
 #define REPORT_FAILURES_MAX   3u
 /* After this time an order without effect is abandoned, and the server can be sent a new
    one. */
@@ -111,6 +112,7 @@
                                     .total_ms = ORDER_TIMEOUT_MS,
                                     .max_idle_s = gateway->settings->servers_max_idle_s,
                                     .new_connection = true,
+                                    .max_body_bytes = REPORT_MAX_BYTES,
                                     .done = on_order_done,
                                     .user = order,
                                 });
@@ -186,6 +188,7 @@
                                     .total_ms = REPORT_TIMEOUT_MS,
                                     .may_repeat = true,
                                     .max_idle_s = gateway->settings->servers_max_idle_s,
+                                    .max_body_bytes = REPORT_MAX_BYTES,
                                     .data = on_report_data,
                                     .done = on_report_done,
                                     .user = order,
--- a/src/settings/forward_settings.c
+++ b/src/settings/forward_settings.c
@@ -27,6 +27,7 @@
 static const struct kcp_ini_key keys[] = {
   NAME ("vm", "id", vm_id),
   NAME ("vm", "data_center", vm_data_center),
+  INT ("vm", "memory_mb", vm_memory_mb, 16, 1 << 20, 256),
   ADDRESS ("callers", "listen", callers_listen, true),
   ADDRESS ("ready", "listen", ready_listen, true),
   ADDRESS ("metrics", "listen", metrics_listen, false),
--- a/src/settings/forward_settings.h
+++ b/src/settings/forward_settings.h
@@ -12,6 +12,7 @@
 {
   char *vm_id;
   char *vm_data_center;
+  int64_t vm_memory_mb; /* memory that the process may use */
   char *callers_listen; /* all addresses have the form IP:PORT */
   char *ready_listen;
   char *metrics_listen; /* NULL: metrics are not exported */
--- a/tests/harness/scripted_server.c
+++ b/tests/harness/scripted_server.c
@@ -20,6 +20,7 @@
   int port;
   int listener;
   scripted_handler *handler;
+  scripted_handler *router_handler; /* NULL: the server answers the router's calls */
   void *user;
   GThread *acceptor;
   pthread_mutex_t lock; /* guards the members below */
@@ -99,6 +100,14 @@
   g_free (server);
 }
 
+/* Has the router's own calls answered by a handler too. */
+void
+scripted_server_answer_router_calls (struct scripted_server *server,
+                                     scripted_handler *handler)
+{
+  server->router_handler = handler;
+}
+
 /* Refuses further connections, as after the end of the process. */
 void
 scripted_server_close_port (struct scripted_server *server)
@@ -250,7 +259,10 @@
     return false;
   if (strstr (head->str, " /kingcuppoint/") != NULL)
     {
-      answer_router_call (&request, head->str);
+      if (server->router_handler != NULL)
+        server->router_handler (&request, server->user);
+      else
+        answer_router_call (&request, head->str);
       return request.keep_open;
     }
   request.number = count_request (server);
--- a/tests/harness/scripted_server.h
+++ b/tests/harness/scripted_server.h
@@ -30,6 +30,8 @@
 scripted_server_start (struct fake_platform *platform, const char *id,
                        scripted_handler *handler, void *user);
 void scripted_server_stop (struct scripted_server *server);
+void scripted_server_answer_router_calls (struct scripted_server *server,
+                                          scripted_handler *handler);
 void scripted_server_close_port (struct scripted_server *server);
 void scripted_server_put_entry (struct scripted_server *server, const char *state);
 unsigned scripted_server_request_count (struct scripted_server *server);
