Respect a server's Retry-After, and what it says of leaving

A server that turned requests away with 503 and Retry-After: 2 got 14 more between 0.5 s and 2 s; one that said in its answers that it leaves, while the list still had it as ready, got 17 more requests beside another server. Refused callers were told to come back after 0.46 s while no server wanted any request for two seconds.

Cause: nothing read Retry-After nor Server-Leaving.

Why this works: the adapter decodes both headers; they are applied when the head of an answer is complete, so that a long stream does not delay them, and not for a 421, which another server at the address may have given. policy/backoff decides: no requests until the end of a pause (an hour at most; times that are not positive numbers are ignored); a leaving server is the last choice for half of servers.leaving_ms, then gets none. The time after which a server is available counts servers that the request has tried, so that a refusal at once says when to come back. Leaving servers are not asked for cache events, not ordered to load weights, and their end is no crash, as for those that the list marks.

Both in one commit, since they are read and decided at the same places.

Not built: telling the other VMs. Each learns by its own first answer; what a message would cost and bring is not measured.

--- a/src/forward/cache_reader.c
+++ b/src/forward/cache_reader.c
@@ -115,7 +115,7 @@
 static bool
 should_read (const struct kcp_cache_reader *reader, const struct kcp_server *server)
 {
-  return server->entry.state == KCP_SERVER_READY
+  return !kcp_server_is_leaving (server)
          && kcp_mesh_reads_cache_events (reader->mesh, server);
 }
 
--- a/src/forward/cached_parts.c
+++ b/src/forward/cached_parts.c
@@ -239,8 +239,7 @@
       const struct kcp_server *server = g_ptr_array_index (servers, i);
 
       if (server == chosen || now < server->suspected_until_ns
-          || server->entry.state != KCP_SERVER_READY
-          || !kcp_server_has_cached_part (server, part))
+          || kcp_server_is_leaving (server) || !kcp_server_has_cached_part (server, part))
         continue;
       if (found == NULL
           || strcmp (server->entry.data_center, chosen->entry.data_center) == 0)
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -6,6 +6,7 @@
 #include "base/id.h"
 #include "forward/cached_parts.h"
 #include "forward/mesh.h"
+#include "policy/backoff.h"
 #include "policy/place.h"
 
 /* The share of the tokens of uncached levels that is not counted as a cost of the
@@ -18,7 +19,12 @@
 static void
 fill_candidate (struct kcp_gateway *gateway, struct kcp_choice *choice,
                 struct kcp_server *server, struct kcp_place_candidate *candidate);
-static bool is_usable (const struct kcp_choice *choice, const struct kcp_server *server);
+static bool
+is_eligible (const struct kcp_choice *choice, const struct kcp_server *server);
+static bool has_left (const struct kcp_gateway *gateway, const struct kcp_server *server);
+static bool was_tried (const struct kcp_choice *choice, const struct kcp_server *server);
+static void note_availability (struct kcp_choice *choice, const struct kcp_server *server,
+                               int64_t now_ns);
 static void
 classify_weights (const struct kcp_gateway *gateway, const char *model,
                   const struct kcp_server *server, struct kcp_place_candidate *candidate);
@@ -127,21 +133,21 @@
 {
   int64_t now = kcp_loop_now (gateway->loop);
   const char *model = choice->inbound->model;
-  int64_t available_ns;
 
-  candidate->usable = is_usable (choice, server);
+  if (!is_eligible (choice, server) || has_left (gateway, server))
+    return;
+  note_availability (choice, server, now);
+  candidate->usable = !was_tried (choice, server) && now >= server->backoff_until_ns;
   if (!candidate->usable)
     return;
   candidate->local = is_local (gateway, server);
   candidate->suspected = now < server->suspected_until_ns;
   candidate->loading = now < server->loading_until_ns;
+  candidate->leaving = kcp_server_is_leaving (server);
   candidate->in_flight = server->in_flight + server->peers_in_flight;
   candidate->slots = (unsigned)server->entry.slots;
   candidate->prefill_tokens_pending
       = server->prefill_tokens_pending + kcp_server_peers_prefill_tokens (server, now);
-  available_ns = MAX (server->suspected_until_ns, server->loading_until_ns);
-  if (choice->earliest_available_ns == 0 || available_ns < choice->earliest_available_ns)
-    choice->earliest_available_ns = MAX (available_ns, now);
   if (model == NULL)
     return;
   classify_weights (gateway, model, server, candidate);
@@ -152,17 +158,48 @@
                                                             &candidate->repeated_tokens);
 }
 
+/* Returns true if the server can run the request, apart from its present state. */
+static bool
+is_eligible (const struct kcp_choice *choice, const struct kcp_server *server)
+{
+  const char *model = choice->inbound->model;
+
+  return server->entry.state == KCP_SERVER_READY
+         && strcmp (server->entry.service, choice->service) == 0
+         && (model == NULL || kcp_server_version (server, model) > 0);
+}
+
+/* Returns true if the server said so long ago that it is leaving that it may be gone when
+   a request arrives. */
 static bool
-is_usable (const struct kcp_choice *choice, const struct kcp_server *server)
+has_left (const struct kcp_gateway *gateway, const struct kcp_server *server)
+{
+  return server->leaving_since_ns != 0
+         && !kcp_backoff_allows_leaving (server->leaving_since_ns,
+                                         gateway->settings->servers_leaving_ms,
+                                         kcp_loop_now (gateway->loop));
+}
+
+static bool
+was_tried (const struct kcp_choice *choice, const struct kcp_server *server)
 {
-  if (server->entry.state != KCP_SERVER_READY
-      || strcmp (server->entry.service, choice->service) != 0)
-    return false;
   for (guint i = 0; i < choice->tried->len; i++)
     if (g_ptr_array_index (choice->tried, i) == server)
-      return false;
-  return choice->inbound->model == NULL
-         || kcp_server_version (server, choice->inbound->model) > 0;
+      return true;
+  return false;
+}
+
+/* Updates the time at which the first server is expected to be available. A server that
+   this request has tried counts, since it may serve the caller's next request. */
+static void
+note_availability (struct kcp_choice *choice, const struct kcp_server *server,
+                   int64_t now_ns)
+{
+  int64_t available_ns = MAX (server->suspected_until_ns, server->loading_until_ns);
+
+  available_ns = MAX (available_ns, server->backoff_until_ns);
+  if (choice->earliest_available_ns == 0 || available_ns < choice->earliest_available_ns)
+    choice->earliest_available_ns = MAX (available_ns, now_ns);
 }
 
 static void
@@ -218,8 +255,8 @@
     preferred->preferred = true;
 }
 
-/* Returns the first usable candidate with current weights in the part's rendezvous order,
-   or NULL if there is none. */
+/* Returns the first usable candidate with current weights, and not leaving, in the part's
+   rendezvous order, or NULL if there is none. */
 static struct kcp_place_candidate *
 find_preferred (const char *part, const GPtrArray *servers,
                 struct kcp_place_candidate *candidates)
@@ -232,7 +269,8 @@
       const struct kcp_server *server = g_ptr_array_index (servers, i);
       uint64_t score;
 
-      if (!candidates[i].usable || candidates[i].weights != KCP_PLACE_WEIGHTS_CURRENT)
+      if (!candidates[i].usable || candidates[i].leaving
+          || candidates[i].weights != KCP_PLACE_WEIGHTS_CURRENT)
         continue;
       score = XXH3_64bits_withSeed (part, strlen (part), kcp_server_key (server));
       if (preferred != NULL && score <= best_score)
--- a/src/forward/crash_watch.c
+++ b/src/forward/crash_watch.c
@@ -97,8 +97,7 @@
     .ended_ns = kcp_loop_now (watch->loop),
   };
 
-  if (server->entry.state == KCP_SERVER_DRAINING || server->removed
-      || server->remove_at_ns != 0)
+  if (kcp_server_is_leaving (server) || server->removed || server->remove_at_ns != 0)
     return;
   drop_old_attempts (watch);
   attempt.server = kcp_server_ref (server);
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -58,7 +58,9 @@
   bool signed_;     /* carries the server's signature */
   bool not_run;     /* the server reports that it did not run the request */
   bool encoded; /* the body has a content encoding, so it is not the server's own bytes */
-  int64_t weights; /* version that generated the answer; 0: not specified */
+  int64_t weights;        /* version that generated the answer; 0: not specified */
+  int64_t retry_after_ms; /* the server wants no requests for so long; 0: not specified */
+  bool server_leaving;    /* the server is about to end */
 };
 
 /* An order to a server to load new weights. */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -284,7 +284,12 @@
       if (forward->answer->begun)
         kcp_forward_interrupt (forward, "refused_to_resume");
       else
-        kcp_forward_refuse (forward, "no_retry_left");
+        {
+          /* Only for the time after which a server is available, which this attempt may
+             have changed. */
+          kcp_choose (forward->gateway, &forward->choice);
+          kcp_forward_refuse (forward, "no_retry_left");
+        }
       break;
     case KCP_RESEND_PASS_ERROR:
       kcp_forward_relay_answer (forward, (unsigned)status);
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -10,7 +10,8 @@
 #include "policy/queue_priority.h"
 
 static struct curl_slist *make_headers (const struct kcp_forward *forward);
-static void on_head (void *user);
+static void on_head_began (void *user);
+static void on_head_ended (void *user);
 static void on_header (void *user, struct kcp_str name, struct kcp_str value);
 static bool on_data (void *user, struct kcp_str bytes);
 static void record_first_byte (struct kcp_forward *forward);
@@ -95,7 +96,8 @@
           .ack_timeout_ms = settings->servers_ack_timeout_ms,
           .max_idle_s = settings->servers_max_idle_s,
           .new_connection = run_once && forward->inbound->body->len == 0,
-          .head = on_head,
+          .head_began = on_head_began,
+          .head_ended = on_head_ended,
           .header = on_header,
           .data = on_data,
           .done = on_done,
@@ -144,7 +146,7 @@
 
 /* Drops the header lines of an interim answer. */
 static void
-on_head (void *user)
+on_head_began (void *user)
 {
   struct kcp_forward *forward = user;
   struct kcp_attempt *attempt = &forward->attempt;
@@ -165,6 +167,24 @@
   forward->gateway->dialect->read_answer_header (&attempt->head, name, value);
 }
 
+/* Applies what the head says of the server itself. An answer that another server may have
+   given, which has got the address, says nothing of this one. */
+static void
+on_head_ended (void *user)
+{
+  struct kcp_forward *forward = user;
+  struct kcp_attempt *attempt = &forward->attempt;
+  long status = kcp_http_status (attempt->call);
+  int64_t now = kcp_loop_now (forward->gateway->loop);
+
+  if (forward->gateway->dialect->status_is_not_run (status))
+    return;
+  if (attempt->head.server_leaving)
+    kcp_server_record_leaving (attempt->server, now);
+  if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+    kcp_server_record_retry_after (attempt->server, attempt->head.retry_after_ms, now);
+}
+
 static bool
 on_data (void *user, struct kcp_str bytes)
 {
--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -40,14 +40,15 @@
   bool connected;
   bool may_repeat;
   enum kcp_http_framing framing;
-  bool interim;    /* the head that is being received is that of an interim answer */
-  bool head_ended; /* the answer's head is complete */
+  bool interim; /* the head that is being received is that of an interim answer */
+  bool head_complete;
   size_t head_bytes;
   size_t body_bytes;
   size_t max_body_bytes; /* 0: not limited here */
   const char *limit;     /* the limit that the answer exceeds, for the log; NULL: none */
   char error[CURL_ERROR_SIZE];
-  void (*head) (void *user);
+  void (*head_began) (void *user);
+  void (*head_ended) (void *user);
   void (*header) (void *user, struct kcp_str name, struct kcp_str value);
   bool (*data) (void *user, struct kcp_str bytes);
   void (*done) (void *user, const struct kcp_http_result *result);
@@ -82,6 +83,7 @@
 static int on_socket_created (void *user, curl_socket_t fd, curlsocktype purpose);
 static size_t on_header (char *data, size_t size, size_t count, void *user);
 static void begin_head (struct kcp_http_call *call, struct kcp_str status_line);
+static void end_head (struct kcp_http_call *call);
 static void
 read_header (struct kcp_http_call *call, struct kcp_str line, size_t name_len);
 static void
@@ -141,7 +143,8 @@
   call->ack_timeout_ms = spec->ack_timeout_ms;
   call->may_repeat = spec->may_repeat;
   call->max_body_bytes = spec->max_body_bytes;
-  call->head = spec->head;
+  call->head_began = spec->head_began;
+  call->head_ended = spec->head_ended;
   call->header = spec->header;
   call->data = spec->data;
   call->done = spec->done;
@@ -414,12 +417,12 @@
       call->limit = "head";
       return 0;
     }
-  if (call->head_ended) /* a trailer; nothing in it is used */
+  if (call->head_complete) /* a trailer; nothing in it is used */
     return line.len;
   if (kcp_str_has_prefix (line, KCP_STR (STATUS_LINE_PREFIX)))
     begin_head (call, line);
   else if (kcp_str_trim (line).len == 0)
-    call->head_ended = !call->interim;
+    end_head (call);
   else if (colon != NULL)
     read_header (call, line, (size_t)(colon - line.data));
   return line.len;
@@ -433,8 +436,18 @@
 
   call->interim = space != NULL && space[1] == '1';
   call->framing = KCP_HTTP_FRAMING_CLOSE;
-  if (call->head != NULL)
-    call->head (call->user);
+  if (call->head_began != NULL)
+    call->head_began (call->user);
+}
+
+static void
+end_head (struct kcp_http_call *call)
+{
+  if (call->interim)
+    return;
+  call->head_complete = true;
+  if (call->head_ended != NULL)
+    call->head_ended (call->user);
 }
 
 /* Reads a header line whose name has name_len bytes. */
--- a/src/forward/http_client.h
+++ b/src/forward/http_client.h
@@ -59,7 +59,8 @@
   /* A body with more bytes ends the call as interrupted; 0: the data callback decides. */
   size_t max_body_bytes;
   /* An answer's head begins. The header lines so far were those of an interim answer. */
-  void (*head) (void *user);
+  void (*head_began) (void *user);
+  void (*head_ended) (void *user); /* the head is complete; it is no interim answer's */
   void (*header) (void *user, struct kcp_str name, struct kcp_str value);
   /* Returns false to end the call as interrupted. */
   bool (*data) (void *user, struct kcp_str bytes);
--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -160,8 +160,7 @@
 {
   int64_t version = kcp_server_version (server, desired->model);
 
-  return server->entry.state == KCP_SERVER_READY && version > 0
-         && version < desired->version;
+  return !kcp_server_is_leaving (server) && version > 0 && version < desired->version;
 }
 
 static void
@@ -208,7 +207,7 @@
       int64_t version = kcp_server_version (server, desired->model);
 
       out[i] = (struct kcp_rollout_server){
-        .eligible = server->entry.state == KCP_SERVER_READY && version > 0,
+        .eligible = !kcp_server_is_leaving (server) && version > 0,
         .version = version,
         .loading = kcp_rollout_find_order (rollout, server) != NULL,
         .data_center = data_center_index (server->entry.data_center, names, &count),
--- a/src/forward/server.c
+++ b/src/forward/server.c
@@ -4,8 +4,10 @@
 #include <xxhash.h>
 
 #include "base/clock.h"
+#include "base/counter.h"
 #include "base/decision_log.h"
 #include "base/ref.h"
+#include "policy/backoff.h"
 
 /* Servers prefill about 48 prompt tokens per millisecond. */
 #define PREFILL_NS_PER_TOKEN 21000
@@ -235,6 +237,42 @@
       = MAX (server->suspected_until_ns, now_ns + REFUSAL_SUSPECT_NS);
 }
 
+/* Records that the server wants no requests for retry_after_ms; 0: it did not say so. */
+void
+kcp_server_record_retry_after (struct kcp_server *server, int64_t retry_after_ms,
+                               int64_t now_ns)
+{
+  int64_t until_ns
+      = kcp_backoff_until_ns (server->backoff_until_ns, retry_after_ms, now_ns);
+
+  if (until_ns == server->backoff_until_ns)
+    return;
+  server->backoff_until_ns = until_ns;
+  kcp_counter_add (KCP_COUNT_SERVER_BACKOFFS, 1);
+  KCP_LOG ("server_backoff", KCP_LOG_TEXT ("server", server->entry.id),
+           KCP_LOG_INT ("retry_after_ms", retry_after_ms),
+           KCP_LOG_INT ("for_ms", (until_ns - now_ns) / KCP_NS_PER_MS));
+}
+
+/* Records that the server has said in an answer that it is leaving. This holds until it
+   has ended, whatever its entry says: the list may lag. */
+void
+kcp_server_record_leaving (struct kcp_server *server, int64_t now_ns)
+{
+  if (server->leaving_since_ns != 0)
+    return;
+  server->leaving_since_ns = now_ns;
+  KCP_LOG ("server", KCP_LOG_TEXT ("server", server->entry.id),
+           KCP_LOG_TEXT ("change", "leaving"), KCP_LOG_TEXT ("source", "answer"));
+}
+
+/* Returns true if the server is leaving, by its entry or by an answer. */
+bool
+kcp_server_is_leaving (const struct kcp_server *server)
+{
+  return server->entry.state == KCP_SERVER_DRAINING || server->leaving_since_ns != 0;
+}
+
 /* Records a valid answer, which ends any suspicion. */
 void
 kcp_server_record_answer (struct kcp_server *server)
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -50,6 +50,8 @@
   int64_t prefill_tokens_pending; /* of their prompts, while no answer has begun */
   unsigned failures;              /* consecutive */
   int64_t suspected_until_ns;
+  int64_t backoff_until_ns;     /* it has asked for no requests until then */
+  int64_t leaving_since_ns;     /* when an answer said that it is leaving; 0: none has */
   int64_t last_answer_ns;       /* when its newest part of an answer arrived; 0: never */
   int64_t probe_after_ns;       /* it is not probed before; see forward/crash_watch.h */
   int64_t loading_until_ns;     /* it counts as loading new weights until then */
@@ -89,6 +91,10 @@
                                 int64_t version, int64_t now_ns);
 void kcp_server_record_failure (struct kcp_server *server, int64_t now_ns);
 void kcp_server_record_refusal (struct kcp_server *server, int64_t now_ns);
+void kcp_server_record_retry_after (struct kcp_server *server, int64_t retry_after_ms,
+                                    int64_t now_ns);
+void kcp_server_record_leaving (struct kcp_server *server, int64_t now_ns);
+bool kcp_server_is_leaving (const struct kcp_server *server);
 void kcp_server_record_answer (struct kcp_server *server);
 
 #endif
--- a/src/policy/place.c
+++ b/src/policy/place.c
@@ -10,6 +10,7 @@
   .old_weights = 250000,
   .suspected = 2000000,
   .loading = 1500000,
+  .leaving = 60000000,
   .not_preferred = 20000,
 };
 
@@ -22,6 +23,7 @@
   .old_weights = 0,
   .suspected = 2000000,
   .loading = 0,
+  .leaving = 60000000,
 };
 
 /* Returns the index of the usable candidate with the lowest cost, or KCP_PLACE_NONE if
@@ -82,5 +84,7 @@
     cost += costs->not_preferred;
   if (candidate->suspected)
     cost += costs->suspected;
+  if (candidate->leaving)
+    cost += costs->leaving;
   return cost;
 }
--- a/src/policy/place.h
+++ b/src/policy/place.h
@@ -30,6 +30,7 @@
   bool local;     /* in the data center of this VM */
   bool suspected; /* failed or refused recently */
   bool loading;   /* is loading new weights */
+  bool leaving;   /* is about to end */
   enum kcp_place_weights weights;
   unsigned in_flight;             /* requests in flight at the server, as far as known */
   unsigned slots;                 /* requests that the server processes concurrently */
@@ -55,6 +56,7 @@
   int64_t old_weights;   /* answer on weights that are being replaced */
   int64_t suspected;     /* server that failed or refused recently */
   int64_t loading;       /* server that is loading new weights */
+  int64_t leaving;       /* server that is about to end */
   int64_t not_preferred; /* server other than the preferred one of the session */
 };
 
--- a/src/settings/forward_settings.c
+++ b/src/settings/forward_settings.c
@@ -42,6 +42,7 @@
   INT ("servers", "connect_ms", servers_connect_timeout_ms, 1, 60000, 250),
   INT ("servers", "silence_ms", servers_ack_timeout_ms, 0, 60000, 1200),
   INT ("servers", "kept_s", servers_max_idle_s, 1, 3600, 3),
+  INT ("servers", "leaving_ms", servers_leaving_ms, 0, 3600000, 2000),
   REAL ("retry", "ratio", retry_ratio, 0, 1, 0.1),
   REAL ("retry", "burst", retry_burst, 1, 100000, 10),
   REAL ("retry", "window_s", retry_window_s, 1, 3600, 10),
--- a/src/settings/forward_settings.h
+++ b/src/settings/forward_settings.h
@@ -27,11 +27,12 @@
   int64_t servers_connect_timeout_ms;
   int64_t servers_ack_timeout_ms; /* limit for data or probes not acknowledged */
   int64_t servers_max_idle_s;     /* idle time after which a connection is not reused */
-  double retry_ratio;             /* retries allowed per request */
-  double retry_burst;             /* retries allowed in addition to the ratio */
-  double retry_window_s;          /* period over which requests and retries are counted */
-  int64_t weights_replace_ms;     /* how long replaced weights may be used */
-  int64_t orders_min_gap_ms;      /* minimum time between the orders of two VMs */
+  int64_t servers_leaving_ms; /* how long a server runs after it says that it leaves */
+  double retry_ratio;         /* retries allowed per request */
+  double retry_burst;         /* retries allowed in addition to the ratio */
+  double retry_window_s;      /* period over which requests and retries are counted */
+  int64_t weights_replace_ms; /* how long replaced weights may be used */
+  int64_t orders_min_gap_ms;  /* minimum time between the orders of two VMs */
 };
 
 struct kcp_forward_settings *
--- a/tests/unit/test_forward_policy.c
+++ b/tests/unit/test_forward_policy.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 
 #include "base/clock.h"
+#include "policy/backoff.h"
 #include "policy/entry_expiry.h"
 #include "policy/order_lease.h"
 #include "policy/place.h"
@@ -104,6 +105,91 @@
   enum kcp_resend_decision expected;
 };
 
+/* A leaving server is chosen only if there is no other, not even a suspected one. */
+START_TEST (test_a_leaving_server_is_the_last_choice)
+{
+  struct kcp_place_candidate servers[2] = {
+    { .usable = true, .local = true, .slots = 8, .leaving = true },
+    { .usable = true, .suspected = true, .loading = true, .in_flight = 40, .slots = 8 },
+  };
+
+  ck_assert_int_eq (kcp_place_choose (servers, 2, &kcp_place_engine_costs, 0), 1);
+  ck_assert_int_eq (kcp_place_choose (servers, 2, &kcp_place_plain_costs, 0), 1);
+  servers[1].usable = false;
+  ck_assert_int_eq (kcp_place_choose (servers, 2, &kcp_place_engine_costs, 0), 0);
+}
+END_TEST
+
+START_TEST (test_pauses_of_a_server_are_neither_shortened_nor_endless)
+{
+  const int64_t now = 50 * KCP_NS_PER_S;
+  int64_t until = kcp_backoff_until_ns (0, 3000, now);
+
+  ck_assert_int_eq (until, now + 3 * KCP_NS_PER_S);
+  ck_assert_int_eq (kcp_backoff_until_ns (until, 1000, now), until);
+  ck_assert_int_eq (kcp_backoff_until_ns (until, 0, now), until);
+  ck_assert_int_eq (kcp_backoff_until_ns (until, -7, now), until);
+  ck_assert_int_gt (kcp_backoff_until_ns (until, 4000, now), until);
+  ck_assert_int_le (kcp_backoff_until_ns (0, INT64_MAX, now), now + 3600 * KCP_NS_PER_S);
+}
+END_TEST
+
+/* All servers of a service turn away and ask for 2 s, while 50 requests a second come in,
+   which may each try all servers, and come back when they are told to. Each server gets
+   one request; the others are refused without one, and do not come back as one burst. */
+START_TEST (test_servers_that_all_pause_get_no_further_requests)
+{
+  enum
+  {
+    SERVERS = 6,
+    STEP_MS = 20,
+    PAUSE_MS = 2000,
+    BUCKET_MS = 100
+  };
+  int64_t until[SERVERS] = { 0 };
+  unsigned arrivals[SERVERS] = { 0 };
+  unsigned returns[(2 * PAUSE_MS) / BUCKET_MS] = { 0 };
+  uint64_t random_value = 12345;
+
+  for (int64_t ms = 0; ms < PAUSE_MS; ms += STEP_MS)
+    {
+      int64_t now = ms * KCP_NS_PER_MS;
+      int64_t earliest = INT64_MAX;
+      int64_t wait_ms;
+
+      for (int i = 0; i < SERVERS; i++)
+        {
+          if (now >= until[i])
+            {
+              arrivals[i]++;
+              until[i] = kcp_backoff_until_ns (until[i], PAUSE_MS, now);
+            }
+          earliest = MIN (earliest, until[i]);
+        }
+      random_value = random_value * 6364136223846793005u + 1442695040888963407u;
+      wait_ms
+          = kcp_retry_after_ms ((earliest - now) / KCP_NS_PER_MS, 0, random_value >> 32);
+      ck_assert_int_ge (ms + wait_ms, PAUSE_MS);
+      returns[MIN (ms + wait_ms, 2 * PAUSE_MS - 1) / BUCKET_MS]++;
+    }
+  for (int i = 0; i < SERVERS; i++)
+    ck_assert_uint_eq (arrivals[i], 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (returns); i++)
+    ck_assert_uint_le (returns[i], PAUSE_MS / STEP_MS / 2);
+}
+END_TEST
+
+START_TEST (test_a_leaving_server_may_be_used_while_it_certainly_runs)
+{
+  const int64_t since = 50 * KCP_NS_PER_S;
+
+  ck_assert (kcp_backoff_allows_leaving (since, 2000, since));
+  ck_assert (kcp_backoff_allows_leaving (since, 2000, since + KCP_NS_PER_S - 1));
+  ck_assert (!kcp_backoff_allows_leaving (since, 2000, since + KCP_NS_PER_S));
+  ck_assert (!kcp_backoff_allows_leaving (since, 0, since));
+}
+END_TEST
+
 START_TEST (test_a_run_once_request_is_resent_only_if_it_did_not_run)
 {
   static const struct resend_case cases[] = {
@@ -517,6 +603,10 @@
       test_a_burst_spreads_over_current_servers_and_reaches_old_ones_when_they_are_full);
   tcase_add_test (cases, test_servers_whose_weights_may_not_be_used_are_never_chosen);
   tcase_add_test (cases, test_a_suspected_server_is_the_last_resort);
+  tcase_add_test (cases, test_a_leaving_server_is_the_last_choice);
+  tcase_add_test (cases, test_pauses_of_a_server_are_neither_shortened_nor_endless);
+  tcase_add_test (cases, test_servers_that_all_pause_get_no_further_requests);
+  tcase_add_test (cases, test_a_leaving_server_may_be_used_while_it_certainly_runs);
   tcase_add_test (cases, test_a_run_once_request_is_resent_only_if_it_did_not_run);
   tcase_add_test (cases, test_a_refusal_after_a_possible_run_is_not_reported_as_not_run);
   tcase_add_test (cases, test_retries_during_an_outage_stay_within_the_budget);
