Follow the store's era: a store that comes back from an older copy

Cause: offsets were taken to mean the same records for ever. Nothing read Store-Era.

Why this works: the adapter reads the era of each answer; a call that was sent in another era than it was answered in fails, so no offset of one era is used in another. When it rises, the feed lists both topics again, entries are removed only after the grace period, and a server known to be leaving is not taken for ready by an entry of the listing; ranges that VMs relay name their era; the order lease ends, and no record is appended for the takeover delay, as another VM's record may be lost; the era is the upper half of the fencing token; VMs add themselves to the list again within a second, blocked requests are written again by their writer or the leader (the last is read, no test runs it).

A VM that starts just after a loss and finds no lease record does not wait: suspected, not run.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -51,6 +51,8 @@
   = { "answers_too_large", "Answers ended because they exceed a limit in bytes" },
   [KCP_COUNT_SERVER_BACKOFFS]
   = { "server_backoffs", "Times a server asked for no requests for some time" },
+  [KCP_COUNT_STORE_ERAS]
+  = { "store_eras", "Times the platform's store came back from an older copy" },
   [KCP_COUNT_STREAMS_PAUSED]
   = { "streams_paused", "Times a server was not read because its caller did not read" },
 };
--- a/src/forward/blocked_store.c
+++ b/src/forward/blocked_store.c
@@ -45,6 +45,7 @@
 static void on_listed (void *user, const struct kcp_store_answer *answer);
 static void
 read_record (struct kcp_blocked_store *blocked, const struct kcp_store_record *record);
+static void on_new_era (void *user, int64_t era);
 static void write_next (void *user);
 static void append (struct kcp_blocked_store *blocked, const struct row *row);
 static void on_written (void *user, const struct kcp_store_answer *answer);
@@ -66,6 +67,7 @@
   blocked->gateway = gateway;
   blocked->store = store;
   blocked->rows = g_array_new (FALSE, FALSE, sizeof (struct row));
+  store->watch_era (store->self, on_new_era, blocked);
   list (blocked);
   kcp_loop_timer_set (loop, &blocked->sweep_timer,
                       kcp_loop_now (loop) + SWEEP_INTERVAL_MS * KCP_NS_PER_MS, sweep,
@@ -165,6 +167,26 @@
     kcp_crash_suspects_restore (blocked->gateway, row.fingerprint, remaining_ms);
 }
 
+/* Has the records written again that the store may have lost: by the VM that wrote them,
+   and by the leader, since that VM may be gone. */
+static void
+on_new_era (void *user, int64_t era)
+{
+  struct kcp_blocked_store *blocked = user;
+  bool leader = kcp_mesh_is_leader (blocked->gateway->mesh);
+  int64_t now_ms = realtime_ms (blocked);
+
+  (void)era;
+  for (guint i = 0; i < blocked->rows->len; i++)
+    {
+      struct row *row = &g_array_index (blocked->rows, struct row, i);
+
+      if (row->until_ms > now_ms && (row->own || leader))
+        row->state = ROW_TO_WRITE;
+    }
+  write_next (blocked);
+}
+
 /* Writes or deletes the next record, one at a time. */
 static void
 write_next (void *user)
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -133,6 +133,13 @@
 
 #define KCP_STORE_UNCONDITIONAL (-1) /* expected_end of an append without a condition */
 
+/* Era of the store's content. It rises each time that the store comes back from an older
+   copy: what was written since the copy is lost, and its offsets are given out again. */
+#define KCP_STORE_ERA_UNKNOWN (-1)
+
+/* Called when the era has risen, before the answer that showed it is delivered. */
+typedef void kcp_store_era_handler (void *user, int64_t era);
+
 struct kcp_store_record
 {
   int64_t offset;
@@ -160,10 +167,13 @@
 
 typedef void kcp_store_done (void *user, const struct kcp_store_answer *answer);
 
-/* The platform's store. Each call invokes its done callback exactly once. */
+/* The platform's store. Each call invokes its done callback exactly once. A call that was
+   sent in another era than it was answered in fails. */
 struct kcp_store
 {
   void *self;
+  int64_t (*era) (void *self); /* KCP_STORE_ERA_UNKNOWN before the first answer */
+  void (*watch_era) (void *self, kcp_store_era_handler *handler, void *user);
   void (*list) (void *self, enum kcp_store_topic topic, const char *after_key,
                 kcp_store_done *done, void *user);
   void (*read) (void *self, enum kcp_store_topic topic, int64_t from_offset,
--- a/src/forward/feed.c
+++ b/src/forward/feed.c
@@ -27,6 +27,10 @@
 record_keys (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer);
 static void end_listing (struct kcp_feed_reader *reader);
 static void start_listing (struct kcp_feed_reader *reader);
+static void on_new_era (void *user, int64_t era);
+static void list_again (struct kcp_feed_reader *reader);
+static bool
+is_outdated (const struct kcp_feed *feed, const struct kcp_server_entry *entry);
 static void
 record_outcome (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer);
 static void schedule_request (struct kcp_feed_reader *reader);
@@ -54,6 +58,7 @@
       = gateway->settings->servers_expiry_grace_ms * KCP_NS_PER_MS;
   reader_init (feed, &feed->operators, KCP_STORE_OPERATOR, apply_operator);
   reader_init (feed, &feed->servers, KCP_STORE_SERVERS, kcp_feed_apply_server);
+  store->watch_era (store->self, on_new_era, feed);
   kcp_feed_request (&feed->operators);
   kcp_feed_request (&feed->servers);
   kcp_feed_start_relay (feed);
@@ -240,6 +245,30 @@
   g_hash_table_remove_all (reader->listed);
 }
 
+/* Lists both topics again after the store came back from an older copy: reading on would
+   miss what has been written below the next offset. Entries that the copy lacks are
+   written again by the servers that live. */
+static void
+on_new_era (void *user, int64_t era)
+{
+  struct kcp_feed *feed = user;
+
+  (void)era;
+  kcp_entry_expiry_on_new_era (&feed->entry_expiry, kcp_loop_now (feed->gateway->loop));
+  list_again (&feed->operators);
+  list_again (&feed->servers);
+}
+
+static void
+list_again (struct kcp_feed_reader *reader)
+{
+  start_listing (reader);
+  if (reader->request_pending)
+    return; /* its answer fails, and the next request lists */
+  kcp_loop_timer_cancel (&reader->timer);
+  kcp_feed_request (reader);
+}
+
 /* Records the outcome of a call, and logs the start and the end of an outage. */
 static void
 record_outcome (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer)
@@ -341,12 +370,30 @@
       log_rejected_record ("server_entry", record, reason);
       return false;
     }
+  if (is_outdated (feed, &entry))
+    {
+      log_rejected_record ("server_entry", record, "older than a known one");
+      kcp_server_entry_clear (&entry);
+      return false;
+    }
   if (!kcp_servers_apply (feed->gateway->servers, &entry))
     return false;
   report_entry (feed, record->key);
   return true;
 }
 
+/* Returns true if a listing shows a server as ready that is known to be leaving. Its
+   entry is from the time before; if it is ready again, it writes that later. */
+static bool
+is_outdated (const struct kcp_feed *feed, const struct kcp_server_entry *entry)
+{
+  const struct kcp_server *known = kcp_servers_find (feed->gateway->servers, entry->id);
+
+  return feed->servers.state == KCP_FEED_LISTING && known != NULL
+         && known->entry.started_ms == entry->started_ms
+         && known->entry.state == KCP_SERVER_DRAINING && entry->state == KCP_SERVER_READY;
+}
+
 /* Reports a changed entry to the crash watch, since it shows that the address has another
    server now. */
 static void
--- a/src/forward/feed_relay.c
+++ b/src/forward/feed_relay.c
@@ -58,6 +58,7 @@
       || changes->len > KCP_MESH_RECORDS_MAX)
     return;
   kcp_mesh_records_init (&relayed);
+  relayed.era = feed->store->era (feed->store->self);
   relayed.from = from;
   relayed.next = next;
   for (guint i = 0; i < changes->len; i++)
@@ -80,7 +81,8 @@
 
 /* Applies relayed records. A range that begins after the next offset that this VM would
    read is ignored, because the records in between are missing. So is a range that ends
-   before it, which contains nothing new, and every range during a listing. */
+   before it, which contains nothing new, one of another era of the store, whose offsets
+   mean other records, and every range during a listing. */
 static void
 on_relayed_records (void *user, const struct kcp_mesh_records *relayed)
 {
@@ -89,8 +91,9 @@
   struct kcp_loop *loop = feed->gateway->loop;
   int64_t wait_ns = kcp_feed_servers_interval_ms (feed) * KCP_NS_PER_MS;
 
-  if (reader->state != KCP_FEED_READING || relayed->from > reader->next
-      || relayed->next < reader->next)
+  if (reader->state != KCP_FEED_READING
+      || relayed->era != feed->store->era (feed->store->self)
+      || relayed->from > reader->next || relayed->next < reader->next)
     return;
   for (guint i = 0; i < relayed->records->len; i++)
     {
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -64,6 +64,7 @@
     }
   kcp_poller_watch (kcp_loop_poller (gateway->loop), mesh->fd, EPOLLIN, on_datagram,
                     mesh);
+  store->watch_era (store->self, kcp_mesh_on_new_era, mesh);
   kcp_mesh_register (mesh);
   kcp_mesh_gossip (mesh);
   return mesh;
--- a/src/forward/mesh_list.c
+++ b/src/forward/mesh_list.c
@@ -4,12 +4,14 @@
 #include "forward/mesh_private.h"
 
 /* Delay after a failed call; a random delay of up to the same length is added. */
-#define LIST_RETRY_MS 500
+#define LIST_RETRY_MS    500
+#define ERA_MAX_DELAY_MS 1000 /* before this VM adds itself after a new era */
 
 static void on_registered (void *user, const struct kcp_store_answer *answer);
 static void read_list (struct kcp_mesh *mesh, const char *after);
 static void on_listed (void *user, const struct kcp_store_answer *answer);
 static void retry_list (struct kcp_mesh *mesh);
+static void schedule_list (struct kcp_mesh *mesh, int64_t wait_ms);
 
 /* Adds this VM to the list in the store, unless it has already been added, and then reads
    the list. In this order, at least one of two VMs that start at the same time finds the
@@ -80,9 +82,26 @@
 
 static void
 retry_list (struct kcp_mesh *mesh)
+{
+  schedule_list (mesh, LIST_RETRY_MS + (int64_t)(kcp_id_random_u64 () % LIST_RETRY_MS));
+}
+
+/* Adds this VM to the list again, which may have lost it. All VMs do so, each after a
+   random delay. */
+void
+kcp_mesh_on_new_era (void *user, int64_t era)
+{
+  struct kcp_mesh *mesh = user;
+
+  (void)era;
+  mesh->registered = false;
+  schedule_list (mesh, (int64_t)(kcp_id_random_u64 () % ERA_MAX_DELAY_MS));
+}
+
+static void
+schedule_list (struct kcp_mesh *mesh, int64_t wait_ms)
 {
   struct kcp_loop *loop = mesh->gateway->loop;
-  int64_t wait_ms = LIST_RETRY_MS + (int64_t)(kcp_id_random_u64 () % LIST_RETRY_MS);
 
   kcp_loop_timer_set (loop, &mesh->list_timer,
                       kcp_loop_now (loop) + wait_ms * KCP_NS_PER_MS, kcp_mesh_register,
--- a/src/forward/mesh_message.c
+++ b/src/forward/mesh_message.c
@@ -376,8 +376,9 @@
   uint32_t count = records->records->len;
 
   if (!code_text (xdr, records->vm, sizeof records->vm)
-      || !xdr_int64_t (xdr, &records->from) || !xdr_int64_t (xdr, &records->next)
-      || !xdr_uint32_t (xdr, &count) || count > KCP_MESH_RECORDS_MAX)
+      || !xdr_int64_t (xdr, &records->era) || !xdr_int64_t (xdr, &records->from)
+      || !xdr_int64_t (xdr, &records->next) || !xdr_uint32_t (xdr, &count)
+      || count > KCP_MESH_RECORDS_MAX)
     return FALSE;
   g_array_set_size (records->records, count);
   for (uint32_t i = 0; i < count; i++)
--- a/src/forward/mesh_message.h
+++ b/src/forward/mesh_message.h
@@ -89,6 +89,7 @@
 struct kcp_mesh_records
 {
   char vm[64];     /* IP:PORT of the VM's own socket */
+  int64_t era;     /* era of the store to which the offsets belong */
   int64_t from;    /* first offset that was read */
   int64_t next;    /* offset after the last one that was read */
   GArray *records; /* struct kcp_mesh_record */
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -84,6 +84,7 @@
 
 /* mesh_list.c */
 void kcp_mesh_register (void *user);
+void kcp_mesh_on_new_era (void *user, int64_t era);
 
 /* mesh_update.c */
 void kcp_mesh_apply_update (struct kcp_mesh *mesh, const struct kcp_mesh_update *update);
--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -48,6 +48,7 @@
   rollout->orders = g_ptr_array_new_with_free_func (kcp_rollout_order_free);
   rollout->record = g_string_new (NULL);
   kcp_order_lease_init (&rollout->lease, gateway->settings->callers_listen, &times);
+  store->watch_era (store->self, kcp_rollout_on_new_era, rollout);
   kcp_rollout_schedule_check (rollout);
   return rollout;
 }
--- a/src/forward/rollout_lease.c
+++ b/src/forward/rollout_lease.c
@@ -79,6 +79,7 @@
 {
   const struct kcp_store *store = rollout->store;
 
+  rollout->lease.era = MAX (store->era (store->self), 0);
   kcp_order_lease_on_sent (&rollout->lease, kcp_loop_now (rollout->gateway->loop));
   g_string_printf (rollout->record, "{\"holder\":\"%s\"}", rollout->lease.own);
   store->append (store->self, KCP_STORE_ORDERS, rollout->lease.end, KCP_STR (""),
@@ -106,6 +107,17 @@
   kcp_rollout_schedule_check (rollout);
 }
 
+/* Ends the lease after the store came back from an older copy. */
+void
+kcp_rollout_on_new_era (void *user, int64_t era)
+{
+  struct kcp_rollout *rollout = user;
+
+  kcp_order_lease_on_new_era (&rollout->lease, era,
+                              kcp_loop_now (rollout->gateway->loop));
+  kcp_rollout_schedule_check (rollout);
+}
+
 /* Returns a copy of the holder's name, or NULL if the record is not a lease record. */
 static char *
 record_holder (struct kcp_str record)
--- a/src/forward/rollout_private.h
+++ b/src/forward/rollout_private.h
@@ -43,5 +43,6 @@
 /* rollout_lease.c */
 void kcp_rollout_read_lease (struct kcp_rollout *rollout);
 void kcp_rollout_append_lease (struct kcp_rollout *rollout);
+void kcp_rollout_on_new_era (void *user, int64_t era);
 
 #endif
--- a/src/policy/entry_expiry.c
+++ b/src/policy/entry_expiry.c
@@ -16,6 +16,14 @@
   return true;
 }
 
+/* Records that the store came back from an older copy, which may lack entries of servers
+   that live. It is as after an outage, however short this one was. */
+void
+kcp_entry_expiry_on_new_era (struct kcp_entry_expiry *expiry, int64_t now_ns)
+{
+  expiry->outage_end_ns = now_ns;
+}
+
 /* Returns the time at which to remove a server whose entry was found removed at
    now_ns. */
 int64_t
--- a/src/policy/entry_expiry.h
+++ b/src/policy/entry_expiry.h
@@ -22,6 +22,7 @@
 
 bool kcp_entry_expiry_on_store_call (struct kcp_entry_expiry *expiry, bool answered,
                                      int64_t now_ns);
+void kcp_entry_expiry_on_new_era (struct kcp_entry_expiry *expiry, int64_t now_ns);
 int64_t
 kcp_entry_expiry_removal_ns (const struct kcp_entry_expiry *expiry, int64_t now_ns);
 
--- a/src/policy/order_lease.c
+++ b/src/policy/order_lease.c
@@ -9,6 +9,9 @@
 /* Holder of a lease record that was trimmed before it was read; no VM has this name. */
 #define UNKNOWN_HOLDER "?"
 
+/* Offsets of one era are below this power of two. */
+#define FENCING_TOKEN_ERA_SHIFT 32
+
 static bool is_own (const struct kcp_order_lease *lease);
 
 /* Initializes a lease with no knowledge of the log. own is the name that this VM keeps
@@ -60,6 +63,13 @@
     }
   if (!lease->end_known)
     return KCP_ORDER_LEASE_READ;
+  if (now_ns < lease->quiet_until_ns)
+    {
+      lease->end_known = false;
+      lease->wait_until_ns = lease->quiet_until_ns;
+      *until_ns = lease->wait_until_ns;
+      return KCP_ORDER_LEASE_WAIT;
+    }
   if (lease->holder[0] == '\0' || is_own (lease))
     return KCP_ORDER_LEASE_APPEND;
   takeover_ns = lease->seen_ns + lease->times.takeover_delay_ns;
@@ -135,6 +145,21 @@
   lease->wait_until_ns = now_ns + retry_ns;
 }
 
+/* Processes that the log has lost its newest records and gives out their offsets again.
+   The lease of this VM ends, since its record may be lost. So may be that of another VM,
+   which may send orders until it learns of this: the takeover delay begins. */
+void
+kcp_order_lease_on_new_era (struct kcp_order_lease *lease, int64_t era, int64_t now_ns)
+{
+  lease->era = era;
+  lease->end_known = false;
+  lease->end = 0;
+  lease->holder[0] = '\0';
+  lease->offset = 0;
+  lease->valid_until_ns = 0;
+  lease->quiet_until_ns = now_ns + lease->times.takeover_delay_ns;
+}
+
 /* Returns true if an order sent now arrives while this VM holds the lease. Must be
    called immediately before each order is sent. */
 bool
@@ -155,7 +180,7 @@
 int64_t
 kcp_order_lease_fencing_token (const struct kcp_order_lease *lease)
 {
-  return lease->offset + 1;
+  return (lease->era << FENCING_TOKEN_ERA_SHIFT) + lease->offset + 1;
 }
 
 static bool
--- a/src/policy/order_lease.h
+++ b/src/policy/order_lease.h
@@ -7,8 +7,10 @@
    the moment at which the append was sent. Another VM may append its own record only
    after a delay that begins when it reads the newest one. The delay is long enough for
    the lease of the previous holder to expire and for the minimum time between the orders
-   of two VMs to pass after the last order of that holder. The offset of the record
-   determines the fencing token. The decision log calls the records claims. */
+   of two VMs to pass after the last order of that holder. The same delay begins when the
+   log has lost records, one of which may be that of a holder. The offset of the record
+   and the era of the log's offsets determine the fencing token. The decision log calls
+   the records claims. */
 #ifndef KCP_POLICY_ORDER_LEASE_H
 #define KCP_POLICY_ORDER_LEASE_H
 
@@ -48,6 +50,8 @@
   int64_t valid_until_ns;                  /* end of this VM's lease; 0: none */
   int64_t sent_ns;                         /* when the pending call was sent */
   int64_t wait_until_ns;                   /* no call is sent before this time */
+  int64_t era;            /* of the log's offsets; rises when the log loses records */
+  int64_t quiet_until_ns; /* no record is appended before this time */
 };
 
 /* Facts from which kcp_order_lease_may_compete() decides. */
@@ -73,6 +77,8 @@
                                   int64_t now_ns);
 void kcp_order_lease_on_failed (struct kcp_order_lease *lease, int64_t retry_ns,
                                 int64_t now_ns);
+void
+kcp_order_lease_on_new_era (struct kcp_order_lease *lease, int64_t era, int64_t now_ns);
 bool kcp_order_lease_may_order (const struct kcp_order_lease *lease, int64_t now_ns);
 bool kcp_order_lease_is_held (const struct kcp_order_lease *lease, int64_t now_ns);
 int64_t kcp_order_lease_fencing_token (const struct kcp_order_lease *lease);
--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -704,9 +704,12 @@
 {
   json_t *json = json_loads (body->str, 0, NULL);
   json_t *expected = json_object_get (json, "expected");
+  int64_t fence = json_integer_value (json_object_get (json, "fence"));
   unsigned status = 202;
 
   pthread_mutex_lock (&server->platform->lock);
+  server->lower_fences += fence < server->fence;
+  server->fence = MAX (server->fence, fence);
   if (json_is_integer (expected) && json_integer_value (expected) != server->orders_taken)
     {
       status = 409;
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -40,6 +40,8 @@
   unsigned in_flight;       /* requests in progress */
   unsigned starts;          /* incarnations after the first */
   bool crashing;            /* its process is ending or has ended */
+  int64_t fence;            /* greatest fencing token of its orders */
+  unsigned lower_fences;    /* orders with a lower fencing token */
   unsigned order_conflicts; /* orders rejected because they expected another count */
   GHashTable *headers;      /* of the last request it executed, names in lower case */
   GString *body;            /* of the last request it executed */
--- a/tests/process/test_store_copy.c
+++ b/tests/process/test_store_copy.c
@@ -7,7 +7,11 @@
 
 #define OPERATOR    "keyed.op"
 #define SERVERS     "keyed.servers"
+#define VMS         "keyed.kingcuppoint.vms"
+#define ORDERS      "kingcuppoint.orders"
+#define ORDERS_MS   12000 /* until all servers have the desired weights */
 #define LOST        3
+#define LEASE_MS    2000 /* longer than an order lease is valid */
 #define REFRESH_MS  3000 /* until a change in the store has to be in force */
 #define REQUESTS    12
 #define NEW_VERSION 4
@@ -89,6 +93,116 @@
 }
 END_TEST
 
+static void
+write_nothing (void)
+{
+}
+
+/* The copy is from before the server said that it leaves. */
+START_TEST (test_leaving_server_is_not_ready_again_by_an_older_copy)
+{
+  struct fake_server *leaving = fake_platform_server (route_vm.platform, 0);
+  unsigned runs;
+
+  for (unsigned i = 0; i < LOST; i++)
+    fake_platform_put_server (route_vm.platform, 0, "draining");
+  come_back_from_copy (SERVERS, write_nothing);
+  runs = leaving->runs;
+  for (int i = 0; i < REQUESTS; i++)
+    {
+      struct raw_answer answer = route_vm_send ("POST", "/once/x", "", "b");
+
+      ck_assert_int_eq (route_vm_status (&answer), 200);
+      raw_answer_clear (&answer);
+    }
+  ck_assert_uint_eq (leaving->runs, runs);
+}
+END_TEST
+
+/* Entries that the copy lacks are those of servers that live: they are not removed before
+   they could be written again. */
+START_TEST (test_servers_that_the_copy_lacks_are_used_until_they_could_register)
+{
+  struct raw_answer answer;
+
+  g_usleep (REFRESH_MS * G_TIME_SPAN_MILLISECOND);
+  fake_platform_lose_records (route_vm.platform, SERVERS, 2);
+  g_usleep (REFRESH_MS / 3 * G_TIME_SPAN_MILLISECOND);
+  answer = route_vm_send ("POST", "/once/x", "", "b");
+  ck_assert_int_eq (route_vm_status (&answer), 200);
+  raw_answer_clear (&answer);
+}
+END_TEST
+
+START_TEST (test_vm_entry_that_the_copy_lacks_is_written_again)
+{
+  ck_assert_uint_eq (fake_platform_end_offset (route_vm.platform, VMS), 1);
+  fake_platform_lose_records (route_vm.platform, VMS, 1);
+  g_usleep (REFRESH_MS * G_TIME_SPAN_MILLISECOND);
+  ck_assert_uint_eq (fake_platform_end_offset (route_vm.platform, VMS), 1);
+}
+END_TEST
+
+static void
+order_version (int64_t version)
+{
+  g_autofree char *text
+      = g_strdup_printf ("{\"model\":\"m\",\"version\":%" G_GINT64_FORMAT "}", version);
+
+  fake_platform_put_record (route_vm.platform, "version/m", text);
+  for (int waited = 0; waited < ORDERS_MS; waited += ROUTE_VM_SETTLE_MS)
+    {
+      if (fake_platform_server (route_vm.platform, 0)->version == version
+          && fake_platform_server (route_vm.platform, 1)->version == version)
+        return;
+      g_usleep (ROUTE_VM_SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  ck_abort_msg ("the servers were not ordered to load the version");
+}
+
+/* The offsets of lease records make the fencing tokens, and are given out again. */
+START_TEST (test_fencing_tokens_do_not_fall_when_offsets_are_given_out_again)
+{
+  unsigned end;
+
+  order_version (2);
+  g_usleep (LEASE_MS * G_TIME_SPAN_MILLISECOND); /* the next orders need a new lease */
+  order_version (3);
+  end = fake_platform_end_offset (route_vm.platform, ORDERS);
+  ck_assert_uint_gt (end, 1);
+  fake_platform_lose_records (route_vm.platform, ORDERS, end);
+  g_usleep (LEASE_MS * G_TIME_SPAN_MILLISECOND);
+  order_version (4);
+  for (unsigned i = 0; i < 2; i++)
+    ck_assert_uint_eq (fake_platform_server (route_vm.platform, i)->lower_fences, 0);
+}
+END_TEST
+
+/* A VM that gets the servers' list from the leader learns the same. */
+START_TEST (test_relayed_list_is_not_mixed_with_that_of_the_copy)
+{
+  struct fake_server *leaving = fake_platform_server (route_vm.platform, 0);
+  struct route_vm other;
+  unsigned runs;
+
+  route_vm_add (&other, NULL);
+  for (unsigned i = 0; i < LOST; i++)
+    fake_platform_put_server (route_vm.platform, 1, "ready");
+  come_back_from_copy (SERVERS, write_leaving_server);
+  runs = leaving->runs;
+  for (int i = 0; i < REQUESTS; i++)
+    {
+      struct raw_answer answer = route_vm_send_to (i % 2 == 0 ? &route_vm : &other,
+                                                   "POST", "/once/x", "r1", "", "b");
+
+      ck_assert_int_eq (route_vm_status (&answer), 200);
+      raw_answer_clear (&answer);
+    }
+  ck_assert_uint_eq (leaving->runs, runs);
+  route_vm_remove (&other);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -101,6 +215,13 @@
                   test_configuration_written_at_offsets_given_out_again_is_not_read);
   tcase_add_test (cases,
                   test_server_that_leaves_at_offsets_given_out_again_still_gets_requests);
+  tcase_add_test (cases, test_leaving_server_is_not_ready_again_by_an_older_copy);
+  tcase_add_test (cases,
+                  test_servers_that_the_copy_lacks_are_used_until_they_could_register);
+  tcase_add_test (cases, test_vm_entry_that_the_copy_lacks_is_written_again);
+  tcase_add_test (cases,
+                  test_fencing_tokens_do_not_fall_when_offsets_are_given_out_again);
+  tcase_add_test (cases, test_relayed_list_is_not_mixed_with_that_of_the_copy);
   suite_add_tcase (suite, cases);
   return run_suite (suite);
 }
--- a/tests/unit/test_forward_policy.c
+++ b/tests/unit/test_forward_policy.c
@@ -445,6 +445,7 @@
 {
   const char *holders[512];
   int64_t end;
+  int64_t era; /* rises when the log loses its newest records */
 };
 
 /* A VM of the model: it reads, appends, freezes and loses answers at random. */
@@ -455,11 +456,28 @@
   int64_t frozen_until_ns;
 };
 
+/* The answer to a call names another era than that in which the call was sent. */
+static void
+learn_era (struct model_vm *vm, const struct lease_log *log, int64_t now_ns)
+{
+  kcp_order_lease_on_new_era (&vm->lease, log->era, now_ns);
+  kcp_order_lease_on_failed (&vm->lease, MS (150), now_ns);
+}
+
+/* The log comes back from a copy that lacks some of the newest records. */
+static void
+lose_records (struct lease_log *log, GRand *random)
+{
+  log->end = MAX (log->end - g_rand_int_range (random, 1, 4), 0);
+  log->era++;
+}
+
 static void
 step_vm (struct model_vm *vm, struct lease_log *log, GRand *random, int64_t now_ns)
 {
   int64_t until;
   int64_t offset;
+  bool new_era = vm->lease.era != log->era;
 
   switch (kcp_order_lease_step (&vm->lease, true, now_ns, &until))
     {
@@ -469,7 +487,9 @@
     case KCP_ORDER_LEASE_READ:
       kcp_order_lease_on_sent (&vm->lease, now_ns);
       offset = log->end - 1;
-      if (g_rand_int_range (random, 0, 10) == 0)
+      if (new_era)
+        learn_era (vm, log, now_ns);
+      else if (g_rand_int_range (random, 0, 10) == 0)
         kcp_order_lease_on_failed (&vm->lease, MS (150), now_ns);
       else
         kcp_order_lease_on_read (&vm->lease, log->end,
@@ -478,13 +498,16 @@
       return;
     case KCP_ORDER_LEASE_APPEND:
       kcp_order_lease_on_sent (&vm->lease, now_ns);
-      if (vm->lease.end != log->end || log->end == 512)
+      if (vm->lease.end == log->end && log->end < 512)
+        log->holders[log->end++] = vm->name;
+      else if (!new_era)
         {
           kcp_order_lease_on_failed (&vm->lease, 0, now_ns);
           return;
         }
-      log->holders[log->end++] = vm->name;
-      if (g_rand_int_range (random, 0, 5) == 0)
+      if (new_era)
+        learn_era (vm, log, now_ns);
+      else if (g_rand_int_range (random, 0, 5) == 0)
         kcp_order_lease_on_failed (&vm->lease, MS (150), now_ns); /* the answer is lost */
       else
         kcp_order_lease_on_appended (&vm->lease, log->end - 1, now_ns);
@@ -492,8 +515,9 @@
     }
 }
 
-/* Three VMs freeze at any moment and lose answers. Orders of two VMs must be at least
-   the minimum gap of 3 s apart, and fencing tokens must not decrease. */
+/* Three VMs freeze at any moment and lose answers; in the second run the log loses
+   records too. Orders of two VMs must be at least the minimum gap of 3 s apart, and
+   fencing tokens must not decrease. */
 START_TEST (test_orders_of_two_vms_are_at_least_the_minimum_gap_apart)
 {
   const struct kcp_order_lease_times times = { .valid_ns = MS (1500),
@@ -520,6 +544,8 @@
       for (int64_t now = 0; now < MS (60000); now += MS (50))
         for (int i = 0; i < 3; i++)
           {
+            if (_i == 1 && g_rand_int_range (random, 0, 900) == 0)
+              lose_records (&log, random);
             if (now < vms[i].frozen_until_ns)
               continue;
             if (g_rand_int_range (random, 0, 150) == 0)
@@ -621,7 +647,8 @@
   tcase_add_test (cases, test_a_single_failed_store_call_grants_no_grace_period);
   tcase_add_test (cases, test_the_server_with_the_oldest_weights_loads_first);
   tcase_add_test (cases, test_the_number_of_servers_that_load_at_once_is_limited);
-  tcase_add_test (cases, test_orders_of_two_vms_are_at_least_the_minimum_gap_apart);
+  tcase_add_loop_test (cases, test_orders_of_two_vms_are_at_least_the_minimum_gap_apart,
+                       0, 2);
   suite_add_tcase (suite, cases);
   return run_suite (suite);
 }
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -24,6 +24,22 @@
   g_array_unref (result->records);
 }
 
+/* The era of the stand-in's content does not change. */
+static int64_t
+store_era (void *self)
+{
+  (void)self;
+  return 0;
+}
+
+static void
+store_watch_era (void *self, kcp_store_era_handler *handler, void *user)
+{
+  (void)self;
+  (void)handler;
+  (void)user;
+}
+
 static void
 read_topic (void *self, enum kcp_store_topic topic, int64_t from_offset, int64_t wait_ms,
             kcp_store_done *done, void *user)
@@ -80,7 +96,10 @@
                                            .retry_window_s = 10,
                                            .servers_max_idle_s = 3,
                                            .orders_min_gap_ms = 3000 };
-  struct slow_store store = { .calls = { .read = read_topic, .append = append } };
+  struct slow_store store = { .calls = { .era = store_era,
+                                         .watch_era = store_watch_era,
+                                         .read = read_topic,
+                                         .append = append } };
   struct kcp_loop_timer end = { 0 };
   struct kcp_gateway gateway;
   struct kcp_rollout *rollout;
