--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -9,16 +9,12 @@
 #include "base/counter.h"
 #include "base/decision_log.h"
 
-#define CONNECTION_CACHE   1024L       /* connections kept for reuse */
-#define READ_BUFFER        (16L << 10) /* bytes */
-#define UPLOAD_BUFFER      (16L << 10) /* bytes */
-#define SPARE_HANDLES_MAX  64u
-#define KEEPALIVE_IDLE_S   1 /* before the first probe and between probes */
-#define KEEPALIVE_COUNT    3 /* unanswered probes */
-#define STATUS_LINE_PREFIX "HTTP/"
-/* Bytes of all header lines of a call: of interim answers, the answer and its trailer. A
-   caller's connection has about as much room for the head that is relayed. */
-#define HEAD_MAX_BYTES (16u << 10)
+#define CONNECTION_CACHE  1024L       /* connections kept for reuse */
+#define READ_BUFFER       (16L << 10) /* bytes */
+#define UPLOAD_BUFFER     (16L << 10) /* bytes */
+#define SPARE_HANDLES_MAX 64u
+#define KEEPALIVE_IDLE_S  1 /* before the first probe and between probes */
+#define KEEPALIVE_COUNT   3 /* unanswered probes */
 
 struct kcp_http_client
 {
@@ -39,10 +35,7 @@
   /* A connection was established, so the server may have received a byte. */
   bool connected;
   bool may_repeat;
-  enum kcp_http_framing framing;
-  bool interim; /* the head that is being received is that of an interim answer */
-  bool head_complete;
-  size_t head_bytes;
+  struct kcp_http_head head;
   size_t body_bytes;
   size_t max_body_bytes; /* 0: not limited here */
   const char *limit;     /* the limit that the answer exceeds, for the log; NULL: none */
@@ -62,13 +55,6 @@
   [KCP_HTTP_TIMED_OUT] = "timed_out",
 };
 
-static const char *const framing_names[KCP_HTTP_FRAMING_COUNT] = {
-  [KCP_HTTP_FRAMING_NONE] = "none",
-  [KCP_HTTP_FRAMING_LENGTH] = "length",
-  [KCP_HTTP_FRAMING_CHUNKED] = "chunks",
-  [KCP_HTTP_FRAMING_CLOSE] = "close",
-};
-
 static void read_messages (void *user);
 static void finish (struct kcp_http_call *call, CURLcode code);
 static void record_limit (struct kcp_http_call *call);
@@ -82,12 +68,6 @@
 on_connected (void *user, char *address, char *own_address, int port, int own_port);
 static int on_socket_created (void *user, curl_socket_t fd, curlsocktype purpose);
 static size_t on_header (char *data, size_t size, size_t count, void *user);
-static void begin_head (struct kcp_http_call *call, struct kcp_str status_line);
-static void end_head (struct kcp_http_call *call);
-static void
-read_header (struct kcp_http_call *call, struct kcp_str line, size_t name_len);
-static void
-read_framing (struct kcp_http_call *call, struct kcp_str name, struct kcp_str value);
 static size_t on_data (char *data, size_t size, size_t count, void *user);
 static size_t on_read_body (char *out, size_t size, size_t count, void *user);
 
@@ -203,13 +183,6 @@
   return end_names[end];
 }
 
-/* Returns the name that the log uses for framing. */
-const char *
-kcp_http_framing_name (enum kcp_http_framing framing)
-{
-  return framing_names[framing];
-}
-
 static void
 read_messages (void *user)
 {
@@ -232,7 +205,7 @@
 finish (struct kcp_http_call *call, CURLcode code)
 {
   struct kcp_http_result result
-      = { .end = classify_end (call, code), .framing = call->framing };
+      = { .end = classify_end (call, code), .framing = call->head.framing };
   char reason[CURL_ERROR_SIZE];
   long new_connections = 0;
   long error = 0;
@@ -262,7 +235,7 @@
   curl_easy_getinfo (call->curl, CURLINFO_EFFECTIVE_URL, &address);
   kcp_counter_add (KCP_COUNT_ANSWERS_TOO_LARGE, 1);
   KCP_LOG ("answer_too_large", KCP_LOG_TEXT ("limit", call->limit),
-           KCP_LOG_TEXT ("peer", address), KCP_LOG_INT ("head_bytes", call->head_bytes),
+           KCP_LOG_TEXT ("peer", address), KCP_LOG_INT ("head_bytes", call->head.bytes),
            KCP_LOG_INT ("body_bytes", call->body_bytes));
   (void)g_snprintf (call->error, sizeof call->error, "the %s of the answer is too large",
                     call->limit);
@@ -408,70 +381,30 @@
 on_header (char *data, size_t size, size_t count, void *user)
 {
   struct kcp_http_call *call = user;
-  struct kcp_str line = { .data = data, .len = size * count };
-  const char *colon = memchr (line.data, ':', line.len);
+  struct kcp_str text = { .data = data, .len = size * count };
+  struct kcp_http_line line = kcp_http_head_read (&call->head, text);
 
-  call->head_bytes += line.len;
-  if (call->head_bytes > HEAD_MAX_BYTES)
+  switch (line.kind)
     {
+    case KCP_HTTP_LINE_TOO_LONG:
       call->limit = "head";
       return 0;
+    case KCP_HTTP_LINE_BEGIN:
+      if (call->head_began != NULL)
+        call->head_began (call->user);
+      break;
+    case KCP_HTTP_LINE_HEADER:
+      if (call->header != NULL)
+        call->header (call->user, line.name, line.value);
+      break;
+    case KCP_HTTP_LINE_END:
+      if (call->head_ended != NULL)
+        call->head_ended (call->user);
+      break;
+    case KCP_HTTP_LINE_IGNORED:
+      break;
     }
-  if (call->head_complete) /* a trailer; nothing in it is used */
-    return line.len;
-  if (kcp_str_has_prefix (line, KCP_STR (STATUS_LINE_PREFIX)))
-    begin_head (call, line);
-  else if (kcp_str_trim (line).len == 0)
-    end_head (call);
-  else if (colon != NULL)
-    read_header (call, line, (size_t)(colon - line.data));
-  return line.len;
-}
-
-/* Begins a head at its status line. */
-static void
-begin_head (struct kcp_http_call *call, struct kcp_str status_line)
-{
-  const char *space = memchr (status_line.data, ' ', status_line.len);
-
-  call->interim = space != NULL && space[1] == '1';
-  call->framing = KCP_HTTP_FRAMING_CLOSE;
-  if (call->head_began != NULL)
-    call->head_began (call->user);
-}
-
-static void
-end_head (struct kcp_http_call *call)
-{
-  if (call->interim)
-    return;
-  call->head_complete = true;
-  if (call->head_ended != NULL)
-    call->head_ended (call->user);
-}
-
-/* Reads a header line whose name has name_len bytes. */
-static void
-read_header (struct kcp_http_call *call, struct kcp_str line, size_t name_len)
-{
-  struct kcp_str name = { .data = line.data, .len = name_len };
-  struct kcp_str value = kcp_str_trim (kcp_str_skip (line, name_len + 1));
-
-  read_framing (call, name, value);
-  if (call->header != NULL)
-    call->header (call->user, name, value);
-}
-
-/* Notes how the end of the body is marked. Chunks take precedence over a length. */
-static void
-read_framing (struct kcp_http_call *call, struct kcp_str name, struct kcp_str value)
-{
-  if (kcp_str_equals_ignoring_case (name, "Transfer-Encoding")
-      && kcp_str_equals_ignoring_case (value, "chunked"))
-    call->framing = KCP_HTTP_FRAMING_CHUNKED;
-  else if (kcp_str_equals_ignoring_case (name, "Content-Length")
-           && call->framing == KCP_HTTP_FRAMING_CLOSE)
-    call->framing = KCP_HTTP_FRAMING_LENGTH;
+  return text.len;
 }
 
 static size_t
--- a/src/forward/http_client.h
+++ b/src/forward/http_client.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "base/str.h"
+#include "forward/http_head.h"
 #include "forward/loop.h"
 
 enum kcp_http_end
@@ -20,16 +21,6 @@
   KCP_HTTP_END_COUNT
 };
 
-/* How the end of an answer's body is marked. */
-enum kcp_http_framing
-{
-  KCP_HTTP_FRAMING_NONE, /* no answer was received */
-  KCP_HTTP_FRAMING_LENGTH,
-  KCP_HTTP_FRAMING_CHUNKED,
-  KCP_HTTP_FRAMING_CLOSE, /* by the end of the connection */
-  KCP_HTTP_FRAMING_COUNT
-};
-
 struct kcp_http_result
 {
   enum kcp_http_end end;
@@ -80,6 +71,5 @@
 void kcp_http_unpause (struct kcp_http_call *call);
 long kcp_http_status (const struct kcp_http_call *call);
 const char *kcp_http_end_name (enum kcp_http_end end);
-const char *kcp_http_framing_name (enum kcp_http_framing framing);
 
 #endif
