--- a/tests/process/test_bytes_without_end.c
+++ b/tests/process/test_bytes_without_end.c
@@ -6,11 +6,9 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include "tests/harness/route_vm.h"
 #include "tests/harness/run_suite.h"
-#include "tests/harness/scripted_server.h"
+#include "tests/harness/scripted_vm.h"
 
-#define SETTLE_MS       400
 #define HEADS_MAX_KB    4096   /* growth for one answer's head */
 #define STREAM_MAX_KB   8192   /* growth for one stream */
 #define ONE_MAX_KB      32768  /* growth for one answer whose body is kept */
@@ -48,9 +46,6 @@
   { "/stream/x", NULL, "", filler, STREAM_MAX_KB },
 };
 
-static struct scripted_server *server;
-static struct scripted_server *other;
-
 static void
 write_without_end (struct scripted_request *request, const char *repeated)
 {
@@ -116,32 +111,9 @@
 static void
 set_up (void)
 {
-  server = NULL;
-  other = NULL;
   /* Freed memory must not count as used in a build with the address sanitizer. */
   g_setenv ("ASAN_OPTIONS", "quarantine_size_mb=1", TRUE);
-  route_vm_set_up_servers (0);
-}
-
-static void
-tear_down (void)
-{
-  route_vm_kill (&route_vm);
-  if (server != NULL)
-    scripted_server_stop (server);
-  if (other != NULL)
-    scripted_server_stop (other);
-  route_vm_tear_down ();
-}
-
-static struct scripted_server *
-start_server (const char *id, scripted_handler *handler, const void *user)
-{
-  struct scripted_server *started
-      = scripted_server_start (route_vm.platform, id, handler, (void *)user);
-
-  g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
-  return started;
+  scripted_vm_set_up ();
 }
 
 /* Returns the greatest memory that the VM has used so far. */
@@ -164,7 +136,7 @@
   struct raw_answer received;
   long before_kb;
 
-  server = start_server ("i-1", answer_without_end, answer);
+  (void)scripted_vm_start_server ("i-1", answer_without_end, answer);
   before_kb = peak_kb ();
   received = route_vm_send ("POST", answer->path, "", "in");
   ck_assert_int_eq (route_vm_status (&received), 502);
@@ -176,11 +148,12 @@
 /* The server is read no faster than the caller reads, which is not at all. */
 START_TEST (test_stream_without_end_to_a_caller_that_does_not_read)
 {
+  struct scripted_server *server;
   g_autofree char *request = g_strdup_printf (REQUEST, "/stream/x", 1u);
   long before_kb;
   int fd;
 
-  server = start_server ("i-1", stream_without_end, NULL);
+  server = scripted_vm_start_server ("i-1", stream_without_end, NULL);
   before_kb = peak_kb ();
   fd = raw_connect_and_send (route_vm.port, request, 0);
   g_usleep (2000 * G_TIME_SPAN_MILLISECOND);
@@ -200,7 +173,7 @@
   ssize_t count;
   int fd;
 
-  server = start_server ("i-1", stream_events, NULL);
+  (void)scripted_vm_start_server ("i-1", stream_events, NULL);
   fd = raw_connect_and_send (route_vm.port, request, 0);
   g_usleep (300 * G_TIME_SPAN_MILLISECOND);
   while ((count = read (fd, block, SLOW_READ_BYTES)) > 0)
@@ -235,8 +208,8 @@
   unsigned answered = 0;
   long before_kb;
 
-  server = start_server ("i-1", answer_without_end, &answers[5]);
-  other = start_server ("i-2", answer_ordinarily, NULL);
+  (void)scripted_vm_start_server ("i-1", answer_without_end, &answers[5]);
+  (void)scripted_vm_start_server ("i-2", answer_ordinarily, NULL);
   before_kb = peak_kb ();
   for (unsigned i = 0; i < CALLERS; i++)
     {
@@ -261,6 +234,7 @@
 /* The router's own calls to the server are bounded as well. */
 START_TEST (test_report_without_end_stays_within_memory_limit)
 {
+  struct scripted_server *server;
   long before_kb = peak_kb ();
 
   server = scripted_server_start (route_vm.platform, "i-1", answer_ordinarily, NULL);
@@ -278,7 +252,7 @@
   Suite *suite = suite_create ("bytes_without_end");
   TCase *cases = tcase_create ("bytes_without_end");
 
-  tcase_add_checked_fixture (cases, set_up, tear_down);
+  tcase_add_checked_fixture (cases, set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
   tcase_add_loop_test (cases, test_answer_without_end_stays_within_memory_limit, 0,
                        G_N_ELEMENTS (answers));
--- a/tests/process/test_interim_answers.c
+++ b/tests/process/test_interim_answers.c
@@ -2,13 +2,8 @@
 #include <check.h>
 #include <string.h>
 
-#include "tests/harness/route_vm.h"
 #include "tests/harness/run_suite.h"
-#include "tests/harness/scripted_server.h"
-
-#define SETTLE_MS 400
-
-static struct scripted_server *server;
+#include "tests/harness/scripted_vm.h"
 
 static void
 answer_after_interim (struct scripted_request *request, void *user)
@@ -20,28 +15,14 @@
   request->keep_open = scripted_request_write (request, "ok");
 }
 
-static void
-set_up (void)
-{
-  route_vm_set_up_servers (0);
-  server = scripted_server_start (route_vm.platform, "i-1", answer_after_interim, NULL);
-  g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
-}
-
-static void
-tear_down (void)
-{
-  route_vm_kill (&route_vm);
-  scripted_server_stop (server);
-  route_vm_tear_down ();
-}
-
 /* Such lines could state that a request did not run that has run, or belong to another
    request. */
 START_TEST (test_header_lines_of_an_interim_answer_do_not_count)
 {
-  struct raw_answer answer = route_vm_send ("POST", "/once/x", "", "in");
+  struct raw_answer answer;
 
+  (void)scripted_vm_start_server ("i-1", answer_after_interim, NULL);
+  answer = route_vm_send ("POST", "/once/x", "", "in");
   ck_assert_int_eq (route_vm_status (&answer), 200);
   ck_assert_ptr_null (strstr (answer.text->str, "X-Early"));
   ck_assert_ptr_null (strstr (answer.text->str, "Not-Executed"));
@@ -56,7 +37,7 @@
   Suite *suite = suite_create ("interim_answers");
   TCase *cases = tcase_create ("interim_answers");
 
-  tcase_add_checked_fixture (cases, set_up, tear_down);
+  tcase_add_checked_fixture (cases, scripted_vm_set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
   tcase_add_test (cases, test_header_lines_of_an_interim_answer_do_not_count);
   suite_add_tcase (suite, cases);
--- a/tests/process/test_server_backoff.c
+++ b/tests/process/test_server_backoff.c
@@ -5,11 +5,9 @@
 #include <string.h>
 #include <unistd.h>
 
-#include "tests/harness/route_vm.h"
 #include "tests/harness/run_suite.h"
-#include "tests/harness/scripted_server.h"
+#include "tests/harness/scripted_vm.h"
 
-#define SETTLE_MS      400
 #define REQUEST_GAP_MS 60
 #define TRANSIT_US     500000  /* requests on their way when a server asks for a pause */
 #define PAUSE_US       2000000 /* that the servers ask for */
@@ -24,9 +22,6 @@
   bool once; /* only the first request; then 200 without these lines */
 };
 
-static struct scripted_server *first;
-static struct scripted_server *second;
-
 static const struct behaviour ordinary = { "200 OK", "", false };
 static const struct behaviour pausing
     = { "503 Busy", "Not-Executed: 1\r\nRetry-After: 2\r\n", true };
@@ -69,35 +64,6 @@
     (void)scripted_request_write (request, "id: 1\ndata: a\n\n");
 }
 
-static void
-set_up (void)
-{
-  first = NULL;
-  second = NULL;
-  route_vm_set_up_servers (0);
-}
-
-static void
-tear_down (void)
-{
-  route_vm_kill (&route_vm);
-  if (first != NULL)
-    scripted_server_stop (first);
-  if (second != NULL)
-    scripted_server_stop (second);
-  route_vm_tear_down ();
-}
-
-static struct scripted_server *
-start_server (const char *id, scripted_handler *handler, const void *user)
-{
-  struct scripted_server *server
-      = scripted_server_start (route_vm.platform, id, handler, (void *)user);
-
-  g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
-  return server;
-}
-
 /* Returns the number of requests that arrived at the server from from_us until to_us
    after its first one. */
 static unsigned
@@ -142,8 +108,10 @@
 
 START_TEST (test_server_gets_no_requests_until_its_retry_after_ends)
 {
-  first = start_server ("i-1", answer, &pausing);
-  second = start_server ("i-2", answer, &ordinary);
+  struct scripted_server *first;
+
+  first = scripted_vm_start_server ("i-1", answer, &pausing);
+  (void)scripted_vm_start_server ("i-2", answer, &ordinary);
   while (scripted_server_request_count (first) == 0)
     ck_assert_int_eq (send_within ("/once/x", AT_ONCE_MS), 200);
   send_for (PAUSE_US + TRANSIT_US, 200);
@@ -157,12 +125,14 @@
    to come back, and the servers are left alone. */
 START_TEST (test_requests_are_refused_at_once_while_all_servers_pause)
 {
+  struct scripted_server *first;
+  struct scripted_server *second;
   struct behaviour always = pausing;
   int64_t start_us;
 
   always.once = false;
-  first = start_server ("i-1", answer, &always);
-  second = start_server ("i-2", answer, &always);
+  first = scripted_vm_start_server ("i-1", answer, &always);
+  second = scripted_vm_start_server ("i-2", answer, &always);
   start_us = g_get_monotonic_time ();
   while (g_get_monotonic_time () < start_us + PAUSE_US - TRANSIT_US)
     {
@@ -193,7 +163,7 @@
   struct behaviour behaviour
       = { .status = "503 Busy", .header_lines = lines, .once = true };
 
-  first = start_server ("i-1", answer, &behaviour);
+  (void)scripted_vm_start_server ("i-1", answer, &behaviour);
   ck_assert_int_eq (send_within ("/once/x", AT_ONCE_MS), 503);
   ck_assert_int_eq (send_within ("/once/x", AT_ONCE_MS), 200);
 }
@@ -201,8 +171,10 @@
 
 START_TEST (test_leaving_server_gets_no_requests_while_another_will_do)
 {
-  first = start_server ("i-1", answer, &leaving);
-  second = start_server ("i-2", answer, &ordinary);
+  struct scripted_server *first;
+
+  first = scripted_vm_start_server ("i-1", answer, &leaving);
+  (void)scripted_vm_start_server ("i-2", answer, &ordinary);
   while (scripted_server_request_count (first) == 0)
     ck_assert_int_eq (send_within ("/once/x", AT_ONCE_MS), 200);
   /* Its entry is written again as before. */
@@ -214,14 +186,15 @@
 
 START_TEST (test_server_that_leaves_during_a_stream_gets_no_requests)
 {
+  struct scripted_server *first;
   int fd;
 
-  first = start_server ("i-1", leave_in_stream, NULL);
+  first = scripted_vm_start_server ("i-1", leave_in_stream, NULL);
   fd = raw_connect_and_send (route_vm.port,
                              "POST /stream/x HTTP/1.1\r\nHost: h\r\nRequest-Id: r0\r\n"
                              "Authorization: Bearer key1\r\nContent-Length: 2\r\n\r\nin",
                              0);
-  second = start_server ("i-2", stream_at_once, NULL);
+  (void)scripted_vm_start_server ("i-2", stream_at_once, NULL);
   for (unsigned i = 0; i < 8; i++)
     ck_assert_int_eq (send_within ("/stream/x", AT_ONCE_MS), 200);
   ck_assert_uint_eq (scripted_server_request_count (first), 1);
@@ -232,10 +205,11 @@
 /* The only server is used while it certainly runs; then callers are refused at once. */
 START_TEST (test_only_server_is_used_for_a_while_after_it_says_that_it_leaves)
 {
+  struct scripted_server *first;
   int status = 0;
   unsigned served = 0;
 
-  first = start_server ("i-1", answer, &leaving);
+  first = scripted_vm_start_server ("i-1", answer, &leaving);
   for (int64_t end_us = g_get_monotonic_time () + LEAVING_US + TRANSIT_US;
        g_get_monotonic_time () < end_us;)
     {
@@ -257,7 +231,7 @@
                              .header_lines = "Server-Leaving: 1\r\nRetry-After: 2\r\n",
                              .once = true };
 
-  first = start_server ("i-1", answer, &other);
+  (void)scripted_vm_start_server ("i-1", answer, &other);
   ck_assert_int_eq (send_within ("/once/x", AT_ONCE_MS), 503);
   send_for (LEAVING_US, 200);
 }
@@ -269,7 +243,7 @@
   Suite *suite = suite_create ("server_backoff");
   TCase *cases = tcase_create ("server_backoff");
 
-  tcase_add_checked_fixture (cases, set_up, tear_down);
+  tcase_add_checked_fixture (cases, scripted_vm_set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
   tcase_add_test (cases, test_server_gets_no_requests_until_its_retry_after_ends);
   tcase_add_test (cases, test_requests_are_refused_at_once_while_all_servers_pause);
--- a/tests/process/test_store_copy.c
+++ b/tests/process/test_store_copy.c
@@ -65,6 +65,18 @@
 }
 END_TEST
 
+static void
+send_requests (const struct route_vm *vm)
+{
+  for (int i = 0; i < REQUESTS; i++)
+    {
+      struct raw_answer answer = route_vm_send_to (vm, "POST", "/once/x", "r1", "", "b");
+
+      ck_assert_int_eq (route_vm_status (&answer), 200);
+      raw_answer_clear (&answer);
+    }
+}
+
 static void
 write_leaving_server (void)
 {
@@ -82,13 +94,7 @@
     fake_platform_put_server (route_vm.platform, 1, "ready");
   come_back_from_copy (SERVERS, write_leaving_server);
   runs = leaving->runs;
-  for (int i = 0; i < REQUESTS; i++)
-    {
-      struct raw_answer answer = route_vm_send ("POST", "/once/x", "", "b");
-
-      ck_assert_int_eq (route_vm_status (&answer), 200);
-      raw_answer_clear (&answer);
-    }
+  send_requests (&route_vm);
   ck_assert_uint_eq (leaving->runs, runs);
 }
 END_TEST
@@ -108,13 +114,7 @@
     fake_platform_put_server (route_vm.platform, 0, "draining");
   come_back_from_copy (SERVERS, write_nothing);
   runs = leaving->runs;
-  for (int i = 0; i < REQUESTS; i++)
-    {
-      struct raw_answer answer = route_vm_send ("POST", "/once/x", "", "b");
-
-      ck_assert_int_eq (route_vm_status (&answer), 200);
-      raw_answer_clear (&answer);
-    }
+  send_requests (&route_vm);
   ck_assert_uint_eq (leaving->runs, runs);
 }
 END_TEST
@@ -190,14 +190,8 @@
     fake_platform_put_server (route_vm.platform, 1, "ready");
   come_back_from_copy (SERVERS, write_leaving_server);
   runs = leaving->runs;
-  for (int i = 0; i < REQUESTS; i++)
-    {
-      struct raw_answer answer = route_vm_send_to (i % 2 == 0 ? &route_vm : &other,
-                                                   "POST", "/once/x", "r1", "", "b");
-
-      ck_assert_int_eq (route_vm_status (&answer), 200);
-      raw_answer_clear (&answer);
-    }
+  send_requests (&route_vm);
+  send_requests (&other);
   ck_assert_uint_eq (leaving->runs, runs);
   route_vm_remove (&other);
 }
--- a/tests/process/test_stream_ends.c
+++ b/tests/process/test_stream_ends.c
@@ -4,11 +4,10 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "tests/harness/route_vm.h"
 #include "tests/harness/run_suite.h"
-#include "tests/harness/scripted_server.h"
+#include "tests/harness/scripted_vm.h"
 
-#define SETTLE_MS 400 /* until the VM knows a new server and answers of it have ended */
+#define SETTLE_MS 400 /* until a server that has ended is found to have crashed */
 
 #define EVENT_1       "id: 1\ndata: piece 1\n\n"
 #define EVENT_2       "id: 2\ndata: piece 2\n\n"
@@ -56,9 +55,6 @@
   EVENT_1 ": comment\n\n",
 };
 
-static struct scripted_server *first;
-static struct scripted_server *second;
-
 static void
 play (struct scripted_request *request, const struct script *script)
 {
@@ -92,35 +88,6 @@
   (void)scripted_request_write (request, EVENT_2);
 }
 
-static void
-set_up (void)
-{
-  first = NULL;
-  second = NULL;
-  route_vm_set_up_servers (0);
-}
-
-static void
-tear_down (void)
-{
-  route_vm_kill (&route_vm);
-  if (first != NULL)
-    scripted_server_stop (first);
-  if (second != NULL)
-    scripted_server_stop (second);
-  route_vm_tear_down ();
-}
-
-static struct scripted_server *
-start_server (const char *id, scripted_handler *handler, const void *user)
-{
-  struct scripted_server *server
-      = scripted_server_start (route_vm.platform, id, handler, (void *)user);
-
-  g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
-  return server;
-}
-
 /* Returns true if an HTTP client takes the answer, on a connection that the VM closes
    after it, for a complete success. */
 static bool
@@ -132,9 +99,10 @@
 
 START_TEST (test_stream_closed_within_an_event_does_not_look_complete)
 {
+  struct scripted_server *first;
   struct raw_answer answer;
 
-  first = start_server ("i-1", play_script, &closed_within_event[_i]);
+  first = scripted_vm_start_server ("i-1", play_script, &closed_within_event[_i]);
   answer = route_vm_send ("POST", "/stream/x", "", "in");
   ck_assert (!looks_complete (&answer));
   ck_assert_ptr_null (strstr (answer.text->str, "id: 2"));
@@ -147,7 +115,7 @@
 {
   struct raw_answer answer;
 
-  first = start_server ("i-1", play_script, &reset_streams[_i]);
+  (void)scripted_vm_start_server ("i-1", play_script, &reset_streams[_i]);
   answer = route_vm_send ("POST", "/stream/x", "", "in");
   ck_assert (!looks_complete (&answer));
   raw_answer_clear (&answer);
@@ -164,7 +132,7 @@
                                  : closed_within_event[0];
   struct raw_answer answer;
 
-  first = start_server ("i-1", play_script, &script);
+  (void)scripted_vm_start_server ("i-1", play_script, &script);
   answer = raw_exchange (route_vm.port, request, ROUTE_VM_TIMEOUT_MS);
   ck_assert_int_eq (route_vm_status (&answer), 200);
   ck_assert (answer.closed);
@@ -187,10 +155,11 @@
    another server: the caller gets each event once and no half one. */
 START_TEST (test_stream_closed_within_an_event_resumes_elsewhere)
 {
+  struct scripted_server *first;
   struct raw_answer answer;
 
-  first = start_server ("i-1", play_script, &closed_within_event[_i]);
-  second = start_server ("i-2", stream_rest, NULL);
+  first = scripted_vm_start_server ("i-1", play_script, &closed_within_event[_i]);
+  (void)scripted_vm_start_server ("i-2", stream_rest, NULL);
   for (unsigned i = 0; i < 12 && scripted_server_request_count (first) == 0; i++)
     {
       answer = route_vm_send ("POST", "/stream/x", "", "in");
@@ -208,12 +177,14 @@
 /* The server that broke off is suspected: it is the last choice for the next requests. */
 START_TEST (test_server_that_closes_within_an_event_is_suspected)
 {
+  struct scripted_server *first;
+  struct scripted_server *second;
   struct raw_answer answer;
 
-  first = start_server ("i-1", play_script, &closed_within_event[0]);
+  first = scripted_vm_start_server ("i-1", play_script, &closed_within_event[0]);
   answer = route_vm_send ("POST", "/stream/x", "", "in");
   raw_answer_clear (&answer);
-  second = start_server ("i-2", stream_rest, NULL);
+  second = scripted_vm_start_server ("i-2", stream_rest, NULL);
   for (unsigned i = 0; i < 3; i++)
     {
       answer = route_vm_send ("POST", "/stream/x", "", "in");
@@ -239,7 +210,7 @@
   g_autofree char *log = NULL;
   struct raw_answer answer;
 
-  first = start_server ("i-1", break_off_and_end, &closed_within_event[0]);
+  (void)scripted_vm_start_server ("i-1", break_off_and_end, &closed_within_event[0]);
   answer = route_vm_send ("POST", "/stream/x", "", "in");
   raw_answer_clear (&answer);
   g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
@@ -255,7 +226,7 @@
   struct script script = { .header_lines = "", .body = "" };
   struct raw_answer answer;
 
-  first = start_server ("i-1", play_script, &script);
+  (void)scripted_vm_start_server ("i-1", play_script, &script);
   answer = route_vm_send ("POST", "/stream/x", "Last-Event-Id: 2\r\n", "in");
   ck_assert (looks_complete (&answer));
   raw_answer_clear (&answer);
@@ -264,10 +235,11 @@
 
 START_TEST (test_whole_stream_without_length_is_delivered)
 {
+  struct scripted_server *first;
   struct script script = { .header_lines = "", .body = whole_streams[_i] };
   struct raw_answer answer;
 
-  first = start_server ("i-1", play_script, &script);
+  first = scripted_vm_start_server ("i-1", play_script, &script);
   /* Connections that have ended are not used again. */
   for (unsigned i = 0; i < 3; i++)
     {
@@ -287,7 +259,7 @@
   Suite *suite = suite_create ("stream_ends");
   TCase *cases = tcase_create ("stream_ends");
 
-  tcase_add_checked_fixture (cases, set_up, tear_down);
+  tcase_add_checked_fixture (cases, scripted_vm_set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
   tcase_add_loop_test (cases, test_stream_closed_within_an_event_does_not_look_complete,
                        0, G_N_ELEMENTS (closed_within_event));
--- a/tests/unit/test_mesh_load.c
+++ b/tests/unit/test_mesh_load.c
@@ -12,6 +12,7 @@
 #include "platform/platform.h"
 #include "tests/harness/free_port.h"
 #include "tests/harness/run_suite.h"
+#include "tests/harness/steady_store.h"
 
 #define VMS            369 /* not counting this one */
 #define SERVERS        128
@@ -28,22 +29,6 @@
 static GPtrArray *messages; /* GBytes, encoded before the measurement begins */
 static uint64_t sent;
 
-/* The era of the stand-in's content does not change. */
-static int64_t
-store_era (void *self)
-{
-  (void)self;
-  return 0;
-}
-
-static void
-store_watch_era (void *self, kcp_store_era_handler *handler, void *user)
-{
-  (void)self;
-  (void)handler;
-  (void)user;
-}
-
 static void
 store_append (void *self, enum kcp_store_topic topic, int64_t expected_end,
               struct kcp_str key, struct kcp_str value, kcp_store_done *done, void *user)
@@ -175,8 +160,8 @@
                                            .peers_listen = listen,
                                            .retry_burst = 54,
                                            .retry_window_s = 10 };
-  struct kcp_store store = { .era = store_era,
-                             .watch_era = store_watch_era,
+  struct kcp_store store = { .era = steady_store_era,
+                             .watch_era = steady_store_watch_era,
                              .append = store_append,
                              .list = store_list };
   struct kcp_error error = { 0 };
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -6,6 +6,7 @@
 #include "platform/platform.h"
 #include "platform/records.h"
 #include "tests/harness/run_suite.h"
+#include "tests/harness/steady_store.h"
 
 #define RUN_MS 2500 /* longer than an order lease is valid */
 
@@ -24,22 +25,6 @@
   g_array_unref (result->records);
 }
 
-/* The era of the stand-in's content does not change. */
-static int64_t
-store_era (void *self)
-{
-  (void)self;
-  return 0;
-}
-
-static void
-store_watch_era (void *self, kcp_store_era_handler *handler, void *user)
-{
-  (void)self;
-  (void)handler;
-  (void)user;
-}
-
 static void
 read_topic (void *self, enum kcp_store_topic topic, int64_t from_offset, int64_t wait_ms,
             kcp_store_done *done, void *user)
@@ -96,8 +81,8 @@
                                            .retry_window_s = 10,
                                            .servers_max_idle_s = 3,
                                            .orders_min_gap_ms = 3000 };
-  struct slow_store store = { .calls = { .era = store_era,
-                                         .watch_era = store_watch_era,
+  struct slow_store store = { .calls = { .era = steady_store_era,
+                                         .watch_era = steady_store_watch_era,
                                          .read = read_topic,
                                          .append = append } };
   struct kcp_loop_timer end = { 0 };
