A removed server does not come back by an older copy of the store

A server that had left and been removed from the list came back as ready when the store came back from a copy that is from before: 6 and 7 of 12 requests went to it.

Cause: the listing after a rise of the store's era applied entries of the copy as if they had just been written; only servers still in the table were protected.

Why this works: the table remembers the last 512 removed incarnations, and a listing of a copy does not add one of them. A server that lives writes its entry again, which is read after the listing. Listings for other reasons are applied as before: in them, entries that expired while the store was out come back.

--- a/src/forward/feed.c
+++ b/src/forward/feed.c
@@ -231,7 +231,10 @@
 end_listing (struct kcp_feed_reader *reader)
 {
   if (reader->topic == KCP_STORE_SERVERS)
-    remove_unlisted (reader->feed, reader->listed);
+    {
+      remove_unlisted (reader->feed, reader->listed);
+      reader->feed->lists_copy = false;
+    }
   reader->state = KCP_FEED_READING;
   reader->next = reader->listed_end;
   reader->first_listing = false;
@@ -255,6 +258,7 @@
 
   (void)era;
   kcp_entry_expiry_on_new_era (&feed->entry_expiry, kcp_loop_now (feed->gateway->loop));
+  feed->lists_copy = true;
   list_again (&feed->operators);
   list_again (&feed->servers);
 }
@@ -382,15 +386,20 @@
   return true;
 }
 
-/* Returns true if a listing shows a server as ready that is known to be leaving. Its
-   entry is from the time before; if it is ready again, it writes that later. */
+/* Returns true if the listing of an older copy shows a server as ready that is known to
+   be leaving, or that was removed. Its entry is from the time before; a server that is
+   ready writes a newer one, which is read after the listing. */
 static bool
 is_outdated (const struct kcp_feed *feed, const struct kcp_server_entry *entry)
 {
-  const struct kcp_server *known = kcp_servers_find (feed->gateway->servers, entry->id);
+  const struct kcp_servers *servers = feed->gateway->servers;
+  const struct kcp_server *known = kcp_servers_find (servers, entry->id);
 
-  return feed->servers.state == KCP_FEED_LISTING && known != NULL
-         && known->entry.started_ms == entry->started_ms
+  if (!feed->lists_copy)
+    return false;
+  if (known == NULL)
+    return kcp_servers_was_removed (servers, entry->id, entry->started_ms);
+  return known->entry.started_ms == entry->started_ms
          && known->entry.state == KCP_SERVER_DRAINING && entry->state == KCP_SERVER_READY;
 }
 
--- a/src/forward/feed_private.h
+++ b/src/forward/feed_private.h
@@ -38,6 +38,7 @@
   void *user;
   struct kcp_feed_reader operators;
   struct kcp_feed_reader servers;
+  bool lists_copy; /* the servers' listing is that of an older copy */
   struct kcp_entry_expiry entry_expiry;
   struct kcp_loop_timer removal_timer;
 };
--- a/src/forward/servers.c
+++ b/src/forward/servers.c
@@ -7,15 +7,19 @@
 #include "base/decision_log.h"
 #include "base/ref.h"
 
+#define REMOVED_MAX 512u /* removed servers that are remembered */
+
 struct kcp_servers
 {
   GPtrArray *all;     /* struct kcp_server, references */
   GPtrArray *stores;  /* KV cache stores, references; they take no requests */
   GHashTable *by_key; /* kcp_server_key() -> struct kcp_server of either list, borrowed */
+  GArray *removed;    /* uint64_t, keys of servers that were removed; oldest first */
 };
 
 static void
 add_server (struct kcp_servers *servers, GPtrArray *list, struct kcp_server *server);
+static void remember_removed (struct kcp_servers *servers, uint64_t key);
 static uint64_t hash_entry (const struct kcp_server_entry *entry);
 static bool
 has_restarted (const struct kcp_server *server, const struct kcp_server_entry *entry);
@@ -34,6 +38,7 @@
   servers->all = g_ptr_array_new_with_free_func (server_release);
   servers->stores = g_ptr_array_new_with_free_func (server_release);
   servers->by_key = g_hash_table_new (g_int64_hash, g_int64_equal);
+  servers->removed = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   return servers;
 }
 
@@ -47,6 +52,7 @@
   g_ptr_array_unref (servers->all);
   g_ptr_array_unref (servers->stores);
   g_hash_table_unref (servers->by_key);
+  g_array_unref (servers->removed);
   g_free (servers);
 }
 
@@ -114,11 +120,34 @@
       if (server->remove_at_ns == 0 || now_ns < server->remove_at_ns)
         continue;
       log_change (server, "gone");
+      remember_removed (servers, server->key);
       g_hash_table_remove (servers->by_key, &server->key);
       g_ptr_array_remove_index_fast (servers->all, i - 1);
     }
 }
 
+static void
+remember_removed (struct kcp_servers *servers, uint64_t key)
+{
+  if (servers->removed->len == REMOVED_MAX)
+    g_array_remove_index (servers->removed, 0);
+  g_array_append_val (servers->removed, key);
+}
+
+/* Returns true if the server with this id and start time was removed from the table
+   lately. */
+bool
+kcp_servers_was_removed (const struct kcp_servers *servers, const char *id,
+                         int64_t started_ms)
+{
+  uint64_t key = kcp_server_make_key (id, started_ms);
+
+  for (guint i = 0; i < servers->removed->len; i++)
+    if (g_array_index (servers->removed, uint64_t, i) == key)
+      return true;
+  return false;
+}
+
 /* Returns the known servers, struct kcp_server, in no particular order. */
 const GPtrArray *
 kcp_servers_all (const struct kcp_servers *servers)
--- a/tests/process/test_store_copy.c
+++ b/tests/process/test_store_copy.c
@@ -119,6 +119,33 @@
 }
 END_TEST
 
+static void
+remove_leaving_server (void)
+{
+  fake_platform_put_server_entry (route_vm.platform, "i-0", "");
+}
+
+/* The copy is from before the server said that it leaves, and was removed. */
+START_TEST (test_removed_server_does_not_come_back_by_an_older_copy)
+{
+  struct fake_server *leaving = fake_platform_server (route_vm.platform, 0);
+  unsigned runs;
+
+  fake_platform_put_server (route_vm.platform, 0, "draining");
+  remove_leaving_server ();
+  remove_leaving_server ();
+  come_back_from_copy (SERVERS, write_nothing);
+  runs = leaving->runs;
+  send_requests (&route_vm);
+  ck_assert_uint_eq (leaving->runs, runs);
+  /* It is used again once it writes its entry. */
+  fake_platform_put_server (route_vm.platform, 0, "ready");
+  g_usleep (REFRESH_MS * G_TIME_SPAN_MILLISECOND);
+  send_requests (&route_vm);
+  ck_assert_uint_gt (leaving->runs, runs);
+}
+END_TEST
+
 /* Entries that the copy lacks are those of servers that live: they are not removed before
    they could be written again. */
 START_TEST (test_servers_that_the_copy_lacks_are_used_until_they_could_register)
@@ -210,6 +237,7 @@
   tcase_add_test (cases,
                   test_server_that_leaves_at_offsets_given_out_again_still_gets_requests);
   tcase_add_test (cases, test_leaving_server_is_not_ready_again_by_an_older_copy);
+  tcase_add_test (cases, test_removed_server_does_not_come_back_by_an_older_copy);
   tcase_add_test (cases,
                   test_servers_that_the_copy_lacks_are_used_until_they_could_register);
   tcase_add_test (cases, test_vm_entry_that_the_copy_lacks_is_written_again);
