--- a/tests/process/test_store_copy.c
+++ b/tests/process/test_store_copy.c
@@ -5,16 +5,18 @@
 #include "tests/harness/route_vm.h"
 #include "tests/harness/run_suite.h"
 
-#define OPERATOR    "keyed.op"
-#define SERVERS     "keyed.servers"
-#define VMS         "keyed.kingcuppoint.vms"
-#define ORDERS      "kingcuppoint.orders"
-#define ORDERS_MS   12000 /* until all servers have the desired weights */
-#define LOST        3
-#define LEASE_MS    2000 /* longer than an order lease is valid */
-#define REFRESH_MS  3000 /* until a change in the store has to be in force */
-#define REQUESTS    12
-#define NEW_VERSION 4
+#define OPERATOR      "keyed.op"
+#define SERVERS       "keyed.servers"
+#define VMS           "keyed.kingcuppoint.vms"
+#define ORDERS        "kingcuppoint.orders"
+#define BLOCKED       "keyed.kingcuppoint.blocked"
+#define CRASH_DOWN_MS 400
+#define ORDERS_MS     12000 /* until all servers have the desired weights */
+#define LOST          3
+#define LEASE_MS      2000 /* longer than an order lease is valid */
+#define REFRESH_MS    3000 /* until a change in the store has to be in force */
+#define REQUESTS      12
+#define NEW_VERSION   4
 
 static void
 put_config (int version, const char *key)
@@ -170,6 +172,27 @@
 }
 END_TEST
 
+/* A VM that starts later could not know of the request otherwise. */
+START_TEST (test_blocked_request_that_the_copy_lacks_is_written_again)
+{
+  int64_t end_us = g_get_monotonic_time () + ORDERS_MS * G_TIME_SPAN_MILLISECOND;
+
+  fake_platform_crash_on (route_vm.platform, "crash", CRASH_DOWN_MS);
+  while (fake_platform_end_offset (route_vm.platform, BLOCKED) == 0
+         && g_get_monotonic_time () < end_us)
+    {
+      struct raw_answer answer = route_vm_send ("POST", "/once/x", "", "crash");
+
+      raw_answer_clear (&answer);
+      g_usleep (CRASH_DOWN_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  ck_assert_uint_eq (fake_platform_end_offset (route_vm.platform, BLOCKED), 1);
+  fake_platform_lose_records (route_vm.platform, BLOCKED, 1);
+  g_usleep (REFRESH_MS * G_TIME_SPAN_MILLISECOND);
+  ck_assert_uint_eq (fake_platform_end_offset (route_vm.platform, BLOCKED), 1);
+}
+END_TEST
+
 static void
 order_version (int64_t version)
 {
@@ -241,6 +264,7 @@
   tcase_add_test (cases,
                   test_servers_that_the_copy_lacks_are_used_until_they_could_register);
   tcase_add_test (cases, test_vm_entry_that_the_copy_lacks_is_written_again);
+  tcase_add_test (cases, test_blocked_request_that_the_copy_lacks_is_written_again);
   tcase_add_test (cases,
                   test_fencing_tokens_do_not_fall_when_offsets_are_given_out_again);
   tcase_add_test (cases, test_relayed_list_is_not_mixed_with_that_of_the_copy);
