--- a/src/forward/answer.h
+++ b/src/forward/answer.h
@@ -24,7 +24,7 @@
   /* Called after each change. */
   void (*changed) (void *user);
   void *user;
-  /* Called after the caller server has taken bytes from body; NULL: not needed. */
+  /* Called after the caller server has removed bytes from body; NULL: not needed. */
   void (*taken) (void *taken_user);
   void *taken_user;
 };
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -167,8 +167,8 @@
   forward->gateway->dialect->read_answer_header (&attempt->head, name, value);
 }
 
-/* Applies what the head says of the server itself. An answer that another server may have
-   given, which has got the address, says nothing of this one. */
+/* Applies what the head says of the server itself. A status that also another server
+   returns, to which the address was reassigned, is ignored. */
 static void
 on_head_ended (void *user)
 {
