--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -28,6 +28,8 @@
 static void
 classify_weights (const struct kcp_gateway *gateway, const char *model,
                   const struct kcp_server *server, struct kcp_place_candidate *candidate);
+static int64_t
+replaced_ns (const struct kcp_gateway *gateway, const char *model, int64_t version);
 static void
 set_preferred_discount (struct kcp_gateway *gateway, const struct kcp_choice *choice,
                         const GPtrArray *servers, struct kcp_place_candidate *candidates);
@@ -80,11 +82,13 @@
   choice->prefill_us = costs->per_token * choice->uncached_tokens;
   g_clear_pointer (&choice->cache_space, g_free);
   choice->weights = 0;
+  choice->replaced_ns = 0;
   choice->fetch_from = NULL;
   choice->save_to = NULL;
   if (choice->inbound->model == NULL)
     return;
   choice->weights = kcp_server_version (choice->server, choice->inbound->model);
+  choice->replaced_ns = replaced_ns (gateway, choice->inbound->model, choice->weights);
   choice->cache_space = kcp_cache_space_name (choice, choice->weights);
   if (choice->levels->len > 0)
     kcp_cached_plan_transfers (gateway, choice);
@@ -206,21 +210,28 @@
 classify_weights (const struct kcp_gateway *gateway, const char *model,
                   const struct kcp_server *server, struct kcp_place_candidate *candidate)
 {
-  const struct kcp_desired_weights *desired
-      = kcp_gateway_desired_weights (gateway, model);
-  int64_t version = kcp_server_version (server, model);
+  int64_t since_ns = replaced_ns (gateway, model, kcp_server_version (server, model));
   int64_t limit_ns
       = OLD_WEIGHTS_SHARE (gateway->settings->weights_replace_ms) * KCP_NS_PER_MS;
 
   candidate->weights = KCP_PLACE_WEIGHTS_CURRENT;
-  if (desired == NULL || version >= desired->version)
+  if (since_ns == 0)
     return;
   candidate->weights = KCP_PLACE_WEIGHTS_OLD;
-  if (kcp_loop_now (gateway->loop) - kcp_desired_weights_replaced_ns (desired, version)
-      >= limit_ns)
+  if (kcp_loop_now (gateway->loop) - since_ns >= limit_ns)
     candidate->weights = KCP_PLACE_WEIGHTS_REFUSED;
 }
 
+/* Returns since when weights newer than this version are desired; 0: they are not. */
+static int64_t
+replaced_ns (const struct kcp_gateway *gateway, const char *model, int64_t version)
+{
+  const struct kcp_desired_weights *desired
+      = kcp_gateway_desired_weights (gateway, model);
+
+  return desired != NULL ? kcp_desired_weights_replaced_ns (desired, version) : 0;
+}
+
 /* Sets the discount of the first server in the rendezvous order of the first level that
    no server has cached, so that all VMs send a new prefix to the same server. */
 static void
--- a/src/forward/choose.h
+++ b/src/forward/choose.h
@@ -19,6 +19,7 @@
   /* The choice. */
   struct kcp_server *server; /* borrowed; NULL: none is available */
   int64_t weights;           /* version of the model on that server; 0: no model */
+  int64_t replaced_ns;       /* since when a newer one is desired; 0: it is not */
   int64_t uncached_tokens;   /* estimate */
   char *cache_space;         /* owned; NULL without a model */
   const char *fetch_from;    /* address to fetch parts from, borrowed; NULL: none */
--- a/src/forward/feed.c
+++ b/src/forward/feed.c
@@ -17,6 +17,7 @@
                          enum kcp_store_topic topic,
                          bool (*apply) (struct kcp_feed *feed,
                                         const struct kcp_store_record *record));
+static int64_t read_wait_ms (const struct kcp_feed_reader *reader);
 static void on_listed (void *user, const struct kcp_store_answer *answer);
 static void on_read (void *user, const struct kcp_store_answer *answer);
 static void apply_all (struct kcp_feed_reader *reader,
@@ -25,6 +26,8 @@
 apply_read_answer (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer);
 static void
 record_keys (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer);
+static void
+note_topic_end (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer);
 static void end_listing (struct kcp_feed_reader *reader);
 static void start_listing (struct kcp_feed_reader *reader);
 static void on_new_era (void *user, int64_t era);
@@ -36,6 +39,8 @@
 static void schedule_request (struct kcp_feed_reader *reader);
 static void schedule_retry (struct kcp_feed_reader *reader);
 static bool apply_operator (struct kcp_feed *feed, const struct kcp_store_record *record);
+static void log_weights (struct kcp_feed *feed, const struct kcp_store_record *record,
+                         const struct kcp_operator_record *content);
 static void report_entry (struct kcp_feed *feed, struct kcp_str key);
 static void remove_unlisted (struct kcp_feed *feed, GHashTable *listed);
 static void on_removal_due (void *user);
@@ -102,11 +107,11 @@
 {
   struct kcp_feed_reader *reader = user;
   const struct kcp_store *store = reader->feed->store;
-  const struct kcp_forward_settings *settings = reader->feed->gateway->settings;
-  bool long_poll = reader->topic == KCP_STORE_OPERATOR;
 
   reader->requested_ns = kcp_loop_now (reader->feed->gateway->loop);
   reader->requested_from = reader->next;
+  if (reader->state == KCP_FEED_LISTING && reader->last_key == NULL)
+    reader->listing_ns = reader->requested_ns;
   reader->request_pending = true;
   switch (reader->state)
     {
@@ -114,12 +119,21 @@
       store->list (store->self, reader->topic, reader->last_key, on_listed, reader);
       break;
     case KCP_FEED_READING:
-      store->read (store->self, reader->topic, reader->next,
-                   long_poll ? settings->store_wait_ms : 0, on_read, reader);
+      store->read (store->self, reader->topic, reader->next, read_wait_ms (reader),
+                   on_read, reader);
       break;
     }
 }
 
+/* Returns how long the store may hold a read of the topic open. */
+static int64_t
+read_wait_ms (const struct kcp_feed_reader *reader)
+{
+  return reader->topic == KCP_STORE_OPERATOR
+             ? reader->feed->gateway->settings->store_wait_ms
+             : 0;
+}
+
 static void
 on_listed (void *user, const struct kcp_store_answer *answer)
 {
@@ -183,10 +197,24 @@
 
   apply_all (reader, answer, changes);
   reader->next = MAX (reader->next, next);
+  note_topic_end (reader, answer);
   if (reader->topic == KCP_STORE_SERVERS)
     kcp_feed_relay (reader->feed, reader->requested_from, next, changes);
 }
 
+static void
+note_topic_end (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer)
+{
+  kcp_topic_end_on_read (&reader->end,
+                         &(struct kcp_topic_read){
+                             .sent_ns = reader->requested_ns,
+                             .answered_ns = kcp_loop_now (reader->feed->gateway->loop),
+                             .wait_ns = read_wait_ms (reader) * KCP_NS_PER_MS,
+                             .empty = answer->records->len == 0,
+                             .to_end = answer->next == reader->next,
+                         });
+}
+
 /* Applies the records of an answer and appends those that change something to changes,
    which may be NULL. */
 static void
@@ -238,6 +266,11 @@
   reader->state = KCP_FEED_READING;
   reader->next = reader->listed_end;
   reader->first_listing = false;
+  kcp_topic_end_on_read (&reader->end, &(struct kcp_topic_read){
+                                           .sent_ns = reader->listing_ns,
+                                           .answered_ns = reader->listing_ns,
+                                           .to_end = true,
+                                       });
 }
 
 static void
@@ -255,9 +288,11 @@
 on_new_era (void *user, int64_t era)
 {
   struct kcp_feed *feed = user;
+  int64_t now = kcp_loop_now (feed->gateway->loop);
 
   (void)era;
-  kcp_entry_expiry_on_new_era (&feed->entry_expiry, kcp_loop_now (feed->gateway->loop));
+  kcp_entry_expiry_on_new_era (&feed->entry_expiry, now);
+  kcp_topic_end_on_new_era (&feed->operators.end, now + feed->entry_expiry.grace_ns);
   feed->lists_copy = true;
   list_again (&feed->operators);
   list_again (&feed->servers);
@@ -340,6 +375,7 @@
       (void)kcp_gateway_set_routes (gateway, content.routes);
       break;
     case KCP_OPERATOR_WEIGHTS:
+      log_weights (feed, record, &content);
       /* The first listing does not show since when a version has been desired; half of
          the replacement time is assumed to have passed. */
       if (feed->operators.first_listing)
@@ -354,6 +390,20 @@
   return true;
 }
 
+/* Logs a record of desired weights, and since when it may have been in the store. */
+static void
+log_weights (struct kcp_feed *feed, const struct kcp_store_record *record,
+             const struct kcp_operator_record *content)
+{
+  int64_t known_ns = feed->operators.end.known_ns;
+  int64_t within_ns = kcp_loop_now (feed->gateway->loop) - known_ns;
+
+  KCP_LOG ("weights_read", KCP_LOG_TEXT ("model", content->weights.model),
+           KCP_LOG_INT ("version", content->weights.version),
+           KCP_LOG_INT ("offset", record->offset),
+           KCP_LOG_INT ("within_ms", known_ns != 0 ? within_ns / KCP_NS_PER_MS : -1));
+}
+
 /* Applies a record of the servers' list. Returns false if it changes nothing. */
 bool
 kcp_feed_apply_server (struct kcp_feed *feed, const struct kcp_store_record *record)
--- a/src/forward/feed_private.h
+++ b/src/forward/feed_private.h
@@ -4,6 +4,7 @@
 
 #include "forward/feed.h"
 #include "policy/entry_expiry.h"
+#include "policy/topic_end.h"
 
 enum kcp_feed_reader_state
 {
@@ -25,6 +26,8 @@
   GHashTable *listed;     /* keys listed so far */
   bool first_listing;   /* the first listing since the process started is not complete */
   int64_t requested_ns; /* time of that call */
+  int64_t listing_ns;   /* time of the first call of the listing */
+  struct kcp_topic_end end;
   struct kcp_loop_timer timer; /* of the next request */
   /* Applies a record. Returns false if the record changes nothing. */
   bool (*apply) (struct kcp_feed *feed, const struct kcp_store_record *record);
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -63,6 +63,10 @@
                    forward->choice.team ? forward->choice.team->priority : -1),
       KCP_LOG_INT ("routes_version", forward->routes->version),
       KCP_LOG_INT ("weights", forward->choice.weights),
+      KCP_LOG_INT ("replaced_ms",
+                   forward->choice.replaced_ns != 0
+                       ? (attempt->sent_ns - forward->choice.replaced_ns) / KCP_NS_PER_MS
+                       : -1),
       KCP_LOG_INT ("usable", forward->choice.usable),
       KCP_LOG_INT ("cost_us", forward->choice.cost_us),
       KCP_LOG_INT ("open_there", server->in_flight),
