Failing test: a VM that learns late of new weights uses old ones too long

test_old_weights: a VM is frozen, or the store does not answer it, for 4 s from before new weights are named; no server carries out its orders.

--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -715,7 +715,7 @@
       status = 409;
       server->order_conflicts++;
     }
-  else
+  else if (!server->ignores_orders)
     {
       server->orders_taken++;
       server->version = json_integer_value (json_object_get (json, "version"));
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -35,6 +35,7 @@
   int advertised_port; /* port in its list entry if not 0, else port */
   enum fake_mode mode; /* set by the test */
   int64_t version;     /* version of its weights */
+  bool ignores_orders; /* accepts orders and does not carry them out; set by the test */
   int64_t orders_taken;
   unsigned runs;            /* requests that it executed */
   unsigned in_flight;       /* requests in progress */
--- a/tests/harness/route_vm.h
+++ b/tests/harness/route_vm.h
@@ -16,6 +16,7 @@
   struct fake_platform *platform;
   char *folder;            /* contains its settings and its log, out.log */
   const char *data_center; /* NULL: "z", that of the servers */
+  int replace_ms;          /* how long replaced weights may be used; 0: the default */
   int port;
   int ready_port;
   int metrics_port;
