Count the age of desired weights from when the topic was known to lack them

Cause: a VM counted the time for which replaced weights may be used from the moment at which it read the record of the new ones. A VM that was frozen, slow, or without the store then used old weights for as long as it had been late, beyond the bound, while servers carried out orders late.

Evidence: test_old_weights failed in 2 of 3 (frozen VM; store that does not answer).

Why it works: a record was written after the last time at which the topic was known to lack it (policy/topic_end). If reads follow each other, the store answered within its wait and the event loop did not stall, the record has just been written, and the time counts from the answer; otherwise from that last time. The count can then be too long, never too short by more than what an answer needs on its way, at most one wait (1.5 s); a third of replace_ms (3.3 s) remains.

Weighed and not built: VMs that tell each other since when they know a version. It would let a late VM use old servers a little longer; the bound holds without it.

--- a/src/forward/feed.c
+++ b/src/forward/feed.c
@@ -26,9 +26,10 @@
 apply_read_answer (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer);
 static void
 record_keys (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer);
-static void
-note_topic_end (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer);
+static struct kcp_topic_read describe_read (const struct kcp_feed_reader *reader,
+                                            const struct kcp_store_answer *answer);
 static void end_listing (struct kcp_feed_reader *reader);
+static int64_t listed_not_before_ns (const struct kcp_feed_reader *reader);
 static void start_listing (struct kcp_feed_reader *reader);
 static void on_new_era (void *user, int64_t era);
 static void list_again (struct kcp_feed_reader *reader);
@@ -149,6 +150,7 @@
   if (reader->last_key == NULL)
     reader->listed_end = answer->next;
   record_keys (reader, answer);
+  reader->not_before_ns = listed_not_before_ns (reader);
   apply_all (reader, answer, NULL);
   if (answer->more && reader->last_key != NULL)
     {
@@ -180,6 +182,7 @@
       break;
     case KCP_STORE_CONFLICT:
     case KCP_STORE_FAILED:
+      kcp_topic_end_on_failed (&reader->end);
       schedule_retry (reader);
       break;
     }
@@ -194,25 +197,31 @@
   g_autoptr (GArray) changes
       = g_array_new (FALSE, FALSE, sizeof (struct kcp_store_record));
   int64_t next = reader->requested_from + answer->records->len;
+  struct kcp_topic_read read = describe_read (reader, answer);
 
+  reader->not_before_ns = kcp_topic_end_not_before_ns (&reader->end, &read);
   apply_all (reader, answer, changes);
   reader->next = MAX (reader->next, next);
-  note_topic_end (reader, answer);
+  kcp_topic_end_on_read (&reader->end, &read);
   if (reader->topic == KCP_STORE_SERVERS)
     kcp_feed_relay (reader->feed, reader->requested_from, next, changes);
 }
 
-static void
-note_topic_end (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer)
+static struct kcp_topic_read
+describe_read (const struct kcp_feed_reader *reader,
+               const struct kcp_store_answer *answer)
 {
-  kcp_topic_end_on_read (&reader->end,
-                         &(struct kcp_topic_read){
-                             .sent_ns = reader->requested_ns,
-                             .answered_ns = kcp_loop_now (reader->feed->gateway->loop),
-                             .wait_ns = read_wait_ms (reader) * KCP_NS_PER_MS,
-                             .empty = answer->records->len == 0,
-                             .to_end = answer->next == reader->next,
-                         });
+  const struct kcp_loop *loop = reader->feed->gateway->loop;
+  int64_t next = MAX (reader->next, reader->requested_from + answer->records->len);
+
+  return (struct kcp_topic_read){
+    .sent_ns = reader->requested_ns,
+    .answered_ns = kcp_loop_now (loop),
+    .wait_ns = read_wait_ms (reader) * KCP_NS_PER_MS,
+    .empty = answer->records->len == 0,
+    .to_end = answer->next == next,
+    .stalled = kcp_loop_stalled_since (loop, reader->end.known_ns),
+  };
 }
 
 /* Applies the records of an answer and appends those that change something to changes,
@@ -253,6 +262,19 @@
     }
 }
 
+/* Returns the time before which a listed record was not written. The first listing does
+   not show it. Half of the time for which replaced weights may be used is assumed to have
+   passed then, so that new ones can be loaded before callers are refused. */
+static int64_t
+listed_not_before_ns (const struct kcp_feed_reader *reader)
+{
+  const struct kcp_gateway *gateway = reader->feed->gateway;
+  int64_t half_ns = gateway->settings->weights_replace_ms * KCP_NS_PER_MS / 2;
+
+  return reader->first_listing ? kcp_loop_now (gateway->loop) - half_ns
+                               : reader->end.known_ns;
+}
+
 /* Switches from listing to reading. Reading begins at the end that the topic had when the
    listing began, so records written during the listing are read again. */
 static void
@@ -358,7 +380,6 @@
 apply_operator (struct kcp_feed *feed, const struct kcp_store_record *record)
 {
   struct kcp_gateway *gateway = feed->gateway;
-  int64_t now = kcp_loop_now (gateway->loop);
   struct kcp_operator_record content = { .kind = KCP_OPERATOR_OTHER };
   const char *reason = NULL;
 
@@ -376,12 +397,9 @@
       break;
     case KCP_OPERATOR_WEIGHTS:
       log_weights (feed, record, &content);
-      /* The first listing does not show since when a version has been desired; half of
-         the replacement time is assumed to have passed. */
-      if (feed->operators.first_listing)
-        now -= gateway->settings->weights_replace_ms * KCP_NS_PER_MS / 2;
       kcp_gateway_add_desired_weights (gateway, content.weights.model,
-                                       content.weights.version, now);
+                                       content.weights.version,
+                                       feed->operators.not_before_ns);
       g_free (content.weights.model);
       break;
     case KCP_OPERATOR_OTHER:
@@ -395,13 +413,12 @@
 log_weights (struct kcp_feed *feed, const struct kcp_store_record *record,
              const struct kcp_operator_record *content)
 {
-  int64_t known_ns = feed->operators.end.known_ns;
-  int64_t within_ns = kcp_loop_now (feed->gateway->loop) - known_ns;
+  int64_t age_ns = kcp_loop_now (feed->gateway->loop) - feed->operators.not_before_ns;
 
   KCP_LOG ("weights_read", KCP_LOG_TEXT ("model", content->weights.model),
            KCP_LOG_INT ("version", content->weights.version),
            KCP_LOG_INT ("offset", record->offset),
-           KCP_LOG_INT ("within_ms", known_ns != 0 ? within_ns / KCP_NS_PER_MS : -1));
+           KCP_LOG_INT ("within_ms", age_ns / KCP_NS_PER_MS));
 }
 
 /* Applies a record of the servers' list. Returns false if it changes nothing. */
--- a/src/forward/feed_private.h
+++ b/src/forward/feed_private.h
@@ -28,6 +28,8 @@
   int64_t requested_ns; /* time of that call */
   int64_t listing_ns;   /* time of the first call of the listing */
   struct kcp_topic_end end;
+  /* The records that are being applied were not written before this time. */
+  int64_t not_before_ns;
   struct kcp_loop_timer timer; /* of the next request */
   /* Applies a record. Returns false if the record changes nothing. */
   bool (*apply) (struct kcp_feed *feed, const struct kcp_store_record *record);
--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -71,11 +71,11 @@
   return true;
 }
 
-/* Adds a version of a model's weights that operators requested and that this VM learned
-   of at known_ns. A version that is not newer than the newest known one is ignored. */
+/* Adds a version of a model's weights that operators requested at not_before_ns or later.
+   A version that is not newer than the newest known one is ignored. */
 void
 kcp_gateway_add_desired_weights (struct kcp_gateway *gateway, const char *model,
-                                 int64_t version, int64_t known_ns)
+                                 int64_t version, int64_t not_before_ns)
 {
   struct kcp_desired_weights *desired
       = (struct kcp_desired_weights *)kcp_gateway_desired_weights (gateway, model);
@@ -94,12 +94,12 @@
   desired->count = MIN (desired->count + 1, KCP_DESIRED_VERSIONS_MAX);
   memmove (&desired->versions[1], &desired->versions[0],
            (desired->count - 1) * sizeof desired->versions[0]);
-  desired->versions[0]
-      = (struct kcp_desired_version){ .version = version, .known_ns = known_ns };
+  desired->versions[0] = (struct kcp_desired_version){ .version = version,
+                                                       .not_before_ns = not_before_ns };
 }
 
-/* Returns the time at which this VM learned of the first version newer than this one, or
-   0 if there is no newer version. */
+/* Returns the time before which no version newer than this one was desired, or 0 if there
+   is no newer version. */
 int64_t
 kcp_desired_weights_replaced_ns (const struct kcp_desired_weights *desired,
                                  int64_t version)
@@ -107,7 +107,7 @@
   int64_t replaced_ns = 0;
 
   for (unsigned i = 0; i < desired->count && desired->versions[i].version > version; i++)
-    replaced_ns = desired->versions[i].known_ns;
+    replaced_ns = desired->versions[i].not_before_ns;
   return replaced_ns;
 }
 
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -23,7 +23,7 @@
 struct kcp_desired_version
 {
   int64_t version;
-  int64_t known_ns; /* when this VM learned of the version */
+  int64_t not_before_ns; /* it was not desired before; see kcp_topic_end */
 };
 
 /* The versions of a model's weights that operators requested, as known to this VM. */
@@ -67,7 +67,7 @@
 void kcp_gateway_clear (struct kcp_gateway *gateway);
 bool kcp_gateway_set_routes (struct kcp_gateway *gateway, struct kcp_routes *routes);
 void kcp_gateway_add_desired_weights (struct kcp_gateway *gateway, const char *model,
-                                      int64_t version, int64_t known_ns);
+                                      int64_t version, int64_t not_before_ns);
 int64_t kcp_desired_weights_replaced_ns (const struct kcp_desired_weights *desired,
                                          int64_t version);
 const struct kcp_desired_weights *
--- a/src/forward/loop.c
+++ b/src/forward/loop.c
@@ -1,6 +1,8 @@
 #include "forward/loop.h"
 
 #define MAX_WAIT_MS 1000 /* for events in one iteration */
+/* An iteration that takes longer than its wait by more than this is a stall. */
+#define STALL_MIN_NS (250 * KCP_NS_PER_MS)
 
 struct step
 {
@@ -14,10 +16,15 @@
   struct kcp_poller *poller;
   GSequence *timers; /* struct kcp_loop_timer, the earliest first */
   GArray *steps;
+  int64_t iteration_ns; /* start of the current iteration; 0: none */
+  int64_t wait_ns;      /* how long it may wait for events */
+  int64_t stall_ns;     /* end of the last stall; 0: none */
   bool stopping;
 };
 
-static int64_t next_wait_ms (const struct kcp_loop *loop);
+static void begin_iteration (struct kcp_loop *loop);
+static bool is_stalled (const struct kcp_loop *loop, int64_t now_ns);
+static int64_t next_wait_ms (const struct kcp_loop *loop, int64_t now_ns);
 static void fire_timers (struct kcp_loop *loop);
 static gint compare_timers (gconstpointer a, gconstpointer b, gpointer user);
 
@@ -60,6 +67,14 @@
   return kcp_clock_boottime_ns (loop->clock);
 }
 
+/* Returns true if the loop was kept from handling events for long at some time since
+   since_ns: the VM was frozen or slow. Events may have waited for as long. */
+bool
+kcp_loop_stalled_since (const struct kcp_loop *loop, int64_t since_ns)
+{
+  return is_stalled (loop, kcp_loop_now (loop)) || loop->stall_ns >= since_ns;
+}
+
 /* Registers step to run in each iteration, after the steps that were added before it. */
 void
 kcp_loop_add_step (struct kcp_loop *loop, kcp_loop_step *step, void *user)
@@ -75,7 +90,8 @@
 {
   while (!loop->stopping)
     {
-      kcp_poller_run_once (loop->poller, next_wait_ms (loop));
+      begin_iteration (loop);
+      kcp_poller_run_once (loop->poller, loop->wait_ns / KCP_NS_PER_MS);
       fire_timers (loop);
       for (guint i = 0; i < loop->steps->len; i++)
         {
@@ -116,8 +132,26 @@
   timer->position = NULL;
 }
 
+static void
+begin_iteration (struct kcp_loop *loop)
+{
+  int64_t now = kcp_loop_now (loop);
+
+  if (is_stalled (loop, now))
+    loop->stall_ns = now;
+  loop->iteration_ns = now;
+  loop->wait_ns = next_wait_ms (loop, now) * KCP_NS_PER_MS;
+}
+
+static bool
+is_stalled (const struct kcp_loop *loop, int64_t now_ns)
+{
+  return loop->iteration_ns != 0
+         && now_ns - loop->iteration_ns - loop->wait_ns > STALL_MIN_NS;
+}
+
 static int64_t
-next_wait_ms (const struct kcp_loop *loop)
+next_wait_ms (const struct kcp_loop *loop, int64_t now_ns)
 {
   GSequenceIter *first = g_sequence_get_begin_iter (loop->timers);
   const struct kcp_loop_timer *timer;
@@ -126,7 +160,7 @@
   if (g_sequence_iter_is_end (first))
     return MAX_WAIT_MS;
   timer = g_sequence_get (first);
-  remaining_ns = timer->due_ns - kcp_loop_now (loop);
+  remaining_ns = timer->due_ns - now_ns;
   if (remaining_ns <= 0)
     return 0;
   return MIN (MAX_WAIT_MS, remaining_ns / KCP_NS_PER_MS + 1);
--- a/src/forward/loop.h
+++ b/src/forward/loop.h
@@ -28,6 +28,7 @@
 void kcp_loop_free (struct kcp_loop *loop);
 struct kcp_poller *kcp_loop_poller (struct kcp_loop *loop);
 int64_t kcp_loop_now (const struct kcp_loop *loop);
+bool kcp_loop_stalled_since (const struct kcp_loop *loop, int64_t since_ns);
 void kcp_loop_add_step (struct kcp_loop *loop, kcp_loop_step *step, void *user);
 void kcp_loop_run (struct kcp_loop *loop);
 void kcp_loop_stop (struct kcp_loop *loop);
