Order further servers to load while some still complete their requests

Cause: an order counted against the limit of servers that load at the same time from when it was sent. A server first completes its requests, which under load takes longer (0.2 to 1.7 s) than the load itself (0.9 s), and loads do not slow each other down then.

Ruled out: the lease (first order 0.12 and 0.21 s after the naming), orders that get lost (12 orders, 12 done).

Why it works: servers without requests in flight count against the limit as before; up to a quarter of the servers may have an order. test_last_server_of_a_busy_deployment_loads_too_late replays it: 10.4 s before, under 10 s after (it failed on the code before).

--- a/src/policy/rollout.c
+++ b/src/policy/rollout.c
@@ -2,7 +2,12 @@
 
 #define LOADING_MIN      2u /* servers that may load together in a small deployment */
 #define SERVERS_PER_LOAD 5u /* one server may load per this number of servers */
+/* One server may load, or complete its requests before that, per this number of servers.
+ */
+#define SERVERS_PER_ORDER 4u
 
+static bool
+may_start (const struct kcp_rollout_server *servers, size_t count, unsigned limit);
 static unsigned count_current (const struct kcp_rollout_server *servers, size_t count,
                                unsigned data_center, int64_t desired_version);
 static bool precedes (const struct kcp_rollout_server *a, unsigned a_current,
@@ -23,13 +28,10 @@
 kcp_rollout_choose (const struct kcp_rollout_server *servers, size_t count,
                     int64_t desired_version, unsigned limit)
 {
-  unsigned loading = 0;
   unsigned best_current = 0;
   int best = KCP_ROLLOUT_NONE;
 
-  for (size_t i = 0; i < count; i++)
-    loading += servers[i].loading;
-  if (loading >= limit)
+  if (!may_start (servers, count, limit))
     return KCP_ROLLOUT_NONE;
   for (size_t i = 0; i < count; i++)
     {
@@ -48,6 +50,29 @@
   return best;
 }
 
+/* Returns true if one more order may be sent: fewer than limit servers are loading. A
+   server completes its requests before it loads, and further servers may do so
+   meanwhile. */
+static bool
+may_start (const struct kcp_rollout_server *servers, size_t count, unsigned limit)
+{
+  unsigned eligible = 0;
+  unsigned ordered = 0;
+  unsigned loading = 0;
+  unsigned ordered_max;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      eligible += servers[i].eligible;
+      ordered += servers[i].loading;
+      loading += servers[i].loading && servers[i].in_flight == 0;
+    }
+  ordered_max = eligible / SERVERS_PER_ORDER;
+  if (ordered_max < limit)
+    ordered_max = limit;
+  return loading < limit && ordered < ordered_max;
+}
+
 /* Counts the servers of a data center that have the desired version or are loading. */
 static unsigned
 count_current (const struct kcp_rollout_server *servers, size_t count,
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -4,10 +4,12 @@
    Load pattern: new weights are published during normal traffic, sometimes before the
    previous ones are loaded on all servers. Only a fraction of the servers loads at the
    same time, so that the others can serve the traffic and loads do not slow each other
-   down. Servers with the oldest weights come first, so that none is left out when
-   versions are published faster than they are loaded. Among these, the data center with
-   the fewest current servers comes first, and within it the server with the fewest
-   requests in flight. */
+   down. Under load a server needs longer to complete its requests than to load, so
+   further servers may do that meanwhile; else the last one loads after the time for which
+   replaced weights may be used. Servers with the oldest weights come first, so that none
+   is left out when versions are published faster than they are loaded. Among these, the
+   data center with the fewest current servers comes first, and within it the server with
+   the fewest requests in flight. */
 #ifndef KCP_POLICY_ROLLOUT_H
 #define KCP_POLICY_ROLLOUT_H
 
--- a/tests/unit/test_forward_policy.c
+++ b/tests/unit/test_forward_policy.c
@@ -439,6 +439,68 @@
 }
 END_TEST
 
+#define BUSY_SERVERS 12
+#define STEP_MS      100
+#define COMPLETE_MS  800 /* until a server has completed its requests */
+#define LOAD_MS      900
+
+/* A server of the model: from its order on it completes its requests, then it loads. */
+struct busy_server
+{
+  unsigned ordered_at; /* step of the order; 0: none */
+};
+
+static unsigned
+steps_since (const struct busy_server *server, unsigned step)
+{
+  return server->ordered_at != 0 ? step - server->ordered_at : 0;
+}
+
+/* Load pattern: a burst of requests, so that servers need as long to complete their
+   requests as to load. */
+START_TEST (test_last_server_of_a_busy_deployment_loads_too_late)
+{
+  struct kcp_rollout_server servers[BUSY_SERVERS];
+  struct busy_server busy[BUSY_SERVERS] = { 0 };
+  unsigned current = 0;
+  unsigned step = 0;
+
+  for (unsigned i = 0; i < BUSY_SERVERS; i++)
+    servers[i] = (struct kcp_rollout_server){
+      .eligible = true, .version = 1, .data_center = i / 4, .in_flight = 30
+    };
+  while (current < BUSY_SERVERS && ++step < 1000)
+    {
+      unsigned loading = 0;
+      int at;
+
+      for (unsigned i = 0; i < BUSY_SERVERS; i++)
+        {
+          unsigned steps = steps_since (&busy[i], step);
+
+          if (servers[i].loading && steps * STEP_MS >= COMPLETE_MS)
+            servers[i].in_flight = 0;
+          if (servers[i].loading && steps * STEP_MS >= COMPLETE_MS + LOAD_MS)
+            {
+              servers[i].loading = false;
+              servers[i].version = 2;
+              servers[i].in_flight = 30;
+              current++;
+            }
+          loading += servers[i].loading && servers[i].in_flight == 0;
+        }
+      ck_assert_uint_le (loading, kcp_rollout_limit (BUSY_SERVERS) + 1);
+      at = kcp_rollout_choose (servers, BUSY_SERVERS, 2,
+                               kcp_rollout_limit (BUSY_SERVERS));
+      if (at == KCP_ROLLOUT_NONE)
+        continue;
+      servers[at].loading = true;
+      busy[at].ordered_at = step;
+    }
+  ck_assert_uint_lt (step * STEP_MS, 10000);
+}
+END_TEST
+
 /* Model of the platform's log: the names of the VMs that appended the lease records, in
    order. */
 struct lease_log
@@ -647,6 +709,7 @@
   tcase_add_test (cases, test_a_single_failed_store_call_grants_no_grace_period);
   tcase_add_test (cases, test_the_server_with_the_oldest_weights_loads_first);
   tcase_add_test (cases, test_the_number_of_servers_that_load_at_once_is_limited);
+  tcase_add_test (cases, test_last_server_of_a_busy_deployment_loads_too_late);
   tcase_add_loop_test (cases, test_orders_of_two_vms_are_at_least_the_minimum_gap_apart,
                        0, 2);
   suite_add_tcase (suite, cases);
