Keep the timer of the earliest removal when servers are removed at different times

What callers see: a server whose entry was deleted from the store while the removal of servers is delayed (after an outage of the store, or a new era) gets requests for longer than the delay. One of two removals at different times is late, or never happens until another server is removed. If the server still runs, requests reach it later than drain-ms after it is gone.

Cause: there is one timer for all removals, and each removal set it to its own time. A later time replaced an earlier one, so the earlier removal waited for the later. An earlier time replaced a later one, and nothing set the timer again after it fired. Times differ when one outage follows another, and when deletions are relayed: the delay counts from the arrival of each message.

Evidence: test_removals failed before, both tests (a removal at 50 ms had not happened at 100 ms beside one at 300 ms; one at 300 ms had not happened at 600 ms beside one at 50 ms). It passed three times of three with this change.

The timer is now only brought forward, and after it fires it is set to the earliest removal that remains, which kcp_servers_remove_due() returns.

--- a/src/forward/feed.c
+++ b/src/forward/feed.c
@@ -490,8 +490,8 @@
   bool changed = kcp_servers_remove_at (feed->gateway->servers, id, at_ns);
 
   if (at_ns <= now)
-    kcp_servers_remove_due (feed->gateway->servers, now);
-  else
+    (void)kcp_servers_remove_due (feed->gateway->servers, now);
+  else if (feed->removal_timer.position == NULL || at_ns < feed->removal_timer.due_ns)
     kcp_loop_timer_set (feed->gateway->loop, &feed->removal_timer, at_ns, on_removal_due,
                         feed);
   return changed;
@@ -522,8 +522,11 @@
 on_removal_due (void *user)
 {
   struct kcp_feed *feed = user;
+  struct kcp_loop *loop = feed->gateway->loop;
+  int64_t next_ns = kcp_servers_remove_due (feed->gateway->servers, kcp_loop_now (loop));
 
-  kcp_servers_remove_due (feed->gateway->servers, kcp_loop_now (feed->gateway->loop));
+  if (next_ns != 0)
+    kcp_loop_timer_set (loop, &feed->removal_timer, next_ns, on_removal_due, feed);
   feed->changed (feed->user);
 }
 
--- a/src/forward/servers.c
+++ b/src/forward/servers.c
@@ -109,21 +109,31 @@
   return true;
 }
 
-/* Removes the servers whose scheduled removal time has passed. */
-void
+/* Removes the servers whose scheduled removal time has passed. Returns the earliest time
+   at which one of the others is to be removed; 0: none is. */
+int64_t
 kcp_servers_remove_due (struct kcp_servers *servers, int64_t now_ns)
 {
+  int64_t next_ns = 0;
+
   for (guint i = servers->all->len; i > 0; i--)
     {
       struct kcp_server *server = g_ptr_array_index (servers->all, i - 1);
 
-      if (server->remove_at_ns == 0 || now_ns < server->remove_at_ns)
+      if (server->remove_at_ns == 0)
         continue;
+      if (now_ns < server->remove_at_ns)
+        {
+          next_ns
+              = next_ns == 0 ? server->remove_at_ns : MIN (next_ns, server->remove_at_ns);
+          continue;
+        }
       log_change (server, "gone");
       remember_removed (servers, server->key);
       g_hash_table_remove (servers->by_key, &server->key);
       g_ptr_array_remove_index_fast (servers->all, i - 1);
     }
+  return next_ns;
 }
 
 static void
--- a/src/forward/servers.h
+++ b/src/forward/servers.h
@@ -16,7 +16,7 @@
 void kcp_servers_free (struct kcp_servers *servers);
 bool kcp_servers_apply (struct kcp_servers *servers, struct kcp_server_entry *entry);
 bool kcp_servers_remove_at (struct kcp_servers *servers, const char *id, int64_t at_ns);
-void kcp_servers_remove_due (struct kcp_servers *servers, int64_t now_ns);
+int64_t kcp_servers_remove_due (struct kcp_servers *servers, int64_t now_ns);
 bool kcp_servers_was_removed (const struct kcp_servers *servers, const char *id,
                               int64_t started_ms);
 const GPtrArray *kcp_servers_all (const struct kcp_servers *servers);
