Do not delay a relayed removal for an outage that only the relaying VM had

What callers see: requests go to a server for up to lapse_ms (2.3 s) after its entry was deleted, at VMs that were never cut off from the store. Where the server did not say before that it leaves, the requests reach it later than drain-ms after the deletion was acknowledged.

Cause: after an outage a VM delays removals, since entries of live servers may have expired in it. The leader of a data center relays deletions with its own delay. It cannot tell a store that was down from its own path that was cut, and its delay counts from when it was answered again. It reads up to store.poll_ms after the acknowledgement and delays by lapse_ms: 3 s together, drain-ms is 2 s.

Evidence: test_route_peers relays a deletion with the delay of a leader that was cut off to a VM that was not.

A VM that gets a relayed deletion now waits no longer than it would if it had read it itself.

A VM notes an outage from its first failed call on, not from the same time as the leader. In an outage close to two seconds long by their count, a VM may remove servers that the leader keeps.

--- a/src/forward/feed_relay.c
+++ b/src/forward/feed_relay.c
@@ -121,12 +121,15 @@
   };
   g_autofree char *id = NULL;
   int64_t now = kcp_loop_now (feed->gateway->loop);
+  int64_t relayed_ns = now + record->removal_delay_ms * KCP_NS_PER_MS;
 
   if (record->value.len > 0)
     {
       (void)kcp_feed_apply_server (feed, &entry);
       return;
     }
+  /* The VM that relays may have been cut off from a store that was not down. */
   id = kcp_str_dup (record->key);
-  (void)kcp_feed_remove_server (feed, id, now + record->removal_delay_ms * KCP_NS_PER_MS);
+  (void)kcp_feed_remove_server (
+      feed, id, MIN (relayed_ns, kcp_entry_expiry_removal_ns (&feed->entry_expiry, now)));
 }
--- a/tests/process/test_route_peers.c
+++ b/tests/process/test_route_peers.c
@@ -21,8 +21,11 @@
 #define RELAYS      20
 /* A VM that receives no relayed records reads the list every 1.5 poll intervals of 100
    ms, which is more often than this in the 1 s in which RELAYS messages are sent. */
-#define MAX_READS   4
-#define NO_RELAY_MS 1500
+#define MAX_READS       4
+#define NO_RELAY_MS     1500
+#define OUTAGE_MS       3000 /* long enough for entries of live servers to expire */
+#define REGAIN_MS       600  /* until the VM has been answered again after it */
+#define LEADER_GRACE_MS 2300
 /* Minimum time for which a VM leaves the orders to the leader. */
 #define MIN_TAKEOVER_MS 2000
 #define FIRST_BORN      1000 /* field born of server 0; server N has FIRST_BORN + N */
@@ -301,6 +304,24 @@
 }
 END_TEST
 
+/* Sends, as the leader of the data center, records of the servers' list from an offset
+   on; record is the only one of them that changes something, or NULL. */
+static void
+relay_records (int64_t from, const struct kcp_mesh_record *record)
+{
+  struct kcp_mesh_records records;
+  char bytes[KCP_MESH_MESSAGE_MAX];
+
+  kcp_mesh_records_init (&records);
+  g_strlcpy (records.vm, peer_name, sizeof records.vm);
+  records.from = from;
+  records.next = from + (record != NULL);
+  if (record != NULL)
+    g_array_append_val (records.records, *record);
+  send_bytes (bytes, kcp_mesh_records_encode (&records, bytes, sizeof bytes));
+  kcp_mesh_records_clear (&records);
+}
+
 /* Sends, as the leader of the data center, the records of the servers' list from an
    offset to its end. If draining is true, one of them marks server 0 as draining. */
 static void
@@ -314,17 +335,21 @@
   struct kcp_mesh_record record = { .offset = from,
                                     .key = kcp_str_from_c (server->id),
                                     .value = kcp_str_from_c (entry) };
-  struct kcp_mesh_records records;
-  char bytes[KCP_MESH_MESSAGE_MAX];
 
-  kcp_mesh_records_init (&records);
-  g_strlcpy (records.vm, peer_name, sizeof records.vm);
-  records.from = from;
-  records.next = from + draining;
-  if (draining)
-    g_array_append_val (records.records, record);
-  send_bytes (bytes, kcp_mesh_records_encode (&records, bytes, sizeof bytes));
-  kcp_mesh_records_clear (&records);
+  relay_records (from, draining ? &record : NULL);
+}
+
+/* Sends, as the leader of the data center, that the entry of server 0 was deleted. The
+   leader was cut off from the store, and waits itself before it removes the server. */
+static void
+relay_deletion (int64_t from)
+{
+  const struct fake_server *server = fake_platform_server (route_vm.platform, 0);
+  struct kcp_mesh_record record = { .offset = from,
+                                    .removal_delay_ms = LEADER_GRACE_MS,
+                                    .key = kcp_str_from_c (server->id) };
+
+  relay_records (from, &record);
 }
 
 /* Guards against every VM reading the servers' list itself. In a group of 195 VMs, each
@@ -365,6 +390,37 @@
 }
 END_TEST
 
+START_TEST (test_removal_waits_since_the_vm_that_relays_it_was_cut_off_from_the_store)
+{
+  int64_t end = fake_platform_end_offset (route_vm.platform, LIST);
+
+  choose_peer_address (true);
+  relay_deletion (end);
+  g_usleep (ROUTE_VM_SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+  for (int i = 0; i < REQUESTS; i++)
+    send_request (PROMPT_HEAD);
+  ck_assert_uint_eq (fake_platform_server (route_vm.platform, 0)->runs, 0);
+}
+END_TEST
+
+START_TEST (test_relayed_removal_of_a_live_server_after_an_outage_is_carried_out_at_once)
+{
+  int64_t end = fake_platform_end_offset (route_vm.platform, LIST);
+
+  choose_peer_address (true);
+  fake_platform_set_down (route_vm.platform, true);
+  g_usleep (OUTAGE_MS * G_TIME_SPAN_MILLISECOND);
+  fake_platform_set_down (route_vm.platform, false);
+  g_usleep (REGAIN_MS * G_TIME_SPAN_MILLISECOND);
+  send_alive ();
+  relay_deletion (end);
+  g_usleep (ROUTE_VM_SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+  for (int i = 0; i < REQUESTS; i++)
+    send_request (PROMPT_HEAD);
+  ck_assert_uint_gt (fake_platform_server (route_vm.platform, 0)->runs, 0);
+}
+END_TEST
+
 START_TEST (test_relayed_records_after_a_gap_are_ignored)
 {
   int64_t end = fake_platform_end_offset (route_vm.platform, LIST);
@@ -437,6 +493,11 @@
   tcase_add_test (cases,
                   test_a_vm_that_receives_relayed_records_does_not_read_the_servers_list);
   tcase_add_test (cases, test_a_relayed_record_takes_effect_immediately);
+  tcase_add_test (
+      cases, test_removal_waits_since_the_vm_that_relays_it_was_cut_off_from_the_store);
+  tcase_add_test (
+      cases,
+      test_relayed_removal_of_a_live_server_after_an_outage_is_carried_out_at_once);
   tcase_add_test (cases, test_relayed_records_after_a_gap_are_ignored);
   tcase_add_test (cases, test_the_leader_relays_changes_of_the_servers_list);
   suite_add_tcase (suite, cases);
