Keep a relayed removal's delay where this VM was without the store too

What callers would see: no servers (503) after an outage of the store of about four seconds in which the entries of live servers expired, at VMs that do not lead their data center.

It notices an outage later than the leader, by up to a read that the store holds open (2.3 s), so that an outage that is long enough for entries to expire can look too short to it.

Now the relayed delay holds if a call of this VM failed too, within the grace period; it does not hold at a VM that had no failed call, where the relaying VM's path was cut.

--- a/src/forward/feed_relay.c
+++ b/src/forward/feed_relay.c
@@ -128,8 +128,8 @@
       (void)kcp_feed_apply_server (feed, &entry);
       return;
     }
-  /* The VM that relays may have been cut off from a store that was not down. */
   id = kcp_str_dup (record->key);
   (void)kcp_feed_remove_server (
-      feed, id, MIN (relayed_ns, kcp_entry_expiry_removal_ns (&feed->entry_expiry, now)));
+      feed, id,
+      kcp_entry_expiry_relayed_removal_ns (&feed->entry_expiry, relayed_ns, now));
 }
--- a/src/policy/entry_expiry.c
+++ b/src/policy/entry_expiry.c
@@ -11,6 +11,8 @@
   if (answered == (since == 0))
     return false;
   expiry->failing_since_ns = answered ? 0 : now_ns;
+  if (answered)
+    expiry->failing_end_ns = now_ns;
   if (answered && now_ns - since >= expiry->min_outage_ns)
     expiry->outage_end_ns = now_ns;
   return true;
@@ -35,3 +37,18 @@
     return now_ns;
   return grace_end_ns;
 }
+
+/* Returns the time at which to remove a server whose removal another VM relayed at now_ns
+   and delayed until relayed_ns. That VM cannot tell a store that was down from a path of
+   its own that was cut. The delay holds here only if this VM was without the store too,
+   if only for a moment: it may have noticed the outage later than the other. */
+int64_t
+kcp_entry_expiry_relayed_removal_ns (const struct kcp_entry_expiry *expiry,
+                                     int64_t relayed_ns, int64_t now_ns)
+{
+  bool failing = expiry->failing_since_ns != 0;
+  bool recent
+      = expiry->failing_end_ns != 0 && now_ns - expiry->failing_end_ns < expiry->grace_ns;
+
+  return failing || recent ? relayed_ns : now_ns;
+}
--- a/src/policy/entry_expiry.h
+++ b/src/policy/entry_expiry.h
@@ -17,7 +17,8 @@
   int64_t min_outage_ns; /* no entry expires in a shorter outage */
   int64_t grace_ns;      /* time in which live servers write their entries again */
   int64_t failing_since_ns;
-  int64_t outage_end_ns; /* end of the last outage of at least min_outage_ns */
+  int64_t failing_end_ns; /* end of the last outage, however short it was */
+  int64_t outage_end_ns;  /* end of the last outage of at least min_outage_ns */
 };
 
 bool kcp_entry_expiry_on_store_call (struct kcp_entry_expiry *expiry, bool answered,
@@ -25,5 +26,7 @@
 void kcp_entry_expiry_on_new_era (struct kcp_entry_expiry *expiry, int64_t now_ns);
 int64_t
 kcp_entry_expiry_removal_ns (const struct kcp_entry_expiry *expiry, int64_t now_ns);
+int64_t kcp_entry_expiry_relayed_removal_ns (const struct kcp_entry_expiry *expiry,
+                                             int64_t relayed_ns, int64_t now_ns);
 
 #endif
--- a/tests/unit/test_forward_policy.c
+++ b/tests/unit/test_forward_policy.c
@@ -387,6 +387,38 @@
 }
 END_TEST
 
+/* Load pattern: the store does not answer for 4 s, and the entries of all servers expire.
+   This VM notices the outage up to a held-open read later than the VM that relays the
+   removals, so that it looks too short for entries to expire. */
+START_TEST (
+    test_servers_are_lost_as_a_vm_notices_an_outage_later_than_the_one_that_relays)
+{
+  struct kcp_entry_expiry expiry = { .min_outage_ns = MS (2000), .grace_ns = MS (2300) };
+
+  (void)kcp_entry_expiry_on_store_call (&expiry, false, MS (2300));
+  ck_assert_int_eq (kcp_entry_expiry_relayed_removal_ns (&expiry, MS (6000), MS (3900)),
+                    MS (6000));
+  (void)kcp_entry_expiry_on_store_call (&expiry, true, MS (4000));
+  ck_assert_int_eq (kcp_entry_expiry_removal_ns (&expiry, MS (4100)), MS (4100));
+  ck_assert_int_eq (kcp_entry_expiry_relayed_removal_ns (&expiry, MS (6300), MS (4100)),
+                    MS (6300));
+}
+END_TEST
+
+START_TEST (test_relayed_removal_waits_for_an_outage_that_this_vm_did_not_have)
+{
+  struct kcp_entry_expiry expiry = { .min_outage_ns = MS (2000), .grace_ns = MS (2300) };
+
+  (void)kcp_entry_expiry_on_store_call (&expiry, true, MS (4000));
+  ck_assert_int_eq (kcp_entry_expiry_relayed_removal_ns (&expiry, MS (6300), MS (4100)),
+                    MS (4100));
+  (void)kcp_entry_expiry_on_store_call (&expiry, false, MS (5000));
+  (void)kcp_entry_expiry_on_store_call (&expiry, true, MS (5500));
+  ck_assert_int_eq (kcp_entry_expiry_relayed_removal_ns (&expiry, MS (9000), MS (7900)),
+                    MS (7900));
+}
+END_TEST
+
 /* Versions are published faster than the servers load them. No server may be left out. */
 START_TEST (test_the_server_with_the_oldest_weights_loads_first)
 {
@@ -707,6 +739,11 @@
   tcase_add_test (cases,
                   test_entries_that_expire_in_a_store_outage_are_kept_for_a_grace_period);
   tcase_add_test (cases, test_a_single_failed_store_call_grants_no_grace_period);
+  tcase_add_test (
+      cases,
+      test_servers_are_lost_as_a_vm_notices_an_outage_later_than_the_one_that_relays);
+  tcase_add_test (cases,
+                  test_relayed_removal_waits_for_an_outage_that_this_vm_did_not_have);
   tcase_add_test (cases, test_the_server_with_the_oldest_weights_loads_first);
   tcase_add_test (cases, test_the_number_of_servers_that_load_at_once_is_limited);
   tcase_add_test (cases, test_last_server_of_a_busy_deployment_loads_too_late);
