Refuse old weights where the request would start on them too late

What callers would see: an answer on weights that were replaced more than replace_ms before, if the request waited at the server for longer than the last third of that time.

Cause: old weights were refused by the age of the new ones alone; only long prompts are refused for a long queue (policy/backlog).

Now the expected wait at the server counts too. test_request_starts_on_old_weights_too_late_behind_ a_long_queue failed before (a server was chosen 6 s into 12 s behind 6 s of prefill), passes now.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -14,7 +14,7 @@
 #define DISCOUNT_SHARE(tokens) ((tokens)*2 / 3)
 /* Old weights are not used during the last third of the time for which they may still
    start requests, since a request can wait at a server for seconds before it starts. */
-#define OLD_WEIGHTS_SHARE(ms) ((ms)*2 / 3)
+#define OLD_WEIGHTS_SHARE(ns) ((ns)*2 / 3)
 
 static void
 fill_candidate (struct kcp_gateway *gateway, struct kcp_choice *choice,
@@ -206,19 +206,23 @@
     choice->earliest_available_ns = MAX (available_ns, now_ns);
 }
 
+/* Sets the relation of the server's weights to the desired ones. Old weights are refused
+   where the request would start on them too late. The load of the candidate must have
+   been set before. */
 static void
 classify_weights (const struct kcp_gateway *gateway, const char *model,
                   const struct kcp_server *server, struct kcp_place_candidate *candidate)
 {
   int64_t since_ns = replaced_ns (gateway, model, kcp_server_version (server, model));
-  int64_t limit_ns
-      = OLD_WEIGHTS_SHARE (gateway->settings->weights_replace_ms) * KCP_NS_PER_MS;
+  int64_t replace_ns = gateway->settings->weights_replace_ms * KCP_NS_PER_MS;
+  int64_t wait_ns = kcp_place_wait (candidate, &kcp_place_engine_costs) * KCP_NS_PER_US;
+  int64_t age_ns = kcp_loop_now (gateway->loop) - since_ns;
 
   candidate->weights = KCP_PLACE_WEIGHTS_CURRENT;
   if (since_ns == 0)
     return;
   candidate->weights = KCP_PLACE_WEIGHTS_OLD;
-  if (kcp_loop_now (gateway->loop) - since_ns >= limit_ns)
+  if (age_ns >= OLD_WEIGHTS_SHARE (replace_ns) || age_ns + wait_ns >= replace_ns)
     candidate->weights = KCP_PLACE_WEIGHTS_REFUSED;
 }
 
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -6,6 +6,7 @@
 
 #include "forward/cached_parts.h"
 #include "platform/platform.h"
+#include "policy/place.h"
 #include "tests/harness/run_suite.h"
 
 #define STORE       "10.0.0.9:1"
@@ -13,6 +14,7 @@
 #define LEVELS_MAX  4
 #define REPLACE_MS  12000
 #define WAIT_MAX_MS 2800
+#define US_PER_MS   1000
 #define CHOICES     100
 
 /* A prompt's shared parts. make_prompt() appends a last part that is not shared. */
@@ -268,6 +270,23 @@
 }
 END_TEST
 
+/* Load pattern: long prompts wait at all servers, so that a request that is sent now
+   starts after the time for which old weights may be used. */
+START_TEST (test_request_starts_on_old_weights_too_late_behind_a_long_queue)
+{
+  int64_t tokens = (REPLACE_MS / 2 + 1) * US_PER_MS / kcp_place_engine_costs.per_token;
+
+  set_up (&chains[0]);
+  kcp_servers_find (gateway.servers, "a")->prefill_tokens_pending = tokens;
+  kcp_servers_find (gateway.servers, "b")->prefill_tokens_pending = tokens;
+  kcp_gateway_add_desired_weights (
+      &gateway, "m", 2, kcp_loop_now (gateway.loop) - REPLACE_MS / 2 * KCP_NS_PER_MS);
+  kcp_choose (&gateway, &choice);
+  ck_assert_ptr_null (choice.server);
+  tear_down ();
+}
+END_TEST
+
 START_TEST (test_old_weights_are_used_at_half_of_their_time)
 {
   int64_t now;
@@ -316,6 +335,7 @@
                        count);
   tcase_add_loop_test (cases, test_unknown_prefix_has_one_preferred_server, 0, count);
   tcase_add_test (cases, test_old_weights_are_refused_near_end_of_their_time);
+  tcase_add_test (cases, test_request_starts_on_old_weights_too_late_behind_a_long_queue);
   tcase_add_test (cases, test_old_weights_are_used_at_half_of_their_time);
   suite_add_tcase (suite, cases);
   return run_suite (suite);
