--- a/src/forward/feed_private.h
+++ b/src/forward/feed_private.h
@@ -1,4 +1,4 @@
-/* Declarations shared by feed.c and feed_relay.c. */
+/* Declarations shared by feed.c, feed_records.c and feed_relay.c. */
 #ifndef KCP_FORWARD_FEED_PRIVATE_H
 #define KCP_FORWARD_FEED_PRIVATE_H
 
@@ -50,8 +50,13 @@
 
 /* feed.c */
 void kcp_feed_request (void *user);
+
+/* feed_records.c */
+bool
+kcp_feed_apply_operator (struct kcp_feed *feed, const struct kcp_store_record *record);
 bool kcp_feed_apply_server (struct kcp_feed *feed, const struct kcp_store_record *record);
 bool kcp_feed_remove_server (struct kcp_feed *feed, const char *id, int64_t at_ns);
+void kcp_feed_remove_unlisted (struct kcp_feed *feed, GHashTable *listed);
 
 /* feed_relay.c */
 void kcp_feed_start_relay (struct kcp_feed *feed);
--- /dev/null
+++ b/src/forward/feed_records.c
@@ -0,0 +1,177 @@
+/* Applies the records that a feed reads: those of the operators and the entries of the
+   servers' list. */
+#include "base/decision_log.h"
+#include "forward/feed_private.h"
+
+static void log_weights (struct kcp_feed *feed, const struct kcp_store_record *record,
+                         const struct kcp_operator_record *content);
+static bool
+is_outdated (const struct kcp_feed *feed, const struct kcp_server_entry *entry);
+static void report_entry (struct kcp_feed *feed, struct kcp_str key);
+static void on_removal_due (void *user);
+static void log_rejected_record (const char *what, const struct kcp_store_record *record,
+                                 const char *reason);
+
+/* Applies a record of the operators. Returns false if it is not used. */
+bool
+kcp_feed_apply_operator (struct kcp_feed *feed, const struct kcp_store_record *record)
+{
+  struct kcp_gateway *gateway = feed->gateway;
+  struct kcp_operator_record content = { .kind = KCP_OPERATOR_OTHER };
+  const char *reason = NULL;
+
+  if (record->value.len == 0)
+    return false;
+  if (!gateway->dialect->read_operator (record->key, record->value, &content, &reason))
+    {
+      log_rejected_record ("operator_record", record, reason);
+      return false;
+    }
+  switch (content.kind)
+    {
+    case KCP_OPERATOR_ROUTES:
+      (void)kcp_gateway_set_routes (gateway, content.routes);
+      break;
+    case KCP_OPERATOR_WEIGHTS:
+      log_weights (feed, record, &content);
+      kcp_gateway_add_desired_weights (gateway, content.weights.model,
+                                       content.weights.version,
+                                       feed->operators.not_before_ns);
+      g_free (content.weights.model);
+      break;
+    case KCP_OPERATOR_OTHER:
+      break;
+    }
+  return true;
+}
+
+/* Logs a record of desired weights, and since when it may have been in the store. */
+static void
+log_weights (struct kcp_feed *feed, const struct kcp_store_record *record,
+             const struct kcp_operator_record *content)
+{
+  int64_t age_ns = kcp_loop_now (feed->gateway->loop) - feed->operators.not_before_ns;
+
+  KCP_LOG ("weights_read", KCP_LOG_TEXT ("model", content->weights.model),
+           KCP_LOG_INT ("version", content->weights.version),
+           KCP_LOG_INT ("offset", record->offset),
+           KCP_LOG_INT ("within_ms", age_ns / KCP_NS_PER_MS));
+}
+
+/* Applies a record of the servers' list. Returns false if it changes nothing. */
+bool
+kcp_feed_apply_server (struct kcp_feed *feed, const struct kcp_store_record *record)
+{
+  struct kcp_server_entry entry;
+  const char *reason = NULL;
+
+  if (record->value.len == 0)
+    {
+      g_autofree char *id = kcp_str_dup (record->key);
+      int64_t now = kcp_loop_now (feed->gateway->loop);
+
+      return kcp_feed_remove_server (
+          feed, id, kcp_entry_expiry_removal_ns (&feed->entry_expiry, now));
+    }
+  if (!feed->gateway->dialect->read_server (record->key, record->value, &entry, &reason))
+    {
+      log_rejected_record ("server_entry", record, reason);
+      return false;
+    }
+  if (is_outdated (feed, &entry))
+    {
+      log_rejected_record ("server_entry", record, "older than a known one");
+      kcp_server_entry_clear (&entry);
+      return false;
+    }
+  if (!kcp_servers_apply (feed->gateway->servers, &entry))
+    return false;
+  report_entry (feed, record->key);
+  return true;
+}
+
+/* Returns true if the listing of an older copy shows a server as ready that is known to
+   be leaving, or that was removed. Its entry is from the time before; a server that is
+   ready writes a newer one, which is read after the listing. */
+static bool
+is_outdated (const struct kcp_feed *feed, const struct kcp_server_entry *entry)
+{
+  const struct kcp_servers *servers = feed->gateway->servers;
+  const struct kcp_server *known = kcp_servers_find (servers, entry->id);
+
+  if (!feed->lists_copy)
+    return false;
+  if (known == NULL)
+    return kcp_servers_was_removed (servers, entry->id, entry->started_ms);
+  return known->entry.started_ms == entry->started_ms
+         && known->entry.state == KCP_SERVER_DRAINING && entry->state == KCP_SERVER_READY;
+}
+
+/* Reports a changed entry to the crash watch, since it shows that the address has another
+   server now. */
+static void
+report_entry (struct kcp_feed *feed, struct kcp_str key)
+{
+  g_autofree char *id = kcp_str_dup (key);
+  const struct kcp_server *server = kcp_servers_find (feed->gateway->servers, id);
+
+  if (server != NULL)
+    kcp_crash_watch_on_entry (feed->gateway->crash_watch, server);
+}
+
+/* Removes a server at the time at_ns. Returns false if the removal was already known. */
+bool
+kcp_feed_remove_server (struct kcp_feed *feed, const char *id, int64_t at_ns)
+{
+  int64_t now = kcp_loop_now (feed->gateway->loop);
+  bool changed = kcp_servers_remove_at (feed->gateway->servers, id, at_ns);
+
+  if (at_ns <= now)
+    (void)kcp_servers_remove_due (feed->gateway->servers, now);
+  else if (feed->removal_timer.position == NULL || at_ns < feed->removal_timer.due_ns)
+    kcp_loop_timer_set (feed->gateway->loop, &feed->removal_timer, at_ns, on_removal_due,
+                        feed);
+  return changed;
+}
+
+/* Removes the servers that a completed listing does not contain. */
+void
+kcp_feed_remove_unlisted (struct kcp_feed *feed, GHashTable *listed)
+{
+  const GPtrArray *all = kcp_servers_all (feed->gateway->servers);
+
+  for (guint i = all->len; i > 0; i--)
+    {
+      const struct kcp_server *server = g_ptr_array_index (all, i - 1);
+
+      if (!g_hash_table_contains (listed, server->entry.id))
+        {
+          g_autofree char *id = g_strdup (server->entry.id);
+          int64_t now = kcp_loop_now (feed->gateway->loop);
+
+          (void)kcp_feed_remove_server (
+              feed, id, kcp_entry_expiry_removal_ns (&feed->entry_expiry, now));
+        }
+    }
+}
+
+static void
+on_removal_due (void *user)
+{
+  struct kcp_feed *feed = user;
+  struct kcp_loop *loop = feed->gateway->loop;
+  int64_t next_ns = kcp_servers_remove_due (feed->gateway->servers, kcp_loop_now (loop));
+
+  if (next_ns != 0)
+    kcp_loop_timer_set (loop, &feed->removal_timer, next_ns, on_removal_due, feed);
+  feed->changed (feed->user);
+}
+
+static void
+log_rejected_record (const char *what, const struct kcp_store_record *record,
+                     const char *reason)
+{
+  KCP_LOG ("record_not_used", KCP_LOG_TEXT ("what", what),
+           KCP_LOG_STR ("key", record->key), KCP_LOG_INT ("offset", record->offset),
+           KCP_LOG_TEXT ("why", reason));
+}
