Log the fingerprints of a prompt's parts with each attempt

It now has parts: the fingerprints of at most eight parts, without the last, which no other request shares.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -15,6 +15,7 @@
 static bool accept_inbound (struct kcp_forward *forward);
 static bool find_team (struct kcp_forward *forward);
 static void set_fingerprint (struct kcp_forward *forward);
+static void set_part_fingerprints (struct kcp_forward *forward);
 static void set_deadline (struct kcp_forward *forward);
 static bool is_backlogged (const struct kcp_forward *forward);
 static void refuse_for_backlog (struct kcp_forward *forward);
@@ -37,6 +38,7 @@
   forward->answer = answer;
   forward->arrived_ns = kcp_loop_now (gateway->loop);
   forward->tried = g_ptr_array_new_with_free_func (server_unref);
+  forward->part_fingerprints = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   forward->choice.inbound = inbound;
   forward->choice.tried = forward->tried;
   kcp_event_framer_init (&forward->framer);
@@ -45,6 +47,7 @@
   if (accept_inbound (forward))
     {
       set_fingerprint (forward);
+      set_part_fingerprints (forward);
       set_deadline (forward);
       kcp_resend_budget_add_request (
           kcp_gateway_retry_budget (gateway, forward->choice.service),
@@ -68,6 +71,7 @@
   kcp_choice_clear (&forward->choice);
   kcp_event_framer_clear (&forward->framer);
   g_ptr_array_unref (forward->tried);
+  g_array_unref (forward->part_fingerprints);
   kcp_routes_unref (forward->routes);
   kcp_inbound_clear (forward->inbound);
   g_free (forward->inbound);
@@ -140,6 +144,20 @@
   });
 }
 
+static void
+set_part_fingerprints (struct kcp_forward *forward)
+{
+  const GArray *parts = forward->inbound->parts;
+
+  for (guint i = 0; parts != NULL && i + 1 < parts->len; i++)
+    {
+      uint64_t fingerprint = kcp_fingerprint_part (
+          kcp_str_from_c (g_array_index (parts, struct kcp_prompt_part, i).id));
+
+      g_array_append_val (forward->part_fingerprints, fingerprint);
+    }
+}
+
 static void
 set_deadline (struct kcp_forward *forward)
 {
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -9,6 +9,9 @@
 #include "policy/fingerprint.h"
 #include "policy/queue_priority.h"
 
+#define LOGGED_PARTS_MAX 8u /* parts of a prompt that a line of the log names */
+
+static char *list_parts (const struct kcp_forward *forward);
 static struct curl_slist *make_headers (const struct kcp_forward *forward);
 static void on_head_began (void *user);
 static void on_head_ended (void *user);
@@ -42,6 +45,7 @@
   struct kcp_server *server = forward->choice.server;
   bool run_once = forward->choice.route->repeat == KCP_REPEAT_ONCE;
   char fingerprint[KCP_FINGERPRINT_TEXT_SIZE];
+  g_autofree char *parts = list_parts (forward);
 
   attempt->server = kcp_server_ref (server);
   attempt->headers = g_ptr_array_new_with_free_func (g_free);
@@ -87,7 +91,8 @@
               : 0),
       KCP_LOG_INT ("left_ms", kcp_forward_remaining_ms (forward)),
       KCP_LOG_TEXT ("fingerprint",
-                    kcp_fingerprint_text (forward->fingerprint, fingerprint)));
+                    kcp_fingerprint_text (forward->fingerprint, fingerprint)),
+      KCP_LOG_TEXT ("parts", parts));
   attempt->call = kcp_http_start (
       gateway->client,
       &(struct kcp_http_spec){
@@ -109,6 +114,25 @@
       });
 }
 
+/* Returns the fingerprints of the prompt's first parts as the log shows them, separated by
+   spaces; to be freed with g_free(). */
+static char *
+list_parts (const struct kcp_forward *forward)
+{
+  GString *list = g_string_new (NULL);
+
+  for (guint i = 0; i < MIN (forward->part_fingerprints->len, LOGGED_PARTS_MAX); i++)
+    {
+      char text[KCP_FINGERPRINT_TEXT_SIZE];
+
+      g_string_append_printf (
+          list, "%s%s", i > 0 ? " " : "",
+          kcp_fingerprint_text (
+              g_array_index (forward->part_fingerprints, uint64_t, i), text));
+    }
+  return g_string_free (list, FALSE);
+}
+
 static struct curl_slist *
 make_headers (const struct kcp_forward *forward)
 {
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -39,6 +39,9 @@
   size_t answer_bytes;  /* memory of the answer, part of the gateway's sum */
   GPtrArray *tried;     /* struct kcp_server, references */
   uint64_t fingerprint; /* equal for all copies of the request, on all VMs */
+  /* uint64_t, fingerprints of the prompt's parts that other requests may share: all but
+     the last. */
+  GArray *part_fingerprints;
   int64_t arrived_ns;
   int64_t deadline_ns;
   unsigned runs;            /* attempts that may have run the request */
--- a/src/policy/fingerprint.c
+++ b/src/policy/fingerprint.c
@@ -19,6 +19,14 @@
   return add_part (hash, identity->body);
 }
 
+/* Returns a hash of a prompt part's id, equal on all VMs and for all requests that share
+   the part. */
+uint64_t
+kcp_fingerprint_part (struct kcp_str id)
+{
+  return add_part (add_part (0, KCP_STR ("prompt part")), id);
+}
+
 /* Writes a fingerprint as the log shows it to out, and returns out. */
 const char *
 kcp_fingerprint_text (uint64_t fingerprint, char out[KCP_FINGERPRINT_TEXT_SIZE])
--- a/src/policy/fingerprint.h
+++ b/src/policy/fingerprint.h
@@ -1,5 +1,6 @@
 /* Identity of a request across its copies: callers send a request again under a new
-   request id, and through any VM. */
+   request id, and through any VM. Also that of a part of a prompt, which differs from
+   that of every request. */
 #ifndef KCP_POLICY_FINGERPRINT_H
 #define KCP_POLICY_FINGERPRINT_H
 
@@ -21,6 +22,7 @@
 };
 
 uint64_t kcp_fingerprint_request (const struct kcp_request_identity *identity);
+uint64_t kcp_fingerprint_part (struct kcp_str id);
 const char *
 kcp_fingerprint_text (uint64_t fingerprint, char out[KCP_FINGERPRINT_TEXT_SIZE]);
 
