--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -14,6 +14,7 @@
 #define SLOW_MS     500
 #define BLOCK_MS    20000
 #define POLL_MS     5
+#define CRASH_DELAY_MS 20 /* from the head or event until the server crashes */
 #define BORN_STEP   100 /* between the born fields of a server's incarnations */
 
 struct record
@@ -43,9 +44,11 @@
   unsigned server_count;
   GHashTable *runs; /* request id -> number of executions */
   char *crash_text; /* a body that contains it crashes the server; NULL: none does */
-  unsigned crash_down_ms; /* time until a crashed server is back */
-  GArray *crash_times;    /* int64_t, microseconds: crashes by such bodies */
-  GArray *crash_arrivals; /* int64_t, microseconds: such bodies at all servers */
+  char *crash_part; /* likewise a Prompt-Prefix header that contains it */
+  enum fake_crash_progress crash_progress; /* with such a header */
+  unsigned crash_down_ms;                  /* time until a crashed server is back */
+  GArray *crash_times;    /* int64_t, microseconds: crashes by such requests */
+  GArray *crash_arrivals; /* int64_t, microseconds: such requests at all servers */
   GPtrArray *crash_threads;
 };
 
@@ -140,6 +143,7 @@
   g_array_unref (platform->crash_times);
   g_array_unref (platform->crash_arrivals);
   g_free (platform->crash_text);
+  g_free (platform->crash_part);
   for (unsigned i = 0; i < platform->server_count; i++)
     {
       MHD_stop_daemon (platform->servers[i].daemon);
@@ -290,6 +294,17 @@
   platform->crash_down_ms = down_ms;
 }
 
+/* Makes each request whose Prompt-Prefix header contains text crash the server that runs
+   it, once it has sent what progress says. */
+void
+fake_platform_crash_on_part (struct fake_platform *platform, const char *text,
+                             unsigned down_ms, enum fake_crash_progress progress)
+{
+  platform->crash_part = g_strdup (text);
+  platform->crash_progress = progress;
+  platform->crash_down_ms = down_ms;
+}
+
 /* Crashes a server without the help of a request. */
 void
 fake_platform_crash_server (struct fake_platform *platform, unsigned index)
@@ -335,26 +350,52 @@
   return count;
 }
 
+static void
+add_arrival (struct fake_platform *platform)
+{
+  int64_t now_us = g_get_monotonic_time ();
+
+  pthread_mutex_lock (&platform->lock);
+  g_array_append_val (platform->crash_arrivals, now_us);
+  pthread_mutex_unlock (&platform->lock);
+}
+
+/* Crashes a server by a request. */
+static void
+crash_by_request (struct fake_server *server)
+{
+  struct fake_platform *platform = server->platform;
+  int64_t now_us = g_get_monotonic_time ();
+
+  if (!begin_crash (server))
+    return;
+  pthread_mutex_lock (&platform->lock);
+  g_array_append_val (platform->crash_times, now_us);
+  pthread_mutex_unlock (&platform->lock);
+}
+
 static bool
 is_crash_body (struct fake_server *server, const GString *body)
 {
   struct fake_platform *platform = server->platform;
-  int64_t now_us = g_get_monotonic_time ();
 
   if (platform->crash_text == NULL || strstr (body->str, platform->crash_text) == NULL)
     return false;
-  pthread_mutex_lock (&platform->lock);
-  g_array_append_val (platform->crash_arrivals, now_us);
-  pthread_mutex_unlock (&platform->lock);
-  if (begin_crash (server))
-    {
-      pthread_mutex_lock (&platform->lock);
-      g_array_append_val (platform->crash_times, now_us);
-      pthread_mutex_unlock (&platform->lock);
-    }
+  add_arrival (platform);
+  crash_by_request (server);
   return true;
 }
 
+static bool
+has_crash_part (const struct fake_platform *platform, struct MHD_Connection *connection)
+{
+  const char *parts
+      = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Prompt-Prefix");
+
+  return platform->crash_part != NULL && parts != NULL
+         && strstr (parts, platform->crash_part) != NULL;
+}
+
 static struct topic *
 find_topic (struct fake_platform *platform, const char *name)
 {
@@ -804,6 +845,48 @@
   return result;
 }
 
+/* Sends what comes before the crash, and then crashes the server. */
+static ssize_t
+read_crashing (void *user, uint64_t position, char *out, size_t max)
+{
+  static const char event[] = "id: 1\ndata: a\n\n";
+  struct fake_server *server = user;
+
+  if (position == 0 && server->platform->crash_progress == FAKE_CRASH_AFTER_EVENT
+      && max >= strlen (event))
+    {
+      memcpy (out, event, strlen (event));
+      return (ssize_t)strlen (event);
+    }
+  g_usleep (CRASH_DELAY_MS * G_TIME_SPAN_MILLISECOND);
+  crash_by_request (server);
+  return MHD_CONTENT_READER_END_WITH_ERROR;
+}
+
+/* Begins to answer a request that holds a part on which the server crashes. */
+static enum MHD_Result
+server_crashing (struct fake_server *server, struct MHD_Connection *connection,
+                 const char *id)
+{
+  struct MHD_Response *response;
+  enum MHD_Result result;
+
+  add_arrival (server->platform);
+  if (server->platform->crash_progress == FAKE_CRASH_AT_ONCE)
+    {
+      crash_by_request (server);
+      return MHD_NO;
+    }
+  response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 64, read_crashing,
+                                                server, NULL);
+  MHD_add_response_header (response, "Content-Type", "text/event-stream");
+  MHD_add_response_header (response, "Request-Id", id);
+  MHD_add_response_header (response, "Server-Seal", server->id);
+  result = MHD_queue_response (connection, 200, response);
+  MHD_destroy_response (response);
+  return result;
+}
+
 static enum MHD_Result
 server_run (struct fake_server *server, struct MHD_Connection *connection,
             const char *url, const GString *body)
@@ -826,6 +909,8 @@
     return send_answer (connection, 421, "", 0, NULL);
   if (server->crashing || is_crash_body (server, body))
     return MHD_NO;
+  if (has_crash_part (server->platform, connection))
+    return server_crashing (server, connection, id);
   if (mode == FAKE_UNSIGNED)
     headers[4] = NULL;
   if (mode == FAKE_REFUSE)
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -24,6 +24,14 @@
 
 #define FAKE_STREAM_EVENTS 5
 
+/* What a server sends of its answer before a request ends its process. */
+enum fake_crash_progress
+{
+  FAKE_CRASH_AT_ONCE,
+  FAKE_CRASH_AFTER_HEAD,
+  FAKE_CRASH_AFTER_EVENT
+};
+
 struct fake_platform;
 
 struct fake_server
@@ -67,6 +75,8 @@
 unsigned fake_platform_run_count (struct fake_platform *platform, const char *id);
 void fake_platform_crash_on (struct fake_platform *platform, const char *text,
                              unsigned down_ms);
+void fake_platform_crash_on_part (struct fake_platform *platform, const char *text,
+                                  unsigned down_ms, enum fake_crash_progress progress);
 void fake_platform_crash_server (struct fake_platform *platform, unsigned index);
 unsigned fake_platform_crash_count (struct fake_platform *platform);
 int64_t fake_platform_crash_us (struct fake_platform *platform, unsigned number);
--- /dev/null
+++ b/tests/process/test_part_crashes.c
@@ -0,0 +1,345 @@
+/* Tests that requests that share a part of their prompts, on which every server crashes,
+   are kept from further servers, though no two of them are alike, and that other requests
+   with their other parts are served. */
+#include <check.h>
+#include <pthread.h>
+#include <string.h>
+
+#include "tests/harness/route_vm.h"
+#include "tests/harness/run_suite.h"
+
+#define SERVERS          6
+#define OTHERS           3 /* VMs beside the fixture's */
+#define DEADLY           "deadly"
+#define DOWN_MS          1200 /* until a crashed server is back */
+#define GAP_MS           300
+#define LONG_GAP_MS      1500
+#define STABLE_WINDOW_MS 3000 /* stable-window-ms of the users' rules */
+#define CRASHES_FREE     5    /* crashes after which they begin to count */
+#define LATE_MAX         3    /* requests with the part that may be sent after that */
+#define REQUESTS         36
+#define FEW_REQUESTS     14
+#define LAST_REQUESTS    4
+#define SOUND_MIN        4 /* sound requests of each kind that a test sends late */
+#define TRIES_MAX        3
+#define HERDS            5
+#define MEET_MS          1500 /* in which VMs that start learn of each other */
+
+static const char *const data_centers[OTHERS] = { "z", "y", "y" };
+
+/* The prompts of a test, without their last parts. The sound ones share parts with the
+   others. */
+struct prompts
+{
+  const char *deadly;
+  const char *sound[2];
+};
+
+static const struct prompts second_part
+    = { "team:20,deadly:10,tail:6", { "team:20,other:10", "team:20,tail:6" } };
+static const struct prompts first_part
+    = { "deadly:20,middle:10,tail:6", { "other:20,middle:10,tail:6", "middle:10" } };
+
+static struct route_vm others[OTHERS];
+static unsigned sent; /* requests so far; each has an id, a body and a last part */
+
+static void
+set_up (void)
+{
+  sent = 0;
+  route_vm_set_up_servers (SERVERS);
+  for (int i = 0; i < OTHERS; i++)
+    route_vm_add (&others[i], data_centers[i]);
+  g_usleep (MEET_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+static void
+tear_down (void)
+{
+  for (int i = 0; i < OTHERS; i++)
+    route_vm_remove (&others[i]);
+  route_vm_tear_down ();
+}
+
+/* Returns VM number i, counted over all VMs again and again. */
+static struct route_vm *
+vm_of (unsigned i)
+{
+  unsigned index = i % (OTHERS + 1);
+
+  return index == 0 ? &route_vm : &others[index - 1];
+}
+
+/* Sends a request that is like no other but for its parts. */
+static struct raw_answer
+send_to (const struct route_vm *vm, const char *path, const char *parts)
+{
+  unsigned number = __atomic_add_fetch (&sent, 1, __ATOMIC_RELAXED);
+  g_autofree char *id = g_strdup_printf ("r%u", number);
+  g_autofree char *body = g_strdup_printf ("body %u", number);
+  g_autofree char *target = g_strdup_printf ("%s/%u", path, number);
+  g_autofree char *head
+      = g_strdup_printf ("Model: m\r\nToken-Usage: 40,5\r\nPrompt-Prefix: %s,last%u:4\r\n",
+                         parts, number);
+
+  return route_vm_send_to (vm, "POST", target, id, head, body);
+}
+
+static int
+status_at (const struct route_vm *vm, const char *path, const char *parts)
+{
+  struct raw_answer answer = send_to (vm, path, parts);
+  int status = route_vm_status (&answer);
+
+  raw_answer_clear (&answer);
+  return status;
+}
+
+/* Sends a request and returns true if a server answers it. A request may be refused while
+   the list still has servers that have just crashed; callers send it again when the
+   refusal tells them to, and so does this function. */
+static bool
+is_served (const struct route_vm *vm, const char *path, const char *parts)
+{
+  static const char header[] = "Retry-After: ";
+  bool served = false;
+
+  for (int i = 0; i < TRIES_MAX && !served; i++)
+    {
+      struct raw_answer answer = send_to (vm, path, parts);
+      const char *wait = strstr (answer.text->str, header);
+
+      served = route_vm_status (&answer) == 200;
+      if (wait != NULL)
+        g_usleep (MIN (g_ascii_strtod (wait + strlen (header), NULL), 1) * G_USEC_PER_SEC);
+      raw_answer_clear (&answer);
+    }
+  return served;
+}
+
+/* Returns the time that is the given number of stable windows after the fifth crash, in
+   microseconds; G_MAXINT64 before that crash. */
+static int64_t
+windows_end_us (int windows)
+{
+  if (fake_platform_crash_count (route_vm.platform) < CRASHES_FREE)
+    return G_MAXINT64;
+  return fake_platform_crash_us (route_vm.platform, CRASHES_FREE - 1)
+         + (int64_t)windows * STABLE_WINDOW_MS * G_TIME_SPAN_MILLISECOND;
+}
+
+/* Sends requests with a part on which servers crash to all VMs by turns, each followed by
+   one of each kind of sound request, and expects what the users' rules say. */
+static void
+expect_few_sent (const struct prompts *prompts, const char *path, unsigned count,
+                 unsigned gap_ms)
+{
+  unsigned late_sound = 0;
+  unsigned unserved = 0;
+  unsigned late;
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      (void)status_at (vm_of (i), path, prompts->deadly);
+      for (unsigned kind = 0; kind < G_N_ELEMENTS (prompts->sound); kind++)
+        {
+          bool after = g_get_monotonic_time () > windows_end_us (2);
+          bool served = is_served (vm_of (i + kind + 1), path, prompts->sound[kind]);
+
+          late_sound += after;
+          unserved += after && !served;
+        }
+      g_usleep (gap_ms * G_TIME_SPAN_MILLISECOND);
+    }
+  late = fake_platform_sent_after (route_vm.platform, windows_end_us (1));
+  ck_assert_msg (late <= LATE_MAX && unserved == 0,
+                 "%s: %u servers crashed, %u requests sent too late, %u of %u sound "
+                 "ones not served",
+                 path, fake_platform_crash_count (route_vm.platform), late, unserved,
+                 late_sound);
+  ck_assert_uint_gt (fake_platform_crash_count (route_vm.platform), 0);
+  if (fake_platform_crash_count (route_vm.platform) >= CRASHES_FREE)
+    ck_assert_uint_ge (late_sound, SOUND_MIN);
+}
+
+static void
+crash_on_part (enum fake_crash_progress progress)
+{
+  fake_platform_crash_on_part (route_vm.platform, DEADLY, DOWN_MS, progress);
+}
+
+START_TEST (test_requests_with_a_deadly_part_are_sent_on_and_on)
+{
+  crash_on_part (FAKE_CRASH_AT_ONCE);
+  expect_few_sent (&second_part, "/once", REQUESTS, GAP_MS);
+}
+END_TEST
+
+START_TEST (test_streams_that_crash_after_the_head_are_sent_on_and_on)
+{
+  crash_on_part (FAKE_CRASH_AFTER_HEAD);
+  expect_few_sent (&second_part, "/stream", REQUESTS, GAP_MS);
+}
+END_TEST
+
+START_TEST (test_streams_that_crash_after_an_event_are_sent_on_and_on)
+{
+  crash_on_part (FAKE_CRASH_AFTER_EVENT);
+  expect_few_sent (&second_part, "/stream", REQUESTS, GAP_MS);
+}
+END_TEST
+
+START_TEST (test_requests_with_a_deadly_first_part_are_sent_on_and_on)
+{
+  crash_on_part (FAKE_CRASH_AT_ONCE);
+  expect_few_sent (&first_part, "/again", REQUESTS, GAP_MS);
+}
+END_TEST
+
+START_TEST (test_requests_with_a_deadly_part_now_and_then_are_sent_on_and_on)
+{
+  crash_on_part (FAKE_CRASH_AT_ONCE);
+  expect_few_sent (&second_part, "/again", FEW_REQUESTS, LONG_GAP_MS);
+}
+END_TEST
+
+/* Sends requests with the deadly part until all VMs refuse them or REQUESTS are sent, and
+   waits until the servers are back. */
+static void
+crash_servers (void)
+{
+  unsigned refused = 0;
+
+  crash_on_part (FAKE_CRASH_AT_ONCE);
+  for (unsigned i = 0; i < REQUESTS && refused <= OTHERS; i++)
+    {
+      int status = status_at (vm_of (i), "/once", second_part.deadly);
+
+      refused = status == 503 ? refused + 1 : 0;
+      (void)is_served (vm_of (i + 1), "/once", second_part.sound[0]);
+      (void)is_served (vm_of (i + 2), "/once", second_part.sound[1]);
+      g_usleep (GAP_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  g_usleep (2 * DOWN_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+/* Expects that none of further requests with the deadly part reaches a server through
+   the VM, and that sound ones do. */
+static void
+expect_none_sent (const struct route_vm *vm)
+{
+  int64_t start_us = g_get_monotonic_time ();
+
+  for (int i = 0; i < LAST_REQUESTS; i++)
+    (void)status_at (vm, "/once", second_part.deadly);
+  ck_assert_uint_eq (fake_platform_sent_after (route_vm.platform, start_us), 0);
+  ck_assert (is_served (vm, "/once", second_part.sound[0]));
+  ck_assert (is_served (vm, "/once", second_part.sound[1]));
+}
+
+START_TEST (test_refusal_of_a_request_with_a_deadly_part)
+{
+  struct raw_answer answer;
+
+  crash_servers ();
+  answer = send_to (&others[2], "/again", second_part.deadly);
+  ck_assert_int_eq (route_vm_status (&answer), 503);
+  ck_assert_ptr_nonnull (strstr (answer.text->str, "Retry-After: "));
+  ck_assert_ptr_nonnull (strstr (answer.text->str, "\"execution\":\"not_run\""));
+  ck_assert_int_lt (answer.elapsed_ms, GAP_MS);
+  raw_answer_clear (&answer);
+}
+END_TEST
+
+START_TEST (test_vm_that_starts_does_not_know_a_deadly_part)
+{
+  crash_servers ();
+  route_vm_kill (&others[2]);
+  route_vm_restart (&others[2]);
+  g_usleep (MEET_MS * G_TIME_SPAN_MILLISECOND);
+  expect_none_sent (&others[2]);
+}
+END_TEST
+
+START_TEST (test_vms_that_all_restart_forget_a_deadly_part)
+{
+  crash_servers ();
+  route_vm_kill (&route_vm);
+  for (int i = 0; i < OTHERS; i++)
+    route_vm_kill (&others[i]);
+  route_vm_start ();
+  route_vm_wait_ready ();
+  for (int i = 0; i < OTHERS; i++)
+    route_vm_restart (&others[i]);
+  g_usleep (MEET_MS * G_TIME_SPAN_MILLISECOND);
+  expect_none_sent (&route_vm);
+  expect_none_sent (&others[2]);
+}
+END_TEST
+
+static void
+set_modes (enum fake_mode mode)
+{
+  for (unsigned i = 0; i < SERVERS; i++)
+    fake_platform_server (route_vm.platform, i)->mode = mode;
+}
+
+static void *
+send_sound (void *user)
+{
+  (void)status_at (user, "/again", second_part.sound[0]);
+  return NULL;
+}
+
+/* Crashes the servers with requests in flight at all of them that share a first part. */
+static void
+crash_servers_together (void)
+{
+  pthread_t callers[2 * SERVERS];
+
+  set_modes (FAKE_SLOW);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    ck_assert_int_eq (pthread_create (&callers[i], NULL, send_sound, vm_of (i)), 0);
+  g_usleep (GAP_MS * G_TIME_SPAN_MILLISECOND);
+  for (unsigned i = 0; i < SERVERS; i++)
+    fake_platform_crash_server (route_vm.platform, i);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    (void)pthread_join (callers[i], NULL);
+  set_modes (FAKE_ANSWER);
+  g_usleep (2 * DOWN_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+START_TEST (test_shared_part_is_blocked_when_all_servers_crash_again_and_again)
+{
+  crash_on_part (FAKE_CRASH_AT_ONCE);
+  for (unsigned i = 0; i <= OTHERS; i++)
+    ck_assert (is_served (vm_of (i), "/again", second_part.sound[0]));
+  for (int round = 0; round < HERDS; round++)
+    crash_servers_together ();
+  for (unsigned i = 0; i <= OTHERS; i++)
+    ck_assert (is_served (vm_of (i), "/again", second_part.sound[0]));
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("part crashes");
+  TCase *cases = tcase_create ("part crashes");
+
+  tcase_add_checked_fixture (cases, set_up, tear_down);
+  tcase_set_timeout (cases, 120);
+  tcase_add_test (cases, test_requests_with_a_deadly_part_are_sent_on_and_on);
+  tcase_add_test (cases, test_streams_that_crash_after_the_head_are_sent_on_and_on);
+  tcase_add_test (cases, test_streams_that_crash_after_an_event_are_sent_on_and_on);
+  tcase_add_test (cases, test_requests_with_a_deadly_first_part_are_sent_on_and_on);
+  tcase_add_test (cases,
+                  test_requests_with_a_deadly_part_now_and_then_are_sent_on_and_on);
+  tcase_add_test (cases, test_refusal_of_a_request_with_a_deadly_part);
+  tcase_add_test (cases, test_vm_that_starts_does_not_know_a_deadly_part);
+  tcase_add_test (cases, test_vms_that_all_restart_forget_a_deadly_part);
+  tcase_add_test (cases,
+                  test_shared_part_is_blocked_when_all_servers_crash_again_and_again);
+  suite_add_tcase (suite, cases);
+  return run_suite (suite);
+}
