--- a/src/forward/blocked_store.c
+++ b/src/forward/blocked_store.c
@@ -1,5 +1,7 @@
 #include "forward/blocked_store.h"
 
+#include <string.h>
+
 #include "base/decision_log.h"
 #include "base/id.h"
 #include "forward/crash_suspects.h"
@@ -11,6 +13,7 @@
 #define SWEEP_INTERVAL_MS 60000 /* between searches for records to delete */
 #define ROWS_MAX          4096u
 #define HEX_BASE          16
+#define PART_PREFIX       "part-" /* before the fingerprint in the key of a part's record */
 
 enum row_state
 {
@@ -19,10 +22,10 @@
   ROW_TO_DELETE
 };
 
-/* A blocked request whose record this VM has read or has to write. */
+/* A blocked request or part whose record this VM has read or has to write. */
 struct row
 {
-  uint64_t fingerprint;
+  struct kcp_suspect suspect;
   int64_t until_ms; /* Unix time at which the block ends */
   bool own;         /* this VM writes its record */
   enum row_state state;
@@ -50,9 +53,13 @@
 static void append (struct kcp_blocked_store *blocked, const struct row *row);
 static void on_written (void *user, const struct kcp_store_answer *answer);
 static void sweep (void *user);
-static struct row *find_row (struct kcp_blocked_store *blocked, uint64_t fingerprint);
+static char *make_key (struct kcp_suspect suspect);
+static struct kcp_suspect read_key (const char *key);
+static struct row *
+find_row (struct kcp_blocked_store *blocked, struct kcp_suspect suspect);
 static void add_row (struct kcp_blocked_store *blocked, const struct row *row);
-static void remove_row (struct kcp_blocked_store *blocked, uint64_t fingerprint);
+static bool is_row_of (const struct row *row, struct kcp_suspect suspect);
+static void remove_row (struct kcp_blocked_store *blocked, struct kcp_suspect suspect);
 static void schedule_retry (struct kcp_blocked_store *blocked,
                             struct kcp_loop_timer *timer, kcp_loop_step *retry);
 static int64_t realtime_ms (const struct kcp_blocked_store *blocked);
@@ -90,22 +97,22 @@
   g_free (blocked);
 }
 
-/* Writes a request that has just been blocked to the store, and repeats that until it has
-   succeeded. Does nothing if blocked is NULL or the request is known to be stored. */
+/* Writes a request or part that has just been blocked to the store, and repeats that
+   until it has succeeded. Does nothing if blocked is NULL or it is known to be stored. */
 void
-kcp_blocked_store_add (struct kcp_blocked_store *blocked, uint64_t fingerprint,
+kcp_blocked_store_add (struct kcp_blocked_store *blocked, struct kcp_suspect suspect,
                        int64_t remaining_ms)
 {
-  struct row row = { .fingerprint = fingerprint, .own = true, .state = ROW_TO_WRITE };
+  struct row row = { .suspect = suspect, .own = true, .state = ROW_TO_WRITE };
   const struct row *known;
 
   if (blocked == NULL)
     return;
-  known = find_row (blocked, fingerprint);
+  known = find_row (blocked, suspect);
   if (known != NULL && known->until_ms > realtime_ms (blocked))
     return;
   row.until_ms = realtime_ms (blocked) + remaining_ms;
-  remove_row (blocked, fingerprint);
+  remove_row (blocked, suspect);
   add_row (blocked, &row);
   write_next (blocked);
 }
@@ -140,8 +147,9 @@
   KCP_LOG ("blocked_listed", KCP_LOG_INT ("requests", blocked->rows->len));
 }
 
-/* Blocks the request of a record. The key of a record is the fingerprint as the log shows
-   it, the value the Unix time in milliseconds at which the block ends. */
+/* Blocks the request or part of a record. The key of a record is the fingerprint as the
+   log shows it, after PART_PREFIX if it is a part's, the value the Unix time in
+   milliseconds at which the block ends. */
 static void
 read_record (struct kcp_blocked_store *blocked, const struct kcp_store_record *record)
 {
@@ -159,12 +167,12 @@
                KCP_LOG_TEXT ("why", "not a time"));
       return;
     }
-  row.fingerprint = g_ascii_strtoull (blocked->last_key, NULL, HEX_BASE);
-  if (find_row (blocked, row.fingerprint) == NULL)
+  row.suspect = read_key (blocked->last_key);
+  if (find_row (blocked, row.suspect) == NULL)
     add_row (blocked, &row);
   remaining_ms = row.until_ms - realtime_ms (blocked);
   if (remaining_ms > 0)
-    kcp_crash_suspects_restore (blocked->gateway, row.fingerprint, remaining_ms);
+    kcp_crash_suspects_restore (blocked->gateway, row.suspect, remaining_ms);
 }
 
 /* Has the records written again that the store may have lost: by the VM that wrote them,
@@ -209,7 +217,7 @@
 static void
 append (struct kcp_blocked_store *blocked, const struct row *row)
 {
-  char key[KCP_FINGERPRINT_TEXT_SIZE];
+  g_autofree char *key = make_key (row->suspect);
   g_autofree char *value = row->state == ROW_TO_DELETE
                                ? g_strdup ("")
                                : g_strdup_printf ("%" G_GINT64_FORMAT, row->until_ms);
@@ -217,8 +225,7 @@
   blocked->writing = true;
   blocked->written = *row;
   blocked->store->append (blocked->store->self, KCP_STORE_BLOCKED,
-                          KCP_STORE_UNCONDITIONAL,
-                          kcp_str_from_c (kcp_fingerprint_text (row->fingerprint, key)),
+                          KCP_STORE_UNCONDITIONAL, kcp_str_from_c (key),
                           kcp_str_from_c (value), on_written, blocked);
 }
 
@@ -227,23 +234,21 @@
 {
   struct kcp_blocked_store *blocked = user;
   const struct row *written = &blocked->written;
-  struct row *row = find_row (blocked, written->fingerprint);
-  char text[KCP_FINGERPRINT_TEXT_SIZE];
+  struct row *row = find_row (blocked, written->suspect);
+  g_autofree char *key = make_key (written->suspect);
 
   blocked->writing = false;
-  KCP_LOG (
-      "blocked_written",
-      KCP_LOG_TEXT ("fingerprint", kcp_fingerprint_text (written->fingerprint, text)),
-      KCP_LOG_INT ("deleted", written->state == ROW_TO_DELETE),
-      KCP_LOG_INT ("done", answer->end == KCP_STORE_DONE),
-      KCP_LOG_TEXT ("reason", answer->reason));
+  KCP_LOG ("blocked_written", KCP_LOG_TEXT ("key", key),
+           KCP_LOG_INT ("deleted", written->state == ROW_TO_DELETE),
+           KCP_LOG_INT ("done", answer->end == KCP_STORE_DONE),
+           KCP_LOG_TEXT ("reason", answer->reason));
   if (answer->end != KCP_STORE_DONE)
     {
       schedule_retry (blocked, &blocked->write_timer, write_next);
       return;
     }
   if (row != NULL && row->state == written->state && written->state == ROW_TO_DELETE)
-    remove_row (blocked, row->fingerprint);
+    remove_row (blocked, row->suspect);
   else if (row != NULL && row->state == written->state)
     row->state = ROW_STORED;
   write_next (blocked);
@@ -272,14 +277,44 @@
                       blocked);
 }
 
+static char *
+make_key (struct kcp_suspect suspect)
+{
+  char text[KCP_FINGERPRINT_TEXT_SIZE];
+
+  return g_strconcat (suspect.kind == KCP_SUSPECT_PART ? PART_PREFIX : "",
+                      kcp_fingerprint_text (suspect.fingerprint, text), NULL);
+}
+
+static struct kcp_suspect
+read_key (const char *key)
+{
+  struct kcp_suspect suspect = { .kind = KCP_SUSPECT_REQUEST };
+
+  if (g_str_has_prefix (key, PART_PREFIX))
+    {
+      suspect.kind = KCP_SUSPECT_PART;
+      key += strlen (PART_PREFIX);
+    }
+  suspect.fingerprint = g_ascii_strtoull (key, NULL, HEX_BASE);
+  return suspect;
+}
+
+static bool
+is_row_of (const struct row *row, struct kcp_suspect suspect)
+{
+  return row->suspect.kind == suspect.kind
+         && row->suspect.fingerprint == suspect.fingerprint;
+}
+
 static struct row *
-find_row (struct kcp_blocked_store *blocked, uint64_t fingerprint)
+find_row (struct kcp_blocked_store *blocked, struct kcp_suspect suspect)
 {
   for (guint i = 0; i < blocked->rows->len; i++)
     {
       struct row *row = &g_array_index (blocked->rows, struct row, i);
 
-      if (row->fingerprint == fingerprint)
+      if (is_row_of (row, suspect))
         return row;
     }
   return NULL;
@@ -298,10 +333,10 @@
 }
 
 static void
-remove_row (struct kcp_blocked_store *blocked, uint64_t fingerprint)
+remove_row (struct kcp_blocked_store *blocked, struct kcp_suspect suspect)
 {
   for (guint i = 0; i < blocked->rows->len; i++)
-    if (g_array_index (blocked->rows, struct row, i).fingerprint == fingerprint)
+    if (is_row_of (&g_array_index (blocked->rows, struct row, i), suspect))
       {
         g_array_remove_index (blocked->rows, i);
         return;
--- a/src/forward/crash_watch.c
+++ b/src/forward/crash_watch.c
@@ -18,8 +18,8 @@
 /* An attempt that ended without an answer. */
 struct watched_attempt
 {
-  struct kcp_server *server; /* a reference */
-  uint64_t fingerprint;
+  struct kcp_server *server;      /* a reference */
+  struct kcp_crash_causes causes; /* with a reference to the parts */
   int64_t sent_ns;
   int64_t ended_ns;
 };
@@ -54,6 +54,7 @@
                           const char *evidence);
 static void
 report (struct kcp_crash_watch *watch, const GArray *crashed, const char *evidence);
+static void attempt_ref (struct watched_attempt *attempt);
 static void attempt_clear (gpointer data);
 static void series_free (gpointer data);
 
@@ -88,11 +89,12 @@
    leaving is not added: its end is planned. */
 void
 kcp_crash_watch_add (struct kcp_crash_watch *watch, struct kcp_server *server,
-                     uint64_t fingerprint, int64_t sent_ns,
+                     const struct kcp_crash_causes *causes, int64_t sent_ns,
                      enum kcp_crash_watch_probe probing)
 {
   struct watched_attempt attempt = {
-    .fingerprint = fingerprint,
+    .server = server,
+    .causes = *causes,
     .sent_ns = sent_ns,
     .ended_ns = kcp_loop_now (watch->loop),
   };
@@ -100,7 +102,7 @@
   if (kcp_server_is_leaving (server) || server->removed || server->remove_at_ns != 0)
     return;
   drop_old_attempts (watch);
-  attempt.server = kcp_server_ref (server);
+  attempt_ref (&attempt);
   g_array_append_val (watch->attempts, attempt);
   if (probing == KCP_CRASH_WATCH_PROBE)
     start_series (watch, server);
@@ -246,12 +248,12 @@
 
       if (attempt.server != server)
         continue;
-      kcp_server_ref (attempt.server);
+      attempt_ref (&attempt);
       g_array_remove_index (watch->attempts, i - 1);
       if (kcp_crash_evidence_counts (&facts))
         g_array_prepend_val (crashed, attempt);
       else
-        kcp_server_unref (attempt.server);
+        attempt_clear (&attempt);
     }
   if (crashed->len > 0)
     report (watch, crashed, evidence);
@@ -275,7 +277,7 @@
           = &g_array_index (crashed, struct watched_attempt, i);
 
       watch->handler (watch->user, &(struct kcp_crash){
-                                       .fingerprint = attempt->fingerprint,
+                                       .causes = attempt->causes,
                                        .server = attempt->server,
                                        .sent_ns = attempt->sent_ns,
                                        .ended_ns = attempt->ended_ns,
@@ -283,11 +285,21 @@
     }
 }
 
+static void
+attempt_ref (struct watched_attempt *attempt)
+{
+  (void)kcp_server_ref (attempt->server);
+  if (attempt->causes.parts != NULL)
+    (void)g_array_ref (attempt->causes.parts);
+}
+
 static void
 attempt_clear (gpointer data)
 {
   struct watched_attempt *attempt = data;
 
+  if (attempt->causes.parts != NULL)
+    g_array_unref (attempt->causes.parts);
   kcp_server_unref (attempt->server);
 }
 
--- a/src/forward/crash_watch.h
+++ b/src/forward/crash_watch.h
@@ -7,10 +7,18 @@
 #include "forward/loop.h"
 #include "forward/server.h"
 
+/* What may have crashed a server: a request, or one of its prompt's parts. */
+struct kcp_crash_causes
+{
+  uint64_t fingerprint; /* of the request; equal for all its copies */
+  /* uint64_t, fingerprints of parts of its prompt; NULL: none of them is the cause. */
+  GArray *parts;
+};
+
 /* A request that was in flight at a server that crashed. */
 struct kcp_crash
 {
-  uint64_t fingerprint;            /* of the request; equal for all its copies */
+  struct kcp_crash_causes causes;
   const struct kcp_server *server; /* the incarnation that crashed */
   int64_t sent_ns;                 /* when the request was sent there */
   int64_t ended_ns;                /* when the attempt ended */
@@ -30,7 +38,7 @@
 kcp_crash_watch_new (struct kcp_loop *loop, kcp_crash_handler *handler, void *user);
 void kcp_crash_watch_free (struct kcp_crash_watch *watch);
 void kcp_crash_watch_add (struct kcp_crash_watch *watch, struct kcp_server *server,
-                          uint64_t fingerprint, int64_t sent_ns,
+                          const struct kcp_crash_causes *causes, int64_t sent_ns,
                           enum kcp_crash_watch_probe probe);
 void
 kcp_crash_watch_on_refused (struct kcp_crash_watch *watch, struct kcp_server *server);
--- a/src/forward/event_framer.c
+++ b/src/forward/event_framer.c
@@ -20,6 +20,7 @@
   framer->pending = g_string_new (NULL);
   framer->last_id = g_string_new (NULL);
   framer->searched = 0;
+  framer->events = 0;
 }
 
 /* Frees the contents of the framer. */
@@ -158,6 +159,7 @@
           g_string_append_len (framer->last_id, id.data, (gssize)id.len);
         }
     }
+  framer->events++;
   g_string_erase (framer->pending, 0, (gssize)len);
   framer->searched = 0;
 }
--- a/src/forward/event_framer.h
+++ b/src/forward/event_framer.h
@@ -14,6 +14,7 @@
   GString *pending; /* an incomplete event */
   size_t searched;  /* bytes of pending in which no event ends */
   GString *last_id; /* of the last complete event with an id */
+  unsigned events;  /* complete events so far, duplicates included */
 };
 
 void kcp_event_framer_init (struct kcp_event_framer *framer);
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -19,8 +19,8 @@
 static void set_deadline (struct kcp_forward *forward);
 static bool is_backlogged (const struct kcp_forward *forward);
 static void refuse_for_backlog (struct kcp_forward *forward);
-static bool is_blocked (struct kcp_forward *forward);
-static void end_blocked (struct kcp_forward *forward);
+static bool find_blocked (struct kcp_forward *forward, struct kcp_suspect *blocked);
+static void end_blocked (struct kcp_forward *forward, const struct kcp_suspect *blocked);
 static void send_next (struct kcp_forward *forward);
 static void on_deadline (void *user);
 static void server_unref (gpointer data);
@@ -38,7 +38,7 @@
   forward->answer = answer;
   forward->arrived_ns = kcp_loop_now (gateway->loop);
   forward->tried = g_ptr_array_new_with_free_func (server_unref);
-  forward->part_fingerprints = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  forward->causes.parts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   forward->choice.inbound = inbound;
   forward->choice.tried = forward->tried;
   kcp_event_framer_init (&forward->framer);
@@ -71,7 +71,7 @@
   kcp_choice_clear (&forward->choice);
   kcp_event_framer_clear (&forward->framer);
   g_ptr_array_unref (forward->tried);
-  g_array_unref (forward->part_fingerprints);
+  g_array_unref (forward->causes.parts);
   kcp_routes_unref (forward->routes);
   kcp_inbound_clear (forward->inbound);
   g_free (forward->inbound);
@@ -135,7 +135,7 @@
   const struct kcp_inbound *inbound = forward->inbound;
   const struct kcp_team_access *team = forward->choice.team;
 
-  forward->fingerprint = kcp_fingerprint_request (&(struct kcp_request_identity){
+  forward->causes.fingerprint = kcp_fingerprint_request (&(struct kcp_request_identity){
       .team = kcp_str_from_c (team != NULL ? team->name : ""),
       .method = kcp_str_from_c (inbound->method),
       .host = kcp_str_from_c (inbound->host),
@@ -154,7 +154,7 @@
       uint64_t fingerprint = kcp_fingerprint_part (
           kcp_str_from_c (g_array_index (parts, struct kcp_prompt_part, i).id));
 
-      g_array_append_val (forward->part_fingerprints, fingerprint);
+      g_array_append_val (forward->causes.parts, fingerprint);
     }
 }
 
@@ -204,24 +204,26 @@
   kcp_forward_refuse (forward, "backlog");
 }
 
-/* Returns true if copies of the request have crashed too many servers. */
+/* Returns true if copies of the request, or requests with one of its parts, have crashed
+   too many servers, and stores which. */
 static bool
-is_blocked (struct kcp_forward *forward)
+find_blocked (struct kcp_forward *forward, struct kcp_suspect *blocked)
 {
-  return kcp_crash_suspects_is_blocked (forward->gateway, forward->fingerprint,
-                                        &forward->choice.earliest_available_ns);
+  return kcp_crash_suspects_find_blocked (forward->gateway, &forward->causes, blocked,
+                                          &forward->choice.earliest_available_ns);
 }
 
 /* Ends a request that is not sent to any further server. */
 static void
-end_blocked (struct kcp_forward *forward)
+end_blocked (struct kcp_forward *forward, const struct kcp_suspect *blocked)
 {
   char fingerprint[KCP_FINGERPRINT_TEXT_SIZE];
 
   kcp_counter_add (KCP_COUNT_BLOCKED, 1);
   KCP_LOG ("blocked", KCP_LOG_TEXT ("request", forward->inbound->id),
+           KCP_LOG_TEXT ("kind", kcp_suspect_kind_name (blocked->kind)),
            KCP_LOG_TEXT ("fingerprint",
-                         kcp_fingerprint_text (forward->fingerprint, fingerprint)),
+                         kcp_fingerprint_text (blocked->fingerprint, fingerprint)),
            KCP_LOG_INT ("runs", forward->runs));
   if (forward->answer->begun)
     kcp_forward_interrupt (forward, "crashes_servers");
@@ -238,10 +240,11 @@
 send_next (struct kcp_forward *forward)
 {
   struct kcp_choice *choice = &forward->choice;
+  struct kcp_suspect blocked;
 
-  if (is_blocked (forward))
+  if (find_blocked (forward, &blocked))
     {
-      end_blocked (forward);
+      end_blocked (forward, &blocked);
       return;
     }
   kcp_choose (forward->gateway, choice);
@@ -274,7 +277,7 @@
     .repeat = forward->choice.route->repeat,
     .end = end,
     .max_runs = (unsigned)forward->choice.route->max_runs,
-    .suspect = kcp_crash_suspects_is_suspect (forward->gateway, forward->fingerprint),
+    .suspect = kcp_crash_suspects_is_suspect (forward->gateway, &forward->causes),
     .server_available = true,
     .remaining_ms = kcp_forward_remaining_ms (forward),
   };
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -10,6 +10,8 @@
 #include "policy/queue_priority.h"
 
 #define LOGGED_PARTS_MAX 8u /* parts of a prompt that a line of the log names */
+/* Events of an answer that show that its server did not crash as it began to write. */
+#define EVENTS_OF_SOUND_PARTS 4u
 
 static char *list_parts (const struct kcp_forward *forward);
 static struct curl_slist *make_headers (const struct kcp_forward *forward);
@@ -32,6 +34,7 @@
 static void record_attempt_end (struct kcp_forward *forward, enum kcp_attempt_end end);
 static void watch_for_crash (struct kcp_forward *forward, enum kcp_attempt_end end,
                              const struct kcp_http_result *result);
+static struct kcp_crash_causes possible_causes (const struct kcp_forward *forward);
 static void clear_attempt (struct kcp_attempt *attempt);
 
 /* Sends the request to the chosen server. The callbacks of the HTTP call continue the
@@ -51,6 +54,7 @@
   attempt->headers = g_ptr_array_new_with_free_func (g_free);
   attempt->buffered_body = g_string_new (NULL);
   attempt->sent_ns = kcp_loop_now (gateway->loop);
+  attempt->events_before = forward->framer.events;
   attempt->prefill_tokens_pending = forward->choice.uncached_tokens;
   server->in_flight++;
   server->prefill_tokens_pending += attempt->prefill_tokens_pending;
@@ -91,7 +95,7 @@
               : 0),
       KCP_LOG_INT ("left_ms", kcp_forward_remaining_ms (forward)),
       KCP_LOG_TEXT ("fingerprint",
-                    kcp_fingerprint_text (forward->fingerprint, fingerprint)),
+                    kcp_fingerprint_text (forward->causes.fingerprint, fingerprint)),
       KCP_LOG_TEXT ("parts", parts));
   attempt->call = kcp_http_start (
       gateway->client,
@@ -114,21 +118,21 @@
       });
 }
 
-/* Returns the fingerprints of the prompt's first parts as the log shows them, separated by
-   spaces; to be freed with g_free(). */
+/* Returns the fingerprints of the prompt's first parts as the log shows them, separated
+   by spaces; to be freed with g_free(). */
 static char *
 list_parts (const struct kcp_forward *forward)
 {
   GString *list = g_string_new (NULL);
 
-  for (guint i = 0; i < MIN (forward->part_fingerprints->len, LOGGED_PARTS_MAX); i++)
+  for (guint i = 0; i < MIN (forward->causes.parts->len, LOGGED_PARTS_MAX); i++)
     {
       char text[KCP_FINGERPRINT_TEXT_SIZE];
 
       g_string_append_printf (
           list, "%s%s", i > 0 ? " " : "",
-          kcp_fingerprint_text (
-              g_array_index (forward->part_fingerprints, uint64_t, i), text));
+          kcp_fingerprint_text (g_array_index (forward->causes.parts, uint64_t, i),
+                                text));
     }
   return g_string_free (list, FALSE);
 }
@@ -328,7 +332,9 @@
     return false;
   kcp_server_record_answer (forward->attempt.server);
   forward->attempt.server->last_answer_ns = kcp_loop_now (forward->gateway->loop);
-  kcp_crash_suspects_clear (forward->gateway, forward->fingerprint);
+  kcp_crash_suspects_clear_request (forward->gateway, forward->causes.fingerprint);
+  if (success)
+    kcp_crash_suspects_clear_parts (forward->gateway, forward->causes.parts);
   if (kcp_forward_is_streamed (forward, result->status))
     {
       kcp_event_framer_flush (&forward->framer, forward->answer->body);
@@ -406,8 +412,28 @@
     kcp_crash_watch_on_refused (watch, attempt->server);
   if ((end == KCP_ATTEMPT_UNKNOWN || end == KCP_ATTEMPT_INTERRUPTED)
       && result->end == KCP_HTTP_INTERRUPTED)
-    kcp_crash_watch_add (watch, attempt->server, forward->fingerprint, attempt->sent_ns,
-                         KCP_CRASH_WATCH_PROBE);
+    {
+      struct kcp_crash_causes causes = possible_causes (forward);
+
+      kcp_crash_watch_add (watch, attempt->server, &causes, attempt->sent_ns,
+                           KCP_CRASH_WATCH_PROBE);
+    }
+}
+
+/* Returns what may have crashed the attempt's server. A part that crashes servers does so
+   as they begin to write, so once several events have come it is none of this request's.
+ */
+static struct kcp_crash_causes
+possible_causes (const struct kcp_forward *forward)
+{
+  struct kcp_crash_causes causes = forward->causes;
+
+  if (forward->framer.events >= forward->attempt.events_before + EVENTS_OF_SOUND_PARTS)
+    {
+      kcp_crash_suspects_clear_parts (forward->gateway, causes.parts);
+      causes.parts = NULL;
+    }
+  return causes;
 }
 
 /* Ends the attempt, if there is one. Closes its connection if the answer is
@@ -421,9 +447,10 @@
     return;
   if (attempt->call != NULL)
     {
-      kcp_crash_watch_add (forward->gateway->crash_watch, attempt->server,
-                           forward->fingerprint, attempt->sent_ns,
-                           KCP_CRASH_WATCH_PASSIVE);
+      struct kcp_crash_causes causes = possible_causes (forward);
+
+      kcp_crash_watch_add (forward->gateway->crash_watch, attempt->server, &causes,
+                           attempt->sent_ns, KCP_CRASH_WATCH_PASSIVE);
       kcp_http_cancel (attempt->call);
     }
   attempt->server->in_flight--;
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -19,6 +19,8 @@
   enum kcp_http_framing framing; /* of the answer, once it has ended */
   size_t partial_event_len;      /* bytes after the last complete event, likewise */
   int64_t sent_ns;
+  unsigned
+      events_before;     /* events of the stream that came from servers before this one */
   const char *limit;     /* the limit that the answer exceeds, for the log; NULL: none */
   bool paused;           /* the server is not read, since the caller does not read */
   int64_t first_byte_ns; /* when the first byte of the answer arrived; 0: not yet */
@@ -36,12 +38,11 @@
   struct kcp_event_framer framer;
   struct kcp_loop_timer deadline_timer;
   struct kcp_loop_timer unpause_timer;
-  size_t answer_bytes;  /* memory of the answer, part of the gateway's sum */
-  GPtrArray *tried;     /* struct kcp_server, references */
-  uint64_t fingerprint; /* equal for all copies of the request, on all VMs */
-  /* uint64_t, fingerprints of the prompt's parts that other requests may share: all but
-     the last. */
-  GArray *part_fingerprints;
+  size_t answer_bytes; /* memory of the answer, part of the gateway's sum */
+  GPtrArray *tried;    /* struct kcp_server, references */
+  /* Equal for all copies of the request, on all VMs. The parts are those that other
+     requests may share: all but the last. */
+  struct kcp_crash_causes causes;
   int64_t arrived_ns;
   int64_t deadline_ns;
   unsigned runs;            /* attempts that may have run the request */
--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -30,7 +30,9 @@
   gateway->desired_weights = g_ptr_array_new_with_free_func (desired_weights_free);
   gateway->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gateway->prefixes = kcp_prefix_index_new (PREFIX_INDEX_CAPACITY);
-  gateway->quarantine = kcp_crash_suspects_new ();
+  for (unsigned i = 0; i < KCP_SUSPECT_KINDS; i++)
+    gateway->quarantines[i] = kcp_crash_suspects_new ((enum kcp_suspect_kind)i);
+  gateway->answered_parts = kcp_answered_parts_new ();
   gateway->crash_watch = kcp_crash_watch_new (gateway->loop, on_crash, gateway);
 }
 
@@ -40,7 +42,9 @@
 {
   kcp_http_client_free (gateway->client);
   kcp_crash_watch_free (gateway->crash_watch);
-  kcp_quarantine_free (gateway->quarantine);
+  for (unsigned i = 0; i < KCP_SUSPECT_KINDS; i++)
+    kcp_quarantine_free (gateway->quarantines[i]);
+  kcp_answered_parts_free (gateway->answered_parts);
   kcp_loop_free (gateway->loop);
   kcp_servers_free (gateway->servers);
   g_ptr_array_unref (gateway->desired_weights);
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -13,8 +13,10 @@
 #include "forward/prefix_index.h"
 #include "forward/servers.h"
 #include "policy/answer_limits.h"
+#include "policy/answered_parts.h"
 #include "policy/quarantine.h"
 #include "policy/resend.h"
+#include "policy/suspect.h"
 #include "route/routes.h"
 #include "settings/forward_settings.h"
 
@@ -51,7 +53,9 @@
   GHashTable *budgets;        /* service -> struct kcp_resend_budget */
   struct kcp_prefix_index *prefixes;
   struct kcp_crash_watch *crash_watch;
-  struct kcp_quarantine *quarantine;       /* see forward/crash_suspects.h */
+  /* By enum kcp_suspect_kind; see forward/crash_suspects.h. */
+  struct kcp_quarantine *quarantines[KCP_SUSPECT_KINDS];
+  struct kcp_answered_parts *answered_parts;
   struct kcp_blocked_store *blocked_store; /* NULL: blocked requests are not stored */
   struct kcp_mesh *mesh;                   /* exchange with other VMs; NULL: none */
   bool draining; /* the load balancer is asked to send no connections */
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -28,7 +28,8 @@
 static bool handle_gossip (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_update (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_records (struct kcp_mesh *mesh, char *bytes, size_t len);
-static bool handle_suspects (struct kcp_mesh *mesh, char *bytes, size_t len);
+static bool handle_suspects (struct kcp_mesh *mesh, enum kcp_suspect_kind kind,
+                             char *bytes, size_t len);
 static void apply_gossip (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static void apply_row (struct kcp_mesh *mesh, const struct kcp_mesh_row *row);
 static void add_row_load (struct kcp_mesh *mesh, const struct kcp_mesh_row *row);
@@ -224,7 +225,10 @@
           valid = handle_records (mesh, bytes, (size_t)len);
           break;
         case KCP_MESH_SUSPECTS:
-          valid = handle_suspects (mesh, bytes, (size_t)len);
+          valid = handle_suspects (mesh, KCP_SUSPECT_REQUEST, bytes, (size_t)len);
+          break;
+        case KCP_MESH_PART_SUSPECTS:
+          valid = handle_suspects (mesh, KCP_SUSPECT_PART, bytes, (size_t)len);
           break;
         case KCP_MESH_INVALID:
           break;
@@ -278,12 +282,13 @@
 }
 
 static bool
-handle_suspects (struct kcp_mesh *mesh, char *bytes, size_t len)
+handle_suspects (struct kcp_mesh *mesh, enum kcp_suspect_kind kind, char *bytes,
+                 size_t len)
 {
   struct kcp_mesh_suspects suspects;
   bool valid;
 
-  kcp_mesh_suspects_init (&suspects);
+  kcp_mesh_suspects_init (&suspects, kind);
   valid = kcp_mesh_suspects_decode (&suspects, bytes, len);
   if (valid)
     kcp_mesh_apply_suspects (mesh, &suspects);
--- a/src/forward/mesh.h
+++ b/src/forward/mesh.h
@@ -24,7 +24,7 @@
                                uint64_t part, int64_t prefill_tokens_pending);
 void kcp_mesh_announce_loading (struct kcp_mesh *mesh, const struct kcp_server *server,
                                 int64_t loading_ms);
-void kcp_mesh_announce_suspect (struct kcp_mesh *mesh, uint64_t fingerprint);
+void kcp_mesh_announce_suspect (struct kcp_mesh *mesh, struct kcp_suspect suspect);
 void kcp_mesh_announce_loaded (struct kcp_mesh *mesh, const struct kcp_server *server);
 void kcp_mesh_set_records_handler (struct kcp_mesh *mesh,
                                    kcp_mesh_records_handler *handler, void *user);
--- a/src/forward/mesh_message.c
+++ b/src/forward/mesh_message.c
@@ -38,6 +38,10 @@
 static bool_t code_bytes (XDR *xdr, struct kcp_str *bytes);
 static bool_t code_suspects (XDR *xdr, void *user);
 static bool_t code_fact (XDR *xdr, struct kcp_quarantine_fact *fact);
+static bool_t code_request_fact (XDR *xdr, struct kcp_quarantine_fact *fact);
+static bool_t code_crashes (XDR *xdr, struct kcp_quarantine_fact *fact, unsigned crashes);
+static enum kcp_mesh_procedure
+suspects_procedure (const struct kcp_mesh_suspects *suspects);
 static void row_clear (gpointer data);
 
 /* Initializes a gossip message without rows. */
@@ -152,11 +156,12 @@
   return decode (KCP_MESH_RECORDS, records, code_records, data, len);
 }
 
-/* Initializes a suspects message without facts. */
+/* Initializes a suspects message of one kind without facts. */
 void
-kcp_mesh_suspects_init (struct kcp_mesh_suspects *suspects)
+kcp_mesh_suspects_init (struct kcp_mesh_suspects *suspects, enum kcp_suspect_kind kind)
 {
   memset (suspects, 0, sizeof *suspects);
+  suspects->kind = kind;
   suspects->facts = g_array_new (FALSE, TRUE, sizeof (struct kcp_quarantine_fact));
 }
 
@@ -171,15 +176,28 @@
 size_t
 kcp_mesh_suspects_encode (struct kcp_mesh_suspects *suspects, char *out, size_t max)
 {
-  return encode (KCP_MESH_SUSPECTS, suspects, code_suspects, out, max);
+  return encode (suspects_procedure (suspects), suspects, code_suspects, out, max);
 }
 
 /* Decodes an RPC call into an initialized message. Returns false if it is not a valid
-   suspects message. */
+   suspects message of the kind for which the message was initialized. */
 bool
 kcp_mesh_suspects_decode (struct kcp_mesh_suspects *suspects, char *data, size_t len)
 {
-  return decode (KCP_MESH_SUSPECTS, suspects, code_suspects, data, len);
+  return decode (suspects_procedure (suspects), suspects, code_suspects, data, len);
+}
+
+static enum kcp_mesh_procedure
+suspects_procedure (const struct kcp_mesh_suspects *suspects)
+{
+  switch (suspects->kind)
+    {
+    case KCP_SUSPECT_PART:
+      return KCP_MESH_PART_SUSPECTS;
+    case KCP_SUSPECT_REQUEST:
+      break;
+    }
+  return KCP_MESH_SUSPECTS;
 }
 
 /* Encodes a message as an RPC call. Returns its length, or 0 if max is too small. */
@@ -256,6 +274,8 @@
       return KCP_MESH_RECORDS;
     case KCP_MESH_SUSPECTS:
       return KCP_MESH_SUSPECTS;
+    case KCP_MESH_PART_SUSPECTS:
+      return KCP_MESH_PART_SUSPECTS;
     default:
       return KCP_MESH_INVALID;
     }
@@ -430,24 +450,51 @@
     return FALSE;
   g_array_set_size (suspects->facts, count);
   for (uint32_t i = 0; i < count; i++)
-    if (!code_fact (xdr, &g_array_index (suspects->facts, struct kcp_quarantine_fact, i)))
-      return FALSE;
+    {
+      struct kcp_quarantine_fact *fact
+          = &g_array_index (suspects->facts, struct kcp_quarantine_fact, i);
+
+      if (!(suspects->kind == KCP_SUSPECT_PART ? code_fact (xdr, fact)
+                                               : code_request_fact (xdr, fact)))
+        return FALSE;
+    }
   return TRUE;
 }
 
 static bool_t
 code_fact (XDR *xdr, struct kcp_quarantine_fact *fact)
 {
-  bool_t several_incidents = fact->several_incidents;
+  return code_crashes (xdr, fact, KCP_QUARANTINE_CRASHES_MAX)
+         && xdr_uint64_t (xdr, &fact->fingerprint) && xdr_uint32_t (xdr, &fact->rank)
+         && xdr_uint32_t (xdr, &fact->incidents)
+         && xdr_uint32_t (xdr, &fact->incident_age_ms)
+         && xdr_uint32_t (xdr, &fact->remaining_ms);
+}
 
-  for (unsigned i = 0; i < KCP_QUARANTINE_CRASHES_MAX; i++)
-    if (!xdr_uint64_t (xdr, &fact->crashes[i]))
-      return FALSE;
-  if (!xdr_uint64_t (xdr, &fact->fingerprint) || !xdr_uint32_t (xdr, &fact->rank)
-      || !xdr_bool (xdr, &several_incidents) || !xdr_uint32_t (xdr, &fact->first_age_ms)
+/* The fact of a request names fewer crashes and tells of its incidents only whether there
+   were several. */
+static bool_t
+code_request_fact (XDR *xdr, struct kcp_quarantine_fact *fact)
+{
+  bool_t several_incidents = fact->incidents > 1;
+
+  if (!code_crashes (xdr, fact, KCP_MESH_REQUEST_CRASHES_MAX)
+      || !xdr_uint64_t (xdr, &fact->fingerprint) || !xdr_uint32_t (xdr, &fact->rank)
+      || !xdr_bool (xdr, &several_incidents)
+      || !xdr_uint32_t (xdr, &fact->incident_age_ms)
       || !xdr_uint32_t (xdr, &fact->remaining_ms))
     return FALSE;
-  fact->several_incidents = several_incidents;
+  if (xdr->x_op == XDR_DECODE)
+    fact->incidents = several_incidents ? 2 : 1;
+  return TRUE;
+}
+
+static bool_t
+code_crashes (XDR *xdr, struct kcp_quarantine_fact *fact, unsigned crashes)
+{
+  for (unsigned i = 0; i < crashes; i++)
+    if (!xdr_uint64_t (xdr, &fact->crashes[i]))
+      return FALSE;
   return TRUE;
 }
 
--- a/src/forward/mesh_message.h
+++ b/src/forward/mesh_message.h
@@ -3,7 +3,8 @@
    message of a VM replaces its earlier ones and a lost message does no harm. An update
    message holds only changes; if it is lost, the next gossip messages make up for it. A
    records message relays what one VM has read of the servers' list. A suspects message
-   tells which requests were in flight at servers that crashed. */
+   tells which requests, or which parts of prompts, were in flight at servers that
+   crashed. */
 #ifndef KCP_FORWARD_MESH_MESSAGE_H
 #define KCP_FORWARD_MESH_MESSAGE_H
 
@@ -13,6 +14,7 @@
 
 #include "base/str.h"
 #include "policy/quarantine.h"
+#include "policy/suspect.h"
 
 #define KCP_MESH_MESSAGE_MAX  8192u /* bytes */
 #define KCP_MESH_ROWS_MAX     128u
@@ -20,14 +22,17 @@
 #define KCP_MESH_CHANGES_MAX  64u  /* changes in an update message */
 #define KCP_MESH_RECORDS_MAX  64u
 #define KCP_MESH_SUSPECTS_MAX 64u /* facts in a suspects message */
+/* Incarnations that the fact of a request names. */
+#define KCP_MESH_REQUEST_CRASHES_MAX 3u
 
 enum kcp_mesh_procedure
 {
-  KCP_MESH_INVALID, /* not a call of this RPC program */
-  KCP_MESH_GOSSIP,  /* struct kcp_mesh_message */
-  KCP_MESH_UPDATE,  /* struct kcp_mesh_update */
-  KCP_MESH_RECORDS, /* struct kcp_mesh_records */
-  KCP_MESH_SUSPECTS /* struct kcp_mesh_suspects */
+  KCP_MESH_INVALID,      /* not a call of this RPC program */
+  KCP_MESH_GOSSIP,       /* struct kcp_mesh_message */
+  KCP_MESH_UPDATE,       /* struct kcp_mesh_update */
+  KCP_MESH_RECORDS,      /* struct kcp_mesh_records */
+  KCP_MESH_SUSPECTS,     /* struct kcp_mesh_suspects, of requests */
+  KCP_MESH_PART_SUSPECTS /* struct kcp_mesh_suspects, of parts of prompts */
 };
 
 /* The state of one server as seen by the sending VM. */
@@ -95,9 +100,11 @@
   GArray *records; /* struct kcp_mesh_record */
 };
 
-/* What one VM knows of requests that were in flight at servers that crashed. */
+/* What one VM knows of requests, or of parts of prompts, that were in flight at servers
+   that crashed. */
 struct kcp_mesh_suspects
 {
+  enum kcp_suspect_kind kind;
   char vm[64];   /* IP:PORT of the VM's own socket */
   GArray *facts; /* struct kcp_quarantine_fact */
 };
@@ -112,7 +119,8 @@
 void kcp_mesh_records_clear (struct kcp_mesh_records *records);
 size_t kcp_mesh_records_encode (struct kcp_mesh_records *records, char *out, size_t max);
 bool kcp_mesh_records_decode (struct kcp_mesh_records *records, char *data, size_t len);
-void kcp_mesh_suspects_init (struct kcp_mesh_suspects *suspects);
+void
+kcp_mesh_suspects_init (struct kcp_mesh_suspects *suspects, enum kcp_suspect_kind kind);
 void kcp_mesh_suspects_clear (struct kcp_mesh_suspects *suspects);
 size_t
 kcp_mesh_suspects_encode (struct kcp_mesh_suspects *suspects, char *out, size_t max);
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -39,8 +39,9 @@
 struct kcp_mesh_suspect_state
 {
   struct kcp_mesh_budget budget;
-  GArray *changed;       /* uint64_t, fingerprints of suspects to be sent at once */
-  guint repeat_position; /* facts of the table that were repeated in this round */
+  GArray *changed; /* struct kcp_suspect, to be sent at once */
+  /* Facts of each kind that were repeated in this round. */
+  guint repeat_positions[KCP_SUSPECT_KINDS];
   struct kcp_loop_timer flush_timer;
   struct kcp_loop_timer repeat_timer;
 };
--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -7,14 +7,12 @@
 #include "base/clock.h"
 #include "policy/placement.h"
 
-/* The low bits of a rank count crashes; the bits above hold a generation that each
-   clearing increments. */
+/* The low bits of a rank count crashes up to the mask; the bits above hold a generation
+   that each clearing increments. */
 #define RANK_CRASH_BITS 2
 #define RANK_CRASH_MASK 3u
 #define RANK_BLOCKED    UINT32_MAX
 
-_Static_assert(KCP_QUARANTINE_CRASHES_MAX <= RANK_CRASH_MASK, "crashes fit into a rank");
-
 /* Time for which only the VM that observed a crash may retry the suspect. */
 #define REMOTE_SUSPECT_WAIT_NS (3 * KCP_NS_PER_S)
 
@@ -23,8 +21,9 @@
   uint64_t fingerprint;
   uint64_t crashes[KCP_QUARANTINE_CRASHES_MAX];
   uint32_t rank;
-  bool several_incidents;
-  int64_t first_crash_ns;
+  unsigned incidents;
+  int64_t incident_ns; /* the first crash of the latest incident */
+  int64_t answered_ns; /* when it was last cleared */
   int64_t expires_ns;
   /* When another VM reported the suspicion; 0: this VM observed the crash. */
   int64_t received_ns;
@@ -39,13 +38,18 @@
   GHashTable *busy_servers; /* set of hashes of servers that run a suspect */
 };
 
+static void add_incident (const struct kcp_quarantine *quarantine, struct entry *entry,
+                          const struct kcp_quarantine_crash *crash);
+static void set_answered (struct entry *entry, int64_t now_ns);
+static unsigned count_crashes (const uint64_t incarnations[KCP_QUARANTINE_CRASHES_MAX]);
 static bool add_incarnation (struct entry *entry, uint64_t incarnation);
 static bool has_incarnation (const struct entry *entry, uint64_t incarnation);
 static void block_if_due (const struct kcp_quarantine *quarantine, struct entry *entry);
 static bool merge_generation (struct entry *entry, const struct kcp_quarantine_fact *fact,
-                              int64_t first_crash_ns);
+                              int64_t now_ns);
 static void replace_state (struct entry *entry, const struct kcp_quarantine_fact *fact,
-                           int64_t first_crash_ns);
+                           int64_t now_ns);
+static int64_t fact_incident_ns (const struct kcp_quarantine_fact *fact, int64_t now_ns);
 static struct kcp_quarantine_fact make_fact (const struct entry *entry, int64_t now_ns);
 static struct entry *
 find (struct kcp_quarantine *quarantine, uint64_t fingerprint, int64_t now_ns);
@@ -106,15 +110,14 @@
 {
   if (rank == RANK_BLOCKED)
     return KCP_QUARANTINE_BLOCKED;
-  return kcp_quarantine_rank_crashes (rank) > 0 ? KCP_QUARANTINE_SUSPECT
-                                                : KCP_QUARANTINE_NONE;
+  return (rank & RANK_CRASH_MASK) > 0 ? KCP_QUARANTINE_SUSPECT : KCP_QUARANTINE_NONE;
 }
 
-/* Returns the number of crashes that a rank counts since the request was last cleared. */
+/* Returns the number of crashes that a fact names, at most KCP_QUARANTINE_CRASHES_MAX. */
 unsigned
-kcp_quarantine_rank_crashes (uint32_t rank)
+kcp_quarantine_fact_crashes (const struct kcp_quarantine_fact *fact)
 {
-  return rank & RANK_CRASH_MASK;
+  return count_crashes (fact->crashes);
 }
 
 /* Returns the state of a request. */
@@ -153,38 +156,65 @@
   struct entry *entry = find_or_add (quarantine, crash->fingerprint, now_ns);
 
   entry->expires_ns = now_ns + quarantine->keep_ns;
-  if (entry->rank == RANK_BLOCKED || has_incarnation (entry, crash->incarnation))
+  if (entry->rank == RANK_BLOCKED || has_incarnation (entry, crash->incarnation)
+      || crash->ended_ns < entry->answered_ns)
     return kcp_quarantine_rank_state (entry->rank);
-  if (kcp_quarantine_rank_crashes (entry->rank) == 0)
-    {
-      entry->first_crash_ns = crash->ended_ns;
-      entry->received_ns = 0;
-    }
-  else if (crash->sent_ns >= entry->first_crash_ns + quarantine->rule.incident_ns)
-    entry->several_incidents = true;
+  if (crash->answered_before && entry->rank >> RANK_CRASH_BITS == 0)
+    set_answered (entry, crash->ended_ns);
+  if (count_crashes (entry->crashes) == 0)
+    entry->received_ns = 0;
+  add_incident (quarantine, entry, crash);
   (void)add_incarnation (entry, crash->incarnation);
-  entry->first_crash_ns = MIN (entry->first_crash_ns, crash->ended_ns);
   block_if_due (quarantine, entry);
   return kcp_quarantine_rank_state (entry->rank);
 }
 
+/* Counts the incident that a crash begins. Within the first incident, an earlier crash
+   that is found later moves its beginning; a later incident stays as it is, since the
+   crash may belong to one before it. */
+static void
+add_incident (const struct kcp_quarantine *quarantine, struct entry *entry,
+              const struct kcp_quarantine_crash *crash)
+{
+  if (entry->incidents == 0
+      || crash->sent_ns >= entry->incident_ns + quarantine->rule.incident_ns)
+    {
+      entry->incidents++;
+      entry->incident_ns = crash->ended_ns;
+    }
+  else if (entry->incidents == 1)
+    entry->incident_ns = MIN (entry->incident_ns, crash->ended_ns);
+}
+
+static unsigned
+count_crashes (const uint64_t incarnations[KCP_QUARANTINE_CRASHES_MAX])
+{
+  unsigned count = 0;
+
+  while (count < KCP_QUARANTINE_CRASHES_MAX && incarnations[count] != 0)
+    count++;
+  return count;
+}
+
 /* Adds an incarnation. Returns false if it is known or there is no room for it. */
 static bool
 add_incarnation (struct entry *entry, uint64_t incarnation)
 {
-  unsigned count = kcp_quarantine_rank_crashes (entry->rank);
+  unsigned count = count_crashes (entry->crashes);
 
-  if (has_incarnation (entry, incarnation) || count == KCP_QUARANTINE_CRASHES_MAX)
+  if (incarnation == 0 || count == KCP_QUARANTINE_CRASHES_MAX
+      || has_incarnation (entry, incarnation))
     return false;
   entry->crashes[count] = incarnation;
-  entry->rank++;
+  if ((entry->rank & RANK_CRASH_MASK) < RANK_CRASH_MASK)
+    entry->rank++;
   return true;
 }
 
 static bool
 has_incarnation (const struct entry *entry, uint64_t incarnation)
 {
-  for (unsigned i = 0; i < kcp_quarantine_rank_crashes (entry->rank); i++)
+  for (unsigned i = 0; i < count_crashes (entry->crashes); i++)
     if (entry->crashes[i] == incarnation)
       return true;
   return false;
@@ -194,9 +224,10 @@
 block_if_due (const struct kcp_quarantine *quarantine, struct entry *entry)
 {
   const struct kcp_quarantine_rule *rule = &quarantine->rule;
+  bool answered = entry->rank >> RANK_CRASH_BITS > 0;
+  unsigned incidents = answered ? rule->incidents_if_answered : rule->incidents;
 
-  if (kcp_quarantine_rank_crashes (entry->rank) >= rule->crashes
-      && (entry->several_incidents || rule->incident_ns == 0))
+  if (count_crashes (entry->crashes) >= rule->crashes && entry->incidents >= incidents)
     entry->rank = RANK_BLOCKED;
 }
 
@@ -210,10 +241,18 @@
 
   if (entry == NULL || kcp_quarantine_rank_state (entry->rank) != KCP_QUARANTINE_SUSPECT)
     return;
+  set_answered (entry, now_ns);
+  entry->expires_ns = now_ns + quarantine->keep_ns;
+}
+
+/* Begins another generation, in which no crash is counted yet. */
+static void
+set_answered (struct entry *entry, int64_t now_ns)
+{
   entry->rank = (entry->rank | RANK_CRASH_MASK) + 1;
   memset (entry->crashes, 0, sizeof entry->crashes);
-  entry->several_incidents = false;
-  entry->expires_ns = now_ns + quarantine->keep_ns;
+  entry->incidents = 0;
+  entry->answered_ns = now_ns;
 }
 
 /* Reserves a server for a suspect. Returns false if another suspect of this VM runs on
@@ -277,7 +316,6 @@
                       const struct kcp_quarantine_fact *fact, int64_t now_ns)
 {
   int64_t expires_ns = now_ns + (int64_t)fact->remaining_ms * KCP_NS_PER_MS;
-  int64_t first_crash_ns = now_ns - (int64_t)fact->first_age_ms * KCP_NS_PER_MS;
   struct entry *entry;
 
   if (fact->remaining_ms == 0)
@@ -286,9 +324,9 @@
   if (entry->rank == RANK_BLOCKED)
     return false;
   if (fact->rank >> RANK_CRASH_BITS > entry->rank >> RANK_CRASH_BITS)
-    replace_state (entry, fact, first_crash_ns);
+    replace_state (entry, fact, now_ns);
   else if (fact->rank >> RANK_CRASH_BITS < entry->rank >> RANK_CRASH_BITS
-           || !merge_generation (entry, fact, first_crash_ns))
+           || !merge_generation (entry, fact, now_ns))
     return false;
   if (entry->rank != RANK_BLOCKED)
     block_if_due (quarantine, entry);
@@ -299,32 +337,47 @@
 
 static void
 replace_state (struct entry *entry, const struct kcp_quarantine_fact *fact,
-               int64_t first_crash_ns)
+               int64_t now_ns)
 {
   entry->rank = fact->rank;
-  entry->several_incidents = fact->several_incidents;
-  entry->first_crash_ns = first_crash_ns;
+  entry->incidents = fact->incidents;
+  entry->incident_ns = fact_incident_ns (fact, now_ns);
+  if (kcp_quarantine_rank_state (fact->rank) == KCP_QUARANTINE_NONE)
+    {
+      entry->incidents = 0;
+      entry->answered_ns = now_ns;
+    }
   memcpy (entry->crashes, fact->crashes, sizeof entry->crashes);
 }
 
-/* Adds the crashes of a fact of the same generation. Returns false if nothing changed. */
+/* Adds the crashes of a fact of the same generation. The longer of two series of
+   incidents holds, of equally long ones that whose latest incident began earlier. Returns
+   false if nothing changed. */
 static bool
 merge_generation (struct entry *entry, const struct kcp_quarantine_fact *fact,
-                  int64_t first_crash_ns)
+                  int64_t now_ns)
 {
-  bool changed = fact->several_incidents && !entry->several_incidents;
+  int64_t incident_ns = fact_incident_ns (fact, now_ns);
+  bool changed = fact->incidents > entry->incidents;
 
-  if (kcp_quarantine_rank_crashes (fact->rank) == 0)
+  if (kcp_quarantine_rank_state (fact->rank) == KCP_QUARANTINE_NONE)
     return false;
-  if (kcp_quarantine_rank_crashes (entry->rank) == 0)
-    entry->first_crash_ns = first_crash_ns;
-  for (unsigned i = 0; i < kcp_quarantine_rank_crashes (fact->rank); i++)
+  if (fact->incidents > entry->incidents)
+    entry->incident_ns = incident_ns;
+  else if (fact->incidents == entry->incidents)
+    entry->incident_ns = MIN (entry->incident_ns, incident_ns);
+  entry->incidents = MAX (entry->incidents, fact->incidents);
+  for (unsigned i = 0; i < KCP_QUARANTINE_CRASHES_MAX; i++)
     changed |= add_incarnation (entry, fact->crashes[i]);
-  entry->several_incidents |= fact->several_incidents;
-  entry->first_crash_ns = MIN (entry->first_crash_ns, first_crash_ns);
   return changed;
 }
 
+static int64_t
+fact_incident_ns (const struct kcp_quarantine_fact *fact, int64_t now_ns)
+{
+  return now_ns - (int64_t)fact->incident_age_ms * KCP_NS_PER_MS;
+}
+
 /* Returns the fact that a request is blocked for remaining_ms. */
 struct kcp_quarantine_fact
 kcp_quarantine_blocked_fact (uint64_t fingerprint, int64_t remaining_ms)
@@ -373,8 +426,8 @@
   struct kcp_quarantine_fact fact = {
     .fingerprint = entry->fingerprint,
     .rank = entry->rank,
-    .several_incidents = entry->several_incidents,
-    .first_age_ms = (uint32_t)MAX ((now_ns - entry->first_crash_ns) / KCP_NS_PER_MS, 0),
+    .incidents = entry->incidents,
+    .incident_age_ms = (uint32_t)MAX ((now_ns - entry->incident_ns) / KCP_NS_PER_MS, 0),
     .remaining_ms = (uint32_t)((entry->expires_ns - now_ns) / KCP_NS_PER_MS),
   };
 
--- a/src/policy/quarantine.h
+++ b/src/policy/quarantine.h
@@ -1,9 +1,13 @@
-/* Table of the requests that were in flight on servers when these crashed. A request is a
-   suspect after one crash and blocked after as many as the table's rule requires.
+/* Table of the requests, or of the parts of prompts, that were in flight on servers when
+   these crashed. A request is a suspect after one crash and blocked after as many as the
+   table's rule requires. What is said here of a request and its copies holds likewise for
+   a part and the requests that hold it.
 
    Load pattern: one request crashes every server that runs it, and its caller sends
    copies of it through any VM; meanwhile many servers may crash by chance at the same
-   moment, with copies of popular requests in flight at several of them.
+   moment, with copies of popular requests in flight at several of them. A part that
+   crashes servers has others beside it in each request, which are in flight at the same
+   crashes; they are told apart by answers to other requests that hold them.
 
    The caller passes the times in. Not thread-safe: the caller holds a lock. */
 #ifndef KCP_POLICY_QUARANTINE_H
@@ -15,15 +19,20 @@
 
 #include "base/str.h"
 
-#define KCP_QUARANTINE_CRASHES_MAX 3u /* incarnations kept for a request */
+#define KCP_QUARANTINE_CRASHES_MAX 6u /* incarnations kept for a request */
 
 /* The conditions under which a request is blocked. */
 struct kcp_quarantine_rule
 {
   unsigned crashes; /* different incarnations that crashed; at most the maximum above */
-  /* Only if one of them crashed with a copy that was sent this long after the first crash
-     or later; 0: in any case. Servers that crash together with copies of a popular
-     request in flight, or with a copy that was just resent, are one incident. */
+  /* Incidents that these have to make, each of which begins with the crash of a copy that
+     was sent after the one before had begun; 0 and 1: any. Servers that crash together
+     with copies of a popular request in flight, or with a copy that was just resent, are
+     one incident. */
+  unsigned incidents;
+  unsigned incidents_if_answered; /* the same for a request that was answered before */
+  /* An incident begins if the copy was sent at least this long after the first crash of
+     the one before. */
   int64_t incident_ns;
 };
 
@@ -42,10 +51,10 @@
   uint64_t fingerprint;
   /* Hashes of the incarnations that crashed; unused ones are 0. */
   uint64_t crashes[KCP_QUARANTINE_CRASHES_MAX];
-  uint32_t rank;          /* see kcp_quarantine_rank_state() */
-  bool several_incidents; /* see struct kcp_quarantine_rule */
-  uint32_t first_age_ms;  /* time since the first of the crashes */
-  uint32_t remaining_ms;  /* time until expiry; decreases as the fact is forwarded */
+  uint32_t rank;            /* see kcp_quarantine_rank_state() */
+  uint32_t incidents;       /* see struct kcp_quarantine_rule */
+  uint32_t incident_age_ms; /* time since the first crash of the latest incident */
+  uint32_t remaining_ms;    /* time until expiry; decreases as the fact is forwarded */
 };
 
 /* A crash with a copy of a request in flight. */
@@ -55,6 +64,7 @@
   uint64_t incarnation; /* hash, equal on all VMs, so that one crash counts once */
   int64_t sent_ns;      /* when the copy was sent to it */
   int64_t ended_ns;     /* when the copy's attempt ended */
+  bool answered_before; /* a server has answered the request some time before */
 };
 
 struct kcp_quarantine;
@@ -68,7 +78,7 @@
                               const struct kcp_quarantine_rule *rule);
 void kcp_quarantine_free (struct kcp_quarantine *quarantine);
 enum kcp_quarantine_state kcp_quarantine_rank_state (uint32_t rank);
-unsigned kcp_quarantine_rank_crashes (uint32_t rank);
+unsigned kcp_quarantine_fact_crashes (const struct kcp_quarantine_fact *fact);
 enum kcp_quarantine_state kcp_quarantine_state (struct kcp_quarantine *quarantine,
                                                 uint64_t fingerprint, int64_t now_ns);
 void kcp_quarantine_add_crash (struct kcp_quarantine *quarantine, uint64_t fingerprint,
--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -9,13 +9,15 @@
 #include <string.h>
 #include <unistd.h>
 
-#define SERVERS_MAX 8u
-#define TOPICS      5u
-#define SLOW_MS     500
-#define BLOCK_MS    20000
-#define POLL_MS     5
-#define CRASH_DELAY_MS 20 /* from the head or event until the server crashes */
-#define BORN_STEP   100 /* between the born fields of a server's incarnations */
+#include "base/str.h"
+
+#define SERVERS_MAX    8u
+#define TOPICS         5u
+#define SLOW_MS        500
+#define BLOCK_MS       20000
+#define POLL_MS        5
+#define CRASH_DELAY_MS 20  /* from the head or event until the server crashes */
+#define BORN_STEP      100 /* between the born fields of a server's incarnations */
 
 struct record
 {
@@ -849,14 +851,14 @@
 static ssize_t
 read_crashing (void *user, uint64_t position, char *out, size_t max)
 {
-  static const char event[] = "id: 1\ndata: a\n\n";
+  const struct kcp_str event = KCP_STR ("id: 1\ndata: a\n\n");
   struct fake_server *server = user;
 
   if (position == 0 && server->platform->crash_progress == FAKE_CRASH_AFTER_EVENT
-      && max >= strlen (event))
+      && max >= event.len)
     {
-      memcpy (out, event, strlen (event));
-      return (ssize_t)strlen (event);
+      memcpy (out, event.data, event.len);
+      return (ssize_t)event.len;
     }
   g_usleep (CRASH_DELAY_MS * G_TIME_SPAN_MILLISECOND);
   crash_by_request (server);
--- a/tests/process/test_part_crashes.c
+++ b/tests/process/test_part_crashes.c
@@ -17,7 +17,7 @@
 #define STABLE_WINDOW_MS 3000 /* stable-window-ms of the users' rules */
 #define CRASHES_FREE     5    /* crashes after which they begin to count */
 #define LATE_MAX         3    /* requests with the part that may be sent after that */
-#define REQUESTS         36
+#define REQUESTS         32
 #define FEW_REQUESTS     14
 #define LAST_REQUESTS    4
 #define SOUND_MIN        4 /* sound requests of each kind that a test sends late */
@@ -78,9 +78,8 @@
   g_autofree char *id = g_strdup_printf ("r%u", number);
   g_autofree char *body = g_strdup_printf ("body %u", number);
   g_autofree char *target = g_strdup_printf ("%s/%u", path, number);
-  g_autofree char *head
-      = g_strdup_printf ("Model: m\r\nToken-Usage: 40,5\r\nPrompt-Prefix: %s,last%u:4\r\n",
-                         parts, number);
+  g_autofree char *head = g_strdup_printf (
+      "Model: m\r\nToken-Usage: 40,5\r\nPrompt-Prefix: %s,last%u:4\r\n", parts, number);
 
   return route_vm_send_to (vm, "POST", target, id, head, body);
 }
@@ -111,23 +110,41 @@
 
       served = route_vm_status (&answer) == 200;
       if (wait != NULL)
-        g_usleep (MIN (g_ascii_strtod (wait + strlen (header), NULL), 1) * G_USEC_PER_SEC);
+        g_usleep (MIN (g_ascii_strtod (wait + strlen (header), NULL), 1)
+                  * G_USEC_PER_SEC);
       raw_answer_clear (&answer);
     }
   return served;
 }
 
-/* Returns the time that is the given number of stable windows after the fifth crash, in
-   microseconds; G_MAXINT64 before that crash. */
+/* Returns the end of the time after the fifth crash in which the users' rule sets no
+   limit to requests with the deadly part, in microseconds; G_MAXINT64 before that crash.
+ */
 static int64_t
-windows_end_us (int windows)
+window_end_us (void)
 {
   if (fake_platform_crash_count (route_vm.platform) < CRASHES_FREE)
     return G_MAXINT64;
   return fake_platform_crash_us (route_vm.platform, CRASHES_FREE - 1)
-         + (int64_t)windows * STABLE_WINDOW_MS * G_TIME_SPAN_MILLISECOND;
+         + STABLE_WINDOW_MS * G_TIME_SPAN_MILLISECOND;
 }
 
+/* Returns true if sound requests have to be served now: later than twice that time after
+   the fifth crash, or after the last if there are fewer. */
+static bool
+must_serve (void)
+{
+  unsigned crashes = fake_platform_crash_count (route_vm.platform);
+
+  return crashes > 0
+         && g_get_monotonic_time ()
+                > fake_platform_crash_us (route_vm.platform,
+                                          MIN (crashes, CRASHES_FREE) - 1)
+                      + 2 * STABLE_WINDOW_MS * G_TIME_SPAN_MILLISECOND;
+}
+
+static void expect_few_late (const char *path, unsigned unserved, unsigned late_sound);
+
 /* Sends requests with a part on which servers crash to all VMs by turns, each followed by
    one of each kind of sound request, and expects what the users' rules say. */
 static void
@@ -136,14 +153,13 @@
 {
   unsigned late_sound = 0;
   unsigned unserved = 0;
-  unsigned late;
 
   for (unsigned i = 0; i < count; i++)
     {
       (void)status_at (vm_of (i), path, prompts->deadly);
       for (unsigned kind = 0; kind < G_N_ELEMENTS (prompts->sound); kind++)
         {
-          bool after = g_get_monotonic_time () > windows_end_us (2);
+          bool after = must_serve ();
           bool served = is_served (vm_of (i + kind + 1), path, prompts->sound[kind]);
 
           late_sound += after;
@@ -151,15 +167,26 @@
         }
       g_usleep (gap_ms * G_TIME_SPAN_MILLISECOND);
     }
-  late = fake_platform_sent_after (route_vm.platform, windows_end_us (1));
+  expect_few_late (path, unserved, late_sound);
+}
+
+/* Expects few late requests with the deadly part, and that no late sound one was not
+   served. */
+static void
+expect_few_late (const char *path, unsigned unserved, unsigned late_sound)
+{
+  unsigned late = fake_platform_sent_after (route_vm.platform, window_end_us ());
+
+  g_print ("%s: %u servers crashed, %u requests sent too late, %u of %u sound ones not "
+           "served\n",
+           path, fake_platform_crash_count (route_vm.platform), late, unserved,
+           late_sound);
   ck_assert_msg (late <= LATE_MAX && unserved == 0,
                  "%s: %u servers crashed, %u requests sent too late, %u of %u sound "
                  "ones not served",
                  path, fake_platform_crash_count (route_vm.platform), late, unserved,
                  late_sound);
-  ck_assert_uint_gt (fake_platform_crash_count (route_vm.platform), 0);
-  if (fake_platform_crash_count (route_vm.platform) >= CRASHES_FREE)
-    ck_assert_uint_ge (late_sound, SOUND_MIN);
+  ck_assert_uint_ge (late_sound, SOUND_MIN);
 }
 
 static void
@@ -203,6 +230,47 @@
 }
 END_TEST
 
+static void *
+send_deadly (void *user)
+{
+  (void)status_at (user, "/again", second_part.deadly);
+  return NULL;
+}
+
+START_TEST (test_bursts_of_requests_with_a_deadly_part_are_sent_on_and_on)
+{
+  unsigned late_sound = 0;
+  unsigned unserved = 0;
+
+  crash_on_part (FAKE_CRASH_AT_ONCE);
+  for (unsigned i = 0; i < FEW_REQUESTS; i++)
+    {
+      pthread_t callers[OTHERS + 1];
+      bool after = must_serve ();
+
+      for (unsigned vm = 0; vm <= OTHERS; vm++)
+        ck_assert_int_eq (pthread_create (&callers[vm], NULL, send_deadly, vm_of (vm)),
+                          0);
+      for (unsigned vm = 0; vm <= OTHERS; vm++)
+        (void)pthread_join (callers[vm], NULL);
+      late_sound += after;
+      unserved += !is_served (vm_of (i), "/once", second_part.sound[i % 2]) && after;
+      g_usleep (LONG_GAP_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  expect_few_late ("bursts", unserved, late_sound);
+}
+END_TEST
+
+START_TEST (test_requests_with_two_deadly_parts_are_sent_on_and_on)
+{
+  static const struct prompts both
+      = { "team:20,deadly1:10,deadly2:6", { "team:20,other:10", "team:20,tail:6" } };
+
+  crash_on_part (FAKE_CRASH_AFTER_HEAD);
+  expect_few_sent (&both, "/stream", FEW_REQUESTS, LONG_GAP_MS);
+}
+END_TEST
+
 /* Sends requests with the deadly part until all VMs refuse them or REQUESTS are sent, and
    waits until the servers are back. */
 static void
@@ -335,6 +403,8 @@
   tcase_add_test (cases, test_requests_with_a_deadly_first_part_are_sent_on_and_on);
   tcase_add_test (cases,
                   test_requests_with_a_deadly_part_now_and_then_are_sent_on_and_on);
+  tcase_add_test (cases, test_bursts_of_requests_with_a_deadly_part_are_sent_on_and_on);
+  tcase_add_test (cases, test_requests_with_two_deadly_parts_are_sent_on_and_on);
   tcase_add_test (cases, test_refusal_of_a_request_with_a_deadly_part);
   tcase_add_test (cases, test_vm_that_starts_does_not_know_a_deadly_part);
   tcase_add_test (cases, test_vms_that_all_restart_forget_a_deadly_part);
--- a/tests/unit/test_forward_parts.c
+++ b/tests/unit/test_forward_parts.c
@@ -441,29 +441,24 @@
 }
 END_TEST
 
-START_TEST (test_mesh_suspects_round_trip_rejects_truncation)
+static void
+expect_suspects_round_trip (enum kcp_suspect_kind kind, enum kcp_mesh_procedure procedure,
+                            const struct kcp_quarantine_fact *expected)
 {
-  struct kcp_quarantine_fact fact = {
-    .fingerprint = 1,
-    .crashes = { 2, 3, 4 },
-    .rank = 7,
-    .several_incidents = true,
-    .first_age_ms = 8,
-    .remaining_ms = 9,
-  };
+  struct kcp_quarantine_fact fact = *expected;
   struct kcp_mesh_suspects suspects;
   struct kcp_mesh_suspects copy;
   char bytes[KCP_MESH_MESSAGE_MAX];
   size_t len;
 
-  kcp_mesh_suspects_init (&suspects);
+  kcp_mesh_suspects_init (&suspects, kind);
   g_strlcpy (suspects.vm, "10.0.0.1:7341", sizeof suspects.vm);
   for (guint i = 0; i < KCP_MESH_SUSPECTS_MAX; i++)
     g_array_append_val (suspects.facts, fact);
   len = kcp_mesh_suspects_encode (&suspects, bytes, sizeof bytes);
   ck_assert_uint_gt (len, 0);
-  ck_assert_int_eq (kcp_mesh_procedure_of (bytes, len), KCP_MESH_SUSPECTS);
-  kcp_mesh_suspects_init (&copy);
+  ck_assert_int_eq (kcp_mesh_procedure_of (bytes, len), procedure);
+  kcp_mesh_suspects_init (&copy, kind);
   ck_assert (kcp_mesh_suspects_decode (&copy, bytes, len));
   ck_assert_str_eq (copy.vm, suspects.vm);
   ck_assert_uint_eq (copy.facts->len, KCP_MESH_SUSPECTS_MAX);
@@ -474,6 +469,28 @@
   kcp_mesh_suspects_clear (&copy);
   kcp_mesh_suspects_clear (&suspects);
 }
+
+START_TEST (test_mesh_suspects_round_trip_rejects_truncation)
+{
+  expect_suspects_round_trip (KCP_SUSPECT_REQUEST, KCP_MESH_SUSPECTS,
+                              &(struct kcp_quarantine_fact){
+                                  .fingerprint = 1,
+                                  .crashes = { 2, 3, 4 },
+                                  .rank = 7,
+                                  .incidents = 2,
+                                  .incident_age_ms = 8,
+                                  .remaining_ms = 9,
+                              });
+  expect_suspects_round_trip (KCP_SUSPECT_PART, KCP_MESH_PART_SUSPECTS,
+                              &(struct kcp_quarantine_fact){
+                                  .fingerprint = 1,
+                                  .crashes = { 2, 3, 4, 5, 6, 7 },
+                                  .rank = 7,
+                                  .incidents = 5,
+                                  .incident_age_ms = 8,
+                                  .remaining_ms = 9,
+                              });
+}
 END_TEST
 
 START_TEST (test_mesh_update_round_trip_is_distinct_from_message)
--- a/tests/unit/test_request_crashes.c
+++ b/tests/unit/test_request_crashes.c
@@ -79,8 +79,9 @@
 static void
 set_up (void)
 {
-  static const struct kcp_quarantine_rule rule
-      = { .crashes = 3, .incident_ns = KCP_NS_PER_S };
+  static const struct kcp_quarantine_rule rule = {
+    .crashes = 3, .incidents = 2, .incidents_if_answered = 2, .incident_ns = KCP_NS_PER_S
+  };
 
   for (int i = 0; i < VMS; i++)
     vms[i] = kcp_quarantine_new_with_rule (100, KEEP_NS, &rule);
