A crashed stream that looks complete no longer clears what crashed its server

A stream without length or chunks ends with its connection. If its server crashes after a whole event, the answer looks complete: it cleared the request and its parts at each crash, so that neither was ever blocked. Such a stream of fewer than four events is no evidence of an answer now, and its server is probed as after a broken attempt; the caller gets what it got before. Streams that end within an event, or without one, were taken for broken already.

test_crashed_streams_that_look_complete_are_sent_on_and_on failed before: 16 servers crashed, 8 requests sent later than 3 s after the fifth crash (3 allowed). After: 4 crashed, 0 later, 0 of 22 sound requests not served. test_part_crashes: 12 of 12, test_stream_ends: 34 of 34.

--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -34,6 +34,11 @@
 static void record_attempt_end (struct kcp_forward *forward, enum kcp_attempt_end end);
 static void watch_for_crash (struct kcp_forward *forward, enum kcp_attempt_end end,
                              const struct kcp_http_result *result);
+static void
+watch_attempt (const struct kcp_forward *forward, enum kcp_crash_watch_probe probing);
+static bool has_several_events (const struct kcp_forward *forward);
+static bool may_be_cut_off (const struct kcp_forward *forward);
+static void clear_suspects (const struct kcp_forward *forward, bool success);
 static struct kcp_crash_causes possible_causes (const struct kcp_forward *forward);
 static void clear_attempt (struct kcp_attempt *attempt);
 
@@ -332,9 +337,10 @@
     return false;
   kcp_server_record_answer (forward->attempt.server);
   forward->attempt.server->last_answer_ns = kcp_loop_now (forward->gateway->loop);
-  kcp_crash_suspects_clear_request (forward->gateway, forward->causes.fingerprint);
-  if (success)
-    kcp_crash_suspects_clear_parts (forward->gateway, forward->causes.parts);
+  if (may_be_cut_off (forward))
+    watch_attempt (forward, KCP_CRASH_WATCH_PROBE);
+  else
+    clear_suspects (forward, success);
   if (kcp_forward_is_streamed (forward, result->status))
     {
       kcp_event_framer_flush (&forward->framer, forward->answer->body);
@@ -412,12 +418,43 @@
     kcp_crash_watch_on_refused (watch, attempt->server);
   if ((end == KCP_ATTEMPT_UNKNOWN || end == KCP_ATTEMPT_INTERRUPTED)
       && result->end == KCP_HTTP_INTERRUPTED)
-    {
-      struct kcp_crash_causes causes = possible_causes (forward);
+    watch_attempt (forward, KCP_CRASH_WATCH_PROBE);
+}
 
-      kcp_crash_watch_add (watch, attempt->server, &causes, attempt->sent_ns,
-                           KCP_CRASH_WATCH_PROBE);
-    }
+/* Adds the attempt to the crash watch. */
+static void
+watch_attempt (const struct kcp_forward *forward, enum kcp_crash_watch_probe probing)
+{
+  const struct kcp_attempt *attempt = &forward->attempt;
+  struct kcp_crash_causes causes = possible_causes (forward);
+
+  kcp_crash_watch_add (forward->gateway->crash_watch, attempt->server, &causes,
+                       attempt->sent_ns, probing);
+}
+
+static bool
+has_several_events (const struct kcp_forward *forward)
+{
+  return forward->framer.events >= forward->attempt.events_before + EVENTS_OF_SOUND_PARTS;
+}
+
+/* Returns true if a complete answer may be the beginning of one that a crash cut off: a
+   stream of few events that ended with its connection. */
+static bool
+may_be_cut_off (const struct kcp_forward *forward)
+{
+  return forward->attempt.framing == KCP_HTTP_FRAMING_CLOSE && forward->answer->begun
+         && !has_several_events (forward);
+}
+
+/* Records that a server answered the request, and with success that it began to write on
+   each of the parts without a crash. */
+static void
+clear_suspects (const struct kcp_forward *forward, bool success)
+{
+  kcp_crash_suspects_clear_request (forward->gateway, forward->causes.fingerprint);
+  if (success)
+    kcp_crash_suspects_clear_parts (forward->gateway, forward->causes.parts);
 }
 
 /* Returns what may have crashed the attempt's server. A part that crashes servers does so
@@ -428,7 +465,7 @@
 {
   struct kcp_crash_causes causes = forward->causes;
 
-  if (forward->framer.events >= forward->attempt.events_before + EVENTS_OF_SOUND_PARTS)
+  if (has_several_events (forward))
     {
       kcp_crash_suspects_clear_parts (forward->gateway, causes.parts);
       causes.parts = NULL;
@@ -447,10 +484,7 @@
     return;
   if (attempt->call != NULL)
     {
-      struct kcp_crash_causes causes = possible_causes (forward);
-
-      kcp_crash_watch_add (forward->gateway->crash_watch, attempt->server, &causes,
-                           attempt->sent_ns, KCP_CRASH_WATCH_PASSIVE);
+      watch_attempt (forward, KCP_CRASH_WATCH_PASSIVE);
       kcp_http_cancel (attempt->call);
     }
   attempt->server->in_flight--;
--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -854,7 +854,7 @@
   const struct kcp_str event = KCP_STR ("id: 1\ndata: a\n\n");
   struct fake_server *server = user;
 
-  if (position == 0 && server->platform->crash_progress == FAKE_CRASH_AFTER_EVENT
+  if (position == 0 && server->platform->crash_progress >= FAKE_CRASH_AFTER_EVENT
       && max >= event.len)
     {
       memcpy (out, event.data, event.len);
@@ -881,6 +881,8 @@
     }
   response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 64, read_crashing,
                                                 server, NULL);
+  if (server->platform->crash_progress == FAKE_CRASH_AFTER_UNFRAMED_EVENT)
+    MHD_set_response_options (response, MHD_RF_HTTP_VERSION_1_0_RESPONSE, MHD_RO_END);
   MHD_add_response_header (response, "Content-Type", "text/event-stream");
   MHD_add_response_header (response, "Request-Id", id);
   MHD_add_response_header (response, "Server-Seal", server->id);
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -29,7 +29,8 @@
 {
   FAKE_CRASH_AT_ONCE,
   FAKE_CRASH_AFTER_HEAD,
-  FAKE_CRASH_AFTER_EVENT
+  FAKE_CRASH_AFTER_EVENT,
+  FAKE_CRASH_AFTER_UNFRAMED_EVENT /* of an answer that ends with its connection */
 };
 
 struct fake_platform;
--- a/tests/process/test_part_crashes.c
+++ b/tests/process/test_part_crashes.c
@@ -216,6 +216,13 @@
 }
 END_TEST
 
+START_TEST (test_crashed_streams_that_look_complete_are_sent_on_and_on)
+{
+  crash_on_part (FAKE_CRASH_AFTER_UNFRAMED_EVENT);
+  expect_few_sent (&second_part, "/stream", REQUESTS, GAP_MS);
+}
+END_TEST
+
 START_TEST (test_requests_with_a_deadly_first_part_are_sent_on_and_on)
 {
   crash_on_part (FAKE_CRASH_AT_ONCE);
@@ -400,6 +407,7 @@
   tcase_add_test (cases, test_requests_with_a_deadly_part_are_sent_on_and_on);
   tcase_add_test (cases, test_streams_that_crash_after_the_head_are_sent_on_and_on);
   tcase_add_test (cases, test_streams_that_crash_after_an_event_are_sent_on_and_on);
+  tcase_add_test (cases, test_crashed_streams_that_look_complete_are_sent_on_and_on);
   tcase_add_test (cases, test_requests_with_a_deadly_first_part_are_sent_on_and_on);
   tcase_add_test (cases,
                   test_requests_with_a_deadly_part_now_and_then_are_sent_on_and_on);
