A signal that arrives while a VM starts no longer ends it

Cause: the handlers were installed once the settings had been read, after libsodium and libcurl. Until then SIGHUP and SIGTERM have their default effect, which ends the process.

Between exec and main nothing can be done in the program. It also replaces the handler, its eventfd and its atomic flags. serve is unchanged (SIGHUP ends it, as documented).

Ruled out: the content of a request being blocked (no such line in the logs), the port taken by another process (the VM is a zombie, killed by signal 1).

--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -1,11 +1,8 @@
-#include <ck_pr.h>
 #include <malloc.h>
 #include <pthread.h>
-#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <sys/epoll.h>
-#include <sys/eventfd.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -14,6 +11,7 @@
 #include "base/histogram.h"
 #include "cmd/cmd.h"
 #include "cmd/options.h"
+#include "cmd/signals.h"
 #include "forward/blocked_store.h"
 #include "forward/cache_reader.h"
 #include "forward/caller_server.h"
@@ -46,29 +44,19 @@
   struct kcp_caller_server *callers;
   struct kcp_text_server *ready;
   struct kcp_text_server *metrics;
+  int signal_fd; /* see cmd/signals.h */
   struct kcp_loop_timer drain_timer;
   struct kcp_loop_timer settings_timer;
   struct timespec settings_mtime; /* mtime of the settings file when it was last read */
   int64_t drain_start_ns;         /* when the drain started; 0: it has not */
 };
 
-/* Written by the signal handler and read by the event loop. */
-static int signal_eventfd = -1;
-static unsigned pending_signals;
-
-enum signal_bit
-{
-  SIGNAL_STOP = 1,
-  SIGNAL_RELOAD = 2
-};
-
 static char *read_options (int argc, char **argv, bool *usage);
 static struct kcp_forward_settings *load_settings (const char *path);
 static bool start (struct vm *vm);
 static void stop (struct vm *vm);
 static void watch_signals (struct vm *vm);
-static void on_signal (int number);
-static void on_signal_eventfd (void *user, uint32_t events);
+static void on_signal (void *user, uint32_t events);
 static void begin_drain (struct vm *vm);
 static void on_drain_timer (void *user);
 static void reload_settings (struct vm *vm, const char *cause);
@@ -213,6 +201,7 @@
   kcp_blocked_store_stop (vm->gateway.blocked_store);
   vm->gateway.blocked_store = NULL;
   kcp_gateway_clear (&vm->gateway);
+  (void)close (vm->signal_fd);
   kcp_platform_store_free (vm->store);
   kcp_forward_settings_free (vm->settings);
   kcp_decision_log_flush ();
@@ -222,43 +211,21 @@
 static void
 watch_signals (struct vm *vm)
 {
-  struct sigaction action = { .sa_handler = on_signal, .sa_flags = SA_RESTART };
-
-  signal_eventfd = eventfd (0, EFD_NONBLOCK | EFD_CLOEXEC);
-  if (signal_eventfd < 0)
-    abort ();
-  kcp_poller_watch (kcp_loop_poller (vm->gateway.loop), signal_eventfd, EPOLLIN,
-                    on_signal_eventfd, vm);
-  (void)sigaction (SIGTERM, &action, NULL);
-  (void)sigaction (SIGINT, &action, NULL);
-  (void)sigaction (SIGHUP, &action, NULL);
-  (void)signal (SIGPIPE, SIG_IGN);
-}
-
-static void
-on_signal (int number)
-{
-  uint64_t one = 1;
-
-  ck_pr_or_uint (&pending_signals, number == SIGHUP ? SIGNAL_RELOAD : SIGNAL_STOP);
-  if (write (signal_eventfd, &one, sizeof one) < 0)
-    return; /* the eventfd counter is at its maximum, so the loop wakes up anyway */
+  vm->signal_fd = kcp_signals_open ();
+  kcp_poller_watch (kcp_loop_poller (vm->gateway.loop), vm->signal_fd, EPOLLIN, on_signal,
+                    vm);
 }
 
 static void
-on_signal_eventfd (void *user, uint32_t events)
+on_signal (void *user, uint32_t events)
 {
   struct vm *vm = user;
-  uint64_t count;
-  unsigned signals;
+  struct kcp_signals arrived = kcp_signals_read (vm->signal_fd);
 
   (void)events;
-  if (read (signal_eventfd, &count, sizeof count) < 0)
-    return;
-  signals = ck_pr_fas_uint (&pending_signals, 0);
-  if ((signals & SIGNAL_RELOAD) != 0)
+  if (arrived.reload)
     reload_settings (vm, "signal");
-  if ((signals & SIGNAL_STOP) != 0)
+  if (arrived.stop)
     begin_drain (vm);
 }
 
