Soak: report a VM that ends by itself, and check all VMs' recovery

One had been killed by its reload; the others served, but the check had spent all its time on the first. Neither could be read off the output.

A reported line is flushed, else each child would print it once more.

Shown to fail: this soak without the blocked signals, with the program of: "EXIT ... exit code 0, signal 1".

--- a/soak/soak.c
+++ b/soak/soak.c
@@ -5,12 +5,14 @@
    - a request that must not be repeated runs at most once;
    - a request that is answered with 503 or 429 has not run and does not run later;
    - a stream has each event once, in order;
+   - no VM ends unless it was told to;
    - after the faults, all VMs serve again.
 
    soak SEED SECONDS [VMS]: the same seed gives the same faults in the same order. */
 #include <arpa/inet.h>
 #include <glib.h>
 #include <glib/gstdio.h>
+#include <pthread.h>
 #include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -76,6 +78,7 @@
 {
   g_atomic_int_inc (&soak.violations);
   (void)printf ("BROKEN %s: request %s: %.300s\n", invariant, id, text);
+  (void)fflush (stdout); /* else a VM's process would print it again */
 }
 
 static void
@@ -97,16 +100,27 @@
     abort ();
 }
 
+/* Starts a VM's process. A signal that it gets before its program runs is kept for the
+   program. */
 static void
 start_vm (struct vm *vm)
 {
   const char *build = g_getenv ("BUILD") != NULL ? g_getenv ("BUILD") : "build";
   g_autofree char *program = g_build_filename (build, "kingcuppoint", NULL);
+  sigset_t signals;
+  sigset_t before;
 
+  (void)sigemptyset (&signals);
+  (void)sigaddset (&signals, SIGHUP);
+  (void)sigaddset (&signals, SIGTERM);
+  (void)pthread_sigmask (SIG_BLOCK, &signals, &before);
   vm->start_us = 0;
   vm->pid = fork ();
   if (vm->pid != 0)
-    return;
+    {
+      (void)pthread_sigmask (SIG_SETMASK, &before, NULL);
+      return;
+    }
   (void)prctl (PR_SET_PDEATHSIG, SIGKILL);
   if (freopen (vm->log, "a", stdout) == NULL)
     _exit (126);
@@ -317,11 +331,30 @@
     }
 }
 
+/* Reports a violation if a VM has ended without having been killed or told to drain; it
+   is started again. */
+static void
+check_running (struct vm *vm)
+{
+  g_autofree char *text = NULL;
+  int status;
+
+  if (vm->pid == 0 || vm->kill_us != 0 || waitpid (vm->pid, &status, WNOHANG) != vm->pid)
+    return;
+  text = g_strdup_printf ("%s: exit code %d, signal %d", vm->settings,
+                          WIFEXITED (status) ? WEXITSTATUS (status) : 0,
+                          WIFSIGNALED (status) ? WTERMSIG (status) : 0);
+  report_violation ("EXIT", "-", text);
+  vm->pid = 0;
+  vm->resume_us = 0;
+}
+
 /* Continues or starts a VM when that is due, or immediately if all is true. Reports a
    violation and kills the VM if it has not drained in time. */
 static void
 end_vm_faults (struct vm *vm, int64_t now_us, bool all)
 {
+  check_running (vm);
   if (vm->resume_us != 0 && (all || now_us >= vm->resume_us))
     {
       (void)kill (vm->pid, SIGCONT);
@@ -390,25 +423,30 @@
   return serving;
 }
 
+/* Asks each VM in turn until it has served once; one that does not must not delay the
+   others. */
 static void
 check_recovery (void)
 {
   int64_t end_us
       = g_get_monotonic_time () + RECOVERY_TIMEOUT_MS * G_TIME_SPAN_MILLISECOND;
+  bool served[VMS_MAX] = { false };
+  unsigned remaining = soak.vm_count;
 
-  for (unsigned i = 0; i < soak.vm_count; i++)
+  while (remaining > 0 && g_get_monotonic_time () < end_us)
     {
-      bool serving = false;
-
-      while (!serving && g_get_monotonic_time () < end_us)
-        {
-          end_faults (g_get_monotonic_time (), true);
-          serving = vm_serves (&soak.vms[i]);
-          g_usleep (50 * G_TIME_SPAN_MILLISECOND);
-        }
-      if (!serving)
-        report_violation ("RECOVER", "-", soak.vms[i].settings);
+      end_faults (g_get_monotonic_time (), true);
+      for (unsigned i = 0; i < soak.vm_count; i++)
+        if (!served[i] && vm_serves (&soak.vms[i]))
+          {
+            served[i] = true;
+            remaining--;
+          }
+      g_usleep (50 * G_TIME_SPAN_MILLISECOND);
     }
+  for (unsigned i = 0; i < soak.vm_count; i++)
+    if (!served[i])
+      report_violation ("RECOVER", "-", soak.vms[i].settings);
 }
 
 static void
