Log and count the orders for new weights that had no effect

Each order_sent now says how many earlier orders of this VM to the server, for the version, ended without it (failed_before); the choice of the next server is given the same count and doesn't use it yet. An order fails if the server doesn't show the version once it ends; it may still be carried out.

--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -213,6 +213,7 @@
         .loading = kcp_rollout_find_order (rollout, server) != NULL,
         .data_center = data_center_index (server->entry.data_center, names, &count),
         .in_flight = server->in_flight + server->peers_in_flight,
+        .failed_orders = kcp_server_failed_orders (server, desired->version),
       };
     }
 }
--- a/src/forward/rollout_order.c
+++ b/src/forward/rollout_order.c
@@ -95,12 +95,14 @@
   server->loading_until_ns = order->sent_ns + ORDER_ABANDON_MS * KCP_NS_PER_MS;
   kcp_mesh_announce_loading (gateway->mesh, server, ANNOUNCED_LOADING_MS);
   gateway->dialect->write_order (&content, &order->control_call);
-  KCP_LOG ("order_sent", KCP_LOG_TEXT ("server", server->entry.id),
-           KCP_LOG_TEXT ("model", order->model), KCP_LOG_INT ("version", order->version),
-           KCP_LOG_INT ("orders_taken", content.orders_taken),
-           KCP_LOG_INT ("fence", content.fence),
-           KCP_LOG_INT ("right_left_ms", (rollout->lease.valid_until_ns - order->sent_ns)
-                                             / KCP_NS_PER_MS));
+  KCP_LOG (
+      "order_sent", KCP_LOG_TEXT ("server", server->entry.id),
+      KCP_LOG_TEXT ("model", order->model), KCP_LOG_INT ("version", order->version),
+      KCP_LOG_INT ("orders_taken", content.orders_taken),
+      KCP_LOG_INT ("failed_before", kcp_server_failed_orders (server, order->version)),
+      KCP_LOG_INT ("fence", content.fence),
+      KCP_LOG_INT ("right_left_ms",
+                   (rollout->lease.valid_until_ns - order->sent_ns) / KCP_NS_PER_MS));
   order->call = kcp_http_start (gateway->client,
                                 &(struct kcp_http_spec){
                                     .method = order->control_call.method,
@@ -272,6 +274,8 @@
                                   / KCP_NS_PER_MS));
   order->server->own_loading_until_ns = 0;
   order->server->loading_until_ns = 0;
+  if (order->sent && kcp_server_version (order->server, order->model) < order->version)
+    kcp_server_record_failed_order (order->server, order->version);
   if (order->sent)
     kcp_mesh_announce_loaded (rollout->gateway->mesh, order->server);
   g_ptr_array_remove_fast (rollout->orders, order);
--- a/src/forward/server.c
+++ b/src/forward/server.c
@@ -217,6 +217,22 @@
     }
 }
 
+/* Records that an order to load a version ended, and the server does not show it. The
+   server may still carry it out. */
+void
+kcp_server_record_failed_order (struct kcp_server *server, int64_t version)
+{
+  server->failed_orders = kcp_server_failed_orders (server, version) + 1;
+  server->failed_orders_version = version;
+}
+
+/* Returns how many of this VM's orders to load that version have failed. */
+unsigned
+kcp_server_failed_orders (const struct kcp_server *server, int64_t version)
+{
+  return server->failed_orders_version == version ? server->failed_orders : 0;
+}
+
 /* Records a failed connection or a missing answer. The server is suspected for a time
    that doubles with each consecutive failure, up to SUSPECT_DOUBLINGS times. */
 void
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -65,6 +65,8 @@
   GArray *peers_sent_parts;       /* struct kcp_sent_part, oldest first; NULL: none */
   int64_t peers_prefill_until_ns; /* end of prefill of other VMs' long prompts */
   int64_t orders_taken;           /* since it started, by its reports; -1: not known */
+  int64_t failed_orders_version;  /* version that the failed orders were to load */
+  unsigned failed_orders;         /* orders of this VM that ended without that version */
 };
 
 void kcp_server_entry_init (struct kcp_server_entry *entry);
@@ -89,6 +91,8 @@
 int64_t kcp_server_version (const struct kcp_server *server, const char *model);
 void kcp_server_update_version (struct kcp_server *server, const char *model,
                                 int64_t version, int64_t now_ns);
+void kcp_server_record_failed_order (struct kcp_server *server, int64_t version);
+unsigned kcp_server_failed_orders (const struct kcp_server *server, int64_t version);
 void kcp_server_record_failure (struct kcp_server *server, int64_t now_ns);
 void kcp_server_record_refusal (struct kcp_server *server, int64_t now_ns);
 void kcp_server_record_retry_after (struct kcp_server *server, int64_t retry_after_ms,
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -26,6 +26,8 @@
   bool loading;         /* an order is in progress there, or its outcome is unknown */
   unsigned data_center; /* index of its data center */
   unsigned in_flight;   /* requests in flight at the server */
+  unsigned
+      failed_orders; /* earlier orders for the desired version without effect so far */
 };
 
 unsigned kcp_rollout_limit (size_t count);
