Failing test: a server waits for its first order while others get more

Model of the choice with 12 servers whose orders all end without effect after half a second: the ones with the oldest weights get order after order, the others none.

--- a/tests/unit/test_forward_policy.c
+++ b/tests/unit/test_forward_policy.c
@@ -533,6 +533,50 @@
 }
 END_TEST
 
+#define ORDER_MS 500 /* until an order without effect ends */
+
+/* Load pattern: each order seems lost, since the servers carry orders out late. */
+START_TEST (test_server_waits_for_its_first_order_while_others_get_more)
+{
+  struct kcp_rollout_server servers[BUSY_SERVERS];
+  struct busy_server busy[BUSY_SERVERS] = { 0 };
+  unsigned orders[BUSY_SERVERS] = { 0 };
+  unsigned most = 0;
+  unsigned least = 0;
+
+  for (unsigned i = 0; i < BUSY_SERVERS; i++)
+    servers[i] = (struct kcp_rollout_server){
+      .eligible = true, .version = 1 + i % 2, .data_center = i / 4, .in_flight = i
+    };
+  for (unsigned step = 1; step <= 100; step++)
+    {
+      int at;
+
+      for (unsigned i = 0; i < BUSY_SERVERS; i++)
+        if (servers[i].loading && steps_since (&busy[i], step) * STEP_MS >= ORDER_MS)
+          {
+            servers[i].loading = false;
+            servers[i].failed_orders++;
+          }
+      at = kcp_rollout_choose (servers, BUSY_SERVERS, 3,
+                               kcp_rollout_limit (BUSY_SERVERS));
+      if (at == KCP_ROLLOUT_NONE)
+        continue;
+      servers[at].loading = true;
+      busy[at].ordered_at = step;
+      orders[at]++;
+      least = orders[0];
+      for (unsigned i = 0; i < BUSY_SERVERS; i++)
+        {
+          most = MAX (most, orders[i]);
+          least = MIN (least, orders[i]);
+        }
+      ck_assert_uint_le (most, least + 1);
+    }
+  ck_assert_uint_ge (least, 3);
+}
+END_TEST
+
 /* Model of the platform's log: the names of the VMs that appended the lease records, in
    order. */
 struct lease_log
@@ -747,6 +791,7 @@
   tcase_add_test (cases, test_the_server_with_the_oldest_weights_loads_first);
   tcase_add_test (cases, test_the_number_of_servers_that_load_at_once_is_limited);
   tcase_add_test (cases, test_last_server_of_a_busy_deployment_loads_too_late);
+  tcase_add_test (cases, test_server_waits_for_its_first_order_while_others_get_more);
   tcase_add_loop_test (cases, test_orders_of_two_vms_are_at_least_the_minimum_gap_apart,
                        0, 2);
   suite_add_tcase (suite, cases);
