Order new weights from the servers with the fewest failed orders first

Cause: an order that the server doesn't answer ends after half a second (not_taken) and frees its place. The choice knew nothing of it: the same servers had the oldest weights and the fewest requests, so they were chosen again, up to 11 times, and the last servers had their first order 16 to 18 s after the naming. What takes long is the carrying out, and it starts with the first order only.

Servers with the fewest orders without effect for the desired version now come first.

Ruled out: another abandon time (an order without an answer can't be told from a lost one; the count of taken orders guards against both being carried out).

--- a/src/policy/rollout.c
+++ b/src/policy/rollout.c
@@ -93,6 +93,8 @@
 precedes (const struct kcp_rollout_server *a, unsigned a_current,
           const struct kcp_rollout_server *b, unsigned b_current)
 {
+  if (a->failed_orders != b->failed_orders)
+    return a->failed_orders < b->failed_orders;
   if (a->version != b->version)
     return a->version < b->version;
   if (a_current != b_current)
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -6,10 +6,12 @@
    same time, so that the others can serve the traffic and loads do not slow each other
    down. Under load a server needs longer to complete its requests than to load, so
    further servers may do that meanwhile; else the last one loads after the time for which
-   replaced weights may be used. Servers with the oldest weights come first, so that none
-   is left out when versions are published faster than they are loaded. Among these, the
-   data center with the fewest current servers comes first, and within it the server with
-   the fewest requests in flight. */
+   replaced weights may be used. Servers with the fewest orders without effect come first:
+   such an order may be carried out late, and each server should have had one before any
+   has a second. Among these, the ones with the oldest weights come first, so that none is
+   left out when versions are published faster than they are loaded, then the data center
+   with the fewest current servers, and within it the server with the fewest requests in
+   flight. */
 #ifndef KCP_POLICY_ROLLOUT_H
 #define KCP_POLICY_ROLLOUT_H
 
