Failing test: orders wait for a holder that ended long ago

A VM that has never read the newest lease record waits the whole takeover delay, 5 s, from when it first reads it, however old it is; and it first reads once new weights are named. So a rollout after the holder of the one before is gone starts 5 s late, half of the 10 s for which old weights may be used.

--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -221,6 +221,15 @@
   add_record (platform, 0, key, value);
 }
 
+/* Appends the lease record of a VM with that name to the topic of orders. */
+void
+fake_platform_put_lease_record (struct fake_platform *platform, const char *holder)
+{
+  g_autofree char *text = g_strdup_printf ("{\"holder\":\"%s\"}", holder);
+
+  add_record (platform, 2, NULL, text);
+}
+
 /* Appends an entry with any value to the servers' list; an empty value removes the
    id. */
 void
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -67,6 +67,7 @@
                                const char *value);
 void fake_platform_put_server (struct fake_platform *platform, unsigned index,
                                const char *state);
+void fake_platform_put_lease_record (struct fake_platform *platform, const char *holder);
 void fake_platform_put_server_entry (struct fake_platform *platform, const char *id,
                                      const char *value);
 void fake_platform_lose_records (struct fake_platform *platform, const char *topic,
--- a/tests/process/test_route_peers.c
+++ b/tests/process/test_route_peers.c
@@ -28,9 +28,12 @@
 #define LEADER_GRACE_MS 2300
 /* Minimum time for which a VM leaves the orders to the leader. */
 #define MIN_TAKEOVER_MS 2000
-#define FIRST_BORN      1000 /* field born of server 0; server N has FIRST_BORN + N */
-#define PROMPT_HEAD     "Model: m\r\nToken-Usage: 10,5\r\nPrompt-Prefix: a:10\r\n"
-#define LONG_HEAD       "Model: m\r\nToken-Usage: 9010,5\r\nPrompt-Prefix: ab:9000,cd:10\r\n"
+/* A VM that has read another VM's lease record may take the lease after 5 s; it may need
+   1 s until it reads. */
+#define TAKEOVER_MS 6500
+#define FIRST_BORN  1000 /* field born of server 0; server N has FIRST_BORN + N */
+#define PROMPT_HEAD "Model: m\r\nToken-Usage: 10,5\r\nPrompt-Prefix: a:10\r\n"
+#define LONG_HEAD   "Model: m\r\nToken-Usage: 9010,5\r\nPrompt-Prefix: ab:9000,cd:10\r\n"
 
 static int peer = -1;
 static char peer_name[64];
@@ -304,6 +307,26 @@
 }
 END_TEST
 
+/* The VM starts long before the orders become necessary, and the holder of the newest
+   lease record ended before that. */
+START_TEST (test_orders_wait_for_a_holder_that_ended_long_ago)
+{
+  int waited;
+
+  route_vm_kill (&route_vm);
+  fake_platform_put_lease_record (route_vm.platform, "127.0.0.1:1");
+  route_vm_start ();
+  route_vm_wait_ready ();
+  choose_peer_address (false);
+  g_usleep (TAKEOVER_MS * G_TIME_SPAN_MILLISECOND);
+  fake_platform_put_record (route_vm.platform, "version/m",
+                            "{\"model\":\"m\",\"version\":2}");
+  waited = wait_for_weights (ROUTE_VM_TIMEOUT_MS);
+  ck_assert_int_ge (waited, 0);
+  ck_assert_int_le (waited, MIN_TAKEOVER_MS);
+}
+END_TEST
+
 /* Sends, as the leader of the data center, records of the servers' list from an offset
    on; record is the only one of them that changes something, or NULL. */
 static void
@@ -490,6 +513,7 @@
   tcase_add_test (cases,
                   test_a_vm_gives_orders_only_after_the_leader_has_given_none_for_a_time);
   tcase_add_test (cases, test_the_leader_of_a_data_center_gives_orders_immediately);
+  tcase_add_test (cases, test_orders_wait_for_a_holder_that_ended_long_ago);
   tcase_add_test (cases,
                   test_a_vm_that_receives_relayed_records_does_not_read_the_servers_list);
   tcase_add_test (cases, test_a_relayed_record_takes_effect_immediately);
