Leaders read the lease record while no orders are needed

What callers could see: new weights on all servers 5 s later than need be, by which old ones are refused or used beyond their time under load (VERSION).

Cause: the takeover delay, 5 s, counts from when a VM first reads the newest lease record, and a VM first read it once weights were pending. If the holder of the rollout before is gone, or the record of its last renewal was not read, each other VM waits in full at a time when the record is long expired.

The leader of each data center now reads the end of the log once while no orders are needed: after its start or its becoming leader, and after each rollout. Nobody renews then, so one read is enough; the number of calls does not grow with the VMs. A failed read is tried again.

Ruled out: taking the age from the store's clock (it gives none), a shorter delay (the gap between the orders of two VMs is the platform's rule).

--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -17,6 +17,8 @@
 #define ORDER_MIN_REMAINING_MS 500
 
 static void check (void *user);
+static enum kcp_order_lease_action
+next_lease_action (struct kcp_rollout *rollout, int64_t now_ns);
 static bool may_compete (struct kcp_rollout *rollout, int64_t now_ns);
 static int64_t last_progress_ns (const struct kcp_rollout *rollout, int64_t now_ns);
 static const struct kcp_desired_weights *
@@ -83,14 +85,11 @@
   bool pending = find_pending_weights (rollout) != NULL;
   int64_t wait_ns
       = (pending ? CHECK_INTERVAL_MS : IDLE_CHECK_INTERVAL_MS) * KCP_NS_PER_MS;
-  bool competes;
-  int64_t until;
 
   if (pending && !rollout->pending)
     rollout->pending_since_ns = now;
   rollout->pending = pending;
-  competes = pending && !rollout->gateway->draining && may_compete (rollout, now);
-  switch (kcp_order_lease_step (&rollout->lease, competes, now, &until))
+  switch (next_lease_action (rollout, now))
     {
     case KCP_ORDER_LEASE_WAIT:
       break;
@@ -107,6 +106,19 @@
   kcp_loop_timer_set (loop, &rollout->check, now + wait_ns, check, rollout);
 }
 
+static enum kcp_order_lease_action
+next_lease_action (struct kcp_rollout *rollout, int64_t now_ns)
+{
+  bool draining = rollout->gateway->draining;
+  int64_t until;
+
+  if (!rollout->pending && !draining && kcp_mesh_is_leader (rollout->gateway->mesh))
+    return kcp_order_lease_watch (&rollout->lease, now_ns);
+  return kcp_order_lease_step (
+      &rollout->lease, rollout->pending && !draining && may_compete (rollout, now_ns),
+      now_ns, &until);
+}
+
 static bool
 may_compete (struct kcp_rollout *rollout, int64_t now_ns)
 {
--- a/src/policy/order_lease.c
+++ b/src/policy/order_lease.c
@@ -48,6 +48,7 @@
   *until_ns = now_ns + lease->times.read_interval_ns;
   if (!orders_needed)
     return KCP_ORDER_LEASE_WAIT;
+  lease->watched = false;
   if (kcp_order_lease_may_order (lease, now_ns)
       && (lease->call_pending || lease->valid_until_ns - now_ns > lease->times.renew_ns))
     {
@@ -83,6 +84,18 @@
   return KCP_ORDER_LEASE_WAIT;
 }
 
+/* Returns what the leader of a data center does while no orders are needed: it reads the
+   end of the log once, then it waits. Nobody renews the lease in that time, so a later
+   read would find the same record. */
+enum kcp_order_lease_action
+kcp_order_lease_watch (struct kcp_order_lease *lease, int64_t now_ns)
+{
+  if (lease->watched || lease->call_pending || now_ns < lease->wait_until_ns)
+    return KCP_ORDER_LEASE_WAIT;
+  lease->watched = true;
+  return KCP_ORDER_LEASE_READ;
+}
+
 /* Records that a read or an append was sent. */
 void
 kcp_order_lease_on_sent (struct kcp_order_lease *lease, int64_t now_ns)
@@ -142,6 +155,7 @@
 {
   lease->call_pending = false;
   lease->end_known = false;
+  lease->watched = false;
   lease->wait_until_ns = now_ns + retry_ns;
 }
 
@@ -153,6 +167,7 @@
 {
   lease->era = era;
   lease->end_known = false;
+  lease->watched = false;
   lease->end = 0;
   lease->holder[0] = '\0';
   lease->offset = 0;
--- a/src/policy/order_lease.h
+++ b/src/policy/order_lease.h
@@ -7,7 +7,9 @@
    the moment at which the append was sent. Another VM may append its own record only
    after a delay that begins when it reads the newest one. The delay is long enough for
    the lease of the previous holder to expire and for the minimum time between the orders
-   of two VMs to pass after the last order of that holder. The same delay begins when the
+   of two VMs to pass after the last order of that holder. The leader of a data center
+   therefore reads the newest record also when no orders are needed, so that the delay is
+   over once they are, if the holder is gone. The same delay begins when the
    log has lost records, one of which may be that of a holder. The offset of the record
    and the era of the log's offsets determine the fencing token. The decision log calls
    the records claims. */
@@ -41,9 +43,10 @@
 {
   char own[KCP_ORDER_LEASE_HOLDER_MAX]; /* name of this VM */
   struct kcp_order_lease_times times;
-  bool end_known;                          /* the end of the log has been read */
-  bool call_pending;                       /* an append or a read is in progress */
-  int64_t end;                             /* offset after the newest record */
+  bool end_known;    /* the end of the log has been read */
+  bool watched;      /* it has been since orders were last needed, or is being read */
+  bool call_pending; /* an append or a read is in progress */
+  int64_t end;       /* offset after the newest record */
   char holder[KCP_ORDER_LEASE_HOLDER_MAX]; /* holder of the newest record; empty: none */
   int64_t offset;                          /* offset of the newest record */
   int64_t seen_ns;                         /* when the newest record was first read */
@@ -68,6 +71,8 @@
 enum kcp_order_lease_action
 kcp_order_lease_step (struct kcp_order_lease *lease, bool orders_needed, int64_t now_ns,
                       int64_t *until_ns);
+enum kcp_order_lease_action
+kcp_order_lease_watch (struct kcp_order_lease *lease, int64_t now_ns);
 void kcp_order_lease_on_sent (struct kcp_order_lease *lease, int64_t now_ns);
 void kcp_order_lease_on_read (struct kcp_order_lease *lease, int64_t end,
                               const char *holder, int64_t offset, int64_t now_ns);
--- a/tests/unit/test_claim_explore.c
+++ b/tests/unit/test_claim_explore.c
@@ -81,6 +81,7 @@
   int64_t ticks;    /* end of the search */
   int64_t restarts; /* maximum number of restarts */
   int64_t trims;    /* maximum number of trims */
+  bool watches;     /* VMs read the log also when they need no orders */
   GHashTable *seen; /* hashes of models */
   uint64_t orders;
   const char *violation; /* NULL: none found */
@@ -226,6 +227,22 @@
   explore (search, &next);
 }
 
+/* A VM that needs no orders reads the end of the log. */
+static void
+try_watch (struct search *search, const struct model *model, int index)
+{
+  struct model next = *model;
+  struct model_vm *vm = &next.vms[index];
+
+  if (!search->watches || vm->call != CALL_NONE
+      || kcp_order_lease_watch (&vm->lease, next.now) != KCP_ORDER_LEASE_READ)
+    return;
+  vm->held_at_last_step = false;
+  kcp_order_lease_on_sent (&vm->lease, next.now);
+  vm->call = CALL_READ;
+  explore (search, &next);
+}
+
 /* The answer is lost; an append may still execute. */
 static void
 try_loss (struct search *search, const struct model *model, int index)
@@ -341,6 +358,7 @@
   for (int i = 0; i < VMS; i++)
     {
       try_step (search, model, i);
+      try_watch (search, model, i);
       try_call (search, model, i);
       try_loss (search, model, i);
       try_delayed_append (search, model, i);
@@ -351,12 +369,14 @@
 }
 
 static struct search
-run_search (enum mutation mutation, int64_t ticks, int64_t restarts, int64_t trims)
+run_search (enum mutation mutation, int64_t ticks, int64_t restarts, int64_t trims,
+            bool watches)
 {
   struct search search = { .mutation = mutation,
                            .ticks = ticks,
                            .restarts = restarts,
                            .trims = trims,
+                           .watches = watches,
                            .seen = g_hash_table_new (NULL, NULL) };
   struct model model;
 
@@ -377,11 +397,13 @@
 
 START_TEST (test_no_event_sequence_breaks_the_minimum_gap_between_orders_of_two_vms)
 {
-  struct search restart = run_search (MUTATION_NONE, 4, 1, 0);
-  struct search trim = run_search (MUTATION_NONE, 4, 0, 1);
+  struct search restart = run_search (MUTATION_NONE, 4, 1, 0, false);
+  struct search trim = run_search (MUTATION_NONE, 4, 0, 1, false);
+  struct search watch = run_search (MUTATION_NONE, 4, 0, 0, true);
 
   ck_assert_msg (restart.violation == NULL, "%s", restart.violation);
   ck_assert_msg (trim.violation == NULL, "%s", trim.violation);
+  ck_assert_msg (watch.violation == NULL, "%s", watch.violation);
 }
 END_TEST
 
@@ -390,7 +412,7 @@
   enum mutation mutation = (enum mutation)_i;
   bool needs_trim = mutation == MUTATION_TRIMMED_IS_FREE;
 
-  ck_assert_ptr_nonnull (run_search (mutation, 4, 0, needs_trim).violation);
+  ck_assert_ptr_nonnull (run_search (mutation, 4, 0, needs_trim, false).violation);
 }
 END_TEST
 
