Failing test: VMs out of touch each take the whole burst of retries

VMs that lose touch with each other, while callers and servers reach them, count their group only, and all groups together retry more than the operators allow (BUDGET): a service with few requests lives on the constant part.

The number by which a VM divides becomes a decision of policy/resend, as before so far. The model, 12 VMs in 1 to 12 groups, all servers refusing: 16 retries allowed; 24, 36 and 72 sent with 4, 6 and 12 groups. 3 of 33 fail.

--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -130,14 +130,14 @@
   return NULL;
 }
 
-/* Returns this VM's retry budget for a service. The burst is divided by the number of
-   live VMs. */
+/* Returns this VM's retry budget for a service. The burst is divided among the VMs. */
 struct kcp_resend_budget *
 kcp_gateway_retry_budget (struct kcp_gateway *gateway, const char *service)
 {
   const struct kcp_forward_settings *settings = gateway->settings;
   struct kcp_resend_budget *budget = g_hash_table_lookup (gateway->budgets, service);
-  double burst = settings->retry_burst * RETRY_BUDGET_SHARE / MAX (gateway->vms, 1u);
+  double burst
+      = settings->retry_burst * RETRY_BUDGET_SHARE / MAX (gateway->sharing_vms, 1u);
 
   if (budget == NULL)
     {
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -61,8 +61,8 @@
   bool draining; /* the load balancer is asked to send no connections */
   bool closing;  /* new requests are refused; the balancer sends none */
   unsigned open_requests;
-  size_t answer_bytes; /* memory of the answers of all open requests */
-  unsigned vms;        /* known to be alive, including this one */
+  size_t answer_bytes;  /* memory of the answers of all open requests */
+  unsigned sharing_vms; /* VMs among which bursts of retries are divided */
 };
 
 void kcp_gateway_init (struct kcp_gateway *gateway,
--- a/src/forward/mesh_gossip.c
+++ b/src/forward/mesh_gossip.c
@@ -6,6 +6,7 @@
 #include "base/counter.h"
 #include "base/decision_log.h"
 #include "forward/mesh_private.h"
+#include "policy/resend.h"
 
 #define GOSSIP_INTERVAL_MS 100
 /* A weights version is sent for this long after it was learned; by then the server's own
@@ -51,7 +52,8 @@
 
   kcp_mesh_expire_peers (mesh);
   log_leader_change (mesh);
-  mesh->gateway->vms = kcp_mesh_count (mesh);
+  mesh->gateway->sharing_vms
+      = kcp_resend_sharing_vms (kcp_mesh_count (mesh), 1 + mesh->peers->len);
   kcp_mesh_message_init (&message);
   build_message (mesh, &message);
   len = kcp_mesh_message_encode (&message, bytes, sizeof bytes);
--- a/src/policy/resend.c
+++ b/src/policy/resend.c
@@ -14,6 +14,15 @@
 static void advance_slots (struct kcp_resend_budget *budget, int64_t now_ns);
 static bool may_send_again (const struct kcp_resend_facts *facts);
 
+/* Returns by how many VMs the burst is divided. alive VMs are known to be alive, known
+   ones were within the last minute; both include this VM. */
+unsigned
+kcp_resend_sharing_vms (unsigned alive, unsigned known)
+{
+  (void)known;
+  return MAX (alive, 1u);
+}
+
 /* Initializes a budget in which no requests and no retries are counted. */
 void
 kcp_resend_budget_init (struct kcp_resend_budget *budget, double ratio, double burst,
--- a/src/policy/resend.h
+++ b/src/policy/resend.h
@@ -61,6 +61,7 @@
   unsigned retries[KCP_RESEND_SLOTS + 1];
 };
 
+unsigned kcp_resend_sharing_vms (unsigned alive, unsigned known);
 void kcp_resend_budget_init (struct kcp_resend_budget *budget, double ratio, double burst,
                              int64_t window_ns, int64_t now_ns);
 void kcp_resend_budget_add_request (struct kcp_resend_budget *budget, int64_t now_ns);
--- a/tests/unit/test_forward_policy.c
+++ b/tests/unit/test_forward_policy.c
@@ -274,6 +274,38 @@
 }
 END_TEST
 
+/* Load pattern: the VMs lose touch with each other, each with those of its group only,
+   and all servers refuse. A service with few requests lives on the constant part. */
+START_TEST (test_vms_out_of_touch_each_take_the_whole_burst)
+{
+  const double ratio = 0.1;
+  const double burst = 10;
+  const unsigned vms = 12;
+  const unsigned requests_per_vm = 5;
+  const unsigned groups[] = { 1, 2, 3, 4, 6, 12 };
+  unsigned group_vms = vms / groups[_i];
+  unsigned retries = 0;
+
+  for (unsigned vm = 0; vm < vms; vm++)
+    {
+      struct kcp_resend_budget budget;
+
+      kcp_resend_budget_init (&budget, ratio * 0.6,
+                              burst * 0.6 / kcp_resend_sharing_vms (group_vms, vms),
+                              MS (10000), 0);
+      for (unsigned i = 0; i < requests_per_vm; i++)
+        {
+          int64_t now = MS (10000) * i / requests_per_vm;
+
+          kcp_resend_budget_add_request (&budget, now);
+          for (int retry = 0; retry < 4; retry++)
+            retries += kcp_resend_budget_take (&budget, now);
+        }
+    }
+  ck_assert_uint_le (retries, (unsigned)(ratio * vms * requests_per_vm + burst));
+}
+END_TEST
+
 /* After a quiet period, a fifth of the servers refuses together, as when new weights are
    loaded. The budget must let all requests sent there in that second go to another
    server. */
@@ -776,6 +808,7 @@
   tcase_add_test (cases, test_retries_during_an_outage_stay_within_the_budget);
   tcase_add_test (cases, test_one_vm_of_a_data_center_competes_until_no_orders_are_seen);
   tcase_add_test (cases, test_no_order_is_sent_when_the_lease_is_about_to_expire);
+  tcase_add_loop_test (cases, test_vms_out_of_touch_each_take_the_whole_burst, 0, 6);
   tcase_add_test (cases, test_the_budget_of_a_quiet_period_covers_a_burst_of_retries);
   tcase_add_test (cases, test_no_window_holds_more_retries_than_allowed);
   tcase_add_test (cases, test_retry_after_is_spread_and_leaves_time_to_answer);
