VMs out of touch share the burst of retries with those they knew

Cause: each VM divided the constant part of the retry budget by the VMs that it knows to be alive. After a cut between VMs each group counts itself only, and the sum over the groups grows with their number.

A VM now divides it by at least half of the VMs that it has reached within the last minute. With up to half of the VMs dead nothing changes, and after a replacement of all VMs (old and new known for a minute) neither.

Ruled out: dividing by all VMs known, which would leave the survivors of a large failure with a fraction of their retries when they need them; a longer memory (VMs that were replaced would take shares).

--- a/src/policy/resend.c
+++ b/src/policy/resend.c
@@ -15,12 +15,13 @@
 static bool may_send_again (const struct kcp_resend_facts *facts);
 
 /* Returns by how many VMs the burst is divided. alive VMs are known to be alive, known
-   ones were within the last minute; both include this VM. */
+   ones were within the last minute; both include this VM. VMs that are out of touch may
+   still be sending retries of their own, so at least half of those known are counted: all
+   groups together then send at most twice what they would send in touch. */
 unsigned
 kcp_resend_sharing_vms (unsigned alive, unsigned known)
 {
-  (void)known;
-  return MAX (alive, 1u);
+  return MAX (MAX (alive, (known + 1) / 2), 1u);
 }
 
 /* Initializes a budget in which no requests and no retries are counted. */
