--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -115,6 +115,29 @@
   return replaced_ns;
 }
 
+/* Returns for how long replaced weights are used: not during the last third of the time
+   for which they may still start requests, since a request can wait at a server for
+   seconds before it starts. */
+int64_t
+kcp_gateway_old_weights_ns (const struct kcp_gateway *gateway)
+{
+  return gateway->settings->weights_replace_ms * KCP_NS_PER_MS * 2 / 3;
+}
+
+/* Returns the time until the weights that the newest version of the model replaces are no
+   longer used; negative if they are not, 0 if operators requested none. */
+int64_t
+kcp_gateway_old_weights_left_ns (const struct kcp_gateway *gateway, const char *model)
+{
+  const struct kcp_desired_weights *desired
+      = kcp_gateway_desired_weights (gateway, model);
+
+  if (desired == NULL)
+    return 0;
+  return desired->versions[0].not_before_ns + kcp_gateway_old_weights_ns (gateway)
+         - kcp_loop_now (gateway->loop);
+}
+
 /* Returns the desired weights of a model, or NULL if operators requested none. */
 const struct kcp_desired_weights *
 kcp_gateway_desired_weights (const struct kcp_gateway *gateway, const char *model)
--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -15,6 +15,8 @@
 #define LEASE_MARGIN_MS        500
 #define LEASE_READ_INTERVAL_MS 900
 #define ORDER_MIN_REMAINING_MS 500
+/* Time that an order takes, as long as none has been measured. */
+#define FIRST_ORDER_TIME_MS 1300
 
 static void check (void *user);
 static enum kcp_order_lease_action
@@ -26,6 +28,9 @@
 static bool
 is_outdated (const struct kcp_server *server, const struct kcp_desired_weights *desired);
 static void start_orders (struct kcp_rollout *rollout);
+static unsigned orders_limit (struct kcp_rollout *rollout, const char *model,
+                              const struct kcp_rollout_server *facts, size_t count,
+                              int64_t desired_version);
 static void
 collect_facts (struct kcp_rollout *rollout, const struct kcp_desired_weights *desired,
                struct kcp_rollout_server *out);
@@ -49,6 +54,7 @@
   rollout->store = store;
   rollout->orders = g_ptr_array_new_with_free_func (kcp_rollout_order_free);
   rollout->record = g_string_new (NULL);
+  rollout->order_ns = FIRST_ORDER_TIME_MS * KCP_NS_PER_MS;
   kcp_order_lease_init (&rollout->lease, gateway->settings->callers_listen, &times);
   store->watch_era (store->self, kcp_rollout_on_new_era, rollout);
   kcp_rollout_schedule_check (rollout);
@@ -191,20 +197,44 @@
       kcp_order_lease_may_order (&rollout->lease, kcp_loop_now (rollout->gateway->loop))
       && (desired = find_pending_weights (rollout)) != NULL)
     {
-      size_t eligible_servers = 0;
       int at;
 
       collect_facts (rollout, desired, facts);
-      for (guint i = 0; i < servers->len; i++)
-        eligible_servers += facts[i].eligible;
-      at = kcp_rollout_choose (facts, servers->len, desired->version,
-                               kcp_rollout_limit (eligible_servers));
+      at = kcp_rollout_choose (
+          facts, servers->len, desired->version,
+          orders_limit (rollout, desired->model, facts, servers->len, desired->version));
       if (at == KCP_ROLLOUT_NONE)
         return;
       kcp_rollout_start_order (rollout, g_ptr_array_index (servers, (guint)at), desired);
     }
 }
 
+/* Returns how many servers may load at the same time. */
+static unsigned
+orders_limit (struct kcp_rollout *rollout, const char *model,
+              const struct kcp_rollout_server *facts, size_t count,
+              int64_t desired_version)
+{
+  int64_t now = kcp_loop_now (rollout->gateway->loop);
+  struct kcp_rollout_pace pace
+      = { .order_ns = rollout->order_ns,
+          .left_ns = kcp_gateway_old_weights_left_ns (rollout->gateway, model) };
+  size_t eligible = 0;
+
+  for (size_t i = 0; i < count; i++)
+    {
+      eligible += facts[i].eligible;
+      pace.outdated += facts[i].eligible && facts[i].version < desired_version;
+    }
+  for (guint i = 0; i < rollout->orders->len; i++)
+    {
+      const struct kcp_rollout_order *order = g_ptr_array_index (rollout->orders, i);
+
+      pace.order_ns = MAX (pace.order_ns, now - order->sent_ns);
+    }
+  return kcp_rollout_paced_limit (eligible, &pace);
+}
+
 static void
 collect_facts (struct kcp_rollout *rollout, const struct kcp_desired_weights *desired,
                struct kcp_rollout_server *out)
--- a/src/forward/rollout_order.c
+++ b/src/forward/rollout_order.c
@@ -18,7 +18,8 @@
 #define REPORT_FAILURES_MAX   3u
 /* After this time an order without effect is abandoned, and the server can be sent a new
    one. */
-#define ORDER_ABANDON_MS 6000
+#define ORDER_ABANDON_MS  6000
+#define ORDER_TIME_WEIGHT 2 /* inverse weight of a new order in the average time */
 
 static void send_order (struct kcp_rollout_order *order);
 static void on_order_done (void *user, const struct kcp_http_result *result);
@@ -267,11 +268,11 @@
 end_order (struct kcp_rollout_order *order, const char *outcome)
 {
   struct kcp_rollout *rollout = order->rollout;
+  int64_t took_ns = kcp_loop_now (rollout->gateway->loop) - order->sent_ns;
 
   KCP_LOG ("order_ended", KCP_LOG_TEXT ("server", order->server->entry.id),
            KCP_LOG_INT ("version", order->version), KCP_LOG_TEXT ("outcome", outcome),
-           KCP_LOG_INT ("ms", (kcp_loop_now (rollout->gateway->loop) - order->sent_ns)
-                                  / KCP_NS_PER_MS));
+           KCP_LOG_INT ("ms", took_ns / KCP_NS_PER_MS));
   order->server->own_loading_until_ns = 0;
   order->server->loading_until_ns = 0;
   if (order->sent && kcp_server_version (order->server, order->model) < order->version)
--- a/src/forward/rollout_private.h
+++ b/src/forward/rollout_private.h
@@ -30,7 +30,8 @@
   struct kcp_loop_timer check;
   bool pending;             /* a server lacked desired weights at the last check */
   int64_t pending_since_ns; /* when pending became true */
-  GString *record;          /* record of the order lease that is being appended */
+  int64_t order_ns; /* time that orders take until the server has loaded, average */
+  GString *record;  /* record of the order lease that is being appended */
 };
 
 /* rollout_order.c */
--- a/src/policy/rollout.c
+++ b/src/policy/rollout.c
@@ -22,6 +22,15 @@
   return share > LOADING_MIN ? share : LOADING_MIN;
 }
 
+/* Returns how many of count servers may load at the same time so that the last one has
+   loaded in time. */
+unsigned
+kcp_rollout_paced_limit (size_t count, const struct kcp_rollout_pace *pace)
+{
+  (void)pace;
+  return kcp_rollout_limit (count);
+}
+
 /* Returns the index of the server that should load the desired version next, or
    KCP_ROLLOUT_NONE. */
 int
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -32,7 +32,16 @@
       failed_orders; /* earlier orders for the desired version without effect so far */
 };
 
+/* Progress of a rollout towards the time at which old weights may no longer be used. */
+struct kcp_rollout_pace
+{
+  unsigned outdated; /* servers that lack the desired version, those with an order too */
+  int64_t order_ns;  /* time from an order until the server has loaded */
+  int64_t left_ns;   /* until old weights may no longer be used; negative: since then */
+};
+
 unsigned kcp_rollout_limit (size_t count);
+unsigned kcp_rollout_paced_limit (size_t count, const struct kcp_rollout_pace *pace);
 int kcp_rollout_choose (const struct kcp_rollout_server *servers, size_t count,
                         int64_t desired_version, unsigned limit);
 
--- a/tests/unit/test_forward_policy.c
+++ b/tests/unit/test_forward_policy.c
@@ -565,6 +565,84 @@
 }
 END_TEST
 
+#define LONG_COMPLETE_MS   2600 /* until a slow server has completed its requests */
+#define SLOW_SERVERS       9
+#define OLD_WEIGHTS_MS     6700 /* from the naming until old weights are refused */
+#define TYPICAL_ORDER_MS   1300
+#define QUARTER_OF_SERVERS 2
+#define HALF_OF_SERVERS    5
+
+/* Load pattern: a burst of requests at slow servers. A server that has loaded too late
+   serves nothing in between. */
+START_TEST (test_old_weights_are_refused_before_slow_servers_have_loaded)
+{
+  struct kcp_rollout_server servers[SLOW_SERVERS];
+  struct busy_server busy[SLOW_SERVERS] = { 0 };
+  unsigned outdated = SLOW_SERVERS;
+  unsigned in_time = 0;
+  unsigned order_ms = TYPICAL_ORDER_MS;
+  unsigned step = 0;
+
+  for (unsigned i = 0; i < SLOW_SERVERS; i++)
+    servers[i] = (struct kcp_rollout_server){
+      .eligible = true, .version = 1, .data_center = i / 3, .in_flight = 30
+    };
+  while (outdated > 0 && ++step < 1000)
+    {
+      unsigned ordered = 0;
+      struct kcp_rollout_pace pace;
+      int at;
+
+      for (unsigned i = 0; i < SLOW_SERVERS; i++)
+        {
+          unsigned ms = steps_since (&busy[i], step) * STEP_MS;
+
+          if (!servers[i].loading)
+            continue;
+          order_ms = MAX (order_ms, ms);
+          if (ms >= LONG_COMPLETE_MS)
+            servers[i].in_flight = 0;
+          if (ms >= LONG_COMPLETE_MS + LOAD_MS)
+            {
+              servers[i].loading = false;
+              servers[i].version = 2;
+              servers[i].in_flight = 30;
+              outdated--;
+              in_time += step * STEP_MS <= OLD_WEIGHTS_MS;
+            }
+          ordered += servers[i].loading;
+        }
+      ck_assert_uint_le (ordered, HALF_OF_SERVERS);
+      pace = (struct kcp_rollout_pace){ .outdated = outdated,
+                                        .order_ns = MS (order_ms),
+                                        .left_ns
+                                        = MS (OLD_WEIGHTS_MS) - MS (step * STEP_MS) };
+      at = kcp_rollout_choose (servers, SLOW_SERVERS, 2,
+                               kcp_rollout_paced_limit (SLOW_SERVERS, &pace));
+      if (at == KCP_ROLLOUT_NONE)
+        continue;
+      servers[at].loading = true;
+      busy[at].ordered_at = step;
+    }
+  ck_assert_uint_ge (in_time, HALF_OF_SERVERS);
+  ck_assert_uint_le (step * STEP_MS, 10000);
+}
+END_TEST
+
+/* Servers that load fast enough are not ordered more at once. */
+START_TEST (test_servers_load_a_few_at_a_time_while_there_is_time)
+{
+  struct kcp_rollout_pace pace = { .outdated = SLOW_SERVERS,
+                                   .order_ns = MS (TYPICAL_ORDER_MS),
+                                   .left_ns = MS (OLD_WEIGHTS_MS) };
+
+  ck_assert_uint_eq (kcp_rollout_paced_limit (SLOW_SERVERS, &pace), QUARTER_OF_SERVERS);
+  pace.left_ns = -MS (1);
+  ck_assert_uint_eq (kcp_rollout_paced_limit (SLOW_SERVERS, &pace), HALF_OF_SERVERS);
+  ck_assert_uint_eq (kcp_rollout_paced_limit (2, &pace), 2);
+}
+END_TEST
+
 #define ORDER_MS 500 /* until an order without effect ends */
 
 /* Load pattern: each order seems lost, since the servers carry orders out late. */
@@ -824,6 +902,8 @@
   tcase_add_test (cases, test_the_server_with_the_oldest_weights_loads_first);
   tcase_add_test (cases, test_the_number_of_servers_that_load_at_once_is_limited);
   tcase_add_test (cases, test_last_server_of_a_busy_deployment_loads_too_late);
+  tcase_add_test (cases, test_old_weights_are_refused_before_slow_servers_have_loaded);
+  tcase_add_test (cases, test_servers_load_a_few_at_a_time_while_there_is_time);
   tcase_add_test (cases, test_server_waits_for_its_first_order_while_others_get_more);
   tcase_add_loop_test (cases, test_orders_of_two_vms_are_at_least_the_minimum_gap_apart,
                        0, 2);
