Order more servers at once where the last one would load too late

Cause: how many servers have an order at once depended on the number of servers alone. In a burst with slow servers an order takes 2 to 5 s, and two at a time for nine servers took 15 s; the operators' time for it is 10 s, and at 1.5 times that old weights at the end of traffic break VERSION.

The number is now at least what the servers that lack the version, the time that orders take (average, or the age of the oldest in progress) and the time that is left ask for, up to half of the servers.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -12,6 +12,9 @@
 /* The share of the tokens of uncached levels that is not counted as a cost of the
    preferred server. */
 #define DISCOUNT_SHARE(tokens) ((tokens)*2 / 3)
+/* Old weights are not used during the last third of the time for which they may still
+   start requests, since a request can wait at a server for seconds before it starts. */
+#define OLD_WEIGHTS_SHARE(ns) ((ns)*2 / 3)
 
 static void
 fill_candidate (struct kcp_gateway *gateway, struct kcp_choice *choice,
@@ -219,7 +222,7 @@
   if (since_ns == 0)
     return;
   candidate->weights = KCP_PLACE_WEIGHTS_OLD;
-  if (age_ns >= kcp_gateway_old_weights_ns (gateway) || age_ns + wait_ns >= replace_ns)
+  if (age_ns >= OLD_WEIGHTS_SHARE (replace_ns) || age_ns + wait_ns >= replace_ns)
     candidate->weights = KCP_PLACE_WEIGHTS_REFUSED;
 }
 
--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -115,26 +115,18 @@
   return replaced_ns;
 }
 
-/* Returns for how long replaced weights are used: not during the last third of the time
-   for which they may still start requests, since a request can wait at a server for
-   seconds before it starts. */
+/* Returns the time until the servers must have loaded the newest version of the model;
+   negative after that time, 0 if operators requested none. */
 int64_t
-kcp_gateway_old_weights_ns (const struct kcp_gateway *gateway)
-{
-  return gateway->settings->weights_replace_ms * KCP_NS_PER_MS * 2 / 3;
-}
-
-/* Returns the time until the weights that the newest version of the model replaces are no
-   longer used; negative if they are not, 0 if operators requested none. */
-int64_t
-kcp_gateway_old_weights_left_ns (const struct kcp_gateway *gateway, const char *model)
+kcp_gateway_replace_left_ns (const struct kcp_gateway *gateway, const char *model)
 {
   const struct kcp_desired_weights *desired
       = kcp_gateway_desired_weights (gateway, model);
 
   if (desired == NULL)
     return 0;
-  return desired->versions[0].not_before_ns + kcp_gateway_old_weights_ns (gateway)
+  return desired->versions[0].not_before_ns
+         + gateway->settings->weights_replace_ms * KCP_NS_PER_MS
          - kcp_loop_now (gateway->loop);
 }
 
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -74,9 +74,8 @@
                                       int64_t version, int64_t not_before_ns);
 int64_t kcp_desired_weights_replaced_ns (const struct kcp_desired_weights *desired,
                                          int64_t version);
-int64_t kcp_gateway_old_weights_ns (const struct kcp_gateway *gateway);
 int64_t
-kcp_gateway_old_weights_left_ns (const struct kcp_gateway *gateway, const char *model);
+kcp_gateway_replace_left_ns (const struct kcp_gateway *gateway, const char *model);
 const struct kcp_desired_weights *
 kcp_gateway_desired_weights (const struct kcp_gateway *gateway, const char *model);
 struct kcp_resend_budget *
--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -218,7 +218,7 @@
   int64_t now = kcp_loop_now (rollout->gateway->loop);
   struct kcp_rollout_pace pace
       = { .order_ns = rollout->order_ns,
-          .left_ns = kcp_gateway_old_weights_left_ns (rollout->gateway, model) };
+          .left_ns = kcp_gateway_replace_left_ns (rollout->gateway, model) };
   size_t eligible = 0;
 
   for (size_t i = 0; i < count; i++)
--- a/src/policy/rollout.c
+++ b/src/policy/rollout.c
@@ -23,12 +23,20 @@
 }
 
 /* Returns how many of count servers may load at the same time so that the last one has
-   loaded in time. */
+   loaded in time: as many as kcp_rollout_limit() says, and more if that is too slow, up
+   to half of them. */
 unsigned
 kcp_rollout_paced_limit (size_t count, const struct kcp_rollout_pace *pace)
 {
-  (void)pace;
-  return kcp_rollout_limit (count);
+  unsigned limit = kcp_rollout_limit (count);
+  unsigned max = (unsigned)((count + 1) / 2);
+  int64_t needed = max;
+
+  if (pace->left_ns > 0)
+    needed = (pace->outdated * pace->order_ns + pace->left_ns - 1) / pace->left_ns;
+  if (needed > max)
+    needed = max;
+  return needed > limit ? (unsigned)needed : limit;
 }
 
 /* Returns the index of the server that should load the desired version next, or
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -6,12 +6,13 @@
    same time, so that the others can serve the traffic and loads do not slow each other
    down. Under load a server needs longer to complete its requests than to load, so
    further servers may do that meanwhile; else the last one loads after the time for which
-   replaced weights may be used. Servers with the fewest orders without effect come first:
-   such an order may be carried out late, and each server should have had one before any
-   has a second. Among these, the ones with the oldest weights come first, so that none is
-   left out when versions are published faster than they are loaded, then the data center
-   with the fewest current servers, and within it the server with the fewest requests in
-   flight. */
+   replaced weights may be used. More may load at once, up to half, if the last one would
+   still be too late: a server whose weights are refused serves nothing until it loads.
+   Servers with the fewest orders without effect come first: such an order may be carried
+   out late, and each server should have had one before any has a second. Among these, the
+   ones with the oldest weights come first, so that none is left out when versions are
+   published faster than they are loaded, then the data center with the fewest current
+   servers, and within it the server with the fewest requests in flight. */
 #ifndef KCP_POLICY_ROLLOUT_H
 #define KCP_POLICY_ROLLOUT_H
 
@@ -32,12 +33,12 @@
       failed_orders; /* earlier orders for the desired version without effect so far */
 };
 
-/* Progress of a rollout towards the time at which old weights may no longer be used. */
+/* Progress of a rollout towards the time at which all servers must have loaded. */
 struct kcp_rollout_pace
 {
   unsigned outdated; /* servers that lack the desired version, those with an order too */
   int64_t order_ns;  /* time from an order until the server has loaded */
-  int64_t left_ns;   /* until old weights may no longer be used; negative: since then */
+  int64_t left_ns;   /* until they must have loaded; negative: since then */
 };
 
 unsigned kcp_rollout_limit (size_t count);
