Failing test: a VM goes without records after its store connections go silent

Callers could see a new key refused, and old routes or weights used, for more than the 5 s in which configurations have to be in force, though the store is fine: a middlebox drops the VM's connections to the store without notice.

The VM keeps a connection for each call that was in progress at the same time (four at its start). After the first call times out, the next ones take another idle connection, which is silent as well, and time out too.

fake_platform_silence_connections() makes the store's open connections silent: calls on them are neither carried out nor answered, and nothing is closed; new connections work. The kernel still acknowledges bytes, which the store's client does not look at.

--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -39,6 +39,7 @@
   struct MHD_Daemon *daemon;
   bool down;
   bool unresponsive; /* the store accepts calls and never answers them */
+  gint silenced;     /* number of times that the store's connections were silenced */
   unsigned era;      /* rises each time that the store comes back from a copy */
   bool stopping;
   struct topic topics[TOPICS];
@@ -72,6 +73,9 @@
 static enum MHD_Result on_store (void *user, struct MHD_Connection *connection,
                                  const char *url, const char *method, const char *version,
                                  const char *data, size_t *size, void **state);
+static void
+on_store_connection (void *user, struct MHD_Connection *connection, void **context,
+                     enum MHD_ConnectionNotificationCode code);
 static enum MHD_Result
 on_server (void *user, struct MHD_Connection *connection, const char *url,
            const char *method, const char *version, const char *data, size_t *size,
@@ -79,9 +83,11 @@
 static void on_completed (void *user, struct MHD_Connection *connection, void **state,
                           enum MHD_RequestTerminationCode code);
 
-/* Starts a daemon at a port, or at a free one if *port is 0, which it then sets. */
+/* Starts a daemon at a port, or at a free one if *port is 0, which it then sets. notify
+   may be NULL. */
 static struct MHD_Daemon *
-start_daemon (MHD_AccessHandlerCallback handler, void *user, int *port)
+start_daemon (MHD_AccessHandlerCallback handler, MHD_NotifyConnectionCallback notify,
+              void *user, int *port)
 {
   struct sockaddr_in address = { .sin_family = AF_INET,
                                  .sin_port = htons ((uint16_t)*port),
@@ -89,7 +95,8 @@
   struct MHD_Daemon *daemon = MHD_start_daemon (
       MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD | MHD_USE_ITC, 0,
       NULL, NULL, handler, user, MHD_OPTION_SOCK_ADDR, &address,
-      MHD_OPTION_NOTIFY_COMPLETED, on_completed, user, MHD_OPTION_END);
+      MHD_OPTION_NOTIFY_COMPLETED, on_completed, user, MHD_OPTION_NOTIFY_CONNECTION,
+      notify, user, MHD_OPTION_END);
 
   if (daemon == NULL)
     abort ();
@@ -117,7 +124,7 @@
     platform->topics[i] = (struct topic){ .name = names[i],
                                           .keyed = g_str_has_prefix (names[i], "keyed."),
                                           .records = g_ptr_array_new () };
-  platform->daemon = start_daemon (on_store, platform, &port);
+  platform->daemon = start_daemon (on_store, on_store_connection, platform, &port);
   platform->server_count = servers;
   for (unsigned i = 0; i < servers; i++)
     {
@@ -128,7 +135,7 @@
       server->version = 1;
       server->headers = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
       server->body = g_string_new (NULL);
-      server->daemon = start_daemon (on_server, server, &server->port);
+      server->daemon = start_daemon (on_server, NULL, server, &server->port);
       fake_platform_put_server (platform, i, "ready");
     }
   return platform;
@@ -200,6 +207,15 @@
   platform->unresponsive = unresponsive;
 }
 
+/* Makes the connections to the store that are open now silent: calls that are in progress
+   or arrive on them are neither carried out nor answered, and no connection is closed.
+   New connections work. */
+void
+fake_platform_silence_connections (struct fake_platform *platform)
+{
+  g_atomic_int_inc (&platform->silenced);
+}
+
 static void
 add_record (struct fake_platform *platform, unsigned topic, const char *key,
             const char *value)
@@ -263,7 +279,7 @@
   fake_platform_put_server_entry (platform, server->id, "");
   server->starts++;
   (void)g_snprintf (server->id, sizeof server->id, "i-%u.%u", index, server->starts);
-  server->daemon = start_daemon (on_server, server, &server->port);
+  server->daemon = start_daemon (on_server, NULL, server, &server->port);
   server->crashing = false;
   fake_platform_put_server (platform, index, "ready");
   return NULL;
@@ -579,6 +595,27 @@
   return name != NULL ? find_topic (platform, name) : NULL;
 }
 
+static void
+on_store_connection (void *user, struct MHD_Connection *connection, void **context,
+                     enum MHD_ConnectionNotificationCode code)
+{
+  const struct fake_platform *platform = user;
+
+  (void)connection;
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
+    *context = GINT_TO_POINTER (g_atomic_int_get (&platform->silenced));
+}
+
+/* Returns true if the connection was open when the store's connections were silenced. */
+static bool
+is_silent (const struct fake_platform *platform, struct MHD_Connection *connection)
+{
+  const union MHD_ConnectionInfo *info
+      = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT);
+
+  return GPOINTER_TO_INT (info->socket_context) != g_atomic_int_get (&platform->silenced);
+}
+
 /* Blocks a call for longer than any caller waits and then closes its connection. */
 static enum MHD_Result
 block_call (const struct fake_platform *platform)
@@ -639,7 +676,7 @@
     {
       g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
       remaining_ms -= POLL_MS;
-      if (platform->unresponsive)
+      if (platform->unresponsive || is_silent (platform, connection))
         return block_call (platform);
       if (platform->down)
         return send_store_answer (platform, connection, 503, "", 0);
@@ -707,6 +744,8 @@
   (void)version;
   if (!receive_body (state, data, size))
     return MHD_YES;
+  if (is_silent (platform, connection))
+    return block_call (platform);
   if (platform->down || topic == NULL)
     return send_store_answer (platform, connection, 503, "", 0);
   if (platform->unresponsive)
--- a/tests/harness/route_vm.c
+++ b/tests/harness/route_vm.c
@@ -16,6 +16,7 @@
 #include "tests/harness/free_port.h"
 
 #define DEFAULT_REPLACE_MS 10000
+#define DEFAULT_POLL_MS    100
 
 static char *write_settings (void);
 static void prepare (void);
@@ -90,11 +91,12 @@
       "[vm]\nid = vm1\ndata_center = %s\n[callers]\nlisten = 127.0.0.1:%d\n"
       "[ready]\nlisten = 127.0.0.1:%d\n[metrics]\nlisten = 127.0.0.1:%d\n"
       "[peers]\nlisten = 127.0.0.1:%d\n[store]\naddress = 127.0.0.1:%d\n"
-      "poll_ms = 100\n[drain]\ngrace_s = 4\nnotice_ms = 700\n"
+      "poll_ms = %d\n[drain]\ngrace_s = 4\nnotice_ms = 700\n"
       "[weights]\nreplace_ms = %d\n",
       route_vm.data_center != NULL ? route_vm.data_center : "z", route_vm.port,
       route_vm.ready_port, route_vm.metrics_port, route_vm.peers_port,
       fake_platform_port (route_vm.platform),
+      route_vm.poll_ms != 0 ? route_vm.poll_ms : DEFAULT_POLL_MS,
       route_vm.replace_ms != 0 ? route_vm.replace_ms : DEFAULT_REPLACE_MS);
 
   ck_assert (g_file_set_contents (path, text, -1, NULL));
@@ -136,7 +138,8 @@
   g_autofree char *config = g_strdup_printf (route_vm_config_format, 3, "key1");
 
   route_vm = (struct route_vm){ .platform = fake_platform_start (servers),
-                                .replace_ms = route_vm.replace_ms };
+                                .replace_ms = route_vm.replace_ms,
+                                .poll_ms = route_vm.poll_ms };
   fake_platform_put_record (route_vm.platform, "config", config);
   prepare ();
   route_vm_start ();
@@ -166,7 +169,8 @@
 
   route_vm = (struct route_vm){ .platform = first.platform,
                                 .data_center = data_center,
-                                .replace_ms = first.replace_ms };
+                                .replace_ms = first.replace_ms,
+                                .poll_ms = first.poll_ms };
   prepare ();
   route_vm_start ();
   route_vm_wait_ready ();
--- a/tests/harness/route_vm.h
+++ b/tests/harness/route_vm.h
@@ -17,6 +17,7 @@
   char *folder;            /* contains its settings and its log, out.log */
   const char *data_center; /* NULL: "z", that of the servers */
   int replace_ms;          /* how long replaced weights may be used; 0: the default */
+  int poll_ms;             /* interval of reads of the servers' list; 0: 100 */
   int port;
   int ready_port;
   int metrics_port;
