Reuse no store connection that has been idle since before a timeout

Callers could see a new key refused, and old routes or weights used, for up to 5.5 s after a middlebox dropped all of a VM's store connections without notice, though the store was fine; configurations have to be in force within 5 s.

Cause: a VM keeps a connection for each call that was in progress at the same time, and libcurl sees nothing wrong with a silent one. After the first timeout (2.3 s for the operators' records) the next call took a second silent connection.

Now a timed-out call makes the next calls take new connections for 2 s, and later only such as have been idle for less time than has passed since the timeout (whole seconds, less one). So none that was idle at the timeout is tried, and new ones are reused as before. The line store_new_connections says why. The time is the monotonic one, by which libcurl counts idle time.

Two cases added: the line is logged; connections are reused again (no new one in 4 s, from 2.5 s after the key is known).

--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -172,8 +172,9 @@
   vm->callers = kcp_caller_server_open (gateway, settings->callers_listen, &error);
   if (vm->callers == NULL)
     goto fail;
-  vm->store = kcp_platform_store_new (gateway->client, settings->store_address,
-                                      settings->store_timeout_ms);
+  vm->store
+      = kcp_platform_store_new (gateway->client, gateway->clock, settings->store_address,
+                                settings->store_timeout_ms);
   vm->mesh = kcp_mesh_start (gateway, kcp_platform_store_interface (vm->store), &error);
   if (vm->mesh == NULL)
     goto fail;
--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -40,6 +40,7 @@
   bool down;
   bool unresponsive; /* the store accepts calls and never answers them */
   gint silenced;     /* number of times that the store's connections were silenced */
+  gint connections;  /* number of connections that the store accepted */
   unsigned era;      /* rises each time that the store comes back from a copy */
   bool stopping;
   struct topic topics[TOPICS];
@@ -207,6 +208,13 @@
   platform->unresponsive = unresponsive;
 }
 
+/* Returns the number of connections that the store has accepted so far. */
+int
+fake_platform_connection_count (const struct fake_platform *platform)
+{
+  return g_atomic_int_get (&platform->connections);
+}
+
 /* Makes the connections to the store that are open now silent: calls that are in progress
    or arrive on them are neither carried out nor answered, and no connection is closed.
    New connections work. */
@@ -599,11 +607,13 @@
 on_store_connection (void *user, struct MHD_Connection *connection, void **context,
                      enum MHD_ConnectionNotificationCode code)
 {
-  const struct fake_platform *platform = user;
+  struct fake_platform *platform = user;
 
   (void)connection;
-  if (code == MHD_CONNECTION_NOTIFY_STARTED)
-    *context = GINT_TO_POINTER (g_atomic_int_get (&platform->silenced));
+  if (code != MHD_CONNECTION_NOTIFY_STARTED)
+    return;
+  *context = GINT_TO_POINTER (g_atomic_int_get (&platform->silenced));
+  g_atomic_int_inc (&platform->connections);
 }
 
 /* Returns true if the connection was open when the store's connections were silenced. */
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -63,6 +63,7 @@
 struct fake_server *fake_platform_server (struct fake_platform *platform, unsigned index);
 void fake_platform_set_down (struct fake_platform *platform, bool down);
 void fake_platform_set_unresponsive (struct fake_platform *platform, bool unresponsive);
+int fake_platform_connection_count (const struct fake_platform *platform);
 void fake_platform_silence_connections (struct fake_platform *platform);
 void fake_platform_put_record (struct fake_platform *platform, const char *key,
                                const char *value);
--- a/tests/process/test_silent_store.c
+++ b/tests/process/test_silent_store.c
@@ -3,7 +3,7 @@
    New connections work. The VM has several: one for each call that was in progress at the
    same time. */
 #include <check.h>
-#include <stdlib.h>
+#include <string.h>
 
 #include "tests/harness/route_vm.h"
 #include "tests/harness/run_suite.h"
@@ -24,6 +24,8 @@
 #define BEFORE_MS     50   /* from the silence until the record is written */
 #define SOON_MS       50   /* within a read, shortly after it began */
 #define LATE_MS       1300 /* within a read, shortly before it is answered */
+#define SETTLE_MS     2500 /* from known records until connections are reused again */
+#define REUSE_MS      4000
 #define NEW_KEY       "key2"
 #define OPERATORS     "keyed.op"
 #define SERVERS_TOPIC "keyed.servers"
@@ -123,6 +125,35 @@
 }
 END_TEST
 
+START_TEST (test_new_connections_are_logged_with_the_reason)
+{
+  g_autofree char *path = g_build_filename (route_vm.folder, "out.log", NULL);
+  g_autofree char *log = NULL;
+  const char *line;
+
+  silence_within_read (LATE_MS);
+  check_new_key ();
+  ck_assert (g_file_get_contents (path, &log, NULL, NULL));
+  line = strstr (log, "\"event\":\"store_new_connections\"");
+  ck_assert_ptr_nonnull (line);
+  ck_assert_ptr_nonnull (strstr (line, "\"why\":\"timed_out\""));
+}
+END_TEST
+
+/* Guards against a VM that burdens the store with a connection for each call. */
+START_TEST (test_connections_are_not_reused_after_silent_ones)
+{
+  int connections;
+
+  silence_within_read (SOON_MS);
+  check_new_key ();
+  g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+  connections = fake_platform_connection_count (route_vm.platform);
+  g_usleep (REUSE_MS * G_TIME_SPAN_MILLISECOND);
+  ck_assert_int_eq (fake_platform_connection_count (route_vm.platform), connections);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -134,6 +165,8 @@
   tcase_add_test (cases, test_new_key_is_late_if_connections_go_silent_early_in_a_read);
   tcase_add_test (cases, test_new_key_is_late_if_connections_go_silent_late_in_a_read);
   tcase_add_test (cases, test_servers_list_is_read_late_after_connections_go_silent);
+  tcase_add_test (cases, test_new_connections_are_logged_with_the_reason);
+  tcase_add_test (cases, test_connections_are_not_reused_after_silent_ones);
   suite_add_tcase (suite, cases);
   return run_suite (suite);
 }
