Failing test: a write to the log that blocks stops all requests of the VM

Callers of a VM whose log takes a write without completing it get no answer, or a late one, whatever their servers say: 'never blocking' in docs/OPERATIONS.md holds for pipes only. Found on the trace of test_route's failures under load; that it was their cause is not shown.

--- a/tests/harness/route_vm.c
+++ b/tests/harness/route_vm.c
@@ -125,7 +125,8 @@
   if (route_vm.pid == 0)
     {
       (void)prctl (PR_SET_PDEATHSIG, SIGKILL);
-      if (freopen (log, "w", stdout) == NULL)
+      if (freopen (route_vm.log_path != NULL ? route_vm.log_path : log, "w", stdout)
+          == NULL)
         _exit (126);
       (void)execl (program, program, "route", "--settings", path, (char *)NULL);
       _exit (127);
@@ -148,7 +149,8 @@
 
   route_vm = (struct route_vm){ .platform = fake_platform_start (servers),
                                 .replace_ms = route_vm.replace_ms,
-                                .poll_ms = route_vm.poll_ms };
+                                .poll_ms = route_vm.poll_ms,
+                                .log_path = route_vm.log_path };
   fake_platform_put_record (route_vm.platform, "config", config);
   prepare ();
   route_vm_start ();
