A log on a terminal that nobody reads no longer stops the requests

What callers saw (test_blocked_log): no request of the VM is answered once its log's terminal is full: request 24 and 17 of 200 here, 25 and 18 where it was found.

Cause: the event loop writes up to PIPE_BUF bytes after a poll. A pipe that polls as writable takes them at once, a terminal does so with room for one byte, and the write then waits for a reader.

The log opens the terminal again for itself, non-blocking; the flag must not be set on the descriptor that it was given, which other processes may share. Lines that do not fit stay in the bounded buffer, then are dropped and counted, as on a pipe.

--- a/src/base/decision_log.c
+++ b/src/base/decision_log.c
@@ -1,6 +1,7 @@
 #include "base/decision_log.h"
 
 #include <errno.h>
+#include <fcntl.h>
 #include <glib.h>
 #include <limits.h>
 #include <poll.h>
@@ -28,6 +29,7 @@
 
 static struct log_state state = { .fd = -1 };
 
+static int open_without_blocking (int fd);
 static size_t complete_lines_len (const GString *text);
 static bool is_within_limits (void);
 static void report_dropped (void);
@@ -36,13 +38,14 @@
 static void append_json_string (struct kcp_str text);
 
 /* Starts the log on file descriptor fd and resets its counters. clock must stay valid
-   while the log is in use. Until this function is called, events are discarded. */
+   while the log is in use. Until this function is called, events are discarded. The
+   process keeps the file descriptor that the log uses until it ends. */
 void
 kcp_decision_log_init (const struct kcp_clock *clock, const char *vm,
                        const char *data_center, int fd)
 {
   state.clock = clock;
-  state.fd = fd;
+  state.fd = isatty (fd) ? open_without_blocking (fd) : fd;
   if (state.pending == NULL)
     state.pending = g_string_sized_new (LINE_ESTIMATE_BYTES);
   g_string_truncate (state.pending, 0);
@@ -77,7 +80,8 @@
 }
 
 /* Writes buffered lines if the file descriptor is writable, at most PIPE_BUF bytes, and
-   keeps the rest for the next call. Never blocks. */
+   keeps the rest for the next call. Does not block on a pipe that this process alone
+   writes to, nor on a terminal; a write to a file lasts as long as its storage takes. */
 void
 kcp_decision_log_flush (void)
 {
@@ -102,6 +106,22 @@
   return state.dropped;
 }
 
+/* Returns a file descriptor of its own for the terminal at fd, whose writes do not block:
+   a terminal polls as writable with room for one byte, and a longer write then waits
+   until somebody reads. fd itself is left as it is, since other processes may share it.
+   Returns fd if the terminal cannot be opened again; the log then may block. */
+static int
+open_without_blocking (int fd)
+{
+  g_autofree char *path = g_strdup_printf ("/proc/self/fd/%d", fd);
+  int own = open (path, O_WRONLY | O_NONBLOCK | O_NOCTTY | O_CLOEXEC);
+
+  if (own < 0)
+    (void)fprintf (stderr, "kingcuppoint: the log may block, no second %s: %s\n", path,
+                   g_strerror (errno));
+  return own >= 0 ? own : fd;
+}
+
 /* Returns the length in bytes of the complete lines that fit into one write, or PIPE_BUF
    if the first line is longer. A pipe that polls as writable accepts PIPE_BUF bytes
    without blocking, and writes them atomically. */
