--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -28,9 +28,9 @@
 static bool
 is_outdated (const struct kcp_server *server, const struct kcp_desired_weights *desired);
 static void start_orders (struct kcp_rollout *rollout);
-static unsigned orders_limit (struct kcp_rollout *rollout, const char *model,
-                              const struct kcp_rollout_server *facts, size_t count,
-                              int64_t desired_version);
+static unsigned orders_limit (const struct kcp_rollout *rollout,
+                              const struct kcp_desired_weights *desired,
+                              const struct kcp_rollout_server *facts, size_t count);
 static void
 collect_facts (struct kcp_rollout *rollout, const struct kcp_desired_weights *desired,
                struct kcp_rollout_server *out);
@@ -200,9 +200,8 @@
       int at;
 
       collect_facts (rollout, desired, facts);
-      at = kcp_rollout_choose (
-          facts, servers->len, desired->version,
-          orders_limit (rollout, desired->model, facts, servers->len, desired->version));
+      at = kcp_rollout_choose (facts, servers->len, desired->version,
+                               orders_limit (rollout, desired, facts, servers->len));
       if (at == KCP_ROLLOUT_NONE)
         return;
       kcp_rollout_start_order (rollout, g_ptr_array_index (servers, (guint)at), desired);
@@ -211,20 +210,20 @@
 
 /* Returns how many servers may load at the same time. */
 static unsigned
-orders_limit (struct kcp_rollout *rollout, const char *model,
-              const struct kcp_rollout_server *facts, size_t count,
-              int64_t desired_version)
+orders_limit (const struct kcp_rollout *rollout,
+              const struct kcp_desired_weights *desired,
+              const struct kcp_rollout_server *facts, size_t count)
 {
   int64_t now = kcp_loop_now (rollout->gateway->loop);
   struct kcp_rollout_pace pace
       = { .order_ns = rollout->order_ns,
-          .left_ns = kcp_gateway_replace_left_ns (rollout->gateway, model) };
+          .left_ns = kcp_gateway_replace_left_ns (rollout->gateway, desired->model) };
   size_t eligible = 0;
 
   for (size_t i = 0; i < count; i++)
     {
       eligible += facts[i].eligible;
-      pace.outdated += facts[i].eligible && facts[i].version < desired_version;
+      pace.outdated += facts[i].eligible && facts[i].version < desired->version;
     }
   for (guint i = 0; i < rollout->orders->len; i++)
     {
