--- a/src/forward/rollout_order.c
+++ b/src/forward/rollout_order.c
@@ -101,6 +101,8 @@
       KCP_LOG_TEXT ("model", order->model), KCP_LOG_INT ("version", order->version),
       KCP_LOG_INT ("orders_taken", content.orders_taken),
       KCP_LOG_INT ("failed_before", kcp_server_failed_orders (server, order->version)),
+      KCP_LOG_INT ("left_ms",
+                   kcp_gateway_replace_left_ns (gateway, order->model) / KCP_NS_PER_MS),
       KCP_LOG_INT ("fence", content.fence),
       KCP_LOG_INT ("right_left_ms",
                    (rollout->lease.valid_until_ns - order->sent_ns) / KCP_NS_PER_MS));
--- a/src/policy/rollout.h
+++ b/src/policy/rollout.h
@@ -24,13 +24,12 @@
 
 struct kcp_rollout_server
 {
-  bool eligible;        /* ready, serves the model, and may receive orders */
-  int64_t version;      /* version of its weights */
-  bool loading;         /* an order is in progress there, or its outcome is unknown */
-  unsigned data_center; /* index of its data center */
-  unsigned in_flight;   /* requests in flight at the server */
-  unsigned
-      failed_orders; /* earlier orders for the desired version without effect so far */
+  bool eligible;          /* ready, serves the model, and may receive orders */
+  int64_t version;        /* version of its weights */
+  bool loading;           /* an order is in progress there, or its outcome is unknown */
+  unsigned data_center;   /* index of its data center */
+  unsigned in_flight;     /* requests in flight at the server */
+  unsigned failed_orders; /* orders for the desired version without effect so far */
 };
 
 /* Progress of a rollout towards the time at which all servers must have loaded. */
