--- a/tests/harness/route_vm.c
+++ b/tests/harness/route_vm.c
@@ -175,17 +175,31 @@
    ready. */
 void
 route_vm_add (struct route_vm *vm, const char *data_center)
+{
+  route_vm_add_many (vm, 1, data_center);
+}
+
+/* As route_vm_add(), for count VMs that start together. */
+void
+route_vm_add_many (struct route_vm *vms, unsigned count, const char *data_center)
 {
   struct route_vm first = route_vm;
 
-  route_vm = (struct route_vm){ .platform = first.platform,
-                                .data_center = data_center,
-                                .replace_ms = first.replace_ms,
-                                .poll_ms = first.poll_ms };
-  prepare ();
-  route_vm_start ();
-  route_vm_wait_ready ();
-  *vm = route_vm;
+  for (unsigned i = 0; i < count; i++)
+    {
+      route_vm = (struct route_vm){ .platform = first.platform,
+                                    .data_center = data_center,
+                                    .replace_ms = first.replace_ms,
+                                    .poll_ms = first.poll_ms };
+      prepare ();
+      route_vm_start ();
+      vms[i] = route_vm;
+    }
+  for (unsigned i = 0; i < count; i++)
+    {
+      route_vm = vms[i];
+      route_vm_wait_ready ();
+    }
   route_vm = first;
 }
 
--- a/tests/harness/route_vm.h
+++ b/tests/harness/route_vm.h
@@ -36,6 +36,7 @@
 void route_vm_start (void);
 void route_vm_start_from (const char *path);
 void route_vm_add (struct route_vm *vm, const char *data_center);
+void route_vm_add_many (struct route_vm *vms, unsigned count, const char *data_center);
 void route_vm_kill (struct route_vm *vm);
 void route_vm_restart (struct route_vm *vm);
 void route_vm_remove (struct route_vm *vm);
