Log the share of a server's limit with each request that is sent

The log had each change of a limit, but not the share with which a VM sends, so old needs, disagreement about live VMs and too many first requests looked the same. sent names limit_share.

--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -74,6 +74,10 @@
       KCP_LOG_INT ("usable", forward->choice.usable),
       KCP_LOG_INT ("cost_us", forward->choice.cost_us),
       KCP_LOG_INT ("open_there", server->in_flight),
+      KCP_LOG_INT ("limit_share",
+                   kcp_server_limit_is_in_force (&server->limit, attempt->sent_ns)
+                       ? (int64_t)(server->limit.share * KCP_SERVER_LIMIT_SCALE)
+                       : -1),
       KCP_LOG_INT ("uncached", forward->choice.uncached_tokens),
       KCP_LOG_INT ("prompt", forward->inbound->prompt_tokens),
       KCP_LOG_TEXT ("cache_space", forward->choice.cache_space),
