Divide limits by needs that all users have acknowledged

What callers saw: a server that had named a limit got far more requests than that from 59 VMs, and so stayed in need.

Cause: a VM divided a limit by its own needs of now and what it had last heard of the others' needs; of 59 VMs a pair hears of each other every 7 s or more. While needs grow, each VM found itself needier than the others.

Change: a VM states its needs to the other users of a limit until they have acknowledged them, and counts for itself the least that any of them may still assume. The shares cannot add up to more than the limit, however late or lost messages are. VMs out of touch stay among the users, so that groups that are cut off from each other have the same ones. 3 + limit VMs are users (3 + 2 x limit before), each with up to two requests ready: the same greatest burst with fewer messages.

--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -31,6 +31,7 @@
 static bool handle_suspects (struct kcp_mesh *mesh, enum kcp_suspect_kind kind,
                              char *bytes, size_t len);
 static bool handle_notices (struct kcp_mesh *mesh, char *bytes, size_t len);
+static bool handle_needs (struct kcp_mesh *mesh, char *bytes, size_t len);
 static void apply_gossip (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static void apply_row (struct kcp_mesh *mesh, const struct kcp_mesh_row *row);
 static void add_row_load (struct kcp_mesh *mesh, const struct kcp_mesh_row *row);
@@ -236,6 +237,9 @@
         case KCP_MESH_NOTICES:
           valid = handle_notices (mesh, bytes, (size_t)len);
           break;
+        case KCP_MESH_NEEDS:
+          valid = handle_needs (mesh, bytes, (size_t)len);
+          break;
         case KCP_MESH_INVALID:
           break;
         }
@@ -316,6 +320,20 @@
   return valid;
 }
 
+static bool
+handle_needs (struct kcp_mesh *mesh, char *bytes, size_t len)
+{
+  struct kcp_mesh_needs needs;
+  bool valid;
+
+  kcp_mesh_needs_init (&needs);
+  valid = kcp_mesh_needs_decode (&needs, bytes, len);
+  if (valid)
+    kcp_mesh_apply_needs (mesh, &needs);
+  kcp_mesh_needs_clear (&needs);
+  return valid;
+}
+
 /* Stores the state from a gossip message unless a newer one of its sender is known. */
 static void
 apply_gossip (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
@@ -331,7 +349,10 @@
       || (message->start_ms == peer->start_ms && message->sequence <= peer->sequence))
     return;
   if (peer->start_ms != message->start_ms)
-    peer->update_sequence = 0;
+    {
+      peer->update_sequence = 0;
+      g_clear_pointer (&peer->needs, g_hash_table_unref);
+    }
   peer->start_ms = message->start_ms;
   peer->sequence = message->sequence;
   record_interval (peer, kcp_loop_now (mesh->gateway->loop));
--- a/src/forward/mesh.h
+++ b/src/forward/mesh.h
@@ -28,8 +28,8 @@
 void kcp_mesh_announce_suspect (struct kcp_mesh *mesh, struct kcp_suspect suspect);
 void kcp_mesh_announce_notice (struct kcp_mesh *mesh, const struct kcp_server *server,
                                enum kcp_notice_kind kind);
-double kcp_mesh_divide_limit (const struct kcp_mesh *mesh,
-                              const struct kcp_server *server, unsigned own_needs);
+double kcp_mesh_divide_limit (struct kcp_mesh *mesh, struct kcp_server *server,
+                              unsigned needs, int64_t now_ns);
 void kcp_mesh_announce_loaded (struct kcp_mesh *mesh, const struct kcp_server *server);
 void kcp_mesh_set_records_handler (struct kcp_mesh *mesh,
                                    kcp_mesh_records_handler *handler, void *user);
--- a/src/forward/mesh_message.h
+++ b/src/forward/mesh_message.h
@@ -4,7 +4,8 @@
    message holds only changes; if it is lost, the next gossip messages make up for it. A
    records message relays what one VM has read of the servers' list. A suspects message
    tells which requests, or which parts of prompts, were in flight at servers that
-   crashed, and a notices message what servers say of the requests that they take. */
+   crashed, and a notices message what servers say of the requests that they take. A needs
+   message tells one user of a limit the needs of another. */
 #ifndef KCP_FORWARD_MESH_MESSAGE_H
 #define KCP_FORWARD_MESH_MESSAGE_H
 
@@ -14,6 +15,7 @@
 
 #include "base/str.h"
 #include "forward/server_notices.h"
+#include "policy/limit_needs.h"
 #include "policy/quarantine.h"
 #include "policy/suspect.h"
 
@@ -24,6 +26,7 @@
 #define KCP_MESH_RECORDS_MAX  64u
 #define KCP_MESH_SUSPECTS_MAX 64u /* facts in a suspects message */
 #define KCP_MESH_NOTICES_MAX  64u /* notices in a notices message */
+#define KCP_MESH_NEEDS_MAX    64u /* servers in a needs message */
 /* Incarnations that the fact of a request names. */
 #define KCP_MESH_REQUEST_CRASHES_MAX 3u
 
@@ -35,7 +38,8 @@
   KCP_MESH_RECORDS,       /* struct kcp_mesh_records */
   KCP_MESH_SUSPECTS,      /* struct kcp_mesh_suspects, of requests */
   KCP_MESH_PART_SUSPECTS, /* struct kcp_mesh_suspects, of parts of prompts */
-  KCP_MESH_NOTICES        /* struct kcp_mesh_notices */
+  KCP_MESH_NOTICES,       /* struct kcp_mesh_notices */
+  KCP_MESH_NEEDS          /* struct kcp_mesh_needs */
 };
 
 /* The state of one server as seen by the sending VM. */
@@ -119,6 +123,22 @@
   GArray *notices; /* struct kcp_server_notice */
 };
 
+/* The needs for one server. */
+struct kcp_mesh_needs_row
+{
+  uint64_t server; /* see kcp_server_key() */
+  struct kcp_needs_message message;
+};
+
+/* The needs of one VM, for one other VM. */
+struct kcp_mesh_needs
+{
+  char vm[64];                /* IP:PORT of the VM's own socket */
+  uint64_t start_ms;          /* start time of the VM's process */
+  uint64_t receiver_start_ms; /* of the process for which the message is */
+  GArray *rows;               /* struct kcp_mesh_needs_row */
+};
+
 enum kcp_mesh_procedure kcp_mesh_procedure_of (char *data, size_t len);
 void kcp_mesh_update_init (struct kcp_mesh_update *update);
 void kcp_mesh_update_clear (struct kcp_mesh_update *update);
@@ -142,6 +162,11 @@
 size_t kcp_mesh_notices_encode (struct kcp_mesh_notices *notices, char *out, size_t max);
 bool kcp_mesh_notices_decode (struct kcp_mesh_notices *notices, char *data, size_t len);
 
+void kcp_mesh_needs_init (struct kcp_mesh_needs *needs);
+void kcp_mesh_needs_clear (struct kcp_mesh_needs *needs);
+size_t kcp_mesh_needs_encode (struct kcp_mesh_needs *needs, char *out, size_t max);
+bool kcp_mesh_needs_decode (struct kcp_mesh_needs *needs, char *data, size_t len);
+
 void kcp_mesh_message_init (struct kcp_mesh_message *message);
 void kcp_mesh_message_clear (struct kcp_mesh_message *message);
 struct kcp_mesh_row *kcp_mesh_message_add_row (struct kcp_mesh_message *message);
--- a/src/forward/mesh_notices.c
+++ b/src/forward/mesh_notices.c
@@ -1,9 +1,7 @@
 /* Notices messages: what servers say of the requests that they take. A change is sent to
    all live VMs without waiting for a gossip round. What holds is repeated to some VMs at
-   a time, so that a VM that started, was cut off or lost a message learns of it, and so
-   that VMs know each other's needs. When no server says anything, nothing is sent. */
-#include <xxhash.h>
-
+   a time, so that a VM that started, was cut off or lost a message learns of it. When no
+   server says anything, nothing is sent. */
 #include "forward/mesh_private.h"
 
 #define FLUSH_DELAY_MS 2 /* changes within this time are sent in one message */
@@ -13,19 +11,16 @@
 #define BUDGET_MAX_BYTES   32000
 #define REPEAT_INTERVAL_MS 250
 #define REPEAT_VMS         2u
-#define NEEDS_MAX          512u /* servers for which the needs of one VM are kept */
 
 static void flush (void *user);
 static void
 send_notices (struct kcp_mesh *mesh, struct kcp_mesh_notices *message, guint max_vms);
+static void refill_budget (struct kcp_mesh *mesh);
 static void start_repeating (struct kcp_mesh *mesh);
 static void set_repeat_timer (struct kcp_mesh *mesh);
 static void repeat (void *user);
 static void add_known (struct kcp_mesh *mesh, const struct kcp_server *server,
                        struct kcp_mesh_notices *message);
-static void set_needs (struct kcp_mesh_peer *peer, uint64_t server, uint32_t needs);
-static struct kcp_server_limit_user
-make_user (const char *vm, const struct kcp_server *server, unsigned needs);
 
 /* Initializes the state of the notices. */
 void
@@ -42,6 +37,7 @@
 {
   kcp_loop_timer_cancel (&mesh->notices.flush_timer);
   kcp_loop_timer_cancel (&mesh->notices.repeat_timer);
+  kcp_loop_timer_cancel (&mesh->notices.exchange_timer);
   kcp_mesh_notices_clear (&mesh->notices.changed);
 }
 
@@ -71,18 +67,14 @@
 void
 kcp_mesh_apply_notices (struct kcp_mesh *mesh, const struct kcp_mesh_notices *message)
 {
-  struct kcp_mesh_peer *peer = kcp_mesh_find_peer (mesh, message->vm);
-
-  for (guint i = 0; peer != NULL && i < message->notices->len; i++)
-    {
-      const struct kcp_server_notice *notice
-          = &g_array_index (message->notices, struct kcp_server_notice, i);
-
-      set_needs (peer, notice->server, notice->needs);
-      kcp_server_notices_apply (mesh->gateway, notice);
-    }
-  if (peer != NULL)
-    start_repeating (mesh);
+  const struct kcp_mesh_peer *peer = kcp_mesh_find_peer (mesh, message->vm);
+
+  if (peer == NULL)
+    return;
+  for (guint i = 0; i < message->notices->len; i++)
+    kcp_server_notices_apply (
+        mesh->gateway, &g_array_index (message->notices, struct kcp_server_notice, i));
+  start_repeating (mesh);
 }
 
 /* Has what is known repeated from now on. */
@@ -126,13 +118,33 @@
     return;
   g_strlcpy (message->vm, mesh->own, sizeof message->vm);
   datagram.len = kcp_mesh_notices_encode (message, bytes, sizeof bytes);
+  refill_budget (mesh);
+  (void)kcp_mesh_send_round_robin (mesh, &mesh->notices.budget, datagram, max_vms);
+}
+
+static void
+refill_budget (struct kcp_mesh *mesh)
+{
   kcp_mesh_refill_budget (&mesh->notices.budget, kcp_loop_now (mesh->gateway->loop),
                           BYTES_PER_S, BUDGET_MAX_BYTES);
-  (void)kcp_mesh_send_round_robin (mesh, &mesh->notices.budget, datagram, max_vms);
 }
 
-/* Repeats what holds to some of the VMs, and sets the timer for the next time unless
-   nothing holds any more. */
+/* Sends a datagram to one VM if the budget of the notices allows it, and returns whether
+   it does. */
+bool
+kcp_mesh_send_notice (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer,
+                      struct kcp_str datagram)
+{
+  refill_budget (mesh);
+  if (mesh->notices.budget.bytes < (int64_t)datagram.len)
+    return false;
+  kcp_mesh_send (mesh, peer, datagram);
+  mesh->notices.budget.bytes -= (int64_t)datagram.len;
+  return true;
+}
+
+/* Exchanges needs, repeats what holds to some of the VMs, and sets the timer for the next
+   time unless nothing holds any more. */
 static void
 repeat (void *user)
 {
@@ -140,6 +152,7 @@
   const GPtrArray *servers = kcp_servers_all (mesh->gateway->servers);
   struct kcp_mesh_notices message;
 
+  kcp_mesh_exchange_needs (mesh);
   kcp_mesh_notices_init (&message);
   for (guint i = 0; i < servers->len; i++)
     add_known (
@@ -166,55 +179,3 @@
                                     &notice))
       g_array_append_val (message->notices, notice);
 }
-
-static void
-set_needs (struct kcp_mesh_peer *peer, uint64_t server, uint32_t needs)
-{
-  if (peer->needs == NULL)
-    peer->needs = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  if (g_hash_table_size (peer->needs) >= NEEDS_MAX)
-    g_hash_table_remove_all (peer->needs);
-  g_hash_table_replace (peer->needs, g_memdup2 (&server, sizeof server),
-                        GUINT_TO_POINTER (needs));
-}
-
-/* Returns this VM's share of the server's limit in requests a second. own_needs are its
-   recent requests for the server's service. A VM that has not told its needs is assumed
-   to have the same. Without a mesh (NULL) the VM has the whole limit. */
-double
-kcp_mesh_divide_limit (const struct kcp_mesh *mesh, const struct kcp_server *server,
-                       unsigned own_needs)
-{
-  g_autoptr (GArray) users
-      = g_array_new (FALSE, FALSE, sizeof (struct kcp_server_limit_user));
-  struct kcp_server_limit_user user
-      = make_user (mesh != NULL ? mesh->own : "", server, own_needs);
-  unsigned unseen = 0;
-
-  g_array_append_val (users, user);
-  for (guint i = 0; mesh != NULL && i < mesh->peers->len; i++)
-    {
-      const struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
-      gpointer needs = GUINT_TO_POINTER (own_needs);
-
-      unseen += !peer->alive && !peer->last_message.leaving;
-      if (!peer->alive || peer->last_message.leaving)
-        continue;
-      if (peer->needs != NULL)
-        (void)g_hash_table_lookup_extended (peer->needs, &server->key, NULL, &needs);
-      user = make_user (peer->vm, server, GPOINTER_TO_UINT (needs));
-      g_array_append_val (users, user);
-    }
-  return kcp_server_limit_divide (
-      server->limit.per_1000s, (const struct kcp_server_limit_user *)(void *)users->data,
-      users->len, 0, unseen);
-}
-
-static struct kcp_server_limit_user
-make_user (const char *vm, const struct kcp_server *server, unsigned needs)
-{
-  return (struct kcp_server_limit_user){
-    .rank = XXH3_64bits_withSeed (vm, strlen (vm), server->key),
-    .needs = needs,
-  };
-}
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -23,7 +23,7 @@
   int64_t interval_ns;      /* moving average of the time between them; 0: not known */
   int64_t added_ns;
   bool alive;
-  GHashTable *needs; /* server key -> requests for its service; NULL: none told */
+  GHashTable *needs; /* server key -> struct kcp_peer_needs; NULL: none known */
   struct kcp_mesh_message last_message; /* contents of its newest gossip message */
 };
 
@@ -54,8 +54,11 @@
   struct kcp_mesh_notices changed; /* to be sent at once */
   bool repeating;                  /* repeat_timer is set */
   guint next_server;               /* index of the server repeated first */
+  guint next_user;                 /* index of the VM that is told needs first */
   struct kcp_loop_timer flush_timer;
   struct kcp_loop_timer repeat_timer;
+  bool exchange_scheduled; /* exchange_timer is set */
+  struct kcp_loop_timer exchange_timer;
 };
 
 struct kcp_mesh
@@ -113,6 +116,12 @@
 void kcp_mesh_stop_notices (struct kcp_mesh *mesh);
 void
 kcp_mesh_apply_notices (struct kcp_mesh *mesh, const struct kcp_mesh_notices *message);
+bool kcp_mesh_send_notice (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer,
+                           struct kcp_str datagram);
+
+/* mesh_limits.c */
+void kcp_mesh_apply_needs (struct kcp_mesh *mesh, const struct kcp_mesh_needs *message);
+void kcp_mesh_exchange_needs (struct kcp_mesh *mesh);
 
 /* mesh_suspects.c */
 void kcp_mesh_start_suspects (struct kcp_mesh *mesh);
--- a/src/forward/mesh_xdr.c
+++ b/src/forward/mesh_xdr.c
@@ -87,6 +87,8 @@
       return KCP_MESH_PART_SUSPECTS;
     case KCP_MESH_NOTICES:
       return KCP_MESH_NOTICES;
+    case KCP_MESH_NEEDS:
+      return KCP_MESH_NEEDS;
     default:
       return KCP_MESH_INVALID;
     }
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -7,6 +7,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "policy/limit_needs.h"
 #include "policy/server_limit.h"
 
 enum kcp_server_state
@@ -52,16 +53,17 @@
   int64_t prefill_tokens_pending; /* of their prompts, while no answer has begun */
   unsigned failures;              /* consecutive */
   int64_t suspected_until_ns;
-  int64_t backoff_until_ns;      /* it has asked for no requests until then */
-  struct kcp_server_limit limit; /* requests that it takes from all VMs together */
-  int64_t limit_shared_ns;       /* when this VM's share of it was last computed */
-  int64_t leaving_since_ns;      /* when an answer said that it is leaving; 0: none has */
-  int64_t last_answer_ns;        /* when its newest part of an answer arrived; 0: never */
-  int64_t probe_after_ns;        /* it is not probed before; see forward/crash_watch.h */
-  int64_t loading_until_ns;      /* it counts as loading new weights until then */
-  int64_t own_loading_until_ns;  /* the same, for an order of this VM */
-  int64_t version_changed_ns;    /* when it last showed a new version; 0: never */
-  unsigned peers_in_flight;      /* other VMs' requests at the server */
+  int64_t backoff_until_ns;       /* it has asked for no requests until then */
+  struct kcp_server_limit limit;  /* requests that it takes from all VMs together */
+  struct kcp_own_needs own_needs; /* by which this VM has a share of it */
+  int64_t limit_shared_ns;        /* when that share was last computed */
+  int64_t leaving_since_ns;     /* when an answer said that it is leaving; 0: none has */
+  int64_t last_answer_ns;       /* when its newest part of an answer arrived; 0: never */
+  int64_t probe_after_ns;       /* it is not probed before; see forward/crash_watch.h */
+  int64_t loading_until_ns;     /* it counts as loading new weights until then */
+  int64_t own_loading_until_ns; /* the same, for an order of this VM */
+  int64_t version_changed_ns;   /* when it last showed a new version; 0: never */
+  unsigned peers_in_flight;     /* other VMs' requests at the server */
   int64_t peers_prefill_tokens_pending;
   GArray *cached_parts;           /* uint64_t, keys of prompt parts; NULL: not known */
   bool reads_cache_events;        /* this VM reads its cache events */
--- a/src/forward/server_notices.c
+++ b/src/forward/server_notices.c
@@ -215,7 +215,8 @@
   server->limit_shared_ns = now;
   kcp_server_limit_set_share (
       &server->limit,
-      kcp_mesh_divide_limit (gateway->mesh, server, count_needs (gateway, server)), now);
+      kcp_mesh_divide_limit (gateway->mesh, server, count_needs (gateway, server), now),
+      now);
 }
 
 /* Returns the number of this VM's recent requests for the server's service. */
--- a/src/forward/server_notices.h
+++ b/src/forward/server_notices.h
@@ -21,7 +21,7 @@
   enum kcp_notice_kind kind;
   uint32_t value;  /* depends on the kind */
   uint32_t age_ms; /* time since the server said so */
-  uint32_t needs;  /* recent requests of the telling VM for the server's service */
+  uint32_t needs;  /* recent requests of the telling VM; only earlier builds use them */
 };
 
 void
--- a/src/policy/server_limit.c
+++ b/src/policy/server_limit.c
@@ -11,12 +11,16 @@
 #define LIMIT_MIN 500
 /* Changes of less than this part of a limit need not be told at once: the inverse. */
 #define SMALL_CHANGE_DIVISOR 10
-/* Requests that a VM may send at once after a time in which it sent none. */
-#define CREDIT_MAX 1.0
-/* VMs that may send to a server with a limit of 0, and further ones for each request a
-   second. Each of them may have CREDIT_MAX ready. */
+/* Credit that a request takes, and the part of it that a VM has to make up for at most.
+ */
+#define REQUEST 1.0
+/* Users of a limit of 0, and further ones for each request a second. */
 #define USERS_MIN   3u
-#define USERS_PER_S 2u
+#define USERS_PER_S 1u
+/* Requests that all users together may send at once after a time in which they sent none:
+   those of a limit of 0, and further ones for each request a second. */
+#define BURST_MIN   3.0
+#define BURST_PER_S 2.0
 /* Part of the needs of a VM that is out of touch which the others leave to it: it may
    have ended, or be cut off and send requests. */
 #define UNSEEN_WEIGHT 0.5
@@ -25,9 +29,8 @@
 
 static double requests_per_s (int64_t per_1000s);
 static size_t max_users (int64_t per_1000s);
-static uint64_t
-least_rank (const struct kcp_server_limit_user *users, size_t count, size_t allowed);
 static gint compare_descending (gconstpointer a, gconstpointer b);
+static double credit_max (int64_t per_1000s);
 static double credit_at (const struct kcp_server_limit *limit, int64_t now_ns);
 static int64_t interval_ns (const struct kcp_server_limit *limit);
 
@@ -49,7 +52,7 @@
     *limit = (struct kcp_server_limit){
       .named = true,
       .lifted_ns = limit->lifted_ns,
-      .credit = CREDIT_MAX * (double)(random_value % KCP_SERVER_LIMIT_SCALE)
+      .credit = REQUEST * (double)(random_value % KCP_SERVER_LIMIT_SCALE)
                 / KCP_SERVER_LIMIT_SCALE,
       .credited_ns = heard_ns,
     };
@@ -79,38 +82,36 @@
   return limit->named && now_ns - limit->heard_ns < FORGET_NS;
 }
 
-/* Returns the share of this VM, users[own], in requests a second. The users are all VMs
-   that are known to be alive. unseen is the number of VMs that are out of touch; each is
-   assumed to need as much as this one. */
+/* Returns the share of this VM, vms[own], in requests a second. vms are all VMs that are
+   known. */
 double
-kcp_server_limit_divide (int64_t per_1000s, const struct kcp_server_limit_user *users,
-                         size_t count, size_t own, unsigned unseen)
+kcp_server_limit_divide (int64_t per_1000s, const struct kcp_server_limit_user *vms,
+                         size_t count, size_t own)
 {
-  size_t allowed = max_users (per_1000s);
-  uint64_t least = least_rank (users, count, allowed);
-  double own_needs = MAX (users[own].needs, 1u);
-  size_t places = allowed - MIN (count, allowed);
-  double needs = UNSEEN_WEIGHT * (double)MIN (unseen, places) * own_needs;
+  uint64_t least = kcp_server_limit_least_rank (per_1000s, vms, count);
+  double needs = 0;
 
-  if (users[own].rank < least)
+  if (vms[own].rank < least)
     return 0;
   for (size_t i = 0; i < count; i++)
-    if (users[i].rank >= least)
-      needs += MAX (users[i].needs, 1u);
-  return requests_per_s (per_1000s) * own_needs / needs;
+    if (vms[i].rank >= least)
+      needs += MAX (vms[i].needs, 1u) * (vms[i].in_touch ? 1 : UNSEEN_WEIGHT);
+  return requests_per_s (per_1000s) * MAX (vms[own].needs, 1u) / needs;
 }
 
-/* Returns the rank that a user needs to be among the first ones. */
-static uint64_t
-least_rank (const struct kcp_server_limit_user *users, size_t count, size_t allowed)
+/* Returns the rank that a VM needs to be a user of the limit. */
+uint64_t
+kcp_server_limit_least_rank (int64_t per_1000s, const struct kcp_server_limit_user *vms,
+                             size_t count)
 {
+  size_t allowed = max_users (per_1000s);
   g_autoptr (GArray) ranks = NULL;
 
   if (count <= allowed)
     return 0;
   ranks = g_array_sized_new (FALSE, FALSE, sizeof (uint64_t), (guint)count);
   for (size_t i = 0; i < count; i++)
-    g_array_append_val (ranks, users[i].rank);
+    g_array_append_val (ranks, vms[i].rank);
   g_array_sort (ranks, compare_descending);
   return g_array_index (ranks, uint64_t, allowed - 1);
 }
@@ -152,7 +153,16 @@
 {
   double elapsed_s = (double)MAX (now_ns - limit->credited_ns, 0) / KCP_NS_PER_S;
 
-  return MIN (limit->credit + limit->share * elapsed_s, CREDIT_MAX);
+  return MIN (limit->credit + limit->share * elapsed_s, credit_max (limit->per_1000s));
+}
+
+/* Returns the requests that one VM may have ready. */
+static double
+credit_max (int64_t per_1000s)
+{
+  double burst = BURST_MIN + BURST_PER_S * (double)per_1000s / KCP_SERVER_LIMIT_SCALE;
+
+  return burst / (double)max_users (per_1000s);
 }
 
 /* Returns true if this VM may send the server a request now. */
@@ -160,7 +170,7 @@
 kcp_server_limit_has_room (const struct kcp_server_limit *limit, int64_t now_ns)
 {
   return !kcp_server_limit_is_in_force (limit, now_ns)
-         || credit_at (limit, now_ns) >= CREDIT_MAX;
+         || credit_at (limit, now_ns) >= REQUEST;
 }
 
 /* Counts a request that is sent to the server. Calls that do not wait for room leave one
@@ -170,7 +180,7 @@
 {
   if (!limit->named)
     return;
-  limit->credit = MAX (credit_at (limit, now_ns) - 1, -CREDIT_MAX);
+  limit->credit = MAX (credit_at (limit, now_ns) - 1, -REQUEST);
   limit->credited_ns = now_ns;
 }
 
@@ -179,7 +189,7 @@
 int64_t
 kcp_server_limit_room_ns (const struct kcp_server_limit *limit, int64_t now_ns)
 {
-  double missing = CREDIT_MAX - credit_at (limit, now_ns);
+  double missing = REQUEST - credit_at (limit, now_ns);
 
   if (!kcp_server_limit_is_in_force (limit, now_ns))
     return now_ns;
--- a/src/policy/server_limit.h
+++ b/src/policy/server_limit.h
@@ -4,9 +4,11 @@
    Load pattern: servers in need name a limit of a few requests a second, all at once or
    one by one, while many VMs send each of them more than that. Callers are spread
    unevenly over the VMs, and VMs start, end, and are cut off from each other. Each VM
-   takes a share of the limit in proportion to the requests that it has for the service,
-   and sends them at an even pace. Of many VMs only a few send the server requests at all,
-   since each may have one request ready. */
+   takes a share of the limit in proportion to the requests that it has for the service
+   (see limit_needs.h), and sends them at an even pace. Of many VMs only a few, the users
+   of the limit, send the server requests at all, since each may have one request ready.
+   VMs that are out of touch stay among the users, so that all groups of VMs have the same
+   ones. */
 #ifndef KCP_POLICY_SERVER_LIMIT_H
 #define KCP_POLICY_SERVER_LIMIT_H
 
@@ -28,20 +30,24 @@
   int64_t reserved_until_ns; /* room is reserved for refused callers up to then */
 };
 
-/* A VM that may send requests to the server. */
+/* A VM that may be a user of the limit. */
 struct kcp_server_limit_user
 {
   uint64_t rank;  /* a hash of the VM and the server; the greatest ones come first */
   unsigned needs; /* its recent requests for the server's service */
+  bool in_touch;
 };
 
 bool kcp_server_limit_name (struct kcp_server_limit *limit, int64_t per_1000s,
                             int64_t heard_ns, uint64_t random_value);
 bool kcp_server_limit_lift (struct kcp_server_limit *limit, int64_t sent_ns);
 bool kcp_server_limit_is_in_force (const struct kcp_server_limit *limit, int64_t now_ns);
+uint64_t
+kcp_server_limit_least_rank (int64_t per_1000s, const struct kcp_server_limit_user *vms,
+                             size_t count);
 double
-kcp_server_limit_divide (int64_t per_1000s, const struct kcp_server_limit_user *users,
-                         size_t count, size_t own, unsigned unseen);
+kcp_server_limit_divide (int64_t per_1000s, const struct kcp_server_limit_user *vms,
+                         size_t count, size_t own);
 void
 kcp_server_limit_set_share (struct kcp_server_limit *limit, double share, int64_t now_ns);
 bool kcp_server_limit_has_room (const struct kcp_server_limit *limit, int64_t now_ns);
--- a/tests/unit/test_forward_parts.c
+++ b/tests/unit/test_forward_parts.c
@@ -500,6 +500,41 @@
 }
 END_TEST
 
+START_TEST (test_mesh_needs_round_trip_rejects_truncation)
+{
+  struct kcp_mesh_needs_row row
+      = { .server = 7,
+          .message
+          = { .statement = { .sequence = 3, .needs = 300 }, .acknowledged = 9 } };
+  struct kcp_mesh_needs needs;
+  struct kcp_mesh_needs copy;
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  size_t len;
+
+  kcp_mesh_needs_init (&needs);
+  g_strlcpy (needs.vm, "10.0.0.1:7341", sizeof needs.vm);
+  needs.start_ms = 5;
+  needs.receiver_start_ms = 6;
+  for (guint i = 0; i < KCP_MESH_NEEDS_MAX; i++)
+    g_array_append_val (needs.rows, row);
+  len = kcp_mesh_needs_encode (&needs, bytes, sizeof bytes);
+  ck_assert_uint_gt (len, 0);
+  ck_assert_int_eq (kcp_mesh_procedure_of (bytes, len), KCP_MESH_NEEDS);
+  kcp_mesh_needs_init (&copy);
+  ck_assert (kcp_mesh_needs_decode (&copy, bytes, len));
+  ck_assert_str_eq (copy.vm, needs.vm);
+  ck_assert_uint_eq (copy.start_ms, needs.start_ms);
+  ck_assert_uint_eq (copy.receiver_start_ms, needs.receiver_start_ms);
+  ck_assert_uint_eq (copy.rows->len, KCP_MESH_NEEDS_MAX);
+  ck_assert_mem_eq (&g_array_index (copy.rows, struct kcp_mesh_needs_row, 0), &row,
+                    sizeof row);
+  for (size_t cut = 0; cut < len; cut++)
+    ck_assert (!kcp_mesh_needs_decode (&copy, bytes, cut));
+  kcp_mesh_needs_clear (&copy);
+  kcp_mesh_needs_clear (&needs);
+}
+END_TEST
+
 START_TEST (test_mesh_suspects_round_trip_rejects_truncation)
 {
   expect_suspects_round_trip (KCP_SUSPECT_REQUEST, KCP_MESH_SUSPECTS,
@@ -743,6 +778,7 @@
   tcase_add_test (cases, test_largest_mesh_message_fits_a_datagram);
   tcase_add_test (cases, test_mesh_records_round_trip_rejects_truncation);
   tcase_add_test (cases, test_mesh_notices_round_trip_rejects_truncation);
+  tcase_add_test (cases, test_mesh_needs_round_trip_rejects_truncation);
   tcase_add_test (cases, test_mesh_suspects_round_trip_rejects_truncation);
   tcase_add_test (cases, test_mesh_update_round_trip_is_distinct_from_message);
   tcase_add_test (cases, test_prompts_of_other_vms_queue_until_prefilled);
--- a/tests/unit/test_server_limits.c
+++ b/tests/unit/test_server_limits.c
@@ -63,13 +63,11 @@
 
   for (unsigned i = 0; i < fleet.count; i++)
     {
-      unsigned first = i / size * size;
-      unsigned unseen = fleet.count - size;
-
+      for (unsigned j = 0; j < fleet.count; j++)
+        fleet.users[j].in_touch = i / size == j / size;
       kcp_server_limit_set_share (&fleet.limits[i],
                                   kcp_server_limit_divide (fleet.limits[i].per_1000s,
-                                                           &fleet.users[first], size,
-                                                           i - first, unseen),
+                                                           fleet.users, fleet.count, i),
                                   MS (now_ms));
     }
 }
