Read the software version of a server's entry, and log it

The entry's version (of the software) was not read, so the log could not tell whether a VM sends a stream on to another version because it does not look at it, or because it knows an older one. sent and server name it.

--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -62,7 +62,9 @@
   KCP_LOG (
       "sent", KCP_LOG_TEXT ("request", forward->inbound->id),
       KCP_LOG_TEXT ("route", forward->choice.route->name),
-      KCP_LOG_TEXT ("server", server->entry.id), KCP_LOG_INT ("try", forward->tried->len),
+      KCP_LOG_TEXT ("server", server->entry.id),
+      KCP_LOG_TEXT ("software", server->entry.software),
+      KCP_LOG_INT ("try", forward->tried->len),
       KCP_LOG_INT ("team_priority",
                    forward->choice.team ? forward->choice.team->priority : -1),
       KCP_LOG_INT ("routes_version", forward->routes->version),
--- a/src/forward/server.c
+++ b/src/forward/server.c
@@ -38,6 +38,7 @@
   g_free (entry->service);
   g_free (entry->address);
   g_free (entry->data_center);
+  g_free (entry->software);
   g_array_unref (entry->weights);
 }
 
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -29,6 +29,7 @@
   char *service;
   char *address; /* IP:PORT */
   char *data_center;
+  char *software; /* version of its software; empty: it names none */
   enum kcp_server_state state;
   int64_t slots;
   int64_t started_ms; /* Unix time at which the server started */
--- a/src/forward/servers.c
+++ b/src/forward/servers.c
@@ -249,9 +249,9 @@
 {
   g_autoptr (GString) text = g_string_new (NULL);
 
-  g_string_printf (text, "%s %s %s %d %" G_GINT64_FORMAT " %" G_GINT64_FORMAT,
-                   entry->service, entry->address, entry->data_center, (int)entry->state,
-                   entry->slots, entry->started_ms);
+  g_string_printf (text, "%s %s %s %s %d %" G_GINT64_FORMAT " %" G_GINT64_FORMAT,
+                   entry->service, entry->address, entry->data_center, entry->software,
+                   (int)entry->state, entry->slots, entry->started_ms);
   for (guint i = 0; i < entry->weights->len; i++)
     {
       const struct kcp_server_weights *weights
@@ -318,6 +318,7 @@
            KCP_LOG_TEXT ("server", server->entry.id),
            KCP_LOG_TEXT ("service", server->entry.service),
            KCP_LOG_TEXT ("address", server->entry.address),
+           KCP_LOG_TEXT ("software", server->entry.software),
            KCP_LOG_TEXT ("server_dc", server->entry.data_center));
 }
 
