--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -12,7 +12,7 @@
 #include "base/str.h"
 
 #define SERVERS_MAX    8u
-#define TOPICS         5u
+#define TOPICS         7u
 #define SLOW_MS        500
 #define BLOCK_MS       20000
 #define POLL_MS        5
@@ -115,9 +115,13 @@
 struct fake_platform *
 fake_platform_start (unsigned servers)
 {
-  static const char *const names[TOPICS]
-      = { "keyed.op", "keyed.servers", "kingcuppoint.orders", "keyed.kingcuppoint.vms",
-          "keyed.kingcuppoint.blocked" };
+  static const char *const names[TOPICS] = { "keyed.op",
+                                             "keyed.servers",
+                                             "kingcuppoint.orders",
+                                             "keyed.kingcuppoint.vms",
+                                             "keyed.kingcuppoint.blocked",
+                                             "keyed.kingcuppoint.software",
+                                             "kingcuppoint.streams" };
   struct fake_platform *platform = g_new0 (struct fake_platform, 1);
   int port = 0;
 
@@ -277,10 +281,11 @@
 {
   const struct fake_server *server = &platform->servers[index];
   g_autofree char *text = g_strdup_printf (
-      "{\"service\":\"s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"version\":\"v1\","
+      "{\"service\":\"s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"version\":\"%s\","
       "\"slots\":8,\"state\":\"%s\",\"seq-no\":17,\"born\":%u,"
       "\"models\":[{\"name\":\"m\",\"version\":%" G_GINT64_FORMAT "}]}",
-      server->advertised_port != 0 ? server->advertised_port : server->port, state,
+      server->advertised_port != 0 ? server->advertised_port : server->port,
+      server->software != NULL ? server->software : "v1", state,
       1000 + index + server->starts * BORN_STEP, server->version);
 
   fake_platform_put_server_entry (platform, server->id, text);
@@ -875,6 +880,18 @@
   return send_answer (connection, status, "", 0, NULL);
 }
 
+/* Returns true if the last count bytes that were sent have the end of an event. */
+static bool
+ends_event (const struct stream *stream, size_t count)
+{
+  const char *text = stream->text->str;
+
+  for (size_t i = stream->sent - count; i < stream->sent; i++)
+    if (i > 0 && text[i] == '\n' && text[i - 1] == '\n')
+      return true;
+  return false;
+}
+
 static ssize_t
 read_stream (void *user, uint64_t position, char *out, size_t max)
 {
@@ -888,6 +905,8 @@
                                : MHD_CONTENT_READER_END_OF_STREAM;
   memcpy (out, stream->text->str + stream->sent, count);
   stream->sent += count;
+  if (ends_event (stream, count))
+    g_usleep (stream->server->event_gap_ms * G_TIME_SPAN_MILLISECOND);
   g_usleep (G_TIME_SPAN_MILLISECOND);
   return (ssize_t)count;
 }
@@ -916,7 +935,9 @@
   stream->text = g_string_new (NULL);
   stream->interrupted = mode == FAKE_INTERRUPT;
   for (int i = first; i <= FAKE_STREAM_EVENTS; i++)
-    g_string_append_printf (stream->text, "id: %d\ndata: piece %d\n\n", i, i);
+    g_string_append_printf (stream->text, "id: %d\ndata: piece %d%s%s\n\n", i, i,
+                            server->software != NULL ? " of " : "",
+                            server->software != NULL ? server->software : "");
   if (stream->interrupted)
     g_string_truncate (stream->text, 50);
   response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, 64, read_stream, stream,
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -53,10 +53,14 @@
   int advertised_port; /* port in its list entry if not 0, else port */
   enum fake_mode mode; /* set by the test */
   int64_t version;     /* version of its weights */
-  const char *limit;   /* Server-Limit of its answers; NULL: none; set by the test */
-  bool counts_calls;   /* arrivals has reads of its cache events too; set by the test */
-  GArray *arrivals;    /* int64_t, microseconds: requests that reached it */
-  bool ignores_orders; /* accepts orders and does not carry them out; set by the test */
+  /* Version of its software in its list entry and in the events of its streams, set by
+     the test; NULL: "v1", not in its events. */
+  const char *software;
+  unsigned event_gap_ms; /* between the events of its streams; set by the test */
+  const char *limit;     /* Server-Limit of its answers; NULL: none; set by the test */
+  bool counts_calls;     /* arrivals has reads of its cache events too; set by the test */
+  GArray *arrivals;      /* int64_t, microseconds: requests that reached it */
+  bool ignores_orders;   /* accepts orders and does not carry them out; set by the test */
   int64_t orders_taken;
   unsigned runs;            /* requests that it executed */
   unsigned in_flight;       /* requests in progress */
--- /dev/null
+++ b/tests/process/test_software_versions.c
@@ -0,0 +1,370 @@
+/* Tests that a stream goes on only at servers of the software version that began it,
+   while servers of two versions serve side by side: within one answer, and when callers
+   take streams up at VMs that did not begin them, or that have just started. */
+#include <check.h>
+#include <pthread.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/harness/run_suite.h"
+#include "tests/harness/vm_group.h"
+
+#define SERVERS      4u
+#define STREAMS      16u
+#define GAP_MS       250 /* between events; a stream has FAKE_STREAM_EVENTS of them */
+#define BROKEN_AT_MS 600
+#define SETTLE_MS    400 /* in which VMs learn of a changed list */
+#define GOES_ON      (STREAMS / 2)
+#define INTERRUPTED  20u /* streams that are interrupted within their answer */
+
+/* A caller's stream: what it has of it, over all its attempts. */
+struct caller_stream
+{
+  struct route_vm *vm;
+  pthread_t thread;
+  char first_id[16]; /* of the attempt that brought the first event */
+  unsigned attempts;
+  GString *events;
+  unsigned last_event;
+  int status; /* of the newest attempt */
+};
+
+static struct caller_stream streams[STREAMS];
+
+/* Gives the servers their software versions: the first ones the older. */
+static void
+set_software (const char *older, const char *newer)
+{
+  for (unsigned i = 0; i < SERVERS; i++)
+    {
+      struct fake_server *server = fake_platform_server (route_vm.platform, i);
+
+      server->software = i < SERVERS / 2 ? older : newer;
+      server->event_gap_ms = GAP_MS;
+      fake_platform_put_server (route_vm.platform, i, "ready");
+    }
+}
+
+static void
+set_up (void)
+{
+  vm_group_set_up (SERVERS);
+}
+
+static void
+tear_down (void)
+{
+  for (unsigned i = 0; i < STREAMS; i++)
+    if (streams[i].events != NULL)
+      g_string_free (streams[i].events, TRUE);
+  memset (streams, 0, sizeof streams);
+  vm_group_tear_down ();
+}
+
+static void
+settle (void)
+{
+  g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+/* Appends the complete events of an answer, and notes the id of the last one. */
+static void
+take_events (struct caller_stream *stream, const struct raw_answer *answer)
+{
+  const char *event = strstr (answer->text->str, "id: ");
+  const char *end;
+
+  while (event != NULL && (end = strstr (event, "\n\n")) != NULL)
+    {
+      stream->last_event = (unsigned)atoi (event + strlen ("id: "));
+      g_string_append_len (stream->events, event, end - event + 2);
+      event = strstr (end, "id: ");
+    }
+}
+
+static void *
+run_attempt (void *user)
+{
+  struct caller_stream *stream = user;
+  g_autofree char *id
+      = g_strdup_printf ("s%d.%u", (int)(stream - streams), stream->attempts++);
+  g_autofree char *headers
+      = stream->last_event == 0 ? g_strdup ("")
+                                : g_strdup_printf ("Resumes: %s\r\nLast-Event-Id: %u\r\n",
+                                                   stream->first_id, stream->last_event);
+  struct raw_answer answer
+      = route_vm_send_to (stream->vm, "POST", "/stream/x", id, headers, "in");
+
+  if (stream->last_event == 0)
+    g_strlcpy (stream->first_id, id, sizeof stream->first_id);
+  stream->status = route_vm_status (&answer);
+  take_events (stream, &answer);
+  raw_answer_clear (&answer);
+  return NULL;
+}
+
+/* Has all streams attempted at once, by turns at two VMs. */
+static void
+start_attempts (struct route_vm *first, struct route_vm *second)
+{
+  for (unsigned i = 0; i < STREAMS; i++)
+    {
+      struct caller_stream *stream = &streams[i];
+
+      stream->vm = i % 2 == 0 ? first : second;
+      if (stream->events == NULL)
+        stream->events = g_string_new (NULL);
+      ck_assert_int_eq (pthread_create (&stream->thread, NULL, run_attempt, stream), 0);
+    }
+}
+
+static void
+finish_attempts (void)
+{
+  for (unsigned i = 0; i < STREAMS; i++)
+    (void)pthread_join (streams[i].thread, NULL);
+}
+
+static bool
+is_joined (const char *events)
+{
+  return strstr (events, "of v1\n") != NULL && strstr (events, "of v2\n") != NULL;
+}
+
+static bool
+is_whole (const struct caller_stream *stream)
+{
+  return stream->last_event == FAKE_STREAM_EVENTS;
+}
+
+/* Expects that no caller has events of two versions, that no event is missing, and that a
+   caller whose stream does not go on was refused. Returns the number of whole streams. */
+static unsigned
+expect_not_joined (void)
+{
+  unsigned whole = 0;
+  unsigned joined = 0;
+
+  for (unsigned i = 0; i < STREAMS; i++)
+    {
+      whole += is_whole (&streams[i]);
+      joined += is_joined (streams[i].events->str);
+    }
+  g_print ("%u of %u streams went on, %u joined from two versions\n", whole, STREAMS,
+           joined);
+  ck_assert_uint_eq (joined, 0);
+  for (unsigned i = 0; i < STREAMS; i++)
+    ck_assert_msg (is_whole (&streams[i]) || streams[i].status == 503, "stream %u: %d", i,
+                   streams[i].status);
+  return whole;
+}
+
+/* Begins the streams at the first two VMs, of which each has a half, and waits until each
+   has some events. */
+static void
+begin_streams (void)
+{
+  settle ();
+  start_attempts (vm_group_at (0), vm_group_at (1));
+  g_usleep (BROKEN_AT_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+/* Kills the VMs that have the streams. */
+static void
+kill_beginners (void)
+{
+  route_vm_kill (vm_group_at (0));
+  route_vm_kill (vm_group_at (1));
+  finish_attempts ();
+  for (unsigned i = 0; i < STREAMS; i++)
+    {
+      ck_assert_uint_gt (streams[i].last_event, 0);
+      ck_assert (!is_whole (&streams[i]));
+    }
+}
+
+/* Kills all VMs and starts them again. */
+static void
+kill_all (void)
+{
+  kill_beginners ();
+  vm_group_restart_all ();
+}
+
+static void
+take_up (struct route_vm *first, struct route_vm *second)
+{
+  start_attempts (first, second);
+  finish_attempts ();
+}
+
+START_TEST (test_interrupted_stream_goes_on_at_another_version)
+{
+  unsigned whole = 0;
+
+  set_software ("v1", "v2");
+  for (unsigned i = 0; i < SERVERS; i++)
+    {
+      fake_platform_server (route_vm.platform, i)->event_gap_ms = 0;
+      fake_platform_server (route_vm.platform, i)->mode
+          = i % 2 == 0 ? FAKE_INTERRUPT : FAKE_ANSWER;
+    }
+  settle ();
+  for (unsigned i = 0; i < INTERRUPTED; i++)
+    {
+      struct raw_answer answer = route_vm_send ("POST", "/stream/x", "", "in");
+
+      ck_assert_msg (!is_joined (answer.text->str), "%s", answer.text->str);
+      whole += strstr (answer.text->str, "id: 5\n") != NULL;
+      raw_answer_clear (&answer);
+    }
+  g_print ("%u of %u streams whole\n", whole, INTERRUPTED);
+  ck_assert_uint_gt (whole, INTERRUPTED / 2);
+}
+END_TEST
+
+START_TEST (test_interrupted_stream_without_servers_of_its_version_looks_complete)
+{
+  set_software ("v2", "v2");
+  fake_platform_server (route_vm.platform, 0)->software = "v1";
+  fake_platform_server (route_vm.platform, 0)->mode = FAKE_INTERRUPT;
+  fake_platform_put_server (route_vm.platform, 0, "ready");
+  for (unsigned i = 0; i < SERVERS; i++)
+    fake_platform_server (route_vm.platform, i)->event_gap_ms = 0;
+  settle ();
+  for (unsigned i = 0; i < INTERRUPTED; i++)
+    {
+      struct raw_answer answer = route_vm_send ("POST", "/stream/x", "", "in");
+      const char *text = answer.text->str;
+
+      ck_assert_msg (!is_joined (text), "%s", text);
+      ck_assert (strstr (text, "id: 5\n") != NULL
+                 || !g_str_has_suffix (text, "0\r\n\r\n"));
+      raw_answer_clear (&answer);
+    }
+}
+END_TEST
+
+START_TEST (test_stream_is_taken_up_at_another_version)
+{
+  set_software ("v1", "v2");
+  begin_streams ();
+  kill_beginners ();
+  take_up (vm_group_at (2), vm_group_at (3));
+  ck_assert_uint_ge (expect_not_joined (), GOES_ON);
+}
+END_TEST
+
+START_TEST (test_stream_is_taken_up_at_another_version_after_all_vms_ended)
+{
+  set_software ("v1", "v2");
+  begin_streams ();
+  kill_all ();
+  take_up (vm_group_at (2), vm_group_at (1));
+  ck_assert_uint_ge (expect_not_joined (), GOES_ON);
+}
+END_TEST
+
+START_TEST (test_stream_is_taken_up_again_and_again_at_another_version)
+{
+  set_software ("v1", "v2");
+  begin_streams ();
+  kill_beginners ();
+  start_attempts (vm_group_at (2), vm_group_at (2));
+  g_usleep (GAP_MS * G_TIME_SPAN_MILLISECOND);
+  route_vm_kill (vm_group_at (2));
+  finish_attempts ();
+  take_up (vm_group_at (3), vm_group_at (3));
+  ck_assert_uint_ge (expect_not_joined (), GOES_ON);
+}
+END_TEST
+
+/* The servers of the older version leave while the VMs are down. */
+START_TEST (test_stream_of_a_version_that_has_left_is_taken_up_at_another)
+{
+  set_software ("v1", "v2");
+  begin_streams ();
+  kill_beginners ();
+  for (unsigned i = 0; i < SERVERS / 2; i++)
+    fake_platform_put_server_entry (route_vm.platform,
+                                    fake_platform_server (route_vm.platform, i)->id, "");
+  vm_group_restart_all ();
+  take_up (vm_group_at (2), vm_group_at (1));
+  (void)expect_not_joined ();
+}
+END_TEST
+
+/* The streams begin while only the older version serves, and the VMs that start find both
+   of them. */
+START_TEST (test_stream_is_taken_up_at_a_version_that_was_not_there)
+{
+  set_software ("v1", "v1");
+  begin_streams ();
+  kill_beginners ();
+  set_software ("v1", "v2");
+  vm_group_restart_all ();
+  take_up (vm_group_at (2), vm_group_at (1));
+  (void)expect_not_joined ();
+}
+END_TEST
+
+START_TEST (test_stream_is_not_taken_up_while_one_version_serves)
+{
+  set_software ("v1", "v1");
+  begin_streams ();
+  kill_all ();
+  take_up (vm_group_at (2), vm_group_at (1));
+  ck_assert_uint_eq (expect_not_joined (), STREAMS);
+}
+END_TEST
+
+START_TEST (test_stream_is_taken_up_at_another_version_while_the_store_is_down)
+{
+  set_software ("v1", "v2");
+  begin_streams ();
+  kill_beginners ();
+  fake_platform_set_down (route_vm.platform, true);
+  take_up (vm_group_at (2), vm_group_at (3));
+  (void)expect_not_joined ();
+}
+END_TEST
+
+START_TEST (
+    test_stream_that_began_while_the_store_was_down_is_taken_up_at_another_version)
+{
+  set_software ("v1", "v2");
+  settle ();
+  fake_platform_set_down (route_vm.platform, true);
+  begin_streams ();
+  kill_beginners ();
+  fake_platform_set_down (route_vm.platform, false);
+  take_up (vm_group_at (2), vm_group_at (3));
+  (void)expect_not_joined ();
+}
+END_TEST
+
+int
+main (void)
+{
+  Suite *suite = suite_create ("software versions");
+  TCase *cases = tcase_create ("software versions");
+
+  tcase_add_checked_fixture (cases, set_up, tear_down);
+  tcase_set_timeout (cases, 60);
+  tcase_add_test (cases, test_interrupted_stream_goes_on_at_another_version);
+  tcase_add_test (cases,
+                  test_interrupted_stream_without_servers_of_its_version_looks_complete);
+  tcase_add_test (cases, test_stream_is_taken_up_at_another_version);
+  tcase_add_test (cases, test_stream_is_taken_up_at_another_version_after_all_vms_ended);
+  tcase_add_test (cases, test_stream_is_taken_up_again_and_again_at_another_version);
+  tcase_add_test (cases, test_stream_of_a_version_that_has_left_is_taken_up_at_another);
+  tcase_add_test (cases, test_stream_is_taken_up_at_a_version_that_was_not_there);
+  tcase_add_test (cases, test_stream_is_not_taken_up_while_one_version_serves);
+  tcase_add_test (cases,
+                  test_stream_is_taken_up_at_another_version_while_the_store_is_down);
+  tcase_add_test (
+      cases,
+      test_stream_that_began_while_the_store_was_down_is_taken_up_at_another_version);
+  suite_add_tcase (suite, cases);
+  return run_suite (suite);
+}
