Keep a stream at the software version that began it

What callers saw: while servers of two software versions served, or the older ones had just left, answers of 200 whose first part one version had written and the rest another, with nothing to show it.

Cause: any server of the service could go on with a stream, both in the same answer and when its caller resumed it; nothing read the version of a server's entry or Resumes.

Change: a request is bound to the version whose first event its caller got. The versions in service are kept in the store; while a service has several, each VM writes which version it sent its streams to, many in one record, and a VM that gets a resumed stream reads that. What is not known is refused at once, as not run. While one version serves, nothing is written or looked up but the versions.

kcp_loop_run may be called again, for tests with a manual clock.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -55,6 +55,11 @@
   = { "store_eras", "Times the platform's store came back from an older copy" },
   [KCP_COUNT_SERVER_LIMITS]
   = { "server_limits", "Times a server named a limit of requests a second" },
+  [KCP_COUNT_STREAM_RECORDS]
+  = { "stream_records", "Records written of which software version began which streams" },
+  [KCP_COUNT_RESUMES_REFUSED]
+  = { "resumes_refused",
+      "Resumed streams refused as their software version is not known" },
   [KCP_COUNT_STREAMS_PAUSED]
   = { "streams_paused", "Times a server was not read because its caller did not read" },
 };
--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -18,7 +18,10 @@
 #include "forward/feed.h"
 #include "forward/gateway.h"
 #include "forward/mesh.h"
+#include "forward/resume_lookup.h"
 #include "forward/rollout.h"
+#include "forward/software_versions.h"
+#include "forward/stream_records.h"
 #include "platform/platform.h"
 #include "settings/forward_settings.h"
 
@@ -169,6 +172,11 @@
   gateway->mesh = vm->mesh;
   gateway->blocked_store
       = kcp_blocked_store_start (gateway, kcp_platform_store_interface (vm->store));
+  gateway->stream_records
+      = kcp_stream_records_start (gateway, kcp_platform_store_interface (vm->store));
+  gateway->software_versions
+      = kcp_software_versions_start (gateway, kcp_platform_store_interface (vm->store));
+  gateway->resume_lookups = kcp_resume_lookups_new (gateway);
   vm->cache_reader = kcp_cache_reader_start (gateway, vm->mesh);
   vm->rollout = kcp_rollout_start (gateway, kcp_platform_store_interface (vm->store));
   vm->feed = kcp_feed_start (gateway, kcp_platform_store_interface (vm->store),
@@ -201,6 +209,9 @@
   kcp_feed_stop (vm->feed);
   kcp_blocked_store_stop (vm->gateway.blocked_store);
   vm->gateway.blocked_store = NULL;
+  kcp_resume_lookups_free (vm->gateway.resume_lookups);
+  kcp_software_versions_stop (vm->gateway.software_versions);
+  kcp_stream_records_stop (vm->gateway.stream_records);
   kcp_gateway_clear (&vm->gateway);
   (void)close (vm->signal_fd);
   kcp_platform_store_free (vm->store);
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -7,6 +7,7 @@
 #include "forward/cached_parts.h"
 #include "forward/mesh.h"
 #include "forward/server_notices.h"
+#include "forward/software_versions.h"
 #include "policy/backoff.h"
 #include "policy/place.h"
 
@@ -175,6 +176,8 @@
 
   return server->entry.state == KCP_SERVER_READY
          && strcmp (server->entry.service, choice->service) == 0
+         && (!choice->bound
+             || kcp_software_key (server->entry.software) == choice->software)
          && (model == NULL || kcp_server_version (server, model) > 0);
 }
 
--- a/src/forward/choose.h
+++ b/src/forward/choose.h
@@ -14,6 +14,8 @@
   const struct kcp_route *route;
   const struct kcp_team_access *team; /* NULL: none */
   const char *service;
+  bool bound;             /* only servers with this software version may be chosen */
+  uint64_t software;      /* see kcp_software_key() */
   const GPtrArray *tried; /* struct kcp_server that must not be chosen again */
   GArray *levels; /* struct kcp_prompt_level, owned; NULL until the first choice */
   /* The choice. */
--- a/src/forward/dialect.c
+++ b/src/forward/dialect.c
@@ -13,6 +13,7 @@
   g_free (inbound->id);
   g_free (inbound->key);
   g_free (inbound->resume_after);
+  g_free (inbound->resumed_id);
   g_free (inbound->model);
   for (guint i = 0; inbound->parts != NULL && i < inbound->parts->len; i++)
     g_free (g_array_index (inbound->parts, struct kcp_prompt_part, i).id);
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -30,6 +30,7 @@
   char *id;           /* of this attempt by the caller */
   char *key;          /* API key of a team, or NULL */
   char *resume_after; /* id of the last event that the caller has, or NULL */
+  char *resumed_id;   /* of the attempt that began the stream that it resumes, or NULL */
   int64_t timeout_ms; /* how long the caller waits; 0: not specified */
   char *model;        /* NULL: the request has no prompt */
   int64_t prompt_tokens;
@@ -131,7 +132,9 @@
   KCP_STORE_SERVERS,  /* entries of servers, keyed by id */
   KCP_STORE_ORDERS,   /* records of the order lease */
   KCP_STORE_VMS,      /* entries of VMs, keyed by address */
-  KCP_STORE_BLOCKED   /* blocked requests, keyed by fingerprint */
+  KCP_STORE_BLOCKED,  /* blocked requests, keyed by fingerprint */
+  KCP_STORE_SOFTWARE, /* software versions in service; records have keys */
+  KCP_STORE_STREAMS   /* which software versions began which streams */
 };
 
 #define KCP_STORE_UNCONDITIONAL (-1) /* expected_end of an append without a condition */
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -21,7 +21,6 @@
 static void refuse_for_backlog (struct kcp_forward *forward);
 static bool find_blocked (struct kcp_forward *forward, struct kcp_suspect *blocked);
 static void end_blocked (struct kcp_forward *forward, const struct kcp_suspect *blocked);
-static void send_next (struct kcp_forward *forward);
 static void on_deadline (void *user);
 static void server_unref (gpointer data);
 
@@ -52,7 +51,8 @@
       kcp_resend_budget_add_request (
           kcp_gateway_retry_budget (gateway, forward->choice.service),
           forward->arrived_ns);
-      send_next (forward);
+      if (!kcp_forward_look_up_version (forward))
+        kcp_forward_send_next (forward);
     }
   return forward;
 }
@@ -238,8 +238,8 @@
 
 /* Sends the request to the next server, or ends it if there is none, its queue is too
    long, or the request is blocked. */
-static void
-send_next (struct kcp_forward *forward)
+void
+kcp_forward_send_next (struct kcp_forward *forward)
 {
   struct kcp_choice *choice = &forward->choice;
   struct kcp_suspect blocked;
@@ -297,11 +297,11 @@
     case KCP_RESEND_RESUME:
       kcp_counter_add (KCP_COUNT_RESUMED, 1);
       kcp_forward_end_attempt (forward);
-      send_next (forward);
+      kcp_forward_send_next (forward);
       break;
     case KCP_RESEND_OTHER:
       kcp_forward_end_attempt (forward);
-      send_next (forward);
+      kcp_forward_send_next (forward);
       break;
     case KCP_RESEND_REFUSE:
       if (forward->answer->begun)
@@ -338,6 +338,8 @@
     return;
   if (forward->answer->begun)
     kcp_forward_interrupt (forward, reason);
+  else if (forward->tried->len == 0)
+    kcp_forward_refuse (forward, reason);
   else
     kcp_forward_end_with_problem (forward, MHD_HTTP_GATEWAY_TIMEOUT, "unknown", reason);
 }
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -55,6 +55,7 @@
   kcp_server_limit_take (&server->limit, attempt->sent_ns);
   server->prefill_tokens_pending += attempt->prefill_tokens_pending;
   g_ptr_array_add (forward->tried, kcp_server_ref (server));
+  kcp_forward_note_sent (forward);
   kcp_choice_record (gateway, &forward->choice);
   kcp_counter_add (KCP_COUNT_ATTEMPTS, 1);
   if (forward->tried->len > 1)
--- a/src/forward/forward_end.c
+++ b/src/forward/forward_end.c
@@ -26,6 +26,7 @@
   forward->answer->status = status;
   copy_headers (forward);
   forward->answer->begun = true;
+  kcp_forward_bind_version (forward);
 }
 
 /* Relays a server's complete answer, which may be an error, to the caller. */
@@ -172,6 +173,7 @@
                          : KCP_COUNT_FAILED,
                      1);
   kcp_loop_timer_cancel (&forward->deadline_timer);
+  kcp_resume_lookup_cancel (&forward->lookup);
   kcp_forward_end_attempt (forward);
   forward->answer->end = end;
   forward->answer->changed (forward->answer->user);
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -1,11 +1,11 @@
-/* Declarations shared by forward.c, forward_answer.c, forward_attempt.c, forward_crash.c
-   and forward_end.c. */
+/* Declarations shared by the forward*.c files. */
 #ifndef KCP_FORWARD_FORWARD_PRIVATE_H
 #define KCP_FORWARD_FORWARD_PRIVATE_H
 
 #include "forward/choose.h"
 #include "forward/event_framer.h"
 #include "forward/forward.h"
+#include "forward/resume_lookup.h"
 #include "policy/resend.h"
 
 /* One dispatch of the request to one server. */
@@ -19,6 +19,7 @@
   enum kcp_http_framing framing; /* of the answer, once it has ended */
   size_t partial_event_len;      /* bytes after the last complete event, likewise */
   int64_t sent_ns;
+  uint64_t software; /* version of the server when it was sent; see kcp_software_key() */
   unsigned
       events_before;     /* events of the stream that came from servers before this one */
   const char *limit;     /* the limit that the answer exceeds, for the log; NULL: none */
@@ -35,6 +36,7 @@
   struct kcp_routes *routes; /* the version in force when the request was accepted */
   struct kcp_choice choice;
   struct kcp_attempt attempt;
+  struct kcp_resume_lookup lookup;
   struct kcp_event_framer framer;
   struct kcp_loop_timer deadline_timer;
   struct kcp_loop_timer unpause_timer;
@@ -80,7 +82,13 @@
 void kcp_forward_finish (struct kcp_forward *forward, enum kcp_answer_end end,
                          const char *outcome, const char *reason);
 
+/* forward_resume.c */
+bool kcp_forward_look_up_version (struct kcp_forward *forward);
+void kcp_forward_note_sent (struct kcp_forward *forward);
+void kcp_forward_bind_version (struct kcp_forward *forward);
+
 /* forward.c */
+void kcp_forward_send_next (struct kcp_forward *forward);
 void kcp_forward_after_attempt (struct kcp_forward *forward, enum kcp_attempt_end end,
                                 long status);
 
--- /dev/null
+++ b/src/forward/forward_resume.c
@@ -0,0 +1,103 @@
+/* Keeps a stream at the software version that began it: within one answer, and when its
+   caller resumes it. */
+#include "base/counter.h"
+#include "base/decision_log.h"
+#include "forward/forward_private.h"
+#include "forward/software_versions.h"
+
+static bool is_resumed (const struct kcp_forward *forward);
+static void on_looked_up (void *user, enum kcp_resume_decision decision,
+                          uint64_t software, const struct kcp_stream_origin *origin);
+static bool set_service (struct kcp_forward *forward, uint64_t service);
+
+/* If the caller resumes a stream, looks for the version that began it and goes on with
+   the request when that is known. Returns false if the request may go on at once, at any
+   version. */
+bool
+kcp_forward_look_up_version (struct kcp_forward *forward)
+{
+  struct kcp_resume_lookups *lookups = forward->gateway->resume_lookups;
+
+  if (lookups == NULL || !is_resumed (forward))
+    return false;
+  kcp_resume_lookup_start (lookups, &forward->lookup, forward->inbound->resumed_id,
+                           forward->choice.service, on_looked_up, forward);
+  return true;
+}
+
+/* Returns true if the caller has events of the stream. */
+static bool
+is_resumed (const struct kcp_forward *forward)
+{
+  const struct kcp_inbound *inbound = forward->inbound;
+
+  return forward->choice.route->repeat == KCP_REPEAT_RESUMABLE
+         && (inbound->resumed_id != NULL || inbound->resume_after != NULL);
+}
+
+static void
+on_looked_up (void *user, enum kcp_resume_decision decision, uint64_t software,
+              const struct kcp_stream_origin *origin)
+{
+  struct kcp_forward *forward = user;
+  int64_t now = kcp_loop_now (forward->gateway->loop);
+
+  KCP_LOG ("resumed", KCP_LOG_TEXT ("request", forward->inbound->id),
+           KCP_LOG_TEXT ("resumes", forward->inbound->resumed_id),
+           KCP_LOG_TEXT ("after", forward->inbound->resume_after),
+           KCP_LOG_TEXT ("decision", kcp_resume_decision_name (decision)),
+           KCP_LOG_INT ("ms", (now - forward->arrived_ns) / KCP_NS_PER_MS));
+  if (decision == KCP_RESUME_REFUSE
+      || (origin != NULL && !set_service (forward, origin->service)))
+    {
+      kcp_counter_add (KCP_COUNT_RESUMES_REFUSED, 1);
+      kcp_forward_refuse (forward, "version_not_known");
+      return;
+    }
+  forward->choice.bound = true;
+  forward->choice.software = software;
+  kcp_forward_send_next (forward);
+}
+
+/* Chooses the service of the route in which the stream began. Returns false if the route
+   has none such. */
+static bool
+set_service (struct kcp_forward *forward, uint64_t service)
+{
+  const GArray *targets = forward->choice.route->targets;
+
+  for (guint i = 0; i < targets->len; i++)
+    {
+      const char *name = g_array_index (targets, struct kcp_target, i).service;
+
+      if (kcp_software_key (name) != service)
+        continue;
+      forward->choice.service = name;
+      return true;
+    }
+  return false;
+}
+
+/* Notes the version to which an attempt is sent. Other VMs need to know which version
+   began a stream that its caller may resume. */
+void
+kcp_forward_note_sent (struct kcp_forward *forward)
+{
+  const struct kcp_server *server = forward->attempt.server;
+
+  forward->attempt.software = kcp_software_key (server->entry.software);
+  if (forward->choice.route->repeat != KCP_REPEAT_RESUMABLE || forward->choice.bound)
+    return;
+  kcp_software_versions_note (forward->gateway->software_versions, server);
+  kcp_stream_records_note (forward->gateway->stream_records, forward->inbound->id,
+                           server);
+}
+
+/* Has further attempts sent only to servers with the version of the present one, whose
+   events the caller is getting. */
+void
+kcp_forward_bind_version (struct kcp_forward *forward)
+{
+  forward->choice.bound = true;
+  forward->choice.software = forward->attempt.software;
+}
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -39,6 +39,9 @@
 
 struct kcp_mesh;
 struct kcp_blocked_store;
+struct kcp_software_versions;
+struct kcp_stream_records;
+struct kcp_resume_lookups;
 
 struct kcp_gateway
 {
@@ -57,7 +60,10 @@
   struct kcp_quarantine *quarantines[KCP_SUSPECT_KINDS];
   struct kcp_answered_parts *answered_parts;
   struct kcp_blocked_store *blocked_store; /* NULL: blocked requests are not stored */
-  struct kcp_mesh *mesh;                   /* exchange with other VMs; NULL: none */
+  struct kcp_software_versions *software_versions; /* NULL: not kept */
+  struct kcp_stream_records *stream_records;       /* NULL: not kept */
+  struct kcp_resume_lookups *resume_lookups; /* NULL: streams go on at any version */
+  struct kcp_mesh *mesh;                     /* exchange with other VMs; NULL: none */
   bool draining; /* the load balancer is asked to send no connections */
   bool closing;  /* new requests are refused; the balancer sends none */
   unsigned open_requests;
--- a/src/forward/loop.c
+++ b/src/forward/loop.c
@@ -84,7 +84,8 @@
   g_array_append_val (loop->steps, entry);
 }
 
-/* Runs iterations until kcp_loop_stop() is called. */
+/* Runs iterations until kcp_loop_stop() is called; if that was before, none. It may be
+   called again. */
 void
 kcp_loop_run (struct kcp_loop *loop)
 {
@@ -100,6 +101,7 @@
           step->run (step->user);
         }
     }
+  loop->stopping = false;
 }
 
 /* Makes kcp_loop_run() return after the current iteration. */
--- /dev/null
+++ b/src/forward/resume_lookup.c
@@ -0,0 +1,201 @@
+#include "forward/resume_lookup.h"
+
+#include "forward/software_versions.h"
+
+#define LOOK_AGAIN_NS (100 * KCP_NS_PER_MS)
+/* A caller waits at most this long for the store. */
+#define GIVE_UP_NS (400 * KCP_NS_PER_MS)
+
+struct kcp_resume_lookups
+{
+  struct kcp_gateway *gateway;
+  GPtrArray *waiting; /* struct kcp_resume_lookup, borrowed */
+  bool reading;
+};
+
+static bool decide (struct kcp_resume_lookup *lookup, bool answered, bool final);
+static void begin_round (struct kcp_resume_lookups *lookups);
+static void on_versions_read (void *user, bool answered);
+static bool needs_records (const struct kcp_resume_lookups *lookups);
+static void on_records_read (void *user, bool answered);
+static void look_again (void *user);
+static void give_up (void *user);
+
+/* Creates the state; gateway must outlive it. */
+struct kcp_resume_lookups *
+kcp_resume_lookups_new (struct kcp_gateway *gateway)
+{
+  struct kcp_resume_lookups *lookups = g_new0 (struct kcp_resume_lookups, 1);
+
+  lookups->gateway = gateway;
+  lookups->waiting = g_ptr_array_new ();
+  return lookups;
+}
+
+/* Frees the state; NULL is allowed. All lookups must have ended, and the store's client
+   its calls. */
+void
+kcp_resume_lookups_free (struct kcp_resume_lookups *lookups)
+{
+  if (lookups == NULL)
+    return;
+  g_ptr_array_unref (lookups->waiting);
+  g_free (lookups);
+}
+
+/* Looks for the stream that the attempt id began; id may be NULL and must otherwise
+   outlive the lookup. done is called before this function returns if the VM knows the
+   stream. */
+void
+kcp_resume_lookup_start (struct kcp_resume_lookups *lookups,
+                         struct kcp_resume_lookup *lookup, const char *id,
+                         const char *service, kcp_resume_lookup_done *done, void *user)
+{
+  struct kcp_loop *loop = lookups->gateway->loop;
+
+  lookup->lookups = lookups;
+  lookup->id = id;
+  lookup->service = kcp_software_key (service);
+  lookup->done = done;
+  lookup->user = user;
+  if (id != NULL && kcp_stream_records_find (lookups->gateway->stream_records, id) != NULL
+      && decide (lookup, false, true))
+    return;
+  kcp_loop_timer_set (loop, &lookup->give_up_timer, kcp_loop_now (loop) + GIVE_UP_NS,
+                      give_up, lookup);
+  g_ptr_array_add (lookups->waiting, lookup);
+  begin_round (lookups);
+}
+
+/* Ends a lookup without a decision. Does nothing if it is not in progress. */
+void
+kcp_resume_lookup_cancel (struct kcp_resume_lookup *lookup)
+{
+  if (lookup->lookups == NULL)
+    return;
+  kcp_loop_timer_cancel (&lookup->give_up_timer);
+  kcp_loop_timer_cancel (&lookup->again_timer);
+  g_ptr_array_remove (lookup->lookups->waiting, lookup);
+  lookup->lookups = NULL;
+}
+
+/* Ends the lookup if what is known decides it. final: it does not wait any longer. */
+static bool
+decide (struct kcp_resume_lookup *lookup, bool answered, bool final)
+{
+  const struct kcp_gateway *gateway = lookup->lookups->gateway;
+  const struct kcp_stream_origin *origin
+      = lookup->id != NULL ? kcp_stream_records_find (gateway->stream_records, lookup->id)
+                           : NULL;
+  uint64_t software = 0;
+  struct kcp_resume_facts facts = {
+    .recorded = origin != NULL,
+    .store_answered = answered,
+    .versions_known = kcp_software_versions_are_known (gateway->software_versions),
+    .looked_before = lookup->looked || final,
+    .versions = kcp_software_versions_count (gateway->software_versions, lookup->service,
+                                             &software),
+  };
+  enum kcp_resume_decision decision = kcp_resume_decide (&facts);
+
+  if (decision == KCP_RESUME_LOOK_AGAIN)
+    return false;
+  kcp_resume_lookup_cancel (lookup);
+  lookup->done (lookup->user, decision, origin != NULL ? origin->software : software,
+                origin);
+  return true;
+}
+
+/* Reads the store for the lookups that wait, unless it is being read for others. */
+static void
+begin_round (struct kcp_resume_lookups *lookups)
+{
+  bool wanted = false;
+
+  if (lookups->reading)
+    return;
+  for (guint i = 0; i < lookups->waiting->len; i++)
+    {
+      struct kcp_resume_lookup *lookup = g_ptr_array_index (lookups->waiting, i);
+
+      lookup->in_round = !lookup->resting;
+      wanted = wanted || lookup->in_round;
+    }
+  if (!wanted)
+    return;
+  lookups->reading = true;
+  kcp_software_versions_read_store (lookups->gateway->software_versions, on_versions_read,
+                                    lookups);
+}
+
+static void
+on_versions_read (void *user, bool answered)
+{
+  struct kcp_resume_lookups *lookups = user;
+
+  if (answered && needs_records (lookups))
+    kcp_stream_records_read_store (lookups->gateway->stream_records, on_records_read,
+                                   lookups);
+  else
+    on_records_read (lookups, answered);
+}
+
+/* Returns true if a stream that is looked for may have begun at several versions. */
+static bool
+needs_records (const struct kcp_resume_lookups *lookups)
+{
+  for (guint i = 0; i < lookups->waiting->len; i++)
+    {
+      const struct kcp_resume_lookup *lookup = g_ptr_array_index (lookups->waiting, i);
+      uint64_t software;
+
+      if (lookup->in_round && lookup->id != NULL
+          && kcp_software_versions_count (lookups->gateway->software_versions,
+                                          lookup->service, &software)
+                 != 1)
+        return true;
+    }
+  return false;
+}
+
+static void
+on_records_read (void *user, bool answered)
+{
+  struct kcp_resume_lookups *lookups = user;
+  struct kcp_loop *loop = lookups->gateway->loop;
+  g_autoptr (GPtrArray) round = g_ptr_array_new ();
+
+  lookups->reading = false;
+  for (guint i = 0; i < lookups->waiting->len; i++)
+    if (((const struct kcp_resume_lookup *)g_ptr_array_index (lookups->waiting, i))
+            ->in_round)
+      g_ptr_array_add (round, g_ptr_array_index (lookups->waiting, i));
+  for (guint i = 0; i < round->len; i++)
+    {
+      struct kcp_resume_lookup *lookup = g_ptr_array_index (round, i);
+
+      lookup->in_round = false;
+      if (decide (lookup, answered, false))
+        continue;
+      lookup->looked = true;
+      lookup->resting = true;
+      kcp_loop_timer_set (loop, &lookup->again_timer, kcp_loop_now (loop) + LOOK_AGAIN_NS,
+                          look_again, lookup);
+    }
+  begin_round (lookups);
+}
+
+static void
+look_again (void *user)
+{
+  struct kcp_resume_lookup *lookup = user;
+
+  lookup->resting = false;
+  begin_round (lookup->lookups);
+}
+
+static void
+give_up (void *user)
+{
+  (void)decide (user, false, true);
+}
--- /dev/null
+++ b/src/forward/software_versions.h
@@ -0,0 +1,27 @@
+/* The software versions in service: for each service, the versions that servers in the
+   list have or recently had. They are kept in the platform's store too, so that a VM that
+   has just started knows of versions whose servers have just left. Used on the event
+   loop's thread only. */
+#ifndef KCP_FORWARD_SOFTWARE_VERSIONS_H
+#define KCP_FORWARD_SOFTWARE_VERSIONS_H
+
+#include "forward/gateway.h"
+
+struct kcp_software_versions;
+
+/* Called with whether the store has answered. */
+typedef void kcp_software_versions_read (void *user, bool answered);
+
+struct kcp_software_versions *
+kcp_software_versions_start (struct kcp_gateway *gateway, const struct kcp_store *store);
+void kcp_software_versions_stop (struct kcp_software_versions *versions);
+uint64_t kcp_software_key (const char *text);
+void kcp_software_versions_note (struct kcp_software_versions *versions,
+                                 const struct kcp_server *server);
+unsigned kcp_software_versions_count (const struct kcp_software_versions *versions,
+                                      uint64_t service, uint64_t *software);
+bool kcp_software_versions_are_known (const struct kcp_software_versions *versions);
+void kcp_software_versions_read_store (struct kcp_software_versions *versions,
+                                       kcp_software_versions_read *done, void *user);
+
+#endif
--- /dev/null
+++ b/src/forward/stream_records.h
@@ -0,0 +1,33 @@
+/* The servers' software versions that began streams. Each VM keeps those of its own
+   recent streams; while a service has several versions in service, it writes them to a
+   topic of the platform's store, many in one record, which VMs read when a caller resumes
+   a stream. Used on the event loop's thread only. */
+#ifndef KCP_FORWARD_STREAM_RECORDS_H
+#define KCP_FORWARD_STREAM_RECORDS_H
+
+#include "forward/gateway.h"
+
+struct kcp_stream_records;
+
+/* What began a stream; see kcp_software_key(). */
+struct kcp_stream_origin
+{
+  uint64_t service;
+  uint64_t software;
+};
+
+/* Called with whether the store has answered. */
+typedef void kcp_stream_records_read (void *user, bool answered);
+
+struct kcp_stream_records *
+kcp_stream_records_start (struct kcp_gateway *gateway, const struct kcp_store *store);
+void kcp_stream_records_stop (struct kcp_stream_records *records);
+void kcp_stream_records_note (struct kcp_stream_records *records, const char *id,
+                              const struct kcp_server *server);
+void kcp_stream_records_write_own (struct kcp_stream_records *records);
+const struct kcp_stream_origin *
+kcp_stream_records_find (const struct kcp_stream_records *records, const char *id);
+void kcp_stream_records_read_store (struct kcp_stream_records *records,
+                                    kcp_stream_records_read *done, void *user);
+
+#endif
