Send no request on a connection that has an answer too many

What callers saw: a faulty engine writes an earlier refusal once more on a kept connection; the connection is used again, each request gets the answer of the one before, and callers get 502 for bookings that ran.

Cause: libcurl uses a kept connection with unread bytes again, and the answer with another request's id ended the request, but not the connection.

Change: before the first byte of a request goes out on a kept connection, the socket is looked at; with unread bytes, or closed, the request moves to a new connection, of which its caller sees nothing. This holds for the router's own calls and the store too. A final answer without the request's id closes its connection.

One system call more for each request on a kept connection.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -55,6 +55,8 @@
   = { "store_eras", "Times the platform's store came back from an older copy" },
   [KCP_COUNT_SERVER_LIMITS]
   = { "server_limits", "Times a server named a limit of requests a second" },
+  [KCP_COUNT_UNCLEAN_CONNECTIONS]
+  = { "unclean_connections", "Kept connections not used again as they had unread bytes" },
   [KCP_COUNT_STREAM_RECORDS]
   = { "stream_records", "Records written of which software version began which streams" },
   [KCP_COUNT_RESUMES_REFUSED]
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -212,6 +212,9 @@
   long status = kcp_http_status (attempt->call);
   struct kcp_gateway *gateway = forward->gateway;
 
+  if (status >= MHD_HTTP_OK
+      && g_strcmp0 (attempt->head.request_id, forward->inbound->id) != 0)
+    kcp_http_forbid_reuse (attempt->call);
   if (gateway->dialect->status_is_not_run (status))
     return;
   if (attempt->head.request_id != NULL
--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -8,6 +8,7 @@
 
 #include "base/counter.h"
 #include "base/decision_log.h"
+#include "forward/http_sockets.h"
 
 #define CONNECTION_CACHE  1024L       /* connections kept for reuse */
 #define READ_BUFFER       (16L << 10) /* bytes */
@@ -22,6 +23,7 @@
   CURLM *multi;
   GPtrArray *spare_handles; /* easy handles for reuse */
   GHashTable *calls;        /* set of struct kcp_http_call */
+  struct kcp_http_sockets *sockets;
 };
 
 struct kcp_http_call
@@ -34,6 +36,9 @@
   int64_t ack_timeout_ms;
   /* A connection was established, so the server may have received a byte. */
   bool connected;
+  int new_fd;   /* socket that was created for this call; -1: none */
+  bool unclean; /* the connection to be used again has bytes that no request asked for */
+  bool moved;   /* to a new connection, since that one was unclean */
   bool may_repeat;
   struct kcp_http_head head;
   size_t body_bytes;
@@ -56,6 +61,7 @@
 };
 
 static void read_messages (void *user);
+static void move_to_new_connection (struct kcp_http_call *call);
 static void finish (struct kcp_http_call *call, CURLcode code);
 static void record_limit (struct kcp_http_call *call);
 static enum kcp_http_end classify_end (const struct kcp_http_call *call, CURLcode code);
@@ -66,6 +72,8 @@
 static void release_call (struct kcp_http_call *call);
 static int
 on_connected (void *user, char *address, char *own_address, int port, int own_port);
+static bool
+is_usable (struct kcp_http_call *call, const struct kcp_http_connection *connection);
 static int on_socket_created (void *user, curl_socket_t fd, curlsocktype purpose);
 static size_t on_header (char *data, size_t size, size_t count, void *user);
 static size_t on_data (char *data, size_t size, size_t count, void *user);
@@ -81,6 +89,7 @@
   client->multi = kcp_poller_multi (kcp_loop_poller (loop));
   client->spare_handles = g_ptr_array_new ();
   client->calls = g_hash_table_new (NULL, NULL);
+  client->sockets = kcp_http_sockets_new ();
   curl_multi_setopt (client->multi, CURLMOPT_MAXCONNECTS, CONNECTION_CACHE);
   curl_multi_setopt (client->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
   kcp_loop_add_step (loop, read_messages, client);
@@ -107,6 +116,7 @@
     curl_easy_cleanup (g_ptr_array_index (client->spare_handles, i));
   g_ptr_array_unref (client->spare_handles);
   g_hash_table_unref (client->calls);
+  kcp_http_sockets_free (client->sockets);
   g_free (client);
 }
 
@@ -118,6 +128,7 @@
   struct kcp_http_call *call = g_new0 (struct kcp_http_call, 1);
 
   call->client = client;
+  call->new_fd = -1;
   call->headers = spec->headers;
   call->body = spec->body;
   call->ack_timeout_ms = spec->ack_timeout_ms;
@@ -147,6 +158,14 @@
   release_call (call);
 }
 
+/* Has the connection closed after this call, since what it brings next may belong to an
+   earlier request. May be called from a header callback. */
+void
+kcp_http_forbid_reuse (struct kcp_http_call *call)
+{
+  curl_easy_setopt (call->curl, CURLOPT_FORBID_REUSE, 1L);
+}
+
 /* Delivers no more of the answer after the data callback returns, from which this may be
    called. The server is not read further. */
 void
@@ -197,10 +216,30 @@
       if (message->msg != CURLMSG_DONE)
         continue;
       curl_easy_getinfo (message->easy_handle, CURLINFO_PRIVATE, &call);
-      finish (call, message->data.result);
+      if (call->unclean)
+        move_to_new_connection (call);
+      else
+        finish (call, message->data.result);
     }
 }
 
+/* Starts a call again of which nothing was sent. */
+static void
+move_to_new_connection (struct kcp_http_call *call)
+{
+  char *address = NULL;
+
+  curl_easy_getinfo (call->curl, CURLINFO_EFFECTIVE_URL, &address);
+  kcp_counter_add (KCP_COUNT_UNCLEAN_CONNECTIONS, 1);
+  KCP_LOG ("connection_unclean", KCP_LOG_TEXT ("peer", address));
+  curl_multi_remove_handle (call->client->multi, call->curl);
+  call->unclean = false;
+  call->moved = true;
+  call->error[0] = '\0';
+  curl_easy_setopt (call->curl, CURLOPT_FRESH_CONNECT, 1L);
+  curl_multi_add_handle (call->client->multi, call->curl);
+}
+
 static void
 finish (struct kcp_http_call *call, CURLcode code)
 {
@@ -343,29 +382,51 @@
 on_connected (void *user, char *address, char *own_address, int port, int own_port)
 {
   struct kcp_http_call *call = user;
+  struct kcp_http_connection connection
+      = { .address = address, .port = port, .own_port = own_port };
 
-  (void)address;
   (void)own_address;
-  (void)port;
-  (void)own_port;
   if (call->connected && !call->may_repeat)
     return CURL_PREREQFUNC_ABORT;
+  if (!is_usable (call, &connection))
+    {
+      call->unclean = true;
+      return CURL_PREREQFUNC_ABORT;
+    }
   call->connected = true;
   return CURL_PREREQFUNC_OK;
 }
 
+/* Returns false if the connection was used before and has bytes that no request has asked
+   for, such as an answer too many. The request on it would get these as its answer. */
+static bool
+is_usable (struct kcp_http_call *call, const struct kcp_http_connection *connection)
+{
+  struct kcp_http_sockets *sockets = call->client->sockets;
+
+  if (call->new_fd >= 0)
+    {
+      kcp_http_sockets_add (sockets, connection, call->new_fd);
+      call->new_fd = -1;
+      return true;
+    }
+  return call->moved || call->connected
+         || kcp_http_sockets_are_quiet (sockets, connection);
+}
+
 /* Makes the kernel close a connection whose peer no longer acknowledges data or keepalive
    probes. */
 static int
 on_socket_created (void *user, curl_socket_t fd, curlsocktype purpose)
 {
-  const struct kcp_http_call *call = user;
+  struct kcp_http_call *call = user;
   unsigned ack_timeout_ms = (unsigned)call->ack_timeout_ms;
   int on = 1;
   int idle_s = KEEPALIVE_IDLE_S;
   int count = KEEPALIVE_COUNT;
 
   (void)purpose;
+  call->new_fd = fd;
   if (ack_timeout_ms == 0)
     return CURL_SOCKOPT_OK;
   (void)setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof on);
--- a/src/forward/http_client.h
+++ b/src/forward/http_client.h
@@ -67,6 +67,7 @@
 struct kcp_http_call *
 kcp_http_start (struct kcp_http_client *client, const struct kcp_http_spec *spec);
 void kcp_http_cancel (struct kcp_http_call *call);
+void kcp_http_forbid_reuse (struct kcp_http_call *call);
 void kcp_http_pause (struct kcp_http_call *call);
 void kcp_http_unpause (struct kcp_http_call *call);
 long kcp_http_status (const struct kcp_http_call *call);
