--- a/src/forward/http_sockets.c
+++ b/src/forward/http_sockets.c
@@ -75,7 +75,7 @@
 static gboolean
 is_closed (gpointer key, gpointer value, gpointer user)
 {
-  struct sockaddr_in own;
+  struct sockaddr_in own = { 0 };
   socklen_t len = sizeof own;
   const char *own_port = strrchr (key, '/');
 
--- a/src/forward/server_loop.c
+++ b/src/forward/server_loop.c
@@ -23,15 +23,17 @@
 {
   const char *colon = strchr (text, ':');
   g_autofree char *host = colon != NULL ? g_strndup (text, colon - text) : NULL;
+  gint64 port;
 
   memset (out, 0, sizeof *out);
   out->sin_family = AF_INET;
-  if (colon == NULL || inet_pton (AF_INET, host, &out->sin_addr) != 1)
+  if (colon == NULL || inet_pton (AF_INET, host, &out->sin_addr) != 1
+      || !g_ascii_string_to_signed (colon + 1, 10, 0, UINT16_MAX, &port, NULL))
     {
       kcp_error_set (error, KCP_ERR_INTERNAL, STEP, text, "not an address");
       return false;
     }
-  out->sin_port = htons ((uint16_t)atoi (colon + 1));
+  out->sin_port = htons ((uint16_t)port);
   return true;
 }
 
--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -470,6 +470,16 @@
   return NULL;
 }
 
+/* Appends a record to a topic, as another writer would. key is NULL in a topic without
+   keys. */
+void
+fake_platform_put_in_topic (struct fake_platform *platform, const char *topic,
+                            const char *key, const char *value)
+{
+  add_record (platform, (unsigned)(find_topic (platform, topic) - platform->topics), key,
+              value);
+}
+
 /* Makes the store come back from a copy that lacks the newest records of a topic. Their
    offsets are given out again. */
 void
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -88,6 +88,8 @@
 void fake_platform_put_lease_record (struct fake_platform *platform, const char *holder);
 void fake_platform_put_server_entry (struct fake_platform *platform, const char *id,
                                      const char *value);
+void fake_platform_put_in_topic (struct fake_platform *platform, const char *topic,
+                                 const char *key, const char *value);
 void fake_platform_lose_records (struct fake_platform *platform, const char *topic,
                                  unsigned count);
 unsigned fake_platform_end_offset (struct fake_platform *platform, const char *topic);
