--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -11,6 +11,7 @@
 
 #define LOGGED_PARTS_MAX 8u /* parts of a prompt that a line of the log names */
 
+static void log_sent (const struct kcp_forward *forward);
 static char *list_parts (const struct kcp_forward *forward);
 static struct curl_slist *make_headers (const struct kcp_forward *forward);
 static void on_head_began (void *user);
@@ -42,8 +43,6 @@
   struct kcp_attempt *attempt = &forward->attempt;
   struct kcp_server *server = forward->choice.server;
   bool run_once = forward->choice.route->repeat == KCP_REPEAT_ONCE;
-  char fingerprint[KCP_FINGERPRINT_TEXT_SIZE];
-  g_autofree char *parts = list_parts (forward);
 
   attempt->server = kcp_server_ref (server);
   attempt->headers = g_ptr_array_new_with_free_func (g_free);
@@ -60,6 +59,37 @@
   kcp_counter_add (KCP_COUNT_ATTEMPTS, 1);
   if (forward->tried->len > 1)
     kcp_counter_add (KCP_COUNT_RETRIES, 1);
+  log_sent (forward);
+  attempt->call = kcp_http_start (
+      gateway->client,
+      &(struct kcp_http_spec){
+          .method = forward->inbound->method,
+          .address = server->entry.address,
+          .target = forward->inbound->target,
+          .headers = make_headers (forward),
+          .body = { forward->inbound->body->str, forward->inbound->body->len },
+          .connect_ms = settings->servers_connect_timeout_ms,
+          .ack_timeout_ms = settings->servers_ack_timeout_ms,
+          .max_idle_s = settings->servers_max_idle_s,
+          .new_connection = run_once && forward->inbound->body->len == 0,
+          .head_began = on_head_began,
+          .head_ended = on_head_ended,
+          .header = on_header,
+          .data = on_data,
+          .done = on_done,
+          .user = forward,
+      });
+}
+
+/* Logs an attempt that is about to be sent, with what its server was chosen by. */
+static void
+log_sent (const struct kcp_forward *forward)
+{
+  const struct kcp_attempt *attempt = &forward->attempt;
+  const struct kcp_server *server = attempt->server;
+  char fingerprint[KCP_FINGERPRINT_TEXT_SIZE];
+  g_autofree char *parts = list_parts (forward);
+
   KCP_LOG (
       "sent", KCP_LOG_TEXT ("request", forward->inbound->id),
       KCP_LOG_TEXT ("route", forward->choice.route->name),
@@ -100,25 +130,6 @@
       KCP_LOG_TEXT ("fingerprint",
                     kcp_fingerprint_text (forward->causes.fingerprint, fingerprint)),
       KCP_LOG_TEXT ("parts", parts));
-  attempt->call = kcp_http_start (
-      gateway->client,
-      &(struct kcp_http_spec){
-          .method = forward->inbound->method,
-          .address = server->entry.address,
-          .target = forward->inbound->target,
-          .headers = make_headers (forward),
-          .body = { forward->inbound->body->str, forward->inbound->body->len },
-          .connect_ms = settings->servers_connect_timeout_ms,
-          .ack_timeout_ms = settings->servers_ack_timeout_ms,
-          .max_idle_s = settings->servers_max_idle_s,
-          .new_connection = run_once && forward->inbound->body->len == 0,
-          .head_began = on_head_began,
-          .head_ended = on_head_ended,
-          .header = on_header,
-          .data = on_data,
-          .done = on_done,
-          .user = forward,
-      });
 }
 
 /* Returns the fingerprints of the prompt's first parts as the log shows them, separated
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -6,7 +6,6 @@
 #include <unistd.h>
 #include <xxhash.h>
 
-#include "base/counter.h"
 #include "base/decision_log.h"
 #include "forward/mesh_private.h"
 #include "forward/server_loop.h"
@@ -17,23 +16,11 @@
 #define DEAD_AFTER_INTERVALS 6
 /* The same limit in ns while the interval of a VM is not known. */
 #define INITIAL_DEAD_AFTER_NS (3000 * KCP_NS_PER_MS)
-#define INTERVAL_WEIGHT       8 /* inverse weight of a new interval in the average */
 #define LEADER_SEED           1u /* seed of the rendezvous order that determines the leader */
 #define FORGET_PEER_AFTER_NS  (60 * KCP_NS_PER_S)
 
 static bool ranks_first (const struct kcp_mesh *mesh, uint64_t key, const char *dc);
 static int64_t dead_after_ns (const struct kcp_mesh_peer *peer);
-static void record_interval (struct kcp_mesh_peer *peer, int64_t now_ns);
-static void on_datagram (void *user, uint32_t events);
-static bool handle_gossip (struct kcp_mesh *mesh, char *bytes, size_t len);
-static bool handle_update (struct kcp_mesh *mesh, char *bytes, size_t len);
-static bool handle_records (struct kcp_mesh *mesh, char *bytes, size_t len);
-static bool handle_suspects (struct kcp_mesh *mesh, enum kcp_suspect_kind kind,
-                             char *bytes, size_t len);
-static bool handle_notices (struct kcp_mesh *mesh, char *bytes, size_t len);
-static bool handle_needs (struct kcp_mesh *mesh, char *bytes, size_t len);
-static void apply_gossip (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
-static void apply_row (struct kcp_mesh *mesh, const struct kcp_mesh_row *row);
 static void add_row_load (struct kcp_mesh *mesh, const struct kcp_mesh_row *row);
 static void peer_free (gpointer data);
 
@@ -66,7 +53,7 @@
                      g_strerror (errno));
       goto fail;
     }
-  kcp_poller_watch (kcp_loop_poller (gateway->loop), mesh->fd, EPOLLIN, on_datagram,
+  kcp_poller_watch (kcp_loop_poller (gateway->loop), mesh->fd, EPOLLIN, kcp_mesh_receive,
                     mesh);
   store->watch_era (store->self, kcp_mesh_on_new_era, mesh);
   kcp_mesh_register (mesh);
@@ -191,186 +178,6 @@
   return MAX (KCP_MESH_MIN_DEAD_AFTER_NS, DEAD_AFTER_INTERVALS * peer->interval_ns);
 }
 
-/* Updates the moving average of the time between a peer's gossip messages. */
-static void
-record_interval (struct kcp_mesh_peer *peer, int64_t now_ns)
-{
-  int64_t interval_ns = now_ns - peer->received_ns;
-
-  if (!peer->alive || peer->received_ns == 0)
-    return;
-  if (peer->interval_ns == 0)
-    peer->interval_ns = interval_ns;
-  else
-    peer->interval_ns += (interval_ns - peer->interval_ns) / INTERVAL_WEIGHT;
-}
-
-static void
-on_datagram (void *user, uint32_t events)
-{
-  struct kcp_mesh *mesh = user;
-  char bytes[KCP_MESH_MESSAGE_MAX];
-  ssize_t len;
-
-  (void)events;
-  while ((len = recv (mesh->fd, bytes, sizeof bytes, 0)) > 0)
-    {
-      bool valid = false;
-
-      switch (kcp_mesh_procedure_of (bytes, (size_t)len))
-        {
-        case KCP_MESH_GOSSIP:
-          valid = handle_gossip (mesh, bytes, (size_t)len);
-          break;
-        case KCP_MESH_UPDATE:
-          valid = handle_update (mesh, bytes, (size_t)len);
-          break;
-        case KCP_MESH_RECORDS:
-          valid = handle_records (mesh, bytes, (size_t)len);
-          break;
-        case KCP_MESH_SUSPECTS:
-          valid = handle_suspects (mesh, KCP_SUSPECT_REQUEST, bytes, (size_t)len);
-          break;
-        case KCP_MESH_PART_SUSPECTS:
-          valid = handle_suspects (mesh, KCP_SUSPECT_PART, bytes, (size_t)len);
-          break;
-        case KCP_MESH_NOTICES:
-          valid = handle_notices (mesh, bytes, (size_t)len);
-          break;
-        case KCP_MESH_NEEDS:
-          valid = handle_needs (mesh, bytes, (size_t)len);
-          break;
-        case KCP_MESH_INVALID:
-          break;
-        }
-      kcp_counter_add (valid ? KCP_COUNT_RPC_RECEIVED : KCP_COUNT_RPC_REJECTED, 1);
-    }
-}
-
-static bool
-handle_gossip (struct kcp_mesh *mesh, char *bytes, size_t len)
-{
-  struct kcp_mesh_message message;
-  bool valid;
-
-  kcp_mesh_message_init (&message);
-  valid = kcp_mesh_message_decode (&message, bytes, len);
-  if (valid)
-    apply_gossip (mesh, &message);
-  kcp_mesh_message_clear (&message);
-  return valid;
-}
-
-static bool
-handle_update (struct kcp_mesh *mesh, char *bytes, size_t len)
-{
-  struct kcp_mesh_update update;
-  bool valid;
-
-  kcp_mesh_update_init (&update);
-  valid = kcp_mesh_update_decode (&update, bytes, len);
-  if (valid)
-    kcp_mesh_apply_update (mesh, &update);
-  kcp_mesh_update_clear (&update);
-  return valid;
-}
-
-/* Passes received records on to the handler. Records from an unknown VM are dropped. */
-static bool
-handle_records (struct kcp_mesh *mesh, char *bytes, size_t len)
-{
-  struct kcp_mesh_records records;
-  bool valid;
-
-  kcp_mesh_records_init (&records);
-  valid = kcp_mesh_records_decode (&records, bytes, len);
-  if (valid && mesh->records_handler != NULL
-      && kcp_mesh_find_peer (mesh, records.vm) != NULL)
-    mesh->records_handler (mesh->records_user, &records);
-  kcp_mesh_records_clear (&records);
-  return valid;
-}
-
-static bool
-handle_suspects (struct kcp_mesh *mesh, enum kcp_suspect_kind kind, char *bytes,
-                 size_t len)
-{
-  struct kcp_mesh_suspects suspects;
-  bool valid;
-
-  kcp_mesh_suspects_init (&suspects, kind);
-  valid = kcp_mesh_suspects_decode (&suspects, bytes, len);
-  if (valid)
-    kcp_mesh_apply_suspects (mesh, &suspects);
-  kcp_mesh_suspects_clear (&suspects);
-  return valid;
-}
-
-static bool
-handle_notices (struct kcp_mesh *mesh, char *bytes, size_t len)
-{
-  struct kcp_mesh_notices notices;
-  bool valid;
-
-  kcp_mesh_notices_init (&notices);
-  valid = kcp_mesh_notices_decode (&notices, bytes, len);
-  if (valid)
-    kcp_mesh_apply_notices (mesh, &notices);
-  kcp_mesh_notices_clear (&notices);
-  return valid;
-}
-
-static bool
-handle_needs (struct kcp_mesh *mesh, char *bytes, size_t len)
-{
-  struct kcp_mesh_needs needs;
-  bool valid;
-
-  kcp_mesh_needs_init (&needs);
-  valid = kcp_mesh_needs_decode (&needs, bytes, len);
-  if (valid)
-    kcp_mesh_apply_needs (mesh, &needs);
-  kcp_mesh_needs_clear (&needs);
-  return valid;
-}
-
-/* Stores the state from a gossip message unless a newer one of its sender is known. */
-static void
-apply_gossip (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
-{
-  struct kcp_mesh_peer *peer = kcp_mesh_find_peer (mesh, message->vm);
-  GArray *rows;
-
-  if (strcmp (message->vm, mesh->own) == 0)
-    return;
-  if (peer == NULL)
-    peer = kcp_mesh_add_peer (mesh, message->vm);
-  if (peer == NULL || message->start_ms < peer->start_ms
-      || (message->start_ms == peer->start_ms && message->sequence <= peer->sequence))
-    return;
-  if (peer->start_ms != message->start_ms)
-    {
-      peer->update_sequence = 0;
-      g_clear_pointer (&peer->needs, g_hash_table_unref);
-    }
-  peer->start_ms = message->start_ms;
-  peer->sequence = message->sequence;
-  record_interval (peer, kcp_loop_now (mesh->gateway->loop));
-  peer->received_ns = kcp_loop_now (mesh->gateway->loop);
-  g_strlcpy (peer->data_center, message->data_center, sizeof peer->data_center);
-  if (!peer->alive)
-    KCP_LOG ("vm", KCP_LOG_TEXT ("change", "alive"), KCP_LOG_TEXT ("peer", peer->vm),
-             KCP_LOG_TEXT ("peer_dc", peer->data_center));
-  peer->alive = true;
-  peer->last_message.leaving = message->leaving;
-  rows = peer->last_message.rows;
-  peer->last_message.rows = message->rows;
-  message->rows = rows;
-  mesh->peer_load_stale = true;
-  for (guint i = 0; i < peer->last_message.rows->len; i++)
-    apply_row (mesh, &g_array_index (peer->last_message.rows, struct kcp_mesh_row, i));
-}
-
 /* Returns the peer with this address, or NULL if it is not known. */
 struct kcp_mesh_peer *
 kcp_mesh_find_peer (struct kcp_mesh *mesh, const char *vm)
@@ -473,25 +280,6 @@
   server->peers_prefill_tokens_pending += row->prefill_tokens_pending;
 }
 
-/* Applies the weights and cached parts of a server from a message just received. */
-static void
-apply_row (struct kcp_mesh *mesh, const struct kcp_mesh_row *row)
-{
-  struct kcp_server *server
-      = kcp_servers_find_by_key (mesh->gateway->servers, row->server);
-  int64_t now = kcp_loop_now (mesh->gateway->loop);
-
-  if (server == NULL)
-    return;
-  if (row->version > 0)
-    kcp_server_update_first_version (server, row->version, now);
-  if (row->loading_ms > 0)
-    server->loading_until_ns
-        = MAX (server->loading_until_ns, now + row->loading_ms * KCP_NS_PER_MS);
-  if (row->has_parts && !server->reads_cache_events)
-    kcp_server_set_cached_parts (server, row->parts, now);
-}
-
 static void
 peer_free (gpointer data)
 {
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -99,6 +99,9 @@
 struct kcp_mesh_peer *kcp_mesh_find_peer (struct kcp_mesh *mesh, const char *vm);
 struct kcp_mesh_peer *kcp_mesh_add_peer (struct kcp_mesh *mesh, const char *vm);
 
+/* mesh_receive.c */
+void kcp_mesh_receive (void *user, uint32_t events);
+
 /* mesh_list.c */
 void kcp_mesh_register (void *user);
 void kcp_mesh_on_new_era (void *user, int64_t era);
