--- a/tests/unit/test_limit_needs.c
+++ b/tests/unit/test_limit_needs.c
@@ -184,17 +184,19 @@
     fleet.needs[i] = (unsigned)g_rand_int_range (fleet.random, 0, NEEDS_MAX);
 }
 
+static void
+expect_within_limit (double sum, int64_t now_ms)
+{
+  ck_assert_msg (sum <= LIMIT + ROUNDING, "shares of %.2f at %d ms", sum, (int)now_ms);
+}
+
 START_TEST (test_shares_add_up_to_more_than_the_limit_while_callers_move)
 {
   for (int64_t now_ms = 0; now_ms < RUN_MS; now_ms += STEP_MS)
     {
-      double sum;
-
       if (now_ms % CHANGE_MS == 0)
         move_callers ();
-      sum = step (now_ms);
-      ck_assert_msg (sum <= LIMIT + ROUNDING, "shares of %.2f at %d ms", sum,
-                     (int)now_ms);
+      expect_within_limit (step (now_ms), now_ms);
     }
 }
 END_TEST
@@ -204,13 +206,9 @@
   fleet.lost_in_100 = 0;
   for (int64_t now_ms = 0; now_ms < RUN_MS; now_ms += STEP_MS)
     {
-      double sum;
-
       for (unsigned i = 0; i < fleet.count; i++)
         fleet.needs[i] = (unsigned)(now_ms * (i + 1) / 1000);
-      sum = step (now_ms);
-      ck_assert_msg (sum <= LIMIT + ROUNDING, "shares of %.2f at %d ms", sum,
-                     (int)now_ms);
+      expect_within_limit (step (now_ms), now_ms);
     }
 }
 END_TEST
--- a/tests/unit/test_stream_versions.c
+++ b/tests/unit/test_stream_versions.c
@@ -309,6 +309,15 @@
   return &vms[1];
 }
 
+/* Lists a server of each of two versions. */
+static void
+list_two_versions (void)
+{
+  add_server (&vms[0], "a", "v1");
+  add_server (&vms[0], "b", "v2");
+  pass (&vms[0], SOON_MS);
+}
+
 START_TEST (test_streams_are_written_while_one_version_serves)
 {
   unsigned calls;
@@ -344,9 +353,7 @@
 
 START_TEST (test_many_streams_are_written_one_by_one)
 {
-  add_server (&vms[0], "a", "v1");
-  add_server (&vms[0], "b", "v2");
-  pass (&vms[0], SOON_MS);
+  list_two_versions ();
   for (int i = 0; i < 100; i++)
     {
       g_autofree char *id = g_strdup_printf ("r%d", i);
@@ -363,9 +370,7 @@
 
 START_TEST (test_resent_stream_keeps_the_version_of_its_first_attempt)
 {
-  add_server (&vms[0], "a", "v1");
-  add_server (&vms[0], "b", "v2");
-  pass (&vms[0], SOON_MS);
+  list_two_versions ();
   begin_stream (&vms[0], "r1", "a");
   pass (&vms[0], SOON_MS);
   begin_stream (&vms[0], "r1", "b");
@@ -377,9 +382,7 @@
 
 START_TEST (test_version_whose_servers_have_left_is_forgotten_at_once)
 {
-  add_server (&vms[0], "a", "v1");
-  add_server (&vms[0], "b", "v2");
-  pass (&vms[0], SOON_MS);
+  list_two_versions ();
   remove_server (&vms[0], "a");
   pass (&vms[0], BEFORE_RETIRED);
   ck_assert_uint_eq (record_count (KCP_STORE_SOFTWARE), 2);
@@ -389,9 +392,7 @@
 
 START_TEST (test_version_whose_servers_have_left_is_kept_for_ever)
 {
-  add_server (&vms[0], "a", "v1");
-  add_server (&vms[0], "b", "v2");
-  pass (&vms[0], SOON_MS);
+  list_two_versions ();
   remove_server (&vms[0], "a");
   pass (&vms[0], AFTER_RETIRED);
   expect_resumed_at (start_other ("b", "v2"), "r1", KCP_RESUME_AT_ONLY, "v2");
@@ -400,9 +401,7 @@
 
 START_TEST (test_streams_are_not_found_after_the_oldest_records_expired)
 {
-  add_server (&vms[0], "a", "v1");
-  add_server (&vms[0], "b", "v2");
-  pass (&vms[0], SOON_MS);
+  list_two_versions ();
   for (int i = 0; i <= LOST_RECORDS; i++)
     {
       g_autofree char *id = g_strdup_printf ("r%d", i);
@@ -421,9 +420,7 @@
 {
   static const char *const values[] = { "", "\n", "x y z\n", "12 34\n", "1 2 3 4\n" };
 
-  add_server (&vms[0], "a", "v1");
-  add_server (&vms[0], "b", "v2");
-  pass (&vms[0], SOON_MS);
+  list_two_versions ();
   for (unsigned i = 0; i < G_N_ELEMENTS (values); i++)
     {
       struct record stream = { .key = g_strdup (""), .value = g_strdup (values[i]) };
@@ -440,9 +437,7 @@
 
 START_TEST (test_store_that_comes_back_older_has_lost_the_versions)
 {
-  add_server (&vms[0], "a", "v1");
-  add_server (&vms[0], "b", "v2");
-  pass (&vms[0], SOON_MS);
+  list_two_versions ();
   begin_stream (&vms[0], "r1", "a");
   pass (&vms[0], SOON_MS);
   g_array_set_size (state.topics[KCP_STORE_STREAMS], 0);
@@ -456,9 +451,7 @@
 
 START_TEST (test_caller_waits_for_a_store_that_does_not_answer)
 {
-  add_server (&vms[0], "a", "v1");
-  add_server (&vms[0], "b", "v2");
-  pass (&vms[0], SOON_MS);
+  list_two_versions ();
   state.silent = true;
   ck_assert_int_eq (resume (&vms[0], "r1"), KCP_RESUME_REFUSE);
   begin_stream (&vms[0], "r2", "a");
@@ -468,9 +461,7 @@
 
 START_TEST (test_streams_that_begin_while_the_store_is_down_are_never_written)
 {
-  add_server (&vms[0], "a", "v1");
-  add_server (&vms[0], "b", "v2");
-  pass (&vms[0], SOON_MS);
+  list_two_versions ();
   state.down = true;
   begin_stream (&vms[0], "r1", "a");
   pass (&vms[0], SOON_MS);
