Spread the requests of the VMs that use a limit

Cause: the three VMs that ask such a server each do so every 6 s, beginning with a random part of a request, so that their requests could come together.

The needs of VMs that are no users of a limit take no memory any more.

--- a/src/forward/mesh.h
+++ b/src/forward/mesh.h
@@ -28,6 +28,8 @@
 void kcp_mesh_announce_suspect (struct kcp_mesh *mesh, struct kcp_suspect suspect);
 void kcp_mesh_announce_notice (struct kcp_mesh *mesh, const struct kcp_server *server,
                                enum kcp_notice_kind kind);
+double kcp_mesh_limit_phase (struct kcp_mesh *mesh, const struct kcp_server *server,
+                             int64_t per_1000s);
 double kcp_mesh_divide_limit (struct kcp_mesh *mesh, struct kcp_server *server,
                               unsigned needs, int64_t now_ns);
 void kcp_mesh_announce_loaded (struct kcp_mesh *mesh, const struct kcp_server *server);
--- a/src/forward/mesh_limits.c
+++ b/src/forward/mesh_limits.c
@@ -27,6 +27,8 @@
 static const struct kcp_server_limit_user *users_of (const struct vms *vms);
 static bool all_acknowledge (const struct vms *vms, const struct kcp_server *server);
 static uint64_t rank (const char *vm, const struct kcp_server *server);
+static const struct kcp_peer_needs *
+find_needs (const struct kcp_mesh_peer *peer, const struct kcp_server *server);
 static struct kcp_peer_needs *
 ensure_needs (struct kcp_mesh_peer *peer, const struct kcp_server *server);
 static void receive_row (struct kcp_mesh *mesh, struct kcp_mesh_peer *peer,
@@ -62,6 +64,19 @@
   return share;
 }
 
+/* Returns the part of its first request that this VM has ready when the server names a
+   limit. mesh may be NULL. */
+double
+kcp_mesh_limit_phase (struct kcp_mesh *mesh, const struct kcp_server *server,
+                      int64_t per_1000s)
+{
+  struct vms vms = list_vms (mesh, server);
+  double phase = kcp_server_limit_phase (per_1000s, users_of (&vms), vms.users->len, 0);
+
+  vms_clear (&vms);
+  return phase;
+}
+
 /* Lists all VMs that accept requests, as far as known: also those that are out of touch,
    which may send requests all the same. */
 static struct vms
@@ -86,7 +101,7 @@
         continue;
       user = (struct kcp_server_limit_user){
         .rank = rank (peer->vm, server),
-        .needs = kcp_peer_needs_assumed (ensure_needs (peer, server)),
+        .needs = kcp_peer_needs_assumed (find_needs (peer, server)),
         .in_touch = peer->alive,
       };
       g_array_append_val (vms.users, user);
@@ -119,7 +134,7 @@
   for (guint i = 0; i < vms->peers->len; i++)
     if (users_of (vms)[i + 1].rank >= least
         && !kcp_own_needs_are_acknowledged (
-            &server->own_needs, ensure_needs (g_ptr_array_index (vms->peers, i), server)))
+            &server->own_needs, find_needs (g_ptr_array_index (vms->peers, i), server)))
       return false;
   return true;
 }
@@ -131,6 +146,17 @@
 }
 
 /* Returns what is known of the peer's needs for a server. */
+static const struct kcp_peer_needs *
+find_needs (const struct kcp_mesh_peer *peer, const struct kcp_server *server)
+{
+  static const struct kcp_peer_needs none = { 0 };
+  const struct kcp_peer_needs *needs
+      = peer->needs != NULL ? g_hash_table_lookup (peer->needs, &server->key) : NULL;
+
+  return needs != NULL ? needs : &none;
+}
+
+/* As find_needs(), to be changed. Only users of the limit are given an entry. */
 static struct kcp_peer_needs *
 ensure_needs (struct kcp_mesh_peer *peer, const struct kcp_server *server)
 {
--- a/src/forward/server_notices.c
+++ b/src/forward/server_notices.c
@@ -2,7 +2,6 @@
 
 #include "base/counter.h"
 #include "base/decision_log.h"
-#include "base/id.h"
 #include "forward/mesh.h"
 
 /* The value of a notice that a limit was lifted. */
@@ -25,6 +24,8 @@
                  const struct kcp_server_notice *notice);
 };
 
+static bool name_limit (struct kcp_gateway *gateway, struct kcp_server *server,
+                        int64_t per_1000s, int64_t at_ns);
 static bool read_limit (const struct kcp_server *server, int64_t now_ns,
                         struct kcp_server_notice *notice);
 static void apply_limit (struct kcp_gateway *gateway, struct kcp_server *server,
@@ -62,8 +63,8 @@
   if (head->has_limit && head->limit_per_1000s < 0)
     return;
   if (head->has_limit)
-    changed = kcp_server_limit_name (&server->limit, head->limit_per_1000s,
-                                     kcp_loop_now (gateway->loop), kcp_id_random_u64 ());
+    changed = name_limit (gateway, server, head->limit_per_1000s,
+                          kcp_loop_now (gateway->loop));
   else
     changed = kcp_server_limit_lift (&server->limit, sent_ns);
   if (!changed)
@@ -120,6 +121,17 @@
     rows[notice->kind].apply (gateway, server, notice);
 }
 
+/* Records that the server has named a limit. Returns true if this is news. */
+static bool
+name_limit (struct kcp_gateway *gateway, struct kcp_server *server, int64_t per_1000s,
+            int64_t at_ns)
+{
+  double phase
+      = server->limit.named ? 0 : kcp_mesh_limit_phase (gateway->mesh, server, per_1000s);
+
+  return kcp_server_limit_name (&server->limit, per_1000s, at_ns, phase);
+}
+
 static bool
 read_limit (const struct kcp_server *server, int64_t now_ns,
             struct kcp_server_notice *notice)
@@ -144,8 +156,7 @@
   int64_t at_ns = said_ns (gateway, notice);
   bool changed = notice->value == LIFTED
                      ? kcp_server_limit_lift (&server->limit, at_ns)
-                     : kcp_server_limit_name (&server->limit, notice->value, at_ns,
-                                              kcp_id_random_u64 ());
+                     : name_limit (gateway, server, notice->value, at_ns);
 
   if (changed)
     log_limit (gateway, server, "another VM");
--- a/src/policy/server_limit.c
+++ b/src/policy/server_limit.c
@@ -35,11 +35,11 @@
 static int64_t interval_ns (const struct kcp_server_limit *limit);
 
 /* Records that an answer which arrived at heard_ns, at this VM or another, named a limit.
-   random_value spreads the first requests of the VMs. Returns true if other VMs should be
-   told at once. */
+   phase is that of kcp_server_limit_phase(). Returns true if other VMs should be told at
+   once. */
 bool
 kcp_server_limit_name (struct kcp_server_limit *limit, int64_t per_1000s,
-                       int64_t heard_ns, uint64_t random_value)
+                       int64_t heard_ns, double phase)
 {
   bool changed;
 
@@ -52,8 +52,7 @@
     *limit = (struct kcp_server_limit){
       .named = true,
       .lifted_ns = limit->lifted_ns,
-      .credit = REQUEST * (double)(random_value % KCP_SERVER_LIMIT_SCALE)
-                / KCP_SERVER_LIMIT_SCALE,
+      .credit = REQUEST * phase,
       .credited_ns = heard_ns,
     };
   limit->per_1000s = per_1000s;
@@ -99,6 +98,21 @@
   return requests_per_s (per_1000s) * MAX (vms[own].needs, 1u) / needs;
 }
 
+/* Returns the part of its first request, from 0 to below 1, that this VM, vms[own], has
+   ready when a limit is first named: another one for each user, so that their requests
+   are spread evenly. */
+double
+kcp_server_limit_phase (int64_t per_1000s, const struct kcp_server_limit_user *vms,
+                        size_t count, size_t own)
+{
+  size_t users = MIN (count, max_users (per_1000s));
+  size_t before = 0;
+
+  for (size_t i = 0; i < count; i++)
+    before += vms[i].rank > vms[own].rank;
+  return (double)(before % users) / (double)users;
+}
+
 /* Returns the rank that a VM needs to be a user of the limit. */
 uint64_t
 kcp_server_limit_least_rank (int64_t per_1000s, const struct kcp_server_limit_user *vms,
--- a/src/policy/server_limit.h
+++ b/src/policy/server_limit.h
@@ -39,12 +39,15 @@
 };
 
 bool kcp_server_limit_name (struct kcp_server_limit *limit, int64_t per_1000s,
-                            int64_t heard_ns, uint64_t random_value);
+                            int64_t heard_ns, double phase);
 bool kcp_server_limit_lift (struct kcp_server_limit *limit, int64_t sent_ns);
 bool kcp_server_limit_is_in_force (const struct kcp_server_limit *limit, int64_t now_ns);
 uint64_t
 kcp_server_limit_least_rank (int64_t per_1000s, const struct kcp_server_limit_user *vms,
                              size_t count);
+double kcp_server_limit_phase (int64_t per_1000s,
+                               const struct kcp_server_limit_user *vms, size_t count,
+                               size_t own);
 double
 kcp_server_limit_divide (int64_t per_1000s, const struct kcp_server_limit_user *vms,
                          size_t count, size_t own);
--- a/tests/unit/test_server_limits.c
+++ b/tests/unit/test_server_limits.c
@@ -18,6 +18,7 @@
 #define SLACK      5   /* of the users' rule, requests */
 #define LIMIT_FEW  2.7
 #define LIMIT_MORE 8.0
+#define GAP_MAX_MS 2500 /* between requests to a server with limit 0 */
 #define RANK_PRIME 0x9e3779b97f4a7c15u
 
 /* VMs that send requests to one server with a limit. */
@@ -43,9 +44,11 @@
       fleet.requests_per_s[i] = requests_per_s;
       fleet.users[i]
           = (struct kcp_server_limit_user){ .rank = (i + 1) * RANK_PRIME, .needs = 1 };
-      (void)kcp_server_limit_name (&fleet.limits[i], PER_S (limit), 1,
-                                   (i + 1) * RANK_PRIME >> 20);
     }
+  for (unsigned i = 0; i < count; i++)
+    (void)kcp_server_limit_name (
+        &fleet.limits[i], PER_S (limit), 1,
+        kcp_server_limit_phase (PER_S (limit), fleet.users, count, i));
 }
 
 static void
@@ -155,6 +158,21 @@
 }
 END_TEST
 
+/* Only its answers tell when the limit is lifted. */
+START_TEST (test_server_with_limit_0_is_asked_by_all_vms_at_once)
+{
+  set_up_fleet (7, 0, 20);
+  run (1, 0, 30000);
+  for (unsigned i = 1; i < fleet.sent->len; i++)
+    ck_assert_int_le (g_array_index (fleet.sent, int64_t, i)
+                          - g_array_index (fleet.sent, int64_t, i - 1),
+                      GAP_MAX_MS);
+  ck_assert_int_ge (g_array_index (fleet.sent, int64_t, fleet.sent->len - 1),
+                    30000 - GAP_MAX_MS);
+  tear_down_fleet ();
+}
+END_TEST
+
 START_TEST (test_vms_cut_off_from_each_other_send_the_whole_limit_each)
 {
   set_up_fleet (8, LIMIT_FEW, 20);
@@ -258,6 +276,7 @@
   tcase_add_test (cases, test_unequal_callers_get_more_than_the_limit_or_leave_it_unused);
   tcase_add_test (cases, test_many_idle_vms_send_a_request_each_at_once);
   tcase_add_test (cases, test_server_with_limit_0_is_never_asked_or_all_the_time);
+  tcase_add_test (cases, test_server_with_limit_0_is_asked_by_all_vms_at_once);
   tcase_add_test (cases, test_vms_cut_off_from_each_other_send_the_whole_limit_each);
   tcase_add_test (cases, test_answer_on_its_way_lifts_a_limit);
   tcase_add_test (cases, test_limit_of_a_silent_server_holds_for_ever);
