--- a/src/policy/server_limit.c
+++ b/src/policy/server_limit.c
@@ -105,7 +105,7 @@
 kcp_server_limit_phase (int64_t per_1000s, const struct kcp_server_limit_user *vms,
                         size_t count, size_t own)
 {
-  size_t users = MIN (count, max_users (per_1000s));
+  size_t users = CLAMP (max_users (per_1000s), 1, MAX (count, 1));
   size_t before = 0;
 
   for (size_t i = 0; i < count; i++)
--- a/src/policy/server_limit.h
+++ b/src/policy/server_limit.h
@@ -45,9 +45,8 @@
 uint64_t
 kcp_server_limit_least_rank (int64_t per_1000s, const struct kcp_server_limit_user *vms,
                              size_t count);
-double kcp_server_limit_phase (int64_t per_1000s,
-                               const struct kcp_server_limit_user *vms, size_t count,
-                               size_t own);
+double kcp_server_limit_phase (int64_t per_1000s, const struct kcp_server_limit_user *vms,
+                               size_t count, size_t own);
 double
 kcp_server_limit_divide (int64_t per_1000s, const struct kcp_server_limit_user *vms,
                          size_t count, size_t own);
