--- a/soak/soak.c
+++ b/soak/soak.c
@@ -4,7 +4,8 @@
    - an answer belongs to its request and looks complete only if it is complete;
    - a request that must not be repeated runs at most once;
    - a request that is answered with 503 or 429 has not run and does not run later;
-   - a stream has each event once, in order;
+   - a stream has each event once, in order, and all of servers of one software version,
+     also if its caller resumes it;
    - no VM ends unless it was told to;
    - after the faults, all VMs serve again.
 
@@ -35,6 +36,8 @@
 #define RECOVERY_TIMEOUT_MS   9000 /* for all VMs to serve after the last fault */
 #define DRAIN_GRACE_MS        4000
 #define READ_BLOCK_BYTES      4096
+#define EVENT_GAP_MS          10 /* between the events of a stream */
+#define RESUMES_MAX           3u /* attempts of a caller to resume a stream */
 
 struct vm
 {
@@ -50,6 +53,15 @@
   int64_t kill_us;   /* time at which it is killed after SIGTERM; 0: none sent */
 };
 
+/* What a caller has of a stream, over its attempts. */
+struct caller_stream
+{
+  char first_id[24]; /* of the attempt that brought its first event */
+  int last;          /* number of its last event; 0: it has none */
+  int software;      /* number of the version that began it */
+  unsigned resumes;
+};
+
 struct soak
 {
   struct fake_platform *platform;
@@ -63,6 +75,7 @@
   gint answered;
   gint refused;
   gint unknown;
+  gint resumed;        /* attempts to resume a stream that were answered with 200 */
   gint violations;     /* violated invariants */
   GMutex lock;         /* guards refusals */
   GPtrArray *refusals; /* ids of requests that were answered as not run */
@@ -170,34 +183,48 @@
     }
 }
 
+/* Checks the events of one attempt, and notes whether the stream is to be resumed. */
 static void
-check_stream (const char *id, const char *text, bool complete)
+check_stream (const char *id, const char *text, bool complete,
+              struct caller_stream *stream)
 {
-  int last = 0;
+  int piece;
+  int software;
 
   for (const char *at = strstr (text, "data: piece "); at != NULL;
        at = strstr (at + 1, "data: piece "))
     {
-      int piece = atoi (at + strlen ("data: piece "));
-
-      if (piece != last + 1)
+      if (strstr (at, "\n\n") == NULL
+          || sscanf (at, "data: piece %d of v%d", &piece, &software) != 2)
+        break; /* the event was broken off */
+      if (piece != stream->last + 1)
         report_violation ("ORDER", id, text);
-      last = piece;
+      if (stream->last == 0)
+        {
+          g_strlcpy (stream->first_id, id, sizeof stream->first_id);
+          stream->software = software;
+        }
+      else if (software != stream->software)
+        report_violation ("ORDER, another software version", stream->first_id, text);
+      stream->last = piece;
     }
-  if (complete && last != FAKE_STREAM_EVENTS)
+  if (complete && stream->last != FAKE_STREAM_EVENTS)
     report_violation ("ORDER", id, text);
 }
 
 static void
-check_answer (const char *id, const char *path, const char *text, bool complete)
+check_answer (const char *id, const char *path, const char *text, bool complete,
+              struct caller_stream *stream)
 {
   g_autofree char *expected_text = g_strdup_printf ("for %s", id);
   int status = strlen (text) > 12 ? atoi (text + 9) : 0;
 
   if (status == 200 && strcmp (path, "stream") == 0)
-    check_stream (id, text, complete);
+    check_stream (id, text, complete, stream);
   else if (status == 200 && complete && strstr (text, expected_text) == NULL)
     report_violation ("MIXED", id, text);
+  if (status == 200 && stream->resumes > 0)
+    g_atomic_int_inc (&soak.resumed);
   if (status == 200)
     g_atomic_int_inc (&soak.answered);
   else if (complete && (status == 503 || status == 429))
@@ -213,28 +240,45 @@
     report_violation ("TWICE", id, text);
 }
 
-/* Sends requests until the test stops. Reuses each connection until the VM closes it. */
+/* Returns true if the caller has a part of the stream. */
+static bool
+is_unfinished (const struct caller_stream *stream)
+{
+  return stream->last > 0 && stream->last < FAKE_STREAM_EVENTS;
+}
+
+/* Sends requests until the test stops, and resumes streams that end early. Reuses each
+ * connection until the VM closes it. */
 static gpointer
 run_caller (gpointer user)
 {
   static const char *const paths[] = { "once", "again", "stream" };
   unsigned number = GPOINTER_TO_UINT (user);
   g_autoptr (GString) text = g_string_new (NULL);
+  struct caller_stream stream = { 0 };
   int fd = -1;
 
   while (!g_atomic_int_get (&soak.stopping))
     {
       int count = g_atomic_int_add (&soak.next_id, 1);
-      const char *path = paths[(unsigned)count % G_N_ELEMENTS (paths)];
+      bool resumes = is_unfinished (&stream) && stream.resumes++ < RESUMES_MAX;
+      const char *path
+          = resumes ? "stream" : paths[(unsigned)count % G_N_ELEMENTS (paths)];
       g_autofree char *id = g_strdup_printf ("r%d", count);
+      g_autofree char *resumed
+          = resumes ? g_strdup_printf ("Resumes: %s\r\nLast-Event-Id: %d\r\n",
+                                       stream.first_id, stream.last)
+                    : g_strdup ("");
       g_autofree char *request
           = g_strdup_printf ("POST /%s/x HTTP/1.1\r\nHost: h\r\nRequest-Id: %s\r\n"
                              "Authorization: Bearer key1\r\nRequest-Deadline: 2500\r\n"
                              "Model: m\r\nToken-Usage: 10,5\r\nPrompt-Prefix: a:10\r\n"
-                             "Content-Length: %zu\r\n\r\n%s",
-                             path, id, strlen (id), id);
+                             "%sContent-Length: %zu\r\n\r\n%s",
+                             path, id, resumed, strlen (id), id);
       bool complete;
 
+      if (!resumes)
+        stream = (struct caller_stream){ 0 };
       if (fd < 0)
         fd = connect_to (soak.vms[(number + (unsigned)count) % soak.vm_count].port);
       if (fd < 0)
@@ -245,7 +289,7 @@
       complete = send (fd, request, strlen (request), MSG_NOSIGNAL)
                      == (ssize_t)strlen (request)
                  && read_answer (fd, text);
-      check_answer (id, path, text->str, complete);
+      check_answer (id, path, text->str, complete, &stream);
       if (!complete || strstr (text->str, "Connection: close") != NULL)
         {
           (void)close (fd);
@@ -493,6 +537,8 @@
 
       soak.proxies[i] = proxy_start (server->port);
       server->advertised_port = proxy_port (soak.proxies[i]);
+      server->software = i < SERVERS / 2 ? "v1" : "v2";
+      server->event_gap_ms = EVENT_GAP_MS;
       fake_platform_put_server (soak.platform, i, "ready");
     }
   fake_platform_put_record (soak.platform, "config", config);
@@ -568,8 +614,10 @@
   for (unsigned i = 0; i < CALLERS; i++)
     (void)g_thread_join (callers[i]);
   check_refusals ();
-  (void)printf ("soak: seed %u, %d answered, %d refused, %d unknown, %d broken\n", seed,
-                soak.answered, soak.refused, soak.unknown, soak.violations);
+  (void)printf ("soak: seed %u, %d answered, %d of them resumed, %d refused, %d unknown, "
+                "%d broken\n",
+                seed, soak.answered, soak.resumed, soak.refused, soak.unknown,
+                soak.violations);
   tear_down ();
   return soak.violations == 0 && soak.answered > 0 ? EXIT_SUCCESS : EXIT_FAILURE;
 }
