An error that names no limit does not lift a limit

Cause: any answer without Server-Limit, also a 500 or an interim head, lifted the limit, at all VMs at once.

--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -17,6 +17,7 @@
 static void on_head_began (void *user);
 static void on_head_ended (void *user);
 static void on_header (void *user, struct kcp_str name, struct kcp_str value);
+static bool tells_of_limit (const struct kcp_forward *forward, long status);
 static bool on_data (void *user, struct kcp_str bytes);
 static void record_first_byte (struct kcp_forward *forward);
 static void on_done (void *user, const struct kcp_http_result *result);
@@ -228,8 +229,7 @@
     kcp_http_forbid_reuse (attempt->call);
   if (gateway->dialect->status_is_not_run (status))
     return;
-  if (attempt->head.request_id != NULL
-      && strcmp (attempt->head.request_id, forward->inbound->id) == 0)
+  if (tells_of_limit (forward, status))
     kcp_server_notices_hear_limit (gateway, attempt->server, &attempt->head,
                                    attempt->sent_ns);
   if (attempt->head.server_leaving)
@@ -239,6 +239,19 @@
                                      attempt->head.retry_after_ms);
 }
 
+/* Returns true if the head of an answer to this request names the server's limit, or
+   shows that there is none: a success without one. An error may come from elsewhere than
+   what names the limit. */
+static bool
+tells_of_limit (const struct kcp_forward *forward, long status)
+{
+  const struct kcp_answer_head *head = &forward->attempt.head;
+  bool success = status >= MHD_HTTP_OK && status < MHD_HTTP_MULTIPLE_CHOICES;
+
+  return g_strcmp0 (head->request_id, forward->inbound->id) == 0
+         && (head->has_limit || (success && head->signed_));
+}
+
 static bool
 on_data (void *user, struct kcp_str bytes)
 {
--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -1151,6 +1151,8 @@
     return MHD_NO;
   if (mode == FAKE_TRUNCATE)
     return server_truncated (server, connection, id);
+  if (server->fails_every > 0 && server->runs % server->fails_every == 0)
+    return send_answer (connection, 500, text, strlen (text), headers);
   if (mode == FAKE_FAIL)
     return send_run_answer (server, connection, 500, text, headers);
   if (g_str_has_prefix (url, "/stream/"))
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -58,9 +58,12 @@
   const char *software;
   unsigned event_gap_ms; /* between the events of its streams; set by the test */
   const char *limit;     /* Server-Limit of its answers; NULL: none; set by the test */
-  bool counts_calls;     /* arrivals has reads of its cache events too; set by the test */
-  GArray *arrivals;      /* int64_t, microseconds: requests that reached it */
-  bool ignores_orders;   /* accepts orders and does not carry them out; set by the test */
+  /* Every so many requests one is answered with 500, which names no limit; 0: none is;
+     set by the test. */
+  unsigned fails_every;
+  bool counts_calls;   /* arrivals has reads of its cache events too; set by the test */
+  GArray *arrivals;    /* int64_t, microseconds: requests that reached it */
+  bool ignores_orders; /* accepts orders and does not carry them out; set by the test */
   int64_t orders_taken;
   unsigned runs;            /* requests that it executed */
   unsigned in_flight;       /* requests in progress */
--- a/tests/process/test_server_limit.c
+++ b/tests/process/test_server_limit.c
@@ -11,6 +11,7 @@
 #define SERVERS        3
 #define REQUESTS_PER_S 16 /* of the caller of one VM */
 #define LOAD_MS        11000
+#define ERROR_EVERY    4u
 #define START_MS       4000 /* when a VM starts */
 #define READY_MS       800  /* from then on until it gets requests */
 #define FEW_ANSWERS    8    /* in which a server names a limit that it then lifts */
@@ -157,6 +158,20 @@
 }
 END_TEST
 
+/* An error need not come from where the limit does. */
+START_TEST (test_error_that_names_no_limit_lifts_it)
+{
+  struct limit_load load;
+
+  set_limits (SERVERS, "2.7");
+  for (unsigned i = 0; i < SERVERS; i++)
+    server_at (i)->fails_every = ERROR_EVERY;
+  (void)send_load (&load, VM_GROUP_SIZE);
+  for (unsigned i = 0; i < SERVERS; i++)
+    limit_load_expect_kept (&load, server_at (i), 2.7);
+}
+END_TEST
+
 START_TEST (test_calls_of_the_vms_come_on_top_of_a_limit)
 {
   struct limit_load load;
@@ -219,6 +234,7 @@
   tcase_add_test (cases, test_vm_that_starts_does_not_know_a_limit);
   tcase_add_test (cases, test_vm_with_all_callers_gets_the_same_share_as_idle_ones);
   tcase_add_test (cases, test_server_that_lifts_its_limit_is_not_used_again);
+  tcase_add_test (cases, test_error_that_names_no_limit_lifts_it);
   tcase_add_test (cases, test_calls_of_the_vms_come_on_top_of_a_limit);
   tcase_add_test (cases, test_limit_that_cannot_be_read_is_one);
   tcase_add_test (cases, test_server_that_takes_no_requests_is_never_asked_again);
