--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -398,7 +398,9 @@
 }
 
 /* Returns false if the connection was used before and has bytes that no request has asked
-   for, such as an answer too many. The request on it would get these as its answer. */
+   for, such as an answer too many. The request on it would get these as its answer. A
+   call is moved to another connection once at most; one that libcurl repeats is not
+   checked. */
 static bool
 is_usable (struct kcp_http_call *call, const struct kcp_http_connection *connection)
 {
--- a/src/forward/software_versions.h
+++ b/src/forward/software_versions.h
@@ -9,7 +9,7 @@
 
 struct kcp_software_versions;
 
-/* Called with whether the store has answered. */
+/* Called when the store has been read; answered is false if it did not answer. */
 typedef void kcp_software_versions_read (void *user, bool answered);
 
 struct kcp_software_versions *
--- a/src/forward/stream_records.h
+++ b/src/forward/stream_records.h
@@ -16,7 +16,7 @@
   uint64_t software;
 };
 
-/* Called with whether the store has answered. */
+/* Called when the store has been read; answered is false if it did not answer. */
 typedef void kcp_stream_records_read (void *user, bool answered);
 
 struct kcp_stream_records *
--- a/src/policy/server_limit.c
+++ b/src/policy/server_limit.c
@@ -11,8 +11,7 @@
 #define LIMIT_MIN 500
 /* Changes of less than this part of a limit need not be told at once: the inverse. */
 #define SMALL_CHANGE_DIVISOR 10
-/* Credit that a request takes, and the part of it that a VM has to make up for at most.
- */
+/* Credit that a request takes. A VM owes no more than that either. */
 #define REQUEST 1.0
 /* Users of a limit of 0, and further ones for each request a second. */
 #define USERS_MIN   3u
