Load in other data centers is learned from summaries; listed VMs get bounded messages

Now two VMs of each data center add up the load there and send it to one VM, chosen at random, of each other data center, which forwards it; long prompts and loads of weights are announced the same way at once. Remote VMs get signs of life without rows. Load loses weight with its age, 0.5 to 3 s. All known VMs take turns within the byte budgets, so messages to dead ones are bounded. A VM's entry in the list names its data center; a VM that has just started leaves the cache events to the listed VMs near the server.

--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -9,6 +9,7 @@
 #include "base/decision_log.h"
 #include "forward/mesh_private.h"
 #include "forward/server_loop.h"
+#include "policy/peer_load.h"
 
 #define STEP "mesh"
 /* A VM is presumed dead after this many of its average message intervals without a
@@ -18,10 +19,23 @@
 #define INITIAL_DEAD_AFTER_NS (3000 * KCP_NS_PER_MS)
 #define LEADER_SEED           1u /* seed of the rendezvous order that determines the leader */
 #define FORGET_PEER_AFTER_NS  (60 * KCP_NS_PER_S)
-
-static bool ranks_first (const struct kcp_mesh *mesh, uint64_t key, const char *dc);
+/* The sums of the peers' load are computed again after this time without a message. */
+#define LOAD_MAX_AGE_NS (250 * KCP_NS_PER_MS)
+/* For this long after its start a VM expects the store's list of VMs, and those on it
+   that it has not heard of count as alive where a reader of cache events is chosen. */
+#define DISCOVERY_NS (3 * KCP_NS_PER_S)
+/* A data center that was heard of within this time still reads the cache events of its
+   own servers. */
+#define OWN_READERS_NS (10 * KCP_NS_PER_S)
+
+static bool has_readers (const struct kcp_mesh *mesh, const char *dc);
+static bool
+ranks_first (const struct kcp_mesh *mesh, uint64_t key, const char *dc, bool with_listed);
+static bool
+is_just_listed (const struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer);
 static int64_t dead_after_ns (const struct kcp_mesh_peer *peer);
-static void add_row_load (struct kcp_mesh *mesh, const struct kcp_mesh_row *row);
+static void
+add_load (struct kcp_mesh *mesh, const struct kcp_mesh_message *message, int64_t age_ns);
 static void peer_free (gpointer data);
 
 /* Opens the UDP socket, registers this VM in the store's list and starts the gossip
@@ -39,9 +53,10 @@
   mesh->store = store;
   mesh->peers = g_ptr_array_new_with_free_func (peer_free);
   mesh->start_ms = (uint64_t)kcp_clock_realtime_ms (gateway->clock);
+  mesh->started_ns = kcp_loop_now (gateway->loop);
   g_strlcpy (mesh->own, own, sizeof mesh->own);
-  kcp_mesh_update_init (&mesh->pending);
-  mesh->update_budget.refilled_ns = kcp_loop_now (gateway->loop);
+  kcp_mesh_start_updates (mesh);
+  kcp_mesh_start_summaries (mesh);
   kcp_mesh_start_suspects (mesh);
   kcp_mesh_start_notices (mesh);
   mesh->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
@@ -91,6 +106,7 @@
   kcp_loop_timer_cancel (&mesh->gossip_timer);
   kcp_loop_timer_cancel (&mesh->list_timer);
   kcp_loop_timer_cancel (&mesh->flush);
+  kcp_mesh_stop_summaries (mesh);
   kcp_mesh_stop_suspects (mesh);
   kcp_mesh_stop_notices (mesh);
   kcp_mesh_update_clear (&mesh->pending);
@@ -134,22 +150,50 @@
 kcp_mesh_is_leader (const struct kcp_mesh *mesh)
 {
   return mesh == NULL
-         || ranks_first (mesh, LEADER_SEED, mesh->gateway->settings->vm_data_center);
+         || ranks_first (mesh, LEADER_SEED, mesh->gateway->settings->vm_data_center,
+                         false);
 }
 
 /* Returns true if this VM is the one that reads the server's cache events: the first in a
-   rendezvous order of the live VMs, with those in the server's data center before all
-   others. */
+   rendezvous order of the live VMs in the server's data center or, if that has none, of
+   all live VMs. A VM that has just started waits for the list of VMs, so that it does not
+   take itself for the only one. */
 bool
 kcp_mesh_reads_cache_events (const struct kcp_mesh *mesh, const struct kcp_server *server)
 {
-  return ranks_first (mesh, kcp_server_key (server), server->entry.data_center);
+  const char *dc = server->entry.data_center;
+  bool own = strcmp (mesh->gateway->settings->vm_data_center, dc) == 0;
+  int64_t now = kcp_loop_now (mesh->gateway->loop);
+
+  if (!mesh->listed && now - mesh->started_ns < DISCOVERY_NS)
+    return false;
+  if (!own && has_readers (mesh, dc))
+    return false;
+  return ranks_first (mesh, kcp_server_key (server), dc, true);
+}
+
+/* Returns true if a VM of the data center was heard of recently, or listed. */
+static bool
+has_readers (const struct kcp_mesh *mesh, const char *dc)
+{
+  int64_t now = kcp_loop_now (mesh->gateway->loop);
+
+  for (guint i = 0; i < mesh->peers->len; i++)
+    {
+      const struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
+
+      if (strcmp (peer->data_center, dc) == 0
+          && now - MAX (peer->received_ns, peer->added_ns) < OWN_READERS_NS)
+        return true;
+    }
+  return false;
 }
 
 /* Returns true if this VM is the first in the key's rendezvous order of the live VMs,
-   with those in the data center dc before all others. A leaving VM is never the first. */
+   with those in the data center dc before all others. A leaving VM is never the first.
+   VMs that were listed recently and not heard of yet count if with_listed is true. */
 static bool
-ranks_first (const struct kcp_mesh *mesh, uint64_t key, const char *dc)
+ranks_first (const struct kcp_mesh *mesh, uint64_t key, const char *dc, bool with_listed)
 {
   bool own_in_dc = strcmp (mesh->gateway->settings->vm_data_center, dc) == 0;
   uint64_t own_score = XXH3_64bits_withSeed (mesh->own, strlen (mesh->own), key);
@@ -159,7 +203,8 @@
       const struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
       bool in_dc = strcmp (peer->data_center, dc) == 0;
 
-      if (!peer->alive || peer->last_message.leaving)
+      if (peer->last_message.leaving
+          || !(peer->alive || (with_listed && is_just_listed (mesh, peer))))
         continue;
       if (in_dc != own_in_dc
               ? in_dc
@@ -169,6 +214,13 @@
   return !mesh->leaving;
 }
 
+static bool
+is_just_listed (const struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer)
+{
+  return peer->received_ns == 0
+         && kcp_loop_now (mesh->gateway->loop) - peer->added_ns < DISCOVERY_NS;
+}
+
 /* Returns the time without a message after which a VM is presumed dead. */
 static int64_t
 dead_after_ns (const struct kcp_mesh_peer *peer)
@@ -239,17 +291,22 @@
     }
 }
 
-/* Recomputes the load that the other live VMs have at each server, if it has changed.
-   Many messages may arrive between two choices of a server, so the sums are computed when
-   a choice needs them instead of for each message. mesh may be NULL. */
+/* Recomputes the load that the other live VMs have at each server, if it has changed or
+   become older. Many messages may arrive between two choices of a server, so the sums are
+   computed when a choice needs them instead of for each message. mesh may be NULL. */
 void
 kcp_mesh_refresh_peer_load (struct kcp_mesh *mesh)
 {
   const GPtrArray *servers;
+  int64_t now;
 
-  if (mesh == NULL || !mesh->peer_load_stale)
+  if (mesh == NULL)
+    return;
+  now = kcp_loop_now (mesh->gateway->loop);
+  if (!mesh->peer_load_stale && now - mesh->peer_load_ns < LOAD_MAX_AGE_NS)
     return;
   mesh->peer_load_stale = false;
+  mesh->peer_load_ns = now;
   servers = kcp_servers_all (mesh->gateway->servers);
   for (guint i = 0; i < servers->len; i++)
     {
@@ -262,22 +319,37 @@
     {
       const struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
 
-      for (guint j = 0; peer->alive && j < peer->last_message.rows->len; j++)
-        add_row_load (mesh,
-                      &g_array_index (peer->last_message.rows, struct kcp_mesh_row, j));
+      if (peer->alive && kcp_mesh_find_region (mesh, peer->data_center) == NULL)
+        add_load (mesh, &peer->last_message, now - peer->received_ns);
+    }
+  for (guint i = 0; i < mesh->summaries.regions->len; i++)
+    {
+      const struct kcp_mesh_region *region
+          = g_ptr_array_index (mesh->summaries.regions, i);
+
+      add_load (mesh, &region->newest, now - region->received_ns);
     }
 }
 
+/* Adds the load that a VM, or all VMs of a data center, reported age_ns ago. */
 static void
-add_row_load (struct kcp_mesh *mesh, const struct kcp_mesh_row *row)
+add_load (struct kcp_mesh *mesh, const struct kcp_mesh_message *message, int64_t age_ns)
 {
-  struct kcp_server *server
-      = kcp_servers_find_by_key (mesh->gateway->servers, row->server);
+  int64_t age_ms = age_ns / KCP_NS_PER_MS;
 
-  if (server == NULL)
-    return;
-  server->peers_in_flight += row->in_flight;
-  server->peers_prefill_tokens_pending += row->prefill_tokens_pending;
+  for (guint i = 0; i < message->rows->len; i++)
+    {
+      const struct kcp_mesh_row *row
+          = &g_array_index (message->rows, struct kcp_mesh_row, i);
+      struct kcp_server *server
+          = kcp_servers_find_by_key (mesh->gateway->servers, row->server);
+
+      if (server == NULL)
+        continue;
+      server->peers_in_flight += (unsigned)kcp_peer_load_weigh (row->in_flight, age_ms);
+      server->peers_prefill_tokens_pending
+          += kcp_peer_load_weigh (row->prefill_tokens_pending, age_ms);
+    }
 }
 
 static void
--- a/src/forward/mesh_gossip.c
+++ b/src/forward/mesh_gossip.c
@@ -17,15 +17,16 @@
 #define LOCAL_BYTES_PER_ROUND  2000
 #define REMOTE_BYTES_PER_ROUND 1000
 /* Limits on the number of messages. Messages without rows are so short that the byte
-   budget alone would not bound their number. */
-#define LOCAL_VMS_PER_ROUND  8
-#define REMOTE_VMS_PER_ROUND 4
-#define MAX_SAVED_ROUNDS     4 /* rounds for which unspent bytes accumulate */
-/* VMs that are not alive, that is, presumed dead or so far only listed in the store, are
-   sent a message once in this many rounds. */
-#define DEAD_PEER_ROUNDS 10u
+   budget alone would not bound their number. Where summaries tell the load in other data
+   centers, remote VMs are only told that this VM is alive. */
+#define LOCAL_VMS_PER_ROUND            8
+#define REMOTE_VMS_PER_ROUND           4
+#define REMOTE_SIGNS_OF_LIFE_PER_ROUND 2
+#define MAX_SAVED_ROUNDS               4 /* rounds for which unspent bytes accumulate */
 
 static void log_leader_change (struct kcp_mesh *mesh);
+static void send_state (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
+static void send_head (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static void build_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static guint
 max_parts_per_server (const GPtrArray *servers, const GPtrArray *cache_stores);
@@ -37,7 +38,6 @@
 static void
 send_to_group (struct kcp_mesh *mesh, struct kcp_str bytes, bool local,
                struct kcp_mesh_budget *budget, int64_t refill_bytes, guint max_vms);
-static void send_to_dead (struct kcp_mesh *mesh, struct kcp_str bytes);
 
 /* Runs one gossip round and sets the timer for the next one. */
 void
@@ -46,9 +46,6 @@
   struct kcp_mesh *mesh = user;
   struct kcp_loop *loop = mesh->gateway->loop;
   struct kcp_mesh_message message;
-  char bytes[KCP_MESH_MESSAGE_MAX];
-  struct kcp_str datagram;
-  size_t len;
 
   kcp_mesh_expire_peers (mesh);
   log_leader_change (mesh);
@@ -56,23 +53,47 @@
       = kcp_resend_sharing_vms (kcp_mesh_count (mesh), 1 + mesh->peers->len);
   kcp_mesh_message_init (&message);
   build_message (mesh, &message);
-  len = kcp_mesh_message_encode (&message, bytes, sizeof bytes);
-  datagram = (struct kcp_str){ .data = bytes, .len = len };
-  if (len > 0)
-    {
-      send_to_group (mesh, datagram, true, &mesh->local_budget, LOCAL_BYTES_PER_ROUND,
-                     LOCAL_VMS_PER_ROUND);
-      send_to_group (mesh, datagram, false, &mesh->remote_budget, REMOTE_BYTES_PER_ROUND,
-                     REMOTE_VMS_PER_ROUND);
-    }
-  if (len > 0 && mesh->sequence % DEAD_PEER_ROUNDS == 0)
-    send_to_dead (mesh, datagram);
+  send_state (mesh, &message);
+  if (kcp_mesh_uses_summaries (mesh))
+    send_head (mesh, &message);
   kcp_mesh_message_clear (&message);
   kcp_loop_timer_set (loop, &mesh->gossip_timer,
                       kcp_loop_now (loop) + GOSSIP_INTERVAL_MS * KCP_NS_PER_MS,
                       kcp_mesh_gossip, mesh);
 }
 
+/* Sends the whole state to VMs of the local data center and, unless summaries are used,
+   to those of remote ones. */
+static void
+send_state (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
+{
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  struct kcp_str datagram = { .data = bytes };
+
+  datagram.len = kcp_mesh_message_encode (message, bytes, sizeof bytes);
+  if (datagram.len == 0)
+    return;
+  send_to_group (mesh, datagram, true, &mesh->local_budget, LOCAL_BYTES_PER_ROUND,
+                 LOCAL_VMS_PER_ROUND);
+  if (!kcp_mesh_uses_summaries (mesh))
+    send_to_group (mesh, datagram, false, &mesh->remote_budget, REMOTE_BYTES_PER_ROUND,
+                   REMOTE_VMS_PER_ROUND);
+}
+
+/* Sends the message without its rows to VMs of remote data centers. */
+static void
+send_head (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
+{
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  struct kcp_str datagram = { .data = bytes };
+
+  g_array_set_size (message->rows, 0);
+  datagram.len = kcp_mesh_message_encode (message, bytes, sizeof bytes);
+  if (datagram.len > 0)
+    send_to_group (mesh, datagram, false, &mesh->remote_budget, REMOTE_BYTES_PER_ROUND,
+                   REMOTE_SIGNS_OF_LIFE_PER_ROUND);
+}
+
 /* Logs when this VM becomes or stops being the leader of its data center. */
 static void
 log_leader_change (struct kcp_mesh *mesh)
@@ -89,17 +110,24 @@
 static void
 build_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
 {
-  const GPtrArray *servers = kcp_servers_all (mesh->gateway->servers);
-  const GPtrArray *cache_stores = kcp_servers_stores (mesh->gateway->servers);
-  guint max_parts;
-
   g_strlcpy (message->vm, mesh->own, sizeof message->vm);
   g_strlcpy (message->data_center, mesh->gateway->settings->vm_data_center,
              sizeof message->data_center);
   message->start_ms = mesh->start_ms;
   message->sequence = ++mesh->sequence;
   message->leaving = mesh->leaving;
-  max_parts = max_parts_per_server (servers, cache_stores);
+  kcp_mesh_add_own_rows (mesh, message);
+}
+
+/* Adds rows for the servers and KV cache stores of which this VM has anything to
+   report. */
+void
+kcp_mesh_add_own_rows (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
+{
+  const GPtrArray *servers = kcp_servers_all (mesh->gateway->servers);
+  const GPtrArray *cache_stores = kcp_servers_stores (mesh->gateway->servers);
+  guint max_parts = max_parts_per_server (servers, cache_stores);
+
   for (guint i = 0; i < servers->len && message->rows->len < KCP_MESH_ROWS_MAX; i++)
     add_row (mesh, message, g_ptr_array_index (servers, i), max_parts);
   for (guint i = 0; i < cache_stores->len && message->rows->len < KCP_MESH_ROWS_MAX; i++)
@@ -185,9 +213,10 @@
     g_array_append_val (row->parts, g_array_index (server->cached_parts, uint64_t, i));
 }
 
-/* Refills the budget and sends the message to live VMs in round-robin order, as far as
-   the budget and max_vms allow: to VMs of the local data center if local is true,
-   otherwise to those of remote ones. */
+/* Refills the budget and sends the message to VMs in round-robin order, as far as the
+   budget and max_vms allow: to VMs of the local data center if local is true, otherwise
+   to those of remote ones. VMs that are presumed dead, which may be alive after all, and
+   those that are only listed in the store take their turns too. */
 static void
 send_to_group (struct kcp_mesh *mesh, struct kcp_str bytes, bool local,
                struct kcp_mesh_budget *budget, int64_t refill_bytes, guint max_vms)
@@ -204,7 +233,7 @@
           = g_ptr_array_index (mesh->peers, budget->next_peer % count);
 
       budget->next_peer = (budget->next_peer + 1) % count;
-      if (!peer->alive || kcp_mesh_is_local (mesh, peer) != local)
+      if (kcp_mesh_is_local (mesh, peer) != local)
         continue;
       kcp_mesh_send (mesh, peer, bytes);
       budget->bytes -= (int64_t)bytes.len;
@@ -212,20 +241,6 @@
     }
 }
 
-/* Sends the message to the VMs presumed dead, which may be alive after all, and to those
-   that are only listed in the store because no message of them has arrived. */
-static void
-send_to_dead (struct kcp_mesh *mesh, struct kcp_str bytes)
-{
-  for (guint i = 0; i < mesh->peers->len; i++)
-    {
-      const struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
-
-      if (!peer->alive)
-        kcp_mesh_send (mesh, peer, bytes);
-    }
-}
-
 /* Sends records of the servers' list to the live VMs of the local data center. Records
    too large for one datagram are not sent; the other VMs read the list themselves. */
 void
--- a/src/forward/mesh_list.c
+++ b/src/forward/mesh_list.c
@@ -1,15 +1,20 @@
 /* The list of VMs in the platform's store, through which a starting VM finds others. */
+#include <jansson.h>
+#include <stdlib.h>
+
 #include "base/decision_log.h"
 #include "base/id.h"
 #include "forward/mesh_private.h"
 
 /* Delay after a failed call; a random delay of up to the same length is added. */
-#define LIST_RETRY_MS    500
-#define ERA_MAX_DELAY_MS 1000 /* before this VM adds itself after a new era */
+#define LIST_RETRY_MS     500
+#define FIELD_DATA_CENTER "data_center" /* of a VM's entry */
+#define ERA_MAX_DELAY_MS  1000          /* before this VM adds itself after a new era */
 
 static void on_registered (void *user, const struct kcp_store_answer *answer);
 static void read_list (struct kcp_mesh *mesh, const char *after);
 static void on_listed (void *user, const struct kcp_store_answer *answer);
+static void add_listed (struct kcp_mesh *mesh, const char *vm, struct kcp_str value);
 static void retry_list (struct kcp_mesh *mesh);
 static void schedule_list (struct kcp_mesh *mesh, int64_t wait_ms);
 
@@ -21,14 +26,20 @@
 {
   struct kcp_mesh *mesh = user;
   const struct kcp_store *store = mesh->store;
+  json_t *entry;
+  char *value;
 
   if (mesh->registered)
     {
       read_list (mesh, NULL);
       return;
     }
+  entry = json_pack ("{s:s}", FIELD_DATA_CENTER, mesh->gateway->settings->vm_data_center);
+  value = json_dumps (entry, JSON_COMPACT);
+  json_decref (entry);
   store->append (store->self, KCP_STORE_VMS, KCP_STORE_UNCONDITIONAL,
-                 kcp_str_from_c (mesh->own), KCP_STR ("{}"), on_registered, mesh);
+                 kcp_str_from_c (mesh->own), kcp_str_from_c (value), on_registered, mesh);
+  free (value);
 }
 
 static void
@@ -70,16 +81,31 @@
       g_free (last);
       last = kcp_str_dup (record->key);
       if (record->value.len > 0 && kcp_mesh_find_peer (mesh, last) == NULL)
-        (void)kcp_mesh_add_peer (mesh, last);
+        add_listed (mesh, last, record->value);
     }
   if (answer->more && last != NULL)
     {
       read_list (mesh, last);
       return;
     }
+  mesh->listed = true;
   KCP_LOG ("vms_listed", KCP_LOG_INT ("others", mesh->peers->len));
 }
 
+/* Adds a VM of the list. An entry that names no data center is one of an older version:
+   the VM counts as remote until it is heard of. */
+static void
+add_listed (struct kcp_mesh *mesh, const char *vm, struct kcp_str value)
+{
+  struct kcp_mesh_peer *peer = kcp_mesh_add_peer (mesh, vm);
+  json_t *entry = json_loadb (value.data, value.len, JSON_REJECT_DUPLICATES, NULL);
+  const char *dc = json_string_value (json_object_get (entry, FIELD_DATA_CENTER));
+
+  if (peer != NULL && dc != NULL)
+    g_strlcpy (peer->data_center, dc, sizeof peer->data_center);
+  json_decref (entry);
+}
+
 static void
 retry_list (struct kcp_mesh *mesh)
 {
--- a/src/forward/mesh_message.c
+++ b/src/forward/mesh_message.c
@@ -16,6 +16,7 @@
 
 static void add_empty_row (GArray *rows);
 static bool_t code_message (XDR *xdr, void *user);
+static bool_t code_summary (XDR *xdr, void *user);
 static bool_t code_rows (XDR *xdr, GArray *rows);
 static bool_t code_row (XDR *xdr, struct kcp_mesh_row *row);
 static bool_t code_optional (XDR *xdr, uint32_t present, uint32_t *value);
@@ -66,6 +67,36 @@
   return kcp_mesh_decode (KCP_MESH_GOSSIP, message, code_message, data, len);
 }
 
+/* Initializes a summary without rows. */
+void
+kcp_mesh_summary_init (struct kcp_mesh_summary *summary)
+{
+  kcp_mesh_message_init (&summary->state);
+  summary->forwarded = false;
+}
+
+/* Frees the contents of a summary. */
+void
+kcp_mesh_summary_clear (struct kcp_mesh_summary *summary)
+{
+  kcp_mesh_message_clear (&summary->state);
+}
+
+/* Encodes the summary as an RPC call. Returns its length, or 0 if max is too small. */
+size_t
+kcp_mesh_summary_encode (struct kcp_mesh_summary *summary, char *out, size_t max)
+{
+  return kcp_mesh_encode (KCP_MESH_SUMMARY, summary, code_summary, out, max);
+}
+
+/* Decodes an RPC call into an initialized summary. Returns false if it is not a valid
+   summary message. */
+bool
+kcp_mesh_summary_decode (struct kcp_mesh_summary *summary, char *data, size_t len)
+{
+  return kcp_mesh_decode (KCP_MESH_SUMMARY, summary, code_summary, data, len);
+}
+
 /* Initializes an update without changes. */
 void
 kcp_mesh_update_init (struct kcp_mesh_update *update)
@@ -81,19 +112,22 @@
   g_array_unref (update->changes);
 }
 
-/* Encodes the update as an RPC call. Returns its length, or 0 if max is too small. */
+/* Encodes the update as an RPC call of the procedure, KCP_MESH_UPDATE or
+   KCP_MESH_REMOTE_UPDATE. Returns its length, or 0 if max is too small. */
 size_t
-kcp_mesh_update_encode (struct kcp_mesh_update *update, char *out, size_t max)
+kcp_mesh_update_encode (struct kcp_mesh_update *update, enum kcp_mesh_procedure procedure,
+                        char *out, size_t max)
 {
-  return kcp_mesh_encode (KCP_MESH_UPDATE, update, code_update, out, max);
+  return kcp_mesh_encode (procedure, update, code_update, out, max);
 }
 
-/* Decodes an RPC call into an initialized update. Returns false if it is not a valid
-   update message. */
+/* Decodes an RPC call of the procedure into an initialized update. Returns false if it is
+   not a valid update message. */
 bool
-kcp_mesh_update_decode (struct kcp_mesh_update *update, char *data, size_t len)
+kcp_mesh_update_decode (struct kcp_mesh_update *update, enum kcp_mesh_procedure procedure,
+                        char *data, size_t len)
 {
-  return kcp_mesh_decode (KCP_MESH_UPDATE, update, code_update, data, len);
+  return kcp_mesh_decode (procedure, update, code_update, data, len);
 }
 
 /* Initializes a records message without records. */
@@ -151,6 +185,18 @@
   return code_rows (xdr, message->rows);
 }
 
+static bool_t
+code_summary (XDR *xdr, void *user)
+{
+  struct kcp_mesh_summary *summary = user;
+  bool_t forwarded = summary->forwarded;
+
+  if (!code_message (xdr, &summary->state) || !xdr_bool (xdr, &forwarded))
+    return FALSE;
+  summary->forwarded = forwarded;
+  return TRUE;
+}
+
 static bool_t
 code_rows (XDR *xdr, GArray *rows)
 {
--- a/src/forward/mesh_message.h
+++ b/src/forward/mesh_message.h
@@ -5,7 +5,8 @@
    records message relays what one VM has read of the servers' list. A suspects message
    tells which requests, or which parts of prompts, were in flight at servers that
    crashed, and a notices message what servers say of the requests that they take. A needs
-   message tells one user of a limit the needs of another. */
+   message tells one user of a limit the needs of another. A summary message adds up the
+   state of all VMs of a data center for the VMs of another one. */
 #ifndef KCP_FORWARD_MESH_MESSAGE_H
 #define KCP_FORWARD_MESH_MESSAGE_H
 
@@ -39,7 +40,9 @@
   KCP_MESH_SUSPECTS,      /* struct kcp_mesh_suspects, of requests */
   KCP_MESH_PART_SUSPECTS, /* struct kcp_mesh_suspects, of parts of prompts */
   KCP_MESH_NOTICES,       /* struct kcp_mesh_notices */
-  KCP_MESH_NEEDS          /* struct kcp_mesh_needs */
+  KCP_MESH_NEEDS,         /* struct kcp_mesh_needs */
+  KCP_MESH_SUMMARY,       /* struct kcp_mesh_summary */
+  KCP_MESH_REMOTE_UPDATE  /* struct kcp_mesh_update, to be forwarded */
 };
 
 /* The state of one server as seen by the sending VM. */
@@ -66,6 +69,13 @@
   GArray *rows; /* struct kcp_mesh_row */
 };
 
+/* A summary message: the state of all VMs of the sender's data center. */
+struct kcp_mesh_summary
+{
+  struct kcp_mesh_message state; /* vm, start_ms and sequence are the sender's */
+  bool forwarded;                /* by a VM of the receiver's data center */
+};
+
 /* A change at one server. */
 struct kcp_mesh_change
 {
@@ -142,8 +152,10 @@
 enum kcp_mesh_procedure kcp_mesh_procedure_of (char *data, size_t len);
 void kcp_mesh_update_init (struct kcp_mesh_update *update);
 void kcp_mesh_update_clear (struct kcp_mesh_update *update);
-size_t kcp_mesh_update_encode (struct kcp_mesh_update *update, char *out, size_t max);
-bool kcp_mesh_update_decode (struct kcp_mesh_update *update, char *data, size_t len);
+size_t kcp_mesh_update_encode (struct kcp_mesh_update *update,
+                               enum kcp_mesh_procedure procedure, char *out, size_t max);
+bool kcp_mesh_update_decode (struct kcp_mesh_update *update,
+                             enum kcp_mesh_procedure procedure, char *data, size_t len);
 
 void kcp_mesh_records_init (struct kcp_mesh_records *records);
 void kcp_mesh_records_clear (struct kcp_mesh_records *records);
@@ -173,4 +185,9 @@
 size_t kcp_mesh_message_encode (struct kcp_mesh_message *message, char *out, size_t max);
 bool kcp_mesh_message_decode (struct kcp_mesh_message *message, char *data, size_t len);
 
+void kcp_mesh_summary_init (struct kcp_mesh_summary *summary);
+void kcp_mesh_summary_clear (struct kcp_mesh_summary *summary);
+size_t kcp_mesh_summary_encode (struct kcp_mesh_summary *summary, char *out, size_t max);
+bool kcp_mesh_summary_decode (struct kcp_mesh_summary *summary, char *data, size_t len);
+
 #endif
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -19,8 +19,8 @@
   uint64_t start_ms;        /* start time of its process */
   uint64_t sequence;        /* of its newest gossip message */
   uint64_t update_sequence; /* of its newest update message; 0: none */
-  int64_t received_ns;      /* arrival of its newest gossip message; 0: only listed */
-  int64_t interval_ns;      /* moving average of the time between them; 0: not known */
+  int64_t received_ns; /* arrival of its process's newest gossip message; 0: none has */
+  int64_t interval_ns; /* moving average of the time between them; 0: not known */
   int64_t added_ns;
   bool alive;
   GHashTable *needs; /* server key -> struct kcp_peer_needs; NULL: none known */
@@ -36,6 +36,22 @@
   guint next_peer;     /* index of the VM at which the next round begins */
 };
 
+/* The summed state of the VMs of another data center. */
+struct kcp_mesh_region
+{
+  int64_t received_ns;            /* arrival of the newest summary */
+  struct kcp_mesh_message newest; /* contents of that summary */
+};
+
+/* What the summary messages need. */
+struct kcp_mesh_summary_state
+{
+  GPtrArray *regions; /* struct kcp_mesh_region, one for each data center heard of */
+  uint64_t sequence;  /* of the newest summary that this VM sent */
+  uint64_t ticks;     /* of the timer */
+  struct kcp_loop_timer timer;
+};
+
 /* What the suspects messages need. */
 struct kcp_mesh_suspect_state
 {
@@ -69,16 +85,20 @@
   char own[64];      /* IP:PORT of this VM's socket */
   uint64_t start_ms; /* start time of this process */
   uint64_t sequence; /* of the newest gossip message */
+  int64_t started_ns;
   struct kcp_mesh_budget local_budget;
   struct kcp_mesh_budget remote_budget;
   struct kcp_mesh_budget update_budget;
+  struct kcp_mesh_summary_state summaries;
   struct kcp_mesh_suspect_state suspects;
   struct kcp_mesh_notice_state notices;
   struct kcp_mesh_update pending; /* changes to be sent in the next update message */
   bool peer_load_stale; /* the peers' load has changed since it was last added up */
+  int64_t peer_load_ns; /* when it was last added up */
   bool leader;          /* this VM was the leader of its data center when last logged */
   bool leaving;
   bool registered;                           /* the store's list contains this VM */
+  bool listed;                               /* the store's list has been read */
   kcp_mesh_records_handler *records_handler; /* NULL: records are dropped */
   void *records_user;
   GPtrArray *peers;
@@ -92,6 +112,17 @@
 void kcp_mesh_send (struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer,
                     struct kcp_str bytes);
 bool kcp_mesh_is_local (const struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer);
+void kcp_mesh_add_own_rows (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
+
+/* mesh_summary.c */
+void kcp_mesh_start_summaries (struct kcp_mesh *mesh);
+void kcp_mesh_stop_summaries (struct kcp_mesh *mesh);
+bool kcp_mesh_uses_summaries (const struct kcp_mesh *mesh);
+void
+kcp_mesh_apply_summary (struct kcp_mesh *mesh, const struct kcp_mesh_summary *summary);
+void kcp_mesh_send_to_data_centers (struct kcp_mesh *mesh, struct kcp_str datagram);
+const struct kcp_mesh_region *
+kcp_mesh_find_region (const struct kcp_mesh *mesh, const char *data_center);
 
 /* mesh.c */
 unsigned kcp_mesh_count_alive (const struct kcp_mesh *mesh, bool local);
@@ -100,6 +131,7 @@
 struct kcp_mesh_peer *kcp_mesh_add_peer (struct kcp_mesh *mesh, const char *vm);
 
 /* mesh_receive.c */
+void kcp_mesh_apply_row (struct kcp_mesh *mesh, const struct kcp_mesh_row *row);
 void kcp_mesh_receive (void *user, uint32_t events);
 
 /* mesh_list.c */
@@ -107,7 +139,9 @@
 void kcp_mesh_on_new_era (void *user, int64_t era);
 
 /* mesh_update.c */
-void kcp_mesh_apply_update (struct kcp_mesh *mesh, const struct kcp_mesh_update *update);
+void kcp_mesh_start_updates (struct kcp_mesh *mesh);
+bool kcp_mesh_apply_update (struct kcp_mesh *mesh, const struct kcp_mesh_update *update);
+void kcp_mesh_forward_update (struct kcp_mesh *mesh, struct kcp_mesh_update *update);
 void kcp_mesh_refill_budget (struct kcp_mesh_budget *budget, int64_t now_ns,
                              int64_t bytes_per_s, int64_t max_bytes);
 
--- a/src/forward/mesh_receive.c
+++ b/src/forward/mesh_receive.c
@@ -7,16 +7,19 @@
 #include "forward/mesh_private.h"
 
 #define INTERVAL_WEIGHT 8 /* inverse weight of a new interval in the average */
+/* Longer intervals count as this one: the VM or the network was down in between. */
+#define INTERVAL_MAX_NS (15 * KCP_NS_PER_S)
 
 static bool handle_gossip (struct kcp_mesh *mesh, char *bytes, size_t len);
-static bool handle_update (struct kcp_mesh *mesh, char *bytes, size_t len);
+static bool handle_update (struct kcp_mesh *mesh, enum kcp_mesh_procedure procedure,
+                           char *bytes, size_t len);
 static bool handle_records (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_suspects (struct kcp_mesh *mesh, enum kcp_suspect_kind kind,
                              char *bytes, size_t len);
 static bool handle_notices (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_needs (struct kcp_mesh *mesh, char *bytes, size_t len);
+static bool handle_summary (struct kcp_mesh *mesh, char *bytes, size_t len);
 static void apply_gossip (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
-static void apply_row (struct kcp_mesh *mesh, const struct kcp_mesh_row *row);
 static void record_interval (struct kcp_mesh_peer *peer, int64_t now_ns);
 
 /* Receives the messages that have arrived, and applies those that are valid. */
@@ -38,7 +41,10 @@
           valid = handle_gossip (mesh, bytes, (size_t)len);
           break;
         case KCP_MESH_UPDATE:
-          valid = handle_update (mesh, bytes, (size_t)len);
+          valid = handle_update (mesh, KCP_MESH_UPDATE, bytes, (size_t)len);
+          break;
+        case KCP_MESH_REMOTE_UPDATE:
+          valid = handle_update (mesh, KCP_MESH_REMOTE_UPDATE, bytes, (size_t)len);
           break;
         case KCP_MESH_RECORDS:
           valid = handle_records (mesh, bytes, (size_t)len);
@@ -55,6 +61,9 @@
         case KCP_MESH_NEEDS:
           valid = handle_needs (mesh, bytes, (size_t)len);
           break;
+        case KCP_MESH_SUMMARY:
+          valid = handle_summary (mesh, bytes, (size_t)len);
+          break;
         case KCP_MESH_INVALID:
           break;
         }
@@ -77,15 +86,17 @@
 }
 
 static bool
-handle_update (struct kcp_mesh *mesh, char *bytes, size_t len)
+handle_update (struct kcp_mesh *mesh, enum kcp_mesh_procedure procedure, char *bytes,
+               size_t len)
 {
   struct kcp_mesh_update update;
   bool valid;
 
   kcp_mesh_update_init (&update);
-  valid = kcp_mesh_update_decode (&update, bytes, len);
-  if (valid)
-    kcp_mesh_apply_update (mesh, &update);
+  valid = kcp_mesh_update_decode (&update, procedure, bytes, len);
+  if (valid && kcp_mesh_apply_update (mesh, &update)
+      && procedure == KCP_MESH_REMOTE_UPDATE)
+    kcp_mesh_forward_update (mesh, &update);
   kcp_mesh_update_clear (&update);
   return valid;
 }
@@ -149,6 +160,20 @@
   return valid;
 }
 
+static bool
+handle_summary (struct kcp_mesh *mesh, char *bytes, size_t len)
+{
+  struct kcp_mesh_summary summary;
+  bool valid;
+
+  kcp_mesh_summary_init (&summary);
+  valid = kcp_mesh_summary_decode (&summary, bytes, len);
+  if (valid)
+    kcp_mesh_apply_summary (mesh, &summary);
+  kcp_mesh_summary_clear (&summary);
+  return valid;
+}
+
 /* Stores the state from a gossip message unless a newer one of its sender is known. */
 static void
 apply_gossip (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
@@ -166,6 +191,8 @@
   if (peer->start_ms != message->start_ms)
     {
       peer->update_sequence = 0;
+      peer->interval_ns = 0;
+      peer->received_ns = 0;
       g_clear_pointer (&peer->needs, g_hash_table_unref);
     }
   peer->start_ms = message->start_ms;
@@ -183,16 +210,19 @@
   message->rows = rows;
   mesh->peer_load_stale = true;
   for (guint i = 0; i < peer->last_message.rows->len; i++)
-    apply_row (mesh, &g_array_index (peer->last_message.rows, struct kcp_mesh_row, i));
+    kcp_mesh_apply_row (mesh,
+                        &g_array_index (peer->last_message.rows, struct kcp_mesh_row, i));
 }
 
-/* Updates the moving average of the time between a peer's gossip messages. */
+/* Updates the moving average of the time between a peer's gossip messages. A peer that is
+   presumed dead when the next message arrives counts too: its interval may be longer than
+   was assumed. */
 static void
 record_interval (struct kcp_mesh_peer *peer, int64_t now_ns)
 {
-  int64_t interval_ns = now_ns - peer->received_ns;
+  int64_t interval_ns = MIN (now_ns - peer->received_ns, INTERVAL_MAX_NS);
 
-  if (!peer->alive || peer->received_ns == 0)
+  if (peer->received_ns == 0)
     return;
   if (peer->interval_ns == 0)
     peer->interval_ns = interval_ns;
@@ -201,8 +231,8 @@
 }
 
 /* Applies the weights and cached parts of a server from a message just received. */
-static void
-apply_row (struct kcp_mesh *mesh, const struct kcp_mesh_row *row)
+void
+kcp_mesh_apply_row (struct kcp_mesh *mesh, const struct kcp_mesh_row *row)
 {
   struct kcp_server *server
       = kcp_servers_find_by_key (mesh->gateway->servers, row->server);
--- a/src/forward/mesh_update.c
+++ b/src/forward/mesh_update.c
@@ -1,19 +1,31 @@
 /* Update messages: changes that are sent to the VMs without waiting for a gossip round.
    They report where a long prompt was sent, and which server is loading new weights or
-   has loaded them. */
+   has loaded them. Where summaries are used, an update goes to one VM of each other data
+   center, which forwards it to the VMs near it. */
 #include "forward/mesh_private.h"
 
 #define FLUSH_DELAY_MS 2 /* changes within this time are sent in one message */
 /* Bandwidth limit for the updates of one VM, independent of the number of VMs, and the
-   number of bytes up to which unspent bandwidth accumulates. */
+   number of bytes up to which unspent bandwidth accumulates: the VM that orders new
+   weights for all servers announces each load to all VMs near it within seconds. */
 #define UPDATE_BYTES_PER_S      16000
-#define UPDATE_BUDGET_MAX_BYTES 64000
+#define UPDATE_BUDGET_MAX_BYTES 512000
 
 static void announce (struct kcp_mesh *mesh, const struct kcp_mesh_change *change);
 static void flush (void *user);
+static void send_to_remote (struct kcp_mesh *mesh, struct kcp_mesh_update *update);
 static void send_to_group (struct kcp_mesh *mesh, struct kcp_str bytes, bool local);
 static void apply_change (struct kcp_mesh *mesh, const struct kcp_mesh_change *change);
 
+/* Initializes the state of the updates. */
+void
+kcp_mesh_start_updates (struct kcp_mesh *mesh)
+{
+  kcp_mesh_update_init (&mesh->pending);
+  mesh->update_budget.bytes = UPDATE_BUDGET_MAX_BYTES;
+  mesh->update_budget.refilled_ns = kcp_loop_now (mesh->gateway->loop);
+}
+
 /* Announces that a prompt with this long part, of which prefill_tokens_pending tokens are
    to be prefilled, is being sent to the server. mesh may be NULL here and in the
    functions below; then nothing is sent. */
@@ -53,17 +65,18 @@
 /* Applies the changes from another VM, unless a newer update of that VM has already been
    applied. Ignores an update from an unknown VM, or from a start of its process other
    than that of its newest gossip message. */
-void
+bool
 kcp_mesh_apply_update (struct kcp_mesh *mesh, const struct kcp_mesh_update *update)
 {
   struct kcp_mesh_peer *peer = kcp_mesh_find_peer (mesh, update->vm);
 
   if (peer == NULL || update->start_ms != peer->start_ms
       || update->sequence <= peer->update_sequence)
-    return;
+    return false;
   peer->update_sequence = update->sequence;
   for (guint i = 0; i < update->changes->len; i++)
     apply_change (mesh, &g_array_index (update->changes, struct kcp_mesh_change, i));
+  return true;
 }
 
 static void
@@ -95,14 +108,45 @@
   g_strlcpy (pending->vm, mesh->own, sizeof pending->vm);
   pending->start_ms = mesh->start_ms;
   pending->sequence++;
-  datagram.len = kcp_mesh_update_encode (pending, bytes, sizeof bytes);
+  kcp_mesh_refill_budget (&mesh->update_budget, kcp_loop_now (mesh->gateway->loop),
+                          UPDATE_BYTES_PER_S, UPDATE_BUDGET_MAX_BYTES);
+  datagram.len = kcp_mesh_update_encode (pending, KCP_MESH_UPDATE, bytes, sizeof bytes);
+  if (datagram.len > 0)
+    {
+      send_to_group (mesh, datagram, true);
+      if (!kcp_mesh_uses_summaries (mesh))
+        send_to_group (mesh, datagram, false);
+    }
+  if (kcp_mesh_uses_summaries (mesh))
+    send_to_remote (mesh, pending);
   g_array_set_size (pending->changes, 0);
-  if (datagram.len == 0)
-    return;
+}
+
+/* Sends the update to one VM of each other data center, which forwards it. */
+static void
+send_to_remote (struct kcp_mesh *mesh, struct kcp_mesh_update *update)
+{
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  struct kcp_str datagram = { .data = bytes };
+
+  datagram.len
+      = kcp_mesh_update_encode (update, KCP_MESH_REMOTE_UPDATE, bytes, sizeof bytes);
+  if (datagram.len > 0)
+    kcp_mesh_send_to_data_centers (mesh, datagram);
+}
+
+/* Sends an update of a VM of another data center to the VMs of this one. */
+void
+kcp_mesh_forward_update (struct kcp_mesh *mesh, struct kcp_mesh_update *update)
+{
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  struct kcp_str datagram = { .data = bytes };
+
   kcp_mesh_refill_budget (&mesh->update_budget, kcp_loop_now (mesh->gateway->loop),
                           UPDATE_BYTES_PER_S, UPDATE_BUDGET_MAX_BYTES);
-  send_to_group (mesh, datagram, true);
-  send_to_group (mesh, datagram, false);
+  datagram.len = kcp_mesh_update_encode (update, KCP_MESH_UPDATE, bytes, sizeof bytes);
+  if (datagram.len > 0)
+    send_to_group (mesh, datagram, true);
 }
 
 /* Adds the bytes for the time since the budget was last refilled, up to max_bytes. */
--- a/src/forward/mesh_xdr.c
+++ b/src/forward/mesh_xdr.c
@@ -89,6 +89,10 @@
       return KCP_MESH_NOTICES;
     case KCP_MESH_NEEDS:
       return KCP_MESH_NEEDS;
+    case KCP_MESH_SUMMARY:
+      return KCP_MESH_SUMMARY;
+    case KCP_MESH_REMOTE_UPDATE:
+      return KCP_MESH_REMOTE_UPDATE;
     default:
       return KCP_MESH_INVALID;
     }
--- a/tests/process/test_route_peers.c
+++ b/tests/process/test_route_peers.c
@@ -136,7 +136,7 @@
   update.start_ms = 1;
   update.sequence = sequence;
   g_array_append_val (update.changes, change);
-  send_bytes (bytes, kcp_mesh_update_encode (&update, bytes, sizeof bytes));
+  send_bytes (bytes, kcp_mesh_update_encode (&update, KCP_MESH_UPDATE, bytes, sizeof bytes));
   kcp_mesh_update_clear (&update);
 }
 
@@ -153,7 +153,7 @@
 
       send_alive ();
       if (len > 0 && kcp_mesh_procedure_of (bytes, (size_t)len) == KCP_MESH_UPDATE)
-        return kcp_mesh_update_decode (update, bytes, (size_t)len);
+        return kcp_mesh_update_decode (update, KCP_MESH_UPDATE, bytes, (size_t)len);
     }
   return false;
 }
--- a/tests/unit/test_forward_parts.c
+++ b/tests/unit/test_forward_parts.c
@@ -574,11 +574,11 @@
   update.start_ms = 5;
   update.sequence = 6;
   g_array_append_val (update.changes, change);
-  len = kcp_mesh_update_encode (&update, bytes, sizeof bytes);
+  len = kcp_mesh_update_encode (&update, KCP_MESH_UPDATE, bytes, sizeof bytes);
   ck_assert_uint_gt (len, 0);
   ck_assert_int_eq (kcp_mesh_procedure_of (bytes, len), KCP_MESH_UPDATE);
   kcp_mesh_update_init (&copy);
-  ck_assert (kcp_mesh_update_decode (&copy, bytes, len));
+  ck_assert (kcp_mesh_update_decode (&copy, KCP_MESH_UPDATE, bytes, len));
   ck_assert_str_eq (copy.vm, update.vm);
   ck_assert_uint_eq (copy.sequence, 6);
   ck_assert_mem_eq (copy.changes->data, &change, sizeof change);
@@ -589,7 +589,7 @@
   for (size_t cut = 0; cut < len; cut++)
     {
       kcp_mesh_update_init (&copy);
-      ck_assert (!kcp_mesh_update_decode (&copy, bytes, cut));
+      ck_assert (!kcp_mesh_update_decode (&copy, KCP_MESH_UPDATE, bytes, cut));
       kcp_mesh_update_clear (&copy);
     }
   kcp_mesh_update_clear (&update);
