Failing test: an answer with status 200 that is no event stream is joined to a stream

A server breaks a stream off; the next one answers 200, signed, with a JSON or HTML error, or with the text of a head.

--- a/tests/process/test_stream_ends.c
+++ b/tests/process/test_stream_ends.c
@@ -174,6 +174,69 @@
 }
 END_TEST
 
+/* What the server answers that is asked to go on with a stream. */
+struct error_answer
+{
+  const char *status;
+  const char *header_lines;
+  const char *body;
+};
+
+#define ERROR_TEXT "it is overloaded"
+
+static const struct error_answer error_answers[] = {
+  { "500 Internal Server Error", "Content-Type: text/plain\r\n", ERROR_TEXT },
+  { "500 Internal Server Error", STREAM_HEADER, "id: 2\ndata: " ERROR_TEXT "\n\n" },
+  { "502 Bad Gateway", "Content-Length: 16\r\n", ERROR_TEXT },
+  { "503 Service Unavailable", "Retry-After: 1\r\nNot-Executed: 1\r\n", ERROR_TEXT },
+  { "503 Service Unavailable", CHUNKED, "10\r\n" ERROR_TEXT "\r\n" LAST_CHUNK },
+  { "404 Not Found", "Content-Type: application/json\r\n", ERROR_TEXT "\n\n" },
+  { "429 Too Many Requests", "", ERROR_TEXT "\n\n" },
+  { "200 OK", "Content-Type: application/json\r\n", "{\"" ERROR_TEXT "\"}\n\n" },
+  { "200 OK", "Content-Type: text/html\r\nContent-Length: 18\r\n", ERROR_TEXT "\n\n" },
+  { "200 OK", STREAM_HEADER,
+    "HTTP/1.1 500 Internal Server Error\r\nServer: x\r\n\r\n" ERROR_TEXT },
+  { "204 No Content", "", "" },
+  { "500 Internal Server Error", "", "" },
+};
+
+static void
+play_error (struct scripted_request *request, void *user)
+{
+  const struct error_answer *error = user;
+
+  if (scripted_request_write_head (request, error->status, error->header_lines))
+    (void)scripted_request_write (request, error->body);
+}
+
+/* A stream has begun and breaks off; the next server answers with an error. The caller
+   gets the events that it has, nothing of the error, and an end that is not complete. */
+START_TEST (test_error_of_the_next_server_does_not_reach_a_stream_that_has_begun)
+{
+  static const struct script broken_off = { "", EVENT_1, true };
+  struct scripted_server *first;
+  struct raw_answer answer;
+
+  first = scripted_vm_start_server ("i-1", play_script, &broken_off);
+  answer = route_vm_send ("POST", "/stream/x", "", "in");
+  raw_answer_clear (&answer);
+  (void)scripted_vm_start_server ("i-2", play_error, &error_answers[_i]);
+  g_usleep (1100 * G_TIME_SPAN_MILLISECOND); /* the first one is no longer suspected */
+  for (unsigned i = 0; i < 8; i++)
+    {
+      answer = route_vm_send ("POST", "/stream/x", "", "in");
+      if (strstr (answer.text->str, "id: 1") != NULL)
+        {
+          ck_assert_ptr_null (strstr (answer.text->str, ERROR_TEXT));
+          ck_assert_uint_eq (count_of (answer.text->str, "HTTP/1.1 "), 1);
+          ck_assert (!looks_complete (&answer));
+        }
+      raw_answer_clear (&answer);
+    }
+  ck_assert_uint_gt (scripted_server_request_count (first), 1);
+}
+END_TEST
+
 /* The server that broke off is suspected: it is the last choice for the next requests. */
 START_TEST (test_server_that_closes_within_an_event_is_suspected)
 {
@@ -269,6 +332,9 @@
       cases, test_interrupted_stream_does_not_look_complete_to_an_http_1_0_caller, 0, 2);
   tcase_add_loop_test (cases, test_stream_closed_within_an_event_resumes_elsewhere, 0,
                        G_N_ELEMENTS (closed_within_event));
+  tcase_add_loop_test (
+      cases, test_error_of_the_next_server_does_not_reach_a_stream_that_has_begun, 0,
+      G_N_ELEMENTS (error_answers));
   tcase_add_test (cases, test_server_that_closes_within_an_event_is_suspected);
   tcase_add_test (cases, test_server_that_ends_within_an_event_counts_as_crashed);
   tcase_add_test (cases, test_stream_resumed_after_its_last_event_is_empty);
