A resumed stream takes only events with ids, and one without ids is not resumed

Cause: on a streaming route a signed answer with status 200 was relayed event by event, whatever its body held, also after the events of another server. Now an event with fields but no id ends the attempt if events with ids came before it from another server; comments pass. A stream whose own events have no ids is not sent on: no server could tell which of them the caller has.

Ruled out: checking the content type alone, since one of the three bodies comes as text/event-stream.

--- a/src/forward/event_framer.c
+++ b/src/forward/event_framer.c
@@ -5,6 +5,8 @@
 #define EVENT_MAX     (1u << 20) /* bytes of one event */
 #define COMMENT_START ':'
 
+static bool is_foreign (const struct kcp_event_framer *framer, size_t len);
+static bool has_fields (struct kcp_str event);
 static size_t event_len (struct kcp_event_framer *framer);
 static bool may_lack_lf (struct kcp_str text, size_t line_end);
 static size_t line_end_len (struct kcp_str text);
@@ -21,6 +23,8 @@
   framer->last_id = g_string_new (NULL);
   framer->searched = 0;
   framer->events = 0;
+  framer->unnumbered = 0;
+  framer->resumed = false;
 }
 
 /* Frees the contents of the framer. */
@@ -33,8 +37,9 @@
 
 /* Consumes bytes and appends the events that are now complete to out. Drops an event
    whose numeric id is not greater than the last one's: it was forwarded before the stream
-   was interrupted. Returns false if the incomplete event is longer than EVENT_MAX. */
-bool
+   was interrupted. Stops at an event without an id where a stream is resumed whose events
+   have ids: the server has sent something else, such as the text of an error. */
+enum kcp_event_framer_result
 kcp_event_framer_feed (struct kcp_event_framer *framer, struct kcp_str bytes,
                        GString *out)
 {
@@ -42,8 +47,39 @@
 
   g_string_append_len (framer->pending, bytes.data, (gssize)bytes.len);
   while ((len = event_len (framer)) > 0)
-    emit_event (framer, len, out);
-  return framer->pending->len <= EVENT_MAX;
+    {
+      if (is_foreign (framer, len))
+        return KCP_EVENT_FRAMER_FOREIGN;
+      emit_event (framer, len, out);
+    }
+  return framer->pending->len <= EVENT_MAX ? KCP_EVENT_FRAMER_OK
+                                           : KCP_EVENT_FRAMER_TOO_LONG;
+}
+
+/* Returns true if the first event, of length len, has fields but no id, although the
+   stream is resumed after an event with one. */
+static bool
+is_foreign (const struct kcp_event_framer *framer, size_t len)
+{
+  struct kcp_str event = { .data = framer->pending->str, .len = len };
+
+  return framer->resumed && framer->last_id->len > 0 && find_id (event).len == 0
+         && has_fields (event);
+}
+
+/* Returns true unless all lines are blank or comments. */
+static bool
+has_fields (struct kcp_str event)
+{
+  while (event.len > 0)
+    {
+      bool terminated;
+      struct kcp_str line = take_line (&event, &terminated);
+
+      if (line.len > 0 && line.data[0] != COMMENT_START)
+        return true;
+    }
+  return false;
 }
 
 /* Returns true if the bytes so far end within an event: in the middle of a line, or after
@@ -160,6 +196,7 @@
         }
     }
   framer->events++;
+  framer->unnumbered += id.len == 0 && has_fields (event);
   g_string_erase (framer->pending, 0, (gssize)len);
   framer->searched = 0;
 }
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -21,6 +21,8 @@
 static void refuse_for_backlog (struct kcp_forward *forward);
 static bool find_blocked (struct kcp_forward *forward, struct kcp_suspect *blocked);
 static void end_blocked (struct kcp_forward *forward, const struct kcp_suspect *blocked);
+static enum kcp_repeat
+repeat_after (const struct kcp_forward *forward, enum kcp_attempt_end end);
 static void on_deadline (void *user);
 static void server_unref (gpointer data);
 
@@ -270,6 +272,16 @@
     kcp_forward_refuse (forward, "no_server");
 }
 
+/* Returns how the request may be repeated after an attempt. A stream with events without
+   ids cannot go on elsewhere: no server could tell which of them the caller has. */
+static enum kcp_repeat
+repeat_after (const struct kcp_forward *forward, enum kcp_attempt_end end)
+{
+  if (end == KCP_ATTEMPT_INTERRUPTED && forward->framer.unnumbered > 0)
+    return KCP_REPEAT_ONCE;
+  return forward->choice.route->repeat;
+}
+
 /* Applies the resend policy after an attempt without a complete answer. */
 void
 kcp_forward_after_attempt (struct kcp_forward *forward, enum kcp_attempt_end end,
@@ -277,7 +289,7 @@
 {
   bool ran = end != KCP_ATTEMPT_UNSENT && end != KCP_ATTEMPT_REFUSED;
   struct kcp_resend_facts facts = {
-    .repeat = forward->choice.route->repeat,
+    .repeat = repeat_after (forward, end),
     .end = end,
     .max_runs = (unsigned)forward->choice.route->max_runs,
     .suspect = kcp_crash_suspects_is_suspect (forward->gateway, &forward->causes),
--- a/src/forward/forward_answer.c
+++ b/src/forward/forward_answer.c
@@ -29,23 +29,30 @@
   if (!kcp_forward_is_streamed (forward, status))
     g_string_append_len (attempt->buffered_body, bytes.data, (gssize)bytes.len);
   else if (!relay_events (forward, bytes, status))
-    {
-      report_limit (forward, "event");
-      return false;
-    }
+    return false;
   count_memory (forward);
   return is_within_limits (forward);
 }
 
-/* Relays the events that the bytes complete. Returns false if an event is too long. */
+/* Relays the events that the bytes complete. Returns false if the attempt has to end: an
+   event is too long, or does not belong to the stream. */
 static bool
 relay_events (struct kcp_forward *forward, struct kcp_str bytes, long status)
 {
   struct kcp_answer *answer = forward->answer;
   size_t before = answer->body->len;
 
-  if (!kcp_event_framer_feed (&forward->framer, bytes, answer->body))
-    return false;
+  switch (kcp_event_framer_feed (&forward->framer, bytes, answer->body))
+    {
+    case KCP_EVENT_FRAMER_OK:
+      break;
+    case KCP_EVENT_FRAMER_TOO_LONG:
+      report_limit (forward, "event");
+      return false;
+    case KCP_EVENT_FRAMER_FOREIGN:
+      forward->attempt.limit = "foreign_event";
+      return false;
+    }
   if (answer->body->len == before)
     return true;
   if (!answer->begun)
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -50,6 +50,7 @@
   attempt->buffered_body = g_string_new (NULL);
   attempt->sent_ns = kcp_loop_now (gateway->loop);
   attempt->events_before = forward->framer.events;
+  forward->framer.resumed = forward->answer->begun;
   attempt->prefill_tokens_pending = forward->choice.uncached_tokens;
   server->in_flight++;
   kcp_server_limit_take (&server->limit, attempt->sent_ns);
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -21,8 +21,10 @@
   int64_t sent_ns;
   uint64_t software; /* version of the server when it was sent; see kcp_software_key() */
   unsigned
-      events_before;     /* events of the stream that came from servers before this one */
-  const char *limit;     /* the limit that the answer exceeds, for the log; NULL: none */
+      events_before; /* events of the stream that came from servers before this one */
+  /* Why this VM ended the answer, for the log: the limit that it exceeds, or an event
+     that does not belong to its stream; NULL: it did not. */
+  const char *limit;
   bool paused;           /* the server is not read, since the caller does not read */
   int64_t first_byte_ns; /* when the first byte of the answer arrived; 0: not yet */
   int64_t prefill_tokens_pending; /* part of the server's count due to this attempt */
--- a/tests/unit/test_forward_parts.c
+++ b/tests/unit/test_forward_parts.c
@@ -265,13 +265,15 @@
       size_t emitted_len;
 
       kcp_event_framer_init (&framer);
-      ck_assert (kcp_event_framer_feed (
-          &framer, (struct kcp_str){ .data = text, .len = cut }, out));
+      ck_assert_int_eq (kcp_event_framer_feed (
+                            &framer, (struct kcp_str){ .data = text, .len = cut }, out),
+                        KCP_EVENT_FRAMER_OK);
       emitted_len = out->len;
       ck_assert (emitted_len == 0 || g_str_has_suffix (out->str, "\n\n"));
       kcp_event_framer_discard_partial (&framer);
       /* Another server resumes the stream and repeats events that were already sent. */
-      ck_assert (kcp_event_framer_feed (&framer, kcp_str_from_c (text), out));
+      ck_assert_int_eq (kcp_event_framer_feed (&framer, kcp_str_from_c (text), out),
+                        KCP_EVENT_FRAMER_OK);
       ck_assert_str_eq (out->str, text);
       ck_assert_str_eq (framer.last_id->str, "3");
       g_string_free (out, TRUE);
@@ -299,8 +301,10 @@
 
       kcp_event_framer_init (&framer);
       for (size_t i = 0; i < cut; i++)
-        ck_assert (kcp_event_framer_feed (
-            &framer, (struct kcp_str){ .data = text + i, .len = 1 }, out));
+        ck_assert_int_eq (
+            kcp_event_framer_feed (&framer,
+                                   (struct kcp_str){ .data = text + i, .len = 1 }, out),
+            KCP_EVENT_FRAMER_OK);
       ck_assert_uint_eq (out->len, cut / len * len);
       ck_assert_int_eq (kcp_event_framer_is_within_event (&framer), cut % len != 0);
       kcp_event_framer_clear (&framer);
@@ -326,7 +330,8 @@
       g_autofree char *text = g_strconcat ("id: 1\ndata: a\n\n", cases[i].rest, NULL);
 
       kcp_event_framer_init (&framer);
-      ck_assert (kcp_event_framer_feed (&framer, kcp_str_from_c (text), out));
+      ck_assert_int_eq (kcp_event_framer_feed (&framer, kcp_str_from_c (text), out),
+                        KCP_EVENT_FRAMER_OK);
       ck_assert_int_eq (kcp_event_framer_is_within_event (&framer), cases[i].within);
       kcp_event_framer_flush (&framer, out);
       ck_assert_str_eq (out->str, text);
