VMs that have just started forward updates and summaries, and use updates of listed VMs

Cause: a VM forwards only what it applies, and it applies nothing of a VM whose start it has not heard of, which takes 8 s for a remote one.

--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -140,7 +140,7 @@
 
 /* mesh_update.c */
 void kcp_mesh_start_updates (struct kcp_mesh *mesh);
-bool kcp_mesh_apply_update (struct kcp_mesh *mesh, const struct kcp_mesh_update *update);
+void kcp_mesh_apply_update (struct kcp_mesh *mesh, const struct kcp_mesh_update *update);
 void kcp_mesh_forward_update (struct kcp_mesh *mesh, struct kcp_mesh_update *update);
 void kcp_mesh_refill_budget (struct kcp_mesh_budget *budget, int64_t now_ns,
                              int64_t bytes_per_s, int64_t max_bytes);
--- a/src/forward/mesh_receive.c
+++ b/src/forward/mesh_receive.c
@@ -94,8 +94,9 @@
 
   kcp_mesh_update_init (&update);
   valid = kcp_mesh_update_decode (&update, procedure, bytes, len);
-  if (valid && kcp_mesh_apply_update (mesh, &update)
-      && procedure == KCP_MESH_REMOTE_UPDATE)
+  if (valid)
+    kcp_mesh_apply_update (mesh, &update);
+  if (valid && procedure == KCP_MESH_REMOTE_UPDATE)
     kcp_mesh_forward_update (mesh, &update);
   kcp_mesh_update_clear (&update);
   return valid;
--- a/src/forward/mesh_summary.c
+++ b/src/forward/mesh_summary.c
@@ -42,6 +42,7 @@
                        struct kcp_mesh_row *sum);
 static void drop_parts (struct kcp_mesh_message *state);
 static void offer_peer (GArray *choices, const struct kcp_mesh_peer *peer);
+static void store_summary (struct kcp_mesh *mesh, const struct kcp_mesh_message *state);
 static void forward (struct kcp_mesh *mesh, const struct kcp_mesh_summary *summary);
 static struct kcp_mesh_region *ensure_region (struct kcp_mesh *mesh, const char *dc);
 static bool
@@ -259,19 +260,27 @@
   g_array_append_val (choices, first);
 }
 
-/* Stores a summary of another data center unless a newer one of its sender is known, and
-   forwards it to the VMs near this one if the sender has sent it to this VM. Ignores a
-   summary of an unknown VM. */
+/* Stores a summary of another data center unless a newer one of its sender is known, or
+   the sender is unknown. Forwards it to the VMs near this one if the sender has sent it
+   to this VM. */
 void
 kcp_mesh_apply_summary (struct kcp_mesh *mesh, const struct kcp_mesh_summary *summary)
 {
   const struct kcp_mesh_message *state = &summary->state;
-  struct kcp_mesh_region *region;
 
-  if (strcmp (state->data_center, mesh->gateway->settings->vm_data_center) == 0
-      || kcp_mesh_find_peer (mesh, state->vm) == NULL)
+  if (strcmp (state->data_center, mesh->gateway->settings->vm_data_center) == 0)
     return;
-  region = ensure_region (mesh, state->data_center);
+  if (!summary->forwarded)
+    forward (mesh, summary);
+  if (kcp_mesh_find_peer (mesh, state->vm) != NULL)
+    store_summary (mesh, state);
+}
+
+static void
+store_summary (struct kcp_mesh *mesh, const struct kcp_mesh_message *state)
+{
+  struct kcp_mesh_region *region = ensure_region (mesh, state->data_center);
+
   if (!is_newer (state, &region->newest))
     return;
   copy_state (state, &region->newest);
@@ -279,8 +288,6 @@
   mesh->peer_load_stale = true;
   for (guint i = 0; i < state->rows->len; i++)
     kcp_mesh_apply_row (mesh, &g_array_index (state->rows, struct kcp_mesh_row, i));
-  if (!summary->forwarded)
-    forward (mesh, summary);
 }
 
 static void
--- a/src/forward/mesh_update.c
+++ b/src/forward/mesh_update.c
@@ -64,19 +64,19 @@
 
 /* Applies the changes from another VM, unless a newer update of that VM has already been
    applied. Ignores an update from an unknown VM, or from a start of its process other
-   than that of its newest gossip message. */
-bool
+   than that of its newest gossip message. A VM that is only listed may be of any
+   start. */
+void
 kcp_mesh_apply_update (struct kcp_mesh *mesh, const struct kcp_mesh_update *update)
 {
   struct kcp_mesh_peer *peer = kcp_mesh_find_peer (mesh, update->vm);
 
-  if (peer == NULL || update->start_ms != peer->start_ms
+  if (peer == NULL || (peer->start_ms != 0 && update->start_ms != peer->start_ms)
       || update->sequence <= peer->update_sequence)
-    return false;
+    return;
   peer->update_sequence = update->sequence;
   for (guint i = 0; i < update->changes->len; i++)
     apply_change (mesh, &g_array_index (update->changes, struct kcp_mesh_change, i));
-  return true;
 }
 
 static void
@@ -135,7 +135,8 @@
     kcp_mesh_send_to_data_centers (mesh, datagram);
 }
 
-/* Sends an update of a VM of another data center to the VMs of this one. */
+/* Sends an update of a VM of another data center to the VMs of this one, also if this VM,
+   which may have just started, does not know the sender. */
 void
 kcp_mesh_forward_update (struct kcp_mesh *mesh, struct kcp_mesh_update *update)
 {
