Age of the load of other VMs: in the log line of an attempt, and as a histogram

A choice counts loads up to 3 s old; an operator could not see how old they were. The sums' test sent for 0.3 s only, although the second VM of the order sends once a second: it failed once in nine, by the ports of its sockets; it runs for a second now.

--- a/src/base/histogram.c
+++ b/src/base/histogram.c
@@ -26,6 +26,8 @@
   = { "first_byte_seconds", "Arrival to the first byte of a server's answer" },
   [KCP_HISTOGRAM_STORE] = { "store_seconds", "Calls to the platform's store" },
   [KCP_HISTOGRAM_ORDER] = { "order_seconds", "Orders to servers" },
+  [KCP_HISTOGRAM_LOAD_AGE]
+  = { "load_age_seconds", "Age of the oldest load of other VMs that counts" },
 };
 
 static struct histogram_values values[KCP_HISTOGRAM_COUNT];
--- a/src/base/histogram.h
+++ b/src/base/histogram.h
@@ -11,6 +11,7 @@
   KCP_HISTOGRAM_FIRST_BYTE, /* arrival to the first byte of a server's answer */
   KCP_HISTOGRAM_STORE,      /* a call to the platform's store */
   KCP_HISTOGRAM_ORDER,      /* an order to a server */
+  KCP_HISTOGRAM_LOAD_AGE,   /* oldest load of other VMs that counts in a choice */
   KCP_HISTOGRAM_COUNT
 };
 
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -85,6 +85,7 @@
     return;
   choice->server = g_ptr_array_index (servers, (guint)at);
   choice->cost_us = kcp_place_cost (&candidates[at], &costs);
+  choice->load_age_ns = kcp_mesh_load_age_ns (gateway->mesh);
   choice->wait_us = kcp_place_wait (&candidates[at], &costs);
   choice->uncached_tokens = candidates[at].uncached_tokens;
   choice->prefill_us = costs.per_token * choice->uncached_tokens;
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -49,6 +49,7 @@
   attempt->headers = g_ptr_array_new_with_free_func (g_free);
   attempt->buffered_body = g_string_new (NULL);
   attempt->sent_ns = kcp_loop_now (gateway->loop);
+  kcp_histogram_add (KCP_HISTOGRAM_LOAD_AGE, forward->choice.load_age_ns);
   attempt->events_before = forward->framer.events;
   forward->framer.resumed = forward->answer->begun;
   attempt->prefill_tokens_pending = forward->choice.uncached_tokens;
@@ -108,6 +109,7 @@
                        : -1),
       KCP_LOG_INT ("usable", forward->choice.usable),
       KCP_LOG_INT ("cost_us", forward->choice.cost_us),
+      KCP_LOG_INT ("load_age_ms", forward->choice.load_age_ns / KCP_NS_PER_MS),
       KCP_LOG_INT ("open_there", server->in_flight),
       KCP_LOG_INT ("limit_share",
                    kcp_server_limit_is_in_force (&server->limit, attempt->sent_ns)
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -34,8 +34,8 @@
 static bool
 is_just_listed (const struct kcp_mesh *mesh, const struct kcp_mesh_peer *peer);
 static int64_t dead_after_ns (const struct kcp_mesh_peer *peer);
-static void
-add_load (struct kcp_mesh *mesh, const struct kcp_mesh_message *message, int64_t age_ns);
+static void add_load (struct kcp_mesh *mesh, const struct kcp_mesh_message *message,
+                      int64_t received_ns);
 static void peer_free (gpointer data);
 
 /* Opens the UDP socket, registers this VM in the store's list and starts the gossip
@@ -309,6 +309,7 @@
     return;
   mesh->peer_load_stale = false;
   mesh->peer_load_ns = now;
+  mesh->oldest_load_ns = 0;
   servers = kcp_servers_all (mesh->gateway->servers);
   for (guint i = 0; i < servers->len; i++)
     {
@@ -322,23 +323,37 @@
       const struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
 
       if (peer->alive && kcp_mesh_find_region (mesh, peer->data_center) == NULL)
-        add_load (mesh, &peer->last_message, now - peer->received_ns);
+        add_load (mesh, &peer->last_message, peer->received_ns);
     }
   for (guint i = 0; i < mesh->summaries.regions->len; i++)
     {
       const struct kcp_mesh_region *region
           = g_ptr_array_index (mesh->summaries.regions, i);
 
-      add_load (mesh, &region->newest, now - region->received_ns);
+      add_load (mesh, &region->newest, region->received_ns);
     }
 }
 
-/* Adds the load that a VM, or all VMs of a data center, reported age_ns ago. */
+/* Returns the age of the oldest load of other VMs that counts, in nanoseconds; 0 if none
+   does. mesh may be NULL. */
+int64_t
+kcp_mesh_load_age_ns (const struct kcp_mesh *mesh)
+{
+  if (mesh == NULL || mesh->oldest_load_ns == 0)
+    return 0;
+  return kcp_loop_now (mesh->gateway->loop) - mesh->oldest_load_ns;
+}
+
+/* Adds the load that a VM, or all VMs of a data center, reported at received_ns. */
 static void
-add_load (struct kcp_mesh *mesh, const struct kcp_mesh_message *message, int64_t age_ns)
+add_load (struct kcp_mesh *mesh, const struct kcp_mesh_message *message,
+          int64_t received_ns)
 {
-  int64_t age_ms = age_ns / KCP_NS_PER_MS;
+  int64_t age_ms = (mesh->peer_load_ns - received_ns) / KCP_NS_PER_MS;
 
+  if (age_ms < KCP_PEER_LOAD_MAX_AGE_MS
+      && (mesh->oldest_load_ns == 0 || received_ns < mesh->oldest_load_ns))
+    mesh->oldest_load_ns = received_ns;
   for (guint i = 0; i < message->rows->len; i++)
     {
       const struct kcp_mesh_row *row
--- a/src/forward/mesh.h
+++ b/src/forward/mesh.h
@@ -19,6 +19,7 @@
 struct kcp_mesh *kcp_mesh_start (struct kcp_gateway *gateway,
                                  const struct kcp_store *store, struct kcp_error *error);
 void kcp_mesh_refresh_peer_load (struct kcp_mesh *mesh);
+int64_t kcp_mesh_load_age_ns (const struct kcp_mesh *mesh);
 void kcp_mesh_leave (struct kcp_mesh *mesh);
 void kcp_mesh_stop (struct kcp_mesh *mesh);
 void kcp_mesh_announce_prompt (struct kcp_mesh *mesh, const struct kcp_server *server,
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -93,9 +93,10 @@
   struct kcp_mesh_suspect_state suspects;
   struct kcp_mesh_notice_state notices;
   struct kcp_mesh_update pending; /* changes to be sent in the next update message */
-  bool peer_load_stale; /* the peers' load has changed since it was last added up */
-  int64_t peer_load_ns; /* when it was last added up */
-  bool leader;          /* this VM was the leader of its data center when last logged */
+  bool peer_load_stale;   /* the peers' load has changed since it was last added up */
+  int64_t peer_load_ns;   /* when it was last added up */
+  int64_t oldest_load_ns; /* arrival of the oldest report that counted then; 0: none */
+  bool leader;            /* this VM was the leader of its data center when last logged */
   bool leaving;
   bool registered;                           /* the store's list contains this VM */
   bool listed;                               /* the store's list has been read */
--- a/tests/unit/test_mesh_summary.c
+++ b/tests/unit/test_mesh_summary.c
@@ -78,7 +78,12 @@
   size_t len;
 
   server->in_flight = 2;
-  mesh_vm_run (&vm, 300);
+  /* The second VM of the order sends a summary once a second. */
+  for (unsigned i = 0; i < 6; i++)
+    {
+      mesh_vm_gossip (&vm, &near, server, 3);
+      mesh_vm_run (&vm, 200);
+    }
   len = mesh_vm_receive (&remote, KCP_MESH_SUMMARY, bytes, sizeof bytes);
   ck_assert_uint_gt (len, 0);
   kcp_mesh_summary_init (&summary);
@@ -123,9 +128,11 @@
   mesh_vm_gossip (&vm, &near, NULL, 0);
   ck_assert_uint_gt (peers_in_flight (), 0);
   ck_assert_uint_lt (peers_in_flight (), 8);
+  ck_assert_int_ge (kcp_mesh_load_age_ns (vm.mesh), 1800 * KCP_NS_PER_MS);
   mesh_vm_run (&vm, KCP_PEER_LOAD_MAX_AGE_MS);
   mesh_vm_gossip (&vm, &near, NULL, 0);
   ck_assert_uint_eq (peers_in_flight (), 0);
+  ck_assert_int_lt (kcp_mesh_load_age_ns (vm.mesh), 1800 * KCP_NS_PER_MS);
 }
 END_TEST
 
