--- a/tests/unit/test_mesh_summary.c
+++ b/tests/unit/test_mesh_summary.c
@@ -9,6 +9,11 @@
 #define LISTED_VMS 30 /* enough for summaries to be used */
 #define PART       77
 #define TOKENS     13000
+#define NEAR_VMS   39
+#define ROLLOUTS   3
+#define ROLLOUT_MS 4000
+/* In one rollout. */
+#define ANNOUNCEMENTS 100
 
 static struct mesh_vm vm;
 static struct mesh_vm_peer near;
@@ -216,6 +221,32 @@
 }
 END_TEST
 
+/* Load pattern: new weights each 4 s. The VM that gives the orders announces for each of
+   50 servers that it begins to load and that it has loaded, to 39 VMs near it. */
+START_TEST (test_loads_of_successive_rollouts_reach_the_vms_near)
+{
+  struct mesh_vm_peer peers[NEAR_VMS];
+  unsigned received = 0;
+
+  for (unsigned i = 0; i < NEAR_VMS; i++)
+    {
+      mesh_vm_peer_init (&peers[i], MESH_VM_DC);
+      mesh_vm_gossip (&vm, &peers[i], NULL, 0);
+    }
+  for (unsigned i = 0; i < ROLLOUTS * ANNOUNCEMENTS; i++)
+    {
+      kcp_mesh_announce_loading (vm.mesh, server, 1000);
+      mesh_vm_run (&vm, ROLLOUT_MS / ANNOUNCEMENTS);
+      if (i % 10 == 0)
+        mesh_vm_gossip (&vm, &peers[i / 10 % NEAR_VMS], NULL, 0);
+      received += mesh_vm_count_received (&peers[NEAR_VMS - 1], KCP_MESH_UPDATE);
+    }
+  ck_assert_uint_eq (received, ROLLOUTS * ANNOUNCEMENTS);
+  for (unsigned i = 0; i < NEAR_VMS; i++)
+    mesh_vm_peer_clear (&peers[i]);
+}
+END_TEST
+
 START_TEST (test_old_reports_count_less)
 {
   ck_assert_int_eq (kcp_peer_load_weigh (10, 0), 10);
@@ -244,6 +275,7 @@
   tcase_add_test (cases, test_an_update_of_a_remote_vm_is_forwarded_once);
   tcase_add_test (cases, test_a_vm_that_has_just_started_forwards_what_it_gets);
   tcase_add_test (cases, test_an_update_of_a_vm_that_is_only_listed_counts);
+  tcase_add_test (cases, test_loads_of_successive_rollouts_reach_the_vms_near);
   tcase_add_test (cases, test_old_reports_count_less);
   suite_add_tcase (suite, cases);
   return run_suite (suite);
