Updates: 64 KB/s and 1 MB saved up, so that loads of successive rollouts are announced

A load is announced to 39 VMs near and to 4 forwarders; at 16 KB/s the 512 KB saved up last for one rollout, and forwarders run out too. Changes within 5 ms for 2 go together. The test's other VMs are heard of often enough now to stay alive.

--- a/src/forward/mesh_update.c
+++ b/src/forward/mesh_update.c
@@ -4,12 +4,12 @@
    center, which forwards it to the VMs near it. */
 #include "forward/mesh_private.h"
 
-#define FLUSH_DELAY_MS 2 /* changes within this time are sent in one message */
+#define FLUSH_DELAY_MS 5 /* changes within this time are sent in one message */
 /* Bandwidth limit for the updates of one VM, independent of the number of VMs, and the
    number of bytes up to which unspent bandwidth accumulates: the VM that orders new
    weights for all servers announces each load to all VMs near it within seconds. */
-#define UPDATE_BYTES_PER_S      16000
-#define UPDATE_BUDGET_MAX_BYTES 512000
+#define UPDATE_BYTES_PER_S      64000
+#define UPDATE_BUDGET_MAX_BYTES 1000000
 
 static void announce (struct kcp_mesh *mesh, const struct kcp_mesh_change *change);
 static void flush (void *user);
--- a/tests/unit/test_mesh_summary.c
+++ b/tests/unit/test_mesh_summary.c
@@ -237,8 +237,8 @@
     {
       kcp_mesh_announce_loading (vm.mesh, server, 1000);
       mesh_vm_run (&vm, ROLLOUT_MS / ANNOUNCEMENTS);
-      if (i % 10 == 0)
-        mesh_vm_gossip (&vm, &peers[i / 10 % NEAR_VMS], NULL, 0);
+      for (unsigned j = 0; i % 25 == 0 && j < NEAR_VMS; j++)
+        mesh_vm_gossip (&vm, &peers[j], NULL, 0);
       received += mesh_vm_count_received (&peers[NEAR_VMS - 1], KCP_MESH_UPDATE);
     }
   ck_assert_uint_eq (received, ROLLOUTS * ANNOUNCEMENTS);
