--- a/tests/unit/test_mesh_summary.c
+++ b/tests/unit/test_mesh_summary.c
@@ -103,6 +103,30 @@
 }
 END_TEST
 
+/* A server has loaded its weights when a summary arrives that was made before. */
+START_TEST (test_a_summary_does_not_say_that_servers_load_weights)
+{
+  struct kcp_mesh_summary summary;
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  size_t len;
+
+  server->own_loading_until_ns = kcp_loop_now (vm.gateway.loop) + 5 * KCP_NS_PER_S;
+  for (unsigned i = 0; i < 6; i++)
+    {
+      mesh_vm_gossip (&vm, &near, server, 3);
+      mesh_vm_run (&vm, 200);
+    }
+  len = mesh_vm_receive (&remote, KCP_MESH_SUMMARY, bytes, sizeof bytes);
+  ck_assert_uint_gt (len, 0);
+  kcp_mesh_summary_init (&summary);
+  ck_assert (kcp_mesh_summary_decode (&summary, bytes, len));
+  ck_assert_uint_eq (summary.state.rows->len, 1);
+  ck_assert_uint_eq (
+      g_array_index (summary.state.rows, struct kcp_mesh_row, 0).loading_ms, 0);
+  kcp_mesh_summary_clear (&summary);
+}
+END_TEST
+
 START_TEST (test_a_summary_counts_and_is_forwarded_once)
 {
   char bytes[KCP_MESH_MESSAGE_MAX];
@@ -267,6 +291,7 @@
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_add_test (cases, test_a_summary_adds_up_the_load_of_a_data_center);
+  tcase_add_test (cases, test_a_summary_does_not_say_that_servers_load_weights);
   tcase_add_test (cases, test_a_summary_counts_and_is_forwarded_once);
   tcase_add_test (cases, test_an_older_summary_changes_nothing);
   tcase_add_test (cases, test_the_load_of_a_silent_data_center_fades);
