Summaries do not say which servers load weights

Cause: the VM that gives an order reports its server as loading until the order ends, for 6 s at most. A sum is up to 0.75 s old when it arrives; if the load has ended by then, the server counts as loading again, for seconds, and the VM goes on to servers that really load, or refuses. Updates announce the start and the end of each load.

--- a/src/forward/mesh_summary.c
+++ b/src/forward/mesh_summary.c
@@ -40,6 +40,7 @@
 static void add_position (GHashTable *positions, uint64_t server, guint row);
 static void merge_row (const struct kcp_mesh_row *row, int64_t age_ms, bool with_parts,
                        struct kcp_mesh_row *sum);
+static void drop_loads (struct kcp_mesh_message *state);
 static void drop_parts (struct kcp_mesh_message *state);
 static void offer_peer (GArray *choices, const struct kcp_mesh_peer *peer);
 static void store_summary (struct kcp_mesh *mesh, const struct kcp_mesh_message *state);
@@ -111,6 +112,7 @@
   state->start_ms = mesh->start_ms;
   state->sequence = ++mesh->summaries.sequence;
   kcp_mesh_add_own_rows (mesh, state);
+  drop_loads (state);
   if (mesh->summaries.ticks % SLOW_INTERVALS != 0)
     drop_parts (state);
   for (guint i = 0; i < state->rows->len; i++)
@@ -197,19 +199,25 @@
 merge_row (const struct kcp_mesh_row *row, int64_t age_ms, bool with_parts,
            struct kcp_mesh_row *sum)
 {
-  int64_t loading_ms = (int64_t)row->loading_ms - age_ms;
-
   sum->in_flight += (uint32_t)kcp_peer_load_weigh (row->in_flight, age_ms);
   sum->prefill_tokens_pending
       += (uint32_t)kcp_peer_load_weigh (row->prefill_tokens_pending, age_ms);
   sum->version = MAX (sum->version, row->version);
-  sum->loading_ms = MAX (sum->loading_ms, (uint32_t)MAX (loading_ms, 0));
   if (!with_parts || !row->has_parts || sum->has_parts)
     return;
   sum->has_parts = true;
   g_array_append_vals (sum->parts, row->parts->data, row->parts->len);
 }
 
+/* Removes the loads of weights, which updates announce. A load may have ended by the time
+   at which a sum arrives, and its server would count as loading again. */
+static void
+drop_loads (struct kcp_mesh_message *state)
+{
+  for (guint i = 0; i < state->rows->len; i++)
+    g_array_index (state->rows, struct kcp_mesh_row, i).loading_ms = 0;
+}
+
 static void
 drop_parts (struct kcp_mesh_message *state)
 {
