--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -322,15 +322,15 @@
     {
       const struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
 
-      if (peer->alive && kcp_mesh_find_region (mesh, peer->data_center) == NULL)
+      if (peer->alive && kcp_mesh_find_dc_state (mesh, peer->data_center) == NULL)
         add_load (mesh, &peer->last_message, peer->received_ns);
     }
-  for (guint i = 0; i < mesh->summaries.regions->len; i++)
+  for (guint i = 0; i < mesh->summaries.dc_states->len; i++)
     {
-      const struct kcp_mesh_region *region
-          = g_ptr_array_index (mesh->summaries.regions, i);
+      const struct kcp_mesh_dc_state *dc_state
+          = g_ptr_array_index (mesh->summaries.dc_states, i);
 
-      add_load (mesh, &region->newest, region->received_ns);
+      add_load (mesh, &dc_state->newest, dc_state->received_ns);
     }
 }
 
--- a/src/forward/mesh_gossip.c
+++ b/src/forward/mesh_gossip.c
@@ -26,7 +26,7 @@
 
 static void log_leader_change (struct kcp_mesh *mesh);
 static void send_state (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
-static void send_head (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
+static void send_sign_of_life (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static void build_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static guint
 max_parts_per_server (const GPtrArray *servers, const GPtrArray *cache_stores);
@@ -55,7 +55,7 @@
   build_message (mesh, &message);
   send_state (mesh, &message);
   if (kcp_mesh_uses_summaries (mesh))
-    send_head (mesh, &message);
+    send_sign_of_life (mesh, &message);
   kcp_mesh_message_clear (&message);
   kcp_loop_timer_set (loop, &mesh->gossip_timer,
                       kcp_loop_now (loop) + GOSSIP_INTERVAL_MS * KCP_NS_PER_MS,
@@ -82,7 +82,7 @@
 
 /* Sends the message without its rows to VMs of remote data centers. */
 static void
-send_head (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
+send_sign_of_life (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
 {
   char bytes[KCP_MESH_MESSAGE_MAX];
   struct kcp_str datagram = { .data = bytes };
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -37,7 +37,7 @@
 };
 
 /* The summed state of the VMs of another data center. */
-struct kcp_mesh_region
+struct kcp_mesh_dc_state
 {
   int64_t received_ns;            /* arrival of the newest summary */
   struct kcp_mesh_message newest; /* contents of that summary */
@@ -46,9 +46,9 @@
 /* What the summary messages need. */
 struct kcp_mesh_summary_state
 {
-  GPtrArray *regions; /* struct kcp_mesh_region, one for each data center heard of */
-  uint64_t sequence;  /* of the newest summary that this VM sent */
-  uint64_t ticks;     /* of the timer */
+  GPtrArray *dc_states; /* struct kcp_mesh_dc_state, one for each data center heard of */
+  uint64_t sequence;    /* of the newest summary that this VM sent */
+  uint64_t ticks;       /* of the timer */
   struct kcp_loop_timer timer;
 };
 
@@ -122,8 +122,8 @@
 void
 kcp_mesh_apply_summary (struct kcp_mesh *mesh, const struct kcp_mesh_summary *summary);
 void kcp_mesh_send_to_data_centers (struct kcp_mesh *mesh, struct kcp_str datagram);
-const struct kcp_mesh_region *
-kcp_mesh_find_region (const struct kcp_mesh *mesh, const char *data_center);
+const struct kcp_mesh_dc_state *
+kcp_mesh_find_dc_state (const struct kcp_mesh *mesh, const char *data_center);
 
 /* mesh.c */
 unsigned kcp_mesh_count_alive (const struct kcp_mesh *mesh, bool local);
--- a/src/forward/mesh_summary.c
+++ b/src/forward/mesh_summary.c
@@ -45,17 +45,17 @@
 static void offer_peer (GArray *choices, const struct kcp_mesh_peer *peer);
 static void store_summary (struct kcp_mesh *mesh, const struct kcp_mesh_message *state);
 static void forward (struct kcp_mesh *mesh, const struct kcp_mesh_summary *summary);
-static struct kcp_mesh_region *ensure_region (struct kcp_mesh *mesh, const char *dc);
+static struct kcp_mesh_dc_state *ensure_dc_state (struct kcp_mesh *mesh, const char *dc);
 static bool
 is_newer (const struct kcp_mesh_message *state, const struct kcp_mesh_message *known);
 static void copy_state (const struct kcp_mesh_message *from, struct kcp_mesh_message *to);
-static void region_free (gpointer data);
+static void dc_state_free (gpointer data);
 
 /* Starts to send summaries when this VM is one of the senders. */
 void
 kcp_mesh_start_summaries (struct kcp_mesh *mesh)
 {
-  mesh->summaries.regions = g_ptr_array_new_with_free_func (region_free);
+  mesh->summaries.dc_states = g_ptr_array_new_with_free_func (dc_state_free);
   tick (mesh);
 }
 
@@ -64,7 +64,7 @@
 kcp_mesh_stop_summaries (struct kcp_mesh *mesh)
 {
   kcp_loop_timer_cancel (&mesh->summaries.timer);
-  g_clear_pointer (&mesh->summaries.regions, g_ptr_array_unref);
+  g_clear_pointer (&mesh->summaries.dc_states, g_ptr_array_unref);
 }
 
 /* Returns true if there are so many VMs that the load in other data centers is learned
@@ -287,12 +287,12 @@
 static void
 store_summary (struct kcp_mesh *mesh, const struct kcp_mesh_message *state)
 {
-  struct kcp_mesh_region *region = ensure_region (mesh, state->data_center);
+  struct kcp_mesh_dc_state *dc_state = ensure_dc_state (mesh, state->data_center);
 
-  if (!is_newer (state, &region->newest))
+  if (!is_newer (state, &dc_state->newest))
     return;
-  copy_state (state, &region->newest);
-  region->received_ns = kcp_loop_now (mesh->gateway->loop);
+  copy_state (state, &dc_state->newest);
+  dc_state->received_ns = kcp_loop_now (mesh->gateway->loop);
   mesh->peer_load_stale = true;
   for (guint i = 0; i < state->rows->len; i++)
     kcp_mesh_apply_row (mesh, &g_array_index (state->rows, struct kcp_mesh_row, i));
@@ -316,40 +316,40 @@
 }
 
 /* Returns the state of the data center if a summary of it counts still, else NULL. */
-const struct kcp_mesh_region *
-kcp_mesh_find_region (const struct kcp_mesh *mesh, const char *data_center)
+const struct kcp_mesh_dc_state *
+kcp_mesh_find_dc_state (const struct kcp_mesh *mesh, const char *data_center)
 {
   int64_t now = kcp_loop_now (mesh->gateway->loop);
 
-  for (guint i = 0; i < mesh->summaries.regions->len; i++)
+  for (guint i = 0; i < mesh->summaries.dc_states->len; i++)
     {
-      const struct kcp_mesh_region *region
-          = g_ptr_array_index (mesh->summaries.regions, i);
+      const struct kcp_mesh_dc_state *dc_state
+          = g_ptr_array_index (mesh->summaries.dc_states, i);
 
-      if (strcmp (region->newest.data_center, data_center) == 0)
-        return now - region->received_ns < KCP_PEER_LOAD_MAX_AGE_MS * KCP_NS_PER_MS
-                   ? region
+      if (strcmp (dc_state->newest.data_center, data_center) == 0)
+        return now - dc_state->received_ns < KCP_PEER_LOAD_MAX_AGE_MS * KCP_NS_PER_MS
+                   ? dc_state
                    : NULL;
     }
   return NULL;
 }
 
-static struct kcp_mesh_region *
-ensure_region (struct kcp_mesh *mesh, const char *dc)
+static struct kcp_mesh_dc_state *
+ensure_dc_state (struct kcp_mesh *mesh, const char *dc)
 {
-  struct kcp_mesh_region *region;
+  struct kcp_mesh_dc_state *dc_state;
 
-  for (guint i = 0; i < mesh->summaries.regions->len; i++)
+  for (guint i = 0; i < mesh->summaries.dc_states->len; i++)
     {
-      region = g_ptr_array_index (mesh->summaries.regions, i);
-      if (strcmp (region->newest.data_center, dc) == 0)
-        return region;
+      dc_state = g_ptr_array_index (mesh->summaries.dc_states, i);
+      if (strcmp (dc_state->newest.data_center, dc) == 0)
+        return dc_state;
     }
-  region = g_new0 (struct kcp_mesh_region, 1);
-  kcp_mesh_message_init (&region->newest);
-  g_strlcpy (region->newest.data_center, dc, sizeof region->newest.data_center);
-  g_ptr_array_add (mesh->summaries.regions, region);
-  return region;
+  dc_state = g_new0 (struct kcp_mesh_dc_state, 1);
+  kcp_mesh_message_init (&dc_state->newest);
+  g_strlcpy (dc_state->newest.data_center, dc, sizeof dc_state->newest.data_center);
+  g_ptr_array_add (mesh->summaries.dc_states, dc_state);
+  return dc_state;
 }
 
 /* Returns true unless the same sender has sent known later. */
@@ -381,10 +381,10 @@
 }
 
 static void
-region_free (gpointer data)
+dc_state_free (gpointer data)
 {
-  struct kcp_mesh_region *region = data;
+  struct kcp_mesh_dc_state *dc_state = data;
 
-  kcp_mesh_message_clear (&region->newest);
-  g_free (region);
+  kcp_mesh_message_clear (&dc_state->newest);
+  g_free (dc_state);
 }
