--- a/src/forward/mesh_summary.c
+++ b/src/forward/mesh_summary.c
@@ -2,7 +2,7 @@
    VMs of the other ones. In each data center the two VMs that are first in a rendezvous
    order send summaries, the second less often; nobody is elected, and two views of the
    order only cause more messages. A summary goes to one VM of each other data center,
-   chosen at random, which forwards it to the VMs near it. So the bytes between data
+   chosen at random, which forwards it to the other VMs there. So the bytes between data
    centers grow with the number of data centers, and a VM that is dead, frozen or cut off
    loses one summary in many.
 
@@ -40,7 +40,7 @@
 static void add_position (GHashTable *positions, uint64_t server, guint row);
 static void merge_row (const struct kcp_mesh_row *row, int64_t age_ms, bool with_parts,
                        struct kcp_mesh_row *sum);
-static void drop_loads (struct kcp_mesh_message *state);
+static void drop_loading (struct kcp_mesh_message *state);
 static void drop_parts (struct kcp_mesh_message *state);
 static void offer_peer (GArray *choices, const struct kcp_mesh_peer *peer);
 static void store_summary (struct kcp_mesh *mesh, const struct kcp_mesh_message *state);
@@ -93,8 +93,8 @@
                       kcp_loop_now (loop) + INTERVAL_MS * KCP_NS_PER_MS, tick, mesh);
 }
 
-/* Adds up the load that this VM and the live ones near it have at each server, and sends
-   it to one VM of each other data center. */
+/* Adds up the load that this VM and the other live ones of its data center have at each
+   server, and sends it to one VM of each other data center. */
 static void
 send_summary (struct kcp_mesh *mesh)
 {
@@ -112,7 +112,7 @@
   state->start_ms = mesh->start_ms;
   state->sequence = ++mesh->summaries.sequence;
   kcp_mesh_add_own_rows (mesh, state);
-  drop_loads (state);
+  drop_loading (state);
   if (mesh->summaries.ticks % SLOW_INTERVALS != 0)
     drop_parts (state);
   for (guint i = 0; i < state->rows->len; i++)
@@ -209,10 +209,10 @@
   g_array_append_vals (sum->parts, row->parts->data, row->parts->len);
 }
 
-/* Removes the loads of weights, which updates announce. A load may have ended by the time
-   at which a sum arrives, and its server would count as loading again. */
+/* Removes what the rows say of the loading of weights, which updates announce. It may
+   have ended when the summary arrives, and the server would count as loading again. */
 static void
-drop_loads (struct kcp_mesh_message *state)
+drop_loading (struct kcp_mesh_message *state)
 {
   for (guint i = 0; i < state->rows->len; i++)
     g_array_index (state->rows, struct kcp_mesh_row, i).loading_ms = 0;
@@ -269,8 +269,8 @@
 }
 
 /* Stores a summary of another data center unless a newer one of its sender is known, or
-   the sender is unknown. Forwards it to the VMs near this one if the sender has sent it
-   to this VM. */
+   the sender is unknown. Forwards it to the VMs of this data center if the sender has
+   sent it to this VM. */
 void
 kcp_mesh_apply_summary (struct kcp_mesh *mesh, const struct kcp_mesh_summary *summary)
 {
--- a/src/forward/mesh_update.c
+++ b/src/forward/mesh_update.c
@@ -1,13 +1,14 @@
 /* Update messages: changes that are sent to the VMs without waiting for a gossip round.
    They report where a long prompt was sent, and which server is loading new weights or
    has loaded them. Where summaries are used, an update goes to one VM of each other data
-   center, which forwards it to the VMs near it. */
+   center, which forwards it to the other VMs there. */
 #include "forward/mesh_private.h"
 
 #define FLUSH_DELAY_MS 5 /* changes within this time are sent in one message */
 /* Bandwidth limit for the updates of one VM, independent of the number of VMs, and the
    number of bytes up to which unspent bandwidth accumulates: the VM that orders new
-   weights for all servers announces each load to all VMs near it within seconds. */
+   weights for all servers announces each one to all VMs of its data center within
+   seconds. */
 #define UPDATE_BYTES_PER_S      64000
 #define UPDATE_BUDGET_MAX_BYTES 1000000
 
--- a/tests/unit/test_mesh_summary.c
+++ b/tests/unit/test_mesh_summary.c
@@ -76,14 +76,15 @@
   return server->peers_in_flight;
 }
 
-START_TEST (test_a_summary_adds_up_the_load_of_a_data_center)
+/* Runs the VM until it has sent a summary, while the other VM of its data center goes on
+   sending its state, and decodes what the remote VM gets. The second VM of the order
+   sends a summary once a second. */
+static void
+receive_summary (struct kcp_mesh_summary *summary)
 {
-  struct kcp_mesh_summary summary;
   char bytes[KCP_MESH_MESSAGE_MAX];
   size_t len;
 
-  server->in_flight = 2;
-  /* The second VM of the order sends a summary once a second. */
   for (unsigned i = 0; i < 6; i++)
     {
       mesh_vm_gossip (&vm, &near, server, 3);
@@ -91,11 +92,19 @@
     }
   len = mesh_vm_receive (&remote, KCP_MESH_SUMMARY, bytes, sizeof bytes);
   ck_assert_uint_gt (len, 0);
-  kcp_mesh_summary_init (&summary);
-  ck_assert (kcp_mesh_summary_decode (&summary, bytes, len));
+  kcp_mesh_summary_init (summary);
+  ck_assert (kcp_mesh_summary_decode (summary, bytes, len));
+  ck_assert_uint_eq (summary->state.rows->len, 1);
+}
+
+START_TEST (test_a_summary_adds_up_the_load_of_a_data_center)
+{
+  struct kcp_mesh_summary summary;
+
+  server->in_flight = 2;
+  receive_summary (&summary);
   ck_assert_str_eq (summary.state.data_center, MESH_VM_DC);
   ck_assert (!summary.forwarded);
-  ck_assert_uint_eq (summary.state.rows->len, 1);
   ck_assert_uint_eq (g_array_index (summary.state.rows, struct kcp_mesh_row, 0).in_flight,
                      2 + 3);
   kcp_mesh_summary_clear (&summary);
@@ -107,20 +116,9 @@
 START_TEST (test_a_summary_does_not_say_that_servers_load_weights)
 {
   struct kcp_mesh_summary summary;
-  char bytes[KCP_MESH_MESSAGE_MAX];
-  size_t len;
 
   server->own_loading_until_ns = kcp_loop_now (vm.gateway.loop) + 5 * KCP_NS_PER_S;
-  for (unsigned i = 0; i < 6; i++)
-    {
-      mesh_vm_gossip (&vm, &near, server, 3);
-      mesh_vm_run (&vm, 200);
-    }
-  len = mesh_vm_receive (&remote, KCP_MESH_SUMMARY, bytes, sizeof bytes);
-  ck_assert_uint_gt (len, 0);
-  kcp_mesh_summary_init (&summary);
-  ck_assert (kcp_mesh_summary_decode (&summary, bytes, len));
-  ck_assert_uint_eq (summary.state.rows->len, 1);
+  receive_summary (&summary);
   ck_assert_uint_eq (
       g_array_index (summary.state.rows, struct kcp_mesh_row, 0).loading_ms, 0);
   kcp_mesh_summary_clear (&summary);
