A team that becomes isolated leaves no cached parts to others

Cause: the name of the cache space of all teams that are not isolated was made from model and weights alone, so what an isolated team had left there kept its name. Beside it: a request accepted before the configuration kept the space of before for later attempts, and model/version/team could name two spaces alike.

Ruled out: index, mesh, fetches and store carry a hash of the space's name.

Why it works: the name has a digest of the isolated teams, so all that is in a space was made by teams that were not isolated under the same set. No state; a configuration that changes no team's isolation changes no name. The team is looked up in the configuration in force at the attempt.

--- a/src/forward/cache_reader.c
+++ b/src/forward/cache_reader.c
@@ -2,7 +2,8 @@
 
 #include "base/counter.h"
 #include "base/decision_log.h"
-#include "forward/cached_parts.h"
+#include "forward/cache_space.h"
+#include "forward/prompt_levels.h"
 
 #define CHECK_INTERVAL_NS  (500 * KCP_NS_PER_MS) /* between checks of what to read */
 #define LONG_POLL_MS       1000 /* time for which a server may delay an empty answer */
--- a/src/forward/cached_parts.c
+++ b/src/forward/cached_parts.c
@@ -1,7 +1,8 @@
 #include "forward/cached_parts.h"
 
 #include <string.h>
-#include <xxhash.h>
+
+#include "forward/cache_space.h"
 
 /* Fetching a token is counted as an eighth of the cost of prefilling it. The real cost is
    lower from another server and higher from the store, whose link all servers share. */
@@ -16,6 +17,8 @@
    server counts as well. */
 #define CACHED_PARTS_STALE_NS (4 * KCP_NS_PER_S)
 
+static char *
+server_space (const struct kcp_choice *choice, const struct kcp_server *server);
 static uint64_t level_key (const GArray *levels, guint at, const char *space);
 static guint count_cached (struct kcp_gateway *gateway, const struct kcp_choice *choice,
                            const char *space, const struct kcp_server *server);
@@ -34,28 +37,6 @@
 static bool
 is_stored (struct kcp_gateway *gateway, const struct kcp_server *store, uint64_t part);
 
-/* Returns the name of the choice's cache space at this version of the weights, for the
-   caller to free. Requests share cached parts only under the same weights, and requests
-   of an isolated team share them only with each other. */
-char *
-kcp_cache_space_name (const struct kcp_choice *choice, int64_t version)
-{
-  const struct kcp_team_access *team = choice->team;
-  bool isolated = team != NULL && team->isolated;
-
-  return g_strdup_printf ("%s/%" G_GINT64_FORMAT "/%s", choice->inbound->model, version,
-                          isolated ? team->name : "");
-}
-
-/* Returns a hash of a part within a cache space, which identifies the part in messages
-   between VMs. */
-uint64_t
-kcp_part_key (const char *cache_space, const char *part)
-{
-  return XXH3_64bits_withSeed (part, strlen (part),
-                               XXH3_64bits (cache_space, strlen (cache_space)));
-}
-
 /* Returns the estimated prefill cost of the prompt at the server, in tokens; a token that
    the server can fetch counts as a fraction of one. Stores in repeated the tokens that
    another server has prefilled or will prefill soon, but that cannot be fetched yet. */
@@ -64,8 +45,7 @@
                            const struct kcp_server *server, int64_t *repeated)
 {
   const GArray *levels = choice->levels;
-  g_autofree char *space = kcp_cache_space_name (
-      choice, kcp_server_version (server, choice->inbound->model));
+  g_autofree char *space = server_space (choice, server);
   guint cached = count_cached (gateway, choice, space, server);
   int64_t tokens
       = choice->inbound->prompt_tokens - kcp_prompt_level_tokens (levels, 0, cached);
@@ -97,8 +77,7 @@
   for (guint i = 0; i < servers->len && max < choice->levels->len; i++)
     {
       const struct kcp_server *server = g_ptr_array_index (servers, i);
-      g_autofree char *space = kcp_cache_space_name (
-          choice, kcp_server_version (server, choice->inbound->model));
+      g_autofree char *space = server_space (choice, server);
 
       max = MAX (max, count_cached (gateway, choice, space, server));
     }
@@ -124,6 +103,17 @@
     choice->fetch_from = store->entry.address;
 }
 
+/* Returns the name of the cache space that the request would use at the server, for the
+   caller to free. */
+static char *
+server_space (const struct kcp_choice *choice, const struct kcp_server *server)
+{
+  const char *model = choice->inbound->model;
+
+  return kcp_cache_space_name (model, kcp_server_version (server, model),
+                               choice->cache_scope);
+}
+
 static uint64_t
 level_key (const GArray *levels, guint at, const char *space)
 {
--- a/src/forward/cached_parts.h
+++ b/src/forward/cached_parts.h
@@ -6,8 +6,6 @@
 
 #include "forward/choose.h"
 
-char *kcp_cache_space_name (const struct kcp_choice *choice, int64_t version);
-uint64_t kcp_part_key (const char *cache_space, const char *part);
 int64_t
 kcp_cached_prefill_tokens (struct kcp_gateway *gateway, const struct kcp_choice *choice,
                            const struct kcp_server *server, int64_t *repeated);
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -4,6 +4,7 @@
 #include <xxhash.h>
 
 #include "base/id.h"
+#include "forward/cache_space.h"
 #include "forward/cached_parts.h"
 #include "forward/mesh.h"
 #include "forward/server_notices.h"
@@ -18,6 +19,8 @@
    start requests, since a request can wait at a server for seconds before it starts. */
 #define OLD_WEIGHTS_SHARE(ns) ((ns)*2 / 3)
 
+static void
+set_cache_scope (const struct kcp_gateway *gateway, struct kcp_choice *choice);
 static void
 fill_candidate (struct kcp_gateway *gateway, struct kcp_choice *choice,
                 struct kcp_server *server, struct kcp_place_candidate *candidate);
@@ -65,6 +68,7 @@
   kcp_mesh_refresh_peer_load (gateway->mesh);
   if (choice->levels == NULL)
     choice->levels = kcp_prompt_levels (choice->inbound);
+  set_cache_scope (gateway, choice);
   choice->server = NULL;
   choice->usable = 0;
   choice->earliest_available_ns = 0;
@@ -98,7 +102,8 @@
     return;
   choice->weights = kcp_server_version (choice->server, choice->inbound->model);
   choice->replaced_ns = replaced_ns (gateway, choice->inbound->model, choice->weights);
-  choice->cache_space = kcp_cache_space_name (choice, choice->weights);
+  choice->cache_space = kcp_cache_space_name (choice->inbound->model, choice->weights,
+                                              choice->cache_scope);
   if (choice->levels->len > 0)
     kcp_cached_plan_transfers (gateway, choice);
 }
@@ -107,6 +112,7 @@
 void
 kcp_choice_clear (struct kcp_choice *choice)
 {
+  g_clear_pointer (&choice->cache_scope, g_free);
   g_clear_pointer (&choice->cache_space, g_free);
   g_clear_pointer (&choice->levels, g_array_unref);
 }
@@ -140,6 +146,16 @@
     }
 }
 
+/* Sets the scope of the request's cached parts by the configuration in force, which may
+   be newer than the one that the request was accepted under. */
+static void
+set_cache_scope (const struct kcp_gateway *gateway, struct kcp_choice *choice)
+{
+  g_free (choice->cache_scope);
+  choice->cache_scope = kcp_cache_scope (
+      gateway->routes, choice->team != NULL ? choice->team->name : NULL);
+}
+
 static void
 fill_candidate (struct kcp_gateway *gateway, struct kcp_choice *choice,
                 struct kcp_server *server, struct kcp_place_candidate *candidate)
--- a/src/forward/choose.h
+++ b/src/forward/choose.h
@@ -23,6 +23,7 @@
   int64_t weights;           /* version of the model on that server; 0: no model */
   int64_t replaced_ns;       /* since when a newer one is desired; 0: it is not */
   int64_t uncached_tokens;   /* estimate */
+  char *cache_scope;         /* owned; see kcp_cache_scope() */
   char *cache_space;         /* owned; NULL without a model */
   const char *fetch_from;    /* address to fetch parts from, borrowed; NULL: none */
   const char *save_to;       /* address to save parts to, borrowed; NULL: none */
--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -67,7 +67,8 @@
     }
   KCP_LOG ("routes_in_force", KCP_LOG_INT ("version", routes->version),
            KCP_LOG_INT ("before", before), KCP_LOG_INT ("routes", routes->routes->len),
-           KCP_LOG_INT ("teams", routes->teams->len));
+           KCP_LOG_INT ("teams", routes->teams->len),
+           KCP_LOG_INT ("isolated_digest", (int64_t)routes->isolated_digest));
   kcp_counter_add (KCP_COUNT_CONFIG_APPLIED, 1);
   kcp_routes_unref (gateway->routes);
   gateway->routes = routes;
--- a/src/route/routes.c
+++ b/src/route/routes.c
@@ -1,6 +1,7 @@
 #include "route/routes.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 #include "base/ref.h"
 
@@ -20,6 +21,7 @@
   routes->version = version;
   routes->routes = g_ptr_array_new_with_free_func (route_free);
   routes->teams = g_ptr_array_new_with_free_func (team_free);
+  routes->by_name = g_hash_table_new (g_str_hash, g_str_equal);
   routes->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   routes->services = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
   return routes;
@@ -71,9 +73,28 @@
   team->name = g_strdup (name);
   team->priority = KCP_PRIORITY_NONE;
   g_ptr_array_add (routes->teams, team);
+  g_hash_table_insert (routes->by_name, team->name, team);
   return team;
 }
 
+/* Makes a team of the document isolated: it shares no cached parts with others. */
+void
+kcp_routes_isolate (struct kcp_routes *routes, struct kcp_team_access *team)
+{
+  team->isolated = true;
+  routes->isolated_digest += XXH3_64bits (team->name, strlen (team->name));
+}
+
+/* Returns true if the team of this name must not share cached parts with others: it is
+   isolated, or the document does not have it. */
+bool
+kcp_routes_isolates (const struct kcp_routes *routes, const char *team)
+{
+  const struct kcp_team_access *found = g_hash_table_lookup (routes->by_name, team);
+
+  return found == NULL || found->isolated;
+}
+
 /* Associates a key with a team of the same document. */
 void
 kcp_routes_add_key (struct kcp_routes *routes, struct kcp_team_access *team,
@@ -167,6 +188,7 @@
 
   g_ptr_array_unref (routes->routes);
   g_hash_table_unref (routes->keys);
+  g_hash_table_unref (routes->by_name);
   g_ptr_array_unref (routes->teams);
   g_hash_table_unref (routes->services);
 }
--- a/src/route/routes.h
+++ b/src/route/routes.h
@@ -70,9 +70,12 @@
   int64_t version;
   GPtrArray *routes;    /* struct kcp_route */
   GPtrArray *teams;     /* struct kcp_team_access */
+  GHashTable *by_name;  /* name -> struct kcp_team_access, not owned */
   GHashTable *keys;     /* key -> struct kcp_team_access, not owned */
   GHashTable *services; /* name -> struct kcp_service_info */
-  bool keyed;           /* false: requests carry no keys */
+  /* The same for the same isolated teams, in any order; 0: no team is isolated. */
+  uint64_t isolated_digest;
+  bool keyed; /* false: requests carry no keys */
   struct kcp_caller_limits limits;
 };
 
@@ -82,6 +85,8 @@
 struct kcp_route *kcp_routes_add_route (struct kcp_routes *routes);
 void kcp_routes_add_target (struct kcp_route *route, const char *service, int64_t weight);
 struct kcp_team_access *kcp_routes_add_team (struct kcp_routes *routes, const char *name);
+void kcp_routes_isolate (struct kcp_routes *routes, struct kcp_team_access *team);
+bool kcp_routes_isolates (const struct kcp_routes *routes, const char *team);
 void kcp_routes_add_key (struct kcp_routes *routes, struct kcp_team_access *team,
                          const char *key);
 struct kcp_service_info *
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -4,7 +4,8 @@
 #include <check.h>
 #include <string.h>
 
-#include "forward/cached_parts.h"
+#include "forward/cache_space.h"
+#include "forward/choose.h"
 #include "platform/platform.h"
 #include "policy/place.h"
 #include "tests/harness/run_suite.h"
@@ -145,13 +146,86 @@
   for (guint i = 0; i < count; i++)
     {
       g_autofree char *id = g_strdup_printf ("p%u", i);
-      uint64_t key = kcp_part_key ("m/1/", id);
+      uint64_t key = kcp_part_key ("1//m", id);
 
       g_array_append_val (keys, key);
     }
   kcp_server_set_cached_parts (holder, keys, kcp_loop_now (gateway.loop));
 }
 
+/* Guards against a request that was accepted before its team, or another one, became
+   isolated being sent with the cache space of before. */
+START_TEST (test_cache_space_follows_the_configuration_in_force)
+{
+  struct kcp_routes *before = kcp_routes_new (1);
+  struct kcp_routes *after = kcp_routes_new (2);
+
+  set_up (&chains[0]);
+  choice.team = kcp_routes_add_team (before, "x");
+  kcp_routes_add_team (before, "y");
+  kcp_gateway_set_routes (&gateway, kcp_routes_ref (before));
+  kcp_choose (&gateway, &choice);
+  ck_assert_str_eq (choice.cache_space, "1//m");
+  kcp_routes_isolate (after, kcp_routes_add_team (after, "x"));
+  choice.team = kcp_routes_add_team (after, "y");
+  kcp_gateway_set_routes (&gateway, after);
+  kcp_choose (&gateway, &choice);
+  ck_assert_str_ne (choice.cache_space, "1//m");
+  choice.team = g_ptr_array_index (before->teams, 0);
+  kcp_choose (&gateway, &choice);
+  ck_assert_str_eq (choice.cache_space, "1/t1:x/m");
+  kcp_routes_unref (before);
+  tear_down ();
+}
+END_TEST
+
+/* Guards against two pairs of a model and a team having one cache space. */
+START_TEST (test_cache_spaces_of_different_models_and_teams_differ)
+{
+  static const char *const names[] = { "", "m", "m/2", "2/m", "t1:x", "s", "/", "x/m" };
+  g_autoptr (GHashTable) seen
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  struct kcp_routes *routes = kcp_routes_new (1);
+
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    kcp_routes_isolate (routes, kcp_routes_add_team (routes, names[i]));
+  for (guint team = 0; team <= G_N_ELEMENTS (names); team++)
+    for (guint model = 0; model < G_N_ELEMENTS (names); model++)
+      for (int64_t version = 1; version <= 2; version++)
+        {
+          g_autofree char *scope = kcp_cache_scope (
+              routes, team < G_N_ELEMENTS (names) ? names[team] : NULL);
+
+          ck_assert (g_hash_table_add (
+              seen, kcp_cache_space_name (names[model], version, scope)));
+        }
+  kcp_routes_unref (routes);
+}
+END_TEST
+
+/* Guards against VMs that read the same teams in another order not sharing parts. */
+START_TEST (test_scope_does_not_depend_on_the_order_of_teams)
+{
+  static const char *const names[] = { "x", "y", "z" };
+  struct kcp_routes *one = kcp_routes_new (1);
+  struct kcp_routes *other = kcp_routes_new (2);
+  g_autofree char *scope = NULL;
+  g_autofree char *scope_of_other = NULL;
+
+  for (guint i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      kcp_routes_isolate (one, kcp_routes_add_team (one, names[i]));
+      kcp_routes_isolate (
+          other, kcp_routes_add_team (other, names[G_N_ELEMENTS (names) - 1 - i]));
+    }
+  scope = kcp_cache_scope (one, NULL);
+  scope_of_other = kcp_cache_scope (other, NULL);
+  ck_assert_str_eq (scope, scope_of_other);
+  kcp_routes_unref (one);
+  kcp_routes_unref (other);
+}
+END_TEST
+
 START_TEST (test_prompt_is_sent_where_prefix_is_cached)
 {
   const struct chain *chain = &chains[_i];
@@ -384,6 +458,9 @@
   TCase *cases = tcase_create ("choose");
   int count = G_N_ELEMENTS (chains);
 
+  tcase_add_test (cases, test_cache_space_follows_the_configuration_in_force);
+  tcase_add_test (cases, test_cache_spaces_of_different_models_and_teams_differ);
+  tcase_add_test (cases, test_scope_does_not_depend_on_the_order_of_teams);
   tcase_add_loop_test (cases, test_prompt_is_sent_where_prefix_is_cached, 0, count);
   tcase_add_loop_test (cases, test_prefix_is_fetched_from_server_that_has_it, 0, count);
   tcase_add_loop_test (cases, test_prefix_only_in_store_is_fetched_from_store, 0, count);
