Requests whose heads leave no memory for the answer are refused, not run

Cause: libmicrohttpd has one block of 20 KB a connection for the request's head, 64 bytes for each header, cookie and argument, and the answer's head; nothing compared them, and max-header-bytes was never applied.

Ruled out: more memory alone, which moves the number of lines at which it happens.

Why it works: policy/connection_memory sizes the block by the configured limit and the VM's memory, and a request goes to a server only if an answer's head of an eighth of the block will fit, whatever the caller has sent ahead; otherwise 431. An answer that still does not fit becomes a 502. When the limit grows, another daemon takes over the listening socket.

caller_server.c had grown large: listeners and connections stay there, requests and answers are caller_exchange.c.

--- /dev/null
+++ b/src/forward/caller_private.h
@@ -0,0 +1,52 @@
+/* Declarations shared by the caller_*.c files: the servers' connections and exchanges. */
+#ifndef KCP_FORWARD_CALLER_PRIVATE_H
+#define KCP_FORWARD_CALLER_PRIVATE_H
+
+#include "forward/answer.h"
+#include "forward/caller_server.h"
+#include "forward/server_loop.h"
+#include "policy/connection_memory.h"
+
+/* One libmicrohttpd daemon. The memory of its connections is fixed, so another daemon
+   takes over the address when the configuration allows longer heads. */
+struct kcp_caller_listener
+{
+  struct kcp_caller_server *server;
+  struct kcp_server_loop loop;
+  struct kcp_connection_memory memory;
+  bool replaced; /* it accepts no connections any more */
+};
+
+struct kcp_caller_server
+{
+  struct kcp_gateway *gateway;
+  char *address;
+  GPtrArray *listeners;            /* struct kcp_caller_listener; the last one accepts */
+  GHashTable *callers;             /* set of struct kcp_caller */
+  const struct kcp_routes *routes; /* whose limits apply; only compared */
+};
+
+/* One open connection of a caller. */
+struct kcp_caller
+{
+  struct kcp_caller_listener *listener;
+  int fd;
+  struct MHD_Connection *connection;
+  struct kcp_caller_exchange *exchange; /* in progress, or NULL */
+  bool peer_closed;
+};
+
+/* caller_exchange.c: callbacks of the daemon; the user pointer is the listener. */
+void *kcp_caller_on_uri (void *user, const char *uri, struct MHD_Connection *connection);
+enum MHD_Result
+kcp_caller_on_access (void *user, struct MHD_Connection *connection, const char *url,
+                      const char *method, const char *version, const char *data,
+                      size_t *size, void **state);
+void kcp_caller_on_completed (void *user, struct MHD_Connection *connection, void **state,
+                              enum MHD_RequestTerminationCode code);
+void kcp_caller_exchange_cancel (struct kcp_caller_exchange *exchange);
+
+/* caller_server.c */
+struct kcp_caller *kcp_caller_of (struct MHD_Connection *connection);
+
+#endif
--- a/src/forward/caller_server.c
+++ b/src/forward/caller_server.c
@@ -1,81 +1,27 @@
-#include "forward/caller_server.h"
-
-#include <errno.h>
+#include <fcntl.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include "base/counter.h"
 #include "base/decision_log.h"
-#include "forward/caller_head.h"
-#include "forward/forward.h"
-#include "forward/server_loop.h"
-
-#define CONNECTION_MEMORY   (20u << 10) /* bytes of each connection */
-#define RESPONSE_BLOCK_SIZE (4u << 10)  /* bytes */
-#define IDLE_TIMEOUT_S      20u
-#define CLOSING_TIMEOUT_S   1u
-#define DEFAULT_BODY_MAX    (8 << 20) /* bytes; applies without a configured limit */
-#define CONNECTIONS_MAX     3000u
-#define STATUS_BAD_REQUEST  MHD_HTTP_BAD_REQUEST
+#include "forward/caller_private.h"
 
-struct kcp_caller_server
-{
-  struct kcp_gateway *gateway;
-  struct kcp_server_loop server;
-  GHashTable *callers; /* set of struct caller */
-};
-
-/* One HTTP exchange: a caller's request and its answer. */
-struct exchange
-{
-  struct kcp_caller_server *server;
-  struct MHD_Connection *connection;
-  struct kcp_inbound *inbound; /* NULL once the request has been started */
-  struct kcp_forward *forward;
-  struct kcp_answer answer;
-  bool head_read;
-  bool chunked; /* a streamed answer is sent in chunks, not up to the connection's end */
-  bool suspended;
-  bool disconnected; /* the caller closed its connection, or the exchange has ended */
-};
+#define IDLE_TIMEOUT_S    20u
+#define CLOSING_TIMEOUT_S 1u
 
-/* One open connection of a caller. */
-struct caller
-{
-  struct kcp_caller_server *server;
-  int fd;
-  struct MHD_Connection *connection;
-  struct exchange *exchange; /* in progress, or NULL */
-  bool peer_closed;
-};
-
-static void *on_uri (void *user, const char *uri, struct MHD_Connection *connection);
+static bool
+listen_at (struct kcp_caller_server *server, const struct sockaddr_in *address, int fd,
+           struct kcp_error *error);
+static struct kcp_connection_memory memory_for (const struct kcp_gateway *gateway);
+static void apply_limits (void *user);
+static void replace_listener (struct kcp_caller_server *server);
+static void stop_accepting (struct kcp_caller_listener *listener);
 static void on_connection (void *user, struct MHD_Connection *connection, void **state,
                            enum MHD_ConnectionNotificationCode code);
-static enum MHD_Result
-on_access (void *user, struct MHD_Connection *connection, const char *url,
-           const char *method, const char *version, const char *data, size_t *size,
-           void **state);
-static void on_completed (void *user, struct MHD_Connection *connection, void **state,
-                          enum MHD_RequestTerminationCode code);
 static void on_disconnected (void *user, uint32_t events);
-static enum MHD_Result read_head (struct exchange *exchange, const char *method);
-static void set_idle_timeout (const struct exchange *exchange);
-static size_t body_max (const struct kcp_gateway *gateway);
-static bool
-body_is_too_large (struct MHD_Connection *connection, const struct kcp_gateway *gateway);
-static enum MHD_Result
-reject (struct exchange *exchange, unsigned status, const char *problem);
-static enum MHD_Result advance (struct exchange *exchange);
-static void on_changed (void *user);
-static enum MHD_Result send_answer (struct exchange *exchange);
-static struct MHD_Response *make_whole_response (struct kcp_answer *answer);
-static ssize_t read_answer (void *user, uint64_t position, char *out, size_t max);
-static void reset_connection (const struct exchange *exchange);
-static void suspend (struct exchange *exchange);
-static void resume (struct exchange *exchange);
-static void free_forward (struct exchange *exchange);
-static struct caller *find_caller (struct MHD_Connection *connection);
+static void listener_free (gpointer data);
 
 /* Opens the caller server at address, an IP:PORT. Returns NULL and sets error on
    failure. */
@@ -85,25 +31,19 @@
 {
   struct kcp_caller_server *server = g_new0 (struct kcp_caller_server, 1);
   struct sockaddr_in at;
-  struct MHD_Daemon *daemon;
 
   server->gateway = gateway;
+  server->address = g_strdup (address);
+  server->listeners = g_ptr_array_new_with_free_func (listener_free);
   server->callers = g_hash_table_new (NULL, NULL);
-  if (!kcp_server_loop_parse_address (address, &at, error))
-    goto fail;
-  daemon = MHD_start_daemon (
-      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, ntohs (at.sin_port), NULL,
-      NULL, on_access, server, MHD_OPTION_SOCK_ADDR, &at,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)CONNECTION_MEMORY,
-      MHD_OPTION_CONNECTION_LIMIT, CONNECTIONS_MAX, MHD_OPTION_CONNECTION_TIMEOUT,
-      IDLE_TIMEOUT_S, MHD_OPTION_URI_LOG_CALLBACK, on_uri, server,
-      MHD_OPTION_NOTIFY_CONNECTION, on_connection, server, MHD_OPTION_NOTIFY_COMPLETED,
-      on_completed, server, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
-  if (kcp_server_loop_start (&server->server, gateway->loop, daemon, address, error))
-    return server;
-fail:
-  kcp_caller_server_close (server);
-  return NULL;
+  if (!kcp_server_loop_parse_address (address, &at, error)
+      || !listen_at (server, &at, MHD_INVALID_SOCKET, error))
+    {
+      kcp_caller_server_close (server);
+      return NULL;
+    }
+  kcp_loop_add_step (gateway->loop, apply_limits, server);
+  return server;
 }
 
 /* Sets the idle timeout of the connections without a request in progress to
@@ -117,351 +57,190 @@
   g_hash_table_iter_init (&iter, server->callers);
   while (g_hash_table_iter_next (&iter, &key, NULL))
     {
-      const struct caller *caller = key;
+      const struct kcp_caller *caller = key;
 
-      if (caller->exchange == NULL)
-        MHD_set_connection_option (caller->connection, MHD_CONNECTION_OPTION_TIMEOUT,
-                                   CLOSING_TIMEOUT_S);
+      if (caller->exchange != NULL)
+        continue;
+      MHD_set_connection_option (caller->connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                                 CLOSING_TIMEOUT_S);
+      caller->listener->loop.run_pending = true;
     }
-  server->server.run_pending = true;
 }
 
-/* Closes the server and its connections, and ends their requests. server may be NULL. */
+/* Closes the server and its connections, and ends their requests. The event loop must not
+   run after this. server may be NULL. */
 void
 kcp_caller_server_close (struct kcp_caller_server *server)
 {
   if (server == NULL)
     return;
-  kcp_server_loop_stop (&server->server);
-  if (server->callers != NULL)
-    g_hash_table_unref (server->callers);
-  g_free (server);
-}
-
-/* Creates the exchange. uri is the path and query of the request line as received. */
-static void *
-on_uri (void *user, const char *uri, struct MHD_Connection *connection)
-{
-  struct exchange *exchange = g_new0 (struct exchange, 1);
+  for (guint i = 0; i < server->listeners->len; i++)
+    {
+      struct kcp_caller_listener *listener = g_ptr_array_index (server->listeners, i);
 
-  exchange->server = user;
-  exchange->connection = connection;
-  exchange->inbound = g_new0 (struct kcp_inbound, 1);
-  exchange->inbound->target = g_strdup (uri);
-  exchange->inbound->body = g_string_new (NULL);
-  kcp_answer_init (&exchange->answer, on_changed, exchange);
-  return exchange;
+      kcp_server_loop_stop (&listener->loop);
+    }
+  g_ptr_array_unref (server->listeners);
+  g_hash_table_unref (server->callers);
+  g_free (server->address);
+  g_free (server);
 }
 
-/* Watches each connection for the caller closing it, since libmicrohttpd does not detect
-   this while the connection is suspended and the request waits for its answer. */
-static void
-on_connection (void *user, struct MHD_Connection *connection, void **state,
-               enum MHD_ConnectionNotificationCode code)
+/* Returns the caller of a connection. */
+struct kcp_caller *
+kcp_caller_of (struct MHD_Connection *connection)
 {
-  struct kcp_caller_server *server = user;
-  struct kcp_poller *poller = kcp_loop_poller (server->gateway->loop);
-  struct caller *caller = *state;
-
-  if (code == MHD_CONNECTION_NOTIFY_STARTED)
-    {
-      caller = g_new0 (struct caller, 1);
-      caller->server = server;
-      caller->fd = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
-                       ->connect_fd;
-      caller->connection = connection;
-      *state = caller;
-      g_hash_table_add (server->callers, caller);
-      kcp_poller_watch (poller, caller->fd, EPOLLRDHUP | EPOLLET, on_disconnected,
-                        caller);
-      return;
-    }
-  if (caller == NULL)
-    return;
-  kcp_poller_unwatch (poller, caller->fd);
-  g_hash_table_remove (server->callers, caller);
-  g_free (caller);
-  *state = NULL;
+  return MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+      ->socket_context;
 }
 
-static enum MHD_Result
-on_access (void *user, struct MHD_Connection *connection, const char *url,
-           const char *method, const char *version, const char *data, size_t *size,
-           void **state)
-{
-  struct exchange *exchange = *state;
-  const struct kcp_caller_server *server = user;
+/* Starts a daemon that accepts connections on fd, which it owns from then on, or, if fd
+   is invalid, on a new socket at address. */
+static bool
+listen_at (struct kcp_caller_server *server, const struct sockaddr_in *address, int fd,
+           struct kcp_error *error)
+{
+  struct kcp_caller_listener *listener = g_new0 (struct kcp_caller_listener, 1);
+  struct MHD_OptionItem socket_option[] = {
+    { MHD_OPTION_LISTEN_SOCKET, fd, NULL },
+    { MHD_OPTION_END, 0, NULL },
+  };
+  struct MHD_Daemon *daemon;
 
-  (void)connection;
-  (void)url;
-  if (exchange->disconnected)
-    return MHD_NO;
-  if (!exchange->head_read)
-    {
-      exchange->chunked = strcmp (version, MHD_HTTP_VERSION_1_0) != 0;
-      return read_head (exchange, method);
-    }
-  if (*size > 0)
+  if (fd == MHD_INVALID_SOCKET)
+    socket_option[0].option = MHD_OPTION_END;
+  listener->server = server;
+  listener->memory = memory_for (server->gateway);
+  daemon = MHD_start_daemon (
+      MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, ntohs (address->sin_port),
+      NULL, NULL, kcp_caller_on_access, listener, MHD_OPTION_SOCK_ADDR, address,
+      MHD_OPTION_ARRAY, socket_option, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      listener->memory.bytes, MHD_OPTION_CONNECTION_LIMIT,
+      listener->memory.connections_max, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
+      MHD_OPTION_URI_LOG_CALLBACK, kcp_caller_on_uri, listener,
+      MHD_OPTION_NOTIFY_CONNECTION, on_connection, listener, MHD_OPTION_NOTIFY_COMPLETED,
+      kcp_caller_on_completed, listener, MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
+  if (!kcp_server_loop_start (&listener->loop, server->gateway->loop, daemon,
+                              server->address, error))
     {
-      if (exchange->inbound->body->len + *size <= body_max (server->gateway))
-        g_string_append_len (exchange->inbound->body, data, (gssize)*size);
-      else
-        exchange->answer.status = MHD_HTTP_CONTENT_TOO_LARGE;
-      *size = 0;
-      return MHD_YES;
+      g_free (listener);
+      return false;
     }
-  return advance (exchange);
+  KCP_LOG ("listening", KCP_LOG_TEXT ("address", server->address),
+           KCP_LOG_INT ("connection_bytes", listener->memory.bytes),
+           KCP_LOG_INT ("connections_max", listener->memory.connections_max));
+  g_ptr_array_add (server->listeners, listener);
+  return true;
 }
 
-static void
-on_completed (void *user, struct MHD_Connection *connection, void **state,
-              enum MHD_RequestTerminationCode code)
+/* Returns the memory of connections under the configuration in force. */
+static struct kcp_connection_memory
+memory_for (const struct kcp_gateway *gateway)
 {
-  struct exchange *exchange = *state;
-  struct caller *caller = find_caller (connection);
+  int64_t head_max_bytes
+      = gateway->routes != NULL ? gateway->routes->limits.max_header_bytes : 0;
 
-  (void)user;
-  (void)code;
-  if (exchange == NULL)
-    return;
-  *state = NULL;
-  if (caller != NULL)
-    caller->exchange = NULL;
-  exchange->disconnected = true;
-  free_forward (exchange);
-  kcp_answer_clear (&exchange->answer);
-  if (exchange->inbound != NULL)
-    kcp_inbound_clear (exchange->inbound);
-  g_free (exchange->inbound);
-  g_free (exchange);
+  return kcp_connection_memory_for (gateway->settings->vm_memory_mb << 20,
+                                    head_max_bytes > 0 ? head_max_bytes
+                                                       : KCP_HEAD_MAX_DEFAULT);
 }
 
-/* Ends the request of a caller that has closed its connection. */
+/* Has another daemon accept connections if a new configuration needs more memory for each
+   than they have. */
 static void
-on_disconnected (void *user, uint32_t events)
+apply_limits (void *user)
 {
-  struct caller *caller = user;
-  struct exchange *exchange = caller->exchange;
+  struct kcp_caller_server *server = user;
+  const struct kcp_caller_listener *newest
+      = g_ptr_array_index (server->listeners, server->listeners->len - 1);
 
-  (void)events;
-  /* A request that has been received but not read yet must not be started either. */
-  caller->peer_closed = true;
-  if (exchange == NULL || exchange->disconnected)
+  if (server->routes == server->gateway->routes)
     return;
-  exchange->disconnected = true;
-  free_forward (exchange);
-  resume (exchange);
-}
-
-static enum MHD_Result
-read_head (struct exchange *exchange, const char *method)
-{
-  struct MHD_Connection *connection = exchange->connection;
-  struct caller *caller = find_caller (connection);
-  const char *problem;
-
-  exchange->head_read = true;
-  if (caller != NULL && caller->peer_closed)
-    return MHD_NO;
-  if (caller != NULL)
-    caller->exchange = exchange;
-  problem = kcp_caller_head_read (connection, exchange->server->gateway->dialect, method,
-                                  exchange->inbound);
-  if (problem != NULL)
-    return reject (exchange, STATUS_BAD_REQUEST, problem);
-  set_idle_timeout (exchange);
-  if (body_is_too_large (connection, exchange->server->gateway))
-    return reject (exchange, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large");
-  return MHD_YES;
+  server->routes = server->gateway->routes;
+  if (memory_for (server->gateway).bytes > newest->memory.bytes)
+    replace_listener (server);
 }
 
-/* Applies the configured idle timeout, as the next larger number of whole seconds, to the
-   connection. */
+/* Starts a daemon on the same socket before the one in use stops accepting, so that no
+   caller's connection is refused. Open connections are closed after their next answer. */
 static void
-set_idle_timeout (const struct exchange *exchange)
+replace_listener (struct kcp_caller_server *server)
 {
-  const struct kcp_routes *routes = exchange->server->gateway->routes;
-  int64_t idle_ms = routes != NULL ? routes->limits.idle_timeout_ms : 0;
-
-  if (idle_ms > 0)
-    MHD_set_connection_option (exchange->connection, MHD_CONNECTION_OPTION_TIMEOUT,
-                               (unsigned)(idle_ms / KCP_MS_PER_S + 1));
-}
-
-static size_t
-body_max (const struct kcp_gateway *gateway)
-{
-  int64_t max_bytes
-      = gateway->routes != NULL ? gateway->routes->limits.max_body_bytes : 0;
-
-  return max_bytes > 0 ? (size_t)max_bytes : DEFAULT_BODY_MAX;
-}
-
-static bool
-body_is_too_large (struct MHD_Connection *connection, const struct kcp_gateway *gateway)
-{
-  const char *text = MHD_lookup_connection_value (connection, MHD_HEADER_KIND,
-                                                  MHD_HTTP_HEADER_CONTENT_LENGTH);
-  int64_t length;
-
-  return text != NULL && kcp_str_to_int64 (kcp_str_from_c (text), &length)
-         && length > (int64_t)body_max (gateway);
-}
-
-/* Answers an invalid request without starting it, and closes the connection. */
-static enum MHD_Result
-reject (struct exchange *exchange, unsigned status, const char *problem)
-{
-  struct MHD_Response *response
-      = MHD_create_response_from_buffer (0, "", MHD_RESPMEM_PERSISTENT);
-  enum MHD_Result result;
-
-  KCP_LOG ("rejected", KCP_LOG_TEXT ("request", exchange->inbound->id),
-           KCP_LOG_INT ("status", status), KCP_LOG_TEXT ("why", problem));
-  MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
-  result = MHD_queue_response (exchange->connection, status, response);
-  MHD_destroy_response (response);
-  return result;
-}
+  struct kcp_caller_listener *old
+      = g_ptr_array_index (server->listeners, server->listeners->len - 1);
+  int fd = MHD_get_daemon_info (old->loop.daemon, MHD_DAEMON_INFO_LISTEN_FD)->listen_fd;
+  int copy = fcntl (fd, F_DUPFD_CLOEXEC, 0);
+  struct sockaddr_in at;
+  struct kcp_error error = { 0 };
 
-/* Starts the request, or rejects it if its body was too large. Then sends the answer if
-   it has begun, or suspends the connection. */
-static enum MHD_Result
-advance (struct exchange *exchange)
-{
-  if (exchange->answer.status == MHD_HTTP_CONTENT_TOO_LARGE && exchange->forward == NULL)
-    return reject (exchange, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large");
-  if (exchange->forward == NULL)
+  if (copy < 0 || !kcp_server_loop_parse_address (server->address, &at, &error)
+      || !listen_at (server, &at, copy, &error))
     {
-      struct kcp_inbound *inbound = exchange->inbound;
-
-      exchange->inbound = NULL;
-      exchange->forward
-          = kcp_forward_start (exchange->server->gateway, inbound, &exchange->answer);
+      if (copy >= 0)
+        (void)close (copy);
+      KCP_LOG ("limits_not_applied", KCP_LOG_TEXT ("detail", error.detail));
+      return;
     }
-  if (exchange->answer.begun)
-    return send_answer (exchange);
-  suspend (exchange);
-  return MHD_YES;
+  stop_accepting (old);
 }
 
 static void
-on_changed (void *user)
+stop_accepting (struct kcp_caller_listener *listener)
 {
-  struct exchange *exchange = user;
+  int fd = MHD_quiesce_daemon (listener->loop.daemon);
 
-  if (!exchange->disconnected)
-    resume (exchange);
+  if (fd != MHD_INVALID_SOCKET)
+    (void)close (fd);
+  listener->replaced = true;
 }
 
-static enum MHD_Result
-send_answer (struct exchange *exchange)
-{
-  struct kcp_answer *answer = &exchange->answer;
-  struct MHD_Response *response;
-  enum MHD_Result result;
-
-  if (answer->streaming)
-    response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, RESPONSE_BLOCK_SIZE,
-                                                  read_answer, exchange, NULL);
-  else
-    response = make_whole_response (answer);
-  for (guint i = 0; i + 1 < answer->headers->len; i += 2)
-    MHD_add_response_header (response, g_ptr_array_index (answer->headers, i),
-                             g_ptr_array_index (answer->headers, i + 1));
-  if (exchange->server->gateway->draining)
-    MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
-  result = MHD_queue_response (exchange->connection, answer->status, response);
-  MHD_destroy_response (response);
-  return result;
-}
-
-/* Makes the response to an answer that is complete. Takes the answer's body. */
-static struct MHD_Response *
-make_whole_response (struct kcp_answer *answer)
-{
-  size_t len = answer->body->len;
-  char *data = g_string_free (answer->body, FALSE);
-
-  answer->body = g_string_new (NULL);
-  return MHD_create_response_from_buffer (len, data, MHD_RESPMEM_MUST_FREE);
-}
-
-/* Gives libmicrohttpd the next bytes of a streamed answer. Suspends the connection if
-   there are none yet. */
-static ssize_t
-read_answer (void *user, uint64_t position, char *out, size_t max)
+/* Watches each connection for the caller closing it, since libmicrohttpd does not detect
+   this while the connection is suspended and the request waits for its answer. */
+static void
+on_connection (void *user, struct MHD_Connection *connection, void **state,
+               enum MHD_ConnectionNotificationCode code)
 {
-  struct exchange *exchange = user;
-  GString *body = exchange->answer.body;
-  size_t count = MIN (max, body->len);
+  struct kcp_caller_listener *listener = user;
+  struct kcp_caller_server *server = listener->server;
+  struct kcp_poller *poller = kcp_loop_poller (server->gateway->loop);
+  struct kcp_caller *caller = *state;
 
-  (void)position;
-  if (count > 0)
-    {
-      memcpy (out, body->str, count);
-      g_string_erase (body, 0, (gssize)count);
-      if (exchange->answer.taken != NULL)
-        exchange->answer.taken (exchange->answer.taken_user);
-      return (ssize_t)count;
-    }
-  if (exchange->disconnected)
-    return MHD_CONTENT_READER_END_WITH_ERROR;
-  switch (exchange->answer.end)
+  if (code == MHD_CONNECTION_NOTIFY_STARTED)
     {
-    case KCP_ANSWER_IN_PROGRESS:
-      break;
-    case KCP_ANSWER_COMPLETE:
-      return MHD_CONTENT_READER_END_OF_STREAM;
-    case KCP_ANSWER_INTERRUPTED:
-      if (!exchange->chunked)
-        reset_connection (exchange);
-      return MHD_CONTENT_READER_END_WITH_ERROR;
+      caller = g_new0 (struct kcp_caller, 1);
+      caller->listener = listener;
+      caller->fd = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+                       ->connect_fd;
+      caller->connection = connection;
+      *state = caller;
+      g_hash_table_add (server->callers, caller);
+      kcp_poller_watch (poller, caller->fd, EPOLLRDHUP | EPOLLET, on_disconnected,
+                        caller);
+      return;
     }
-  suspend (exchange);
-  return 0;
-}
-
-/* Resets the connection to a caller that would take its orderly end for the end of the
-   answer. libmicrohttpd ends connections in order, so this has to be done before. */
-static void
-reset_connection (const struct exchange *exchange)
-{
-  const struct sockaddr none = { .sa_family = AF_UNSPEC };
-  const struct caller *caller = find_caller (exchange->connection);
-
-  if (caller != NULL && connect (caller->fd, &none, sizeof none) != 0)
-    KCP_LOG ("reset_failed", KCP_LOG_TEXT ("reason", g_strerror (errno)));
+  if (caller == NULL)
+    return;
+  kcp_poller_unwatch (poller, caller->fd);
+  g_hash_table_remove (server->callers, caller);
+  g_free (caller);
+  *state = NULL;
 }
 
+/* Ends the request of a caller that has closed its connection. */
 static void
-suspend (struct exchange *exchange)
+on_disconnected (void *user, uint32_t events)
 {
-  exchange->suspended = true;
-  MHD_suspend_connection (exchange->connection);
-}
+  struct kcp_caller *caller = user;
 
-static void
-resume (struct exchange *exchange)
-{
-  if (!exchange->suspended)
-    return;
-  exchange->suspended = false;
-  exchange->server->server.run_pending = true;
-  MHD_resume_connection (exchange->connection);
+  (void)events;
+  /* A request that has been received but not read yet must not be started either. */
+  caller->peer_closed = true;
+  if (caller->exchange != NULL)
+    kcp_caller_exchange_cancel (caller->exchange);
 }
 
 static void
-free_forward (struct exchange *exchange)
-{
-  if (exchange->forward != NULL)
-    kcp_forward_free (exchange->forward);
-  exchange->forward = NULL;
-}
-
-static struct caller *
-find_caller (struct MHD_Connection *connection)
+listener_free (gpointer data)
 {
-  return MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
-      ->socket_context;
+  g_free (data);
 }
--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -7,6 +7,7 @@
 #include "forward/gateway.h"
 
 struct kcp_caller_server;
+struct kcp_caller_exchange;
 struct kcp_text_server;
 
 /* Appends the body of a text server's answer to text. Returns the HTTP status. */
--- a/tests/harness/route_vm.c
+++ b/tests/harness/route_vm.c
@@ -17,6 +17,7 @@
 
 #define DEFAULT_REPLACE_MS 10000
 #define DEFAULT_POLL_MS    100
+#define DEFAULT_MEMORY_MB  256
 
 static char *write_settings (void);
 static void prepare (void);
@@ -88,12 +89,14 @@
 {
   char *path = g_build_filename (route_vm.folder, "route.ini", NULL);
   g_autofree char *text = g_strdup_printf (
-      "[vm]\nid = vm1\ndata_center = %s\n[callers]\nlisten = 127.0.0.1:%d\n"
+      "[vm]\nid = vm1\ndata_center = %s\nmemory_mb = %d\n[callers]\nlisten = "
+      "127.0.0.1:%d\n"
       "[ready]\nlisten = 127.0.0.1:%d\n[metrics]\nlisten = 127.0.0.1:%d\n"
       "[peers]\nlisten = 127.0.0.1:%d\n[store]\naddress = 127.0.0.1:%d\n"
       "poll_ms = %d\n[drain]\ngrace_s = 4\nnotice_ms = 700\n"
       "[weights]\nreplace_ms = %d\n",
-      route_vm.data_center != NULL ? route_vm.data_center : "z", route_vm.port,
+      route_vm.data_center != NULL ? route_vm.data_center : "z",
+      route_vm.memory_mb != 0 ? route_vm.memory_mb : DEFAULT_MEMORY_MB, route_vm.port,
       route_vm.ready_port, route_vm.metrics_port, route_vm.peers_port,
       fake_platform_port (route_vm.platform),
       route_vm.poll_ms != 0 ? route_vm.poll_ms : DEFAULT_POLL_MS,
--- a/tests/harness/route_vm.h
+++ b/tests/harness/route_vm.h
@@ -18,6 +18,7 @@
   const char *data_center; /* NULL: "z", that of the servers */
   int replace_ms;          /* how long replaced weights may be used; 0: the default */
   int poll_ms;             /* interval of reads of the servers' list; 0: 100 */
+  int memory_mb;           /* of the process, as its settings say; 0: 256 */
   const char *log_path;    /* where its log goes; NULL: out.log in its folder */
   int port;
   int ready_port;
