A head that never ended is no answer

Cause: libcurl reports success if a connection ends in order within the head. The client took that for a whole answer with an empty body.

Ruled out: joined answers, second answers.

Why it works: a call is complete only if its head has ended; otherwise it is interrupted, its status is 0 and what its head said is dropped. A stream that has begun is not completed by an answer without framing and without an event. The log says head_cut, the metrics count cut_heads.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -47,6 +47,8 @@
   = { "server_crashes", "Crashes of backend servers that requests were in flight at" },
   [KCP_COUNT_BLOCKED]
   = { "blocked", "Requests ended because copies of them crashed servers" },
+  [KCP_COUNT_CUT_HEADS]
+  = { "cut_heads", "Answers whose connection ended within the head" },
   [KCP_COUNT_ANSWERS_TOO_LARGE]
   = { "answers_too_large", "Answers ended because they exceed a limit in bytes" },
   [KCP_COUNT_SERVER_BACKOFFS]
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -15,6 +15,7 @@
 static char *list_parts (const struct kcp_forward *forward);
 static struct curl_slist *make_headers (const struct kcp_forward *forward);
 static void on_head_began (void *user);
+static void drop_head (struct kcp_forward *forward);
 static void on_head_ended (void *user);
 static void on_header (void *user, struct kcp_str name, struct kcp_str value);
 static bool tells_of_limit (const struct kcp_forward *forward, long status);
@@ -199,7 +200,13 @@
 static void
 on_head_began (void *user)
 {
-  struct kcp_forward *forward = user;
+  drop_head (user);
+}
+
+/* Forgets the header lines so far. Nothing may be taken from a head that never ended. */
+static void
+drop_head (struct kcp_forward *forward)
+{
   struct kcp_attempt *attempt = &forward->attempt;
 
   g_ptr_array_set_size (attempt->headers, 0);
@@ -290,6 +297,8 @@
   enum kcp_attempt_end end;
 
   attempt->call = NULL;
+  if (result.status == 0)
+    drop_head (forward);
   attempt->framing = result.framing;
   attempt->partial_event_len = forward->framer.pending->len;
   if (forward->inbound->model != NULL && kcp_forward_answer_matches (forward))
@@ -339,13 +348,15 @@
   return result;
 }
 
-/* Returns true if a stream that ends with its connection has no event. A stream that the
-   caller resumes may have none: the caller may have them all. */
+/* Returns true if a stream that ends with its connection has no event of this attempt.
+   One that the caller resumes, and that has not begun, may have none: the caller may have
+   them all. */
 static bool
 lacks_events (const struct kcp_forward *forward, const struct kcp_http_result *result)
 {
-  return result->framing == KCP_HTTP_FRAMING_CLOSE && !forward->answer->begun
-         && forward->inbound->resume_after == NULL
+  return result->framing == KCP_HTTP_FRAMING_CLOSE
+         && forward->framer.events == forward->attempt.events_before
+         && (forward->answer->begun || forward->inbound->resume_after == NULL)
          && strcmp (forward->inbound->method, MHD_HTTP_METHOD_HEAD) != 0;
 }
 
--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -64,6 +64,7 @@
 static void move_to_new_connection (struct kcp_http_call *call);
 static void finish (struct kcp_http_call *call, CURLcode code);
 static void record_limit (struct kcp_http_call *call);
+static void record_cut_head (struct kcp_http_call *call);
 static enum kcp_http_end classify_end (const struct kcp_http_call *call, CURLcode code);
 static void set_up (struct kcp_http_call *call, const struct kcp_http_spec *spec);
 static void set_method (struct kcp_http_call *call, const struct kcp_http_spec *spec);
@@ -243,13 +244,18 @@
 static void
 finish (struct kcp_http_call *call, CURLcode code)
 {
-  struct kcp_http_result result
-      = { .end = classify_end (call, code), .framing = call->head.framing };
+  struct kcp_http_result result = { .end = classify_end (call, code) };
   char reason[CURL_ERROR_SIZE];
   long new_connections = 0;
   long error = 0;
 
-  curl_easy_getinfo (call->curl, CURLINFO_RESPONSE_CODE, &result.status);
+  if (call->head.complete)
+    {
+      result.framing = call->head.framing;
+      curl_easy_getinfo (call->curl, CURLINFO_RESPONSE_CODE, &result.status);
+    }
+  if (code == CURLE_OK && !call->head.complete)
+    record_cut_head (call);
   curl_easy_getinfo (call->curl, CURLINFO_NUM_CONNECTS, &new_connections);
   curl_easy_getinfo (call->curl, CURLINFO_OS_ERRNO, &error);
   result.reused = call->connected && new_connections == 0;
@@ -280,10 +286,25 @@
                     call->limit);
 }
 
+/* Reports an answer whose connection ended, in order, within the head. libcurl reports it
+   as a success. */
+static void
+record_cut_head (struct kcp_http_call *call)
+{
+  char *address = NULL;
+
+  curl_easy_getinfo (call->curl, CURLINFO_EFFECTIVE_URL, &address);
+  kcp_counter_add (KCP_COUNT_CUT_HEADS, 1);
+  KCP_LOG ("head_cut", KCP_LOG_TEXT ("peer", address),
+           KCP_LOG_INT ("head_bytes", call->head.bytes));
+  (void)g_strlcpy (call->error, "the connection ended within the head",
+                   sizeof call->error);
+}
+
 static enum kcp_http_end
 classify_end (const struct kcp_http_call *call, CURLcode code)
 {
-  if (code == CURLE_OK)
+  if (code == CURLE_OK && call->head.complete)
     return KCP_HTTP_COMPLETE;
   if (!call->connected)
     return KCP_HTTP_UNSENT;
--- a/src/forward/http_client.h
+++ b/src/forward/http_client.h
@@ -16,7 +16,8 @@
 {
   KCP_HTTP_COMPLETE,    /* the answer is complete according to HTTP */
   KCP_HTTP_UNSENT,      /* no connection was established, so no byte was sent */
-  KCP_HTTP_INTERRUPTED, /* the connection ended early, or the answer was invalid */
+  KCP_HTTP_INTERRUPTED, /* the connection ended early, also in order within the head, or
+                           the answer was invalid */
   KCP_HTTP_TIMED_OUT,   /* total_ms elapsed */
   KCP_HTTP_END_COUNT
 };
@@ -25,7 +26,7 @@
 {
   enum kcp_http_end end;
   enum kcp_http_framing framing;
-  long status;        /* 0: no answer was received */
+  long status;        /* 0: no whole head of an answer was received */
   bool reused;        /* the connection had carried an earlier call */
   bool refused;       /* no process accepts connections at the address */
   const char *reason; /* of an end other than KCP_HTTP_COMPLETE */
