serve: a head that never ended is no answer

What callers saw: with serve, the same as with route: a server or the log that closed in order within the head of its answer counted as having answered, with the status of the cut head.

Cause: both clients of serve took libcurl's success for a whole answer.

Why it works: http_head moves to base and is read by all three clients: without the end of the head a fetch is interrupted with status 0, and a call to the log has an unknown outcome.

--- a/src/backend/fetch.c
+++ b/src/backend/fetch.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "backend/poller.h"
+#include "base/http_head.h"
 #include "base/ref.h"
 
 #define POLL_TIMEOUT_MS       50
@@ -65,6 +66,7 @@
   int64_t total_timeout_ms;
   bool reuse;
   bool connected; /* the server may have received part of the request */
+  struct kcp_http_head head;
   const struct kcp_fetch_events *events;
   void *user;
   bool active;
@@ -395,7 +397,8 @@
 
   fetch->active = false;
   CK_LIST_REMOVE (fetch, link);
-  curl_easy_getinfo (fetch->curl, CURLINFO_RESPONSE_CODE, &status);
+  if (fetch->head.complete)
+    curl_easy_getinfo (fetch->curl, CURLINFO_RESPONSE_CODE, &status);
   curl_multi_remove_handle (fetch->worker->multi, fetch->curl);
   curl_easy_cleanup (fetch->curl);
   fetch->curl = NULL;
@@ -412,11 +415,12 @@
 }
 
 /* Converts the result code of libcurl. Every failure before the connection was ready is
-   KCP_FETCH_CONNECT_FAILED, since the server received nothing. */
+   KCP_FETCH_CONNECT_FAILED, since the server received nothing. libcurl reports success if
+   the connection ends, in order, within the head. */
 static enum kcp_fetch_result
 result_of (const struct kcp_fetch *fetch, CURLcode rc)
 {
-  if (rc == CURLE_OK)
+  if (rc == CURLE_OK && fetch->head.complete)
     return KCP_FETCH_COMPLETE;
   if (fetch->aborted)
     return KCP_FETCH_CANCELLED;
@@ -446,6 +450,8 @@
   struct kcp_str line = { .data = data, .len = size * count };
 
   fetch->last_received_ns = kcp_clock_monotonic_ns (fetch->worker->clock);
+  if (kcp_http_head_read (&fetch->head, line).kind == KCP_HTTP_LINE_TOO_LONG)
+    return 0;
   if (fetch->events->header != NULL)
     fetch->events->header (fetch->user, kcp_str_trim (line));
   return size * count;
--- a/src/backend/fetch.h
+++ b/src/backend/fetch.h
@@ -15,7 +15,7 @@
 {
   KCP_FETCH_COMPLETE,       /* the response is complete according to its HTTP framing */
   KCP_FETCH_CONNECT_FAILED, /* no connection was made, so no byte was sent */
-  KCP_FETCH_INTERRUPTED,    /* the connection closed early */
+  KCP_FETCH_INTERRUPTED,    /* the connection closed early, or the head is too long */
   KCP_FETCH_IDLE_TIMEOUT,   /* no data was received for idle_timeout_ms */
   KCP_FETCH_TIMED_OUT,      /* total_timeout_ms elapsed */
   KCP_FETCH_CANCELLED
@@ -35,7 +35,7 @@
   /* Receives one response header line without its line terminator. */
   void (*header) (void *user, struct kcp_str line);
   enum kcp_fetch_flow (*data) (void *user, long status, struct kcp_str data);
-  /* The last callback of a call. */
+  /* The last callback of a call. status is 0 without a whole head of a response. */
   void (*done) (void *user, enum kcp_fetch_result result, long status);
 };
 
--- a/src/forward/http_head.c
+++ b/src/base/http_head.c
@@ -1,4 +1,4 @@
-#include "forward/http_head.h"
+#include "base/http_head.h"
 
 #include <string.h>
 
--- a/src/forward/http_head.h
+++ b/src/base/http_head.h
@@ -1,8 +1,8 @@
 /* Reads the header lines of an answer as libcurl delivers them: those of interim (1xx)
    answers, of the answer itself, and of a chunked body's trailer. Only the lines of the
    answer itself count. Not thread-safe. */
-#ifndef KCP_FORWARD_HTTP_HEAD_H
-#define KCP_FORWARD_HTTP_HEAD_H
+#ifndef KCP_BASE_HTTP_HEAD_H
+#define KCP_BASE_HTTP_HEAD_H
 
 #include <stdbool.h>
 #include <stddef.h>
--- a/src/forward/http_client.h
+++ b/src/forward/http_client.h
@@ -9,7 +9,7 @@
 #include <stdint.h>
 
 #include "base/str.h"
-#include "forward/http_head.h"
+#include "base/http_head.h"
 #include "forward/loop.h"
 
 enum kcp_http_end
--- a/src/logstore/http_call.c
+++ b/src/logstore/http_call.c
@@ -5,11 +5,19 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "base/http_head.h"
 #include "base/str.h"
 
 #define STEP           "http_call"
 #define BODY_MAX_BYTES (64u << 20)
 
+/* An answer that is being received. */
+struct reception
+{
+  struct kcp_http_head head;
+  struct kcp_http_answer *answer;
+};
+
 static CURL *thread_handle (void);
 static void create_handle_key (void);
 static void free_handle (void *handle);
@@ -21,9 +29,10 @@
 static pthread_once_t handle_once = PTHREAD_ONCE_INIT;
 
 /* Runs a call, with a connection pool for each calling thread. Returns true if an HTTP
-   answer of any status arrived. Otherwise sets an error and returns false. The execution
-   of the error is not_run if libcurl reports CURLE_COULDNT_CONNECT, and unknown after any
-   other failure, as the request may have reached the server. */
+   answer of any status arrived; its head has to be whole. Otherwise sets an error and
+   returns false. The execution of the error is not_run if libcurl reports
+   CURLE_COULDNT_CONNECT, and unknown after any other failure, as the request may have
+   reached the server. */
 bool
 kcp_http_call_run (const struct kcp_http_call *call, struct kcp_http_answer *answer,
                    struct kcp_error *error)
@@ -32,6 +41,8 @@
   struct curl_slist *headers = make_headers (call);
   char *text = call->body != NULL ? json_dumps (call->body, JSON_COMPACT) : NULL;
   CURL *curl = thread_handle ();
+  struct reception reception = { .answer = answer };
+  const char *problem = NULL;
   CURLcode rc;
 
   *answer = (struct kcp_http_answer){ 0 };
@@ -44,7 +55,7 @@
   curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, append_body);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, body);
   curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, read_header);
-  curl_easy_setopt (curl, CURLOPT_HEADERDATA, answer);
+  curl_easy_setopt (curl, CURLOPT_HEADERDATA, &reception);
   if (call->method != NULL)
     curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, call->method);
   if (text != NULL)
@@ -53,21 +64,25 @@
       curl_easy_setopt (curl, CURLOPT_POSTFIELDS, text);
     }
   rc = curl_easy_perform (curl);
-  if (rc == CURLE_OK)
+  if (rc != CURLE_OK)
+    problem = curl_easy_strerror (rc);
+  else if (!reception.head.complete)
+    problem = "the connection ended within the head";
+  if (problem == NULL)
     {
       curl_easy_getinfo (curl, CURLINFO_RESPONSE_CODE, &answer->status);
       answer->body = json_loadb (body->str, body->len, JSON_DECODE_ANY, NULL);
     }
   else
     {
-      kcp_error_set (error, KCP_ERR_PLATFORM, STEP, call->url, "%s",
-                     curl_easy_strerror (rc));
+      kcp_error_set (error, KCP_ERR_PLATFORM, STEP, call->url, "%s", problem);
+      answer->etag[0] = '\0';
       if (error != NULL && rc != CURLE_COULDNT_CONNECT)
         error->execution = KCP_EXECUTION_UNKNOWN;
     }
   curl_slist_free_all (headers);
   free (text);
-  return rc == CURLE_OK;
+  return problem == NULL;
 }
 
 /* Frees the body of an answer. */
@@ -139,9 +154,12 @@
 read_header (char *data, size_t size, size_t count, void *user)
 {
   static const char name[] = "etag:";
-  struct kcp_http_answer *answer = user;
+  struct reception *reception = user;
+  struct kcp_http_answer *answer = reception->answer;
   struct kcp_str line = { .data = data, .len = size * count };
 
+  if (kcp_http_head_read (&reception->head, line).kind == KCP_HTTP_LINE_TOO_LONG)
+    return 0;
   if (line.len > strlen (name) && g_ascii_strncasecmp (data, name, strlen (name)) == 0)
     {
       struct kcp_str value = kcp_str_trim (kcp_str_skip (line, strlen (name)));
--- a/tests/unit/test_http_head.c
+++ b/tests/unit/test_http_head.c
@@ -2,7 +2,7 @@
 #include <check.h>
 #include <glib.h>
 
-#include "forward/http_head.h"
+#include "base/http_head.h"
 #include "tests/harness/run_suite.h"
 
 #define READ(head, text) kcp_http_head_read (head, KCP_STR (text))
