serve: calls with heads that leave no memory for the answer are refused

What callers saw: with serve, a head of 8,000 bytes (limit 8,192) in 130 lines closed the connection without an answer.

Cause: as in route, the memory of a connection (twice the limit) was spent by the head, and nothing compared what was left with the answer's head.

Evidence: test_call_with_a_long_head_is_answered_or_not_run failed before (8,000 bytes, 130 lines: status 0).

--- a/src/base/error.c
+++ b/src/base/error.c
@@ -19,6 +19,8 @@
   [KCP_ERR_METHOD_NOT_ALLOWED]
   = { 405, "method-not-allowed", "The method is not allowed here" },
   [KCP_ERR_TOO_LARGE] = { 413, "too-large", "The request is over a size limit" },
+  [KCP_ERR_HEAD_TOO_LARGE]
+  = { 431, "head-too-large", "The request's header lines are over a limit" },
   [KCP_ERR_KEY_REUSED]
   = { 422, "key-reused", "The idempotency key came with another body" },
   [KCP_ERR_STALE_BASE]
--- a/src/http/admin.c
+++ b/src/http/admin.c
@@ -31,6 +31,7 @@
 {
   GString *body;
   bool too_large;
+  struct kcp_error error; /* KCP_OK: the head is accepted */
 };
 
 /* A request whose body is complete. */
@@ -153,6 +154,7 @@
       exchange = g_new0 (struct exchange, 1);
       exchange->body = g_string_new (NULL);
       *state = exchange;
+      (void)kcp_listener_can_answer (&admin->listener, connection, &exchange->error);
       return MHD_YES;
     }
   if (*size > 0)
@@ -165,6 +167,8 @@
       return MHD_YES;
     }
   op.body = exchange->body;
+  if (exchange->error.code != KCP_OK)
+    return kcp_responder_send_problem (connection, &exchange->error);
   if (!is_authorized (admin, connection))
     return send_error (&op, KCP_ERR_UNAUTHORIZED, "the operators' token is required");
   if (exchange->too_large)
--- a/src/http/caller_api.c
+++ b/src/http/caller_api.c
@@ -197,10 +197,13 @@
 parse_head (struct exchange *exchange, const char *url, const char *method)
 {
   struct MHD_Connection *connection = exchange->connection;
-  bool unambiguous = headers_are_unambiguous (connection, &exchange->error);
   struct kcp_str key = kcp_responder_bearer_token (connection);
   struct kcp_call *call;
+  bool unambiguous;
 
+  if (!kcp_listener_can_answer (&exchange->api->listener, connection, &exchange->error))
+    return false;
+  unambiguous = headers_are_unambiguous (connection, &exchange->error);
   exchange->framing_ambiguous = !unambiguous;
   call = unambiguous ? call_from_path (url, method, &exchange->error) : NULL;
   if (call == NULL)
--- a/src/http/listener.c
+++ b/src/http/listener.c
@@ -4,7 +4,12 @@
 #include <errno.h>
 #include <string.h>
 
+#include "http/head_size.h"
+
 #define STEP "listen"
+/* A connection has the memory for heads this many times as long as the limit, so that
+   heads within the limit may have more lines. */
+#define HEADS_PER_CONNECTION 2
 
 static bool make_address (const struct kcp_listener_options *options,
                           struct sockaddr_in *out, struct kcp_error *error);
@@ -34,11 +39,13 @@
   tls[1].ptr_value = listener->key;
   if (listener->certificate == NULL)
     tls[0].option = MHD_OPTION_END;
+  listener->connection_bytes = kcp_connection_memory_needed (
+      (int64_t)options->max_header_bytes * HEADS_PER_CONNECTION);
   listener->daemon = MHD_start_daemon (
       flags, 0, NULL, NULL, options->access, options->user, MHD_OPTION_SOCK_ADDR,
       &address, MHD_OPTION_THREAD_POOL_SIZE, options->threads,
       MHD_OPTION_CONNECTION_LIMIT, options->max_connections,
-      MHD_OPTION_CONNECTION_MEMORY_LIMIT, options->max_header_bytes * 2,
+      MHD_OPTION_CONNECTION_MEMORY_LIMIT, listener->connection_bytes,
       MHD_OPTION_CONNECTION_TIMEOUT, options->idle_timeout_s, MHD_OPTION_NOTIFY_COMPLETED,
       options->completed, options->user, MHD_OPTION_ARRAY, tls, MHD_OPTION_END);
   if (listener->daemon == NULL)
@@ -47,6 +54,22 @@
   return listener->daemon != NULL;
 }
 
+/* Returns true if the connection has enough memory left for the answer to the request
+   whose head it has received. Otherwise sets error and returns false; the request must
+   not run. To be called from the access handler. */
+bool
+kcp_listener_can_answer (const struct kcp_listener *listener,
+                         struct MHD_Connection *connection, struct kcp_error *error)
+{
+  struct kcp_head_size size = kcp_head_size_measure (connection);
+
+  if (kcp_connection_memory_has_answer_room (listener->connection_bytes, &size))
+    return true;
+  kcp_error_set (error, KCP_ERR_HEAD_TOO_LARGE, "head", NULL, "%zu bytes, %zu headers",
+                 size.bytes, size.elements);
+  return false;
+}
+
 /* Stops the server, if it is running, and frees its members. */
 void
 kcp_listener_stop (struct kcp_listener *listener)
--- a/src/http/listener.h
+++ b/src/http/listener.h
@@ -26,6 +26,7 @@
 struct kcp_listener
 {
   struct MHD_Daemon *daemon;
+  size_t connection_bytes; /* memory of each connection */
   char *certificate;
   char *key;
 };
@@ -33,6 +34,8 @@
 bool
 kcp_listener_start (struct kcp_listener *listener,
                     const struct kcp_listener_options *options, struct kcp_error *error);
+bool kcp_listener_can_answer (const struct kcp_listener *listener,
+                              struct MHD_Connection *connection, struct kcp_error *error);
 void kcp_listener_stop (struct kcp_listener *listener);
 int kcp_listener_port (const struct kcp_listener *listener);
 
--- a/src/policy/connection_memory.h
+++ b/src/policy/connection_memory.h
@@ -31,6 +31,7 @@
   size_t copied;   /* bytes of which the library makes a copy: the Cookie header */
 };
 
+size_t kcp_connection_memory_needed (int64_t head_max_bytes);
 struct kcp_connection_memory
 kcp_connection_memory_for (int64_t process_bytes, int64_t head_max_bytes);
 bool
--- a/tests/process/test_callers.c
+++ b/tests/process/test_callers.c
@@ -20,6 +20,8 @@
 #define STREAMS_MEMORY_MAX_KB (64 << 10) /* for STREAMS_PER_VM streams */
 #define ANSWER_SLACK_MS       300
 #define IDLE_TIMEOUT_MS       1000
+#define HEAD_TIMEOUT_MS       3000
+#define SERVED_LINES          100 /* as many as common HTTP servers accept at least */
 #define CERTIFICATE           "tests/tls/certificate.pem"
 
 /* Sanitizers multiply the memory use of a process and retain freed memory. */
@@ -89,6 +91,52 @@
   return count;
 }
 
+/* Sends a completion with a head of so many bytes and lines on a connection of its own.
+   Returns the status of its answer, 0 if the connection was closed without one. */
+static int
+send_head (int bytes, int lines)
+{
+  static const char body[] = "{\"model\":\"" CLUSTER_MODEL "\",\"prompt\":\"p\","
+                             "\"max_tokens\":1}";
+  g_autoptr (GString) text = g_string_new (NULL);
+  struct raw_answer answer;
+  int status;
+
+  g_string_append_printf (text,
+                          "POST /v1/completions HTTP/1.1\r\nHost: h\r\n"
+                          "Authorization: Bearer " CLUSTER_TEAM_KEY "\r\n"
+                          "Kingcuppoint-Profile: review\r\nConnection: close\r\n"
+                          "Content-Type: application/json\r\nContent-Length: %zu\r\n",
+                          strlen (body));
+  for (int left = lines - 6; left > 0; left--)
+    g_string_append_printf (text, "A%04d: %0*d\r\n", left,
+                            MAX ((bytes - 2 - (int)text->len) / left - 9, 1), 7);
+  g_string_append_printf (text, "\r\n%s", body);
+  answer = raw_exchange (cluster_vm (cluster, 0)->port, text->str, HEAD_TIMEOUT_MS);
+  status = answer.text->len > 12 ? atoi (answer.text->str + strlen ("HTTP/1.1 ")) : 0;
+  raw_answer_clear (&answer);
+  return status;
+}
+
+/* Guards against heads within the limit that leave no memory for the answer: the call ran
+   and its connection was closed without an answer. */
+START_TEST (test_call_with_a_long_head_is_answered_or_not_run)
+{
+  static const int sizes[] = { 2000, 4000, 8000, 8192 };
+  static const int lines[] = { 20, 60, 90, 100, 110, 115, 120, 130, 150, 180, 250, 400 };
+
+  for (guint i = 0; i < G_N_ELEMENTS (sizes); i++)
+    for (guint j = 0; j < G_N_ELEMENTS (lines); j++)
+      {
+        int status = send_head (sizes[i], lines[j]);
+
+        ck_assert_msg (status == 200 || status == 431, "%d bytes, %d lines: status %d",
+                       sizes[i], lines[j], status);
+        ck_assert (status == 200 || lines[j] > SERVED_LINES);
+      }
+}
+END_TEST
+
 START_TEST (test_expired_deadline_is_answered_at_once_and_cancels_the_run)
 {
   struct client_answer answer;
@@ -312,6 +360,7 @@
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
+  tcase_add_test (tests, test_call_with_a_long_head_is_answered_or_not_run);
   tcase_add_test (tests, test_expired_deadline_is_answered_at_once_and_cancels_the_run);
   tcase_add_test (tests, test_deadline_during_a_stream_ends_it_with_an_error);
   tcase_add_test (tests, test_idle_stream_carries_heartbeats);
