--- a/src/forward/http_client.h
+++ b/src/forward/http_client.h
@@ -8,8 +8,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#include "base/str.h"
 #include "base/http_head.h"
+#include "base/str.h"
 #include "forward/loop.h"
 
 enum kcp_http_end
