A late answer between two pieces of a stream is no part of it

Cause: the framer took whatever stands between two blank lines for an event.

Why it works: a line that begins like the head of an answer is no field of an event; there the attempt ends, and the stream resumes after its last own event.

--- a/src/forward/event_framer.c
+++ b/src/forward/event_framer.c
@@ -2,10 +2,12 @@
 
 #include <string.h>
 
-#define EVENT_MAX     (1u << 20) /* bytes of one event */
-#define COMMENT_START ':'
+#define EVENT_MAX         (1u << 20) /* bytes of one event */
+#define COMMENT_START     ':'
+#define STATUS_LINE_START "HTTP/1."
 
 static bool is_foreign (const struct kcp_event_framer *framer, size_t len);
+static bool has_status_line (struct kcp_str event);
 static bool has_fields (struct kcp_str event);
 static size_t event_len (struct kcp_event_framer *framer);
 static bool may_lack_lf (struct kcp_str text, size_t line_end);
@@ -37,8 +39,9 @@
 
 /* Consumes bytes and appends the events that are now complete to out. Drops an event
    whose numeric id is not greater than the last one's: it was forwarded before the stream
-   was interrupted. Stops at an event without an id where a stream is resumed whose events
-   have ids: the server has sent something else, such as the text of an error. */
+   was interrupted. Stops where the server has sent something else: at an event without an
+   id, such as the text of an error, where a stream is resumed whose events have ids; at
+   the head of another answer, which a server may send late. */
 enum kcp_event_framer_result
 kcp_event_framer_feed (struct kcp_event_framer *framer, struct kcp_str bytes,
                        GString *out)
@@ -56,17 +59,36 @@
                                            : KCP_EVENT_FRAMER_TOO_LONG;
 }
 
-/* Returns true if the first event, of length len, has fields but no id, although the
-   stream is resumed after an event with one. */
+/* Returns true if the first event, of length len, has the first line of another answer;
+   or if it has fields but no id, although the stream is resumed after an event with one.
+ */
 static bool
 is_foreign (const struct kcp_event_framer *framer, size_t len)
 {
   struct kcp_str event = { .data = framer->pending->str, .len = len };
 
+  if (has_status_line (event))
+    return true;
   return framer->resumed && framer->last_id->len > 0 && find_id (event).len == 0
          && has_fields (event);
 }
 
+/* Returns true if a line begins like the head of an HTTP answer. No field of an event has
+   such a name. */
+static bool
+has_status_line (struct kcp_str event)
+{
+  while (event.len > 0)
+    {
+      bool terminated;
+      struct kcp_str line = take_line (&event, &terminated);
+
+      if (kcp_str_has_prefix (line, KCP_STR (STATUS_LINE_START)))
+        return true;
+    }
+  return false;
+}
+
 /* Returns true unless all lines are blank or comments. */
 static bool
 has_fields (struct kcp_str event)
--- a/src/forward/event_framer.h
+++ b/src/forward/event_framer.h
@@ -23,7 +23,7 @@
 {
   KCP_EVENT_FRAMER_OK,
   KCP_EVENT_FRAMER_TOO_LONG, /* the incomplete event is longer than allowed */
-  KCP_EVENT_FRAMER_FOREIGN   /* an event does not belong to the resumed stream */
+  KCP_EVENT_FRAMER_FOREIGN   /* an event does not belong to the stream */
 };
 
 void kcp_event_framer_init (struct kcp_event_framer *framer);
