A planned stop answers the requests that outlast it, and exits in order

Cause: the loop stopped with requests in progress, and the callers' daemon was stopped with suspended connections, at which libmicrohttpd aborts.

Ruled out: requests after the drain notice, which are refused (test_route).

Why it works: 0.5 s before the end of the grace period requests are ended with 504, 503 or a stream that is broken off, and the loop sends these for 250 ms at most; every exchange is ended and its connection resumed before the daemon is stopped.

--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -25,9 +25,10 @@
 #include "platform/platform.h"
 #include "settings/forward_settings.h"
 
-/* The drain stops waiting for requests this long before the end of the grace period, so
-   that the last bytes can still be sent. */
-#define GRACE_MARGIN_NS            (500 * KCP_NS_PER_MS)
+/* The drain stops waiting for requests this long before the end of the grace period. */
+#define GRACE_MARGIN_NS (500 * KCP_NS_PER_MS)
+/* The time in which the answers to the requests that are left then are sent. */
+#define LAST_ANSWERS_NS            (250 * KCP_NS_PER_MS)
 #define DRAIN_CHECK_INTERVAL_NS    (50 * KCP_NS_PER_MS)
 #define SETTINGS_CHECK_INTERVAL_NS KCP_NS_PER_S
 /* Free memory at the top of the heap is returned to the system above this size. The heap
@@ -52,6 +53,7 @@
   struct kcp_loop_timer settings_timer;
   struct timespec settings_mtime; /* mtime of the settings file when it was last read */
   int64_t drain_start_ns;         /* when the drain started; 0: it has not */
+  bool requests_ended;            /* those that were left at the end of the drain */
 };
 
 static char *read_options (int argc, char **argv, bool *usage);
@@ -256,7 +258,8 @@
 }
 
 /* Stops the event loop once the load balancer has had time to notice the drain and no
-   request is in flight, and in any case before the grace period ends. */
+   request is in flight, and in any case before the grace period ends. Requests that are
+   in progress then are ended with an answer. */
 static void
 on_drain_timer (void *user)
 {
@@ -274,7 +277,15 @@
       KCP_LOG ("closing", KCP_LOG_INT ("open_requests", vm->gateway.open_requests));
       kcp_caller_server_close_idle (vm->callers);
     }
-  if ((notice_elapsed && vm->gateway.open_requests == 0) || elapsed_ns >= max_ns)
+  if (elapsed_ns >= max_ns && !vm->requests_ended)
+    {
+      vm->requests_ended = true;
+      vm->gateway.closing = true;
+      KCP_LOG ("drain_over", KCP_LOG_INT ("open_requests", vm->gateway.open_requests));
+      kcp_caller_server_end_requests (vm->callers, "vm_stops");
+    }
+  if ((notice_elapsed && vm->gateway.open_requests == 0)
+      || elapsed_ns >= max_ns + LAST_ANSWERS_NS)
     kcp_loop_stop (loop);
   else
     kcp_loop_timer_set (loop, &vm->drain_timer, now + DRAIN_CHECK_INTERVAL_NS,
--- a/src/forward/caller_exchange.c
+++ b/src/forward/caller_exchange.c
@@ -129,6 +129,15 @@
   resume (exchange);
 }
 
+/* Ends the request, if one is in progress, for lack of time. Its caller gets an answer,
+   or a stream that is broken off. */
+void
+kcp_caller_exchange_give_up (struct kcp_caller_exchange *exchange, const char *reason)
+{
+  if (exchange->forward != NULL && !exchange->disconnected)
+    kcp_forward_give_up (exchange->forward, reason);
+}
+
 static enum MHD_Result
 read_head (struct kcp_caller_exchange *exchange, const char *method)
 {
--- a/src/forward/caller_private.h
+++ b/src/forward/caller_private.h
@@ -45,6 +45,8 @@
 void kcp_caller_on_completed (void *user, struct MHD_Connection *connection, void **state,
                               enum MHD_RequestTerminationCode code);
 void kcp_caller_exchange_cancel (struct kcp_caller_exchange *exchange);
+void
+kcp_caller_exchange_give_up (struct kcp_caller_exchange *exchange, const char *reason);
 
 /* caller_server.c */
 struct kcp_caller *kcp_caller_of (struct MHD_Connection *connection);
--- a/src/forward/caller_server.c
+++ b/src/forward/caller_server.c
@@ -18,6 +18,7 @@
 static void apply_limits (void *user);
 static void replace_listener (struct kcp_caller_server *server);
 static void stop_accepting (struct kcp_caller_listener *listener);
+static void cancel_requests (struct kcp_caller_server *server);
 static void on_connection (void *user, struct MHD_Connection *connection, void **state,
                            enum MHD_ConnectionNotificationCode code);
 static void on_disconnected (void *user, uint32_t events);
@@ -67,6 +68,23 @@
     }
 }
 
+/* Ends the requests in progress for lack of time. The event loop sends their answers. */
+void
+kcp_caller_server_end_requests (struct kcp_caller_server *server, const char *reason)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, server->callers);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const struct kcp_caller *caller = key;
+
+      if (caller->exchange != NULL)
+        kcp_caller_exchange_give_up (caller->exchange, reason);
+    }
+}
+
 /* Closes the server and its connections, and ends their requests. The event loop must not
    run after this. server may be NULL. */
 void
@@ -74,6 +92,7 @@
 {
   if (server == NULL)
     return;
+  cancel_requests (server);
   for (guint i = 0; i < server->listeners->len; i++)
     {
       struct kcp_caller_listener *listener = g_ptr_array_index (server->listeners, i);
@@ -86,6 +105,24 @@
   g_free (server);
 }
 
+/* Ends the requests in progress. No connection is suspended after this, as a daemon that
+   is stopped requires. */
+static void
+cancel_requests (struct kcp_caller_server *server)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  g_hash_table_iter_init (&iter, server->callers);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    {
+      const struct kcp_caller *caller = key;
+
+      if (caller->exchange != NULL)
+        kcp_caller_exchange_cancel (caller->exchange);
+    }
+}
+
 /* Returns the caller of a connection. */
 struct kcp_caller *
 kcp_caller_of (struct MHD_Connection *connection)
--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -17,6 +17,8 @@
 kcp_caller_server_open (struct kcp_gateway *gateway, const char *address,
                         struct kcp_error *error);
 void kcp_caller_server_close_idle (struct kcp_caller_server *server);
+void
+kcp_caller_server_end_requests (struct kcp_caller_server *server, const char *reason);
 void kcp_caller_server_close (struct kcp_caller_server *server);
 struct kcp_text_server *
 kcp_text_server_open (struct kcp_loop *loop, const char *address, const char *path,
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -345,8 +345,17 @@
 on_deadline (void *user)
 {
   struct kcp_forward *forward = user;
-  const char *reason = forward->route_sets_deadline ? "route_limit" : "caller_limit";
 
+  kcp_forward_give_up (forward,
+                       forward->route_sets_deadline ? "route_limit" : "caller_limit");
+}
+
+/* Ends a request that is in progress and for which there is no more time: a stream that
+   has begun is broken off, a request that was sent to a server is answered with 504, and
+   any other is refused. */
+void
+kcp_forward_give_up (struct kcp_forward *forward, const char *reason)
+{
   if (forward->answer->end != KCP_ANSWER_IN_PROGRESS)
     return;
   if (forward->answer->begun)
--- a/src/forward/forward.h
+++ b/src/forward/forward.h
@@ -12,6 +12,7 @@
 struct kcp_forward *
 kcp_forward_start (struct kcp_gateway *gateway, struct kcp_inbound *inbound,
                    struct kcp_answer *answer);
+void kcp_forward_give_up (struct kcp_forward *forward, const char *reason);
 void kcp_forward_free (struct kcp_forward *forward);
 
 #endif
