Tests: bytes without end in further forms, and in all forms at once on a small VM

A chunk's extension and interim heads 100 without end; 12 forms at once for 60 callers that do not read, on a VM of 88 MB. A chunk's extension is read, without being kept, until the deadline, since libcurl reports nothing of it.

--- a/tests/process/test_bytes_without_end.c
+++ b/tests/process/test_bytes_without_end.c
@@ -14,11 +14,19 @@
 #define ONE_MAX_KB      32768  /* growth for one answer whose body is kept */
 #define ALL_MAX_KB      131072 /* growth for all answers, half of the VM's 256 MB */
 #define STREAM_EVENTS   20000
+#define SMALL_VM_MB     88
 #define SLOW_READ_BYTES 65536
 #define REQUEST                                                                          \
   "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: r%u\r\nConnection: close\r\n"              \
   "Authorization: Bearer key1\r\nRequest-Deadline: 2500\r\nContent-Length: 2\r\n\r\nin"
 
+/* Sanitizers multiply the memory use of a process. */
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+#define MEMORY_USE_IS_REALISTIC false
+#else
+#define MEMORY_USE_IS_REALISTIC true
+#endif
+
 static const char filler[]
     = "0123456789012345678901234567890123456789012345678901234567890123456789";
 
@@ -30,20 +38,30 @@
   const char *header_lines;
   const char *repeated;
   long growth_max_kb;
+  int status; /* that the caller gets */
 };
 
+/* libcurl reports nothing of a chunk's extension, so one without end is read until the
+   deadline. */
 static const struct endless answers[] = {
-  { "/once/x", "HTTP/1.1 200 OK\r\n", "", "X-A: 01234567890123456789\r\n", HEADS_MAX_KB },
+  { "/once/x", "HTTP/1.1 200 OK\r\n", "", "X-A: 01234567890123456789\r\n", HEADS_MAX_KB,
+    502 },
   { "/once/x", "", "", "HTTP/1.1 103 Early Hints\r\nX-A: 0123456789\r\n\r\n",
-    HEADS_MAX_KB },
-  { "/once/x", "HTTP/1.1 200 OK\r\nX-A: ", "", filler, HEADS_MAX_KB },
-  { "/once/x", "", "", filler, HEADS_MAX_KB },
+    HEADS_MAX_KB, 502 },
+  { "/once/x", "HTTP/1.1 200 OK\r\nX-A: ", "", filler, HEADS_MAX_KB, 502 },
+  { "/once/x", "", "", filler, HEADS_MAX_KB, 502 },
   { "/once/x", NULL, "Transfer-Encoding: chunked\r\n", "1\r\na\r\n0\r\nX-A: 0123456789",
-    HEADS_MAX_KB },
-  { "/once/x", NULL, "", filler, ONE_MAX_KB },
-  { "/once/x", "HTTP/1.1 200 OK\r\n\r\n", "", filler, ONE_MAX_KB },
-  { "/stream/x", "HTTP/1.1 200 OK\r\n\r\n", "", filler, ONE_MAX_KB },
-  { "/stream/x", NULL, "", filler, STREAM_MAX_KB },
+    HEADS_MAX_KB, 502 },
+  { "/once/x", NULL, "", filler, ONE_MAX_KB, 502 },
+  { "/once/x", "HTTP/1.1 200 OK\r\n\r\n", "", filler, ONE_MAX_KB, 502 },
+  { "/stream/x", "HTTP/1.1 200 OK\r\n\r\n", "", filler, ONE_MAX_KB, 502 },
+  { "/stream/x", NULL, "", filler, STREAM_MAX_KB, 502 },
+  { "/once/x", NULL, "Transfer-Encoding: chunked\r\n", "1;x=0123456789", HEADS_MAX_KB,
+    504 },
+  { "/stream/x", NULL, "Transfer-Encoding: chunked\r\n", "1;x=0123456789", HEADS_MAX_KB,
+    504 },
+  { "/stream/x", "HTTP/1.1 100 Continue\r\n\r\n", "", "HTTP/1.1 100 Continue\r\n\r\n",
+    HEADS_MAX_KB, 502 },
 };
 
 static void
@@ -139,7 +157,7 @@
   (void)scripted_vm_start_server ("i-1", answer_without_end, answer);
   before_kb = peak_kb ();
   received = route_vm_send ("POST", answer->path, "", "in");
-  ck_assert_int_eq (route_vm_status (&received), 502);
+  ck_assert_int_eq (route_vm_status (&received), answer->status);
   ck_assert_int_lt (peak_kb () - before_kb, answer->growth_max_kb);
   raw_answer_clear (&received);
 }
@@ -231,6 +249,56 @@
 }
 END_TEST
 
+/* Answers each request with the next form of bytes without end. */
+static void
+answer_in_all_forms (struct scripted_request *request, void *user)
+{
+  (void)user;
+  answer_without_end (request,
+                      (void *)&answers[request->number % G_N_ELEMENTS (answers)]);
+}
+
+/* Guards against a small VM running out of memory when bytes without end come in all
+   forms at once, for callers that do not read; other requests are answered. */
+START_TEST (test_all_forms_at_once_leave_a_small_vm_its_memory)
+{
+  enum
+  {
+    CALLERS = 60,
+    PROBES = 20
+  };
+  static const char *const paths[] = { "/once/x", "/again/x", "/stream/x" };
+  int fds[CALLERS];
+  unsigned answered = 0;
+
+  route_vm_kill (&route_vm);
+  route_vm.memory_mb = SMALL_VM_MB;
+  route_vm_start ();
+  route_vm_wait_ready ();
+  (void)scripted_vm_start_server ("i-1", answer_in_all_forms, NULL);
+  for (unsigned i = 0; i < CALLERS; i++)
+    {
+      g_autofree char *request
+          = g_strdup_printf (REQUEST, paths[i % G_N_ELEMENTS (paths)], i);
+
+      fds[i] = raw_connect_and_send (route_vm.port, request, 1);
+    }
+  (void)scripted_vm_start_server ("i-sound", answer_ordinarily, NULL);
+  for (unsigned i = 0; i < PROBES; i++)
+    {
+      struct raw_answer answer = route_vm_send ("POST", "/again/x", "", "in");
+
+      answered += route_vm_status (&answer) == 200;
+      raw_answer_clear (&answer);
+    }
+  for (unsigned i = 0; i < CALLERS; i++)
+    (void)close (fds[i]);
+  ck_assert_uint_eq (answered, PROBES);
+  if (MEMORY_USE_IS_REALISTIC)
+    ck_assert_int_lt (peak_kb (), SMALL_VM_MB << 10);
+}
+END_TEST
+
 /* The router's own calls to the server are bounded as well. */
 START_TEST (test_report_without_end_stays_within_memory_limit)
 {
@@ -259,6 +327,7 @@
   tcase_add_test (cases, test_stream_without_end_to_a_caller_that_does_not_read);
   tcase_add_test (cases, test_slow_caller_gets_each_event_once);
   tcase_add_test (cases, test_many_answers_without_end_leave_room_for_other_requests);
+  tcase_add_test (cases, test_all_forms_at_once_leave_a_small_vm_its_memory);
   tcase_add_test (cases, test_report_without_end_stays_within_memory_limit);
   suite_add_tcase (suite, cases);
   return suite;
