--- a/src/forward/caller_private.h
+++ b/src/forward/caller_private.h
@@ -21,9 +21,9 @@
 {
   struct kcp_gateway *gateway;
   char *address;
-  GPtrArray *listeners;            /* struct kcp_caller_listener; the last one accepts */
-  GHashTable *callers;             /* set of struct kcp_caller */
-  const struct kcp_routes *routes; /* whose limits apply; only compared */
+  GPtrArray *listeners;   /* struct kcp_caller_listener; the last one accepts */
+  GHashTable *callers;    /* set of struct kcp_caller */
+  int64_t limits_version; /* configuration whose limits apply; 0: none */
 };
 
 /* One open connection of a caller. */
--- a/src/forward/caller_server.c
+++ b/src/forward/caller_server.c
@@ -1,16 +1,16 @@
 #include <fcntl.h>
-#include <string.h>
 #include <sys/epoll.h>
-#include <sys/socket.h>
 #include <unistd.h>
 
-#include "base/counter.h"
 #include "base/decision_log.h"
 #include "forward/caller_private.h"
 
 #define IDLE_TIMEOUT_S    20u
 #define CLOSING_TIMEOUT_S 1u
 
+/* Must neither add nor remove callers. reason is for the log; NULL: none. */
+typedef void caller_action (struct kcp_caller *caller, const char *reason);
+
 static bool
 listen_at (struct kcp_caller_server *server, const struct sockaddr_in *address, int fd,
            struct kcp_error *error);
@@ -18,7 +18,11 @@
 static void apply_limits (void *user);
 static void replace_listener (struct kcp_caller_server *server);
 static void stop_accepting (struct kcp_caller_listener *listener);
-static void cancel_requests (struct kcp_caller_server *server);
+static void for_each_caller (struct kcp_caller_server *server, caller_action *action,
+                             const char *reason);
+static void close_if_idle (struct kcp_caller *caller, const char *reason);
+static void give_up (struct kcp_caller *caller, const char *reason);
+static void cancel (struct kcp_caller *caller, const char *reason);
 static void on_connection (void *user, struct MHD_Connection *connection, void **state,
                            enum MHD_ConnectionNotificationCode code);
 static void on_disconnected (void *user, uint32_t events);
@@ -52,37 +56,14 @@
 void
 kcp_caller_server_close_idle (struct kcp_caller_server *server)
 {
-  GHashTableIter iter;
-  gpointer key;
-
-  g_hash_table_iter_init (&iter, server->callers);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      const struct kcp_caller *caller = key;
-
-      if (caller->exchange != NULL)
-        continue;
-      MHD_set_connection_option (caller->connection, MHD_CONNECTION_OPTION_TIMEOUT,
-                                 CLOSING_TIMEOUT_S);
-      caller->listener->loop.run_pending = true;
-    }
+  for_each_caller (server, close_if_idle, NULL);
 }
 
 /* Ends the requests in progress for lack of time. The event loop sends their answers. */
 void
 kcp_caller_server_end_requests (struct kcp_caller_server *server, const char *reason)
 {
-  GHashTableIter iter;
-  gpointer key;
-
-  g_hash_table_iter_init (&iter, server->callers);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      const struct kcp_caller *caller = key;
-
-      if (caller->exchange != NULL)
-        kcp_caller_exchange_give_up (caller->exchange, reason);
-    }
+  for_each_caller (server, give_up, reason);
 }
 
 /* Closes the server and its connections, and ends their requests. The event loop must not
@@ -92,7 +73,8 @@
 {
   if (server == NULL)
     return;
-  cancel_requests (server);
+  /* No connection may be suspended when its daemon is stopped. */
+  for_each_caller (server, cancel, NULL);
   for (guint i = 0; i < server->listeners->len; i++)
     {
       struct kcp_caller_listener *listener = g_ptr_array_index (server->listeners, i);
@@ -105,30 +87,50 @@
   g_free (server);
 }
 
-/* Ends the requests in progress. No connection is suspended after this, as a daemon that
-   is stopped requires. */
+/* Returns the caller of a connection. */
+struct kcp_caller *
+kcp_caller_of (struct MHD_Connection *connection)
+{
+  return MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+      ->socket_context;
+}
+
 static void
-cancel_requests (struct kcp_caller_server *server)
+for_each_caller (struct kcp_caller_server *server, caller_action *action,
+                 const char *reason)
 {
   GHashTableIter iter;
-  gpointer key;
+  gpointer caller;
 
   g_hash_table_iter_init (&iter, server->callers);
-  while (g_hash_table_iter_next (&iter, &key, NULL))
-    {
-      const struct kcp_caller *caller = key;
+  while (g_hash_table_iter_next (&iter, &caller, NULL))
+    action (caller, reason);
+}
 
-      if (caller->exchange != NULL)
-        kcp_caller_exchange_cancel (caller->exchange);
-    }
+static void
+close_if_idle (struct kcp_caller *caller, const char *reason)
+{
+  (void)reason;
+  if (caller->exchange != NULL)
+    return;
+  MHD_set_connection_option (caller->connection, MHD_CONNECTION_OPTION_TIMEOUT,
+                             CLOSING_TIMEOUT_S);
+  caller->listener->loop.run_pending = true;
 }
 
-/* Returns the caller of a connection. */
-struct kcp_caller *
-kcp_caller_of (struct MHD_Connection *connection)
+static void
+give_up (struct kcp_caller *caller, const char *reason)
 {
-  return MHD_get_connection_info (connection, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
-      ->socket_context;
+  if (caller->exchange != NULL)
+    kcp_caller_exchange_give_up (caller->exchange, reason);
+}
+
+static void
+cancel (struct kcp_caller *caller, const char *reason)
+{
+  (void)reason;
+  if (caller->exchange != NULL)
+    kcp_caller_exchange_cancel (caller->exchange);
 }
 
 /* Starts a daemon that accepts connections on fd, which it owns from then on, or, if fd
@@ -188,12 +190,13 @@
 apply_limits (void *user)
 {
   struct kcp_caller_server *server = user;
+  const struct kcp_routes *routes = server->gateway->routes;
   const struct kcp_caller_listener *newest
       = g_ptr_array_index (server->listeners, server->listeners->len - 1);
 
-  if (server->routes == server->gateway->routes)
+  if (routes == NULL || routes->version == server->limits_version)
     return;
-  server->routes = server->gateway->routes;
+  server->limits_version = routes->version;
   if (memory_for (server->gateway).bytes > newest->memory.bytes)
     replace_listener (server);
 }
