--- a/src/policy/connection_memory.c
+++ b/src/policy/connection_memory.c
@@ -2,9 +2,8 @@
 
 #include <glib.h>
 
-#define ELEMENT_BYTES                                                                    \
-  64u /* of the library's own for each header, cookie and argument                       \
-       */
+/* Of the library's own for each header, cookie and query argument. */
+#define ELEMENT_BYTES 64u
 /* Of the library's own for each connection, and the lines that it adds to an answer. */
 #define OVERHEAD_BYTES 768u
 /* The block has this many times the bytes of the longest head: the head itself, and the
