Log on which connection an attempt was sent, and by what evidence it counts as not run

It now has evidence, port, body_sent and repeat_prevented; request has port and kept; a counter says how often libcurl was kept from sending a request a second time.

No decision changes: reports_not_run() asks the function that names the evidence.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -59,6 +59,8 @@
   = { "server_limits", "Times a server named a limit of requests a second" },
   [KCP_COUNT_UNCLEAN_CONNECTIONS]
   = { "unclean_connections", "Kept connections not used again as they had unread bytes" },
+  [KCP_COUNT_REPEATS_PREVENTED]
+  = { "repeats_prevented", "Requests that the HTTP library was kept from sending twice" },
   [KCP_COUNT_STREAM_RECORDS]
   = { "stream_records", "Records written of which software version began which streams" },
   [KCP_COUNT_RESUMES_REFUSED]
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -11,6 +11,23 @@
 
 #define LOGGED_PARTS_MAX 8u /* parts of a prompt that a line of the log names */
 
+/* Why an attempt counts as not run. */
+enum not_run_evidence
+{
+  EVIDENCE_NONE,           /* it may have run */
+  EVIDENCE_UNSENT,         /* no connection was established */
+  EVIDENCE_REQUEST_ID,     /* the server says so in an answer with the request's id */
+  EVIDENCE_NEW_CONNECTION, /* likewise, without an id, but on a connection of its own */
+  EVIDENCE_COUNT
+};
+
+static const char *const evidence_names[EVIDENCE_COUNT] = {
+  [EVIDENCE_NONE] = "none",
+  [EVIDENCE_UNSENT] = "unsent",
+  [EVIDENCE_REQUEST_ID] = "request_id",
+  [EVIDENCE_NEW_CONNECTION] = "new_connection",
+};
+
 static void log_sent (const struct kcp_forward *forward);
 static char *list_parts (const struct kcp_forward *forward);
 static struct curl_slist *make_headers (const struct kcp_forward *forward);
@@ -30,6 +47,8 @@
 finish_complete (struct kcp_forward *forward, const struct kcp_http_result *result);
 static enum kcp_attempt_end
 classify (const struct kcp_forward *forward, const struct kcp_http_result *result);
+static enum not_run_evidence not_run_evidence (const struct kcp_forward *forward,
+                                               const struct kcp_http_result *result);
 static bool
 reports_not_run (const struct kcp_forward *forward, const struct kcp_http_result *result);
 static void record_attempt_end (struct kcp_forward *forward, enum kcp_attempt_end end);
@@ -300,6 +319,8 @@
   if (result.status == 0)
     drop_head (forward);
   attempt->framing = result.framing;
+  attempt->own_port = result.own_port;
+  attempt->reused = result.reused;
   attempt->partial_event_len = forward->framer.pending->len;
   if (forward->inbound->model != NULL && kcp_forward_answer_matches (forward))
     kcp_server_update_version (attempt->server, forward->inbound->model,
@@ -319,6 +340,9 @@
       KCP_LOG_TEXT ("id_seen",
                     attempt->head.request_id ? attempt->head.request_id : "none"),
       KCP_LOG_INT ("not_run", attempt->head.not_run),
+      KCP_LOG_TEXT ("evidence", evidence_names[not_run_evidence (forward, &result)]),
+      KCP_LOG_INT ("port", result.own_port), KCP_LOG_INT ("body_sent", result.body_sent),
+      KCP_LOG_INT ("repeat_prevented", result.kept_from_repeating),
       KCP_LOG_INT ("ms", (kcp_loop_now (forward->gateway->loop) - attempt->sent_ns)
                              / KCP_NS_PER_MS),
       KCP_LOG_TEXT ("reason", attempt->limit != NULL ? attempt->limit : result.reason));
@@ -416,20 +440,41 @@
   return KCP_ATTEMPT_UNKNOWN;
 }
 
-/* Returns true if the server reports that it did not run this request. An answer without
-   a request id counts only on a new connection: on a reused connection it may belong to
-   an earlier request. */
+/* Returns true if the server reports that it did not run this request. */
 static bool
 reports_not_run (const struct kcp_forward *forward, const struct kcp_http_result *result)
+{
+  switch (not_run_evidence (forward, result))
+    {
+    case EVIDENCE_REQUEST_ID:
+    case EVIDENCE_NEW_CONNECTION:
+      return true;
+    case EVIDENCE_NONE:
+    case EVIDENCE_UNSENT:
+    case EVIDENCE_COUNT:
+      break;
+    }
+  return false;
+}
+
+/* Returns what shows that the attempt did not run. An answer without a request id counts
+   only on a new connection: on a reused connection it may belong to an earlier request.
+ */
+static enum not_run_evidence
+not_run_evidence (const struct kcp_forward *forward, const struct kcp_http_result *result)
 {
   const struct kcp_answer_head *head = &forward->attempt.head;
   bool reported
       = head->not_run || forward->gateway->dialect->status_is_not_run (result->status);
 
+  if (result->end == KCP_HTTP_UNSENT)
+    return EVIDENCE_UNSENT;
   if (!reported || result->status == 0)
-    return false;
-  return head->request_id != NULL ? strcmp (head->request_id, forward->inbound->id) == 0
-                                  : !result->reused;
+    return EVIDENCE_NONE;
+  if (head->request_id == NULL)
+    return result->reused ? EVIDENCE_NONE : EVIDENCE_NEW_CONNECTION;
+  return strcmp (head->request_id, forward->inbound->id) == 0 ? EVIDENCE_REQUEST_ID
+                                                              : EVIDENCE_NONE;
 }
 
 static void
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -18,6 +18,8 @@
   GString *buffered_body;        /* body of an answer that is not streamed */
   enum kcp_http_framing framing; /* of the answer, once it has ended */
   size_t partial_event_len;      /* bytes after the last complete event, likewise */
+  int own_port;                  /* of its connection, likewise; 0: it was not sent */
+  bool reused; /* its connection had carried an earlier call, likewise */
   int64_t sent_ns;
   uint64_t software; /* version of the server when it was sent; see kcp_software_key() */
   unsigned
--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -36,7 +36,9 @@
   int64_t ack_timeout_ms;
   /* A connection was established, so the server may have received a byte. */
   bool connected;
-  int new_fd;   /* socket that was created for this call; -1: none */
+  int own_port;             /* of the connection on which it was sent; 0: not sent */
+  bool kept_from_repeating; /* libcurl would have sent it again by itself */
+  int new_fd;               /* socket that was created for this call; -1: none */
   bool unclean; /* the connection to be used again has bytes that no request asked for */
   bool moved;   /* to a new connection, since that one was unclean */
   bool may_repeat;
@@ -260,6 +262,9 @@
   curl_easy_getinfo (call->curl, CURLINFO_OS_ERRNO, &error);
   result.reused = call->connected && new_connections == 0;
   result.refused = code == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
+  result.own_port = call->own_port;
+  result.body_sent = call->body_sent;
+  result.kept_from_repeating = call->kept_from_repeating;
   if (call->limit != NULL)
     record_limit (call);
   g_strlcpy (reason, call->error[0] != '\0' ? call->error : curl_easy_strerror (code),
@@ -408,13 +413,18 @@
 
   (void)own_address;
   if (call->connected && !call->may_repeat)
-    return CURL_PREREQFUNC_ABORT;
+    {
+      call->kept_from_repeating = true;
+      kcp_counter_add (KCP_COUNT_REPEATS_PREVENTED, 1);
+      return CURL_PREREQFUNC_ABORT;
+    }
   if (!is_usable (call, &connection))
     {
       call->unclean = true;
       return CURL_PREREQFUNC_ABORT;
     }
   call->connected = true;
+  call->own_port = own_port;
   return CURL_PREREQFUNC_OK;
 }
 
--- a/src/forward/http_client.h
+++ b/src/forward/http_client.h
@@ -26,10 +26,13 @@
 {
   enum kcp_http_end end;
   enum kcp_http_framing framing;
-  long status;        /* 0: no whole head of an answer was received */
-  bool reused;        /* the connection had carried an earlier call */
-  bool refused;       /* no process accepts connections at the address */
-  const char *reason; /* of an end other than KCP_HTTP_COMPLETE */
+  long status;      /* 0: no whole head of an answer was received */
+  bool reused;      /* the connection had carried an earlier call */
+  int own_port;     /* of the connection on which it was sent last; 0: it was not sent */
+  size_t body_sent; /* bytes of the body that libcurl has taken */
+  bool kept_from_repeating; /* libcurl would have sent it again by itself */
+  bool refused;             /* no process accepts connections at the address */
+  const char *reason;       /* of an end other than KCP_HTTP_COMPLETE */
 };
 
 struct kcp_http_spec
