A late refusal no longer answers a second try at a server that was listed again

What callers saw: a request that runs once was answered 503, "not run", and ran: rule REFUSED; callers may send it again then, which gives TWICE.

Cause: a request goes to no server twice, but servers were told apart by their objects. An entry that was removed and put again, as after an outage of the store, or has a later birth, is a new object for the same process. The second try used the kept connection of the first one, where the first refusal, written once more and late, was taken for the answer: it has the request's own id.

Why the fix works: a try at an address that the request was sent to before uses a new connection, on which no copy of an earlier answer can arrive.

No test guarded: a request without a rewindable body on a lost kept connection (runs-once routes and streams that cannot be resumed, closed or reset), "not run" in a trailer or a folded line, 421 without an id on a kept connection, when a server whose stream was given up sees its connection end, and how a caller of a killed VM sees its end.

--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -28,6 +28,7 @@
   [EVIDENCE_NEW_CONNECTION] = "new_connection",
 };
 
+static bool needs_new_connection (const struct kcp_forward *forward);
 static void log_sent (const struct kcp_forward *forward);
 static char *list_parts (const struct kcp_forward *forward);
 static struct curl_slist *make_headers (const struct kcp_forward *forward);
@@ -63,7 +64,7 @@
   const struct kcp_forward_settings *settings = gateway->settings;
   struct kcp_attempt *attempt = &forward->attempt;
   struct kcp_server *server = forward->choice.server;
-  bool run_once = forward->choice.route->repeat == KCP_REPEAT_ONCE;
+  bool new_connection = needs_new_connection (forward);
 
   attempt->server = kcp_server_ref (server);
   attempt->headers = g_ptr_array_new_with_free_func (g_free);
@@ -94,7 +95,7 @@
           .connect_ms = settings->servers_connect_timeout_ms,
           .ack_timeout_ms = settings->servers_ack_timeout_ms,
           .max_idle_s = settings->servers_max_idle_s,
-          .new_connection = run_once && forward->inbound->body->len == 0,
+          .new_connection = new_connection,
           .head_began = on_head_began,
           .head_ended = on_head_ended,
           .header = on_header,
@@ -104,6 +105,26 @@
       });
 }
 
+/* Returns true if the chosen server must not get the request on a kept connection: a
+   request without a body that may run only once, or one that was sent to this address
+   before, by an entry of the list that has been replaced since. On the connection of that
+   attempt a late copy of its answer may arrive, with the id of this request. */
+static bool
+needs_new_connection (const struct kcp_forward *forward)
+{
+  const char *address = forward->choice.server->entry.address;
+
+  for (guint i = 0; i < forward->tried->len; i++)
+    {
+      const struct kcp_server *server = g_ptr_array_index (forward->tried, i);
+
+      if (strcmp (server->entry.address, address) == 0)
+        return true;
+    }
+  return forward->choice.route->repeat == KCP_REPEAT_ONCE
+         && forward->inbound->body->len == 0;
+}
+
 /* Logs an attempt that is about to be sent, with what its server was chosen by. */
 static void
 log_sent (const struct kcp_forward *forward)
--- a/tests/harness/scripted_server.c
+++ b/tests/harness/scripted_server.c
@@ -11,6 +11,7 @@
 #define READ_BLOCK_BYTES 4096
 #define EVENTS_WAIT_MS   200
 #define BACKLOG          64
+#define BORN_MS          1000
 #define HEAD_END         "\r\n\r\n"
 
 struct scripted_server
@@ -118,16 +119,31 @@
 /* Appends the server's entry with the given state to the servers' list. */
 void
 scripted_server_put_entry (struct scripted_server *server, const char *state)
+{
+  scripted_server_put_entry_as (server, state, BORN_MS);
+}
+
+/* As scripted_server_put_entry(), for a server that says that it started at born_ms. */
+void
+scripted_server_put_entry_as (struct scripted_server *server, const char *state,
+                              int64_t born_ms)
 {
   g_autofree char *text = g_strdup_printf (
       "{\"service\":\"s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"version\":\"v1\","
-      "\"slots\":8,\"state\":\"%s\",\"seq-no\":17,\"born\":1000,"
-      "\"models\":[{\"name\":\"m\",\"version\":1}]}",
-      server->port, state);
+      "\"slots\":8,\"state\":\"%s\",\"seq-no\":17,"
+      "\"born\":%" G_GINT64_FORMAT ",\"models\":[{\"name\":\"m\",\"version\":1}]}",
+      server->port, state, born_ms);
 
   fake_platform_put_server_entry (server->platform, server->id, text);
 }
 
+/* Removes the server's entry from the servers' list. */
+void
+scripted_server_remove_entry (struct scripted_server *server)
+{
+  fake_platform_put_server_entry (server->platform, server->id, "");
+}
+
 /* Returns the number of requests that have arrived, without the router's own calls. */
 unsigned
 scripted_server_request_count (struct scripted_server *server)
--- a/tests/harness/scripted_server.h
+++ b/tests/harness/scripted_server.h
@@ -34,6 +34,9 @@
                                           scripted_handler *handler);
 void scripted_server_close_port (struct scripted_server *server);
 void scripted_server_put_entry (struct scripted_server *server, const char *state);
+void scripted_server_put_entry_as (struct scripted_server *server, const char *state,
+                                   int64_t born_ms);
+void scripted_server_remove_entry (struct scripted_server *server);
 unsigned scripted_server_request_count (struct scripted_server *server);
 int64_t scripted_server_request_us (struct scripted_server *server, unsigned number);
 bool scripted_server_is_stopping (struct scripted_server *server);
