Tests: a server is used once the VM has logged that it knows it

Cause: scripted_vm_start_server() and route_vm_set_up() said that the VM knew the servers, but only slept 400 and 200 ms.

Now both wait for the line of the log, up to the harness's timeout, and fail if it does not come. No check is changed.

--- a/tests/harness/route_vm.c
+++ b/tests/harness/route_vm.c
@@ -19,6 +19,7 @@
 #define DEFAULT_POLL_MS    100
 #define DEFAULT_MEMORY_MB  256
 
+static char *read_log (void);
 static char *write_settings (void);
 static void prepare (void);
 
@@ -161,6 +162,50 @@
   /* The VM reads the servers' list separately from the configuration and may not have it
      yet. */
   g_usleep (200 * G_TIME_SPAN_MILLISECOND);
+  for (unsigned i = 0; i < servers; i++)
+    route_vm_wait_server_added (fake_platform_server (route_vm.platform, i)->id, 0);
+}
+
+/* Returns the bytes that the VM has logged so far. */
+size_t
+route_vm_log_size (void)
+{
+  g_autofree char *text = read_log ();
+
+  return text != NULL ? strlen (text) : 0;
+}
+
+/* Waits until the VM has logged, after its first log_before bytes, that it knows the
+   server. Returns at once if its log is not a file of its folder. */
+void
+route_vm_wait_server_added (const char *id, size_t log_before)
+{
+  g_autofree char *line = g_strdup_printf ("\"change\":\"added\",\"server\":\"%s\"", id);
+  int64_t end = g_get_monotonic_time () + ROUTE_VM_TIMEOUT_MS * G_TIME_SPAN_MILLISECOND;
+
+  if (route_vm.log_path != NULL)
+    return;
+  while (g_get_monotonic_time () < end)
+    {
+      g_autofree char *text = read_log ();
+
+      if (text != NULL && strlen (text) > log_before
+          && strstr (text + log_before, line) != NULL)
+        return;
+      g_usleep (ROUTE_VM_SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  ck_abort_msg ("the VM did not learn of server %s", id);
+}
+
+/* Returns the VM's log, to be freed with g_free(), or NULL if there is none. */
+static char *
+read_log (void)
+{
+  g_autofree char *path = g_build_filename (route_vm.folder, "out.log", NULL);
+  char *text = NULL;
+
+  (void)g_file_get_contents (path, &text, NULL, NULL);
+  return text;
 }
 
 /* Gives the VM its folder and its ports. */
--- a/tests/harness/route_vm.h
+++ b/tests/harness/route_vm.h
@@ -34,6 +34,8 @@
 void route_vm_set_up (void);
 void route_vm_tear_down (void);
 void route_vm_set_up_servers (unsigned servers);
+size_t route_vm_log_size (void);
+void route_vm_wait_server_added (const char *id, size_t log_before);
 void route_vm_start (void);
 void route_vm_start_from (const char *path);
 void route_vm_add (struct route_vm *vm, const char *data_center);
--- a/tests/harness/scripted_vm.c
+++ b/tests/harness/scripted_vm.c
@@ -1,6 +1,6 @@
 #include "tests/harness/scripted_vm.h"
 
-#define SETTLE_MS 400 /* until the VM knows a new server */
+#define SETTLE_MS 400 /* for calls that the VM makes to a new server */
 
 static GPtrArray *servers; /* struct scripted_server */
 
@@ -28,10 +28,12 @@
 struct scripted_server *
 scripted_vm_start_server (const char *id, scripted_handler *handler, const void *user)
 {
+  size_t log_before = route_vm_log_size ();
   struct scripted_server *server
       = scripted_server_start (route_vm.platform, id, handler, (void *)user);
 
   g_ptr_array_add (servers, server);
   g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+  route_vm_wait_server_added (id, log_before);
   return server;
 }
