serve: a call is not sent a second time by libcurl

What callers saw: a call to a plain service without claims, or the first try of a prompt, that an engine ran before its kept connection closed was sent once more by libcurl. If the second sending was refused, the caller was told "not run", though it had run; if not, it ran twice for one try, past the retry budget.

Cause: the pool let libcurl repeat every call on a kept connection, and counted both as one. Why the fix works: libcurl calls back before each sending; a second one is refused unless the call says that it may be repeated (reads of load and events, cancelling a stream). The call ends as interrupted, so the retry policy decides and the request counts as possibly run. The rule stands once, in base/send_guard, which route's client uses too; its behaviour is unchanged.

--- a/src/backend/event_reader.c
+++ b/src/backend/event_reader.c
@@ -197,6 +197,7 @@
     .connect_timeout_ms = reader->timeout_ms,
     .total_timeout_ms = POLL_WAIT_MS + reader->timeout_ms,
     .reuse = true,
+    .may_repeat = true,
     .events = &fetch_events,
     .user = source,
   };
--- a/src/backend/fetch.c
+++ b/src/backend/fetch.c
@@ -8,6 +8,7 @@
 #include "backend/poller.h"
 #include "base/http_head.h"
 #include "base/ref.h"
+#include "base/send_guard.h"
 
 #define POLL_TIMEOUT_MS       50
 #define CONNECTION_CACHE_MAX  256 /* connections of one worker */
@@ -65,7 +66,7 @@
   int64_t idle_timeout_ms;
   int64_t total_timeout_ms;
   bool reuse;
-  bool connected; /* the server may have received part of the request */
+  struct kcp_send_guard guard;
   struct kcp_http_head head;
   const struct kcp_fetch_events *events;
   void *user;
@@ -131,9 +132,9 @@
 }
 
 /* Starts a call and returns a reference to it. All strings of the spec are copied. The
-   done callback runs exactly once, possibly before this function returns. Only a call
-   that is safe to execute twice may reuse a connection: libcurl resends a request on its
-   own if a reused connection closes before the first byte of the response. */
+   done callback runs exactly once, possibly before this function returns. A call is sent
+   once and ends as interrupted if a reused connection closes before the first byte of the
+   response; one that may_repeat is sent again by libcurl then. */
 struct kcp_fetch *
 kcp_fetch_start (struct kcp_fetch_pool *pool, const struct kcp_fetch_spec *spec)
 {
@@ -149,6 +150,7 @@
   fetch->idle_timeout_ms = spec->idle_timeout_ms;
   fetch->total_timeout_ms = spec->total_timeout_ms;
   fetch->reuse = spec->reuse;
+  fetch->guard.may_repeat = spec->may_repeat;
   fetch->events = spec->events;
   fetch->user = spec->user;
   fetch->headers = curl_slist_append (NULL, "Expect:");
@@ -424,12 +426,12 @@
     return KCP_FETCH_COMPLETE;
   if (fetch->aborted)
     return KCP_FETCH_CANCELLED;
-  if (!fetch->connected)
+  if (!fetch->guard.sent)
     return KCP_FETCH_CONNECT_FAILED;
   return rc == CURLE_OPERATION_TIMEDOUT ? KCP_FETCH_TIMED_OUT : KCP_FETCH_INTERRUPTED;
 }
 
-/* Called by libcurl when a connection is ready, before the request is sent. */
+/* Called by libcurl when a connection is ready, each time before the request is sent. */
 static int
 on_connected (void *user, char *address, char *own_address, int port, int own_port)
 {
@@ -439,7 +441,9 @@
   (void)own_address;
   (void)port;
   (void)own_port;
-  fetch->connected = true;
+  if (!kcp_send_guard_allows (&fetch->guard))
+    return CURL_PREREQFUNC_ABORT;
+  fetch->guard.sent = true;
   return CURL_PREREQFUNC_OK;
 }
 
--- a/src/backend/fetch.h
+++ b/src/backend/fetch.h
@@ -48,7 +48,8 @@
   int64_t connect_timeout_ms; /* for establishing the connection */
   int64_t idle_timeout_ms;    /* between two receptions of data; 0: none */
   int64_t total_timeout_ms;   /* for the whole call; 0: none */
-  bool reuse; /* allow an idle connection to be reused; see kcp_fetch_start() */
+  bool reuse;      /* allow an idle connection to be reused; see kcp_fetch_start() */
+  bool may_repeat; /* libcurl may send the call again by itself; see kcp_fetch_start() */
   const struct kcp_fetch_events *events;
   void *user;
 };
--- a/src/backend/load_poller.c
+++ b/src/backend/load_poller.c
@@ -141,6 +141,7 @@
     .connect_timeout_ms = poller->timeout_ms,
     .total_timeout_ms = poller->timeout_ms,
     .reuse = true,
+    .may_repeat = true,
     .events = &events,
     .user = poll,
   };
--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -8,6 +8,7 @@
 
 #include "base/counter.h"
 #include "base/decision_log.h"
+#include "base/send_guard.h"
 #include "forward/http_sockets.h"
 
 #define CONNECTION_CACHE  1024L       /* connections kept for reuse */
@@ -34,14 +35,11 @@
   struct kcp_str body;
   size_t body_sent;
   int64_t ack_timeout_ms;
-  /* A connection was established, so the server may have received a byte. */
-  bool connected;
-  int own_port;             /* of the connection on which it was sent; 0: not sent */
-  bool kept_from_repeating; /* libcurl would have sent it again by itself */
-  int new_fd;               /* socket that was created for this call; -1: none */
+  struct kcp_send_guard guard;
+  int own_port; /* of the connection on which it was sent; 0: not sent */
+  int new_fd;   /* socket that was created for this call; -1: none */
   bool unclean; /* the connection to be used again has bytes that no request asked for */
   bool moved;   /* to a new connection, since that one was unclean */
-  bool may_repeat;
   struct kcp_http_head head;
   size_t body_bytes;
   size_t max_body_bytes; /* 0: not limited here */
@@ -135,7 +133,7 @@
   call->headers = spec->headers;
   call->body = spec->body;
   call->ack_timeout_ms = spec->ack_timeout_ms;
-  call->may_repeat = spec->may_repeat;
+  call->guard.may_repeat = spec->may_repeat;
   call->max_body_bytes = spec->max_body_bytes;
   call->head_began = spec->head_began;
   call->head_ended = spec->head_ended;
@@ -260,11 +258,11 @@
     record_cut_head (call);
   curl_easy_getinfo (call->curl, CURLINFO_NUM_CONNECTS, &new_connections);
   curl_easy_getinfo (call->curl, CURLINFO_OS_ERRNO, &error);
-  result.reused = call->connected && new_connections == 0;
+  result.reused = call->guard.sent && new_connections == 0;
   result.refused = code == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
   result.own_port = call->own_port;
   result.body_sent = call->body_sent;
-  result.kept_from_repeating = call->kept_from_repeating;
+  result.kept_from_repeating = call->guard.prevented;
   if (call->limit != NULL)
     record_limit (call);
   g_strlcpy (reason, call->error[0] != '\0' ? call->error : curl_easy_strerror (code),
@@ -311,7 +309,7 @@
 {
   if (code == CURLE_OK && call->head.complete)
     return KCP_HTTP_COMPLETE;
-  if (!call->connected)
+  if (!call->guard.sent)
     return KCP_HTTP_UNSENT;
   return code == CURLE_OPERATION_TIMEDOUT ? KCP_HTTP_TIMED_OUT : KCP_HTTP_INTERRUPTED;
 }
@@ -412,18 +410,14 @@
       = { .address = address, .port = port, .own_port = own_port };
 
   (void)own_address;
-  if (call->connected && !call->may_repeat)
-    {
-      call->kept_from_repeating = true;
-      kcp_counter_add (KCP_COUNT_REPEATS_PREVENTED, 1);
-      return CURL_PREREQFUNC_ABORT;
-    }
+  if (!kcp_send_guard_allows (&call->guard))
+    return CURL_PREREQFUNC_ABORT;
   if (!is_usable (call, &connection))
     {
       call->unclean = true;
       return CURL_PREREQFUNC_ABORT;
     }
-  call->connected = true;
+  call->guard.sent = true;
   call->own_port = own_port;
   return CURL_PREREQFUNC_OK;
 }
@@ -443,7 +437,7 @@
       call->new_fd = -1;
       return true;
     }
-  return call->moved || call->connected
+  return call->moved || call->guard.sent
          || kcp_http_sockets_are_quiet (sockets, connection);
 }
 
--- a/src/request/attempt_stream.c
+++ b/src/request/attempt_stream.c
@@ -124,6 +124,7 @@
     .connect_timeout_ms = router->settings->backends_connect_timeout_ms,
     .total_timeout_ms = router->settings->backends_idle_timeout_ms,
     .reuse = true,
+    .may_repeat = true,
     .events = &ignored_events,
   };
 
