serve: an append that the log made is neither made again nor reported as not made

What callers saw: a publication or booking record whose kept connection closed before the log's answer was appended a second time by libcurl, or answered "not run" though the log had it, when the second sending was refused or found the port closed.

Cause: libcurl repeated POSTs on kept connections, and CURLE_COULDNT_CONNECT, which it reports for the second connection, was taken as proof that nothing had been sent on the first. Why the fix works: only reads may be repeated by libcurl; for all other calls the send guard refuses the second sending. "Not run" needs that no connection was ever ready for the call. Callers of the log handle an unknown outcome already: a publication waits until it is read back under its id.

--- a/src/logstore/http_call.c
+++ b/src/logstore/http_call.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/http_head.h"
+#include "base/send_guard.h"
 #include "base/str.h"
 
 #define STEP           "http_call"
@@ -21,7 +22,10 @@
 static CURL *thread_handle (void);
 static void create_handle_key (void);
 static void free_handle (void *handle);
+static bool is_read (const struct kcp_http_call *call);
 static struct curl_slist *make_headers (const struct kcp_http_call *call);
+static int
+on_connected (void *user, char *address, char *own_address, int port, int own_port);
 static size_t append_body (char *data, size_t size, size_t count, void *user);
 static size_t read_header (char *data, size_t size, size_t count, void *user);
 
@@ -30,9 +34,9 @@
 
 /* Runs a call, with a connection pool for each calling thread. Returns true if an HTTP
    answer of any status arrived; its head has to be whole. Otherwise sets an error and
-   returns false. The execution of the error is not_run if libcurl reports
-   CURLE_COULDNT_CONNECT, and unknown after any other failure, as the request may have
-   reached the server. */
+   returns false. The execution of the error is not_run if no connection was made, and
+   unknown after any other failure, as the request may have reached the server. A call
+   that is no read is sent once, even if a kept connection closes before its answer. */
 bool
 kcp_http_call_run (const struct kcp_http_call *call, struct kcp_http_answer *answer,
                    struct kcp_error *error)
@@ -42,6 +46,7 @@
   char *text = call->body != NULL ? json_dumps (call->body, JSON_COMPACT) : NULL;
   CURL *curl = thread_handle ();
   struct reception reception = { .answer = answer };
+  struct kcp_send_guard guard = { .may_repeat = is_read (call) };
   const char *problem = NULL;
   CURLcode rc;
 
@@ -56,6 +61,8 @@
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, body);
   curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, read_header);
   curl_easy_setopt (curl, CURLOPT_HEADERDATA, &reception);
+  curl_easy_setopt (curl, CURLOPT_PREREQFUNCTION, on_connected);
+  curl_easy_setopt (curl, CURLOPT_PREREQDATA, &guard);
   if (call->method != NULL)
     curl_easy_setopt (curl, CURLOPT_CUSTOMREQUEST, call->method);
   if (text != NULL)
@@ -77,7 +84,7 @@
     {
       kcp_error_set (error, KCP_ERR_PLATFORM, STEP, call->url, "%s", problem);
       answer->etag[0] = '\0';
-      if (error != NULL && rc != CURLE_COULDNT_CONNECT)
+      if (error != NULL && (guard.sent || rc != CURLE_COULDNT_CONNECT))
         error->execution = KCP_EXECUTION_UNKNOWN;
     }
   curl_slist_free_all (headers);
@@ -121,6 +128,28 @@
   curl_easy_cleanup (handle);
 }
 
+static bool
+is_read (const struct kcp_http_call *call)
+{
+  return call->method == NULL || strcmp (call->method, "GET") == 0;
+}
+
+/* Called by libcurl when a connection is ready, each time before the request is sent. */
+static int
+on_connected (void *user, char *address, char *own_address, int port, int own_port)
+{
+  struct kcp_send_guard *guard = user;
+
+  (void)address;
+  (void)own_address;
+  (void)port;
+  (void)own_port;
+  if (!kcp_send_guard_allows (guard))
+    return CURL_PREREQFUNC_ABORT;
+  guard->sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
 static struct curl_slist *
 make_headers (const struct kcp_http_call *call)
 {
--- a/tests/unit/test_lost_connections.c
+++ b/tests/unit/test_lost_connections.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "backend/fetch.h"
+#include "logstore/http_call.h"
 #include "tests/harness/run_suite.h"
 
 #define TIMEOUT_MS  2000
@@ -25,6 +26,7 @@
   int listener;
   int port;
   GThread *thread;
+  bool ends;         /* it refuses connections from the loss on */
   unsigned requests; /* that have arrived */
 };
 
@@ -65,6 +67,8 @@
       unsigned number = __atomic_fetch_add (&loser.requests, 1, __ATOMIC_SEQ_CST);
       const char *text = number == 0 ? ANSWER : REFUSAL;
 
+      if (number == 1 && loser.ends)
+        (void)shutdown (loser.listener, SHUT_RDWR);
       if (number == 1)
         return;
       (void)send (fd, text, strlen (text), MSG_NOSIGNAL);
@@ -188,6 +192,50 @@
 }
 END_TEST
 
+static bool
+call_once (const char *method, struct kcp_http_answer *received, struct kcp_error *error)
+{
+  g_autofree char *url = g_strdup_printf ("http://127.0.0.1:%d/", loser.port);
+  json_t *body = method != NULL ? json_object () : NULL;
+  bool answered = kcp_http_call_run (
+      &(struct kcp_http_call){
+          .method = method, .url = url, .body = body, .timeout_ms = TIMEOUT_MS },
+      received, error);
+
+  json_decref (body);
+  return answered;
+}
+
+/* Guards against an append that was made being reported as not made, and against a second
+   one: by the answer to what libcurl has sent again, or by the server being gone then. */
+START_TEST (test_lost_append_is_made_again_or_reported_as_not_made)
+{
+  struct kcp_http_answer received = { 0 };
+  struct kcp_error error = { 0 };
+
+  loser.ends = _i == 1;
+  ck_assert (call_once ("POST", &received, &error));
+  ck_assert_int_eq (received.status, 200);
+  kcp_http_answer_clear (&received);
+  ck_assert (!call_once ("POST", &received, &error));
+  ck_assert_int_eq (error.execution, KCP_EXECUTION_UNKNOWN);
+  ck_assert_uint_eq (request_count (), 2);
+}
+END_TEST
+
+START_TEST (test_read_survives_a_lost_connection)
+{
+  struct kcp_http_answer received = { 0 };
+  struct kcp_error error = { 0 };
+
+  ck_assert (call_once (NULL, &received, &error));
+  kcp_http_answer_clear (&received);
+  ck_assert (call_once (NULL, &received, &error));
+  ck_assert_int_eq (received.status, 503);
+  kcp_http_answer_clear (&received);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -197,6 +245,9 @@
   tcase_add_checked_fixture (cases, set_up, NULL);
   tcase_add_test (cases, test_lost_call_is_sent_again_and_reported_as_refused);
   tcase_add_test (cases, test_call_that_may_be_repeated_survives_a_lost_connection);
+  tcase_add_loop_test (cases, test_lost_append_is_made_again_or_reported_as_not_made, 0,
+                       2);
+  tcase_add_test (cases, test_read_survives_a_lost_connection);
   suite_add_tcase (suite, cases);
   return run_suite (suite);
 }
