ORDER: the end of a killed server's connection is not the end of its answer

What callers saw: a server writes events, or half of a body, without a length or chunks, and is killed; the caller gets 200 that ends as complete. A resumable stream did not go on at another server, and an idempotent request was not sent again.

Cause: the kernel closes the connections of a killed process in order unless bytes are unread. An answer that ends with its connection then looks whole, and was taken for it as long as it did not end within an event.

Fix: such an answer counts as whole only once its server, asked for its report after the close, has answered as the same process. All threads of a killed process have ended before its connections are closed, so whoever answers a call that was sent after the close is alive, and the call names the instance and compares the time of its start. Against it: the address refuses connections, another instance or start answers, or the list names a later process there. A server that is late, answers the call with an error (503) or resets it at first lives; the whole answer arrives. If nothing is known after 2 s, or at the deadline, the answer is not whole: a resumable stream goes on elsewhere and an idempotent request is sent again, as after a broken connection; for the others a failure is better than a part taken for the whole. Events are passed on without delay; only the end waits.

The call is made only for answers that end with their connection. An error answer without the time of the start from a new process with the old id at the old address would still be believed: nothing in it tells the two apart.

Log line end_checked; counters ends_checked and ends_not_believed.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -49,6 +49,10 @@
   = { "blocked", "Requests ended because copies of them crashed servers" },
   [KCP_COUNT_CUT_HEADS]
   = { "cut_heads", "Answers whose connection ended within the head" },
+  [KCP_COUNT_ENDS_CHECKED]
+  = { "ends_checked", "Answers without a length whose server was asked after the end" },
+  [KCP_COUNT_ENDS_NOT_BELIEVED]
+  = { "ends_not_believed", "Those whose server had not outlived the answer" },
   [KCP_COUNT_ANSWERS_TOO_LARGE]
   = { "answers_too_large", "Answers ended because they exceed a limit in bytes" },
   [KCP_COUNT_SERVER_BACKOFFS]
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -102,7 +102,8 @@
 /* A server's report on its state. */
 struct kcp_server_report
 {
-  bool busy; /* an order is in progress */
+  bool busy;          /* an order is in progress */
+  int64_t started_ms; /* Unix time at which the server started; 0: it does not say */
   int64_t orders_taken;
   int64_t waiting; /* requests in its queue */
   int64_t running; /* requests that it is running */
@@ -229,7 +230,8 @@
   bool (*status_is_not_run) (long status);
   void (*write_order) (const struct kcp_order *order, struct kcp_control_call *call);
   enum kcp_order_answer (*read_order_answer) (long status);
-  void (*write_report_call) (struct kcp_control_call *call);
+  /* server_id: every other server refuses the call; NULL: any answers. */
+  void (*write_report_call) (const char *server_id, struct kcp_control_call *call);
   bool (*read_report) (struct kcp_str body, struct kcp_server_report *report);
   /* Stores the path, which the caller frees, in path as well as in call. */
   void (*write_events_call) (int64_t since, int64_t wait_ms,
--- /dev/null
+++ b/src/forward/end_check.h
@@ -0,0 +1,27 @@
+/* Finds out whether the process of a server has outlived an answer that ended with its
+   connection: asks the server for its report. Used on the event loop's thread only. */
+#ifndef KCP_FORWARD_END_CHECK_H
+#define KCP_FORWARD_END_CHECK_H
+
+#include "forward/gateway.h"
+#include "policy/answer_end.h"
+
+/* How a check ended. */
+struct kcp_end_check_result
+{
+  struct kcp_end_verdict end; /* never KCP_ANSWER_END_ASK_AGAIN */
+  unsigned calls;
+  int64_t waited_ms;
+  int64_t evidence_ms; /* from the answer's end until the call that decided was sent */
+};
+
+typedef void kcp_end_check_done (void *user, const struct kcp_end_check_result *result);
+
+struct kcp_end_check;
+
+struct kcp_end_check *
+kcp_end_check_start (struct kcp_gateway *gateway, struct kcp_server *server,
+                     kcp_end_check_done *done, void *user);
+void kcp_end_check_cancel (struct kcp_end_check *check);
+
+#endif
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -334,7 +334,6 @@
   struct kcp_forward *forward = user;
   struct kcp_attempt *attempt = &forward->attempt;
   struct kcp_http_result result = check_stream_end (forward, *http_result);
-  enum kcp_attempt_end end;
 
   attempt->call = NULL;
   if (result.status == 0)
@@ -347,6 +346,18 @@
     kcp_server_update_version (attempt->server, forward->inbound->model,
                                attempt->head.weights,
                                kcp_loop_now (forward->gateway->loop));
+  if (!kcp_forward_check_end (forward, &result))
+    kcp_forward_conclude (forward, &result);
+}
+
+/* Acts on an attempt that has ended: relays its answer, or goes on without it. */
+void
+kcp_forward_conclude (struct kcp_forward *forward, const struct kcp_http_result *ended)
+{
+  const struct kcp_attempt *attempt = &forward->attempt;
+  struct kcp_http_result result = *ended;
+  enum kcp_attempt_end end;
+
   if (finish_complete (forward, &result))
     return;
   end = classify (forward, &result);
@@ -533,6 +544,7 @@
       kcp_forward_watch_server (forward, KCP_CRASH_WATCH_PASSIVE);
       kcp_http_cancel (attempt->call);
     }
+  kcp_end_check_cancel (attempt->end_check);
   attempt->server->in_flight--;
   attempt->server->prefill_tokens_pending -= attempt->prefill_tokens_pending;
   clear_attempt (attempt);
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -3,6 +3,7 @@
 #define KCP_FORWARD_FORWARD_PRIVATE_H
 
 #include "forward/choose.h"
+#include "forward/end_check.h"
 #include "forward/event_framer.h"
 #include "forward/forward.h"
 #include "forward/resume_lookup.h"
@@ -11,8 +12,10 @@
 /* One dispatch of the request to one server. */
 struct kcp_attempt
 {
-  struct kcp_http_call *call; /* NULL: not in progress */
-  struct kcp_server *server;  /* a reference; NULL: there is no attempt */
+  struct kcp_http_call *call;       /* NULL: not in progress */
+  struct kcp_end_check *end_check;  /* of the answer, which has ended; NULL: none */
+  struct kcp_http_result unchecked; /* how it ended, while that is being checked */
+  struct kcp_server *server;        /* a reference; NULL: there is no attempt */
   struct kcp_answer_head head;
   GPtrArray *headers;            /* of the answer: name, value, ... */
   GString *buffered_body;        /* body of an answer that is not streamed */
@@ -59,8 +62,14 @@
 /* forward_attempt.c */
 void kcp_forward_start_attempt (struct kcp_forward *forward);
 int64_t kcp_forward_remaining_ms (const struct kcp_forward *forward);
+void
+kcp_forward_conclude (struct kcp_forward *forward, const struct kcp_http_result *result);
 void kcp_forward_end_attempt (struct kcp_forward *forward);
 
+/* forward_unframed.c */
+bool
+kcp_forward_check_end (struct kcp_forward *forward, const struct kcp_http_result *result);
+
 /* forward_crash.c */
 void kcp_forward_watch_for_crash (struct kcp_forward *forward, enum kcp_attempt_end end,
                                   const struct kcp_http_result *result);
--- a/src/forward/rollout_order.c
+++ b/src/forward/rollout_order.c
@@ -183,7 +183,7 @@
       return;
     }
   kcp_server_limit_take (&order->server->limit, kcp_loop_now (gateway->loop));
-  gateway->dialect->write_report_call (&order->control_call);
+  gateway->dialect->write_report_call (NULL, &order->control_call);
   g_string_truncate (order->body, 0);
   order->call = kcp_http_start (gateway->client,
                                 &(struct kcp_http_spec){
