--- a/tests/harness/process_server.c
+++ b/tests/harness/process_server.c
@@ -19,6 +19,8 @@
 #define NEXT_START_MS   2000
 #define REPORT_DELAY_MS 300
 #define RESETS          3u
+#define REFUSAL                                                                          \
+  "HTTP/1.1 421 Misdirected Request\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 
 struct connection
 {
@@ -83,8 +85,9 @@
   if (script->end == PROCESS_SERVER_RESTARTS || script->end == PROCESS_SERVER_IS_REPLACED)
     {
       process->follows = true;
-      process->start_ms = NEXT_START_MS;
-      if (script->end == PROCESS_SERVER_IS_REPLACED)
+      if (script->end == PROCESS_SERVER_RESTARTS)
+        process->start_ms = NEXT_START_MS;
+      else
         (void)snprintf (process->id, sizeof process->id, "%s-next", id);
       server.successor = fork_process (
           process, life[0], (int[]){ process->listener, requests[1], life[0], -1 });
@@ -239,8 +242,7 @@
   (void)write (process->requests, "", 1);
   if (is_for_other_instance (process, connection->received))
     {
-      write_text (connection->fd, "HTTP/1.1 421 Misdirected Request\r\n"
-                                  "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+      write_text (connection->fd, REFUSAL);
       return;
     }
   copy_header (connection->received, "\r\nRequest-Id: ", id, sizeof id);
@@ -262,6 +264,11 @@
   const char *body = "{\"boot-epoch\":1,\"next\":0,\"lost\":false,\"events\":[]}";
   char text[256];
 
+  if (is_for_other_instance (process, connection->received))
+    {
+      write_text (connection->fd, REFUSAL);
+      return;
+    }
   if (strstr (connection->received, "/report") != NULL)
     {
       answer_report (process, connection);
--- a/tests/harness/process_server.h
+++ b/tests/harness/process_server.h
@@ -14,8 +14,10 @@
 {
   PROCESS_SERVER_CLOSES,    /* the connection, and lives on */
   PROCESS_SERVER_IS_KILLED, /* by SIGKILL */
-  PROCESS_SERVER_RESTARTS,  /* killed; the next process has its id and its port at once */
-  PROCESS_SERVER_IS_REPLACED /* killed; the next process has its port and another id */
+  /* Killed; the next process has its port and its id at once, but started later. */
+  PROCESS_SERVER_RESTARTS,
+  /* Killed; the next process has its port at once, and another id. */
+  PROCESS_SERVER_IS_REPLACED
 };
 
 /* How it answers the router's calls for its report. */
