ORDER: a resumed stream does not bring the caller events that it has

What callers saw: a caller resumes a stream with the id of its last event, the server begins again at the first one, and the caller gets events twice. Where the VM itself resumes, such events were dropped already.

Cause: the event framer knew only the events that this answer had passed on.

Fix: for a stream that may be resumed, the framer starts after the caller's last event, so that events up to it are dropped. A server that goes on where it is asked to, as the protocol has it, is not affected.

--- a/src/forward/event_framer.c
+++ b/src/forward/event_framer.c
@@ -29,6 +29,13 @@
   framer->resumed = false;
 }
 
+/* Has a stream go on after the event with this id: the caller has the events up to it. */
+void
+kcp_event_framer_start_after (struct kcp_event_framer *framer, const char *id)
+{
+  g_string_assign (framer->last_id, id);
+}
+
 /* Frees the contents of the framer. */
 void
 kcp_event_framer_clear (struct kcp_event_framer *framer)
--- a/src/forward/event_framer.h
+++ b/src/forward/event_framer.h
@@ -27,6 +27,7 @@
 };
 
 void kcp_event_framer_init (struct kcp_event_framer *framer);
+void kcp_event_framer_start_after (struct kcp_event_framer *framer, const char *id);
 void kcp_event_framer_clear (struct kcp_event_framer *framer);
 enum kcp_event_framer_result kcp_event_framer_feed (struct kcp_event_framer *framer,
                                                     struct kcp_str bytes, GString *out);
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -50,6 +50,7 @@
       set_fingerprint (forward);
       set_part_fingerprints (forward);
       set_deadline (forward);
+      kcp_forward_skip_known_events (forward);
       kcp_resend_budget_add_request (
           kcp_gateway_retry_budget (gateway, forward->choice.service),
           forward->arrived_ns);
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -97,6 +97,7 @@
 
 /* forward_resume.c */
 bool kcp_forward_look_up_version (struct kcp_forward *forward);
+void kcp_forward_skip_known_events (struct kcp_forward *forward);
 bool kcp_forward_is_resumed (const struct kcp_forward *forward);
 void kcp_forward_note_sent (struct kcp_forward *forward);
 void kcp_forward_bind_version (struct kcp_forward *forward);
--- a/src/forward/forward_resume.c
+++ b/src/forward/forward_resume.c
@@ -24,6 +24,17 @@
   return true;
 }
 
+/* If the caller resumes a stream, has the events dropped that it says it has. A server
+   may send them again. */
+void
+kcp_forward_skip_known_events (struct kcp_forward *forward)
+{
+  const char *after = forward->inbound->resume_after;
+
+  if (after != NULL && kcp_forward_is_resumed (forward))
+    kcp_event_framer_start_after (&forward->framer, after);
+}
+
 /* Returns true if the caller resumes a stream of which it has events. */
 bool
 kcp_forward_is_resumed (const struct kcp_forward *forward)
