Answers that end together share the question whether their server lives

What callers would see: many answers without a length end together at one server; each asked for a report of its own, on connections that a server has few of, and one that is slow to report does not answer all of them in time: whole answers become 502 or 504.

Fix: one call at a time goes to a server, and decides for all answers that had ended when it was sent; those that end later have the next one.

--- a/src/forward/end_check.h
+++ b/src/forward/end_check.h
@@ -1,5 +1,8 @@
 /* Finds out whether the process of a server has outlived an answer that ended with its
-   connection: asks the server for its report. Used on the event loop's thread only. */
+   connection: asks the server for its report. One call at a time is sent to a server, and
+   decides for all answers that had ended by then. A check waits for a call that is in
+   progress, and then for its own, each KCP_ANSWER_END_MAX_WAIT_NS at most. Used on the
+   event loop's thread only. */
 #ifndef KCP_FORWARD_END_CHECK_H
 #define KCP_FORWARD_END_CHECK_H
 
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -43,6 +43,8 @@
   int64_t sent_ns;
 };
 
+struct kcp_end_asker;
+
 struct kcp_server
 {
   struct kcp_server_entry entry;
@@ -58,8 +60,9 @@
   struct kcp_server_limit limit;  /* requests that it takes from all VMs together */
   struct kcp_own_needs own_needs; /* by which this VM has a share of it */
   int64_t limit_shared_ns;        /* when that share was last computed */
-  int64_t leaving_since_ns;     /* when an answer said that it is leaving; 0: none has */
-  int64_t last_answer_ns;       /* when its newest part of an answer arrived; 0: never */
+  int64_t leaving_since_ns; /* when an answer said that it is leaving; 0: none has */
+  int64_t last_answer_ns;   /* when its newest part of an answer arrived; 0: never */
+  struct kcp_end_asker *end_asker; /* of forward/end_check.h; NULL: none */
   int64_t probe_after_ns;       /* it is not probed before; see forward/crash_watch.h */
   int64_t loading_until_ns;     /* it counts as loading new weights until then */
   int64_t own_loading_until_ns; /* the same, for an order of this VM */
--- a/src/policy/answer_end.h
+++ b/src/policy/answer_end.h
@@ -16,7 +16,8 @@
 
 #include "base/clock.h"
 
-/* An end counts as not whole if nothing has confirmed it for this long. */
+/* An end counts as not whole if nothing has confirmed it this long after the first call.
+ */
 #define KCP_ANSWER_END_MAX_WAIT_NS (2 * KCP_NS_PER_S)
 
 /* What is known of the server since the connection was closed. */
@@ -28,7 +29,7 @@
   bool other_instance;       /* it answered that it is another instance */
   int64_t expected_start_ms; /* of the process that wrote the answer; 0: not known */
   int64_t reported_start_ms; /* of the one that answered the call; 0: it does not say */
-  int64_t waited_ns;         /* since the connection was closed */
+  int64_t waited_ns;         /* since the first call after the connection was closed */
 };
 
 enum kcp_answer_end_decision
--- a/tests/process/test_killed_servers.c
+++ b/tests/process/test_killed_servers.c
@@ -13,6 +13,7 @@
 
 #define SETTLE_MS     400 /* until the VM knows a server or a configuration */
 #define SOON_MS       1000
+#define TOGETHER      16
 #define SERVERS_MAX   2
 #define REQUESTS_MAX  12
 #define EVENT_1       "id: 1\ndata: piece 1\n\n"
@@ -262,6 +263,37 @@
 }
 END_TEST
 
+static void *
+send_once (void *user)
+{
+  struct raw_answer *answer = user;
+
+  *answer = route_vm_send ("POST", "/once/x", "", "in");
+  return NULL;
+}
+
+/* Many answers end together at a server that is slow to say that it lives. */
+START_TEST (test_whole_answers_that_end_together_arrive_from_a_slow_server)
+{
+  struct process_server_script script = text_script (WHOLE_BODY, PROCESS_SERVER_CLOSES);
+  struct raw_answer answers[TOGETHER];
+  GThread *threads[TOGETHER];
+
+  script.reports = PROCESS_SERVER_REPORTS_LATE;
+  (void)start_server ("i-1", &script);
+  for (unsigned i = 0; i < TOGETHER; i++)
+    threads[i] = g_thread_new ("once", send_once, &answers[i]);
+  for (unsigned i = 0; i < TOGETHER; i++)
+    g_thread_join (threads[i]);
+  for (unsigned i = 0; i < TOGETHER; i++)
+    {
+      ck_assert_int_eq (route_vm_status (&answers[i]), 200);
+      ck_assert_ptr_nonnull (strstr (answers[i].text->str, WHOLE_BODY));
+      raw_answer_clear (&answers[i]);
+    }
+}
+END_TEST
+
 /* Nothing shows that the server lives: the end comes, and it is not complete. */
 START_TEST (test_stream_of_a_silent_server_does_not_end_as_complete)
 {
@@ -362,6 +394,7 @@
                        G_N_ELEMENTS (paths));
   tcase_add_loop_test (cases, test_whole_answer_of_a_busy_server_arrives, 0,
                        3 * G_N_ELEMENTS (paths));
+  tcase_add_test (cases, test_whole_answers_that_end_together_arrive_from_a_slow_server);
   tcase_add_test (cases, test_stream_of_a_silent_server_does_not_end_as_complete);
   tcase_add_test (cases, test_deadline_passes_while_an_end_is_checked);
   tcase_add_test (cases, test_caller_leaves_while_an_end_is_checked);
