A request is not repeated once its route runs requests once

What callers saw: a route changes from idempotent to non_idempotent while a request is in progress. The VM has the new configuration, its server loses the request that it ran, and the VM sends it to another server: it runs twice.

Cause: the resend policy asked the route of the configuration at the request's start. Why the fix works: a repeat needs that neither that route nor the newest one of the request's path runs once. Attempts that did not run are sent on as before.

The test of a server that is listed again told connections apart by their descriptors. That the descriptor was the reason is likely, not shown. The test of a stream that was given up waits for the server to note its close.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -274,10 +274,18 @@
 }
 
 /* Returns how the request may be repeated after an attempt. A stream with events without
-   ids cannot go on elsewhere: no server could tell which of them the caller has. */
+   ids cannot go on elsewhere: no server could tell which of them the caller has. Nor may
+   a request be repeated whose route runs it once by now. */
 static enum kcp_repeat
 repeat_after (const struct kcp_forward *forward, enum kcp_attempt_end end)
 {
+  const struct kcp_inbound *inbound = forward->inbound;
+  const struct kcp_route *newest
+      = kcp_routes_find (forward->gateway->routes, kcp_str_from_c (inbound->host),
+                         kcp_str_from_c (inbound->target));
+
+  if (newest != NULL && newest->repeat == KCP_REPEAT_ONCE)
+    return KCP_REPEAT_ONCE;
   if (end == KCP_ATTEMPT_INTERRUPTED && forward->framer.unnumbered > 0)
     return KCP_REPEAT_ONCE;
   return forward->choice.route->repeat;
--- a/tests/harness/scripted_server.c
+++ b/tests/harness/scripted_server.c
@@ -27,6 +27,7 @@
   pthread_mutex_t lock; /* guards the members below */
   bool stopping;
   GPtrArray *threads; /* GThread, one for each connection */
+  unsigned connections;
   GArray *open;       /* int, descriptors of the open connections */
   GArray *request_us; /* int64_t, monotonic times at which requests arrived */
 };
@@ -35,6 +36,7 @@
 {
   struct scripted_server *server;
   int fd;
+  unsigned number;
   GString *received; /* bytes that no request has used yet */
 };
 
@@ -240,6 +242,7 @@
       connection->fd = fd;
       connection->received = g_string_new (NULL);
       pthread_mutex_lock (&server->lock);
+      connection->number = server->connections++;
       g_array_append_val (server->open, fd);
       if (server->stopping)
         (void)shutdown (fd, SHUT_RDWR);
@@ -269,7 +272,8 @@
 {
   struct scripted_server *server = connection->server;
   g_autoptr (GString) head = g_string_new (NULL);
-  struct scripted_request request = { .server = server, .fd = connection->fd };
+  struct scripted_request request
+      = { .server = server, .fd = connection->fd, .connection = connection->number };
 
   if (!receive_request (connection, head))
     return false;
--- a/tests/harness/scripted_server.h
+++ b/tests/harness/scripted_server.h
@@ -16,10 +16,11 @@
 {
   struct scripted_server *server;
   int fd;
-  unsigned number;   /* of the server's requests, counted from 0 */
-  char *id;          /* Request-Id, or NULL */
-  char *after_event; /* Last-Event-Id, or NULL */
-  bool keep_open;    /* set by the handler: another request may follow */
+  unsigned connection; /* of the server's connections, counted from 0 */
+  unsigned number;     /* of the server's requests, counted from 0 */
+  char *id;            /* Request-Id, or NULL */
+  char *after_event;   /* Last-Event-Id, or NULL */
+  bool keep_open;      /* set by the handler: another request may follow */
 };
 
 /* Answers a request on the connection's thread. The connection is closed in order when it
--- a/tests/process/test_refused_requests.c
+++ b/tests/process/test_refused_requests.c
@@ -1,7 +1,9 @@
 /* Requests that must run once: none is answered as not run after it has run, or before it
    runs, and none runs twice. The servers lose connections, refuse late, and are listed
    again. */
+#include <arpa/inet.h>
 #include <check.h>
+#include <netinet/in.h>
 #include <poll.h>
 #include <pthread.h>
 #include <signal.h>
@@ -12,24 +14,36 @@
 #include "tests/harness/run_suite.h"
 #include "tests/harness/scripted_vm.h"
 
-#define RUN_MS           30
-#define LATE_MS          150  /* after an answer, within which a request might run */
-#define LATER_MS         2000 /* start of a process after that of the first one */
-#define RELIST_MS        600  /* until an entry that was put again is known */
-#define WAIT_CLOSE_MS    3000 /* of a server whose stream was given up */
-#define STILL_AT_WORK_MS 400  /* a stream may be at two servers for less */
-#define LONG_EVENT_BYTES (8u << 20)
-#define OK_ANSWER_LINES  "Content-Length: 2\r\n"
-#define STREAM_LINES     "Content-Type: text/event-stream\r\n"
-#define WARM_PREFIX      "warm"
+#define RUN_MS             30
+#define LATE_MS            150  /* after an answer, within which a request might run */
+#define LATER_MS           2000 /* start of a process after that of the first one */
+#define RELIST_MS          600  /* until an entry that was put again is known */
+#define WAIT_CLOSE_MS      3000 /* of a server whose stream was given up */
+#define STILL_AT_WORK_MS   400  /* a stream may be at two servers for less */
+#define LONG_EVENT_BYTES   (8u << 20)
+#define OK_ANSWER_LINES    "Content-Length: 2\r\n"
+#define STREAM_LINES       "Content-Type: text/event-stream\r\n"
+#define LONG_BODY_BYTES    (7u << 20) /* more than sockets hold */
+#define SMALL_BUFFER_BYTES 2048
+#define BLOCK_BYTES        4096
+
+#define BACKLOG         16
+#define WAITING_CALLERS 12u
+#define DRAIN_ROUNDS    8u
+#define EARLY_REFUSAL                                                                    \
+  "HTTP/1.1 503 Unavailable\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"                    \
+  "Content-Length: 0\r\n\r\n"
+#define REPEATABLE     "\"idempotent\""
+#define VERSION_BEFORE "\"version\":7"
+#define WARM_PREFIX    "warm"
 
 /* What happened to the request under test. */
 struct history
 {
   unsigned arrivals;
   unsigned runs;
-  int kept_fd;    /* the connection of the request before, at the server */
-  int arrived_fd; /* that of its first arrival */
+  int kept;    /* connection of the request before, at the server */
+  int arrived; /* connection of its first arrival */
   int64_t closed_us;
   struct scripted_server *first; /* at which it arrived first */
 };
@@ -42,6 +56,9 @@
       "{\"name\":\"once\",\"host\":\"h\",\"path-prefix\":\"/once/\","
       "\"route-type\":\"non_idempotent\",\"timeout-ms\":3000,\"max-attempts\":1,"
       "\"service\":\"s\"},"
+      "{\"name\":\"again\",\"host\":\"h\",\"path-prefix\":\"/again/\","
+      "\"route-type\":\"idempotent\",\"timeout-ms\":3000,\"max-attempts\":2,"
+      "\"service\":\"s\"},"
       "{\"name\":\"whole\",\"host\":\"h\",\"path-prefix\":\"/whole/\","
       "\"route-type\":\"streaming\",\"resumable\":false,\"timeout-ms\":3000,"
       "\"max-attempts\":2,\"service\":\"s\"},"
@@ -49,13 +66,13 @@
       "\"route-type\":\"streaming\",\"resumable\":true,\"timeout-ms\":3000,"
       "\"max-attempts\":2,\"service\":\"s\"}],"
       "\"services\":[{\"name\":\"s\",\"max-conns\":100}],"
-      "\"limits\":{\"max-body-bytes\":100000,\"idle-timeout-ms\":15000},"
+      "\"limits\":{\"max-body-bytes\":8000000,\"idle-timeout-ms\":15000},"
       "\"tenants\":[{\"name\":\"team1\",\"api-keys\":[\"key1\"],\"isolated\":false}]}";
 
 static void
 set_up (void)
 {
-  history = (struct history){ .kept_fd = -1, .arrived_fd = -1 };
+  history = (struct history){ .kept = -1, .arrived = -1 };
   scripted_vm_set_up ();
   fake_platform_put_record (route_vm.platform, "config", config);
 }
@@ -76,7 +93,7 @@
   before = history.arrivals++;
   if (before == 0)
     {
-      history.arrived_fd = request->fd;
+      history.arrived = (int)request->connection;
       history.first = request->server;
     }
   pthread_mutex_unlock (&lock);
@@ -109,7 +126,7 @@
   if (!g_str_has_prefix (request->id, WARM_PREFIX))
     return false;
   pthread_mutex_lock (&lock);
-  history.kept_fd = request->fd;
+  history.kept = (int)request->connection;
   pthread_mutex_unlock (&lock);
   request->keep_open = scripted_request_write_head (request, "200 OK", OK_ANSWER_LINES)
                        && scripted_request_write (request, "ok");
@@ -215,7 +232,7 @@
   seen = get_history ();
   ck_assert_int_eq (status, 502);
   ck_assert_uint_eq (seen.arrivals, 1);
-  ck_assert (loss->body[0] == '\0' || seen.arrived_fd == seen.kept_fd);
+  ck_assert (loss->body[0] == '\0' || seen.arrived == seen.kept);
 }
 END_TEST
 
@@ -315,7 +332,8 @@
       refuse (request);
       break;
     default:
-      if (request->fd == get_history ().arrived_fd)
+      if (request->server == get_history ().first
+          && (int)request->connection == get_history ().arrived)
         refuse (request);
       run ();
       answer_ok (request);
@@ -326,8 +344,7 @@
 static void *
 send_in_thread (void *user)
 {
-  (void)user;
-  return GINT_TO_POINTER (send_once ("POST", "/once/x", "in"));
+  return GINT_TO_POINTER (send_once ("POST", user, "in"));
 }
 
 /* Guards against the late copy of a server's refusal being taken for the answer to a
@@ -340,7 +357,7 @@
   (void)scripted_vm_start_server ("i-1", refuse_late, NULL);
   (void)scripted_vm_start_server ("i-2", refuse_late, NULL);
   warm ();
-  caller = g_thread_new ("caller", send_in_thread, NULL);
+  caller = g_thread_new ("caller", send_in_thread, (void *)"/once/x");
   while (get_history ().arrivals < 2)
     g_usleep (G_TIME_SPAN_MILLISECOND);
   seen = get_history ();
@@ -418,6 +435,9 @@
   servers[1] = scripted_vm_start_server ("i-2", disturb, &disturbance);
   reply = route_vm_send ("POST", "/stream/x", "", "in");
   raw_answer_clear (&reply);
+  for (int64_t waited_ms = 0; get_history ().closed_us == 0 && waited_ms < WAIT_CLOSE_MS;
+       waited_ms += RUN_MS)
+    g_usleep (RUN_MS * G_TIME_SPAN_MILLISECOND);
   seen = get_history ();
   ck_assert_uint_eq (seen.arrivals, 2);
   for (guint i = 0; i < G_N_ELEMENTS (servers); i++)
@@ -461,11 +481,240 @@
 }
 END_TEST
 
+/* A server's own listener, for connections that scripted servers do not allow: its entry
+   is "i-plain". */
+struct plain_server
+{
+  int listener;
+  int port;
+};
+
+static void
+plain_server_start (struct plain_server *server, int backlog, int receive_buffer)
+{
+  struct sockaddr_in address
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof address;
+  g_autofree char *entry = NULL;
+
+  server->listener = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  ck_assert (setsockopt (server->listener, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                         sizeof receive_buffer)
+             == 0);
+  ck_assert (bind (server->listener, (struct sockaddr *)&address, sizeof address) == 0);
+  ck_assert (listen (server->listener, backlog) == 0);
+  ck_assert (getsockname (server->listener, (struct sockaddr *)&address, &len) == 0);
+  server->port = ntohs (address.sin_port);
+  entry = g_strdup_printf (
+      "{\"service\":\"s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"version\":\"v1\","
+      "\"slots\":8,\"state\":\"ready\",\"seq-no\":17,\"born\":1000,\"models\":[]}",
+      server->port);
+  fake_platform_put_server_entry (route_vm.platform, "i-plain", entry);
+  g_usleep (RELIST_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+/* Reads what arrives on a socket until wait_ms pass without any or it ends. */
+static void
+read_all (int fd, GString *text, int wait_ms)
+{
+  struct pollfd wait = { .fd = fd, .events = POLLIN };
+  char block[BLOCK_BYTES];
+  ssize_t count;
+
+  while (poll (&wait, 1, wait_ms) > 0 && (count = read (fd, block, sizeof block)) > 0)
+    g_string_append_len (text, block, count);
+}
+
+/* Reads until the end of a head has arrived, or the connection ends. */
+static void
+read_head (int fd, GString *text)
+{
+  char block[BLOCK_BYTES];
+  ssize_t count;
+
+  while (strstr (text->str, "\r\n\r\n") == NULL
+         && (count = read (fd, block, sizeof block)) > 0)
+    g_string_append_len (text, block, count);
+}
+
+/* Accepts a connection that brings a request of a caller. The VM's own calls are not
+   answered. Returns the socket and stores what has been received. */
+static int
+accept_request (const struct plain_server *server, GString *text)
+{
+  struct pollfd wait = { .fd = server->listener, .events = POLLIN };
+
+  for (;;)
+    {
+      int fd;
+
+      ck_assert_int_eq (poll (&wait, 1, WAIT_CLOSE_MS), 1);
+      fd = accept4 (server->listener, NULL, NULL, SOCK_CLOEXEC);
+      g_string_truncate (text, 0);
+      read_head (fd, text);
+      if (strstr (text->str, "Request-Id") != NULL)
+        return fd;
+      (void)close (fd);
+    }
+}
+
+static unsigned
+count_texts (const GString *text, const char *part)
+{
+  unsigned count = 0;
+
+  for (const char *at = text->str; (at = strstr (at, part)) != NULL; at++)
+    count++;
+  return count;
+}
+
+/* A caller's request that a thread sends. */
+struct sending
+{
+  char *id;
+  const char *body;
+  int status;
+};
+
+static void *
+send_as (void *user)
+{
+  struct sending *sending = user;
+  struct raw_answer reply
+      = route_vm_send_to (&route_vm, "POST", "/once/x", sending->id, "", sending->body);
+
+  sending->status = route_vm_status (&reply);
+  raw_answer_clear (&reply);
+  return NULL;
+}
+
+/* Guards against the rest of a body, whose request was refused before its end, reaching
+   the server as a part of another request, or the refused one being sent on there. */
+START_TEST (test_rest_of_a_refused_body_reaches_the_server)
+{
+  g_autofree char *body = g_strnfill (LONG_BODY_BYTES, 'b');
+  struct sending first = { .id = (char *)"r1", .body = body };
+  struct sending second = { .id = (char *)"r2", .body = "in" };
+  g_autoptr (GString) text = g_string_new (NULL);
+  g_autoptr (GString) other = g_string_new (NULL);
+  struct plain_server server;
+  GThread *caller;
+  int fds[2];
+
+  plain_server_start (&server, BACKLOG, SMALL_BUFFER_BYTES);
+  caller = g_thread_new ("caller", send_as, &first);
+  fds[0] = accept_request (&server, text);
+  (void)send (fds[0], EARLY_REFUSAL, strlen (EARLY_REFUSAL), MSG_NOSIGNAL);
+  (void)g_thread_join (caller);
+  ck_assert_int_eq (first.status, 503);
+  g_usleep (RELIST_MS * G_TIME_SPAN_MILLISECOND);
+  caller = g_thread_new ("caller", send_as, &second);
+  fds[1] = accept_request (&server, other);
+  read_all (fds[0], text, LATE_MS);
+  (void)close (fds[0]);
+  (void)close (fds[1]);
+  (void)g_thread_join (caller);
+  ck_assert_uint_eq (count_texts (text, "Request-Id"), 1);
+  ck_assert_uint_eq (count_texts (other, "Request-Id"), 1);
+  ck_assert_ptr_null (strstr (other->str, "bbb"));
+  ck_assert_int_eq (second.status, 502);
+}
+END_TEST
+
+/* Accepts all connections that wait and adds what they have brought. */
+static void
+drain (const struct plain_server *server, GString *text)
+{
+  int fd;
+
+  while ((fd = accept4 (server->listener, NULL, NULL, SOCK_CLOEXEC)) >= 0)
+    {
+      read_all (fd, text, LATE_MS);
+      (void)close (fd);
+      g_usleep (RUN_MS * G_TIME_SPAN_MILLISECOND);
+    }
+}
+
+/* Guards against a request being readable by a server after the VM has refused it for
+   want of a connection: the server's queue of connections is full. */
+START_TEST (test_request_refused_for_want_of_a_connection_is_read_later)
+{
+  struct sending sendings[WAITING_CALLERS] = { 0 };
+  GThread *callers[WAITING_CALLERS];
+  g_autoptr (GString) text = g_string_new (NULL);
+  struct plain_server server;
+  unsigned refused = 0;
+
+  plain_server_start (&server, 0, SMALL_BUFFER_BYTES);
+  for (guint i = 0; i < WAITING_CALLERS; i++)
+    {
+      sendings[i].id = g_strdup_printf ("w%02u", i);
+      sendings[i].body = "in";
+      callers[i] = g_thread_new ("caller", send_as, &sendings[i]);
+      g_usleep (RUN_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  for (guint i = 0; i < WAITING_CALLERS; i++)
+    (void)g_thread_join (callers[i]);
+  for (guint i = 0; i < DRAIN_ROUNDS; i++)
+    {
+      drain (&server, text);
+      g_usleep (LATE_MS * G_TIME_SPAN_MILLISECOND);
+    }
+  for (guint i = 0; i < WAITING_CALLERS; i++)
+    {
+      bool promised = promises_not_run (sendings[i].status);
+
+      refused += promised;
+      ck_assert_msg (!promised || strstr (text->str, sendings[i].id) == NULL,
+                     "%s was refused and is read", sendings[i].id);
+      g_free (sendings[i].id);
+    }
+  g_print ("%u of %u refused, %u read\n", refused, WAITING_CALLERS,
+           count_texts (text, "Request-Id"));
+  (void)close (server.listener);
+}
+END_TEST
+
+/* Loses the request once the route has become one that runs once. */
+static void
+lose_when_changed (struct scripted_request *request, void *user)
+{
+  (void)user;
+  if (serve_warm (request))
+    return;
+  (void)note_arrival (request);
+  run ();
+  g_usleep (2 * RELIST_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+/* Guards against a request being repeated under a route that may be repeated no more. */
+START_TEST (test_request_is_repeated_after_its_route_runs_once)
+{
+  const char *kind = strstr (config, REPEATABLE);
+  g_autofree char *changed
+      = g_strdup_printf ("%.*s\"non_idempotent\"%s", (int)(kind - config), config,
+                         kind + strlen (REPEATABLE));
+  GThread *caller;
+
+  strstr (changed, VERSION_BEFORE)[strlen (VERSION_BEFORE) - 1] = '8';
+
+  (void)scripted_vm_start_server ("i-1", lose_when_changed, NULL);
+  (void)scripted_vm_start_server ("i-2", lose_when_changed, NULL);
+  caller = g_thread_new ("caller", send_in_thread, (void *)"/again/x");
+  while (get_history ().arrivals == 0)
+    g_usleep (G_TIME_SPAN_MILLISECOND);
+  fake_platform_put_record (route_vm.platform, "config", changed);
+  ck_assert_int_eq (GPOINTER_TO_INT (g_thread_join (caller)), 502);
+  ck_assert_uint_eq (get_history ().arrivals, 1);
+}
+END_TEST
+
 int
 main (void)
 {
   Suite *suite = suite_create ("refused requests");
   TCase *cases = tcase_create ("refused requests");
+  TCase *again = tcase_create ("listed again");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_set_timeout (cases, 60);
@@ -473,12 +722,18 @@
                        G_N_ELEMENTS (losses));
   tcase_add_loop_test (cases, test_request_that_ran_is_reported_as_not_run, 0,
                        G_N_ELEMENTS (claims));
-  tcase_add_loop_test (cases,
+  tcase_add_checked_fixture (again, set_up, tear_down);
+  tcase_set_timeout (again, 60);
+  tcase_add_loop_test (again,
                        test_late_refusal_ends_a_second_try_at_a_server_listed_again, 0,
                        RELISTING_COUNT);
   tcase_add_loop_test (cases, test_server_that_was_given_up_still_works_on_its_stream, 0,
                        DISTURBANCE_COUNT);
   tcase_add_test (cases, test_request_of_a_killed_vm_looks_as_if_it_was_not_read);
+  tcase_add_test (cases, test_rest_of_a_refused_body_reaches_the_server);
+  tcase_add_test (cases, test_request_refused_for_want_of_a_connection_is_read_later);
+  tcase_add_test (cases, test_request_is_repeated_after_its_route_runs_once);
   suite_add_tcase (suite, cases);
+  suite_add_tcase (suite, again);
   return run_suite (suite);
 }
