--- a/bench/bench_path.c
+++ b/bench/bench_path.c
@@ -8,6 +8,7 @@
 
 #include "base/clock.h"
 #include "tests/harness/cluster.h"
+#include "tests/harness/process_memory.h"
 
 #define LATENCY_CALLS          2000
 #define THROUGHPUT_CALLS       20000
@@ -42,7 +43,6 @@
 static void measure_streams (struct cluster *cluster);
 static void measure_polling (struct cluster *cluster);
 static double idle_cpu_seconds (const struct process *vm);
-static long memory_kb (const struct process *process, const char *field);
 static double cpu_seconds (const struct process *process);
 
 /* Prints the results. Exits with status 1 only if a call failed. */
@@ -184,7 +184,7 @@
   cluster_add_engine (cluster, "engine-2", "dc1", options);
   cluster_publish_list (cluster, 0);
   cluster_wait_ready (cluster);
-  before_kb = memory_kb (vm, "VmRSS:");
+  before_kb = process_memory_kb (vm->pid, PROCESS_MEMORY_RESIDENT);
   cpu_before = cpu_seconds (vm);
   for (int i = 0; i < STREAMS; i++)
     {
@@ -198,7 +198,7 @@
       if (streaming_kb == 0
           && kcp_clock_monotonic_ns (&kcp_clock_system) - start_ns
                  > STREAM_HOLD_MS * KCP_NS_PER_MS)
-        streaming_kb = memory_kb (vm, "VmRSS:");
+        streaming_kb = process_memory_kb (vm->pid, PROCESS_MEMORY_RESIDENT);
       curl_multi_poll (multi, NULL, 0, 100, NULL);
     }
   cpu = cpu_seconds (vm) - cpu_before;
@@ -214,8 +214,9 @@
   (void)printf (
       "streams: %d of %d answered 200; VM memory %ld KB before, %ld KB with all open, "
       "peak %ld KB (target %d KB); %.1f us of the VM's processor per token\n",
-      succeeded, STREAMS, before_kb, streaming_kb, memory_kb (vm, "VmHWM:"),
-      MEMORY_TARGET_KB, cpu * US_PER_S / (STREAMS * 40));
+      succeeded, STREAMS, before_kb, streaming_kb,
+      process_memory_kb (vm->pid, PROCESS_MEMORY_PEAK), MEMORY_TARGET_KB,
+      cpu * US_PER_S / (STREAMS * 40));
   curl_multi_cleanup (multi);
   curl_slist_free_all (headers);
 }
@@ -315,20 +316,6 @@
   return (left > right) - (left < right);
 }
 
-/* Returns a field of /proc/PID/status in kilobytes, or -1 if it cannot be read. */
-static long
-memory_kb (const struct process *process, const char *field)
-{
-  g_autofree char *path = g_strdup_printf ("/proc/%d/status", process->pid);
-  g_autofree char *text = NULL;
-  const char *line;
-
-  if (!g_file_get_contents (path, &text, NULL, NULL))
-    return -1;
-  line = strstr (text, field);
-  return line != NULL ? strtol (line + strlen (field), NULL, 10) : -1;
-}
-
 /* Returns the processor time in seconds that all threads of the process have used. */
 static double
 cpu_seconds (const struct process *process)
--- a/tests/process/test_bytes_without_end.c
+++ b/tests/process/test_bytes_without_end.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "tests/harness/process_memory.h"
 #include "tests/harness/run_suite.h"
 #include "tests/harness/scripted_vm.h"
 
@@ -20,13 +21,6 @@
   "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: r%u\r\nConnection: close\r\n"              \
   "Authorization: Bearer key1\r\nRequest-Deadline: 2500\r\nContent-Length: 2\r\n\r\nin"
 
-/* Sanitizers multiply the memory use of a process. */
-#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-#define MEMORY_USE_IS_REALISTIC false
-#else
-#define MEMORY_USE_IS_REALISTIC true
-#endif
-
 static const char filler[]
     = "0123456789012345678901234567890123456789012345678901234567890123456789";
 
@@ -138,14 +132,10 @@
 static long
 peak_kb (void)
 {
-  g_autofree char *path = g_strdup_printf ("/proc/%d/status", (int)route_vm.pid);
-  g_autofree char *text = NULL;
-  const char *line;
-
-  ck_assert (g_file_get_contents (path, &text, NULL, NULL));
-  line = strstr (text, "VmHWM:");
-  ck_assert_ptr_nonnull (line);
-  return strtol (line + strlen ("VmHWM:"), NULL, 10);
+  long kb = process_memory_kb (route_vm.pid, PROCESS_MEMORY_PEAK);
+
+  ck_assert_int_ge (kb, 0);
+  return kb;
 }
 
 START_TEST (test_answer_without_end_stays_within_memory_limit)
@@ -294,7 +284,7 @@
   for (unsigned i = 0; i < CALLERS; i++)
     (void)close (fds[i]);
   ck_assert_uint_eq (answered, PROBES);
-  if (MEMORY_USE_IS_REALISTIC)
+  if (PROCESS_MEMORY_IS_REALISTIC)
     ck_assert_int_lt (peak_kb (), SMALL_VM_MB << 10);
 }
 END_TEST
--- a/tests/process/test_caller_heads.c
+++ b/tests/process/test_caller_heads.c
@@ -8,6 +8,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "tests/harness/process_memory.h"
 #include "tests/harness/run_suite.h"
 #include "tests/harness/scripted_vm.h"
 
@@ -23,13 +24,6 @@
 #define SMALL_VM_MB      128
 #define MANY_CONNECTIONS 2000
 
-/* Sanitizers multiply the memory use of a process. */
-#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-#define MEMORY_USE_IS_REALISTIC false
-#else
-#define MEMORY_USE_IS_REALISTIC true
-#endif
-
 /* A request's head, and the head of the server's answer to it. */
 struct head
 {
@@ -292,14 +286,10 @@
 static long
 resident_kb (void)
 {
-  g_autofree char *path = g_strdup_printf ("/proc/%d/status", (int)route_vm.pid);
-  g_autofree char *text = NULL;
-  const char *line;
-
-  ck_assert (g_file_get_contents (path, &text, NULL, NULL));
-  line = strstr (text, "VmRSS:");
-  ck_assert_ptr_nonnull (line);
-  return strtol (line + strlen ("VmRSS:"), NULL, 10);
+  long kb = process_memory_kb (route_vm.pid, PROCESS_MEMORY_RESIDENT);
+
+  ck_assert_int_ge (kb, 0);
+  return kb;
 }
 
 /* Guards against thousands of kept connections, each of which has carried a request,
@@ -322,7 +312,7 @@
       fds[i] = raw_connect_and_send (route_vm.port, text->str, 0);
       ck_assert_int_eq (receive_status (fds[i]), 200);
     }
-  if (MEMORY_USE_IS_REALISTIC)
+  if (PROCESS_MEMORY_IS_REALISTIC)
     ck_assert_int_le (resident_kb (), SMALL_VM_MB << 10);
   ck_assert (send_text (fds[0], text, false));
   ck_assert_int_eq (receive_status (fds[0]), 200);
--- a/tests/process/test_callers.c
+++ b/tests/process/test_callers.c
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include "tests/harness/cluster.h"
+#include "tests/harness/process_memory.h"
 #include "tests/harness/raw.h"
 #include "tests/harness/run_suite.h"
 
@@ -24,13 +25,6 @@
 #define SERVED_LINES          100 /* as many as common HTTP servers accept at least */
 #define CERTIFICATE           "tests/tls/certificate.pem"
 
-/* Sanitizers multiply the memory use of a process and retain freed memory. */
-#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-#define MEMORY_USE_IS_REALISTIC false
-#else
-#define MEMORY_USE_IS_REALISTIC true
-#endif
-
 static const char vm_settings[] = "idle_timeout_ms=3000\n"
                                   "[callers]\nheartbeat_ms=100\nidle_timeout_s=1\n"
                                   "stream_buffer_bytes=16384\n";
@@ -226,15 +220,10 @@
 static int64_t
 memory_kb (void)
 {
-  g_autofree char *path
-      = g_strdup_printf ("/proc/%d/status", (int)cluster_vm (cluster, 0)->pid);
-  g_autofree char *text = NULL;
-  const char *at;
-
-  ck_assert (g_file_get_contents (path, &text, NULL, NULL));
-  at = strstr (text, "RssAnon:");
-  ck_assert_ptr_nonnull (at);
-  return g_ascii_strtoll (at + strlen ("RssAnon:"), NULL, 10);
+  long kb = process_memory_kb (cluster_vm (cluster, 0)->pid, PROCESS_MEMORY_ANONYMOUS);
+
+  ck_assert_int_ge (kb, 0);
+  return kb;
 }
 
 START_TEST (test_slow_callers_use_bounded_memory)
@@ -266,7 +255,7 @@
     (void)close (sockets[i]);
   (void)fprintf (stderr, "%d slow callers: %" G_GINT64_FORMAT " kB more\n", SLOW_CALLERS,
                  max_growth_kb);
-  if (MEMORY_USE_IS_REALISTIC)
+  if (PROCESS_MEMORY_IS_REALISTIC)
     ck_assert_int_le (max_growth_kb,
                       SLOW_CALLERS * STREAMS_MEMORY_MAX_KB / STREAMS_PER_VM);
 }
