Booking partition: answering claims is a file of its own

src/booking/partition.c (581 lines) had two jobs: which append or read of the log comes next, and what a claim is answered by the state read so far. The second is now partition_answer.c (133 lines), beside the files for checkpoints and refusals; partition.c has 454 lines. No behaviour changed.

--- a/src/booking/partition.c
+++ b/src/booking/partition.c
@@ -1,26 +1,16 @@
 #include "booking/partition_private.h"
 
 #include <glib.h>
-#include <string.h>
 
 #include "base/counter.h"
 #include "base/logger.h"
-#include "booking/decide.h"
 #include "booking/entry.h"
 
 #define STEP               "booking"
 #define RETRY_INTERVAL_MS  250
 #define RETRY_AFTER_S      1
 #define ENTRIES_PER_RECORD 256
-#define WAITING_MAX        20000 /* entries that wait to be appended */
 
-static bool answer_early (struct kcp_partition *partition, struct kcp_pending *pending,
-                          int64_t now_ms);
-static bool
-decide (struct kcp_partition *partition, struct kcp_pending *pending, int64_t now_ms);
-static struct kcp_decision_input
-make_input (const struct kcp_partition *partition, const struct kcp_pending *pending,
-            int64_t now_ms);
 static bool has_claim_of_held_key (struct kcp_partition *partition);
 static void drop_old_outcomes (struct kcp_partition *partition, int64_t now_ms);
 static struct kcp_partition_action
@@ -30,9 +20,6 @@
 static json_t *
 get_entry (const struct kcp_partition *partition, struct kcp_pending *pending);
 static bool skip_trimmed (struct kcp_partition *partition, uint64_t first);
-static void answer_in_flight (struct kcp_partition *partition, int64_t now_ms);
-static void answer_claim (struct kcp_partition *partition, struct kcp_pending *pending,
-                          int64_t now_ms);
 static void apply (struct kcp_partition *partition, const struct kcp_log_batch *batch);
 static bool
 has_lost_records (struct kcp_partition *partition, const struct kcp_log_batch *batch);
@@ -41,7 +28,6 @@
 continue_lookup (struct kcp_partition *partition, bool at_end, int64_t now_ms);
 static void
 continue_confirming (struct kcp_partition *partition, bool at_end, int64_t now_ms);
-static void decide_waiting (struct kcp_partition *partition, int64_t now_ms);
 
 /* Creates a partition that has not read any record. */
 struct kcp_partition *
@@ -111,13 +97,14 @@
 
 /* Queues an entry and takes ownership of it. A claim is answered at once if it can be
    decided without reading the log, or refused at once while the log is known to be
-   unavailable or WAITING_MAX entries are waiting. */
+   unavailable or too many entries are waiting. */
 void
 kcp_partition_post (struct kcp_partition *partition, struct kcp_pending *pending,
                     int64_t now_ms)
 {
   pending->since_ms = now_ms;
-  if (pending->kind == KCP_PENDING_CLAIM && answer_early (partition, pending, now_ms))
+  if (pending->kind == KCP_PENDING_CLAIM
+      && kcp_partition_answer_early (partition, pending, now_ms))
     return;
   kcp_partition_enqueue (partition, pending);
 }
@@ -166,7 +153,7 @@
   CK_STAILQ_FOREACH (pending, &partition->in_flight, link)
   kcp_pending_notify_recorded (pending);
   if (partition->phase == PHASE_IDLE)
-    answer_in_flight (partition, 0);
+    kcp_partition_answer_in_flight (partition, 0);
 }
 
 /* Reports that the append failed. The record is not in the log if error->execution is
@@ -270,63 +257,6 @@
   partition->waiting_count++;
 }
 
-static bool
-answer_early (struct kcp_partition *partition, struct kcp_pending *pending,
-              int64_t now_ms)
-{
-  struct kcp_decision_input input = make_input (partition, pending, now_ms);
-  struct kcp_claim_answer result;
-
-  input.covered = input.covered || !partition->caught_up;
-  if (kcp_decide_early (&input, &result))
-    {
-      kcp_pending_answer (pending, &result);
-      return true;
-    }
-  if (partition->waiting_count >= WAITING_MAX)
-    kcp_error_set (&partition->last_error, KCP_ERR_OVERLOADED, STEP, NULL,
-                   "too many entries wait for the booking log");
-  else if (now_ms >= partition->retry_at_ms && !partition->in_doubt)
-    return false;
-  kcp_pending_refuse (pending, &partition->last_error);
-  return true;
-}
-
-/* Answers a claim after the log was read to its end. Returns false if no claim of the
-   key has won. */
-static bool
-decide (struct kcp_partition *partition, struct kcp_pending *pending, int64_t now_ms)
-{
-  struct kcp_decision_input input = make_input (partition, pending, now_ms);
-  struct kcp_claim_answer result;
-
-  if (!kcp_decide (&input, &result))
-    return false;
-  kcp_pending_answer (pending, &result);
-  return true;
-}
-
-static struct kcp_decision_input
-make_input (const struct kcp_partition *partition, const struct kcp_pending *pending,
-            int64_t now_ms)
-{
-  const struct kcp_partition_options *options = &partition->options;
-  struct kcp_decision_input input = {
-    .claim = pending->claim,
-    .body_hash = pending->body_hash,
-    .key_created_ms = pending->key_created_ms,
-    .now_ms = now_ms,
-    .window_ms = options->window_ms,
-    .log_time_ms = kcp_claims_log_time_ms (partition->claims),
-    .covered = kcp_claims_covers_key (partition->claims, pending->key_created_ms),
-  };
-
-  kcp_claims_lookup (partition->claims, pending->key, &input.view);
-  input.holder_alive
-      = options->is_alive == NULL || options->is_alive (options->user, input.view.vm);
-  return input;
-}
-
 /* Returns true if the key of a waiting claim is held or decided. */
 static bool
 has_claim_of_held_key (struct kcp_partition *partition)
@@ -437,42 +367,6 @@
   return json_incref (pending->entry);
 }
 
-/* Answers the claims in flight. The state shows which of them won. */
-static void
-answer_in_flight (struct kcp_partition *partition, int64_t now_ms)
-{
-  struct kcp_pending *pending;
-
-  partition->phase = PHASE_IDLE;
-  while ((pending = CK_STAILQ_FIRST (&partition->in_flight)) != NULL)
-    {
-      CK_STAILQ_REMOVE_HEAD (&partition->in_flight, link);
-      if (pending->kind == KCP_PENDING_CLAIM)
-        answer_claim (partition, pending, now_ms);
-      else
-        kcp_pending_free (pending);
-    }
-}
-
-/* Answers a claim, and releases it if it is refused although it may hold its key. */
-static void
-answer_claim (struct kcp_partition *partition, struct kcp_pending *pending,
-              int64_t now_ms)
-{
-  struct kcp_decision_input input = make_input (partition, pending, now_ms);
-  bool may_hold = !input.covered || input.view.state == KCP_CLAIM_NONE
-                  || strcmp (input.view.claim, pending->claim) == 0;
-  struct kcp_claim_answer result;
-
-  if (!kcp_decide (&input, &result))
-    kcp_error_set (&result.error, KCP_ERR_PLATFORM, STEP, NULL,
-                   "the claim did not take effect");
-  if (may_hold && result.result == KCP_CLAIM_REFUSED)
-    kcp_partition_enqueue (partition,
-                           kcp_pending_new_release (pending->key, pending->claim));
-  kcp_pending_answer (pending, &result);
-}
-
 /* Applies the records in order. Loading a checkpoint moves the state back to the
    checkpoint's offset, where the next read continues. */
 static void
@@ -520,7 +414,7 @@
       break;
     case PHASE_CHECKING:
       if (at_end)
-        decide_waiting (partition, now_ms);
+        kcp_partition_decide_waiting (partition, now_ms);
       break;
     case PHASE_MAINTAINING:
       if (at_end)
@@ -536,7 +430,7 @@
 continue_confirming (struct kcp_partition *partition, bool at_end, int64_t now_ms)
 {
   if (kcp_claims_next_offset (partition->claims) > partition->confirm_offset)
-    answer_in_flight (partition, now_ms);
+    kcp_partition_answer_in_flight (partition, now_ms);
   else if (at_end)
     {
       kcp_error_set (&partition->last_error, KCP_ERR_PLATFORM, STEP, NULL,
@@ -553,29 +447,8 @@
     {
       partition->in_doubt = false;
       partition->retry_at_ms = now_ms;
-      answer_in_flight (partition, now_ms);
+      kcp_partition_answer_in_flight (partition, now_ms);
     }
   else if (at_end)
     kcp_partition_abandon_claims (partition, &partition->last_error);
 }
-
-/* Answers the waiting claims whose key is held or decided, after the log was read to its
-   end. */
-static void
-decide_waiting (struct kcp_partition *partition, int64_t now_ms)
-{
-  struct kcp_pending_queue remaining = CK_STAILQ_HEAD_INITIALIZER (remaining);
-  struct kcp_pending *pending;
-
-  partition->phase = PHASE_IDLE;
-  partition->checked = true;
-  while ((pending = CK_STAILQ_FIRST (&partition->waiting)) != NULL)
-    {
-      CK_STAILQ_REMOVE_HEAD (&partition->waiting, link);
-      if (pending->kind == KCP_PENDING_CLAIM && decide (partition, pending, now_ms))
-        partition->waiting_count--;
-      else
-        CK_STAILQ_INSERT_TAIL (&remaining, pending, link);
-    }
-  CK_STAILQ_CONCAT (&partition->waiting, &remaining);
-}
--- a/src/booking/partition_private.h
+++ b/src/booking/partition_private.h
@@ -49,6 +49,12 @@
 struct kcp_partition_action
 kcp_partition_append_part (struct kcp_partition *partition, int64_t now_ms);
 
+/* partition_answer.c */
+bool kcp_partition_answer_early (struct kcp_partition *partition,
+                                 struct kcp_pending *pending, int64_t now_ms);
+void kcp_partition_decide_waiting (struct kcp_partition *partition, int64_t now_ms);
+void kcp_partition_answer_in_flight (struct kcp_partition *partition, int64_t now_ms);
+
 /* partition_refuse.c */
 bool kcp_partition_has_claims_in_flight (const struct kcp_partition *partition);
 void kcp_partition_requeue_non_claims (struct kcp_partition *partition);
