Test cluster: one reader of a VM's counters

The same reader of one counter from /metrics stood in test_queue.c, test_streams.c and, with the full name of the metric, in test_peer.c. It is now cluster_counter() in tests/harness/cluster.c. (test_route_peers.c reads another port with another client and stays.)

--- a/tests/harness/cluster.c
+++ b/tests/harness/cluster.c
@@ -230,6 +230,20 @@
   return document;
 }
 
+/* Returns a counter of a VM's metrics, kingcuppoint_NAME_total, or -1 if it has none. */
+int64_t
+cluster_counter (const struct process *vm, const char *name)
+{
+  struct client_answer answer
+      = client_run (&(struct client_call){ .port = vm->port, .path = "/metrics" });
+  g_autofree char *line = g_strdup_printf ("\nkingcuppoint_%s_total ", name);
+  const char *found = strstr (answer.body->str, line);
+  int64_t value = found != NULL ? g_ascii_strtoll (found + strlen (line), NULL, 10) : -1;
+
+  client_answer_clear (&answer);
+  return value;
+}
+
 /* Injects faults into a stand-in. faults is the JSON body of its PUT /faults. */
 void
 cluster_inject_faults (const struct process *standin, const char *faults)
--- a/tests/harness/cluster.h
+++ b/tests/harness/cluster.h
@@ -42,6 +42,7 @@
 void cluster_publish_default_config (struct cluster *cluster);
 void cluster_wait_ready (struct cluster *cluster);
 json_t *cluster_admin_get (int admin_port, const char *path);
+int64_t cluster_counter (const struct process *vm, const char *name);
 void cluster_inject_faults (const struct process *standin, const char *faults);
 struct process *cluster_vm (struct cluster *cluster, guint index);
 
--- a/tests/process/test_peer.c
+++ b/tests/process/test_peer.c
@@ -236,19 +236,6 @@
 }
 END_TEST
 
-static int64_t
-read_counter (const struct process *vm, const char *name)
-{
-  struct client_answer answer
-      = client_run (&(struct client_call){ .port = vm->port, .path = "/metrics" });
-  g_autofree char *line = g_strdup_printf ("\n%s ", name);
-  const char *found = strstr (answer.body->str, line);
-  int64_t value = found != NULL ? g_ascii_strtoll (found + strlen (line), NULL, 10) : -1;
-
-  client_answer_clear (&answer);
-  return value;
-}
-
 /* Sends random datagrams, half of them with the header of a valid RPC call. */
 static void
 send_garbage (int port)
@@ -282,10 +269,10 @@
   int64_t start = now_ms ();
 
   send_garbage (vm->peer_port);
-  while (read_counter (vm, "kingcuppoint_rpc_rejected_total") < GARBAGE_DATAGRAMS)
+  while (cluster_counter (vm, "rpc_rejected") < GARBAGE_DATAGRAMS)
     {
       ck_assert_msg (now_ms () - start < MEMBERSHIP_MS, "%d rejected",
-                     (int)read_counter (vm, "kingcuppoint_rpc_rejected_total"));
+                     (int)cluster_counter (vm, "rpc_rejected"));
       g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
     }
   for (guint i = 0; i < cluster->vms->len; i++)
--- a/tests/process/test_queue.c
+++ b/tests/process/test_queue.c
@@ -63,19 +63,6 @@
   return NULL;
 }
 
-static int64_t
-counter_value (const char *name)
-{
-  struct client_answer answer = client_run (
-      &(struct client_call){ .port = cluster_vm (cluster, 0)->port, .path = "/metrics" });
-  g_autofree char *line = g_strdup_printf ("\nkingcuppoint_%s_total ", name);
-  const char *at = strstr (answer.body->str, line);
-  int64_t value = at != NULL ? g_ascii_strtoll (at + strlen (line), NULL, 10) : -1;
-
-  client_answer_clear (&answer);
-  return value;
-}
-
 static unsigned
 count_events (const char *kind)
 {
@@ -111,7 +98,7 @@
       client_answer_clear (&callers[i].answer);
     }
   ck_assert_uint_ge (count_events ("queued"), 1);
-  ck_assert_int_eq (counter_value ("refused"), 0);
+  ck_assert_int_eq (cluster_counter (cluster_vm (cluster, 0), "refused"), 0);
   tear_down ();
 }
 END_TEST
@@ -293,7 +280,8 @@
       ck_assert_int_eq (answer.status, 200);
       client_answer_clear (&answer);
     }
-  for (int waited_ms = 0; counter_value ("cache_events") < PREFIXES * 3;
+  for (int waited_ms = 0;
+       cluster_counter (cluster_vm (cluster, 0), "cache_events") < PREFIXES * 3;
        waited_ms += WAIT_POLL_MS)
     {
       ck_assert_int_lt (waited_ms, WAIT_LIMIT_MS);
--- a/tests/process/test_streams.c
+++ b/tests/process/test_streams.c
@@ -121,19 +121,6 @@
   return sum;
 }
 
-static int64_t
-counter_value (const char *name)
-{
-  struct client_answer answer = client_run (
-      &(struct client_call){ .port = cluster_vm (cluster, 0)->port, .path = "/metrics" });
-  g_autofree char *line = g_strdup_printf ("\nkingcuppoint_%s_total ", name);
-  const char *at = strstr (answer.body->str, line);
-  int64_t value = at != NULL ? g_ascii_strtoll (at + strlen (line), NULL, 10) : -1;
-
-  client_answer_clear (&answer);
-  return value;
-}
-
 /* Fails the test unless the answer belongs to the prompt, is complete and in order. */
 static void
 assert_complete (const struct client_answer *answer, const char *prompt, int tokens,
@@ -268,7 +255,7 @@
                  signals[_i], call.answer.total_us / G_TIME_SPAN_MILLISECOND);
   process_signal (engine, SIGCONT);
   assert_complete (&call.answer, call.prompt, LONG_TOKENS, true);
-  ck_assert_int_ge (counter_value ("resumed"), 1);
+  ck_assert_int_ge (cluster_counter (cluster_vm (cluster, 0), "resumed"), 1);
   client_answer_clear (&call.answer);
 }
 END_TEST
@@ -351,8 +338,9 @@
   (void)fprintf (stderr,
                  "history: seed %u, %d complete, %d ended in an error, %d wrong, "
                  "%" G_GINT64_FORMAT " resumed, %" G_GINT64_FORMAT " answers dropped\n",
-                 seed, complete, errors, wrong, counter_value ("resumed"),
-                 counter_value ("answers_dropped"));
+                 seed, complete, errors, wrong,
+                 cluster_counter (cluster_vm (cluster, 0), "resumed"),
+                 cluster_counter (cluster_vm (cluster, 0), "answers_dropped"));
   ck_assert_int_eq (wrong, 0);
   ck_assert_int_ge (complete, HISTORY_CALLERS * HISTORY_CALLS * 95 / 100);
 }
