test_bytes_without_end: one loop of probes, which prints what is not answered

The loop that sends requests beside bytes without end and counts the answered ones stood twice; it is now send_probes(). It prints the answer to a probe that is not served; what the tests expect is unchanged.

--- a/tests/process/test_bytes_without_end.c
+++ b/tests/process/test_bytes_without_end.c
@@ -17,6 +17,7 @@
 #define STREAM_EVENTS   20000
 #define SMALL_VM_MB     88
 #define SLOW_READ_BYTES 65536
+#define PROBES          20 /* requests sent one after the other */
 #define REQUEST                                                                          \
   "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: r%u\r\nConnection: close\r\n"              \
   "Authorization: Bearer key1\r\nRequest-Deadline: 2500\r\nContent-Length: 2\r\n\r\nin"
@@ -203,17 +204,37 @@
 }
 END_TEST
 
+/* Sends requests that may be repeated. Returns how many of them are answered, and prints
+   the answers to the others. */
+static unsigned
+send_probes (void)
+{
+  unsigned answered = 0;
+
+  for (unsigned i = 0; i < PROBES; i++)
+    {
+      struct raw_answer answer = route_vm_send ("POST", "/again/x", "", "in");
+
+      if (route_vm_status (&answer) == 200)
+        answered++;
+      else
+        (void)fprintf (stderr, "probe %u: after %" G_GINT64_FORMAT " ms: %s\n", i,
+                       answer.elapsed_ms, answer.text->str);
+      raw_answer_clear (&answer);
+    }
+  return answered;
+}
+
 /* Many answers without end at once stay within the limit for all together, and requests
    to another server are answered meanwhile. */
 START_TEST (test_many_answers_without_end_leave_room_for_other_requests)
 {
   enum
   {
-    CALLERS = 40,
-    PROBES = 20
+    CALLERS = 40
   };
   int fds[CALLERS];
-  unsigned answered = 0;
+  unsigned answered;
   long before_kb;
 
   (void)scripted_vm_start_server ("i-1", answer_without_end, &answers[5]);
@@ -225,13 +246,7 @@
 
       fds[i] = raw_connect_and_send (route_vm.port, request, 0);
     }
-  for (unsigned i = 0; i < PROBES; i++)
-    {
-      struct raw_answer answer = route_vm_send ("POST", "/again/x", "", "in");
-
-      answered += route_vm_status (&answer) == 200;
-      raw_answer_clear (&answer);
-    }
+  answered = send_probes ();
   for (unsigned i = 0; i < CALLERS; i++)
     (void)close (fds[i]);
   ck_assert_uint_eq (answered, PROBES);
@@ -254,12 +269,11 @@
 {
   enum
   {
-    CALLERS = 60,
-    PROBES = 20
+    CALLERS = 60
   };
   static const char *const paths[] = { "/once/x", "/again/x", "/stream/x" };
   int fds[CALLERS];
-  unsigned answered = 0;
+  unsigned answered;
 
   route_vm_kill (&route_vm);
   route_vm.memory_mb = SMALL_VM_MB;
@@ -274,13 +288,7 @@
       fds[i] = raw_connect_and_send (route_vm.port, request, 1);
     }
   (void)scripted_vm_start_server ("i-sound", answer_ordinarily, NULL);
-  for (unsigned i = 0; i < PROBES; i++)
-    {
-      struct raw_answer answer = route_vm_send ("POST", "/again/x", "", "in");
-
-      answered += route_vm_status (&answer) == 200;
-      raw_answer_clear (&answer);
-    }
+  answered = send_probes ();
   for (unsigned i = 0; i < CALLERS; i++)
     (void)close (fds[i]);
   ck_assert_uint_eq (answered, PROBES);
