VM group: the status and the refusal of a request

test_part_crashes.c and test_route_crashes.c each had the function that sends a request and returns its status, and the five lines that expect a refusal in time, not run, with when to send it again. Both are now in tests/harness/vm_group.c, with the same checks.

--- a/tests/harness/vm_group.c
+++ b/tests/harness/vm_group.c
@@ -1,5 +1,6 @@
 #include "tests/harness/vm_group.h"
 
+#include <check.h>
 #include <string.h>
 
 #define OTHERS    (VM_GROUP_SIZE - 1)
@@ -58,6 +59,33 @@
   vm_group_meet ();
 }
 
+/* Sends a request and returns the status of the VM's answer. */
+int
+vm_group_status (vm_group_sender *send, const struct route_vm *vm, const char *path,
+                 const char *content)
+{
+  struct raw_answer answer = send (vm, path, content);
+  int status = route_vm_status (&answer);
+
+  raw_answer_clear (&answer);
+  return status;
+}
+
+/* Sends a request and expects that the VM refuses it within within_ms, says that it was
+   not run and when to send it again. */
+void
+vm_group_expect_refusal (vm_group_sender *send, const struct route_vm *vm,
+                         const char *path, const char *content, int64_t within_ms)
+{
+  struct raw_answer answer = send (vm, path, content);
+
+  ck_assert_int_eq (route_vm_status (&answer), 503);
+  ck_assert_ptr_nonnull (strstr (answer.text->str, "Retry-After: "));
+  ck_assert_ptr_nonnull (strstr (answer.text->str, "\"execution\":\"not_run\""));
+  ck_assert_int_lt (answer.elapsed_ms, within_ms);
+  raw_answer_clear (&answer);
+}
+
 /* Sends a request and returns true if a server answers it. A request may be refused while
    the list still has servers that have just crashed; callers send it again when the
    refusal tells them to, and so does this function. */
--- a/tests/harness/vm_group.h
+++ b/tests/harness/vm_group.h
@@ -17,6 +17,10 @@
 struct route_vm *vm_group_at (unsigned i);
 void vm_group_meet (void);
 void vm_group_restart_all (void);
+int vm_group_status (vm_group_sender *send, const struct route_vm *vm, const char *path,
+                     const char *content);
+void vm_group_expect_refusal (vm_group_sender *send, const struct route_vm *vm,
+                              const char *path, const char *content, int64_t within_ms);
 bool vm_group_serves (vm_group_sender *send, const struct route_vm *vm, const char *path,
                       const char *content);
 
--- a/tests/process/test_part_crashes.c
+++ b/tests/process/test_part_crashes.c
@@ -3,7 +3,6 @@
    with their other parts are served. */
 #include <check.h>
 #include <pthread.h>
-#include <string.h>
 
 #include "tests/harness/crash_rule.h"
 #include "tests/harness/run_suite.h"
@@ -56,16 +55,6 @@
   return route_vm_send_to (vm, "POST", target, id, head, body);
 }
 
-static int
-status_at (const struct route_vm *vm, const char *path, const char *parts)
-{
-  struct raw_answer answer = send_to (vm, path, parts);
-  int status = route_vm_status (&answer);
-
-  raw_answer_clear (&answer);
-  return status;
-}
-
 static bool
 is_served (const struct route_vm *vm, const char *path, const char *parts)
 {
@@ -99,7 +88,7 @@
 
   for (unsigned i = 0; i < count; i++)
     {
-      (void)status_at (vm_group_at (i), path, prompts->deadly);
+      (void)vm_group_status (send_to, vm_group_at (i), path, prompts->deadly);
       for (unsigned kind = 0; kind < G_N_ELEMENTS (prompts->sound); kind++)
         {
           bool after = must_serve ();
@@ -184,7 +173,7 @@
 static void *
 send_deadly (void *user)
 {
-  (void)status_at (user, "/again", second_part.deadly);
+  (void)vm_group_status (send_to, user, "/again", second_part.deadly);
   return NULL;
 }
 
@@ -233,7 +222,8 @@
   crash_on_part (FAKE_CRASH_AT_ONCE);
   for (unsigned i = 0; i < REQUESTS && refused < VM_GROUP_SIZE; i++)
     {
-      int status = status_at (vm_group_at (i), "/once", second_part.deadly);
+      int status
+          = vm_group_status (send_to, vm_group_at (i), "/once", second_part.deadly);
 
       refused = status == 503 ? refused + 1 : 0;
       (void)is_served (vm_group_at (i + 1), "/once", second_part.sound[0]);
@@ -251,7 +241,7 @@
   int64_t start_us = g_get_monotonic_time ();
 
   for (int i = 0; i < LAST_REQUESTS; i++)
-    (void)status_at (vm, "/once", second_part.deadly);
+    (void)vm_group_status (send_to, vm, "/once", second_part.deadly);
   ck_assert_uint_eq (fake_platform_sent_after (route_vm.platform, start_us), 0);
   ck_assert (is_served (vm, "/once", second_part.sound[0]));
   ck_assert (is_served (vm, "/once", second_part.sound[1]));
@@ -259,15 +249,9 @@
 
 START_TEST (test_refusal_of_a_request_with_a_deadly_part)
 {
-  struct raw_answer answer;
-
   crash_servers ();
-  answer = send_to (vm_group_at (3), "/again", second_part.deadly);
-  ck_assert_int_eq (route_vm_status (&answer), 503);
-  ck_assert_ptr_nonnull (strstr (answer.text->str, "Retry-After: "));
-  ck_assert_ptr_nonnull (strstr (answer.text->str, "\"execution\":\"not_run\""));
-  ck_assert_int_lt (answer.elapsed_ms, GAP_MS);
-  raw_answer_clear (&answer);
+  vm_group_expect_refusal (send_to, vm_group_at (3), "/again", second_part.deadly,
+                           GAP_MS);
 }
 END_TEST
 
@@ -300,7 +284,7 @@
 static void *
 send_sound (void *user)
 {
-  (void)status_at (user, "/again", second_part.sound[0]);
+  (void)vm_group_status (send_to, user, "/again", second_part.sound[0]);
   return NULL;
 }
 
--- a/tests/process/test_route_crashes.c
+++ b/tests/process/test_route_crashes.c
@@ -3,7 +3,6 @@
 #include <check.h>
 #include <pthread.h>
 #include <signal.h>
-#include <string.h>
 
 #include "tests/harness/crash_rule.h"
 #include "tests/harness/run_suite.h"
@@ -36,16 +35,6 @@
   return route_vm_send_to (vm, "POST", path, id, head, body);
 }
 
-static int
-status_at (const struct route_vm *vm, const char *path, const char *body)
-{
-  struct raw_answer answer = send_to (vm, path, body);
-  int status = route_vm_status (&answer);
-
-  raw_answer_clear (&answer);
-  return status;
-}
-
 static bool
 is_served (const struct route_vm *vm, const char *path, const char *body)
 {
@@ -66,7 +55,7 @@
       bool after_window = g_get_monotonic_time () > crash_rule_window_end_us (
                               route_vm.platform, CRASH_RULE_CRASHES_REQUEST);
 
-      (void)status_at (vm_group_at (i), path, CRASH_TEXT);
+      (void)vm_group_status (send_to, vm_group_at (i), path, CRASH_TEXT);
       if (!is_served (vm_group_at (i + 1), "/once/innocent", "harmless"))
         unserved += after_window;
       g_usleep (gap_ms * G_TIME_SPAN_MILLISECOND);
@@ -124,7 +113,7 @@
   for (unsigned i = 0; fake_platform_crash_count (route_vm.platform) < 3; i++)
     {
       ck_assert_uint_lt (i, COPIES);
-      (void)status_at (vm_group_at (i), "/once/x", CRASH_TEXT);
+      (void)vm_group_status (send_to, vm_group_at (i), "/once/x", CRASH_TEXT);
       g_usleep (COPY_GAP_MS * G_TIME_SPAN_MILLISECOND);
     }
   g_usleep (2 * DOWN_MS * G_TIME_SPAN_MILLISECOND);
@@ -137,22 +126,15 @@
   int64_t start_us = g_get_monotonic_time ();
 
   for (int i = 0; i <= CRASH_RULE_LATE_MAX; i++)
-    (void)status_at (vm, "/once/x", CRASH_TEXT);
+    (void)vm_group_status (send_to, vm, "/once/x", CRASH_TEXT);
   ck_assert_uint_eq (fake_platform_sent_after (route_vm.platform, start_us), 0);
   ck_assert (is_served (vm, "/once/innocent", "harmless"));
 }
 
 START_TEST (test_refusal_of_a_request_that_crashes_servers)
 {
-  struct raw_answer answer;
-
   crash_three_servers ();
-  answer = send_to (vm_group_at (3), "/once/x", CRASH_TEXT);
-  ck_assert_int_eq (route_vm_status (&answer), 503);
-  ck_assert_ptr_nonnull (strstr (answer.text->str, "Retry-After: "));
-  ck_assert_ptr_nonnull (strstr (answer.text->str, "\"execution\":\"not_run\""));
-  ck_assert_int_lt (answer.elapsed_ms, COPY_GAP_MS);
-  raw_answer_clear (&answer);
+  vm_group_expect_refusal (send_to, vm_group_at (3), "/once/x", CRASH_TEXT, COPY_GAP_MS);
 }
 END_TEST
 
@@ -174,7 +156,7 @@
       if (i == 0)
         fake_platform_crash_on (route_vm.platform, CRASH_TEXT, DOWN_MS);
       ck_assert_uint_lt (i, COPIES);
-      (void)status_at (&route_vm, "/once/x", CRASH_TEXT);
+      (void)vm_group_status (send_to, &route_vm, "/once/x", CRASH_TEXT);
       g_usleep (COPY_GAP_MS * G_TIME_SPAN_MILLISECOND);
     }
   g_usleep (2 * DOWN_MS * G_TIME_SPAN_MILLISECOND);
