--- a/tests/process/test_blocked_log.c
+++ b/tests/process/test_blocked_log.c
@@ -74,14 +74,12 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("blocked_log");
-  TCase *cases = tcase_create ("blocked_log");
+  TCase *cases = start_suite ("blocked_log");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_set_timeout (cases, 60);
   tcase_add_test (cases, test_requests_are_answered_while_a_write_to_the_log_blocks);
   tcase_add_test (
       cases, test_request_refused_by_all_servers_gets_retry_after_while_the_log_blocks);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_booking.c
+++ b/tests/process/test_booking.c
@@ -725,8 +725,7 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("booking");
-  TCase *tests = tcase_create ("booking");
+  TCase *tests = start_suite ("booking");
 
   seed = argc > 1 ? atoi (argv[1]) : 1;
   tcase_add_checked_fixture (tests, set_up, tear_down);
@@ -750,6 +749,5 @@
   tcase_add_test (tests, test_a_disconnected_caller_gets_the_outcome_later);
   tcase_add_test (tests, test_another_body_of_the_same_key_is_refused);
   tcase_add_test (tests, test_random_faults_keep_every_invariant);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_bytes_without_end.c
+++ b/tests/process/test_bytes_without_end.c
@@ -312,11 +312,10 @@
 }
 END_TEST
 
-static Suite *
-make_suite (void)
+int
+main (void)
 {
-  Suite *suite = suite_create ("bytes_without_end");
-  TCase *cases = tcase_create ("bytes_without_end");
+  TCase *cases = start_suite ("bytes_without_end");
 
   tcase_add_checked_fixture (cases, set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -327,12 +326,5 @@
   tcase_add_test (cases, test_many_answers_without_end_leave_room_for_other_requests);
   tcase_add_test (cases, test_all_forms_at_once_leave_a_small_vm_its_memory);
   tcase_add_test (cases, test_report_without_end_stays_within_memory_limit);
-  suite_add_tcase (suite, cases);
-  return suite;
-}
-
-int
-main (void)
-{
-  return run_suite (make_suite ());
+  return run_started_suite ();
 }
--- a/tests/process/test_cache.c
+++ b/tests/process/test_cache.c
@@ -133,8 +133,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("cache");
-  TCase *tests = tcase_create ("cache");
+  TCase *tests = start_suite ("cache");
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -142,6 +141,5 @@
   tcase_add_test (tests, test_a_restarted_engine_is_not_expected_to_have_a_warm_cache);
   tcase_add_test (tests,
                   test_requests_succeed_during_a_weight_change_and_use_no_older_cache);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_caller_heads.c
+++ b/tests/process/test_caller_heads.c
@@ -324,8 +324,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("caller heads");
-  TCase *cases = tcase_create ("caller heads");
+  TCase *cases = start_suite ("caller heads");
 
   tcase_add_checked_fixture (cases, scripted_vm_set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -337,6 +336,5 @@
   tcase_add_test (cases, test_answer_whose_head_does_not_fit_is_a_failure);
   tcase_add_test (cases, test_limit_of_the_configuration_is_applied);
   tcase_add_test (cases, test_thousands_of_kept_connections_fit_a_small_vm);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_callers.c
+++ b/tests/process/test_callers.c
@@ -344,8 +344,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("callers");
-  TCase *tests = tcase_create ("callers");
+  TCase *tests = start_suite ("callers");
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -359,6 +358,5 @@
   tcase_add_test (tests, test_request_smuggling_is_refused_and_the_connection_closed);
   tcase_add_test (tests, test_stalled_request_is_closed);
   tcase_add_test (tests, test_callers_can_use_tls);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_config.c
+++ b/tests/process/test_config.c
@@ -362,8 +362,7 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("config");
-  TCase *tests = tcase_create ("config");
+  TCase *tests = start_suite ("config");
 
   if (argc > 1)
     seed = (unsigned)atoi (argv[1]);
@@ -378,6 +377,5 @@
   tcase_add_test (tests, test_replaced_last_record_is_detected_by_every_vm);
   tcase_add_test (tests, test_vm_frozen_during_log_restore_catches_up);
   tcase_add_test (tests, test_invalid_document_is_rejected_with_key_and_reason);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_crash_answers.c
+++ b/tests/process/test_crash_answers.c
@@ -115,8 +115,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("crash answers");
-  TCase *cases = tcase_create ("crash answers");
+  TCase *cases = start_suite ("crash answers");
 
   tcase_add_checked_fixture (cases, set_up, vm_group_tear_down);
   tcase_set_timeout (cases, 120);
@@ -127,6 +126,5 @@
                   test_request_whose_crash_follows_an_error_without_id_is_sent_on_and_on);
   tcase_add_test (cases,
                   test_request_whose_crash_follows_an_unsigned_answer_is_sent_on_and_on);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_cut_heads.c
+++ b/tests/process/test_cut_heads.c
@@ -197,8 +197,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("cut heads");
-  TCase *cases = tcase_create ("cut heads");
+  TCase *cases = start_suite ("cut heads");
 
   tcase_add_checked_fixture (cases, scripted_vm_set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -208,6 +207,5 @@
                        G_N_ELEMENTS (said));
   tcase_add_test (cases, test_stream_is_not_completed_by_a_cut_answer);
   tcase_add_test (cases, test_log_tells_that_a_head_was_cut);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_drain.c
+++ b/tests/process/test_drain.c
@@ -226,14 +226,12 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("drain");
-  TCase *tests = tcase_create ("drain");
+  TCase *tests = start_suite ("drain");
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_graceful_shutdown_interrupts_no_stream);
   tcase_add_test (tests, test_streams_in_flight_at_the_drain_limit_end_in_an_error);
   tcase_add_test (tests, test_leaving_server_gets_no_new_requests);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_early_signals.c
+++ b/tests/process/test_early_signals.c
@@ -135,14 +135,12 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("early_signals");
-  TCase *cases = tcase_create ("early_signals");
+  TCase *cases = start_suite ("early_signals");
 
   tcase_add_checked_fixture (cases, route_vm_set_up, route_vm_tear_down);
   tcase_set_timeout (cases, 60);
   tcase_add_test (cases, test_reload_while_vm_starts_does_not_end_it);
   tcase_add_test (cases, test_reload_before_program_runs_takes_effect);
   tcase_add_test (cases, test_stop_while_vm_starts_drains_it);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_explain.c
+++ b/tests/process/test_explain.c
@@ -136,8 +136,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("explain");
-  TCase *cases = tcase_create ("explain");
+  TCase *cases = start_suite ("explain");
 
   tcase_add_checked_fixture (cases, route_vm_set_up, route_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -146,6 +145,5 @@
   tcase_add_test (cases, test_interrupted_stream);
   tcase_add_test (cases, test_choice_of_server);
   tcase_add_test (cases, test_unknown_id_is_an_error);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_extra_answers.c
+++ b/tests/process/test_extra_answers.c
@@ -139,13 +139,11 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("extra answers");
-  TCase *cases = tcase_create ("extra answers");
+  TCase *cases = start_suite ("extra answers");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_set_timeout (cases, 60);
   tcase_add_loop_test (cases, test_refusal_written_once_more_answers_other_requests, 0,
                        SCRIPT_KINDS);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_golden.c
+++ b/tests/process/test_golden.c
@@ -174,8 +174,7 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("golden");
-  TCase *tests = tcase_create ("golden");
+  TCase *tests = start_suite ("golden");
 
   record = argc > 1 && strcmp (argv[1], "record") == 0;
   (void)g_setenv ("KINGCUPPOINT_TOKEN", CLUSTER_TOKEN, TRUE);
@@ -184,6 +183,5 @@
   tcase_set_timeout (tests, 60);
   tcase_add_loop_test (tests, test_session_matches_recording, 0,
                        (int)G_N_ELEMENTS (sessions));
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_interim_answers.c
+++ b/tests/process/test_interim_answers.c
@@ -31,21 +31,13 @@
 }
 END_TEST
 
-static Suite *
-make_suite (void)
+int
+main (void)
 {
-  Suite *suite = suite_create ("interim_answers");
-  TCase *cases = tcase_create ("interim_answers");
+  TCase *cases = start_suite ("interim_answers");
 
   tcase_add_checked_fixture (cases, scripted_vm_set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
   tcase_add_test (cases, test_header_lines_of_an_interim_answer_do_not_count);
-  suite_add_tcase (suite, cases);
-  return suite;
-}
-
-int
-main (void)
-{
-  return run_suite (make_suite ());
+  return run_started_suite ();
 }
--- a/tests/process/test_late_answers.c
+++ b/tests/process/test_late_answers.c
@@ -187,8 +187,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("late answers");
-  TCase *cases = tcase_create ("late answers");
+  TCase *cases = start_suite ("late answers");
 
   tcase_add_checked_fixture (cases, scripted_vm_set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -197,6 +196,5 @@
   tcase_add_loop_test (cases, test_late_answer_does_not_become_a_part_of_a_stream, 0,
                        G_N_ELEMENTS (streams));
   tcase_add_test (cases, test_answer_to_a_caller_that_has_left_reaches_no_other);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_old_weights.c
+++ b/tests/process/test_old_weights.c
@@ -107,8 +107,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("old_weights");
-  TCase *cases = tcase_create ("old_weights");
+  TCase *cases = start_suite ("old_weights");
 
   tcase_add_checked_fixture (cases, set_up, route_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -116,6 +115,5 @@
   tcase_add_test (cases,
                   test_vm_without_store_while_weights_are_named_uses_old_ones_too_long);
   tcase_add_test (cases, test_old_weights_are_refused_while_they_may_be_used);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_orders.c
+++ b/tests/process/test_orders.c
@@ -165,14 +165,12 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("orders");
-  TCase *tests = tcase_create ("orders");
+  TCase *tests = start_suite ("orders");
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_all_engines_load_the_weights_at_most_two_at_once);
   tcase_add_test (
       tests, test_orders_complete_within_the_limit_if_a_grant_holder_is_paused_or_dead);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_part_crashes.c
+++ b/tests/process/test_part_crashes.c
@@ -321,8 +321,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("part crashes");
-  TCase *cases = tcase_create ("part crashes");
+  TCase *cases = start_suite ("part crashes");
 
   tcase_add_checked_fixture (cases, set_up, vm_group_tear_down);
   tcase_set_timeout (cases, 120);
@@ -340,6 +339,5 @@
   tcase_add_test (cases, test_vms_that_all_restart_forget_a_deadly_part);
   tcase_add_test (cases,
                   test_shared_part_is_blocked_when_all_servers_crash_again_and_again);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_path.c
+++ b/tests/process/test_path.c
@@ -186,8 +186,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("path");
-  TCase *tests = tcase_create ("path");
+  TCase *tests = start_suite ("path");
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -195,6 +194,5 @@
   tcase_add_test (tests, test_too_large_or_too_deep_bodies_are_rejected);
   tcase_add_test (tests, test_stream_is_complete_and_in_order);
   tcase_add_test (tests, test_prompts_and_secrets_reach_no_log_timeline_or_metric);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_peer.c
+++ b/tests/process/test_peer.c
@@ -283,8 +283,7 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("peer");
-  TCase *tests = tcase_create ("peer");
+  TCase *tests = start_suite ("peer");
 
   if (argc > 1)
     seed = (guint32)strtoul (argv[1], NULL, 10);
@@ -296,6 +295,5 @@
   tcase_add_test (tests, test_states_of_stopped_killed_and_leaving_vms_are_detected);
   tcase_add_test (tests, test_members_stay_while_vm_list_is_unavailable);
   tcase_add_test (tests, test_garbage_datagrams_are_dropped_and_counted);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_place.c
+++ b/tests/process/test_place.c
@@ -140,14 +140,12 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("place");
-  TCase *tests = tcase_create ("place");
+  TCase *tests = start_suite ("place");
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_requests_run_only_in_data_centers_that_all_sets_allow);
   tcase_add_test (tests, test_vm_in_another_data_center_relays_only_with_transit);
   tcase_add_test (tests, test_request_is_refused_if_no_allowed_engine_is_left);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_quarantine.c
+++ b/tests/process/test_quarantine.c
@@ -223,8 +223,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("quarantine");
-  TCase *tests = tcase_create ("quarantine");
+  TCase *tests = start_suite ("quarantine");
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -234,6 +233,5 @@
       tests, test_answer_comes_before_the_other_vms_know_that_the_request_is_quarantined);
   tcase_add_test (tests,
                   test_stopped_vm_does_not_hold_up_the_answer_of_a_quarantined_request);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_queue.c
+++ b/tests/process/test_queue.c
@@ -354,8 +354,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("queue");
-  TCase *tests = tcase_create ("queue");
+  TCase *tests = start_suite ("queue");
 
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_requests_wait_for_a_slot_and_all_are_served);
@@ -365,6 +364,5 @@
   tcase_add_test (tests, test_unknown_model_is_refused_while_others_wait);
   tcase_add_test (tests, test_vm_places_requests_by_cache_events);
   tcase_add_test (tests, test_stopped_engines_do_not_delay_other_reports);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_restart.c
+++ b/tests/process/test_restart.c
@@ -243,8 +243,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("restart");
-  TCase *tests = tcase_create ("restart");
+  TCase *tests = start_suite ("restart");
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 60);
@@ -252,6 +251,5 @@
   tcase_add_test (tests, test_requests_without_configuration_are_rejected_as_not_run);
   tcase_add_test (tests, test_new_vm_on_trimmed_log_rejects_requests_as_not_run);
   tcase_add_test (tests, test_start_over_requires_that_no_vm_holds_a_configuration);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_route.c
+++ b/tests/process/test_route.c
@@ -434,8 +434,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("route");
-  TCase *cases = tcase_create ("route");
+  TCase *cases = start_suite ("route");
 
   tcase_add_checked_fixture (cases, route_vm_set_up, route_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -456,6 +455,5 @@
   tcase_add_test (cases, test_configuration_arrives_within_3_s_of_store_outage);
   tcase_add_test (cases, test_draining_server_gets_no_new_requests);
   tcase_add_test (cases, test_desired_weights_are_loaded_on_all_servers);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_route_cache.c
+++ b/tests/process/test_route_cache.c
@@ -184,8 +184,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("route cache");
-  TCase *cases = tcase_create ("route cache");
+  TCase *cases = start_suite ("route cache");
 
   tcase_add_checked_fixture (cases, route_vm_set_up, route_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -195,6 +194,5 @@
   tcase_add_test (cases,
                   test_team_that_becomes_isolated_leaves_no_cached_parts_to_others);
   tcase_add_test (cases, test_teams_isolated_in_turn_leave_no_cached_parts_to_others);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_route_crashes.c
+++ b/tests/process/test_route_crashes.c
@@ -226,8 +226,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("route crashes");
-  TCase *cases = tcase_create ("route crashes");
+  TCase *cases = start_suite ("route crashes");
 
   tcase_add_checked_fixture (cases, set_up, vm_group_tear_down);
   tcase_set_timeout (cases, 120);
@@ -242,6 +241,5 @@
                   test_vm_that_was_cut_off_does_not_know_which_request_crashes_servers);
   tcase_add_test (cases, test_vms_that_all_restart_forget_which_request_crashes_servers);
   tcase_add_test (cases, test_popular_request_is_blocked_when_all_servers_crash_at_once);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_route_peers.c
+++ b/tests/process/test_route_peers.c
@@ -546,8 +546,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("route_peers");
-  TCase *cases = tcase_create ("route_peers");
+  TCase *cases = start_suite ("route_peers");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_set_timeout (cases, 60);
@@ -571,6 +570,5 @@
       test_relayed_removal_of_a_live_server_after_an_outage_is_carried_out_at_once);
   tcase_add_test (cases, test_relayed_records_after_a_gap_are_ignored);
   tcase_add_test (cases, test_the_leader_relays_changes_of_the_servers_list);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_route_stop.c
+++ b/tests/process/test_route_stop.c
@@ -192,14 +192,12 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("route stop");
-  TCase *cases = tcase_create ("route stop");
+  TCase *cases = start_suite ("route stop");
 
   tcase_add_checked_fixture (cases, set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
   tcase_add_test (cases, test_late_bookings_that_outlast_a_planned_stop_are_answered);
   tcase_add_test (cases, test_streams_that_outlast_a_planned_stop_are_broken_off);
   tcase_add_test (cases, test_stop_ends_in_order_beside_callers_that_stand_still);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_server_backoff.c
+++ b/tests/process/test_server_backoff.c
@@ -301,11 +301,10 @@
 }
 END_TEST
 
-static Suite *
-make_suite (void)
+int
+main (void)
 {
-  Suite *suite = suite_create ("server_backoff");
-  TCase *cases = tcase_create ("server_backoff");
+  TCase *cases = start_suite ("server_backoff");
 
   tcase_add_checked_fixture (cases, scripted_vm_set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -320,12 +319,5 @@
   tcase_add_test (cases, test_leaving_of_a_server_that_is_another_one_does_not_count);
   tcase_add_test (cases, test_other_vms_are_not_told_that_a_server_pauses);
   tcase_add_test (cases, test_other_vms_are_not_told_that_a_server_leaves);
-  suite_add_tcase (suite, cases);
-  return suite;
-}
-
-int
-main (void)
-{
-  return run_suite (make_suite ());
+  return run_started_suite ();
 }
--- a/tests/process/test_server_limit.c
+++ b/tests/process/test_server_limit.c
@@ -224,8 +224,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("server limit");
-  TCase *cases = tcase_create ("server limit");
+  TCase *cases = start_suite ("server limit");
 
   tcase_add_checked_fixture (cases, set_up, vm_group_tear_down);
   tcase_set_timeout (cases, 120);
@@ -238,6 +237,5 @@
   tcase_add_test (cases, test_calls_of_the_vms_come_on_top_of_a_limit);
   tcase_add_test (cases, test_limit_that_cannot_be_read_is_one);
   tcase_add_test (cases, test_server_that_takes_no_requests_is_never_asked_again);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_server_limit_fleet.c
+++ b/tests/process/test_server_limit_fleet.c
@@ -162,8 +162,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("server limit of many VMs");
-  TCase *cases = tcase_create ("server limit of many VMs");
+  TCase *cases = start_suite ("server limit of many VMs");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_set_timeout (cases, 120);
@@ -171,6 +170,5 @@
   tcase_add_test (cases, test_many_vms_send_more_than_limits_of_few_requests);
   tcase_add_test (cases, test_callers_that_move_to_other_vms_exceed_limits);
   tcase_add_test (cases, test_vms_that_were_frozen_exceed_limits);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_services.c
+++ b/tests/process/test_services.c
@@ -148,8 +148,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("services");
-  TCase *tests = tcase_create ("services");
+  TCase *tests = start_suite ("services");
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_set_timeout (tests, 30);
@@ -157,6 +156,5 @@
   tcase_add_test (tests, test_answer_of_another_attempt_is_never_forwarded);
   tcase_add_test (tests, test_only_repeatable_calls_are_retried_after_a_wrong_answer);
   tcase_add_test (tests, test_second_process_on_the_same_port_does_not_start);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_silent_store.c
+++ b/tests/process/test_silent_store.c
@@ -157,8 +157,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("silent_store");
-  TCase *cases = tcase_create ("silent_store");
+  TCase *cases = start_suite ("silent_store");
 
   tcase_add_checked_fixture (cases, set_up, route_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -167,6 +166,5 @@
   tcase_add_test (cases, test_servers_list_is_read_late_after_connections_go_silent);
   tcase_add_test (cases, test_new_connections_are_logged_with_the_reason);
   tcase_add_test (cases, test_connections_are_not_reused_after_silent_ones);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_software_versions.c
+++ b/tests/process/test_software_versions.c
@@ -346,8 +346,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("software versions");
-  TCase *cases = tcase_create ("software versions");
+  TCase *cases = start_suite ("software versions");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_set_timeout (cases, 60);
@@ -365,6 +364,5 @@
   tcase_add_test (
       cases,
       test_stream_that_began_while_the_store_was_down_is_taken_up_at_another_version);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_store_copy.c
+++ b/tests/process/test_store_copy.c
@@ -250,8 +250,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("store copy");
-  TCase *cases = tcase_create ("store copy");
+  TCase *cases = start_suite ("store copy");
 
   tcase_add_checked_fixture (cases, route_vm_set_up, route_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -268,6 +267,5 @@
   tcase_add_test (cases,
                   test_fencing_tokens_do_not_fall_when_offsets_are_given_out_again);
   tcase_add_test (cases, test_relayed_list_is_not_mixed_with_that_of_the_copy);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/process/test_stream_ends.c
+++ b/tests/process/test_stream_ends.c
@@ -316,11 +316,10 @@
 }
 END_TEST
 
-static Suite *
-make_suite (void)
+int
+main (void)
 {
-  Suite *suite = suite_create ("stream_ends");
-  TCase *cases = tcase_create ("stream_ends");
+  TCase *cases = start_suite ("stream_ends");
 
   tcase_add_checked_fixture (cases, scripted_vm_set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -340,12 +339,5 @@
   tcase_add_test (cases, test_stream_resumed_after_its_last_event_is_empty);
   tcase_add_loop_test (cases, test_whole_stream_without_length_is_delivered, 0,
                        G_N_ELEMENTS (whole_streams));
-  suite_add_tcase (suite, cases);
-  return suite;
-}
-
-int
-main (void)
-{
-  return run_suite (make_suite ());
+  return run_started_suite ();
 }
--- a/tests/process/test_streams.c
+++ b/tests/process/test_streams.c
@@ -350,8 +350,7 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("streams");
-  TCase *tests = tcase_create ("streams");
+  TCase *tests = start_suite ("streams");
 
   seed = argc > 1 ? (unsigned)strtoul (argv[1], NULL, 10) : 1;
   (void)fprintf (stderr, "seed %u\n", seed);
@@ -366,6 +365,5 @@
   tcase_add_test (tests, test_disconnected_caller_cancels_work_at_the_engine);
   tcase_add_test (
       tests, test_concurrent_streams_under_random_faults_are_complete_or_end_in_an_error);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_answer_limits.c
+++ b/tests/unit/test_answer_limits.c
@@ -68,21 +68,13 @@
 }
 END_TEST
 
-static Suite *
-make_suite (void)
+int
+main (void)
 {
-  Suite *suite = suite_create ("answer_limits");
-  TCase *cases = tcase_create ("answer_limits");
+  TCase *cases = start_suite ("answer_limits");
 
   tcase_add_test (cases, test_answers_without_end_are_ended_before_ordinary_ones);
   tcase_add_test (cases, test_unread_streams_share_the_memory);
   tcase_add_test (cases, test_one_answer_leaves_memory_for_others_on_a_small_vm);
-  suite_add_tcase (suite, cases);
-  return suite;
-}
-
-int
-main (void)
-{
-  return run_suite (make_suite ());
+  return run_started_suite ();
 }
--- a/tests/unit/test_backlog.c
+++ b/tests/unit/test_backlog.c
@@ -249,13 +249,11 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("backlog");
-  TCase *cases = tcase_create ("backlog");
+  TCase *cases = start_suite ("backlog");
 
   tcase_set_timeout (cases, 60);
   tcase_add_test (cases, test_prompts_admitted_under_overload_are_prefilled_in_time);
   tcase_add_test (cases, test_resumed_streams_are_refused_for_new_prompts);
   tcase_add_test (cases, test_short_prompts_and_short_waits_are_never_refused);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_base.c
+++ b/tests/unit/test_base.c
@@ -106,13 +106,11 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("base");
-  TCase *tests = tcase_create ("base");
+  TCase *tests = start_suite ("base");
 
   tcase_add_test (tests, test_settings_report_all_errors_with_line_and_range);
   tcase_add_test (tests, test_sse_events_do_not_depend_on_chunk_boundaries);
   tcase_add_test (tests, test_prefix_chains_depend_on_team_weights_and_earlier_blocks);
   tcase_add_test (tests, test_timeline_stamps_increase_and_follow_observed_stamps);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_choose.c
+++ b/tests/unit/test_choose.c
@@ -454,8 +454,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("choose");
-  TCase *cases = tcase_create ("choose");
+  TCase *cases = start_suite ("choose");
   int count = G_N_ELEMENTS (chains);
 
   tcase_add_test (cases, test_cache_space_follows_the_configuration_in_force);
@@ -476,6 +475,5 @@
                   test_request_waits_for_a_server_with_a_limit_that_has_its_prefix);
   tcase_add_test (cases, test_refused_request_is_not_told_when_a_limit_has_room);
   tcase_add_test (cases, test_server_with_a_limit_is_preferred_for_new_prefixes);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_claim_explore.c
+++ b/tests/unit/test_claim_explore.c
@@ -419,8 +419,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("claim explore");
-  TCase *cases = tcase_create ("claim explore");
+  TCase *cases = start_suite ("claim explore");
 
   tcase_set_timeout (cases, 120);
   tcase_add_test (
@@ -428,6 +427,5 @@
   tcase_add_loop_test (cases,
                        test_the_search_finds_a_violation_when_a_safeguard_is_missing,
                        MUTATION_SHORT_TAKEOVER_DELAY, MUTATION_TRIMMED_IS_FREE + 1);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_claims.c
+++ b/tests/unit/test_claims.c
@@ -332,8 +332,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("claims");
-  TCase *tests = tcase_create ("claims");
+  TCase *tests = start_suite ("claims");
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_add_test (tests, test_the_first_claim_wins_until_its_holder_releases_it);
@@ -354,6 +353,5 @@
   tcase_add_test (tests, test_another_body_and_an_old_key_are_refused);
   tcase_add_test (tests, test_uuid7_time);
   tcase_add_test (tests, test_a_sealed_outcome_opens_only_with_its_key_and_scope);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_config_history.c
+++ b/tests/unit/test_config_history.c
@@ -380,13 +380,11 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("config history");
-  TCase *tests = tcase_create ("config history");
+  TCase *tests = start_suite ("config history");
 
   if (argc > 1)
     first_seed = (unsigned)atoi (argv[1]);
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_vms_converge_and_keep_accepted_changes_despite_log_faults);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_config_state.c
+++ b/tests/unit/test_config_state.c
@@ -211,8 +211,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("config");
-  TCase *tests = tcase_create ("config");
+  TCase *tests = start_suite ("config");
 
   tcase_add_checked_fixture (tests, set_up, NULL);
   tcase_add_test (tests, test_snapshot_updates_an_older_vm_and_reverts_no_newer_one);
@@ -220,6 +219,5 @@
   tcase_add_test (tests, test_deleted_document_is_not_restored_by_a_peer);
   tcase_add_test (tests, test_age_of_peer_confirmation_counts_from_the_request);
   tcase_add_test (tests, test_key_belongs_to_its_team_until_replaced);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_connection_memory.c
+++ b/tests/unit/test_connection_memory.c
@@ -78,8 +78,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("connection_memory");
-  TCase *cases = tcase_create ("connection_memory");
+  TCase *cases = start_suite ("connection_memory");
 
   tcase_add_loop_test (cases, test_connections_leave_half_of_the_memory, 0,
                        G_N_ELEMENTS (process_bytes));
@@ -88,6 +87,5 @@
                        G_N_ELEMENTS (process_bytes));
   tcase_add_test (cases, test_elements_and_copies_count);
   tcase_add_test (cases, test_odd_limits_give_usable_memory);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_cut_answers.c
+++ b/tests/unit/test_cut_answers.c
@@ -220,8 +220,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("cut_answers");
-  TCase *cases = tcase_create ("cut_answers");
+  TCase *cases = start_suite ("cut_answers");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_set_timeout (cases, 60);
@@ -229,6 +228,5 @@
   tcase_add_test (cases, test_whole_answer_is_complete);
   tcase_add_loop_test (cases, test_call_with_a_cut_head_has_an_unknown_outcome, 0, 2);
   tcase_add_loop_test (cases, test_head_without_end_is_given_up, 0, 2);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_deliveries.c
+++ b/tests/unit/test_deliveries.c
@@ -104,8 +104,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("deliveries");
-  TCase *tests = tcase_create ("deliveries");
+  TCase *tests = start_suite ("deliveries");
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_add_test (tests, test_delivery_ends_before_all_vms_acknowledge);
@@ -113,6 +112,5 @@
   tcase_add_test (tests, test_delivery_without_acknowledgement_never_ends);
   tcase_add_test (tests, test_delivery_that_nobody_acknowledges_waits);
   tcase_add_test (tests, test_stop_leaves_deliveries);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_engine_adapter.c
+++ b/tests/unit/test_engine_adapter.c
@@ -115,13 +115,11 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("engine_adapter");
-  TCase *tests = tcase_create ("engine_adapter");
+  TCase *tests = start_suite ("engine_adapter");
 
   tcase_add_test (tests, test_a_continuation_appends_the_answer_to_the_prompt);
   tcase_add_test (tests, test_only_answers_that_are_plain_text_can_be_continued);
   tcase_add_test (tests, test_the_usage_of_a_continuation_counts_the_complete_answer);
   tcase_add_test (tests, test_resuming_a_stream_sends_the_last_event_id);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_forward_parts.c
+++ b/tests/unit/test_forward_parts.c
@@ -762,8 +762,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("forward parts");
-  TCase *cases = tcase_create ("forward parts");
+  TCase *cases = start_suite ("forward parts");
 
   tcase_add_test (cases, test_reload_reports_effective_and_restart_settings);
   tcase_add_test (cases, test_route_with_longest_path_prefix_wins);
@@ -792,6 +791,5 @@
   tcase_add_test (cases, test_log_writes_contain_complete_lines);
   tcase_add_test (cases, test_settings_errors_name_file_and_line);
   tcase_add_test (cases, test_default_drain_notice_fits_balancer_and_grace_period);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_forward_policy.c
+++ b/tests/unit/test_forward_policy.c
@@ -945,8 +945,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("forward policy");
-  TCase *cases = tcase_create ("forward policy");
+  TCase *cases = start_suite ("forward policy");
 
   tcase_add_test (
       cases, test_long_prompts_go_to_the_server_with_the_cached_prefix_until_it_is_full);
@@ -989,6 +988,5 @@
   tcase_add_test (cases, test_server_waits_for_its_first_order_while_others_get_more);
   tcase_add_loop_test (cases, test_orders_of_two_vms_are_at_least_the_minimum_gap_apart,
                        0, 2);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_free_port.c
+++ b/tests/unit/test_free_port.c
@@ -52,10 +52,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("free port");
-  TCase *cases = tcase_create ("free port");
+  TCase *cases = start_suite ("free port");
 
   tcase_add_test (cases, test_concurrent_programs_get_different_ports);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_fuzz.c
+++ b/tests/unit/test_fuzz.c
@@ -112,14 +112,12 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("fuzz");
-  TCase *tests = tcase_create ("fuzz");
+  TCase *tests = start_suite ("fuzz");
 
   seed = argc > 1 ? (guint32)strtoul (argv[1], NULL, 10) : 1;
   (void)fprintf (stderr, "seed %u\n", seed);
   tcase_set_timeout (tests, 60);
   tcase_add_loop_test (tests, test_parser_handles_mutated_inputs, 0,
                        G_N_ELEMENTS (targets));
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_history.c
+++ b/tests/unit/test_history.c
@@ -81,8 +81,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("history");
-  TCase *tests = tcase_create ("history");
+  TCase *tests = start_suite ("history");
 
   tcase_add_checked_fixture (tests, set_up, tear_down);
   tcase_add_test (tests, test_once_rejects_a_second_execution_within_the_window);
@@ -90,6 +89,5 @@
   tcase_add_test (tests, test_not_run_rejects_an_answer_after_the_execution);
   tcase_add_test (tests, test_answers_rejects_answer_without_earlier_execution);
   tcase_add_test (tests, test_answers_rejects_answer_before_execution);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_http_head.c
+++ b/tests/unit/test_http_head.c
@@ -59,21 +59,13 @@
 }
 END_TEST
 
-static Suite *
-make_suite (void)
+int
+main (void)
 {
-  Suite *suite = suite_create ("http_head");
-  TCase *cases = tcase_create ("http_head");
+  TCase *cases = start_suite ("http_head");
 
   tcase_add_test (cases, test_framing_is_that_of_the_answer_itself);
   tcase_add_test (cases, test_header_line_is_split_at_its_first_colon);
   tcase_add_loop_test (cases, test_lines_without_end_are_too_long, 0, 3);
-  suite_add_tcase (suite, cases);
-  return suite;
-}
-
-int
-main (void)
-{
-  return run_suite (make_suite ());
+  return run_started_suite ();
 }
--- a/tests/unit/test_limit_needs.c
+++ b/tests/unit/test_limit_needs.c
@@ -282,8 +282,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("limit needs");
-  TCase *cases = tcase_create ("limit needs");
+  TCase *cases = start_suite ("limit needs");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_add_test (cases, test_shares_add_up_to_more_than_the_limit_while_callers_move);
@@ -293,6 +292,5 @@
   tcase_add_test (cases, test_limit_stays_unused_though_messages_arrive);
   tcase_add_test (cases, test_vms_with_constant_needs_never_stop_telling_them);
   tcase_add_test (cases, test_vm_that_starts_anew_takes_a_large_share);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_loop.c
+++ b/tests/unit/test_loop.c
@@ -77,11 +77,9 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("loop");
-  TCase *cases = tcase_create ("loop");
+  TCase *cases = start_suite ("loop");
 
   tcase_add_test (cases, test_long_handler_is_a_stall);
   tcase_add_test (cases, test_wait_for_events_is_not_a_stall);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_mesh_load.c
+++ b/tests/unit/test_mesh_load.c
@@ -201,11 +201,9 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("mesh load");
-  TCase *cases = tcase_create ("mesh load");
+  TCase *cases = start_suite ("mesh load");
 
   tcase_set_timeout (cases, 60);
   tcase_add_test (cases, test_the_mesh_stays_within_its_processor_share_at_target_size);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_mesh_peers.c
+++ b/tests/unit/test_mesh_peers.c
@@ -137,8 +137,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("mesh peers");
-  TCase *cases = tcase_create ("mesh peers");
+  TCase *cases = start_suite ("mesh peers");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_add_test (cases, test_a_vm_that_is_heard_of_seldom_stays_alive);
@@ -148,6 +147,5 @@
   tcase_add_test (cases, test_events_of_near_servers_are_shared_with_the_listed_vms);
   tcase_add_test (cases, test_a_vm_waits_for_the_list_before_it_reads_events);
   tcase_add_test (cases, test_events_of_a_data_center_without_vms_are_read);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_mesh_summary.c
+++ b/tests/unit/test_mesh_summary.c
@@ -284,8 +284,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("mesh summary");
-  TCase *cases = tcase_create ("mesh summary");
+  TCase *cases = start_suite ("mesh summary");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_add_test (cases, test_a_summary_adds_up_the_load_of_a_data_center);
@@ -300,6 +299,5 @@
   tcase_add_test (cases, test_an_update_of_a_vm_that_is_only_listed_counts);
   tcase_add_test (cases, test_loads_of_successive_rollouts_reach_the_vms_near);
   tcase_add_test (cases, test_old_reports_count_less);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_orders.c
+++ b/tests/unit/test_orders.c
@@ -85,11 +85,9 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("orders");
-  TCase *tests = tcase_create ("orders");
+  TCase *tests = start_suite ("orders");
 
   tcase_add_test (tests, test_open_grants_stay_within_the_limit_and_one_per_engine);
   tcase_add_test (tests, test_a_grant_for_an_outdated_want_record_is_ignored);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_part_crashes.c
+++ b/tests/unit/test_part_crashes.c
@@ -192,8 +192,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("part crashes");
-  TCase *cases = tcase_create ("part crashes");
+  TCase *cases = start_suite ("part crashes");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_add_test (cases, test_part_of_requests_at_different_vms_is_never_blocked);
@@ -204,6 +203,5 @@
   tcase_add_test (cases, test_crash_found_after_an_answer_is_counted);
   tcase_add_test (cases, test_part_shares_its_fingerprint_with_another);
   tcase_add_test (cases, test_answered_part_is_forgotten_though_no_other_took_its_place);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_partition.c
+++ b/tests/unit/test_partition.c
@@ -593,8 +593,7 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("partition");
-  TCase *tests = tcase_create ("partition");
+  TCase *tests = start_suite ("partition");
 
   if (argc > 1)
     {
@@ -603,6 +602,5 @@
     }
   tcase_set_timeout (tests, 300);
   tcase_add_test (tests, test_random_runs_keep_every_invariant);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_peer_membership.c
+++ b/tests/unit/test_peer_membership.c
@@ -420,8 +420,7 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("peer_membership");
-  TCase *tests = tcase_create ("peer_membership");
+  TCase *tests = start_suite ("peer_membership");
 
   if (argc > 1)
     seed = (guint32)strtoul (argv[1], NULL, 10);
@@ -442,6 +441,5 @@
   tcase_add_test (tests, test_newer_configuration_of_another_vm_is_found);
   tcase_add_test (tests, test_restarted_vm_supersedes_its_old_configuration);
   tcase_add_test (tests, test_vms_converge_after_random_faults);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_peer_messages.c
+++ b/tests/unit/test_peer_messages.c
@@ -365,8 +365,7 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("peer_messages");
-  TCase *tests = tcase_create ("peer_messages");
+  TCase *tests = start_suite ("peer_messages");
 
   if (sodium_init () < 0)
     return EXIT_FAILURE;
@@ -384,6 +383,5 @@
   tcase_add_test (tests, test_full_table_retains_same_facts_in_any_order);
   tcase_add_test (tests, test_configuration_pull_completes_despite_loss);
   tcase_add_test (tests, test_pull_fails_without_valid_chunks);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_policy_decisions.c
+++ b/tests/unit/test_policy_decisions.c
@@ -280,8 +280,7 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("policy_decisions");
-  TCase *tests = tcase_create ("policy_decisions");
+  TCase *tests = start_suite ("policy_decisions");
 
   if (argc > 1)
     seed = (guint32)g_ascii_strtoull (argv[1], NULL, 10);
@@ -297,6 +296,5 @@
                   test_urgent_requests_start_first_then_the_earliest_deadline_of_a_team);
   tcase_add_test (tests, test_a_refused_request_is_queued_after_its_retry_after_time);
   tcase_add_test (tests, test_a_request_expires_when_its_latest_start_has_passed);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_policy_failures.c
+++ b/tests/unit/test_policy_failures.c
@@ -270,8 +270,7 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("policy_failures");
-  TCase *tests = tcase_create ("policy_failures");
+  TCase *tests = start_suite ("policy_failures");
 
   if (argc > 1)
     seed = (guint32)g_ascii_strtoull (argv[1], NULL, 10);
@@ -287,6 +286,5 @@
   tcase_add_test (tests, test_crashes_seen_by_two_vms_add_up_to_a_block);
   tcase_add_test (tests, test_one_vm_is_responsible_for_the_suspects_of_each_server);
   tcase_add_test (tests, test_a_copy_of_a_suspect_waits_for_the_vm_that_saw_the_crash);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_removals.c
+++ b/tests/unit/test_removals.c
@@ -123,13 +123,11 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("removals");
-  TCase *cases = tcase_create ("removals");
+  TCase *cases = start_suite ("removals");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_add_test (cases, test_removal_waits_for_that_of_a_server_removed_later);
   tcase_add_test (cases,
                   test_removal_is_forgotten_after_that_of_a_server_removed_earlier);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_reply.c
+++ b/tests/unit/test_reply.c
@@ -163,14 +163,12 @@
 int
 main (int argc, char **argv)
 {
-  Suite *suite = suite_create ("reply");
-  TCase *tests = tcase_create ("reply");
+  TCase *tests = start_suite ("reply");
 
   seed = argc > 1 ? (unsigned)strtoul (argv[1], NULL, 10) : 1;
   (void)fprintf (stderr, "seed %u\n", seed);
   tcase_set_timeout (tests, 60);
   tcase_add_test (tests, test_reply_delivers_every_byte_in_order_from_a_bounded_buffer);
   tcase_add_test (tests, test_second_begin_is_ignored);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_request_crashes.c
+++ b/tests/unit/test_request_crashes.c
@@ -240,8 +240,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("request crashes");
-  TCase *cases = tcase_create ("request crashes");
+  TCase *cases = start_suite ("request crashes");
 
   tcase_add_test (cases, test_caller_that_left_before_the_crash_is_taken_for_its_cause);
   tcase_add_test (cases, test_answer_read_after_the_crash_hides_the_crash);
@@ -255,6 +254,5 @@
   tcase_add_test (cases, test_errors_between_crashes_clear_a_request);
   tcase_add_test (cases, test_popular_request_with_errors_only_is_blocked);
   tcase_add_test (cases, test_block_never_ends);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -109,11 +109,9 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("rollout");
-  TCase *cases = tcase_create ("rollout");
+  TCase *cases = start_suite ("rollout");
 
   tcase_set_timeout (cases, 20);
   tcase_add_test (cases, test_loop_continues_when_lease_expires_during_renewal);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_server_limits.c
+++ b/tests/unit/test_server_limits.c
@@ -270,8 +270,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("server limits");
-  TCase *cases = tcase_create ("server limits");
+  TCase *cases = start_suite ("server limits");
 
   tcase_add_test (cases, test_unequal_callers_get_more_than_the_limit_or_leave_it_unused);
   tcase_add_test (cases, test_many_idle_vms_send_a_request_each_at_once);
@@ -283,6 +282,5 @@
   tcase_add_test (cases, test_refused_callers_return_together);
   tcase_add_test (cases, test_changes_of_a_limit_are_told_with_each_answer);
   tcase_add_test (cases, test_limit_is_read_wrongly);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_settings.c
+++ b/tests/unit/test_settings.c
@@ -84,11 +84,9 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("settings");
-  TCase *tests = tcase_create ("settings");
+  TCase *tests = start_suite ("settings");
 
   tcase_add_test (tests, test_errors_name_file_line_key_and_range);
   tcase_add_test (tests, test_errors_do_not_reveal_secrets);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_stream_versions.c
+++ b/tests/unit/test_stream_versions.c
@@ -520,8 +520,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("stream versions");
-  TCase *cases = tcase_create ("stream versions");
+  TCase *cases = start_suite ("stream versions");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_add_test (cases, test_streams_are_written_while_one_version_serves);
@@ -541,6 +540,5 @@
                   test_vm_that_started_while_the_store_was_down_takes_its_list_for_all);
   tcase_add_test (cases, test_entries_without_a_version_are_of_several);
   tcase_add_loop_test (cases, test_resumed_stream_is_decided_wrongly, 0, DECISION_CASES);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_timeline.c
+++ b/tests/unit/test_timeline.c
@@ -103,12 +103,10 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("timeline");
-  TCase *tests = tcase_create ("timeline");
+  TCase *tests = start_suite ("timeline");
 
   tcase_add_test (tests, test_stamp_of_a_wrong_clock_is_rejected);
   tcase_add_test (tests, test_events_are_ordered_by_stamp_then_vm);
   tcase_add_test (tests, test_events_are_filtered_by_request_vm_and_kind);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_timers.c
+++ b/tests/unit/test_timers.c
@@ -98,11 +98,9 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("timers");
-  TCase *tests = tcase_create ("timers");
+  TCase *tests = start_suite ("timers");
 
   tcase_add_test (tests, test_timers_fire_in_order_and_repeat);
   tcase_add_test (tests, test_cancelled_timer_does_not_fire);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_topic_end.c
+++ b/tests/unit/test_topic_end.c
@@ -135,8 +135,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("topic_end");
-  TCase *cases = tcase_create ("topic_end");
+  TCase *cases = start_suite ("topic_end");
 
   tcase_add_test (cases, test_record_of_a_prompt_answer_is_new);
   tcase_add_test (cases, test_record_read_after_a_freeze_may_be_as_old_as_the_freeze);
@@ -150,6 +149,5 @@
   tcase_add_test (cases, test_record_of_an_incomplete_read_is_not_taken_as_new);
   tcase_add_test (
       cases, test_record_written_again_after_an_older_copy_is_as_old_as_the_first_one);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
