--- a/src/policy/quarantine.c
+++ b/src/policy/quarantine.c
@@ -1,4 +1,4 @@
-#include "policy/quarantine.h"
+#include "policy/quarantine_private.h"
 
 #include <glib.h>
 #include <string.h>
@@ -7,58 +7,18 @@
 #include "base/clock.h"
 #include "policy/placement.h"
 
-/* The low bits of a rank count crashes up to the mask; the bits above hold a generation
-   that each clearing increments. */
-#define RANK_CRASH_BITS 2
-#define RANK_CRASH_MASK 3u
-#define RANK_BLOCKED    UINT32_MAX
-
 /* Time for which only the VM that observed a crash may retry the suspect. */
 #define REMOTE_SUSPECT_WAIT_NS (3 * KCP_NS_PER_S)
 
-struct entry
-{
-  uint64_t fingerprint;
-  uint64_t crashes[KCP_QUARANTINE_CRASHES_MAX];
-  uint32_t rank;
-  unsigned incidents;
-  unsigned errors;     /* answers with an error at this VM since the last crash */
-  int64_t incident_ns; /* the first crash of the latest incident */
-  int64_t answered_ns; /* when it was last cleared */
-  int64_t expires_ns;
-  /* When another VM reported the suspicion; 0: this VM observed the crash. */
-  int64_t received_ns;
-};
-
-struct kcp_quarantine
-{
-  size_t capacity;
-  int64_t keep_ns;
-  struct kcp_quarantine_rule rule;
-  GHashTable *entries;      /* fingerprint -> struct entry */
-  GHashTable *busy_servers; /* set of hashes of servers that run a suspect */
-};
-
-static void add_incident (const struct kcp_quarantine *quarantine, struct entry *entry,
-                          const struct kcp_quarantine_crash *crash);
-static void set_answered (struct entry *entry, int64_t now_ns);
-static unsigned count_crashes (const uint64_t incarnations[KCP_QUARANTINE_CRASHES_MAX]);
-static bool add_incarnation (struct entry *entry, uint64_t incarnation);
-static bool has_incarnation (const struct entry *entry, uint64_t incarnation);
-static void block_if_due (const struct kcp_quarantine *quarantine, struct entry *entry);
-static bool merge_generation (struct entry *entry, const struct kcp_quarantine_fact *fact,
-                              int64_t now_ns);
-static void replace_state (struct entry *entry, const struct kcp_quarantine_fact *fact,
-                           int64_t now_ns);
-static int64_t fact_incident_ns (const struct kcp_quarantine_fact *fact, int64_t now_ns);
-static struct kcp_quarantine_fact make_fact (const struct entry *entry, int64_t now_ns);
-static struct entry *
-find (struct kcp_quarantine *quarantine, uint64_t fingerprint, int64_t now_ns);
-static struct entry *
-find_or_add (struct kcp_quarantine *quarantine, uint64_t fingerprint, int64_t now_ns);
+static void
+add_incident (const struct kcp_quarantine *quarantine, struct kcp_quarantine_entry *entry,
+              const struct kcp_quarantine_crash *crash);
+static void set_answered (struct kcp_quarantine_entry *entry, int64_t now_ns);
+static bool
+has_incarnation (const struct kcp_quarantine_entry *entry, uint64_t incarnation);
 static void evict_entry (struct kcp_quarantine *quarantine, int64_t now_ns);
 static gboolean is_expired (gpointer key, gpointer value, gpointer user);
-static uint64_t eviction_order (const struct entry *entry);
+static uint64_t eviction_order (const struct kcp_quarantine_entry *entry);
 static gpointer copy_key (uint64_t key);
 
 /* Returns the identity of a request. It is equal for all repeats of the request, on all
@@ -109,16 +69,9 @@
 enum kcp_quarantine_state
 kcp_quarantine_rank_state (uint32_t rank)
 {
-  if (rank == RANK_BLOCKED)
+  if (rank == KCP_RANK_BLOCKED)
     return KCP_QUARANTINE_BLOCKED;
-  return (rank & RANK_CRASH_MASK) > 0 ? KCP_QUARANTINE_SUSPECT : KCP_QUARANTINE_NONE;
-}
-
-/* Returns the number of crashes that a fact names, at most KCP_QUARANTINE_CRASHES_MAX. */
-unsigned
-kcp_quarantine_fact_crashes (const struct kcp_quarantine_fact *fact)
-{
-  return count_crashes (fact->crashes);
+  return (rank & KCP_RANK_CRASH_MASK) > 0 ? KCP_QUARANTINE_SUSPECT : KCP_QUARANTINE_NONE;
 }
 
 /* Returns the state of a request. */
@@ -126,7 +79,8 @@
 kcp_quarantine_state (struct kcp_quarantine *quarantine, uint64_t fingerprint,
                       int64_t now_ns)
 {
-  const struct entry *entry = find (quarantine, fingerprint, now_ns);
+  const struct kcp_quarantine_entry *entry
+      = kcp_quarantine_find (quarantine, fingerprint, now_ns);
 
   return entry != NULL ? kcp_quarantine_rank_state (entry->rank) : KCP_QUARANTINE_NONE;
 }
@@ -154,19 +108,20 @@
                                   const struct kcp_quarantine_crash *crash,
                                   int64_t now_ns)
 {
-  struct entry *entry = find_or_add (quarantine, crash->fingerprint, now_ns);
+  struct kcp_quarantine_entry *entry
+      = kcp_quarantine_find_or_add (quarantine, crash->fingerprint, now_ns);
 
   entry->expires_ns = now_ns + quarantine->keep_ns;
-  if (entry->rank == RANK_BLOCKED || has_incarnation (entry, crash->incarnation)
+  if (entry->rank == KCP_RANK_BLOCKED || has_incarnation (entry, crash->incarnation)
       || crash->ended_ns < entry->answered_ns)
     return kcp_quarantine_rank_state (entry->rank);
-  if (crash->answered_before && entry->rank >> RANK_CRASH_BITS == 0)
+  if (crash->answered_before && entry->rank >> KCP_RANK_CRASH_BITS == 0)
     set_answered (entry, crash->ended_ns);
-  if (count_crashes (entry->crashes) == 0)
+  if (kcp_quarantine_count_crashes (entry->crashes) == 0)
     entry->received_ns = 0;
   add_incident (quarantine, entry, crash);
-  (void)add_incarnation (entry, crash->incarnation);
-  block_if_due (quarantine, entry);
+  (void)kcp_quarantine_add_incarnation (entry, crash->incarnation);
+  kcp_quarantine_block_if_due (quarantine, entry);
   return kcp_quarantine_rank_state (entry->rank);
 }
 
@@ -174,7 +129,7 @@
    that is found later moves its beginning; a later incident stays as it is, since the
    crash may belong to one before it. */
 static void
-add_incident (const struct kcp_quarantine *quarantine, struct entry *entry,
+add_incident (const struct kcp_quarantine *quarantine, struct kcp_quarantine_entry *entry,
               const struct kcp_quarantine_crash *crash)
 {
   if (entry->incidents == 0
@@ -187,8 +142,9 @@
     entry->incident_ns = MIN (entry->incident_ns, crash->ended_ns);
 }
 
-static unsigned
-count_crashes (const uint64_t incarnations[KCP_QUARANTINE_CRASHES_MAX])
+/* Returns how many of the incarnations are used. */
+unsigned
+kcp_quarantine_count_crashes (const uint64_t incarnations[KCP_QUARANTINE_CRASHES_MAX])
 {
   unsigned count = 0;
 
@@ -198,39 +154,42 @@
 }
 
 /* Adds an incarnation. Returns false if it is known or there is no room for it. */
-static bool
-add_incarnation (struct entry *entry, uint64_t incarnation)
+bool
+kcp_quarantine_add_incarnation (struct kcp_quarantine_entry *entry, uint64_t incarnation)
 {
-  unsigned count = count_crashes (entry->crashes);
+  unsigned count = kcp_quarantine_count_crashes (entry->crashes);
 
   if (incarnation == 0 || count == KCP_QUARANTINE_CRASHES_MAX
       || has_incarnation (entry, incarnation))
     return false;
   entry->crashes[count] = incarnation;
   entry->errors = 0;
-  if ((entry->rank & RANK_CRASH_MASK) < RANK_CRASH_MASK)
+  if ((entry->rank & KCP_RANK_CRASH_MASK) < KCP_RANK_CRASH_MASK)
     entry->rank++;
   return true;
 }
 
 static bool
-has_incarnation (const struct entry *entry, uint64_t incarnation)
+has_incarnation (const struct kcp_quarantine_entry *entry, uint64_t incarnation)
 {
-  for (unsigned i = 0; i < count_crashes (entry->crashes); i++)
+  for (unsigned i = 0; i < kcp_quarantine_count_crashes (entry->crashes); i++)
     if (entry->crashes[i] == incarnation)
       return true;
   return false;
 }
 
-static void
-block_if_due (const struct kcp_quarantine *quarantine, struct entry *entry)
+/* Blocks the request if it meets the conditions of the rule. */
+void
+kcp_quarantine_block_if_due (const struct kcp_quarantine *quarantine,
+                             struct kcp_quarantine_entry *entry)
 {
   const struct kcp_quarantine_rule *rule = &quarantine->rule;
-  bool answered = entry->rank >> RANK_CRASH_BITS > 0;
+  bool answered = entry->rank >> KCP_RANK_CRASH_BITS > 0;
   unsigned incidents = answered ? rule->incidents_if_answered : rule->incidents;
 
-  if (count_crashes (entry->crashes) >= rule->crashes && entry->incidents >= incidents)
-    entry->rank = RANK_BLOCKED;
+  if (kcp_quarantine_count_crashes (entry->crashes) >= rule->crashes
+      && entry->incidents >= incidents)
+    entry->rank = KCP_RANK_BLOCKED;
 }
 
 /* Clears a suspect that ran to completion. A blocked request stays blocked until its
@@ -239,7 +198,8 @@
 kcp_quarantine_add_completion (struct kcp_quarantine *quarantine, uint64_t fingerprint,
                                int64_t now_ns)
 {
-  struct entry *entry = find (quarantine, fingerprint, now_ns);
+  struct kcp_quarantine_entry *entry
+      = kcp_quarantine_find (quarantine, fingerprint, now_ns);
 
   if (entry == NULL || kcp_quarantine_rank_state (entry->rank) != KCP_QUARANTINE_SUSPECT)
     return;
@@ -249,9 +209,9 @@
 
 /* Begins another generation, in which no crash is counted yet. */
 static void
-set_answered (struct entry *entry, int64_t now_ns)
+set_answered (struct kcp_quarantine_entry *entry, int64_t now_ns)
 {
-  entry->rank = (entry->rank | RANK_CRASH_MASK) + 1;
+  entry->rank = (entry->rank | KCP_RANK_CRASH_MASK) + 1;
   memset (entry->crashes, 0, sizeof entry->crashes);
   entry->incidents = 0;
   entry->errors = 0;
@@ -264,7 +224,8 @@
 kcp_quarantine_add_error (struct kcp_quarantine *quarantine, uint64_t fingerprint,
                           int64_t now_ns)
 {
-  struct entry *entry = find (quarantine, fingerprint, now_ns);
+  struct kcp_quarantine_entry *entry
+      = kcp_quarantine_find (quarantine, fingerprint, now_ns);
 
   if (entry == NULL || kcp_quarantine_rank_state (entry->rank) != KCP_QUARANTINE_SUSPECT)
     return false;
@@ -321,141 +282,14 @@
 kcp_quarantine_must_wait (struct kcp_quarantine *quarantine, uint64_t fingerprint,
                           int64_t now_ns)
 {
-  const struct entry *entry = find (quarantine, fingerprint, now_ns);
+  const struct kcp_quarantine_entry *entry
+      = kcp_quarantine_find (quarantine, fingerprint, now_ns);
 
   return entry != NULL && entry->received_ns > 0
          && kcp_quarantine_rank_state (entry->rank) == KCP_QUARANTINE_SUSPECT
          && now_ns - entry->received_ns < REMOTE_SUSPECT_WAIT_NS;
 }
 
-/* Merges a fact from another VM. Returns true if the table changed. Of two generations
-   the later one holds, within one the crashes are added up, and a block holds above all.
-   The result does not depend on the order, loss or repetition of facts, and no fact lives
-   longer than its remaining time. */
-bool
-kcp_quarantine_merge (struct kcp_quarantine *quarantine,
-                      const struct kcp_quarantine_fact *fact, int64_t now_ns)
-{
-  int64_t expires_ns = now_ns + (int64_t)fact->remaining_ms * KCP_NS_PER_MS;
-  struct entry *entry;
-
-  if (fact->remaining_ms == 0)
-    return false;
-  entry = find_or_add (quarantine, fact->fingerprint, now_ns);
-  if (entry->rank == RANK_BLOCKED)
-    return false;
-  if (fact->rank >> RANK_CRASH_BITS > entry->rank >> RANK_CRASH_BITS)
-    replace_state (entry, fact, now_ns);
-  else if (fact->rank >> RANK_CRASH_BITS < entry->rank >> RANK_CRASH_BITS
-           || !merge_generation (entry, fact, now_ns))
-    return false;
-  if (entry->rank != RANK_BLOCKED)
-    block_if_due (quarantine, entry);
-  entry->received_ns = now_ns;
-  entry->expires_ns = MAX (entry->expires_ns, expires_ns);
-  return true;
-}
-
-static void
-replace_state (struct entry *entry, const struct kcp_quarantine_fact *fact,
-               int64_t now_ns)
-{
-  entry->rank = fact->rank;
-  entry->incidents = fact->incidents;
-  entry->incident_ns = fact_incident_ns (fact, now_ns);
-  if (kcp_quarantine_rank_state (fact->rank) == KCP_QUARANTINE_NONE)
-    {
-      entry->incidents = 0;
-      entry->answered_ns = now_ns;
-    }
-  memcpy (entry->crashes, fact->crashes, sizeof entry->crashes);
-}
-
-/* Adds the crashes of a fact of the same generation. The longer of two series of
-   incidents holds, of equally long ones that whose latest incident began earlier. Returns
-   false if nothing changed. */
-static bool
-merge_generation (struct entry *entry, const struct kcp_quarantine_fact *fact,
-                  int64_t now_ns)
-{
-  int64_t incident_ns = fact_incident_ns (fact, now_ns);
-  bool changed = fact->incidents > entry->incidents;
-
-  if (kcp_quarantine_rank_state (fact->rank) == KCP_QUARANTINE_NONE)
-    return false;
-  if (fact->incidents > entry->incidents)
-    entry->incident_ns = incident_ns;
-  else if (fact->incidents == entry->incidents)
-    entry->incident_ns = MIN (entry->incident_ns, incident_ns);
-  entry->incidents = MAX (entry->incidents, fact->incidents);
-  for (unsigned i = 0; i < KCP_QUARANTINE_CRASHES_MAX; i++)
-    changed |= add_incarnation (entry, fact->crashes[i]);
-  return changed;
-}
-
-static int64_t
-fact_incident_ns (const struct kcp_quarantine_fact *fact, int64_t now_ns)
-{
-  return now_ns - (int64_t)fact->incident_age_ms * KCP_NS_PER_MS;
-}
-
-/* Returns the fact that a request is blocked for remaining_ms. */
-struct kcp_quarantine_fact
-kcp_quarantine_blocked_fact (uint64_t fingerprint, int64_t remaining_ms)
-{
-  return (struct kcp_quarantine_fact){
-    .fingerprint = fingerprint,
-    .rank = RANK_BLOCKED,
-    .remaining_ms = (uint32_t)CLAMP (remaining_ms, 0, UINT32_MAX),
-  };
-}
-
-/* Calls the visitor for each fact that has not expired. The visitor must not change the
-   table. */
-void
-kcp_quarantine_visit (struct kcp_quarantine *quarantine, int64_t now_ns,
-                      kcp_quarantine_visitor *visitor, void *user)
-{
-  GHashTableIter iter;
-  gpointer value;
-
-  g_hash_table_foreach_remove (quarantine->entries, is_expired, &now_ns);
-  g_hash_table_iter_init (&iter, quarantine->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      struct kcp_quarantine_fact fact = make_fact (value, now_ns);
-
-      visitor (user, &fact);
-    }
-}
-
-/* Stores the fact of one request in out. Returns false if there is none. */
-bool
-kcp_quarantine_get_fact (struct kcp_quarantine *quarantine, uint64_t fingerprint,
-                         int64_t now_ns, struct kcp_quarantine_fact *out)
-{
-  const struct entry *entry = find (quarantine, fingerprint, now_ns);
-
-  if (entry != NULL)
-    *out = make_fact (entry, now_ns);
-  return entry != NULL;
-}
-
-static struct kcp_quarantine_fact
-make_fact (const struct entry *entry, int64_t now_ns)
-{
-  struct kcp_quarantine_fact fact = {
-    .fingerprint = entry->fingerprint,
-    .rank = entry->rank,
-    .incidents = entry->incidents,
-    .incident_age_ms = (uint32_t)MAX ((now_ns - entry->incident_ns) / KCP_NS_PER_MS, 0),
-    .remaining_ms = (uint32_t)((entry->expires_ns - now_ns) / KCP_NS_PER_MS),
-  };
-
-  memcpy (fact.crashes, entry->crashes, sizeof fact.crashes);
-  return fact;
-}
-
 /* Returns the number of entries, including expired ones. */
 size_t
 kcp_quarantine_count (const struct kcp_quarantine *quarantine)
@@ -463,24 +297,30 @@
   return g_hash_table_size (quarantine->entries);
 }
 
-static struct entry *
-find (struct kcp_quarantine *quarantine, uint64_t fingerprint, int64_t now_ns)
+/* Returns the entry of a request, or NULL if it has none or it has expired. */
+struct kcp_quarantine_entry *
+kcp_quarantine_find (struct kcp_quarantine *quarantine, uint64_t fingerprint,
+                     int64_t now_ns)
 {
-  struct entry *entry = g_hash_table_lookup (quarantine->entries, &fingerprint);
+  struct kcp_quarantine_entry *entry
+      = g_hash_table_lookup (quarantine->entries, &fingerprint);
 
   return entry != NULL && entry->expires_ns > now_ns ? entry : NULL;
 }
 
-static struct entry *
-find_or_add (struct kcp_quarantine *quarantine, uint64_t fingerprint, int64_t now_ns)
+/* Likewise, and adds an empty entry if there is none. */
+struct kcp_quarantine_entry *
+kcp_quarantine_find_or_add (struct kcp_quarantine *quarantine, uint64_t fingerprint,
+                            int64_t now_ns)
 {
-  struct entry *entry = find (quarantine, fingerprint, now_ns);
+  struct kcp_quarantine_entry *entry
+      = kcp_quarantine_find (quarantine, fingerprint, now_ns);
 
   if (entry != NULL)
     return entry;
   g_hash_table_remove (quarantine->entries, &fingerprint);
   evict_entry (quarantine, now_ns);
-  entry = g_new0 (struct entry, 1);
+  entry = g_new0 (struct kcp_quarantine_entry, 1);
   entry->fingerprint = fingerprint;
   g_hash_table_insert (quarantine->entries, &entry->fingerprint, entry);
   return entry;
@@ -493,11 +333,11 @@
 {
   GHashTableIter iter;
   gpointer value;
-  struct entry *victim = NULL;
+  struct kcp_quarantine_entry *victim = NULL;
 
   if (g_hash_table_size (quarantine->entries) < quarantine->capacity)
     return;
-  if (g_hash_table_foreach_remove (quarantine->entries, is_expired, &now_ns) > 0)
+  if (kcp_quarantine_remove_expired (quarantine, now_ns) > 0)
     return;
   g_hash_table_iter_init (&iter, quarantine->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
@@ -506,10 +346,17 @@
   g_hash_table_remove (quarantine->entries, &victim->fingerprint);
 }
 
+/* Removes the entries that have expired. Returns their number. */
+unsigned
+kcp_quarantine_remove_expired (struct kcp_quarantine *quarantine, int64_t now_ns)
+{
+  return g_hash_table_foreach_remove (quarantine->entries, is_expired, &now_ns);
+}
+
 static gboolean
 is_expired (gpointer key, gpointer value, gpointer user)
 {
-  const struct entry *entry = value;
+  const struct kcp_quarantine_entry *entry = value;
   const int64_t *now_ns = user;
 
   (void)key;
@@ -518,9 +365,9 @@
 
 /* Returns a number that is lowest for the entry to evict first. */
 static uint64_t
-eviction_order (const struct entry *entry)
+eviction_order (const struct kcp_quarantine_entry *entry)
 {
-  uint64_t blocked = entry->rank == RANK_BLOCKED;
+  uint64_t blocked = entry->rank == KCP_RANK_BLOCKED;
 
   return (blocked << 63) | (uint64_t)entry->expires_ns;
 }
