test_queue: one copy of the set-up, the callers and the wait

Four tests each had the lines that start one engine and a VM with one slot, start the callers and expect that all are served; three of them also those that wait until requests are queued. Each is now one function; what the tests expect is unchanged.

--- a/tests/process/test_queue.c
+++ b/tests/process/test_queue.c
@@ -79,24 +79,54 @@
   return count;
 }
 
-/* With a single slot, callers are served one after the other, and none is refused. */
-START_TEST (test_requests_wait_for_a_slot_and_all_are_served)
+/* Starts an engine and a VM that sends it one request at a time. */
+static void
+start_single_slot_vm (char *const *engine_options)
 {
-  static char *const options[] = { "--token-ms", "10", NULL };
-  struct caller callers[CALLERS] = { 0 };
-
   cluster = cluster_new ("queue");
-  cluster_add_engine (cluster, "engine-1", "dc1", options);
+  cluster_add_engine (cluster, "engine-1", "dc1", engine_options);
   cluster_add_vm (cluster, "vm-1", "dc1", "concurrency=1\n");
   publish_and_wait ();
+}
+
+static void
+start_callers (struct caller callers[CALLERS])
+{
   for (int i = 0; i < CALLERS; i++)
     pthread_create (&callers[i].thread, NULL, call, &callers[i]);
+}
+
+/* Waits until that many requests have had to wait for a slot. */
+static void
+wait_until_queued (unsigned count)
+{
+  for (int waited_ms = 0; count_events ("queued") < count; waited_ms += WAIT_POLL_MS)
+    {
+      ck_assert_int_lt (waited_ms, WAIT_LIMIT_MS);
+      g_usleep (WAIT_POLL_MS * G_TIME_SPAN_MILLISECOND);
+    }
+}
+
+static void
+expect_all_served (struct caller callers[CALLERS])
+{
   for (int i = 0; i < CALLERS; i++)
     {
       pthread_join (callers[i].thread, NULL);
       ck_assert_int_eq (callers[i].answer.status, 200);
       client_answer_clear (&callers[i].answer);
     }
+}
+
+/* With a single slot, callers are served one after the other, and none is refused. */
+START_TEST (test_requests_wait_for_a_slot_and_all_are_served)
+{
+  static char *const options[] = { "--token-ms", "10", NULL };
+  struct caller callers[CALLERS] = { 0 };
+
+  start_single_slot_vm (options);
+  start_callers (callers);
+  expect_all_served (callers);
   ck_assert_uint_ge (count_events ("queued"), 1);
   ck_assert_int_eq (cluster_counter (cluster_vm (cluster, 0), "refused"), 0);
   tear_down ();
@@ -112,19 +142,11 @@
   struct caller late = { .header = "Kingcuppoint-Deadline-Ms: 300" };
   g_autofree char *retry = NULL;
 
-  cluster = cluster_new ("queue");
-  cluster_add_engine (cluster, "engine-1", "dc1", options);
-  cluster_add_vm (cluster, "vm-1", "dc1", "concurrency=1\n");
-  publish_and_wait ();
+  start_single_slot_vm (options);
   call (&callers[0]);
   client_answer_clear (&callers[0].answer);
-  for (int i = 0; i < CALLERS; i++)
-    pthread_create (&callers[i].thread, NULL, call, &callers[i]);
-  for (int waited_ms = 0; count_events ("queued") < 2; waited_ms += WAIT_POLL_MS)
-    {
-      ck_assert_int_lt (waited_ms, WAIT_LIMIT_MS);
-      g_usleep (WAIT_POLL_MS * G_TIME_SPAN_MILLISECOND);
-    }
+  start_callers (callers);
+  wait_until_queued (2);
   call (&late);
   ck_assert_int_eq (late.answer.status, 429);
   ck_assert_int_lt (late.answer.total_us, 300000);
@@ -132,12 +154,7 @@
   retry = client_header (&late.answer, "Retry-After");
   ck_assert_ptr_nonnull (retry);
   client_answer_clear (&late.answer);
-  for (int i = 0; i < CALLERS; i++)
-    {
-      pthread_join (callers[i].thread, NULL);
-      ck_assert_int_eq (callers[i].answer.status, 200);
-      client_answer_clear (&callers[i].answer);
-    }
+  expect_all_served (callers);
   tear_down ();
 }
 END_TEST
@@ -176,17 +193,9 @@
   struct caller callers[CALLERS] = { 0 };
   int64_t started;
 
-  cluster = cluster_new ("queue");
-  cluster_add_engine (cluster, "engine-1", "dc1", options);
-  cluster_add_vm (cluster, "vm-1", "dc1", "concurrency=1\n");
-  publish_and_wait ();
-  for (int i = 0; i < CALLERS; i++)
-    pthread_create (&callers[i].thread, NULL, call, &callers[i]);
-  for (int waited_ms = 0; count_events ("queued") < 3; waited_ms += WAIT_POLL_MS)
-    {
-      ck_assert_int_lt (waited_ms, WAIT_LIMIT_MS);
-      g_usleep (WAIT_POLL_MS * G_TIME_SPAN_MILLISECOND);
-    }
+  start_single_slot_vm (options);
+  start_callers (callers);
+  wait_until_queued (3);
   cluster_set_member (cluster, "engine", "engine-1",
                       ((struct process *)g_ptr_array_index (cluster->engines, 0))->port,
                       "dc1", "leaving");
@@ -198,12 +207,7 @@
       g_usleep (WAIT_POLL_MS * G_TIME_SPAN_MILLISECOND);
     }
   started = started_count (0);
-  for (int i = 0; i < CALLERS; i++)
-    {
-      pthread_join (callers[i].thread, NULL);
-      ck_assert_int_eq (callers[i].answer.status, 200);
-      client_answer_clear (&callers[i].answer);
-    }
+  expect_all_served (callers);
   ck_assert_int_eq (started_count (0), started);
   ck_assert_int_ge (started_count (1), 1);
   tear_down ();
@@ -218,17 +222,9 @@
   struct caller callers[CALLERS] = { 0 };
   struct client_answer answer;
 
-  cluster = cluster_new ("queue");
-  cluster_add_engine (cluster, "engine-1", "dc1", options);
-  cluster_add_vm (cluster, "vm-1", "dc1", "concurrency=1\n");
-  publish_and_wait ();
-  for (int i = 0; i < CALLERS; i++)
-    pthread_create (&callers[i].thread, NULL, call, &callers[i]);
-  for (int waited_ms = 0; count_events ("queued") < 2; waited_ms += WAIT_POLL_MS)
-    {
-      ck_assert_int_lt (waited_ms, WAIT_LIMIT_MS);
-      g_usleep (WAIT_POLL_MS * G_TIME_SPAN_MILLISECOND);
-    }
+  start_single_slot_vm (options);
+  start_callers (callers);
+  wait_until_queued (2);
   answer = client_run (&(struct client_call){
       .port = cluster_vm (cluster, 0)->port,
       .path = "/v1/completions",
@@ -238,12 +234,7 @@
   });
   ck_assert_int_eq (answer.status, 503);
   client_answer_clear (&answer);
-  for (int i = 0; i < CALLERS; i++)
-    {
-      pthread_join (callers[i].thread, NULL);
-      ck_assert_int_eq (callers[i].answer.status, 200);
-      client_answer_clear (&callers[i].answer);
-    }
+  expect_all_served (callers);
   tear_down ();
 }
 END_TEST
