Fake platform: its store, its servers and their crashes are files of their own

tests/harness/fake_platform.c (1,190 lines) was the store with its topics, the servers that execute requests, and the crashes of these. Now: fake_http.c (109 lines) has the daemon, request bodies and answers, which both use; fake_store.c (414) the store, with a lock of its own; fake_server.c (360) the servers; fake_crash.c (279) which requests crash them; fake_platform.c (77) starts and stops all. fake_parts.h is for these files alone; fake_platform.h is unchanged.

The Makefile links kcp-soak with all of fake_*.c.

--- a/Makefile
+++ b/Makefile
@@ -39,6 +39,7 @@
 BENCH = $(sort $(wildcard bench/*.c))
 DEMO = $(sort $(wildcard demo/*.c))
 SOAK = $(sort $(wildcard soak/*.c))
+FAKE_PLATFORM = $(sort $(wildcard tests/harness/fake_*.c))
 SOAK_SEED ?= $(shell date +%s)
 SOAK_SECONDS ?= 60
 OURS = $(filter-out src/peer/gen/%,$(SRC) $(STANDIN) $(HARNESS) $(UNIT) $(PROCESS) $(BENCH) $(DEMO) $(SOAK))
@@ -78,7 +79,7 @@
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(CHECKLIBS)
 
-$(BUILD)/kcp-soak: $(call obj,$(SOAK) tests/harness/fake_platform.c tests/harness/free_port.c)
+$(BUILD)/kcp-soak: $(call obj,$(SOAK) $(FAKE_PLATFORM) tests/harness/free_port.c)
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
