--- a/tests/process/test_bytes_without_end.c
+++ b/tests/process/test_bytes_without_end.c
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "tests/harness/process_memory.h"
 #include "tests/harness/run_suite.h"
 #include "tests/harness/scripted_vm.h"
 
@@ -16,17 +17,11 @@
 #define STREAM_EVENTS   20000
 #define SMALL_VM_MB     88
 #define SLOW_READ_BYTES 65536
+#define PROBES          20 /* requests sent one after the other */
 #define REQUEST                                                                          \
   "POST %s HTTP/1.1\r\nHost: h\r\nRequest-Id: r%u\r\nConnection: close\r\n"              \
   "Authorization: Bearer key1\r\nRequest-Deadline: 2500\r\nContent-Length: 2\r\n\r\nin"
 
-/* Sanitizers multiply the memory use of a process. */
-#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
-#define MEMORY_USE_IS_REALISTIC false
-#else
-#define MEMORY_USE_IS_REALISTIC true
-#endif
-
 static const char filler[]
     = "0123456789012345678901234567890123456789012345678901234567890123456789";
 
@@ -138,14 +133,10 @@
 static long
 peak_kb (void)
 {
-  g_autofree char *path = g_strdup_printf ("/proc/%d/status", (int)route_vm.pid);
-  g_autofree char *text = NULL;
-  const char *line;
-
-  ck_assert (g_file_get_contents (path, &text, NULL, NULL));
-  line = strstr (text, "VmHWM:");
-  ck_assert_ptr_nonnull (line);
-  return strtol (line + strlen ("VmHWM:"), NULL, 10);
+  long kb = process_memory_kb (route_vm.pid, PROCESS_MEMORY_PEAK);
+
+  ck_assert_int_ge (kb, 0);
+  return kb;
 }
 
 START_TEST (test_answer_without_end_stays_within_memory_limit)
@@ -213,17 +204,37 @@
 }
 END_TEST
 
+/* Sends requests that may be repeated. Returns how many of them are answered, and prints
+   the answers to the others. */
+static unsigned
+send_probes (void)
+{
+  unsigned answered = 0;
+
+  for (unsigned i = 0; i < PROBES; i++)
+    {
+      struct raw_answer answer = route_vm_send ("POST", "/again/x", "", "in");
+
+      if (route_vm_status (&answer) == 200)
+        answered++;
+      else
+        (void)fprintf (stderr, "probe %u: after %" G_GINT64_FORMAT " ms: %s\n", i,
+                       answer.elapsed_ms, answer.text->str);
+      raw_answer_clear (&answer);
+    }
+  return answered;
+}
+
 /* Many answers without end at once stay within the limit for all together, and requests
    to another server are answered meanwhile. */
 START_TEST (test_many_answers_without_end_leave_room_for_other_requests)
 {
   enum
   {
-    CALLERS = 40,
-    PROBES = 20
+    CALLERS = 40
   };
   int fds[CALLERS];
-  unsigned answered = 0;
+  unsigned answered;
   long before_kb;
 
   (void)scripted_vm_start_server ("i-1", answer_without_end, &answers[5]);
@@ -235,13 +246,7 @@
 
       fds[i] = raw_connect_and_send (route_vm.port, request, 0);
     }
-  for (unsigned i = 0; i < PROBES; i++)
-    {
-      struct raw_answer answer = route_vm_send ("POST", "/again/x", "", "in");
-
-      answered += route_vm_status (&answer) == 200;
-      raw_answer_clear (&answer);
-    }
+  answered = send_probes ();
   for (unsigned i = 0; i < CALLERS; i++)
     (void)close (fds[i]);
   ck_assert_uint_eq (answered, PROBES);
@@ -264,12 +269,11 @@
 {
   enum
   {
-    CALLERS = 60,
-    PROBES = 20
+    CALLERS = 60
   };
   static const char *const paths[] = { "/once/x", "/again/x", "/stream/x" };
   int fds[CALLERS];
-  unsigned answered = 0;
+  unsigned answered;
 
   route_vm_kill (&route_vm);
   route_vm.memory_mb = SMALL_VM_MB;
@@ -284,17 +288,11 @@
       fds[i] = raw_connect_and_send (route_vm.port, request, 1);
     }
   (void)scripted_vm_start_server ("i-sound", answer_ordinarily, NULL);
-  for (unsigned i = 0; i < PROBES; i++)
-    {
-      struct raw_answer answer = route_vm_send ("POST", "/again/x", "", "in");
-
-      answered += route_vm_status (&answer) == 200;
-      raw_answer_clear (&answer);
-    }
+  answered = send_probes ();
   for (unsigned i = 0; i < CALLERS; i++)
     (void)close (fds[i]);
   ck_assert_uint_eq (answered, PROBES);
-  if (MEMORY_USE_IS_REALISTIC)
+  if (PROCESS_MEMORY_IS_REALISTIC)
     ck_assert_int_lt (peak_kb (), SMALL_VM_MB << 10);
 }
 END_TEST
@@ -314,11 +312,10 @@
 }
 END_TEST
 
-static Suite *
-make_suite (void)
+int
+main (void)
 {
-  Suite *suite = suite_create ("bytes_without_end");
-  TCase *cases = tcase_create ("bytes_without_end");
+  TCase *cases = start_suite ("bytes_without_end");
 
   tcase_add_checked_fixture (cases, set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -329,12 +326,5 @@
   tcase_add_test (cases, test_many_answers_without_end_leave_room_for_other_requests);
   tcase_add_test (cases, test_all_forms_at_once_leave_a_small_vm_its_memory);
   tcase_add_test (cases, test_report_without_end_stays_within_memory_limit);
-  suite_add_tcase (suite, cases);
-  return suite;
-}
-
-int
-main (void)
-{
-  return run_suite (make_suite ());
+  return run_started_suite ();
 }
