--- a/tests/harness/process_server.c
+++ b/tests/harness/process_server.c
@@ -79,7 +79,8 @@
     abort ();
   process->requests = requests[1];
   (void)snprintf (process->id, sizeof process->id, "%s", id);
-  process->start_ms = FIRST_START_MS;
+  process->start_ms
+      = script->reported_start_ms != 0 ? script->reported_start_ms : FIRST_START_MS;
   server.pid = fork_process (process, -1,
                              (int[]){ process->listener, requests[1], life[1], -1 });
   if (script->end == PROCESS_SERVER_RESTARTS || script->end == PROCESS_SERVER_IS_REPLACED)
--- /dev/null
+++ b/tests/process/test_believed_ends.c
@@ -0,0 +1,177 @@
+/* Answers that end with their connection: what counts as a sign that their server's
+   process has outlived them, and what does not. */
+#include <check.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "tests/harness/process_server.h"
+#include "tests/harness/run_suite.h"
+#include "tests/harness/scripted_vm.h"
+
+#define SETTLE_MS     400 /* until the VM knows a server */
+#define HOLD_MS       300 /* of a request, so that the next one needs a connection too */
+#define RESTART_MS    2000
+#define EVENT_1       "id: 1\ndata: piece 1\n\n"
+#define EVENT_2       "id: 2\ndata: piece 2\n\n"
+#define STREAM_HEADER "Content-Type: text/event-stream\r\n"
+#define TEXT_HEADER   "Content-Type: text/plain\r\n"
+#define WHOLE_BODY    "the first half and the rest"
+#define HALF_BODY     "the first ha"
+#define LAST_CHUNK    "0\r\n\r\n"
+/* More than 64 bits can hold. */
+#define HUGE_LENGTH "Content-Length: 99999999999999999999999\r\n"
+
+static struct process_server server;
+static bool has_server;
+
+static void
+set_up (void)
+{
+  has_server = false;
+  scripted_vm_set_up ();
+}
+
+static void
+tear_down (void)
+{
+  if (has_server)
+    process_server_stop (&server);
+  scripted_vm_tear_down ();
+}
+
+static void
+start_server (const struct process_server_script *script)
+{
+  server = process_server_start (route_vm.platform, "i-1", script);
+  has_server = true;
+  g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+}
+
+/* A server that started again with its id at its address serves before its new entry is
+   in the list, as when the store is slow. It has run the request and lives on. */
+START_TEST (test_whole_answer_of_a_restarted_server_is_lost_before_its_new_entry)
+{
+  struct process_server_script script = {
+    .header_lines = TEXT_HEADER,
+    .body = WHOLE_BODY,
+    .end = PROCESS_SERVER_CLOSES,
+    .reported_start_ms = RESTART_MS,
+  };
+
+  start_server (&script);
+  for (unsigned i = 0; i < 3; i++)
+    {
+      struct raw_answer answer = route_vm_send ("POST", "/once/x", "", "in");
+
+      ck_assert_uint_eq (process_server_take_request_count (&server), 1);
+      ck_assert_msg (route_vm_status (&answer) == 200, "answer %u is %d", i,
+                     route_vm_status (&answer));
+      raw_answer_clear (&answer);
+    }
+}
+END_TEST
+
+/* libcurl reads an answer whose length is too great to be read until its connection
+   ends. */
+START_TEST (test_half_a_body_with_an_unreadable_length_of_a_killed_server_is_a_success)
+{
+  struct process_server_script script = {
+    .header_lines = TEXT_HEADER HUGE_LENGTH,
+    .body = HALF_BODY,
+    .end = PROCESS_SERVER_IS_KILLED,
+  };
+  struct raw_answer answer;
+
+  start_server (&script);
+  answer = route_vm_send ("POST", "/once/x", "", "in");
+  ck_assert_uint_eq (process_server_take_request_count (&server), 1);
+  ck_assert_msg (answer.text->len == 0 || route_vm_status (&answer) == 502, "%s",
+                 answer.text->str);
+  raw_answer_clear (&answer);
+}
+END_TEST
+
+/* The first requests leave their connections open; the third streams an event, and its
+   process ends: nothing listens at its port. */
+static void
+answer_and_die (struct scripted_request *request, void *user)
+{
+  (void)user;
+  if (request->number < 2)
+    {
+      g_usleep (HOLD_MS * G_TIME_SPAN_MILLISECOND);
+      request->keep_open
+          = scripted_request_write_head (request, "200 OK", "Content-Length: 2\r\n")
+            && scripted_request_write (request, "ok");
+      return;
+    }
+  scripted_server_close_port (request->server);
+  if (scripted_request_write_head (request, "200 OK", STREAM_HEADER))
+    (void)scripted_request_write (request, EVENT_1);
+}
+
+/* What a kept connection brings that the process wrote before its end and the network
+   delivers late: an answer too many, of an earlier request. */
+static void
+deliver_late_answer (struct scripted_request *request, void *user)
+{
+  (void)user;
+  (void)scripted_request_write (request,
+                                "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\n"
+                                "Server-Seal: i-1\r\nContent-Length: 2\r\n\r\nok");
+}
+
+static void *
+send_once (void *user)
+{
+  struct raw_answer answer = route_vm_send ("POST", "/once/x", "", "in");
+
+  (void)user;
+  raw_answer_clear (&answer);
+  return NULL;
+}
+
+START_TEST (test_late_answer_of_an_earlier_request_shows_that_a_dead_server_lives)
+{
+  struct scripted_server *scripted
+      = scripted_vm_start_server ("i-1", answer_and_die, NULL);
+  GThread *callers[2];
+  struct raw_answer answer;
+
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    callers[i] = g_thread_new ("caller", send_once, NULL);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    g_thread_join (callers[i]);
+  scripted_server_answer_router_calls (scripted, deliver_late_answer);
+  answer = route_vm_send ("POST", "/stream/x", "", "in");
+  ck_assert_uint_eq (scripted_server_request_count (scripted), 3);
+  ck_assert_ptr_nonnull (strstr (answer.text->str, "piece 1"));
+  ck_assert_msg (!g_str_has_suffix (answer.text->str, "\r\n" LAST_CHUNK), "%s",
+                 answer.text->str);
+  raw_answer_clear (&answer);
+}
+END_TEST
+
+static Suite *
+make_suite (void)
+{
+  Suite *suite = suite_create ("believed_ends");
+  TCase *cases = tcase_create ("believed_ends");
+
+  tcase_add_checked_fixture (cases, set_up, tear_down);
+  tcase_set_timeout (cases, 60);
+  tcase_add_test (cases,
+                  test_whole_answer_of_a_restarted_server_is_lost_before_its_new_entry);
+  tcase_add_test (
+      cases, test_half_a_body_with_an_unreadable_length_of_a_killed_server_is_a_success);
+  tcase_add_test (cases,
+                  test_late_answer_of_an_earlier_request_shows_that_a_dead_server_lives);
+  suite_add_tcase (suite, cases);
+  return suite;
+}
+
+int
+main (void)
+{
+  return run_suite (make_suite ());
+}
