Review: a report asked on a kept connection that was lost costs a whole answer

The check of an answer's end waits its 2 s for one call on a kept connection; a new connection would have been answered.

--- a/tests/process/test_believed_ends.c
+++ b/tests/process/test_believed_ends.c
@@ -152,6 +152,63 @@
 }
 END_TEST
 
+static unsigned old_connections;
+
+/* The first requests leave their connections open; the third is answered whole, without a
+   length. */
+static void
+answer_whole (struct scripted_request *request, void *user)
+{
+  (void)user;
+  if (request->connection >= old_connections)
+    old_connections = request->connection + 1;
+  if (request->number < 2)
+    {
+      g_usleep (HOLD_MS * G_TIME_SPAN_MILLISECOND);
+      request->keep_open
+          = scripted_request_write_head (request, "200 OK", "Content-Length: 2\r\n")
+            && scripted_request_write (request, "ok");
+      return;
+    }
+  if (scripted_request_write_head (request, "200 OK", TEXT_HEADER))
+    (void)scripted_request_write (request, WHOLE_BODY);
+}
+
+/* Answers nothing on the connections that are open by then, as if the network had lost
+   them without notice, and calls on new ones at once. */
+static void
+report_on_new_connections (struct scripted_request *request, void *user)
+{
+  static const char report[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 71\r\n\r\n"
+        "{\"born\":1000,\"models\":[],\"busy\":false,\"seq-no\":0,\"queued\":0,"
+        "\"active\":0}";
+
+  (void)user;
+  request->keep_open = true;
+  if (request->connection >= old_connections)
+    (void)scripted_request_write (request, report);
+}
+
+START_TEST (test_whole_answer_is_lost_if_the_report_is_asked_on_a_dead_connection)
+{
+  struct scripted_server *scripted = scripted_vm_start_server ("i-1", answer_whole, NULL);
+  GThread *callers[2];
+  struct raw_answer answer;
+
+  old_connections = 0;
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    callers[i] = g_thread_new ("caller", send_once, NULL);
+  for (unsigned i = 0; i < G_N_ELEMENTS (callers); i++)
+    g_thread_join (callers[i]);
+  scripted_server_answer_router_calls (scripted, report_on_new_connections);
+  answer = route_vm_send ("POST", "/once/x", "", "in");
+  ck_assert_uint_eq (scripted_server_request_count (scripted), 3);
+  ck_assert_msg (route_vm_status (&answer) == 200, "%s", answer.text->str);
+  raw_answer_clear (&answer);
+}
+END_TEST
+
 static Suite *
 make_suite (void)
 {
@@ -166,6 +223,8 @@
       cases, test_half_a_body_with_an_unreadable_length_of_a_killed_server_is_a_success);
   tcase_add_test (cases,
                   test_late_answer_of_an_earlier_request_shows_that_a_dead_server_lives);
+  tcase_add_test (cases,
+                  test_whole_answer_is_lost_if_the_report_is_asked_on_a_dead_connection);
   suite_add_tcase (suite, cases);
   return suite;
 }
