ORDER: the report that confirms an answer's end is asked on a new connection

What callers would see: half a body of a killed server as a success, when a late answer of an earlier request on a kept connection was taken for the report, or when the answer named a length that 64 bits do not hold, which libcurl reads up to the end of the connection; and a whole answer lost after 2 s, when the report was asked on a connection that the network had lost.

Cause: any answer on a kept connection counted as the report, and any Content-Length as a length.

--- a/src/base/http_head.c
+++ b/src/base/http_head.c
@@ -82,14 +82,19 @@
   return header;
 }
 
-/* Notes how the end of the body is marked. Chunks take precedence over a length. */
+/* Notes how the end of the body is marked. Chunks take precedence over a length. A length
+   that no int64_t holds marks nothing: libcurl reads such a body up to the end of its
+   connection. */
 static void
 read_framing (struct kcp_http_head *head, struct kcp_str name, struct kcp_str value)
 {
+  int64_t length;
+
   if (kcp_str_equals_ignoring_case (name, "Transfer-Encoding")
       && kcp_str_equals_ignoring_case (value, "chunked"))
     head->framing = KCP_HTTP_FRAMING_CHUNKED;
   else if (kcp_str_equals_ignoring_case (name, "Content-Length")
-           && head->framing == KCP_HTTP_FRAMING_CLOSE)
+           && head->framing == KCP_HTTP_FRAMING_CLOSE
+           && kcp_str_to_int64 (value, &length))
     head->framing = KCP_HTTP_FRAMING_LENGTH;
 }
--- a/src/forward/end_check.c
+++ b/src/forward/end_check.c
@@ -116,7 +116,8 @@
 }
 
 /* Asks the server for its report. Whoever answers it was alive after the answers that had
-   ended before. */
+   ended before. On a kept connection a late answer to an earlier request could be taken
+   for the report, and one that was lost would cost the whole wait. */
 static void
 ask (void *user)
 {
@@ -144,8 +145,7 @@
                            .headers = asker->control_call.headers,
                            .connect_ms = gateway->settings->servers_connect_timeout_ms,
                            .total_ms = left_ms (asker),
-                           .may_repeat = true,
-                           .max_idle_s = gateway->settings->servers_max_idle_s,
+                           .new_connection = true,
                            .max_body_bytes = REPORT_MAX_BYTES,
                            .data = on_data,
                            .done = on_done,
