ORDER: what a server reports of its start counts for the answers after that

What callers would see: a server that starts again under its id serves before its new entry is in the list, as while the store is slow or down; each of its whole answers that end with their connection is taken for cut off, 502.

Cause: the check compared the reported start with that of the listed entry, however often it had heard the newer one. Why the fix works: an attempt notes the newest start that is known when it is sent, of the entry or of a report, and only a process with that start confirms it.

--- a/src/forward/end_check.c
+++ b/src/forward/end_check.c
@@ -27,7 +27,8 @@
 struct kcp_end_check
 {
   struct kcp_end_asker *asker;
-  unsigned calls_before; /* calls that were sent before the answer ended */
+  unsigned calls_before;     /* calls that were sent before the answer ended */
+  int64_t expected_start_ms; /* of the process that wrote the answer; 0: not known */
   int64_t ended_ns;
   int64_t asked_ns; /* when the first call after the end was sent; 0: not yet */
   kcp_end_check_done *done;
@@ -51,17 +52,20 @@
 static bool is_asked_for_all (const struct kcp_end_asker *asker);
 static void finish (struct kcp_end_check *check, struct kcp_end_verdict end);
 
-/* Starts the check of an answer that has just ended. done is called once, never from
-   within this function, unless the check is cancelled before. */
+/* Starts the check of an answer that has just ended. expected_start_ms is the start of
+   the server's process as it was known when the request was sent, a Unix time; 0: it was
+   not known. done is called once, never from within this function, unless the check is
+   cancelled before. */
 struct kcp_end_check *
 kcp_end_check_start (struct kcp_gateway *gateway, struct kcp_server *server,
-                     kcp_end_check_done *done, void *user)
+                     int64_t expected_start_ms, kcp_end_check_done *done, void *user)
 {
   struct kcp_end_check *check = g_new0 (struct kcp_end_check, 1);
   struct kcp_end_asker *asker = asker_of (gateway, server);
 
   check->asker = asker;
   check->calls_before = asker->calls;
+  check->expected_start_ms = expected_start_ms;
   check->ended_ns = kcp_loop_now (gateway->loop);
   check->done = done;
   check->user = user;
@@ -185,11 +189,12 @@
   struct kcp_answer_end_facts facts = {
     .refused = result->refused,
     .address_taken = address_is_taken (asker),
-    .expected_start_ms = asker->server->entry.started_ms,
   };
 
   asker->call = NULL;
   read_answer (asker, result, &facts);
+  asker->server->reported_start_ms
+      = MAX (asker->server->reported_start_ms, facts.reported_start_ms);
   asker->deciding = true;
   while (finish_one (asker, &facts))
     continue;
@@ -252,6 +257,7 @@
 
       if (check->calls_before == asker->calls)
         continue;
+      own.expected_start_ms = check->expected_start_ms;
       own.waited_ns = now - check->asked_ns;
       end = kcp_answer_end_decide (&own);
       if (end.decision == KCP_ANSWER_END_ASK_AGAIN)
--- a/src/forward/end_check.h
+++ b/src/forward/end_check.h
@@ -24,7 +24,7 @@
 
 struct kcp_end_check *
 kcp_end_check_start (struct kcp_gateway *gateway, struct kcp_server *server,
-                     kcp_end_check_done *done, void *user);
+                     int64_t expected_start_ms, kcp_end_check_done *done, void *user);
 void kcp_end_check_cancel (struct kcp_end_check *check);
 
 #endif
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -70,6 +70,7 @@
   attempt->headers = g_ptr_array_new_with_free_func (g_free);
   attempt->buffered_body = g_string_new (NULL);
   attempt->sent_ns = kcp_loop_now (gateway->loop);
+  attempt->server_start_ms = MAX (server->entry.started_ms, server->reported_start_ms);
   kcp_histogram_add (KCP_HISTOGRAM_LOAD_AGE, forward->choice.load_age_ns);
   attempt->events_before = forward->framer.events;
   forward->framer.resumed = forward->answer->begun;
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -15,7 +15,8 @@
   struct kcp_http_call *call;       /* NULL: not in progress */
   struct kcp_end_check *end_check;  /* of the answer, which has ended; NULL: none */
   struct kcp_http_result unchecked; /* how it ended, while that is being checked */
-  struct kcp_server *server;        /* a reference; NULL: there is no attempt */
+  int64_t server_start_ms; /* start of the server's process, as known when it was sent */
+  struct kcp_server *server; /* a reference; NULL: there is no attempt */
   struct kcp_answer_head head;
   GPtrArray *headers;            /* of the answer: name, value, ... */
   GString *buffered_body;        /* body of an answer that is not streamed */
--- a/src/forward/forward_unframed.c
+++ b/src/forward/forward_unframed.c
@@ -22,8 +22,8 @@
     return false;
   attempt->unchecked = *result;
   attempt->unchecked.reason = NULL; /* not valid after the call */
-  attempt->end_check
-      = kcp_end_check_start (forward->gateway, attempt->server, on_checked, forward);
+  attempt->end_check = kcp_end_check_start (
+      forward->gateway, attempt->server, attempt->server_start_ms, on_checked, forward);
   kcp_counter_add (KCP_COUNT_ENDS_CHECKED, 1);
   return true;
 }
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -60,8 +60,9 @@
   struct kcp_server_limit limit;  /* requests that it takes from all VMs together */
   struct kcp_own_needs own_needs; /* by which this VM has a share of it */
   int64_t limit_shared_ns;        /* when that share was last computed */
-  int64_t leaving_since_ns; /* when an answer said that it is leaving; 0: none has */
-  int64_t last_answer_ns;   /* when its newest part of an answer arrived; 0: never */
+  int64_t leaving_since_ns;  /* when an answer said that it is leaving; 0: none has */
+  int64_t last_answer_ns;    /* when its newest part of an answer arrived; 0: never */
+  int64_t reported_start_ms; /* of its process, by its newest report; 0: none told */
   struct kcp_end_asker *end_asker; /* of forward/end_check.h; NULL: none */
   int64_t probe_after_ns;       /* it is not probed before; see forward/crash_watch.h */
   int64_t loading_until_ns;     /* it counts as loading new weights until then */
