Tests: a request on a lost kept connection finds one that the VM's own calls leave free

The VM's reads of cache events use the same connections, so the only kept one may be taken (likely, not shown); four requests at once now leave several.

--- a/tests/process/test_refused_requests.c
+++ b/tests/process/test_refused_requests.c
@@ -35,6 +35,8 @@
   "Content-Length: 0\r\n\r\n"
 #define REPEATABLE     "\"idempotent\""
 #define VERSION_BEFORE "\"version\":7"
+#define WARM_CALLERS   4u
+#define KEPT_BITS      64
 #define WARM_PREFIX    "warm"
 
 /* What happened to the request under test. */
@@ -42,8 +44,8 @@
 {
   unsigned arrivals;
   unsigned runs;
-  int kept;    /* connection of the request before, at the server */
-  int arrived; /* connection of its first arrival */
+  uint64_t kept; /* bits: the server's connections that had a request before */
+  int arrived;   /* connection of its first arrival */
   int64_t closed_us;
   struct scripted_server *first; /* at which it arrived first */
 };
@@ -72,7 +74,7 @@
 static void
 set_up (void)
 {
-  history = (struct history){ .kept = -1, .arrived = -1 };
+  history = (struct history){ .arrived = -1 };
   scripted_vm_set_up ();
   fake_platform_put_record (route_vm.platform, "config", config);
 }
@@ -126,8 +128,9 @@
   if (!g_str_has_prefix (request->id, WARM_PREFIX))
     return false;
   pthread_mutex_lock (&lock);
-  history.kept = (int)request->connection;
+  history.kept |= UINT64_C (1) << (request->connection % KEPT_BITS);
   pthread_mutex_unlock (&lock);
+  g_usleep (RUN_MS * G_TIME_SPAN_MILLISECOND);
   request->keep_open = scripted_request_write_head (request, "200 OK", OK_ANSWER_LINES)
                        && scripted_request_write (request, "ok");
   return true;
@@ -147,15 +150,28 @@
                        && scripted_request_write (request, "ok");
 }
 
-/* Leaves each server with a connection that the VM keeps. */
+static void *
+send_warm (void *user)
+{
+  g_autofree char *id = g_strdup_printf (WARM_PREFIX "-%u", GPOINTER_TO_UINT (user));
+  struct raw_answer reply = route_vm_send_to (&route_vm, "POST", "/once/x", id, "", "in");
+  int status = route_vm_status (&reply);
+
+  raw_answer_clear (&reply);
+  return GINT_TO_POINTER (status);
+}
+
+/* Leaves connections that the VM keeps. There are some, since the VM's own calls may be
+   using one when the request under test is sent. */
 static void
 warm (void)
 {
-  struct raw_answer reply
-      = route_vm_send_to (&route_vm, "POST", "/once/x", WARM_PREFIX "-1", "", "in");
+  GThread *callers[WARM_CALLERS];
 
-  ck_assert_int_eq (route_vm_status (&reply), 200);
-  raw_answer_clear (&reply);
+  for (guint i = 0; i < WARM_CALLERS; i++)
+    callers[i] = g_thread_new ("warm", send_warm, GUINT_TO_POINTER (i));
+  for (guint i = 0; i < WARM_CALLERS; i++)
+    ck_assert_int_eq (GPOINTER_TO_INT (g_thread_join (callers[i])), 200);
 }
 
 static bool
@@ -232,7 +248,7 @@
   seen = get_history ();
   ck_assert_int_eq (status, 502);
   ck_assert_uint_eq (seen.arrivals, 1);
-  ck_assert (loss->body[0] == '\0' || seen.arrived == seen.kept);
+  ck_assert (loss->body[0] == '\0' || (seen.kept >> (seen.arrived % KEPT_BITS) & 1) == 1);
 }
 END_TEST
 
