--- a/tests/process/test_refused_requests.c
+++ b/tests/process/test_refused_requests.c
@@ -33,11 +33,15 @@
 #define EARLY_REFUSAL                                                                    \
   "HTTP/1.1 503 Unavailable\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"                    \
   "Content-Length: 0\r\n\r\n"
-#define REPEATABLE     "\"idempotent\""
-#define VERSION_BEFORE "\"version\":7"
-#define WARM_CALLERS   4u
-#define KEPT_BITS      64
-#define WARM_PREFIX    "warm"
+#define REPEATABLE       "\"idempotent\""
+#define VERSION_BEFORE   "\"version\":7"
+#define WARM_CALLERS     4u
+#define KEPT_BITS        64
+#define PAST_DEADLINE_MS 2800
+#define OTHERS_REFUSAL                                                                   \
+  "HTTP/1.1 503 Unavailable\r\nRequest-Id: r0\r\nNot-Executed: 1\r\n"                    \
+  "Content-Length: 0\r\n\r\n"
+#define WARM_PREFIX "warm"
 
 /* What happened to the request under test. */
 struct history
@@ -725,6 +729,58 @@
 }
 END_TEST
 
+/* What happens to the VM while a server has its request. */
+struct interruption
+{
+  int signal; /* SIGSTOP or SIGTERM, before the request runs */
+  int run_ms;
+  bool lost;  /* the server ends the connection instead of answering */
+  bool again; /* the server writes a refusal of another request before its answer */
+};
+
+static const struct interruption interruptions[] = {
+  { SIGSTOP, 300, false, false },
+  { SIGSTOP, 300, true, false },
+  { SIGSTOP, 300, false, true },
+  { SIGSTOP, PAST_DEADLINE_MS, false, false },
+  { SIGSTOP, PAST_DEADLINE_MS, true, false },
+  { SIGTERM, 300, false, false },
+  { SIGTERM, 300, true, false },
+  { SIGTERM, PAST_DEADLINE_MS, false, false },
+};
+
+static void
+answer_interrupted (struct scripted_request *request, void *user)
+{
+  const struct interruption *interruption = user;
+
+  if (serve_warm (request))
+    return;
+  (void)note_arrival (request);
+  (void)kill (route_vm.pid, interruption->signal);
+  run ();
+  g_usleep (interruption->run_ms * G_TIME_SPAN_MILLISECOND);
+  if (interruption->again)
+    (void)scripted_request_write (request, OTHERS_REFUSAL);
+  if (!interruption->lost)
+    answer_ok (request);
+  else
+    (void)shutdown (request->fd, SHUT_RDWR);
+  g_usleep (RUN_MS * G_TIME_SPAN_MILLISECOND);
+  (void)kill (route_vm.pid, SIGCONT);
+}
+
+/* Guards against a VM that was frozen, or told to stop, while a server ran a request
+   answering that it has not run, or sending it on. */
+START_TEST (test_request_that_ran_while_its_vm_was_frozen_or_stopped_is_refused)
+{
+  (void)scripted_vm_start_server ("i-1", answer_interrupted, &interruptions[_i]);
+  warm ();
+  ck_assert_int_ne (send_once ("POST", "/once/x", "in"), 0);
+  ck_assert_uint_eq (get_history ().arrivals, 1);
+}
+END_TEST
+
 int
 main (void)
 {
@@ -738,6 +794,9 @@
                        G_N_ELEMENTS (losses));
   tcase_add_loop_test (cases, test_request_that_ran_is_reported_as_not_run, 0,
                        G_N_ELEMENTS (claims));
+  tcase_add_loop_test (
+      cases, test_request_that_ran_while_its_vm_was_frozen_or_stopped_is_refused, 0,
+      G_N_ELEMENTS (interruptions));
   tcase_add_checked_fixture (again, set_up, tear_down);
   tcase_set_timeout (again, 60);
   tcase_add_loop_test (again,
