Store stand-in: a read that waits is woken by a record

Each waiting read slept 5 ms at a time; 59 VMs have some 350 of them. Now a record wakes them, and they look at the store's faults every 50 ms.

--- a/tests/harness/fake_parts.h
+++ b/tests/harness/fake_parts.h
@@ -34,6 +34,7 @@
 struct fake_store
 {
   pthread_mutex_t lock; /* guards the topics and the era */
+  pthread_cond_t added; /* a topic has another record */
   struct MHD_Daemon *daemon;
   bool down;
   bool unresponsive; /* accepts calls and never answers them */
--- a/tests/harness/fake_store.c
+++ b/tests/harness/fake_store.c
@@ -5,7 +5,8 @@
 
 #include "tests/harness/fake_parts.h"
 
-#define BLOCK_MS 20000 /* longer than any caller of the store waits */
+#define READ_WAIT_MS 50    /* at a time of a read that waits for records */
+#define BLOCK_MS     20000 /* longer than any caller of the store waits */
 
 struct record
 {
@@ -42,6 +43,7 @@
   record->value = g_strdup (value);
   pthread_mutex_lock (&store->lock);
   g_ptr_array_add (store->topics[topic].records, record);
+  pthread_cond_broadcast (&store->added);
   pthread_mutex_unlock (&store->lock);
 }
 
@@ -288,6 +290,25 @@
   return result;
 }
 
+/* Waits until a topic has a record at that offset, and not for long. Returns the time
+   that it took in milliseconds, at least 1. */
+static int64_t
+wait_for_record (struct fake_store *store, const struct fake_topic *topic, guint offset)
+{
+  int64_t before_us = g_get_monotonic_time ();
+  struct timespec end;
+
+  (void)clock_gettime (CLOCK_REALTIME, &end);
+  end.tv_nsec += READ_WAIT_MS * 1000000L;
+  end.tv_sec += end.tv_nsec / 1000000000L;
+  end.tv_nsec %= 1000000000L;
+  pthread_mutex_lock (&store->lock);
+  if (topic->records->len <= offset)
+    (void)pthread_cond_timedwait (&store->added, &store->lock, &end);
+  pthread_mutex_unlock (&store->lock);
+  return MAX ((g_get_monotonic_time () - before_us) / G_TIME_SPAN_MILLISECOND, 1);
+}
+
 static enum MHD_Result
 store_read (struct fake_store *store, struct MHD_Connection *connection,
             struct fake_topic *topic)
@@ -300,8 +321,7 @@
 
   while (topic->records->len <= from && remaining_ms > 0 && !store->stopping)
     {
-      g_usleep (FAKE_POLL_MS * G_TIME_SPAN_MILLISECOND);
-      remaining_ms -= FAKE_POLL_MS;
+      remaining_ms -= wait_for_record (store, topic, from);
       if (store->unresponsive || is_silent (store, connection))
         return block_call (store);
       if (store->down)
@@ -345,6 +365,7 @@
   conflict = at != NULL && g_ascii_strtoll (at, NULL, 10) != end;
   if (!conflict)
     g_ptr_array_add (topic->records, record);
+  pthread_cond_broadcast (&store->added);
   pthread_mutex_unlock (&store->lock);
   if (conflict)
     record_free (record);
@@ -387,6 +408,7 @@
   int port = 0;
 
   pthread_mutex_init (&store->lock, NULL);
+  pthread_cond_init (&store->added, NULL);
   for (unsigned i = 0; i < FAKE_TOPICS; i++)
     store->topics[i]
         = (struct fake_topic){ .name = topic_names[i],
@@ -410,5 +432,6 @@
   MHD_stop_daemon (store->daemon);
   for (unsigned i = 0; i < FAKE_TOPICS; i++)
     g_ptr_array_unref (store->topics[i].records);
+  pthread_cond_destroy (&store->added);
   pthread_mutex_destroy (&store->lock);
 }
