--- a/soak/soak.c
+++ b/soak/soak.c
@@ -10,23 +10,18 @@
    - after the faults, all VMs serve again.
 
    soak SEED SECONDS [VMS]: the same seed gives the same faults in the same order. */
-#include <arpa/inet.h>
 #include <glib.h>
 #include <glib/gstdio.h>
-#include <pthread.h>
-#include <signal.h>
 #include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/prctl.h>
 #include <sys/socket.h>
-#include <sys/wait.h>
 #include <unistd.h>
 
 #include "soak/proxy.h"
+#include "soak/vm.h"
 #include "tests/harness/fake_platform.h"
-#include "tests/harness/free_port.h"
 
 #define SERVERS               4u
 #define VMS_MAX               32u
@@ -34,25 +29,10 @@
 #define RECEIVE_TIMEOUT_MS    4000
 #define FAULT_DURATION_MAX_MS 2500
 #define RECOVERY_TIMEOUT_MS   9000 /* for all VMs to serve after the last fault */
-#define DRAIN_GRACE_MS        4000
 #define READ_BLOCK_BYTES      4096
 #define EVENT_GAP_MS          10 /* between the events of a stream */
 #define RESUMES_MAX           3u /* attempts of a caller to resume a stream */
 
-struct vm
-{
-  int port;
-  int ready_port;
-  int metrics_port;
-  int peer_port;
-  pid_t pid;
-  char *settings;
-  char *log;         /* standard output of all its processes; kept after a violation */
-  int64_t start_us;  /* time at which it is started; 0: it runs */
-  int64_t resume_us; /* time at which it is continued; 0: it is not stopped */
-  int64_t kill_us;   /* time at which it is killed after SIGTERM; 0: none sent */
-};
-
 /* What a caller has of a stream, over its attempts. */
 struct caller_stream
 {
@@ -66,7 +46,7 @@
 {
   struct fake_platform *platform;
   struct proxy *proxies[SERVERS];
-  struct vm vms[VMS_MAX];
+  struct soak_vm vms[VMS_MAX];
   unsigned vm_count;
   char *folder;
   GRand *random;
@@ -94,68 +74,7 @@
   (void)fflush (stdout); /* else a VM's process would print it again */
 }
 
-static void
-write_settings (struct vm *vm, unsigned index)
-{
-  g_autofree char *text = g_strdup_printf (
-      "[vm]\nid = vm%u\ndata_center = z\n[callers]\nlisten = 127.0.0.1:%d\n"
-      "[ready]\nlisten = 127.0.0.1:%d\n[metrics]\nlisten = 127.0.0.1:%d\n"
-      "[peers]\nlisten = 127.0.0.1:%d\n[store]\naddress = 127.0.0.1:%d\n"
-      "poll_ms = 200\n[drain]\ngrace_s = 4\nnotice_ms = 500\n",
-      index, vm->port, vm->ready_port, vm->metrics_port, vm->peer_port,
-      fake_platform_port (soak.platform));
-  g_autofree char *name = g_strdup_printf ("vm%u.ini", index);
-  g_autofree char *log_name = g_strdup_printf ("vm%u.log", index);
-
-  vm->settings = g_build_filename (soak.folder, name, NULL);
-  vm->log = g_build_filename (soak.folder, log_name, NULL);
-  if (!g_file_set_contents (vm->settings, text, -1, NULL))
-    abort ();
-}
-
-/* Starts a VM's process. A signal that it gets before its program runs is kept for the
-   program. */
-static void
-start_vm (struct vm *vm)
-{
-  const char *build = g_getenv ("BUILD") != NULL ? g_getenv ("BUILD") : "build";
-  g_autofree char *program = g_build_filename (build, "kingcuppoint", NULL);
-  sigset_t signals;
-  sigset_t before;
-
-  (void)sigemptyset (&signals);
-  (void)sigaddset (&signals, SIGHUP);
-  (void)sigaddset (&signals, SIGTERM);
-  (void)pthread_sigmask (SIG_BLOCK, &signals, &before);
-  vm->start_us = 0;
-  vm->pid = fork ();
-  if (vm->pid != 0)
-    {
-      (void)pthread_sigmask (SIG_SETMASK, &before, NULL);
-      return;
-    }
-  (void)prctl (PR_SET_PDEATHSIG, SIGKILL);
-  if (freopen (vm->log, "a", stdout) == NULL)
-    _exit (126);
-  (void)execl (program, program, "route", "--settings", vm->settings, (char *)NULL);
-  _exit (127);
-}
-
-static int
-connect_to (int port)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET,
-                                 .sin_port = htons ((uint16_t)port),
-                                 .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-  struct timeval limit = { .tv_sec = RECEIVE_TIMEOUT_MS / 1000 };
-  int fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-  (void)setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
-  if (connect (fd, (struct sockaddr *)&address, sizeof address) == 0)
-    return fd;
-  (void)close (fd);
-  return -1;
-}
+static const struct soak_report report = { .broken = report_violation };
 
 /* Reads one answer. Returns true if it is complete according to its framing. */
 static bool
@@ -280,7 +199,11 @@
       if (!resumes)
         stream = (struct caller_stream){ 0 };
       if (fd < 0)
-        fd = connect_to (soak.vms[(number + (unsigned)count) % soak.vm_count].port);
+        {
+          unsigned vm = (number + (unsigned)count) % soak.vm_count;
+
+          fd = soak_connect (soak.vms[vm].port, RECEIVE_TIMEOUT_MS);
+        }
       if (fd < 0)
         {
           g_usleep (20 * G_TIME_SPAN_MILLISECOND);
@@ -302,36 +225,6 @@
   return NULL;
 }
 
-/* Injects a fault into a VM that has none: kind 0 kills its process and starts it again
-   after duration_us, 1 stops the process for duration_us, 2 makes it drain and starts it
-   again. Any other kind reloads the settings. */
-static void
-inject_vm_fault (struct vm *vm, int kind, int64_t now_us, int64_t duration_us)
-{
-  if (vm->pid == 0 || vm->resume_us != 0 || vm->kill_us != 0)
-    return;
-  switch (kind)
-    {
-    case 0:
-      (void)kill (vm->pid, SIGKILL);
-      (void)waitpid (vm->pid, NULL, 0);
-      vm->pid = 0;
-      vm->start_us = now_us + duration_us;
-      break;
-    case 1:
-      (void)kill (vm->pid, SIGSTOP);
-      vm->resume_us = now_us + duration_us;
-      break;
-    case 2:
-      (void)kill (vm->pid, SIGTERM);
-      vm->kill_us = now_us + DRAIN_GRACE_MS * G_TIME_SPAN_MILLISECOND;
-      break;
-    default:
-      (void)kill (vm->pid, SIGHUP);
-      break;
-    }
-}
-
 /* Injects one random fault; earlier faults may still be active. */
 static void
 inject_fault (int64_t now_us)
@@ -349,11 +242,13 @@
     {
     case 0:
     case 1:
-      inject_vm_fault (&soak.vms[vm], variant % 4, now_us, duration_us);
+      (void)soak_vm_inject (&soak.vms[vm],
+                            (enum soak_vm_fault) (variant % SOAK_VM_FAULT_COUNT), now_us,
+                            duration_us);
       break;
     case 2:
       for (unsigned i = 0; variant % 5 == 0 && i < soak.vm_count; i++)
-        inject_vm_fault (&soak.vms[i], 0, now_us, duration_us);
+        (void)soak_vm_inject (&soak.vms[i], SOAK_VM_KILL, now_us, duration_us);
       break;
     case 3:
       fake_platform_set_down (soak.platform, true);
@@ -379,57 +274,12 @@
     }
 }
 
-/* Reports a violation if a VM has ended without having been killed or told to drain; it
-   is started again. */
-static void
-check_running (struct vm *vm)
-{
-  g_autofree char *text = NULL;
-  int status;
-
-  if (vm->pid == 0 || vm->kill_us != 0 || waitpid (vm->pid, &status, WNOHANG) != vm->pid)
-    return;
-  text = g_strdup_printf ("%s: exit code %d, signal %d", vm->settings,
-                          WIFEXITED (status) ? WEXITSTATUS (status) : 0,
-                          WIFSIGNALED (status) ? WTERMSIG (status) : 0);
-  report_violation ("EXIT", "-", text);
-  vm->pid = 0;
-  vm->resume_us = 0;
-}
-
-/* Continues or starts a VM when that is due, or immediately if all is true. Reports a
-   violation and kills the VM if it has not drained in time. */
-static void
-end_vm_faults (struct vm *vm, int64_t now_us, bool all)
-{
-  check_running (vm);
-  if (vm->resume_us != 0 && (all || now_us >= vm->resume_us))
-    {
-      (void)kill (vm->pid, SIGCONT);
-      vm->resume_us = 0;
-    }
-  if (vm->kill_us != 0 && waitpid (vm->pid, NULL, WNOHANG) == vm->pid)
-    {
-      vm->pid = 0;
-      vm->kill_us = 0;
-      vm->start_us = now_us;
-    }
-  else if (vm->kill_us != 0 && now_us >= vm->kill_us)
-    {
-      report_violation ("DRAIN", "-",
-                        "a VM was still running at the end of its grace period");
-      (void)kill (vm->pid, SIGKILL);
-    }
-  if (vm->pid == 0 && (all || now_us >= vm->start_us))
-    start_vm (vm);
-}
-
 /* Ends the faults that are due or, if all is true, every fault except a drain. */
 static void
 end_faults (int64_t now_us, bool all)
 {
   for (unsigned i = 0; i < soak.vm_count; i++)
-    end_vm_faults (&soak.vms[i], now_us, all);
+    soak_vm_end_faults (&soak.vms[i], now_us, all, &report);
   if (soak.store_restore_us != 0 && (all || now_us >= soak.store_restore_us))
     {
       fake_platform_set_down (soak.platform, false);
@@ -452,7 +302,7 @@
 }
 
 static bool
-vm_serves (const struct vm *vm)
+vm_serves (const struct soak_vm *vm)
 {
   g_autoptr (GString) text = g_string_new (NULL);
   g_autofree char *id = g_strdup_printf ("end%d", g_atomic_int_add (&soak.next_id, 1));
@@ -461,7 +311,7 @@
                          "Authorization: Bearer key1\r\nRequest-Deadline: 2500\r\n"
                          "Content-Length: 1\r\n\r\nb",
                          id);
-  int fd = connect_to (vm->port);
+  int fd = soak_connect (vm->port, RECEIVE_TIMEOUT_MS);
   bool serving;
 
   if (fd < 0)
@@ -544,14 +394,9 @@
   fake_platform_put_record (soak.platform, "config", config);
   for (unsigned i = 0; i < vms; i++)
     {
-      struct vm *vm = &soak.vms[i];
-
-      vm->port = free_port (SOCK_STREAM);
-      vm->ready_port = free_port (SOCK_STREAM);
-      vm->metrics_port = free_port (SOCK_STREAM);
-      vm->peer_port = free_port (SOCK_DGRAM);
-      write_settings (vm, i);
-      start_vm (vm);
+      soak_vm_init (&soak.vms[i], i, soak.folder, "z", fake_platform_port (soak.platform),
+                    "");
+      soak_vm_start (&soak.vms[i]);
     }
 }
 
@@ -559,20 +404,7 @@
 tear_down (void)
 {
   for (unsigned i = 0; i < soak.vm_count; i++)
-    {
-      struct vm *vm = &soak.vms[i];
-
-      if (vm->pid > 0)
-        {
-          (void)kill (vm->pid, SIGKILL);
-          (void)waitpid (vm->pid, NULL, 0);
-        }
-      (void)g_unlink (vm->settings);
-      if (soak.violations == 0)
-        (void)g_unlink (vm->log);
-      g_free (vm->settings);
-      g_free (vm->log);
-    }
+    soak_vm_clear (&soak.vms[i], soak.violations > 0);
   for (unsigned i = 0; i < SERVERS; i++)
     proxy_stop (soak.proxies[i]);
   fake_platform_stop (soak.platform);
