make fleet: VMs and servers as processes, killed and restarted, checked from both sides

In the soak the servers are threads of the test, so none can be killed, and there are four.

The servers record each run in a file that survives their end; callers keep connections, send bodies in pieces, leave, try again and resume.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-# Targets: all, check, check-packages, soak, soak-seeds, demo, bench, bench-policy, lint, format, deps, clean.
+# Targets: all, check, check-packages, soak, soak-seeds, fleet, demo, bench, bench-policy, lint, format, deps, clean.
 # SAN=address or SAN=thread builds everything with that sanitizer in its own folder.
 
 SAN ?=
@@ -40,6 +40,8 @@
 DEMO = $(sort $(wildcard demo/*.c))
 SOAK = $(sort $(wildcard soak/*.c))
 FAKE_PLATFORM = $(sort $(wildcard tests/harness/fake_*.c))
+SOAK_SHARED = soak/vm.c
+FLEET = $(sort $(wildcard soak/engine*.c soak/fleet*.c))
 SOAK_SEED ?= $(shell date +%s)
 SOAK_SECONDS ?= 60
 OURS = $(filter-out src/peer/gen/%,$(SRC) $(STANDIN) $(HARNESS) $(UNIT) $(PROCESS) $(BENCH) $(DEMO) $(SOAK))
@@ -51,7 +53,7 @@
 BENCH_BIN = $(patsubst bench/bench_%.c,$(BUILD)/bench_%,$(filter bench/bench_%.c,$(BENCH)))
 BENCH_LIB = $(filter-out bench/bench_%.c,$(BENCH))
 
-.PHONY: all check check-packages soak soak-seeds demo bench bench-policy lint format deps clean
+.PHONY: all check check-packages soak soak-seeds fleet demo bench bench-policy lint format deps clean
 .SECONDARY:
 all: $(BUILD)/kingcuppoint $(BUILD)/kcp-standin
 
@@ -79,7 +81,11 @@
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(CHECKLIBS)
 
-$(BUILD)/kcp-soak: $(call obj,$(SOAK) $(FAKE_PLATFORM) tests/harness/free_port.c)
+$(BUILD)/kcp-soak: $(call obj,soak/soak.c soak/proxy.c $(SOAK_SHARED) $(FAKE_PLATFORM) tests/harness/free_port.c)
+	@echo 'LD $@'
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
+
+$(BUILD)/kcp-fleet: $(call obj,$(FLEET) $(SOAK_SHARED) $(FAKE_PLATFORM) tests/harness/free_port.c)
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -115,6 +121,12 @@
 	@grep -v '^#' soak/seeds.txt | while read -r seed seconds vms cause; do \
 	  BUILD=$(BUILD) $(BUILD)/kcp-soak $$seed $$seconds $$vms || exit 1; done
 
+# Soak test of VMs and servers as processes, by default at the size of a small deployment;
+# takes SEED=N SECONDS=N VMS=N SERVERS=N CALLERS=N.
+fleet: all $(BUILD)/kcp-fleet
+	@BUILD=$(BUILD) $(BUILD)/kcp-fleet $(or $(SEED),$(SOAK_SEED)) $(or $(SECONDS),$(SOAK_SECONDS)) \
+	  $(or $(VMS),7) $(or $(SERVERS),13) $(CALLERS)
+
 demo: deps
 	@$(MAKE) --no-print-directory $(BUILD)/kingcuppoint $(BUILD)/kcp-standin $(BUILD)/kcp-demo
 	@BUILD=$(BUILD) $(BUILD)/kcp-demo
