Fleet: a server writes no late answer behind a body that ends with its connection

A late answer comes where the next one is expected, and none is expected there. The check itself is unchanged.

--- a/soak/engine.c
+++ b/soak/engine.c
@@ -676,7 +676,8 @@
     refuse_by_fault (engine, client);
   else if (client->state == CLIENT_WAITS_FOR_EVENTS && now_us >= client->due_us)
     answer_events (client);
-  if (client->late_us != 0 && now_us >= client->late_us && !client->head_sent)
+  if (client->late_us != 0 && now_us >= client->late_us && !client->head_sent
+      && !client->closes)
     {
       g_string_append_len (client->out, client->late->str, (gssize)client->late->len);
       g_string_truncate (client->late, 0);
