--- a/tests/process/test_killed_servers.c
+++ b/tests/process/test_killed_servers.c
@@ -371,11 +371,10 @@
 }
 END_TEST
 
-static Suite *
-make_suite (void)
+int
+main (void)
 {
-  Suite *suite = suite_create ("killed_servers");
-  TCase *cases = tcase_create ("killed_servers");
+  TCase *cases = start_suite ("killed_servers");
 
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_set_timeout (cases, 60);
@@ -399,12 +398,5 @@
   tcase_add_test (cases, test_deadline_passes_while_an_end_is_checked);
   tcase_add_test (cases, test_caller_leaves_while_an_end_is_checked);
   tcase_add_test (cases, test_vm_stops_while_an_end_is_checked);
-  suite_add_tcase (suite, cases);
-  return suite;
-}
-
-int
-main (void)
-{
-  return run_suite (make_suite ());
+  return run_started_suite ();
 }
--- a/tests/process/test_resumed_streams.c
+++ b/tests/process/test_resumed_streams.c
@@ -150,11 +150,10 @@
 }
 END_TEST
 
-static Suite *
-make_suite (void)
+int
+main (void)
 {
-  Suite *suite = suite_create ("resumed_streams");
-  TCase *cases = tcase_create ("resumed_streams");
+  TCase *cases = start_suite ("resumed_streams");
 
   tcase_add_checked_fixture (cases, scripted_vm_set_up, scripted_vm_tear_down);
   tcase_set_timeout (cases, 60);
@@ -162,12 +161,5 @@
                   test_events_that_a_caller_has_do_not_come_twice_when_the_vm_resumes);
   tcase_add_test (cases, test_events_that_a_caller_has_do_not_come_twice_when_it_resumes);
   tcase_add_test (cases, test_stream_resumed_at_another_vm_is_not_joined_with_the_first);
-  suite_add_tcase (suite, cases);
-  return suite;
-}
-
-int
-main (void)
-{
-  return run_suite (make_suite ());
+  return run_started_suite ();
 }
--- a/tests/unit/test_answer_end.c
+++ b/tests/unit/test_answer_end.c
@@ -65,10 +65,8 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("answer_end");
-  TCase *tests = tcase_create ("answer_end");
+  TCase *tests = start_suite ("answer_end");
 
   tcase_add_test (tests, test_an_end_is_whole_only_if_the_same_process_answers_after_it);
-  suite_add_tcase (suite, tests);
-  return run_suite (suite);
+  return run_started_suite ();
 }
--- a/tests/unit/test_lost_connections.c
+++ b/tests/unit/test_lost_connections.c
@@ -239,8 +239,7 @@
 int
 main (void)
 {
-  Suite *suite = suite_create ("lost connections");
-  TCase *cases = tcase_create ("lost connections");
+  TCase *cases = start_suite ("lost connections");
 
   tcase_add_checked_fixture (cases, set_up, NULL);
   tcase_add_test (cases, test_lost_call_is_sent_again_and_reported_as_refused);
@@ -248,6 +247,5 @@
   tcase_add_loop_test (cases, test_lost_append_is_made_again_or_reported_as_not_made, 0,
                        2);
   tcase_add_test (cases, test_read_survives_a_lost_connection);
-  suite_add_tcase (suite, cases);
-  return run_suite (suite);
+  return run_started_suite ();
 }
