ORDER: a process that was there before the request has outlived its answer

What callers would see: a server starts again under its id, its entry in the list is older, and its whole answers that end with their connection become 502 or are broken off.

Cause: a start other than that of the entry was taken for a successor of the writer. It is one only if it started after the request was sent. Why the fix works: a process that started 3 s or more before the request, by both clocks, wrote the answer itself. Closer starts are decided as before.

--- a/src/forward/end_check.c
+++ b/src/forward/end_check.c
@@ -4,6 +4,7 @@
 
 /* Time until a server is asked again that has turned away a connection. */
 #define RETRY_DELAY_MS   50
+#define CALL_MAX_MS      1000       /* time for one call */
 #define REPORT_MAX_BYTES (1u << 20) /* of one report */
 
 /* The checks at one server. They share its calls, so that many answers that end together
@@ -28,6 +29,7 @@
 {
   struct kcp_end_asker *asker;
   unsigned calls_before;     /* calls that were sent before the answer ended */
+  int64_t sent_ms;           /* Unix time at which the request was sent */
   int64_t expected_start_ms; /* of the process that wrote the answer; 0: not known */
   int64_t ended_ns;
   int64_t asked_ns; /* when the first call after the end was sent; 0: not yet */
@@ -45,28 +47,29 @@
 static void
 read_answer (const struct kcp_end_asker *asker, const struct kcp_http_result *result,
              struct kcp_answer_end_facts *facts);
-static bool address_is_taken (const struct kcp_end_asker *asker);
+static int64_t find_taken_start (const struct kcp_end_asker *asker);
 static bool
 finish_one (struct kcp_end_asker *asker, const struct kcp_answer_end_facts *facts);
 static void go_on (struct kcp_end_asker *asker);
 static bool is_asked_for_all (const struct kcp_end_asker *asker);
 static void finish (struct kcp_end_check *check, struct kcp_end_verdict end);
 
-/* Starts the check of an answer that has just ended. expected_start_ms is the start of
-   the server's process as it was known when the request was sent, a Unix time; 0: it was
-   not known. done is called once, never from within this function, unless the check is
-   cancelled before. */
+/* Starts the check of an answer that has just ended. done is called once, never from
+   within this function, unless the check is cancelled before. */
 struct kcp_end_check *
 kcp_end_check_start (struct kcp_gateway *gateway, struct kcp_server *server,
-                     int64_t expected_start_ms, kcp_end_check_done *done, void *user)
+                     const struct kcp_end_check_sent *sent, kcp_end_check_done *done,
+                     void *user)
 {
   struct kcp_end_check *check = g_new0 (struct kcp_end_check, 1);
   struct kcp_end_asker *asker = asker_of (gateway, server);
 
   check->asker = asker;
   check->calls_before = asker->calls;
-  check->expected_start_ms = expected_start_ms;
   check->ended_ns = kcp_loop_now (gateway->loop);
+  check->expected_start_ms = sent->server_start_ms;
+  check->sent_ms = kcp_clock_realtime_ms (gateway->clock)
+                   - (check->ended_ns - sent->sent_ns) / KCP_NS_PER_MS;
   check->done = done;
   check->user = user;
   g_ptr_array_add (asker->checks, check);
@@ -148,7 +151,7 @@
                            .target = asker->control_call.path,
                            .headers = asker->control_call.headers,
                            .connect_ms = gateway->settings->servers_connect_timeout_ms,
-                           .total_ms = left_ms (asker),
+                           .total_ms = MIN (left_ms (asker), CALL_MAX_MS),
                            .new_connection = true,
                            .max_body_bytes = REPORT_MAX_BYTES,
                            .data = on_data,
@@ -188,7 +191,7 @@
   struct kcp_end_asker *asker = user;
   struct kcp_answer_end_facts facts = {
     .refused = result->refused,
-    .address_taken = address_is_taken (asker),
+    .taken_start_ms = find_taken_start (asker),
   };
 
   asker->call = NULL;
@@ -223,13 +226,14 @@
     }
 }
 
-/* Returns true if the servers' list names another process, which started later, at the
-   server's address. */
-static bool
-address_is_taken (const struct kcp_end_asker *asker)
+/* Returns when the process started that the servers' list names at the server's address
+   and that started last, a Unix time; 0: it names none that started after the server. */
+static int64_t
+find_taken_start (const struct kcp_end_asker *asker)
 {
   const struct kcp_server_entry *own = &asker->server->entry;
   const GPtrArray *all = kcp_servers_all (asker->gateway->servers);
+  int64_t start_ms = 0;
 
   for (guint i = 0; i < all->len; i++)
     {
@@ -237,9 +241,9 @@
 
       if (other != asker->server && other->entry.started_ms > own->started_ms
           && strcmp (other->entry.address, own->address) == 0)
-        return true;
+        start_ms = MAX (start_ms, other->entry.started_ms);
     }
-  return false;
+  return start_ms;
 }
 
 /* Ends a check that the newest call decides, if there is one. A check whose answer ended
@@ -257,6 +261,7 @@
 
       if (check->calls_before == asker->calls)
         continue;
+      own.sent_ms = check->sent_ms;
       own.expected_start_ms = check->expected_start_ms;
       own.waited_ns = now - check->asked_ns;
       end = kcp_answer_end_decide (&own);
--- a/src/forward/end_check.h
+++ b/src/forward/end_check.h
@@ -9,6 +9,13 @@
 #include "forward/gateway.h"
 #include "policy/answer_end.h"
 
+/* What is known of the time at which the request was sent. */
+struct kcp_end_check_sent
+{
+  int64_t sent_ns;
+  int64_t server_start_ms; /* start of the server's process, a Unix time; 0: not known */
+};
+
 /* How a check ended. */
 struct kcp_end_check_result
 {
@@ -24,7 +31,8 @@
 
 struct kcp_end_check *
 kcp_end_check_start (struct kcp_gateway *gateway, struct kcp_server *server,
-                     int64_t expected_start_ms, kcp_end_check_done *done, void *user);
+                     const struct kcp_end_check_sent *sent, kcp_end_check_done *done,
+                     void *user);
 void kcp_end_check_cancel (struct kcp_end_check *check);
 
 #endif
--- a/src/forward/forward_unframed.c
+++ b/src/forward/forward_unframed.c
@@ -23,7 +23,10 @@
   attempt->unchecked = *result;
   attempt->unchecked.reason = NULL; /* not valid after the call */
   attempt->end_check = kcp_end_check_start (
-      forward->gateway, attempt->server, attempt->server_start_ms, on_checked, forward);
+      forward->gateway, attempt->server,
+      &(struct kcp_end_check_sent){ .sent_ns = attempt->sent_ns,
+                                    .server_start_ms = attempt->server_start_ms },
+      on_checked, forward);
   kcp_counter_add (KCP_COUNT_ENDS_CHECKED, 1);
   return true;
 }
--- a/src/policy/answer_end.c
+++ b/src/policy/answer_end.c
@@ -13,9 +13,11 @@
   [KCP_ANSWER_END_OTHER_INSTANCE] = "other_instance",
   [KCP_ANSWER_END_OTHER_START] = "other_start",
   [KCP_ANSWER_END_SAME_START] = "same_start",
+  [KCP_ANSWER_END_STARTED_BEFORE] = "started_before",
   [KCP_ANSWER_END_ANSWERED] = "answered",
 };
 
+static bool was_there_before (const struct kcp_answer_end_facts *facts, int64_t start_ms);
 static enum kcp_answer_end_evidence
 find_evidence (const struct kcp_answer_end_facts *facts);
 
@@ -29,6 +31,7 @@
   switch (end.evidence)
     {
     case KCP_ANSWER_END_SAME_START:
+    case KCP_ANSWER_END_STARTED_BEFORE:
     case KCP_ANSWER_END_ANSWERED:
       end.decision = KCP_ANSWER_END_WHOLE;
       break;
@@ -54,7 +57,7 @@
 {
   if (facts->refused)
     return KCP_ANSWER_END_REFUSED;
-  if (facts->address_taken)
+  if (facts->taken_start_ms != 0 && !was_there_before (facts, facts->taken_start_ms))
     return KCP_ANSWER_END_ADDRESS_TAKEN;
   if (facts->other_instance)
     return KCP_ANSWER_END_OTHER_INSTANCE;
@@ -62,11 +65,22 @@
     return KCP_ANSWER_END_NOTHING;
   if (facts->expected_start_ms == 0 || facts->reported_start_ms == 0)
     return KCP_ANSWER_END_ANSWERED;
-  return facts->reported_start_ms == facts->expected_start_ms
-             ? KCP_ANSWER_END_SAME_START
+  if (facts->reported_start_ms == facts->expected_start_ms)
+    return KCP_ANSWER_END_SAME_START;
+  return was_there_before (facts, facts->reported_start_ms)
+             ? KCP_ANSWER_END_STARTED_BEFORE
              : KCP_ANSWER_END_OTHER_START;
 }
 
+/* Returns true if a process that started at start_ms was there when the request was sent,
+   so that it wrote the answer: the list may learn of a restart late. */
+static bool
+was_there_before (const struct kcp_answer_end_facts *facts, int64_t start_ms)
+{
+  return facts->sent_ms != 0
+         && start_ms + KCP_ANSWER_END_CLOCK_MARGIN_MS < facts->sent_ms;
+}
+
 /* Returns the name of a decision for the log. */
 const char *
 kcp_answer_end_decision_name (enum kcp_answer_end_decision decision)
--- a/src/policy/answer_end.h
+++ b/src/policy/answer_end.h
@@ -20,11 +20,16 @@
  */
 #define KCP_ANSWER_END_MAX_WAIT_NS (2 * KCP_NS_PER_S)
 
+/* Clocks of VMs and servers are taken to differ by this at most. */
+#define KCP_ANSWER_END_CLOCK_MARGIN_MS 3000
+
 /* What is known of the server since the connection was closed. */
 struct kcp_answer_end_facts
 {
   bool refused;              /* its address refuses connections */
-  bool address_taken;        /* the servers' list names a later process at its address */
+  int64_t taken_start_ms;    /* of a later process that the servers' list names at its
+                                address; 0: it names none */
+  int64_t sent_ms;           /* Unix time at which the request was sent; 0: not known */
   bool answered;             /* it has answered a call that names the expected instance */
   bool other_instance;       /* it answered that it is another instance */
   int64_t expected_start_ms; /* of the process that wrote the answer; 0: not known */
@@ -48,6 +53,7 @@
   KCP_ANSWER_END_OTHER_INSTANCE,
   KCP_ANSWER_END_OTHER_START,
   KCP_ANSWER_END_SAME_START,
+  KCP_ANSWER_END_STARTED_BEFORE, /* later than expected, but before the request */
   KCP_ANSWER_END_ANSWERED, /* by the expected instance, without the time of its start */
   KCP_ANSWER_END_EVIDENCE_COUNT
 };
--- a/tests/harness/process_server.c
+++ b/tests/harness/process_server.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <glib.h>
 #include <poll.h>
 #include <signal.h>
 #include <stdio.h>
@@ -36,7 +37,7 @@
   char id[64];
   int listener;
   int requests; /* pipe */
-  int start_ms;
+  int64_t start_ms;
   bool follows;
   unsigned resets; /* of calls for its report, so far */
   struct connection connections[CONNECTIONS_MAX];
@@ -158,6 +159,8 @@
     }
   if (wait_for >= 0)
     (void)read (wait_for, &byte, 1);
+  if (wait_for >= 0 && process->start_ms == NEXT_START_MS)
+    process->start_ms = g_get_real_time () / 1000;
   run (process);
 }
 
@@ -308,7 +311,8 @@
       return;
     }
   (void)snprintf (body, sizeof body,
-                  "{\"born\":%d,\"models\":[{\"name\":\"m\",\"version\":1}],"
+                  "{\"born\":%" G_GINT64_FORMAT
+                  ",\"models\":[{\"name\":\"m\",\"version\":1}],"
                   "\"busy\":false,\"seq-no\":0,\"queued\":0,\"active\":0}",
                   process->start_ms);
   (void)snprintf (text, sizeof text, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s",
--- a/tests/harness/process_server.h
+++ b/tests/harness/process_server.h
@@ -37,7 +37,7 @@
   const char *resumed_body; /* for a request with Last-Event-Id; NULL: body */
   enum process_server_end end;
   enum process_server_reports reports;
-  int reported_start_ms; /* of the server itself; 0: as its list entry says */
+  int64_t reported_start_ms; /* of the server itself; 0: as its list entry says */
 };
 
 struct process_server
--- a/tests/process/test_believed_ends.c
+++ b/tests/process/test_believed_ends.c
@@ -42,22 +42,24 @@
 static void
 start_server (const struct process_server_script *script)
 {
+  size_t log_before = route_vm_log_size ();
+
   server = process_server_start (route_vm.platform, "i-1", script);
   has_server = true;
   g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+  route_vm_wait_server_added ("i-1", log_before);
 }
 
-/* A server that started again with its id at its address serves before its new entry is
-   in the list, as when the store is slow. Whether the process of the entry or its
-   successor wrote the first answer cannot be told, so that one may be lost; those after
-   it must not be. */
-START_TEST (test_whole_answers_of_a_restarted_server_are_lost_before_its_new_entry)
+/* Starts a server whose process has another start than its entry, and checks that whole
+   answers arrive, the first one only if must_be_first. */
+static void
+check_whole_answers (int64_t start_ms, bool must_be_first)
 {
   struct process_server_script script = {
     .header_lines = TEXT_HEADER,
     .body = WHOLE_BODY,
     .end = PROCESS_SERVER_CLOSES,
-    .reported_start_ms = RESTART_MS,
+    .reported_start_ms = start_ms,
   };
 
   start_server (&script);
@@ -66,11 +68,26 @@
       struct raw_answer answer = route_vm_send ("POST", "/once/x", "", "in");
 
       ck_assert_uint_eq (process_server_take_request_count (&server), 1);
-      ck_assert_msg (route_vm_status (&answer) == (i == 0 ? 502 : 200), "answer %u is %d",
-                     i, route_vm_status (&answer));
+      ck_assert_msg (route_vm_status (&answer) == 200 || (i == 0 && !must_be_first),
+                     "answer %u is %d", i, route_vm_status (&answer));
       raw_answer_clear (&answer);
     }
 }
+
+/* A server that started again with its id at its address serves before its new entry is
+   in the list, as when the store is slow. It has run the request and lives on. */
+START_TEST (test_whole_answer_of_a_restarted_server_is_lost_before_its_new_entry)
+{
+  check_whole_answers (RESTART_MS, true);
+}
+END_TEST
+
+/* If it has started just now, which process wrote the first answer cannot be told; of
+   those after it, it can. */
+START_TEST (test_whole_answers_of_a_server_that_has_just_restarted_are_lost)
+{
+  check_whole_answers (g_get_real_time () / G_TIME_SPAN_MILLISECOND, false);
+}
 END_TEST
 
 /* libcurl reads an answer whose length is too great to be read until its connection
@@ -220,7 +237,8 @@
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_set_timeout (cases, 60);
   tcase_add_test (cases,
-                  test_whole_answers_of_a_restarted_server_are_lost_before_its_new_entry);
+                  test_whole_answer_of_a_restarted_server_is_lost_before_its_new_entry);
+  tcase_add_test (cases, test_whole_answers_of_a_server_that_has_just_restarted_are_lost);
   tcase_add_test (
       cases, test_half_a_body_with_an_unreadable_length_of_a_killed_server_is_a_success);
   tcase_add_test (cases,
--- a/tests/process/test_killed_servers.c
+++ b/tests/process/test_killed_servers.c
@@ -74,8 +74,11 @@
 {
   struct process_server *server = &servers[server_count++];
 
+  size_t log_before = route_vm_log_size ();
+
   *server = process_server_start (route_vm.platform, id, script);
   g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
+  route_vm_wait_server_added (id, log_before);
   return server;
 }
 
