--- a/tests/process/test_believed_ends.c
+++ b/tests/process/test_believed_ends.c
@@ -150,6 +150,17 @@
   return NULL;
 }
 
+static void *
+send_for_status (void *user)
+{
+  struct raw_answer answer = route_vm_send ("POST", "/once/x", "", "in");
+  int status = route_vm_status (&answer);
+
+  (void)user;
+  raw_answer_clear (&answer);
+  return GINT_TO_POINTER (status);
+}
+
 START_TEST (test_late_answer_of_an_earlier_request_shows_that_a_dead_server_lives)
 {
   struct scripted_server *scripted
@@ -193,16 +204,16 @@
     (void)scripted_request_write (request, WHOLE_BODY);
 }
 
+static const char report[]
+    = "HTTP/1.1 200 OK\r\nContent-Length: 71\r\n\r\n"
+      "{\"born\":1000,\"models\":[],\"busy\":false,\"seq-no\":0,\"queued\":0,"
+      "\"active\":0}";
+
 /* Answers nothing on the connections that are open by then, as if the network had lost
    them without notice, and calls on new ones at once. */
 static void
 report_on_new_connections (struct scripted_request *request, void *user)
 {
-  static const char report[]
-      = "HTTP/1.1 200 OK\r\nContent-Length: 71\r\n\r\n"
-        "{\"born\":1000,\"models\":[],\"busy\":false,\"seq-no\":0,\"queued\":0,"
-        "\"active\":0}";
-
   (void)user;
   request->keep_open = true;
   if (request->connection >= old_connections)
@@ -228,6 +239,57 @@
 }
 END_TEST
 
+static gint died; /* the process has ended, and the VM knows of the second answer's end */
+
+/* Answers the first request whole. Then, while the report is asked for, the process ends
+   within the second answer. */
+static void
+answer_whole_then_die (struct scripted_request *request, void *user)
+{
+  (void)user;
+  if (request->number == 0)
+    {
+      g_usleep (HOLD_MS * G_TIME_SPAN_MILLISECOND);
+      if (scripted_request_write_head (request, "200 OK", TEXT_HEADER))
+        (void)scripted_request_write (request, WHOLE_BODY);
+      return;
+    }
+  g_usleep (2 * HOLD_MS * G_TIME_SPAN_MILLISECOND);
+  scripted_server_close_port (request->server);
+  if (scripted_request_write_head (request, "200 OK", TEXT_HEADER))
+    (void)scripted_request_write (request, HALF_BODY);
+}
+
+/* Delivers a report, of before the process's end, after it. */
+static void
+report_late (struct scripted_request *request, void *user)
+{
+  (void)user;
+  while (!g_atomic_int_get (&died) && !scripted_server_is_stopping (request->server))
+    g_usleep (G_TIME_SPAN_MILLISECOND);
+  (void)scripted_request_write (request, report);
+}
+
+START_TEST (test_report_asked_before_an_answers_end_confirms_that_end)
+{
+  struct scripted_server *scripted
+      = scripted_vm_start_server ("i-1", answer_whole_then_die, NULL);
+  GThread *first;
+  GThread *second;
+
+  g_atomic_int_set (&died, 0);
+  scripted_server_answer_router_calls (scripted, report_late);
+  first = g_thread_new ("first", send_for_status, NULL);
+  g_usleep (HOLD_MS / 3 * G_TIME_SPAN_MILLISECOND);
+  second = g_thread_new ("second", send_for_status, NULL);
+  g_usleep (3 * HOLD_MS * G_TIME_SPAN_MILLISECOND);
+  g_atomic_int_set (&died, 1);
+  ck_assert_int_eq (GPOINTER_TO_INT (g_thread_join (first)), 200);
+  ck_assert_int_eq (GPOINTER_TO_INT (g_thread_join (second)), 502);
+  ck_assert_uint_eq (scripted_server_request_count (scripted), 2);
+}
+END_TEST
+
 static Suite *
 make_suite (void)
 {
@@ -245,6 +307,7 @@
                   test_late_answer_of_an_earlier_request_shows_that_a_dead_server_lives);
   tcase_add_test (cases,
                   test_whole_answer_is_lost_if_the_report_is_asked_on_a_dead_connection);
+  tcase_add_test (cases, test_report_asked_before_an_answers_end_confirms_that_end);
   suite_add_tcase (suite, cases);
   return suite;
 }
