--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -258,7 +258,8 @@
     record_cut_head (call);
   curl_easy_getinfo (call->curl, CURLINFO_NUM_CONNECTS, &new_connections);
   curl_easy_getinfo (call->curl, CURLINFO_OS_ERRNO, &error);
-  result.reused = call->guard.sent && new_connections == 0;
+  /* libcurl has opened another connection if it was about to repeat the request. */
+  result.reused = call->guard.sent && (new_connections == 0 || call->guard.prevented);
   result.refused = code == CURLE_COULDNT_CONNECT && error == ECONNREFUSED;
   result.own_port = call->own_port;
   result.body_sent = call->body_sent;
