test_refused_requests: a play on another connection than a kept one is repeated

Now the case is played up to five times until it is; each play has to give 502 and one arrival, and none on a kept connection still fails.

--- a/tests/process/test_refused_requests.c
+++ b/tests/process/test_refused_requests.c
@@ -14,6 +14,7 @@
 #include "tests/harness/run_suite.h"
 #include "tests/harness/scripted_vm.h"
 
+#define PLAYS_MAX          5u /* until a request has been sent on a kept connection */
 #define RUN_MS             30
 #define LATE_MS            150  /* after an answer, within which a request might run */
 #define LATER_MS           2000 /* start of a process after that of the first one */
@@ -212,6 +213,14 @@
   bool again; /* what arrives once more is run again instead of being refused */
 };
 
+static void
+forget_arrivals (void)
+{
+  pthread_mutex_lock (&lock);
+  history.arrivals = 0;
+  pthread_mutex_unlock (&lock);
+}
+
 static const struct loss losses[] = {
   { "/once/x", "POST", "in", false, false },  { "/once/x", "POST", "in", true, false },
   { "/once/x", "POST", "", false, false },    { "/once/x", "POST", "", true, false },
@@ -243,16 +252,24 @@
 START_TEST (test_request_that_ran_on_a_lost_connection_is_sent_again)
 {
   const struct loss *loss = &losses[_i];
-  struct history seen;
-  int status;
+  bool kept = false;
 
   (void)scripted_vm_start_server ("i-1", lose, loss);
-  warm ();
-  status = send_once (loss->method, loss->path, loss->body);
-  seen = get_history ();
-  ck_assert_int_eq (status, 502);
-  ck_assert_uint_eq (seen.arrivals, 1);
-  ck_assert (loss->body[0] == '\0' || (seen.kept >> (seen.arrived % KEPT_BITS) & 1) == 1);
+  /* The VM's own calls may have taken the kept connections. */
+  for (unsigned play = 0; play < PLAYS_MAX && !kept; play++)
+    {
+      struct history seen;
+      int status;
+
+      forget_arrivals ();
+      warm ();
+      status = send_once (loss->method, loss->path, loss->body);
+      seen = get_history ();
+      ck_assert_int_eq (status, 502);
+      ck_assert_uint_eq (seen.arrivals, 1);
+      kept = loss->body[0] == '\0' || (seen.kept >> (seen.arrived % KEPT_BITS) & 1) == 1;
+    }
+  ck_assert (kept);
 }
 END_TEST
 
