Log: whether a caller's stream ended with its connection

The log of a request did not tell a stream to an HTTP/1.0 caller, whose end is the end of the connection, from one in chunks.

--- a/src/forward/answer.h
+++ b/src/forward/answer.h
@@ -17,6 +17,7 @@
 {
   bool begun; /* status and headers are final */
   bool streaming;
+  bool close_delimited; /* if streamed, it ends with the caller's connection */
   unsigned status;
   GPtrArray *headers; /* name, value, name, value ... */
   GString *body;      /* bytes that the caller server has not sent yet */
--- a/src/forward/caller_exchange.c
+++ b/src/forward/caller_exchange.c
@@ -23,7 +23,6 @@
   struct kcp_answer answer;
   struct kcp_head_size head_size;
   bool head_read;
-  bool chunked; /* a streamed answer is sent in chunks, not up to the connection's end */
   bool suspended;
   bool disconnected; /* the caller closed its connection, or the exchange has ended */
 };
@@ -79,7 +78,7 @@
     return MHD_NO;
   if (!exchange->head_read)
     {
-      exchange->chunked = strcmp (version, MHD_HTTP_VERSION_1_0) != 0;
+      exchange->answer.close_delimited = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
       return read_head (exchange, method);
     }
   if (*size > 0)
@@ -342,7 +341,7 @@
     case KCP_ANSWER_COMPLETE:
       return MHD_CONTENT_READER_END_OF_STREAM;
     case KCP_ANSWER_INTERRUPTED:
-      if (!exchange->chunked)
+      if (exchange->answer.close_delimited)
         reset_connection (exchange);
       return MHD_CONTENT_READER_END_WITH_ERROR;
     }
--- a/src/forward/forward_end.c
+++ b/src/forward/forward_end.c
@@ -165,6 +165,8 @@
            KCP_LOG_TEXT ("framing", kcp_http_framing_name (forward->attempt.framing)),
            KCP_LOG_INT ("partial_event", forward->attempt.partial_event_len),
            KCP_LOG_TEXT ("last_event", forward->framer.last_id->str),
+           KCP_LOG_INT ("close_delimited",
+                        forward->answer->streaming && forward->answer->close_delimited),
            KCP_LOG_INT ("ms", (now - forward->arrived_ns) / KCP_NS_PER_MS));
   kcp_histogram_add (KCP_HISTOGRAM_REQUEST, now - forward->arrived_ns);
   if (end == KCP_ANSWER_INTERRUPTED && strcmp (outcome, "caller_gone") == 0)
