ORDER: a stream to an HTTP/1.0 caller ends in order only when it is complete

Callers saw: a stream that ended with its connection, in order, after event 1, so a whole answer, when the VM was killed, when the VM's grace ended while they did not read, and when they had closed their own sending side. Cause: an answer to an HTTP/1.0 caller ends with its connection, and every close is in order unless something makes it a reset: the kernel's for a killed process, libmicrohttpd's (which shuts down the sending side first) and that of a cancelled exchange. Only an interrupted stream was reset. Why it works: SO_LINGER with 0 s makes the kernel reset the connection whoever closes it, also for a process that is gone; it is taken off when libmicrohttpd asks for bytes behind the last ones, and it asks only after it has written those. A cancelled exchange resets its connection itself, since a FIN that is sent before the reset would end the answer in order where nothing is left to send. Ruled out: bodies that are not streamed; they have a length. HEAD, 204 and 304 end with their head.

--- a/src/forward/caller_exchange.c
+++ b/src/forward/caller_exchange.c
@@ -1,11 +1,10 @@
-#include <errno.h>
 #include <string.h>
-#include <sys/socket.h>
 
 #include "base/decision_log.h"
 #include "forward/caller_head.h"
 #include "forward/caller_private.h"
 #include "forward/forward.h"
+#include "http/close_delimited.h"
 #include "http/head_size.h"
 
 #define RESPONSE_BLOCK_SIZE (4u << 10) /* bytes */
@@ -42,7 +41,8 @@
 static size_t answer_head_bytes (const struct kcp_answer *answer);
 static struct MHD_Response *make_whole_response (struct kcp_answer *answer);
 static ssize_t read_answer (void *user, uint64_t position, char *out, size_t max);
-static void reset_connection (const struct kcp_caller_exchange *exchange);
+static bool is_close_delimited (const struct kcp_caller_exchange *exchange);
+static int connection_fd (const struct kcp_caller_exchange *exchange);
 static void suspend (struct kcp_caller_exchange *exchange);
 static void resume (struct kcp_caller_exchange *exchange);
 static void free_forward (struct kcp_caller_exchange *exchange);
@@ -78,7 +78,8 @@
     return MHD_NO;
   if (!exchange->head_read)
     {
-      exchange->answer.close_delimited = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
+      exchange->answer.close_delimited = strcmp (version, MHD_HTTP_VERSION_1_0) == 0
+                                         && strcmp (method, MHD_HTTP_METHOD_HEAD) != 0;
       return read_head (exchange, method);
     }
   if (*size > 0)
@@ -125,6 +126,8 @@
     return;
   exchange->disconnected = true;
   free_forward (exchange);
+  if (is_close_delimited (exchange))
+    kcp_close_delimited_abort (connection_fd (exchange));
   resume (exchange);
 }
 
@@ -276,6 +279,8 @@
                                           &exchange->head_size,
                                           answer_head_bytes (answer)))
     return reject (exchange, MHD_HTTP_BAD_GATEWAY, "answer_head_too_large");
+  if (is_close_delimited (exchange))
+    kcp_close_delimited_begin (connection_fd (exchange));
   if (answer->streaming)
     response = MHD_create_response_from_callback (MHD_SIZE_UNKNOWN, RESPONSE_BLOCK_SIZE,
                                                   read_answer, exchange, NULL);
@@ -291,6 +296,18 @@
   return result;
 }
 
+/* Returns true if the end of the connection is the end of the answer, which has begun. An
+   answer without a body ends with its head. */
+static bool
+is_close_delimited (const struct kcp_caller_exchange *exchange)
+{
+  const struct kcp_answer *answer = &exchange->answer;
+
+  return answer->begun && answer->streaming && answer->close_delimited
+         && answer->status != MHD_HTTP_NO_CONTENT
+         && answer->status != MHD_HTTP_NOT_MODIFIED;
+}
+
 /* Returns the bytes of the answer's header lines. */
 static size_t
 answer_head_bytes (const struct kcp_answer *answer)
@@ -339,26 +356,23 @@
     case KCP_ANSWER_IN_PROGRESS:
       break;
     case KCP_ANSWER_COMPLETE:
+      if (exchange->answer.close_delimited)
+        kcp_close_delimited_complete (connection_fd (exchange));
       return MHD_CONTENT_READER_END_OF_STREAM;
     case KCP_ANSWER_INTERRUPTED:
       if (exchange->answer.close_delimited)
-        reset_connection (exchange);
+        kcp_close_delimited_abort (connection_fd (exchange));
       return MHD_CONTENT_READER_END_WITH_ERROR;
     }
   suspend (exchange);
   return 0;
 }
 
-/* Resets the connection to a caller that would take its orderly end for the end of the
-   answer. libmicrohttpd ends connections in order, so this has to be done before. */
-static void
-reset_connection (const struct kcp_caller_exchange *exchange)
+static int
+connection_fd (const struct kcp_caller_exchange *exchange)
 {
-  const struct sockaddr none = { .sa_family = AF_UNSPEC };
-  const struct kcp_caller *caller = kcp_caller_of (exchange->connection);
-
-  if (caller != NULL && connect (caller->fd, &none, sizeof none) != 0)
-    KCP_LOG ("reset_failed", KCP_LOG_TEXT ("reason", g_strerror (errno)));
+  return MHD_get_connection_info (exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+      ->connect_fd;
 }
 
 static void
