--- a/soak/fleet_caller.c
+++ b/soak/fleet_caller.c
@@ -21,6 +21,7 @@
 #define REUSES_PERCENT     85
 #define CHUNKS_PERCENT     20
 #define EMPTY_PERCENT      20 /* of the requests have no body */
+#define HTTP_1_0_PERCENT   15 /* of the attempts; their streams end with the connection */
 #define RETRY_AFTER_PART   3  /* of the time left that a caller waits at most */
 
 struct caller
@@ -80,10 +81,27 @@
                     want->events);
 }
 
-/* Appends a request, whose body is in chunks if chunked is true. */
+/* How an attempt is written. */
+struct form
+{
+  bool http_1_0;
+  bool chunked; /* its body */
+};
+
+/* HTTP/1.0 has no chunks. */
+static struct form
+choose_form (const struct caller *caller)
+{
+  struct form form = { .http_1_0 = is_percent (caller, HTTP_1_0_PERCENT) };
+
+  form.chunked = !form.http_1_0 && is_percent (caller, CHUNKS_PERCENT);
+  return form;
+}
+
+/* Appends a request. */
 static void
-write_request (const struct want *want, const struct fleet_attempt *attempt, bool chunked,
-               GString *out)
+write_request (const struct want *want, const struct fleet_attempt *attempt,
+               struct form form, GString *out)
 {
   int64_t remaining_ms = (want->end_us - attempt->begin_us) / 1000;
   size_t half = want->body->len / 2;
@@ -91,17 +109,18 @@
               && (want->kind == FLEET_AGAIN || want->kind == FLEET_CHANGING);
 
   g_string_append_printf (out,
-                          "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\n"
+                          "%s %s HTTP/1.%d\r\nHost: %s\r\nRequest-Id: %s\r\n"
                           "Authorization: Bearer key1\r\nX-Sum: %ld\r\n"
                           "Request-Deadline: %" G_GINT64_FORMAT "\r\n",
-                          gets ? "GET" : "POST", want->path, hosts[want->kind],
-                          attempt->id, want->sum, MAX (remaining_ms, 1));
+                          gets ? "GET" : "POST", want->path, form.http_1_0 ? 0 : 1,
+                          hosts[want->kind], attempt->id, want->sum,
+                          MAX (remaining_ms, 1));
   if (attempt->first_id[0] != '\0')
     g_string_append_printf (out, "Resumes: %s\r\nLast-Event-Id: %u\r\n",
                             attempt->first_id, want->received);
   if (gets)
     g_string_append (out, "\r\n");
-  else if (!chunked || want->body->len == 0)
+  else if (!form.chunked || want->body->len == 0)
     g_string_append_printf (out, "Content-Length: %zu\r\n\r\n%s", want->body->len,
                             want->body->str);
   else
@@ -295,6 +314,7 @@
 try_once (struct caller *caller, struct want *want, struct fleet_attempt *attempt)
 {
   g_autoptr (GString) text = g_string_new (NULL);
+  struct form form = choose_form (caller);
   bool sent;
 
   *attempt
@@ -311,7 +331,7 @@
       return true;
     }
   attempt->vm = caller->vm;
-  write_request (want, attempt, is_percent (caller, CHUNKS_PERCENT), text);
+  write_request (want, attempt, form, text);
   sent = send_in_pieces (caller, text);
   if (sent && is_percent (caller, LEAVES_PERCENT))
     {
@@ -324,7 +344,7 @@
   attempt->complete = caller->answer.end == FLEET_WHOLE;
   check_answer (attempt, want, &caller->answer);
   count_attempt (attempt);
-  if (!sent || !attempt->complete || caller->answer.closing || caller->answer.by_close)
+  if (!sent || !attempt->complete || caller->answer.closing || form.http_1_0)
     close_connection (caller);
   return true;
 }
