Test, failing: callers of a VM without paths to the servers are refused (RECOVER)

Two VMs of one data center, three servers. A preloaded connect() and send() cut one VM off: its connections to the servers are refused, or never established, and the old ones are reset or live on.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,7 @@
 HARNESS = $(sort $(wildcard tests/harness/*.c tests/history/*.c tests/fuzz/*.c))
 UNIT = $(sort $(wildcard tests/unit/test_*.c))
 PROCESS = $(sort $(wildcard tests/process/test_*.c))
+PRELOAD = $(sort $(wildcard tests/preload/*.c))
 BENCH = $(sort $(wildcard bench/*.c))
 DEMO = $(sort $(wildcard demo/*.c))
 SOAK = $(sort $(wildcard soak/*.c))
@@ -44,12 +45,13 @@
 FLEET = $(sort $(wildcard soak/engine*.c soak/fleet*.c))
 SOAK_SEED ?= $(shell date +%s)
 SOAK_SECONDS ?= 60
-OURS = $(filter-out src/peer/gen/%,$(SRC) $(STANDIN) $(HARNESS) $(UNIT) $(PROCESS) $(BENCH) $(DEMO) $(SOAK))
+OURS = $(filter-out src/peer/gen/%,$(SRC) $(STANDIN) $(HARNESS) $(UNIT) $(PROCESS) $(PRELOAD) $(BENCH) $(DEMO) $(SOAK))
 HEADERS = $(wildcard src/*/*.h platform/*.h standin/*.h tests/*/*.h bench/*.h demo/*.h soak/*.h)
 
 obj = $(patsubst %.c,$(BUILD)/%.o,$(1))
 UNIT_BIN = $(patsubst tests/unit/%.c,$(BUILD)/unit/%,$(UNIT))
 PROCESS_BIN = $(patsubst tests/process/%.c,$(BUILD)/process/%,$(PROCESS))
+PRELOAD_LIB = $(patsubst %.c,$(BUILD)/%.so,$(PRELOAD))
 BENCH_BIN = $(patsubst bench/bench_%.c,$(BUILD)/bench_%,$(filter bench/bench_%.c,$(BENCH)))
 BENCH_LIB = $(filter-out bench/bench_%.c,$(BENCH))
 
@@ -65,6 +67,12 @@
 	@echo 'CC $@'
 	@$(CC) $(CPPFLAGS) $(CFLAGS) $(if $(findstring /gen/,$<),-Wno-error -w) -c -o $@ $<
 
+# Without a sanitizer: they are loaded before its runtime.
+$(BUILD)/tests/preload/%.so: tests/preload/%.c
+	@mkdir -p $(@D)
+	@echo 'LD $@'
+	@$(CC) $(CPPFLAGS) -O2 -g -std=c17 $(WARN) -fPIC -shared -o $@ $<
+
 $(BUILD)/libkingcuppoint.a: $(call obj,$(LIBSRC))
 	@rm -f $@
 	@ar rcs $@ $^
@@ -104,7 +112,7 @@
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(CHECKLIBS) $(LDLIBS)
 
-check: all $(UNIT_BIN) $(PROCESS_BIN)
+check: all $(UNIT_BIN) $(PROCESS_BIN) $(PRELOAD_LIB)
 	@BUILD=$(BUILD) $(if $(SAN),G_SLICE=always-malloc TSAN_OPTIONS=atexit_sleep_ms=0) tests/run $(UNIT_BIN) $(PROCESS_BIN)
 
 # Checks that the packages used by the build are listed, and that this check can fail.
