--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -63,9 +63,11 @@
 /* forward_attempt.c */
 void kcp_forward_start_attempt (struct kcp_forward *forward);
 int64_t kcp_forward_remaining_ms (const struct kcp_forward *forward);
+void kcp_forward_end_attempt (struct kcp_forward *forward);
+
+/* forward_outcome.c */
 void
 kcp_forward_conclude (struct kcp_forward *forward, const struct kcp_http_result *result);
-void kcp_forward_end_attempt (struct kcp_forward *forward);
 
 /* forward_unframed.c */
 bool
