RECOVER: a VM without paths to the servers passes requests on to one that has them

Cause: a connection that could not be established was charged to the server and to the retry budget, which protects servers. A VM without paths used it up within a second, and even with retries left a request had no other way than through this VM. Class: a fault of the observer taken for a fault of the observed. Why it works: paths are known apart from the servers' state (policy/reach.c) and probed, one probe for all requests; attempts that reached no server draw on no budget; without a path, in doubt, or after two such attempts the request goes to another VM, once at most, with its id, remaining time and team. Ruled out: readiness alone (the balancer uses all VMs again once fewer than half are ready). Tried and not kept: passing on where the servers in reach have too long queues (as many answered).

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -70,6 +70,10 @@
   [KCP_COUNT_RESUMES_REFUSED]
   = { "resumes_refused",
       "Resumed streams refused as their software version is not known" },
+  [KCP_COUNT_PASSED_ON]
+  = { "passed_on", "Requests passed on to a VM that reaches a server" },
+  [KCP_COUNT_TAKEN_OVER]
+  = { "taken_over", "Requests that another VM passed on to this one" },
   [KCP_COUNT_STREAMS_PAUSED]
   = { "streams_paused", "Times a server was not read because its caller did not read" },
 };
--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -46,6 +46,7 @@
   struct kcp_cache_reader *cache_reader;
   struct kcp_rollout *rollout;
   struct kcp_caller_server *callers;
+  struct kcp_caller_server *calling_vms;
   struct kcp_text_server *ready;
   struct kcp_text_server *metrics;
   int signal_fd; /* see cmd/signals.h */
@@ -162,9 +163,14 @@
       if (vm->metrics == NULL)
         goto fail;
     }
-  vm->callers = kcp_caller_server_open (gateway, settings->callers_listen, &error);
+  vm->callers
+      = kcp_caller_server_open (gateway, KCP_CALLERS, settings->callers_listen, &error);
   if (vm->callers == NULL)
     goto fail;
+  vm->calling_vms
+      = kcp_caller_server_open (gateway, KCP_CALLING_VMS, settings->peers_listen, &error);
+  if (vm->calling_vms == NULL)
+    goto fail;
   vm->store
       = kcp_platform_store_new (gateway->client, gateway->clock, settings->store_address,
                                 settings->store_timeout_ms);
@@ -202,6 +208,7 @@
   kcp_loop_timer_cancel (&vm->drain_timer);
   kcp_loop_timer_cancel (&vm->settings_timer);
   kcp_caller_server_close (vm->callers);
+  kcp_caller_server_close (vm->calling_vms);
   kcp_text_server_close (vm->ready);
   kcp_text_server_close (vm->metrics);
   kcp_rollout_stop (vm->rollout);
@@ -276,6 +283,7 @@
       vm->gateway.closing = true;
       KCP_LOG ("closing", KCP_LOG_INT ("open_requests", vm->gateway.open_requests));
       kcp_caller_server_close_idle (vm->callers);
+      kcp_caller_server_close_idle (vm->calling_vms);
     }
   if (elapsed_ns >= max_ns && !vm->requests_ended)
     {
@@ -283,6 +291,7 @@
       vm->gateway.closing = true;
       KCP_LOG ("drain_over", KCP_LOG_INT ("open_requests", vm->gateway.open_requests));
       kcp_caller_server_end_requests (vm->callers, "vm_stops");
+      kcp_caller_server_end_requests (vm->calling_vms, "vm_stops");
     }
   if ((notice_elapsed && vm->gateway.open_requests == 0)
       || elapsed_ns >= max_ns + LAST_ANSWERS_NS)
--- a/src/forward/answer.h
+++ b/src/forward/answer.h
@@ -6,6 +6,8 @@
 #include <glib.h>
 #include <stdbool.h>
 
+#include "forward/hop.h"
+
 enum kcp_answer_end
 {
   KCP_ANSWER_IN_PROGRESS,
@@ -17,7 +19,9 @@
 {
   bool begun; /* status and headers are final */
   bool streaming;
-  bool close_delimited; /* if streamed, it ends with the caller's connection */
+  bool close_delimited;     /* if streamed, it ends with the caller's connection */
+  enum kcp_hop_end hop_end; /* what a VM that passed the request on is told */
+  uint64_t software;        /* version of the server that answered; 0: none did */
   unsigned status;
   GPtrArray *headers; /* name, value, name, value ... */
   GString *body;      /* bytes that the caller server has not sent yet */
--- a/src/forward/caller_exchange.c
+++ b/src/forward/caller_exchange.c
@@ -4,6 +4,7 @@
 #include "forward/caller_head.h"
 #include "forward/caller_private.h"
 #include "forward/forward.h"
+#include "forward/mesh.h"
 #include "http/close_delimited.h"
 #include "http/head_size.h"
 
@@ -29,6 +30,7 @@
 static enum MHD_Result
 read_head (struct kcp_caller_exchange *exchange, const char *method);
 static bool head_is_accepted (struct kcp_caller_exchange *exchange);
+static bool is_from_vm (const struct kcp_caller_exchange *exchange);
 static void set_idle_timeout (const struct kcp_caller_exchange *exchange);
 static size_t body_max (const struct kcp_gateway *gateway);
 static bool
@@ -157,7 +159,12 @@
                               method, exchange->inbound);
   if (problem != NULL)
     return reject (exchange, STATUS_BAD_REQUEST, problem);
-  set_idle_timeout (exchange);
+  if (exchange->listener->server->kind == KCP_CALLERS)
+    set_idle_timeout (exchange);
+  else if (!is_from_vm (exchange))
+    return reject (exchange, MHD_HTTP_FORBIDDEN, "not_a_vm");
+  else
+    exchange->inbound->hop = kcp_hop_read_head (connection);
   if (!head_is_accepted (exchange))
     return reject (exchange, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large");
   if (body_is_too_large (connection, exchange->listener->server->gateway))
@@ -183,6 +190,20 @@
                                                 &exchange->head_size);
 }
 
+/* Returns true if the connection comes from the address of another VM. */
+static bool
+is_from_vm (const struct kcp_caller_exchange *exchange)
+{
+  const struct sockaddr *address
+      = MHD_get_connection_info (exchange->connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS)
+            ->client_addr;
+
+  return address->sa_family == AF_INET
+         && kcp_mesh_knows_address (
+             exchange->listener->server->gateway->mesh,
+             ((const struct sockaddr_in *)(const void *)address)->sin_addr);
+}
+
 /* Applies the configured idle timeout, as the next larger number of whole seconds, to the
    connection. */
 static void
@@ -233,6 +254,8 @@
       KCP_LOG_INT ("head_elements", exchange->head_size.elements),
       KCP_LOG_INT ("answer_head_bytes", answer_head_bytes (&exchange->answer)));
   MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  if (exchange->listener->server->kind == KCP_CALLING_VMS && exchange->forward == NULL)
+    kcp_hop_add_answer_lines (response, KCP_HOP_DECLINED, 0);
   result = MHD_queue_response (exchange->connection, status, response);
   MHD_destroy_response (response);
   return result;
@@ -289,6 +312,8 @@
   for (guint i = 0; i + 1 < answer->headers->len; i += 2)
     MHD_add_response_header (response, g_ptr_array_index (answer->headers, i),
                              g_ptr_array_index (answer->headers, i + 1));
+  if (exchange->listener->server->kind == KCP_CALLING_VMS)
+    kcp_hop_add_answer_lines (response, answer->hop_end, answer->software);
   if (exchange->listener->server->gateway->draining || exchange->listener->replaced)
     MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
   result = MHD_queue_response (exchange->connection, answer->status, response);
--- a/src/forward/caller_head.c
+++ b/src/forward/caller_head.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "forward/hop.h"
+
 /* State of the pass over one request's headers. */
 struct head_reader
 {
@@ -67,7 +69,7 @@
     }
   if (reader->dialect->read_request_header (reader->inbound, key, value))
     return MHD_YES;
-  if (is_hop_by_hop (reader, key))
+  if (is_hop_by_hop (reader, key) || kcp_hop_is_header (key))
     return MHD_YES;
   line = value[0] != '\0' ? g_strdup_printf ("%s: %s", key, value)
                           : g_strdup_printf ("%s;", key);
--- a/src/forward/caller_private.h
+++ b/src/forward/caller_private.h
@@ -20,6 +20,7 @@
 struct kcp_caller_server
 {
   struct kcp_gateway *gateway;
+  enum kcp_caller_kind kind;
   char *address;
   GPtrArray *listeners;   /* struct kcp_caller_listener; the last one accepts */
   GHashTable *callers;    /* set of struct kcp_caller */
--- a/src/forward/caller_server.c
+++ b/src/forward/caller_server.c
@@ -7,6 +7,8 @@
 
 #define IDLE_TIMEOUT_S    20u
 #define CLOSING_TIMEOUT_S 1u
+/* Other VMs may have as many connections as callers, divided by this. */
+#define VM_CONNECTIONS_DIVISOR 8u
 
 /* Must neither add nor remove callers. reason is for the log; NULL: none. */
 typedef void caller_action (struct kcp_caller *caller, const char *reason);
@@ -14,7 +16,7 @@
 static bool
 listen_at (struct kcp_caller_server *server, const struct sockaddr_in *address, int fd,
            struct kcp_error *error);
-static struct kcp_connection_memory memory_for (const struct kcp_gateway *gateway);
+static struct kcp_connection_memory memory_for (const struct kcp_caller_server *server);
 static void apply_limits (void *user);
 static void replace_listener (struct kcp_caller_server *server);
 static void stop_accepting (struct kcp_caller_listener *listener);
@@ -28,16 +30,17 @@
 static void on_disconnected (void *user, uint32_t events);
 static void listener_free (gpointer data);
 
-/* Opens the caller server at address, an IP:PORT. Returns NULL and sets error on
-   failure. */
+/* Opens the server for a kind of callers at address, an IP:PORT. Returns NULL and sets
+   error on failure. */
 struct kcp_caller_server *
-kcp_caller_server_open (struct kcp_gateway *gateway, const char *address,
-                        struct kcp_error *error)
+kcp_caller_server_open (struct kcp_gateway *gateway, enum kcp_caller_kind kind,
+                        const char *address, struct kcp_error *error)
 {
   struct kcp_caller_server *server = g_new0 (struct kcp_caller_server, 1);
   struct sockaddr_in at;
 
   server->gateway = gateway;
+  server->kind = kind;
   server->address = g_strdup (address);
   server->listeners = g_ptr_array_new_with_free_func (listener_free);
   server->callers = g_hash_table_new (NULL, NULL);
@@ -149,7 +152,7 @@
   if (fd == MHD_INVALID_SOCKET)
     socket_option[0].option = MHD_OPTION_END;
   listener->server = server;
-  listener->memory = memory_for (server->gateway);
+  listener->memory = memory_for (server);
   daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, ntohs (address->sin_port),
       NULL, NULL, kcp_caller_on_access, listener, MHD_OPTION_SOCK_ADDR, address,
@@ -174,14 +177,19 @@
 
 /* Returns the memory of connections under the configuration in force. */
 static struct kcp_connection_memory
-memory_for (const struct kcp_gateway *gateway)
+memory_for (const struct kcp_caller_server *server)
 {
+  const struct kcp_gateway *gateway = server->gateway;
+  struct kcp_connection_memory memory;
   int64_t head_max_bytes
       = gateway->routes != NULL ? gateway->routes->limits.max_header_bytes : 0;
 
-  return kcp_connection_memory_for (gateway->settings->vm_memory_mb << 20,
-                                    head_max_bytes > 0 ? head_max_bytes
-                                                       : KCP_HEAD_MAX_DEFAULT);
+  memory = kcp_connection_memory_for (gateway->settings->vm_memory_mb << 20,
+                                      head_max_bytes > 0 ? head_max_bytes
+                                                         : KCP_HEAD_MAX_DEFAULT);
+  if (server->kind == KCP_CALLING_VMS)
+    memory.connections_max /= VM_CONNECTIONS_DIVISOR;
+  return memory;
 }
 
 /* Has another daemon accept connections if a new configuration needs more memory for each
@@ -197,7 +205,7 @@
   if (routes == NULL || routes->version == server->limits_version)
     return;
   server->limits_version = routes->version;
-  if (memory_for (server->gateway).bytes > newest->memory.bytes)
+  if (memory_for (server).bytes > newest->memory.bytes)
     replace_listener (server);
 }
 
--- a/src/forward/caller_server.h
+++ b/src/forward/caller_server.h
@@ -10,12 +10,18 @@
 struct kcp_caller_exchange;
 struct kcp_text_server;
 
+enum kcp_caller_kind
+{
+  KCP_CALLERS,
+  KCP_CALLING_VMS /* other VMs that pass requests on */
+};
+
 /* Appends the body of a text server's answer to text. Returns the HTTP status. */
 typedef unsigned kcp_text_answer (void *user, GString *text);
 
 struct kcp_caller_server *
-kcp_caller_server_open (struct kcp_gateway *gateway, const char *address,
-                        struct kcp_error *error);
+kcp_caller_server_open (struct kcp_gateway *gateway, enum kcp_caller_kind kind,
+                        const char *address, struct kcp_error *error);
 void kcp_caller_server_close_idle (struct kcp_caller_server *server);
 void
 kcp_caller_server_end_requests (struct kcp_caller_server *server, const char *reason);
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -173,7 +173,8 @@
     return;
   candidate->limited = kcp_server_limit_is_in_force (&server->limit, now);
   candidate->local = is_local (gateway, server);
-  candidate->suspected = now < server->suspected_until_ns;
+  candidate->suspected
+      = now < server->suspected_until_ns || kcp_reach_has_failed (&server->reach);
   candidate->loading = now < server->loading_until_ns;
   candidate->leaving = kcp_server_is_leaving (server);
   candidate->in_flight = server->in_flight + server->peers_in_flight;
@@ -231,6 +232,8 @@
   int64_t available_ns = MAX (server->suspected_until_ns, server->loading_until_ns);
 
   available_ns = MAX (available_ns, server->backoff_until_ns);
+  if (kcp_reach_has_failed (&server->reach))
+    available_ns = MAX (available_ns, server->reach.probe_after_ns);
   available_ns = MAX (available_ns, kcp_server_limit_room_ns (&server->limit, now_ns));
   if (choice->earliest_server != NULL && available_ns >= choice->earliest_available_ns)
     return;
--- a/src/forward/choose.h
+++ b/src/forward/choose.h
@@ -16,6 +16,7 @@
   const char *service;
   bool bound;             /* only servers with this software version may be chosen */
   uint64_t software;      /* see kcp_software_key() */
+  enum kcp_paths paths;   /* from this VM to the servers of the service */
   const GPtrArray *tried; /* struct kcp_server that must not be chosen again */
   GArray *levels; /* struct kcp_prompt_level, owned; NULL until the first choice */
   /* The choice. */
--- a/src/forward/dialect.c
+++ b/src/forward/dialect.c
@@ -1,9 +1,12 @@
 #include "forward/dialect.h"
 
+#include "forward/hop.h"
+
 /* Frees the contents of a request. */
 void
 kcp_inbound_clear (struct kcp_inbound *inbound)
 {
+  kcp_hop_head_free (inbound->hop);
   g_free (inbound->method);
   g_free (inbound->target);
   g_free (inbound->host);
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -19,9 +19,12 @@
   int64_t tokens;
 };
 
+struct kcp_hop_head;
+
 /* A caller's request. */
 struct kcp_inbound
 {
+  struct kcp_hop_head *hop; /* of the VM that passed it on; NULL: it came from a caller */
   char *method;
   char *target; /* path and query, as received */
   char *host;
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -13,6 +13,8 @@
 #define DEFAULT_TIMEOUT_MS 60000
 
 static bool accept_inbound (struct kcp_forward *forward);
+static bool may_take_over (const struct kcp_forward *forward);
+static bool take_over (struct kcp_forward *forward);
 static bool find_team (struct kcp_forward *forward);
 static void set_fingerprint (struct kcp_forward *forward);
 static void set_part_fingerprints (struct kcp_forward *forward);
@@ -21,6 +23,7 @@
 static void refuse_for_backlog (struct kcp_forward *forward);
 static bool find_blocked (struct kcp_forward *forward, struct kcp_suspect *blocked);
 static void end_blocked (struct kcp_forward *forward, const struct kcp_suspect *blocked);
+static void end_without_path (struct kcp_forward *forward);
 static enum kcp_repeat
 repeat_after (const struct kcp_forward *forward, enum kcp_attempt_end end);
 static void on_deadline (void *user);
@@ -51,9 +54,6 @@
       set_part_fingerprints (forward);
       set_deadline (forward);
       kcp_forward_skip_known_events (forward);
-      kcp_resend_budget_add_request (
-          kcp_gateway_retry_budget (gateway, forward->choice.service),
-          forward->arrived_ns);
       if (!kcp_forward_look_up_version (forward))
         kcp_forward_send_next (forward);
     }
@@ -89,6 +89,11 @@
   struct kcp_gateway *gateway = forward->gateway;
   struct kcp_inbound *inbound = forward->inbound;
 
+  if (kcp_forward_is_from_vm (forward) && !may_take_over (forward))
+    {
+      kcp_forward_decline (forward, "not_taken_over");
+      return false;
+    }
   if (inbound->id == NULL)
     {
       kcp_forward_end_with_problem (forward, MHD_HTTP_BAD_REQUEST, "not_run",
@@ -110,20 +115,66 @@
     }
   if (!find_team (forward))
     {
+      if (kcp_forward_is_from_vm (forward))
+        {
+          kcp_forward_decline (forward, "unknown_team");
+          return false;
+        }
       kcp_forward_end_with_problem (forward, MHD_HTTP_UNAUTHORIZED, "not_run",
                                     "unknown_key");
       return false;
     }
+  if (kcp_forward_is_from_vm (forward))
+    return take_over (forward);
   forward->choice.service
       = kcp_route_target (forward->choice.route, kcp_id_random_u64 ());
   return true;
 }
 
+/* Returns true if this VM accepts requests and has the configuration by which the other
+   VM accepted this one. */
+static bool
+may_take_over (const struct kcp_forward *forward)
+{
+  const struct kcp_gateway *gateway = forward->gateway;
+
+  return gateway->routes != NULL && !gateway->closing
+         && gateway->routes->version >= forward->inbound->hop->routes_version;
+}
+
+/* Goes on where the VM left off that passed the request on. Returns false if that is not
+   possible, after declining it. */
+static bool
+take_over (struct kcp_forward *forward)
+{
+  const struct kcp_hop_head *hop = forward->inbound->hop;
+
+  forward->choice.service = kcp_route_service_named (forward->choice.route, hop->service);
+  if (forward->choice.service == NULL)
+    {
+      kcp_forward_decline (forward, "no_service");
+      return false;
+    }
+  forward->runs = (unsigned)hop->runs;
+  forward->counted = hop->counted;
+  forward->choice.bound = hop->bound;
+  forward->choice.software = hop->software;
+  kcp_counter_add (KCP_COUNT_TAKEN_OVER, 1);
+  return true;
+}
+
 static bool
 find_team (struct kcp_forward *forward)
 {
   const struct kcp_inbound *inbound = forward->inbound;
 
+  if (kcp_forward_is_from_vm (forward))
+    {
+      if (inbound->hop->team != NULL)
+        forward->choice.team
+            = kcp_routes_team_named (forward->routes, inbound->hop->team);
+      return forward->choice.team != NULL || inbound->hop->team == NULL;
+    }
   if (!forward->routes->keyed)
     return true;
   if (inbound->key != NULL)
@@ -240,8 +291,23 @@
     kcp_forward_refuse (forward, "crashes_servers");
 }
 
-/* Sends the request to the next server, or ends it if there is none, its queue is too
-   long, or the request is blocked. */
+/* Counts the request towards the requests of its service that allow for retries, and that
+   a server's limit is shared by: at the VM that first sends it to a server. */
+void
+kcp_forward_count_request (struct kcp_forward *forward)
+{
+  struct kcp_gateway *gateway = forward->gateway;
+
+  if (forward->counted || forward->choice.service == NULL)
+    return;
+  forward->counted = true;
+  kcp_resend_budget_add_request (
+      kcp_gateway_retry_budget (gateway, forward->choice.service),
+      kcp_loop_now (gateway->loop));
+}
+
+/* Sends the request to the next server, or has another VM do so if this one reaches none.
+   Ends it if there is no server, its queue is too long, or the request is blocked. */
 void
 kcp_forward_send_next (struct kcp_forward *forward)
 {
@@ -253,7 +319,17 @@
       end_blocked (forward, &blocked);
       return;
     }
+  choice->paths = kcp_reach_watch_paths (forward->gateway->reach_watch, choice->service);
+  if (kcp_resend_passes_on (choice->paths, forward->unsent)
+      && kcp_forward_pass_on (forward))
+    return;
+  kcp_forward_count_request (forward);
   kcp_choose (forward->gateway, choice);
+  if (choice->paths == KCP_PATHS_NONE)
+    {
+      end_without_path (forward);
+      return;
+    }
   if (choice->server != NULL && is_backlogged (forward))
     {
       refuse_for_backlog (forward);
@@ -273,6 +349,20 @@
     kcp_forward_refuse (forward, "no_server");
 }
 
+/* Ends a request as neither this VM nor another one reaches a server. */
+static void
+end_without_path (struct kcp_forward *forward)
+{
+  if (forward->answer->begun)
+    kcp_forward_interrupt (forward, "no_path");
+  else if (forward->runs > 0)
+    kcp_forward_end_with_problem (forward, MHD_HTTP_BAD_GATEWAY, "unknown", "no_path");
+  else if (kcp_forward_is_from_vm (forward))
+    kcp_forward_decline (forward, "no_path");
+  else
+    kcp_forward_refuse (forward, "no_path");
+}
+
 /* Returns how the request may be repeated after an attempt. A stream with events without
    ids cannot go on elsewhere: no server could tell which of them the caller has. Nor may
    a request be repeated whose route runs it once by now. */
@@ -296,20 +386,26 @@
 kcp_forward_after_attempt (struct kcp_forward *forward, enum kcp_attempt_end end,
                            long status)
 {
-  bool ran = end != KCP_ATTEMPT_UNSENT && end != KCP_ATTEMPT_REFUSED;
+  bool unreached = end == KCP_ATTEMPT_UNSENT || end == KCP_ATTEMPT_DECLINED;
+  bool ran = !unreached && end != KCP_ATTEMPT_REFUSED;
   struct kcp_resend_facts facts = {
     .repeat = repeat_after (forward, end),
     .end = end,
     .max_runs = (unsigned)forward->choice.route->max_runs,
     .suspect = kcp_crash_suspects_is_suspect (forward->gateway, &forward->causes),
     .server_available = true,
+    .vm_available = kcp_forward_choose_hop (forward) != NULL,
+    .paths
+    = kcp_reach_watch_paths (forward->gateway->reach_watch, forward->choice.service),
     .remaining_ms = kcp_forward_remaining_ms (forward),
   };
 
   forward->runs += ran;
   forward->refusals += !ran;
+  forward->unsent += unreached;
   facts.runs = forward->runs;
   facts.refusals = forward->refusals;
+  facts.unsent = forward->unsent;
   facts.may_have_run = forward->runs > 0;
   kcp_event_framer_discard_partial (&forward->framer);
   switch (kcp_resend_decide (
@@ -321,6 +417,7 @@
       kcp_forward_end_attempt (forward);
       kcp_forward_send_next (forward);
       break;
+    case KCP_RESEND_PASS_ON:
     case KCP_RESEND_OTHER:
       kcp_forward_end_attempt (forward);
       kcp_forward_send_next (forward);
@@ -333,7 +430,10 @@
           /* Only for the time after which a server is available, which this attempt may
              have changed. */
           kcp_choose (forward->gateway, &forward->choice);
-          kcp_forward_refuse (forward, "no_retry_left");
+          if (unreached)
+            end_without_path (forward);
+          else
+            kcp_forward_refuse (forward, "no_retry_left");
         }
       break;
     case KCP_RESEND_PASS_ERROR:
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -11,7 +11,6 @@
 
 #define LOGGED_PARTS_MAX 8u /* parts of a prompt that a line of the log names */
 
-static bool needs_new_connection (const struct kcp_forward *forward);
 static void log_sent (const struct kcp_forward *forward);
 static char *list_parts (const struct kcp_forward *forward);
 static struct curl_slist *make_headers (const struct kcp_forward *forward);
@@ -35,37 +34,55 @@
 kcp_forward_start_attempt (struct kcp_forward *forward)
 {
   struct kcp_gateway *gateway = forward->gateway;
-  const struct kcp_forward_settings *settings = gateway->settings;
   struct kcp_attempt *attempt = &forward->attempt;
   struct kcp_server *server = forward->choice.server;
-  bool new_connection = needs_new_connection (forward);
+  bool new_connection = kcp_forward_needs_new_connection (forward, server->entry.address);
 
-  attempt->server = kcp_server_ref (server);
-  attempt->headers = g_ptr_array_new_with_free_func (g_free);
-  attempt->buffered_body = g_string_new (NULL);
-  attempt->sent_ns = kcp_loop_now (gateway->loop);
+  kcp_forward_begin_attempt (forward, server);
   attempt->server_start_ms = MAX (server->entry.started_ms, server->reported_start_ms);
   kcp_histogram_add (KCP_HISTOGRAM_LOAD_AGE, forward->choice.load_age_ns);
-  attempt->events_before = forward->framer.events;
-  forward->framer.resumed = forward->answer->begun;
   attempt->prefill_tokens_pending = forward->choice.uncached_tokens;
-  server->in_flight++;
   kcp_server_limit_take (&server->limit, attempt->sent_ns);
   server->prefill_tokens_pending += attempt->prefill_tokens_pending;
-  g_ptr_array_add (forward->tried, kcp_server_ref (server));
   kcp_forward_note_sent (forward);
   kcp_choice_record (gateway, &forward->choice);
   kcp_counter_add (KCP_COUNT_ATTEMPTS, 1);
   if (forward->tried->len > 1)
     kcp_counter_add (KCP_COUNT_RETRIES, 1);
   log_sent (forward);
-  attempt->call = kcp_http_start (
-      gateway->client,
+  kcp_forward_send_attempt (forward, make_headers (forward), new_connection);
+}
+
+/* Fills in what all attempts have. server may be another VM. */
+void
+kcp_forward_begin_attempt (struct kcp_forward *forward, struct kcp_server *server)
+{
+  struct kcp_attempt *attempt = &forward->attempt;
+
+  attempt->server = kcp_server_ref (server);
+  attempt->headers = g_ptr_array_new_with_free_func (g_free);
+  attempt->buffered_body = g_string_new (NULL);
+  attempt->sent_ns = kcp_loop_now (forward->gateway->loop);
+  attempt->events_before = forward->framer.events;
+  forward->framer.resumed = forward->answer->begun;
+  server->in_flight++;
+  g_ptr_array_add (forward->tried, kcp_server_ref (server));
+}
+
+/* Sends the attempt with these header lines, which the call owns from then on. */
+void
+kcp_forward_send_attempt (struct kcp_forward *forward, struct curl_slist *headers,
+                          bool new_connection)
+{
+  const struct kcp_forward_settings *settings = forward->gateway->settings;
+
+  forward->attempt.call = kcp_http_start (
+      forward->gateway->client,
       &(struct kcp_http_spec){
           .method = forward->inbound->method,
-          .address = server->entry.address,
+          .address = forward->attempt.server->entry.address,
           .target = forward->inbound->target,
-          .headers = make_headers (forward),
+          .headers = headers,
           .body = { forward->inbound->body->str, forward->inbound->body->len },
           .connect_ms = settings->servers_connect_timeout_ms,
           .ack_timeout_ms = settings->servers_ack_timeout_ms,
@@ -80,15 +97,13 @@
       });
 }
 
-/* Returns true if the chosen server must not get the request on a kept connection: a
+/* Returns true if the server at address must not get the request on a kept connection: a
    request without a body that may run only once, or one that was sent to this address
    before, by an entry of the list that has been replaced since. On the connection of that
    attempt a late copy of its answer may arrive, with the id of this request. */
-static bool
-needs_new_connection (const struct kcp_forward *forward)
+bool
+kcp_forward_needs_new_connection (const struct kcp_forward *forward, const char *address)
 {
-  const char *address = forward->choice.server->entry.address;
-
   for (guint i = 0; i < forward->tried->len; i++)
     {
       const struct kcp_server *server = g_ptr_array_index (forward->tried, i);
@@ -188,8 +203,7 @@
     .cache_space = choice->cache_space,
     .fetch_from = choice->fetch_from,
     .save_to = choice->save_to,
-    .resume_after = forward->framer.last_id->len > 0 ? forward->framer.last_id->str
-                                                     : forward->inbound->resume_after,
+    .resume_after = kcp_forward_last_event (forward),
   };
   struct curl_slist *list = NULL;
 
@@ -238,6 +252,8 @@
   g_ptr_array_add (attempt->headers, kcp_str_dup (name));
   g_ptr_array_add (attempt->headers, kcp_str_dup (value));
   forward->gateway->dialect->read_answer_header (&attempt->head, name, value);
+  if (attempt->passed_on)
+    kcp_hop_read_answer_line (name, value, &attempt->hop_end, &attempt->software);
 }
 
 /* Applies what the head says of the server itself. A status that also another server
@@ -253,6 +269,9 @@
   if (status >= MHD_HTTP_OK
       && g_strcmp0 (attempt->head.request_id, forward->inbound->id) != 0)
     kcp_http_forbid_reuse (attempt->call);
+  if (attempt->passed_on)
+    return;
+  kcp_reach_watch_on_contact (gateway->reach_watch, attempt->server);
   if (gateway->dialect->status_is_not_run (status))
     return;
   if (tells_of_limit (forward, status))
@@ -317,6 +336,11 @@
   attempt->own_port = result.own_port;
   attempt->reused = result.reused;
   attempt->partial_event_len = forward->framer.pending->len;
+  if (attempt->passed_on)
+    {
+      kcp_forward_conclude_hop (forward, &result);
+      return;
+    }
   if (forward->inbound->model != NULL && kcp_forward_answer_matches (forward))
     kcp_server_update_version (attempt->server, forward->inbound->model,
                                attempt->head.weights,
@@ -369,7 +393,8 @@
     return;
   if (attempt->call != NULL)
     {
-      kcp_forward_watch_server (forward, KCP_CRASH_WATCH_PASSIVE);
+      if (!attempt->passed_on)
+        kcp_forward_watch_server (forward, KCP_CRASH_WATCH_PASSIVE);
       kcp_http_cancel (attempt->call);
     }
   kcp_end_check_cancel (attempt->end_check);
--- a/src/forward/forward_crash.c
+++ b/src/forward/forward_crash.c
@@ -31,6 +31,7 @@
   switch (end)
     {
     case KCP_ATTEMPT_UNSENT:
+    case KCP_ATTEMPT_DECLINED:
     case KCP_ATTEMPT_REFUSED:
       break;
     case KCP_ATTEMPT_UNKNOWN:
--- a/src/forward/forward_end.c
+++ b/src/forward/forward_end.c
@@ -24,11 +24,23 @@
 {
   forward->answer->streaming = true;
   forward->answer->status = status;
+  forward->answer->hop_end = KCP_HOP_ANSWERED;
+  forward->answer->software = forward->attempt.software;
   copy_headers (forward);
   forward->answer->begun = true;
   kcp_forward_bind_version (forward);
 }
 
+/* Ends a server's complete stream, which may have had no event. */
+void
+kcp_forward_end_stream (struct kcp_forward *forward, unsigned status)
+{
+  kcp_event_framer_flush (&forward->framer, forward->answer->body);
+  if (!forward->answer->begun)
+    kcp_forward_begin_streaming (forward, status);
+  kcp_forward_finish (forward, KCP_ANSWER_COMPLETE, "answered", NULL);
+}
+
 /* Relays a server's complete answer, which may be an error, to the caller. */
 void
 kcp_forward_relay_answer (struct kcp_forward *forward, unsigned status)
@@ -37,6 +49,8 @@
   GString *unused = answer->body;
 
   answer->status = status;
+  answer->hop_end = KCP_HOP_ANSWERED;
+  answer->software = forward->attempt.software;
   copy_headers (forward);
   answer->body = forward->attempt.buffered_body;
   forward->attempt.buffered_body = unused;
@@ -53,7 +67,7 @@
     {
       const char *name = g_ptr_array_index (headers, i);
 
-      if (!is_hop_by_hop_header (name))
+      if (!is_hop_by_hop_header (name) && !kcp_hop_is_header (name))
         kcp_answer_add_header (forward->answer, name, g_ptr_array_index (headers, i + 1));
     }
 }
@@ -78,6 +92,15 @@
          && status != MHD_HTTP_SERVICE_UNAVAILABLE;
 }
 
+/* Ends a request that another VM passed on, and that this VM cannot send to a server: it
+   has not run, and the other VM may try elsewhere. */
+void
+kcp_forward_decline (struct kcp_forward *forward, const char *reason)
+{
+  forward->answer->hop_end = KCP_HOP_DECLINED;
+  kcp_forward_end_with_problem (forward, MHD_HTTP_SERVICE_UNAVAILABLE, "not_run", reason);
+}
+
 /* Refuses the request: answers at once with 503, the reason and a Retry-After time. The
    answer states that the request did not run. */
 void
@@ -92,6 +115,8 @@
                             remaining_ms, kcp_id_random_u64 ());
   char seconds[32];
 
+  kcp_forward_count_request (forward);
+  forward->answer->hop_end = KCP_HOP_REFUSED;
   (void)snprintf (seconds, sizeof seconds, "%" G_GINT64_FORMAT ".%03d",
                   (gint64)(wait_ms / KCP_MS_PER_S), (int)(wait_ms % KCP_MS_PER_S));
   kcp_answer_add_header (forward->answer, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
@@ -122,6 +147,8 @@
   struct kcp_answer *answer = forward->answer;
 
   answer->status = status;
+  if (answer->hop_end == KCP_HOP_UNKNOWN)
+    answer->hop_end = KCP_HOP_FAILED;
   kcp_answer_add_header (answer, MHD_HTTP_HEADER_CONTENT_TYPE,
                          "application/problem+json");
   g_string_append_printf (answer->body,
--- a/src/forward/forward_outcome.c
+++ b/src/forward/forward_outcome.c
@@ -96,10 +96,7 @@
     kcp_forward_watch_server (forward, KCP_CRASH_WATCH_PASSIVE);
   if (kcp_forward_is_streamed (forward, result->status))
     {
-      kcp_event_framer_flush (&forward->framer, forward->answer->body);
-      if (!forward->answer->begun)
-        kcp_forward_begin_streaming (forward, (unsigned)result->status);
-      kcp_forward_finish (forward, KCP_ANSWER_COMPLETE, "answered", NULL);
+      kcp_forward_end_stream (forward, (unsigned)result->status);
       return true;
     }
   kcp_forward_relay_answer (forward, (unsigned)result->status);
@@ -171,8 +168,12 @@
       kcp_server_record_refusal (server, now);
       break;
     case KCP_ATTEMPT_UNSENT:
+      kcp_server_record_failure (server, now);
+      kcp_reach_watch_on_failure (forward->gateway->reach_watch, server);
+      break;
     case KCP_ATTEMPT_UNKNOWN:
     case KCP_ATTEMPT_INTERRUPTED:
+    case KCP_ATTEMPT_DECLINED:
       kcp_server_record_failure (server, now);
       break;
     case KCP_ATTEMPT_ERROR:
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -23,7 +23,9 @@
   enum kcp_http_framing framing; /* of the answer, once it has ended */
   size_t partial_event_len;      /* bytes after the last complete event, likewise */
   int own_port;                  /* of its connection, likewise; 0: it was not sent */
-  bool reused; /* its connection had carried an earlier call, likewise */
+  bool reused;    /* its connection had carried an earlier call, likewise */
+  bool passed_on; /* server is another VM, which sends the request to a server */
+  enum kcp_hop_end hop_end; /* how that VM ended the request, as it says */
   int64_t sent_ns;
   uint64_t software; /* version of the server when it was sent; see kcp_software_key() */
   unsigned
@@ -57,10 +59,17 @@
   int64_t deadline_ns;
   unsigned runs;            /* attempts that may have run the request */
   unsigned refusals;        /* attempts that did not run the request */
+  unsigned unsent;          /* those of them that reached no server */
+  bool counted;             /* towards the requests of the retry budget */
   bool route_sets_deadline; /* the deadline is the route's, not the caller's */
 };
 
 /* forward_attempt.c */
+void kcp_forward_begin_attempt (struct kcp_forward *forward, struct kcp_server *server);
+bool
+kcp_forward_needs_new_connection (const struct kcp_forward *forward, const char *address);
+void kcp_forward_send_attempt (struct kcp_forward *forward, struct curl_slist *headers,
+                               bool new_connection);
 void kcp_forward_start_attempt (struct kcp_forward *forward);
 int64_t kcp_forward_remaining_ms (const struct kcp_forward *forward);
 void kcp_forward_end_attempt (struct kcp_forward *forward);
@@ -69,6 +78,13 @@
 void
 kcp_forward_conclude (struct kcp_forward *forward, const struct kcp_http_result *result);
 
+/* forward_hop.c */
+bool kcp_forward_is_from_vm (const struct kcp_forward *forward);
+struct kcp_server *kcp_forward_choose_hop (const struct kcp_forward *forward);
+bool kcp_forward_pass_on (struct kcp_forward *forward);
+void kcp_forward_conclude_hop (struct kcp_forward *forward,
+                               const struct kcp_http_result *result);
+
 /* forward_unframed.c */
 bool
 kcp_forward_check_end (struct kcp_forward *forward, const struct kcp_http_result *result);
@@ -89,8 +105,10 @@
 
 /* forward_end.c */
 void kcp_forward_begin_streaming (struct kcp_forward *forward, unsigned status);
+void kcp_forward_end_stream (struct kcp_forward *forward, unsigned status);
 void kcp_forward_relay_answer (struct kcp_forward *forward, unsigned status);
 bool kcp_forward_may_relay_status (long status);
+void kcp_forward_decline (struct kcp_forward *forward, const char *reason);
 void kcp_forward_refuse (struct kcp_forward *forward, const char *reason);
 void kcp_forward_end_with_problem (struct kcp_forward *forward, unsigned status,
                                    const char *execution, const char *reason);
@@ -101,11 +119,13 @@
 /* forward_resume.c */
 bool kcp_forward_look_up_version (struct kcp_forward *forward);
 void kcp_forward_skip_known_events (struct kcp_forward *forward);
+const char *kcp_forward_last_event (const struct kcp_forward *forward);
 bool kcp_forward_is_resumed (const struct kcp_forward *forward);
 void kcp_forward_note_sent (struct kcp_forward *forward);
 void kcp_forward_bind_version (struct kcp_forward *forward);
 
 /* forward.c */
+void kcp_forward_count_request (struct kcp_forward *forward);
 void kcp_forward_send_next (struct kcp_forward *forward);
 void kcp_forward_after_attempt (struct kcp_forward *forward, enum kcp_attempt_end end,
                                 long status);
--- a/src/forward/forward_resume.c
+++ b/src/forward/forward_resume.c
@@ -10,14 +10,14 @@
 static bool set_service (struct kcp_forward *forward, uint64_t service);
 
 /* If the caller resumes a stream, looks for the version that began it and goes on with
-   the request when that is known. Returns false if the request may go on at once, at any
-   version. */
+   the request when that is known. Another VM that passed it on has done so. Returns false
+   if the request may go on at once, at any version. */
 bool
 kcp_forward_look_up_version (struct kcp_forward *forward)
 {
   struct kcp_resume_lookups *lookups = forward->gateway->resume_lookups;
 
-  if (lookups == NULL || !kcp_forward_is_resumed (forward))
+  if (lookups == NULL || forward->choice.bound || !kcp_forward_is_resumed (forward))
     return false;
   kcp_resume_lookup_start (lookups, &forward->lookup, forward->inbound->resumed_id,
                            forward->choice.service, on_looked_up, forward);
@@ -35,6 +35,15 @@
     kcp_event_framer_start_after (&forward->framer, after);
 }
 
+/* Returns the id of the last event that the caller has, or NULL. */
+const char *
+kcp_forward_last_event (const struct kcp_forward *forward)
+{
+  const GString *last_id = forward->framer.last_id;
+
+  return last_id->len > 0 ? last_id->str : forward->inbound->resume_after;
+}
+
 /* Returns true if the caller resumes a stream of which it has events. */
 bool
 kcp_forward_is_resumed (const struct kcp_forward *forward)
--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -34,6 +34,7 @@
     gateway->quarantines[i] = kcp_crash_suspects_new ((enum kcp_suspect_kind)i);
   gateway->answered_parts = kcp_answered_parts_new ();
   gateway->crash_watch = kcp_crash_watch_new (gateway->loop, on_crash, gateway);
+  gateway->reach_watch = kcp_reach_watch_new (gateway->loop, gateway->servers);
 }
 
 /* Frees what kcp_gateway_init() allocated. No request may be in flight. */
@@ -42,6 +43,7 @@
 {
   kcp_http_client_free (gateway->client);
   kcp_crash_watch_free (gateway->crash_watch);
+  kcp_reach_watch_free (gateway->reach_watch);
   for (unsigned i = 0; i < KCP_SUSPECT_KINDS; i++)
     kcp_quarantine_free (gateway->quarantines[i]);
   kcp_answered_parts_free (gateway->answered_parts);
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -11,6 +11,7 @@
 #include "forward/http_client.h"
 #include "forward/loop.h"
 #include "forward/prefix_index.h"
+#include "forward/reach_watch.h"
 #include "forward/servers.h"
 #include "policy/answer_limits.h"
 #include "policy/answered_parts.h"
@@ -56,6 +57,7 @@
   GHashTable *budgets;        /* service -> struct kcp_resend_budget */
   struct kcp_prefix_index *prefixes;
   struct kcp_crash_watch *crash_watch;
+  struct kcp_reach_watch *reach_watch;
   /* By enum kcp_suspect_kind; see forward/crash_suspects.h. */
   struct kcp_quarantine *quarantines[KCP_SUSPECT_KINDS];
   struct kcp_answered_parts *answered_parts;
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -375,6 +375,7 @@
   struct kcp_mesh_peer *peer = data;
 
   kcp_mesh_message_clear (&peer->last_message);
+  kcp_server_unref (peer->hop);
   if (peer->needs != NULL)
     g_hash_table_unref (peer->needs);
   g_free (peer);
--- a/src/forward/mesh.h
+++ b/src/forward/mesh.h
@@ -5,6 +5,8 @@
 #ifndef KCP_FORWARD_MESH_H
 #define KCP_FORWARD_MESH_H
 
+#include <netinet/in.h>
+
 #include "base/error.h"
 #include "forward/gateway.h"
 #include "forward/server_notices.h"
@@ -37,6 +39,8 @@
 void kcp_mesh_set_records_handler (struct kcp_mesh *mesh,
                                    kcp_mesh_records_handler *handler, void *user);
 void kcp_mesh_send_records (struct kcp_mesh *mesh, struct kcp_mesh_records *records);
+bool kcp_mesh_knows_address (const struct kcp_mesh *mesh, struct in_addr address);
+struct kcp_server *kcp_mesh_choose_hop (struct kcp_mesh *mesh, const GPtrArray *tried);
 unsigned kcp_mesh_count (const struct kcp_mesh *mesh);
 bool kcp_mesh_is_leader (const struct kcp_mesh *mesh);
 bool kcp_mesh_reads_cache_events (const struct kcp_mesh *mesh,
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -23,6 +23,8 @@
   int64_t interval_ns; /* moving average of the time between them; 0: not known */
   int64_t added_ns;
   bool alive;
+  struct kcp_server
+      *hop;          /* the VM, as one that requests are passed on to; NULL: none was */
   GHashTable *needs; /* server key -> struct kcp_peer_needs; NULL: none known */
   struct kcp_mesh_message last_message; /* contents of its newest gossip message */
 };
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -8,6 +8,7 @@
 #include <stdint.h>
 
 #include "policy/limit_needs.h"
+#include "policy/reach.h"
 #include "policy/server_limit.h"
 
 enum kcp_server_state
@@ -55,6 +56,7 @@
   unsigned in_flight;   /* this VM's requests at the server */
   int64_t prefill_tokens_pending; /* of their prompts, while no answer has begun */
   unsigned failures;              /* consecutive */
+  struct kcp_reach reach;         /* the path to it; see forward/reach_watch.h */
   int64_t suspected_until_ns;
   int64_t backoff_until_ns;       /* it has asked for no requests until then */
   struct kcp_server_limit limit;  /* requests that it takes from all VMs together */
--- a/src/policy/resend.c
+++ b/src/policy/resend.c
@@ -6,9 +6,12 @@
 #define SLOTS_KEPT (KCP_RESEND_SLOTS + 1)
 /* Refusals of one request before the caller is asked to retry later. */
 #define REFUSALS_MAX 4
+/* Servers that a request tries in vain before another VM is to send it. */
+#define UNSENT_MAX 2
 /* With less time left, another attempt cannot yield an answer. */
 #define REMAINING_MIN_MS 20
 
+static enum kcp_resend_decision after_unreached (const struct kcp_resend_facts *facts);
 static enum kcp_resend_decision give_up (const struct kcp_resend_facts *facts);
 static int64_t slot_of (const struct kcp_resend_budget *budget, int64_t now_ns);
 static void advance_slots (struct kcp_resend_budget *budget, int64_t now_ns);
@@ -92,17 +95,39 @@
   budget->newest = MAX (budget->newest, newest);
 }
 
-/* Decides how to proceed, and takes a retry from the budget if the request is to be sent
-   again. */
+/* Decides how to proceed. Takes a retry from the budget if the request is to be sent
+   again after it reached a server. */
 enum kcp_resend_decision
 kcp_resend_decide (const struct kcp_resend_facts *facts, struct kcp_resend_budget *budget,
                    int64_t now_ns)
 {
-  if (!may_send_again (facts) || !kcp_resend_budget_take (budget, now_ns))
+  if (!may_send_again (facts))
+    return give_up (facts);
+  if (facts->end == KCP_ATTEMPT_UNSENT || facts->end == KCP_ATTEMPT_DECLINED)
+    return after_unreached (facts);
+  if (!kcp_resend_budget_take (budget, now_ns))
     return give_up (facts);
   return facts->end == KCP_ATTEMPT_INTERRUPTED ? KCP_RESEND_RESUME : KCP_RESEND_OTHER;
 }
 
+/* Returns true if a request, of which so many attempts reached no server, should be sent
+   by another VM where there is one. */
+bool
+kcp_resend_passes_on (enum kcp_paths paths, unsigned unsent)
+{
+  return paths != KCP_PATHS_SOUND || unsent >= UNSENT_MAX;
+}
+
+/* Decides after an attempt that reached no server. Servers that this VM does not reach
+   are not tried once more; they are probed. */
+static enum kcp_resend_decision
+after_unreached (const struct kcp_resend_facts *facts)
+{
+  if (facts->vm_available && kcp_resend_passes_on (facts->paths, facts->unsent))
+    return KCP_RESEND_PASS_ON;
+  return facts->paths == KCP_PATHS_NONE ? give_up (facts) : KCP_RESEND_OTHER;
+}
+
 static bool
 may_send_again (const struct kcp_resend_facts *facts)
 {
@@ -111,6 +136,7 @@
   switch (facts->end)
     {
     case KCP_ATTEMPT_UNSENT:
+    case KCP_ATTEMPT_DECLINED:
     case KCP_ATTEMPT_REFUSED:
       return facts->refusals < REFUSALS_MAX;
     case KCP_ATTEMPT_UNKNOWN:
@@ -130,6 +156,7 @@
   switch (facts->end)
     {
     case KCP_ATTEMPT_UNSENT:
+    case KCP_ATTEMPT_DECLINED:
     case KCP_ATTEMPT_REFUSED:
       return facts->may_have_run ? KCP_RESEND_FAIL : KCP_RESEND_REFUSE;
     case KCP_ATTEMPT_ERROR:
--- a/src/route/routes.c
+++ b/src/route/routes.c
@@ -95,6 +95,13 @@
   return found == NULL || found->isolated;
 }
 
+/* Returns the team of this name, or NULL. */
+const struct kcp_team_access *
+kcp_routes_team_named (const struct kcp_routes *routes, const char *name)
+{
+  return g_hash_table_lookup (routes->by_name, name);
+}
+
 /* Associates a key with a team of the same document. */
 void
 kcp_routes_add_key (struct kcp_routes *routes, struct kcp_team_access *team,
@@ -149,6 +156,21 @@
   return g_hash_table_lookup (routes->keys, text);
 }
 
+/* Returns the route's own text of the service's name, or NULL if the route has no such
+   service. name may be NULL. */
+const char *
+kcp_route_service_named (const struct kcp_route *route, const char *name)
+{
+  for (guint i = 0; name != NULL && i < route->targets->len; i++)
+    {
+      const char *service = g_array_index (route->targets, struct kcp_target, i).service;
+
+      if (strcmp (service, name) == 0)
+        return service;
+    }
+  return NULL;
+}
+
 /* Returns one of the route's services, selected by weight. random_value is a uniform
    random number. */
 const char *
--- a/src/route/routes.h
+++ b/src/route/routes.h
@@ -94,7 +94,10 @@
 const struct kcp_route *kcp_routes_find (const struct kcp_routes *routes,
                                          struct kcp_str host, struct kcp_str path);
 const struct kcp_team_access *
+kcp_routes_team_named (const struct kcp_routes *routes, const char *name);
+const struct kcp_team_access *
 kcp_routes_team (const struct kcp_routes *routes, struct kcp_str key);
+const char *kcp_route_service_named (const struct kcp_route *route, const char *name);
 const char *kcp_route_target (const struct kcp_route *route, uint64_t random_value);
 
 #endif
--- a/tests/harness/raw.c
+++ b/tests/harness/raw.c
@@ -9,12 +9,23 @@
 
 #define READ_BLOCK_BYTES 4096
 
+static int connect_and_send (const char *own_address, int port, const char *text,
+                             int receive_buffer);
+
 /* Connects to a port of the loopback address and sends a text. receive_buffer is the size
    of the socket's receive buffer in bytes; 0 keeps the default. Returns the socket, to be
    closed with close(). */
 int
 raw_connect_and_send (int port, const char *text, int receive_buffer)
 {
+  return connect_and_send (NULL, port, text, receive_buffer);
+}
+
+/* As raw_connect_and_send(), from an address of this machine; NULL: any. */
+static int
+connect_and_send (const char *own_address, int port, const char *text, int receive_buffer)
+{
+  struct sockaddr_in own = { .sin_family = AF_INET };
   struct sockaddr_in address = {
     .sin_family = AF_INET,
     .sin_port = htons ((uint16_t)port),
@@ -24,6 +35,10 @@
 
   if (receive_buffer > 0)
     (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+  if (own_address != NULL
+      && (inet_pton (AF_INET, own_address, &own.sin_addr) != 1
+          || bind (fd, (struct sockaddr *)&own, sizeof own) != 0))
+    abort ();
   if (connect (fd, (struct sockaddr *)&address, sizeof address) != 0
       || write (fd, text, strlen (text)) != (ssize_t)strlen (text))
     abort ();
@@ -34,10 +49,18 @@
    timeout_ms milliseconds have passed. */
 struct raw_answer
 raw_exchange (int port, const char *text, int64_t timeout_ms)
+{
+  return raw_exchange_from (NULL, port, text, timeout_ms);
+}
+
+/* As raw_exchange(), from an address of this machine; NULL: any. */
+struct raw_answer
+raw_exchange_from (const char *own_address, int port, const char *text,
+                   int64_t timeout_ms)
 {
   struct raw_answer answer = { .text = g_string_new (NULL) };
   int64_t start_us = g_get_monotonic_time ();
-  int fd = raw_connect_and_send (port, text, 0);
+  int fd = connect_and_send (own_address, port, text, 0);
   struct pollfd wait = { .fd = fd, .events = POLLIN };
   char block[READ_BLOCK_BYTES];
 
--- a/tests/harness/raw.h
+++ b/tests/harness/raw.h
@@ -15,6 +15,8 @@
 };
 
 int raw_connect_and_send (int port, const char *text, int receive_buffer);
+struct raw_answer raw_exchange_from (const char *own_address, int port, const char *text,
+                                     int64_t timeout_ms);
 struct raw_answer raw_exchange (int port, const char *text, int64_t timeout_ms);
 void raw_answer_clear (struct raw_answer *answer);
 
