--- a/src/forward/mesh_hop.c
+++ b/src/forward/mesh_hop.c
@@ -30,13 +30,15 @@
 struct kcp_server *
 kcp_mesh_choose_hop (struct kcp_mesh *mesh, const GPtrArray *tried)
 {
-  g_autofree struct kcp_hop_candidate *candidates = NULL;
+  g_autoptr (GArray) table = g_array_new (FALSE, TRUE, sizeof (struct kcp_hop_candidate));
+  struct kcp_hop_candidate *candidates;
   bool tried_local = false;
   int at;
 
   if (mesh == NULL || mesh->peers->len == 0)
     return NULL;
-  candidates = g_new0 (struct kcp_hop_candidate, mesh->peers->len);
+  g_array_set_size (table, mesh->peers->len);
+  candidates = (struct kcp_hop_candidate *)(void *)table->data;
   for (guint i = 0; i < mesh->peers->len; i++)
     {
       struct kcp_mesh_peer *peer = g_ptr_array_index (mesh->peers, i);
