ORDER, serve: an answer to an HTTP/1.0 caller ends in order only when it is complete

Callers of serve saw: an answer that ended with its connection, in order, when the VM was killed within it. Why it works: SO_LINGER as in route; the shared rules (HTTP/1.0, not HEAD, not 204 or 304) are in http/close_delimited.c, which logs nothing, since serve has another log. Left: a reply that libmicrohttpd itself closes as serve stops may still end in order.

--- a/src/forward/caller_exchange.c
+++ b/src/forward/caller_exchange.c
@@ -1,3 +1,4 @@
+#include <errno.h>
 #include <string.h>
 
 #include "base/decision_log.h"
@@ -44,6 +45,7 @@
 static struct MHD_Response *make_whole_response (struct kcp_answer *answer);
 static ssize_t read_answer (void *user, uint64_t position, char *out, size_t max);
 static bool is_close_delimited (const struct kcp_caller_exchange *exchange);
+static void reset_connection (const struct kcp_caller_exchange *exchange);
 static int connection_fd (const struct kcp_caller_exchange *exchange);
 static void suspend (struct kcp_caller_exchange *exchange);
 static void resume (struct kcp_caller_exchange *exchange);
@@ -80,8 +82,7 @@
     return MHD_NO;
   if (!exchange->head_read)
     {
-      exchange->answer.close_delimited = strcmp (version, MHD_HTTP_VERSION_1_0) == 0
-                                         && strcmp (method, MHD_HTTP_METHOD_HEAD) != 0;
+      exchange->answer.close_delimited = kcp_close_delimited_applies (version, method);
       return read_head (exchange, method);
     }
   if (*size > 0)
@@ -129,7 +130,7 @@
   exchange->disconnected = true;
   free_forward (exchange);
   if (is_close_delimited (exchange))
-    kcp_close_delimited_abort (connection_fd (exchange));
+    reset_connection (exchange);
   resume (exchange);
 }
 
@@ -321,16 +322,14 @@
   return result;
 }
 
-/* Returns true if the end of the connection is the end of the answer, which has begun. An
-   answer without a body ends with its head. */
+/* Returns true if the end of the connection is the end of the answer, which has begun. */
 static bool
 is_close_delimited (const struct kcp_caller_exchange *exchange)
 {
   const struct kcp_answer *answer = &exchange->answer;
 
   return answer->begun && answer->streaming && answer->close_delimited
-         && answer->status != MHD_HTTP_NO_CONTENT
-         && answer->status != MHD_HTTP_NOT_MODIFIED;
+         && kcp_close_delimited_has_body (answer->status);
 }
 
 /* Returns the bytes of the answer's header lines. */
@@ -386,13 +385,21 @@
       return MHD_CONTENT_READER_END_OF_STREAM;
     case KCP_ANSWER_INTERRUPTED:
       if (exchange->answer.close_delimited)
-        kcp_close_delimited_abort (connection_fd (exchange));
+        reset_connection (exchange);
       return MHD_CONTENT_READER_END_WITH_ERROR;
     }
   suspend (exchange);
   return 0;
 }
 
+/* Ends the answer so that the caller does not take it for complete. */
+static void
+reset_connection (const struct kcp_caller_exchange *exchange)
+{
+  if (!kcp_close_delimited_abort (connection_fd (exchange)))
+    KCP_LOG ("reset_failed", KCP_LOG_TEXT ("reason", g_strerror (errno)));
+}
+
 static int
 connection_fd (const struct kcp_caller_exchange *exchange)
 {
--- a/src/http/caller_api.c
+++ b/src/http/caller_api.c
@@ -7,6 +7,7 @@
 
 #include "base/counter.h"
 #include "base/logger.h"
+#include "http/close_delimited.h"
 #include "http/listener.h"
 #include "http/responder.h"
 #include "request/request.h"
@@ -32,6 +33,7 @@
   struct kcp_reply *reply;
   struct kcp_request *request;
   struct kcp_error error; /* unless KCP_OK, sent as the answer after the body is read */
+  bool close_delimited;   /* the answer ends with the connection */
   bool framing_ambiguous; /* the headers do not clearly define where the request ends */
 };
 
@@ -75,6 +77,7 @@
 static void append_body (struct exchange *exchange, const char *data, size_t size);
 static enum MHD_Result start_or_reply (struct exchange *exchange);
 static enum MHD_Result send_reply (struct exchange *exchange);
+static int connection_fd (const struct exchange *exchange);
 static ssize_t read_reply (void *user, uint64_t position, char *out, size_t max);
 static void suspend (void *user);
 static void resume (void *user);
@@ -138,7 +141,6 @@
   struct exchange *exchange = *state;
   bool answered = false;
 
-  (void)version;
   if (exchange == NULL)
     {
       enum MHD_Result result = answer_builtin_path (api, connection, url, &answered);
@@ -146,6 +148,7 @@
       if (answered)
         return result;
       exchange = exchange_new (api, connection);
+      exchange->close_delimited = kcp_close_delimited_applies (version, method);
       *state = exchange;
       (void)parse_head (exchange, url, method);
       return MHD_YES;
@@ -349,6 +352,11 @@
       MHD_SIZE_UNKNOWN, READ_BLOCK_BYTES, read_reply, exchange, NULL);
   enum MHD_Result result;
 
+  exchange->close_delimited
+      = exchange->close_delimited
+        && kcp_close_delimited_has_body (kcp_reply_status (exchange->reply));
+  if (exchange->close_delimited)
+    kcp_close_delimited_begin (connection_fd (exchange));
   MHD_add_response_header (response, MHD_HTTP_HEADER_CONTENT_TYPE,
                            kcp_reply_content_type (exchange->reply));
   for (char **name = headers; *name != NULL; name += 2)
@@ -359,6 +367,13 @@
   return result;
 }
 
+static int
+connection_fd (const struct exchange *exchange)
+{
+  return MHD_get_connection_info (exchange->connection, MHD_CONNECTION_INFO_CONNECTION_FD)
+      ->connect_fd;
+}
+
 static ssize_t
 read_reply (void *user, uint64_t position, char *out, size_t max)
 {
@@ -366,7 +381,11 @@
   ssize_t count = kcp_reply_read (exchange->reply, out, max);
 
   (void)position;
-  return count == KCP_REPLY_END ? MHD_CONTENT_READER_END_OF_STREAM : count;
+  if (count != KCP_REPLY_END)
+    return count;
+  if (exchange->close_delimited)
+    kcp_close_delimited_complete (connection_fd (exchange));
+  return MHD_CONTENT_READER_END_OF_STREAM;
 }
 
 static void
--- a/src/http/close_delimited.c
+++ b/src/http/close_delimited.c
@@ -1,14 +1,27 @@
 #include "http/close_delimited.h"
 
-#include <errno.h>
-#include <stdbool.h>
+#include <microhttpd.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#include "base/decision_log.h"
-
 static void set_reset_on_close (int fd, bool reset);
 
+/* Returns true if an answer of unknown length to a request ends with the connection:
+   there are no chunks before HTTP/1.1, and the answer to HEAD ends with its head. */
+bool
+kcp_close_delimited_applies (const char *version, const char *method)
+{
+  return strcmp (version, MHD_HTTP_VERSION_1_0) == 0
+         && strcmp (method, MHD_HTTP_METHOD_HEAD) != 0;
+}
+
+/* Returns false if an answer with this status ends with its head. */
+bool
+kcp_close_delimited_has_body (unsigned status)
+{
+  return status != MHD_HTTP_NO_CONTENT && status != MHD_HTTP_NOT_MODIFIED;
+}
+
 /* Has the kernel reset the connection fd when it is closed, also because the process was
    killed, until the answer is complete. */
 void
@@ -26,14 +39,13 @@
 }
 
 /* Resets the connection at once. To be called before libmicrohttpd closes it, which first
-   shuts down the sending side in order. */
-void
+   shuts down the sending side in order. Returns false and sets errno on failure. */
+bool
 kcp_close_delimited_abort (int fd)
 {
   const struct sockaddr none = { .sa_family = AF_UNSPEC };
 
-  if (connect (fd, &none, sizeof none) != 0)
-    KCP_LOG ("reset_failed", KCP_LOG_TEXT ("reason", strerror (errno)));
+  return connect (fd, &none, sizeof none) == 0;
 }
 
 static void
@@ -41,6 +53,5 @@
 {
   const struct linger linger = { .l_onoff = reset, .l_linger = 0 };
 
-  if (setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger) != 0)
-    KCP_LOG ("linger_failed", KCP_LOG_TEXT ("reason", strerror (errno)));
+  (void)setsockopt (fd, SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
 }
--- a/src/http/close_delimited.h
+++ b/src/http/close_delimited.h
@@ -3,8 +3,12 @@
 #ifndef KCP_HTTP_CLOSE_DELIMITED_H
 #define KCP_HTTP_CLOSE_DELIMITED_H
 
+#include <stdbool.h>
+
+bool kcp_close_delimited_applies (const char *version, const char *method);
+bool kcp_close_delimited_has_body (unsigned status);
 void kcp_close_delimited_begin (int fd);
 void kcp_close_delimited_complete (int fd);
-void kcp_close_delimited_abort (int fd);
+bool kcp_close_delimited_abort (int fd);
 
 #endif
