RECOVER: the VM that takes a request over avoids servers that have had it

A stream that a server broke off, or a request that it refused, and that went on through another VM could go to the same server again: the other VM did not know where it had been. The ids of the servers that were reached go with it; those that were not reached do not, since the other VM may reach them.

--- a/src/cmd/explain.c
+++ b/src/cmd/explain.c
@@ -49,6 +49,8 @@
 static const struct event_description event_descriptions[] = {
   { "sent", "sent to a server" },
   { "attempt_failed", "the server returned no answer that could be relayed" },
+  { "passed_on", "passed on to another VM: this one reaches no server of the service" },
+  { "hop_failed", "the other VM declined it, or its answer is incomplete" },
   { "backlog", "refused: too much prefill work queued ahead of it at the best server" },
   { "blocked", "not sent: copies of it have crashed too many servers" },
   { "request", "ended" },
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -15,6 +15,7 @@
 static bool accept_inbound (struct kcp_forward *forward);
 static bool may_take_over (const struct kcp_forward *forward);
 static bool take_over (struct kcp_forward *forward);
+static void avoid_servers (struct kcp_forward *forward, const char *ids);
 static bool find_team (struct kcp_forward *forward);
 static void set_fingerprint (struct kcp_forward *forward);
 static void set_part_fingerprints (struct kcp_forward *forward);
@@ -24,6 +25,7 @@
 static bool find_blocked (struct kcp_forward *forward, struct kcp_suspect *blocked);
 static void end_blocked (struct kcp_forward *forward, const struct kcp_suspect *blocked);
 static void end_without_path (struct kcp_forward *forward);
+static void note_reached (struct kcp_forward *forward);
 static enum kcp_repeat
 repeat_after (const struct kcp_forward *forward, enum kcp_attempt_end end);
 static void on_deadline (void *user);
@@ -42,6 +44,7 @@
   forward->answer = answer;
   forward->arrived_ns = kcp_loop_now (gateway->loop);
   forward->tried = g_ptr_array_new_with_free_func (server_unref);
+  forward->reached = g_string_new (NULL);
   forward->causes.parts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   forward->choice.inbound = inbound;
   forward->choice.tried = forward->tried;
@@ -74,6 +77,7 @@
   kcp_choice_clear (&forward->choice);
   kcp_event_framer_clear (&forward->framer);
   g_ptr_array_unref (forward->tried);
+  g_string_free (forward->reached, TRUE);
   g_array_unref (forward->causes.parts);
   kcp_routes_unref (forward->routes);
   kcp_inbound_clear (forward->inbound);
@@ -159,10 +163,26 @@
   forward->counted = hop->counted;
   forward->choice.bound = hop->bound;
   forward->choice.software = hop->software;
+  avoid_servers (forward, hop->avoid);
   kcp_counter_add (KCP_COUNT_TAKEN_OVER, 1);
   return true;
 }
 
+/* Excludes servers that another VM has reached with the request. */
+static void
+avoid_servers (struct kcp_forward *forward, const char *ids)
+{
+  g_auto (GStrv) list = g_strsplit (ids != NULL ? ids : "", ",", -1);
+
+  for (char **id = list; *id != NULL; id++)
+    {
+      struct kcp_server *server = kcp_servers_find (forward->gateway->servers, *id);
+
+      if (server != NULL)
+        g_ptr_array_add (forward->tried, kcp_server_ref (server));
+    }
+}
+
 static bool
 find_team (struct kcp_forward *forward)
 {
@@ -381,6 +401,16 @@
   return forward->choice.route->repeat;
 }
 
+/* Notes that the attempt's server was reached: no other VM should try it for this
+   request. */
+static void
+note_reached (struct kcp_forward *forward)
+{
+  if (forward->reached->len > 0)
+    g_string_append_c (forward->reached, ',');
+  g_string_append (forward->reached, forward->attempt.server->entry.id);
+}
+
 /* Applies the resend policy after an attempt without a complete answer. */
 void
 kcp_forward_after_attempt (struct kcp_forward *forward, enum kcp_attempt_end end,
@@ -400,6 +430,8 @@
     .remaining_ms = kcp_forward_remaining_ms (forward),
   };
 
+  if (!unreached && !forward->attempt.passed_on)
+    note_reached (forward);
   forward->runs += ran;
   forward->refusals += !ran;
   forward->unsent += unreached;
--- a/src/forward/forward_hop.c
+++ b/src/forward/forward_hop.c
@@ -59,6 +59,7 @@
   struct kcp_hop_head hop = {
     .team = choice->team != NULL ? choice->team->name : NULL,
     .service = (char *)choice->service,
+    .avoid = forward->reached->len > 0 ? forward->reached->str : NULL,
     .routes_version = forward->routes->version,
     .runs = forward->runs,
     .counted = forward->counted,
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -52,6 +52,7 @@
   struct kcp_loop_timer unpause_timer;
   size_t answer_bytes; /* memory of the answer, part of the gateway's sum */
   GPtrArray *tried;    /* struct kcp_server, references */
+  GString *reached;    /* ids of those of them that were reached, separated by commas */
   /* Equal for all copies of the request, on all VMs. The parts are those that other
      requests may share: all but the last. */
   struct kcp_crash_causes causes;
--- a/src/forward/hop.c
+++ b/src/forward/hop.c
@@ -6,6 +6,7 @@
 #define PREFIX          "Kingcuppoint-Hop-"
 #define TEAM            PREFIX "Team"
 #define SERVICE         PREFIX "Service"
+#define AVOID           PREFIX "Avoid"
 #define ROUTES_VERSION  PREFIX "Routes-Version"
 #define RUNS            PREFIX "Runs"
 #define COUNTED         PREFIX "Counted"
@@ -45,6 +46,7 @@
 
   head->team = g_strdup (look_up (connection, TEAM));
   head->service = g_strdup (look_up (connection, SERVICE));
+  head->avoid = g_strdup (look_up (connection, AVOID));
   head->routes_version = look_up_int (connection, ROUTES_VERSION);
   head->runs = look_up_int (connection, RUNS);
   head->counted = look_up_int (connection, COUNTED) != 0;
@@ -62,6 +64,7 @@
     return;
   g_free (head->team);
   g_free (head->service);
+  g_free (head->avoid);
   g_free (head);
 }
 
@@ -74,6 +77,8 @@
   if (head->team != NULL)
     lines = add_line (lines, TEAM, head->team);
   lines = add_line (lines, SERVICE, head->service);
+  if (head->avoid != NULL)
+    lines = add_line (lines, AVOID, head->avoid);
   lines = add_int_line (lines, ROUTES_VERSION, head->routes_version);
   lines = add_int_line (lines, RUNS, head->runs);
   lines = add_int_line (lines, COUNTED, head->counted);
--- a/src/forward/hop.h
+++ b/src/forward/hop.h
@@ -27,6 +27,7 @@
 {
   char *team; /* NULL: none */
   char *service;
+  char *avoid; /* ids of servers that it has reached, separated by commas; NULL: none */
   int64_t routes_version; /* by which it accepted the request */
   int64_t runs;           /* attempts that may have run the request */
   bool counted;           /* towards the requests of its retry budget */
--- a/src/forward/reach_watch.c
+++ b/src/forward/reach_watch.c
@@ -22,6 +22,7 @@
   struct kcp_loop *loop;
   const struct kcp_servers *servers;
   GPtrArray *probes; /* struct path_probe */
+  guint unreached;   /* servers, at the last tick */
   guint next;        /* index of the server that is looked at first */
   bool ticking;      /* some server is not reached, and the timer is set */
   struct kcp_loop_timer timer;
@@ -133,21 +134,22 @@
   struct kcp_reach_watch *watch = user;
   const GPtrArray *servers = kcp_servers_all (watch->servers);
   guint first = watch->next;
-  bool unreached = false;
+  guint unreached = 0;
 
   for (guint i = 0; i < servers->len; i++)
     {
       guint at = (first + i) % servers->len;
       struct kcp_server *server = g_ptr_array_index (servers, at);
 
-      unreached |= kcp_reach_has_failed (&server->reach);
+      unreached += kcp_reach_has_failed (&server->reach);
       if (watch->probes->len >= PROBES_MAX || !is_due (watch, server))
         continue;
       start_probe (watch, server);
       watch->next = at + 1;
     }
   watch->ticking = false;
-  if (unreached)
+  watch->unreached = unreached;
+  if (unreached > 0)
     set_timer (watch);
 }
 
@@ -160,7 +162,8 @@
     return false;
   if (kcp_reach_has_failed (&server->reach))
     return kcp_loop_now (watch->loop) >= server->reach.probe_after_ns;
-  return server->entry.state == KCP_SERVER_READY
+  return watch->unreached >= KCP_REACH_DOUBT_SERVERS
+         && server->entry.state == KCP_SERVER_READY
          && kcp_reach_watch_paths (watch, server->entry.service) == KCP_PATHS_DOUBT;
 }
 
--- a/tests/process/test_vms_without_paths.c
+++ b/tests/process/test_vms_without_paths.c
@@ -10,13 +10,14 @@
 #include "tests/harness/run_suite.h"
 #include "tests/harness/vm_group.h"
 
-#define SERVERS       3u
-#define FIRST_MS      3500 /* from the cut on, until tries count */
-#define TRIES         30u
-#define BACK_MS       2500 /* from the end of the cut on, until requests are sent directly */
-#define AT_ONCE_MS    100
-#define EVENT_GAP_MS  300
-#define KILL_AFTER_MS 200 /* within the answer's 500 ms */
+#define SERVERS        3u
+#define FIRST_MS       3500 /* from the cut on, until tries count */
+#define TRIES          30u
+#define BACK_MS        2500 /* from the end of the cut on, until requests are sent directly */
+#define BROKEN_STREAMS 3u /* fewer than the retry budget allows */
+#define AT_ONCE_MS     100
+#define EVENT_GAP_MS   300
+#define KILL_AFTER_MS  200 /* within the answer's 500 ms */
 
 static struct cut_vm cut;
 static unsigned sent;
@@ -266,6 +267,33 @@
 }
 END_TEST
 
+/* The server that the VM reaches breaks the stream off after event 2, the other VM has
+   the others go on. */
+START_TEST (test_stream_that_breaks_off_goes_on_through_another_vm)
+{
+  fake_platform_server (route_vm.platform, SERVERS - 1)->mode = FAKE_INTERRUPT;
+  cut_vm_cut (&cut, CUT_REFUSED, SERVERS - 1);
+  g_usleep (FIRST_MS * G_TIME_SPAN_MILLISECOND);
+  for (unsigned i = 0; i < BROKEN_STREAMS; i++)
+    {
+      struct raw_answer answer = send_to_cut ("/stream/x");
+
+      ck_assert_int_eq (route_vm_status (&answer), 200);
+      ck_assert (g_str_has_suffix (answer.text->str, "\r\n0\r\n\r\n"));
+      for (unsigned event = 1; event <= FAKE_STREAM_EVENTS; event++)
+        {
+          g_autofree char *line = g_strdup_printf ("id: %u\n", event);
+          const char *at = strstr (answer.text->str, line);
+
+          ck_assert_ptr_nonnull (at);
+          ck_assert_ptr_null (strstr (at + 1, line));
+        }
+      raw_answer_clear (&answer);
+    }
+  ck_assert_uint_gt (read_counter (&route_vm, "taken_over"), 0);
+}
+END_TEST
+
 static gpointer
 kill_vm_soon (gpointer user)
 {
@@ -308,6 +336,7 @@
   tcase_add_test (cases, test_caller_cannot_pass_requests_on);
   tcase_add_test (
       cases, test_events_of_a_passed_on_stream_arrive_one_by_one_and_end_with_the_caller);
+  tcase_add_test (cases, test_stream_that_breaks_off_goes_on_through_another_vm);
   tcase_add_test (cases,
                   test_booking_whose_other_vm_ends_is_neither_refused_nor_repeated);
   return run_started_suite ();
