fleet: VMs lose their paths to the servers

One VM or half of them, for 0.5 to 4 s, with old connections that are reset or live on, beside all other faults; the preloaded library of test_vms_without_paths, whose cut file now has the name of the VM's settings (tests/harness/cut_file.c, used by both).

--- a/Makefile
+++ b/Makefile
@@ -89,11 +89,11 @@
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(CHECKLIBS)
 
-$(BUILD)/kcp-soak: $(call obj,soak/soak.c soak/proxy.c $(SOAK_SHARED) $(FAKE_PLATFORM) tests/harness/free_port.c)
+$(BUILD)/kcp-soak: $(call obj,soak/soak.c soak/proxy.c $(SOAK_SHARED) $(FAKE_PLATFORM) tests/harness/free_port.c tests/harness/cut_file.c)
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
-$(BUILD)/kcp-fleet: $(call obj,$(FLEET) $(SOAK_SHARED) $(FAKE_PLATFORM) tests/harness/free_port.c)
+$(BUILD)/kcp-fleet: $(call obj,$(FLEET) $(SOAK_SHARED) $(FAKE_PLATFORM) tests/harness/free_port.c tests/harness/cut_file.c)
 	@echo 'LD $@'
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS)
 
@@ -131,7 +131,7 @@
 
 # Soak test of VMs and servers as processes, by default at the size of a small deployment;
 # takes SEED=N SECONDS=N VMS=N SERVERS=N CALLERS=N.
-fleet: all $(BUILD)/kcp-fleet
+fleet: all $(BUILD)/kcp-fleet $(PRELOAD_LIB)
 	@BUILD=$(BUILD) $(BUILD)/kcp-fleet $(or $(SEED),$(SOAK_SEED)) $(or $(SECONDS),$(SOAK_SECONDS)) \
 	  $(or $(VMS),7) $(or $(SERVERS),13) $(CALLERS)
 
--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -19,6 +19,7 @@
 #include <string.h>
 
 #include "soak/engine.h"
+#include "tests/harness/cut_file.h"
 
 /* The budget for retries of a large deployment. */
 #define RETRY_SETTINGS      "[retry]\nratio = 0.1\nburst = 158\n"
@@ -29,6 +30,8 @@
 #define RECOVERY_TIMEOUT_US (20 * G_USEC_PER_SEC)
 #define FAULT_MIN_MS        200
 #define FAULT_MAX_MS        2500
+#define CUT_MIN_MS          500
+#define CUT_MAX_MS          4000
 #define TICK_US             (20 * 1000)
 #define TICKS_MAX           16 /* between two faults of a small fleet */
 #define TOGETHER            4  /* one in so many VMs fails at once */
@@ -76,6 +79,41 @@
         + g_rand_int_range (fleet.random, FAULT_MIN_MS, FAULT_MAX_MS) * (int64_t)1000;
 }
 
+/* Has a VM lose its paths to all servers for a time, if it has them. */
+static void
+cut_paths (unsigned index, int64_t now_us)
+{
+  struct soak_vm *vm = &fleet.vms[index];
+  int ports[FLEET_SERVERS_MAX];
+  struct cut_file cut = { .live_on = g_rand_boolean (fleet.random),
+                          .ports = ports,
+                          .count = fleet.server_count };
+
+  if (vm->heal_us != 0)
+    return;
+  for (unsigned i = 0; i < fleet.server_count; i++)
+    ports[i] = fleet.servers[i].port;
+  vm->heal_us
+      = now_us + g_rand_int_range (fleet.random, CUT_MIN_MS, CUT_MAX_MS) * (int64_t)1000;
+  (void)cut_file_write (vm->cut, &cut);
+  note_disturbance (index, now_us);
+}
+
+static void
+end_cuts (int64_t now_us, bool all)
+{
+  for (unsigned i = 0; i < fleet.vm_count; i++)
+    {
+      struct soak_vm *vm = &fleet.vms[i];
+
+      if (vm->heal_us == 0 || (!all && now_us < vm->heal_us))
+        continue;
+      vm->heal_us = 0;
+      (void)cut_file_write (vm->cut, &(struct cut_file){ 0 });
+      note_disturbance (i, now_us);
+    }
+}
+
 /* Injects one random fault into the VMs, the servers, the store or the configuration;
    earlier faults may still last. */
 static void
@@ -84,7 +122,7 @@
   unsigned vm = (unsigned)g_rand_int_range (fleet.random, 0, (gint32)fleet.vm_count);
   enum soak_vm_fault fault
       = (enum soak_vm_fault)g_rand_int_range (fleet.random, 0, SOAK_VM_FAULT_COUNT);
-  int kind = g_rand_int_range (fleet.random, 0, 20);
+  int kind = g_rand_int_range (fleet.random, 0, 23);
 
   if (kind < 10)
     fleet_inject_server_fault (now_us);
@@ -98,6 +136,14 @@
     }
   else if (kind < 19)
     fleet_put_config ();
+  else if (kind < 21)
+    cut_paths (vm, now_us);
+  else if (kind == 21)
+    {
+      for (unsigned i = 0; i < fleet.vm_count; i++)
+        if (g_rand_boolean (fleet.random))
+          cut_paths (i, now_us);
+    }
   else if (fleet.store_restore_us == 0)
     disrupt_store (now_us);
 }
@@ -114,6 +160,7 @@
       if (fleet.vms[i].disturbed_us != before_us)
         note_disturbance (i, now_us);
     }
+  end_cuts (now_us, all);
   fleet_end_server_faults (now_us, all);
   if (fleet.store_restore_us != 0 && (all || now_us >= fleet.store_restore_us))
     {
@@ -156,6 +203,7 @@
   fleet.attempts = g_array_new (FALSE, FALSE, sizeof (struct fleet_attempt));
   fleet.changes = g_array_new (FALSE, FALSE, sizeof (struct fleet_change));
   fleet.disturbances = g_array_new (FALSE, FALSE, sizeof (struct fleet_disturbance));
+  cut_file_begin_preload ();
   fleet.platform = fake_platform_start (0);
   fleet_put_config ();
   fleet_servers_start ();
--- a/soak/vm.c
+++ b/soak/vm.c
@@ -12,6 +12,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "tests/harness/cut_file.h"
 #include "tests/harness/free_port.h"
 
 #define DRAIN_GRACE_S  4
@@ -39,6 +40,7 @@
                           .peer_port = free_port (SOCK_DGRAM),
                           .settings = g_build_filename (folder, name, NULL),
                           .log = g_build_filename (folder, log_name, NULL) };
+  vm->cut = cut_file_path (vm->settings);
   write_settings (vm, index, data_center, store_port, further);
 }
 
@@ -68,9 +70,11 @@
       (void)waitpid (vm->pid, NULL, 0);
     }
   (void)g_unlink (vm->settings);
+  (void)g_unlink (vm->cut);
   if (!keep_log)
     (void)g_unlink (vm->log);
   g_free (vm->settings);
+  g_free (vm->cut);
   g_free (vm->log);
 }
 
--- a/soak/vm.h
+++ b/soak/vm.h
@@ -24,10 +24,12 @@
   int peer_port;
   pid_t pid; /* 0: it does not run */
   char *settings;
+  char *cut;            /* its cut file; see tests/harness/cut_file.h */
   char *log;            /* standard output of all its processes */
   int64_t start_us;     /* time at which it is started; 0: it runs */
   int64_t resume_us;    /* time at which it is continued; 0: it is not stopped */
   int64_t kill_us;      /* time at which it is killed after SIGTERM; 0: none sent */
+  int64_t heal_us;      /* time at which its paths are back; 0: they are not cut */
   int64_t disturbed_us; /* time of its last fault, or of the end of it */
 };
 
--- a/tests/harness/cut_vm.c
+++ b/tests/harness/cut_vm.c
@@ -8,40 +8,35 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "tests/harness/cut_file.h"
+
+#define SERVERS_MAX 16u
+
 static void open_silent_port (struct cut_vm *cut);
 
 /* Starts the VM, which reaches all servers at first. */
 void
 cut_vm_start (struct cut_vm *cut, const char *data_center)
 {
-  const char *build = g_getenv ("BUILD") != NULL ? g_getenv ("BUILD") : "build";
-  g_autofree char *folder = g_get_current_dir ();
-  g_autofree char *library
-      = g_build_filename (g_path_is_absolute (build) ? "" : folder, build, "tests",
-                          "preload", "cut_paths.so", NULL);
-  int fd;
+  g_autofree char *settings = NULL;
 
   *cut = (struct cut_vm){ 0 };
-  fd = g_file_open_tmp ("kcp-cut-XXXXXX", &cut->path, NULL);
-  ck_assert_int_ge (fd, 0);
-  (void)close (fd);
   open_silent_port (cut);
-  ck_assert (g_file_test (library, G_FILE_TEST_EXISTS));
-  (void)g_setenv ("KCP_TEST_CUT_FILE", cut->path, TRUE);
-  (void)g_setenv ("ASAN_OPTIONS", "verify_asan_link_order=0", TRUE);
-  (void)g_setenv ("LD_PRELOAD", library, TRUE);
+  cut_file_begin_preload ();
   route_vm_add (&cut->vm, data_center);
-  g_unsetenv ("LD_PRELOAD");
+  cut_file_end_preload ();
+  settings = g_build_filename (cut->vm.folder, "route.ini", NULL);
+  cut->path = cut_file_path (settings);
 }
 
 /* Kills the VM and removes its files. */
 void
 cut_vm_stop (struct cut_vm *cut)
 {
+  (void)g_unlink (cut->path);
   route_vm_remove (&cut->vm);
   for (size_t i = 0; i < G_N_ELEMENTS (cut->silent); i++)
     (void)close (cut->silent[i]);
-  (void)g_unlink (cut->path);
   g_free (cut->path);
 }
 
@@ -49,21 +44,25 @@
 void
 cut_vm_cut (struct cut_vm *cut, enum cut_kind kind, unsigned servers)
 {
-  g_autoptr (GString) text = g_string_new (NULL);
+  int ports[SERVERS_MAX];
 
-  g_string_printf (text, "%d %d", kind == CUT_SILENT ? cut->silent_port : 0,
-                   kind == CUT_NEW_REFUSED);
+  ck_assert_uint_le (servers, SERVERS_MAX);
   for (unsigned i = 0; i < servers; i++)
-    g_string_append_printf (text, " %d",
-                            fake_platform_server (route_vm.platform, i)->port);
-  ck_assert (g_file_set_contents (cut->path, text->str, -1, NULL));
+    ports[i] = fake_platform_server (route_vm.platform, i)->port;
+  ck_assert (cut_file_write (cut->path,
+                             &(struct cut_file){
+                                 .silent_port = kind == CUT_SILENT ? cut->silent_port : 0,
+                                 .live_on = kind == CUT_NEW_REFUSED,
+                                 .ports = ports,
+                                 .count = servers,
+                             }));
 }
 
 /* Ends the cut. */
 void
 cut_vm_heal (struct cut_vm *cut)
 {
-  ck_assert (g_file_set_contents (cut->path, "", -1, NULL));
+  ck_assert (cut_file_write (cut->path, &(struct cut_file){ 0 }));
 }
 
 /* Listens at a port and fills its queue, so that the kernel drops further connections'
--- a/tests/harness/cut_vm.h
+++ b/tests/harness/cut_vm.h
@@ -16,7 +16,7 @@
 struct cut_vm
 {
   struct route_vm vm;
-  char *path;    /* of the file that names the ports that are cut off */
+  char *path;    /* of its cut file */
   int silent[3]; /* a listener with a full queue, and the connections that fill it */
   int silent_port;
 };
--- a/tests/preload/cut_paths.c
+++ b/tests/preload/cut_paths.c
@@ -8,10 +8,13 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define FILE_VARIABLE "KCP_TEST_CUT_FILE"
-#define PORTS_MAX     64
+#define PORTS_MAX      128
+#define PATH_MAX_BYTES 512
 
-/* The file holds a port that accepts no connection, or 0 where connections are to be
+static char cut_path[PATH_MAX_BYTES];
+
+/* The file has the name of the VM's settings, its last argument, and ".cut". It holds a
+   port that accepts no connection, or 0 where connections are to be
    refused, whether connections that were established before live on, and then the ports
    that are cut off. */
 struct cut
@@ -25,12 +28,18 @@
 typedef ssize_t send_function (int fd, const void *data, size_t len, int flags);
 typedef int connect_function (int fd, const struct sockaddr *address, socklen_t len);
 
+__attribute__ ((constructor)) static void
+set_path (int argc, char **argv)
+{
+  if (argc > 0)
+    (void)snprintf (cut_path, sizeof cut_path, "%s.cut", argv[argc - 1]);
+}
+
 static struct cut
 read_cut (void)
 {
   struct cut cut = { 0 };
-  const char *path = getenv (FILE_VARIABLE);
-  FILE *file = path != NULL ? fopen (path, "re") : NULL;
+  FILE *file = fopen (cut_path, "re");
 
   if (file == NULL)
     return cut;
