Passed-on streams: a VM that hands a stream over forgets the version that it tried

Cause: a VM notes the version of each server that it sends a resumable stream to, also of one that it does not reach. It was the only VM with the request, so its last note was right. A VM that declined a stream, or passed it on after attempts in vain, kept its note, and resumed the stream by it, or wrote it beside the note of the VM that began it. Why it works: the note is forgotten before the stream is handed over; one that may have been written already cannot be taken back, so the request is refused then, and its caller comes back with another id. Beside it: a refusal of the other VM is not relayed as one for a request that may have run before.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -377,7 +377,7 @@
     kcp_forward_interrupt (forward, "no_path");
   else if (forward->runs > 0)
     kcp_forward_end_with_problem (forward, MHD_HTTP_BAD_GATEWAY, "unknown", "no_path");
-  else if (kcp_forward_is_from_vm (forward))
+  else if (kcp_forward_is_from_vm (forward) && kcp_forward_hand_over (forward))
     kcp_forward_decline (forward, "no_path");
   else
     kcp_forward_refuse (forward, "no_path");
@@ -433,11 +433,13 @@
   if (!unreached && !forward->attempt.passed_on)
     note_reached (forward);
   forward->runs += ran;
-  forward->refusals += !ran;
-  forward->unsent += unreached;
+  forward->refusals += !ran && end != KCP_ATTEMPT_DECLINED;
+  forward->unsent += end == KCP_ATTEMPT_UNSENT;
+  forward->declines += end == KCP_ATTEMPT_DECLINED;
   facts.runs = forward->runs;
   facts.refusals = forward->refusals;
   facts.unsent = forward->unsent;
+  facts.declines = forward->declines;
   facts.may_have_run = forward->runs > 0;
   kcp_event_framer_discard_partial (&forward->framer);
   switch (kcp_resend_decide (
@@ -501,7 +503,7 @@
     return;
   if (forward->answer->begun)
     kcp_forward_interrupt (forward, reason);
-  else if (forward->tried->len == 0)
+  else if (forward->tried->len == 0 && forward->runs == 0)
     kcp_forward_refuse (forward, reason);
   else
     kcp_forward_end_with_problem (forward, MHD_HTTP_GATEWAY_TIMEOUT, "unknown", reason);
--- a/src/forward/forward_hop.c
+++ b/src/forward/forward_hop.c
@@ -1,5 +1,7 @@
 /* A request that this VM cannot send to a server, as it reaches none, is passed on to a
    VM that does, and its answer relayed. */
+#include <microhttpd.h>
+
 #include "base/counter.h"
 #include "base/decision_log.h"
 #include "forward/forward_private.h"
@@ -28,14 +30,27 @@
   return kcp_mesh_choose_hop (forward->gateway->mesh, forward->tried);
 }
 
-/* Passes the request on to another VM. Returns false if there is none. */
+/* Leaves it to another VM which server the request is sent to first. Returns false if
+   that is not possible: of a stream that may be resumed it may be on record already which
+   software version begins it. */
+bool
+kcp_forward_hand_over (struct kcp_forward *forward)
+{
+  if (forward->choice.bound || forward->choice.route->repeat != KCP_REPEAT_RESUMABLE)
+    return true;
+  return kcp_stream_records_forget (forward->gateway->stream_records,
+                                    forward->inbound->id);
+}
+
+/* Passes the request on to another VM. Returns false if there is none, or if the request
+   cannot be handed over. */
 bool
 kcp_forward_pass_on (struct kcp_forward *forward)
 {
   struct kcp_server *hop = kcp_forward_choose_hop (forward);
   bool new_connection;
 
-  if (hop == NULL)
+  if (hop == NULL || !kcp_forward_hand_over (forward))
     return false;
   new_connection = kcp_forward_needs_new_connection (forward, hop->entry.address);
   kcp_forward_begin_attempt (forward, hop);
@@ -150,18 +165,22 @@
     }
 }
 
-/* Relays the other VM's promise that the request has not run, and when to retry. */
+/* Relays the other VM's promise that the request has not run, and when to retry. It does
+   not hold for a request that may have run before it was passed on. */
 static void
 relay_refusal (struct kcp_forward *forward)
 {
   int64_t now = kcp_loop_now (forward->gateway->loop);
 
+  forward->counted = true; /* by the other VM */
   forward->choice.earliest_server = NULL;
   forward->choice.earliest_available_ns
       = now + forward->attempt.head.retry_after_ms * KCP_NS_PER_MS;
-  forward->counted = true;
   if (forward->answer->begun)
     kcp_forward_interrupt (forward, "refused_to_resume");
+  else if (forward->runs > 0)
+    kcp_forward_end_with_problem (forward, MHD_HTTP_BAD_GATEWAY, "unknown",
+                                  "refused_at_other_vm");
   else
     kcp_forward_refuse (forward, "refused_at_other_vm");
 }
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -61,6 +61,7 @@
   unsigned runs;            /* attempts that may have run the request */
   unsigned refusals;        /* attempts that did not run the request */
   unsigned unsent;          /* those of them that reached no server */
+  unsigned declines;        /* VMs that declined it */
   bool counted;             /* towards the requests of the retry budget */
   bool route_sets_deadline; /* the deadline is the route's, not the caller's */
 };
@@ -82,6 +83,7 @@
 /* forward_hop.c */
 bool kcp_forward_is_from_vm (const struct kcp_forward *forward);
 struct kcp_server *kcp_forward_choose_hop (const struct kcp_forward *forward);
+bool kcp_forward_hand_over (struct kcp_forward *forward);
 bool kcp_forward_pass_on (struct kcp_forward *forward);
 void kcp_forward_conclude_hop (struct kcp_forward *forward,
                                const struct kcp_http_result *result);
--- a/src/forward/stream_records.c
+++ b/src/forward/stream_records.c
@@ -27,7 +27,8 @@
   uint64_t id; /* key of the id of the caller's attempt */
   struct kcp_stream_origin origin;
   int64_t noted_ns;
-  bool own; /* this VM has begun it */
+  bool own;     /* this VM has begun it */
+  bool written; /* an append to the store has had it, whether or not that was answered */
 };
 
 struct kcp_stream_records
@@ -114,6 +115,26 @@
     write_later (records, stream);
 }
 
+/* Forgets a stream that this VM noted and that no server has begun, so that another VM
+   can have one begin it. Returns false if it may have been written: of two records nobody
+   could tell which one holds. records may be NULL. */
+bool
+kcp_stream_records_forget (struct kcp_stream_records *records, const char *id)
+{
+  uint64_t key = make_id (id);
+  struct stream *stream
+      = records != NULL ? g_hash_table_lookup (records->streams, &key) : NULL;
+
+  if (stream == NULL || !stream->own)
+    return true;
+  if (stream->written)
+    return false;
+  g_hash_table_remove (records->streams, &stream->id);
+  (void)g_queue_remove (&records->by_age, stream);
+  g_free (stream);
+  return true;
+}
+
 /* Has all recent streams of this VM written. records may be NULL. */
 void
 kcp_stream_records_write_own (struct kcp_stream_records *records)
@@ -228,11 +249,13 @@
     return;
   for (guint i = 0; i < count; i++)
     {
-      const struct stream *stream = g_hash_table_lookup (
+      struct stream *stream = g_hash_table_lookup (
           records->streams, &g_array_index (records->pending, uint64_t, i));
 
-      if (stream != NULL)
-        append_line (text, stream);
+      if (stream == NULL)
+        continue;
+      stream->written = true;
+      append_line (text, stream);
     }
   if (text->len == 0)
     {
--- a/src/forward/stream_records.h
+++ b/src/forward/stream_records.h
@@ -24,6 +24,7 @@
 void kcp_stream_records_stop (struct kcp_stream_records *records);
 void kcp_stream_records_note (struct kcp_stream_records *records, const char *id,
                               const struct kcp_server *server);
+bool kcp_stream_records_forget (struct kcp_stream_records *records, const char *id);
 void kcp_stream_records_write_own (struct kcp_stream_records *records);
 const struct kcp_stream_origin *
 kcp_stream_records_find (const struct kcp_stream_records *records, const char *id);
--- a/src/policy/resend.c
+++ b/src/policy/resend.c
@@ -6,6 +6,8 @@
 #define SLOTS_KEPT (KCP_RESEND_SLOTS + 1)
 /* Refusals of one request before the caller is asked to retry later. */
 #define REFUSALS_MAX 4
+/* VMs that a request is offered to. */
+#define DECLINES_MAX 4
 /* Servers that a request tries in vain before another VM is to send it. */
 #define UNSENT_MAX 2
 /* With less time left, another attempt cannot yield an answer. */
@@ -136,9 +138,10 @@
   switch (facts->end)
     {
     case KCP_ATTEMPT_UNSENT:
-    case KCP_ATTEMPT_DECLINED:
     case KCP_ATTEMPT_REFUSED:
       return facts->refusals < REFUSALS_MAX;
+    case KCP_ATTEMPT_DECLINED:
+      return facts->declines < DECLINES_MAX;
     case KCP_ATTEMPT_UNKNOWN:
     case KCP_ATTEMPT_ERROR:
       return facts->repeat != KCP_REPEAT_ONCE && facts->runs < facts->max_runs
--- a/src/policy/resend.h
+++ b/src/policy/resend.h
@@ -44,6 +44,7 @@
   unsigned runs;     /* attempts that may have run, including this one */
   unsigned refusals; /* attempts that did not run, including this one */
   unsigned unsent;   /* those of them that reached no server */
+  unsigned declines; /* other VMs that declined the request, including this one */
   unsigned max_runs;
   bool suspect;      /* copies of the request were in flight at servers that crashed */
   bool may_have_run; /* an earlier attempt of this request may have run */
--- a/tests/process/test_vms_without_paths.c
+++ b/tests/process/test_vms_without_paths.c
@@ -294,6 +294,63 @@
 }
 END_TEST
 
+/* Sets how all servers handle requests, and gives each a software version of its own. */
+static void
+set_servers (enum fake_mode mode)
+{
+  static const char *const software[SERVERS] = { "v1", "v2", "v3" };
+
+  for (unsigned i = 0; i < SERVERS; i++)
+    {
+      struct fake_server *server = fake_platform_server (route_vm.platform, i);
+
+      server->mode = mode;
+      server->software = software[i];
+      fake_platform_put_server (route_vm.platform, i, "ready");
+    }
+}
+
+/* Returns the software version of the events of an answer; 0: it has none. */
+static int
+software_of (const struct raw_answer *answer)
+{
+  const char *at = strstr (answer->text->str, " of v");
+
+  return at != NULL ? atoi (at + strlen (" of v")) : 0;
+}
+
+/* A VM tries servers in vain and declines a stream, which then begins through a third VM:
+   the versions that the declining one tried did not begin it. */
+START_TEST (test_stream_that_a_vm_declined_is_not_resumed_at_a_version_that_it_tried)
+{
+  struct cut_vm declining;
+  struct cut_vm passing;
+  struct raw_answer begun;
+  struct raw_answer resumed;
+
+  cut_vm_start (&declining, "y");
+  cut_vm_start (&passing, "y");
+  set_servers (FAKE_INTERRUPT);
+  cut_vm_cut (&passing, CUT_REFUSED, SERVERS);
+  g_usleep (FIRST_MS * G_TIME_SPAN_MILLISECOND);
+  cut_vm_cut (&declining, CUT_REFUSED, SERVERS);
+  begun = route_vm_send_to (&passing.vm, "POST", "/stream/x", "begun", "", "in");
+  ck_assert_int_eq (route_vm_status (&begun), 200);
+  ck_assert_int_ne (software_of (&begun), 0);
+  set_servers (FAKE_ANSWER);
+  cut_vm_heal (&declining);
+  g_usleep (BACK_MS * G_TIME_SPAN_MILLISECOND);
+  resumed = route_vm_send_to (&declining.vm, "POST", "/stream/x", "resumed",
+                              "Resumes: begun\r\nLast-Event-Id: 1\r\n", "in");
+  ck_assert_int_eq (route_vm_status (&resumed), 200);
+  ck_assert_int_eq (software_of (&resumed), software_of (&begun));
+  raw_answer_clear (&begun);
+  raw_answer_clear (&resumed);
+  cut_vm_stop (&passing);
+  cut_vm_stop (&declining);
+}
+END_TEST
+
 static gpointer
 kill_vm_soon (gpointer user)
 {
@@ -337,6 +394,9 @@
   tcase_add_test (
       cases, test_events_of_a_passed_on_stream_arrive_one_by_one_and_end_with_the_caller);
   tcase_add_test (cases, test_stream_that_breaks_off_goes_on_through_another_vm);
+  tcase_add_loop_test (
+      cases, test_stream_that_a_vm_declined_is_not_resumed_at_a_version_that_it_tried, 0,
+      3);
   tcase_add_test (cases,
                   test_booking_whose_other_vm_ends_is_neither_refused_nor_repeated);
   return run_started_suite ();
--- a/tests/unit/test_reach.c
+++ b/tests/unit/test_reach.c
@@ -146,6 +146,7 @@
       struct kcp_resend_facts facts = { .end = ends[i],
                                         .refusals = cases[_i].unsent,
                                         .unsent = cases[_i].unsent,
+                                        .declines = cases[_i].unsent,
                                         .paths = cases[_i].paths,
                                         .vm_available = cases[_i].vm_available,
                                         .may_have_run = cases[_i].may_have_run,
