ORDER: a complete answer is not reset as its HTTP/1.0 caller closes its sending side

Cause: a cancelled exchange reset its connection whatever the state of the answer, and a reset discards what the kernel has not sent yet. Why it works: a complete answer is sent on, and its end is in order; only an incomplete one is reset.

--- a/src/forward/caller_exchange.c
+++ b/src/forward/caller_exchange.c
@@ -121,7 +121,8 @@
   g_free (exchange);
 }
 
-/* Ends the request of a caller that has closed its connection. */
+/* Ends the request of a caller that has closed its connection, or its sending side: an
+   answer that is complete is still sent. */
 void
 kcp_caller_exchange_cancel (struct kcp_caller_exchange *exchange)
 {
@@ -129,7 +130,7 @@
     return;
   exchange->disconnected = true;
   free_forward (exchange);
-  if (is_close_delimited (exchange))
+  if (is_close_delimited (exchange) && exchange->answer.end != KCP_ANSWER_COMPLETE)
     reset_connection (exchange);
   resume (exchange);
 }
@@ -373,7 +374,7 @@
         exchange->answer.taken (exchange->answer.taken_user);
       return (ssize_t)count;
     }
-  if (exchange->disconnected)
+  if (exchange->disconnected && exchange->answer.end != KCP_ANSWER_COMPLETE)
     return MHD_CONTENT_READER_END_WITH_ERROR;
   switch (exchange->answer.end)
     {
--- a/tests/process/test_http_1_0_callers.c
+++ b/tests/process/test_http_1_0_callers.c
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -14,10 +15,14 @@
 #define STREAM_HEADERS "Content-Type: text/event-stream\r\n"
 #define CHUNKED        "Transfer-Encoding: chunked\r\n"
 #define EVENT_PADDING                                                                    \
-  (32u << 10)            /* bytes of an event for a caller that does not read            \
-                          */
-#define READ_MS      300 /* in which event 1 arrives */
-#define WAIT_STEP_MS 10
+  (32u << 10)                       /* bytes of an event for a caller that does not read \
+                                     */
+#define LONG_EVENT       (4u << 10) /* bytes */
+#define LONG_EVENTS_MIN  396u
+#define READ_BLOCK_BYTES (64u << 10)
+#define LATE_MS          800
+#define READ_MS          300 /* in which event 1 arrives */
+#define WAIT_STEP_MS     10
 #define REQUEST                                                                          \
   "%s /stream/x HTTP/1.0\r\nHost: h\r\nRequest-Id: r1\r\n"                               \
   "Authorization: Bearer key1\r\nRequest-Deadline: 20000\r\nContent-Length: 2\r\n\r\nin"
@@ -120,7 +125,63 @@
 }
 END_TEST
 
-/* Streams events 1 and 2 whole. */
+/* Streams the given number of long events, with a length. */
+static void
+stream_long (struct scripted_request *request, void *user)
+{
+  unsigned events = GPOINTER_TO_UINT (user);
+  g_autofree char *padding = g_strnfill (LONG_EVENT, 'x');
+  g_autoptr (GString) body = g_string_new (NULL);
+  g_autofree char *headers = NULL;
+
+  for (unsigned i = 1; i <= events; i++)
+    g_string_append_printf (body, "id: %u\ndata: %s\n\n", i, padding);
+  headers = g_strdup_printf (STREAM_HEADERS "Content-Length: %zu\r\n", body->len);
+  if (scripted_request_write_head (request, "200 OK", headers))
+    (void)scripted_request_write (request, body->str);
+}
+
+/* Returns true if the VM has the whole answer. */
+static bool
+is_answered (void)
+{
+  g_autofree char *path = g_build_filename (route_vm.folder, "out.log", NULL);
+  g_autofree char *text = NULL;
+
+  return g_file_get_contents (path, &text, NULL, NULL)
+         && strstr (text, "\"outcome\":\"answered\"") != NULL;
+}
+
+/* The VM has the whole answer, of about the size of the socket's buffers, before its
+   caller, which reads late, closes its sending side. */
+START_TEST (test_complete_answer_is_not_reset_as_its_caller_closes_its_sending_side)
+{
+  unsigned events = LONG_EVENTS_MIN + 3 * (unsigned)_i;
+  g_autofree char *last = g_strdup_printf ("id: %u\n", events);
+  g_autoptr (GString) received = g_string_new (NULL);
+  char block[READ_BLOCK_BYTES];
+  ssize_t count;
+  bool answered;
+  int fd;
+
+  (void)scripted_vm_start_server ("i-1", stream_long, GUINT_TO_POINTER (events));
+  fd = send_request (1);
+  g_usleep (LATE_MS * G_TIME_SPAN_MILLISECOND);
+  answered = is_answered ();
+  (void)shutdown (fd, SHUT_WR);
+  g_usleep (READ_MS * G_TIME_SPAN_MILLISECOND);
+  while ((count = read (fd, block, sizeof block)) > 0)
+    g_string_append_len (received, block, count);
+  (void)close (fd);
+  if (!answered)
+    return;
+  ck_assert_int_eq (count, 0);
+  ck_assert_ptr_nonnull (strstr (received->str, last));
+  ck_assert (g_str_has_suffix (received->str, "x\n\n"));
+}
+END_TEST
+
+/* Streams event 1 whole. */
 static void
 stream_whole (struct scripted_request *request, void *user)
 {
@@ -164,5 +225,8 @@
       cases, test_stream_of_a_caller_that_closed_its_sending_side_does_not_look_complete);
   tcase_add_loop_test (cases, test_stream_that_is_not_read_does_not_look_complete, 0, 2);
   tcase_add_loop_test (cases, test_complete_answer_ends_in_order, 0, 3);
+  tcase_add_loop_test (
+      cases, test_complete_answer_is_not_reset_as_its_caller_closes_its_sending_side, 0,
+      7);
   return run_started_suite ();
 }
