--- a/src/forward/caller_server.c
+++ b/src/forward/caller_server.c
@@ -9,6 +9,10 @@
 #define CLOSING_TIMEOUT_S 1u
 /* Other VMs may have as many connections as callers, divided by this. */
 #define VM_CONNECTIONS_DIVISOR 8u
+/* Connections that wait to be accepted. Of VMs few may, so that a VM whose connection is
+   not accepted soon finds another VM. */
+#define CALLERS_BACKLOG     511u
+#define CALLING_VMS_BACKLOG 16u
 
 /* Must neither add nor remove callers. reason is for the log; NULL: none. */
 typedef void caller_action (struct kcp_caller *caller, const char *reason);
@@ -156,6 +160,8 @@
   daemon = MHD_start_daemon (
       MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ITC, ntohs (address->sin_port),
       NULL, NULL, kcp_caller_on_access, listener, MHD_OPTION_SOCK_ADDR, address,
+      MHD_OPTION_LISTEN_BACKLOG_SIZE,
+      server->kind == KCP_CALLING_VMS ? CALLING_VMS_BACKLOG : CALLERS_BACKLOG,
       MHD_OPTION_ARRAY, socket_option, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       listener->memory.bytes, MHD_OPTION_CONNECTION_LIMIT,
       listener->memory.connections_max, MHD_OPTION_CONNECTION_TIMEOUT, IDLE_TIMEOUT_S,
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -193,7 +193,9 @@
       if (inbound->hop->team != NULL)
         forward->choice.team
             = kcp_routes_team_named (forward->routes, inbound->hop->team);
-      return forward->choice.team != NULL || inbound->hop->team == NULL;
+      if (inbound->hop->team != NULL)
+        return forward->choice.team != NULL;
+      return !forward->routes->keyed || forward->choice.route->open;
     }
   if (!forward->routes->keyed)
     return true;
@@ -373,12 +375,14 @@
 static void
 end_without_path (struct kcp_forward *forward)
 {
+  const struct kcp_hop_head *hop = forward->inbound->hop;
+
   if (forward->answer->begun)
     kcp_forward_interrupt (forward, "no_path");
+  else if (hop != NULL && forward->runs == hop->runs && kcp_forward_hand_over (forward))
+    kcp_forward_decline (forward, "no_path");
   else if (forward->runs > 0)
     kcp_forward_end_with_problem (forward, MHD_HTTP_BAD_GATEWAY, "unknown", "no_path");
-  else if (kcp_forward_is_from_vm (forward) && kcp_forward_hand_over (forward))
-    kcp_forward_decline (forward, "no_path");
   else
     kcp_forward_refuse (forward, "no_path");
 }
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -241,6 +241,7 @@
   g_ptr_array_set_size (attempt->headers, 0);
   kcp_answer_head_clear (&attempt->head);
   attempt->head = (struct kcp_answer_head){ 0 };
+  attempt->hop_end = KCP_HOP_UNKNOWN;
 }
 
 static void
--- a/src/forward/forward_hop.c
+++ b/src/forward/forward_hop.c
@@ -8,10 +8,12 @@
 #include "forward/mesh.h"
 
 static struct curl_slist *make_headers (const struct kcp_forward *forward);
-static enum kcp_attempt_end
-classify (const struct kcp_forward *forward, const struct kcp_http_result *result);
+static enum kcp_hop_end
+end_of (const struct kcp_forward *forward, const struct kcp_http_result *result);
+static bool is_success (long status);
 static void relay_refusal (struct kcp_forward *forward);
-static void relay_end (struct kcp_forward *forward, const struct kcp_http_result *result);
+static void relay_end (struct kcp_forward *forward, enum kcp_hop_end end,
+                       const struct kcp_http_result *result);
 
 /* Returns true if another VM passed the request on to this one, which must not do so
    again. */
@@ -96,50 +98,70 @@
   return list;
 }
 
-/* Acts on the end of a request that was passed on. The other VM has done what its
-   server's answer and the retry budget allow, so its answer is final, unless it declined
-   the request or its answer is incomplete. */
+/* Acts on the end of a request that was passed on. Only a request that the other VM
+   declined goes on: otherwise that VM has done what its server's answer, the attempts
+   allowed and the retry budget allow, and if it ended, how often the request has run is
+   not known. */
 void
 kcp_forward_conclude_hop (struct kcp_forward *forward,
                           const struct kcp_http_result *result)
 {
   const struct kcp_attempt *attempt = &forward->attempt;
-  enum kcp_attempt_end end = classify (forward, result);
+  int64_t now = kcp_loop_now (forward->gateway->loop);
+  enum kcp_hop_end end = end_of (forward, result);
 
-  if (result->end == KCP_HTTP_COMPLETE && attempt->hop_end != KCP_HOP_DECLINED
-      && attempt->hop_end != KCP_HOP_UNKNOWN)
+  if (end != KCP_HOP_DECLINED && end != KCP_HOP_UNKNOWN)
     {
       kcp_server_record_answer (attempt->server);
-      relay_end (forward, result);
+      relay_end (forward, end, result);
       return;
     }
   KCP_LOG ("hop_failed", KCP_LOG_TEXT ("request", forward->inbound->id),
            KCP_LOG_TEXT ("to", attempt->server->entry.id),
            KCP_LOG_TEXT ("end", kcp_http_end_name (result->end)),
-           KCP_LOG_TEXT ("hop_end", kcp_hop_end_name (attempt->hop_end)),
-           KCP_LOG_INT ("status", result->status), KCP_LOG_INT ("class", end),
-           KCP_LOG_INT ("ms", (kcp_loop_now (forward->gateway->loop) - attempt->sent_ns)
-                                  / KCP_NS_PER_MS),
+           KCP_LOG_TEXT ("hop_end", kcp_hop_end_name (end)),
+           KCP_LOG_INT ("status", result->status),
+           KCP_LOG_INT ("ms", (now - attempt->sent_ns) / KCP_NS_PER_MS),
            KCP_LOG_TEXT ("reason", result->reason));
-  kcp_server_record_failure (attempt->server, kcp_loop_now (forward->gateway->loop));
-  kcp_forward_after_attempt (forward, end, result->status);
+  kcp_server_record_failure (attempt->server, now);
+  if (end == KCP_HOP_DECLINED)
+    kcp_forward_after_attempt (forward, KCP_ATTEMPT_DECLINED, result->status);
+  else if (forward->answer->begun)
+    kcp_forward_interrupt (forward, "hop_broken");
+  else
+    kcp_forward_end_with_problem (forward, MHD_HTTP_BAD_GATEWAY, "unknown", "hop_broken");
 }
 
-static enum kcp_attempt_end
-classify (const struct kcp_forward *forward, const struct kcp_http_result *result)
+/* Returns how the other VM ended the request. A success that is not of a server, or not
+   of this request, is none. */
+static enum kcp_hop_end
+end_of (const struct kcp_forward *forward, const struct kcp_http_result *result)
 {
+  const struct kcp_attempt *attempt = &forward->attempt;
+
   if (result->end == KCP_HTTP_UNSENT)
-    return KCP_ATTEMPT_DECLINED;
-  if (result->end == KCP_HTTP_COMPLETE && forward->attempt.hop_end == KCP_HOP_DECLINED)
-    return KCP_ATTEMPT_DECLINED;
-  return forward->answer->begun ? KCP_ATTEMPT_INTERRUPTED : KCP_ATTEMPT_UNKNOWN;
+    return KCP_HOP_DECLINED;
+  if (result->end != KCP_HTTP_COMPLETE)
+    return KCP_HOP_UNKNOWN;
+  if (attempt->hop_end == KCP_HOP_ANSWERED
+      && (!kcp_forward_answer_matches (forward)
+          || (is_success (result->status) && !attempt->head.signed_)))
+    return KCP_HOP_UNKNOWN;
+  return attempt->hop_end;
+}
+
+static bool
+is_success (long status)
+{
+  return status >= MHD_HTTP_OK && status < MHD_HTTP_MULTIPLE_CHOICES;
 }
 
 /* Relays how the other VM ended the request. */
 static void
-relay_end (struct kcp_forward *forward, const struct kcp_http_result *result)
+relay_end (struct kcp_forward *forward, enum kcp_hop_end end,
+           const struct kcp_http_result *result)
 {
-  switch (forward->attempt.hop_end)
+  switch (end)
     {
     case KCP_HOP_ANSWERED:
       if (kcp_forward_is_streamed (forward, result->status))
--- a/tests/process/test_vms_without_paths.c
+++ b/tests/process/test_vms_without_paths.c
@@ -294,6 +294,30 @@
 }
 END_TEST
 
+START_TEST (test_runs_over_several_vms_stay_within_the_attempts_allowed)
+{
+  struct route_vm third;
+  unsigned runs = 0;
+
+  route_vm_add (&third, "z");
+  for (unsigned i = 0; i < SERVERS; i++)
+    fake_platform_server (route_vm.platform, i)->mode = FAKE_INTERRUPT;
+  cut_and_wait ();
+  for (unsigned i = 0; i < BROKEN_STREAMS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("broken%u", i);
+      struct raw_answer answer
+          = route_vm_send_to (&cut.vm, "POST", "/stream/x", id, "", "in");
+
+      raw_answer_clear (&answer);
+      runs = MAX (runs, fake_platform_run_count (route_vm.platform, id));
+    }
+  route_vm_remove (&third);
+  ck_assert_uint_gt (runs, 0);
+  ck_assert_uint_le (runs, 2);
+}
+END_TEST
+
 /* Sets how all servers handle requests, and gives each a software version of its own. */
 static void
 set_servers (enum fake_mode mode)
@@ -394,6 +418,7 @@
   tcase_add_test (
       cases, test_events_of_a_passed_on_stream_arrive_one_by_one_and_end_with_the_caller);
   tcase_add_test (cases, test_stream_that_breaks_off_goes_on_through_another_vm);
+  tcase_add_test (cases, test_runs_over_several_vms_stay_within_the_attempts_allowed);
   tcase_add_loop_test (
       cases, test_stream_that_a_vm_declined_is_not_resumed_at_a_version_that_it_tried, 0,
       3);
