BUDGET: a request that is passed on counts once for the retry budget

Cause: each VM that took a request over counted it, also if it declined after attempts that had reached servers. In a herd of crashes one request went over four VMs and so allowed for four requests' retries. Evidence: the trace names four VMs for one request. Ruled out: arrivals that no budget pays for: an attempt after one that was refused is paid for where it was refused, also if the next one reaches no server.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -57,6 +57,11 @@
       set_part_fingerprints (forward);
       set_deadline (forward);
       kcp_forward_skip_known_events (forward);
+      /* The VM that passed a request on has counted it. */
+      if (!kcp_forward_is_from_vm (forward))
+        kcp_resend_budget_add_request (
+            kcp_gateway_retry_budget (gateway, forward->choice.service),
+            forward->arrived_ns);
       if (!kcp_forward_look_up_version (forward))
         kcp_forward_send_next (forward);
     }
@@ -160,7 +165,6 @@
       return false;
     }
   forward->runs = (unsigned)hop->runs;
-  forward->counted = hop->counted;
   forward->choice.bound = hop->bound;
   forward->choice.software = hop->software;
   avoid_servers (forward, hop->avoid);
@@ -313,21 +317,6 @@
     kcp_forward_refuse (forward, "crashes_servers");
 }
 
-/* Counts the request towards the requests of its service that allow for retries, and that
-   a server's limit is shared by: at the VM that first sends it to a server. */
-void
-kcp_forward_count_request (struct kcp_forward *forward)
-{
-  struct kcp_gateway *gateway = forward->gateway;
-
-  if (forward->counted || forward->choice.service == NULL)
-    return;
-  forward->counted = true;
-  kcp_resend_budget_add_request (
-      kcp_gateway_retry_budget (gateway, forward->choice.service),
-      kcp_loop_now (gateway->loop));
-}
-
 /* Sends the request to the next server, or has another VM do so if this one reaches none.
    Ends it if there is no server, its queue is too long, or the request is blocked. */
 void
@@ -345,7 +334,6 @@
   if (kcp_resend_passes_on (choice->paths, forward->unsent)
       && kcp_forward_pass_on (forward))
     return;
-  kcp_forward_count_request (forward);
   kcp_choose (forward->gateway, choice);
   if (choice->paths == KCP_PATHS_NONE)
     {
--- a/src/forward/forward_end.c
+++ b/src/forward/forward_end.c
@@ -115,7 +115,6 @@
                             remaining_ms, kcp_id_random_u64 ());
   char seconds[32];
 
-  kcp_forward_count_request (forward);
   forward->answer->hop_end = KCP_HOP_REFUSED;
   (void)snprintf (seconds, sizeof seconds, "%" G_GINT64_FORMAT ".%03d",
                   (gint64)(wait_ms / KCP_MS_PER_S), (int)(wait_ms % KCP_MS_PER_S));
--- a/src/forward/forward_hop.c
+++ b/src/forward/forward_hop.c
@@ -79,7 +79,6 @@
     .avoid = forward->reached->len > 0 ? forward->reached->str : NULL,
     .routes_version = forward->routes->version,
     .runs = forward->runs,
-    .counted = forward->counted,
     .bound = choice->bound,
     .software = choice->software,
   };
@@ -194,7 +193,6 @@
 {
   int64_t now = kcp_loop_now (forward->gateway->loop);
 
-  forward->counted = true; /* by the other VM */
   forward->choice.earliest_server = NULL;
   forward->choice.earliest_available_ns
       = now + forward->attempt.head.retry_after_ms * KCP_NS_PER_MS;
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -62,7 +62,6 @@
   unsigned refusals;        /* attempts that did not run the request */
   unsigned unsent;          /* those of them that reached no server */
   unsigned declines;        /* VMs that declined it */
-  bool counted;             /* towards the requests of the retry budget */
   bool route_sets_deadline; /* the deadline is the route's, not the caller's */
 };
 
@@ -128,7 +127,6 @@
 void kcp_forward_bind_version (struct kcp_forward *forward);
 
 /* forward.c */
-void kcp_forward_count_request (struct kcp_forward *forward);
 void kcp_forward_send_next (struct kcp_forward *forward);
 void kcp_forward_after_attempt (struct kcp_forward *forward, enum kcp_attempt_end end,
                                 long status);
--- a/src/forward/hop.c
+++ b/src/forward/hop.c
@@ -9,7 +9,6 @@
 #define AVOID           PREFIX "Avoid"
 #define ROUTES_VERSION  PREFIX "Routes-Version"
 #define RUNS            PREFIX "Runs"
-#define COUNTED         PREFIX "Counted"
 #define SOFTWARE        PREFIX "Software"
 #define END             PREFIX "End"
 #define SOFTWARE_FORMAT "%016" G_GINT64_MODIFIER "x"
@@ -49,7 +48,6 @@
   head->avoid = g_strdup (look_up (connection, AVOID));
   head->routes_version = look_up_int (connection, ROUTES_VERSION);
   head->runs = look_up_int (connection, RUNS);
-  head->counted = look_up_int (connection, COUNTED) != 0;
   head->bound = software != NULL;
   if (software != NULL)
     head->software = g_ascii_strtoull (software, NULL, SOFTWARE_BASE);
@@ -81,7 +79,6 @@
     lines = add_line (lines, AVOID, head->avoid);
   lines = add_int_line (lines, ROUTES_VERSION, head->routes_version);
   lines = add_int_line (lines, RUNS, head->runs);
-  lines = add_int_line (lines, COUNTED, head->counted);
   if (!head->bound)
     return lines;
   (void)g_snprintf (software, sizeof software, SOFTWARE_FORMAT, head->software);
--- a/src/forward/hop.h
+++ b/src/forward/hop.h
@@ -30,7 +30,6 @@
   char *avoid; /* ids of servers that it has reached, separated by commas; NULL: none */
   int64_t routes_version; /* by which it accepted the request */
   int64_t runs;           /* attempts that may have run the request */
-  bool counted;           /* towards the requests of its retry budget */
   bool bound;             /* only servers with this software version may be chosen */
   uint64_t software;      /* see kcp_software_key() */
 };
