Log what decides at which software version a resumed stream goes on

resumed names the version (its key), whether the store was read and how many versions the VM knows; stream_version_changed and stream_records_differ show a stream that is noted, or read, with two versions.

--- a/src/forward/forward_resume.c
+++ b/src/forward/forward_resume.c
@@ -5,8 +5,9 @@
 #include "forward/forward_private.h"
 #include "forward/software_versions.h"
 
-static void on_looked_up (void *user, enum kcp_resume_decision decision,
-                          uint64_t software, const struct kcp_stream_origin *origin);
+static void on_looked_up (void *user, const struct kcp_resume_found *found);
+static void
+log_resumed (const struct kcp_forward *forward, const struct kcp_resume_found *found);
 static bool set_service (struct kcp_forward *forward, uint64_t service);
 
 /* If the caller resumes a stream, looks for the version that began it and goes on with
@@ -55,29 +56,40 @@
 }
 
 static void
-on_looked_up (void *user, enum kcp_resume_decision decision, uint64_t software,
-              const struct kcp_stream_origin *origin)
+on_looked_up (void *user, const struct kcp_resume_found *found)
 {
   struct kcp_forward *forward = user;
-  int64_t now = kcp_loop_now (forward->gateway->loop);
 
-  KCP_LOG ("resumed", KCP_LOG_TEXT ("request", forward->inbound->id),
-           KCP_LOG_TEXT ("resumes", forward->inbound->resumed_id),
-           KCP_LOG_TEXT ("after", forward->inbound->resume_after),
-           KCP_LOG_TEXT ("decision", kcp_resume_decision_name (decision)),
-           KCP_LOG_INT ("ms", (now - forward->arrived_ns) / KCP_NS_PER_MS));
-  if (decision == KCP_RESUME_REFUSE
-      || (origin != NULL && !set_service (forward, origin->service)))
+  log_resumed (forward, found);
+  if (found->decision == KCP_RESUME_REFUSE
+      || (found->origin != NULL && !set_service (forward, found->origin->service)))
     {
       kcp_counter_add (KCP_COUNT_RESUMES_REFUSED, 1);
       kcp_forward_refuse (forward, "version_not_known");
       return;
     }
   forward->choice.bound = true;
-  forward->choice.software = software;
+  forward->choice.software = found->software;
   kcp_forward_send_next (forward);
 }
 
+static void
+log_resumed (const struct kcp_forward *forward, const struct kcp_resume_found *found)
+{
+  int64_t now = kcp_loop_now (forward->gateway->loop);
+  char software[KCP_SOFTWARE_TEXT_SIZE];
+
+  KCP_LOG (
+      "resumed", KCP_LOG_TEXT ("request", forward->inbound->id),
+      KCP_LOG_TEXT ("resumes", forward->inbound->resumed_id),
+      KCP_LOG_TEXT ("after", forward->inbound->resume_after),
+      KCP_LOG_TEXT ("decision", kcp_resume_decision_name (found->decision)),
+      KCP_LOG_TEXT ("software_key", kcp_software_key_text (found->software, software)),
+      KCP_LOG_INT ("store_answered", found->store_answered),
+      KCP_LOG_INT ("versions", found->versions),
+      KCP_LOG_INT ("ms", (now - forward->arrived_ns) / KCP_NS_PER_MS));
+}
+
 /* Chooses the service of the route in which the stream began. Returns false if the route
    has none such. */
 static bool
--- a/src/forward/resume_lookup.c
+++ b/src/forward/resume_lookup.c
@@ -96,13 +96,18 @@
     .versions = kcp_software_versions_count (gateway->software_versions, lookup->service,
                                              &software),
   };
-  enum kcp_resume_decision decision = kcp_resume_decide (&facts);
+  struct kcp_resume_found found = {
+    .decision = kcp_resume_decide (&facts),
+    .software = origin != NULL ? origin->software : software,
+    .origin = origin,
+    .store_answered = answered,
+    .versions = facts.versions,
+  };
 
-  if (decision == KCP_RESUME_LOOK_AGAIN)
+  if (found.decision == KCP_RESUME_LOOK_AGAIN)
     return false;
   kcp_resume_lookup_cancel (lookup);
-  lookup->done (lookup->user, decision, origin != NULL ? origin->software : software,
-                origin);
+  lookup->done (lookup->user, &found);
   return true;
 }
 
--- a/src/forward/resume_lookup.h
+++ b/src/forward/resume_lookup.h
@@ -11,11 +11,18 @@
 
 struct kcp_resume_lookups;
 
-/* Called once with the decision, which is not KCP_RESUME_LOOK_AGAIN. software is valid
-   unless the stream is refused; origin is NULL unless it is recorded. */
-typedef void
-kcp_resume_lookup_done (void *user, enum kcp_resume_decision decision, uint64_t software,
-                        const struct kcp_stream_origin *origin);
+/* How a lookup ended. */
+struct kcp_resume_found
+{
+  enum kcp_resume_decision decision; /* not KCP_RESUME_LOOK_AGAIN */
+  uint64_t software; /* at which the stream goes on; not valid if it is refused */
+  const struct kcp_stream_origin *origin; /* borrowed; NULL: there is no record */
+  bool store_answered; /* the store was read for it; false: what this VM knew decided */
+  unsigned versions;   /* in service, as far as this VM knows */
+};
+
+/* Called once. */
+typedef void kcp_resume_lookup_done (void *user, const struct kcp_resume_found *found);
 
 /* Embedded in its owner, which zeroes it before the first use. */
 struct kcp_resume_lookup
--- a/src/forward/software_versions.c
+++ b/src/forward/software_versions.c
@@ -113,6 +113,14 @@
   return text != NULL ? XXH3_64bits (text, strlen (text)) : XXH3_64bits ("", 0);
 }
 
+/* Writes a key to text as records and the log have it, and returns text. */
+const char *
+kcp_software_key_text (uint64_t key, char text[KCP_SOFTWARE_TEXT_SIZE])
+{
+  (void)snprintf (text, KCP_SOFTWARE_TEXT_SIZE, "%016" G_GINT64_MODIFIER "x", key);
+  return text;
+}
+
 /* Notes that a server is listed. versions may be NULL. */
 void
 kcp_software_versions_note (struct kcp_software_versions *versions,
--- a/src/forward/software_versions.h
+++ b/src/forward/software_versions.h
@@ -7,6 +7,9 @@
 
 #include "forward/gateway.h"
 
+/* Size of the text of a key: 16 hexadecimal digits. */
+#define KCP_SOFTWARE_TEXT_SIZE 17
+
 struct kcp_software_versions;
 
 /* Called when the store has been read; answered is false if it did not answer. */
@@ -16,6 +19,7 @@
 kcp_software_versions_start (struct kcp_gateway *gateway, const struct kcp_store *store);
 void kcp_software_versions_stop (struct kcp_software_versions *versions);
 uint64_t kcp_software_key (const char *text);
+const char *kcp_software_key_text (uint64_t key, char text[KCP_SOFTWARE_TEXT_SIZE]);
 void kcp_software_versions_note (struct kcp_software_versions *versions,
                                  const struct kcp_server *server);
 unsigned kcp_software_versions_count (const struct kcp_software_versions *versions,
--- a/src/forward/stream_records.c
+++ b/src/forward/stream_records.c
@@ -46,6 +46,8 @@
 };
 
 static uint64_t make_id (const char *id);
+static void log_change (struct kcp_stream_records *records, const char *id,
+                        const struct kcp_stream_origin *origin);
 static struct stream *add_stream (struct kcp_stream_records *records, uint64_t id,
                                   struct kcp_stream_origin origin);
 static void expire (struct kcp_stream_records *records);
@@ -107,6 +109,7 @@
 
   if (records == NULL)
     return;
+  log_change (records, id, &origin);
   stream = add_stream (records, make_id (id), origin);
   stream->own = true;
   if (kcp_software_versions_count (records->gateway->software_versions, origin.service,
@@ -174,6 +177,26 @@
   return XXH3_64bits (id, strlen (id));
 }
 
+/* Logs that a stream was noted with another version before, and whether the store may
+   have a record of that. */
+static void
+log_change (struct kcp_stream_records *records, const char *id,
+            const struct kcp_stream_origin *origin)
+{
+  uint64_t key = make_id (id);
+  const struct stream *known = g_hash_table_lookup (records->streams, &key);
+  char before[KCP_SOFTWARE_TEXT_SIZE];
+  char now[KCP_SOFTWARE_TEXT_SIZE];
+
+  if (known == NULL || known->origin.software == origin->software)
+    return;
+  KCP_LOG (
+      "stream_version_changed", KCP_LOG_TEXT ("request", id),
+      KCP_LOG_TEXT ("before", kcp_software_key_text (known->origin.software, before)),
+      KCP_LOG_TEXT ("now", kcp_software_key_text (origin->software, now)),
+      KCP_LOG_INT ("written", known->written));
+}
+
 /* Adds a stream, or replaces what is known of it. */
 static struct stream *
 add_stream (struct kcp_stream_records *records, uint64_t id,
@@ -367,7 +390,17 @@
 add_read (struct kcp_stream_records *records, const struct stream *read)
 {
   const struct stream *known = g_hash_table_lookup (records->streams, &read->id);
-
+  char key[KCP_SOFTWARE_TEXT_SIZE];
+  char before[KCP_SOFTWARE_TEXT_SIZE];
+  char now[KCP_SOFTWARE_TEXT_SIZE];
+
+  if (known != NULL && known->origin.software != read->origin.software)
+    KCP_LOG (
+        "stream_records_differ",
+        KCP_LOG_TEXT ("stream_key", kcp_software_key_text (read->id, key)),
+        KCP_LOG_TEXT ("before", kcp_software_key_text (known->origin.software, before)),
+        KCP_LOG_TEXT ("now", kcp_software_key_text (read->origin.software, now)),
+        KCP_LOG_INT ("own", known->own));
   if (known == NULL || !known->own)
     (void)add_stream (records, read->id, read->origin);
 }
--- a/tests/unit/test_stream_versions.c
+++ b/tests/unit/test_stream_versions.c
@@ -264,13 +264,11 @@
 }
 
 static void
-on_decided (void *user, enum kcp_resume_decision decision, uint64_t software,
-            const struct kcp_stream_origin *origin)
+on_decided (void *user, const struct kcp_resume_found *found)
 {
   (void)user;
-  (void)origin;
-  decided = decision;
-  decided_software = software;
+  decided = found->decision;
+  decided_software = found->software;
 }
 
 /* Has a caller resume the stream, and lets time pass until that is decided. */
