ORDER: a stream's version is noted when it begins, not when it is sent

What callers saw: a stream that they took up at another VM went on at a server of another software version than the one that had begun it.

Cause: the VM noted the version of each server that it sent a stream to, as if that server had begun it, and wrote it to the store. A first try that brought no event left its record there; a VM that had read it took the stream up at that version, whatever the next try's was. Reading again would not help: the second record may still be on its way, or be overtaken by a first one whose call was not answered.

Now the version is noted as the first event goes to the caller. A stream begins once, so there is one record of it and its order does not matter. Further tries stay free, and a stream without an event can be passed on or declined without taking anything back. Two records of one stream, which older builds write, are refused, and records of other VMs are read again for that. The format is unchanged.

Price: a VM that ends between a stream's first event and its record (some 25 ms) leaves a stream that is refused.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -367,7 +367,7 @@
 
   if (forward->answer->begun)
     kcp_forward_interrupt (forward, "no_path");
-  else if (hop != NULL && forward->runs == hop->runs && kcp_forward_hand_over (forward))
+  else if (hop != NULL && forward->runs == hop->runs)
     kcp_forward_decline (forward, "no_path");
   else if (forward->runs > 0)
     kcp_forward_end_with_problem (forward, MHD_HTTP_BAD_GATEWAY, "unknown", "no_path");
--- a/src/forward/forward_hop.c
+++ b/src/forward/forward_hop.c
@@ -32,27 +32,14 @@
   return kcp_mesh_choose_hop (forward->gateway->mesh, forward->tried);
 }
 
-/* Leaves it to another VM which server the request is sent to first. Returns false if
-   that is not possible: of a stream that may be resumed it may be on record already which
-   software version begins it. */
-bool
-kcp_forward_hand_over (struct kcp_forward *forward)
-{
-  if (forward->choice.bound || forward->choice.route->repeat != KCP_REPEAT_RESUMABLE)
-    return true;
-  return kcp_stream_records_forget (forward->gateway->stream_records,
-                                    forward->inbound->id);
-}
-
-/* Passes the request on to another VM. Returns false if there is none, or if the request
-   cannot be handed over. */
+/* Passes the request on to another VM. Returns false if there is none. */
 bool
 kcp_forward_pass_on (struct kcp_forward *forward)
 {
   struct kcp_server *hop = kcp_forward_choose_hop (forward);
   bool new_connection;
 
-  if (hop == NULL || !kcp_forward_hand_over (forward))
+  if (hop == NULL)
     return false;
   new_connection = kcp_forward_needs_new_connection (forward, hop->entry.address);
   kcp_forward_begin_attempt (forward, hop);
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -82,7 +82,6 @@
 /* forward_hop.c */
 bool kcp_forward_is_from_vm (const struct kcp_forward *forward);
 struct kcp_server *kcp_forward_choose_hop (const struct kcp_forward *forward);
-bool kcp_forward_hand_over (struct kcp_forward *forward);
 bool kcp_forward_pass_on (struct kcp_forward *forward);
 void kcp_forward_conclude_hop (struct kcp_forward *forward,
                                const struct kcp_http_result *result);
--- a/src/forward/forward_resume.c
+++ b/src/forward/forward_resume.c
@@ -109,26 +109,34 @@
   return false;
 }
 
-/* Notes the version to which an attempt is sent. Other VMs need to know which version
-   began a stream that its caller may resume. */
+/* Notes the version to which an attempt is sent: it is in service. */
 void
 kcp_forward_note_sent (struct kcp_forward *forward)
 {
   const struct kcp_server *server = forward->attempt.server;
 
   forward->attempt.software = kcp_software_key (server->entry.software);
-  if (forward->choice.route->repeat != KCP_REPEAT_RESUMABLE || forward->choice.bound)
-    return;
-  kcp_software_versions_note (forward->gateway->software_versions, server);
-  kcp_stream_records_note (forward->gateway->stream_records, forward->inbound->id,
-                           server);
+  if (forward->choice.route->repeat == KCP_REPEAT_RESUMABLE && !forward->choice.bound)
+    kcp_software_versions_note (forward->gateway->software_versions, server);
 }
 
 /* Has further attempts sent only to servers with the version of the present one, whose
-   events the caller is getting. */
+   first event the caller is about to get. Other VMs need to know which version began a
+   stream that its caller may resume; of one that was passed on, the VM that sent it to
+   the server notes it. */
 void
 kcp_forward_bind_version (struct kcp_forward *forward)
 {
-  forward->choice.bound = true;
-  forward->choice.software = forward->attempt.software;
+  struct kcp_choice *choice = &forward->choice;
+  struct kcp_stream_origin origin = {
+    .service = kcp_software_key (choice->service),
+    .software = forward->attempt.software,
+  };
+
+  if (!choice->bound && choice->route->repeat == KCP_REPEAT_RESUMABLE
+      && !forward->attempt.passed_on)
+    kcp_stream_records_note (forward->gateway->stream_records, forward->inbound->id,
+                             &origin);
+  choice->bound = true;
+  choice->software = forward->attempt.software;
 }
--- a/src/forward/resume_lookup.c
+++ b/src/forward/resume_lookup.c
@@ -13,6 +13,7 @@
   bool reading;
 };
 
+static bool is_own (const struct kcp_resume_lookups *lookups, const char *id);
 static bool decide (struct kcp_resume_lookup *lookup, bool answered, bool final);
 static void begin_round (struct kcp_resume_lookups *lookups);
 static void on_versions_read (void *user, bool answered);
@@ -44,8 +45,8 @@
 }
 
 /* Looks for the stream that the attempt id began; id may be NULL and must otherwise
-   outlive the lookup. done is called before this function returns if the VM knows the
-   stream. */
+   outlive the lookup. done is called before this function returns if the stream began at
+   this VM. */
 void
 kcp_resume_lookup_start (struct kcp_resume_lookups *lookups,
                          struct kcp_resume_lookup *lookup, const char *id,
@@ -58,8 +59,7 @@
   lookup->service = kcp_software_key (service);
   lookup->done = done;
   lookup->user = user;
-  if (id != NULL && kcp_stream_records_find (lookups->gateway->stream_records, id) != NULL
-      && decide (lookup, false, true))
+  if (is_own (lookups, id) && decide (lookup, false, true))
     return;
   kcp_loop_timer_set (loop, &lookup->give_up_timer, kcp_loop_now (loop) + GIVE_UP_NS,
                       give_up, lookup);
@@ -67,6 +67,18 @@
   begin_round (lookups);
 }
 
+/* Returns true if the stream began at this VM. What other VMs have written is read again:
+   an older build may have written another record of the stream since. */
+static bool
+is_own (const struct kcp_resume_lookups *lookups, const char *id)
+{
+  const struct kcp_stream_record *record
+      = id != NULL ? kcp_stream_records_find (lookups->gateway->stream_records, id)
+                   : NULL;
+
+  return record != NULL && record->own;
+}
+
 /* Ends a lookup without a decision. Does nothing if it is not in progress. */
 void
 kcp_resume_lookup_cancel (struct kcp_resume_lookup *lookup)
@@ -84,12 +96,13 @@
 decide (struct kcp_resume_lookup *lookup, bool answered, bool final)
 {
   const struct kcp_gateway *gateway = lookup->lookups->gateway;
-  const struct kcp_stream_origin *origin
+  const struct kcp_stream_record *record
       = lookup->id != NULL ? kcp_stream_records_find (gateway->stream_records, lookup->id)
                            : NULL;
   uint64_t software = 0;
   struct kcp_resume_facts facts = {
-    .recorded = origin != NULL,
+    .recorded = record != NULL,
+    .contradicted = record != NULL && record->contradicted,
     .store_answered = answered,
     .versions_known = kcp_software_versions_are_known (gateway->software_versions),
     .looked_before = lookup->looked || final,
@@ -98,8 +111,8 @@
   };
   struct kcp_resume_found found = {
     .decision = kcp_resume_decide (&facts),
-    .software = origin != NULL ? origin->software : software,
-    .origin = origin,
+    .software = record != NULL ? record->origin.software : software,
+    .origin = record != NULL ? &record->origin : NULL,
     .store_answered = answered,
     .versions = facts.versions,
   };
--- a/src/forward/stream_records.c
+++ b/src/forward/stream_records.c
@@ -25,10 +25,8 @@
 struct stream
 {
   uint64_t id; /* key of the id of the caller's attempt */
-  struct kcp_stream_origin origin;
+  struct kcp_stream_record record;
   int64_t noted_ns;
-  bool own;     /* this VM has begun it */
-  bool written; /* an append to the store has had it, whether or not that was answered */
 };
 
 struct kcp_stream_records
@@ -46,10 +44,12 @@
 };
 
 static uint64_t make_id (const char *id);
-static void log_change (struct kcp_stream_records *records, const char *id,
-                        const struct kcp_stream_origin *origin);
 static struct stream *add_stream (struct kcp_stream_records *records, uint64_t id,
-                                  struct kcp_stream_origin origin);
+                                  const struct kcp_stream_origin *origin);
+static bool have_same_origin (const struct kcp_stream_origin *one,
+                              const struct kcp_stream_origin *other);
+static void
+log_difference (const struct stream *known, const struct kcp_stream_origin *origin);
 static void expire (struct kcp_stream_records *records);
 static void remove_oldest (struct kcp_stream_records *records);
 static void write_later (struct kcp_stream_records *records, const struct stream *stream);
@@ -61,8 +61,7 @@
 static void on_read (void *user, const struct kcp_store_answer *answer);
 static void
 read_record (struct kcp_stream_records *records, const struct kcp_store_record *record);
-static void add_read (struct kcp_stream_records *records, const struct stream *read);
-static bool read_line (const char *line, struct stream *stream);
+static bool read_line (const char *line, uint64_t *id, struct kcp_stream_origin *origin);
 static void on_new_era (void *user, int64_t era);
 
 /* Creates the records, without any. gateway and store must outlive the result. */
@@ -94,50 +93,25 @@
   g_free (records);
 }
 
-/* Notes that a stream is sent to a server, which may begin it. id is that of the caller's
-   attempt. records may be NULL. */
+/* Notes that a server has begun a stream: its first event is about to go to the caller.
+   id is that of the caller's attempt. records may be NULL. */
 void
 kcp_stream_records_note (struct kcp_stream_records *records, const char *id,
-                         const struct kcp_server *server)
+                         const struct kcp_stream_origin *origin)
 {
-  struct kcp_stream_origin origin = {
-    .service = kcp_software_key (server->entry.service),
-    .software = kcp_software_key (server->entry.software),
-  };
   uint64_t other;
   struct stream *stream;
 
   if (records == NULL)
     return;
-  log_change (records, id, &origin);
   stream = add_stream (records, make_id (id), origin);
-  stream->own = true;
-  if (kcp_software_versions_count (records->gateway->software_versions, origin.service,
+  stream->record.own = true;
+  if (kcp_software_versions_count (records->gateway->software_versions, origin->service,
                                    &other)
       > 1)
     write_later (records, stream);
 }
 
-/* Forgets a stream that this VM noted and that no server has begun, so that another VM
-   can have one begin it. Returns false if it may have been written: of two records nobody
-   could tell which one holds. records may be NULL. */
-bool
-kcp_stream_records_forget (struct kcp_stream_records *records, const char *id)
-{
-  uint64_t key = make_id (id);
-  struct stream *stream
-      = records != NULL ? g_hash_table_lookup (records->streams, &key) : NULL;
-
-  if (stream == NULL || !stream->own)
-    return true;
-  if (stream->written)
-    return false;
-  g_hash_table_remove (records->streams, &stream->id);
-  (void)g_queue_remove (&records->by_age, stream);
-  g_free (stream);
-  return true;
-}
-
 /* Has all recent streams of this VM written. records may be NULL. */
 void
 kcp_stream_records_write_own (struct kcp_stream_records *records)
@@ -146,18 +120,18 @@
     return;
   expire (records);
   for (const GList *link = records->by_age.head; link != NULL; link = link->next)
-    if (((const struct stream *)link->data)->own)
+    if (((const struct stream *)link->data)->record.own)
       write_later (records, link->data);
 }
 
-/* Returns what began a stream, or NULL if this VM does not know it. */
-const struct kcp_stream_origin *
+/* Returns what this VM knows of a stream, or NULL. */
+const struct kcp_stream_record *
 kcp_stream_records_find (const struct kcp_stream_records *records, const char *id)
 {
   uint64_t key = make_id (id);
   const struct stream *stream = g_hash_table_lookup (records->streams, &key);
 
-  return stream != NULL ? &stream->origin : NULL;
+  return stream != NULL ? &stream->record : NULL;
 }
 
 /* Reads what other VMs have written since the last time. One such call may be in
@@ -177,30 +151,11 @@
   return XXH3_64bits (id, strlen (id));
 }
 
-/* Logs that a stream was noted with another version before, and whether the store may
-   have a record of that. */
-static void
-log_change (struct kcp_stream_records *records, const char *id,
-            const struct kcp_stream_origin *origin)
-{
-  uint64_t key = make_id (id);
-  const struct stream *known = g_hash_table_lookup (records->streams, &key);
-  char before[KCP_SOFTWARE_TEXT_SIZE];
-  char now[KCP_SOFTWARE_TEXT_SIZE];
-
-  if (known == NULL || known->origin.software == origin->software)
-    return;
-  KCP_LOG (
-      "stream_version_changed", KCP_LOG_TEXT ("request", id),
-      KCP_LOG_TEXT ("before", kcp_software_key_text (known->origin.software, before)),
-      KCP_LOG_TEXT ("now", kcp_software_key_text (origin->software, now)),
-      KCP_LOG_INT ("written", known->written));
-}
-
-/* Adds a stream, or replaces what is known of it. */
+/* Adds a stream. What is known of it already is kept; a VM of an older build may have
+   written several origins of one stream. */
 static struct stream *
 add_stream (struct kcp_stream_records *records, uint64_t id,
-            struct kcp_stream_origin origin)
+            const struct kcp_stream_origin *origin)
 {
   struct stream *stream;
 
@@ -210,14 +165,41 @@
     {
       stream = g_new0 (struct stream, 1);
       stream->id = id;
+      stream->record.origin = *origin;
       stream->noted_ns = kcp_loop_now (records->gateway->loop);
       g_hash_table_insert (records->streams, &stream->id, stream);
       g_queue_push_tail (&records->by_age, stream);
     }
-  stream->origin = origin;
+  else if (!have_same_origin (&stream->record.origin, origin))
+    {
+      log_difference (stream, origin);
+      stream->record.contradicted = true;
+    }
   return stream;
 }
 
+static bool
+have_same_origin (const struct kcp_stream_origin *one,
+                  const struct kcp_stream_origin *other)
+{
+  return one->service == other->service && one->software == other->software;
+}
+
+static void
+log_difference (const struct stream *known, const struct kcp_stream_origin *origin)
+{
+  char key[KCP_SOFTWARE_TEXT_SIZE];
+  char before[KCP_SOFTWARE_TEXT_SIZE];
+  char now[KCP_SOFTWARE_TEXT_SIZE];
+
+  KCP_LOG ("stream_records_differ",
+           KCP_LOG_TEXT ("stream_key", kcp_software_key_text (known->id, key)),
+           KCP_LOG_TEXT ("before",
+                         kcp_software_key_text (known->record.origin.software, before)),
+           KCP_LOG_TEXT ("now", kcp_software_key_text (origin->software, now)),
+           KCP_LOG_INT ("own", known->record.own));
+}
+
 static void
 expire (struct kcp_stream_records *records)
 {
@@ -272,17 +254,15 @@
     return;
   for (guint i = 0; i < count; i++)
     {
-      struct stream *stream = g_hash_table_lookup (
+      const struct stream *stream = g_hash_table_lookup (
           records->streams, &g_array_index (records->pending, uint64_t, i));
 
-      if (stream == NULL)
-        continue;
-      stream->written = true;
-      append_line (text, stream);
+      if (stream != NULL)
+        append_line (text, stream);
     }
   if (text->len == 0)
     {
-      /* All of them have been forgotten while the store did not answer. */
+      /* All of them have expired while the store did not answer. */
       g_array_remove_range (records->pending, 0, count);
       schedule_flush (records, FLUSH_DELAY_NS);
       return;
@@ -301,7 +281,8 @@
   g_string_append_printf (text,
                           "%016" G_GINT64_MODIFIER "x %016" G_GINT64_MODIFIER
                           "x %016" G_GINT64_MODIFIER "x\n",
-                          stream->id, stream->origin.service, stream->origin.software);
+                          stream->id, stream->record.origin.service,
+                          stream->record.origin.software);
 }
 
 static void
@@ -372,12 +353,13 @@
 
   for (char **line = lines; *line != NULL; line++)
     {
-      struct stream stream;
+      struct kcp_stream_origin origin;
+      uint64_t id;
 
       if (**line == '\0')
         continue;
-      if (read_line (*line, &stream))
-        add_read (records, &stream);
+      if (read_line (*line, &id, &origin))
+        (void)add_stream (records, id, &origin);
       else
         KCP_LOG ("record_not_used", KCP_LOG_TEXT ("what", "stream"),
                  KCP_LOG_INT ("offset", record->offset),
@@ -385,40 +367,20 @@
     }
 }
 
-/* Adds a stream that was read. Of its own ones this VM knows more. */
-static void
-add_read (struct kcp_stream_records *records, const struct stream *read)
-{
-  const struct stream *known = g_hash_table_lookup (records->streams, &read->id);
-  char key[KCP_SOFTWARE_TEXT_SIZE];
-  char before[KCP_SOFTWARE_TEXT_SIZE];
-  char now[KCP_SOFTWARE_TEXT_SIZE];
-
-  if (known != NULL && known->origin.software != read->origin.software)
-    KCP_LOG (
-        "stream_records_differ",
-        KCP_LOG_TEXT ("stream_key", kcp_software_key_text (read->id, key)),
-        KCP_LOG_TEXT ("before", kcp_software_key_text (known->origin.software, before)),
-        KCP_LOG_TEXT ("now", kcp_software_key_text (read->origin.software, now)),
-        KCP_LOG_INT ("own", known->own));
-  if (known == NULL || !known->own)
-    (void)add_stream (records, read->id, read->origin);
-}
-
 static bool
-read_line (const char *line, struct stream *stream)
+read_line (const char *line, uint64_t *id, struct kcp_stream_origin *origin)
 {
   char *end;
 
-  stream->id = g_ascii_strtoull (line, &end, HEX_BASE);
+  *id = g_ascii_strtoull (line, &end, HEX_BASE);
   if (end == line || *end != ' ')
     return false;
   line = end + 1;
-  stream->origin.service = g_ascii_strtoull (line, &end, HEX_BASE);
+  origin->service = g_ascii_strtoull (line, &end, HEX_BASE);
   if (end == line || *end != ' ')
     return false;
   line = end + 1;
-  stream->origin.software = g_ascii_strtoull (line, &end, HEX_BASE);
+  origin->software = g_ascii_strtoull (line, &end, HEX_BASE);
   return end != line && *end == '\0';
 }
 
--- a/src/policy/resume_version.c
+++ b/src/policy/resume_version.c
@@ -11,6 +11,8 @@
 enum kcp_resume_decision
 kcp_resume_decide (const struct kcp_resume_facts *facts)
 {
+  if (facts->contradicted)
+    return KCP_RESUME_REFUSE;
   if (facts->recorded)
     return KCP_RESUME_AT_RECORDED;
   if (!facts->store_answered && !facts->versions_known)
--- a/src/policy/resume_version.h
+++ b/src/policy/resume_version.h
@@ -18,6 +18,7 @@
 struct kcp_resume_facts
 {
   bool recorded;       /* a record names the version that began the stream */
+  bool contradicted;   /* records name several */
   bool store_answered; /* the store has just been read */
   bool versions_known; /* the versions in service have been read since the VM started */
   bool looked_before;  /* the store has been read once more than this, a while ago */
--- a/tests/process/test_software_versions.c
+++ b/tests/process/test_software_versions.c
@@ -15,6 +15,8 @@
 #define BROKEN_AT_MS 600
 #define SETTLE_MS    400 /* in which VMs learn of a changed list */
 #define GOES_ON      (STREAMS / 2)
+#define READ_AT_MS   200 /* when other VMs read the records */
+#define FAILED_AT_MS 950 /* by then streams whose first try failed have events */
 #define INTERRUPTED  20u /* streams that are interrupted within their answer */
 
 /* A caller's stream: what it has of it, over all its attempts. */
@@ -198,6 +200,17 @@
   finish_attempts ();
 }
 
+/* Has a VM read what others have written of their streams. */
+static void
+read_records (const struct route_vm *vm)
+{
+  struct raw_answer answer = route_vm_send_to (
+      vm, "POST", "/stream/x", "reader", "Resumes: none\r\nLast-Event-Id: 1\r\n", "in");
+
+  ck_assert_int_eq (route_vm_status (&answer), 503);
+  raw_answer_clear (&answer);
+}
+
 START_TEST (test_interrupted_stream_goes_on_at_another_version)
 {
   unsigned whole = 0;
@@ -255,6 +268,35 @@
 }
 END_TEST
 
+/* The first tries of some streams reach the one server of the older version, which fails
+   before the first event; those of the newer one begin them. Other VMs read the records
+   in between. */
+START_TEST (test_stream_is_taken_up_at_the_version_of_a_try_that_brought_no_event)
+{
+  struct fake_server *older = fake_platform_server (route_vm.platform, 0);
+  int64_t begin_us;
+
+  set_software ("v2", "v2");
+  older->software = "v1";
+  older->mode = FAKE_HANG_UP_LATE;
+  fake_platform_put_server (route_vm.platform, 0, "ready");
+  settle ();
+  begin_us = g_get_monotonic_time ();
+  start_attempts (vm_group_at (0), vm_group_at (1));
+  g_usleep (READ_AT_MS * G_TIME_SPAN_MILLISECOND);
+  read_records (vm_group_at (2));
+  read_records (vm_group_at (3));
+  g_usleep ((gulong)MAX (
+      begin_us + FAILED_AT_MS * G_TIME_SPAN_MILLISECOND - g_get_monotonic_time (), 0));
+  route_vm_kill (vm_group_at (0));
+  route_vm_kill (vm_group_at (1));
+  finish_attempts ();
+  older->mode = FAKE_ANSWER;
+  take_up (vm_group_at (2), vm_group_at (3));
+  ck_assert_uint_ge (expect_not_joined (), GOES_ON);
+}
+END_TEST
+
 START_TEST (test_stream_is_taken_up_at_another_version_after_all_vms_ended)
 {
   set_software ("v1", "v2");
@@ -354,6 +396,8 @@
   tcase_add_test (cases,
                   test_interrupted_stream_without_servers_of_its_version_looks_complete);
   tcase_add_test (cases, test_stream_is_taken_up_at_another_version);
+  tcase_add_test (cases,
+                  test_stream_is_taken_up_at_the_version_of_a_try_that_brought_no_event);
   tcase_add_test (cases, test_stream_is_taken_up_at_another_version_after_all_vms_ended);
   tcase_add_test (cases, test_stream_is_taken_up_again_and_again_at_another_version);
   tcase_add_test (cases, test_stream_of_a_version_that_has_left_is_taken_up_at_another);
