ORDER: a VM that the store does not answer cannot know the only version

With one version known and no record, the stream went on at that version, also if the store had not answered, and without reading the servers' list.

Now a version counts as the only one if the versions, the servers' list and the records have been read since the caller came: whatever another VM used, it had read from the list before. A VM without an answer passes the request on to another one, else refuses. The three calls go out at once.

--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -189,6 +189,7 @@
   vm->rollout = kcp_rollout_start (gateway, kcp_platform_store_interface (vm->store));
   vm->feed = kcp_feed_start (gateway, kcp_platform_store_interface (vm->store),
                              on_feed_changed, vm);
+  gateway->feed = vm->feed;
   kcp_loop_add_step (gateway->loop, flush_log, vm);
   vm->settings_mtime = file_mtime (vm->path);
   on_settings_timer (vm);
@@ -215,6 +216,7 @@
   kcp_cache_reader_stop (vm->cache_reader);
   vm->gateway.mesh = NULL;
   kcp_mesh_stop (vm->mesh);
+  vm->gateway.feed = NULL;
   kcp_feed_stop (vm->feed);
   kcp_blocked_store_stop (vm->gateway.blocked_store);
   vm->gateway.blocked_store = NULL;
--- a/src/forward/feed.c
+++ b/src/forward/feed.c
@@ -22,8 +22,9 @@
 static void on_read (void *user, const struct kcp_store_answer *answer);
 static void apply_all (struct kcp_feed_reader *reader,
                        const struct kcp_store_answer *answer, GArray *changes);
-static void
+static bool
 apply_read_answer (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer);
+static void end_read (const struct kcp_feed_reader *reader, bool answered);
 static void
 record_keys (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer);
 static struct kcp_topic_read describe_read (const struct kcp_feed_reader *reader,
@@ -52,6 +53,7 @@
   feed->entry_expiry.min_outage_ns = MIN_OUTAGE_NS;
   feed->entry_expiry.grace_ns
       = gateway->settings->servers_expiry_grace_ms * KCP_NS_PER_MS;
+  kcp_feed_init_waiters (feed);
   reader_init (feed, &feed->operators, KCP_STORE_OPERATOR, kcp_feed_apply_operator);
   reader_init (feed, &feed->servers, KCP_STORE_SERVERS, kcp_feed_apply_server);
   store->watch_era (store->self, on_new_era, feed);
@@ -76,6 +78,7 @@
   g_hash_table_unref (feed->servers.listed);
   g_free (feed->operators.last_key);
   g_free (feed->servers.last_key);
+  kcp_feed_clear_waiters (feed);
   g_free (feed);
 }
 
@@ -104,6 +107,8 @@
   if (reader->state == KCP_FEED_LISTING && reader->last_key == NULL)
     reader->listing_ns = reader->requested_ns;
   reader->request_pending = true;
+  if (reader->topic == KCP_STORE_SERVERS)
+    kcp_feed_begin_read (reader->feed);
   switch (reader->state)
     {
     case KCP_FEED_LISTING:
@@ -135,6 +140,7 @@
   if (answer->end != KCP_STORE_DONE)
     {
       schedule_retry (reader);
+      end_read (reader, false);
       return;
     }
   if (reader->last_key == NULL)
@@ -155,14 +161,17 @@
 on_read (void *user, const struct kcp_store_answer *answer)
 {
   struct kcp_feed_reader *reader = user;
+  bool to_end;
 
   reader->request_pending = false;
   record_outcome (reader, answer);
   switch (answer->end)
     {
     case KCP_STORE_DONE:
-      apply_read_answer (reader, answer);
+      to_end = apply_read_answer (reader, answer);
       schedule_request (reader);
+      if (to_end)
+        end_read (reader, true);
       break;
     case KCP_STORE_TRIMMED:
       KCP_LOG ("store_trimmed", KCP_LOG_INT ("topic", reader->topic),
@@ -174,14 +183,23 @@
     case KCP_STORE_FAILED:
       kcp_topic_end_on_failed (&reader->end);
       schedule_retry (reader);
+      end_read (reader, false);
       break;
     }
 }
 
+/* Ends the wait of those for which the servers' list was read. */
+static void
+end_read (const struct kcp_feed_reader *reader, bool answered)
+{
+  if (reader->topic == KCP_STORE_SERVERS)
+    kcp_feed_end_read (reader->feed, answered);
+}
+
 /* Applies the records of an answer and relays those of the servers' list to the other
    VMs. Some may have been applied already, because another VM relayed them while the call
-   was in progress. */
-static void
+   was in progress. Returns true if no more records follow. */
+static bool
 apply_read_answer (struct kcp_feed_reader *reader, const struct kcp_store_answer *answer)
 {
   g_autoptr (GArray) changes
@@ -195,6 +213,7 @@
   kcp_topic_end_on_read (&reader->end, &read);
   if (reader->topic == KCP_STORE_SERVERS)
     kcp_feed_relay (reader->feed, reader->requested_from, next, changes);
+  return read.to_end;
 }
 
 static struct kcp_topic_read
@@ -353,6 +372,8 @@
      held open is repeated immediately. */
   int64_t due = reader->requested_ns + wait_ms * KCP_NS_PER_MS;
 
+  if (reader->topic == KCP_STORE_SERVERS && kcp_feed_has_waiters (reader->feed))
+    due = now;
   kcp_loop_timer_set (loop, &reader->timer, MAX (due, now), kcp_feed_request, reader);
 }
 
--- a/src/forward/feed.h
+++ b/src/forward/feed.h
@@ -10,9 +10,15 @@
 /* Called after a change of any state that orders to servers depend on. */
 typedef void kcp_feed_changed (void *user);
 
+/* Called once the servers' list has been read to its end; answered is false if the store
+   did not answer. */
+typedef void kcp_feed_servers_read (void *user, bool answered);
+
 struct kcp_feed *
 kcp_feed_start (struct kcp_gateway *gateway, const struct kcp_store *store,
                 kcp_feed_changed *changed, void *user);
 void kcp_feed_stop (struct kcp_feed *feed);
+void
+kcp_feed_read_servers (struct kcp_feed *feed, kcp_feed_servers_read *done, void *user);
 
 #endif
--- a/src/forward/feed_private.h
+++ b/src/forward/feed_private.h
@@ -35,6 +35,13 @@
   bool (*apply) (struct kcp_feed *feed, const struct kcp_store_record *record);
 };
 
+/* Who waits for a read of the servers' list. */
+struct kcp_feed_waiter
+{
+  kcp_feed_servers_read *done;
+  void *user;
+};
+
 struct kcp_feed
 {
   struct kcp_gateway *gateway;
@@ -43,6 +50,8 @@
   void *user;
   struct kcp_feed_reader operators;
   struct kcp_feed_reader servers;
+  GArray *reading; /* struct kcp_feed_waiter, for which the servers' list is being read */
+  GArray *waiting; /* those that have come since that call was sent */
   bool lists_copy; /* the servers' listing is that of an older copy */
   struct kcp_entry_expiry entry_expiry;
   struct kcp_loop_timer removal_timer;
@@ -51,6 +60,13 @@
 /* feed.c */
 void kcp_feed_request (void *user);
 
+/* feed_waiters.c */
+void kcp_feed_init_waiters (struct kcp_feed *feed);
+void kcp_feed_clear_waiters (struct kcp_feed *feed);
+void kcp_feed_begin_read (struct kcp_feed *feed);
+bool kcp_feed_has_waiters (const struct kcp_feed *feed);
+void kcp_feed_end_read (struct kcp_feed *feed, bool answered);
+
 /* feed_records.c */
 bool
 kcp_feed_apply_operator (struct kcp_feed *feed, const struct kcp_store_record *record);
--- a/src/forward/forward_resume.c
+++ b/src/forward/forward_resume.c
@@ -55,12 +55,17 @@
          && (inbound->resumed_id != NULL || inbound->resume_after != NULL);
 }
 
+/* Goes on at the version that was found. A VM that the store does not answer leaves the
+   request to another one. */
 static void
 on_looked_up (void *user, const struct kcp_resume_found *found)
 {
   struct kcp_forward *forward = user;
 
   log_resumed (forward, found);
+  if (found->decision == KCP_RESUME_REFUSE && !found->store_answered
+      && kcp_forward_pass_on (forward))
+    return;
   if (found->decision == KCP_RESUME_REFUSE
       || (found->origin != NULL && !set_service (forward, found->origin->service)))
     {
--- a/src/forward/resume_lookup.c
+++ b/src/forward/resume_lookup.c
@@ -1,7 +1,10 @@
 #include "forward/resume_lookup.h"
 
+#include "forward/feed.h"
 #include "forward/software_versions.h"
 
+/* The versions in service, the records of streams and the servers' list. */
+#define READS         3u
 #define LOOK_AGAIN_NS (100 * KCP_NS_PER_MS)
 /* A caller waits at most this long for the store. */
 #define GIVE_UP_NS (400 * KCP_NS_PER_MS)
@@ -10,15 +13,15 @@
 {
   struct kcp_gateway *gateway;
   GPtrArray *waiting; /* struct kcp_resume_lookup, borrowed */
-  bool reading;
+  unsigned reads;     /* calls of the round that have not ended; 0: there is no round */
+  bool answered;      /* the store has answered those that have */
 };
 
 static bool is_own (const struct kcp_resume_lookups *lookups, const char *id);
 static bool decide (struct kcp_resume_lookup *lookup, bool answered, bool final);
 static void begin_round (struct kcp_resume_lookups *lookups);
-static void on_versions_read (void *user, bool answered);
-static bool needs_records (const struct kcp_resume_lookups *lookups);
-static void on_records_read (void *user, bool answered);
+static void on_read (void *user, bool answered);
+static void end_round (struct kcp_resume_lookups *lookups);
 static void look_again (void *user);
 static void give_up (void *user);
 
@@ -104,7 +107,6 @@
     .recorded = record != NULL,
     .contradicted = record != NULL && record->contradicted,
     .store_answered = answered,
-    .versions_known = kcp_software_versions_are_known (gateway->software_versions),
     .looked_before = lookup->looked || final,
     .versions = kcp_software_versions_count (gateway->software_versions, lookup->service,
                                              &software),
@@ -128,9 +130,10 @@
 static void
 begin_round (struct kcp_resume_lookups *lookups)
 {
+  struct kcp_gateway *gateway = lookups->gateway;
   bool wanted = false;
 
-  if (lookups->reading)
+  if (lookups->reads > 0)
     return;
   for (guint i = 0; i < lookups->waiting->len; i++)
     {
@@ -141,49 +144,37 @@
     }
   if (!wanted)
     return;
-  lookups->reading = true;
-  kcp_software_versions_read_store (lookups->gateway->software_versions, on_versions_read,
-                                    lookups);
+  lookups->reads = READS;
+  lookups->answered = true;
+  kcp_software_versions_read_store (gateway->software_versions, on_read, lookups);
+  kcp_stream_records_read_store (gateway->stream_records, on_read, lookups);
+  if (gateway->feed != NULL)
+    kcp_feed_read_servers (gateway->feed, on_read, lookups);
+  else
+    on_read (lookups, true);
 }
 
+/* Ends the round once all has been read. Servers may be listed whose versions the leaders
+   have not written yet. */
 static void
-on_versions_read (void *user, bool answered)
+on_read (void *user, bool answered)
 {
   struct kcp_resume_lookups *lookups = user;
 
-  if (answered && needs_records (lookups))
-    kcp_stream_records_read_store (lookups->gateway->stream_records, on_records_read,
-                                   lookups);
-  else
-    on_records_read (lookups, answered);
-}
-
-/* Returns true if a stream that is looked for may have begun at several versions. */
-static bool
-needs_records (const struct kcp_resume_lookups *lookups)
-{
-  for (guint i = 0; i < lookups->waiting->len; i++)
-    {
-      const struct kcp_resume_lookup *lookup = g_ptr_array_index (lookups->waiting, i);
-      uint64_t software;
-
-      if (lookup->in_round && lookup->id != NULL
-          && kcp_software_versions_count (lookups->gateway->software_versions,
-                                          lookup->service, &software)
-                 != 1)
-        return true;
-    }
-  return false;
+  lookups->answered = lookups->answered && answered;
+  lookups->reads--;
+  if (lookups->reads > 0)
+    return;
+  kcp_software_versions_note_listed (lookups->gateway->software_versions);
+  end_round (lookups);
 }
 
 static void
-on_records_read (void *user, bool answered)
+end_round (struct kcp_resume_lookups *lookups)
 {
-  struct kcp_resume_lookups *lookups = user;
   struct kcp_loop *loop = lookups->gateway->loop;
   g_autoptr (GPtrArray) round = g_ptr_array_new ();
 
-  lookups->reading = false;
   for (guint i = 0; i < lookups->waiting->len; i++)
     if (((const struct kcp_resume_lookup *)g_ptr_array_index (lookups->waiting, i))
             ->in_round)
@@ -193,7 +184,7 @@
       struct kcp_resume_lookup *lookup = g_ptr_array_index (round, i);
 
       lookup->in_round = false;
-      if (decide (lookup, answered, false))
+      if (decide (lookup, lookups->answered, false))
         continue;
       lookup->looked = true;
       lookup->resting = true;
--- a/src/forward/software_versions.c
+++ b/src/forward/software_versions.c
@@ -157,11 +157,14 @@
   return count;
 }
 
-/* Returns true if the store has been read since the start. */
-bool
-kcp_software_versions_are_known (const struct kcp_software_versions *versions)
+/* Notes all servers that are listed now. */
+void
+kcp_software_versions_note_listed (struct kcp_software_versions *versions)
 {
-  return versions->known;
+  const GPtrArray *servers = kcp_servers_all (versions->gateway->servers);
+
+  for (guint i = 0; i < servers->len; i++)
+    kcp_software_versions_note (versions, g_ptr_array_index (servers, i));
 }
 
 /* Reads from the store the versions that are in service now or later. */
@@ -287,11 +290,9 @@
 {
   struct kcp_software_versions *versions = user;
   struct kcp_gateway *gateway = versions->gateway;
-  const GPtrArray *servers = kcp_servers_all (gateway->servers);
   int64_t now = kcp_loop_now (gateway->loop);
 
-  for (guint i = 0; i < servers->len; i++)
-    kcp_software_versions_note (versions, g_ptr_array_index (servers, i));
+  kcp_software_versions_note_listed (versions);
   for (guint i = versions->rows->len; i > 0; i--)
     {
       const struct row *row = &g_array_index (versions->rows, struct row, i - 1);
--- a/src/forward/software_versions.h
+++ b/src/forward/software_versions.h
@@ -24,7 +24,7 @@
                                  const struct kcp_server *server);
 unsigned kcp_software_versions_count (const struct kcp_software_versions *versions,
                                       uint64_t service, uint64_t *software);
-bool kcp_software_versions_are_known (const struct kcp_software_versions *versions);
+void kcp_software_versions_note_listed (struct kcp_software_versions *versions);
 void kcp_software_versions_read_store (struct kcp_software_versions *versions,
                                        kcp_software_versions_read *done, void *user);
 
--- a/src/policy/resume_version.c
+++ b/src/policy/resume_version.c
@@ -15,11 +15,11 @@
     return KCP_RESUME_REFUSE;
   if (facts->recorded)
     return KCP_RESUME_AT_RECORDED;
-  if (!facts->store_answered && !facts->versions_known)
+  if (!facts->store_answered)
     return KCP_RESUME_REFUSE;
   if (facts->versions == 1)
     return KCP_RESUME_AT_ONLY;
-  if (facts->versions > 1 && facts->store_answered && !facts->looked_before)
+  if (facts->versions > 1 && !facts->looked_before)
     return KCP_RESUME_LOOK_AGAIN;
   return KCP_RESUME_REFUSE;
 }
--- a/src/policy/resume_version.h
+++ b/src/policy/resume_version.h
@@ -7,7 +7,8 @@
    write does not fit together, and servers do not check it. While only one version
    serves, nothing is known of single streams; while there are two, the VMs write to the
    store which version began which stream. A stream of which that is not known is refused:
-   its caller must not get a text that is joined from two versions. */
+   its caller must not get a text that is joined from two versions. A VM that is cut off
+   from the store does not know whether a second version has come meanwhile. */
 #ifndef KCP_POLICY_RESUME_VERSION_H
 #define KCP_POLICY_RESUME_VERSION_H
 
@@ -17,12 +18,13 @@
 /* What a VM knows when it has looked for a stream. */
 struct kcp_resume_facts
 {
-  bool recorded;       /* a record names the version that began the stream */
-  bool contradicted;   /* records name several */
-  bool store_answered; /* the store has just been read */
-  bool versions_known; /* the versions in service have been read since the VM started */
-  bool looked_before;  /* the store has been read once more than this, a while ago */
-  unsigned versions;   /* software versions in service, now or recently */
+  bool recorded;     /* a record names the version that began the stream */
+  bool contradicted; /* records name several */
+  /* The versions in service, the servers' list and the records have been read since the
+     caller came: the VM knows every version that any other VM knew by then. */
+  bool store_answered;
+  bool looked_before; /* the store has been read once more than this, a while ago */
+  unsigned versions;  /* software versions in service, now or recently */
 };
 
 enum kcp_resume_decision
