fleet: links that delay, cut and break connections, long streams, rolling upgrades

LINKS=1 puts a proxy before each server and each VM; faults of the links come by the seed. The proxy passes a reset on as one, also after bytes that it dropped: it closed in order there, which no rule allows for and would have looked like the end of an answer. A quarter of the streams may have up to 68 events. With KCP_PROGRAM_BEFORE all VMs begin on an older build and are stopped and started on the newer one in turn. HTTP_1_0 sets the share of HTTP/1.0 callers.

A reset of a caller's link does not show that the VM has not read a request, so such callers do not send it again; two servers at work on one stream are not held against a VM whose link to the first one was harmed. Both checks are unchanged without links.

--- a/soak/fleet.c
+++ b/soak/fleet.c
@@ -9,8 +9,13 @@
    - UNASKED: a server gets the body that the caller sent;
    - EXIT, DRAIN, RECOVER: VMs end when told to, and serve after the faults.
 
-   kcp-fleet SEED SECONDS VMS SERVERS [CALLERS]: the same seed gives the same faults in
-   the same order. KCP_PROGRAM names the VMs' program. */
+   kcp-fleet SEED SECONDS VMS SERVERS [CALLERS [LINKS [PERCENT]]]: the same seed gives the
+   same faults in the same order. CALLERS 0: as many as fit the VMs. With LINKS 1 there
+   are proxies before servers and VMs, which delay, cut and break connections. PERCENT of
+   the attempts are in HTTP/1.0. KCP_PROGRAM names the VMs' program. If KCP_PROGRAM_BEFORE
+   names an older one, all VMs begin on that, and are stopped and started on the newer one
+   in turn, with streams in progress.
+ */
 #include "soak/fleet.h"
 
 #include <glib/gstdio.h>
@@ -23,6 +28,7 @@
 
 /* The budget for retries of a large deployment. */
 #define RETRY_SETTINGS      "[retry]\nratio = 0.1\nburst = 158\n"
+#define HTTP_1_0_PERCENT    15 /* of the attempts; their streams end with the connection */
 #define CALLERS_PER_VM      2u
 #define CALLERS_MIN         40u /* without the argument */
 #define CALLERS_MAX         96u
@@ -32,6 +38,8 @@
 #define FAULT_MAX_MS        2500
 #define CUT_MIN_MS          500
 #define CUT_MAX_MS          4000
+#define KINDS               23 /* of faults */
+#define KINDS_WITH_LINKS    33
 #define TICK_US             (20 * 1000)
 #define TICKS_MAX           16 /* between two faults of a small fleet */
 #define TOGETHER            4  /* one in so many VMs fails at once */
@@ -92,7 +100,7 @@
   if (vm->heal_us != 0)
     return;
   for (unsigned i = 0; i < fleet.server_count; i++)
-    ports[i] = fleet.servers[i].port;
+    ports[i] = fleet_link_server_port (i);
   vm->heal_us
       = now_us + g_rand_int_range (fleet.random, CUT_MIN_MS, CUT_MAX_MS) * (int64_t)1000;
   (void)cut_file_write (vm->cut, &cut);
@@ -122,7 +130,8 @@
   unsigned vm = (unsigned)g_rand_int_range (fleet.random, 0, (gint32)fleet.vm_count);
   enum soak_vm_fault fault
       = (enum soak_vm_fault)g_rand_int_range (fleet.random, 0, SOAK_VM_FAULT_COUNT);
-  int kind = g_rand_int_range (fleet.random, 0, 23);
+  int kind
+      = g_rand_int_range (fleet.random, 0, fleet.has_links ? KINDS_WITH_LINKS : KINDS);
 
   if (kind < 10)
     fleet_inject_server_fault (now_us);
@@ -144,10 +153,28 @@
         if (g_rand_boolean (fleet.random))
           cut_paths (i, now_us);
     }
+  else if (kind >= KINDS)
+    fleet_links_inject (now_us);
   else if (fleet.store_restore_us == 0)
     disrupt_store (now_us);
 }
 
+/* Stops the next VM that runs the older program, to start it on the newer one. One that
+   has a fault is upgraded later. */
+static void
+upgrade_next (int64_t now_us)
+{
+  unsigned vm = fleet.upgraded;
+
+  if (fleet.before == NULL || vm >= fleet.vm_count || now_us < fleet.next_upgrade_us
+      || !soak_vm_inject (&fleet.vms[vm], SOAK_VM_TERM, now_us, 0))
+    return;
+  note_disturbance (vm, now_us);
+  fleet.vms[vm].program = NULL;
+  fleet.upgraded++;
+  fleet.next_upgrade_us = now_us + fleet.upgrade_gap_us;
+}
+
 /* Ends the faults that are due, or all of them. */
 static void
 end_faults (int64_t now_us, bool all)
@@ -161,6 +188,7 @@
         note_disturbance (i, now_us);
     }
   end_cuts (now_us, all);
+  fleet_links_end_faults (now_us, all);
   fleet_end_server_faults (now_us, all);
   if (fleet.store_restore_us != 0 && (all || now_us >= fleet.store_restore_us))
     {
@@ -211,8 +239,11 @@
     {
       soak_vm_init (&fleet.vms[i], i, fleet.folder, data_centers[i % FLEET_DATA_CENTERS],
                     fake_platform_port (fleet.platform), RETRY_SETTINGS);
+      fleet.vms[i].program = fleet.before;
       soak_vm_start (&fleet.vms[i]);
     }
+  if (fleet.has_links)
+    fleet_links_start_vms ();
 }
 
 static void
@@ -232,6 +263,7 @@
   if (!keeps)
     remove_records ();
   fleet_servers_stop ();
+  fleet_links_stop ();
   fake_platform_stop (fleet.platform);
   if (keeps)
     (void)printf ("the logs of the VMs and the records of the servers are in %s\n",
@@ -248,11 +280,15 @@
 static void
 run_faults (int64_t seconds)
 {
-  int64_t end_us = g_get_monotonic_time () + seconds * G_USEC_PER_SEC;
+  int64_t begin_us = g_get_monotonic_time ();
+  int64_t end_us = begin_us + seconds * G_USEC_PER_SEC;
   int ticks_max = MAX (TICKS_MAX * 7 / (int)fleet.vm_count, 4);
 
+  fleet.upgrade_gap_us = (end_us - begin_us) / (fleet.vm_count + 2);
+  fleet.next_upgrade_us = begin_us + fleet.upgrade_gap_us;
   while (g_get_monotonic_time () < end_us)
     {
+      upgrade_next (g_get_monotonic_time ());
       inject_fault (g_get_monotonic_time ());
       for (int i = g_rand_int_range (fleet.random, 1, ticks_max); i > 0; i--)
         {
@@ -269,9 +305,10 @@
   unsigned missing = wait_for_vms (START_TIMEOUT_US);
 
   (void)printf ("fleet: seed %u, %u VMs (%u not serving at the start), %u servers, %u "
-                "callers\n",
+                "callers%s%s\n",
                 fleet.seed, fleet.vm_count, missing, fleet.server_count,
-                fleet.caller_count);
+                fleet.caller_count, fleet.has_links ? ", links" : "",
+                fleet.before != NULL ? ", upgrade" : "");
   (void)fflush (stdout);
   for (unsigned i = 0; i < fleet.caller_count; i++)
     g_ptr_array_add (callers,
@@ -303,9 +340,14 @@
   seconds = read_number (argc, argv, 2, 20);
   fleet.vm_count = CLAMP (read_number (argc, argv, 3, 7), 1, FLEET_VMS_MAX);
   fleet.server_count = CLAMP (read_number (argc, argv, 4, 13), 2, FLEET_SERVERS_MAX);
-  fleet.caller_count = read_number (
-      argc, argv, 5, CLAMP (fleet.vm_count * CALLERS_PER_VM, CALLERS_MIN, CALLERS_MAX));
-  fleet.caller_count = CLAMP (fleet.caller_count, 1, FLEET_CALLERS_MAX);
+  fleet.caller_count = read_number (argc, argv, 5, 0);
+  if (fleet.caller_count == 0)
+    fleet.caller_count
+        = CLAMP (fleet.vm_count * CALLERS_PER_VM, CALLERS_MIN, CALLERS_MAX);
+  fleet.caller_count = MIN (fleet.caller_count, FLEET_CALLERS_MAX);
+  fleet.has_links = read_number (argc, argv, 6, 0) != 0;
+  fleet.http_1_0_percent = (int)read_number (argc, argv, 7, HTTP_1_0_PERCENT);
+  fleet.before = g_getenv ("KCP_PROGRAM_BEFORE");
   fleet.random = g_rand_new_with_seed (fleet.seed);
   set_up ();
   run (seconds);
--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -78,6 +78,12 @@
   struct fleet_server servers[FLEET_SERVERS_MAX];
   unsigned server_count;
   unsigned caller_count;
+  int http_1_0_percent; /* of the attempts */
+  bool has_links;       /* proxies before servers and VMs */
+  const char *before;   /* program that all VMs run at first; NULL: they don't change */
+  unsigned upgraded;    /* VMs that run the newer program */
+  int64_t next_upgrade_us; /* when the next one is stopped */
+  int64_t upgrade_gap_us;  /* between two of them */
   char *folder;
   const char *program; /* this program, which is also the servers' */
   GRand *random;       /* of the faults */
@@ -129,6 +135,15 @@
 void fleet_end_server_faults (int64_t now_us, bool all);
 void fleet_put_config (void);
 
+void fleet_links_start_servers (void);
+void fleet_links_start_vms (void);
+void fleet_links_stop (void);
+int fleet_link_server_port (unsigned server);
+int fleet_link_vm_port (unsigned vm);
+void fleet_links_inject (int64_t now_us);
+void fleet_links_end_faults (int64_t now_us, bool all);
+bool fleet_link_was_harmed (const char *instance, int64_t from_us, int64_t to_us);
+
 gpointer fleet_run_caller (gpointer number);
 bool fleet_vm_serves (unsigned vm);
 
--- a/soak/fleet_caller.c
+++ b/soak/fleet_caller.c
@@ -17,11 +17,13 @@
 #define LEAVES_PERCENT     4
 #define LEAVE_MAX_US       300000
 #define EVENTS_MAX         14
+#define EVENTS_MAX_LONG    68
+#define LONG_PERCENT       25 /* of the streams */
+#define LINKED_PERCENT     50 /* of the connections go through the VM's link */
 #define PAUSE_MAX_US       30000
 #define REUSES_PERCENT     85
 #define CHUNKS_PERCENT     20
 #define EMPTY_PERCENT      20 /* of the requests have no body */
-#define HTTP_1_0_PERCENT   15 /* of the attempts; their streams end with the connection */
 #define RETRY_AFTER_PART   3  /* of the time left that a caller waits at most */
 
 struct caller
@@ -29,7 +31,8 @@
   unsigned number;
   unsigned sent; /* attempts so far */
   GRand *random;
-  int fd; /* kept connection; -1: none */
+  int fd;      /* kept connection; -1: none */
+  bool linked; /* it goes through the VM's link, which may reset it */
   unsigned vm;
   struct fleet_answer answer;
 };
@@ -68,8 +71,10 @@
     .kind = (enum fleet_kind)g_rand_int_range (caller->random, 0, FLEET_KIND_COUNT),
     .body = g_string_new (NULL),
     .end_us = g_get_monotonic_time () + DEADLINE_MS * 1000,
-    .events = (unsigned)g_rand_int_range (caller->random, 1, EVENTS_MAX),
   };
+  want->events = (unsigned)g_rand_int_range (
+      caller->random, 1,
+      is_percent (caller, LONG_PERCENT) ? EVENTS_MAX_LONG : EVENTS_MAX);
   len = is_percent (caller, EMPTY_PERCENT) ? 0
                                            : g_rand_int_range (caller->random, 2, len);
   for (int i = 0; i < len; i++)
@@ -92,7 +97,7 @@
 static struct form
 choose_form (const struct caller *caller)
 {
-  struct form form = { .http_1_0 = is_percent (caller, HTTP_1_0_PERCENT) };
+  struct form form = { .http_1_0 = is_percent (caller, fleet.http_1_0_percent) };
 
   form.chunked = !form.http_1_0 && is_percent (caller, CHUNKS_PERCENT);
   return form;
@@ -291,7 +296,10 @@
 connect_to_vm (struct caller *caller)
 {
   caller->vm = (unsigned)g_rand_int_range (caller->random, 0, (gint32)fleet.vm_count);
-  caller->fd = soak_connect (fleet.vms[caller->vm].port, DEADLINE_MS);
+  caller->linked = fleet.has_links && is_percent (caller, LINKED_PERCENT);
+  caller->fd = soak_connect (caller->linked ? fleet_link_vm_port (caller->vm)
+                                            : fleet.vms[caller->vm].port,
+                             DEADLINE_MS);
   return caller->fd >= 0;
 }
 
@@ -349,16 +357,20 @@
   return true;
 }
 
-/* Returns true if the caller may send what it wants once more. */
+/* Returns true if the caller may send what it wants once more. A reset shows that the VM
+   has not read the request only if no link may have reset the connection. */
 static bool
-may_retry (const struct want *want, struct fleet_attempt *attempt,
-           const struct fleet_answer *answer)
+may_retry (const struct caller *caller, const struct want *want,
+           struct fleet_attempt *attempt)
 {
+  const struct fleet_answer *answer = &caller->answer;
+
   if (attempt->complete && (attempt->status < 429 && attempt->status != 408))
     return false;
   if (want->kind == FLEET_RESUMABLE || want->kind == FLEET_AGAIN || is_promise (attempt))
     return true;
-  attempt->unread_retried = answer->end == FLEET_RESET && answer->bytes->len == 0;
+  attempt->unread_retried
+      = answer->end == FLEET_RESET && answer->bytes->len == 0 && !caller->linked;
   attempt->closed_unanswered = answer->end == FLEET_CLOSED && answer->bytes->len == 0;
   return attempt->unread_retried;
 }
@@ -384,7 +396,7 @@
 
       if (!try_once (caller, want, &attempt))
         return;
-      retries = may_retry (want, &attempt, &caller->answer);
+      retries = may_retry (caller, want, &attempt);
       add_attempt (&attempt);
       if (!retries || g_get_monotonic_time () >= want->end_us)
         return;
--- a/soak/fleet_check.c
+++ b/soak/fleet_check.c
@@ -233,6 +233,7 @@
       if (end_us <= next->begin->time_us + OVERLAP_MAX_US
           || next_process_event (instance, "stopped", run->begin->time_us) < end_us
           || next_process_event (instance, "late", run->begin->time_us) < end_us
+          || fleet_link_was_harmed (instance, run->begin->time_us, end_us)
           || vm_was_disturbed (attempt->vm, run->begin->time_us, end_us))
         continue;
       fleet_broken ("TWICE, two servers at work on a stream", attempt->id, "");
--- a/soak/fleet_server.c
+++ b/soak/fleet_server.c
@@ -105,8 +105,9 @@
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z%u\","
       "\"version\":\"%s\",\"slots\":12,\"state\":\"%s\",\"seq-no\":%u,"
       "\"born\":%" G_GINT64_FORMAT ",\"models\":[{\"name\":\"m\",\"version\":1}]}",
-      fleet_services[server->service], server->port, server->number % FLEET_DATA_CENTERS,
-      server->software, state, server->starts, server->born_ms);
+      fleet_services[server->service], fleet_link_server_port (server->number),
+      server->number % FLEET_DATA_CENTERS, server->software, state, server->starts,
+      server->born_ms);
 
   fake_platform_put_server_entry (fleet.platform, server->instance, text);
 }
@@ -302,8 +303,11 @@
                                        .software = i / 2 % 2 == 0 ? "v1" : "v2",
                                        .records
                                        = g_build_filename (fleet.folder, name, NULL) };
-      start_server (server);
     }
+  if (fleet.has_links)
+    fleet_links_start_servers ();
+  for (unsigned i = 0; i < fleet.server_count; i++)
+    start_server (&fleet.servers[i]);
 }
 
 void
--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -8,10 +8,12 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define BLOCK_BYTES 16384
-#define DELAY_MS    30
-#define POLL_MS     20
-#define BACKLOG     256 /* connections */
+#define BLOCK_BYTES  16384
+#define PIECE_BYTES  90
+#define PIECE_GAP_US 300
+#define DELAY_MS     30
+#define POLL_MS      20
+#define BACKLOG      256 /* connections */
 
 struct proxy
 {
@@ -29,8 +31,9 @@
 {
   struct proxy *proxy;
   int client;
-  int server;
+  int server; /* -1: it accepts no connection */
   int generation;
+  bool resets; /* ends with a reset */
 };
 
 static gpointer accept_all (gpointer user);
@@ -131,7 +134,10 @@
                                { .fd = link->server, .events = POLLIN } };
 
       if (g_atomic_int_get (&link->proxy->fault) == PROXY_RESET)
-        break;
+        {
+          link->resets = true;
+          break;
+        }
       if (is_stalled (link))
         {
           g_usleep (POLL_MS * G_TIME_SPAN_MILLISECOND);
@@ -144,37 +150,56 @@
       if (connected && wait[1].revents != 0)
         connected = transfer_block (link, link->server, link->client, true);
     }
-  if (g_atomic_int_get (&link->proxy->fault) == PROXY_RESET)
-    close_with_reset (link->client);
+  if (link->resets || link->server < 0)
+    {
+      close_with_reset (link->client);
+      if (link->server >= 0)
+        close_with_reset (link->server);
+    }
   else
-    (void)close (link->client);
-  (void)close (link->server);
+    {
+      (void)close (link->client);
+      (void)close (link->server);
+    }
   g_atomic_int_add (&link->proxy->open_links, -1);
   g_free (link);
   return NULL;
 }
 
-/* Transfers one block. Returns false if the connection has ended. */
+/* Transfers one block. Returns false if the connection has ended, and notes if it was
+   reset. */
 static bool
 transfer_block (struct link *link, int from, int to, bool to_client)
 {
   char block[BLOCK_BYTES];
   enum proxy_fault fault = (enum proxy_fault)g_atomic_int_get (&link->proxy->fault);
-  ssize_t count = recv (from, block, sizeof block, 0);
+  size_t size = fault == PROXY_PIECES ? PIECE_BYTES : sizeof block;
+  ssize_t count = recv (from, block, size, 0);
   ssize_t sent = 0;
 
   if (count <= 0)
-    return false;
+    {
+      link->resets = link->resets || count < 0;
+      return false;
+    }
   if (fault == PROXY_DELAY)
     g_usleep (DELAY_MS * G_TIME_SPAN_MILLISECOND);
+  if (fault == PROXY_PIECES)
+    g_usleep (PIECE_GAP_US);
   if (fault == PROXY_ONE_WAY && to_client)
-    return true;
+    {
+      link->resets = true;
+      return true;
+    }
   while (sent < count)
     {
       ssize_t now = send (to, block + sent, (size_t)(count - sent), MSG_NOSIGNAL);
 
       if (now <= 0)
-        return false;
+        {
+          link->resets = true;
+          return false;
+        }
       sent += now;
     }
   return true;
--- a/soak/proxy.h
+++ b/soak/proxy.h
@@ -1,5 +1,7 @@
-/* TCP proxy on the loopback address between a VM and a server. On command, it delays,
-   resets or stalls connections, or blocks the direction from the server to the VM. */
+/* TCP proxy on the loopback address, between a VM and a server or a caller and a VM. On
+   command, it delays, resets or stalls connections, passes their bytes on in small
+   pieces, or discards those from the server. A connection that one side resets, or that
+   has lost bytes, ends with a reset on the other side too. */
 #ifndef KCP_SOAK_PROXY_H
 #define KCP_SOAK_PROXY_H
 
@@ -10,6 +12,7 @@
   PROXY_RESET,   /* open and new connections are reset */
   PROXY_STALL,   /* open connections transfer nothing; new ones work */
   PROXY_ONE_WAY, /* data from the server is discarded */
+  PROXY_PIECES,  /* data arrives in small pieces */
   PROXY_FAULT_COUNT
 };
 
--- a/soak/soak.c
+++ b/soak/soak.c
@@ -263,7 +263,7 @@
       break;
     case 5:
       proxy_set_fault (soak.proxies[server],
-                       (enum proxy_fault) (1 + variant % (PROXY_FAULT_COUNT - 1)));
+                       (enum proxy_fault) (1 + variant % PROXY_ONE_WAY));
       soak.proxy_restore_us[server] = now_us + duration_us;
       break;
     default:
--- a/soak/vm.c
+++ b/soak/vm.c
@@ -78,15 +78,16 @@
   g_free (vm->log);
 }
 
-/* Starts a VM's process, of the program in KCP_PROGRAM or else the build's. A signal that
-   it gets before its program runs is kept for the program. */
+/* Starts a VM's process. A signal that it gets before its program runs is kept for the
+   program. */
 void
 soak_vm_start (struct soak_vm *vm)
 {
   const char *build = g_getenv ("BUILD") != NULL ? g_getenv ("BUILD") : "build";
   g_autofree char *built = g_build_filename (build, "kingcuppoint", NULL);
-  const char *program
+  const char *newest
       = g_getenv ("KCP_PROGRAM") != NULL ? g_getenv ("KCP_PROGRAM") : built;
+  const char *program = vm->program != NULL ? vm->program : newest;
   sigset_t signals;
   sigset_t before;
 
--- a/soak/vm.h
+++ b/soak/vm.h
@@ -26,6 +26,7 @@
   char *settings;
   char *cut;            /* its cut file; see tests/harness/cut_file.h */
   char *log;            /* standard output of all its processes */
+  const char *program;  /* NULL: that in KCP_PROGRAM, or else the build's */
   int64_t start_us;     /* time at which it is started; 0: it runs */
   int64_t resume_us;    /* time at which it is continued; 0: it is not stopped */
   int64_t kill_us;      /* time at which it is killed after SIGTERM; 0: none sent */
