--- a/tests/process/test_software_versions.c
+++ b/tests/process/test_software_versions.c
@@ -2,37 +2,21 @@
    while servers of two versions serve side by side: within one answer, and when callers
    take streams up at VMs that did not begin them, or that have just started. */
 #include <check.h>
-#include <pthread.h>
 #include <stdlib.h>
 #include <string.h>
 
+#include "tests/harness/caller_streams.h"
 #include "tests/harness/run_suite.h"
-#include "tests/harness/vm_group.h"
 
 #define SERVERS      4u
-#define STREAMS      16u
 #define GAP_MS       250 /* between events; a stream has FAKE_STREAM_EVENTS of them */
 #define BROKEN_AT_MS 600
 #define SETTLE_MS    400 /* in which VMs learn of a changed list */
-#define GOES_ON      (STREAMS / 2)
+#define GOES_ON      (CALLER_STREAMS / 2)
 #define READ_AT_MS   200 /* when other VMs read the records */
 #define FAILED_AT_MS 950 /* by then streams whose first try failed have events */
 #define INTERRUPTED  20u /* streams that are interrupted within their answer */
 
-/* A caller's stream: what it has of it, over all its attempts. */
-struct caller_stream
-{
-  struct route_vm *vm;
-  pthread_t thread;
-  char first_id[16]; /* of the attempt that brought the first event */
-  unsigned attempts;
-  GString *events;
-  unsigned last_event;
-  int status; /* of the newest attempt */
-};
-
-static struct caller_stream streams[STREAMS];
-
 /* Gives the servers their software versions: the first ones the older. */
 static void
 set_software (const char *older, const char *newer)
@@ -56,10 +40,7 @@
 static void
 tear_down (void)
 {
-  for (unsigned i = 0; i < STREAMS; i++)
-    if (streams[i].events != NULL)
-      g_string_free (streams[i].events, TRUE);
-  memset (streams, 0, sizeof streams);
+  caller_streams_clear ();
   vm_group_tear_down ();
 }
 
@@ -69,105 +50,13 @@
   g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
 }
 
-/* Appends the complete events of an answer, and notes the id of the last one. */
-static void
-take_events (struct caller_stream *stream, const struct raw_answer *answer)
-{
-  const char *event = strstr (answer->text->str, "id: ");
-  const char *end;
-
-  while (event != NULL && (end = strstr (event, "\n\n")) != NULL)
-    {
-      stream->last_event = (unsigned)atoi (event + strlen ("id: "));
-      g_string_append_len (stream->events, event, end - event + 2);
-      event = strstr (end, "id: ");
-    }
-}
-
-static void *
-run_attempt (void *user)
-{
-  struct caller_stream *stream = user;
-  g_autofree char *id
-      = g_strdup_printf ("s%d.%u", (int)(stream - streams), stream->attempts++);
-  g_autofree char *headers
-      = stream->last_event == 0 ? g_strdup ("")
-                                : g_strdup_printf ("Resumes: %s\r\nLast-Event-Id: %u\r\n",
-                                                   stream->first_id, stream->last_event);
-  struct raw_answer answer
-      = route_vm_send_to (stream->vm, "POST", "/stream/x", id, headers, "in");
-
-  if (stream->last_event == 0)
-    g_strlcpy (stream->first_id, id, sizeof stream->first_id);
-  stream->status = route_vm_status (&answer);
-  take_events (stream, &answer);
-  raw_answer_clear (&answer);
-  return NULL;
-}
-
-/* Has all streams attempted at once, by turns at two VMs. */
-static void
-start_attempts (struct route_vm *first, struct route_vm *second)
-{
-  for (unsigned i = 0; i < STREAMS; i++)
-    {
-      struct caller_stream *stream = &streams[i];
-
-      stream->vm = i % 2 == 0 ? first : second;
-      if (stream->events == NULL)
-        stream->events = g_string_new (NULL);
-      ck_assert_int_eq (pthread_create (&stream->thread, NULL, run_attempt, stream), 0);
-    }
-}
-
-static void
-finish_attempts (void)
-{
-  for (unsigned i = 0; i < STREAMS; i++)
-    (void)pthread_join (streams[i].thread, NULL);
-}
-
-static bool
-is_joined (const char *events)
-{
-  return strstr (events, "of v1\n") != NULL && strstr (events, "of v2\n") != NULL;
-}
-
-static bool
-is_whole (const struct caller_stream *stream)
-{
-  return stream->last_event == FAKE_STREAM_EVENTS;
-}
-
-/* Expects that no caller has events of two versions, that no event is missing, and that a
-   caller whose stream does not go on was refused. Returns the number of whole streams. */
-static unsigned
-expect_not_joined (void)
-{
-  unsigned whole = 0;
-  unsigned joined = 0;
-
-  for (unsigned i = 0; i < STREAMS; i++)
-    {
-      whole += is_whole (&streams[i]);
-      joined += is_joined (streams[i].events->str);
-    }
-  g_print ("%u of %u streams went on, %u joined from two versions\n", whole, STREAMS,
-           joined);
-  ck_assert_uint_eq (joined, 0);
-  for (unsigned i = 0; i < STREAMS; i++)
-    ck_assert_msg (is_whole (&streams[i]) || streams[i].status == 503, "stream %u: %d", i,
-                   streams[i].status);
-  return whole;
-}
-
 /* Begins the streams at the first two VMs, of which each has a half, and waits until each
    has some events. */
 static void
 begin_streams (void)
 {
   settle ();
-  start_attempts (vm_group_at (0), vm_group_at (1));
+  caller_streams_start (vm_group_at (0), vm_group_at (1));
   g_usleep (BROKEN_AT_MS * G_TIME_SPAN_MILLISECOND);
 }
 
@@ -177,11 +66,11 @@
 {
   route_vm_kill (vm_group_at (0));
   route_vm_kill (vm_group_at (1));
-  finish_attempts ();
-  for (unsigned i = 0; i < STREAMS; i++)
+  caller_streams_finish ();
+  for (unsigned i = 0; i < CALLER_STREAMS; i++)
     {
-      ck_assert_uint_gt (streams[i].last_event, 0);
-      ck_assert (!is_whole (&streams[i]));
+      ck_assert_uint_gt (caller_streams[i].last_event, 0);
+      ck_assert (!caller_stream_is_whole (&caller_streams[i]));
     }
 }
 
@@ -193,13 +82,6 @@
   vm_group_restart_all ();
 }
 
-static void
-take_up (struct route_vm *first, struct route_vm *second)
-{
-  start_attempts (first, second);
-  finish_attempts ();
-}
-
 /* Has a VM read what others have written of their streams. */
 static void
 read_records (const struct route_vm *vm)
@@ -227,7 +109,7 @@
     {
       struct raw_answer answer = route_vm_send ("POST", "/stream/x", "", "in");
 
-      ck_assert_msg (!is_joined (answer.text->str), "%s", answer.text->str);
+      ck_assert_msg (!caller_stream_is_joined (answer.text->str), "%s", answer.text->str);
       whole += strstr (answer.text->str, "id: 5\n") != NULL;
       raw_answer_clear (&answer);
     }
@@ -250,7 +132,7 @@
       struct raw_answer answer = route_vm_send ("POST", "/stream/x", "", "in");
       const char *text = answer.text->str;
 
-      ck_assert_msg (!is_joined (text), "%s", text);
+      ck_assert_msg (!caller_stream_is_joined (text), "%s", text);
       ck_assert (strstr (text, "id: 5\n") != NULL
                  || !g_str_has_suffix (text, "0\r\n\r\n"));
       raw_answer_clear (&answer);
@@ -263,8 +145,8 @@
   set_software ("v1", "v2");
   begin_streams ();
   kill_beginners ();
-  take_up (vm_group_at (2), vm_group_at (3));
-  ck_assert_uint_ge (expect_not_joined (), GOES_ON);
+  caller_streams_take_up (vm_group_at (2), vm_group_at (3));
+  ck_assert_uint_ge (caller_streams_expect_not_joined (), GOES_ON);
 }
 END_TEST
 
@@ -282,7 +164,7 @@
   fake_platform_put_server (route_vm.platform, 0, "ready");
   settle ();
   begin_us = g_get_monotonic_time ();
-  start_attempts (vm_group_at (0), vm_group_at (1));
+  caller_streams_start (vm_group_at (0), vm_group_at (1));
   g_usleep (READ_AT_MS * G_TIME_SPAN_MILLISECOND);
   read_records (vm_group_at (2));
   read_records (vm_group_at (3));
@@ -290,10 +172,10 @@
       begin_us + FAILED_AT_MS * G_TIME_SPAN_MILLISECOND - g_get_monotonic_time (), 0));
   route_vm_kill (vm_group_at (0));
   route_vm_kill (vm_group_at (1));
-  finish_attempts ();
+  caller_streams_finish ();
   older->mode = FAKE_ANSWER;
-  take_up (vm_group_at (2), vm_group_at (3));
-  ck_assert_uint_ge (expect_not_joined (), GOES_ON);
+  caller_streams_take_up (vm_group_at (2), vm_group_at (3));
+  ck_assert_uint_ge (caller_streams_expect_not_joined (), GOES_ON);
 }
 END_TEST
 
@@ -302,8 +184,8 @@
   set_software ("v1", "v2");
   begin_streams ();
   kill_all ();
-  take_up (vm_group_at (2), vm_group_at (1));
-  ck_assert_uint_ge (expect_not_joined (), GOES_ON);
+  caller_streams_take_up (vm_group_at (2), vm_group_at (1));
+  ck_assert_uint_ge (caller_streams_expect_not_joined (), GOES_ON);
 }
 END_TEST
 
@@ -312,12 +194,12 @@
   set_software ("v1", "v2");
   begin_streams ();
   kill_beginners ();
-  start_attempts (vm_group_at (2), vm_group_at (2));
+  caller_streams_start (vm_group_at (2), vm_group_at (2));
   g_usleep (GAP_MS * G_TIME_SPAN_MILLISECOND);
   route_vm_kill (vm_group_at (2));
-  finish_attempts ();
-  take_up (vm_group_at (3), vm_group_at (3));
-  ck_assert_uint_ge (expect_not_joined (), GOES_ON);
+  caller_streams_finish ();
+  caller_streams_take_up (vm_group_at (3), vm_group_at (3));
+  ck_assert_uint_ge (caller_streams_expect_not_joined (), GOES_ON);
 }
 END_TEST
 
@@ -331,8 +213,8 @@
     fake_platform_put_server_entry (route_vm.platform,
                                     fake_platform_server (route_vm.platform, i)->id, "");
   vm_group_restart_all ();
-  take_up (vm_group_at (2), vm_group_at (1));
-  (void)expect_not_joined ();
+  caller_streams_take_up (vm_group_at (2), vm_group_at (1));
+  (void)caller_streams_expect_not_joined ();
 }
 END_TEST
 
@@ -345,8 +227,8 @@
   kill_beginners ();
   set_software ("v1", "v2");
   vm_group_restart_all ();
-  take_up (vm_group_at (2), vm_group_at (1));
-  (void)expect_not_joined ();
+  caller_streams_take_up (vm_group_at (2), vm_group_at (1));
+  (void)caller_streams_expect_not_joined ();
 }
 END_TEST
 
@@ -355,8 +237,8 @@
   set_software ("v1", "v1");
   begin_streams ();
   kill_all ();
-  take_up (vm_group_at (2), vm_group_at (1));
-  ck_assert_uint_eq (expect_not_joined (), STREAMS);
+  caller_streams_take_up (vm_group_at (2), vm_group_at (1));
+  ck_assert_uint_eq (caller_streams_expect_not_joined (), CALLER_STREAMS);
 }
 END_TEST
 
@@ -366,8 +248,8 @@
   begin_streams ();
   kill_beginners ();
   fake_platform_set_down (route_vm.platform, true);
-  take_up (vm_group_at (2), vm_group_at (3));
-  (void)expect_not_joined ();
+  caller_streams_take_up (vm_group_at (2), vm_group_at (3));
+  (void)caller_streams_expect_not_joined ();
 }
 END_TEST
 
@@ -380,8 +262,8 @@
   begin_streams ();
   kill_beginners ();
   fake_platform_set_down (route_vm.platform, false);
-  take_up (vm_group_at (2), vm_group_at (3));
-  (void)expect_not_joined ();
+  caller_streams_take_up (vm_group_at (2), vm_group_at (3));
+  (void)caller_streams_expect_not_joined ();
 }
 END_TEST
 
