ORDER: a stream of a split route goes on at the service that began it

What callers would see: on a route whose streams go to two services, a stream that they take up goes on at the other service.

Which versions serve was looked up for the service that the new attempt drew by its weight, not for all that the stream may have begun at; with one version each, nothing was written and the only one was taken.

Now the versions of all services of the route count together, for writing and for looking up, and a stream goes on at the service of what was found.

Open: a route that moves to another service within a stream.

--- a/src/forward/forward_resume.c
+++ b/src/forward/forward_resume.c
@@ -21,7 +21,7 @@
   if (lookups == NULL || forward->choice.bound || !kcp_forward_is_resumed (forward))
     return false;
   kcp_resume_lookup_start (lookups, &forward->lookup, forward->inbound->resumed_id,
-                           forward->choice.service, on_looked_up, forward);
+                           forward->choice.route, on_looked_up, forward);
   return true;
 }
 
@@ -67,14 +67,14 @@
       && kcp_forward_pass_on (forward))
     return;
   if (found->decision == KCP_RESUME_REFUSE
-      || (found->origin != NULL && !set_service (forward, found->origin->service)))
+      || !set_service (forward, found->origin.service))
     {
       kcp_counter_add (KCP_COUNT_RESUMES_REFUSED, 1);
       kcp_forward_refuse (forward, "version_not_known");
       return;
     }
   forward->choice.bound = true;
-  forward->choice.software = found->software;
+  forward->choice.software = found->origin.software;
   kcp_forward_send_next (forward);
 }
 
@@ -84,15 +84,15 @@
   int64_t now = kcp_loop_now (forward->gateway->loop);
   char software[KCP_SOFTWARE_TEXT_SIZE];
 
-  KCP_LOG (
-      "resumed", KCP_LOG_TEXT ("request", forward->inbound->id),
-      KCP_LOG_TEXT ("resumes", forward->inbound->resumed_id),
-      KCP_LOG_TEXT ("after", forward->inbound->resume_after),
-      KCP_LOG_TEXT ("decision", kcp_resume_decision_name (found->decision)),
-      KCP_LOG_TEXT ("software_key", kcp_software_key_text (found->software, software)),
-      KCP_LOG_INT ("store_answered", found->store_answered),
-      KCP_LOG_INT ("versions", found->versions),
-      KCP_LOG_INT ("ms", (now - forward->arrived_ns) / KCP_NS_PER_MS));
+  KCP_LOG ("resumed", KCP_LOG_TEXT ("request", forward->inbound->id),
+           KCP_LOG_TEXT ("resumes", forward->inbound->resumed_id),
+           KCP_LOG_TEXT ("after", forward->inbound->resume_after),
+           KCP_LOG_TEXT ("decision", kcp_resume_decision_name (found->decision)),
+           KCP_LOG_TEXT ("software_key",
+                         kcp_software_key_text (found->origin.software, software)),
+           KCP_LOG_INT ("store_answered", found->store_answered),
+           KCP_LOG_INT ("versions", found->versions),
+           KCP_LOG_INT ("ms", (now - forward->arrived_ns) / KCP_NS_PER_MS));
 }
 
 /* Chooses the service of the route in which the stream began. Returns false if the route
@@ -137,11 +137,15 @@
     .service = kcp_software_key (choice->service),
     .software = forward->attempt.software,
   };
+  struct kcp_stream_origin other;
 
   if (!choice->bound && choice->route->repeat == KCP_REPEAT_RESUMABLE
       && !forward->attempt.passed_on)
-    kcp_stream_records_note (forward->gateway->stream_records, forward->inbound->id,
-                             &origin);
+    kcp_stream_records_note (
+        forward->gateway->stream_records, forward->inbound->id, &origin,
+        kcp_software_versions_of_route (forward->gateway->software_versions,
+                                        choice->route, &other)
+            > 1);
   choice->bound = true;
   choice->software = forward->attempt.software;
 }
--- a/src/forward/resume_lookup.c
+++ b/src/forward/resume_lookup.c
@@ -47,19 +47,20 @@
   g_free (lookups);
 }
 
-/* Looks for the stream that the attempt id began; id may be NULL and must otherwise
-   outlive the lookup. done is called before this function returns if the stream began at
-   this VM. */
+/* Looks for the stream that the attempt id began; id may be NULL. What id and route point
+   to must outlive the lookup. done is called before this function returns if the stream
+   began at this VM. */
 void
 kcp_resume_lookup_start (struct kcp_resume_lookups *lookups,
                          struct kcp_resume_lookup *lookup, const char *id,
-                         const char *service, kcp_resume_lookup_done *done, void *user)
+                         const struct kcp_route *route, kcp_resume_lookup_done *done,
+                         void *user)
 {
   struct kcp_loop *loop = lookups->gateway->loop;
 
   lookup->lookups = lookups;
   lookup->id = id;
-  lookup->service = kcp_software_key (service);
+  lookup->route = route;
   lookup->done = done;
   lookup->user = user;
   if (is_own (lookups, id) && decide (lookup, false, true))
@@ -102,19 +103,18 @@
   const struct kcp_stream_record *record
       = lookup->id != NULL ? kcp_stream_records_find (gateway->stream_records, lookup->id)
                            : NULL;
-  uint64_t software = 0;
+  struct kcp_stream_origin only = { 0 };
   struct kcp_resume_facts facts = {
     .recorded = record != NULL,
     .contradicted = record != NULL && record->contradicted,
     .store_answered = answered,
     .looked_before = lookup->looked || final,
-    .versions = kcp_software_versions_count (gateway->software_versions, lookup->service,
-                                             &software),
+    .versions
+    = kcp_software_versions_of_route (gateway->software_versions, lookup->route, &only),
   };
   struct kcp_resume_found found = {
     .decision = kcp_resume_decide (&facts),
-    .software = record != NULL ? record->origin.software : software,
-    .origin = record != NULL ? &record->origin : NULL,
+    .origin = record != NULL ? record->origin : only,
     .store_answered = answered,
     .versions = facts.versions,
   };
--- a/src/forward/resume_lookup.h
+++ b/src/forward/resume_lookup.h
@@ -15,8 +15,7 @@
 struct kcp_resume_found
 {
   enum kcp_resume_decision decision; /* not KCP_RESUME_LOOK_AGAIN */
-  uint64_t software; /* at which the stream goes on; not valid if it is refused */
-  const struct kcp_stream_origin *origin; /* borrowed; NULL: there is no record */
+  struct kcp_stream_origin origin;   /* where it goes on; not valid if it is refused */
   bool store_answered; /* the store was read for it; false: what this VM knew decided */
   unsigned versions;   /* in service, as far as this VM knows */
 };
@@ -29,10 +28,10 @@
 {
   struct kcp_resume_lookups *lookups; /* NULL: not in progress */
   const char *id; /* of the attempt that began the stream; NULL: the caller names none */
-  uint64_t service; /* in which the stream would go on without a record */
-  bool in_round;    /* the store is being read for it */
-  bool looked;      /* the store was read for it, and did not have it */
-  bool resting;     /* again_timer is set: it is not looked for again before */
+  const struct kcp_route *route; /* of the caller's request, borrowed */
+  bool in_round;                 /* the store is being read for it */
+  bool looked;                   /* the store was read for it, and did not have it */
+  bool resting; /* again_timer is set: it is not looked for again before */
   struct kcp_loop_timer give_up_timer;
   struct kcp_loop_timer again_timer;
   kcp_resume_lookup_done *done;
@@ -41,10 +40,10 @@
 
 struct kcp_resume_lookups *kcp_resume_lookups_new (struct kcp_gateway *gateway);
 void kcp_resume_lookups_free (struct kcp_resume_lookups *lookups);
-void
-kcp_resume_lookup_start (struct kcp_resume_lookups *lookups,
-                         struct kcp_resume_lookup *lookup, const char *id,
-                         const char *service, kcp_resume_lookup_done *done, void *user);
+void kcp_resume_lookup_start (struct kcp_resume_lookups *lookups,
+                              struct kcp_resume_lookup *lookup, const char *id,
+                              const struct kcp_route *route, kcp_resume_lookup_done *done,
+                              void *user);
 void kcp_resume_lookup_cancel (struct kcp_resume_lookup *lookup);
 
 #endif
--- a/src/forward/software_versions.c
+++ b/src/forward/software_versions.c
@@ -157,6 +157,30 @@
   return count;
 }
 
+/* Returns how many origins a stream of a route may have: the versions in service of all
+   its services. Stores one of them in origin. */
+unsigned
+kcp_software_versions_of_route (const struct kcp_software_versions *versions,
+                                const struct kcp_route *route,
+                                struct kcp_stream_origin *origin)
+{
+  unsigned count = 0;
+
+  for (guint i = 0; i < route->targets->len; i++)
+    {
+      const struct kcp_target *target
+          = &g_array_index (route->targets, struct kcp_target, i);
+      uint64_t service = kcp_software_key (target->service);
+      uint64_t software;
+      unsigned of_service = kcp_software_versions_count (versions, service, &software);
+
+      if (of_service > 0)
+        *origin = (struct kcp_stream_origin){ .service = service, .software = software };
+      count += of_service;
+    }
+  return count;
+}
+
 /* Notes all servers that are listed now. */
 void
 kcp_software_versions_note_listed (struct kcp_software_versions *versions)
--- a/src/forward/software_versions.h
+++ b/src/forward/software_versions.h
@@ -12,6 +12,13 @@
 
 struct kcp_software_versions;
 
+/* What can begin a stream; see kcp_software_key(). */
+struct kcp_stream_origin
+{
+  uint64_t service;
+  uint64_t software;
+};
+
 /* Called when the store has been read; answered is false if it did not answer. */
 typedef void kcp_software_versions_read (void *user, bool answered);
 
@@ -24,6 +31,9 @@
                                  const struct kcp_server *server);
 unsigned kcp_software_versions_count (const struct kcp_software_versions *versions,
                                       uint64_t service, uint64_t *software);
+unsigned kcp_software_versions_of_route (const struct kcp_software_versions *versions,
+                                         const struct kcp_route *route,
+                                         struct kcp_stream_origin *origin);
 void kcp_software_versions_note_listed (struct kcp_software_versions *versions);
 void kcp_software_versions_read_store (struct kcp_software_versions *versions,
                                        kcp_software_versions_read *done, void *user);
--- a/src/forward/stream_records.c
+++ b/src/forward/stream_records.c
@@ -97,18 +97,15 @@
    id is that of the caller's attempt. records may be NULL. */
 void
 kcp_stream_records_note (struct kcp_stream_records *records, const char *id,
-                         const struct kcp_stream_origin *origin)
+                         const struct kcp_stream_origin *origin, bool write)
 {
-  uint64_t other;
   struct stream *stream;
 
   if (records == NULL)
     return;
   stream = add_stream (records, make_id (id), origin);
   stream->record.own = true;
-  if (kcp_software_versions_count (records->gateway->software_versions, origin->service,
-                                   &other)
-      > 1)
+  if (write)
     write_later (records, stream);
 }
 
--- a/src/forward/stream_records.h
+++ b/src/forward/stream_records.h
@@ -6,17 +6,10 @@
 #ifndef KCP_FORWARD_STREAM_RECORDS_H
 #define KCP_FORWARD_STREAM_RECORDS_H
 
-#include "forward/gateway.h"
+#include "forward/software_versions.h"
 
 struct kcp_stream_records;
 
-/* What began a stream; see kcp_software_key(). */
-struct kcp_stream_origin
-{
-  uint64_t service;
-  uint64_t software;
-};
-
 /* What a VM knows of a stream. */
 struct kcp_stream_record
 {
@@ -33,7 +26,7 @@
 kcp_stream_records_start (struct kcp_gateway *gateway, const struct kcp_store *store);
 void kcp_stream_records_stop (struct kcp_stream_records *records);
 void kcp_stream_records_note (struct kcp_stream_records *records, const char *id,
-                              const struct kcp_stream_origin *origin);
+                              const struct kcp_stream_origin *origin, bool write);
 void kcp_stream_records_write_own (struct kcp_stream_records *records);
 const struct kcp_stream_record *
 kcp_stream_records_find (const struct kcp_stream_records *records, const char *id);
--- a/tests/unit/test_stream_versions.c
+++ b/tests/unit/test_stream_versions.c
@@ -11,6 +11,7 @@
 
 #define VMS            2u
 #define SERVICE        "s"
+#define OTHER_SERVICE  "t"
 #define STEP_MS        20
 #define SOON_MS        200
 #define BEFORE_RETIRED 29000 /* ms after the last server of a version was listed */
@@ -46,6 +47,7 @@
                                                 .retry_window_s = 10,
                                                 .store_poll_ms = 60000 };
 static struct kcp_gateway vms[VMS];
+static struct kcp_route route;
 static struct kcp_resume_lookup lookup;
 static enum kcp_resume_decision decided;
 static uint64_t decided_software;
@@ -178,6 +180,15 @@
   vm->resume_lookups = kcp_resume_lookups_new (vm);
 }
 
+/* Has the route send a share of its streams to a service. */
+static void
+add_target (const char *service)
+{
+  struct kcp_target target = { .service = (char *)service, .weight = 1 };
+
+  g_array_append_val (route.targets, target);
+}
+
 static void
 set_up (void)
 {
@@ -188,6 +199,8 @@
       g_array_set_clear_func (state.topics[i], record_clear);
     }
   lookup = (struct kcp_resume_lookup){ 0 };
+  route.targets = g_array_new (FALSE, FALSE, sizeof (struct kcp_target));
+  add_target (SERVICE);
   start_vm (0);
 }
 
@@ -213,6 +226,7 @@
     stop_vm (i);
   for (unsigned i = 0; i < TOPICS; i++)
     g_array_unref (state.topics[i]);
+  g_array_unref (route.targets);
 }
 
 static void
@@ -236,13 +250,14 @@
 }
 
 static void
-add_server (struct kcp_gateway *vm, const char *id, const char *software)
+add_server_of (struct kcp_gateway *vm, const char *service, const char *id,
+               const char *software)
 {
   struct kcp_server_entry entry;
 
   kcp_server_entry_init (&entry);
   entry.id = g_strdup (id);
-  entry.service = g_strdup (SERVICE);
+  entry.service = g_strdup (service);
   entry.address = g_strdup_printf ("%s:1", id);
   entry.data_center = g_strdup ("z");
   entry.software = g_strdup (software);
@@ -252,6 +267,12 @@
   kcp_servers_apply (vm->servers, &entry);
 }
 
+static void
+add_server (struct kcp_gateway *vm, const char *id, const char *software)
+{
+  add_server_of (vm, SERVICE, id, software);
+}
+
 static void
 remove_server (struct kcp_gateway *vm, const char *id)
 {
@@ -269,7 +290,11 @@
     .software = kcp_software_key (at->entry.software),
   };
 
-  kcp_stream_records_note (vm->stream_records, id, &origin);
+  struct kcp_stream_origin other;
+
+  kcp_stream_records_note (
+      vm->stream_records, id, &origin,
+      kcp_software_versions_of_route (vm->software_versions, &route, &other) > 1);
 }
 
 static void
@@ -277,7 +302,7 @@
 {
   (void)user;
   decided = found->decision;
-  decided_software = found->software;
+  decided_software = found->origin.software;
 }
 
 /* Has a caller resume the stream, and lets time pass until that is decided. */
@@ -285,7 +310,7 @@
 resume (struct kcp_gateway *vm, const char *id)
 {
   decided = NOT_DECIDED;
-  kcp_resume_lookup_start (vm->resume_lookups, &lookup, id, SERVICE, on_decided, NULL);
+  kcp_resume_lookup_start (vm->resume_lookups, &lookup, id, &route, on_decided, NULL);
   for (int64_t passed = 0; decided == NOT_DECIDED && passed < REFUSED_IN_MS;
        passed += STEP_MS)
     pass (vm, STEP_MS);
@@ -583,6 +608,22 @@
 }
 END_TEST
 
+START_TEST (test_stream_of_a_split_route_goes_on_at_its_other_service)
+{
+  add_target (OTHER_SERVICE);
+  add_server (&vms[0], "a", "v1");
+  pass (&vms[0], SOON_MS);
+  begin_stream (&vms[0], "r1", "a");
+  expect_resumed_at (&vms[0], "r3", KCP_RESUME_AT_ONLY, "v1");
+  add_server_of (&vms[0], OTHER_SERVICE, "b", "v7");
+  pass (&vms[0], SOON_MS);
+  begin_stream (&vms[0], "r2", "b");
+  pass (&vms[0], SOON_MS);
+  expect_resumed_at (start_other ("a", "v1"), "r2", KCP_RESUME_AT_RECORDED, "v7");
+  ck_assert_int_eq (resume (&vms[1], "r3"), KCP_RESUME_REFUSE);
+}
+END_TEST
+
 START_TEST (test_entries_without_a_version_are_of_several)
 {
   add_server (&vms[0], "a", "");
@@ -644,6 +685,7 @@
   tcase_add_test (cases,
                   test_stream_goes_on_at_the_only_known_version_while_the_store_is_down);
   tcase_add_test (cases, test_stream_goes_on_at_the_only_version_of_an_old_list);
+  tcase_add_test (cases, test_stream_of_a_split_route_goes_on_at_its_other_service);
   tcase_add_test (cases, test_entries_without_a_version_are_of_several);
   tcase_add_loop_test (cases, test_resumed_stream_is_decided_wrongly, 0, DECISION_CASES);
   return run_started_suite ();
