fleet: a link that lost bytes passes no later ones on

Once the fault of one direction had ended, the proxy went on with the connection: a caller or VM got a stream with a gap, which no network makes of TCP. Such a connection is reset when the fault ends, and passes nothing on before.

--- a/soak/proxy.c
+++ b/soak/proxy.c
@@ -34,11 +34,13 @@
   int server; /* -1: it accepts no connection */
   int generation;
   bool resets; /* ends with a reset */
+  bool lost;   /* bytes to the client were discarded: no later ones may follow them */
 };
 
 static gpointer accept_all (gpointer user);
 static gpointer run_link (gpointer user);
 static bool transfer_block (struct link *link, int from, int to, bool to_client);
+static bool must_reset (const struct link *link);
 static bool is_stalled (const struct link *link);
 static int connect_to (int port);
 static void close_with_reset (int fd);
@@ -133,7 +135,7 @@
       struct pollfd wait[] = { { .fd = link->client, .events = POLLIN },
                                { .fd = link->server, .events = POLLIN } };
 
-      if (g_atomic_int_get (&link->proxy->fault) == PROXY_RESET)
+      if (must_reset (link))
         {
           link->resets = true;
           break;
@@ -150,7 +152,7 @@
       if (connected && wait[1].revents != 0)
         connected = transfer_block (link, link->server, link->client, true);
     }
-  if (link->resets || link->server < 0)
+  if (link->resets || link->lost || link->server < 0)
     {
       close_with_reset (link->client);
       if (link->server >= 0)
@@ -186,9 +188,9 @@
     g_usleep (DELAY_MS * G_TIME_SPAN_MILLISECOND);
   if (fault == PROXY_PIECES)
     g_usleep (PIECE_GAP_US);
-  if (fault == PROXY_ONE_WAY && to_client)
+  if ((fault == PROXY_ONE_WAY || link->lost) && to_client)
     {
-      link->resets = true;
+      link->lost = true;
       return true;
     }
   while (sent < count)
@@ -205,6 +207,16 @@
   return true;
 }
 
+/* Returns true if the connection is to be reset: now, or since the fault has ended in
+   which it lost bytes. */
+static bool
+must_reset (const struct link *link)
+{
+  enum proxy_fault fault = (enum proxy_fault)g_atomic_int_get (&link->proxy->fault);
+
+  return fault == PROXY_RESET || (link->lost && fault != PROXY_ONE_WAY);
+}
+
 /* Returns true if the connection is stalled. A stall applies to the connections that are
    open when it begins, until the fault ends. */
 static bool
