ORDER: a stream that a VM leaves to another one is never sent by this one

What callers would see: at a VM that the store does not answer, a stream that they take up goes on at another software version.

The VM passed the request on; if the other VM had ended, the hop counted as declined and the request went on as any other, unbound.

Now such a request is passed on to the next VM or refused, whatever ends the hop.

--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -330,6 +330,11 @@
       end_blocked (forward, &blocked);
       return;
     }
+  if (forward->version_unknown)
+    {
+      kcp_forward_leave_to_other_vm (forward);
+      return;
+    }
   choice->paths = kcp_reach_watch_paths (forward->gateway->reach_watch, choice->service);
   if (kcp_resend_passes_on (choice->paths, forward->unsent)
       && kcp_forward_pass_on (forward))
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -63,6 +63,7 @@
   unsigned unsent;          /* those of them that reached no server */
   unsigned declines;        /* VMs that declined it */
   bool route_sets_deadline; /* the deadline is the route's, not the caller's */
+  bool version_unknown;     /* only another VM may know which version began the stream */
 };
 
 /* forward_attempt.c */
@@ -119,6 +120,7 @@
 
 /* forward_resume.c */
 bool kcp_forward_look_up_version (struct kcp_forward *forward);
+void kcp_forward_leave_to_other_vm (struct kcp_forward *forward);
 void kcp_forward_skip_known_events (struct kcp_forward *forward);
 const char *kcp_forward_last_event (const struct kcp_forward *forward);
 bool kcp_forward_is_resumed (const struct kcp_forward *forward);
--- a/src/forward/forward_resume.c
+++ b/src/forward/forward_resume.c
@@ -8,6 +8,7 @@
 static void on_looked_up (void *user, const struct kcp_resume_found *found);
 static void
 log_resumed (const struct kcp_forward *forward, const struct kcp_resume_found *found);
+static void refuse (struct kcp_forward *forward);
 static bool set_service (struct kcp_forward *forward, uint64_t service);
 
 /* If the caller resumes a stream, looks for the version that began it and goes on with
@@ -63,14 +64,16 @@
   struct kcp_forward *forward = user;
 
   log_resumed (forward, found);
-  if (found->decision == KCP_RESUME_REFUSE && !found->store_answered
-      && kcp_forward_pass_on (forward))
-    return;
+  if (found->decision == KCP_RESUME_REFUSE && !found->store_answered)
+    {
+      forward->version_unknown = true;
+      kcp_forward_leave_to_other_vm (forward);
+      return;
+    }
   if (found->decision == KCP_RESUME_REFUSE
       || !set_service (forward, found->origin.service))
     {
-      kcp_counter_add (KCP_COUNT_RESUMES_REFUSED, 1);
-      kcp_forward_refuse (forward, "version_not_known");
+      refuse (forward);
       return;
     }
   forward->choice.bound = true;
@@ -78,6 +81,22 @@
   kcp_forward_send_next (forward);
 }
 
+/* Passes a request on whose version this VM cannot find out, or refuses it if there is no
+   further VM. This one never sends it to a server. */
+void
+kcp_forward_leave_to_other_vm (struct kcp_forward *forward)
+{
+  if (!kcp_forward_pass_on (forward))
+    refuse (forward);
+}
+
+static void
+refuse (struct kcp_forward *forward)
+{
+  kcp_counter_add (KCP_COUNT_RESUMES_REFUSED, 1);
+  kcp_forward_refuse (forward, "version_not_known");
+}
+
 static void
 log_resumed (const struct kcp_forward *forward, const struct kcp_resume_found *found)
 {
--- a/tests/process/test_versions_unseen.c
+++ b/tests/process/test_versions_unseen.c
@@ -129,6 +129,19 @@
 }
 END_TEST
 
+/* The other VM has just ended, and the one that is cut off does not know that yet. */
+START_TEST (test_cut_off_vm_sends_a_stream_that_no_other_one_takes)
+{
+  cut_off_from_store ();
+  list_server (NEWER, "v2");
+  unlist_server (OLDER);
+  learn ();
+  begin_stream ();
+  route_vm_kill (&route_vm);
+  expect_refused ("r2");
+}
+END_TEST
+
 START_TEST (test_stream_is_refused_while_one_version_serves)
 {
   unlist_server (OLDER);
@@ -147,6 +160,7 @@
   tcase_add_checked_fixture (cases, set_up, tear_down);
   tcase_set_timeout (cases, 60);
   tcase_add_test (cases, test_stream_is_resumed_at_the_version_that_a_cut_off_vm_knows);
+  tcase_add_test (cases, test_cut_off_vm_sends_a_stream_that_no_other_one_takes);
   tcase_add_test (cases, test_stream_is_refused_while_one_version_serves);
   return run_started_suite ();
 }
