--- a/soak/engine.h
+++ b/soak/engine.h
@@ -84,6 +84,10 @@
 void engine_record (const struct engine_process *process, const char *event,
                     const char *id, const char *detail);
 
+void engine_read_head (const char *head, struct engine_request *request);
+int64_t engine_read_body (const struct engine_request *request, const char *text,
+                          size_t len, long *sum);
+
 void engine_plan_request (struct engine_process *process, enum engine_fault fault,
                           const struct engine_request *request, struct engine_plan *plan);
 void engine_plan_clear (struct engine_plan *plan);
