Resumed streams: whether to ask another VM is a decision of its own

A stream with two records at its own VM was 'refused without the store's answer', which passed it on to a VM that may have read one of them only. The policy says pass_on now where the store has not answered, and refuse where records differ; the log shows which.

--- a/src/forward/feed_waiters.c
+++ b/src/forward/feed_waiters.c
@@ -26,8 +26,7 @@
 }
 
 /* Has the servers' list read now, so that this VM knows all servers that any other VM
-   knew when this function was called. done is called with the result, never from within
-   this function. */
+   knew when this function was called. done is called with the result. */
 void
 kcp_feed_read_servers (struct kcp_feed *feed, kcp_feed_servers_read *done, void *user)
 {
--- a/src/forward/forward_resume.c
+++ b/src/forward/forward_resume.c
@@ -56,15 +56,14 @@
          && (inbound->resumed_id != NULL || inbound->resume_after != NULL);
 }
 
-/* Goes on at the version that was found. A VM that the store does not answer leaves the
-   request to another one. */
+/* Goes on as was decided. */
 static void
 on_looked_up (void *user, const struct kcp_resume_found *found)
 {
   struct kcp_forward *forward = user;
 
   log_resumed (forward, found);
-  if (found->decision == KCP_RESUME_REFUSE && !found->store_answered)
+  if (found->decision == KCP_RESUME_PASS_ON)
     {
       forward->version_unknown = true;
       kcp_forward_leave_to_other_vm (forward);
--- a/src/forward/resume_lookup.h
+++ b/src/forward/resume_lookup.h
@@ -15,7 +15,7 @@
 struct kcp_resume_found
 {
   enum kcp_resume_decision decision; /* not KCP_RESUME_LOOK_AGAIN */
-  struct kcp_stream_origin origin;   /* where it goes on; not valid if it is refused */
+  struct kcp_stream_origin origin;   /* where it goes on, if this VM knows that */
   bool store_answered; /* the store was read for it; false: what this VM knew decided */
   unsigned versions;   /* in service, as far as this VM knows */
 };
--- a/src/forward/software_versions.c
+++ b/src/forward/software_versions.c
@@ -158,7 +158,7 @@
 }
 
 /* Returns how many origins a stream of a route may have: the versions in service of all
-   its services. Stores one of them in origin. */
+   its services. Stores one of them in origin. versions may be NULL. */
 unsigned
 kcp_software_versions_of_route (const struct kcp_software_versions *versions,
                                 const struct kcp_route *route,
@@ -166,7 +166,7 @@
 {
   unsigned count = 0;
 
-  for (guint i = 0; i < route->targets->len; i++)
+  for (guint i = 0; versions != NULL && i < route->targets->len; i++)
     {
       const struct kcp_target *target
           = &g_array_index (route->targets, struct kcp_target, i);
--- a/src/policy/resume_version.c
+++ b/src/policy/resume_version.c
@@ -1,9 +1,8 @@
 #include "policy/resume_version.h"
 
 static const char *const names[] = {
-  [KCP_RESUME_AT_RECORDED] = "recorded",
-  [KCP_RESUME_AT_ONLY] = "only_version",
-  [KCP_RESUME_LOOK_AGAIN] = "look_again",
+  [KCP_RESUME_AT_RECORDED] = "recorded",  [KCP_RESUME_AT_ONLY] = "only_version",
+  [KCP_RESUME_LOOK_AGAIN] = "look_again", [KCP_RESUME_PASS_ON] = "pass_on",
   [KCP_RESUME_REFUSE] = "refuse",
 };
 
@@ -16,7 +15,7 @@
   if (facts->recorded)
     return KCP_RESUME_AT_RECORDED;
   if (!facts->store_answered)
-    return KCP_RESUME_REFUSE;
+    return KCP_RESUME_PASS_ON;
   if (facts->versions == 1)
     return KCP_RESUME_AT_ONLY;
   if (facts->versions > 1 && !facts->looked_before)
--- a/src/policy/resume_version.h
+++ b/src/policy/resume_version.h
@@ -32,6 +32,7 @@
   KCP_RESUME_AT_RECORDED, /* at the version of the record */
   KCP_RESUME_AT_ONLY,     /* at the only version in service */
   KCP_RESUME_LOOK_AGAIN,  /* soon: the record may be on its way */
+  KCP_RESUME_PASS_ON,     /* another VM may know, if the store answers that one */
   KCP_RESUME_REFUSE
 };
 
