Streams of a split route are written when its second service comes into service

Found by the review of: a stream that began while only one service of its route had servers was not written as the other one's first server joined, nor again after the store came back older, since both looked at one service alone. Such a stream was refused when its caller took it up.

--- a/src/forward/software_versions.c
+++ b/src/forward/software_versions.c
@@ -68,6 +68,8 @@
 static void on_new_era (void *user, int64_t era);
 static struct row *ensure_row (struct kcp_software_versions *versions, uint64_t service,
                                uint64_t software, int64_t now_ns);
+static bool
+needs_origins (const struct kcp_software_versions *versions, uint64_t service);
 static struct row *
 find_row (struct kcp_software_versions *versions, uint64_t service, uint64_t software);
 static bool is_retired (const struct row *row, int64_t now_ns);
@@ -401,11 +403,9 @@
   for (guint i = 0; i < versions->rows->len; i++)
     {
       struct row *row = &g_array_index (versions->rows, struct row, i);
-      uint64_t other;
 
       row->stored = false;
-      several
-          = several || kcp_software_versions_count (versions, row->service, &other) > 1;
+      several = several || needs_origins (versions, row->service);
     }
   if (several)
     kcp_stream_records_write_own (versions->gateway->stream_records);
@@ -419,16 +419,37 @@
 {
   struct row row = { .service = service, .software = software, .listed_ns = now_ns };
   struct row *known = find_row (versions, service, software);
-  uint64_t other;
 
   if (known != NULL)
     return known;
   g_array_append_val (versions->rows, row);
-  if (kcp_software_versions_count (versions, service, &other) > 1)
+  if (needs_origins (versions, service))
     kcp_stream_records_write_own (versions->gateway->stream_records);
   return &g_array_index (versions->rows, struct row, versions->rows->len - 1);
 }
 
+/* Returns true if streams of the service, or of a split route, may have several
+   origins. */
+static bool
+needs_origins (const struct kcp_software_versions *versions, uint64_t service)
+{
+  const struct kcp_routes *routes = versions->gateway->routes;
+  struct kcp_stream_origin origin;
+  uint64_t other;
+
+  if (kcp_software_versions_count (versions, service, &other) > 1)
+    return true;
+  for (guint i = 0; routes != NULL && i < routes->routes->len; i++)
+    {
+      const struct kcp_route *route = g_ptr_array_index (routes->routes, i);
+
+      if (route->repeat == KCP_REPEAT_RESUMABLE && route->targets->len > 1
+          && kcp_software_versions_of_route (versions, route, &origin) > 1)
+        return true;
+    }
+  return false;
+}
+
 static struct row *
 find_row (struct kcp_software_versions *versions, uint64_t service, uint64_t software)
 {
--- a/tests/unit/test_stream_versions.c
+++ b/tests/unit/test_stream_versions.c
@@ -34,8 +34,11 @@
   GArray *topics[TOPICS]; /* struct record */
   int64_t first[TOPICS];  /* offset of the oldest record that is kept */
   unsigned calls;
-  bool down;   /* calls fail */
-  bool silent; /* calls are not answered */
+  bool down;                    /* calls fail */
+  bool silent;                  /* calls are not answered */
+  kcp_store_done *pending_done; /* of the newest call that was not answered */
+  void *pending_user;
+  unsigned server_calls; /* for the servers' list */
   kcp_store_era_handler *era_handlers[3 * VMS];
   void *era_users[3 * VMS];
   unsigned era_count;
@@ -59,7 +62,11 @@
 
   state.calls++;
   if (state.silent)
-    return true;
+    {
+      state.pending_done = done;
+      state.pending_user = user;
+      return true;
+    }
   if (state.down)
     done (user, &answer);
   return state.down;
@@ -98,6 +105,7 @@
 
   (void)self;
   (void)wait_ms;
+  state.server_calls += topic == KCP_STORE_SERVERS;
   if (fails (done, user))
     return;
   answer.records = g_array_new (FALSE, TRUE, sizeof (struct kcp_store_record));
@@ -608,9 +616,23 @@
 }
 END_TEST
 
-START_TEST (test_stream_of_a_split_route_goes_on_at_its_other_service)
+/* Splits the route between two services, also in a VM's configuration. */
+static void
+split_route (struct kcp_gateway *vm)
 {
+  struct kcp_route *split;
+
   add_target (OTHER_SERVICE);
+  vm->routes = kcp_routes_new (1);
+  split = kcp_routes_add_route (vm->routes);
+  split->repeat = KCP_REPEAT_RESUMABLE;
+  kcp_routes_add_target (split, SERVICE, 1);
+  kcp_routes_add_target (split, OTHER_SERVICE, 1);
+}
+
+START_TEST (test_stream_of_a_split_route_goes_on_at_its_other_service)
+{
+  split_route (&vms[0]);
   add_server (&vms[0], "a", "v1");
   pass (&vms[0], SOON_MS);
   begin_stream (&vms[0], "r1", "a");
@@ -620,6 +642,7 @@
   begin_stream (&vms[0], "r2", "b");
   pass (&vms[0], SOON_MS);
   expect_resumed_at (start_other ("a", "v1"), "r2", KCP_RESUME_AT_RECORDED, "v7");
+  expect_resumed_at (&vms[1], "r1", KCP_RESUME_AT_RECORDED, "v1");
   ck_assert_int_eq (resume (&vms[1], "r3"), KCP_RESUME_REFUSE);
 }
 END_TEST
