Lookups of streams do not wait behind a call that fails

Found by the review of: a lookup that came while the servers' list was being read waited for the next read. If that call failed, the next one was due after 250 to 500 ms, and each relay of the leader put it off by 1.5 intervals, so with a leader that reads on it never came: every take-up of a foreign stream at that VM waited 400 ms and was passed on or refused. Besides, each round read the list once more than needed.

Now a failed call ends the wait of all; relays leave the timer alone while somebody waits; and who has been served is off the list before the next call is scheduled.

--- a/src/forward/feed.c
+++ b/src/forward/feed.c
@@ -139,8 +139,9 @@
   record_outcome (reader, answer);
   if (answer->end != KCP_STORE_DONE)
     {
-      schedule_retry (reader);
       end_read (reader, false);
+      if (!reader->request_pending)
+        schedule_retry (reader);
       return;
     }
   if (reader->last_key == NULL)
@@ -161,17 +162,17 @@
 on_read (void *user, const struct kcp_store_answer *answer)
 {
   struct kcp_feed_reader *reader = user;
-  bool to_end;
 
   reader->request_pending = false;
   record_outcome (reader, answer);
   switch (answer->end)
     {
     case KCP_STORE_DONE:
-      to_end = apply_read_answer (reader, answer);
-      schedule_request (reader);
-      if (to_end)
+      if (apply_read_answer (reader, answer))
         end_read (reader, true);
+      /* Those who waited may have had the list read again. */
+      if (!reader->request_pending)
+        schedule_request (reader);
       break;
     case KCP_STORE_TRIMMED:
       KCP_LOG ("store_trimmed", KCP_LOG_INT ("topic", reader->topic),
@@ -182,8 +183,9 @@
     case KCP_STORE_CONFLICT:
     case KCP_STORE_FAILED:
       kcp_topic_end_on_failed (&reader->end);
-      schedule_retry (reader);
       end_read (reader, false);
+      if (!reader->request_pending)
+        schedule_retry (reader);
       break;
     }
 }
--- a/src/forward/feed_relay.c
+++ b/src/forward/feed_relay.c
@@ -106,7 +106,7 @@
   reader->next = relayed->next;
   if (relayed->records->len > 0)
     feed->changed (feed->user);
-  if (!reader->request_pending)
+  if (!reader->request_pending && !kcp_feed_has_waiters (feed))
     kcp_loop_timer_set (loop, &reader->timer, kcp_loop_now (loop) + wait_ns,
                         kcp_feed_request, reader);
 }
--- a/src/forward/feed_waiters.c
+++ b/src/forward/feed_waiters.c
@@ -34,7 +34,7 @@
 
   g_array_append_val (feed->waiting, waiter);
   if (feed->servers.request_pending)
-    return; /* its answer may be older; the next call is sent at once */
+    return; /* its answer may be older; after it the next call is sent at once */
   kcp_loop_timer_cancel (&feed->servers.timer);
   kcp_feed_request (&feed->servers);
 }
@@ -54,13 +54,19 @@
   return feed->reading->len > 0 || feed->waiting->len > 0;
 }
 
-/* Calls those for which the list has been read. */
+/* Calls those for which the list has been read; if the store did not answer, all: nobody
+   waits for the next try. */
 void
 kcp_feed_end_read (struct kcp_feed *feed, bool answered)
 {
   g_autoptr (GArray) done = feed->reading;
 
   feed->reading = new_waiters ();
+  if (!answered)
+    {
+      g_array_append_vals (done, feed->waiting->data, feed->waiting->len);
+      g_array_set_size (feed->waiting, 0);
+    }
   for (guint i = 0; i < done->len; i++)
     {
       const struct kcp_feed_waiter *waiter
--- a/tests/unit/test_stream_versions.c
+++ b/tests/unit/test_stream_versions.c
@@ -647,6 +647,49 @@
 }
 END_TEST
 
+static unsigned reads_ended;
+
+static void
+count_read (void *user, bool answered)
+{
+  (void)user;
+  reads_ended += !answered;
+}
+
+/* The store's list does not answer while a lookup waits behind a call in progress, and
+   then that call fails. */
+START_TEST (test_lookup_waits_for_ever_behind_a_call_that_fails)
+{
+  struct kcp_gateway *vm = &vms[0];
+  struct kcp_store_answer failed = { .end = KCP_STORE_FAILED, .reason = "down" };
+
+  reads_ended = 0;
+  state.silent = true;
+  vm->feed = kcp_feed_start (vm, &store, ignore_change, NULL);
+  kcp_feed_read_servers (vm->feed, count_read, NULL);
+  ck_assert_uint_eq (reads_ended, 0);
+  state.pending_done (state.pending_user, &failed);
+  ck_assert_uint_eq (reads_ended, 1);
+  kcp_feed_stop (vm->feed);
+}
+END_TEST
+
+START_TEST (test_list_is_read_twice_for_one_lookup)
+{
+  struct kcp_gateway *vm = &vms[0];
+  unsigned calls;
+
+  list_in_store ("a", "v1");
+  vm->feed = kcp_feed_start (vm, &store, ignore_change, NULL);
+  pass (vm, SOON_MS);
+  calls = state.server_calls;
+  expect_resumed_at (vm, "r1", KCP_RESUME_AT_ONLY, "v1");
+  pass (vm, SOON_MS);
+  ck_assert_uint_eq (state.server_calls, calls + 1);
+  kcp_feed_stop (vm->feed);
+}
+END_TEST
+
 START_TEST (test_entries_without_a_version_are_of_several)
 {
   add_server (&vms[0], "a", "");
@@ -710,6 +753,8 @@
                   test_stream_goes_on_at_the_only_known_version_while_the_store_is_down);
   tcase_add_test (cases, test_stream_goes_on_at_the_only_version_of_an_old_list);
   tcase_add_test (cases, test_stream_of_a_split_route_goes_on_at_its_other_service);
+  tcase_add_test (cases, test_lookup_waits_for_ever_behind_a_call_that_fails);
+  tcase_add_test (cases, test_list_is_read_twice_for_one_lookup);
   tcase_add_test (cases, test_entries_without_a_version_are_of_several);
   tcase_add_loop_test (cases, test_resumed_stream_is_decided_wrongly, 0, DECISION_CASES);
   return run_started_suite ();
