--- a/tests/process/test_software_versions.c
+++ b/tests/process/test_software_versions.c
@@ -173,6 +173,7 @@
   route_vm_kill (vm_group_at (0));
   route_vm_kill (vm_group_at (1));
   caller_streams_finish ();
+  ck_assert_uint_gt (older->runs, 0);
   older->mode = FAKE_ANSWER;
   caller_streams_take_up (vm_group_at (2), vm_group_at (3));
   ck_assert_uint_ge (caller_streams_expect_not_joined (), GOES_ON);
