fleet: only links that are cut excuse two servers at work on a stream

Found by the review: delays and small pieces excused it as well, though the VM reaches the server; the rule excuses only one that it does not reach.

--- a/soak/fleet_links.c
+++ b/soak/fleet_links.c
@@ -19,7 +19,7 @@
   int64_t restore_us; /* 0: it is sound */
 };
 
-/* A fault of a server's link. */
+/* A fault by which a server is not reached. */
 struct fault
 {
   unsigned server;
@@ -107,7 +107,9 @@
       = now_us
         + g_rand_int_range (fleet.random, FAULT_MIN_MS, FAULT_MAX_MS) * (int64_t)1000;
   proxy_set_fault (link->proxy, fault);
-  if (link < server_links || link >= server_links + fleet.server_count)
+  /* Behind a delay or in small pieces a server is reached. */
+  if (fault == PROXY_DELAY || fault == PROXY_PIECES || link < server_links
+      || link >= server_links + fleet.server_count)
     return;
   noted.server = (unsigned)(link - server_links);
   noted.to_us = link->restore_us;
