tests: VMs are killed once all streams have begun, not after a fixed time

The fake servers count the streams whose first event they have sent, and the test waits for all of them, 2 s at most. The checks are the same.

--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -67,6 +67,7 @@
   bool ignores_orders; /* accepts orders and does not carry them out; set by the test */
   int64_t orders_taken;
   unsigned runs;            /* requests that it executed */
+  unsigned streams_begun;   /* streams whose first event it has sent */
   unsigned in_flight;       /* requests in progress */
   unsigned starts;          /* incarnations after the first */
   bool crashing;            /* its process is ending or has ended */
@@ -111,6 +112,7 @@
 unsigned fake_platform_crash_count (struct fake_platform *platform);
 int64_t fake_platform_crash_us (struct fake_platform *platform, unsigned number);
 unsigned fake_platform_sent_after (struct fake_platform *platform, int64_t time_us);
+unsigned fake_server_streams_begun (struct fake_server *server);
 unsigned fake_server_count_arrivals (struct fake_server *server, int64_t from_us);
 unsigned fake_server_peak_arrivals (struct fake_server *server, int64_t from_us,
                                     int64_t window_us);
--- a/tests/harness/fake_server.c
+++ b/tests/harness/fake_server.c
@@ -14,6 +14,7 @@
   GString *text;
   size_t sent;
   bool interrupted;
+  bool begun; /* its first event was sent */
 };
 
 static void
@@ -118,6 +119,28 @@
   return false;
 }
 
+/* Counts the stream among those that have begun, once. */
+static void
+note_begun (struct stream *stream)
+{
+  pthread_mutex_lock (&stream->server->platform->lock);
+  stream->server->streams_begun += !stream->begun;
+  pthread_mutex_unlock (&stream->server->platform->lock);
+  stream->begun = true;
+}
+
+/* Returns the number of streams whose first event the server has sent. */
+unsigned
+fake_server_streams_begun (struct fake_server *server)
+{
+  unsigned begun;
+
+  pthread_mutex_lock (&server->platform->lock);
+  begun = server->streams_begun;
+  pthread_mutex_unlock (&server->platform->lock);
+  return begun;
+}
+
 static ssize_t
 read_stream (void *user, uint64_t position, char *out, size_t max)
 {
@@ -132,7 +155,10 @@
   memcpy (out, stream->text->str + stream->sent, count);
   stream->sent += count;
   if (ends_event (stream, count))
-    g_usleep (stream->server->event_gap_ms * G_TIME_SPAN_MILLISECOND);
+    {
+      g_usleep (stream->server->event_gap_ms * G_TIME_SPAN_MILLISECOND);
+      note_begun (stream);
+    }
   g_usleep (G_TIME_SPAN_MILLISECOND);
   return (ssize_t)count;
 }
--- a/tests/process/test_software_versions.c
+++ b/tests/process/test_software_versions.c
@@ -10,11 +10,12 @@
 
 #define SERVERS      4u
 #define GAP_MS       250 /* between events; a stream has FAKE_STREAM_EVENTS of them */
-#define BROKEN_AT_MS 600
+#define FAILED_MS    600 /* after that, streams whose first try failed have events */
+#define BEGUN_MAX_MS 2000
+#define RELAYED_MS   100 /* from a server to its caller */
 #define SETTLE_MS    400 /* in which VMs learn of a changed list */
 #define GOES_ON      (CALLER_STREAMS / 2)
 #define READ_AT_MS   200 /* when other VMs read the records */
-#define FAILED_AT_MS 950 /* by then streams whose first try failed have events */
 #define INTERRUPTED  20u /* streams that are interrupted within their answer */
 
 /* Gives the servers their software versions: the first ones the older. */
@@ -50,6 +51,26 @@
   g_usleep (SETTLE_MS * G_TIME_SPAN_MILLISECOND);
 }
 
+/* Waits until servers have sent the first event of each stream, at most limit_ms, and
+   callers have it. Returns the number of streams that have begun. */
+static unsigned
+wait_until_begun (int64_t limit_ms)
+{
+  int64_t end_us = g_get_monotonic_time () + limit_ms * G_TIME_SPAN_MILLISECOND;
+  unsigned begun;
+
+  do
+    {
+      g_usleep (G_TIME_SPAN_MILLISECOND);
+      begun = 0;
+      for (unsigned i = 0; i < SERVERS; i++)
+        begun += fake_server_streams_begun (fake_platform_server (route_vm.platform, i));
+    }
+  while (begun < CALLER_STREAMS && g_get_monotonic_time () < end_us);
+  g_usleep (RELAYED_MS * G_TIME_SPAN_MILLISECOND);
+  return begun;
+}
+
 /* Begins the streams at the first two VMs, of which each has a half, and waits until each
    has some events. */
 static void
@@ -57,7 +78,7 @@
 {
   settle ();
   caller_streams_start (vm_group_at (0), vm_group_at (1));
-  g_usleep (BROKEN_AT_MS * G_TIME_SPAN_MILLISECOND);
+  ck_assert_uint_eq (wait_until_begun (BEGUN_MAX_MS), CALLER_STREAMS);
 }
 
 /* Kills the VMs that have the streams. */
@@ -156,20 +177,17 @@
 START_TEST (test_stream_is_taken_up_at_the_version_of_a_try_that_brought_no_event)
 {
   struct fake_server *older = fake_platform_server (route_vm.platform, 0);
-  int64_t begin_us;
 
   set_software ("v2", "v2");
   older->software = "v1";
   older->mode = FAKE_HANG_UP_LATE;
   fake_platform_put_server (route_vm.platform, 0, "ready");
   settle ();
-  begin_us = g_get_monotonic_time ();
   caller_streams_start (vm_group_at (0), vm_group_at (1));
   g_usleep (READ_AT_MS * G_TIME_SPAN_MILLISECOND);
   read_records (vm_group_at (2));
   read_records (vm_group_at (3));
-  g_usleep ((gulong)MAX (
-      begin_us + FAILED_AT_MS * G_TIME_SPAN_MILLISECOND - g_get_monotonic_time (), 0));
+  (void)wait_until_begun (FAILED_MS);
   route_vm_kill (vm_group_at (0));
   route_vm_kill (vm_group_at (1));
   caller_streams_finish ();
