tests: crowds of callers whose bodies never end

Cause: callers that are not under our control may send bodies that stop short of their end, or exceed the limit, on many connections. A body has a limit, all together have none.

--- a/tests/harness/process_memory.h
+++ b/tests/harness/process_memory.h
@@ -1,4 +1,4 @@
-/* Reads how much memory a child process of a test uses. */
+/* Reads how much memory and how many files a child process of a test uses. */
 #ifndef KCP_TESTS_HARNESS_PROCESS_MEMORY_H
 #define KCP_TESTS_HARNESS_PROCESS_MEMORY_H
 
@@ -17,5 +17,6 @@
 #define PROCESS_MEMORY_ANONYMOUS "RssAnon:" /* without the pages of files */
 
 long process_memory_kb (pid_t pid, const char *field);
+int process_open_files (pid_t pid);
 
 #endif
