Request bodies have a limit for all together; idle connections yield

Cause: an unfinished body kept its memory as long as its connection lived, and nothing bounded all of them; connections without a request filled the listener's limit.

A body is dropped once it exceeds the limit of one, and the unfinished one that has held the most bytes for the longest once all exceed an eighth of the process's memory (route, callers.bodies_mb) or 16 times the largest (serve, callers.max_bodies_bytes). Its caller gets 413, or 503 (serve: 429) with when to retry, both before it ran; one that sends on without end is disconnected. At seven eighths of the connections the one without a complete request for the longest is closed. Ruled out: reserving announced lengths, which a caller that sends nothing could use to keep others out.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -74,6 +74,10 @@
   = { "passed_on", "Requests passed on to a VM that reaches a server" },
   [KCP_COUNT_TAKEN_OVER]
   = { "taken_over", "Requests that another VM passed on to this one" },
+  [KCP_COUNT_BODIES_DROPPED]
+  = { "bodies_dropped", "Requests refused as all bodies together were too large" },
+  [KCP_COUNT_CONNECTIONS_EVICTED]
+  = { "connections_evicted", "Callers' connections closed to make room for others" },
   [KCP_COUNT_STREAMS_PAUSED]
   = { "streams_paused", "Times a server was not read because its caller did not read" },
 };
--- a/src/forward/caller_exchange.c
+++ b/src/forward/caller_exchange.c
@@ -1,6 +1,7 @@
 #include <errno.h>
 #include <string.h>
 
+#include "base/counter.h"
 #include "base/decision_log.h"
 #include "forward/caller_head.h"
 #include "forward/caller_private.h"
@@ -13,6 +14,8 @@
 #define DEFAULT_BODY_MAX    (8 << 20)  /* bytes; applies without a configured limit */
 #define LINE_EXTRA_BYTES    4u         /* colon, blank and line end of a header line */
 #define STATUS_BAD_REQUEST  MHD_HTTP_BAD_REQUEST
+/* After which a caller whose body was dropped for lack of memory may come again. */
+#define NO_MEMORY_RETRY_AFTER_S "1"
 
 /* One HTTP exchange: a caller's request and its answer. */
 struct kcp_caller_exchange
@@ -20,6 +23,7 @@
   struct kcp_caller_listener *listener;
   struct MHD_Connection *connection;
   struct kcp_inbound *inbound; /* NULL once the request has been started */
+  struct kcp_body body;        /* of the request, while it is being received */
   struct kcp_forward *forward;
   struct kcp_answer answer;
   struct kcp_head_size head_size;
@@ -34,10 +38,14 @@
 static bool is_from_vm (const struct kcp_caller_exchange *exchange);
 static void set_idle_timeout (const struct kcp_caller_exchange *exchange);
 static size_t body_max (const struct kcp_gateway *gateway);
+static struct kcp_body_limits body_limits (const struct kcp_gateway *gateway);
+static enum MHD_Result
+receive_body (struct kcp_caller_exchange *exchange, struct kcp_str bytes);
 static bool
 body_is_too_large (struct MHD_Connection *connection, const struct kcp_gateway *gateway);
 static enum MHD_Result
 reject (struct kcp_caller_exchange *exchange, unsigned status, const char *problem);
+static enum MHD_Result reject_body (struct kcp_caller_exchange *exchange);
 static enum MHD_Result advance (struct kcp_caller_exchange *exchange);
 static void on_changed (void *user);
 static enum MHD_Result send_answer (struct kcp_caller_exchange *exchange);
@@ -61,7 +69,6 @@
   exchange->connection = connection;
   exchange->inbound = g_new0 (struct kcp_inbound, 1);
   exchange->inbound->target = g_strdup (uri);
-  exchange->inbound->body = g_string_new (NULL);
   kcp_answer_init (&exchange->answer, on_changed, exchange);
   return exchange;
 }
@@ -74,8 +81,8 @@
                       size_t *size, void **state)
 {
   struct kcp_caller_exchange *exchange = *state;
-  const struct kcp_caller_listener *listener = user;
 
+  (void)user;
   (void)connection;
   (void)url;
   if (exchange->disconnected)
@@ -87,12 +94,10 @@
     }
   if (*size > 0)
     {
-      if (exchange->inbound->body->len + *size <= body_max (listener->server->gateway))
-        g_string_append_len (exchange->inbound->body, data, (gssize)*size);
-      else
-        exchange->answer.status = MHD_HTTP_CONTENT_TOO_LARGE;
+      struct kcp_str bytes = { .data = data, .len = *size };
+
       *size = 0;
-      return MHD_YES;
+      return receive_body (exchange, bytes);
     }
   return advance (exchange);
 }
@@ -111,9 +116,13 @@
     return;
   *state = NULL;
   if (caller != NULL)
-    caller->exchange = NULL;
+    {
+      caller->exchange = NULL;
+      caller->since_ns = kcp_loop_now (exchange->listener->server->gateway->loop);
+    }
   exchange->disconnected = true;
   free_forward (exchange);
+  kcp_body_end (&exchange->body);
   kcp_answer_clear (&exchange->answer);
   if (exchange->inbound != NULL)
     kcp_inbound_clear (exchange->inbound);
@@ -121,6 +130,13 @@
   g_free (exchange);
 }
 
+/* Returns true if the request was received to its end. */
+bool
+kcp_caller_exchange_is_started (const struct kcp_caller_exchange *exchange)
+{
+  return exchange->forward != NULL;
+}
+
 /* Ends the request of a caller that has closed its connection, or its sending side: an
    answer that is complete is still sent. */
 void
@@ -171,6 +187,8 @@
     return reject (exchange, MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large");
   if (body_is_too_large (connection, exchange->listener->server->gateway))
     return reject (exchange, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large");
+  kcp_body_begin (&exchange->listener->server->gateway->bodies, &exchange->body,
+                  kcp_loop_now (exchange->listener->server->gateway->loop));
   return MHD_YES;
 }
 
@@ -228,6 +246,36 @@
   return max_bytes > 0 ? (size_t)max_bytes : DEFAULT_BODY_MAX;
 }
 
+static struct kcp_body_limits
+body_limits (const struct kcp_gateway *gateway)
+{
+  const struct kcp_forward_settings *settings = gateway->settings;
+  size_t one = body_max (gateway);
+
+  return (struct kcp_body_limits){
+    .one = one,
+    .all = settings->callers_bodies_mb > 0
+               ? MAX ((size_t)settings->callers_bodies_mb << 20, one)
+               : kcp_body_limits_all (settings->vm_memory_mb << 20, one),
+  };
+}
+
+/* Takes a part of the body. What a dropped body still brings is discarded, so that its
+   caller gets an answer; a caller that sends without end is disconnected. */
+static enum MHD_Result
+receive_body (struct kcp_caller_exchange *exchange, struct kcp_str bytes)
+{
+  const struct kcp_gateway *gateway = exchange->listener->server->gateway;
+  struct kcp_body_limits limits = body_limits (gateway);
+
+  if (exchange->body.memory == NULL
+      || kcp_body_receive (&exchange->body, bytes, &limits, kcp_loop_now (gateway->loop)))
+    return MHD_YES;
+  KCP_LOG ("body_without_end", KCP_LOG_TEXT ("request", exchange->inbound->id),
+           KCP_LOG_INT ("discarded_bytes", exchange->body.discarded_bytes));
+  return MHD_NO;
+}
+
 static bool
 body_is_too_large (struct MHD_Connection *connection, const struct kcp_gateway *gateway)
 {
@@ -256,6 +304,9 @@
       KCP_LOG_INT ("head_elements", exchange->head_size.elements),
       KCP_LOG_INT ("answer_head_bytes", answer_head_bytes (&exchange->answer)));
   MHD_add_response_header (response, MHD_HTTP_HEADER_CONNECTION, "close");
+  if (status == MHD_HTTP_SERVICE_UNAVAILABLE)
+    MHD_add_response_header (response, MHD_HTTP_HEADER_RETRY_AFTER,
+                             NO_MEMORY_RETRY_AFTER_S);
   if (exchange->listener->server->kind == KCP_CALLING_VMS && exchange->forward == NULL)
     kcp_hop_add_answer_lines (response, KCP_HOP_DECLINED, 0);
   result = MHD_queue_response (exchange->connection, status, response);
@@ -263,17 +314,28 @@
   return result;
 }
 
-/* Starts the request, or rejects it if its body was too large. Then sends the answer if
+/* Rejects a request whose body was dropped. It has not run. */
+static enum MHD_Result
+reject_body (struct kcp_caller_exchange *exchange)
+{
+  if (exchange->body.state == KCP_BODY_TOO_LARGE)
+    return reject (exchange, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large");
+  kcp_counter_add (KCP_COUNT_BODIES_DROPPED, 1);
+  return reject (exchange, MHD_HTTP_SERVICE_UNAVAILABLE, "no_memory_for_body");
+}
+
+/* Starts the request, or rejects it if its body was dropped. Then sends the answer if
    it has begun, or suspends the connection. */
 static enum MHD_Result
 advance (struct kcp_caller_exchange *exchange)
 {
-  if (exchange->answer.status == MHD_HTTP_CONTENT_TOO_LARGE && exchange->forward == NULL)
-    return reject (exchange, MHD_HTTP_CONTENT_TOO_LARGE, "body_too_large");
   if (exchange->forward == NULL)
     {
       struct kcp_inbound *inbound = exchange->inbound;
 
+      inbound->body = kcp_body_complete (&exchange->body);
+      if (inbound->body == NULL)
+        return reject_body (exchange);
       exchange->inbound = NULL;
       exchange->forward = kcp_forward_start (exchange->listener->server->gateway, inbound,
                                              &exchange->answer);
--- a/src/forward/caller_private.h
+++ b/src/forward/caller_private.h
@@ -35,6 +35,8 @@
   struct MHD_Connection *connection;
   struct kcp_caller_exchange *exchange; /* in progress, or NULL */
   bool peer_closed;
+  bool evicted;     /* closed to make room for another connection */
+  int64_t since_ns; /* when it was accepted, or when its last request ended */
 };
 
 /* caller_exchange.c: callbacks of the daemon; the user pointer is the listener. */
@@ -45,6 +47,7 @@
                       size_t *size, void **state);
 void kcp_caller_on_completed (void *user, struct MHD_Connection *connection, void **state,
                               enum MHD_RequestTerminationCode code);
+bool kcp_caller_exchange_is_started (const struct kcp_caller_exchange *exchange);
 void kcp_caller_exchange_cancel (struct kcp_caller_exchange *exchange);
 void
 kcp_caller_exchange_give_up (struct kcp_caller_exchange *exchange, const char *reason);
--- a/src/forward/caller_server.c
+++ b/src/forward/caller_server.c
@@ -1,7 +1,9 @@
 #include <fcntl.h>
 #include <sys/epoll.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
+#include "base/counter.h"
 #include "base/decision_log.h"
 #include "forward/caller_private.h"
 
@@ -9,6 +11,9 @@
 #define CLOSING_TIMEOUT_S 1u
 /* Other VMs may have as many connections as callers, divided by this. */
 #define VM_CONNECTIONS_DIVISOR 8u
+/* One part in FREE_DIVISOR of the connections is kept free, by closing those without a
+   request. */
+#define FREE_DIVISOR 8u
 /* Connections that wait to be accepted. Of VMs few may, so that a VM whose connection is
    not accepted soon finds another VM. */
 #define CALLERS_BACKLOG     511u
@@ -26,6 +31,7 @@
 static void stop_accepting (struct kcp_caller_listener *listener);
 static void for_each_caller (struct kcp_caller_server *server, caller_action *action,
                              const char *reason);
+static void make_room (struct kcp_caller_listener *listener);
 static void close_if_idle (struct kcp_caller *caller, const char *reason);
 static void give_up (struct kcp_caller *caller, const char *reason);
 static void cancel (struct kcp_caller *caller, const char *reason);
@@ -266,7 +272,9 @@
       caller->fd = MHD_get_connection_info (connection, MHD_CONNECTION_INFO_CONNECTION_FD)
                        ->connect_fd;
       caller->connection = connection;
+      caller->since_ns = kcp_loop_now (server->gateway->loop);
       *state = caller;
+      make_room (listener);
       g_hash_table_add (server->callers, caller);
       kcp_poller_watch (poller, caller->fd, EPOLLRDHUP | EPOLLET, on_disconnected,
                         caller);
@@ -280,6 +288,39 @@
   *state = NULL;
 }
 
+/* Closes a connection if few more would be accepted: that which has been without a
+   complete request for the longest. Otherwise callers that send none, or never end one,
+   would keep all others out until their connections time out. */
+static void
+make_room (struct kcp_caller_listener *listener)
+{
+  struct kcp_caller_server *server = listener->server;
+  unsigned max = listener->memory.connections_max;
+  struct kcp_caller *oldest = NULL;
+  GHashTableIter iter;
+  gpointer item;
+
+  if (g_hash_table_size (server->callers) < max - max / FREE_DIVISOR)
+    return;
+  g_hash_table_iter_init (&iter, server->callers);
+  while (g_hash_table_iter_next (&iter, &item, NULL))
+    {
+      struct kcp_caller *caller = item;
+
+      if (caller->evicted
+          || (caller->exchange != NULL
+              && kcp_caller_exchange_is_started (caller->exchange)))
+        continue;
+      if (oldest == NULL || caller->since_ns < oldest->since_ns)
+        oldest = caller;
+    }
+  if (oldest == NULL)
+    return;
+  oldest->evicted = true;
+  kcp_counter_add (KCP_COUNT_CONNECTIONS_EVICTED, 1);
+  (void)shutdown (oldest->fd, SHUT_RDWR);
+}
+
 /* Ends the request of a caller that has closed its connection. */
 static void
 on_disconnected (void *user, uint32_t events)
--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -33,6 +33,7 @@
   for (unsigned i = 0; i < KCP_SUSPECT_KINDS; i++)
     gateway->quarantines[i] = kcp_crash_suspects_new ((enum kcp_suspect_kind)i);
   gateway->answered_parts = kcp_answered_parts_new ();
+  kcp_body_memory_init (&gateway->bodies);
   gateway->crash_watch = kcp_crash_watch_new (gateway->loop, on_crash, gateway);
   gateway->reach_watch = kcp_reach_watch_new (gateway->loop, gateway->servers);
 }
@@ -47,6 +48,7 @@
   for (unsigned i = 0; i < KCP_SUSPECT_KINDS; i++)
     kcp_quarantine_free (gateway->quarantines[i]);
   kcp_answered_parts_free (gateway->answered_parts);
+  kcp_body_memory_clear (&gateway->bodies);
   kcp_loop_free (gateway->loop);
   kcp_servers_free (gateway->servers);
   g_ptr_array_unref (gateway->desired_weights);
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -15,6 +15,7 @@
 #include "forward/servers.h"
 #include "policy/answer_limits.h"
 #include "policy/answered_parts.h"
+#include "policy/body_memory.h"
 #include "policy/quarantine.h"
 #include "policy/resend.h"
 #include "policy/suspect.h"
@@ -71,8 +72,9 @@
   bool draining; /* the load balancer is asked to send no connections */
   bool closing;  /* new requests are refused; the balancer sends none */
   unsigned open_requests;
-  size_t answer_bytes;  /* memory of the answers of all open requests */
-  unsigned sharing_vms; /* VMs among which bursts of retries are divided */
+  size_t answer_bytes;           /* memory of the answers of all open requests */
+  struct kcp_body_memory bodies; /* of all requests */
+  unsigned sharing_vms;          /* VMs among which bursts of retries are divided */
 };
 
 void kcp_gateway_init (struct kcp_gateway *gateway,
--- a/src/http/caller_api.c
+++ b/src/http/caller_api.c
@@ -10,26 +10,33 @@
 #include "http/close_delimited.h"
 #include "http/listener.h"
 #include "http/responder.h"
+#include "policy/body_memory.h"
 #include "request/request.h"
 
 #define STEP             "entry"
 #define READ_BLOCK_BYTES (4u << 10)
 #define RETRY_AFTER_S    1
+/* Bodies of the largest size that all together may take if the settings do not say. */
+#define BODIES_DEFAULT 16u
 
 struct kcp_caller_api
 {
   struct kcp_router *router;
   struct kcp_listener listener;
   unsigned exchanges; /* number of calls whose answer is not completely sent; atomic */
+  GMutex lock;        /* of the bodies */
+  struct kcp_body_memory bodies;
 };
 
 /* One HTTP exchange. Only the server's thread accesses it, except that resume() may be
-   called from any thread. */
+   called from any thread, and that any thread may drop its body. */
 struct exchange
 {
   struct kcp_caller_api *api;
   struct MHD_Connection *connection;
-  struct kcp_call *call; /* NULL once the request has been started */
+  struct kcp_call *call;  /* NULL once the request has been started */
+  struct kcp_body body;   /* used under the lock of the bodies */
+  size_t discarded_bytes; /* of the body of a refused call */
   struct kcp_reply *reply;
   struct kcp_request *request;
   struct kcp_error error; /* unless KCP_OK, sent as the answer after the body is read */
@@ -74,7 +81,11 @@
 static enum MHD_Result
 count_header (void *user, enum MHD_ValueKind kind, const char *key, const char *value);
 static char *dup_header (struct MHD_Connection *connection, const char *name);
-static void append_body (struct exchange *exchange, const char *data, size_t size);
+static void begin_body (struct exchange *exchange);
+static enum MHD_Result receive_body (struct exchange *exchange, struct kcp_str bytes);
+static struct kcp_body_limits body_limits (const struct exchange *exchange);
+static void complete_body (struct exchange *exchange);
+static void end_body (struct exchange *exchange);
 static enum MHD_Result start_or_reply (struct exchange *exchange);
 static enum MHD_Result send_reply (struct exchange *exchange);
 static int connection_fd (const struct exchange *exchange);
@@ -109,6 +120,7 @@
   };
 
   api->router = router;
+  kcp_body_memory_init (&api->bodies);
   if (kcp_listener_start (&api->listener, &options, error))
     return api;
   kcp_caller_api_stop (api);
@@ -122,6 +134,7 @@
   if (api == NULL)
     return;
   kcp_listener_stop (&api->listener);
+  kcp_body_memory_clear (&api->bodies);
   g_free (api);
 }
 
@@ -155,9 +168,10 @@
     }
   if (*size > 0)
     {
-      append_body (exchange, data, *size);
+      struct kcp_str bytes = { .data = data, .len = *size };
+
       *size = 0;
-      return MHD_YES;
+      return receive_body (exchange, bytes);
     }
   return start_or_reply (exchange);
 }
@@ -178,6 +192,7 @@
     kcp_request_cancel (exchange->request);
   kcp_request_unref (exchange->request);
   kcp_reply_unref (exchange->reply);
+  end_body (exchange);
   kcp_call_free (exchange->call);
   ck_pr_dec_uint (&exchange->api->exchanges);
   g_free (exchange);
@@ -217,6 +232,7 @@
   call->deadline_ms = dup_header (connection, "Kingcuppoint-Deadline-Ms");
   call->content_type = dup_header (connection, "Content-Type");
   exchange->call = call;
+  begin_body (exchange);
   return true;
 }
 
@@ -304,19 +320,85 @@
 }
 
 static void
-append_body (struct exchange *exchange, const char *data, size_t size)
+begin_body (struct exchange *exchange)
 {
-  size_t limit = (size_t)exchange->api->router->settings->callers_max_body_bytes;
+  struct kcp_caller_api *api = exchange->api;
 
-  if (exchange->error.code != KCP_OK)
-    return;
-  if (exchange->call->body->len + size > limit)
+  g_mutex_lock (&api->lock);
+  kcp_body_begin (&api->bodies, &exchange->body,
+                  kcp_clock_monotonic_ns (api->router->clock));
+  g_mutex_unlock (&api->lock);
+}
+
+/* Takes a part of the body. What a refused call still brings is discarded, so that its
+   caller gets an answer; a caller that sends without end is disconnected. */
+static enum MHD_Result
+receive_body (struct exchange *exchange, struct kcp_str bytes)
+{
+  struct kcp_caller_api *api = exchange->api;
+  struct kcp_body_limits limits = body_limits (exchange);
+  bool ends;
+
+  if (exchange->call == NULL)
     {
-      kcp_error_set (&exchange->error, KCP_ERR_TOO_LARGE, STEP, NULL,
-                     "body: more than %zu bytes", limit);
-      return;
+      exchange->discarded_bytes += bytes.len;
+      return exchange->discarded_bytes <= limits.one ? MHD_YES : MHD_NO;
     }
-  g_string_append_len (exchange->call->body, data, (gssize)size);
+  g_mutex_lock (&api->lock);
+  ends = kcp_body_receive (&exchange->body, bytes, &limits,
+                           kcp_clock_monotonic_ns (api->router->clock));
+  g_mutex_unlock (&api->lock);
+  return ends ? MHD_YES : MHD_NO;
+}
+
+static struct kcp_body_limits
+body_limits (const struct exchange *exchange)
+{
+  const struct kcp_settings *settings = exchange->api->router->settings;
+  size_t one = (size_t)settings->callers_max_body_bytes;
+  size_t all = (size_t)settings->callers_max_bodies_bytes;
+
+  return (struct kcp_body_limits){ .one = one,
+                                   .all
+                                   = all > 0 ? MAX (all, one) : one * BODIES_DEFAULT };
+}
+
+/* Gives the call its body, or sets exchange->error if that was dropped. */
+static void
+complete_body (struct exchange *exchange)
+{
+  struct kcp_caller_api *api = exchange->api;
+  struct kcp_body_limits limits = body_limits (exchange);
+  enum kcp_body_state state;
+  GString *text;
+
+  g_mutex_lock (&api->lock);
+  text = kcp_body_complete (&exchange->body);
+  state = exchange->body.state;
+  g_mutex_unlock (&api->lock);
+  if (text != NULL)
+    {
+      g_string_free (exchange->call->body, TRUE);
+      exchange->call->body = text;
+    }
+  else if (state == KCP_BODY_TOO_LARGE)
+    kcp_error_set (&exchange->error, KCP_ERR_TOO_LARGE, STEP, NULL,
+                   "body: more than %zu bytes", limits.one);
+  else
+    {
+      kcp_counter_add (KCP_COUNT_BODIES_DROPPED, 1);
+      kcp_error_set (&exchange->error, KCP_ERR_OVERLOADED, STEP, NULL,
+                     "all bodies together: more than %zu bytes", limits.all);
+      exchange->error.retry_after_s = RETRY_AFTER_S;
+    }
+}
+
+static void
+end_body (struct exchange *exchange)
+{
+  g_mutex_lock (&exchange->api->lock);
+  kcp_body_end (&exchange->body);
+  g_mutex_unlock (&exchange->api->lock);
 }
 
 /* Sends the error of a refused exchange. Otherwise starts the request, if it has not been
@@ -326,6 +408,8 @@
 {
   struct kcp_router *router = exchange->api->router;
 
+  if (exchange->error.code == KCP_OK && exchange->request == NULL)
+    complete_body (exchange);
   if (exchange->error.code != KCP_OK)
     return exchange->framing_ambiguous
                ? kcp_responder_send_problem_and_close (exchange->connection,
--- a/src/settings/forward_settings.c
+++ b/src/settings/forward_settings.c
@@ -29,6 +29,7 @@
   NAME ("vm", "data_center", vm_data_center),
   INT ("vm", "memory_mb", vm_memory_mb, 16, 1 << 20, 256),
   ADDRESS ("callers", "listen", callers_listen, true),
+  INT ("callers", "bodies_mb", callers_bodies_mb, 0, 1 << 20, 0),
   ADDRESS ("ready", "listen", ready_listen, true),
   ADDRESS ("metrics", "listen", metrics_listen, false),
   ADDRESS ("peers", "listen", peers_listen, true),
--- a/src/settings/forward_settings.h
+++ b/src/settings/forward_settings.h
@@ -12,8 +12,9 @@
 {
   char *vm_id;
   char *vm_data_center;
-  int64_t vm_memory_mb; /* memory that the process may use */
-  char *callers_listen; /* all addresses have the form IP:PORT */
+  int64_t vm_memory_mb;      /* memory that the process may use */
+  int64_t callers_bodies_mb; /* of all request bodies together; 0: by vm_memory_mb */
+  char *callers_listen;      /* all addresses have the form IP:PORT */
   char *ready_listen;
   char *metrics_listen; /* NULL: metrics are not exported */
   char *peers_listen;   /* for datagrams of other VMs */
--- a/src/settings/settings.c
+++ b/src/settings/settings.c
@@ -40,6 +40,7 @@
   INT ("callers", "port", callers_port, 0, PORT_MAX, 8080),
   INT ("callers", "threads", callers_threads, 1, 64, 2),
   INT ("callers", "max_body_bytes", callers_max_body_bytes, 1024, 1 << 30, 8 << 20),
+  INT ("callers", "max_bodies_bytes", callers_max_bodies_bytes, 0, 1L << 40, 0),
   INT ("callers", "max_header_bytes", callers_max_header_bytes, 1024, 1 << 20, 8 << 10),
   INT ("callers", "max_connections", callers_max_connections, 1, 65536, 4096),
   INT ("callers", "max_json_depth", callers_max_json_depth, 4, 1024, 64),
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -20,6 +20,7 @@
   int64_t callers_port;
   int64_t callers_threads;
   int64_t callers_max_body_bytes;
+  int64_t callers_max_bodies_bytes; /* all bodies together; 0: by the line above */
   int64_t callers_max_header_bytes;
   int64_t callers_max_connections;
   int64_t callers_max_json_depth;
