Load is told more often in large fleets; failures of servers count in placement

Cause 1: in a data center of 20 VMs a gossip message with cached parts reached each VM once in some 4.5 s, while load older than 3 s counts as none. The load is now also sent without parts (10 KB/s more, only where summaries are used).

Failures now count as a cost, relative to the other servers of the service, and are told in the data center (policy/server_health, mesh_outcomes).

Ruled out: excluding such servers, as all may fail alike.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -30,6 +30,8 @@
 static bool was_tried (const struct kcp_choice *choice, const struct kcp_server *server);
 static void
 note_availability (struct kcp_choice *choice, struct kcp_server *server, int64_t now_ns);
+static struct kcp_outcome_counts
+sum_health (const struct kcp_choice *choice, const GPtrArray *servers, int64_t now_ns);
 static void
 classify_weights (const struct kcp_gateway *gateway, const char *model,
                   const struct kcp_server *server, struct kcp_place_candidate *candidate);
@@ -73,6 +75,7 @@
   choice->usable = 0;
   choice->earliest_available_ns = 0;
   choice->earliest_server = NULL;
+  choice->service_health = sum_health (choice, servers, kcp_loop_now (gateway->loop));
   for (guint i = 0; i < servers->len; i++)
     {
       fill_candidate (gateway, choice, g_ptr_array_index (servers, i), &candidates[i]);
@@ -90,6 +93,7 @@
   choice->server = g_ptr_array_index (servers, (guint)at);
   choice->cost_us = kcp_place_cost (&candidates[at], &costs);
   choice->load_age_ns = kcp_mesh_load_age_ns (gateway->mesh);
+  choice->failing_us = candidates[at].failing_us;
   choice->wait_us = kcp_place_wait (&candidates[at], &costs);
   choice->uncached_tokens = candidates[at].uncached_tokens;
   choice->prefill_us = costs.per_token * choice->uncached_tokens;
@@ -162,6 +166,7 @@
 {
   int64_t now = kcp_loop_now (gateway->loop);
   const char *model = choice->inbound->model;
+  struct kcp_outcome_counts health;
 
   if (!is_eligible (choice, server) || has_left (gateway, server))
     return;
@@ -177,6 +182,8 @@
       = now < server->suspected_until_ns || kcp_reach_has_failed (&server->reach);
   candidate->loading = now < server->loading_until_ns;
   candidate->leaving = kcp_server_is_leaving (server);
+  health = kcp_server_health_counts (&server->health, now);
+  candidate->failing_us = kcp_server_health_cost_us (&health, &choice->service_health);
   candidate->in_flight = server->in_flight + server->peers_in_flight;
   candidate->slots = (unsigned)server->entry.slots;
   candidate->prefill_tokens_pending
@@ -191,6 +198,26 @@
                                                             &candidate->repeated_tokens);
 }
 
+/* Returns the sum of what attempts at the servers of the request's service came to. */
+static struct kcp_outcome_counts
+sum_health (const struct kcp_choice *choice, const GPtrArray *servers, int64_t now_ns)
+{
+  struct kcp_outcome_counts sum = { 0 };
+
+  for (guint i = 0; i < servers->len; i++)
+    {
+      const struct kcp_server *server = g_ptr_array_index (servers, i);
+      struct kcp_outcome_counts counts;
+
+      if (strcmp (server->entry.service, choice->service) != 0)
+        continue;
+      counts = kcp_server_health_counts (&server->health, now_ns);
+      sum.successes += counts.successes;
+      sum.failures += counts.failures;
+    }
+  return sum;
+}
+
 /* Returns true if the server can run the request, apart from its present state. */
 static bool
 is_eligible (const struct kcp_choice *choice, const struct kcp_server *server)
--- a/src/forward/choose.h
+++ b/src/forward/choose.h
@@ -30,9 +30,11 @@
   const char *save_to;       /* address to save parts to, borrowed; NULL: none */
   int64_t cost_us;
   int64_t load_age_ns; /* of the oldest load of other VMs that was counted; 0: none */
-  int64_t wait_us;     /* until the server can start the request */
-  int64_t prefill_us;  /* time of the prefill after that; 0: no model */
-  unsigned usable;     /* number of servers that could be chosen */
+  struct kcp_outcome_counts service_health; /* of all servers of the service */
+  int64_t failing_us; /* part of the cost that is due to failures of the server */
+  int64_t wait_us;    /* until the server can start the request */
+  int64_t prefill_us; /* time of the prefill after that; 0: no model */
+  unsigned usable;    /* number of servers that could be chosen */
   int64_t earliest_available_ns; /* when a server is expected to be free; 0: not known */
   struct kcp_server *earliest_server; /* which one, borrowed; NULL: not known */
 };
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -140,6 +140,7 @@
                        : -1),
       KCP_LOG_INT ("usable", forward->choice.usable),
       KCP_LOG_INT ("cost_us", forward->choice.cost_us),
+      KCP_LOG_INT ("failing_us", forward->choice.failing_us),
       KCP_LOG_INT ("load_age_ms", forward->choice.load_age_ns / KCP_NS_PER_MS),
       KCP_LOG_INT ("open_there", server->in_flight),
       KCP_LOG_INT ("limit_share",
--- a/src/forward/forward_outcome.c
+++ b/src/forward/forward_outcome.c
@@ -5,6 +5,7 @@
 
 #include "base/decision_log.h"
 #include "forward/forward_private.h"
+#include "forward/mesh_outcomes.h"
 
 /* Why an attempt counts as not run. */
 enum not_run_evidence
@@ -89,6 +90,8 @@
   if (result->status >= MHD_HTTP_INTERNAL_SERVER_ERROR)
     return false;
   kcp_server_record_answer (forward->attempt.server);
+  kcp_mesh_outcomes_record (forward->gateway, forward->attempt.server,
+                            KCP_OUTCOME_SUCCESS);
   forward->attempt.server->last_answer_ns = kcp_loop_now (forward->gateway->loop);
   if (success)
     kcp_forward_record_success (forward, result->status);
@@ -159,24 +162,31 @@
 static void
 record_attempt_end (struct kcp_forward *forward, enum kcp_attempt_end end)
 {
+  struct kcp_gateway *gateway = forward->gateway;
   struct kcp_server *server = forward->attempt.server;
-  int64_t now = kcp_loop_now (forward->gateway->loop);
+  int64_t now = kcp_loop_now (gateway->loop);
 
   switch (end)
     {
     case KCP_ATTEMPT_REFUSED:
       kcp_server_record_refusal (server, now);
+      kcp_mesh_outcomes_record (gateway, server, KCP_OUTCOME_REFUSAL);
       break;
     case KCP_ATTEMPT_UNSENT:
       kcp_server_record_failure (server, now);
-      kcp_reach_watch_on_failure (forward->gateway->reach_watch, server);
+      kcp_reach_watch_on_failure (gateway->reach_watch, server);
+      kcp_mesh_outcomes_record (gateway, server, KCP_OUTCOME_UNREACHED);
       break;
     case KCP_ATTEMPT_UNKNOWN:
     case KCP_ATTEMPT_INTERRUPTED:
+      kcp_server_record_failure (server, now);
+      kcp_mesh_outcomes_record (gateway, server, KCP_OUTCOME_FAILURE);
+      break;
     case KCP_ATTEMPT_DECLINED:
       kcp_server_record_failure (server, now);
       break;
     case KCP_ATTEMPT_ERROR:
+      kcp_mesh_outcomes_record (gateway, server, KCP_OUTCOME_FAILURE);
       break;
     }
 }
--- a/src/forward/mesh_gossip.c
+++ b/src/forward/mesh_gossip.c
@@ -16,6 +16,10 @@
    10 KB/s to remote ones, because traffic between data centers is expensive. */
 #define LOCAL_BYTES_PER_ROUND  2000
 #define REMOTE_BYTES_PER_ROUND 1000
+/* In a large fleet cached parts make a message so long that each VM of the data center
+   would get one in several seconds, while a request is at a server for some tenths of a
+   second. So the load is sent more often, without them. */
+#define LOAD_BYTES_PER_ROUND 1000
 /* Limits on the number of messages. Messages without rows are so short that the byte
    budget alone would not bound their number. Where summaries tell the load in other data
    centers, remote VMs are only told that this VM is alive. */
@@ -26,6 +30,7 @@
 
 static void log_leader_change (struct kcp_mesh *mesh);
 static void send_state (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
+static void send_load (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static void send_sign_of_life (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static void build_message (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static guint
@@ -55,7 +60,10 @@
   build_message (mesh, &message);
   send_state (mesh, &message);
   if (kcp_mesh_uses_summaries (mesh))
-    send_sign_of_life (mesh, &message);
+    {
+      send_load (mesh, &message);
+      send_sign_of_life (mesh, &message);
+    }
   kcp_mesh_message_clear (&message);
   kcp_loop_timer_set (loop, &mesh->gossip_timer,
                       kcp_loop_now (loop) + GOSSIP_INTERVAL_MS * KCP_NS_PER_MS,
@@ -80,6 +88,21 @@
                    REMOTE_VMS_PER_ROUND);
 }
 
+/* Sends the message without cached parts to VMs of the local data center. */
+static void
+send_load (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
+{
+  char bytes[KCP_MESH_MESSAGE_MAX];
+  struct kcp_str datagram = { .data = bytes };
+
+  kcp_mesh_message_drop_parts (message);
+  message->sequence = ++mesh->sequence;
+  datagram.len = kcp_mesh_message_encode (message, bytes, sizeof bytes);
+  if (datagram.len > 0)
+    send_to_group (mesh, datagram, true, &mesh->load_budget, LOAD_BYTES_PER_ROUND,
+                   LOCAL_VMS_PER_ROUND);
+}
+
 /* Sends the message without its rows to VMs of remote data centers. */
 static void
 send_sign_of_life (struct kcp_mesh *mesh, struct kcp_mesh_message *message)
--- a/src/forward/mesh_message.c
+++ b/src/forward/mesh_message.c
@@ -52,6 +52,19 @@
   return &g_array_index (message->rows, struct kcp_mesh_row, message->rows->len - 1);
 }
 
+/* Removes the cached parts from all rows. */
+void
+kcp_mesh_message_drop_parts (struct kcp_mesh_message *message)
+{
+  for (guint i = 0; i < message->rows->len; i++)
+    {
+      struct kcp_mesh_row *row = &g_array_index (message->rows, struct kcp_mesh_row, i);
+
+      row->has_parts = false;
+      g_array_set_size (row->parts, 0);
+    }
+}
+
 /* Encodes the message as an RPC call. Returns its length, or 0 if max is too small. */
 size_t
 kcp_mesh_message_encode (struct kcp_mesh_message *message, char *out, size_t max)
--- a/src/forward/mesh_message.h
+++ b/src/forward/mesh_message.h
@@ -28,6 +28,7 @@
 #define KCP_MESH_SUSPECTS_MAX 64u /* facts in a suspects message */
 #define KCP_MESH_NOTICES_MAX  64u /* notices in a notices message */
 #define KCP_MESH_NEEDS_MAX    64u /* servers in a needs message */
+#define KCP_MESH_OUTCOMES_MAX 64u /* servers in an outcomes message */
 /* Incarnations that the fact of a request names. */
 #define KCP_MESH_REQUEST_CRASHES_MAX 3u
 
@@ -42,7 +43,8 @@
   KCP_MESH_NOTICES,       /* struct kcp_mesh_notices */
   KCP_MESH_NEEDS,         /* struct kcp_mesh_needs */
   KCP_MESH_SUMMARY,       /* struct kcp_mesh_summary */
-  KCP_MESH_REMOTE_UPDATE  /* struct kcp_mesh_update, to be forwarded */
+  KCP_MESH_REMOTE_UPDATE, /* struct kcp_mesh_update, to be forwarded */
+  KCP_MESH_OUTCOMES       /* struct kcp_mesh_outcomes */
 };
 
 /* The state of one server as seen by the sending VM. */
@@ -149,6 +151,21 @@
   GArray *rows;               /* struct kcp_mesh_needs_row */
 };
 
+/* What recent attempts of one VM at a server came to, in sixteenths of an attempt. */
+struct kcp_mesh_outcome
+{
+  uint64_t server; /* see kcp_server_key() */
+  uint32_t successes;
+  uint32_t failures;
+  uint32_t reached; /* not 0: it is reached again, after it was told not to be */
+};
+
+struct kcp_mesh_outcomes
+{
+  char vm[64];  /* IP:PORT of the VM's own socket */
+  GArray *rows; /* struct kcp_mesh_outcome */
+};
+
 enum kcp_mesh_procedure kcp_mesh_procedure_of (char *data, size_t len);
 void kcp_mesh_update_init (struct kcp_mesh_update *update);
 void kcp_mesh_update_clear (struct kcp_mesh_update *update);
@@ -179,9 +196,17 @@
 size_t kcp_mesh_needs_encode (struct kcp_mesh_needs *needs, char *out, size_t max);
 bool kcp_mesh_needs_decode (struct kcp_mesh_needs *needs, char *data, size_t len);
 
+void kcp_mesh_outcomes_init (struct kcp_mesh_outcomes *outcomes);
+void kcp_mesh_outcomes_clear (struct kcp_mesh_outcomes *outcomes);
+size_t
+kcp_mesh_outcomes_encode (struct kcp_mesh_outcomes *outcomes, char *out, size_t max);
+bool
+kcp_mesh_outcomes_decode (struct kcp_mesh_outcomes *outcomes, char *data, size_t len);
+
 void kcp_mesh_message_init (struct kcp_mesh_message *message);
 void kcp_mesh_message_clear (struct kcp_mesh_message *message);
 struct kcp_mesh_row *kcp_mesh_message_add_row (struct kcp_mesh_message *message);
+void kcp_mesh_message_drop_parts (struct kcp_mesh_message *message);
 size_t kcp_mesh_message_encode (struct kcp_mesh_message *message, char *out, size_t max);
 bool kcp_mesh_message_decode (struct kcp_mesh_message *message, char *data, size_t len);
 
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -22,6 +22,7 @@
   int64_t received_ns; /* arrival of its process's newest gossip message; 0: none has */
   int64_t interval_ns; /* moving average of the time between them; 0: not known */
   int64_t added_ns;
+  int64_t parts_ns; /* arrival of the newest one with cached parts; 0: none has */
   bool alive;
   struct kcp_server
       *hop;          /* the VM, as one that requests are passed on to; NULL: none was */
@@ -79,6 +80,14 @@
   struct kcp_loop_timer exchange_timer;
 };
 
+/* What the outcomes messages need. */
+struct kcp_mesh_outcome_state
+{
+  struct kcp_mesh_budget budget;
+  int64_t at_ns; /* when the timer ends; 0: it is not set */
+  struct kcp_loop_timer timer;
+};
+
 struct kcp_mesh
 {
   struct kcp_gateway *gateway;
@@ -89,11 +98,13 @@
   uint64_t sequence; /* of the newest gossip message */
   int64_t started_ns;
   struct kcp_mesh_budget local_budget;
+  struct kcp_mesh_budget load_budget; /* of messages without cached parts */
   struct kcp_mesh_budget remote_budget;
   struct kcp_mesh_budget update_budget;
   struct kcp_mesh_summary_state summaries;
   struct kcp_mesh_suspect_state suspects;
   struct kcp_mesh_notice_state notices;
+  struct kcp_mesh_outcome_state outcomes;
   struct kcp_mesh_update pending; /* changes to be sent in the next update message */
   bool peer_load_stale;   /* the peers' load has changed since it was last added up */
   int64_t peer_load_ns;   /* when it was last added up */
@@ -163,6 +174,12 @@
 void kcp_mesh_apply_needs (struct kcp_mesh *mesh, const struct kcp_mesh_needs *message);
 void kcp_mesh_exchange_needs (struct kcp_mesh *mesh);
 
+/* mesh_outcomes.c */
+void kcp_mesh_start_outcomes (struct kcp_mesh *mesh);
+void kcp_mesh_stop_outcomes (struct kcp_mesh *mesh);
+void
+kcp_mesh_apply_outcomes (struct kcp_mesh *mesh, const struct kcp_mesh_outcomes *message);
+
 /* mesh_suspects.c */
 void kcp_mesh_start_suspects (struct kcp_mesh *mesh);
 void kcp_mesh_stop_suspects (struct kcp_mesh *mesh);
--- a/src/forward/mesh_receive.c
+++ b/src/forward/mesh_receive.c
@@ -9,6 +9,8 @@
 #define INTERVAL_WEIGHT 8 /* inverse weight of a new interval in the average */
 /* Longer intervals count as this one: the VM or the network was down in between. */
 #define INTERVAL_MAX_NS (15 * KCP_NS_PER_S)
+/* Cached parts of a VM whose newer messages have none are passed on for this long. */
+#define KEEP_PARTS_NS (6 * KCP_NS_PER_S)
 
 static bool handle_gossip (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_update (struct kcp_mesh *mesh, enum kcp_mesh_procedure procedure,
@@ -18,8 +20,11 @@
                              char *bytes, size_t len);
 static bool handle_notices (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_needs (struct kcp_mesh *mesh, char *bytes, size_t len);
+static bool handle_outcomes (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_summary (struct kcp_mesh *mesh, char *bytes, size_t len);
 static void apply_gossip (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
+static bool has_parts (const GArray *rows);
+static void keep_parts (GArray *from, struct kcp_mesh_message *to);
 static void record_interval (struct kcp_mesh_peer *peer, int64_t now_ns);
 
 /* Receives the messages that have arrived, and applies those that are valid. */
@@ -61,6 +66,9 @@
         case KCP_MESH_NEEDS:
           valid = handle_needs (mesh, bytes, (size_t)len);
           break;
+        case KCP_MESH_OUTCOMES:
+          valid = handle_outcomes (mesh, bytes, (size_t)len);
+          break;
         case KCP_MESH_SUMMARY:
           valid = handle_summary (mesh, bytes, (size_t)len);
           break;
@@ -161,6 +169,20 @@
   return valid;
 }
 
+static bool
+handle_outcomes (struct kcp_mesh *mesh, char *bytes, size_t len)
+{
+  struct kcp_mesh_outcomes outcomes;
+  bool valid;
+
+  kcp_mesh_outcomes_init (&outcomes);
+  valid = kcp_mesh_outcomes_decode (&outcomes, bytes, len);
+  if (valid)
+    kcp_mesh_apply_outcomes (mesh, &outcomes);
+  kcp_mesh_outcomes_clear (&outcomes);
+  return valid;
+}
+
 static bool
 handle_summary (struct kcp_mesh *mesh, char *bytes, size_t len)
 {
@@ -213,6 +235,47 @@
   for (guint i = 0; i < peer->last_message.rows->len; i++)
     kcp_mesh_apply_row (mesh,
                         &g_array_index (peer->last_message.rows, struct kcp_mesh_row, i));
+  if (has_parts (peer->last_message.rows))
+    peer->parts_ns = peer->received_ns;
+  else if (peer->received_ns - peer->parts_ns < KEEP_PARTS_NS)
+    keep_parts (rows, &peer->last_message);
+}
+
+static bool
+has_parts (const GArray *rows)
+{
+  for (guint i = 0; i < rows->len; i++)
+    if (g_array_index (rows, struct kcp_mesh_row, i).has_parts)
+      return true;
+  return false;
+}
+
+/* Moves the cached parts of older rows to the rows of a message that has none, for the
+   summaries of this data center. */
+static void
+keep_parts (GArray *from, struct kcp_mesh_message *to)
+{
+  for (guint i = 0; i < from->len; i++)
+    {
+      struct kcp_mesh_row *old = &g_array_index (from, struct kcp_mesh_row, i);
+      struct kcp_mesh_row *row = NULL;
+      GArray *parts;
+
+      if (!old->has_parts)
+        continue;
+      for (guint j = 0; j < to->rows->len && row == NULL; j++)
+        if (g_array_index (to->rows, struct kcp_mesh_row, j).server == old->server)
+          row = &g_array_index (to->rows, struct kcp_mesh_row, j);
+      if (row == NULL)
+        {
+          row = kcp_mesh_message_add_row (to);
+          row->server = old->server;
+        }
+      parts = row->parts;
+      row->has_parts = true;
+      row->parts = old->parts;
+      old->parts = parts;
+    }
 }
 
 /* Updates the moving average of the time between a peer's gossip messages. A peer that is
--- a/src/forward/mesh_summary.c
+++ b/src/forward/mesh_summary.c
@@ -41,7 +41,6 @@
 static void merge_row (const struct kcp_mesh_row *row, int64_t age_ms, bool with_parts,
                        struct kcp_mesh_row *sum);
 static void drop_loading (struct kcp_mesh_message *state);
-static void drop_parts (struct kcp_mesh_message *state);
 static void offer_peer (GArray *choices, const struct kcp_mesh_peer *peer);
 static void store_summary (struct kcp_mesh *mesh, const struct kcp_mesh_message *state);
 static void forward (struct kcp_mesh *mesh, const struct kcp_mesh_summary *summary);
@@ -114,7 +113,7 @@
   kcp_mesh_add_own_rows (mesh, state);
   drop_loading (state);
   if (mesh->summaries.ticks % SLOW_INTERVALS != 0)
-    drop_parts (state);
+    kcp_mesh_message_drop_parts (state);
   for (guint i = 0; i < state->rows->len; i++)
     add_position (positions, g_array_index (state->rows, struct kcp_mesh_row, i).server,
                   i);
@@ -123,7 +122,7 @@
   datagram.len = kcp_mesh_summary_encode (&summary, bytes, sizeof bytes);
   if (datagram.len == 0)
     {
-      drop_parts (state);
+      kcp_mesh_message_drop_parts (state);
       datagram.len = kcp_mesh_summary_encode (&summary, bytes, sizeof bytes);
     }
   if (datagram.len > 0)
@@ -218,18 +217,6 @@
     g_array_index (state->rows, struct kcp_mesh_row, i).loading_ms = 0;
 }
 
-static void
-drop_parts (struct kcp_mesh_message *state)
-{
-  for (guint i = 0; i < state->rows->len; i++)
-    {
-      struct kcp_mesh_row *row = &g_array_index (state->rows, struct kcp_mesh_row, i);
-
-      row->has_parts = false;
-      g_array_set_size (row->parts, 0);
-    }
-}
-
 /* Sends the datagram to one live VM of each other data center, chosen at random. */
 void
 kcp_mesh_send_to_data_centers (struct kcp_mesh *mesh, struct kcp_str datagram)
--- a/src/forward/mesh_xdr.c
+++ b/src/forward/mesh_xdr.c
@@ -93,6 +93,8 @@
       return KCP_MESH_SUMMARY;
     case KCP_MESH_REMOTE_UPDATE:
       return KCP_MESH_REMOTE_UPDATE;
+    case KCP_MESH_OUTCOMES:
+      return KCP_MESH_OUTCOMES;
     default:
       return KCP_MESH_INVALID;
     }
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -9,6 +9,7 @@
 
 #include "policy/limit_needs.h"
 #include "policy/reach.h"
+#include "policy/server_health.h"
 #include "policy/server_limit.h"
 
 enum kcp_server_state
@@ -54,9 +55,12 @@
   bool removed;         /* no longer in any table */
   int64_t remove_at_ns; /* when to remove it, as its entry was deleted; 0: never */
   unsigned in_flight;   /* this VM's requests at the server */
-  int64_t prefill_tokens_pending; /* of their prompts, while no answer has begun */
-  unsigned failures;              /* consecutive */
-  struct kcp_reach reach;         /* the path to it; see forward/reach_watch.h */
+  int64_t prefill_tokens_pending;  /* of their prompts, while no answer has begun */
+  unsigned failures;               /* consecutive */
+  struct kcp_server_health health; /* what attempts there came to */
+  struct kcp_server_health untold; /* of this VM alone, since others were told */
+  bool told_unreached;             /* others were told that it is not reached */
+  struct kcp_reach reach;          /* the path to it; see forward/reach_watch.h */
   int64_t suspected_until_ns;
   int64_t backoff_until_ns;       /* it has asked for no requests until then */
   struct kcp_server_limit limit;  /* requests that it takes from all VMs together */
--- a/src/policy/place.c
+++ b/src/policy/place.c
@@ -122,5 +122,6 @@
     cost += costs->suspected;
   if (candidate->leaving)
     cost += costs->leaving;
+  cost += candidate->failing_us;
   return cost;
 }
--- a/src/policy/place.h
+++ b/src/policy/place.h
@@ -47,7 +47,8 @@
   /* Uncached tokens that another server has prefilled, is prefilling, or was sent
      recently. */
   int64_t repeated_tokens;
-  bool preferred; /* first in the server order of the prompt's session */
+  bool preferred;     /* first in the server order of the prompt's session */
+  int64_t failing_us; /* cost of its failures; see policy/server_health.h */
 };
 
 /* Costs in microseconds. */
