Teams' quotas of tokens and requests hold over all VMs

A team's quota is granted by one VM, the first live one in the team's rendezvous order, from a token bucket; the others ask it, with a reserve while the bucket is half full. Without an answer a VM goes on at the rate it was granted before. The granting VM grants the share of the VMs that it is in touch with, and starts with an empty bucket. Ruled out: even shares or shares by needs, as one request costs a VM's share of many seconds; adding up gossip, as its age is seconds at a cut.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -74,6 +74,8 @@
   = { "passed_on", "Requests passed on to a VM that reaches a server" },
   [KCP_COUNT_TAKEN_OVER]
   = { "taken_over", "Requests that another VM passed on to this one" },
+  [KCP_COUNT_OVER_QUOTA]
+  = { "over_quota", "Requests refused as their team exceeds its quota" },
   [KCP_COUNT_BODIES_DROPPED]
   = { "bodies_dropped", "Requests refused as all bodies together were too large" },
   [KCP_COUNT_CONNECTIONS_EVICTED]
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -37,6 +37,7 @@
   int64_t timeout_ms; /* how long the caller waits; 0: not specified */
   char *model;        /* NULL: the request has no prompt */
   int64_t prompt_tokens;
+  int64_t output_tokens; /* the most that are to be generated; 0: not specified */
   GArray *parts; /* struct kcp_prompt_part, in the order of the prompt; NULL: none */
 };
 
--- a/src/forward/forward.c
+++ b/src/forward/forward.c
@@ -57,17 +57,26 @@
       set_part_fingerprints (forward);
       set_deadline (forward);
       kcp_forward_skip_known_events (forward);
-      /* The VM that passed a request on has counted it. */
-      if (!kcp_forward_is_from_vm (forward))
-        kcp_resend_budget_add_request (
-            kcp_gateway_retry_budget (gateway, forward->choice.service),
-            forward->arrived_ns);
-      if (!kcp_forward_look_up_version (forward))
-        kcp_forward_send_next (forward);
+      kcp_forward_admit_by_quota (forward);
     }
   return forward;
 }
 
+/* Begins a request that is admitted. */
+void
+kcp_forward_begin (struct kcp_forward *forward)
+{
+  struct kcp_gateway *gateway = forward->gateway;
+
+  /* The VM that passed a request on has counted it. */
+  if (!kcp_forward_is_from_vm (forward))
+    kcp_resend_budget_add_request (
+        kcp_gateway_retry_budget (gateway, forward->choice.service),
+        kcp_loop_now (gateway->loop));
+  if (!kcp_forward_look_up_version (forward))
+    kcp_forward_send_next (forward);
+}
+
 /* Frees a request. If its answer is still in progress, the request ends as cancelled by
    the caller. */
 void
@@ -77,6 +86,7 @@
     kcp_forward_finish (forward, KCP_ANSWER_INTERRUPTED, "caller_gone", NULL);
   forward->gateway->open_requests--;
   kcp_loop_timer_cancel (&forward->deadline_timer);
+  kcp_forward_cancel_quota (forward);
   kcp_forward_end_attempt (forward);
   kcp_forward_release_answer (forward);
   kcp_choice_clear (&forward->choice);
--- a/src/forward/forward_end.c
+++ b/src/forward/forward_end.c
@@ -14,6 +14,8 @@
   "TE",         "Upgrade",    "Proxy-Authenticate", "Proxy-Connection",
 };
 
+static void refuse (struct kcp_forward *forward, unsigned status, int64_t available_ns,
+                    const char *reason);
 static int64_t reserve_room (const struct kcp_choice *choice, int64_t now_ns);
 static void copy_headers (struct kcp_forward *forward);
 static bool is_hop_by_hop_header (const char *name);
@@ -105,9 +107,26 @@
    answer states that the request did not run. */
 void
 kcp_forward_refuse (struct kcp_forward *forward, const char *reason)
+{
+  kcp_forward_give_back_quota (forward);
+  refuse (forward, MHD_HTTP_SERVICE_UNAVAILABLE,
+          reserve_room (&forward->choice, kcp_loop_now (forward->gateway->loop)),
+          forward->gateway->routes == NULL ? "no_configuration" : reason);
+}
+
+/* Refuses a request that exceeds the quota of its team, whose caller should return at
+   return_ns: answers with 429, which states that the request did not run. */
+void
+kcp_forward_refuse_over_quota (struct kcp_forward *forward, int64_t return_ns)
+{
+  refuse (forward, MHD_HTTP_TOO_MANY_REQUESTS, return_ns, "over_quota");
+}
+
+static void
+refuse (struct kcp_forward *forward, unsigned status, int64_t available_ns,
+        const char *reason)
 {
   int64_t now = kcp_loop_now (forward->gateway->loop);
-  int64_t available_ns = reserve_room (&forward->choice, now);
   int64_t remaining_ms = forward->deadline_ns > 0 ? kcp_forward_remaining_ms (forward)
                                                   : forward->inbound->timeout_ms;
   int64_t wait_ms
@@ -120,9 +139,7 @@
                   (gint64)(wait_ms / KCP_MS_PER_S), (int)(wait_ms % KCP_MS_PER_S));
   kcp_answer_add_header (forward->answer, MHD_HTTP_HEADER_RETRY_AFTER, seconds);
   kcp_counter_add (KCP_COUNT_REFUSED, 1);
-  kcp_forward_end_with_problem (forward, MHD_HTTP_SERVICE_UNAVAILABLE, "not_run",
-                                forward->gateway->routes == NULL ? "no_configuration"
-                                                                 : reason);
+  kcp_forward_end_with_problem (forward, status, "not_run", reason);
 }
 
 /* Returns when a server is expected to be free. Where its limit decides that, the room is
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -58,6 +58,8 @@
   struct kcp_crash_causes causes;
   int64_t arrived_ns;
   int64_t deadline_ns;
+  struct kcp_quota_wait quota_wait;
+  int64_t quota_cost;       /* taken from the quota of the team, or waited for; 0: none */
   unsigned runs;            /* attempts that may have run the request */
   unsigned refusals;        /* attempts that did not run the request */
   unsigned unsent;          /* those of them that reached no server */
@@ -80,6 +82,11 @@
 void
 kcp_forward_conclude (struct kcp_forward *forward, const struct kcp_http_result *result);
 
+/* forward_quota.c */
+void kcp_forward_admit_by_quota (struct kcp_forward *forward);
+void kcp_forward_cancel_quota (struct kcp_forward *forward);
+void kcp_forward_give_back_quota (struct kcp_forward *forward);
+
 /* forward_hop.c */
 bool kcp_forward_is_from_vm (const struct kcp_forward *forward);
 struct kcp_server *kcp_forward_choose_hop (const struct kcp_forward *forward);
@@ -112,6 +119,7 @@
 bool kcp_forward_may_relay_status (long status);
 void kcp_forward_decline (struct kcp_forward *forward, const char *reason);
 void kcp_forward_refuse (struct kcp_forward *forward, const char *reason);
+void kcp_forward_refuse_over_quota (struct kcp_forward *forward, int64_t return_ns);
 void kcp_forward_end_with_problem (struct kcp_forward *forward, unsigned status,
                                    const char *execution, const char *reason);
 void kcp_forward_interrupt (struct kcp_forward *forward, const char *reason);
@@ -128,6 +136,7 @@
 void kcp_forward_bind_version (struct kcp_forward *forward);
 
 /* forward.c */
+void kcp_forward_begin (struct kcp_forward *forward);
 void kcp_forward_send_next (struct kcp_forward *forward);
 void kcp_forward_after_attempt (struct kcp_forward *forward, enum kcp_attempt_end end,
                                 long status);
--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -5,6 +5,7 @@
 #include "base/counter.h"
 #include "base/decision_log.h"
 #include "forward/crash_suspects.h"
+#include "forward/mesh_quota.h"
 
 #define PREFIX_INDEX_CAPACITY 8192u /* prompt parts */
 /* The part of the retry budget that the VMs use. The rest is a margin, since each VM
@@ -33,6 +34,7 @@
   for (unsigned i = 0; i < KCP_SUSPECT_KINDS; i++)
     gateway->quarantines[i] = kcp_crash_suspects_new ((enum kcp_suspect_kind)i);
   gateway->answered_parts = kcp_answered_parts_new ();
+  gateway->quotas = kcp_mesh_quotas_new (gateway);
   kcp_body_memory_init (&gateway->bodies);
   gateway->crash_watch = kcp_crash_watch_new (gateway->loop, on_crash, gateway);
   gateway->reach_watch = kcp_reach_watch_new (gateway->loop, gateway->servers);
@@ -48,6 +50,8 @@
   for (unsigned i = 0; i < KCP_SUSPECT_KINDS; i++)
     kcp_quarantine_free (gateway->quarantines[i]);
   kcp_answered_parts_free (gateway->answered_parts);
+  kcp_loop_timer_cancel (&gateway->quotas_timer);
+  kcp_quotas_free (gateway->quotas);
   kcp_body_memory_clear (&gateway->bodies);
   kcp_loop_free (gateway->loop);
   kcp_servers_free (gateway->servers);
@@ -77,6 +81,7 @@
   kcp_routes_unref (gateway->routes);
   gateway->routes = routes;
   kcp_servers_set_stores (gateway->servers, routes);
+  kcp_mesh_update_quotas (gateway);
   return true;
 }
 
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -19,6 +19,7 @@
 #include "policy/quarantine.h"
 #include "policy/resend.h"
 #include "policy/suspect.h"
+#include "quota/quotas.h"
 #include "route/routes.h"
 #include "settings/forward_settings.h"
 
@@ -69,8 +70,13 @@
   struct kcp_stream_records *stream_records;       /* NULL: not kept */
   struct kcp_resume_lookups *resume_lookups; /* NULL: streams go on at any version */
   struct kcp_mesh *mesh;                     /* exchange with other VMs; NULL: none */
-  bool draining; /* the load balancer is asked to send no connections */
-  bool closing;  /* new requests are refused; the balancer sends none */
+  bool draining;             /* the load balancer is asked to send no connections */
+  bool closing;              /* new requests are refused; the balancer sends none */
+  struct kcp_quotas *quotas; /* of teams */
+  int64_t quotas_version;    /* configuration by which they were set */
+  uint64_t quotas_view;      /* of the VMs, likewise */
+  bool has_quotas;           /* some team has one, likewise */
+  struct kcp_loop_timer quotas_timer;
   unsigned open_requests;
   size_t answer_bytes;           /* memory of the answers of all open requests */
   struct kcp_body_memory bodies; /* of all requests */
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -111,6 +111,7 @@
   kcp_mesh_stop_suspects (mesh);
   kcp_mesh_stop_notices (mesh);
   kcp_mesh_stop_outcomes (mesh);
+  kcp_mesh_stop_quotas (mesh);
   kcp_mesh_update_clear (&mesh->pending);
   if (mesh->fd >= 0)
     {
--- a/src/forward/mesh_gossip.c
+++ b/src/forward/mesh_gossip.c
@@ -6,6 +6,7 @@
 #include "base/counter.h"
 #include "base/decision_log.h"
 #include "forward/mesh_private.h"
+#include "forward/mesh_quota.h"
 #include "policy/resend.h"
 
 #define GOSSIP_INTERVAL_MS 100
@@ -54,6 +55,7 @@
 
   kcp_mesh_expire_peers (mesh);
   log_leader_change (mesh);
+  kcp_mesh_update_quotas (mesh->gateway);
   mesh->gateway->sharing_vms
       = kcp_resend_sharing_vms (kcp_mesh_count (mesh), 1 + mesh->peers->len);
   kcp_mesh_message_init (&message);
--- a/src/forward/mesh_message.h
+++ b/src/forward/mesh_message.h
@@ -44,7 +44,8 @@
   KCP_MESH_NEEDS,         /* struct kcp_mesh_needs */
   KCP_MESH_SUMMARY,       /* struct kcp_mesh_summary */
   KCP_MESH_REMOTE_UPDATE, /* struct kcp_mesh_update, to be forwarded */
-  KCP_MESH_OUTCOMES       /* struct kcp_mesh_outcomes */
+  KCP_MESH_OUTCOMES,      /* struct kcp_mesh_outcomes */
+  KCP_MESH_QUOTA          /* struct kcp_mesh_quota */
 };
 
 /* The state of one server as seen by the sending VM. */
@@ -166,6 +167,28 @@
   GArray *rows; /* struct kcp_mesh_outcome */
 };
 
+enum kcp_mesh_quota_kind
+{
+  KCP_MESH_QUOTA_ASK,          /* first, waiting and reserve apply */
+  KCP_MESH_QUOTA_GRANT,        /* granted and retry_ms apply */
+  KCP_MESH_QUOTA_NOT_GRANTING, /* the VM that was asked does not grant this quota */
+  KCP_MESH_QUOTA_KINDS
+};
+
+/* An ask for a part of a team's quota, or the answer to one. */
+struct kcp_mesh_quota
+{
+  char vm[64]; /* IP:PORT of the VM's own socket */
+  enum kcp_mesh_quota_kind kind;
+  uint64_t team;     /* see kcp_quota_team_key() */
+  uint32_t sequence; /* of the ask */
+  uint32_t first;    /* see struct kcp_quota_ask */
+  uint32_t waiting;
+  uint32_t reserve;
+  uint32_t granted; /* see struct kcp_quota_grant */
+  uint32_t retry_ms;
+};
+
 enum kcp_mesh_procedure kcp_mesh_procedure_of (char *data, size_t len);
 void kcp_mesh_update_init (struct kcp_mesh_update *update);
 void kcp_mesh_update_clear (struct kcp_mesh_update *update);
@@ -203,6 +226,9 @@
 bool
 kcp_mesh_outcomes_decode (struct kcp_mesh_outcomes *outcomes, char *data, size_t len);
 
+size_t kcp_mesh_quota_encode (struct kcp_mesh_quota *quota, char *out, size_t max);
+bool kcp_mesh_quota_decode (struct kcp_mesh_quota *quota, char *data, size_t len);
+
 void kcp_mesh_message_init (struct kcp_mesh_message *message);
 void kcp_mesh_message_clear (struct kcp_mesh_message *message);
 struct kcp_mesh_row *kcp_mesh_message_add_row (struct kcp_mesh_message *message);
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -24,6 +24,8 @@
   int64_t added_ns;
   int64_t parts_ns; /* arrival of the newest one with cached parts; 0: none has */
   bool alive;
+  bool quota_answered;       /* this process of the VM has sent a quota message */
+  unsigned quota_unanswered; /* asks sent to it so far */
   struct kcp_server
       *hop;          /* the VM, as one that requests are passed on to; NULL: none was */
   GHashTable *needs; /* server key -> struct kcp_peer_needs; NULL: none known */
@@ -174,6 +176,10 @@
 void kcp_mesh_apply_needs (struct kcp_mesh *mesh, const struct kcp_mesh_needs *message);
 void kcp_mesh_exchange_needs (struct kcp_mesh *mesh);
 
+/* mesh_quota.c */
+void kcp_mesh_stop_quotas (struct kcp_mesh *mesh);
+void kcp_mesh_apply_quota (struct kcp_mesh *mesh, const struct kcp_mesh_quota *message);
+
 /* mesh_outcomes.c */
 void kcp_mesh_start_outcomes (struct kcp_mesh *mesh);
 void kcp_mesh_stop_outcomes (struct kcp_mesh *mesh);
--- a/src/forward/mesh_receive.c
+++ b/src/forward/mesh_receive.c
@@ -21,6 +21,7 @@
 static bool handle_notices (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_needs (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_outcomes (struct kcp_mesh *mesh, char *bytes, size_t len);
+static bool handle_quota (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_summary (struct kcp_mesh *mesh, char *bytes, size_t len);
 static void apply_gossip (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static bool has_parts (const GArray *rows);
@@ -69,6 +70,9 @@
         case KCP_MESH_OUTCOMES:
           valid = handle_outcomes (mesh, bytes, (size_t)len);
           break;
+        case KCP_MESH_QUOTA:
+          valid = handle_quota (mesh, bytes, (size_t)len);
+          break;
         case KCP_MESH_SUMMARY:
           valid = handle_summary (mesh, bytes, (size_t)len);
           break;
@@ -183,6 +187,17 @@
   return valid;
 }
 
+static bool
+handle_quota (struct kcp_mesh *mesh, char *bytes, size_t len)
+{
+  struct kcp_mesh_quota quota;
+  bool valid = kcp_mesh_quota_decode (&quota, bytes, len);
+
+  if (valid)
+    kcp_mesh_apply_quota (mesh, &quota);
+  return valid;
+}
+
 static bool
 handle_summary (struct kcp_mesh *mesh, char *bytes, size_t len)
 {
@@ -216,6 +231,8 @@
       peer->update_sequence = 0;
       peer->interval_ns = 0;
       peer->received_ns = 0;
+      peer->quota_answered = false;
+      peer->quota_unanswered = 0;
       g_clear_pointer (&peer->needs, g_hash_table_unref);
     }
   peer->start_ms = message->start_ms;
--- a/src/forward/mesh_xdr.c
+++ b/src/forward/mesh_xdr.c
@@ -95,6 +95,8 @@
       return KCP_MESH_REMOTE_UPDATE;
     case KCP_MESH_OUTCOMES:
       return KCP_MESH_OUTCOMES;
+    case KCP_MESH_QUOTA:
+      return KCP_MESH_QUOTA;
     default:
       return KCP_MESH_INVALID;
     }
--- /dev/null
+++ b/src/quota/bucket.c
@@ -0,0 +1,87 @@
+#include "quota/bucket.h"
+
+#include <glib.h>
+
+#include "base/clock.h"
+
+/* Callers are told to return within this time. */
+#define PROMISE_MAX_NS (10 * KCP_NS_PER_S)
+/* Reserves leave this part of the burst in the bucket: the inverse. */
+#define KEEP_DIVISOR 2
+
+static void refill (struct kcp_quota_bucket *bucket, int64_t now_ns);
+static double rate (const struct kcp_quota_bucket *bucket);
+static double capacity (const struct kcp_quota_bucket *bucket);
+
+/* Sets the limit and the share of it that the bucket grants. */
+void
+kcp_quota_bucket_set (struct kcp_quota_bucket *bucket,
+                      const struct kcp_quota_limit *limit, double share, int64_t now_ns)
+{
+  refill (bucket, now_ns);
+  bucket->limit = *limit;
+  bucket->share = share;
+  bucket->credit = MIN (bucket->credit, capacity (bucket));
+}
+
+/* Empties the bucket, as another VM may have granted its content. */
+void
+kcp_quota_bucket_empty (struct kcp_quota_bucket *bucket, int64_t now_ns)
+{
+  bucket->credit = 0;
+  bucket->credited_ns = now_ns;
+  bucket->promised_ns = now_ns;
+}
+
+/* Grants what the bucket has. */
+struct kcp_quota_grant
+kcp_quota_bucket_ask (struct kcp_quota_bucket *bucket, const struct kcp_quota_ask *ask,
+                      int64_t now_ns)
+{
+  struct kcp_quota_grant grant = { 0 };
+  double left;
+
+  refill (bucket, now_ns);
+  if (bucket->credit <= 0)
+    {
+      int64_t room_ns
+          = now_ns + (int64_t)(-bucket->credit / rate (bucket) * KCP_NS_PER_S);
+
+      room_ns = MIN (MAX (room_ns, bucket->promised_ns), now_ns + PROMISE_MAX_NS);
+      bucket->promised_ns
+          = room_ns + (int64_t)((double)ask->first / rate (bucket) * KCP_NS_PER_S);
+      grant.retry_ms = (room_ns - now_ns) / KCP_NS_PER_MS + 1;
+      return grant;
+    }
+  /* A part of what waits beyond the first request would only serve small ones. */
+  grant.granted = bucket->credit >= (double)ask->waiting ? ask->waiting : ask->first;
+  left = bucket->credit - (double)grant.granted - capacity (bucket) / KEEP_DIVISOR;
+  if (left > 0)
+    grant.granted += MIN (ask->reserve, (int64_t)left);
+  bucket->credit -= (double)grant.granted;
+  return grant;
+}
+
+static void
+refill (struct kcp_quota_bucket *bucket, int64_t now_ns)
+{
+  double elapsed_s = (double)MAX (now_ns - bucket->credited_ns, 0) / KCP_NS_PER_S;
+
+  bucket->credit = MIN (bucket->credit + rate (bucket) * elapsed_s, capacity (bucket));
+  bucket->credited_ns = now_ns;
+}
+
+/* Returns the units a second that the bucket grants; at least a fraction of one, as it is
+   a divisor. */
+static double
+rate (const struct kcp_quota_bucket *bucket)
+{
+  return MAX ((double)bucket->limit.per_s * bucket->share, 1e-3);
+}
+
+/* A bucket that holds nothing could never grant a request. */
+static double
+capacity (const struct kcp_quota_bucket *bucket)
+{
+  return MAX ((double)bucket->limit.burst * bucket->share, 1);
+}
--- a/src/route/routes.h
+++ b/src/route/routes.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "base/str.h"
+#include "quota/bucket.h"
 
 /* What may be repeated when the outcome of an attempt is unknown. */
 enum kcp_repeat
@@ -40,11 +41,20 @@
   GArray *targets;   /* struct kcp_target, at least one */
 };
 
+/* What a team may send to all VMs together. */
+struct kcp_team_quota
+{
+  struct kcp_quota_limit limit; /* in tokens or requests */
+  bool counts_tokens;
+  int64_t default_tokens; /* of a request that names none */
+};
+
 struct kcp_team_access
 {
   char *name;
   int priority;  /* takes precedence over that of the route; or KCP_PRIORITY_NONE */
   bool isolated; /* shares no cache with other teams */
+  struct kcp_team_quota quota;
 };
 
 #define KCP_PRIORITY_NONE (-1)
@@ -75,7 +85,8 @@
   GHashTable *services; /* name -> struct kcp_service_info */
   /* The same for the same isolated teams, in any order; 0: no team is isolated. */
   uint64_t isolated_digest;
-  bool keyed; /* false: requests carry no keys */
+  bool has_quotas; /* some team has one */
+  bool keyed;      /* false: requests carry no keys */
   struct kcp_caller_limits limits;
 };
 
