--- a/src/backend/fetch.c
+++ b/src/backend/fetch.c
@@ -401,6 +401,12 @@
   CK_LIST_REMOVE (fetch, link);
   if (fetch->head.complete)
     curl_easy_getinfo (fetch->curl, CURLINFO_RESPONSE_CODE, &status);
+  if (fetch->head.complete && !kcp_http_status_is_final (status))
+    {
+      status = 0;
+      if (result == KCP_FETCH_COMPLETE)
+        result = KCP_FETCH_INTERRUPTED;
+    }
   curl_multi_remove_handle (fetch->worker->multi, fetch->curl);
   curl_easy_cleanup (fetch->curl);
   fetch->curl = NULL;
--- a/src/base/http_head.c
+++ b/src/base/http_head.c
@@ -4,6 +4,8 @@
 
 #define STATUS_LINE_PREFIX "HTTP/"
 #define INTERIM_CLASS      '1' /* first digit of the status of an interim answer */
+#define STATUS_FINAL_MIN   200 /* those below are of interim answers */
+#define STATUS_MAX         599
 /* Bytes of all lines. A caller's connection has about as much room for the head that is
    relayed. */
 #define HEAD_MAX_BYTES (16u << 10)
@@ -98,3 +100,13 @@
            && kcp_str_to_int64 (value, &length))
     head->framing = KCP_HTTP_FRAMING_LENGTH;
 }
+
+/* Returns true if the status is one of a final answer. Statuses have three digits, of
+   which the first is 1 to 5, and those that begin with 1 are of interim answers (RFC
+   9110, section 15). What bears any other one is no answer in the protocol: a server in
+   trouble sent 000 as its status. */
+bool
+kcp_http_status_is_final (long status)
+{
+  return status >= STATUS_FINAL_MIN && status <= STATUS_MAX;
+}
--- a/src/base/http_head.h
+++ b/src/base/http_head.h
@@ -48,4 +48,6 @@
 struct kcp_http_line kcp_http_head_read (struct kcp_http_head *head, struct kcp_str line);
 const char *kcp_http_framing_name (enum kcp_http_framing framing);
 
+bool kcp_http_status_is_final (long status);
+
 #endif
--- a/src/forward/http_client.c
+++ b/src/forward/http_client.c
@@ -63,6 +63,8 @@
 static void read_messages (void *user);
 static void move_to_new_connection (struct kcp_http_call *call);
 static void finish (struct kcp_http_call *call, CURLcode code);
+static void
+set_invalid_status (struct kcp_http_call *call, struct kcp_http_result *result);
 static void record_limit (struct kcp_http_call *call);
 static void record_cut_head (struct kcp_http_call *call);
 static enum kcp_http_end classify_end (const struct kcp_http_call *call, CURLcode code);
@@ -264,6 +266,8 @@
   result.own_port = call->own_port;
   result.body_sent = call->body_sent;
   result.kept_from_repeating = call->guard.prevented;
+  if (call->head.complete && !kcp_http_status_is_final (result.status))
+    set_invalid_status (call, &result);
   if (call->limit != NULL)
     record_limit (call);
   g_strlcpy (reason, call->error[0] != '\0' ? call->error : curl_easy_strerror (code),
@@ -275,6 +279,17 @@
   release_call (call);
 }
 
+/* Makes an answer whose status does not exist an answer that is not complete. */
+static void
+set_invalid_status (struct kcp_http_call *call, struct kcp_http_result *result)
+{
+  (void)g_snprintf (call->error, sizeof call->error, "the answer has the status %ld",
+                    result->status);
+  result->status = 0;
+  if (result->end == KCP_HTTP_COMPLETE)
+    result->end = KCP_HTTP_INTERRUPTED;
+}
+
 /* Reports an answer that was ended because it exceeds a limit. */
 static void
 record_limit (struct kcp_http_call *call)
