A request that waits for its quota gives nothing back

Cause: by reading: the cost was noted before the request was admitted, so one that reached its deadline while it waited gave its team tokens that were never taken.

--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -59,7 +59,7 @@
   int64_t arrived_ns;
   int64_t deadline_ns;
   struct kcp_quota_wait quota_wait;
-  int64_t quota_cost;       /* taken from the quota of the team, or waited for; 0: none */
+  int64_t quota_cost;       /* taken from the quota of the team; 0: nothing */
   unsigned runs;            /* attempts that may have run the request */
   unsigned refusals;        /* attempts that did not run the request */
   unsigned unsent;          /* those of them that reached no server */
--- a/src/forward/forward_quota.c
+++ b/src/forward/forward_quota.c
@@ -20,9 +20,8 @@
       kcp_forward_begin (forward);
       return;
     }
-  forward->quota_cost = cost_of (forward);
   forward->quota_wait = (struct kcp_quota_wait){
-    .cost = forward->quota_cost,
+    .cost = cost_of (forward),
     .decided = on_decided,
     .user = forward,
   };
@@ -30,7 +29,7 @@
                             &forward->quota_wait, &return_ns, forward->arrived_ns))
     {
     case KCP_QUOTA_ADMITTED:
-      kcp_forward_begin (forward);
+      on_decided (forward, true, 0);
       break;
     case KCP_QUOTA_REFUSED:
       on_decided (forward, false, return_ns);
@@ -75,8 +74,13 @@
 {
   struct kcp_forward *forward = user;
 
+  if (admitted)
+    forward->quota_cost = forward->quota_wait.cost;
   if (forward->answer->end != KCP_ANSWER_IN_PROGRESS)
-    return;
+    {
+      kcp_forward_give_back_quota (forward);
+      return;
+    }
   if (admitted)
     {
       kcp_forward_begin (forward);
@@ -84,11 +88,10 @@
     }
   KCP_LOG ("over_quota", KCP_LOG_TEXT ("request", forward->inbound->id),
            KCP_LOG_TEXT ("team", forward->choice.team->name),
-           KCP_LOG_INT ("cost", forward->quota_cost),
+           KCP_LOG_INT ("cost", forward->quota_wait.cost),
            KCP_LOG_INT ("per_s", forward->choice.team->quota.limit.per_s),
            KCP_LOG_INT ("return_ms", (return_ns - kcp_loop_now (forward->gateway->loop))
                                          / KCP_NS_PER_MS));
   kcp_counter_add (KCP_COUNT_OVER_QUOTA, 1);
-  forward->quota_cost = 0;
   kcp_forward_refuse_over_quota (forward, return_ns);
 }
