--- a/src/cmd/serve.c
+++ b/src/cmd/serve.c
@@ -1,4 +1,5 @@
 #include <ck_pr.h>
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 
@@ -17,6 +18,7 @@
 
 #define DRAIN_POLL_MS          20
 #define FINAL_FLUSH_TIMEOUT_MS 1000
+#define MMAP_THRESHOLD_BYTES   (128 << 10) /* the default, made fixed */
 
 /* The components of one VM, in the order in which they are started. */
 struct server
@@ -55,6 +57,9 @@
 
   if (server.settings == NULL)
     return KCP_EXIT_USAGE;
+  /* Otherwise the allocator raises the threshold, and keeps the memory of bodies that
+     were dropped. */
+  (void)mallopt (M_MMAP_THRESHOLD, MMAP_THRESHOLD_BYTES);
   sigemptyset (&signals);
   sigaddset (&signals, SIGTERM);
   sigaddset (&signals, SIGINT);
--- a/src/forward/caller_server.c
+++ b/src/forward/caller_server.c
@@ -11,9 +11,8 @@
 #define CLOSING_TIMEOUT_S 1u
 /* Other VMs may have as many connections as callers, divided by this. */
 #define VM_CONNECTIONS_DIVISOR 8u
-/* One part in FREE_DIVISOR of the connections is kept free, by closing those without a
-   request. */
-#define FREE_DIVISOR 8u
+/* So many connections are kept free, by closing those without a request. */
+#define FREE_CONNECTIONS 16u
 /* Connections that wait to be accepted. Of VMs few may, so that a VM whose connection is
    not accepted soon finds another VM. */
 #define CALLERS_BACKLOG     511u
@@ -300,7 +299,7 @@
   GHashTableIter iter;
   gpointer item;
 
-  if (g_hash_table_size (server->callers) < max - max / FREE_DIVISOR)
+  if (g_hash_table_size (server->callers) + FREE_CONNECTIONS < max)
     return;
   g_hash_table_iter_init (&iter, server->callers);
   while (g_hash_table_iter_next (&iter, &item, NULL))
--- a/src/forward/mesh_quota.c
+++ b/src/forward/mesh_quota.c
@@ -49,6 +49,11 @@
   const struct kcp_mesh *mesh = gateway->mesh;
   uint64_t view = mesh != NULL ? view_of (mesh) : 0;
   int64_t now = kcp_loop_now (gateway->loop);
+  struct kcp_quota_tolerance tolerance = {
+    .window_s = gateway->settings->quotas_window_s,
+    .overage = gateway->settings->quotas_overage,
+    .slack = gateway->settings->quotas_slack,
+  };
 
   if (routes == NULL || (!routes->has_quotas && !gateway->has_quotas)
       || (routes->version == gateway->quotas_version && view == gateway->quotas_view))
@@ -59,10 +64,12 @@
   for (guint i = 0; i < routes->teams->len; i++)
     {
       const struct kcp_team_access *team = g_ptr_array_index (routes->teams, i);
+      struct kcp_quota_limit limit
+          = kcp_quota_limit_with_tolerance (&team->quota.limit, &tolerance);
       bool grants
           = mesh == NULL || find_granting (mesh, kcp_quota_team_key (team->name)) == NULL;
 
-      kcp_quotas_set_limit (gateway->quotas, team->name, &team->quota.limit, grants,
+      kcp_quotas_set_limit (gateway->quotas, team->name, &limit, grants,
                             mesh != NULL ? share_in_touch (mesh) : 1, now);
     }
 }
--- a/src/policy/server_health.c
+++ b/src/policy/server_health.c
@@ -9,6 +9,9 @@
 /* A server without evidence counts as this many attempts with the failures of its
    service, so that a single failure among few attempts is no verdict. */
 #define PRIOR_ATTEMPTS 4.0
+/* Failures up to this share of the attempts beyond the usual one change nothing: servers
+   fail now and then, and moving their requests loses what they have cached. */
+#define SHARE_IGNORED 0.15
 /* Cost of an attempt that fails: about the time that its request loses. */
 #define FAILURE_COST_US 2000000.0
 /* Weights of outcomes. A refusal costs a request less time than a failure. A server that
@@ -96,5 +99,5 @@
   double share = (own->failures + usual * PRIOR_ATTEMPTS)
                  / (own->failures + own->successes + PRIOR_ATTEMPTS);
 
-  return (int64_t)(fmax (share - usual, 0) * FAILURE_COST_US);
+  return (int64_t)(fmax (share - usual - SHARE_IGNORED, 0) * FAILURE_COST_US);
 }
--- a/src/quota/bucket.c
+++ b/src/quota/bucket.c
@@ -8,11 +8,30 @@
 #define PROMISE_MAX_NS (10 * KCP_NS_PER_S)
 /* Reserves leave this part of the burst in the bucket: the inverse. */
 #define KEEP_DIVISOR 2
+/* Part of the tolerance that serves callers: a team whose requests are large compared
+   with its burst would else be refused below its rate. The rest is for what the VMs
+   cannot know of each other. */
+#define TOLERANCE_USED 0.3
 
 static void refill (struct kcp_quota_bucket *bucket, int64_t now_ns);
 static double rate (const struct kcp_quota_bucket *bucket);
 static double capacity (const struct kcp_quota_bucket *bucket);
 
+/* Returns the limit with the part of the tolerance added to its burst that may be used.
+ */
+struct kcp_quota_limit
+kcp_quota_limit_with_tolerance (const struct kcp_quota_limit *limit,
+                                const struct kcp_quota_tolerance *tolerance)
+{
+  double allowed = (double)limit->per_s * tolerance->window_s + (double)limit->burst;
+  double excess = allowed * tolerance->overage + tolerance->slack;
+
+  return (struct kcp_quota_limit){
+    .per_s = limit->per_s,
+    .burst = limit->burst + (int64_t)(excess * TOLERANCE_USED),
+  };
+}
+
 /* Sets the limit and the share of it that the bucket grants. */
 void
 kcp_quota_bucket_set (struct kcp_quota_bucket *bucket,
--- a/src/quota/bucket.h
+++ b/src/quota/bucket.h
@@ -19,6 +19,15 @@
   int64_t burst;
 };
 
+/* What may be exceeded in any window, as the operators accept it: VMs that do not reach
+   each other cannot keep a limit exactly. All members are 0 where nothing is accepted. */
+struct kcp_quota_tolerance
+{
+  double window_s;
+  double overage; /* part of what the limit allows in the window */
+  double slack;   /* units beyond that */
+};
+
 struct kcp_quota_bucket
 {
   struct kcp_quota_limit limit;
@@ -42,6 +51,9 @@
   int64_t retry_ms; /* if none is granted: when the first request may come again */
 };
 
+struct kcp_quota_limit
+kcp_quota_limit_with_tolerance (const struct kcp_quota_limit *limit,
+                                const struct kcp_quota_tolerance *tolerance);
 void
 kcp_quota_bucket_set (struct kcp_quota_bucket *bucket,
                       const struct kcp_quota_limit *limit, double share, int64_t now_ns);
--- a/src/quota/pool.c
+++ b/src/quota/pool.c
@@ -16,6 +16,11 @@
    the asks have waited is ready: the inverse of a part of a second. */
 #define UNANSWERED_START_DIVISOR 6
 
+/* A VM that was refused within this time goes on at a part of its rate (the inverse): the
+   team is at its quota, and VMs on the other side of a cut may be granted all of it. */
+#define AT_QUOTA_NS      (10 * KCP_NS_PER_S)
+#define AT_QUOTA_DIVISOR 2
+
 static void record_use (struct kcp_quota_pool *pool, double cost, int64_t now_ns);
 static void advance (struct kcp_quota_pool *pool, int64_t now_ns);
 static double recent_per_s (struct kcp_quota_pool *pool, int64_t now_ns);
@@ -93,6 +98,8 @@
   double per_s = MAX (recent_per_s (pool, now_ns), least_per_s);
   double elapsed_s = (double)(now_ns - pool->unanswered_ns) / KCP_NS_PER_S;
 
+  if (pool->refused_until_ns != 0 && now_ns - pool->refused_until_ns < AT_QUOTA_NS)
+    per_s /= AT_QUOTA_DIVISOR;
   if (pool->unanswered_ns == 0)
     pool->unanswered_credit = per_s / UNANSWERED_START_DIVISOR;
   else
--- a/src/quota/pool.h
+++ b/src/quota/pool.h
@@ -3,8 +3,9 @@
    arguments alone.
 
    Load pattern: VMs, links and the granting VM fail while a team is at its quota. Without
-   an answer a VM goes on at the rate at which it was granted before. The rates of all VMs
-   added up to the quota at most, so they do on both sides of a cut. */
+   an answer a VM goes on at the rate at which it was granted before, or at half of it if
+   the team is at its quota. The rates of all VMs added up to the quota at most, so they
+   do on both sides of a cut. */
 #ifndef KCP_QUOTA_POOL_H
 #define KCP_QUOTA_POOL_H
 
--- a/src/settings/forward_settings.c
+++ b/src/settings/forward_settings.c
@@ -47,6 +47,9 @@
   REAL ("retry", "ratio", retry_ratio, 0, 1, 0.1),
   REAL ("retry", "burst", retry_burst, 1, 100000, 10),
   REAL ("retry", "window_s", retry_window_s, 1, 3600, 10),
+  REAL ("quotas", "window_s", quotas_window_s, 0, 3600, 0),
+  REAL ("quotas", "overage", quotas_overage, 0, 1, 0),
+  REAL ("quotas", "slack", quotas_slack, 0, 1e12, 0),
   INT ("weights", "replace_ms", weights_replace_ms, 100, 3600000, 10000),
   INT ("orders", "turn_ms", orders_min_gap_ms, 100, 600000, 3000),
 };
--- a/src/settings/forward_settings.h
+++ b/src/settings/forward_settings.h
@@ -32,6 +32,9 @@
   double retry_ratio;         /* retries allowed per request */
   double retry_burst;         /* retries allowed in addition to the ratio */
   double retry_window_s;      /* period over which requests and retries are counted */
+  double quotas_window_s;     /* see struct kcp_quota_tolerance */
+  double quotas_overage;
+  double quotas_slack;
   int64_t weights_replace_ms; /* how long replaced weights may be used */
   int64_t orders_min_gap_ms;  /* minimum time between the orders of two VMs */
 };
