Quotas: requests that wait are granted or refused one by one

Cause: a VM with more waiting than the bucket held was granted one request a round trip and refused none, so 37,113 of some 50,000 requests of one VM went on waiting; the address sanitizer showed it as a leak of test_quotas.

--- a/src/forward/mesh_message.h
+++ b/src/forward/mesh_message.h
@@ -19,6 +19,7 @@
 #include "policy/limit_needs.h"
 #include "policy/quarantine.h"
 #include "policy/suspect.h"
+#include "quota/bucket.h"
 
 #define KCP_MESH_MESSAGE_MAX  8192u /* bytes */
 #define KCP_MESH_ROWS_MAX     128u
@@ -169,8 +170,8 @@
 
 enum kcp_mesh_quota_kind
 {
-  KCP_MESH_QUOTA_ASK,          /* first, waiting and reserve apply */
-  KCP_MESH_QUOTA_GRANT,        /* granted and retry_ms apply */
+  KCP_MESH_QUOTA_ASK,          /* costs, count and reserve apply */
+  KCP_MESH_QUOTA_GRANT,        /* count, granted and retry_ms apply */
   KCP_MESH_QUOTA_NOT_GRANTING, /* the VM that was asked does not grant this quota */
   KCP_MESH_QUOTA_KINDS
 };
@@ -180,10 +181,10 @@
 {
   char vm[64]; /* IP:PORT of the VM's own socket */
   enum kcp_mesh_quota_kind kind;
-  uint64_t team;     /* see kcp_quota_team_key() */
-  uint32_t sequence; /* of the ask */
-  uint32_t first;    /* see struct kcp_quota_ask */
-  uint32_t waiting;
+  uint64_t team;                     /* see kcp_quota_team_key() */
+  uint32_t sequence;                 /* of the ask */
+  uint32_t costs[KCP_QUOTA_ASK_MAX]; /* see struct kcp_quota_ask */
+  uint32_t count;                    /* of the costs asked for, or granted */
   uint32_t reserve;
   uint32_t granted; /* see struct kcp_quota_grant */
   uint32_t retry_ms;
--- a/src/forward/mesh_quota.c
+++ b/src/forward/mesh_quota.c
@@ -91,13 +91,14 @@
     .kind = KCP_MESH_QUOTA_ASK,
     .team = team,
     .sequence = sequence,
-    .first = (uint32_t)MIN (ask->first, UINT32_MAX),
-    .waiting = (uint32_t)MIN (ask->waiting, UINT32_MAX),
+    .count = ask->count,
     .reserve = (uint32_t)MIN (ask->reserve, UINT32_MAX),
   };
 
   if (peer == NULL)
     return false;
+  for (unsigned i = 0; i < ask->count; i++)
+    message.costs[i] = (uint32_t)MIN (ask->costs[i], UINT32_MAX);
   peer->quota_unanswered++;
   send_message (mesh, peer, &message);
   schedule_tick (gateway);
@@ -194,6 +195,7 @@
   struct kcp_quotas *quotas = mesh->gateway->quotas;
   int64_t now = kcp_loop_now (mesh->gateway->loop);
   struct kcp_quota_grant grant = {
+    .count = message->count,
     .granted = message->granted,
     .retry_ms = message->retry_ms,
   };
@@ -222,8 +224,7 @@
         const struct kcp_mesh_quota *message)
 {
   struct kcp_quota_ask ask = {
-    .first = message->first,
-    .waiting = message->waiting,
+    .count = message->count,
     .reserve = message->reserve,
   };
   struct kcp_quota_grant grant = { 0 };
@@ -233,10 +234,13 @@
     .sequence = message->sequence,
   };
 
+  for (unsigned i = 0; i < ask.count; i++)
+    ask.costs[i] = message->costs[i];
   if (kcp_quotas_grant (mesh->gateway->quotas, message->team, &ask, &grant,
                         kcp_loop_now (mesh->gateway->loop)))
     {
       reply.kind = KCP_MESH_QUOTA_GRANT;
+      reply.count = grant.count;
       reply.granted = (uint32_t)MIN (grant.granted, UINT32_MAX);
       reply.retry_ms = (uint32_t)MIN (grant.retry_ms, UINT32_MAX);
     }
--- a/src/forward/mesh_quota_message.c
+++ b/src/forward/mesh_quota_message.c
@@ -30,8 +30,12 @@
       || kind >= KCP_MESH_QUOTA_KINDS)
     return FALSE;
   quota->kind = (enum kcp_mesh_quota_kind)kind;
-  return xdr_uint64_t (xdr, &quota->team) && xdr_uint32_t (xdr, &quota->sequence)
-         && xdr_uint32_t (xdr, &quota->first) && xdr_uint32_t (xdr, &quota->waiting)
-         && xdr_uint32_t (xdr, &quota->reserve) && xdr_uint32_t (xdr, &quota->granted)
+  if (!xdr_uint64_t (xdr, &quota->team) || !xdr_uint32_t (xdr, &quota->sequence)
+      || !xdr_uint32_t (xdr, &quota->count) || quota->count > KCP_QUOTA_ASK_MAX)
+    return FALSE;
+  for (uint32_t i = 0; quota->kind == KCP_MESH_QUOTA_ASK && i < quota->count; i++)
+    if (!xdr_uint32_t (xdr, &quota->costs[i]))
+      return FALSE;
+  return xdr_uint32_t (xdr, &quota->reserve) && xdr_uint32_t (xdr, &quota->granted)
          && xdr_uint32_t (xdr, &quota->retry_ms);
 }
--- a/src/quota/bucket.c
+++ b/src/quota/bucket.c
@@ -13,6 +13,7 @@
    cannot know of each other. */
 #define TOLERANCE_USED 0.3
 
+static int64_t promise (struct kcp_quota_bucket *bucket, int64_t cost, int64_t now_ns);
 static void refill (struct kcp_quota_bucket *bucket, int64_t now_ns);
 static double rate (const struct kcp_quota_bucket *bucket);
 static double capacity (const struct kcp_quota_bucket *bucket);
@@ -58,29 +59,45 @@
                       int64_t now_ns)
 {
   struct kcp_quota_grant grant = { 0 };
-  double left;
+  double spare;
 
   refill (bucket, now_ns);
-  if (bucket->credit <= 0)
+  for (; grant.count < ask->count && bucket->credit > 0; grant.count++)
     {
-      int64_t room_ns
-          = now_ns + (int64_t)(-bucket->credit / rate (bucket) * KCP_NS_PER_S);
-
-      room_ns = MIN (MAX (room_ns, bucket->promised_ns), now_ns + PROMISE_MAX_NS);
-      bucket->promised_ns
-          = room_ns + (int64_t)((double)ask->first / rate (bucket) * KCP_NS_PER_S);
-      grant.retry_ms = (room_ns - now_ns) / KCP_NS_PER_MS + 1;
+      bucket->credit -= (double)ask->costs[grant.count];
+      grant.granted += ask->costs[grant.count];
+    }
+  if (grant.count < ask->count)
+    {
+      grant.retry_ms
+          = (promise (bucket, ask->costs[grant.count], now_ns) - now_ns) / KCP_NS_PER_MS
+            + 1;
       return grant;
     }
-  /* A part of what waits beyond the first request would only serve small ones. */
-  grant.granted = bucket->credit >= (double)ask->waiting ? ask->waiting : ask->first;
-  left = bucket->credit - (double)grant.granted - capacity (bucket) / KEEP_DIVISOR;
-  if (left > 0)
-    grant.granted += MIN (ask->reserve, (int64_t)left);
-  bucket->credit -= (double)grant.granted;
+  spare = bucket->credit - capacity (bucket) / KEEP_DIVISOR;
+  if (spare > 0)
+    {
+      int64_t reserve = MIN (ask->reserve, (int64_t)spare);
+
+      bucket->credit -= (double)reserve;
+      grant.granted += reserve;
+    }
   return grant;
 }
 
+/* Returns when a request that is refused may come again. The next one gets a later
+   time. */
+static int64_t
+promise (struct kcp_quota_bucket *bucket, int64_t cost, int64_t now_ns)
+{
+  int64_t room_ns
+      = now_ns + (int64_t)(MAX (-bucket->credit, 0) / rate (bucket) * KCP_NS_PER_S);
+
+  room_ns = MIN (MAX (room_ns, bucket->promised_ns), now_ns + PROMISE_MAX_NS);
+  bucket->promised_ns = room_ns + (int64_t)((double)cost / rate (bucket) * KCP_NS_PER_S);
+  return room_ns;
+}
+
 static void
 refill (struct kcp_quota_bucket *bucket, int64_t now_ns)
 {
--- a/src/quota/bucket.h
+++ b/src/quota/bucket.h
@@ -37,18 +37,21 @@
   int64_t promised_ns; /* refused callers were told to return up to then */
 };
 
-/* What a VM asks for. */
+#define KCP_QUOTA_ASK_MAX 16u
+
+/* What a VM asks for: requests that wait, in their order, and a reserve. */
 struct kcp_quota_ask
 {
-  int64_t first;   /* cost of the request that has waited for the longest */
-  int64_t waiting; /* of all waiting requests, the first included */
+  int64_t costs[KCP_QUOTA_ASK_MAX];
+  unsigned count;
   int64_t reserve; /* for requests to come */
 };
 
 struct kcp_quota_grant
 {
-  int64_t granted;  /* 0: none */
-  int64_t retry_ms; /* if none is granted: when the first request may come again */
+  unsigned count;   /* requests granted, the first ones */
+  int64_t granted;  /* their cost and the reserve */
+  int64_t retry_ms; /* if not all are granted: when the next one may come again */
 };
 
 struct kcp_quota_limit
--- a/src/quota/pool.c
+++ b/src/quota/pool.c
@@ -62,10 +62,9 @@
 {
   pool->unanswered_ns = 0;
   if (grant->granted > 0)
-    {
-      kcp_quota_pool_give_back (pool, grant->granted, now_ns);
-      return;
-    }
+    kcp_quota_pool_give_back (pool, grant->granted, now_ns);
+  if (grant->retry_ms == 0)
+    return;
   pool->refused_until_ns = now_ns + MIN (grant->retry_ms * KCP_NS_PER_MS, REFUSED_MAX_NS);
   pool->promised_ns = MAX (pool->promised_ns, now_ns + grant->retry_ms * KCP_NS_PER_MS);
 }
--- a/src/quota/quotas.c
+++ b/src/quota/quotas.c
@@ -21,8 +21,7 @@
   struct kcp_quota_pool pool;
   struct kcp_quota_bucket bucket; /* used while this VM grants */
   bool grants;
-  GQueue waiting; /* struct kcp_quota_wait, in the order of arrival */
-  int64_t waiting_cost;
+  GQueue waiting;    /* struct kcp_quota_wait, in the order of arrival */
   uint32_t sequence; /* of the newest ask */
   int64_t asked_ns;  /* when it was sent; 0: it is answered */
   unsigned tries;    /* asks since the last answer */
@@ -38,7 +37,7 @@
 static void ask (struct kcp_quotas *quotas, struct kcp_quota_team *team, int64_t now_ns);
 static void
 ask_again (struct kcp_quotas *quotas, struct kcp_quota_team *team, int64_t now_ns);
-static void admit_waiting (struct kcp_quota_team *team, int64_t now_ns);
+static void admit_waiting (struct kcp_quota_team *team, unsigned count, int64_t now_ns);
 static void
 refuse_waiting (struct kcp_quotas *quotas, struct kcp_quota_team *team, int64_t now_ns);
 static void
@@ -98,7 +97,6 @@
     }
   wait->team = team;
   g_queue_push_tail (&team->waiting, wait);
-  team->waiting_cost += wait->cost;
   if (team->asked_ns == 0)
     ask (quotas, team, now_ns);
   return KCP_QUOTA_WAITS;
@@ -112,7 +110,6 @@
   if (wait->team == NULL)
     return;
   (void)g_queue_remove (&wait->team->waiting, wait);
-  wait->team->waiting_cost -= wait->cost;
   wait->team = NULL;
 }
 
@@ -156,9 +153,8 @@
   team->tries = 0;
   if (sequence == team->sequence)
     team->asked_ns = 0;
-  if (grant->granted > 0)
-    admit_waiting (team, now_ns);
-  else
+  admit_waiting (team, grant->count, now_ns);
+  if (grant->retry_ms > 0)
     refuse_waiting (quotas, team, now_ns);
   if (!g_queue_is_empty (&team->waiting) && team->asked_ns == 0)
     ask (quotas, team, now_ns);
@@ -225,24 +221,22 @@
 static void
 ask (struct kcp_quotas *quotas, struct kcp_quota_team *team, int64_t now_ns)
 {
-  const struct kcp_quota_wait *first = g_queue_peek_head (&team->waiting);
-  struct kcp_quota_ask wanted = {
-    .first = first->cost,
-    .waiting = team->waiting_cost,
-    .reserve = kcp_quota_pool_reserve (&team->pool, now_ns),
-  };
-  /* Without a limit, which may have been lifted meanwhile, all requests are admitted. */
-  struct kcp_quota_grant grant = { .granted = wanted.waiting };
+  struct kcp_quota_ask wanted
+      = { .reserve = kcp_quota_pool_reserve (&team->pool, now_ns) };
+  struct kcp_quota_grant grant;
 
+  for (const GList *item = team->waiting.head;
+       item != NULL && wanted.count < KCP_QUOTA_ASK_MAX; item = item->next)
+    wanted.costs[wanted.count++] = ((const struct kcp_quota_wait *)item->data)->cost;
   team->sequence++;
   team->tries++;
   team->asked_ns = now_ns;
-  if (team->grants)
-    {
-      (void)kcp_quotas_grant (quotas, team->key, &wanted, &grant, now_ns);
-      kcp_quotas_receive (quotas, team->key, team->sequence, &grant, now_ns);
-    }
-  else if (!quotas->link.ask (quotas->link.self, team->key, team->sequence, &wanted))
+  if (!team->grants
+      && quotas->link.ask (quotas->link.self, team->key, team->sequence, &wanted))
+    return;
+  if (kcp_quotas_grant (quotas, team->key, &wanted, &grant, now_ns))
+    kcp_quotas_receive (quotas, team->key, team->sequence, &grant, now_ns);
+  else
     go_on_unanswered (quotas, team, now_ns);
 }
 
@@ -258,14 +252,16 @@
     go_on_unanswered (quotas, team, now_ns);
 }
 
-/* Admits requests in their order as far as the grant goes. It covers the first one. */
+/* Admits the first count requests, as far as their cost was granted: some that were asked
+   for may have been cancelled. */
 static void
-admit_waiting (struct kcp_quota_team *team, int64_t now_ns)
+admit_waiting (struct kcp_quota_team *team, unsigned count, int64_t now_ns)
 {
   const struct kcp_quota_wait *first;
 
-  while ((first = g_queue_peek_head (&team->waiting)) != NULL
-         && kcp_quota_pool_take (&team->pool, first->cost, now_ns))
+  for (; count > 0 && (first = g_queue_peek_head (&team->waiting)) != NULL
+         && kcp_quota_pool_take (&team->pool, first->cost, now_ns);
+       count--)
     decide (team, true, 0);
 }
 
@@ -280,7 +276,8 @@
                                     now_ns));
 }
 
-/* Decides about all waiting requests without a grant. */
+/* Decides about all waiting requests without a grant. Their limit may have been lifted.
+ */
 static void
 go_on_unanswered (struct kcp_quotas *quotas, struct kcp_quota_team *team, int64_t now_ns)
 {
@@ -288,9 +285,10 @@
 
   team->asked_ns = 0;
   while ((first = g_queue_peek_head (&team->waiting)) != NULL
-         && kcp_quota_pool_take_unanswered (
-             &team->pool, first->cost, part_per_s (quotas, team) / UNANSWERED_DIVISOR,
-             now_ns))
+         && (team->limit.per_s == 0
+             || kcp_quota_pool_take_unanswered (
+                 &team->pool, first->cost, part_per_s (quotas, team) / UNANSWERED_DIVISOR,
+                 now_ns)))
     decide (team, true, 0);
   refuse_waiting (quotas, team, now_ns);
 }
@@ -301,7 +299,6 @@
 {
   struct kcp_quota_wait *wait = g_queue_pop_head (&team->waiting);
 
-  team->waiting_cost -= wait->cost;
   wait->team = NULL;
   wait->decided (wait->user, admitted, return_ns);
 }
--- a/tests/unit/test_quotas.c
+++ b/tests/unit/test_quotas.c
@@ -61,6 +61,7 @@
 {
   struct kcp_quota_wait wait;
   int64_t cost;
+  int64_t sent_ms;
 };
 
 struct use
@@ -227,6 +228,7 @@
   struct request *request = user;
 
   ck_assert (admitted || return_ns >= MS (fleet.now_ms));
+  ck_assert_int_le (fleet.now_ms - request->sent_ms, DECIDED_MS / 2);
   if (admitted)
     record (request->cost);
   g_free (request);
@@ -238,6 +240,7 @@
   struct request *request = g_new0 (struct request, 1);
   int64_t return_ns;
 
+  request->sent_ms = fleet.now_ms;
   request->cost = vm->requests++ % LARGE_EVERY == 0 ? LARGE_COST : SMALL_COST;
   request->wait = (struct kcp_quota_wait){ .cost = request->cost,
                                            .decided = on_decided,
