--- a/src/quota/bucket.h
+++ b/src/quota/bucket.h
@@ -37,7 +37,7 @@
   int64_t promised_ns; /* refused callers were told to return up to then */
 };
 
-#define KCP_QUOTA_ASK_MAX 16u
+#define KCP_QUOTA_ASK_MAX 64u
 
 /* What a VM asks for: requests that wait, in their order, and a reserve. */
 struct kcp_quota_ask
