--- a/tests/unit/test_quotas.c
+++ b/tests/unit/test_quotas.c
@@ -459,8 +459,8 @@
   set_limits ();
 }
 
-/* The VM that grants is killed and forgets what it granted, again and again. Requests of
-   killed VMs that wait are forgotten with them, which leaks them in this test only. */
+/* The VM that grants is killed and forgets what it granted, again and again. Callers
+   pause before each kill, so that none waits at the VM that ends. */
 START_TEST (test_quota_is_exceeded_as_granting_vms_are_killed)
 {
   set_up (7, limits[_i]);
