Server health: the failure of a first attempt is no verdict

Cause: a server without evidence counted as 4 attempts, so the failure of its only attempt was a share of 1 in 5, above the 15 in 100 that are ignored, and cost 100 ms. While the other server of its service answered, it got no request of the next 8.

Ruled out: the suspicion after a broken connection, which ends after 1 s; the test waits longer.

--- a/src/policy/server_health.c
+++ b/src/policy/server_health.c
@@ -7,8 +7,8 @@
 /* Time in which evidence loses half of its weight. */
 #define HALF_LIFE_NS (5 * KCP_NS_PER_S)
 /* A server without evidence counts as this many attempts with the failures of its
-   service, so that a single failure among few attempts is no verdict. */
-#define PRIOR_ATTEMPTS 4.0
+   service: a single failure, also of the first attempt, stays below SHARE_IGNORED. */
+#define PRIOR_ATTEMPTS 6.0
 /* Failures up to this share of the attempts beyond the usual one change nothing: servers
    fail now and then, and moving their requests loses what they have cached. */
 #define SHARE_IGNORED 0.15
--- a/tests/unit/test_server_health.c
+++ b/tests/unit/test_server_health.c
@@ -151,6 +151,16 @@
 }
 END_TEST
 
+/* A server whose first attempt failed got no request again while the other one answered. */
+START_TEST (test_failure_of_the_first_attempt_is_a_verdict)
+{
+  struct kcp_outcome_counts one = { .failures = 1 };
+  struct kcp_outcome_counts sum = { .failures = 1, .successes = 200 };
+
+  ck_assert_int_eq (kcp_server_health_cost_us (&one, &sum), 0);
+}
+END_TEST
+
 START_TEST (test_evidence_outlives_the_fault)
 {
   struct kcp_server_health health = { 0 };
@@ -205,6 +215,7 @@
   tcase_add_test (cases, test_server_that_has_recovered_gets_no_requests);
   tcase_add_test (cases, test_servers_that_all_fail_are_told_apart);
   tcase_add_test (cases, test_one_failure_is_a_verdict);
+  tcase_add_test (cases, test_failure_of_the_first_attempt_is_a_verdict);
   tcase_add_test (cases, test_evidence_outlives_the_fault);
   tcase_add_test (cases, test_message_loses_outcomes);
   return run_started_suite ();
