--- a/tests/unit/test_server_health.c
+++ b/tests/unit/test_server_health.c
@@ -151,7 +151,8 @@
 }
 END_TEST
 
-/* A server whose first attempt failed got no request again while the other one answered. */
+/* A server whose first attempt failed got no request again while the other one answered.
+ */
 START_TEST (test_failure_of_the_first_attempt_is_a_verdict)
 {
   struct kcp_outcome_counts one = { .failures = 1 };
