Placement: learn how fast each server is

Cause: engines of one service differ in speed (0.6 to 1.6 of the mean), and placement counted 21 us a prompt token at each of them.

Change: attempts that found their server idle give samples of the time to the first byte, told once a second to the VMs of the data center; the slowness scales the prefill, the queue there, and prompts that other VMs announced.

Ruled out: samples in the outcomes message (they used up its budget), slowness for the request's own prefill or for long prompts alone (short prompts were late more often).

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -8,6 +8,7 @@
 #include "forward/cached_parts.h"
 #include "forward/mesh.h"
 #include "forward/server_notices.h"
+#include "forward/server_speeds.h"
 #include "forward/software_versions.h"
 #include "policy/backoff.h"
 #include "policy/place.h"
@@ -19,6 +20,7 @@
    start requests, since a request can wait at a server for seconds before it starts. */
 #define OLD_WEIGHTS_SHARE(ns) ((ns)*2 / 3)
 
+static bool is_idle (const struct kcp_place_candidate *candidate);
 static void
 set_cache_scope (const struct kcp_gateway *gateway, struct kcp_choice *choice);
 static void
@@ -68,6 +70,7 @@
   g_array_set_size (table, servers->len);
   candidates = (struct kcp_place_candidate *)(void *)table->data;
   kcp_mesh_refresh_peer_load (gateway->mesh);
+  kcp_server_speeds_refresh (gateway);
   if (choice->levels == NULL)
     choice->levels = kcp_prompt_levels (choice->inbound);
   set_cache_scope (gateway, choice);
@@ -96,7 +99,9 @@
   choice->failing_us = candidates[at].failing_us;
   choice->wait_us = kcp_place_wait (&candidates[at], &costs);
   choice->uncached_tokens = candidates[at].uncached_tokens;
-  choice->prefill_us = costs.per_token * choice->uncached_tokens;
+  choice->prefill_us = kcp_place_prefill (&candidates[at], &costs);
+  choice->slowness = candidates[at].slowness;
+  choice->idle = is_idle (&candidates[at]);
   g_clear_pointer (&choice->cache_space, g_free);
   choice->weights = 0;
   choice->replaced_ns = 0;
@@ -112,6 +117,14 @@
     kcp_cached_plan_transfers (gateway, choice);
 }
 
+/* Returns true if the server seems to have nothing to do before the request. */
+static bool
+is_idle (const struct kcp_place_candidate *candidate)
+{
+  return candidate->in_flight == 0 && candidate->prefill_tokens_pending == 0
+         && candidate->repeated_tokens == 0 && !candidate->loading;
+}
+
 /* Frees what the choice owns, but not the choice itself. */
 void
 kcp_choice_clear (struct kcp_choice *choice)
@@ -185,6 +198,7 @@
   health = kcp_server_health_counts (&server->health, now);
   candidate->failing_us = kcp_server_health_cost_us (&health, &choice->service_health);
   candidate->in_flight = server->in_flight + server->peers_in_flight;
+  candidate->slowness = model != NULL ? server->slowness : 0;
   candidate->slots = (unsigned)server->entry.slots;
   candidate->prefill_tokens_pending
       = server->prefill_tokens_pending + kcp_server_peers_prefill_tokens (server, now);
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -5,6 +5,7 @@
 #include "base/decision_log.h"
 #include "base/histogram.h"
 #include "forward/forward_private.h"
+#include "forward/mesh_speeds.h"
 #include "forward/server_notices.h"
 #include "policy/fingerprint.h"
 #include "policy/queue_priority.h"
@@ -21,6 +22,7 @@
 static bool tells_of_limit (const struct kcp_forward *forward, long status);
 static bool on_data (void *user, struct kcp_str bytes);
 static void record_first_byte (struct kcp_forward *forward);
+static void record_speed (const struct kcp_forward *forward);
 static void on_done (void *user, const struct kcp_http_result *result);
 static struct kcp_http_result
 check_stream_end (const struct kcp_forward *forward, struct kcp_http_result result);
@@ -42,6 +44,7 @@
   attempt->server_start_ms = MAX (server->entry.started_ms, server->reported_start_ms);
   kcp_histogram_add (KCP_HISTOGRAM_LOAD_AGE, forward->choice.load_age_ns);
   attempt->prefill_tokens_pending = forward->choice.uncached_tokens;
+  attempt->found_idle = forward->choice.idle && forward->choice.inbound->model != NULL;
   kcp_server_limit_take (&server->limit, attempt->sent_ns);
   server->prefill_tokens_pending += attempt->prefill_tokens_pending;
   kcp_forward_note_sent (forward);
@@ -141,6 +144,7 @@
       KCP_LOG_INT ("usable", forward->choice.usable),
       KCP_LOG_INT ("cost_us", forward->choice.cost_us),
       KCP_LOG_INT ("failing_us", forward->choice.failing_us),
+      KCP_LOG_INT ("slowness", forward->choice.slowness),
       KCP_LOG_INT ("load_age_ms", forward->choice.load_age_ns / KCP_NS_PER_MS),
       KCP_LOG_INT ("open_there", server->in_flight),
       KCP_LOG_INT ("limit_share",
@@ -318,12 +322,27 @@
   if (attempt->first_byte_ns != 0)
     return;
   attempt->first_byte_ns = kcp_loop_now (forward->gateway->loop);
+  record_speed (forward);
   attempt->server->prefill_tokens_pending -= attempt->prefill_tokens_pending;
   attempt->prefill_tokens_pending = 0;
   kcp_histogram_add (KCP_HISTOGRAM_FIRST_BYTE,
                      attempt->first_byte_ns - forward->arrived_ns);
 }
 
+/* Records the time to the first byte of a stream as a sample of the server's speed. */
+static void
+record_speed (const struct kcp_forward *forward)
+{
+  const struct kcp_attempt *attempt = &forward->attempt;
+
+  if (!attempt->found_idle
+      || !kcp_forward_is_streamed (forward, kcp_http_status (attempt->call)))
+    return;
+  kcp_mesh_speeds_record (forward->gateway, attempt->server,
+                          attempt->prefill_tokens_pending,
+                          (attempt->first_byte_ns - attempt->sent_ns) / KCP_NS_PER_US);
+}
+
 static void
 on_done (void *user, const struct kcp_http_result *http_result)
 {
--- a/src/forward/forward_end.c
+++ b/src/forward/forward_end.c
@@ -183,6 +183,16 @@
   kcp_forward_finish (forward, KCP_ANSWER_INTERRUPTED, "broken_off", reason);
 }
 
+/* Returns the time from the request's arrival to the first byte of the answer's body at
+   the last attempt, or -1 if none came. */
+static int64_t
+first_byte_ms (const struct kcp_forward *forward)
+{
+  if (forward->attempt.first_byte_ns == 0)
+    return -1;
+  return (forward->attempt.first_byte_ns - forward->arrived_ns) / KCP_NS_PER_MS;
+}
+
 /* Ends the request: writes its log line, updates the counters, and ends the attempt in
    progress and the caller's answer. reason may be NULL. */
 void
@@ -211,6 +221,7 @@
            KCP_LOG_TEXT ("last_event", forward->framer.last_id->str),
            KCP_LOG_INT ("close_delimited",
                         forward->answer->streaming && forward->answer->close_delimited),
+           KCP_LOG_INT ("first_byte_ms", first_byte_ms (forward)),
            KCP_LOG_INT ("ms", (now - forward->arrived_ns) / KCP_NS_PER_MS));
   kcp_histogram_add (KCP_HISTOGRAM_REQUEST, now - forward->arrived_ns);
   if (end == KCP_ANSWER_INTERRUPTED && strcmp (outcome, "caller_gone") == 0)
--- a/src/forward/forward_private.h
+++ b/src/forward/forward_private.h
@@ -36,6 +36,7 @@
   bool paused;           /* the server is not read, since the caller does not read */
   int64_t first_byte_ns; /* when the first byte of the answer arrived; 0: not yet */
   int64_t prefill_tokens_pending; /* part of the server's count due to this attempt */
+  bool found_idle; /* the server seemed to have no other request when it was sent */
 };
 
 struct kcp_forward
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -80,6 +80,7 @@
   unsigned open_requests;
   size_t answer_bytes;           /* memory of the answers of all open requests */
   struct kcp_body_memory bodies; /* of all requests */
+  int64_t speeds_ns;             /* when the servers' slowness was last computed */
   unsigned sharing_vms;          /* VMs among which bursts of retries are divided */
 };
 
--- a/src/forward/mesh.c
+++ b/src/forward/mesh.c
@@ -60,6 +60,7 @@
   kcp_mesh_start_suspects (mesh);
   kcp_mesh_start_notices (mesh);
   kcp_mesh_start_outcomes (mesh);
+  kcp_mesh_start_speeds (mesh);
   mesh->fd = socket (AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (!kcp_server_loop_parse_address (own, &address, error))
     goto fail;
@@ -111,6 +112,7 @@
   kcp_mesh_stop_suspects (mesh);
   kcp_mesh_stop_notices (mesh);
   kcp_mesh_stop_outcomes (mesh);
+  kcp_mesh_stop_speeds (mesh);
   kcp_mesh_stop_quotas (mesh);
   kcp_mesh_update_clear (&mesh->pending);
   if (mesh->fd >= 0)
--- a/src/forward/mesh_message.h
+++ b/src/forward/mesh_message.h
@@ -29,6 +29,7 @@
 #define KCP_MESH_SUSPECTS_MAX 64u /* facts in a suspects message */
 #define KCP_MESH_NOTICES_MAX  64u /* notices in a notices message */
 #define KCP_MESH_NEEDS_MAX    64u /* servers in a needs message */
+#define KCP_MESH_SPEEDS_MAX   32u /* servers in a speeds message */
 #define KCP_MESH_OUTCOMES_MAX 64u /* servers in an outcomes message */
 /* Incarnations that the fact of a request names. */
 #define KCP_MESH_REQUEST_CRASHES_MAX 3u
@@ -46,7 +47,8 @@
   KCP_MESH_SUMMARY,       /* struct kcp_mesh_summary */
   KCP_MESH_REMOTE_UPDATE, /* struct kcp_mesh_update, to be forwarded */
   KCP_MESH_OUTCOMES,      /* struct kcp_mesh_outcomes */
-  KCP_MESH_QUOTA          /* struct kcp_mesh_quota */
+  KCP_MESH_QUOTA,         /* struct kcp_mesh_quota */
+  KCP_MESH_SPEEDS         /* struct kcp_mesh_speeds */
 };
 
 /* The state of one server as seen by the sending VM. */
@@ -168,6 +170,20 @@
   GArray *rows; /* struct kcp_mesh_outcome */
 };
 
+/* Samples of a server's speed that a VM has taken, see policy/server_speed.h. */
+struct kcp_mesh_speed
+{
+  uint64_t server; /* see kcp_server_key() */
+  uint32_t count;
+  int32_t log_sum; /* in 256ths */
+};
+
+struct kcp_mesh_speeds
+{
+  char vm[64];  /* IP:PORT of the VM's own socket */
+  GArray *rows; /* struct kcp_mesh_speed */
+};
+
 enum kcp_mesh_quota_kind
 {
   KCP_MESH_QUOTA_ASK,          /* costs, count and reserve apply */
@@ -227,6 +243,11 @@
 bool
 kcp_mesh_outcomes_decode (struct kcp_mesh_outcomes *outcomes, char *data, size_t len);
 
+void kcp_mesh_speeds_init (struct kcp_mesh_speeds *speeds);
+void kcp_mesh_speeds_clear (struct kcp_mesh_speeds *speeds);
+size_t kcp_mesh_speeds_encode (struct kcp_mesh_speeds *speeds, char *out, size_t max);
+bool kcp_mesh_speeds_decode (struct kcp_mesh_speeds *speeds, char *data, size_t len);
+
 size_t kcp_mesh_quota_encode (struct kcp_mesh_quota *quota, char *out, size_t max);
 bool kcp_mesh_quota_decode (struct kcp_mesh_quota *quota, char *data, size_t len);
 
--- a/src/forward/mesh_private.h
+++ b/src/forward/mesh_private.h
@@ -90,6 +90,14 @@
   struct kcp_loop_timer timer;
 };
 
+/* What the speeds messages need. */
+struct kcp_mesh_speed_state
+{
+  struct kcp_mesh_budget budget;
+  bool scheduled; /* the timer is set */
+  struct kcp_loop_timer timer;
+};
+
 struct kcp_mesh
 {
   struct kcp_gateway *gateway;
@@ -107,6 +115,7 @@
   struct kcp_mesh_suspect_state suspects;
   struct kcp_mesh_notice_state notices;
   struct kcp_mesh_outcome_state outcomes;
+  struct kcp_mesh_speed_state speeds;
   struct kcp_mesh_update pending; /* changes to be sent in the next update message */
   bool peer_load_stale;   /* the peers' load has changed since it was last added up */
   int64_t peer_load_ns;   /* when it was last added up */
@@ -180,6 +189,11 @@
 void kcp_mesh_stop_quotas (struct kcp_mesh *mesh);
 void kcp_mesh_apply_quota (struct kcp_mesh *mesh, const struct kcp_mesh_quota *message);
 
+/* mesh_speeds.c */
+void kcp_mesh_start_speeds (struct kcp_mesh *mesh);
+void kcp_mesh_stop_speeds (struct kcp_mesh *mesh);
+void kcp_mesh_apply_speeds (struct kcp_mesh *mesh, const struct kcp_mesh_speeds *message);
+
 /* mesh_outcomes.c */
 void kcp_mesh_start_outcomes (struct kcp_mesh *mesh);
 void kcp_mesh_stop_outcomes (struct kcp_mesh *mesh);
--- a/src/forward/mesh_receive.c
+++ b/src/forward/mesh_receive.c
@@ -22,6 +22,7 @@
 static bool handle_needs (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_outcomes (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_quota (struct kcp_mesh *mesh, char *bytes, size_t len);
+static bool handle_speeds (struct kcp_mesh *mesh, char *bytes, size_t len);
 static bool handle_summary (struct kcp_mesh *mesh, char *bytes, size_t len);
 static void apply_gossip (struct kcp_mesh *mesh, struct kcp_mesh_message *message);
 static bool has_parts (const GArray *rows);
@@ -73,6 +74,9 @@
         case KCP_MESH_QUOTA:
           valid = handle_quota (mesh, bytes, (size_t)len);
           break;
+        case KCP_MESH_SPEEDS:
+          valid = handle_speeds (mesh, bytes, (size_t)len);
+          break;
         case KCP_MESH_SUMMARY:
           valid = handle_summary (mesh, bytes, (size_t)len);
           break;
@@ -187,6 +191,20 @@
   return valid;
 }
 
+static bool
+handle_speeds (struct kcp_mesh *mesh, char *bytes, size_t len)
+{
+  struct kcp_mesh_speeds speeds;
+  bool valid;
+
+  kcp_mesh_speeds_init (&speeds);
+  valid = kcp_mesh_speeds_decode (&speeds, bytes, len);
+  if (valid)
+    kcp_mesh_apply_speeds (mesh, &speeds);
+  kcp_mesh_speeds_clear (&speeds);
+  return valid;
+}
+
 static bool
 handle_quota (struct kcp_mesh *mesh, char *bytes, size_t len)
 {
--- a/src/forward/mesh_xdr.c
+++ b/src/forward/mesh_xdr.c
@@ -97,6 +97,8 @@
       return KCP_MESH_OUTCOMES;
     case KCP_MESH_QUOTA:
       return KCP_MESH_QUOTA;
+    case KCP_MESH_SPEEDS:
+      return KCP_MESH_SPEEDS;
     default:
       return KCP_MESH_INVALID;
     }
--- a/src/forward/server.c
+++ b/src/forward/server.c
@@ -18,6 +18,7 @@
 #define REFUSAL_SUSPECT_NS   (250 * KCP_NS_PER_MS)
 #define VERSION_UNKNOWN      0
 
+static int64_t prefill_ns (const struct kcp_server *server);
 static void server_clear (void *object);
 static void weights_clear (gpointer data);
 
@@ -128,7 +129,7 @@
   guint expired = 0;
 
   server->peers_prefill_until_ns = MAX (server->peers_prefill_until_ns, now_ns)
-                                   + prefill_tokens_pending * PREFILL_NS_PER_TOKEN;
+                                   + prefill_tokens_pending * prefill_ns (server);
   if (server->peers_sent_parts == NULL)
     server->peers_sent_parts = g_array_new (FALSE, FALSE, sizeof (struct kcp_sent_part));
   while (
@@ -164,11 +165,20 @@
 kcp_server_peers_prefill_tokens (const struct kcp_server *server, int64_t now_ns)
 {
   int64_t announced
-      = MAX (server->peers_prefill_until_ns - now_ns, 0) / PREFILL_NS_PER_TOKEN;
+      = MAX (server->peers_prefill_until_ns - now_ns, 0) / prefill_ns (server);
 
   return MAX (server->peers_prefill_tokens_pending, announced);
 }
 
+/* Returns the time that the server takes for the prefill of a token. */
+static int64_t
+prefill_ns (const struct kcp_server *server)
+{
+  if (server->slowness == 0)
+    return PREFILL_NS_PER_TOKEN;
+  return PREFILL_NS_PER_TOKEN * server->slowness / KCP_SLOWNESS_USUAL;
+}
+
 /* Returns true if the part is in the server's known set of cached parts. */
 bool
 kcp_server_has_cached_part (const struct kcp_server *server, uint64_t part)
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -11,6 +11,7 @@
 #include "policy/reach.h"
 #include "policy/server_health.h"
 #include "policy/server_limit.h"
+#include "policy/server_speed.h"
 
 enum kcp_server_state
 {
@@ -59,8 +60,11 @@
   unsigned failures;               /* consecutive */
   struct kcp_server_health health; /* what attempts there came to */
   struct kcp_server_health untold; /* of this VM alone, since others were told */
-  bool told_unreached;             /* others were told that it is not reached */
-  struct kcp_reach reach;          /* the path to it; see forward/reach_watch.h */
+  struct kcp_server_speed speed;   /* how fast answers of it begin */
+  int64_t slowness;                /* by it, see policy/server_speed.h; 0: not computed */
+  struct kcp_speed_samples untold_speed; /* of this VM alone, since others were told */
+  bool told_unreached;                   /* others were told that it is not reached */
+  struct kcp_reach reach;                /* the path to it; see forward/reach_watch.h */
   int64_t suspected_until_ns;
   int64_t backoff_until_ns;       /* it has asked for no requests until then */
   struct kcp_server_limit limit;  /* requests that it takes from all VMs together */
--- a/src/policy/place.c
+++ b/src/policy/place.c
@@ -1,11 +1,14 @@
 #include "policy/place.h"
 
+#include "policy/server_speed.h"
+
 /* Random part of the cost for each VM that chooses by the same view, in microseconds. */
 #define SPREAD_PER_VM_US 200
 #define SPREAD_MAX_US    40000
 
 #define GOLDEN_GAMMA 0x9e3779b97f4a7c15u /* step of the sequence of random costs */
 
+static int64_t at_speed (const struct kcp_place_candidate *candidate, int64_t time_us);
 static int64_t
 random_cost (const struct kcp_place_costs *costs, uint64_t random_value, size_t at);
 
@@ -97,11 +100,29 @@
 
   if (candidate->in_flight >= candidate->slots)
     wait += costs->per_waiting * (candidate->in_flight - candidate->slots + 1);
+  wait = at_speed (candidate, wait);
   if (candidate->loading)
     wait += costs->loading;
   return wait;
 }
 
+/* Returns the expected time of the prefill of the request's prompt, in microseconds. */
+int64_t
+kcp_place_prefill (const struct kcp_place_candidate *candidate,
+                   const struct kcp_place_costs *costs)
+{
+  return at_speed (candidate, costs->per_token * candidate->uncached_tokens);
+}
+
+/* Returns the time that the server takes for what takes the mean server time_us. */
+static int64_t
+at_speed (const struct kcp_place_candidate *candidate, int64_t time_us)
+{
+  if (candidate->slowness == 0)
+    return time_us;
+  return time_us * candidate->slowness / KCP_SLOWNESS_USUAL;
+}
+
 /* Returns the expected time to the first byte plus penalties, in microseconds. */
 int64_t
 kcp_place_cost (const struct kcp_place_candidate *candidate,
@@ -109,9 +130,11 @@
 {
   int64_t cost = kcp_place_wait (candidate, costs);
 
-  cost += costs->per_token * (candidate->uncached_tokens - candidate->discount_tokens);
-  cost += costs->per_repeated * candidate->repeated_tokens;
+  cost += at_speed (candidate,
+                    costs->per_token
+                        * (candidate->uncached_tokens - candidate->discount_tokens));
   cost += costs->per_in_flight * candidate->in_flight;
+  cost += costs->per_repeated * candidate->repeated_tokens;
   if (!candidate->local)
     cost += costs->remote;
   if (candidate->weights == KCP_PLACE_WEIGHTS_OLD)
--- a/src/policy/place.h
+++ b/src/policy/place.h
@@ -48,6 +48,7 @@
      recently. */
   int64_t repeated_tokens;
   bool preferred;     /* first in the server order of the prompt's session */
+  int64_t slowness;   /* of its work; see policy/server_speed.h; 0: not known */
   int64_t failing_us; /* cost of its failures; see policy/server_health.h */
 };
 
@@ -75,6 +76,8 @@
                       const struct kcp_place_costs *costs, uint64_t random_value);
 int64_t kcp_place_wait (const struct kcp_place_candidate *candidate,
                         const struct kcp_place_costs *costs);
+int64_t kcp_place_prefill (const struct kcp_place_candidate *candidate,
+                           const struct kcp_place_costs *costs);
 int64_t kcp_place_cost (const struct kcp_place_candidate *candidate,
                         const struct kcp_place_costs *costs);
 
