--- a/review/8/lost_suspects.c
+++ b/review/8/lost_suspects.c
@@ -9,7 +9,7 @@
 
 #define ENGINES   6
 #define VMS       3
-#define CALLERS   3
+#define CALLERS   12
 #define WORK_MS   150
 #define DOWN_MS   2000 /* a crashed engine is back "after some seconds" */
 #define EXPIRE_MS 3600 /* three heartbeats */
@@ -35,12 +35,14 @@
 static const char *const zones[] = { "townsville", "cairns", "mackay" };
 static struct engine engines[ENGINES];
 static int starts[ENGINES];
+static int others[ENGINES]; /* other requests at work there */
 static struct vm *vms[VMS];
 static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
 static int crashes;
 static int64_t third_ms;
 static int late; /* copies that reached an engine later than the rule allows */
 static volatile bool stopping;
+static int taken_along; /* other requests that such a copy took along */
 static int served, refused, failed;
 
 static void *
@@ -67,7 +69,9 @@
 
   if (strcmp (request->target, "/book/deadly") != 0)
     {
+      (void)__sync_add_and_fetch (&others[engine - engines], 1);
       engine_run (engine, fd, request);
+      (void)__sync_sub_and_fetch (&others[engine - engines], 1);
       return;
     }
   (void)pthread_mutex_lock (&lock);
@@ -75,9 +79,13 @@
   if (crashes == 3)
     third_ms = at;
   else if (crashes > 3 && at > third_ms + STABLE_MS)
-    late++;
-  record ("%s begins to run the deadly request and crashes, crash %d", engine->id,
-          crashes);
+    {
+      late++;
+      taken_along += others[engine - engines];
+    }
+  record ("%s begins to run the deadly request and crashes, crash %d; %d others were at "
+          "work there",
+          engine->id, crashes, others[engine - engines]);
   (void)pthread_mutex_unlock (&lock);
   engine_stop (engine);
   (void)pthread_create (&thread, NULL, come_back, engine);
@@ -184,7 +192,9 @@
   stopping = true;
   for (int i = 0; i < CALLERS; i++)
     (void)pthread_join (callers[i], NULL);
-  record ("others: served %d, refused %d, failed %d", served, refused, failed);
+  record ("others: served %d, refused %d, failed %d; %d were at work at an engine that a "
+          "copy crashed later than the rule allows",
+          served, refused, failed, taken_along);
   record (
       "BUDGET: %d copies of the deadly request reached an engine later than %d ms after "
       "it had crashed the third, of %d copies in all; %d are allowed",
