DRAIN: entries are ordered where they were written, not as they arrive

Cause: the store may carry a write out seconds late. kcp_servers_apply() took any entry of the same start, so a late `ready` undid `draining`; and a removal was not remembered, so a late heartbeat listed the server anew.

Why this works: an entry is judged by start, number and offset against the newest one known, which is kept also after a removal. A returned entry that could be either is listed but held (no requests) until the list would have dropped that of a server that is gone; not after an outage of the store, not for a server that this VM did not reach as it was removed, and not if most servers of a service return. Stale listings and records read twice are told by offset. A start ahead of the clock keeps nothing out.

The stand-ins of the tests number their entries now, as servers do; they all bore 17. The route VMs of the tests have a short heartbeat, since their servers write entries at once.

--- a/soak/fleet.h
+++ b/soak/fleet.h
@@ -48,6 +48,7 @@
   unsigned service; /* index of fleet_services */
   char instance[24];
   unsigned starts;
+  unsigned entries; /* that it has written since it started */
   const char *software;
   pid_t pid; /* 0: it does not run */
   int64_t born_ms;
--- a/soak/fleet_server.c
+++ b/soak/fleet_server.c
@@ -35,7 +35,7 @@
 static void start_server (struct fleet_server *server);
 static void kill_server (struct fleet_server *server, int64_t now_us, int64_t down_us);
 static void note (const struct fleet_server *server, const char *event);
-static void list_server (const struct fleet_server *server, const char *state);
+static void list_server (struct fleet_server *server, const char *state);
 
 static int64_t
 random_us (int min_ms, int max_ms)
@@ -78,6 +78,7 @@
   server->starts++;
   server->start_us = 0;
   server->born_ms = g_get_real_time () / 1000;
+  server->entries = 0;
   born = g_strdup_printf ("%" G_GINT64_FORMAT, server->born_ms);
   /* Kept until the server handles them. */
   (void)sigemptyset (&signals);
@@ -99,14 +100,14 @@
 
 /* Writes the server's entry to the list. */
 static void
-list_server (const struct fleet_server *server, const char *state)
+list_server (struct fleet_server *server, const char *state)
 {
   g_autofree char *text = g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z%u\","
       "\"version\":\"%s\",\"slots\":12,\"state\":\"%s\",\"seq-no\":%u,"
       "\"born\":%" G_GINT64_FORMAT ",\"models\":[{\"name\":\"m\",\"version\":1}]}",
       fleet_services[server->service], fleet_link_server_port (server->number),
-      server->number % FLEET_DATA_CENTERS, server->software, state, server->starts,
+      server->number % FLEET_DATA_CENTERS, server->software, state, ++server->entries,
       server->born_ms);
 
   fake_platform_put_server_entry (fleet.platform, server->instance, text);
--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -59,6 +59,11 @@
   = { "server_backoffs", "Times a server asked for no requests for some time" },
   [KCP_COUNT_STORE_ERAS]
   = { "store_eras", "Times the platform's store came back from an older copy" },
+  [KCP_COUNT_ENTRIES_OLDER]
+  = { "older_entries",
+      "Entries of servers, and removals, not used as newer ones are known" },
+  [KCP_COUNT_SERVERS_HELD]
+  = { "servers_held", "Servers not used at once when their entries returned" },
   [KCP_COUNT_SERVER_LIMITS]
   = { "server_limits", "Times a server named a limit of requests a second" },
   [KCP_COUNT_UNCLEAN_CONNECTIONS]
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -29,6 +29,10 @@
 static bool
 is_eligible (const struct kcp_choice *choice, const struct kcp_server *server);
 static bool has_left (const struct kcp_gateway *gateway, const struct kcp_server *server);
+static bool is_held (const struct kcp_choice *choice, const struct kcp_server *server,
+                     int64_t now_ns);
+static bool
+hold_applies (const struct kcp_choice *choice, const GPtrArray *servers, int64_t now_ns);
 static bool was_tried (const struct kcp_choice *choice, const struct kcp_server *server);
 static void
 note_availability (struct kcp_choice *choice, struct kcp_server *server, int64_t now_ns);
@@ -79,6 +83,7 @@
   choice->earliest_available_ns = 0;
   choice->earliest_server = NULL;
   choice->service_health = sum_health (choice, servers, kcp_loop_now (gateway->loop));
+  choice->holds = hold_applies (choice, servers, kcp_loop_now (gateway->loop));
   for (guint i = 0; i < servers->len; i++)
     {
       fill_candidate (gateway, choice, g_ptr_array_index (servers, i), &candidates[i]);
@@ -186,6 +191,7 @@
   kcp_server_notices_share_limit (gateway, server);
   note_availability (choice, server, now);
   candidate->usable = !was_tried (choice, server) && now >= server->backoff_until_ns
+                      && !is_held (choice, server, now)
                       && kcp_server_limit_has_room (&server->limit, now);
   if (!candidate->usable)
     return;
@@ -256,6 +262,35 @@
                                          kcp_loop_now (gateway->loop));
 }
 
+/* Returns true if the server is kept from requests because its entry returned. */
+static bool
+is_held (const struct kcp_choice *choice, const struct kcp_server *server, int64_t now_ns)
+{
+  return choice->holds && now_ns < server->held_until_ns;
+}
+
+/* Returns true if servers whose entries returned are held. If they are the greater part
+   of the service's servers, they have lost and found the store rather than left, and
+   callers would be refused in vain. */
+static bool
+hold_applies (const struct kcp_choice *choice, const GPtrArray *servers, int64_t now_ns)
+{
+  guint held = 0;
+  guint others = 0;
+
+  for (guint i = 0; i < servers->len; i++)
+    {
+      const struct kcp_server *server = g_ptr_array_index (servers, i);
+
+      if (server->entry.state != KCP_SERVER_READY
+          || strcmp (server->entry.service, choice->service) != 0)
+        continue;
+      held += now_ns < server->held_until_ns;
+      others += now_ns >= server->held_until_ns;
+    }
+  return held <= others;
+}
+
 static bool
 was_tried (const struct kcp_choice *choice, const struct kcp_server *server)
 {
@@ -273,6 +308,8 @@
   int64_t available_ns = MAX (server->suspected_until_ns, server->loading_until_ns);
 
   available_ns = MAX (available_ns, server->backoff_until_ns);
+  if (choice->holds)
+    available_ns = MAX (available_ns, server->held_until_ns);
   if (kcp_reach_has_failed (&server->reach))
     available_ns = MAX (available_ns, server->reach.probe_after_ns);
   available_ns = MAX (available_ns, kcp_server_limit_room_ns (&server->limit, now_ns));
--- a/src/forward/feed.c
+++ b/src/forward/feed.c
@@ -325,6 +325,7 @@
 
   (void)era;
   kcp_entry_expiry_on_new_era (&feed->entry_expiry, now);
+  kcp_servers_forget_offsets (feed->gateway->servers);
   kcp_topic_end_on_new_era (&feed->operators.end, now + feed->entry_expiry.grace_ns);
   feed->lists_copy = true;
   list_again (&feed->operators);
--- a/src/forward/feed_private.h
+++ b/src/forward/feed_private.h
@@ -6,6 +6,10 @@
 #include "policy/entry_expiry.h"
 #include "policy/topic_end.h"
 
+/* The list drops the entry of a server that is silent for three heartbeats; one more
+   allows for the delay of the reads. */
+#define KCP_FEED_EXPIRY_HEARTBEATS 4
+
 enum kcp_feed_reader_state
 {
   KCP_FEED_LISTING, /* listing the newest record of each key */
--- a/src/forward/feed_records.c
+++ b/src/forward/feed_records.c
@@ -5,8 +5,9 @@
 
 static void log_weights (struct kcp_feed *feed, const struct kcp_store_record *record,
                          const struct kcp_operator_record *content);
-static bool
-is_outdated (const struct kcp_feed *feed, const struct kcp_server_entry *entry);
+static bool remove_read (struct kcp_feed *feed, const char *id, int64_t offset);
+static struct kcp_entry_reading
+describe_reading (const struct kcp_feed *feed, const struct kcp_store_record *record);
 static void report_entry (struct kcp_feed *feed, struct kcp_str key);
 static void on_removal_due (void *user);
 static void log_rejected_record (const char *what, const struct kcp_store_record *record,
@@ -63,48 +64,46 @@
 kcp_feed_apply_server (struct kcp_feed *feed, const struct kcp_store_record *record)
 {
   struct kcp_server_entry entry;
+  struct kcp_entry_reading reading;
   const char *reason = NULL;
 
   if (record->value.len == 0)
     {
       g_autofree char *id = kcp_str_dup (record->key);
-      int64_t now = kcp_loop_now (feed->gateway->loop);
 
-      return kcp_feed_remove_server (
-          feed, id, kcp_entry_expiry_removal_ns (&feed->entry_expiry, now));
+      return remove_read (feed, id, record->offset);
     }
   if (!feed->gateway->dialect->read_server (record->key, record->value, &entry, &reason))
     {
       log_rejected_record ("server_entry", record, reason);
       return false;
     }
-  if (is_outdated (feed, &entry))
-    {
-      log_rejected_record ("server_entry", record, "older than a known one");
-      kcp_server_entry_clear (&entry);
-      return false;
-    }
-  if (!kcp_servers_apply (feed->gateway->servers, &entry))
+  reading = describe_reading (feed, record);
+  if (!kcp_servers_read (feed->gateway->servers, &entry, &reading))
     return false;
   report_entry (feed, record->key);
   return true;
 }
 
-/* Returns true if the listing of an older copy shows a server as ready that is known to
-   be leaving, or that was removed. Its entry is from the time before; a server that is
-   ready writes a newer one, which is read after the listing. */
-static bool
-is_outdated (const struct kcp_feed *feed, const struct kcp_server_entry *entry)
+/* Describes how a record of the servers' list is read. A server whose entry returns is
+   not held while entries return that an outage of the store has removed. */
+static struct kcp_entry_reading
+describe_reading (const struct kcp_feed *feed, const struct kcp_store_record *record)
 {
-  const struct kcp_servers *servers = feed->gateway->servers;
-  const struct kcp_server *known = kcp_servers_find (servers, entry->id);
-
-  if (!feed->lists_copy)
-    return false;
-  if (known == NULL)
-    return kcp_servers_was_removed (servers, entry->id, entry->started_ms);
-  return known->entry.started_ms == entry->started_ms
-         && known->entry.state == KCP_SERVER_DRAINING && entry->state == KCP_SERVER_READY;
+  const struct kcp_gateway *gateway = feed->gateway;
+  int64_t now = kcp_loop_now (gateway->loop);
+  int64_t expiry_ms
+      = KCP_FEED_EXPIRY_HEARTBEATS * gateway->settings->servers_heartbeat_ms;
+  bool returning = kcp_entry_expiry_entries_return (&feed->entry_expiry, now);
+
+  return (struct kcp_entry_reading){
+    .offset = record->offset,
+    .now_ns = now,
+    .now_ms = kcp_clock_realtime_ms (gateway->clock),
+    .hold_ns = returning ? 0 : expiry_ms * KCP_NS_PER_MS,
+    .listed = feed->servers.state == KCP_FEED_LISTING,
+    .in_copy = feed->lists_copy,
+  };
 }
 
 /* Reports a changed entry to the crash watch, since it shows that the address has another
@@ -134,6 +133,18 @@
   return changed;
 }
 
+/* Removes a server whose entry was removed, as this VM read at this offset. Returns false
+   if that changes nothing. */
+static bool
+remove_read (struct kcp_feed *feed, const char *id, int64_t offset)
+{
+  int64_t now = kcp_loop_now (feed->gateway->loop);
+
+  return kcp_servers_read_removal (feed->gateway->servers, id, offset)
+         && kcp_feed_remove_server (
+             feed, id, kcp_entry_expiry_removal_ns (&feed->entry_expiry, now));
+}
+
 /* Removes the servers that a completed listing does not contain. */
 void
 kcp_feed_remove_unlisted (struct kcp_feed *feed, GHashTable *listed)
@@ -147,10 +158,8 @@
       if (!g_hash_table_contains (listed, server->entry.id))
         {
           g_autofree char *id = g_strdup (server->entry.id);
-          int64_t now = kcp_loop_now (feed->gateway->loop);
 
-          (void)kcp_feed_remove_server (
-              feed, id, kcp_entry_expiry_removal_ns (&feed->entry_expiry, now));
+          (void)remove_read (feed, id, feed->servers.listed_end - 1);
         }
     }
 }
--- a/src/forward/feed_relay.c
+++ b/src/forward/feed_relay.c
@@ -129,6 +129,8 @@
       return;
     }
   id = kcp_str_dup (record->key);
+  if (!kcp_servers_read_removal (feed->gateway->servers, id, record->offset))
+    return;
   (void)kcp_feed_remove_server (
       feed, id,
       kcp_entry_expiry_relayed_removal_ns (&feed->entry_expiry, relayed_ns, now));
--- a/src/forward/server.c
+++ b/src/forward/server.c
@@ -27,6 +27,7 @@
 kcp_server_entry_init (struct kcp_server_entry *entry)
 {
   memset (entry, 0, sizeof *entry);
+  entry->sequence = KCP_ENTRY_UNNUMBERED;
   entry->weights = g_array_new (FALSE, TRUE, sizeof (struct kcp_server_weights));
   g_array_set_clear_func (entry->weights, weights_clear);
 }
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -7,6 +7,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "policy/entry_order.h"
 #include "policy/limit_needs.h"
 #include "policy/reach.h"
 #include "policy/server_health.h"
@@ -35,7 +36,8 @@
   char *software; /* version of its software; empty: it names none */
   enum kcp_server_state state;
   int64_t slots;
-  int64_t started_ms; /* Unix time at which the server started */
+  int64_t started_ms; /* Unix time at which the server started; 0: not given */
+  int64_t sequence;   /* number of the entry since then, or KCP_ENTRY_UNNUMBERED */
   GArray *weights;    /* struct kcp_server_weights */
 };
 
@@ -51,11 +53,12 @@
 struct kcp_server
 {
   struct kcp_server_entry entry;
-  uint64_t key;         /* see kcp_server_key() */
-  uint64_t entry_hash;  /* of its newest entry */
-  bool removed;         /* no longer in any table */
-  int64_t remove_at_ns; /* when to remove it, as its entry was deleted; 0: never */
-  unsigned in_flight;   /* this VM's requests at the server */
+  uint64_t key;          /* see kcp_server_key() */
+  uint64_t entry_hash;   /* of its newest entry */
+  bool removed;          /* no longer in any table */
+  int64_t remove_at_ns;  /* when to remove it, as its entry was deleted; 0: never */
+  int64_t held_until_ns; /* its entry is back, but may be one that was written late */
+  unsigned in_flight;    /* this VM's requests at the server */
   int64_t prefill_tokens_pending;  /* of their prompts, while no answer has begun */
   unsigned failures;               /* consecutive */
   struct kcp_server_health health; /* what attempts there came to */
--- a/src/forward/servers.c
+++ b/src/forward/servers.c
@@ -4,26 +4,33 @@
 #include <xxhash.h>
 
 #include "base/clock.h"
+#include "base/counter.h"
 #include "base/decision_log.h"
 #include "base/ref.h"
-
-#define REMOVED_MAX 512u /* removed servers that are remembered */
+#include "forward/known_entries.h"
 
 struct kcp_servers
 {
   GPtrArray *all;     /* struct kcp_server, references */
   GPtrArray *stores;  /* KV cache stores, references; they take no requests */
   GHashTable *by_key; /* kcp_server_key() -> struct kcp_server of either list, borrowed */
-  GArray *removed;    /* uint64_t, keys of servers that were removed; oldest first */
+  struct kcp_known_entries *known;
 };
 
 static void
 add_server (struct kcp_servers *servers, GPtrArray *list, struct kcp_server *server);
-static void remember_removed (struct kcp_servers *servers, uint64_t key);
+static enum kcp_entry_age judge (const struct kcp_servers *servers, const char *id,
+                                 const struct kcp_entry_order *order, bool listed);
+static void log_older (const struct kcp_servers *servers,
+                       const struct kcp_server_entry *entry, int64_t offset);
+static bool
+apply_newer (struct kcp_servers *servers, struct kcp_server_entry *entry, bool *added);
+static void hold (struct kcp_server *server, const struct kcp_entry_reading *reading);
 static uint64_t hash_entry (const struct kcp_server_entry *entry);
 static bool
 has_restarted (const struct kcp_server *server, const struct kcp_server_entry *entry);
 static void replace_entry (struct kcp_server *server, struct kcp_server_entry *entry);
+static void remember_reach (struct kcp_servers *servers, const struct kcp_server *server);
 static void log_change (const struct kcp_server *server, const char *what);
 static struct kcp_server *
 reuse_or_create_store (const GPtrArray *before, const struct kcp_service_info *service);
@@ -38,7 +45,7 @@
   servers->all = g_ptr_array_new_with_free_func (server_release);
   servers->stores = g_ptr_array_new_with_free_func (server_release);
   servers->by_key = g_hash_table_new (g_int64_hash, g_int64_equal);
-  servers->removed = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  servers->known = kcp_known_entries_new ();
   return servers;
 }
 
@@ -52,26 +59,96 @@
   g_ptr_array_unref (servers->all);
   g_ptr_array_unref (servers->stores);
   g_hash_table_unref (servers->by_key);
-  g_array_unref (servers->removed);
+  kcp_known_entries_free (servers->known);
   g_free (servers);
 }
 
-/* Adds a server or updates it from its entry. Takes ownership of what entry owns. A
-   server that restarted under its old id is replaced by a new one without any state, and
-   an entry of an earlier start is dropped. Returns false if the entry changes nothing. */
+/* Adds a server or updates it from an entry that was read, unless the entry is older than
+   what is known of the server. Takes ownership of what entry owns. A server that
+   restarted under its old id is replaced by a new one without any state. One whose entry
+   returned after its removal, and that no outage explains, is held: it gets no requests
+   until the list would have dropped the entry of a server that is gone. Returns false if
+   the entry changes nothing. */
 bool
-kcp_servers_apply (struct kcp_servers *servers, struct kcp_server_entry *entry)
+kcp_servers_read (struct kcp_servers *servers, struct kcp_server_entry *entry,
+                  const struct kcp_entry_reading *reading)
 {
-  struct kcp_server *server = kcp_servers_find (servers, entry->id);
-  uint64_t entry_hash = hash_entry (entry);
+  struct kcp_entry_order order = {
+    .started_ms = entry->started_ms,
+    .sequence = entry->sequence,
+    .offset = reading->offset,
+    .draining = entry->state == KCP_SERVER_DRAINING,
+    .in_copy = reading->in_copy,
+  };
+  enum kcp_entry_age age = judge (servers, entry->id, &order, reading->listed);
+  g_autofree char *id = NULL;
+  bool added = false;
   bool changed;
 
-  if (server != NULL && entry->started_ms < server->entry.started_ms)
+  if (age == KCP_ENTRY_OLDER)
     {
-      log_change (server, "older_entry_dropped");
+      log_older (servers, entry, reading->offset);
       kcp_server_entry_clear (entry);
       return false;
     }
+  id = g_strdup (entry->id);
+  kcp_known_entries_put (servers->known, id, &order, reading->now_ms);
+  changed = apply_newer (servers, entry, &added);
+  if (added && age == KCP_ENTRY_RETURNED && reading->hold_ns > 0)
+    hold (kcp_servers_find (servers, id), reading);
+  return changed;
+}
+
+/* As kcp_servers_read() for an entry that is in no record, by a clock that no start is
+   ahead of. */
+bool
+kcp_servers_apply (struct kcp_servers *servers, struct kcp_server_entry *entry)
+{
+  return kcp_servers_read (servers, entry,
+                           &(struct kcp_entry_reading){ .offset = KCP_ENTRY_NO_OFFSET,
+                                                        .now_ms = INT64_MAX,
+                                                        .listed = true });
+}
+
+static enum kcp_entry_age
+judge (const struct kcp_servers *servers, const char *id,
+       const struct kcp_entry_order *order, bool listed)
+{
+  const struct kcp_known_entry *known = kcp_known_entries_find (servers->known, id);
+
+  if (known != NULL)
+    return kcp_entry_order_judge (known, order);
+  return listed ? KCP_ENTRY_NEWER : kcp_entry_order_judge_unknown (order);
+}
+
+static void
+log_older (const struct kcp_servers *servers, const struct kcp_server_entry *entry,
+           int64_t offset)
+{
+  const struct kcp_known_entry *known
+      = kcp_known_entries_find (servers->known, entry->id);
+
+  kcp_counter_add (KCP_COUNT_ENTRIES_OLDER, 1);
+  KCP_LOG ("older_entry", KCP_LOG_TEXT ("server", entry->id),
+           KCP_LOG_INT ("offset", offset), KCP_LOG_INT ("started_ms", entry->started_ms),
+           KCP_LOG_INT ("sequence", entry->sequence),
+           KCP_LOG_INT ("draining", entry->state == KCP_SERVER_DRAINING),
+           KCP_LOG_INT ("known_offset", known->order.offset),
+           KCP_LOG_INT ("known_started_ms", known->order.started_ms),
+           KCP_LOG_INT ("known_sequence", known->order.sequence),
+           KCP_LOG_INT ("known_draining", known->order.draining),
+           KCP_LOG_INT ("known_removed", known->removed));
+}
+
+/* Applies an entry that is not older than the known one, and sets added if its server was
+   not in the table. */
+static bool
+apply_newer (struct kcp_servers *servers, struct kcp_server_entry *entry, bool *added)
+{
+  struct kcp_server *server = kcp_servers_find (servers, entry->id);
+  uint64_t entry_hash = hash_entry (entry);
+  bool changed;
+
   if (server != NULL && has_restarted (server, entry))
     {
       log_change (server, "restarted");
@@ -87,6 +164,7 @@
       server->orders_taken = -1;
       add_server (servers, servers->all, server);
       log_change (server, "added");
+      *added = true;
       return true;
     }
   changed = server->entry_hash != entry_hash || server->remove_at_ns != 0;
@@ -95,6 +173,44 @@
   return changed;
 }
 
+static void
+hold (struct kcp_server *server, const struct kcp_entry_reading *reading)
+{
+  server->held_until_ns = reading->now_ns + reading->hold_ns;
+  kcp_counter_add (KCP_COUNT_SERVERS_HELD, 1);
+  KCP_LOG ("server_held", KCP_LOG_TEXT ("server", server->entry.id),
+           KCP_LOG_INT ("sequence", server->entry.sequence),
+           KCP_LOG_INT ("offset", reading->offset),
+           KCP_LOG_INT ("for_ms", reading->hold_ns / KCP_NS_PER_MS));
+}
+
+/* Records that the removal of an entry was read. offset is that of its record, or the
+   last one of a listing that lacks the entry. Returns false if the removal is older than
+   what is known of the server. */
+bool
+kcp_servers_read_removal (struct kcp_servers *servers, const char *id, int64_t offset)
+{
+  const struct kcp_known_entry *known = kcp_known_entries_find (servers->known, id);
+
+  if (known != NULL && !kcp_entry_order_removal_is_newer (known, offset))
+    {
+      kcp_counter_add (KCP_COUNT_ENTRIES_OLDER, 1);
+      KCP_LOG ("older_removal", KCP_LOG_TEXT ("server", id),
+               KCP_LOG_INT ("offset", offset),
+               KCP_LOG_INT ("known_offset", known->order.offset));
+      return false;
+    }
+  kcp_known_entries_remove (servers->known, id, offset);
+  return true;
+}
+
+/* Forgets the offsets of all records, which mean other records in the store's new era. */
+void
+kcp_servers_forget_offsets (struct kcp_servers *servers)
+{
+  kcp_known_entries_forget_offsets (servers->known);
+}
+
 /* Schedules the removal of a server at at_ns; an entry that is applied earlier cancels
    it. Returns false if the server is not known or its removal is already scheduled. */
 bool
@@ -129,33 +245,23 @@
           continue;
         }
       log_change (server, "gone");
-      remember_removed (servers, server->key);
+      remember_reach (servers, server);
       g_hash_table_remove (servers->by_key, &server->key);
       g_ptr_array_remove_index_fast (servers->all, i - 1);
     }
   return next_ns;
 }
 
+/* Remembers whether a server that is being removed could be reached: one that could not
+   may have lost the store too, and its entry then returns. */
 static void
-remember_removed (struct kcp_servers *servers, uint64_t key)
-{
-  if (servers->removed->len == REMOVED_MAX)
-    g_array_remove_index (servers->removed, 0);
-  g_array_append_val (servers->removed, key);
-}
-
-/* Returns true if the server with this id and start time was removed from the table
-   lately. */
-bool
-kcp_servers_was_removed (const struct kcp_servers *servers, const char *id,
-                         int64_t started_ms)
+remember_reach (struct kcp_servers *servers, const struct kcp_server *server)
 {
-  uint64_t key = kcp_server_make_key (id, started_ms);
+  struct kcp_known_entry *known
+      = kcp_known_entries_find (servers->known, server->entry.id);
 
-  for (guint i = 0; i < servers->removed->len; i++)
-    if (g_array_index (servers->removed, uint64_t, i) == key)
-      return true;
-  return false;
+  if (known != NULL && known->removed)
+    known->unreached = kcp_reach_has_failed (&server->reach);
 }
 
 /* Returns the known servers, struct kcp_server, in no particular order. */
--- a/src/policy/entry_expiry.c
+++ b/src/policy/entry_expiry.c
@@ -1,5 +1,7 @@
 #include "policy/entry_expiry.h"
 
+static bool failed_lately (const struct kcp_entry_expiry *expiry, int64_t now_ns);
+
 /* Records whether a call to the store was answered. Returns true if an outage began or
    ended with this call. */
 bool
@@ -46,9 +48,25 @@
 kcp_entry_expiry_relayed_removal_ns (const struct kcp_entry_expiry *expiry,
                                      int64_t relayed_ns, int64_t now_ns)
 {
-  bool failing = expiry->failing_since_ns != 0;
-  bool recent
-      = expiry->failing_end_ns != 0 && now_ns - expiry->failing_end_ns < expiry->grace_ns;
+  return expiry->failing_since_ns != 0 || failed_lately (expiry, now_ns) ? relayed_ns
+                                                                         : now_ns;
+}
 
-  return failing || recent ? relayed_ns : now_ns;
+/* Returns true if entries that expired in an outage of the store may be written again at
+   now_ns by servers that live. A VM that has just started has seen a part of the outage
+   at most, so that the shortest one counts. */
+bool
+kcp_entry_expiry_entries_return (const struct kcp_entry_expiry *expiry, int64_t now_ns)
+{
+  return failed_lately (expiry, now_ns)
+         || (expiry->outage_end_ns != 0
+             && now_ns - expiry->outage_end_ns < expiry->grace_ns);
+}
+
+/* Returns true if a call to the store failed within the grace period. */
+static bool
+failed_lately (const struct kcp_entry_expiry *expiry, int64_t now_ns)
+{
+  return expiry->failing_end_ns != 0
+         && now_ns - expiry->failing_end_ns < expiry->grace_ns;
 }
--- a/src/policy/entry_expiry.h
+++ b/src/policy/entry_expiry.h
@@ -29,4 +29,7 @@
 int64_t kcp_entry_expiry_relayed_removal_ns (const struct kcp_entry_expiry *expiry,
                                              int64_t relayed_ns, int64_t now_ns);
 
+bool
+kcp_entry_expiry_entries_return (const struct kcp_entry_expiry *expiry, int64_t now_ns);
+
 #endif
--- a/src/settings/forward_settings.c
+++ b/src/settings/forward_settings.c
@@ -39,6 +39,7 @@
   INT ("store", "wait_ms", store_wait_ms, 0, 30000, 1500),
   REAL ("drain", "grace_s", drain_grace_s, 1, 3600, 8),
   INT ("drain", "notice_ms", drain_notice_ms, 0, 600000, 2600),
+  INT ("servers", "heartbeat_ms", servers_heartbeat_ms, 10, 60000, 1200),
   INT ("servers", "lapse_ms", servers_expiry_grace_ms, 0, 60000, 2300),
   INT ("servers", "connect_ms", servers_connect_timeout_ms, 1, 60000, 250),
   INT ("servers", "silence_ms", servers_ack_timeout_ms, 0, 60000, 1200),
--- a/src/settings/forward_settings.h
+++ b/src/settings/forward_settings.h
@@ -24,6 +24,7 @@
   int64_t store_wait_ms;   /* how long the store may hold a read open for new records */
   double drain_grace_s;    /* the process exits at the latest after this time */
   int64_t drain_notice_ms; /* time for the load balancer to notice the drain */
+  int64_t servers_heartbeat_ms;    /* interval at which servers write their entries */
   int64_t servers_expiry_grace_ms; /* time to renew entries that a store outage removed */
   int64_t servers_connect_timeout_ms;
   int64_t servers_ack_timeout_ms; /* limit for data or probes not acknowledged */
--- a/tests/harness/fake_crash.c
+++ b/tests/harness/fake_crash.c
@@ -54,6 +54,7 @@
     g_usleep (FAKE_POLL_MS * G_TIME_SPAN_MILLISECOND);
   fake_platform_put_server_entry (platform, server->id, "");
   server->starts++;
+  server->entries = 0;
   (void)g_snprintf (server->id, sizeof server->id, "i-%u.%u", index, server->starts);
   fake_server_listen (server);
   server->crashing = false;
--- a/tests/harness/fake_platform.c
+++ b/tests/harness/fake_platform.c
@@ -52,13 +52,13 @@
 fake_platform_put_server (struct fake_platform *platform, unsigned index,
                           const char *state)
 {
-  const struct fake_server *server = &platform->servers[index];
+  struct fake_server *server = &platform->servers[index];
   g_autofree char *text = g_strdup_printf (
       "{\"service\":\"s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"version\":\"%s\","
-      "\"slots\":8,\"state\":\"%s\",\"seq-no\":17,\"born\":%u,"
+      "\"slots\":8,\"state\":\"%s\",\"seq-no\":%u,\"born\":%u,"
       "\"models\":[{\"name\":\"m\",\"version\":%" G_GINT64_FORMAT "}]}",
       server->advertised_port != 0 ? server->advertised_port : server->port,
-      server->software != NULL ? server->software : "v1", state,
+      server->software != NULL ? server->software : "v1", state, ++server->entries,
       1000 + index + server->starts * BORN_STEP, server->version);
 
   fake_platform_put_server_entry (platform, server->id, text);
--- a/tests/harness/fake_platform.h
+++ b/tests/harness/fake_platform.h
@@ -70,6 +70,7 @@
   unsigned streams_begun;   /* streams whose first event it has sent */
   unsigned in_flight;       /* requests in progress */
   unsigned starts;          /* incarnations after the first */
+  unsigned entries;         /* that it has written since it started */
   bool crashing;            /* its process is ending or has ended */
   int64_t fence;            /* greatest fencing token of its orders */
   unsigned lower_fences;    /* orders with a lower fencing token */
--- a/tests/harness/process_server.c
+++ b/tests/harness/process_server.c
@@ -102,7 +102,7 @@
   free (process);
   (void)snprintf (entry, sizeof entry,
                   "{\"service\":\"s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\","
-                  "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"seq-no\":17,"
+                  "\"version\":\"v1\",\"slots\":8,\"state\":\"ready\",\"seq-no\":1,"
                   "\"born\":%d,\"models\":[{\"name\":\"m\",\"version\":1}]}",
                   ntohs (address.sin_port), FIRST_START_MS);
   fake_platform_put_server_entry (platform, id, entry);
--- a/tests/harness/route_vm.c
+++ b/tests/harness/route_vm.c
@@ -94,7 +94,8 @@
       "127.0.0.1:%d\n"
       "[ready]\nlisten = 127.0.0.1:%d\n[metrics]\nlisten = 127.0.0.1:%d\n"
       "[peers]\nlisten = 127.0.0.1:%d\n[store]\naddress = 127.0.0.1:%d\n"
-      "poll_ms = %d\n[drain]\ngrace_s = 4\nnotice_ms = 700\n"
+      "poll_ms = %d\n[servers]\nheartbeat_ms = 50\n[drain]\ngrace_s = 4\nnotice_ms = "
+      "700\n"
       "[weights]\nreplace_ms = %d\n",
       route_vm.data_center != NULL ? route_vm.data_center : "z",
       route_vm.memory_mb != 0 ? route_vm.memory_mb : DEFAULT_MEMORY_MB, route_vm.port,
--- a/tests/harness/scripted_server.c
+++ b/tests/harness/scripted_server.c
@@ -19,6 +19,7 @@
   struct fake_platform *platform;
   char *id;
   int port;
+  unsigned entries; /* that it has written */
   int listener;
   scripted_handler *handler;
   scripted_handler *router_handler; /* NULL: the server answers the router's calls */
@@ -132,9 +133,9 @@
 {
   g_autofree char *text = g_strdup_printf (
       "{\"service\":\"s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"version\":\"v1\","
-      "\"slots\":8,\"state\":\"%s\",\"seq-no\":17,"
+      "\"slots\":8,\"state\":\"%s\",\"seq-no\":%u,"
       "\"born\":%" G_GINT64_FORMAT ",\"models\":[{\"name\":\"m\",\"version\":1}]}",
-      server->port, state, born_ms);
+      server->port, state, ++server->entries, born_ms);
 
   fake_platform_put_server_entry (server->platform, server->id, text);
 }
--- a/tests/process/test_refused_requests.c
+++ b/tests/process/test_refused_requests.c
@@ -544,7 +544,7 @@
   server->port = ntohs (address.sin_port);
   entry = g_strdup_printf (
       "{\"service\":\"s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"z\",\"version\":\"v1\","
-      "\"slots\":8,\"state\":\"ready\",\"seq-no\":17,\"born\":1000,\"models\":[]}",
+      "\"slots\":8,\"state\":\"ready\",\"seq-no\":1,\"born\":1000,\"models\":[]}",
       server->port);
   fake_platform_put_server_entry (route_vm.platform, "i-plain", entry);
   g_usleep (RELIST_MS * G_TIME_SPAN_MILLISECOND);
