VERSION: a server that fell back to older weights is found out

Cause: each VM joined versions by the higher value, whatever the source: entries, answers, reports, and what other VMs tell. A fall was never believed, so no VM found anything to order, and requests named a version the server no longer had. A VM that starts anew does not know the higher value, which is why a restart mended it.

Ruled out: refused orders (no order was sent), and VMs that overrule one that knows (not seen; guarded against, as other VMs name a version for 6 s after it changed).

Why this works: evidence of a version covers a span of time, and a lower one is believed if its span begins after the last moment at which the higher one was seen. A server that turns away a request naming it and its version is asked for its report; the leader of each data center also asks one whose entry names another version for four heartbeats. An entry alone lowers nothing, since it may be older than what it contradicts. After a fall, other VMs are not believed for 8 s. No message or record changed, so old and new builds understand each other.

--- a/src/base/counter.c
+++ b/src/base/counter.c
@@ -64,6 +64,10 @@
       "Entries of servers, and removals, not used as newer ones are known" },
   [KCP_COUNT_SERVERS_HELD]
   = { "servers_held", "Servers not used at once when their entries returned" },
+  [KCP_COUNT_VERSION_CHECKS]
+  = { "version_checks", "Times a server was asked for the versions of its weights" },
+  [KCP_COUNT_VERSIONS_FELL]
+  = { "versions_fell", "Times a server was found with older weights than before" },
   [KCP_COUNT_SERVER_LIMITS]
   = { "server_limits", "Times a server named a limit of requests a second" },
   [KCP_COUNT_UNCLEAN_CONNECTIONS]
--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -197,8 +197,9 @@
     return;
   candidate->limited = kcp_server_limit_is_in_force (&server->limit, now);
   candidate->local = is_local (gateway, server);
-  candidate->suspected
-      = now < server->suspected_until_ns || kcp_reach_has_failed (&server->reach);
+  candidate->suspected = now < server->suspected_until_ns
+                         || kcp_reach_has_failed (&server->reach)
+                         || (model != NULL && server->version_doubted);
   candidate->loading = now < server->loading_until_ns;
   candidate->leaving = kcp_server_is_leaving (server);
   health = kcp_server_health_counts (&server->health, now);
--- a/src/forward/feed.c
+++ b/src/forward/feed.c
@@ -82,6 +82,16 @@
   g_free (feed);
 }
 
+/* Returns since when the store has answered, 0 if it always has, or
+   KCP_FEED_NOT_READABLE. feed may be NULL; then there is no store to read. */
+int64_t
+kcp_feed_readable_since_ns (const struct kcp_feed *feed)
+{
+  if (feed == NULL || feed->entry_expiry.failing_since_ns != 0)
+    return KCP_FEED_NOT_READABLE;
+  return feed->entry_expiry.failing_end_ns;
+}
+
 static void
 reader_init (struct kcp_feed *feed, struct kcp_feed_reader *reader,
              enum kcp_store_topic topic,
--- a/src/forward/feed.h
+++ b/src/forward/feed.h
@@ -5,6 +5,8 @@
 
 #include "forward/gateway.h"
 
+#define KCP_FEED_NOT_READABLE INT64_MAX
+
 struct kcp_feed;
 
 /* Called after a change of any state that orders to servers depend on. */
@@ -18,6 +20,7 @@
 kcp_feed_start (struct kcp_gateway *gateway, const struct kcp_store *store,
                 kcp_feed_changed *changed, void *user);
 void kcp_feed_stop (struct kcp_feed *feed);
+int64_t kcp_feed_readable_since_ns (const struct kcp_feed *feed);
 void
 kcp_feed_read_servers (struct kcp_feed *feed, kcp_feed_servers_read *done, void *user);
 
--- a/src/forward/feed_private.h
+++ b/src/forward/feed_private.h
@@ -10,6 +10,9 @@
    allows for the delay of the reads. */
 #define KCP_FEED_EXPIRY_HEARTBEATS 4
 
+/* An entry that is read was mostly written within so many heartbeats. */
+#define KCP_FEED_DELAY_HEARTBEATS 2
+
 enum kcp_feed_reader_state
 {
   KCP_FEED_LISTING, /* listing the newest record of each key */
--- a/src/forward/feed_records.c
+++ b/src/forward/feed_records.c
@@ -100,6 +100,8 @@
     .offset = record->offset,
     .now_ns = now,
     .now_ms = kcp_clock_realtime_ms (gateway->clock),
+    .delay_ns
+    = KCP_FEED_DELAY_HEARTBEATS * gateway->settings->servers_heartbeat_ms * KCP_NS_PER_MS,
     .hold_ns = returning ? 0 : expiry_ms * KCP_NS_PER_MS,
     .listed = feed->servers.state == KCP_FEED_LISTING,
     .in_copy = feed->lists_copy,
--- a/src/forward/forward_attempt.c
+++ b/src/forward/forward_attempt.c
@@ -7,6 +7,7 @@
 #include "forward/forward_private.h"
 #include "forward/mesh_speeds.h"
 #include "forward/server_notices.h"
+#include "forward/version_check.h"
 #include "policy/fingerprint.h"
 #include "policy/queue_priority.h"
 
@@ -24,6 +25,7 @@
 static void record_first_byte (struct kcp_forward *forward);
 static void record_speed (const struct kcp_forward *forward);
 static void on_done (void *user, const struct kcp_http_result *result);
+static void learn_version (const struct kcp_forward *forward, long status);
 static struct kcp_http_result
 check_stream_end (const struct kcp_forward *forward, struct kcp_http_result result);
 static bool
@@ -362,14 +364,34 @@
       kcp_forward_conclude_hop (forward, &result);
       return;
     }
-  if (forward->inbound->model != NULL && kcp_forward_answer_matches (forward))
-    kcp_server_update_version (attempt->server, forward->inbound->model,
-                               attempt->head.weights,
-                               kcp_loop_now (forward->gateway->loop));
+  if (forward->inbound->model != NULL)
+    learn_version (forward, result.status);
   if (!kcp_forward_check_end (forward, &result))
     kcp_forward_conclude (forward, &result);
 }
 
+/* Learns from an answer which weights the server has. It began to write it at some moment
+   since the request was sent. One that turns away a request that names the server and its
+   version shows that the server may have another one. */
+static void
+learn_version (const struct kcp_forward *forward, long status)
+{
+  const struct kcp_attempt *attempt = &forward->attempt;
+  const struct kcp_gateway *gateway = forward->gateway;
+  int64_t now = kcp_loop_now (gateway->loop);
+  int64_t begun_ns = attempt->first_byte_ns != 0 ? attempt->first_byte_ns : now;
+
+  if (kcp_forward_answer_matches (forward))
+    kcp_server_show_version (attempt->server, forward->inbound->model,
+                             &(struct kcp_weights_evidence){
+                                 .version = attempt->head.weights,
+                                 .from_ns = attempt->sent_ns,
+                                 .until_ns = begun_ns,
+                             });
+  if (gateway->dialect->status_is_not_run (status))
+    kcp_version_checks_on_turned_away (gateway->version_checks, attempt->server);
+}
+
 /* Returns the result of a call; as interrupted if HTTP took the answer for complete but
    its stream has no end. */
 static struct kcp_http_result
--- a/src/forward/gateway.c
+++ b/src/forward/gateway.c
@@ -6,6 +6,7 @@
 #include "base/decision_log.h"
 #include "forward/crash_suspects.h"
 #include "forward/mesh_quota.h"
+#include "forward/version_check.h"
 
 #define PREFIX_INDEX_CAPACITY 8192u /* prompt parts */
 /* The part of the retry budget that the VMs use. The rest is a margin, since each VM
@@ -38,12 +39,14 @@
   kcp_body_memory_init (&gateway->bodies);
   gateway->crash_watch = kcp_crash_watch_new (gateway->loop, on_crash, gateway);
   gateway->reach_watch = kcp_reach_watch_new (gateway->loop, gateway->servers);
+  gateway->version_checks = kcp_version_checks_new (gateway);
 }
 
 /* Frees what kcp_gateway_init() allocated. No request may be in flight. */
 void
 kcp_gateway_clear (struct kcp_gateway *gateway)
 {
+  kcp_version_checks_free (gateway->version_checks);
   kcp_http_client_free (gateway->client);
   kcp_crash_watch_free (gateway->crash_watch);
   kcp_reach_watch_free (gateway->reach_watch);
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -61,6 +61,7 @@
   struct kcp_prefix_index *prefixes;
   struct kcp_crash_watch *crash_watch;
   struct kcp_reach_watch *reach_watch;
+  struct kcp_version_checks *version_checks;
   /* By enum kcp_suspect_kind; see forward/crash_suspects.h. */
   struct kcp_quarantine *quarantines[KCP_SUSPECT_KINDS];
   struct kcp_answered_parts *answered_parts;
--- a/src/forward/rollout.c
+++ b/src/forward/rollout.c
@@ -2,6 +2,7 @@
 
 #include "forward/mesh.h"
 #include "forward/rollout_private.h"
+#include "forward/version_check.h"
 #include "policy/rollout.h"
 
 #define CHECK_INTERVAL_MS      100 /* while a server has old weights */
@@ -94,6 +95,9 @@
 
   if (pending && !rollout->pending)
     rollout->pending_since_ns = now;
+  /* One VM of each data center asks; the others learn it as they use the servers. */
+  if (kcp_mesh_is_leader (rollout->gateway->mesh))
+    kcp_version_checks_compare_entries (rollout->gateway->version_checks);
   rollout->pending = pending;
   switch (next_lease_action (rollout, now))
     {
--- a/src/forward/rollout_order.c
+++ b/src/forward/rollout_order.c
@@ -5,6 +5,7 @@
 #include "base/histogram.h"
 #include "forward/mesh.h"
 #include "forward/rollout_private.h"
+#include "forward/version_check.h"
 
 #define CONNECT_TIMEOUT_MS 200
 #define ORDER_TIMEOUT_MS   400
@@ -28,7 +29,7 @@
 static bool on_report_data (void *user, struct kcp_str bytes);
 static void on_report_done (void *user, const struct kcp_http_result *result);
 static void
-apply_report (struct kcp_rollout_order *order, const struct kcp_server_report *report);
+follow_report (struct kcp_rollout_order *order, const struct kcp_server_report *report);
 static void clear_call (struct kcp_rollout_order *order);
 static void end_order (struct kcp_rollout_order *order, const char *outcome);
 
@@ -148,7 +149,12 @@
       wait_for_report (order, FIRST_REPORT_DELAY_MS);
       break;
     case KCP_ORDER_ALREADY_APPLIED:
-      kcp_server_update_version (order->server, order->model, order->version, now);
+      kcp_server_show_version (order->server, order->model,
+                               &(struct kcp_weights_evidence){
+                                   .version = order->version,
+                                   .from_ns = order->sent_ns,
+                                   .until_ns = now,
+                               });
       end_order (order, "held_already");
       break;
     case KCP_ORDER_CONFLICT:
@@ -182,7 +188,8 @@
       end_order (order, order->server->removed ? "server_gone" : "done");
       return;
     }
-  kcp_server_limit_take (&order->server->limit, kcp_loop_now (gateway->loop));
+  order->asked_ns = kcp_loop_now (gateway->loop);
+  kcp_server_limit_take (&order->server->limit, order->asked_ns);
   gateway->dialect->write_report_call (NULL, &order->control_call);
   g_string_truncate (order->body, 0);
   order->call = kcp_http_start (gateway->client,
@@ -222,10 +229,18 @@
   if (result->end == KCP_HTTP_COMPLETE
       && order->rollout->gateway->dialect->read_report (body, &report))
     {
-      order->failures = 0;
-      apply_report (order, &report);
+      bool applied
+          = kcp_version_apply_report (order->server, &report, order->asked_ns,
+                                      kcp_loop_now (order->rollout->gateway->loop));
+
+      if (applied)
+        {
+          order->failures = 0;
+          follow_report (order, &report);
+        }
       g_array_unref (report.weights);
-      return;
+      if (applied)
+        return;
     }
   order->failures++;
   if (order->failures < REPORT_FAILURES_MAX)
@@ -234,22 +249,14 @@
     end_order (order, "no_report");
 }
 
-/* Updates the server from its report and decides how to proceed with the order. A server
-   that is not executing an order and still has old weights can be sent a new one; the
-   number of orders that it has accepted prevents a late order from being executed. */
+/* Decides by the server's report how to proceed with the order. A server that is not
+   executing an order and still has old weights can be sent a new one; the number of
+   orders that it has accepted prevents a late order from being executed. */
 static void
-apply_report (struct kcp_rollout_order *order, const struct kcp_server_report *report)
+follow_report (struct kcp_rollout_order *order, const struct kcp_server_report *report)
 {
   int64_t now = kcp_loop_now (order->rollout->gateway->loop);
 
-  for (guint i = 0; i < report->weights->len; i++)
-    {
-      const struct kcp_server_weights *weights
-          = &g_array_index (report->weights, struct kcp_server_weights, i);
-
-      kcp_server_update_version (order->server, weights->model, weights->version, now);
-    }
-  order->server->orders_taken = MAX (order->server->orders_taken, report->orders_taken);
   if (kcp_server_version (order->server, order->model) >= order->version)
     end_order (order, "done");
   else if (report->busy && now - order->sent_ns < ORDER_ABANDON_MS * KCP_NS_PER_MS)
--- a/src/forward/rollout_private.h
+++ b/src/forward/rollout_private.h
@@ -18,6 +18,7 @@
   GString *body;                        /* of the answer */
   struct kcp_loop_timer timer;
   int64_t sent_ns;
+  int64_t asked_ns;  /* when the newest report was asked for */
   unsigned failures; /* consecutive report calls without a valid answer */
 };
 
--- a/src/forward/server.c
+++ b/src/forward/server.c
@@ -19,6 +19,10 @@
 #define VERSION_UNKNOWN      0
 
 static int64_t prefill_ns (const struct kcp_server *server);
+static struct kcp_server_weights *
+find_weights (const struct kcp_server_entry *entry, const char *model);
+static void on_risen (struct kcp_server *server, const struct kcp_server_weights *weights,
+                      const char *source, int64_t now_ns);
 static void server_clear (void *object);
 static void weights_clear (gpointer data);
 
@@ -49,7 +53,11 @@
 kcp_server_entry_add_weights (struct kcp_server_entry *entry, const char *model,
                               int64_t version)
 {
-  struct kcp_server_weights weights = { .model = g_strdup (model), .version = version };
+  struct kcp_server_weights weights = {
+    .model = g_strdup (model),
+    .version = version,
+    .belief = { .version = version },
+  };
 
   g_array_append_val (entry->weights, weights);
 }
@@ -91,7 +99,8 @@
 {
   if (server->entry.weights->len == 0)
     return VERSION_UNKNOWN;
-  return g_array_index (server->entry.weights, struct kcp_server_weights, 0).version;
+  return g_array_index (server->entry.weights, struct kcp_server_weights, 0)
+      .belief.version;
 }
 
 /* Updates the version of the first model in the server's entry, as reported by another
@@ -190,42 +199,122 @@
   return false;
 }
 
-/* Returns the version of the model's weights on the server, or 0 if it does not serve the
-   model. */
+/* Returns the version of the model's weights that the server is believed to have, or 0 if
+   it does not serve the model. */
 int64_t
 kcp_server_version (const struct kcp_server *server, const char *model)
 {
-  for (guint i = 0; i < server->entry.weights->len; i++)
+  const struct kcp_server_weights *weights = find_weights (&server->entry, model);
+
+  return weights != NULL ? weights->belief.version : VERSION_UNKNOWN;
+}
+
+static struct kcp_server_weights *
+find_weights (const struct kcp_server_entry *entry, const char *model)
+{
+  for (guint i = 0; i < entry->weights->len; i++)
     {
-      const struct kcp_server_weights *weights
-          = &g_array_index (server->entry.weights, struct kcp_server_weights, i);
+      struct kcp_server_weights *weights
+          = &g_array_index (entry->weights, struct kcp_server_weights, i);
 
       if (strcmp (weights->model, model) == 0)
-        return weights->version;
+        return weights;
     }
-  return VERSION_UNKNOWN;
+  return NULL;
 }
 
-/* Raises the version of the model's weights to one seen in an answer, a report or another
-   VM's message. A lower version is ignored, since versions never decrease while a server
-   runs. */
+/* Raises the version of the model's weights to one that another VM tells. */
 void
 kcp_server_update_version (struct kcp_server *server, const char *model, int64_t version,
                            int64_t now_ns)
 {
-  for (guint i = 0; i < server->entry.weights->len; i++)
+  struct kcp_server_weights *weights = find_weights (&server->entry, model);
+
+  if (weights == NULL
+      || !kcp_weights_belief_accepts_told (&weights->belief, version, now_ns))
+    return;
+  weights->belief.version = version;
+  weights->belief.seen_ns = now_ns;
+  on_risen (server, weights, "another VM", now_ns);
+}
+
+/* Applies what the server itself has shown, in an answer or a report. A version that is
+   not positive says nothing. */
+void
+kcp_server_show_version (struct kcp_server *server, const char *model,
+                         const struct kcp_weights_evidence *evidence)
+{
+  struct kcp_server_weights *weights = find_weights (&server->entry, model);
+  int64_t before;
+
+  if (weights == NULL || evidence->version <= 0)
+    return;
+  before = weights->belief.version;
+  switch (kcp_weights_belief_apply (&weights->belief, evidence))
+    {
+    case KCP_WEIGHTS_SAME:
+      break;
+    case KCP_WEIGHTS_ROSE:
+      on_risen (server, weights, "server", evidence->until_ns);
+      break;
+    case KCP_WEIGHTS_FELL:
+      kcp_counter_add (KCP_COUNT_VERSIONS_FELL, 1);
+      KCP_LOG ("server_weights_fell", KCP_LOG_TEXT ("server", server->entry.id),
+               KCP_LOG_TEXT ("model", model), KCP_LOG_INT ("version", evidence->version),
+               KCP_LOG_INT ("before", before), KCP_LOG_INT ("listed", weights->version));
+      break;
+    }
+}
+
+static void
+on_risen (struct kcp_server *server, const struct kcp_server_weights *weights,
+          const char *source, int64_t now_ns)
+{
+  server->loading_until_ns = 0;
+  server->own_loading_until_ns = 0;
+  server->version_changed_ns = now_ns;
+  KCP_LOG ("server_weights", KCP_LOG_TEXT ("server", server->entry.id),
+           KCP_LOG_TEXT ("model", weights->model),
+           KCP_LOG_INT ("version", weights->belief.version),
+           KCP_LOG_INT ("listed", weights->version), KCP_LOG_TEXT ("source", source));
+}
+
+/* Takes over what is believed of the versions in an entry that replaces the server's. A
+   higher version is believed, unless the entry may have been written before the server
+   lost it, up to delay_ns ago. A lower one is not: the entry may have been written before
+   the higher version was loaded. If it stays, the server is asked; see
+   forward/version_check.h. */
+void
+kcp_server_take_entry_versions (struct kcp_server *server,
+                                const struct kcp_server_entry *entry, int64_t now_ns,
+                                int64_t delay_ns)
+{
+  for (guint i = 0; i < entry->weights->len; i++)
     {
       struct kcp_server_weights *weights
-          = &g_array_index (server->entry.weights, struct kcp_server_weights, i);
+          = &g_array_index (entry->weights, struct kcp_server_weights, i);
+      const struct kcp_server_weights *known
+          = find_weights (&server->entry, weights->model);
 
-      if (strcmp (weights->model, model) != 0 || version <= weights->version)
+      if (known == NULL)
+        continue;
+      weights->belief = known->belief;
+      if (weights->version <= weights->belief.version)
+        continue;
+      if (kcp_weights_belief_apply (&weights->belief,
+                                    &(struct kcp_weights_evidence){
+                                        .version = weights->version,
+                                        .from_ns = now_ns - delay_ns,
+                                        .until_ns = now_ns,
+                                    })
+          == KCP_WEIGHTS_SAME)
         continue;
-      weights->version = version;
       server->loading_until_ns = 0;
-      server->own_loading_until_ns = 0;
-      server->version_changed_ns = now_ns;
-      KCP_LOG ("server_weights", KCP_LOG_TEXT ("server", server->entry.id),
-               KCP_LOG_TEXT ("model", model), KCP_LOG_INT ("version", version));
+      KCP_LOG ("server_weights", KCP_LOG_TEXT ("server", entry->id),
+               KCP_LOG_TEXT ("model", weights->model),
+               KCP_LOG_INT ("version", weights->version),
+               KCP_LOG_INT ("listed", weights->version),
+               KCP_LOG_TEXT ("source", "entry"));
     }
 }
 
--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -13,6 +13,7 @@
 #include "policy/server_health.h"
 #include "policy/server_limit.h"
 #include "policy/server_speed.h"
+#include "policy/weights_belief.h"
 
 enum kcp_server_state
 {
@@ -23,7 +24,9 @@
 struct kcp_server_weights
 {
   char *model;
-  int64_t version;
+  int64_t version; /* as the server wrote it */
+  /* Of a server in the table: what its entry and all else that is known show. */
+  struct kcp_weights_belief belief;
 };
 
 /* A server's entry in the servers' list, as the server writes it. */
@@ -56,6 +59,7 @@
   uint64_t key;          /* see kcp_server_key() */
   uint64_t entry_hash;   /* of its newest entry */
   bool removed;          /* no longer in any table */
+  int64_t entry_read_ns; /* when that was read */
   int64_t remove_at_ns;  /* when to remove it, as its entry was deleted; 0: never */
   int64_t held_until_ns; /* its entry is back, but may be one that was written late */
   unsigned in_flight;    /* this VM's requests at the server */
@@ -89,6 +93,9 @@
   GArray *peers_sent_parts;       /* struct kcp_sent_part, oldest first; NULL: none */
   int64_t peers_prefill_until_ns; /* end of prefill of other VMs' long prompts */
   int64_t orders_taken;           /* since it started, by its reports; -1: not known */
+  bool version_doubted;           /* it is being asked; see forward/version_check.h */
+  int64_t version_check_after_ns; /* it is not asked before */
+  unsigned versions_confirmed;    /* checks in a row that its entry does not agree with */
   int64_t failed_orders_version;  /* version that the failed orders were to load */
   unsigned failed_orders;         /* orders of this VM that ended without that version */
 };
@@ -115,6 +122,11 @@
 int64_t kcp_server_version (const struct kcp_server *server, const char *model);
 void kcp_server_update_version (struct kcp_server *server, const char *model,
                                 int64_t version, int64_t now_ns);
+void kcp_server_show_version (struct kcp_server *server, const char *model,
+                              const struct kcp_weights_evidence *evidence);
+void kcp_server_take_entry_versions (struct kcp_server *server,
+                                     const struct kcp_server_entry *entry, int64_t now_ns,
+                                     int64_t delay_ns);
 void kcp_server_record_failed_order (struct kcp_server *server, int64_t version);
 unsigned kcp_server_failed_orders (const struct kcp_server *server, int64_t version);
 void kcp_server_record_failure (struct kcp_server *server, int64_t now_ns);
--- a/src/forward/servers.c
+++ b/src/forward/servers.c
@@ -23,13 +23,14 @@
                                  const struct kcp_entry_order *order, bool listed);
 static void log_older (const struct kcp_servers *servers,
                        const struct kcp_server_entry *entry, int64_t offset);
-static bool
-apply_newer (struct kcp_servers *servers, struct kcp_server_entry *entry, bool *added);
+static bool apply_newer (struct kcp_servers *servers, struct kcp_server_entry *entry,
+                         const struct kcp_entry_reading *reading, bool *added);
 static void hold (struct kcp_server *server, const struct kcp_entry_reading *reading);
 static uint64_t hash_entry (const struct kcp_server_entry *entry);
 static bool
 has_restarted (const struct kcp_server *server, const struct kcp_server_entry *entry);
-static void replace_entry (struct kcp_server *server, struct kcp_server_entry *entry);
+static void replace_entry (struct kcp_server *server, struct kcp_server_entry *entry,
+                           const struct kcp_entry_reading *reading);
 static void remember_reach (struct kcp_servers *servers, const struct kcp_server *server);
 static void log_change (const struct kcp_server *server, const char *what);
 static struct kcp_server *
@@ -93,7 +94,7 @@
     }
   id = g_strdup (entry->id);
   kcp_known_entries_put (servers->known, id, &order, reading->now_ms);
-  changed = apply_newer (servers, entry, &added);
+  changed = apply_newer (servers, entry, reading, &added);
   if (added && age == KCP_ENTRY_RETURNED && reading->hold_ns > 0)
     hold (kcp_servers_find (servers, id), reading);
   return changed;
@@ -143,7 +144,8 @@
 /* Applies an entry that is not older than the known one, and sets added if its server was
    not in the table. */
 static bool
-apply_newer (struct kcp_servers *servers, struct kcp_server_entry *entry, bool *added)
+apply_newer (struct kcp_servers *servers, struct kcp_server_entry *entry,
+             const struct kcp_entry_reading *reading, bool *added)
 {
   struct kcp_server *server = kcp_servers_find (servers, entry->id);
   uint64_t entry_hash = hash_entry (entry);
@@ -161,6 +163,7 @@
       server = kcp_ref_new (sizeof *server);
       server->entry = *entry;
       server->entry_hash = entry_hash;
+      server->entry_read_ns = reading->now_ns;
       server->orders_taken = -1;
       add_server (servers, servers->all, server);
       log_change (server, "added");
@@ -169,7 +172,7 @@
     }
   changed = server->entry_hash != entry_hash || server->remove_at_ns != 0;
   server->entry_hash = entry_hash;
-  replace_entry (server, entry);
+  replace_entry (server, entry, reading);
   return changed;
 }
 
@@ -386,31 +389,17 @@
          || strcmp (entry->service, server->entry.service) != 0;
 }
 
-/* Replaces the entry of a server. If an answer has shown a higher version than the new
-   entry has, that version is kept, since the entry may have been written before that
-   answer. */
+/* Replaces the entry of a server. */
 static void
-replace_entry (struct kcp_server *server, struct kcp_server_entry *entry)
+replace_entry (struct kcp_server *server, struct kcp_server_entry *entry,
+               const struct kcp_entry_reading *reading)
 {
   enum kcp_server_state before = server->entry.state;
 
-  for (guint i = 0; i < entry->weights->len; i++)
-    {
-      struct kcp_server_weights *weights
-          = &g_array_index (entry->weights, struct kcp_server_weights, i);
-      int64_t known = kcp_server_version (server, weights->model);
-
-      if (weights->version > known)
-        {
-          server->loading_until_ns = 0;
-          KCP_LOG ("server_weights", KCP_LOG_TEXT ("server", entry->id),
-                   KCP_LOG_TEXT ("model", weights->model),
-                   KCP_LOG_INT ("version", weights->version));
-        }
-      weights->version = MAX (weights->version, known);
-    }
+  kcp_server_take_entry_versions (server, entry, reading->now_ns, reading->delay_ns);
   kcp_server_entry_clear (&server->entry);
   server->entry = *entry;
+  server->entry_read_ns = reading->now_ns;
   server->remove_at_ns = 0;
   if (before != server->entry.state)
     log_change (server,
--- a/src/forward/servers.h
+++ b/src/forward/servers.h
@@ -17,10 +17,11 @@
 {
   int64_t offset; /* of its record, or KCP_ENTRY_NO_OFFSET */
   int64_t now_ns;
-  int64_t now_ms;  /* Unix time */
-  int64_t hold_ns; /* for which a server is not used whose entry returned; 0: it is */
-  bool listed;     /* in a listing, not in the records after it */
-  bool in_copy;    /* in the listing of an older copy of the store */
+  int64_t now_ms;   /* Unix time */
+  int64_t delay_ns; /* it was written at most so long ago */
+  int64_t hold_ns;  /* for which a server is not used whose entry returned; 0: it is */
+  bool listed;      /* in a listing, not in the records after it */
+  bool in_copy;     /* in the listing of an older copy of the store */
 };
 
 struct kcp_servers *kcp_servers_new (void);
--- a/tests/harness/fake_server.c
+++ b/tests/harness/fake_server.c
@@ -5,7 +5,8 @@
 
 #include "tests/harness/fake_parts.h"
 
-#define SLOW_MS 500
+#define SLOW_MS      500
+#define VERSION_BASE 10
 
 /* The event stream of a server's answer. */
 struct stream
@@ -286,6 +287,8 @@
       = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Request-Id");
   const char *wanted
       = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Expect-Instance");
+  const char *version
+      = MHD_lookup_connection_value (connection, MHD_HEADER_KIND, "Expect-Version");
   enum fake_mode mode = server->mode;
   const char *refusal_headers[] = { "Request-Id", id, "Not-Executed", "1", NULL };
   const char *headers[]
@@ -296,7 +299,9 @@
 
   if (id == NULL)
     return fake_http_send (connection, 400, "", 0, NULL);
-  if (wanted != NULL && strcmp (wanted, server->id) != 0)
+  if ((wanted != NULL && strcmp (wanted, server->id) != 0)
+      || (version != NULL
+          && g_ascii_strtoll (version, NULL, VERSION_BASE) != server->version))
     return fake_http_send (connection, 421, "", 0, NULL);
   record_arrival (server);
   if (server->crashing)
