BUDGET: crashes are counted on when all VMs are killed

Cause: only a blocked request was written to the store; the crashes counted until then were in the VMs' memory alone. Ruled out: crashes that are not found before the kill (they are, within milliseconds).

From the first crash on: with a kill after each one there is no second.

--- a/src/cmd/route.c
+++ b/src/cmd/route.c
@@ -22,6 +22,7 @@
 #include "forward/rollout.h"
 #include "forward/software_versions.h"
 #include "forward/stream_records.h"
+#include "forward/suspect_store.h"
 #include "platform/platform.h"
 #include "settings/forward_settings.h"
 
@@ -180,6 +181,8 @@
   gateway->mesh = vm->mesh;
   gateway->blocked_store
       = kcp_blocked_store_start (gateway, kcp_platform_store_interface (vm->store));
+  gateway->suspect_store
+      = kcp_suspect_store_start (gateway, kcp_platform_store_interface (vm->store));
   gateway->stream_records
       = kcp_stream_records_start (gateway, kcp_platform_store_interface (vm->store));
   gateway->software_versions
@@ -220,6 +223,8 @@
   kcp_feed_stop (vm->feed);
   kcp_blocked_store_stop (vm->gateway.blocked_store);
   vm->gateway.blocked_store = NULL;
+  kcp_suspect_store_stop (vm->gateway.suspect_store);
+  vm->gateway.suspect_store = NULL;
   kcp_resume_lookups_free (vm->gateway.resume_lookups);
   kcp_software_versions_stop (vm->gateway.software_versions);
   kcp_stream_records_stop (vm->gateway.stream_records);
--- a/src/forward/crash_suspects.c
+++ b/src/forward/crash_suspects.c
@@ -3,6 +3,7 @@
 #include "base/decision_log.h"
 #include "forward/blocked_store.h"
 #include "forward/mesh.h"
+#include "forward/suspect_store.h"
 #include "policy/fingerprint.h"
 
 #define ENTRIES_MAX 4096u
@@ -29,7 +30,7 @@
 
 static void add_crash (struct kcp_gateway *gateway, struct kcp_suspect suspect,
                        const struct kcp_crash *crash);
-static void clear (struct kcp_gateway *gateway, struct kcp_suspect suspect);
+static bool clear (struct kcp_gateway *gateway, struct kcp_suspect suspect);
 static void announce_cleared (struct kcp_gateway *gateway, struct kcp_suspect suspect);
 static struct kcp_suspect part_suspect (const GArray *parts, guint i);
 static bool get_fact (struct kcp_gateway *gateway, struct kcp_suspect suspect,
@@ -84,6 +85,8 @@
       kcp_loop_now (gateway->loop));
   log_suspect (gateway, suspect, crash->server->entry.id);
   kcp_mesh_announce_suspect (gateway->mesh, suspect);
+  if (!answered_before)
+    kcp_suspect_store_add_crash (gateway->suspect_store, suspect);
   store_if_blocked (gateway, suspect);
 }
 
@@ -143,6 +146,21 @@
     log_suspect (gateway, suspect, "store");
 }
 
+/* Merges what the platform's store has of a suspect, as a VM wrote it that may have ended
+   since. What this blocks is kept as blocked. */
+void
+kcp_crash_suspects_restore_fact (struct kcp_gateway *gateway, enum kcp_suspect_kind kind,
+                                 const struct kcp_quarantine_fact *fact)
+{
+  struct kcp_suspect suspect = { .kind = kind, .fingerprint = fact->fingerprint };
+
+  if (!kcp_quarantine_merge (gateway->quarantines[kind], fact,
+                             kcp_loop_now (gateway->loop)))
+    return;
+  log_suspect (gateway, suspect, "store");
+  store_if_blocked (gateway, suspect);
+}
+
 /* Has a blocked suspect kept in the platform's store. */
 static void
 store_if_blocked (struct kcp_gateway *gateway, struct kcp_suspect suspect)
@@ -159,8 +177,11 @@
 void
 kcp_crash_suspects_clear_request (struct kcp_gateway *gateway, uint64_t fingerprint)
 {
-  clear (gateway,
-         (struct kcp_suspect){ .kind = KCP_SUSPECT_REQUEST, .fingerprint = fingerprint });
+  struct kcp_suspect suspect
+      = { .kind = KCP_SUSPECT_REQUEST, .fingerprint = fingerprint };
+
+  if (clear (gateway, suspect))
+    kcp_suspect_store_add_cleared (gateway->suspect_store, suspect);
 }
 
 /* Records that a server answered the request with an error. */
@@ -172,7 +193,10 @@
 
   if (kcp_quarantine_add_error (gateway->quarantines[KCP_SUSPECT_REQUEST], fingerprint,
                                 kcp_loop_now (gateway->loop)))
-    announce_cleared (gateway, suspect);
+    {
+      announce_cleared (gateway, suspect);
+      kcp_suspect_store_add_cleared (gateway->suspect_store, suspect);
+    }
 }
 
 /* Records that a server wrote an answer to a request with these parts, which clears those
@@ -184,22 +208,29 @@
     {
       struct kcp_suspect suspect = part_suspect (parts, i);
 
+      /* The crashes of a part that was answered before are not stored. */
+      bool stored
+          = !kcp_answered_parts_contains (gateway->answered_parts, suspect.fingerprint);
+
       kcp_answered_parts_add (gateway->answered_parts, suspect.fingerprint);
-      clear (gateway, suspect);
+      if (clear (gateway, suspect) && stored)
+        kcp_suspect_store_add_cleared (gateway->suspect_store, suspect);
     }
 }
 
-static void
+/* Clears a suspect. Returns false if it is none. */
+static bool
 clear (struct kcp_gateway *gateway, struct kcp_suspect suspect)
 {
   struct kcp_quarantine *quarantine = gateway->quarantines[suspect.kind];
 
   if (kcp_quarantine_count (quarantine) == 0
       || !has_state (gateway, suspect, KCP_QUARANTINE_SUSPECT))
-    return;
+    return false;
   kcp_quarantine_add_completion (quarantine, suspect.fingerprint,
                                  kcp_loop_now (gateway->loop));
   announce_cleared (gateway, suspect);
+  return true;
 }
 
 static void
--- a/src/forward/crash_suspects.h
+++ b/src/forward/crash_suspects.h
@@ -14,6 +14,9 @@
                                const struct kcp_quarantine_fact *fact);
 void kcp_crash_suspects_restore (struct kcp_gateway *gateway, struct kcp_suspect suspect,
                                  int64_t remaining_ms);
+void
+kcp_crash_suspects_restore_fact (struct kcp_gateway *gateway, enum kcp_suspect_kind kind,
+                                 const struct kcp_quarantine_fact *fact);
 void kcp_crash_suspects_clear_request (struct kcp_gateway *gateway, uint64_t fingerprint);
 void kcp_crash_suspects_add_error (struct kcp_gateway *gateway, uint64_t fingerprint);
 void kcp_crash_suspects_clear_parts (struct kcp_gateway *gateway, const GArray *parts);
--- a/src/forward/dialect.h
+++ b/src/forward/dialect.h
@@ -138,6 +138,7 @@
   KCP_STORE_ORDERS,   /* records of the order lease */
   KCP_STORE_VMS,      /* entries of VMs, keyed by address */
   KCP_STORE_BLOCKED,  /* blocked requests, keyed by fingerprint */
+  KCP_STORE_SUSPECTS, /* suspects of crashes; records have keys */
   KCP_STORE_SOFTWARE, /* software versions in service; records have keys */
   KCP_STORE_STREAMS   /* which software versions began which streams */
 };
--- a/src/forward/gateway.h
+++ b/src/forward/gateway.h
@@ -66,6 +66,7 @@
   struct kcp_quarantine *quarantines[KCP_SUSPECT_KINDS];
   struct kcp_answered_parts *answered_parts;
   struct kcp_blocked_store *blocked_store; /* NULL: blocked requests are not stored */
+  struct kcp_suspect_store *suspect_store; /* NULL: suspects are not stored */
   struct kcp_feed *feed; /* of the servers' list and the configuration; NULL: none */
   struct kcp_software_versions *software_versions; /* NULL: not kept */
   struct kcp_stream_records *stream_records;       /* NULL: not kept */
--- a/tests/harness/fake_store.c
+++ b/tests/harness/fake_store.c
@@ -20,6 +20,7 @@
   [FAKE_TOPIC_ORDERS] = "kingcuppoint.orders",
   [FAKE_TOPIC_VMS] = "keyed.kingcuppoint.vms",
   [FAKE_TOPIC_BLOCKED] = "keyed.kingcuppoint.blocked",
+  [FAKE_TOPIC_SUSPECTS] = "keyed.kingcuppoint.suspects",
   [FAKE_TOPIC_SOFTWARE] = "keyed.kingcuppoint.software",
   [FAKE_TOPIC_STREAMS] = "kingcuppoint.streams",
 };
--- a/tests/process/test_odd_records.c
+++ b/tests/process/test_odd_records.c
@@ -48,6 +48,13 @@
   { "keyed.kingcuppoint.blocked", "zz", "1e400" },
   { "keyed.kingcuppoint.blocked", "part-", "99999999999999999999" },
   { "keyed.kingcuppoint.blocked", "0123456789abcdef0123456789abcdef", "{}" },
+  { "keyed.kingcuppoint.suspects", "zz", "1e400" },
+  { "keyed.kingcuppoint.suspects", "aa", "request zz 1 1 1 1" },
+  { "keyed.kingcuppoint.suspects", "ab",
+    "request 99999999999999999999 99999999999 -1 -1 99999999999999999999 a b c d e f g\n"
+    "part 1 4294967295 4294967295 9223372036854775807 9223372036854775807 1 1 1 1 1 1 "
+    "1" },
+  { "keyed.kingcuppoint.suspects", "ac", "\n\n\n" },
   { "keyed.kingcuppoint.software", "zz", "1e400" },
   { "keyed.kingcuppoint.software", "0123456789abcdef-0123456789abcdef0", "{}" },
   { "kingcuppoint.streams", NULL, "ffffffffffffffffffffffffffffffff 1 2\n-1 -1 -1\n" },
@@ -64,6 +71,7 @@
   { "keyed.op", "version/m", NULL },
   { "keyed.kingcuppoint.vms", "127.0.0.1:9", NULL },
   { "keyed.kingcuppoint.blocked", "deep", NULL },
+  { "keyed.kingcuppoint.suspects", "deep", NULL },
   { "keyed.kingcuppoint.software", "deep", NULL },
   { "kingcuppoint.streams", NULL, NULL },
   { "kingcuppoint.orders", NULL, NULL },
