Late entries, versions, counts: fewer holds, reports and records where they tell nothing

- A server that turned a request away is asked 1.5 s later, and not again once another start of it has answered: the list shows it by then.
- A suspect is stored as cleared only after two crashes: what is stored of a later crash bears its generation.
At most one record of a kind in 0.1 s.
- Servers that return are not held if several of a data center do and are the greater part there, nor after attempts that got no answer. unit/test_late_entries 18 of 18, with a test for it.

process/test_lost_counts 3 of 3, test_late_orders 3 of 3 with the first two changes.

--- a/src/forward/choose.c
+++ b/src/forward/choose.c
@@ -20,6 +20,17 @@
    start requests, since a request can wait at a server for seconds before it starts. */
 #define OLD_WEIGHTS_SHARE(ns) ((ns)*2 / 3)
 
+/* Servers that are held together in a data center are not taken to have left from so many
+   on. */
+#define HELD_TOGETHER 2u
+
+/* Servers whose entries returned lately, and the others. */
+struct held_count
+{
+  guint held;
+  guint others;
+};
+
 static bool is_idle (const struct kcp_place_candidate *candidate);
 static void
 set_cache_scope (const struct kcp_gateway *gateway, struct kcp_choice *choice);
@@ -29,13 +40,14 @@
 static bool
 is_eligible (const struct kcp_choice *choice, const struct kcp_server *server);
 static bool has_left (const struct kcp_gateway *gateway, const struct kcp_server *server);
-static bool is_held (const struct kcp_choice *choice, const struct kcp_server *server,
-                     int64_t now_ns);
-static bool
-hold_applies (const struct kcp_choice *choice, const GPtrArray *servers, int64_t now_ns);
+static bool is_held (const struct kcp_gateway *gateway, const struct kcp_choice *choice,
+                     const struct kcp_server *server, int64_t now_ns);
+static struct held_count
+count_held (const struct kcp_gateway *gateway, const char *service,
+            const char *data_center, int64_t now_ns);
 static bool was_tried (const struct kcp_choice *choice, const struct kcp_server *server);
-static void
-note_availability (struct kcp_choice *choice, struct kcp_server *server, int64_t now_ns);
+static void note_availability (struct kcp_choice *choice, struct kcp_server *server,
+                               bool held, int64_t now_ns);
 static struct kcp_outcome_counts
 sum_health (const struct kcp_choice *choice, const GPtrArray *servers, int64_t now_ns);
 static void
@@ -83,7 +95,6 @@
   choice->earliest_available_ns = 0;
   choice->earliest_server = NULL;
   choice->service_health = sum_health (choice, servers, kcp_loop_now (gateway->loop));
-  choice->holds = hold_applies (choice, servers, kcp_loop_now (gateway->loop));
   for (guint i = 0; i < servers->len; i++)
     {
       fill_candidate (gateway, choice, g_ptr_array_index (servers, i), &candidates[i]);
@@ -185,14 +196,15 @@
   int64_t now = kcp_loop_now (gateway->loop);
   const char *model = choice->inbound->model;
   struct kcp_outcome_counts health;
+  bool held;
 
   if (!is_eligible (choice, server) || has_left (gateway, server))
     return;
   kcp_server_notices_share_limit (gateway, server);
-  note_availability (choice, server, now);
+  held = is_held (gateway, choice, server, now);
+  note_availability (choice, server, held, now);
   candidate->usable = !was_tried (choice, server) && now >= server->backoff_until_ns
-                      && !is_held (choice, server, now)
-                      && kcp_server_limit_has_room (&server->limit, now);
+                      && !held && kcp_server_limit_has_room (&server->limit, now);
   if (!candidate->usable)
     return;
   candidate->limited = kcp_server_limit_is_in_force (&server->limit, now);
@@ -263,33 +275,46 @@
                                          kcp_loop_now (gateway->loop));
 }
 
-/* Returns true if the server is kept from requests because its entry returned. */
+/* Returns true if the server is kept from requests because its entry returned. If the
+   greater part of the service's servers is, or several and the greater part in their data
+   center, they have lost and found the store rather than left, and callers would be
+   refused in vain. */
 static bool
-is_held (const struct kcp_choice *choice, const struct kcp_server *server, int64_t now_ns)
+is_held (const struct kcp_gateway *gateway, const struct kcp_choice *choice,
+         const struct kcp_server *server, int64_t now_ns)
 {
-  return choice->holds && now_ns < server->held_until_ns;
+  struct held_count all;
+  struct held_count near;
+
+  if (now_ns >= server->held_until_ns)
+    return false;
+  all = count_held (gateway, choice->service, NULL, now_ns);
+  near = count_held (gateway, choice->service, server->entry.data_center, now_ns);
+  return all.held <= all.others
+         && (near.held < HELD_TOGETHER || near.held <= near.others);
 }
 
-/* Returns true if servers whose entries returned are held. If they are the greater part
-   of the service's servers, they have lost and found the store rather than left, and
-   callers would be refused in vain. */
-static bool
-hold_applies (const struct kcp_choice *choice, const GPtrArray *servers, int64_t now_ns)
+/* Counts the ready servers of a service, all of them or those of a data center. */
+static struct held_count
+count_held (const struct kcp_gateway *gateway, const char *service,
+            const char *data_center, int64_t now_ns)
 {
-  guint held = 0;
-  guint others = 0;
+  const GPtrArray *servers = kcp_servers_all (gateway->servers);
+  struct held_count count = { 0 };
 
   for (guint i = 0; i < servers->len; i++)
     {
       const struct kcp_server *server = g_ptr_array_index (servers, i);
 
       if (server->entry.state != KCP_SERVER_READY
-          || strcmp (server->entry.service, choice->service) != 0)
+          || strcmp (server->entry.service, service) != 0
+          || (data_center != NULL
+              && strcmp (server->entry.data_center, data_center) != 0))
         continue;
-      held += now_ns < server->held_until_ns;
-      others += now_ns >= server->held_until_ns;
+      count.held += now_ns < server->held_until_ns;
+      count.others += now_ns >= server->held_until_ns;
     }
-  return held <= others;
+  return count;
 }
 
 static bool
@@ -304,12 +329,13 @@
 /* Updates the time at which the first server is expected to be available. A server that
    this request has tried counts, since it may serve the caller's next request. */
 static void
-note_availability (struct kcp_choice *choice, struct kcp_server *server, int64_t now_ns)
+note_availability (struct kcp_choice *choice, struct kcp_server *server, bool held,
+                   int64_t now_ns)
 {
   int64_t available_ns = MAX (server->suspected_until_ns, server->loading_until_ns);
 
   available_ns = MAX (available_ns, server->backoff_until_ns);
-  if (choice->holds)
+  if (held)
     available_ns = MAX (available_ns, server->held_until_ns);
   if (kcp_reach_has_failed (&server->reach))
     available_ns = MAX (available_ns, server->reach.probe_after_ns);
--- a/src/forward/choose.h
+++ b/src/forward/choose.h
@@ -32,7 +32,6 @@
   int64_t load_age_ns; /* of the oldest load of other VMs that was counted; 0: none */
   bool idle;           /* the server seems to have no other request */
   int64_t slowness;    /* of the server; see policy/server_speed.h */
-  bool holds;          /* servers whose entries returned are not used; see kcp_server */
   struct kcp_outcome_counts service_health; /* of all servers of the service */
   int64_t failing_us; /* part of the cost that is due to failures of the server */
   int64_t wait_us;    /* until the server can start the request */
--- a/src/forward/crash_suspects.c
+++ b/src/forward/crash_suspects.c
@@ -10,6 +10,8 @@
 #define KEEP_NS     (600 * KCP_NS_PER_S) /* time until a request is no longer blocked */
 /* A copy that is sent earlier than this after the first crash belongs to its incident. */
 #define INCIDENT_NS (200 * KCP_NS_PER_MS)
+/* A suspect that is cleared after so many crashes is stored as cleared. */
+#define CRASHES_TAKEN_BACK 2u
 /* Incidents after which a request with the part is not resent. */
 #define PART_INCIDENTS_SUSPECT 2u
 
@@ -30,8 +32,10 @@
 
 static void add_crash (struct kcp_gateway *gateway, struct kcp_suspect suspect,
                        const struct kcp_crash *crash);
-static bool clear (struct kcp_gateway *gateway, struct kcp_suspect suspect);
-static void announce_cleared (struct kcp_gateway *gateway, struct kcp_suspect suspect);
+static void clear (struct kcp_gateway *gateway, struct kcp_suspect suspect);
+static bool has_stored_crashes (struct kcp_gateway *gateway, struct kcp_suspect suspect);
+static void
+announce_cleared (struct kcp_gateway *gateway, struct kcp_suspect suspect, bool keep);
 static struct kcp_suspect part_suspect (const GArray *parts, guint i);
 static bool get_fact (struct kcp_gateway *gateway, struct kcp_suspect suspect,
                       struct kcp_quarantine_fact *fact);
@@ -180,8 +184,7 @@
   struct kcp_suspect suspect
       = { .kind = KCP_SUSPECT_REQUEST, .fingerprint = fingerprint };
 
-  if (clear (gateway, suspect))
-    kcp_suspect_store_add_cleared (gateway->suspect_store, suspect);
+  clear (gateway, suspect);
 }
 
 /* Records that a server answered the request with an error. */
@@ -190,13 +193,11 @@
 {
   struct kcp_suspect suspect
       = { .kind = KCP_SUSPECT_REQUEST, .fingerprint = fingerprint };
+  bool keep = has_stored_crashes (gateway, suspect);
 
   if (kcp_quarantine_add_error (gateway->quarantines[KCP_SUSPECT_REQUEST], fingerprint,
                                 kcp_loop_now (gateway->loop)))
-    {
-      announce_cleared (gateway, suspect);
-      kcp_suspect_store_add_cleared (gateway->suspect_store, suspect);
-    }
+    announce_cleared (gateway, suspect, keep);
 }
 
 /* Records that a server wrote an answer to a request with these parts, which clears those
@@ -208,36 +209,44 @@
     {
       struct kcp_suspect suspect = part_suspect (parts, i);
 
-      /* The crashes of a part that was answered before are not stored. */
-      bool stored
-          = !kcp_answered_parts_contains (gateway->answered_parts, suspect.fingerprint);
-
       kcp_answered_parts_add (gateway->answered_parts, suspect.fingerprint);
-      if (clear (gateway, suspect) && stored)
-        kcp_suspect_store_add_cleared (gateway->suspect_store, suspect);
+      clear (gateway, suspect);
     }
 }
 
-/* Clears a suspect. Returns false if it is none. */
-static bool
+static void
 clear (struct kcp_gateway *gateway, struct kcp_suspect suspect)
 {
   struct kcp_quarantine *quarantine = gateway->quarantines[suspect.kind];
+  bool keep = has_stored_crashes (gateway, suspect);
 
   if (kcp_quarantine_count (quarantine) == 0
       || !has_state (gateway, suspect, KCP_QUARANTINE_SUSPECT))
-    return false;
+    return;
   kcp_quarantine_add_completion (quarantine, suspect.fingerprint,
                                  kcp_loop_now (gateway->loop));
-  announce_cleared (gateway, suspect);
-  return true;
+  announce_cleared (gateway, suspect, keep);
+}
+
+/* Returns true if the store has to learn that a suspect is cleared, since one more crash
+   could block it. What is stored of a later crash tells of earlier clearings too, so that
+   a single crash need not be taken back. */
+static bool
+has_stored_crashes (struct kcp_gateway *gateway, struct kcp_suspect suspect)
+{
+  struct kcp_quarantine_fact fact;
+
+  return get_fact (gateway, suspect, &fact)
+         && kcp_quarantine_fact_crashes (&fact) >= CRASHES_TAKEN_BACK;
 }
 
 static void
-announce_cleared (struct kcp_gateway *gateway, struct kcp_suspect suspect)
+announce_cleared (struct kcp_gateway *gateway, struct kcp_suspect suspect, bool keep)
 {
   log_suspect (gateway, suspect, "answered");
   kcp_mesh_announce_suspect (gateway->mesh, suspect);
+  if (keep)
+    kcp_suspect_store_add_cleared (gateway->suspect_store, suspect);
 }
 
 /* Returns true if copies of the request, or several requests one after the other with one
--- a/src/forward/servers.c
+++ b/src/forward/servers.c
@@ -255,7 +255,7 @@
   return next_ns;
 }
 
-/* Remembers whether a server that is being removed could be reached: one that could not
+/* Remembers whether a server that is being removed has answered last: one that has not
    may have lost the store too, and its entry then returns. */
 static void
 remember_reach (struct kcp_servers *servers, const struct kcp_server *server)
@@ -264,7 +264,7 @@
       = kcp_known_entries_find (servers->known, server->entry.id);
 
   if (known != NULL && known->removed)
-    known->unreached = kcp_reach_has_failed (&server->reach);
+    known->unreached = kcp_reach_has_failed (&server->reach) || server->failures > 0;
 }
 
 /* Returns the known servers, struct kcp_server, in no particular order. */
--- a/src/forward/suspect_store.c
+++ b/src/forward/suspect_store.c
@@ -11,9 +11,12 @@
 #define CRASH_DELAY_NS (5 * KCP_NS_PER_MS)
 /* The same for those that were cleared. */
 #define CLEARED_DELAY_NS (200 * KCP_NS_PER_MS)
-#define FACTS_MAX        256u /* of one record; further ones are not kept */
-#define RECORDS_MAX      512u
-#define KEY_SIZE         17 /* with the final 0 */
+/* Least time between two records of a kind, as servers that crash together are found to
+   have crashed one after the other. */
+#define GAP_NS      (100 * KCP_NS_PER_MS)
+#define FACTS_MAX   256u /* of one record; further ones are not kept */
+#define RECORDS_MAX 512u
+#define KEY_SIZE    17 /* with the final 0 */
 
 /* Suspects that wait to be written together. */
 struct batch
@@ -21,6 +24,7 @@
   struct kcp_suspect_store *store;
   GArray *suspects; /* struct kcp_suspect */
   int64_t delay_ns;
+  int64_t written_ns; /* when the last record was; 0: none was */
   struct kcp_loop_timer timer;
 };
 
@@ -148,8 +152,10 @@
     }
   g_array_append_val (batch->suspects, suspect);
   if (batch->suspects->len == 1)
-    kcp_loop_timer_set (loop, &batch->timer, kcp_loop_now (loop) + batch->delay_ns,
-                        write_batch, batch);
+    kcp_loop_timer_set (
+        loop, &batch->timer,
+        MAX (kcp_loop_now (loop) + batch->delay_ns, batch->written_ns + GAP_NS),
+        write_batch, batch);
 }
 
 static bool
@@ -181,6 +187,7 @@
         until_ms,
         add_fact (store, g_array_index (batch->suspects, struct kcp_suspect, i), record));
   g_array_set_size (batch->suspects, 0);
+  batch->written_ns = kcp_loop_now (store->gateway->loop);
   if (record->len == 0)
     return;
   (void)g_snprintf (key, sizeof key, "%016" G_GINT64_MODIFIER "x", kcp_id_random_u64 ());
--- a/src/forward/version_check.c
+++ b/src/forward/version_check.c
@@ -12,6 +12,9 @@
 #define REPORT_TIMEOUT_MS 400
 #define RETRY_NS          (300 * KCP_NS_PER_MS)
 #define CALLS_MAX         4u /* of one check */
+/* After a server has turned a request away. Mostly it has started again, which the list
+   shows by then, or other VMs tell its new version. */
+#define TURNED_AWAY_NS (1500 * KCP_NS_PER_MS)
 /* Least time between the ends of checks and the next one of the same server. */
 #define GAP_NS (500 * KCP_NS_PER_MS)
 /* An entry that names another version is looked into after so many heartbeats, and later
@@ -43,8 +46,8 @@
   GPtrArray *running; /* struct check */
 };
 
-static bool
-start (struct kcp_version_checks *checks, struct kcp_server *server, const char *why);
+static bool start (struct kcp_version_checks *checks, struct kcp_server *server,
+                   const char *why, int64_t delay_ns);
 static int64_t last_seen_ns (const struct kcp_server *server);
 static void ask (void *user);
 static bool is_resolved (const struct check *check);
@@ -54,6 +57,7 @@
 static bool
 settles (const struct kcp_server *server, const struct kcp_server_report *report);
 static void ask_again (struct check *check);
+static void finish_for_good (struct check *check);
 static void finish (struct check *check, const char *outcome);
 static void check_free (gpointer data);
 static bool entry_differs (const struct kcp_server *server);
@@ -84,7 +88,7 @@
 kcp_version_checks_on_turned_away (struct kcp_version_checks *checks,
                                    struct kcp_server *server)
 {
-  if (start (checks, server, TURNED_AWAY))
+  if (start (checks, server, TURNED_AWAY, TURNED_AWAY_NS))
     server->version_doubted = true;
 }
 
@@ -102,7 +106,7 @@
       if (!entry_differs (server))
         server->versions_confirmed = 0;
       else if (now >= compare_after_ns (checks, server))
-        (void)start (checks, server, ENTRY);
+        (void)start (checks, server, ENTRY, 0);
     }
 }
 
@@ -152,11 +156,12 @@
   return seen_ns;
 }
 
-/* Starts a check, unless one is running or has just ended. The report has to describe a
-   moment after the last one at which the believed version was seen. Returns true if one
-   is running now. */
+/* Starts a check that asks after delay_ns, unless one is running or has just ended. The
+   report has to describe a moment after the last one at which the believed version was
+   seen. Returns true if one is running now. */
 static bool
-start (struct kcp_version_checks *checks, struct kcp_server *server, const char *why)
+start (struct kcp_version_checks *checks, struct kcp_server *server, const char *why,
+       int64_t delay_ns)
 {
   struct kcp_loop *loop = checks->gateway->loop;
   int64_t now = kcp_loop_now (loop);
@@ -172,7 +177,8 @@
   check->body = g_string_new (NULL);
   g_ptr_array_add (checks->running, check);
   kcp_loop_timer_set (loop, &check->timer,
-                      MAX (now, last_seen_ns (server) + REPORT_AGE_NS + 1), ask, check);
+                      MAX (now + delay_ns, last_seen_ns (server) + REPORT_AGE_NS + 1),
+                      ask, check);
   return true;
 }
 
@@ -236,7 +242,7 @@
 
   check->call = NULL;
   if (result->end == KCP_HTTP_COMPLETE && dialect->status_is_not_run (result->status))
-    finish (check, "another_start");
+    finish_for_good (check);
   else if (result->end != KCP_HTTP_COMPLETE || !dialect->read_report (body, &report))
     ask_again (check);
   else
@@ -254,7 +260,7 @@
 
   if (!kcp_version_apply_report (server, report, check->asked_ns,
                                  kcp_loop_now (check->checks->gateway->loop)))
-    finish (check, "another_start");
+    finish_for_good (check);
   else if (!settles (server, report))
     ask_again (check);
   else if (kcp_server_first_version (server) != before)
@@ -297,6 +303,18 @@
                         check);
 }
 
+/* Another process answers at the server's address. It is not asked again: the list will
+   show the other one. */
+static void
+finish_for_good (struct check *check)
+{
+  struct kcp_server *server = kcp_server_ref (check->server);
+
+  finish (check, "another_start");
+  server->version_check_after_ns = INT64_MAX;
+  kcp_server_unref (server);
+}
+
 /* Logs the outcome and frees the check. */
 static void
 finish (struct check *check, const char *outcome)
--- a/tests/unit/test_late_entries.c
+++ b/tests/unit/test_late_entries.c
@@ -96,6 +96,7 @@
 static struct kcp_gateway gateway;
 static struct kcp_feed *feed;
 static int64_t offset;
+static const char *data_center; /* of the entries that are read */
 
 /* A store that never answers. */
 static void
@@ -137,6 +138,7 @@
   feed = kcp_feed_start (&gateway, &store, on_changed, NULL);
   feed->servers.state = KCP_FEED_READING;
   offset = 0;
+  data_center = "z";
 }
 
 static void
@@ -164,9 +166,9 @@
 read_entry (const char *id, const struct entry *entry)
 {
   g_autofree char *text = g_strdup_printf (
-      "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"z\",\"slots\":6,"
+      "{\"service\":\"s\",\"address\":\"127.0.0.1:1\",\"zone\":\"%s\",\"slots\":6,"
       "\"state\":\"%s\",\"seq-no\":%s,\"born\":%s}",
-      entry->state, entry->sequence, entry->born);
+      data_center, entry->state, entry->sequence, entry->born);
 
   read_text (id, entry->state != NULL ? text : "");
 }
@@ -295,6 +297,32 @@
 }
 END_TEST
 
+/* Guards against callers refused in vain: a data center was cut off from the store. One
+   server alone that returns may have left. */
+START_TEST (test_data_center_whose_servers_return_is_not_used)
+{
+  for (int i = 0; i < 5; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("z-%d", i);
+
+      list_entry (id, &(struct entry){ "ready", "1", "1000" });
+    }
+  data_center = "cut";
+  for (int i = 0; i < 3; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("c-%d", i);
+
+      list_entry (id, &(struct entry){ "ready", "1", "1000" });
+      read_entry (id, &(struct entry){ NULL, NULL, NULL });
+    }
+  read_entry ("c-0", &(struct entry){ "ready", "9", "1000" });
+  ck_assert (!is_used ("c-0"));
+  read_entry ("c-1", &(struct entry){ "ready", "9", "1000" });
+  ck_assert (is_used ("c-0"));
+  ck_assert (is_used ("c-1"));
+}
+END_TEST
+
 /* Guards against a server that is lost for good: records that a listing, which is no
    snapshot, has shown already are read again. */
 START_TEST (test_record_read_again_removes_a_server_that_is_back)
@@ -341,6 +369,7 @@
   tcase_add_test (cases, test_late_entry_is_used_by_a_vm_that_does_not_know_the_server);
   tcase_add_test (cases, test_entry_that_is_back_after_an_outage_waits);
   tcase_add_test (cases, test_service_whose_servers_all_return_is_not_served);
+  tcase_add_test (cases, test_data_center_whose_servers_return_is_not_used);
   tcase_add_test (cases, test_record_read_again_removes_a_server_that_is_back);
   tcase_add_test (cases, test_stale_listing_removes_a_server);
   return run_started_suite ();
