VERSION: entries that are written again and again do not put off the question

Cause: an entry that names another version is looked into four heartbeats after it was read, and each heartbeat that is written to the list was a new entry to wait for; so only VMs that the server had turned away found out, and none of them held the order lease. The time counts from the first entry with this content now.

--- a/src/forward/server.h
+++ b/src/forward/server.h
@@ -56,13 +56,13 @@
 struct kcp_server
 {
   struct kcp_server_entry entry;
-  uint64_t key;          /* see kcp_server_key() */
-  uint64_t entry_hash;   /* of its newest entry */
-  bool removed;          /* no longer in any table */
-  int64_t entry_read_ns; /* when that was read */
-  int64_t remove_at_ns;  /* when to remove it, as its entry was deleted; 0: never */
-  int64_t held_until_ns; /* its entry is back, but may be one that was written late */
-  unsigned in_flight;    /* this VM's requests at the server */
+  uint64_t key;           /* see kcp_server_key() */
+  uint64_t entry_hash;    /* of its newest entry */
+  bool removed;           /* no longer in any table */
+  int64_t entry_since_ns; /* since when entries have been like that */
+  int64_t remove_at_ns;   /* when to remove it, as its entry was deleted; 0: never */
+  int64_t held_until_ns;  /* its entry is back, but may be one that was written late */
+  unsigned in_flight;     /* this VM's requests at the server */
   int64_t prefill_tokens_pending;  /* of their prompts, while no answer has begun */
   unsigned failures;               /* consecutive */
   struct kcp_server_health health; /* what attempts there came to */
--- a/src/forward/servers.c
+++ b/src/forward/servers.c
@@ -163,7 +163,7 @@
       server = kcp_ref_new (sizeof *server);
       server->entry = *entry;
       server->entry_hash = entry_hash;
-      server->entry_read_ns = reading->now_ns;
+      server->entry_since_ns = reading->now_ns;
       server->orders_taken = -1;
       add_server (servers, servers->all, server);
       log_change (server, "added");
@@ -171,6 +171,8 @@
       return true;
     }
   changed = server->entry_hash != entry_hash || server->remove_at_ns != 0;
+  if (server->entry_hash != entry_hash)
+    server->entry_since_ns = reading->now_ns;
   server->entry_hash = entry_hash;
   replace_entry (server, entry, reading);
   return changed;
@@ -399,7 +401,6 @@
   kcp_server_take_entry_versions (server, entry, reading->now_ns, reading->delay_ns);
   kcp_server_entry_clear (&server->entry);
   server->entry = *entry;
-  server->entry_read_ns = reading->now_ns;
   server->remove_at_ns = 0;
   if (before != server->entry.state)
     log_change (server,
--- a/src/forward/version_check.c
+++ b/src/forward/version_check.c
@@ -133,7 +133,7 @@
   const struct kcp_gateway *gateway = checks->gateway;
   int64_t wait_ns
       = ENTRY_HEARTBEATS * gateway->settings->servers_heartbeat_ms * KCP_NS_PER_MS;
-  int64_t since_ns = MAX (server->entry_read_ns, last_seen_ns (server));
+  int64_t since_ns = MAX (server->entry_since_ns, last_seen_ns (server));
   int64_t readable_ns = kcp_feed_readable_since_ns (gateway->feed);
 
   if (readable_ns == KCP_FEED_NOT_READABLE)
@@ -331,7 +331,7 @@
            KCP_LOG_INT ("version", kcp_server_first_version (server)),
            KCP_LOG_INT ("calls", check->calls),
            KCP_LOG_INT ("seen_age_ms", (now - last_seen_ns (server)) / KCP_NS_PER_MS),
-           KCP_LOG_INT ("entry_age_ms", (now - server->entry_read_ns) / KCP_NS_PER_MS));
+           KCP_LOG_INT ("entry_age_ms", (now - server->entry_since_ns) / KCP_NS_PER_MS));
   g_ptr_array_remove_fast (check->checks->running, check);
 }
 
--- a/tests/process/test_late_orders.c
+++ b/tests/process/test_late_orders.c
@@ -20,13 +20,18 @@
   const char *what;
   unsigned hit;
   bool listed;   /* their entries name the older version */
+  bool beating;  /* all servers write their entries again and again */
   bool requests; /* callers send requests meanwhile */
 };
 
 static const struct form forms[] = {
-  { "requests are turned away", 2, false, true },
-  { "entries name the older version", 2, true, false },
-  { "all servers are hit", SERVERS, true, true },
+  { .what = "requests are turned away", .hit = 2, .requests = true },
+  { .what = "entries name the older version", .hit = 2, .listed = true },
+  { .what = "entries are written again and again",
+    .hit = 2,
+    .listed = true,
+    .beating = true },
+  { .what = "all servers are hit", .hit = SERVERS, .listed = true, .requests = true },
 };
 
 static void
@@ -64,9 +69,16 @@
   return status;
 }
 
+static void
+list_all (void)
+{
+  for (unsigned i = 0; i < SERVERS; i++)
+    fake_platform_put_server (route_vm.platform, i, "ready");
+}
+
 /* Returns the number of servers that still have older weights after at most that time. */
 static unsigned
-wait_current (int64_t ms, bool requests)
+wait_current (int64_t ms, bool requests, bool beating)
 {
   gint64 end_us = g_get_monotonic_time () + ms * G_TIME_SPAN_MILLISECOND;
 
@@ -74,18 +86,13 @@
     {
       if (requests)
         (void)send_one ();
+      if (beating)
+        list_all ();
       g_usleep (SEND_EVERY_MS * G_TIME_SPAN_MILLISECOND);
     }
   return count_outdated ();
 }
 
-static void
-list_all (void)
-{
-  for (unsigned i = 0; i < SERVERS; i++)
-    fake_platform_put_server (route_vm.platform, i, "ready");
-}
-
 /* The servers have started again, so that they expect the first order. */
 static void
 restart (void)
@@ -119,7 +126,7 @@
 
   name_weights (OLD);
   name_weights (NEW);
-  ck_assert_uint_eq (wait_current (LOAD_MS, true), 0);
+  ck_assert_uint_eq (wait_current (LOAD_MS, true, false), 0);
   restart ();
   for (int i = 0; i < REQUESTS; i++)
     (void)send_one ();
@@ -127,8 +134,8 @@
     carry_out_late_order (i);
   if (form->listed)
     list_all ();
-  ck_assert_msg (wait_current (REPAIR_MS, form->requests) == 0, "%s: %u are outdated",
-                 form->what, count_outdated ());
+  ck_assert_msg (wait_current (REPAIR_MS, form->requests, form->beating) == 0,
+                 "%s: %u are outdated", form->what, count_outdated ());
   for (int i = 0; i < REQUESTS && status != 200; i++)
     {
       status = send_one ();
