--- a/tests/process/test_lost_counts.c
+++ b/tests/process/test_lost_counts.c
@@ -10,6 +10,7 @@
 #define SERVERS     6
 #define CRASH_TEXT  "deadly"
 #define DOWN_MS     1200 /* until a crashed server is back */
+#define KILL_MS     250  /* from a crash until all VMs are killed */
 #define FLIGHT_MS   250  /* until requests are in flight at all servers */
 #define STORED_MS   1000 /* from a crash until it is in the store */
 #define POLL_MS     5
@@ -18,7 +19,7 @@
 #define PARTS       10
 #define KILLS       6
 #define GAP_MS      1500
-#define CLEARED_MS  2500 /* until it is stored that a suspect was cleared */
+#define CLEARED_MS  1500 /* until it is stored that a suspect was cleared */
 #define ROUNDS      4
 #define STREAM_HEAD "Model: m\r\nToken-Usage: 40,5\r\nPrompt-Prefix: %s,last%u:4\r\n"
 
@@ -53,6 +54,14 @@
   return route_vm_send_to (vm, "POST", target, id, head, body);
 }
 
+/* When all VMs are killed after a crash. */
+enum kill_time
+{
+  KILL_AFTER_A_WHILE, /* KILL_MS */
+  KILL_WHEN_STORED,
+  KILL_TIMES
+};
+
 /* What a test sends: what crashes servers, and what is sound and shares a part with it.
  */
 struct load
@@ -63,6 +72,7 @@
   const char *sound;
   unsigned count;   /* of deadly requests */
   unsigned crashes; /* after which the rule counts */
+  enum kill_time kill_time;
 };
 
 static void
@@ -86,8 +96,7 @@
 }
 
 /* Sends sound requests to all VMs and a deadly one to one of them by turns, and kills all
-   VMs as soon as each of the first crashes is in the store. Expects what the users' rules
-   say. */
+   VMs after each of the first crashes. Expects what the users' rules say. */
 static void
 expect_few_late (const struct load *load)
 {
@@ -103,7 +112,9 @@
       (void)vm_group_status (load->send, vm_group_at (i), load->path, load->deadly);
       if (i < KILLS)
         {
-          if (fake_platform_crash_count (route_vm.platform) > crashes)
+          if (load->kill_time == KILL_AFTER_A_WHILE)
+            g_usleep (KILL_MS * G_TIME_SPAN_MILLISECOND);
+          else if (fake_platform_crash_count (route_vm.platform) > crashes)
             wait_stored (stored);
           vm_group_restart_all ();
         }
@@ -127,7 +138,8 @@
                                    .deadly = CRASH_TEXT,
                                    .sound = "harmless",
                                    .count = COPIES,
-                                   .crashes = CRASH_RULE_CRASHES_REQUEST });
+                                   .crashes = CRASH_RULE_CRASHES_REQUEST,
+                                   .kill_time = (enum kill_time)_i });
 }
 END_TEST
 
@@ -141,7 +153,8 @@
                                    .deadly = "team:20," CRASH_TEXT ":10",
                                    .sound = "team:20,other:10",
                                    .count = PARTS,
-                                   .crashes = CRASH_RULE_CRASHES_PART });
+                                   .crashes = CRASH_RULE_CRASHES_PART,
+                                   .kill_time = (enum kill_time)_i });
 }
 END_TEST
 
@@ -202,8 +215,11 @@
 
   tcase_add_checked_fixture (cases, set_up, vm_group_tear_down);
   tcase_set_timeout (cases, 120);
-  tcase_add_test (cases, test_crashes_with_a_request_are_forgotten_as_all_vms_are_killed);
-  tcase_add_test (cases, test_crashes_with_a_part_are_forgotten_as_all_vms_are_killed);
+  tcase_add_loop_test (cases,
+                       test_crashes_with_a_request_are_forgotten_as_all_vms_are_killed, 0,
+                       KILL_TIMES);
+  tcase_add_loop_test (
+      cases, test_crashes_with_a_part_are_forgotten_as_all_vms_are_killed, 0, KILL_TIMES);
   tcase_add_test (cases, test_request_that_was_cleared_is_blocked_by_what_the_store_has);
   return run_started_suite ();
 }
