--- a/review/11/list_gap.c
+++ b/review/11/list_gap.c
@@ -3,9 +3,9 @@
    the record. The other VMs go on past the record and never learn of it.
 
    Engines leave one after the other while callers send bookings through all VMs: one
-   reports that it is draining, the next one only has its entry removed, and so on. Without
-   the disruption nothing else happens. With it, the leading VM is killed before each and
-   starts again as the engine leaves. */
+   reports that it is draining, the next one only has its entry removed, and so on.
+   Without the disruption nothing else happens. With it, the leading VM is killed before
+   each and starts again as the engine leaves. */
 #include <pthread.h>
 #include <signal.h>
 #include <stdio.h>
@@ -13,14 +13,15 @@
 
 #include "review/standin-3/plat.h"
 
-#define VMS        5u
-#define ENGINES    60u
-#define PAGE_SIZE  50u /* the users' small sites list 50 a page; at most 500 are allowed */
-#define ROUNDS     5u
-#define DRAIN_MS   2000 /* bounds.drain-ms */
-#define SERVES_MS  5000 /* for which an engine that leaves serves on */
-#define WORK_MS    60   /* that a booking takes */
-#define CALLERS    6u   /* of each VM */
+#define VMS       5u
+#define ENGINES   60u
+#define PAGE_SIZE 50u /* the users' small sites list 50 a page; at most 500 are allowed  \
+                       */
+#define ROUNDS    5u
+#define DRAIN_MS  2000 /* bounds.drain-ms */
+#define SERVES_MS 5000 /* for which an engine that leaves serves on */
+#define WORK_MS   60   /* that a booking takes */
+#define CALLERS   6u   /* of each VM */
 
 static struct plat_engine *list[ENGINES];
 static struct plat_vm *vm[VMS];
@@ -59,7 +60,8 @@
     return true;
   /* The VM that was killed is out of touch; its callers' requests do not count. */
   pthread_mutex_lock (&lock);
-  if (after_ms > DRAIN_MS && (restarted == NULL || !g_str_has_prefix (id, restarted->name)))
+  if (after_ms > DRAIN_MS
+      && (restarted == NULL || !g_str_has_prefix (id, restarted->name)))
     {
       late[i]++;
       plat_record ("booking %s reaches %s, %d ms after the store accepted that it leaves",
--- a/review/standin-3/plat.c
+++ b/review/standin-3/plat.c
@@ -123,27 +123,45 @@
     plat_vm_kill (g_ptr_array_index (vms, i), SIGKILL);
   if (record_file != NULL)
     plat_record ("ends with %d: %s", code,
-                 code == 0 ? "the rule held"
-                           : code == 1 ? "the rule was broken" : "could not run");
+                 code == 0   ? "the rule held"
+                 : code == 1 ? "the rule was broken"
+                             : "could not run");
   _exit (code);
 }
 
 /* --- HTTP --- */
 
+static bool
+is_free (int port, int type)
+{
+  struct sockaddr_in at = { .sin_family = AF_INET,
+                            .sin_port = htons ((uint16_t)port),
+                            .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  int fd = socket (AF_INET, type | SOCK_CLOEXEC, 0);
+  bool bound = bind (fd, (struct sockaddr *)&at, sizeof at) == 0;
+
+  close (fd);
+  return bound;
+}
+
+/* Returns a port that is free for streams and datagrams, as a VM uses one port for both
+ * with the other VMs. A port is returned once only, since the VMs listen on theirs later.
+ */
 int
-plat_free_port (int type)
+plat_free_port (void)
 {
+  static pthread_mutex_t lock = PTHREAD_MUTEX_INITIALIZER;
+  static bool taken[PORT_END];
+
   for (int i = 0; i < 1000; i++)
     {
       int port = g_random_int_range (PORT_FIRST, PORT_END);
-      struct sockaddr_in at = { .sin_family = AF_INET,
-                                .sin_port = htons ((uint16_t)port),
-                                .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-      int fd = socket (AF_INET, type | SOCK_CLOEXEC, 0);
-      bool bound = bind (fd, (struct sockaddr *)&at, sizeof at) == 0;
-
-      close (fd);
-      if (bound)
+
+      pthread_mutex_lock (&lock);
+      bool again = taken[port];
+      taken[port] = true;
+      pthread_mutex_unlock (&lock);
+      if (!again && is_free (port, SOCK_STREAM) && is_free (port, SOCK_DGRAM))
         return port;
     }
   plat_end (2);
@@ -296,9 +314,9 @@
   listener->user = user;
   for (int i = 0; i < 100 && listener->port == 0; i++)
     {
-      struct sockaddr_in at = { .sin_family = AF_INET,
-                                .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
-      int port = plat_free_port (SOCK_STREAM);
+      struct sockaddr_in at
+          = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+      int port = plat_free_port ();
 
       at.sin_port = htons ((uint16_t)port);
       listener->fd = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -455,9 +473,8 @@
 
           *end = '\0';
           lines = g_strsplit (conn.in->str, "\r\n", -1);
-          answer.status = lines[0] != NULL && strlen (lines[0]) > 11
-                              ? atoi (lines[0] + 9)
-                              : 0;
+          answer.status
+              = lines[0] != NULL && strlen (lines[0]) > 11 ? atoi (lines[0] + 9) : 0;
           parse_headers (lines + 1, answer.headers);
           g_string_erase (conn.in, 0, end + 4 - conn.in->str);
         }
@@ -561,8 +578,8 @@
 {
   const char *query = strchr (target, '?');
 
-  return g_uri_parse_params (query != NULL ? query + 1 : "", -1, "&",
-                             G_URI_PARAMS_NONE, NULL);
+  return g_uri_parse_params (query != NULL ? query + 1 : "", -1, "&", G_URI_PARAMS_NONE,
+                             NULL);
 }
 
 static int64_t
@@ -599,9 +616,9 @@
     }
   page->left--;
   coded = g_base64_encode ((const guchar *)record->value, record->len);
-  g_string_append_printf (page->items, "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%zu}",
-                          page->items->len > 0 ? "," : "", (char *)key, coded,
-                          GPOINTER_TO_SIZE (value));
+  g_string_append_printf (
+      page->items, "%s{\"key\":\"%s\",\"value\":\"%s\",\"offset\":%zu}",
+      page->items->len > 0 ? "," : "", (char *)key, coded, GPOINTER_TO_SIZE (value));
   return FALSE;
 }
 
@@ -769,9 +786,8 @@
                                engine->version)
             : g_strdup ("[]");
   g_autofree char *seq_no
-      = with_seq_no
-            ? g_strdup_printf (",\"seq-no\":%" G_GINT64_FORMAT, engine->seq_no)
-            : g_strdup ("");
+      = with_seq_no ? g_strdup_printf (",\"seq-no\":%" G_GINT64_FORMAT, engine->seq_no)
+                    : g_strdup ("");
 
   return g_strdup_printf (
       "{\"service\":\"%s\",\"address\":\"127.0.0.1:%d\",\"zone\":\"%s\",\"version\":"
@@ -832,8 +848,9 @@
   if (g_str_has_prefix (request->target, "/kingcuppoint/report"))
     {
       text = g_strdup_printf (
-          "{\"stage\":\"colocated\",\"models\":[{\"name\":\"m\",\"version\":%"
-          G_GINT64_FORMAT ",\"adapters\":[]}],\"busy\":false,\"seq-no\":%" G_GINT64_FORMAT
+          "{\"stage\":\"colocated\",\"models\":[{\"name\":\"m\",\"version\":"
+          "%" G_GINT64_FORMAT
+          ",\"adapters\":[]}],\"busy\":false,\"seq-no\":%" G_GINT64_FORMAT
           ",\"queued\":0,\"active\":0,\"kv-used\":0,\"kv-total\":90000,\"handles\":0,"
           "\"born\":%" G_GINT64_FORMAT "}",
           engine->version, engine->orders, engine->born);
@@ -923,12 +940,10 @@
 
   g_strlcpy (vm->name, name, sizeof vm->name);
   g_strlcpy (vm->zone, zone, sizeof vm->zone);
-  vm->front = plat_free_port (SOCK_STREAM);
-  vm->ready = plat_free_port (SOCK_STREAM);
-  vm->metrics = plat_free_port (SOCK_STREAM);
-  do
-    vm->peers = plat_free_port (SOCK_DGRAM);
-  while (vm->peers == vm->front || vm->peers == vm->ready || vm->peers == vm->metrics);
+  vm->front = plat_free_port ();
+  vm->ready = plat_free_port ();
+  vm->metrics = plat_free_port ();
+  vm->peers = plat_free_port ();
   vm->store = plat_store_listen (name);
   vm->folder = g_dir_make_tmp ("kcp-review-3-XXXXXX", NULL);
   if (vm->folder == NULL)
@@ -1003,7 +1018,8 @@
 plat_vm_is_ready (const struct plat_vm *vm)
 {
   struct plat_answer answer = plat_call (
-      vm->ready, "GET /kingcuppoint/readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+      vm->ready,
+      "GET /kingcuppoint/readiness HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
       500);
   bool ready = answer.status == 200;
 
--- a/review/standin-3/plat.h
+++ b/review/standin-3/plat.h
@@ -28,8 +28,8 @@
 };
 
 /* Answers a request. Returns false if the connection is to be closed. */
-typedef bool plat_handler (struct plat_conn *conn, const struct plat_request *request,
-                           void *user);
+typedef bool
+plat_handler (struct plat_conn *conn, const struct plat_request *request, void *user);
 
 /* What a caller got. */
 struct plat_answer
@@ -94,7 +94,7 @@
                  const char *body, gssize len);
 struct plat_answer plat_call (int port, const char *request, int timeout_ms);
 void plat_answer_clear (struct plat_answer *answer);
-int plat_free_port (int type);
+int plat_free_port (void);
 
 /* The store. */
 void plat_store_start (unsigned page_size);
